Workspace, inner protocol, settings, RPC and shared rules

Cause: the repository was empty; every later part needs one protocol, one settings loader and one set of guards. Ruled out: axum through cyper-axum, because its accept loop has no header timeout and no connection bound; hyper is used directly. Conclusion: base for the daemons; nothing runs end to end yet.

--- /dev/null
+++ b/orioleworks_daemon/src/http.rs
@@ -0,0 +1,210 @@
+//! HTTP/1.1 server with bounded connections, bodies and waiting times.
+
+use std::{cell::Cell, convert::Infallible, future::Future, io, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use compio::{net::TcpListener, runtime};
+use cyper_core::{CompioTimer, HyperStream};
+use futures_util::{FutureExt, select};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use orioleworks_proto::codes::ResultCode;
+use serde::{Deserialize, Serialize};
+
+use crate::{event, shutdown::Shutdown};
+
+/// Request as the server hands it to a handler.
+pub type Request = http::Request<Incoming>;
+
+/// Response of a handler; the body may be whole or a stream.
+pub type Response = http::Response<UnsyncBoxBody<Bytes, Infallible>>;
+
+/// Bounds of the server.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Connections at a time; further ones wait in the listen queue.
+    pub connections: usize,
+    /// Largest body in bytes.
+    pub body_bytes: usize,
+    /// Longest time for the head of a request, also on an idle connection.
+    pub head_timeout: Duration,
+    /// Longest time for the body of a request.
+    pub body_timeout: Duration,
+    /// Buffer per connection in bytes, which bounds what a client that stops reading can hold.
+    pub buffer_bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 4096,
+            body_bytes: 1024 * 1024,
+            head_timeout: Duration::from_secs(30),
+            body_timeout: Duration::from_secs(10),
+            buffer_bytes: 64 * 1024,
+        }
+    }
+}
+
+/// Binds a listener to an address given as IP and port.
+///
+/// # Errors
+///
+/// Returns the error of the operating system when the address cannot be bound.
+pub async fn bind(address: &str) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// Serves until the drain, then finishes the requests in hand; returns when the last connection has ended or on stop.
+pub async fn serve<F, H>(listener: TcpListener, limits: Limits, shutdown: Shutdown, handler: H)
+where
+    F: Future<Output = Response> + 'static,
+    H: Fn(Request) -> F + Clone + 'static,
+{
+    const ACCEPT_RETRY_MS: u64 = 50;
+    const POLL_MS: u64 = 5;
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        while open.get() >= limits.connections {
+            compio::time::sleep(Duration::from_millis(POLL_MS)).await;
+        }
+        let mut accept = std::pin::pin!(listener.accept().fuse());
+        let mut drained = std::pin::pin!(shutdown.drain.cancelled().fuse());
+        let accepted = select! { accepted = accept => accepted, () = drained => break };
+        match accepted {
+            Ok((stream, _)) => {
+                open.set(open.get() + 1);
+                let (open, handler, shutdown) = (open.clone(), handler.clone(), shutdown.clone());
+                runtime::spawn(async move {
+                    serve_connection(stream, limits, shutdown, handler).await;
+                    open.set(open.get() - 1);
+                })
+                .detach();
+            }
+            Err(e) => {
+                event!(warn, "accept_failed", reason = e);
+                compio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
+            }
+        }
+    }
+    drop(listener);
+    while open.get() > 0 && !shutdown.stop.is_cancelled() {
+        compio::time::sleep(Duration::from_millis(POLL_MS)).await;
+    }
+}
+
+async fn serve_connection<F, H>(
+    stream: compio::net::TcpStream,
+    limits: Limits,
+    shutdown: Shutdown,
+    handler: H,
+) where
+    F: Future<Output = Response> + 'static,
+    H: Fn(Request) -> F + 'static,
+{
+    drop(stream.set_nodelay(true));
+    let io = Box::pin(HyperStream::new_plain(stream));
+    let service = service_fn(move |req| {
+        let answer = handler(req);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut connection = std::pin::pin!(
+        http1::Builder::new()
+            .timer(CompioTimer)
+            .header_read_timeout(limits.head_timeout)
+            .max_buf_size(limits.buffer_bytes)
+            .serve_connection(io, service)
+    );
+    let mut stopped = std::pin::pin!(shutdown.stop.cancelled().fuse());
+    let mut drained = std::pin::pin!(shutdown.drain.cancelled().fuse());
+    loop {
+        select! {
+            ended = (&mut connection).fuse() => {
+                if let Err(e) = ended {
+                    event!(debug, "connection_failed", reason = e);
+                }
+                return;
+            }
+            () = drained => connection.as_mut().graceful_shutdown(),
+            () = stopped => return,
+        }
+    }
+}
+
+/// Reads a whole body within the limits.
+///
+/// # Errors
+///
+/// Returns the result code of a body that is too large, too slow or broken off.
+pub async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, ResultCode> {
+    let limited = Limited::new(body, limits.body_bytes);
+    match compio::time::timeout(limits.body_timeout, limited.collect()).await {
+        Err(_) => Err(ResultCode::RequestTimeout),
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(ResultCode::BodyTooLarge),
+        Ok(Err(_)) => Err(ResultCode::BadRequest),
+    }
+}
+
+/// Error answer to callers, trainers and upstreams; see `docs/result-codes.md`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ErrorBody {
+    /// Number of the result code.
+    pub code: u32,
+    /// Stable name of the result code.
+    pub name: String,
+    /// Text for people.
+    pub message: String,
+    /// True when the request did not run on any upstream.
+    pub not_run: bool,
+    /// Time after which a repeat makes sense, 0 when a repeat makes no sense.
+    pub retry_after_ms: u32,
+}
+
+/// Answers with a result code; `detail` is added to its text.
+pub fn error(code: ResultCode, detail: &str, retry_after_ms: u32) -> Response {
+    let message = if detail.is_empty() { code.to_string() } else { format!("{code}: {detail}") };
+    let not_run = code.not_run();
+    let body =
+        ErrorBody { code: code.number(), name: code.name(), message, not_run, retry_after_ms };
+    let mut response = json(code.http_status(), &body);
+    if retry_after_ms > 0 {
+        let seconds = retry_after_ms.div_ceil(1000);
+        response.headers_mut().insert(http::header::RETRY_AFTER, seconds.into());
+    }
+    response
+}
+
+/// Answers with a JSON document.
+pub fn json(status: u16, body: &impl Serialize) -> Response {
+    let bytes = serde_json::to_vec(body).unwrap_or_default();
+    whole(status, "application/json", bytes)
+}
+
+/// Answers with a whole body of the given content type.
+pub fn whole(status: u16, content_type: &str, body: impl Into<Bytes>) -> Response {
+    let mut response = http::Response::new(Full::new(body.into()).boxed_unsync());
+    *response.status_mut() =
+        http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
+    if let Ok(value) = http::HeaderValue::from_str(content_type) {
+        response.headers_mut().insert(http::header::CONTENT_TYPE, value);
+    }
+    response
+}
+
+/// Answers `/live`, `/ready` and `/metrics`; `None` for any other path.
+pub fn platform_endpoint(
+    req: &Request,
+    ready: Result<(), &str>,
+    render: impl Fn() -> String,
+) -> Option<Response> {
+    match req.uri().path() {
+        "/live" => Some(whole(200, "text/plain", "live\n")),
+        "/ready" => Some(match ready {
+            Ok(()) => whole(200, "text/plain", "ready\n"),
+            Err(reason) => whole(503, "text/plain", format!("{reason}\n")),
+        }),
+        "/metrics" => Some(whole(200, "text/plain; version=0.0.4", render())),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/orioleworks_daemon/src/lib.rs
@@ -0,0 +1,11 @@
+//! What every orioleworks daemon shares: logs, metrics, HTTP server, inner RPC, clocks and shutdown.
+//!
+//! See `docs/design.md`, sections 2, 3 and 11.
+
+pub mod clock;
+pub mod control;
+pub mod http;
+pub mod logging;
+pub mod metrics;
+pub mod rpc;
+pub mod shutdown;
--- /dev/null
+++ b/orioleworks_daemon/src/rpc.rs
@@ -0,0 +1,258 @@
+//! RPC over the inner protocol: many requests at a time on one connection, matched by request ID.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    future::Future,
+    io,
+    rc::Rc,
+    time::Duration,
+};
+
+use compio::{
+    net::{TcpListener, TcpStream},
+    runtime,
+};
+use displaydoc::Display;
+use futures_channel::{mpsc, oneshot};
+use futures_util::{FutureExt, SinkExt, StreamExt, select};
+use orioleworks_proto::{
+    frames,
+    inner::{self, frame::Body},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::event;
+
+/// Requests of one connection that are served at a time; further ones wait unread.
+const MAX_CONCURRENT: usize = 1024;
+/// Longest time to connect.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Frames that wait to be written on one connection.
+const WRITE_QUEUE: usize = 256;
+
+/// Why a call has no reply.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum RpcError {
+    /// cannot connect to {0}
+    Unreachable(String),
+    /// the connection was lost after the request may have been sent
+    Lost,
+    /// no reply in time
+    Timeout,
+    /// the reply has an unexpected type
+    Unexpected,
+}
+
+impl std::error::Error for RpcError {}
+
+/// Serves every connection in a task of its own until the token is cancelled; the handler answers one request.
+pub async fn serve<F, H>(listener: TcpListener, token: CancellationToken, handler: H)
+where
+    F: Future<Output = Option<Body>> + 'static,
+    H: Fn(Body) -> F + Clone + 'static,
+{
+    const ACCEPT_RETRY_MS: u64 = 50;
+    loop {
+        let mut accept = std::pin::pin!(listener.accept().fuse());
+        let mut cancelled = std::pin::pin!(token.cancelled().fuse());
+        let accepted = select! { accepted = accept => accepted, () = cancelled => return };
+        match accepted {
+            Ok((stream, peer)) => {
+                let (token, handler) = (token.child_token(), handler.clone());
+                runtime::spawn(async move {
+                    if let Err(e) = serve_connection(stream, token, handler).await {
+                        event!(warn, "inner_connection_closed", peer = peer, reason = e);
+                    }
+                })
+                .detach();
+            }
+            Err(e) => {
+                event!(warn, "accept_failed", reason = e);
+                compio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<F, H>(
+    stream: TcpStream,
+    token: CancellationToken,
+    handler: H,
+) -> io::Result<()>
+where
+    F: Future<Output = Option<Body>> + 'static,
+    H: Fn(Body) -> F + 'static,
+{
+    let (mut sink, mut source) = frames::wrap(stream)?.split();
+    let (tx, mut rx) = mpsc::channel::<inner::Frame>(WRITE_QUEUE);
+    let closed = token.clone();
+    runtime::spawn(async move {
+        while let Some(frame) = rx.next().await {
+            if sink.send(frame).await.is_err() {
+                closed.cancel();
+                return;
+            }
+        }
+    })
+    .detach();
+    let running = Rc::new(Cell::new(0_usize));
+    loop {
+        while running.get() >= MAX_CONCURRENT {
+            compio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let mut next = std::pin::pin!(source.next().fuse());
+        let mut cancelled = std::pin::pin!(token.cancelled().fuse());
+        let frame = select! { frame = next => frame, () = cancelled => return Ok(()) };
+        let Some(frame) = frame.transpose()? else { return Ok(()) };
+        let Some(body) = frame.body else { continue };
+        let answer = handler(body);
+        let (mut tx, running) = (tx.clone(), running.clone());
+        running.set(running.get() + 1);
+        runtime::spawn(async move {
+            if let Some(body) = answer.await {
+                let reply = inner::Frame { request_id: frame.request_id, body: Some(body) };
+                drop(tx.send(reply).await);
+            }
+            running.set(running.get() - 1);
+        })
+        .detach();
+    }
+}
+
+type Waiting = Rc<RefCell<HashMap<u64, oneshot::Sender<Body>>>>;
+
+struct Connection {
+    tx: mpsc::Sender<inner::Frame>,
+    waiting: Waiting,
+    closed: CancellationToken,
+}
+
+/// Client of one peer; it connects when first used and again after a loss. Clones share the connection.
+#[derive(Clone)]
+pub struct Client {
+    address: Rc<str>,
+    connection: Rc<RefCell<Option<Connection>>>,
+    connecting: Rc<futures_util::lock::Mutex<()>>,
+    next_id: Rc<Cell<u64>>,
+}
+
+impl std::fmt::Debug for Client {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Client").field("address", &self.address).finish_non_exhaustive()
+    }
+}
+
+impl Client {
+    /// Client of the peer at an address given as IP and port.
+    pub fn new(address: impl Into<Rc<str>>) -> Self {
+        Self {
+            address: address.into(),
+            connection: Rc::default(),
+            connecting: Rc::default(),
+            next_id: Rc::new(Cell::new(1)),
+        }
+    }
+
+    /// Address of the peer.
+    pub fn address(&self) -> Rc<str> {
+        self.address.clone()
+    }
+
+    /// Sends a request and waits for its reply.
+    ///
+    /// # Errors
+    ///
+    /// [`RpcError::Unreachable`] promises that nothing was sent; after any other error the request may have arrived.
+    pub async fn call(&self, body: Body, timeout: Duration) -> Result<Body, RpcError> {
+        let (mut tx, waiting) = self.connect().await?;
+        let request_id = self.next_id.replace(self.next_id.get() + 1);
+        let (reply_tx, reply_rx) = oneshot::channel();
+        waiting.borrow_mut().insert(request_id, reply_tx);
+        // Also removes the slot when the caller drops this future.
+        let _slot = Slot { waiting: waiting.clone(), request_id };
+        if tx.send(inner::Frame { request_id, body: Some(body) }).await.is_err() {
+            return Err(RpcError::Lost);
+        }
+        match compio::time::timeout(timeout, reply_rx).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(_)) => Err(RpcError::Lost),
+            Err(_) => Err(RpcError::Timeout),
+        }
+    }
+
+    async fn connect(&self) -> Result<(mpsc::Sender<inner::Frame>, Waiting), RpcError> {
+        // One connection attempt at a time; the others wait for its result.
+        let _connecting = self.connecting.lock().await;
+        if let Some(connection) = &*self.connection.borrow()
+            && !connection.closed.is_cancelled()
+        {
+            return Ok((connection.tx.clone(), connection.waiting.clone()));
+        }
+        let unreachable = || RpcError::Unreachable(self.address.to_string());
+        let stream = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(&*self.address))
+            .await
+            .map_err(|_| unreachable())?
+            .map_err(|_| unreachable())?;
+        let connection = start_connection(stream).map_err(|_| unreachable())?;
+        let parts = (connection.tx.clone(), connection.waiting.clone());
+        *self.connection.borrow_mut() = Some(connection);
+        Ok(parts)
+    }
+
+    /// Closes the connection; the next call opens a new one.
+    pub fn disconnect(&self) {
+        if let Some(connection) = self.connection.borrow_mut().take() {
+            connection.closed.cancel();
+        }
+    }
+}
+
+struct Slot {
+    waiting: Waiting,
+    request_id: u64,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.waiting.borrow_mut().remove(&self.request_id);
+    }
+}
+
+fn start_connection(stream: TcpStream) -> io::Result<Connection> {
+    let (mut sink, mut source) = frames::wrap(stream)?.split();
+    let (tx, mut rx) = mpsc::channel::<inner::Frame>(WRITE_QUEUE);
+    let waiting = Waiting::default();
+    let closed = CancellationToken::new();
+    let writer_closed = closed.clone();
+    runtime::spawn(async move {
+        loop {
+            let mut next = std::pin::pin!(rx.next().fuse());
+            let mut cancelled = std::pin::pin!(writer_closed.cancelled().fuse());
+            let frame = select! { frame = next => frame, () = cancelled => None };
+            let Some(frame) = frame else { break };
+            if sink.send(frame).await.is_err() {
+                break;
+            }
+        }
+        writer_closed.cancel();
+    })
+    .detach();
+    let (reader_waiting, reader_closed) = (waiting.clone(), closed.clone());
+    runtime::spawn(async move {
+        loop {
+            let mut next = std::pin::pin!(source.next().fuse());
+            let mut cancelled = std::pin::pin!(reader_closed.cancelled().fuse());
+            let frame = select! { frame = next => frame, () = cancelled => None };
+            let Some(Ok(inner::Frame { request_id, body: Some(body) })) = frame else { break };
+            // A reply without a waiting request is late: its caller has given up.
+            if let Some(reply_tx) = reader_waiting.borrow_mut().remove(&request_id) {
+                drop(reply_tx.send(body));
+            }
+        }
+        reader_closed.cancel();
+        reader_waiting.borrow_mut().clear();
+    })
+    .detach();
+    Ok(Connection { tx, waiting, closed })
+}
--- /dev/null
+++ b/orioleworks_daemon/src/shutdown.rs
@@ -0,0 +1,89 @@
+//! Shutdown in two stages: drain on the first signal, stop on the second signal or the deadline.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use compio::runtime;
+use futures_util::{FutureExt, select};
+use nix::sys::signal::Signal;
+use tokio_util::sync::CancellationToken;
+
+use crate::event;
+
+/// Tokens of the two stages; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Shutdown {
+    /// Cancelled when the process is to finish the work in hand; `/ready` fails from here on.
+    pub drain: CancellationToken,
+    /// Cancelled when the process is to end at once.
+    pub stop: CancellationToken,
+}
+
+impl Shutdown {
+    /// Starts a task that turns SIGTERM and SIGINT into the two stages.
+    pub fn watch_signals(&self, deadline: Duration) {
+        let shutdown = self.clone();
+        runtime::spawn(async move {
+            next_signal().await;
+            event!(info, "drain_started", deadline_ms = deadline.as_millis());
+            shutdown.drain.cancel();
+            let mut second = std::pin::pin!(next_signal().fuse());
+            let mut timer = std::pin::pin!(compio::time::sleep(deadline).fuse());
+            select! {
+                () = second => event!(warn, "stopped_by_second_signal"),
+                () = timer => event!(warn, "stopped_by_deadline"),
+            }
+            shutdown.stop.cancel();
+        })
+        .detach();
+    }
+
+    /// Whether the process is draining.
+    pub fn draining(&self) -> bool {
+        self.drain.is_cancelled()
+    }
+}
+
+async fn next_signal() {
+    let mut term = std::pin::pin!(compio::signal::unix::signal(Signal::SIGTERM as i32).fuse());
+    let mut int = std::pin::pin!(compio::signal::unix::signal(Signal::SIGINT as i32).fuse());
+    select! { _ = term => (), _ = int => () }
+}
+
+/// Counts work in hand, so that a drain can wait for it.
+#[derive(Clone, Debug, Default)]
+pub struct InFlight {
+    count: Rc<Cell<usize>>,
+}
+
+/// One piece of work in hand; dropping it ends the work.
+#[derive(Debug)]
+pub struct InFlightGuard {
+    count: Rc<Cell<usize>>,
+}
+
+impl InFlight {
+    /// Counts one more piece of work until the guard is dropped.
+    pub fn enter(&self) -> InFlightGuard {
+        self.count.set(self.count.get() + 1);
+        InFlightGuard { count: self.count.clone() }
+    }
+
+    /// Work in hand now.
+    pub fn count(&self) -> usize {
+        self.count.get()
+    }
+
+    /// Waits until no work is in hand.
+    pub async fn idle(&self) {
+        const POLL_MS: u64 = 10;
+        while self.count.get() > 0 {
+            compio::time::sleep(Duration::from_millis(POLL_MS)).await;
+        }
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.count.set(self.count.get() - 1);
+    }
+}
--- /dev/null
+++ b/orioleworks_entry/src/config.rs
@@ -0,0 +1,162 @@
+//! Settings of the entry daemon, one struct for each section.
+
+use std::{net::SocketAddr, path::PathBuf, sync::Arc};
+
+use orioleworks_settings::{Problems, Settings};
+use serde::Deserialize;
+
+/// Settings file of an entry.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// Which instance this is.
+    pub instance: Instance,
+    /// Where it listens.
+    pub listen: Listen,
+    /// Control replicas.
+    pub control: Control,
+    /// The other entries.
+    #[serde(default)]
+    pub peers: Vec<Peer>,
+    /// Own state on disk.
+    #[serde(default)]
+    pub data: Data,
+    /// Bounds of work in hand.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Log output.
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// Name and place of the instance.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Instance {
+    /// Unique name of the entry.
+    pub name: Arc<str>,
+    /// Failure domain of the instance.
+    pub failure_domain: Arc<str>,
+}
+
+/// Addresses of the process.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// HTTP for callers, trainers, upstreams and the platform.
+    pub http: SocketAddr,
+    /// Inner protocol for other entries.
+    pub inner: SocketAddr,
+}
+
+/// Control replicas; the ones of the own failure domain are watched first.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Control {
+    /// All replicas that may be members.
+    pub replicas: Vec<Replica>,
+}
+
+/// One control replica.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Replica {
+    /// Address of its inner protocol.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: Arc<str>,
+}
+
+/// One other entry.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Peer {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its failure domain.
+    pub failure_domain: Arc<str>,
+    /// Address of its inner protocol.
+    pub inner: SocketAddr,
+}
+
+/// State on disk; an entry without a directory gets its configuration from others after a restart.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Data {
+    /// Directory for the synced copy of the configuration.
+    pub directory: Option<PathBuf>,
+}
+
+/// Bounds of work in hand.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Connections of callers at a time.
+    pub connections: usize,
+    /// Largest request body in bytes.
+    pub body_bytes: usize,
+    /// Requests that wait for an upstream, over all queues.
+    pub queued_requests: usize,
+    /// Longest time for a request body in milliseconds.
+    pub body_timeout_ms: u64,
+    /// Longest drain after the first signal in milliseconds.
+    pub drain_deadline_ms: u64,
+    /// Time in milliseconds for which a draining entry still takes new connections, until balancers have noticed.
+    pub drain_grace_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 4096,
+            body_bytes: 1024 * 1024,
+            queued_requests: 20_000,
+            body_timeout_ms: 10_000,
+            drain_deadline_ms: 30_000,
+            drain_grace_ms: 1000,
+        }
+    }
+}
+
+/// Log output.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// Filter in the syntax of `env_logger`.
+    pub filter: String,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self { filter: "info".into() }
+    }
+}
+
+impl Settings for Config {
+    fn check(&self, problems: &mut Problems) {
+        problems.require(
+            "instance.name",
+            !self.instance.name.is_empty(),
+            "a name of at least one character",
+        );
+        let domain = &self.instance.failure_domain;
+        problems.require(
+            "instance.failure_domain",
+            !domain.is_empty(),
+            "a name of at least one character",
+        );
+        let replicas = &self.control.replicas;
+        problems.require("control.replicas", !replicas.is_empty(), "at least one control replica");
+        for (i, peer) in self.peers.iter().enumerate() {
+            let own = peer.name == self.instance.name;
+            problems.require(format!("peers[{i}].name"), !own, "the name of another entry");
+        }
+        let limits = &self.limits;
+        problems.range("limits.connections", limits.connections, 1..=65_536, "connections");
+        problems.range("limits.body_bytes", limits.body_bytes, 1024..=4 * 1024 * 1024, "bytes");
+        problems.range("limits.queued_requests", limits.queued_requests, 1..=1_000_000, "requests");
+        problems.range("limits.body_timeout_ms", limits.body_timeout_ms, 100..=600_000, "ms");
+        problems.range("limits.drain_deadline_ms", limits.drain_deadline_ms, 0..=600_000, "ms");
+        problems.range("limits.drain_grace_ms", limits.drain_grace_ms, 0..=60_000, "ms");
+    }
+}
--- /dev/null
+++ b/orioleworks_entry/src/configuration.rs
@@ -0,0 +1,194 @@
+//! Configuration in force at this entry; it only ever moves to higher revisions.
+//!
+//! See `docs/design.md`, section 5.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use indexmap::IndexMap;
+use orioleworks_daemon::{clock, event};
+use orioleworks_proto::inner;
+
+/// Time without word from control after which the configuration counts as stale.
+pub const STALE_AFTER: Duration = Duration::from_secs(9);
+
+/// Configuration at one revision.
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    profiles: IndexMap<Rc<str>, (u64, Rc<inner::Profile>)>,
+    stopped: IndexMap<Rc<str>, u64>,
+    versions: IndexMap<Rc<str>, u64>,
+    quarantined: IndexMap<Rc<str>, inner::Quarantined>,
+}
+
+/// Shared view of the configuration; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct Configuration {
+    state: Rc<RefCell<State>>,
+    ready: Rc<Cell<bool>>,
+    heard: Rc<Cell<Duration>>,
+}
+
+impl Configuration {
+    /// Revision in force.
+    pub fn revision(&self) -> u64 {
+        self.state.borrow().revision
+    }
+
+    /// Whether a configuration is in force at all.
+    pub fn is_ready(&self) -> bool {
+        self.ready.get()
+    }
+
+    /// Marks the configuration as in force.
+    pub fn set_ready(&self) {
+        self.ready.set(true);
+    }
+
+    /// Notes that control answered now.
+    pub fn mark_heard(&self) {
+        self.heard.set(clock::since_boot());
+    }
+
+    /// Whether control has been silent for longer than the bound.
+    pub fn is_stale(&self) -> bool {
+        clock::since_boot().saturating_sub(self.heard.get()) > STALE_AFTER
+    }
+
+    /// Profile in force under a name.
+    pub fn profile(&self, name: &str) -> Option<Rc<inner::Profile>> {
+        self.state.borrow().profiles.get(name).map(|(_, profile)| profile.clone())
+    }
+
+    /// Every profile in force.
+    pub fn profiles(&self) -> Vec<Rc<inner::Profile>> {
+        self.state.borrow().profiles.values().map(|(_, profile)| profile.clone()).collect()
+    }
+
+    /// Whether an operator has stopped the upstream.
+    pub fn is_stopped(&self, upstream: &str) -> bool {
+        self.state.borrow().stopped.contains_key(upstream)
+    }
+
+    /// Desired weight version of a model.
+    pub fn version(&self, model: &str) -> Option<u64> {
+        self.state.borrow().versions.get(model).copied()
+    }
+
+    /// Quarantine record of a fingerprint that has not expired.
+    pub fn quarantined(&self, fingerprint: &str) -> Option<inner::Quarantined> {
+        let state = self.state.borrow();
+        let record = state.quarantined.get(fingerprint)?;
+        (record.until_ms > clock::unix_ms()).then(|| record.clone())
+    }
+
+    /// Applies changes in order; changes that are not the next revision are left for a later watch.
+    pub fn apply_changes(&self, changes: impl IntoIterator<Item = inner::Change>) {
+        let mut state = self.state.borrow_mut();
+        for change in changes {
+            if change.revision == state.revision + 1 {
+                state.revision = change.revision;
+                if let Some(kind) = change.kind {
+                    event!(info, "configuration_changed", revision = change.revision);
+                    apply(&mut state, change.revision, kind);
+                }
+            }
+        }
+    }
+
+    /// Takes over a whole configuration when it is newer than the one in force.
+    pub fn apply_whole(&self, config: inner::Config) {
+        if config.revision <= self.revision() {
+            return;
+        }
+        event!(info, "configuration_replaced", revision = config.revision);
+        *self.state.borrow_mut() = from_message(config);
+    }
+
+    /// The whole configuration as a message.
+    pub fn to_message(&self) -> inner::Config {
+        let state = self.state.borrow();
+        inner::Config {
+            revision: state.revision,
+            profiles: state
+                .profiles
+                .values()
+                .map(|(revision, profile)| inner::VersionedProfile {
+                    revision: *revision,
+                    profile: Some(profile.as_ref().clone()),
+                })
+                .collect(),
+            stopped_upstreams: state
+                .stopped
+                .iter()
+                .map(|(name, revision)| inner::StoppedUpstream {
+                    revision: *revision,
+                    name: name.to_string(),
+                })
+                .collect(),
+            versions: state
+                .versions
+                .iter()
+                .map(|(model, version)| inner::ModelVersion {
+                    model: model.to_string(),
+                    version: *version,
+                })
+                .collect(),
+            quarantined: state.quarantined.values().cloned().collect(),
+        }
+    }
+}
+
+fn from_message(config: inner::Config) -> State {
+    let mut state = State { revision: config.revision, ..State::default() };
+    for versioned in config.profiles {
+        if let Some(profile) = versioned.profile {
+            let name = profile.name.as_str().into();
+            state.profiles.insert(name, (versioned.revision, Rc::new(profile)));
+        }
+    }
+    for stopped in config.stopped_upstreams {
+        state.stopped.insert(stopped.name.into(), stopped.revision);
+    }
+    for version in config.versions {
+        state.versions.insert(version.model.into(), version.version);
+    }
+    for record in config.quarantined {
+        state.quarantined.insert(record.fingerprint.as_str().into(), record);
+    }
+    state
+}
+
+fn apply(state: &mut State, revision: u64, kind: inner::change::Kind) {
+    use inner::change::Kind;
+    match kind {
+        Kind::Profile(versioned) => {
+            if let Some(profile) = versioned.profile {
+                let name = profile.name.as_str().into();
+                state.profiles.insert(name, (revision, Rc::new(profile)));
+            }
+        }
+        Kind::RetiredProfile(name) => {
+            state.profiles.shift_remove(name.as_str());
+        }
+        Kind::StoppedUpstream(name) => {
+            state.stopped.insert(name.into(), revision);
+        }
+        Kind::StartedUpstream(name) => {
+            state.stopped.shift_remove(name.as_str());
+        }
+        Kind::Version(version) => {
+            state.versions.insert(version.model.into(), version.version);
+        }
+        Kind::Quarantined(record) => {
+            state.quarantined.insert(record.fingerprint.as_str().into(), record);
+        }
+        Kind::QuarantineReleased(fingerprint) => {
+            state.quarantined.shift_remove(fingerprint.as_str());
+        }
+    }
+}
--- /dev/null
+++ b/orioleworks_entry/src/watch.rs
@@ -0,0 +1,80 @@
+//! Keeps the configuration up to date through a `Watch` on a control replica.
+//!
+//! See `docs/design.md`, section 5.
+
+use std::{rc::Rc, time::Duration};
+
+use compio::time;
+use orioleworks_daemon::{event, rpc};
+use orioleworks_proto::{
+    codes::ResultCode,
+    inner::{self, frame::Body},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::configuration::Configuration;
+
+/// Time for which control may hold a watch when nothing changes.
+const HOLD_MS: u32 = 1000;
+/// Longest wait for the answer to a watch, after which another replica is asked.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(1800);
+/// Pause after a failed watch.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Answers of a replica of another failure domain after which the own domain's replicas are tried again.
+const PREFERRED_RETRY_ROUNDS: u32 = 5;
+
+/// Watches until the token is cancelled; `replicas` are in the order of preference.
+pub async fn run(
+    identity: inner::EntryIdentity,
+    replicas: Vec<rpc::Client>,
+    configuration: Configuration,
+    live_entries: impl Fn(Vec<inner::EntryIdentity>),
+    token: CancellationToken,
+) {
+    let identity = Rc::new(identity);
+    let mut at = 0;
+    let mut rounds = 0;
+    while !token.is_cancelled() && !replicas.is_empty() {
+        match watch_once(&identity, &replicas[at], &configuration).await {
+            Some(entries) => {
+                live_entries(entries);
+                rounds += 1;
+                if at != 0 && rounds >= PREFERRED_RETRY_ROUNDS {
+                    (at, rounds) = (0, 0);
+                }
+            }
+            None => {
+                event!(warn, "watch_failed", replica = replicas[at].address());
+                replicas[at].disconnect();
+                (at, rounds) = ((at + 1) % replicas.len(), 0);
+                time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn watch_once(
+    identity: &inner::EntryIdentity,
+    replica: &rpc::Client,
+    configuration: &Configuration,
+) -> Option<Vec<inner::EntryIdentity>> {
+    let watch = inner::Watch {
+        entry: Some(identity.clone()),
+        applied_revision: configuration.revision(),
+        wait_ms: if configuration.is_ready() { HOLD_MS } else { 0 },
+    };
+    let reply = match replica.call(Body::Watch(watch), WATCH_TIMEOUT).await {
+        Ok(Body::WatchReply(reply)) if reply.code == ResultCode::Ok.number() => reply,
+        _ => return None,
+    };
+    // A replica that lags behind this entry has nothing to tell it.
+    if let Some(config) = reply.config {
+        configuration.apply_whole(config);
+    }
+    configuration.apply_changes(reply.changes);
+    configuration.mark_heard();
+    if configuration.revision() >= reply.revision {
+        configuration.set_ready();
+    }
+    Some(reply.entries)
+}
--- /dev/null
+++ b/orioleworks_matrix/src/lib.rs
@@ -0,0 +1,1 @@
+//! Harness for the fault matrix: starts real processes with fail points and stops them by ID.
--- /dev/null
+++ b/orioleworks_rules/src/claims.rs
@@ -0,0 +1,133 @@
+//! Rules of idempotency claims; see `docs/design.md`, section 7.
+
+/// Time after the issue of a key during which its claim is kept, in milliseconds.
+pub const CLAIM_RETENTION_MS: u64 = 10 * 60 * 1000;
+
+/// Longest time by which a key may be issued in the future of control's clock, in milliseconds.
+pub const MAX_CLOCK_SKEW_MS: u64 = 30 * 1000;
+
+/// State of a claim in the replicated state machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum ClaimState {
+    /// An attempt holds the claim and may have sent the request.
+    Running,
+    /// The stored response is final.
+    Finished,
+    /// The outcome cannot be known.
+    Unknown,
+    /// The attempt's request was refused as not run; the key may be claimed again.
+    Released,
+}
+
+/// Claim that control holds for a key, reduced to what the rule needs.
+#[derive(Clone, Copy, Debug)]
+pub struct HeldClaim<'a> {
+    /// State of the claim.
+    pub state: ClaimState,
+    /// Attempt that made the claim.
+    pub attempt_id: &'a str,
+    /// Profile and content of the request.
+    pub fingerprint: &'a str,
+    /// Whether the entry that holds the claim is known to be gone.
+    pub holder_gone: bool,
+}
+
+/// Request for a claim.
+#[derive(Clone, Copy, Debug)]
+pub struct ClaimRequest<'a> {
+    /// Attempt that asks.
+    pub attempt_id: &'a str,
+    /// Profile and content of the request.
+    pub fingerprint: &'a str,
+    /// Issue time named by the key, in milliseconds since the epoch.
+    pub issued_ms: u64,
+}
+
+/// Answer to a request for a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum ClaimDecision {
+    /// The asking attempt holds the claim and may dispatch.
+    Granted,
+    /// Another attempt holds it.
+    InProgress,
+    /// The stored response answers the request.
+    Finished,
+    /// The request may have run; it will not run again.
+    Unknown,
+    /// The key was used for other content.
+    KeyReused,
+    /// The key is older than the retention, so its claim may have been forgotten.
+    KeyExpired,
+}
+
+/// Decides a request for a claim at control's time.
+pub fn decide_claim(
+    held: Option<HeldClaim<'_>>,
+    request: ClaimRequest<'_>,
+    now_ms: u64,
+) -> ClaimDecision {
+    if is_expired(request.issued_ms, now_ms) || request.issued_ms > now_ms + MAX_CLOCK_SKEW_MS {
+        return ClaimDecision::KeyExpired;
+    }
+    let Some(held) = held else { return ClaimDecision::Granted };
+    if held.fingerprint != request.fingerprint {
+        return ClaimDecision::KeyReused;
+    }
+    match held.state {
+        ClaimState::Released => ClaimDecision::Granted,
+        ClaimState::Finished => ClaimDecision::Finished,
+        ClaimState::Unknown => ClaimDecision::Unknown,
+        // The same attempt asks again when the answer to its first request was lost.
+        ClaimState::Running if held.attempt_id == request.attempt_id => ClaimDecision::Granted,
+        ClaimState::Running if held.holder_gone => ClaimDecision::Unknown,
+        ClaimState::Running => ClaimDecision::InProgress,
+    }
+}
+
+/// Whether a key is too old for its claim to be known for certain.
+pub fn is_expired(issued_ms: u64, now_ms: u64) -> bool {
+    issued_ms.saturating_add(CLAIM_RETENTION_MS) <= now_ms
+}
+
+/// Whether control may forget a claim; it keeps claims longer than it accepts their keys.
+pub fn may_forget(issued_ms: u64, now_ms: u64) -> bool {
+    issued_ms.saturating_add(CLAIM_RETENTION_MS + MAX_CLOCK_SKEW_MS) <= now_ms
+}
+
+/// Whether the first byte of a non-idempotent request may go to an upstream.
+pub fn may_dispatch(decision: ClaimDecision, claim_committed: bool, already_sent: bool) -> bool {
+    decision == ClaimDecision::Granted && claim_committed && !already_sent
+}
+
+/// What an entry knows about one attempt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptFacts {
+    /// At least one byte may have gone to the upstream.
+    pub sent: bool,
+    /// The upstream said that it refused the request without running it.
+    pub refused_by_upstream: bool,
+    /// The response arrived complete, with its end marker.
+    pub complete: bool,
+}
+
+/// What may be said about an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum AttemptOutcome {
+    /// The request did not run.
+    NotRun,
+    /// The request ran and its response is complete.
+    Finished,
+    /// The request may have run.
+    Unknown,
+}
+
+/// Outcome that the facts support; "not run" needs proof.
+pub fn attempt_outcome(facts: AttemptFacts) -> AttemptOutcome {
+    if facts.refused_by_upstream || !facts.sent {
+        AttemptOutcome::NotRun
+    } else if facts.complete {
+        AttemptOutcome::Finished
+    } else {
+        AttemptOutcome::Unknown
+    }
+}
