Close inner connections at once when their token is cancelled

Cause: a test showed that a server whose token was cancelled still answered requests in hand, because only the reading half watched the token. Ruled out: a late reply matched to the wrong request; replies are matched by request ID and a test of crossed and late replies passes. Conclusion: a lost connection is reported as lost, never as not sent.

--- a/orioleworks_daemon/src/rpc.rs
+++ b/orioleworks_daemon/src/rpc.rs
@@ -15,7 +15,7 @@
 };
 use displaydoc::Display;
 use futures_channel::{mpsc, oneshot};
-use futures_util::{FutureExt, SinkExt, StreamExt, select};
+use futures_util::{FutureExt, SinkExt, StreamExt, select, stream::SplitSink};
 use orioleworks_proto::{
     frames,
     inner::{self, frame::Body},
@@ -84,18 +84,9 @@
     F: Future<Output = Option<Body>> + 'static,
     H: Fn(Body) -> F + 'static,
 {
-    let (mut sink, mut source) = frames::wrap(stream)?.split();
-    let (tx, mut rx) = mpsc::channel::<inner::Frame>(WRITE_QUEUE);
-    let closed = token.clone();
-    runtime::spawn(async move {
-        while let Some(frame) = rx.next().await {
-            if sink.send(frame).await.is_err() {
-                closed.cancel();
-                return;
-            }
-        }
-    })
-    .detach();
+    let (sink, mut source) = frames::wrap(stream)?.split();
+    let (tx, rx) = mpsc::channel::<inner::Frame>(WRITE_QUEUE);
+    spawn_writer(sink, rx, token.clone());
     let running = Rc::new(Cell::new(0_usize));
     loop {
         while running.get() >= MAX_CONCURRENT {
@@ -220,24 +211,11 @@
 }
 
 fn start_connection(stream: TcpStream) -> io::Result<Connection> {
-    let (mut sink, mut source) = frames::wrap(stream)?.split();
-    let (tx, mut rx) = mpsc::channel::<inner::Frame>(WRITE_QUEUE);
+    let (sink, mut source) = frames::wrap(stream)?.split();
+    let (tx, rx) = mpsc::channel::<inner::Frame>(WRITE_QUEUE);
     let waiting = Waiting::default();
     let closed = CancellationToken::new();
-    let writer_closed = closed.clone();
-    runtime::spawn(async move {
-        loop {
-            let mut next = std::pin::pin!(rx.next().fuse());
-            let mut cancelled = std::pin::pin!(writer_closed.cancelled().fuse());
-            let frame = select! { frame = next => frame, () = cancelled => None };
-            let Some(frame) = frame else { break };
-            if sink.send(frame).await.is_err() {
-                break;
-            }
-        }
-        writer_closed.cancel();
-    })
-    .detach();
+    spawn_writer(sink, rx, closed.clone());
     let (reader_waiting, reader_closed) = (waiting.clone(), closed.clone());
     runtime::spawn(async move {
         loop {
@@ -256,3 +234,24 @@
     .detach();
     Ok(Connection { tx, waiting, closed })
 }
+
+/// Writes frames until the token is cancelled, and cancels it when the connection can no longer be written.
+fn spawn_writer(
+    mut sink: SplitSink<frames::FrameStream, inner::Frame>,
+    mut rx: mpsc::Receiver<inner::Frame>,
+    token: CancellationToken,
+) {
+    runtime::spawn(async move {
+        loop {
+            let mut next = std::pin::pin!(rx.next().fuse());
+            let mut cancelled = std::pin::pin!(token.cancelled().fuse());
+            let frame = select! { frame = next => frame, () = cancelled => None };
+            let Some(frame) = frame else { break };
+            if sink.send(frame).await.is_err() {
+                break;
+            }
+        }
+        token.cancel();
+    })
+    .detach();
+}
--- /dev/null
+++ b/orioleworks_daemon/tests/rpc.rs
@@ -0,0 +1,99 @@
+//! Guards against inner connections that mix up replies, hang on garbage or promise too much after a loss.
+
+use std::{cell::Cell, io::Write, rc::Rc, time::Duration};
+
+use compio::net::TcpListener;
+use orioleworks_daemon::rpc;
+use orioleworks_proto::inner::{self, frame::Body};
+use rstest::rstest;
+use tokio_util::sync::CancellationToken;
+
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+fn status(commit_index: u64) -> Body {
+    Body::StatusReply(inner::StatusReply { commit_index, ..Default::default() })
+}
+
+fn watch(applied_revision: u64, wait_ms: u32) -> Body {
+    Body::Watch(inner::Watch { entry: None, applied_revision, wait_ms })
+}
+
+/// Answers a watch after its wait with the revision it named, and everything else not at all.
+async fn start() -> (String, CancellationToken) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let token = CancellationToken::new();
+    let served = token.clone();
+    compio::runtime::spawn(rpc::serve(listener, served, |body| async move {
+        let Body::Watch(watch) = body else { return None };
+        compio::time::sleep(Duration::from_millis(watch.wait_ms.into())).await;
+        Some(status(watch.applied_revision))
+    }))
+    .detach();
+    (address, token)
+}
+
+#[compio::test]
+async fn crossed_replies_reach_their_own_requests() {
+    let (address, _token) = start().await;
+    let client = rpc::Client::new(address);
+    let calls = (0..50_u64).map(|i| {
+        let client = client.clone();
+        // Later requests are answered first.
+        async move { (i, client.call(watch(i, 100 - 2 * i as u32), TIMEOUT).await) }
+    });
+    for (i, reply) in futures_util::future::join_all(calls).await {
+        assert_eq!(reply, Ok(status(i)));
+    }
+}
+
+#[compio::test]
+async fn a_late_reply_is_not_given_to_the_next_request() {
+    let (address, _token) = start().await;
+    let client = rpc::Client::new(address);
+    let late = client.call(watch(1, 200), Duration::from_millis(50)).await;
+    assert_eq!(late, Err(rpc::RpcError::Timeout));
+    assert_eq!(client.call(watch(2, 300), TIMEOUT).await, Ok(status(2)));
+}
+
+#[rstest]
+#[case::oversized_length(&[0xff, 0xff, 0xff, 0xff, 1, 2, 3])]
+#[case::not_a_message(&[0, 0, 0, 4, 0xff, 0xff, 0xff, 0xff])]
+#[case::message_without_body(&[0, 0, 0, 2, 0x08, 0x01])]
+fn garbage_closes_its_connection_and_no_other(#[case] bytes: &'static [u8]) {
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let (address, _token) = start().await;
+        let client = rpc::Client::new(address.clone());
+        assert_eq!(client.call(watch(1, 0), TIMEOUT).await, Ok(status(1)));
+        let closed = compio::runtime::spawn_blocking(move || {
+            let mut stream = std::net::TcpStream::connect(address).unwrap();
+            stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+            stream.write_all(bytes).unwrap();
+            std::io::Read::read(&mut stream, &mut [0; 8])
+        })
+        .await
+        .unwrap();
+        assert!(
+            matches!(closed, Ok(0))
+                || closed.is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionReset)
+        );
+        assert_eq!(client.call(watch(2, 0), TIMEOUT).await, Ok(status(2)));
+    });
+}
+
+#[compio::test]
+async fn only_an_unreachable_peer_promises_that_nothing_was_sent() {
+    let (address, token) = start().await;
+    let client = rpc::Client::new(address.clone());
+    let answered = Rc::new(Cell::new(None));
+    let (call, seen) = (client.clone(), answered.clone());
+    let task = compio::runtime::spawn(async move {
+        seen.set(Some(call.call(watch(1, 1000), TIMEOUT).await));
+    });
+    compio::time::sleep(Duration::from_millis(100)).await;
+    token.cancel();
+    task.await.unwrap();
+    assert_eq!(answered.take(), Some(Err(rpc::RpcError::Lost)));
+    let unreachable = client.call(watch(2, 0), TIMEOUT).await;
+    assert_eq!(unreachable, Err(rpc::RpcError::Unreachable(address)));
+}
