--- /dev/null
+++ b/orioleworks_log/src/durable.rs
@@ -0,0 +1,212 @@
+//! Durable effects off the event loop: group commit of entries, vote records and snapshots.
+
+use std::time::Instant;
+
+use compio::runtime;
+use orioleworks_daemon::event;
+use orioleworks_proto::inner;
+use orioleworks_rules::log::{LogPosition, VoteRecord};
+
+use crate::{
+    error::LogError,
+    files::{self, Identity},
+    journal::Journal,
+    node::{Log, ProposeError},
+    state::Role,
+};
+
+enum Write {
+    Append(Journal, Vec<inner::LogEntry>),
+    Replace(LogPosition, Vec<inner::LogEntry>),
+}
+
+impl Log {
+    /// Writes entries as they arrive; those that arrive during a sync are written by the next one.
+    pub(crate) async fn write_loop(&self) {
+        while !self.inner.token.is_cancelled() {
+            let seen = self.inner.changed.version();
+            match self.next_write() {
+                Some((write, upto, generation)) => self.write(write, upto, generation).await,
+                None => self.inner.changed.changed(seen).await,
+            }
+        }
+    }
+
+    fn next_write(&self) -> Option<(Write, u64, u64)> {
+        let mut state = self.inner.state.borrow_mut();
+        let (last, generation) = (state.last().index, state.generation);
+        if state.rewrite {
+            state.rewrite = false;
+            let entries = state.entries.iter().cloned().collect();
+            return Some((Write::Replace(state.base, entries), last, generation));
+        }
+        if last <= state.synced {
+            return None;
+        }
+        let from = (state.synced.max(state.base.index) - state.base.index) as usize;
+        let entries = state.entries.range(from..).cloned().collect();
+        let journal = self.inner.journal.borrow_mut().take()?;
+        Some((Write::Append(journal, entries), last, generation))
+    }
+
+    async fn write(&self, write: Write, upto: u64, generation: u64) {
+        let started = Instant::now();
+        let directory = self.inner.settings.directory.clone();
+        let written = blocking(move || match write {
+            Write::Append(mut journal, entries) => journal.append(&entries).map(|()| journal),
+            Write::Replace(base, entries) => Journal::create(&directory, base, &entries),
+        })
+        .await;
+        metrics::histogram!("orioleworks_log_fsync_seconds").record(started.elapsed());
+        match written {
+            Ok(journal) => *self.inner.journal.borrow_mut() = Some(journal),
+            Err(e) => return self.fail(e),
+        }
+        {
+            let mut state = self.inner.state.borrow_mut();
+            // Entries were removed meanwhile; the replacement that follows makes the new ones durable.
+            if state.generation == generation {
+                state.synced = state.synced.max(upto);
+            }
+        }
+        self.inner.changed.notify();
+        self.advance_commit();
+    }
+
+    /// Makes a term and vote durable and takes them over; returns false when a newer term came first.
+    pub(crate) async fn record_vote(&self, vote: VoteRecord) -> bool {
+        let _lock = self.inner.vote_lock.lock().await;
+        self.record_vote_locked(vote).await
+    }
+
+    pub(crate) async fn record_vote_locked(&self, vote: VoteRecord) -> bool {
+        let old = self.inner.state.borrow().identity;
+        if vote.term < old.vote.term {
+            return false;
+        }
+        if vote == old.vote {
+            return true;
+        }
+        // A vote of the same term stands.
+        if vote.term == old.vote.term && old.vote.voted_for.is_some() {
+            return vote.voted_for.is_none();
+        }
+        let directory = self.inner.settings.directory.clone();
+        let identity = Identity { vote, ..old };
+        if let Err(e) = blocking(move || files::store_identity(&directory, identity)).await {
+            self.fail(e);
+            return false;
+        }
+        self.inner.state.borrow_mut().identity.vote = vote;
+        if vote.term > old.vote.term {
+            self.become_follower("new_term");
+        }
+        true
+    }
+
+    /// Takes over a higher term before any message of it is answered.
+    pub(crate) async fn adopt_term(&self, term: u64) {
+        if term > self.inner.state.borrow().term() {
+            self.record_vote(VoteRecord { term, voted_for: None }).await;
+        }
+    }
+
+    /// Leaves any other role; proposals in hand may still be accepted under another leader.
+    pub(crate) fn become_follower(&self, reason: &str) {
+        let waiting = {
+            let mut state = self.inner.state.borrow_mut();
+            if state.is_leader() {
+                event!(warn, "leader_stepped_down", term = state.term(), reason = reason);
+            }
+            state.role = Role::Follower;
+            state.leader_id = None;
+            state.term_start = 0;
+            state.progress.clear();
+            std::mem::take(&mut state.waiting)
+        };
+        for (_, tx) in waiting.into_values() {
+            drop(tx.send(Err(ProposeError::Unconfirmed)));
+        }
+        self.inner.changed.notify();
+    }
+
+    /// Takes snapshots as they become due.
+    pub(crate) async fn snapshot_loop(&self) {
+        while !self.inner.token.is_cancelled() {
+            let seen = self.inner.changed.version();
+            self.snapshot_if_due().await;
+            self.inner.changed.changed(seen).await;
+        }
+    }
+
+    /// Takes a snapshot when enough entries were applied since the last one.
+    async fn snapshot_if_due(&self) {
+        let _lock = self.inner.snapshot_lock.lock().await;
+        let snapshot = {
+            let state = self.inner.state.borrow();
+            if state.applied < state.snapshot.last_index + self.inner.settings.snapshot_entries {
+                return;
+            }
+            let (_, membership) = state.membership_at(state.applied);
+            let Some(last_term) = state.term_at(state.applied) else { return };
+            inner::Snapshot {
+                last_index: state.applied,
+                last_term,
+                membership: Some(membership),
+                now_ms: state.entry(state.applied).map_or(state.snapshot.now_ms, |e| e.now_ms),
+                state: (self.inner.machine.snapshot)(),
+            }
+        };
+        if !self.store_snapshot(snapshot.clone()).await {
+            return;
+        }
+        let mut state = self.inner.state.borrow_mut();
+        let keep_from = snapshot.last_index.saturating_sub(self.inner.settings.tail_entries);
+        state.snapshot = inner::Snapshot { state: Vec::new(), ..snapshot };
+        if keep_from > state.base.index {
+            state.forget_through(keep_from);
+        }
+        drop(state);
+        self.inner.changed.notify();
+    }
+
+    /// Makes a snapshot durable; returns false after a failure.
+    pub(crate) async fn store_snapshot(&self, snapshot: inner::Snapshot) -> bool {
+        let (directory, index) = (self.inner.settings.directory.clone(), snapshot.last_index);
+        match blocking(move || files::store_snapshot(&directory, &snapshot)).await {
+            Ok(bytes) => {
+                metrics::gauge!("orioleworks_log_snapshot_bytes").set(bytes as f64);
+                event!(info, "snapshot_stored", index = index, bytes = bytes);
+                true
+            }
+            Err(e) => {
+                self.fail(e);
+                false
+            }
+        }
+    }
+
+    /// Reads the durable snapshot with its state.
+    pub(crate) async fn read_snapshot(&self) -> Option<inner::Snapshot> {
+        let directory = self.inner.settings.directory.clone();
+        match blocking(move || files::load_snapshot(&directory)).await {
+            Ok(snapshot) => snapshot,
+            Err(e) => {
+                self.fail(e);
+                None
+            }
+        }
+    }
+}
+
+/// Runs file work off the event loop, so that a slow sync delays no heartbeat.
+async fn blocking<T: Send + 'static>(
+    work: impl FnOnce() -> Result<T, LogError> + Send + 'static,
+) -> Result<T, LogError> {
+    match runtime::spawn_blocking(work).await {
+        Ok(result) => result,
+        Err(e) => {
+            Err(LogError::Io { file: String::new(), action: "file work", reason: format!("{e:?}") })
+        }
+    }
+}
--- /dev/null
+++ b/orioleworks_log/src/follower.rs
@@ -0,0 +1,232 @@
+//! Follower's side of replication: appended entries and installed snapshots.
+
+use std::time::Instant;
+
+use orioleworks_daemon::event;
+use orioleworks_proto::inner;
+use orioleworks_rules::log::LogPosition;
+
+use crate::{
+    node::Log,
+    state::{Incoming, Role},
+};
+
+enum Taken {
+    /// The entries up to this index are equal to the leader's.
+    Through(u64),
+    /// The leader must try again from this index.
+    Retry(u64),
+}
+
+impl Log {
+    /// Takes entries of the leader; replies after they are synced.
+    pub(crate) async fn on_append(&self, mut append: inner::Append) -> inner::AppendReply {
+        if !self.accept_leader(append.term, append.leader_id, append.target_id).await {
+            return self.append_reply(false, 0, 0);
+        }
+        let heartbeat = append.entries.is_empty();
+        if !append.seen.is_empty() {
+            (self.inner.machine.merge_sightings)(std::mem::take(&mut append.seen));
+        }
+        if append.hand_over {
+            let this = self.clone();
+            compio::runtime::spawn(async move { this.campaign(true).await }).detach();
+        }
+        let through = match self.take_entries(&mut append) {
+            Taken::Retry(index) => return self.append_reply(false, 0, index),
+            Taken::Through(index) => index,
+        };
+        if !heartbeat {
+            self.inner.changed.notify();
+        }
+        if !self.synced_through(through, append.term).await {
+            return self.append_reply(false, 0, through);
+        }
+        fail::fail_point!("log.before_append_reply");
+        self.commit_through(append.commit_index.min(through)).await;
+        let mut reply = self.append_reply(true, through, 0);
+        if heartbeat {
+            reply.seen = (self.inner.machine.sightings)();
+        }
+        reply
+    }
+
+    /// Follows the leader of a term that is not old; a message for another identity changes nothing.
+    async fn accept_leader(&self, term: u64, leader_id: u64, target_id: u64) -> bool {
+        if target_id != self.inner.state.borrow().id() {
+            return false;
+        }
+        self.adopt_term(term).await;
+        let mut state = self.inner.state.borrow_mut();
+        if state.term() != term || state.is_leader() {
+            return false;
+        }
+        state.role = Role::Follower;
+        let new = state.leader_id != Some(leader_id);
+        state.leader_id = Some(leader_id);
+        state.heard = Some(Instant::now());
+        drop(state);
+        if new {
+            event!(info, "leader_followed", name = self.inner.settings.name, term = term);
+            self.inner.changed.notify();
+        }
+        true
+    }
+
+    fn append_reply(&self, success: bool, match_index: u64, retry: u64) -> inner::AppendReply {
+        let state = self.inner.state.borrow();
+        inner::AppendReply {
+            term: state.term(),
+            member_id: state.id(),
+            success,
+            match_index,
+            retry_index: retry,
+            seen: Vec::new(),
+        }
+    }
+
+    fn take_entries(&self, append: &mut inner::Append) -> Taken {
+        let mut state = self.inner.state.borrow_mut();
+        let last = state.last().index;
+        if append.prev_index > last {
+            return Taken::Retry(last + 1);
+        }
+        // Everything up to the commit index is equal by definition, also where only a snapshot is left of it.
+        if append.prev_index > state.commit
+            && state.term_at(append.prev_index) != Some(append.prev_term)
+        {
+            let conflict = state.term_at(append.prev_index);
+            let mut index = append.prev_index;
+            while index > state.commit + 1 && state.term_at(index - 1) == conflict {
+                index -= 1;
+            }
+            return Taken::Retry(index);
+        }
+        let mut through = append.prev_index;
+        for entry in std::mem::take(&mut append.entries) {
+            through = entry.index;
+            if entry.index <= state.commit || state.term_at(entry.index) == Some(entry.term) {
+                continue;
+            }
+            if entry.index <= state.last().index {
+                event!(info, "log_conflict_cut", index = entry.index);
+                state.truncate_from(entry.index);
+            }
+            state.push(entry);
+        }
+        Taken::Through(through)
+    }
+
+    /// Waits until entries are synced; false when another leader's entries replaced them meanwhile.
+    async fn synced_through(&self, index: u64, term: u64) -> bool {
+        loop {
+            let seen = self.inner.changed.version();
+            {
+                let state = self.inner.state.borrow();
+                if state.term() != term || state.last().index < index {
+                    return false;
+                }
+                if state.synced >= index {
+                    return true;
+                }
+            }
+            if self.inner.token.is_cancelled() {
+                return false;
+            }
+            self.inner.changed.changed(seen).await;
+        }
+    }
+
+    async fn commit_through(&self, index: u64) {
+        {
+            let mut state = self.inner.state.borrow_mut();
+            if index <= state.commit {
+                return;
+            }
+            fail::fail_point!("log.before_commit");
+            state.commit = index;
+        }
+        self.apply_committed();
+    }
+
+    /// Takes one part of a snapshot; the last part replaces state and log.
+    pub(crate) async fn on_install(&self, install: inner::Install) -> inner::InstallReply {
+        let Some(mut snapshot) = install.snapshot else { return self.install_reply(0, 0) };
+        if !self.accept_leader(install.term, install.leader_id, install.target_id).await {
+            return self.install_reply(0, 0);
+        }
+        let position = LogPosition { term: snapshot.last_term, index: snapshot.last_index };
+        let complete = {
+            let mut state = self.inner.state.borrow_mut();
+            if position.index <= state.commit {
+                drop(state);
+                return self.install_reply(position.index, 0);
+            }
+            let incoming = &mut state.incoming;
+            if incoming.position != position || incoming.leader_term != install.term {
+                let bytes = Vec::new();
+                *incoming = Incoming { position, leader_term: install.term, bytes };
+            }
+            if install.offset == incoming.bytes.len() as u64 {
+                incoming.bytes.append(&mut snapshot.state);
+            }
+            let received = incoming.bytes.len() as u64;
+            if received < install.total {
+                drop(state);
+                return self.install_reply(0, received);
+            }
+            std::mem::take(&mut state.incoming).bytes
+        };
+        snapshot.state = complete;
+        self.install(snapshot, position).await
+    }
+
+    async fn install(
+        &self,
+        snapshot: inner::Snapshot,
+        position: LogPosition,
+    ) -> inner::InstallReply {
+        let _lock = self.inner.snapshot_lock.lock().await;
+        if position.index <= self.inner.state.borrow().commit {
+            return self.install_reply(position.index, 0);
+        }
+        if !self.store_snapshot(snapshot.clone()).await {
+            return self.install_reply(0, 0);
+        }
+        if position.index <= self.inner.state.borrow().commit {
+            return self.install_reply(position.index, 0);
+        }
+        if let Err(reason) = (self.inner.machine.restore)(&snapshot.state) {
+            self.fail(crate::LogError::Restore(reason));
+            return self.install_reply(0, 0);
+        }
+        {
+            let mut state = self.inner.state.borrow_mut();
+            let continues = state.term_at(position.index) == Some(position.term);
+            state.stamp = state.stamp.max(snapshot.now_ms);
+            state.snapshot = inner::Snapshot { state: Vec::new(), ..snapshot };
+            if continues {
+                state.synced = state.synced.max(position.index);
+                state.forget_through(position.index);
+            } else {
+                state.entries.clear();
+                state.base = position;
+                state.synced = position.index;
+                state.generation += 1;
+                state.rewrite = true;
+            }
+            state.commit = position.index;
+            state.applied = position.index;
+            state.reload_membership();
+        }
+        event!(info, "snapshot_installed", index = position.index, term = position.term);
+        self.inner.changed.notify();
+        fail::fail_point!("log.before_install_reply");
+        self.install_reply(position.index, 0)
+    }
+
+    fn install_reply(&self, match_index: u64, received: u64) -> inner::InstallReply {
+        let state = self.inner.state.borrow();
+        inner::InstallReply { term: state.term(), member_id: state.id(), match_index, received }
+    }
+}
--- a/orioleworks_log/src/lib.rs
+++ b/orioleworks_log/src/lib.rs
@@ -1,1 +1,21 @@
-//! Placeholder.
+//! Replicated log: storage, election, replication, snapshots and membership.
+//!
+//! See `docs/design.md`, section 4. Every decision that safety depends on is a guard in [`orioleworks_rules::log`].
+
+pub mod durable;
+pub mod election;
+pub mod error;
+pub mod files;
+pub mod follower;
+pub mod journal;
+pub mod leader;
+pub mod membership;
+pub mod node;
+pub mod notify;
+pub mod replication;
+pub mod settings;
+pub mod state;
+
+pub use error::LogError;
+pub use node::{Log, Machine, ProposeError};
+pub use settings::Settings;
--- /dev/null
+++ b/orioleworks_log/src/membership.rs
@@ -0,0 +1,224 @@
+//! Founding, joining, promotion and removal; one step at a time.
+
+use std::{rc::Rc, time::Duration};
+
+use compio::time;
+use orioleworks_daemon::event;
+use orioleworks_proto::{
+    codes::ResultCode,
+    inner::{self, command::Kind, frame::Body},
+};
+use orioleworks_rules::log::{self as rules, VoteRecord};
+
+use crate::{
+    node::Log,
+    state::{State, voters},
+};
+
+/// Pause between two attempts to found or join.
+const JOIN_PAUSE: Duration = Duration::from_millis(200);
+/// Longest wait for another replica's answer.
+const JOIN_TIMEOUT: Duration = Duration::from_millis(1000);
+
+impl Log {
+    /// Founds a cluster or joins one, until this replica is a voter.
+    pub(crate) async fn join_loop(&self) {
+        while !self.inner.token.is_cancelled() {
+            let (empty, member) = {
+                let state = self.inner.state.borrow();
+                (state.membership.members.is_empty(), state.member(state.id()).is_some())
+            };
+            if empty && self.inner.settings.bootstrap && self.found_if_first().await {
+                continue;
+            }
+            if !member {
+                self.ask_to_join().await;
+            }
+            time::sleep(JOIN_PAUSE).await;
+        }
+    }
+
+    /// Founds the cluster with every replica that may, if this is the first of them by name.
+    ///
+    /// All configured replicas must answer and none may have a membership: a founder that lost its disk must join the
+    /// cluster that exists instead of founding a second one.
+    async fn found_if_first(&self) -> bool {
+        let own = self.status();
+        let mut founders = vec![self.own_member(false)];
+        for address in &self.inner.settings.replicas {
+            if *address == self.inner.settings.address {
+                continue;
+            }
+            let body = Body::Status(inner::Status { current: false });
+            let Ok(Body::StatusReply(reply)) = self.client(address).call(body, JOIN_TIMEOUT).await
+            else {
+                return false;
+            };
+            if reply.membership.as_ref().is_some_and(|m| !m.members.is_empty()) {
+                return false;
+            }
+            if reply.bootstrap {
+                if reply.name <= own.name {
+                    return false;
+                }
+                founders.push(inner::Member {
+                    member_id: reply.member_id,
+                    name: reply.name,
+                    address: address.clone(),
+                    ..inner::Member::default()
+                });
+            }
+        }
+        self.found(inner::Membership { members: founders }).await
+    }
+
+    async fn found(&self, membership: inner::Membership) -> bool {
+        let id = self.inner.state.borrow().id();
+        if !self.record_vote(VoteRecord { term: 1, voted_for: Some(id) }).await {
+            return false;
+        }
+        let mut state = self.inner.state.borrow_mut();
+        if !state.membership.members.is_empty() || state.last().index > 0 || state.term() != 1 {
+            return false;
+        }
+        event!(info, "cluster_founded", members = membership.members.len(), member_id = id);
+        let command =
+            inner::Command { expected_revision: None, kind: Some(Kind::Membership(membership)) };
+        state.push(inner::LogEntry {
+            index: 1,
+            term: 1,
+            now_ms: orioleworks_daemon::clock::unix_ms(),
+            order_id: String::new(),
+            command: Some(command),
+        });
+        drop(state);
+        self.inner.changed.notify();
+        true
+    }
+
+    async fn ask_to_join(&self) {
+        let mut addresses: Vec<Rc<str>> = Vec::new();
+        let others = self.inner.settings.replicas.iter();
+        addresses.extend(
+            others.filter(|a| **a != self.inner.settings.address).map(|a| a.as_str().into()),
+        );
+        for address in addresses {
+            let join = inner::Join { member: Some(self.own_member(true)) };
+            let reply = self.client(&address).call(Body::Join(join), JOIN_TIMEOUT).await;
+            if let Ok(Body::JoinReply(reply)) = reply
+                && reply.code == ResultCode::Ok.number()
+            {
+                event!(info, "join_accepted", name = self.inner.settings.name, leader = address);
+                return;
+            }
+        }
+    }
+
+    fn own_member(&self, learner: bool) -> inner::Member {
+        inner::Member {
+            member_id: self.inner.state.borrow().id(),
+            name: self.inner.settings.name.clone(),
+            address: self.inner.settings.address.clone(),
+            learner,
+            domain: self.inner.settings.domain.clone(),
+        }
+    }
+
+    /// Takes a new identity in as a learner.
+    pub(crate) fn on_join(&self, join: inner::Join) -> inner::JoinReply {
+        let reply = |code: ResultCode| inner::JoinReply {
+            code: code.number(),
+            leader_address: self.leader_address(),
+        };
+        let Some(mut member) = join.member.filter(|m| m.member_id != 0) else {
+            return reply(ResultCode::BadRequest);
+        };
+        let membership = {
+            let state = self.inner.state.borrow();
+            if !state.is_leader() {
+                return reply(ResultCode::NotLeader);
+            }
+            if state.member(member.member_id).is_some() {
+                return reply(ResultCode::Ok);
+            }
+            if !may_change(&state) {
+                return reply(ResultCode::MembershipBusy);
+            }
+            let mut membership = state.membership.clone();
+            member.learner = true;
+            // A learner of the same name that never became a voter is an older lost identity.
+            membership.members.retain(|m| !(m.learner && m.name == member.name));
+            membership.members.push(member);
+            membership
+        };
+        match self.change_membership(membership, "learner_added") {
+            true => reply(ResultCode::Ok),
+            false => reply(ResultCode::MembershipBusy),
+        }
+    }
+
+    /// Promotes a learner that holds everything committed, or removes the lost identity that it replaces.
+    pub(crate) fn change_membership_if_due(&self) {
+        let due = {
+            let state = self.inner.state.borrow();
+            if may_change(&state) { promotion(&state).or_else(|| removal(&state)) } else { None }
+        };
+        if let Some((membership, event)) = due {
+            fail::fail_point!("log.before_promote");
+            self.change_membership(membership, event);
+        }
+    }
+
+    fn change_membership(&self, membership: inner::Membership, event: &str) -> bool {
+        {
+            let state = self.inner.state.borrow();
+            if !may_change(&state) || !rules::is_single_step(&state.voters(), &voters(&membership))
+            {
+                return false;
+            }
+        }
+        let names: Vec<String> = membership.members.iter().map(describe).collect();
+        event!(info, "membership_changed", step = event, members = names.join(","));
+        let command =
+            inner::Command { expected_revision: None, kind: Some(Kind::Membership(membership)) };
+        // The change is in force when appended; nobody waits for its commit.
+        drop(self.append_own("", command));
+        true
+    }
+}
+
+fn describe(member: &inner::Member) -> String {
+    let role = if member.learner { "learner" } else { "voter" };
+    format!("{}/{:016x}/{role}", member.name, member.member_id)
+}
+
+fn may_change(state: &State) -> bool {
+    let in_flight = state.membership_index > state.commit;
+    rules::may_change_membership(state.committed_own_term(), in_flight)
+}
+
+fn promotion(state: &State) -> Option<(inner::Membership, &'static str)> {
+    let ready = state.membership.members.iter().find(|m| {
+        let synced = state.progress.get(&m.member_id).map_or(0, |progress| progress.matched);
+        m.learner && synced > 0 && rules::may_promote(synced, state.commit)
+    })?;
+    let id = ready.member_id;
+    let mut membership = state.membership.clone();
+    for member in membership.members.iter_mut().filter(|m| m.member_id == id) {
+        member.learner = false;
+    }
+    Some((membership, "learner_promoted"))
+}
+
+/// Of two voters of one name the one that was taken in last is the one that runs.
+fn removal(state: &State) -> Option<(inner::Membership, &'static str)> {
+    let members = &state.membership.members;
+    let old = members.iter().enumerate().find(|(i, m)| {
+        let replaced = members[i + 1..].iter().any(|other| !other.learner && other.name == m.name);
+        !m.learner && replaced
+    })?;
+    let id = old.1.member_id;
+    let mut membership = state.membership.clone();
+    membership.members.retain(|m| m.member_id != id);
+    Some((membership, "lost_identity_removed"))
+}
--- /dev/null
+++ b/orioleworks_log/src/node.rs
@@ -0,0 +1,415 @@
+//! One replica of the log: opening, proposals, linearizable reads and status.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{HashMap, VecDeque},
+    fs::File,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use compio::runtime;
+use displaydoc::Display;
+use futures_channel::oneshot;
+use futures_util::lock::Mutex;
+use orioleworks_daemon::{clock, rpc};
+use orioleworks_proto::{
+    codes::ResultCode,
+    inner::{self, command::Kind, frame::Body},
+};
+use orioleworks_rules::log::{self as rules, LogPosition};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    error::LogError,
+    files,
+    journal::Journal,
+    notify::Notify,
+    settings::Settings,
+    state::{Incoming, Outcome, Role, State},
+};
+
+/// Longest wait of a proposal for its quorum.
+const PROPOSE_TIMEOUT: Duration = Duration::from_millis(1400);
+/// Longest quorum round of a linearizable read.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Largest encoded command in bytes; it must fit into a frame with the entry around it.
+pub const MAX_COMMAND_BYTES: usize = 4 * 1024 * 1024;
+
+/// The replicated state machine, as closures.
+pub struct Machine {
+    /// Applies a committed entry and returns the reply to its proposer.
+    pub apply: Box<dyn Fn(&inner::LogEntry) -> inner::ProposeReply>,
+    /// Encodes the whole state.
+    pub snapshot: Box<dyn Fn() -> Vec<u8>>,
+    /// Replaces the whole state.
+    pub restore: Box<dyn Fn(&[u8]) -> Result<(), String>>,
+    /// Sightings of entries to share with the other replicas.
+    pub sightings: Box<dyn Fn() -> Vec<inner::EntryStatus>>,
+    /// Takes sightings of another replica.
+    pub merge_sightings: Box<dyn Fn(Vec<inner::EntryStatus>)>,
+}
+
+impl std::fmt::Debug for Machine {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Machine").finish_non_exhaustive()
+    }
+}
+
+/// Why a proposal has no result.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum ProposeError {
+    /// this replica is not the leader
+    NotLeader,
+    /// no quorum confirmed the order in time; it may still be accepted
+    Unconfirmed,
+    /// the leader has not yet committed an entry of its term; nothing was proposed
+    NoQuorum,
+}
+
+impl std::error::Error for ProposeError {}
+
+impl ProposeError {
+    /// Result code for the proposer.
+    pub fn code(&self) -> ResultCode {
+        match self {
+            Self::NotLeader => ResultCode::NotLeader,
+            Self::Unconfirmed => ResultCode::OrderUnconfirmed,
+            Self::NoQuorum => ResultCode::NoQuorum,
+        }
+    }
+}
+
+pub(crate) struct Inner {
+    pub(crate) settings: Settings,
+    pub(crate) machine: Machine,
+    pub(crate) state: RefCell<State>,
+    /// Notified when anything in the state changes that a task may wait for.
+    pub(crate) changed: Notify,
+    pub(crate) vote_lock: Mutex<()>,
+    pub(crate) snapshot_lock: Mutex<()>,
+    pub(crate) journal: RefCell<Option<Journal>>,
+    pub(crate) clients: RefCell<HashMap<String, rpc::Client>>,
+    pub(crate) token: CancellationToken,
+    pub(crate) failure: RefCell<Option<LogError>>,
+    pub(crate) retiring: Cell<bool>,
+    _lock: File,
+}
+
+/// One replica; clones share it.
+#[derive(Clone)]
+pub struct Log {
+    pub(crate) inner: Rc<Inner>,
+}
+
+impl std::fmt::Debug for Log {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Log").field("name", &self.inner.settings.name).finish_non_exhaustive()
+    }
+}
+
+impl Log {
+    /// Opens the data directory and restores the state machine from its snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the directory; see [`LogError`].
+    pub fn open(
+        settings: Settings,
+        machine: Machine,
+        token: CancellationToken,
+    ) -> Result<Self, LogError> {
+        let lock = files::lock_directory(&settings.directory)?;
+        let identity = files::load_identity(&settings.directory)?;
+        let mut snapshot = files::load_snapshot(&settings.directory)?.unwrap_or_default();
+        let (mut journal, mut loaded) = Journal::open(&settings.directory)?;
+        if snapshot.last_index > 0 {
+            (machine.restore)(&snapshot.state).map_err(LogError::Restore)?;
+            snapshot.state = Vec::new();
+        }
+        let last = loaded.base.index + loaded.entries.len() as u64;
+        let at_snapshot = LogPosition { term: snapshot.last_term, index: snapshot.last_index };
+        let follows = loaded.entries.iter().find(|e| e.index == at_snapshot.index);
+        let continues = loaded.base == at_snapshot
+            || (at_snapshot.index <= last && follows.is_some_and(|e| e.term == at_snapshot.term));
+        if loaded.base.index > at_snapshot.index {
+            let path = settings.directory.join(files::SNAPSHOT_FILE);
+            return Err(LogError::damaged(&path, 0, "the snapshot before the log is missing"));
+        }
+        if !continues {
+            // The process ended between the rename of an installed snapshot and the cut of the log.
+            loaded.base = at_snapshot;
+            loaded.entries.clear();
+            journal = Journal::create(&settings.directory, at_snapshot, &[])?;
+        }
+        let mut state = new_state(identity, snapshot, loaded.base, loaded.entries.into());
+        state.reload_membership();
+        let inner = Inner {
+            settings,
+            machine,
+            state: RefCell::new(state),
+            changed: Notify::default(),
+            vote_lock: Mutex::new(()),
+            snapshot_lock: Mutex::new(()),
+            journal: RefCell::new(Some(journal)),
+            clients: RefCell::default(),
+            token,
+            failure: RefCell::default(),
+            retiring: Cell::new(false),
+            _lock: lock,
+        };
+        Ok(Self { inner: Rc::new(inner) })
+    }
+
+    /// Starts the tasks of the replica; they end with the token.
+    pub fn start(&self) {
+        let this = self.clone();
+        runtime::spawn(async move { this.write_loop().await }).detach();
+        let this = self.clone();
+        runtime::spawn(async move { this.snapshot_loop().await }).detach();
+        let this = self.clone();
+        runtime::spawn(async move { this.election_loop().await }).detach();
+        let this = self.clone();
+        runtime::spawn(async move { this.join_loop().await }).detach();
+    }
+
+    /// Answers a message of another replica; `None` for any other message.
+    pub async fn handle(&self, body: Body) -> Option<Body> {
+        match body {
+            Body::Vote(vote) => Some(Body::VoteReply(self.on_vote(vote).await)),
+            Body::Append(append) => Some(Body::AppendReply(self.on_append(append).await)),
+            Body::Install(install) => Some(Body::InstallReply(self.on_install(install).await)),
+            Body::Join(join) => Some(Body::JoinReply(self.on_join(join))),
+            _ => None,
+        }
+    }
+
+    /// Replicates a command and returns the state machine's reply.
+    ///
+    /// # Errors
+    ///
+    /// [`ProposeError::NotLeader`] and [`ProposeError::NoQuorum`] promise that nothing was proposed.
+    pub async fn propose(&self, order_id: &str, command: inner::Command) -> Outcome {
+        self.ready_to_propose().await?;
+        let rx = self.append_own(order_id, command);
+        match compio::time::timeout(PROPOSE_TIMEOUT, rx).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) | Err(_) => Err(ProposeError::Unconfirmed),
+        }
+    }
+
+    /// Waits until this replica leads and has applied every entry of older terms.
+    ///
+    /// # Errors
+    ///
+    /// Returns why nothing can be proposed here.
+    pub async fn ready_to_propose(&self) -> Result<(), ProposeError> {
+        let deadline = Instant::now() + CONFIRM_TIMEOUT;
+        loop {
+            let seen = self.inner.changed.version();
+            {
+                let state = self.inner.state.borrow();
+                if !state.is_leader() || self.inner.retiring.get() {
+                    return Err(ProposeError::NotLeader);
+                }
+                if state.committed_own_term() {
+                    return Ok(());
+                }
+            }
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(ProposeError::NoQuorum);
+            }
+            self.inner.changed.changed_within(seen, left).await;
+        }
+    }
+
+    /// Appends an entry of the own term; only for the leader.
+    pub(crate) fn append_own(
+        &self,
+        order_id: &str,
+        command: inner::Command,
+    ) -> oneshot::Receiver<Outcome> {
+        let (tx, rx) = oneshot::channel();
+        let mut state = self.inner.state.borrow_mut();
+        let (term, index) = (state.term(), state.last().index + 1);
+        let now_ms = clock::unix_ms().max(state.stamp);
+        let order_id = order_id.to_owned();
+        state.push(inner::LogEntry { index, term, now_ms, order_id, command: Some(command) });
+        state.waiting.insert(index, (term, tx));
+        drop(state);
+        self.inner.changed.notify();
+        rx
+    }
+
+    /// Confirms with a quorum that this replica leads and has applied everything committed before the call.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the state of this replica may be old.
+    pub async fn confirm(&self) -> Result<(), ProposeError> {
+        let start = Instant::now();
+        let (term, index) = {
+            let state = self.inner.state.borrow();
+            if !state.is_leader() {
+                return Err(ProposeError::NotLeader);
+            }
+            (state.term(), state.commit.max(state.term_start))
+        };
+        while start.elapsed() < CONFIRM_TIMEOUT {
+            let seen = self.inner.changed.version();
+            {
+                let state = self.inner.state.borrow();
+                if !state.leads(term) {
+                    return Err(ProposeError::NotLeader);
+                }
+                if state.applied >= index && state.quorum_confirmed_since(start) {
+                    return Ok(());
+                }
+            }
+            self.inner.changed.changed_within(seen, self.inner.settings.heartbeat).await;
+        }
+        Err(ProposeError::NoQuorum)
+    }
+
+    /// Whether a leader was heard within the longest election timeout, or this replica leads.
+    pub fn has_leader(&self) -> bool {
+        self.inner.state.borrow().has_live_leader(self.inner.settings.election_max)
+    }
+
+    /// Facts of the log for a status reply.
+    pub fn status(&self) -> inner::StatusReply {
+        let state = self.inner.state.borrow();
+        inner::StatusReply {
+            member_id: state.id(),
+            leader_address: state.leader_address(),
+            term: state.term(),
+            commit_index: state.commit,
+            last_index: state.last().index,
+            membership: Some(state.membership.clone()),
+            is_leader: state.is_leader(),
+            name: self.inner.settings.name.clone(),
+            bootstrap: self.inner.settings.bootstrap,
+            ..inner::StatusReply::default()
+        }
+    }
+
+    /// Whether this replica leads.
+    pub fn is_leader(&self) -> bool {
+        self.inner.state.borrow().is_leader()
+    }
+
+    /// Address of the leader, empty when unknown.
+    pub fn leader_address(&self) -> String {
+        self.inner.state.borrow().leader_address()
+    }
+
+    /// Error that stopped the replica.
+    pub fn failure(&self) -> Option<String> {
+        self.inner.failure.borrow().as_ref().map(ToString::to_string)
+    }
+
+    pub(crate) fn client(&self, address: &str) -> rpc::Client {
+        let mut clients = self.inner.clients.borrow_mut();
+        clients.entry(address.to_owned()).or_insert_with(|| rpc::Client::new(address)).clone()
+    }
+
+    /// Stops the replica for good; a replica whose disk fails must not promise anything more.
+    pub(crate) fn fail(&self, e: LogError) {
+        orioleworks_daemon::event!(error, "log_failed", reason = e);
+        self.inner.failure.borrow_mut().get_or_insert(e);
+        self.inner.token.cancel();
+        self.inner.changed.notify();
+    }
+
+    /// Waits until the token is cancelled.
+    pub async fn stopped(&self) {
+        self.inner.token.cancelled().await;
+    }
+
+    /// Applies what is committed and answers the waiting proposals.
+    pub(crate) fn apply_committed(&self) {
+        loop {
+            let entry = {
+                let mut state = self.inner.state.borrow_mut();
+                if state.applied >= state.commit {
+                    break;
+                }
+                let index = state.applied + 1;
+                let Some(entry) = state.entry(index).cloned() else { break };
+                state.applied = index;
+                entry
+            };
+            let kind = entry.command.as_ref().and_then(|command| command.kind.as_ref());
+            let reply = match kind {
+                Some(Kind::Noop(_) | Kind::Membership(_)) | None => inner::ProposeReply::default(),
+                Some(_) => (self.inner.machine.apply)(&entry),
+            };
+            let waiting = self.inner.state.borrow_mut().waiting.remove(&entry.index);
+            if let Some((term, tx)) = waiting {
+                let outcome =
+                    if term == entry.term { Ok(reply) } else { Err(ProposeError::Unconfirmed) };
+                drop(tx.send(outcome));
+            }
+        }
+        self.inner.changed.notify();
+    }
+
+    /// Commits what a quorum has synced; only for the leader.
+    pub(crate) fn advance_commit(&self) {
+        {
+            let mut state = self.inner.state.borrow_mut();
+            if !state.is_leader() {
+                return;
+            }
+            let synced: Vec<u64> = state
+                .voters()
+                .iter()
+                .map(|id| match state.progress.get(id) {
+                    _ if *id == state.id() => state.synced,
+                    Some(progress) => progress.matched,
+                    None => 0,
+                })
+                .collect();
+            let index = rules::quorum_index(&synced).min(state.last().index);
+            let own_term =
+                state.term_at(index).is_some_and(|term| rules::may_commit(term, state.term()));
+            if synced.is_empty() || index <= state.commit || !own_term {
+                return;
+            }
+            fail::fail_point!("log.before_commit");
+            state.commit = index;
+        }
+        self.apply_committed();
+    }
+}
+
+fn new_state(
+    identity: files::Identity,
+    snapshot: inner::Snapshot,
+    base: LogPosition,
+    entries: VecDeque<inner::LogEntry>,
+) -> State {
+    let synced = base.index + entries.len() as u64;
+    State {
+        identity,
+        role: Role::Follower,
+        leader_id: None,
+        heard: None,
+        base,
+        stamp: entries.back().map_or(0, |entry| entry.now_ms).max(snapshot.now_ms),
+        entries,
+        synced,
+        generation: 0,
+        rewrite: false,
+        commit: snapshot.last_index,
+        applied: snapshot.last_index,
+        snapshot,
+        membership: inner::Membership::default(),
+        membership_index: 0,
+        progress: HashMap::new(),
+        term_start: 0,
+        waiting: HashMap::new(),
+        incoming: Incoming::default(),
+    }
+}
--- /dev/null
+++ b/orioleworks_log/src/replication.rs
@@ -0,0 +1,245 @@
+//! Tasks of a leader for one other member: heartbeats, and entries or a snapshot.
+//!
+//! Heartbeats have a task of their own, so that a follower's slow sync does not look like a lost leader.
+
+use std::time::{Duration, Instant};
+
+use compio::time;
+use orioleworks_proto::inner::{self, frame::Body};
+use prost::Message;
+
+use crate::{node::Log, state::State};
+
+/// Longest wait for a follower's sync.
+const APPEND_TIMEOUT: Duration = Duration::from_secs(5);
+/// Entries of one message, by encoded size in bytes; one larger entry still goes alone.
+const BATCH_BYTES: usize = 1024 * 1024;
+/// Part of a snapshot in one message, in bytes.
+const PART_BYTES: usize = 1024 * 1024;
+/// Heartbeats from one exchange of sightings to the next; the list is long and need not be exact.
+const SIGHTINGS_EVERY: u32 = 4;
+/// Heartbeats without an answer after which the connection is replaced.
+const MAX_UNANSWERED: u32 = 5;
+
+enum Next {
+    Stop,
+    Wait,
+    Append(inner::Append),
+    Snapshot,
+}
+
+impl State {
+    /// Heartbeat for a member; it names the last entry known to be equal there.
+    pub(crate) fn heartbeat(&self, id: u64) -> inner::Append {
+        let matched = self.progress.get(&id).map_or(0, |progress| progress.matched);
+        inner::Append {
+            term: self.term(),
+            leader_id: self.id(),
+            prev_index: matched,
+            prev_term: self.term_at(matched).unwrap_or(0),
+            // What lies beyond the equal part may still differ there.
+            commit_index: self.commit.min(matched),
+            target_id: id,
+            ..inner::Append::default()
+        }
+    }
+}
+
+impl Log {
+    /// Sends heartbeats to a member while this replica leads the term.
+    pub(crate) async fn heartbeat_loop(&self, term: u64, member: inner::Member) {
+        let client = self.client(&member.address);
+        let heartbeat = self.inner.settings.heartbeat;
+        let (mut round, mut unanswered) = (0_u32, 0_u32);
+        while self.serves(term, member.member_id) {
+            let sent = Instant::now();
+            let mut append = self.inner.state.borrow().heartbeat(member.member_id);
+            if round.is_multiple_of(SIGHTINGS_EVERY) {
+                append.seen = (self.inner.machine.sightings)();
+            }
+            round = round.wrapping_add(1);
+            let call = client.call(Body::Append(append), heartbeat * 4);
+            match time::timeout(heartbeat * 12, call).await {
+                Ok(Ok(Body::AppendReply(reply))) => {
+                    unanswered = 0;
+                    self.on_heartbeat_reply(term, member.member_id, sent, reply).await;
+                }
+                _ => unanswered += 1,
+            }
+            if unanswered >= MAX_UNANSWERED {
+                // Frames queued for a stopped peer would reach it later as old news.
+                client.disconnect();
+                unanswered = 0;
+            }
+            time::sleep(heartbeat.saturating_sub(sent.elapsed())).await;
+        }
+    }
+
+    async fn on_heartbeat_reply(
+        &self,
+        term: u64,
+        id: u64,
+        sent: Instant,
+        reply: inner::AppendReply,
+    ) {
+        self.adopt_term(reply.term).await;
+        if reply.member_id != id || reply.term != term {
+            return;
+        }
+        let mut state = self.inner.state.borrow_mut();
+        if !state.leads(term) {
+            return;
+        }
+        if let Some(progress) = state.progress.get_mut(&id) {
+            progress.confirmed = progress.confirmed.max(Some(sent));
+        }
+        drop(state);
+        if !reply.seen.is_empty() {
+            (self.inner.machine.merge_sightings)(reply.seen);
+        }
+        self.inner.changed.notify();
+    }
+
+    /// Sends entries to a member as they arrive, one batch at a time.
+    pub(crate) async fn replicate_loop(&self, term: u64, member: inner::Member) {
+        let client = self.client(&member.address);
+        let id = member.member_id;
+        loop {
+            let seen = self.inner.changed.version();
+            match self.next_message(term, id) {
+                Next::Stop => return,
+                Next::Wait => {
+                    self.inner.changed.changed_within(seen, self.inner.settings.election_min).await;
+                }
+                Next::Append(append) => {
+                    let call = client.call(Body::Append(append), APPEND_TIMEOUT);
+                    match time::timeout(APPEND_TIMEOUT, call).await {
+                        Ok(Ok(Body::AppendReply(reply))) => {
+                            self.on_append_reply(term, id, reply).await;
+                        }
+                        _ => time::sleep(self.inner.settings.heartbeat).await,
+                    }
+                }
+                Next::Snapshot => {
+                    if !self.send_snapshot(term, &member).await {
+                        time::sleep(self.inner.settings.heartbeat).await;
+                    }
+                }
+            }
+        }
+    }
+
+    fn serves(&self, term: u64, id: u64) -> bool {
+        let state = self.inner.state.borrow();
+        state.leads(term) && state.member(id).is_some() && !self.inner.token.is_cancelled()
+    }
+
+    fn next_message(&self, term: u64, id: u64) -> Next {
+        if !self.serves(term, id) {
+            return Next::Stop;
+        }
+        let state = self.inner.state.borrow();
+        let Some(progress) = state.progress.get(&id) else { return Next::Stop };
+        if progress.next <= state.base.index {
+            return Next::Snapshot;
+        }
+        let probed = progress.matched + 1 == progress.next;
+        if progress.next > state.last().index && probed {
+            return Next::Wait;
+        }
+        let prev_index = progress.next - 1;
+        let mut bytes = 0;
+        let from = (prev_index - state.base.index) as usize;
+        // The first message after an election only finds the equal part.
+        let batch = state.entries.range(from..).take_while(|entry| {
+            let first = bytes == 0;
+            bytes += entry.encoded_len();
+            first || bytes <= BATCH_BYTES
+        });
+        let entries = batch.cloned().collect();
+        Next::Append(inner::Append {
+            term,
+            leader_id: state.id(),
+            prev_index,
+            prev_term: state.term_at(prev_index).unwrap_or(0),
+            entries,
+            commit_index: state.commit,
+            target_id: id,
+            ..inner::Append::default()
+        })
+    }
+
+    async fn on_append_reply(&self, term: u64, id: u64, reply: inner::AppendReply) {
+        self.adopt_term(reply.term).await;
+        if reply.member_id != id || reply.term != term {
+            // Another identity answers at this address; its old one is removed by a membership change.
+            time::sleep(self.inner.settings.election_min).await;
+            return;
+        }
+        {
+            let mut state = self.inner.state.borrow_mut();
+            if !state.leads(term) {
+                return;
+            }
+            let last = state.last().index;
+            let Some(progress) = state.progress.get_mut(&id) else { return };
+            if reply.success {
+                progress.matched = progress.matched.max(reply.match_index.min(last));
+                progress.next = progress.matched + 1;
+            } else {
+                let retry = reply.retry_index.clamp(1, last + 1);
+                progress.next = retry.min(progress.next.saturating_sub(1).max(1));
+            }
+        }
+        self.inner.changed.notify();
+        self.advance_commit();
+    }
+
+    /// Sends the durable snapshot in parts; returns false when it must be tried again later.
+    async fn send_snapshot(&self, term: u64, member: &inner::Member) -> bool {
+        let Some(snapshot) = self.read_snapshot().await else { return false };
+        let client = self.client(&member.address);
+        let total = snapshot.state.len();
+        let mut offset = 0;
+        loop {
+            if !self.serves(term, member.member_id) {
+                return false;
+            }
+            let end = (offset + PART_BYTES).min(total);
+            let part = inner::Snapshot {
+                state: snapshot.state[offset..end].to_vec(),
+                membership: snapshot.membership.clone(),
+                ..snapshot
+            };
+            let install = inner::Install {
+                term,
+                leader_id: self.inner.state.borrow().id(),
+                snapshot: Some(part),
+                target_id: member.member_id,
+                offset: offset as u64,
+                total: total as u64,
+            };
+            let call = client.call(Body::Install(install), APPEND_TIMEOUT);
+            let Ok(Ok(Body::InstallReply(reply))) = time::timeout(APPEND_TIMEOUT, call).await
+            else {
+                return false;
+            };
+            self.adopt_term(reply.term).await;
+            if reply.member_id != member.member_id || reply.term != term {
+                return false;
+            }
+            if reply.match_index >= snapshot.last_index {
+                let mut state = self.inner.state.borrow_mut();
+                if let Some(progress) = state.progress.get_mut(&member.member_id) {
+                    progress.matched = progress.matched.max(snapshot.last_index);
+                    progress.next = progress.matched + 1;
+                }
+                return true;
+            }
+            if reply.received as usize <= offset && total > 0 {
+                return false;
+            }
+            offset = (reply.received as usize).min(total);
+        }
+    }
+}
--- /dev/null
+++ b/orioleworks_log/src/settings.rs
@@ -0,0 +1,49 @@
+//! Settings of the log.
+
+use std::{path::PathBuf, time::Duration};
+
+/// Settings of one replica.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the replica; at most one identity of a name stays a member.
+    pub name: String,
+    /// Failure domain of the replica.
+    pub domain: String,
+    /// Address of the replica's inner protocol.
+    pub address: String,
+    /// Addresses of all replicas, this one included.
+    pub replicas: Vec<String>,
+    /// Whether this replica may found a cluster.
+    pub bootstrap: bool,
+    /// Data directory.
+    pub directory: PathBuf,
+    /// Interval of heartbeats.
+    pub heartbeat: Duration,
+    /// Shortest time without a leader before an election.
+    pub election_min: Duration,
+    /// Longest time without a leader before an election.
+    pub election_max: Duration,
+    /// Applied log entries after which a snapshot is taken.
+    pub snapshot_entries: u64,
+    /// Log entries kept behind a snapshot, so that a replica that is slightly behind needs no snapshot.
+    pub tail_entries: u64,
+}
+
+impl Settings {
+    /// Settings with the usual times.
+    pub fn new(name: &str, address: &str, directory: impl Into<PathBuf>) -> Self {
+        Self {
+            name: name.into(),
+            domain: String::new(),
+            address: address.into(),
+            replicas: Vec::new(),
+            bootstrap: false,
+            directory: directory.into(),
+            heartbeat: Duration::from_millis(50),
+            election_min: Duration::from_millis(300),
+            election_max: Duration::from_millis(600),
+            snapshot_entries: 1000,
+            tail_entries: 100,
+        }
+    }
+}
--- /dev/null
+++ b/orioleworks_log/src/state.rs
@@ -0,0 +1,249 @@
+//! Volatile state of a replica: its log in memory, its role and what it knows of the others.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use futures_channel::oneshot;
+use orioleworks_proto::inner::{self, command::Kind};
+use orioleworks_rules::log::{self as rules, LogPosition};
+
+use crate::{files::Identity, node::ProposeError};
+
+/// Role of a replica in its term.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Follows a leader, or waits for one.
+    Follower,
+    /// Asks for votes.
+    Candidate,
+    /// Leads the term.
+    Leader,
+}
+
+/// What a leader knows of another replica.
+#[derive(Clone, Copy, Debug)]
+pub struct Progress {
+    /// Next index to send.
+    pub next: u64,
+    /// Highest index known to be synced there and equal to the leader's.
+    pub matched: u64,
+    /// Send time of the latest heartbeat that was answered under the leader's term.
+    pub confirmed: Option<Instant>,
+    /// Time from which the leader serves it.
+    pub added: Instant,
+}
+
+/// Result of a proposal for the task that waits for it.
+pub type Outcome = Result<inner::ProposeReply, ProposeError>;
+
+/// Partly received snapshot.
+#[derive(Debug, Default)]
+pub struct Incoming {
+    /// Position of the snapshot.
+    pub position: LogPosition,
+    /// Term of the leader that sends it.
+    pub leader_term: u64,
+    /// Bytes received so far.
+    pub bytes: Vec<u8>,
+}
+
+/// State of one replica.
+#[derive(Debug)]
+pub struct State {
+    /// Durable identity, term and vote.
+    pub identity: Identity,
+    /// Role in the term.
+    pub role: Role,
+    /// Leader of the term, if known.
+    pub leader_id: Option<u64>,
+    /// Time of the last message of the leader.
+    pub heard: Option<Instant>,
+    /// Position before the first entry in memory.
+    pub base: LogPosition,
+    /// Entries after `base`.
+    pub entries: VecDeque<inner::LogEntry>,
+    /// Highest stamp of the log; time never runs backwards, because leases and retentions are computed from it.
+    pub stamp: u64,
+    /// Last synced index.
+    pub synced: u64,
+    /// Raised whenever entries are removed, so that a running write is not taken for the new entries.
+    pub generation: u64,
+    /// Whether the file must be replaced because entries were removed.
+    pub rewrite: bool,
+    /// Last committed index.
+    pub commit: u64,
+    /// Last applied index.
+    pub applied: u64,
+    /// Newest durable snapshot without its state, and its membership.
+    pub snapshot: inner::Snapshot,
+    /// Membership in force: the last one in the log, committed or not.
+    pub membership: inner::Membership,
+    /// Index of the membership in force.
+    pub membership_index: u64,
+    /// Progress of the others while leading.
+    pub progress: HashMap<u64, Progress>,
+    /// First index of the own term while leading.
+    pub term_start: u64,
+    /// Proposals that wait for their entry to be applied, by index and term.
+    pub waiting: HashMap<u64, (u64, oneshot::Sender<Outcome>)>,
+    /// Snapshot that is being received.
+    pub incoming: Incoming,
+}
+
+impl State {
+    /// Own member ID.
+    pub fn id(&self) -> u64 {
+        self.identity.member_id
+    }
+
+    /// Current term.
+    pub fn term(&self) -> u64 {
+        self.identity.vote.term
+    }
+
+    /// Whether this replica leads the current term.
+    pub fn is_leader(&self) -> bool {
+        self.role == Role::Leader
+    }
+
+    /// Whether this replica leads exactly this term.
+    pub fn leads(&self, term: u64) -> bool {
+        self.is_leader() && self.term() == term
+    }
+
+    /// Position of the last entry.
+    pub fn last(&self) -> LogPosition {
+        match self.entries.back() {
+            Some(entry) => LogPosition { term: entry.term, index: entry.index },
+            None => self.base,
+        }
+    }
+
+    /// Entry at an index, if it is in memory.
+    pub fn entry(&self, index: u64) -> Option<&inner::LogEntry> {
+        let offset = index.checked_sub(self.base.index + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Term of the entry at an index; `None` when it is not known.
+    pub fn term_at(&self, index: u64) -> Option<u64> {
+        if index == self.base.index {
+            return Some(self.base.term);
+        }
+        if index == self.snapshot.last_index {
+            return Some(self.snapshot.last_term);
+        }
+        self.entry(index).map(|entry| entry.term)
+    }
+
+    /// Member IDs of the voters in force.
+    pub fn voters(&self) -> Vec<u64> {
+        voters(&self.membership)
+    }
+
+    /// Whether this replica is a voter.
+    pub fn is_voter(&self) -> bool {
+        self.voters().contains(&self.id())
+    }
+
+    /// Member with an ID.
+    pub fn member(&self, id: u64) -> Option<&inner::Member> {
+        self.membership.members.iter().find(|m| m.member_id == id)
+    }
+
+    /// Address of the known leader, empty without one.
+    pub fn leader_address(&self) -> String {
+        self.leader_id.and_then(|id| self.member(id)).map(|m| m.address.clone()).unwrap_or_default()
+    }
+
+    /// Adds an entry; a membership is in force from here on.
+    pub fn push(&mut self, entry: inner::LogEntry) {
+        if let Some(membership) = membership_of(&entry) {
+            self.membership = membership.clone();
+            self.membership_index = entry.index;
+        }
+        self.stamp = self.stamp.max(entry.now_ms);
+        self.entries.push_back(entry);
+    }
+
+    /// Removes the entries from an index on.
+    pub fn truncate_from(&mut self, index: u64) {
+        let keep = index.saturating_sub(self.base.index + 1);
+        self.entries.truncate(usize::try_from(keep).unwrap_or(0));
+        self.synced = self.synced.min(index - 1);
+        self.generation += 1;
+        self.rewrite = true;
+        self.reload_membership();
+    }
+
+    /// Forgets entries up to an index.
+    pub fn forget_through(&mut self, index: u64) {
+        let Some(term) = self.term_at(index) else { return };
+        while self.entries.front().is_some_and(|entry| entry.index <= index) {
+            self.entries.pop_front();
+        }
+        self.base = LogPosition { term, index };
+        self.generation += 1;
+        self.rewrite = true;
+    }
+
+    /// Sets the membership to the last one of the log, or the snapshot's.
+    pub fn reload_membership(&mut self) {
+        (self.membership_index, self.membership) = self.membership_at(u64::MAX);
+    }
+
+    /// Membership in force at an index.
+    pub fn membership_at(&self, index: u64) -> (u64, inner::Membership) {
+        let found = self.entries.iter().rev().filter(|entry| entry.index <= index);
+        let found = found.filter(|entry| entry.index > self.snapshot.last_index);
+        let mut found =
+            found.filter_map(|entry| membership_of(entry).map(|m| (entry.index, m.clone())));
+        found.next().unwrap_or_else(|| {
+            (self.snapshot.last_index, self.snapshot.membership.clone().unwrap_or_default())
+        })
+    }
+
+    /// Whether an entry of the own term is committed while leading.
+    pub fn committed_own_term(&self) -> bool {
+        self.is_leader() && self.term_start > 0 && self.commit >= self.term_start
+    }
+
+    /// Whether a quorum of voters answered a heartbeat that was sent at or after an instant.
+    pub fn quorum_confirmed_since(&self, since: Instant) -> bool {
+        self.quorum_of(|p| p.confirmed.is_some_and(|confirmed| confirmed >= since))
+    }
+
+    /// Whether a quorum of voters answered a heartbeat within a time; a new member has that time for its first answer.
+    pub fn quorum_contacted(&self, within: Duration) -> bool {
+        self.quorum_of(|p| p.confirmed.unwrap_or(p.added).elapsed() <= within)
+    }
+
+    fn quorum_of(&self, holds: impl Fn(&Progress) -> bool) -> bool {
+        let voters = self.voters();
+        let own = self.id();
+        let holding = voters.iter().copied();
+        let holding: Vec<u64> =
+            holding.filter(|id| *id == own || self.progress.get(id).is_some_and(&holds)).collect();
+        rules::is_elected(&voters, &holding)
+    }
+
+    /// Whether the leader of the term was heard within a time, or is this replica.
+    pub fn has_live_leader(&self, within: Duration) -> bool {
+        self.is_leader() || self.heard.is_some_and(|heard| heard.elapsed() < within)
+    }
+}
+
+/// Membership that an entry brings into force.
+pub fn membership_of(entry: &inner::LogEntry) -> Option<&inner::Membership> {
+    match entry.command.as_ref()?.kind.as_ref()? {
+        Kind::Membership(membership) => Some(membership),
+        _ => None,
+    }
+}
+
+/// Member IDs of the voters of a membership.
+pub fn voters(membership: &inner::Membership) -> Vec<u64> {
+    membership.members.iter().filter(|m| !m.learner).map(|m| m.member_id).collect()
+}
