Control daemon: state machine, service to entries and operators, process tests

Cause: entries and operators need one replicated configuration with claims and leases. Change: the package orioleworks_control with its binary, settings and example; OpenRun carries the owner's incarnation. Conclusion: the nine cluster tests with real processes pass.

--- /dev/null
+++ b/orioleworks_control/src/machine.rs
@@ -0,0 +1,262 @@
+//! Deterministic state machine of control; time is the leader's stamp of each entry.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+use indexmap::IndexMap;
+use orioleworks_proto::{
+    codes::ResultCode,
+    inner::{self, change, command::Kind},
+};
+
+/// Order results kept for resends.
+pub const MAX_ORDER_RESULTS: usize = 10_000;
+/// Changes kept for watches; an entry further behind gets the whole configuration.
+pub const MAX_CHANGES: usize = 1000;
+/// Time in milliseconds for which an order lease holds after its renewal.
+pub const ORDER_LEASE_MS: u64 = 3000;
+/// Time in milliseconds for which a fingerprint is quarantined.
+pub const QUARANTINE_MS: u64 = 10 * 60 * 1000;
+
+/// The whole replicated state.
+#[derive(Debug, Default)]
+pub struct Machine {
+    pub(crate) revision: u64,
+    pub(crate) profiles: IndexMap<String, inner::VersionedProfile>,
+    pub(crate) stopped: IndexMap<String, u64>,
+    pub(crate) versions: IndexMap<String, u64>,
+    pub(crate) quarantined: IndexMap<String, inner::Quarantined>,
+    pub(crate) changes: VecDeque<inner::Change>,
+    pub(crate) runs: IndexMap<String, inner::RunRecord>,
+    pub(crate) leases: IndexMap<String, inner::OrderLease>,
+    pub(crate) claims: HashMap<String, inner::ClaimRecord>,
+    /// Keys by issue time, so that old claims are found without a scan.
+    pub(crate) claims_by_age: BTreeSet<(u64, String)>,
+    pub(crate) results: HashMap<String, inner::ProposeReply>,
+    pub(crate) result_order: VecDeque<String>,
+}
+
+impl Machine {
+    /// Configuration revision.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Applies one committed entry.
+    pub fn apply(&mut self, entry: &inner::LogEntry) -> inner::ProposeReply {
+        self.forget_old(entry.now_ms);
+        if let Some(first) = self.results.get(&entry.order_id) {
+            return self.with_answer(first.clone());
+        }
+        let Some(command) = &entry.command else { return inner::ProposeReply::default() };
+        let reply = self.execute(command, entry.now_ms);
+        if !entry.order_id.is_empty() {
+            self.keep_result(&entry.order_id, &reply);
+        }
+        reply
+    }
+
+    fn execute(&mut self, command: &inner::Command, now_ms: u64) -> inner::ProposeReply {
+        let expected = command.expected_revision;
+        match &command.kind {
+            None | Some(Kind::Noop(_) | Kind::Membership(_)) => self.accepted(),
+            Some(Kind::PutProfile(profile)) => self.put_profile(expected, profile),
+            Some(Kind::RetireProfile(name)) => self.retire_profile(expected, name),
+            Some(Kind::StopUpstream(name)) => self.stop_upstream(expected, name),
+            Some(Kind::StartUpstream(name)) => self.start_upstream(expected, name),
+            Some(Kind::PublishVersion(publish)) => self.publish_version(expected, publish),
+            Some(Kind::OpenRun(open)) => self.open_run(open),
+            Some(Kind::AcquireOrderLease(lease)) => self.acquire_lease(lease, now_ms),
+            Some(Kind::Claim(claim)) => self.claim(claim, now_ms),
+            Some(Kind::FinishClaim(finish)) => self.finish_claim(finish),
+            Some(Kind::Quarantine(quarantine)) => self.quarantine(quarantine, now_ms),
+            Some(Kind::ReleaseQuarantine(fingerprint)) => self.release_quarantine(fingerprint),
+        }
+    }
+
+    fn put_profile(
+        &mut self,
+        expected: Option<u64>,
+        profile: &inner::Profile,
+    ) -> inner::ProposeReply {
+        let current = self.profiles.get(&profile.name).map_or(0, |held| held.revision);
+        if let Some(conflict) = self.conflict(expected, current, &profile.name) {
+            return conflict;
+        }
+        let versioned =
+            inner::VersionedProfile { revision: self.revision + 1, profile: Some(profile.clone()) };
+        self.profiles.insert(profile.name.clone(), versioned.clone());
+        self.change(change::Kind::Profile(versioned))
+    }
+
+    fn retire_profile(&mut self, expected: Option<u64>, name: &str) -> inner::ProposeReply {
+        let current = self.profiles.get(name).map_or(0, |held| held.revision);
+        if let Some(conflict) = self.conflict(expected, current, name) {
+            return conflict;
+        }
+        if self.profiles.shift_remove(name).is_none() {
+            return self.refused(ResultCode::UnknownObject, format!("profile {name}"));
+        }
+        self.change(change::Kind::RetiredProfile(name.into()))
+    }
+
+    fn stop_upstream(&mut self, expected: Option<u64>, name: &str) -> inner::ProposeReply {
+        let current = self.stopped.get(name).copied().unwrap_or(0);
+        if let Some(conflict) = self.conflict(expected, current, name) {
+            return conflict;
+        }
+        if current > 0 {
+            return self.accepted();
+        }
+        self.stopped.insert(name.into(), self.revision + 1);
+        self.change(change::Kind::StoppedUpstream(name.into()))
+    }
+
+    fn start_upstream(&mut self, expected: Option<u64>, name: &str) -> inner::ProposeReply {
+        let current = self.stopped.get(name).copied().unwrap_or(0);
+        if let Some(conflict) = self.conflict(expected, current, name) {
+            return conflict;
+        }
+        if self.stopped.shift_remove(name).is_none() {
+            let text = format!("no stop order for upstream {name}");
+            return self.refused(ResultCode::UnknownObject, text);
+        }
+        self.change(change::Kind::StartedUpstream(name.into()))
+    }
+
+    fn publish_version(
+        &mut self,
+        expected: Option<u64>,
+        publish: &inner::ModelVersion,
+    ) -> inner::ProposeReply {
+        // A model's version is its revision, because it only rises.
+        let current = self.versions.get(&publish.model).copied().unwrap_or(0);
+        if let Some(conflict) = self.conflict(expected, current, &publish.model) {
+            return conflict;
+        }
+        if publish.version <= current {
+            let message = format!("{}: version {current} is published already", publish.model);
+            let conflict = self.refused(ResultCode::Conflict, message);
+            return inner::ProposeReply { revision: current, ..conflict };
+        }
+        self.versions.insert(publish.model.clone(), publish.version);
+        self.change(change::Kind::Version(publish.clone()))
+    }
+
+    fn open_run(&mut self, open: &inner::OpenRun) -> inner::ProposeReply {
+        let run = self.runs.entry(open.run.clone()).or_default();
+        let same = run.owner == open.owner && run.owner_incarnation == open.owner_incarnation;
+        *run = inner::RunRecord {
+            run: open.run.clone(),
+            owner: open.owner.clone(),
+            owner_address: open.owner_address.clone(),
+            epoch: if same { run.epoch } else { run.epoch + 1 },
+            owner_incarnation: open.owner_incarnation,
+        };
+        let (epoch, holder) = (run.epoch, run.owner.clone());
+        inner::ProposeReply { epoch, holder, ..self.accepted() }
+    }
+
+    fn acquire_lease(
+        &mut self,
+        request: &inner::AcquireOrderLease,
+        now_ms: u64,
+    ) -> inner::ProposeReply {
+        let lease = self.leases.entry(request.domain.clone()).or_default();
+        let same = lease.entry == request.entry
+            && lease.entry_incarnation == request.entry_incarnation
+            && lease.epoch > 0;
+        if !same && lease.epoch > 0 && now_ms < lease.renewed_ms + ORDER_LEASE_MS {
+            let (epoch, holder) = (lease.epoch, lease.entry.clone());
+            let held = self.refused(ResultCode::LeaseHeld, holder.clone());
+            return inner::ProposeReply { epoch, holder, ..held };
+        }
+        *lease = inner::OrderLease {
+            domain: request.domain.clone(),
+            entry: request.entry.clone(),
+            entry_incarnation: request.entry_incarnation,
+            epoch: if same { lease.epoch } else { lease.epoch + 1 },
+            renewed_ms: now_ms,
+        };
+        let (epoch, holder) = (lease.epoch, lease.entry.clone());
+        inner::ProposeReply { epoch, holder, ..self.accepted() }
+    }
+
+    fn quarantine(&mut self, request: &inner::Quarantine, now_ms: u64) -> inner::ProposeReply {
+        let record = inner::Quarantined {
+            fingerprint: request.fingerprint.clone(),
+            profile: request.profile.clone(),
+            reason: request.reason.clone(),
+            until_ms: now_ms + QUARANTINE_MS,
+        };
+        self.quarantined.insert(request.fingerprint.clone(), record.clone());
+        self.change(change::Kind::Quarantined(record))
+    }
+
+    fn release_quarantine(&mut self, fingerprint: &str) -> inner::ProposeReply {
+        if self.quarantined.shift_remove(fingerprint).is_none() {
+            return self.refused(ResultCode::UnknownObject, format!("quarantine of {fingerprint}"));
+        }
+        self.change(change::Kind::QuarantineReleased(fingerprint.into()))
+    }
+
+    /// Forgets expired records; entries expire quarantines by the same time, so that is no configuration change.
+    fn forget_old(&mut self, now_ms: u64) {
+        self.quarantined.retain(|_, record| record.until_ms > now_ms);
+        self.forget_claims(now_ms);
+    }
+
+    fn change(&mut self, kind: change::Kind) -> inner::ProposeReply {
+        self.revision += 1;
+        self.changes.push_back(inner::Change { revision: self.revision, kind: Some(kind) });
+        if self.changes.len() > MAX_CHANGES {
+            self.changes.pop_front();
+        }
+        self.accepted()
+    }
+
+    pub(crate) fn accepted(&self) -> inner::ProposeReply {
+        inner::ProposeReply { revision: self.revision, ..inner::ProposeReply::default() }
+    }
+
+    pub(crate) fn refused(&self, code: ResultCode, detail: String) -> inner::ProposeReply {
+        let message = format!("{code}: {detail}");
+        inner::ProposeReply { code: code.number(), message, ..self.accepted() }
+    }
+
+    fn conflict(
+        &self,
+        expected: Option<u64>,
+        current: u64,
+        name: &str,
+    ) -> Option<inner::ProposeReply> {
+        let expected = expected.filter(|expected| *expected != current)?;
+        let detail = format!("{name} has revision {current}, expected {expected}");
+        let conflict = self.refused(ResultCode::Conflict, detail);
+        Some(inner::ProposeReply { revision: current, ..conflict })
+    }
+
+    fn keep_result(&mut self, order_id: &str, reply: &inner::ProposeReply) {
+        let mut kept = reply.clone();
+        // The claim holds the response already; see `with_answer`.
+        if let Some(claim) = &mut kept.claim {
+            claim.answer.clear();
+        }
+        self.results.insert(order_id.into(), kept);
+        self.result_order.push_back(order_id.into());
+        if self.result_order.len() > MAX_ORDER_RESULTS
+            && let Some(oldest) = self.result_order.pop_front()
+        {
+            self.results.remove(&oldest);
+        }
+    }
+
+    /// Changes after a revision, or `None` when they are not kept any more.
+    pub fn changes_after(&self, applied: u64) -> Option<Vec<inner::Change>> {
+        if applied >= self.revision {
+            return Some(Vec::new());
+        }
+        let first = self.changes.front().map_or(u64::MAX, |change| change.revision);
+        let newer = self.changes.iter().filter(|change| change.revision > applied);
+        (first <= applied + 1).then(|| newer.cloned().collect())
+    }
+}
--- /dev/null
+++ b/orioleworks_control/src/service.rs
@@ -0,0 +1,187 @@
+//! Answers to entries, operators and other replicas.
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use orioleworks_log::{Log, LogError, Settings, notify::Notify};
+use orioleworks_proto::{
+    codes::ResultCode,
+    inner::{self, command::Kind, frame::Body},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{machine::Machine, sightings::Sightings, validation};
+
+/// Longest time to hold a watch.
+const MAX_HOLD: Duration = Duration::from_millis(1000);
+
+/// The service of one replica; clones share it.
+#[derive(Clone, Debug)]
+pub struct Service {
+    log: Log,
+    machine: Rc<RefCell<Machine>>,
+    sightings: Sightings,
+    /// Notified on each committed configuration change.
+    committed: Notify,
+}
+
+impl Service {
+    /// Opens the log and restores the state machine.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the data directory.
+    pub fn open(settings: Settings, token: CancellationToken) -> Result<Self, LogError> {
+        let machine = Rc::new(RefCell::new(Machine::default()));
+        let sightings = Sightings::default();
+        let committed = Notify::default();
+        let log = Log::open(settings, closures(&machine, &sightings, &committed), token)?;
+        Ok(Self { log, machine, sightings, committed })
+    }
+
+    /// The replicated log.
+    pub fn log(&self) -> &Log {
+        &self.log
+    }
+
+    /// Configuration revision that this replica has committed.
+    pub fn revision(&self) -> u64 {
+        self.machine.borrow().revision()
+    }
+
+    /// Answers one message; `None` for a message that is not for control.
+    pub async fn handle(&self, body: Body) -> Option<Body> {
+        match body {
+            Body::Propose(propose) => Some(Body::ProposeReply(self.propose(propose).await)),
+            Body::Watch(watch) => Some(Body::WatchReply(self.watch(watch).await)),
+            Body::Status(status) => Some(Body::StatusReply(self.status(status.current).await)),
+            other => self.log.handle(other).await,
+        }
+    }
+
+    async fn propose(&self, mut propose: inner::Propose) -> inner::ProposeReply {
+        let started = Instant::now();
+        let reply = match validation::check(&propose) {
+            Err(detail) => failed(ResultCode::InvalidOrder, &detail),
+            Ok(()) => match self.log.ready_to_propose().await {
+                Err(e) => failed(e.code(), ""),
+                Ok(()) => {
+                    let mut command = propose.command.take().unwrap_or_default();
+                    self.mark_gone_holder(&mut command);
+                    let outcome = self.log.propose(&propose.order_id, command).await;
+                    outcome.unwrap_or_else(|e| failed(e.code(), ""))
+                }
+            },
+        };
+        let code = reply.code.to_string();
+        metrics::counter!("orioleworks_control_proposals_total", "code" => code).increment(1);
+        metrics::histogram!("orioleworks_control_proposal_seconds").record(started.elapsed());
+        let not_leader = reply.code == ResultCode::NotLeader.number();
+        let leader_address = if not_leader { self.log.leader_address() } else { String::new() };
+        inner::ProposeReply { leader_address, ..reply }
+    }
+
+    /// Adds to a claim whether the entry that holds the key is gone, which only the leader can know.
+    ///
+    /// The fact names the attempt, so that it means nothing for a claim that is granted before it is applied.
+    fn mark_gone_holder(&self, command: &mut inner::Command) {
+        let Some(Kind::Claim(claim)) = &mut command.kind else { return };
+        claim.gone_attempt_id.clear();
+        let machine = self.machine.borrow();
+        let Some(held) = machine.held_claim(&claim.key) else { return };
+        let collecting_for = self.log.leading_for().unwrap_or_default();
+        if self.sightings.is_gone(&held.entry, held.entry_incarnation, collecting_for) {
+            claim.gone_attempt_id = held.attempt_id.clone();
+        }
+    }
+
+    async fn watch(&self, watch: inner::Watch) -> inner::WatchReply {
+        let hold = Duration::from_millis(watch.wait_ms.into()).min(MAX_HOLD);
+        let deadline = Instant::now() + hold;
+        if let Some(entry) = watch.entry
+            && validation::is_name(&entry.name)
+        {
+            self.sightings.note(entry, watch.applied_revision);
+        }
+        loop {
+            let seen = self.committed.version();
+            // A replica that is cut off must not pass for news, so that the entry asks another one.
+            if !self.log.is_current() {
+                let code = ResultCode::NoQuorum.number();
+                let leader_address = self.log.leader_address();
+                return inner::WatchReply { code, leader_address, ..inner::WatchReply::default() };
+            }
+            let left = deadline.saturating_duration_since(Instant::now());
+            if self.revision() > watch.applied_revision || left.is_zero() {
+                return self.watch_reply(watch.applied_revision);
+            }
+            self.committed.changed_within(seen, left).await;
+        }
+    }
+
+    fn watch_reply(&self, applied: u64) -> inner::WatchReply {
+        let machine = self.machine.borrow();
+        let changes = machine.changes_after(applied);
+        let config = changes.is_none().then(|| machine.config());
+        inner::WatchReply {
+            code: ResultCode::Ok.number(),
+            revision: machine.revision(),
+            changes: changes.unwrap_or_default(),
+            config,
+            leader_address: self.log.leader_address(),
+            entries: self.sightings.live(),
+        }
+    }
+
+    async fn status(&self, current: bool) -> inner::StatusReply {
+        let code = match current {
+            true => self.log.confirm().await.map_or_else(|e| e.code(), |()| ResultCode::Ok),
+            false => ResultCode::Ok,
+        };
+        let machine = self.machine.borrow();
+        inner::StatusReply {
+            code: code.number(),
+            config: Some(machine.config()),
+            entries: self.sightings.statuses(),
+            runs: machine.runs(),
+            order_leases: machine.order_leases(),
+            ..self.log.status()
+        }
+    }
+}
+
+fn closures(
+    machine: &Rc<RefCell<Machine>>,
+    sightings: &Sightings,
+    committed: &Notify,
+) -> orioleworks_log::Machine {
+    let (applied, encoded, restored) = (machine.clone(), machine.clone(), machine.clone());
+    let (on_apply, on_restore) = (committed.clone(), committed.clone());
+    let (own, merged) = (sightings.clone(), sightings.clone());
+    orioleworks_log::Machine {
+        apply: Box::new(move |entry| {
+            let before = applied.borrow().revision();
+            let reply = applied.borrow_mut().apply(entry);
+            if applied.borrow().revision() != before {
+                on_apply.notify();
+            }
+            reply
+        }),
+        snapshot: Box::new(move || encoded.borrow().encode()),
+        restore: Box::new(move |bytes| {
+            *restored.borrow_mut() = Machine::decode(bytes)?;
+            on_restore.notify();
+            Ok(())
+        }),
+        sightings: Box::new(move || own.statuses()),
+        merge_sightings: Box::new(move |statuses| merged.merge(statuses)),
+    }
+}
+
+fn failed(code: ResultCode, detail: &str) -> inner::ProposeReply {
+    let message = if detail.is_empty() { code.to_string() } else { format!("{code}: {detail}") };
+    inner::ProposeReply { code: code.number(), message, ..inner::ProposeReply::default() }
+}
--- /dev/null
+++ b/orioleworks_control/src/snapshot.rs
@@ -0,0 +1,93 @@
+//! The state machine as a message, for snapshots, watches and status replies.
+
+use orioleworks_proto::inner;
+use prost::Message;
+
+use crate::machine::Machine;
+
+impl Machine {
+    /// The whole configuration.
+    pub fn config(&self) -> inner::Config {
+        let stopped = self.stopped.iter();
+        let versions = self.versions.iter();
+        inner::Config {
+            revision: self.revision,
+            profiles: self.profiles.values().cloned().collect(),
+            stopped_upstreams: stopped
+                .map(|(name, revision)| inner::StoppedUpstream {
+                    revision: *revision,
+                    name: name.clone(),
+                })
+                .collect(),
+            versions: versions
+                .map(|(model, version)| inner::ModelVersion {
+                    model: model.clone(),
+                    version: *version,
+                })
+                .collect(),
+            quarantined: self.quarantined.values().cloned().collect(),
+        }
+    }
+
+    /// Owners of all runs.
+    pub fn runs(&self) -> Vec<inner::RunRecord> {
+        self.runs.values().cloned().collect()
+    }
+
+    /// Order leases of all failure domains.
+    pub fn order_leases(&self) -> Vec<inner::OrderLease> {
+        self.leases.values().cloned().collect()
+    }
+
+    /// Encodes the whole state.
+    pub fn encode(&self) -> Vec<u8> {
+        let claims = self.claims_by_age.iter().filter_map(|(_, key)| self.claims.get(key));
+        let results = self.result_order.iter().filter_map(|order_id| {
+            let reply = Some(self.results.get(order_id)?.clone());
+            Some(inner::OrderResult { order_id: order_id.clone(), reply })
+        });
+        inner::ControlState {
+            config: Some(self.config()),
+            runs: self.runs(),
+            order_leases: self.order_leases(),
+            claims: claims.cloned().collect(),
+            order_results: results.collect(),
+            changes: self.changes.iter().cloned().collect(),
+        }
+        .encode_to_vec()
+    }
+
+    /// Decodes a whole state.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the bytes are not a state.
+    pub fn decode(bytes: &[u8]) -> Result<Self, String> {
+        let state = inner::ControlState::decode(bytes).map_err(|e| e.to_string())?;
+        let config = state.config.unwrap_or_default();
+        let mut machine = Self { revision: config.revision, ..Self::default() };
+        for versioned in config.profiles {
+            let name = versioned.profile.as_ref().map(|p| p.name.clone()).unwrap_or_default();
+            machine.profiles.insert(name, versioned);
+        }
+        let stopped = config.stopped_upstreams.into_iter();
+        machine.stopped = stopped.map(|stopped| (stopped.name, stopped.revision)).collect();
+        let versions = config.versions.into_iter();
+        machine.versions = versions.map(|version| (version.model, version.version)).collect();
+        let quarantined = config.quarantined.into_iter();
+        machine.quarantined = quarantined.map(|q| (q.fingerprint.clone(), q)).collect();
+        machine.changes = state.changes.into();
+        machine.runs = state.runs.into_iter().map(|run| (run.run.clone(), run)).collect();
+        let leases = state.order_leases.into_iter();
+        machine.leases = leases.map(|lease| (lease.domain.clone(), lease)).collect();
+        for claim in state.claims {
+            machine.claims_by_age.insert((claim.issued_ms, claim.key.clone()));
+            machine.claims.insert(claim.key.clone(), claim);
+        }
+        for result in state.order_results {
+            machine.result_order.push_back(result.order_id.clone());
+            machine.results.insert(result.order_id, result.reply.unwrap_or_default());
+        }
+        Ok(machine)
+    }
+}
--- /dev/null
+++ b/orioleworks_control/tests/cluster.rs
@@ -0,0 +1,305 @@
+//! Guards against lost or doubled orders when control replicas fail.
+
+mod support;
+
+use std::{cell::RefCell, fs, rc::Rc, time::Duration};
+
+use compio::time::sleep;
+use nix::sys::signal::Signal;
+use orioleworks_proto::{
+    codes::{ResultCode, exit},
+    inner::{self, frame::Body},
+};
+use rstest::rstest;
+use support::{Cluster, LONG, SHORT, block_on, put};
+
+/// Proposes orders one after the other and returns the names of those that were acknowledged.
+async fn propose_many(cluster: &Cluster, prefix: &str, count: usize) -> Vec<String> {
+    let client = cluster.client();
+    let mut accepted = Vec::new();
+    for n in 0..count {
+        let name = format!("{prefix}-{n}");
+        let reply = client.propose(&name, put(&name, Some(0)), LONG).await.unwrap();
+        assert_eq!(reply.code, 0, "{}", reply.message);
+        accepted.push(name);
+    }
+    accepted
+}
+
+async fn profile_names(cluster: &Cluster) -> Vec<String> {
+    let leader = cluster.leader().await;
+    let status = cluster.status(leader, true).await.unwrap();
+    let profiles = status.config.unwrap().profiles.into_iter();
+    profiles.map(|versioned| versioned.profile.unwrap().name).collect()
+}
+
+async fn assert_holds(cluster: &Cluster, accepted: &[String]) {
+    let held = profile_names(cluster).await;
+    let lost: Vec<_> = accepted.iter().filter(|name| !held.contains(name)).collect();
+    assert!(lost.is_empty(), "acknowledged orders lost: {lost:?}");
+}
+
+/// Guards against a founding that never elects, and against acknowledged orders lost with a killed leader.
+#[rstest]
+fn killed_leader_loses_no_acknowledged_order() {
+    block_on(async {
+        let mut cluster = Cluster::start();
+        let leader = cluster.leader().await;
+        let accepted = Rc::new(RefCell::new(Vec::new()));
+        let tasks: Vec<_> = (0..8)
+            .map(|task| {
+                let (client, accepted) = (cluster.client(), accepted.clone());
+                compio::runtime::spawn(async move {
+                    for n in 0..40 {
+                        let name = format!("p-{task}-{n}");
+                        let reply = client.propose(&name, put(&name, Some(0)), LONG).await;
+                        assert_eq!(reply.unwrap().code, 0);
+                        accepted.borrow_mut().push(name);
+                    }
+                })
+            })
+            .collect();
+        while accepted.borrow().len() < 60 {
+            sleep(Duration::from_millis(1)).await;
+        }
+        cluster.kill(leader);
+        for task in tasks {
+            task.await.unwrap();
+        }
+        let accepted = accepted.borrow();
+        assert_eq!(accepted.len(), 320);
+        assert_holds(&cluster, &accepted).await;
+    });
+}
+
+/// Guards against a wiped replica that votes under its old identity and so loses acknowledged orders.
+#[rstest]
+fn wiped_replica_gets_a_new_identity_and_counts_again() {
+    block_on(async {
+        let mut cluster = Cluster::start();
+        let leader = cluster.leader().await;
+        let mut accepted = propose_many(&cluster, "before", 20).await;
+        let wiped = (leader + 1) % 3;
+        let old_id = cluster.status(wiped, false).await.unwrap().member_id;
+        cluster.kill(wiped);
+        fs::remove_dir_all(cluster.directory(wiped)).unwrap();
+        cluster.spawn(wiped);
+        let status = cluster
+            .wait_for(leader, "the old identity is removed", |status| {
+                let members = &status.membership.as_ref().unwrap().members;
+                members.len() == 3 && members.iter().all(|m| !m.learner && m.member_id != old_id)
+            })
+            .await;
+        let index = status.commit_index;
+        cluster.wait_for(wiped, "the new identity has the log", |s| s.commit_index >= index).await;
+        assert!(cluster.output(leader).contains("step=learner_promoted"));
+        accepted.extend(propose_many(&cluster, "after", 20).await);
+        let other = 3 - leader - wiped;
+        cluster.kill(other);
+        accepted.extend(propose_many(&cluster, "two", 20).await);
+        cluster.spawn(other);
+        cluster.kill(leader);
+        accepted.extend(propose_many(&cluster, "three", 5).await);
+        assert_holds(&cluster, &accepted).await;
+    });
+}
+
+/// Guards against a replica that is too far behind for the kept log and never catches up.
+#[rstest]
+fn replica_that_missed_1500_changes_catches_up_by_snapshot() {
+    block_on(async {
+        let mut cluster = Cluster::start();
+        let leader = cluster.leader().await;
+        let late = (leader + 1) % 3;
+        cluster.kill(late);
+        let client = cluster.client();
+        let tasks: Vec<_> = (0..15)
+            .map(|task| {
+                let client = client.clone();
+                compio::runtime::spawn(async move {
+                    for n in 0..100 {
+                        let id = format!("o-{task}-{n}");
+                        let name = format!("p-{task}");
+                        let reply = client.propose(&id, put(&name, None), LONG).await;
+                        assert_eq!(reply.unwrap().code, 0);
+                    }
+                })
+            })
+            .collect();
+        for task in tasks {
+            task.await.unwrap();
+        }
+        cluster.spawn(late);
+        let caught_up = |s: &inner::StatusReply| s.config.as_ref().unwrap().revision == 1500;
+        cluster.wait_for(late, "caught up", caught_up).await;
+        assert!(cluster.output(late).contains("event=snapshot_installed"));
+        // It also restarts from what it installed.
+        cluster.kill(late);
+        cluster.spawn(late);
+        cluster.wait_for(late, "caught up after a restart", caught_up).await;
+    });
+}
+
+/// Guards against two operators who both believe that their order won.
+#[rstest]
+fn of_two_orders_with_equal_revisions_exactly_one_wins() {
+    block_on(async {
+        let cluster = Cluster::start();
+        cluster.leader().await;
+        let (one, two) = (cluster.client(), cluster.client());
+        for round in 0..20 {
+            let name = format!("p-{round}");
+            let (id_one, id_two) = (format!("one-{round}"), format!("two-{round}"));
+            let (a, b) = futures_util::join!(
+                one.propose(id_one, put(&name, Some(0)), LONG),
+                two.propose(id_two, put(&name, Some(0)), LONG),
+            );
+            let (a, b) = (a.unwrap(), b.unwrap());
+            let conflict = ResultCode::Conflict.number();
+            let mut codes = [a.code, b.code];
+            codes.sort_unstable();
+            assert_eq!(codes, [0, conflict], "{a:?} {b:?}");
+            assert_eq!(a.revision, b.revision, "the loser learns the winner's revision");
+        }
+    });
+}
+
+/// Guards against an order that is applied twice when its lost answer makes the operator resend it.
+#[rstest]
+fn resent_order_gets_the_first_result_after_failover_and_restart() {
+    block_on(async {
+        let mut cluster = Cluster::start();
+        let leader = cluster.leader().await;
+        let client = cluster.client();
+        let first = client.propose("order-1", put("p", Some(0)), LONG).await.unwrap();
+        propose_many(&cluster, "more", 5).await;
+        cluster.kill(leader);
+        let again = client.propose("order-1", put("p", Some(0)), LONG).await.unwrap();
+        assert_eq!(again, first);
+        cluster.spawn(leader);
+        cluster.leader().await;
+        (0..3).for_each(|i| cluster.kill(i));
+        (0..3).for_each(|i| cluster.spawn(i));
+        let again = cluster.client().propose("order-1", put("p", Some(0)), LONG).await.unwrap();
+        assert_eq!(again, first);
+    });
+}
+
+/// Guards against a paused leader that acknowledges or answers under its old term when it resumes.
+#[rstest]
+fn paused_leader_acknowledges_nothing_under_its_old_term() {
+    block_on(async {
+        let cluster = Cluster::start();
+        let leader = cluster.leader().await;
+        let client = cluster.client();
+        client.propose("first", put("p", Some(0)), LONG).await.unwrap();
+        let old_term = cluster.status(leader, true).await.unwrap().term;
+        cluster.signal(leader, Signal::SIGSTOP);
+        // Waits in the socket of the paused leader.
+        let old = orioleworks_daemon::rpc::Client::new(cluster.addresses[leader].as_str());
+        let propose =
+            inner::Propose { order_id: "stale".into(), command: Some(put("stale", Some(0))) };
+        let stale = old.clone();
+        let stale =
+            compio::runtime::spawn(async move { stale.call(Body::Propose(propose), LONG).await });
+        let read = old.clone();
+        let read = compio::runtime::spawn(async move {
+            read.call(Body::Status(inner::Status { current: true }), LONG).await
+        });
+        let accepted = propose_many(&cluster, "new", 10).await;
+        cluster.signal(leader, Signal::SIGCONT);
+        let Ok(Body::ProposeReply(reply)) = stale.await.unwrap() else { panic!("no reply") };
+        assert_ne!(reply.code, 0, "acknowledged under an old term");
+        let Ok(Body::StatusReply(reply)) = read.await.unwrap() else { panic!("no reply") };
+        assert!(reply.code != 0 || reply.term > old_term, "an old state passed for a current one");
+        assert_holds(&cluster, &accepted).await;
+        cluster.wait_for(leader, "follows the new term", |s| s.term > old_term).await;
+    });
+}
+
+/// Guards against a damaged log that is used, and against a refusal that does not say what to do.
+#[rstest]
+fn damaged_log_is_refused_with_the_repair_command() {
+    block_on(async {
+        let mut cluster = Cluster::start();
+        let leader = cluster.leader().await;
+        let accepted = propose_many(&cluster, "p", 20).await;
+        let damaged = (leader + 1) % 3;
+        cluster.kill(damaged);
+        let directory = cluster.directory(damaged);
+        let mut bytes = fs::read(directory.join("log")).unwrap();
+        let middle = bytes.len() / 2;
+        bytes[middle] ^= 0x40;
+        fs::write(directory.join("log"), bytes).unwrap();
+        cluster.spawn(damaged);
+        assert_eq!(cluster.exit_code(damaged).await, exit::DATA);
+        let output = cluster.output(damaged);
+        let repair = format!("mv {0} {0}.damaged", directory.display());
+        assert!(output.contains(&repair) && output.contains("damaged at offset"), "{output}");
+        fs::rename(&directory, directory.with_extension("damaged")).unwrap();
+        cluster.spawn(damaged);
+        cluster
+            .wait_for(damaged, "joined", |s| s.membership.as_ref().unwrap().members.len() == 3)
+            .await;
+        assert_holds(&cluster, &accepted).await;
+    });
+}
+
+/// Guards against a planned stop of the leader that leaves the cluster without one for an election timeout.
+#[rstest]
+fn leader_hands_over_on_sigterm() {
+    block_on(async {
+        let mut cluster = Cluster::start();
+        let leader = cluster.leader().await;
+        let accepted = propose_many(&cluster, "p", 5).await;
+        cluster.signal(leader, Signal::SIGTERM);
+        assert_eq!(cluster.exit_code(leader).await, exit::OK);
+        let output = cluster.output(leader);
+        assert!(output.contains("event=leadership_handed_over"), "{output}");
+        assert!(output.contains("done=true"), "{output}");
+        assert_holds(&cluster, &accepted).await;
+    });
+}
+
+/// Guards against changes that reach entries late, and against entries that only one replica knows of.
+#[rstest]
+fn watch_wakes_on_commit_and_replicas_share_sightings() {
+    block_on(async {
+        let cluster = Cluster::start();
+        let leader = cluster.leader().await;
+        let replica = (leader + 1) % 3;
+        let follower = orioleworks_daemon::rpc::Client::new(cluster.addresses[replica].as_str());
+        let entry = inner::EntryIdentity {
+            name: "entry-a1".into(),
+            incarnation: 7,
+            ..inner::EntryIdentity::default()
+        };
+        let watch = |applied_revision| {
+            let entry = Some(entry.clone());
+            Body::Watch(inner::Watch { entry, applied_revision, wait_ms: 1000 })
+        };
+        let waiting = follower.call(watch(0), LONG);
+        let proposing = async {
+            sleep(Duration::from_millis(200)).await;
+            cluster.client().propose("order", put("p", None), LONG).await.unwrap();
+            std::time::Instant::now()
+        };
+        let noting = async {
+            let reply = waiting.await;
+            (reply, std::time::Instant::now())
+        };
+        let ((reply, woken), accepted) = futures_util::join!(noting, proposing);
+        let Ok(Body::WatchReply(reply)) = reply else { panic!("{reply:?}") };
+        assert_eq!((reply.code, reply.revision, reply.changes.len()), (0, 1, 1));
+        assert!(woken.saturating_duration_since(accepted) < SHORT);
+        follower.call(watch(1), LONG).await.unwrap();
+        let knows = |status: &inner::StatusReply| {
+            status.entries.iter().any(|e| {
+                e.entry.as_ref().is_some_and(|e| e.name == "entry-a1") && e.applied_revision == 1
+            })
+        };
+        for i in 0..3 {
+            cluster.wait_for(i, "the sighting is shared", knows).await;
+        }
+    });
+}
--- /dev/null
+++ b/orioleworks_control/tests/support/mod.rs
@@ -0,0 +1,190 @@
+//! Control replicas as real processes on loopback.
+
+#![allow(dead_code)]
+
+use std::{
+    fs::{self, File},
+    net::TcpListener,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use compio::time::sleep;
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use orioleworks_daemon::{control::ControlClient, rpc};
+use orioleworks_proto::inner::{self, command::Kind, frame::Body};
+use tempfile::TempDir;
+
+pub const LONG: Duration = Duration::from_secs(20);
+pub const SHORT: Duration = Duration::from_millis(800);
+
+pub struct Cluster {
+    dir: TempDir,
+    pub names: Vec<String>,
+    pub addresses: Vec<String>,
+    children: Vec<Option<Child>>,
+}
+
+/// Runs a test on a runtime of its own.
+pub fn block_on<T>(test: impl Future<Output = T>) -> T {
+    compio::runtime::Runtime::new().unwrap().block_on(test)
+}
+
+fn free_ports(count: usize) -> Vec<u16> {
+    let held: Vec<_> = (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    held.iter().map(|listener| listener.local_addr().unwrap().port()).collect()
+}
+
+impl Cluster {
+    /// Starts three replicas that found a cluster.
+    pub fn start() -> Self {
+        let names: Vec<String> = ["a", "b", "c"].iter().map(|x| format!("control-{x}")).collect();
+        let ports = free_ports(6);
+        let addresses: Vec<String> =
+            ports[..3].iter().map(|port| format!("127.0.0.1:{port}")).collect();
+        let dir = tempfile::tempdir().unwrap();
+        let replicas: Vec<String> = names
+            .iter()
+            .zip(&addresses)
+            .map(|(n, a)| format!(r#"{{"name":"{n}","address":"{a}","failure_domain":"{n}"}}"#))
+            .collect();
+        for (i, name) in names.iter().enumerate() {
+            let text = format!(
+                r#"{{"instance":{{"name":"{name}","failure_domain":"{name}"}},
+                "listen":{{"http":"127.0.0.1:{}","inner":"{}"}},
+                "cluster":{{"bootstrap":true,"replicas":[{}]}},
+                "data":{{"directory":"{}","snapshot_entries":400}}}}"#,
+                ports[3 + i],
+                addresses[i],
+                replicas.join(","),
+                dir.path().join(name).display(),
+            );
+            fs::write(dir.path().join(format!("{name}.jsonc")), text).unwrap();
+        }
+        let mut cluster = Self { dir, names, addresses, children: vec![None, None, None] };
+        (0..3).for_each(|i| cluster.spawn(i));
+        cluster
+    }
+
+    pub fn spawn(&mut self, i: usize) {
+        let path = self.dir.path().join(&self.names[i]);
+        let log =
+            File::options().create(true).append(true).open(path.with_extension("log")).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_orioleworks-control"))
+            .arg("--config")
+            .arg(path.with_extension("jsonc"))
+            .stderr(log)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        self.children[i] = Some(child);
+    }
+
+    pub fn directory(&self, i: usize) -> PathBuf {
+        self.dir.path().join(&self.names[i])
+    }
+
+    pub fn output(&self, i: usize) -> String {
+        fs::read_to_string(self.directory(i).with_extension("log")).unwrap()
+    }
+
+    pub fn signal(&self, i: usize, signal: Signal) {
+        let child = self.children[i].as_ref().unwrap();
+        kill(Pid::from_raw(child.id().try_into().unwrap()), signal).unwrap();
+    }
+
+    pub fn kill(&mut self, i: usize) {
+        let mut child = self.children[i].take().unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    /// Waits for a process to end by itself and returns its exit code.
+    pub async fn exit_code(&mut self, i: usize) -> i32 {
+        let mut child = self.children[i].take().unwrap();
+        let started = Instant::now();
+        loop {
+            if let Some(status) = child.try_wait().unwrap() {
+                return status.code().unwrap_or(-1);
+            }
+            assert!(started.elapsed() < LONG, "the process does not end");
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    pub fn client(&self) -> ControlClient {
+        ControlClient::new(self.addresses.iter().map(String::as_str))
+    }
+
+    pub async fn status(&self, i: usize, current: bool) -> Option<inner::StatusReply> {
+        let client = rpc::Client::new(self.addresses[i].as_str());
+        match client.call(Body::Status(inner::Status { current }), SHORT).await {
+            Ok(Body::StatusReply(reply)) => Some(reply),
+            _ => None,
+        }
+    }
+
+    /// Waits until one of the replicas leads with a quorum, and returns its place.
+    pub async fn leader(&self) -> usize {
+        let started = Instant::now();
+        while started.elapsed() < LONG {
+            for i in 0..3 {
+                let running = self.children[i].is_some();
+                if running && self.status(i, true).await.is_some_and(|s| s.is_leader && s.code == 0)
+                {
+                    return i;
+                }
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        panic!("no leader: {}", (0..3).map(|i| self.output(i)).collect::<String>());
+    }
+
+    /// Waits until the status of a replica fulfils a condition.
+    pub async fn wait_for(
+        &self,
+        i: usize,
+        what: &str,
+        holds: impl Fn(&inner::StatusReply) -> bool,
+    ) -> inner::StatusReply {
+        let started = Instant::now();
+        let mut last = None;
+        while started.elapsed() < LONG {
+            last = self.status(i, false).await;
+            if let Some(status) = last.take_if(|status| holds(status)) {
+                return status;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        panic!("{what}: {last:?}\n{}", (0..3).map(|i| self.output(i)).collect::<String>());
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for child in self.children.iter_mut().flatten() {
+            drop(child.kill());
+            drop(child.wait());
+        }
+    }
+}
+
+pub fn profile(name: &str) -> inner::Profile {
+    inner::Profile {
+        name: name.into(),
+        upstream_kind: "sheet-app".into(),
+        class: inner::Class::Lookup.into(),
+        idempotent: true,
+        deadline_ms: 2000,
+        share: 1,
+        ..inner::Profile::default()
+    }
+}
+
+pub fn put(name: &str, expected_revision: Option<u64>) -> inner::Command {
+    inner::Command { expected_revision, kind: Some(Kind::PutProfile(profile(name))) }
+}
--- a/orioleworks_log/src/election.rs
+++ b/orioleworks_log/src/election.rs
@@ -95,7 +95,7 @@
                     target_id: m.member_id,
                     hand_over,
                 };
-                let client = self.client(&m.address);
+                let client = self.member_client(m);
                 async move { client.call(Body::Vote(vote), self.inner.settings.election_min).await }
             })
             .collect();
--- a/orioleworks_log/src/follower.rs
+++ b/orioleworks_log/src/follower.rs
@@ -43,7 +43,8 @@
             return self.append_reply(false, 0, through);
         }
         fail::fail_point!("log.before_append_reply");
-        self.commit_through(append.commit_index.min(through)).await;
+        self.commit_through(append.commit_index.min(through));
+        self.note_caught_up(append.leader_commit);
         let mut reply = self.append_reply(true, through, 0);
         if heartbeat {
             reply.seen = (self.inner.machine.sightings)();
@@ -137,7 +138,12 @@
         }
     }
 
-    async fn commit_through(&self, index: u64) {
+    fn note_caught_up(&self, leader_commit: u64) {
+        let mut state = self.inner.state.borrow_mut();
+        state.caught_up |= leader_commit > 0 && state.applied >= leader_commit;
+    }
+
+    fn commit_through(&self, index: u64) {
         {
             let mut state = self.inner.state.borrow_mut();
             if index <= state.commit {
--- a/orioleworks_log/src/leader.rs
+++ b/orioleworks_log/src/leader.rs
@@ -26,6 +26,7 @@
             state.leader_id = Some(state.id());
             state.term_start = state.last().index + 1;
             state.progress.clear();
+            state.leader_since = Some(Instant::now());
             state.term()
         };
         event!(info, "leader_elected", name = self.inner.settings.name, term = term);
@@ -101,7 +102,7 @@
             let state = self.inner.state.borrow();
             inner::Append { hand_over: true, ..state.heartbeat(successor.member_id) }
         };
-        let client = self.client(&successor.address);
+        let client = self.member_client(&successor);
         drop(client.call(Body::Append(append), HAND_OVER_TIMEOUT).await);
         while Instant::now() < deadline && self.inner.state.borrow().leads(term) {
             time::sleep(Duration::from_millis(5)).await;
--- a/orioleworks_log/src/lib.rs
+++ b/orioleworks_log/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! See `docs/design.md`, section 4. Every decision that safety depends on is a guard in [`orioleworks_rules::log`].
 
+pub mod commit;
 pub mod durable;
 pub mod election;
 pub mod error;
@@ -18,4 +19,4 @@
 
 pub use error::LogError;
 pub use node::{Log, Machine, ProposeError};
-pub use settings::Settings;
+pub use settings::{Replica, Settings};
--- a/orioleworks_log/src/membership.rs
+++ b/orioleworks_log/src/membership.rs
@@ -1,6 +1,6 @@
 //! Founding, joining, promotion and removal; one step at a time.
 
-use std::{rc::Rc, time::Duration};
+use std::time::Duration;
 
 use compio::time;
 use orioleworks_daemon::event;
@@ -12,6 +12,7 @@
 
 use crate::{
     node::Log,
+    settings::Replica,
     state::{State, voters},
 };
 
@@ -45,13 +46,10 @@
     async fn found_if_first(&self) -> bool {
         let own = self.status();
         let mut founders = vec![self.own_member(false)];
-        for address in &self.inner.settings.replicas {
-            if *address == self.inner.settings.address {
-                continue;
-            }
+        for replica in self.others() {
             let body = Body::Status(inner::Status { current: false });
-            let Ok(Body::StatusReply(reply)) = self.client(address).call(body, JOIN_TIMEOUT).await
-            else {
+            let client = self.client(&replica.address);
+            let Ok(Body::StatusReply(reply)) = client.call(body, JOIN_TIMEOUT).await else {
                 return false;
             };
             if reply.membership.as_ref().is_some_and(|m| !m.members.is_empty()) {
@@ -64,7 +62,7 @@
                 founders.push(inner::Member {
                     member_id: reply.member_id,
                     name: reply.name,
-                    address: address.clone(),
+                    address: replica.address.clone(),
                     ..inner::Member::default()
                 });
             }
@@ -97,23 +95,27 @@
     }
 
     async fn ask_to_join(&self) {
-        let mut addresses: Vec<Rc<str>> = Vec::new();
-        let others = self.inner.settings.replicas.iter();
-        addresses.extend(
-            others.filter(|a| **a != self.inner.settings.address).map(|a| a.as_str().into()),
-        );
-        for address in addresses {
+        for replica in self.others() {
             let join = inner::Join { member: Some(self.own_member(true)) };
-            let reply = self.client(&address).call(Body::Join(join), JOIN_TIMEOUT).await;
+            let reply = self.client(&replica.address).call(Body::Join(join), JOIN_TIMEOUT).await;
             if let Ok(Body::JoinReply(reply)) = reply
                 && reply.code == ResultCode::Ok.number()
             {
-                event!(info, "join_accepted", name = self.inner.settings.name, leader = address);
+                event!(
+                    info,
+                    "join_accepted",
+                    name = self.inner.settings.name,
+                    leader = replica.name
+                );
                 return;
             }
         }
     }
 
+    fn others(&self) -> impl Iterator<Item = &Replica> {
+        self.inner.settings.replicas.iter().filter(|r| r.name != self.inner.settings.name)
+    }
+
     fn own_member(&self, learner: bool) -> inner::Member {
         inner::Member {
             member_id: self.inner.state.borrow().id(),
--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -15,9 +15,9 @@
 use orioleworks_daemon::{clock, rpc};
 use orioleworks_proto::{
     codes::ResultCode,
-    inner::{self, command::Kind, frame::Body},
+    inner::{self, frame::Body},
 };
-use orioleworks_rules::log::{self as rules, LogPosition};
+use orioleworks_rules::log::LogPosition;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -277,6 +277,21 @@
         self.inner.state.borrow().has_live_leader(self.inner.settings.election_max)
     }
 
+    /// Whether the state here is fit for new readers: a leader is heard and its commits of this process's start are applied.
+    pub fn is_current(&self) -> bool {
+        let caught_up = {
+            let state = self.inner.state.borrow();
+            state.caught_up || state.committed_own_term()
+        };
+        caught_up && self.has_leader()
+    }
+
+    /// Time for which this replica has led its term.
+    pub fn leading_for(&self) -> Option<Duration> {
+        let state = self.inner.state.borrow();
+        state.leader_since.filter(|_| state.is_leader()).map(|since| since.elapsed())
+    }
+
     /// Facts of the log for a status reply.
     pub fn status(&self) -> inner::StatusReply {
         let state = self.inner.state.borrow();
@@ -309,6 +324,12 @@
         self.inner.failure.borrow().as_ref().map(ToString::to_string)
     }
 
+    /// Client of a member, at the address of the settings or else of the membership.
+    pub(crate) fn member_client(&self, member: &inner::Member) -> rpc::Client {
+        let configured = self.inner.settings.replicas.iter().find(|r| r.name == member.name);
+        self.client(configured.map_or(&member.address, |replica| &replica.address))
+    }
+
     pub(crate) fn client(&self, address: &str) -> rpc::Client {
         let mut clients = self.inner.clients.borrow_mut();
         clients.entry(address.to_owned()).or_insert_with(|| rpc::Client::new(address)).clone()
@@ -326,62 +347,6 @@
     pub async fn stopped(&self) {
         self.inner.token.cancelled().await;
     }
-
-    /// Applies what is committed and answers the waiting proposals.
-    pub(crate) fn apply_committed(&self) {
-        loop {
-            let entry = {
-                let mut state = self.inner.state.borrow_mut();
-                if state.applied >= state.commit {
-                    break;
-                }
-                let index = state.applied + 1;
-                let Some(entry) = state.entry(index).cloned() else { break };
-                state.applied = index;
-                entry
-            };
-            let kind = entry.command.as_ref().and_then(|command| command.kind.as_ref());
-            let reply = match kind {
-                Some(Kind::Noop(_) | Kind::Membership(_)) | None => inner::ProposeReply::default(),
-                Some(_) => (self.inner.machine.apply)(&entry),
-            };
-            let waiting = self.inner.state.borrow_mut().waiting.remove(&entry.index);
-            if let Some((term, tx)) = waiting {
-                let outcome =
-                    if term == entry.term { Ok(reply) } else { Err(ProposeError::Unconfirmed) };
-                drop(tx.send(outcome));
-            }
-        }
-        self.inner.changed.notify();
-    }
-
-    /// Commits what a quorum has synced; only for the leader.
-    pub(crate) fn advance_commit(&self) {
-        {
-            let mut state = self.inner.state.borrow_mut();
-            if !state.is_leader() {
-                return;
-            }
-            let synced: Vec<u64> = state
-                .voters()
-                .iter()
-                .map(|id| match state.progress.get(id) {
-                    _ if *id == state.id() => state.synced,
-                    Some(progress) => progress.matched,
-                    None => 0,
-                })
-                .collect();
-            let index = rules::quorum_index(&synced).min(state.last().index);
-            let own_term =
-                state.term_at(index).is_some_and(|term| rules::may_commit(term, state.term()));
-            if synced.is_empty() || index <= state.commit || !own_term {
-                return;
-            }
-            fail::fail_point!("log.before_commit");
-            state.commit = index;
-        }
-        self.apply_committed();
-    }
 }
 
 fn new_state(
@@ -410,6 +375,8 @@
         progress: HashMap::new(),
         term_start: 0,
         waiting: HashMap::new(),
+        leader_since: None,
+        caught_up: false,
         incoming: Incoming::default(),
     }
 }
--- a/orioleworks_log/src/replication.rs
+++ b/orioleworks_log/src/replication.rs
@@ -39,6 +39,7 @@
             prev_term: self.term_at(matched).unwrap_or(0),
             // What lies beyond the equal part may still differ there.
             commit_index: self.commit.min(matched),
+            leader_commit: if self.committed_own_term() { self.commit } else { 0 },
             target_id: id,
             ..inner::Append::default()
         }
@@ -48,7 +49,7 @@
 impl Log {
     /// Sends heartbeats to a member while this replica leads the term.
     pub(crate) async fn heartbeat_loop(&self, term: u64, member: inner::Member) {
-        let client = self.client(&member.address);
+        let client = self.member_client(&member);
         let heartbeat = self.inner.settings.heartbeat;
         let (mut round, mut unanswered) = (0_u32, 0_u32);
         while self.serves(term, member.member_id) {
@@ -102,7 +103,7 @@
 
     /// Sends entries to a member as they arrive, one batch at a time.
     pub(crate) async fn replicate_loop(&self, term: u64, member: inner::Member) {
-        let client = self.client(&member.address);
+        let client = self.member_client(&member);
         let id = member.member_id;
         loop {
             let seen = self.inner.changed.version();
@@ -198,7 +199,7 @@
     /// Sends the durable snapshot in parts; returns false when it must be tried again later.
     async fn send_snapshot(&self, term: u64, member: &inner::Member) -> bool {
         let Some(snapshot) = self.read_snapshot().await else { return false };
-        let client = self.client(&member.address);
+        let client = self.member_client(member);
         let total = snapshot.state.len();
         let mut offset = 0;
         loop {
--- a/orioleworks_log/src/settings.rs
+++ b/orioleworks_log/src/settings.rs
@@ -2,6 +2,15 @@
 
 use std::{path::PathBuf, time::Duration};
 
+/// A replica as the settings name it.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    /// Name of the replica.
+    pub name: String,
+    /// Address of its inner protocol, which goes before the one in the membership.
+    pub address: String,
+}
+
 /// Settings of one replica.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -11,8 +20,8 @@
     pub domain: String,
     /// Address of the replica's inner protocol.
     pub address: String,
-    /// Addresses of all replicas, this one included.
-    pub replicas: Vec<String>,
+    /// All replicas, this one included.
+    pub replicas: Vec<Replica>,
     /// Whether this replica may found a cluster.
     pub bootstrap: bool,
     /// Data directory.
--- a/orioleworks_log/src/state.rs
+++ b/orioleworks_log/src/state.rs
@@ -88,6 +88,10 @@
     pub term_start: u64,
     /// Proposals that wait for their entry to be applied, by index and term.
     pub waiting: HashMap<u64, (u64, oneshot::Sender<Outcome>)>,
+    /// Time at which this replica became leader.
+    pub leader_since: Option<Instant>,
+    /// Whether this process has applied everything that a leader had committed at some time after its start.
+    pub caught_up: bool,
     /// Snapshot that is being received.
     pub incoming: Incoming,
 }
