--- a/orioleworks_control/tests/cluster.rs
+++ b/orioleworks_control/tests/cluster.rs
@@ -8,7 +8,7 @@
 use nix::sys::signal::Signal;
 use orioleworks_proto::{
     codes::{ResultCode, exit},
-    inner::{self, frame::Body},
+    inner::{self, command::Kind, frame::Body},
 };
 use rstest::rstest;
 use support::{Cluster, LONG, SHORT, block_on, put};
@@ -66,7 +66,7 @@
         for task in tasks {
             task.await.unwrap();
         }
-        let accepted = accepted.borrow();
+        let accepted = accepted.take();
         assert_eq!(accepted.len(), 320);
         assert_holds(&cluster, &accepted).await;
     });
@@ -303,3 +303,51 @@
         }
     });
 }
+
+fn claim(attempt: &str) -> inner::Command {
+    let issued_ms = orioleworks_daemon::clock::unix_ms();
+    let claim = inner::Claim {
+        key: "key".into(),
+        profile: "gate-slot".into(),
+        fingerprint: "f".into(),
+        issued_ms,
+        entry: "entry-a1".into(),
+        entry_incarnation: 7,
+        attempt_id: attempt.into(),
+        gone_attempt_id: "one".into(),
+    };
+    inner::Command { expected_revision: None, kind: Some(Kind::Claim(claim)) }
+}
+
+/// Guards against a repeat that is told "unknown" while its entry lives, or waits forever after its entry has gone.
+#[rstest]
+fn claim_of_a_gone_entry_is_unknown_to_a_repeat() {
+    block_on(async {
+        let cluster = Cluster::start();
+        let leader = cluster.leader().await;
+        let client = cluster.client();
+        let follower = &client.replicas()[(leader + 1) % 3];
+        let entry = |incarnation| inner::EntryIdentity {
+            name: "entry-a1".into(),
+            incarnation,
+            ..inner::EntryIdentity::default()
+        };
+        let watch = |incarnation| {
+            let entry = Some(entry(incarnation));
+            follower
+                .call(Body::Watch(inner::Watch { entry, applied_revision: 0, wait_ms: 500 }), LONG)
+        };
+        let propose =
+            async |attempt: &str| client.propose(attempt, claim(attempt), LONG).await.unwrap().code;
+        watch(7).await.unwrap();
+        assert_eq!(propose("one").await, 0);
+        for n in 0..8 {
+            watch(7).await.unwrap();
+            // The proposer's own claim that the holder is gone does not count.
+            assert_eq!(propose(&format!("live-{n}")).await, ResultCode::InProgress.number());
+        }
+        watch(8).await.unwrap();
+        sleep(SHORT).await;
+        assert_eq!(propose("restarted").await, ResultCode::OutcomeUnknown.number());
+    });
+}
--- /dev/null
+++ b/orioleworks_control/tests/failpoints.rs
@@ -0,0 +1,91 @@
+//! Guards against orders lost to a crash between two steps of the log; runs with the feature `failpoints` only.
+
+#![cfg(feature = "failpoints")]
+
+mod support;
+
+use std::fs;
+
+use rstest::rstest;
+use support::{Cluster, LONG, block_on, put};
+
+const PANICKED: i32 = -1;
+
+/// Guards against acknowledged orders that depend on a step that a crash prevents.
+#[rstest]
+#[case::before_vote_sync("log.before_vote_sync=panic")]
+#[case::after_vote_sync("log.after_vote_sync=panic")]
+#[case::before_append_sync("log.before_append_sync=5*off->panic")]
+#[case::after_append_sync("log.after_append_sync=5*off->panic")]
+#[case::before_append_reply("log.before_append_reply=100*off->panic")]
+#[case::before_commit("log.before_commit=5*off->panic")]
+#[case::before_snapshot_rename("log.before_snapshot_rename=panic")]
+#[case::after_snapshot_rename("log.after_snapshot_rename=panic")]
+#[case::before_install_reply("log.before_install_reply=panic")]
+fn crash_of_a_follower_loses_no_acknowledged_order(#[case] failpoints: &str) {
+    block_on(async {
+        let mut cluster = Cluster::start();
+        let leader = cluster.leader().await;
+        let victim = (leader + 1) % 3;
+        cluster.kill(victim);
+        fs::remove_dir_all(cluster.directory(victim)).unwrap();
+        let client = cluster.client();
+        let propose = async |n: usize| {
+            let reply = client.propose(format!("o-{n}"), put(&format!("p-{n}"), Some(0)), LONG);
+            assert_eq!(reply.await.unwrap().code, 0);
+        };
+        for n in 0..600 {
+            propose(n).await;
+        }
+        cluster.spawn_with(victim, failpoints);
+        let mut crashed = None;
+        for n in 600..1500 {
+            propose(n).await;
+            crashed = cluster.ended(victim);
+            if crashed.is_some() {
+                break;
+            }
+        }
+        assert_eq!(crashed, Some(PANICKED), "{failpoints} was not reached");
+        cluster.spawn(victim);
+        for n in 2000..2010 {
+            propose(n).await;
+        }
+        let revision = cluster.status(leader, true).await.unwrap().config.unwrap().revision;
+        let whole = |s: &orioleworks_proto::inner::StatusReply| {
+            s.config.as_ref().unwrap().revision >= revision
+        };
+        cluster.wait_for(victim, "caught up", whole).await;
+    });
+}
+
+/// Guards against a membership change that a leader's crash leaves half done.
+#[rstest]
+fn crash_of_a_leader_before_a_promotion_is_repaired_by_the_next() {
+    block_on(async {
+        let mut cluster = Cluster::start();
+        let leader = cluster.leader().await;
+        let wiped = (leader + 1) % 3;
+        (0..3).for_each(|i| cluster.kill(i));
+        fs::remove_dir_all(cluster.directory(wiped)).unwrap();
+        for i in 0..3 {
+            cluster.spawn_with(i, if i == wiped { "" } else { "log.before_promote=panic" });
+        }
+        let crashed = loop {
+            if let Some(i) = (0..3).find(|i| cluster.ended(*i).is_some()) {
+                break i;
+            }
+            compio::time::sleep(std::time::Duration::from_millis(20)).await;
+        };
+        (0..3).filter(|i| *i != crashed && *i != wiped).for_each(|i| {
+            cluster.kill(i);
+            cluster.spawn(i);
+        });
+        cluster.spawn(crashed);
+        let whole = |s: &orioleworks_proto::inner::StatusReply| {
+            let members = &s.membership.as_ref().unwrap().members;
+            members.len() == 3 && members.iter().all(|m| !m.learner)
+        };
+        cluster.wait_for(wiped, "promoted", whole).await;
+    });
+}
--- a/orioleworks_control/tests/support/mod.rs
+++ b/orioleworks_control/tests/support/mod.rs
@@ -71,12 +71,18 @@
     }
 
     pub fn spawn(&mut self, i: usize) {
+        self.spawn_with(i, "");
+    }
+
+    /// Starts a replica with fail points in the syntax of the variable `FAILPOINTS`.
+    pub fn spawn_with(&mut self, i: usize, failpoints: &str) {
         let path = self.dir.path().join(&self.names[i]);
         let log =
             File::options().create(true).append(true).open(path.with_extension("log")).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_orioleworks-control"))
             .arg("--config")
             .arg(path.with_extension("jsonc"))
+            .env("FAILPOINTS", failpoints)
             .stderr(log)
             .stdout(Stdio::null())
             .spawn()
@@ -103,6 +109,13 @@
         child.wait().unwrap();
     }
 
+    /// Exit code of a process that has ended by itself, -1 after a signal.
+    pub fn ended(&mut self, i: usize) -> Option<i32> {
+        let status = self.children[i].as_mut()?.try_wait().unwrap()?;
+        self.children[i] = None;
+        Some(status.code().unwrap_or(-1))
+    }
+
     /// Waits for a process to end by itself and returns its exit code.
     pub async fn exit_code(&mut self, i: usize) -> i32 {
         let mut child = self.children[i].take().unwrap();
--- a/orioleworks_log/src/election.rs
+++ b/orioleworks_log/src/election.rs
@@ -17,10 +17,10 @@
             let timeout = self.random_timeout();
             let started = Instant::now();
             loop {
-                let state = self.inner.state.borrow();
-                let since = state.heard.unwrap_or(started).max(started);
-                let leader = state.is_leader();
-                drop(state);
+                let (since, leader) = {
+                    let state = self.inner.state.borrow();
+                    (state.heard.unwrap_or(started).max(started), state.is_leader())
+                };
                 let left = timeout.saturating_sub(since.elapsed());
                 if left.is_zero() && !leader {
                     break;
@@ -30,9 +30,10 @@
                     return;
                 }
             }
-            let state = self.inner.state.borrow();
-            let eligible = state.is_voter() && !state.is_leader() && !self.inner.retiring.get();
-            drop(state);
+            let eligible = {
+                let state = self.inner.state.borrow();
+                state.is_voter() && !state.is_leader() && !self.inner.retiring.get()
+            };
             if eligible {
                 self.campaign(false).await;
             }
--- a/orioleworks_log/src/membership.rs
+++ b/orioleworks_log/src/membership.rs
@@ -21,6 +21,22 @@
 /// Longest wait for another replica's answer.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// Longest silence of a learner that is promoted.
+const LEARNER_LIVE: Duration = Duration::from_millis(300);
+/// Silence of a voter after which another identity may take its name; guards against two replicas of one name.
+const NAME_FREE_AFTER: Duration = Duration::from_millis(600);
+
+impl State {
+    fn is_name_in_use(&self, name: &str) -> bool {
+        let voters = self.membership.members.iter().filter(|m| !m.learner && m.name == name);
+        voters.into_iter().any(|m| {
+            let progress = self.progress.get(&m.member_id);
+            let confirmed = progress.map(|p| p.confirmed.unwrap_or(p.added));
+            m.member_id == self.id() || confirmed.is_some_and(|at| at.elapsed() < NAME_FREE_AFTER)
+        })
+    }
+}
+
 impl Log {
     /// Founds a cluster or joins one, until this replica is a voter.
     pub(crate) async fn join_loop(&self) {
@@ -143,7 +159,7 @@
             if state.member(member.member_id).is_some() {
                 return reply(ResultCode::Ok);
             }
-            if !may_change(&state) {
+            if !may_change(&state) || state.is_name_in_use(&member.name) {
                 return reply(ResultCode::MembershipBusy);
             }
             let mut membership = state.membership.clone();
@@ -201,8 +217,11 @@
 
 fn promotion(state: &State) -> Option<(inner::Membership, &'static str)> {
     let ready = state.membership.members.iter().find(|m| {
-        let synced = state.progress.get(&m.member_id).map_or(0, |progress| progress.matched);
-        m.learner && synced > 0 && rules::may_promote(synced, state.commit)
+        let Some(progress) = state.progress.get(&m.member_id) else { return false };
+        let synced = progress.matched;
+        // A learner that is lost just now would only raise the quorum.
+        let live = progress.confirmed.is_some_and(|at| at.elapsed() < LEARNER_LIVE);
+        m.learner && live && synced > 0 && rules::may_promote(synced, state.commit)
     })?;
     let id = ready.member_id;
     let mut membership = state.membership.clone();
--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -36,6 +36,9 @@
 /// Largest encoded command in bytes; it must fit into a frame with the entry around it.
 pub const MAX_COMMAND_BYTES: usize = 4 * 1024 * 1024;
 
+/// Replaces the whole state of the state machine, or says why the bytes are none.
+pub type Restore = Box<dyn Fn(&[u8]) -> Result<(), String>>;
+
 /// The replicated state machine, as closures.
 pub struct Machine {
     /// Applies a committed entry and returns the reply to its proposer.
@@ -43,7 +46,7 @@
     /// Encodes the whole state.
     pub snapshot: Box<dyn Fn() -> Vec<u8>>,
     /// Replaces the whole state.
-    pub restore: Box<dyn Fn(&[u8]) -> Result<(), String>>,
+    pub restore: Restore,
     /// Sightings of entries to share with the other replicas.
     pub sightings: Box<dyn Fn() -> Vec<inner::EntryStatus>>,
     /// Takes sightings of another replica.
