Share only changed sightings of entries between replicas

Cause: the whole list in each fourth heartbeat would cost about 800 KB/s per replica with 400 entries (computed). Change: versions per sighting; a heartbeat carries what changed since the last answered one.

--- a/orioleworks_control/src/service.rs
+++ b/orioleworks_control/src/service.rs
@@ -176,7 +176,7 @@
             on_restore.notify();
             Ok(())
         }),
-        sightings: Box::new(move || own.statuses()),
+        sightings: Box::new(move |since| own.newer_than(since)),
         merge_sightings: Box::new(move |statuses| merged.merge(statuses)),
     }
 }
--- a/orioleworks_control/src/sightings.rs
+++ b/orioleworks_control/src/sightings.rs
@@ -1,6 +1,11 @@
 //! When each entry was last seen by any replica, and the revision that it has in force.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::Duration,
+};
 
 use orioleworks_daemon::clock;
 use orioleworks_proto::inner;
@@ -9,24 +14,29 @@
 pub const LIVE_FOR: Duration = Duration::from_secs(3);
 /// Time after which an entry is forgotten; status replies show it until then.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
+/// Progress that is worth sharing again; the delay of messages alone makes the same sighting look a little newer.
+const SHARE_STEP: Duration = Duration::from_millis(200);
 
 #[derive(Clone, Debug)]
 struct Seen {
     entry: inner::EntryIdentity,
     applied_revision: u64,
     at: Duration,
+    /// Version of the last change worth sharing.
+    version: u64,
 }
 
 /// Sightings that all replicas share with each other; clones share them.
 #[derive(Clone, Debug, Default)]
 pub struct Sightings {
     seen: Rc<RefCell<HashMap<String, Seen>>>,
+    version: Rc<Cell<u64>>,
 }
 
 impl Sightings {
     /// Notes that an entry was seen now.
     pub fn note(&self, entry: inner::EntryIdentity, applied_revision: u64) {
-        self.merge_one(Seen { entry, applied_revision, at: clock::since_boot() });
+        self.merge_one(Seen { entry, applied_revision, at: clock::since_boot(), version: 0 });
     }
 
     /// Takes sightings of another replica.
@@ -35,36 +45,54 @@
         for status in statuses {
             let Some(entry) = status.entry else { continue };
             let at = now.saturating_sub(Duration::from_millis(status.last_seen_ms.into()));
-            self.merge_one(Seen { entry, applied_revision: status.applied_revision, at });
+            self.merge_one(Seen {
+                entry,
+                applied_revision: status.applied_revision,
+                at,
+                version: 0,
+            });
         }
     }
 
-    fn merge_one(&self, new: Seen) {
+    fn merge_one(&self, mut new: Seen) {
         let mut seen = self.seen.borrow_mut();
+        new.version = self.version.get() + 1;
         let Some(old) = seen.get_mut(&new.entry.name) else {
+            self.version.set(new.version);
             seen.insert(new.entry.name.clone(), new);
             return;
         };
-        if new.entry.incarnation > old.entry.incarnation {
+        if new.entry.incarnation < old.entry.incarnation {
+            return;
+        }
+        let restarted = new.entry.incarnation > old.entry.incarnation;
+        let newer = new.at > old.at + SHARE_STEP || new.applied_revision > old.applied_revision;
+        if restarted || newer {
+            self.version.set(new.version);
+            old.version = new.version;
+        }
+        if restarted {
             *old = new;
-        } else if new.entry.incarnation == old.entry.incarnation {
+        } else {
             old.at = old.at.max(new.at);
             old.applied_revision = old.applied_revision.max(new.applied_revision);
         }
     }
 
+    /// Sightings that changed after a version, and the current version.
+    pub fn newer_than(&self, version: u64) -> (Vec<inner::EntryStatus>, u64) {
+        let now = clock::since_boot();
+        let seen = self.seen.borrow();
+        let newer = seen.values().filter(|seen| seen.version > version);
+        (newer.map(|seen| status(seen, now)).collect(), self.version.get())
+    }
+
     /// Every entry that is not forgotten.
     pub fn statuses(&self) -> Vec<inner::EntryStatus> {
         let now = clock::since_boot();
         let mut seen = self.seen.borrow_mut();
         seen.retain(|_, seen| now.saturating_sub(seen.at) < FORGET_AFTER);
-        let status = |seen: &Seen| inner::EntryStatus {
-            entry: Some(seen.entry.clone()),
-            applied_revision: seen.applied_revision,
-            last_seen_ms: u32::try_from(now.saturating_sub(seen.at).as_millis())
-                .unwrap_or(u32::MAX),
-        };
-        let mut statuses: Vec<_> = seen.values().map(status).collect();
+        let mut statuses: Vec<_> = seen.values().map(|seen| status(seen, now)).collect();
         statuses.sort_by(|a, b| name(a).cmp(name(b)));
         statuses
     }
@@ -88,6 +116,15 @@
     }
 }
 
+fn status(seen: &Seen, now: Duration) -> inner::EntryStatus {
+    let silent = now.saturating_sub(seen.at).as_millis();
+    inner::EntryStatus {
+        entry: Some(seen.entry.clone()),
+        applied_revision: seen.applied_revision,
+        last_seen_ms: u32::try_from(silent).unwrap_or(u32::MAX),
+    }
+}
+
 fn name(status: &inner::EntryStatus) -> &str {
     status.entry.as_ref().map_or("", |entry| &entry.name)
 }
--- a/orioleworks_control/tests/faults.rs
+++ b/orioleworks_control/tests/faults.rs
@@ -145,6 +145,23 @@
     });
 }
 
+/// Guards against a returning replica that deposes a working leader.
+#[rstest]
+fn returning_replica_does_not_depose_the_leader() {
+    block_on(async {
+        let cluster = Cluster::start();
+        let leader = cluster.leader().await;
+        let term = cluster.status(leader, true).await.unwrap().term;
+        let paused = (leader + 1) % 3;
+        cluster.signal(paused, Signal::SIGSTOP);
+        sleep(Duration::from_millis(1500)).await;
+        cluster.signal(paused, Signal::SIGCONT);
+        sleep(Duration::from_millis(1500)).await;
+        let status = cluster.status(leader, true).await.unwrap();
+        assert_eq!((status.code, status.term, status.is_leader), (0, term, true));
+    });
+}
+
 /// Guards against faults that follow each other faster than the replicas settle; the seed fixes their order.
 #[rstest]
 #[case(11)]
--- a/orioleworks_log/src/follower.rs
+++ b/orioleworks_log/src/follower.rs
@@ -28,7 +28,7 @@
         if !append.seen.is_empty() {
             (self.inner.machine.merge_sightings)(std::mem::take(&mut append.seen));
         }
-        if append.hand_over {
+        if append.hand_over && self.inner.state.borrow().is_voter() {
             let this = self.clone();
             compio::runtime::spawn(async move { this.campaign(true).await }).detach();
         }
@@ -47,7 +47,9 @@
         self.note_caught_up(append.leader_commit);
         let mut reply = self.append_reply(true, through, 0);
         if heartbeat {
-            reply.seen = (self.inner.machine.sightings)();
+            let (seen, version) = (self.inner.machine.sightings)(self.inner.reported.get());
+            self.inner.reported.set(version);
+            reply.seen = seen;
         }
         reply
     }
@@ -68,6 +70,8 @@
         state.heard = Some(Instant::now());
         drop(state);
         if new {
+            // A new leader may have none of the sightings that the old one got.
+            self.inner.reported.set(0);
             event!(info, "leader_followed", name = self.inner.settings.name, term = term);
             self.inner.changed.notify();
         }
--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -47,8 +47,8 @@
     pub snapshot: Box<dyn Fn() -> Vec<u8>>,
     /// Replaces the whole state.
     pub restore: Restore,
-    /// Sightings of entries to share with the other replicas.
-    pub sightings: Box<dyn Fn() -> Vec<inner::EntryStatus>>,
+    /// Sightings of entries that are newer than a version, and the version that the next call should name.
+    pub sightings: Box<dyn Fn(u64) -> (Vec<inner::EntryStatus>, u64)>,
     /// Takes sightings of another replica.
     pub merge_sightings: Box<dyn Fn(Vec<inner::EntryStatus>)>,
 }
@@ -96,6 +96,8 @@
     pub(crate) token: CancellationToken,
     pub(crate) failure: RefCell<Option<LogError>>,
     pub(crate) retiring: Cell<bool>,
+    /// Version of the sightings that the leader got last.
+    pub(crate) reported: Cell<u64>,
     _lock: File,
 }
 
@@ -159,6 +161,7 @@
             token,
             failure: RefCell::default(),
             retiring: Cell::new(false),
+            reported: Cell::new(0),
             _lock: lock,
         };
         Ok(Self { inner: Rc::new(inner) })
--- a/orioleworks_log/src/replication.rs
+++ b/orioleworks_log/src/replication.rs
@@ -16,8 +16,6 @@
 const BATCH_BYTES: usize = 1024 * 1024;
 /// Part of a snapshot in one message, in bytes.
 const PART_BYTES: usize = 1024 * 1024;
-/// Heartbeats from one exchange of sightings to the next; the list is long and need not be exact.
-const SIGHTINGS_EVERY: u32 = 4;
 /// Heartbeats without an answer after which the connection is replaced.
 const MAX_UNANSWERED: u32 = 5;
 
@@ -51,18 +49,16 @@
     pub(crate) async fn heartbeat_loop(&self, term: u64, member: inner::Member) {
         let client = self.member_client(&member);
         let heartbeat = self.inner.settings.heartbeat;
-        let (mut round, mut unanswered) = (0_u32, 0_u32);
+        let (mut shared, mut unanswered) = (0_u64, 0_u32);
         while self.serves(term, member.member_id) {
             let sent = Instant::now();
             let mut append = self.inner.state.borrow().heartbeat(member.member_id);
-            if round.is_multiple_of(SIGHTINGS_EVERY) {
-                append.seen = (self.inner.machine.sightings)();
-            }
-            round = round.wrapping_add(1);
+            let (seen, version) = (self.inner.machine.sightings)(shared);
+            append.seen = seen;
             let call = client.call(Body::Append(append), heartbeat * 4);
             match time::timeout(heartbeat * 12, call).await {
                 Ok(Ok(Body::AppendReply(reply))) => {
-                    unanswered = 0;
+                    (shared, unanswered) = (version, 0);
                     self.on_heartbeat_reply(term, member.member_id, sent, reply).await;
                 }
                 _ => unanswered += 1,
