--- a/orioleworks_routing/src/lib.rs
+++ b/orioleworks_routing/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder.
+//! Routing policies of orioleworks: membership, limits, queues, retry budget, choice, affinity and suspects.
+//!
+//! The package does no I/O and reads no clock: every call takes the time as a [`std::time::Duration`] since any fixed
+//! origin. Each policy has a setting that selects its simple baseline, so that the two can be compared. See
+//! `docs/design.md`, sections 6 to 8.
+
+pub mod affinity;
+pub mod budget;
+pub mod choice;
+pub mod limit;
+pub mod members;
+pub mod queue;
+pub mod suspects;
--- /dev/null
+++ b/orioleworks_routing/src/limit.rs
@@ -0,0 +1,104 @@
+//! Concurrency limit of one upstream, learnt from latency; see `docs/design.md`, section 8.
+//!
+//! ```
+//! use orioleworks_routing::limit::{Limit, Settings};
+//!
+//! let limit = Limit::new(Settings::default(), 8);
+//! assert_eq!(limit.share(2), 4);
+//! assert_eq!(limit.share(100), 1);
+//! ```
+
+use std::{collections::VecDeque, time::Duration};
+
+/// Samples after which a window of latencies is judged; single latencies vary too much to act on.
+const WINDOW_SAMPLES: u32 = 8;
+/// Time for which the lowest window counts as recent.
+const RECENT: Duration = Duration::from_secs(30);
+/// Latency above the lowest recent one that counts as congestion.
+const TOLERANCE: f64 = 1.5;
+/// Absolute slack in seconds, so that scheduling noise on very fast upstreams is not congestion.
+const SLACK_S: f64 = 0.002;
+/// Factor of a decrease.
+const DECREASE: f64 = 0.9;
+/// Factor of a decrease after a failed request.
+const FAILURE_DECREASE: f64 = 0.7;
+/// Largest limit.
+const MAX_LIMIT: f64 = 4096.0;
+
+/// Settings of the limit.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Settings {
+    /// Baseline: a fixed limit instead of a learnt one.
+    pub fixed: Option<u32>,
+}
+
+/// Learnt limit of one upstream.
+#[derive(Clone, Debug)]
+pub struct Limit {
+    settings: Settings,
+    limit: f64,
+    samples: u32,
+    sum_s: f64,
+    busiest: u32,
+    lowest: VecDeque<(Duration, f64)>,
+}
+
+impl Limit {
+    /// Limit that starts at the upstream's own statement.
+    pub fn new(settings: Settings, capacity: u32) -> Self {
+        Self {
+            settings,
+            limit: f64::from(capacity.max(1)).min(MAX_LIMIT),
+            samples: 0,
+            sum_s: 0.0,
+            busiest: 0,
+            lowest: VecDeque::new(),
+        }
+    }
+
+    /// Current limit of the upstream over all entries.
+    pub fn current(&self) -> u32 {
+        self.settings.fixed.unwrap_or(self.limit as u32).max(1)
+    }
+
+    /// Share of one of `live_entries` entries, at least 1.
+    pub fn share(&self, live_entries: u32) -> u32 {
+        (self.current() / live_entries.max(1)).max(1)
+    }
+
+    /// Records a finished request.
+    ///
+    /// `units` is the number of tokens of a stream, 1 for a plain answer; `saturation` is the own in-flight count in
+    /// percent of the own share when the request was sent.
+    pub fn finished(&mut self, now: Duration, latency: Duration, units: u32, saturation: u32) {
+        self.samples += 1;
+        self.sum_s += latency.as_secs_f64() / f64::from(units.max(1));
+        self.busiest = self.busiest.max(saturation);
+        if self.samples < WINDOW_SAMPLES {
+            return;
+        }
+        let mean = self.sum_s / f64::from(self.samples);
+        let busiest = std::mem::take(&mut self.busiest);
+        (self.samples, self.sum_s) = (0, 0.0);
+        while self.lowest.front().is_some_and(|(at, _)| *at + RECENT < now) {
+            self.lowest.pop_front();
+        }
+        // The deque holds rising latencies, so that its front is the lowest one of the recent time.
+        while self.lowest.back().is_some_and(|(_, s)| *s >= mean) {
+            self.lowest.pop_back();
+        }
+        self.lowest.push_back((now, mean));
+        let lowest = self.lowest.front().map_or(mean, |(_, s)| *s);
+        if mean > lowest * TOLERANCE + SLACK_S {
+            self.limit = (self.limit * DECREASE).max(1.0);
+        } else if busiest >= 50 {
+            // An unused limit must not grow: nothing shows that the upstream could carry it.
+            self.limit = (self.limit + 1.0).min(MAX_LIMIT);
+        }
+    }
+
+    /// Records a request that failed or was refused for load.
+    pub fn failed(&mut self) {
+        self.limit = (self.limit * FAILURE_DECREASE).max(1.0);
+    }
+}
--- /dev/null
+++ b/orioleworks_routing/src/suspects.rs
@@ -0,0 +1,196 @@
+//! Requests that crash upstreams; see `docs/design.md`, section 7.
+//!
+//! ```
+//! use std::time::Duration;
+//! use orioleworks_routing::suspects::{Standing, Suspects};
+//!
+//! let mut suspects = Suspects::default();
+//! suspects.record_death(Duration::ZERO, "engine-1#1".into(), [("f".into(), "p".into())], 12);
+//! assert_eq!(suspects.standing("f", Duration::ZERO), Standing::Wait(Duration::from_secs(2)));
+//! assert_eq!(suspects.standing("f", Duration::from_secs(3)), Standing::Alone);
+//! ```
+
+use std::{collections::VecDeque, rc::Rc, time::Duration};
+
+use indexmap::{IndexMap, IndexSet};
+
+/// Deaths within this time of each other are correlated.
+pub const CORRELATION: Duration = Duration::from_secs(2);
+/// Crashes after which a request is quarantined.
+pub const QUARANTINE_CRASHES: usize = 2;
+/// Time for which a suspect is remembered.
+pub const RETENTION: Duration = Duration::from_secs(600);
+/// Different upstreams on which requests of one content may be in flight at a time, which bounds what concurrent
+/// copies of a request that nobody suspects yet can destroy.
+pub const MAX_SPREAD: usize = 2;
+
+/// How a request may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Like any other request.
+    Free,
+    /// Not before this time: until then it is open whether the crash was one of several correlated deaths.
+    Wait(Duration),
+    /// Only alone on one upstream.
+    Alone,
+    /// Not at all.
+    Quarantined,
+}
+
+/// Suspect as entries tell each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Profile and content.
+    pub fingerprint: Rc<str>,
+    /// Profile.
+    pub profile: Rc<str>,
+    /// Incarnation that died, as `name#incarnation`.
+    pub upstream: Rc<str>,
+    /// Crashes known in all.
+    pub crashes: usize,
+}
+
+#[derive(Clone, Debug)]
+struct Record {
+    profile: Rc<str>,
+    crashes: IndexSet<Rc<str>>,
+    last: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct Death {
+    at: Duration,
+    upstream: Rc<str>,
+}
+
+/// Suspects of a failure domain. Upstream incarnations are written `name#incarnation`.
+#[derive(Clone, Debug, Default)]
+pub struct Suspects {
+    records: IndexMap<Rc<str>, Record>,
+    deaths: VecDeque<Death>,
+    /// Deaths that are no evidence.
+    dismissed: IndexMap<Rc<str>, Duration>,
+    /// Evidence that a later clean run refuted.
+    refuted: IndexMap<(Rc<str>, Rc<str>), Duration>,
+}
+
+impl Suspects {
+    /// Records the death of an upstream with these requests (fingerprint, profile) in flight on it.
+    ///
+    /// `live` is the number of upstreams of the domain that are still live. Returns the fingerprints that are to be
+    /// quarantined because of it.
+    pub fn record_death(
+        &mut self,
+        now: Duration,
+        upstream: Rc<str>,
+        in_flight: impl IntoIterator<Item = (Rc<str>, Rc<str>)>,
+        live: usize,
+    ) -> Vec<Rc<str>> {
+        self.expire(now);
+        if !self.deaths.iter().any(|d| d.upstream == upstream) {
+            self.deaths.push_back(Death { at: now, upstream: upstream.clone() });
+        }
+        let dead = self.deaths.len();
+        if dead >= 2 && dead * 4 >= live + dead {
+            self.dismiss_recent(now);
+        }
+        let mut quarantine = Vec::new();
+        if self.dismissed.contains_key(&upstream) {
+            return quarantine;
+        }
+        for (fingerprint, profile) in in_flight {
+            if self.add(now, &fingerprint, &profile, &upstream) >= QUARANTINE_CRASHES
+                && !quarantine.contains(&fingerprint)
+            {
+                quarantine.push(fingerprint);
+            }
+        }
+        quarantine
+    }
+
+    /// How a request may run now.
+    pub fn standing(&self, fingerprint: &str, now: Duration) -> Standing {
+        match self.records.get(fingerprint) {
+            None => Standing::Free,
+            Some(r) if r.last + RETENTION <= now => Standing::Free,
+            Some(r) if r.crashes.len() >= QUARANTINE_CRASHES => Standing::Quarantined,
+            Some(r) if now < r.last + CORRELATION => Standing::Wait(r.last + CORRELATION),
+            Some(_) => Standing::Alone,
+        }
+    }
+
+    /// Clears a suspect that finished alone, or that an operator released.
+    pub fn clear(&mut self, fingerprint: &str, now: Duration) {
+        if let Some((fingerprint, record)) = self.records.shift_remove_entry(fingerprint) {
+            for upstream in record.crashes {
+                self.refuted.insert((fingerprint.clone(), upstream), now);
+            }
+        }
+    }
+
+    /// Every suspect, one report for each crash.
+    pub fn reports(&self) -> Vec<Report> {
+        let reports = self.records.iter().flat_map(|(fingerprint, record)| {
+            record.crashes.iter().map(|upstream| Report {
+                fingerprint: fingerprint.clone(),
+                profile: record.profile.clone(),
+                upstream: upstream.clone(),
+                crashes: record.crashes.len(),
+            })
+        });
+        reports.collect()
+    }
+
+    /// Takes in a report of another entry; returns whether the request is to be quarantined now.
+    pub fn absorb(&mut self, now: Duration, report: &Report) -> bool {
+        let refuted = (report.fingerprint.clone(), report.upstream.clone());
+        if self.dismissed.contains_key(&report.upstream) || self.refuted.contains_key(&refuted) {
+            return false;
+        }
+        let known = self
+            .records
+            .get(&report.fingerprint)
+            .is_some_and(|r| r.crashes.contains(&report.upstream));
+        let crashes = self.add(now, &report.fingerprint, &report.profile, &report.upstream);
+        !known && crashes >= QUARANTINE_CRASHES
+    }
+
+    fn add(
+        &mut self,
+        now: Duration,
+        fingerprint: &Rc<str>,
+        profile: &Rc<str>,
+        up: &Rc<str>,
+    ) -> usize {
+        let record = self.records.entry(fingerprint.clone()).or_insert_with(|| Record {
+            profile: profile.clone(),
+            crashes: IndexSet::new(),
+            last: now,
+        });
+        if record.crashes.insert(up.clone()) {
+            record.last = now;
+        }
+        record.crashes.len()
+    }
+
+    /// Withdraws the evidence of all deaths of the correlation window.
+    fn dismiss_recent(&mut self, now: Duration) {
+        for death in &self.deaths {
+            self.dismissed.insert(death.upstream.clone(), now);
+        }
+        let dismissed = &self.dismissed;
+        self.records.retain(|_, record| {
+            record.crashes.retain(|upstream| !dismissed.contains_key(upstream));
+            !record.crashes.is_empty()
+        });
+    }
+
+    fn expire(&mut self, now: Duration) {
+        while self.deaths.front().is_some_and(|d| d.at + CORRELATION < now) {
+            self.deaths.pop_front();
+        }
+        self.records.retain(|_, r| r.last + RETENTION > now);
+        self.dismissed.retain(|_, at| *at + RETENTION > now);
+        self.refuted.retain(|_, at| *at + RETENTION > now);
+    }
+}
