--- a/orioleworks_entry/src/app.rs
+++ b/orioleworks_entry/src/app.rs
@@ -1,9 +1,306 @@
 //! Start, wiring and graceful shutdown of the entry daemon.
 
-use orioleworks_proto::codes::exit;
+use std::{cell::RefCell, io, rc::Rc, time::Duration};
+
+use compio::{net::TcpListener, runtime, time};
+use futures_util::future::LocalBoxFuture;
+use orioleworks_daemon::{
+    clock,
+    control::ControlClient,
+    event, http, logging, metrics, rpc,
+    shutdown::{InFlight, Shutdown},
+};
+use orioleworks_proto::{
+    codes::exit,
+    inner::{self, frame::Body},
+};
 use orioleworks_settings as settings;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    claims::Claims,
+    cli, config,
+    configuration::Configuration,
+    dispatcher::Dispatcher,
+    inner as inner_server,
+    members::Members,
+    orders, persist, restart, router,
+    slots::{Policies, Slots},
+    suspects::Suspects,
+    watch,
+};
+
+/// Answers HTTP paths of other modules, or gives the request back.
+pub type HttpExtension = Rc<dyn Fn(http::Request) -> Extended>;
+/// Answer of an extension, or the request when its path is not one of the extension.
+pub type Extended = Result<LocalBoxFuture<'static, http::Response>, Box<http::Request>>;
+/// Answers messages of other entries, or gives the message back.
+pub type InnerExtension = Rc<dyn Fn(Body) -> Result<LocalBoxFuture<'static, Option<Body>>, Body>>;
+
+/// The parts of a running entry.
+pub struct Entry {
+    /// Settings.
+    pub cfg: config::Config,
+    /// Identity towards control and peers.
+    pub identity: inner::EntryIdentity,
+    /// Configuration in force.
+    pub configuration: Configuration,
+    /// Upstreams of the failure domain.
+    pub members: Members,
+    /// Requests that crashed upstreams.
+    pub suspects: Suspects,
+    /// Slots of the upstreams.
+    pub slots: Slots,
+    /// Runs requests.
+    pub dispatcher: Dispatcher,
+    /// Client of control.
+    pub control: ControlClient,
+    /// Claims of non-idempotent requests.
+    pub claims: Claims,
+    /// Work that a drain waits for besides open connections.
+    pub in_flight: InFlight,
+    /// Entries that control has seen lately.
+    pub live_entries: RefCell<Vec<inner::EntryIdentity>>,
+    /// Stages of the shutdown as signalled.
+    pub shutdown: Shutdown,
+    render: Box<dyn Fn() -> String>,
+    http_extension: RefCell<Option<HttpExtension>>,
+    inner_extension: RefCell<Option<InnerExtension>>,
+    store: Option<persist::Store>,
+    listeners: RefCell<Option<(TcpListener, TcpListener)>>,
+}
+
+impl Entry {
+    /// Binds the addresses and reads the own copy of the configuration; nothing is served yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure of an address or of the data directory.
+    pub async fn bind(
+        mut cfg: config::Config,
+        policies: Policies,
+        shutdown: Shutdown,
+        render: impl Fn() -> String + 'static,
+    ) -> Result<Rc<Self>, StartError> {
+        let http = http::bind(&cfg.listen.http.to_string()).await.map_err(StartError::Listen)?;
+        let inner = http::bind(&cfg.listen.inner.to_string()).await.map_err(StartError::Listen)?;
+        cfg.listen.http = http.local_addr().map_err(StartError::Listen)?;
+        cfg.listen.inner = inner.local_addr().map_err(StartError::Listen)?;
+        let configuration = Configuration::default();
+        let store = match &cfg.data.directory {
+            None => None,
+            Some(directory) => {
+                let (store, config) = persist::Store::open(directory).map_err(StartError::Data)?;
+                configuration.apply_whole(config.unwrap_or_default());
+                Some(store)
+            }
+        };
+        let identity = identity(&cfg);
+        let members = Members::default();
+        let suspects = Suspects::default();
+        let budget = policies.budget;
+        let (own, shared) = (configuration.clone(), suspects.clone());
+        let slots = Slots::new(own, members.clone(), shared, policies, rand::random());
+        let dispatcher =
+            Dispatcher::new(configuration.clone(), suspects.clone(), slots.clone(), budget);
+        let control = ControlClient::new(control_addresses(&cfg));
+        let in_flight = InFlight::default();
+        let (name, incarnation) = (identity.name.as_str(), identity.incarnation);
+        let claims = Claims::new(control.clone(), name, incarnation, in_flight.clone());
+        Ok(Rc::new(Self {
+            cfg,
+            identity,
+            configuration,
+            members,
+            suspects,
+            slots,
+            dispatcher,
+            control,
+            claims,
+            in_flight,
+            live_entries: RefCell::default(),
+            shutdown,
+            render: Box::new(render),
+            http_extension: RefCell::default(),
+            inner_extension: RefCell::default(),
+            store,
+            listeners: RefCell::new(Some((http, inner))),
+        }))
+    }
+
+    /// Serves until the shutdown; returns when the work in hand is finished or on stop.
+    pub async fn serve(self: &Rc<Self>) {
+        let Some((http_listener, inner_listener)) = self.listeners.borrow_mut().take() else {
+            return;
+        };
+        let background = CancellationToken::new();
+        self.start_background(&background);
+        let entry = self.clone();
+        let inner_handler = move |body| entry.clone().answer_inner(body);
+        runtime::spawn(rpc::serve(inner_listener, background.child_token(), inner_handler))
+            .detach();
+        event!(
+            info,
+            "entry_started",
+            name = self.name(),
+            http = self.cfg.listen.http,
+            inner = self.cfg.listen.inner
+        );
+        // Connections are taken during the grace, because balancers notice the failing `/ready` with a delay.
+        let serving =
+            Shutdown { drain: CancellationToken::new(), stop: self.shutdown.stop.clone() };
+        let (signalled, drain) = (self.shutdown.drain.clone(), serving.drain.clone());
+        let grace = Duration::from_millis(self.cfg.limits.drain_grace_ms);
+        runtime::spawn(async move {
+            signalled.cancelled().await;
+            time::sleep(grace).await;
+            drain.cancel();
+        })
+        .detach();
+        let entry = self.clone();
+        let handler = move |req| router::handle(entry.clone(), req);
+        http::serve(http_listener, self.http_limits(), serving, handler).await;
+        let stopped = self.shutdown.stop.cancelled();
+        futures_util::future::select(Box::pin(self.in_flight.idle()), Box::pin(stopped)).await;
+        background.cancel();
+        event!(info, "entry_stopped", unfinished = self.in_flight.count());
+    }
+
+    fn start_background(self: &Rc<Self>, token: &CancellationToken) {
+        runtime::spawn(self.slots.clone().run(token.clone())).detach();
+        let replicas = control_addresses(&self.cfg).into_iter().map(rpc::Client::new).collect();
+        let entry = self.clone();
+        runtime::spawn(watch::run(
+            self.identity.clone(),
+            replicas,
+            self.configuration.clone(),
+            self.store.clone(),
+            move |entries| entry.set_live_entries(entries),
+            token.clone(),
+        ))
+        .detach();
+        let domain = &self.cfg.instance.failure_domain;
+        let peers = self.cfg.peers.iter().filter(|p| p.failure_domain == *domain);
+        let peers = peers.map(|p| rpc::Client::new(p.inner.to_string())).collect();
+        let has_copy = self.configuration.revision() > 0;
+        let configuration = self.configuration.clone();
+        runtime::spawn(restart::run(peers, configuration, has_copy, token.clone())).detach();
+        let orders = orders::propose_quarantines(self.suspects.clone(), self.control.clone());
+        runtime::spawn(orders::until(token.clone(), orders)).detach();
+    }
+
+    fn set_live_entries(&self, entries: Vec<inner::EntryIdentity>) {
+        let domain = &*self.cfg.instance.failure_domain;
+        let count = entries.iter().filter(|e| e.domain == domain).count();
+        self.slots.set_live_entries(u32::try_from(count).unwrap_or(u32::MAX));
+        *self.live_entries.borrow_mut() = entries;
+    }
+
+    async fn answer_inner(self: Rc<Self>, body: Body) -> Option<Body> {
+        if matches!(body, Body::FetchConfig(_)) {
+            return Some(inner_server::fetch_config(&self.configuration));
+        }
+        let extension = self.inner_extension.borrow().clone();
+        match extension?(body) {
+            Ok(answer) => answer.await,
+            Err(_) => None,
+        }
+    }
+
+    /// Sets what answers further HTTP paths.
+    pub fn set_http_extension(&self, extension: HttpExtension) {
+        *self.http_extension.borrow_mut() = Some(extension);
+    }
+
+    /// Sets what answers further messages of other entries.
+    pub fn set_inner_extension(&self, extension: InnerExtension) {
+        *self.inner_extension.borrow_mut() = Some(extension);
+    }
+
+    /// Offers a request to the extension.
+    ///
+    /// # Errors
+    ///
+    /// Gives back a request whose path is not one of the extension.
+    pub fn extend_http(&self, req: http::Request) -> Extended {
+        let extension = self.http_extension.borrow().clone();
+        match extension {
+            Some(extension) => extension(req),
+            None => Err(Box::new(req)),
+        }
+    }
+
+    /// Name of the entry.
+    pub fn name(&self) -> &str {
+        &self.cfg.instance.name
+    }
+
+    /// Why the entry is not ready, if it is not.
+    pub fn readiness(&self) -> Result<(), &'static str> {
+        if self.shutdown.draining() {
+            Err("draining")
+        } else if !self.configuration.is_ready() {
+            Err("no configuration")
+        } else {
+            Ok(())
+        }
+    }
 
-use crate::{cli, config};
+    /// Metrics in text form.
+    pub fn render(&self) -> String {
+        (self.render)()
+    }
+
+    /// Bounds of the HTTP server.
+    pub fn http_limits(&self) -> http::Limits {
+        let limits = &self.cfg.limits;
+        http::Limits {
+            connections: limits.connections,
+            body_bytes: limits.body_bytes,
+            body_timeout: Duration::from_millis(limits.body_timeout_ms),
+            ..http::Limits::default()
+        }
+    }
+}
+
+/// Why the entry cannot start.
+#[derive(Debug, displaydoc::Display)]
+pub enum StartError {
+    /// an address cannot be bound: {0}
+    Listen(io::Error),
+    /// the data directory cannot be used: {0}
+    Data(io::Error),
+}
+
+impl std::error::Error for StartError {}
+
+impl StartError {
+    /// Exit code of the process.
+    pub fn exit_code(&self) -> i32 {
+        match self {
+            Self::Listen(_) => exit::LISTEN,
+            Self::Data(_) => exit::DATA,
+        }
+    }
+}
+
+fn identity(cfg: &config::Config) -> inner::EntryIdentity {
+    inner::EntryIdentity {
+        name: cfg.instance.name.to_string(),
+        incarnation: clock::unix_ms(),
+        domain: cfg.instance.failure_domain.to_string(),
+        inner_address: cfg.listen.inner.to_string(),
+        http_address: cfg.listen.http.to_string(),
+    }
+}
+
+/// Addresses of the control replicas, those of the own failure domain first.
+fn control_addresses(cfg: &config::Config) -> Vec<String> {
+    let domain = &cfg.instance.failure_domain;
+    let mut replicas: Vec<&config::Replica> = cfg.control.replicas.iter().collect();
+    replicas.sort_by_key(|replica| replica.failure_domain != *domain);
+    replicas.iter().map(|replica| replica.address.to_string()).collect()
+}
 
 /// Runs the daemon and returns its exit code.
 pub fn run(options: &cli::Options) -> i32 {
@@ -26,6 +323,43 @@
         println!("{}: settings are valid", path.display());
         return exit::OK;
     }
-    drop(cfg);
-    exit::OK
+    logging::start(&cfg.log.filter);
+    #[cfg(feature = "failpoints")]
+    let _scenario = start_fail_points();
+    let runtime = match compio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("the runtime cannot start: {e}");
+            return exit::FAILED;
+        }
+    };
+    runtime.block_on(serve(cfg))
+}
+
+async fn serve(cfg: config::Config) -> i32 {
+    let handle = metrics::install();
+    let shutdown = Shutdown::default();
+    shutdown.watch_signals(Duration::from_millis(cfg.limits.drain_deadline_ms));
+    let mut policies = Policies::default();
+    policies.queue.bound = cfg.limits.queued_requests;
+    match Entry::bind(cfg, policies, shutdown, move || handle.render()).await {
+        Ok(entry) => {
+            entry.serve().await;
+            exit::OK
+        }
+        Err(e) => {
+            eprintln!("{e}");
+            e.exit_code()
+        }
+    }
+}
+
+/// Reads the fail points of the environment; a panic at one ends the process like a crash.
+#[cfg(feature = "failpoints")]
+fn start_fail_points() -> fail::FailScenario<'static> {
+    std::panic::set_hook(Box::new(|info| {
+        eprintln!("{info}");
+        std::process::abort();
+    }));
+    fail::FailScenario::setup()
 }
--- /dev/null
+++ b/orioleworks_entry/src/attempt.rs
@@ -0,0 +1,274 @@
+//! One attempt of a request on one upstream.
+//!
+//! See `docs/design.md`, sections 7 and 14.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use compio::{net::TcpStream, time};
+use futures_util::StreamExt;
+use orioleworks_proto::inner;
+use orioleworks_rules::claims::{AttemptFacts, AttemptOutcome, attempt_outcome};
+use serde::{Deserialize, Serialize};
+
+use crate::{dispatch::Completed, stream};
+
+/// Largest answer of an upstream; a stored answer must fit into a frame of the inner protocol.
+pub const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// Wait for the end of a stream's connection after the end marker, so that the connection can be used again.
+const TRAILER_WAIT: Duration = Duration::from_millis(100);
+/// Pauses before the connections that find out whether an upstream has died. A dying process may close its
+/// connections a little before its listening socket, so one early success proves nothing.
+const PROBE_PAUSES: [Duration; 2] = [Duration::from_millis(10), Duration::from_millis(40)];
+/// Longest wait for a probe's connection.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Upstream of an attempt.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Its name.
+    pub name: Rc<str>,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// IP and port.
+    pub address: Rc<str>,
+    /// Model of an engine.
+    pub model: Rc<str>,
+}
+
+/// What is sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Outgoing<'a> {
+    /// Names the attempt.
+    pub attempt_id: &'a str,
+    /// Body of the caller.
+    pub body: &'a Bytes,
+    /// Content type of the body.
+    pub content_type: &'a str,
+    /// Key of a claimed request.
+    pub idempotency_key: Option<&'a str>,
+    /// Whether the upstream is an engine.
+    pub engine: bool,
+}
+
+/// Failed attempt.
+#[derive(Clone, Debug)]
+pub struct Failure {
+    /// What is known of the attempt.
+    pub facts: AttemptFacts,
+    /// The connection broke or could not be opened, so the upstream may have died.
+    pub broken: bool,
+    /// Complete answer of the upstream that says that it failed.
+    pub answer: Option<Box<Completed>>,
+    /// A repeat on another upstream could end differently.
+    pub retry: bool,
+    /// Text for the log and the caller.
+    pub reason: String,
+}
+
+impl Failure {
+    fn sent(reason: impl Into<String>, broken: bool) -> Self {
+        let facts = AttemptFacts { sent: true, ..AttemptFacts::default() };
+        Self { facts, broken, answer: None, retry: true, reason: reason.into() }
+    }
+
+    fn not_sent(reason: impl Into<String>, broken: bool) -> Self {
+        Self { facts: AttemptFacts::default(), ..Self::sent(reason, broken) }
+    }
+
+    /// Whether the request certainly did not run in this attempt.
+    pub fn not_run(&self) -> bool {
+        attempt_outcome(self.facts) == AttemptOutcome::NotRun
+    }
+}
+
+/// Complete answer with its number of tokens, 1 for a plain service.
+#[derive(Clone, Debug)]
+pub struct Success {
+    /// The answer.
+    pub completed: Completed,
+    /// Units for the latency.
+    pub units: u32,
+}
+
+/// Client for one upstream. A redirect would send a request a second time, and a proxy would hide refused
+/// connections, so neither is followed.
+pub fn new_client() -> Result<cyper::Client, cyper::Error> {
+    cyper::Client::builder().redirect(cyper::redirect::Policy::none()).no_proxy().build()
+}
+
+/// Runs the attempt; dropping the future closes the connection.
+pub async fn run(
+    client: &cyper::Client,
+    target: &Target,
+    outgoing: Outgoing<'_>,
+) -> Result<Success, Failure> {
+    fail::fail_point!("dispatch.before_send");
+    let request = build(client, target, outgoing)?;
+    let response = request.send().await.map_err(|e| send_failure(&e))?;
+    fail::fail_point!("dispatch.after_send");
+    let header = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok());
+    if header("x-request-id").is_some_and(|id| id != outgoing.attempt_id) {
+        return Err(Failure::sent("the answer belongs to another request", false));
+    }
+    let status = response.status().as_u16();
+    if matches!(status, 429 | 503) && header("x-not-run") == Some("true") {
+        let facts = AttemptFacts { sent: true, refused_by_upstream: true, complete: true };
+        return Err(Failure { facts, ..Failure::sent("refused by the upstream", false) });
+    }
+    if outgoing.engine && status == 200 {
+        read_stream(response, target, outgoing).await
+    } else {
+        read_whole(response, target, outgoing.engine).await
+    }
+}
+
+fn build(
+    client: &cyper::Client,
+    target: &Target,
+    outgoing: Outgoing<'_>,
+) -> Result<cyper::RequestBuilder, Failure> {
+    let failed = |e: cyper::Error| Failure::not_sent(e.to_string(), false);
+    let address = &target.address;
+    if !outgoing.engine {
+        let request = client.post(format!("http://{address}/call")).map_err(failed)?;
+        let request = request.header("content-type", outgoing.content_type).map_err(failed)?;
+        let request = request.header("x-request-id", outgoing.attempt_id).map_err(failed)?;
+        let request = match outgoing.idempotency_key {
+            Some(key) => request.header("idempotency-key", key).map_err(failed)?,
+            None => request,
+        };
+        return Ok(request.body(outgoing.body.clone()));
+    }
+    let prompt: Prompt = serde_json::from_slice(outgoing.body)
+        .map_err(|e| Failure { retry: false, ..Failure::not_sent(e.to_string(), false) })?;
+    let body = Completions {
+        model: &target.model,
+        prompt: &prompt.prompt,
+        max_tokens: prompt.max_tokens,
+        stream: true,
+        request_id: outgoing.attempt_id,
+    };
+    let request = client.post(format!("http://{address}/v1/completions")).map_err(failed)?;
+    let request = request.header("x-request-id", outgoing.attempt_id).map_err(failed)?;
+    request.json(&body).map_err(failed)
+}
+
+/// Body of a request under an engine profile.
+#[derive(Debug, Deserialize)]
+pub struct Prompt {
+    /// Prompt.
+    pub prompt: String,
+    /// Largest number of tokens.
+    pub max_tokens: u32,
+}
+
+#[derive(Serialize)]
+struct Completions<'a> {
+    model: &'a str,
+    prompt: &'a str,
+    max_tokens: u32,
+    stream: bool,
+    request_id: &'a str,
+}
+
+fn send_failure(e: &cyper::Error) -> Failure {
+    match e {
+        cyper::Error::HyperClient(client) if client.is_connect() => {
+            Failure::not_sent("the upstream cannot be reached", true)
+        }
+        _ => Failure::sent(format!("the connection failed after sending: {e}"), true),
+    }
+}
+
+async fn read_whole(
+    response: cyper::Response,
+    target: &Target,
+    engine: bool,
+) -> Result<Success, Failure> {
+    let status = response.status().as_u16();
+    let content_type: Rc<str> = response
+        .headers()
+        .get("content-type")
+        .and_then(|v| v.to_str().ok())
+        .unwrap_or("application/octet-stream")
+        .into();
+    let mut chunks = std::pin::pin!(response.bytes_stream());
+    let mut body = BytesMut::new();
+    while let Some(chunk) = chunks.next().await {
+        let chunk = chunk.map_err(|e| Failure::sent(format!("the answer broke off: {e}"), true))?;
+        if body.len() + chunk.len() > MAX_ANSWER_BYTES {
+            return Err(Failure::sent("the answer is too large", false));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    let completed = Completed {
+        status,
+        body: body.freeze(),
+        content_type,
+        spans: Vec::new(),
+        upstream: target.name.clone(),
+    };
+    if engine || matches!(status, 429 | 502..=504) {
+        let facts = AttemptFacts { sent: true, refused_by_upstream: false, complete: true };
+        let retry = !engine || status >= 429;
+        let reason = format!("the upstream answered with status {status}");
+        return Err(Failure {
+            facts,
+            broken: false,
+            answer: Some(Box::new(completed)),
+            retry,
+            reason,
+        });
+    }
+    Ok(Success { completed, units: 1 })
+}
+
+async fn read_stream(
+    response: cyper::Response,
+    target: &Target,
+    outgoing: Outgoing<'_>,
+) -> Result<Success, Failure> {
+    let mut reader = stream::Reader::new(outgoing.attempt_id, MAX_ANSWER_BYTES);
+    let mut chunks = std::pin::pin!(response.bytes_stream());
+    while !reader.is_done() {
+        match chunks.next().await {
+            Some(Ok(chunk)) => reader
+                .push(&chunk)
+                .map_err(|e| Failure::sent(format!("the stream is no answer: {e:?}"), false))?,
+            Some(Err(e)) => return Err(Failure::sent(format!("the stream broke off: {e}"), true)),
+            None => return Err(Failure::sent("the stream has no end marker", true)),
+        }
+    }
+    // Reading to the end lets the connection go back to the pool; otherwise it is closed.
+    let rest = async { while chunks.next().await.is_some() {} };
+    let _ = time::timeout(TRAILER_WAIT, rest).await;
+    let units = reader.tokens().max(1);
+    match reader.finish() {
+        Some((text, Some(spans))) => {
+            Ok(Success { completed: completed_stream(text, spans, target), units })
+        }
+        _ => Err(Failure::sent("the engine's report of weight versions is inconclusive", false)),
+    }
+}
+
+fn completed_stream(text: String, spans: Vec<inner::Span>, target: &Target) -> Completed {
+    Completed {
+        status: 200,
+        body: Bytes::from(text),
+        content_type: "text/plain; charset=utf-8".into(),
+        spans,
+        upstream: target.name.clone(),
+    }
+}
+
+/// Whether an upstream whose connection broke has died: it refuses connections.
+pub async fn has_died(address: &str) -> bool {
+    for pause in PROBE_PAUSES {
+        time::sleep(pause).await;
+        if let Ok(Err(_)) = time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
+            return true;
+        }
+    }
+    false
+}
--- /dev/null
+++ b/orioleworks_entry/src/calls.rs
@@ -0,0 +1,238 @@
+//! Calls: one request of a caller under a profile.
+//!
+//! See `docs/design.md`, sections 7, 11 and 14.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use compio::{runtime, time};
+use futures_channel::oneshot;
+use orioleworks_daemon::{event, http};
+use orioleworks_proto::{codes::ResultCode, inner};
+use serde::Serialize;
+use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    app::Entry,
+    attempt::Prompt,
+    claims::{self, Claimed, End},
+    dispatch::{Completed, Job, Refused},
+    dispatcher::refused,
+    suspects, telemetry,
+};
+
+/// Deadline of a profile that names none.
+const DEFAULT_DEADLINE_MS: u32 = 30_000;
+/// Wait for the confirmation of a finished claim before the caller gets its answer.
+///
+/// The answer may go out before the confirmation: until then the claim is running, so that a repeat gets
+/// `in_progress`, or `outcome_unknown` if this entry dies, but never a second run. The wait only makes it likely that a
+/// repeat finds the stored answer.
+const FINISH_WAIT: Duration = Duration::from_millis(500);
+
+/// Head of a call.
+#[derive(Clone, Debug)]
+pub struct Head {
+    /// Request ID for logs and answers.
+    pub request_id: Rc<str>,
+    /// Lowers the profile's deadline.
+    pub deadline_ms: Option<String>,
+    /// Key of a non-idempotent request.
+    pub idempotency_key: Option<String>,
+    /// Content type of the body.
+    pub content_type: Rc<str>,
+}
+
+/// Answers one call.
+pub async fn handle(entry: &Rc<Entry>, profile: &str, head: Head, body: Bytes) -> http::Response {
+    let started = Instant::now();
+    let profile = match find_profile(entry, profile) {
+        Ok(profile) => profile,
+        Err(e) => return refusal(&head, profile, &e),
+    };
+    let result = run(entry, &profile, &head, body, started).await;
+    fail::fail_point!("dispatch.before_answer");
+    let code = result.as_ref().map_or_else(|e| e.code, |_| ResultCode::Ok);
+    telemetry::request(&profile, code, started.elapsed());
+    match result {
+        Ok(completed) => {
+            event!(
+                info,
+                "request_finished",
+                request_id = head.request_id,
+                profile = profile.name,
+                upstream = completed.upstream,
+                status = completed.status,
+                ms = started.elapsed().as_millis()
+            );
+            answer(&profile, &completed)
+        }
+        Err(e) => refusal(&head, &profile.name, &e),
+    }
+}
+
+fn refusal(head: &Head, profile: &str, e: &Refused) -> http::Response {
+    event!(
+        info,
+        "request_refused",
+        request_id = head.request_id,
+        profile = profile,
+        code = e.code.number(),
+        name = e.code.name(),
+        detail = e.detail
+    );
+    http::error(e.code, &e.detail, e.retry_after_ms)
+}
+
+fn find_profile(entry: &Entry, name: &str) -> Result<Rc<inner::Profile>, Refused> {
+    if !entry.configuration.is_ready() {
+        return Err(refused(ResultCode::NotReady, "", 1000));
+    }
+    entry.configuration.profile(name).ok_or_else(|| refused(ResultCode::UnknownProfile, name, 0))
+}
+
+async fn run(
+    entry: &Rc<Entry>,
+    profile: &Rc<inner::Profile>,
+    head: &Head,
+    body: Bytes,
+    started: Instant,
+) -> Result<Completed, Refused> {
+    let deadline = started + deadline_of(profile, head)?;
+    let prefix = if profile.engine { Some(prefix_of(&body)?) } else { None };
+    let job = Job {
+        request_id: head.request_id.clone(),
+        profile: profile.clone(),
+        body,
+        content_type: head.content_type.clone(),
+        deadline,
+        prefix,
+        lowest_version: 0,
+        avoid: Vec::new(),
+        local_only: false,
+        cancel: CancellationToken::new(),
+    };
+    if profile.idempotent {
+        return entry.dispatcher.run(job).await;
+    }
+    let key = head.idempotency_key.as_deref();
+    let key = key.ok_or_else(|| refused(ResultCode::KeyMissing, "", 0))?;
+    let key = claims::Key::parse(key)?;
+    if entry.configuration.is_stale() {
+        let detail = "control has not answered for 9 s";
+        return Err(refused(ResultCode::ClaimsUnavailable, detail, 1000));
+    }
+    // A task of its own, because a caller that goes away must not cut off a request that may have been sent.
+    let (tx, rx) = oneshot::channel();
+    let task_entry = entry.clone();
+    let guard = entry.in_flight.enter();
+    runtime::spawn(async move {
+        drop(tx.send(run_claimed(&task_entry, job, key).await));
+        drop(guard);
+    })
+    .detach();
+    rx.await.unwrap_or_else(|_| Err(refused(ResultCode::OutcomeUnknown, "", 0)))
+}
+
+async fn run_claimed(entry: &Rc<Entry>, job: Job, key: claims::Key) -> Result<Completed, Refused> {
+    let request = claims::Request {
+        key,
+        profile: job.profile.name.as_str().into(),
+        fingerprint: suspects::fingerprint(&job.profile.name, &job.body),
+        attempt_id: format!("{}-{:032x}", entry.name(), rand::random::<u128>()).into(),
+    };
+    entry.dispatcher.check_quarantine(&request.fingerprint)?;
+    let left = job.deadline.saturating_duration_since(Instant::now());
+    match entry.claims.claim(&request, left).await {
+        Claimed::Granted => {}
+        Claimed::Stored(record) => return Ok(stored_answer(record)),
+        Claimed::Refused(e) => return Err(e),
+    }
+    let result = entry.dispatcher.run_claimed(job, &request.key.text).await;
+    let end = match &result {
+        Ok(completed) => End::Finished(completed.clone()),
+        Err(e) if e.code.not_run() => End::Released,
+        Err(_) => End::Unknown,
+    };
+    let claims = entry.claims.clone();
+    let (tx, rx) = oneshot::channel::<()>();
+    runtime::spawn(async move {
+        claims.finish(&request, end).await;
+        drop(tx);
+    })
+    .detach();
+    let _ = time::timeout(FINISH_WAIT, rx).await;
+    result
+}
+
+fn deadline_of(profile: &inner::Profile, head: &Head) -> Result<Duration, Refused> {
+    let own = match profile.deadline_ms {
+        0 => DEFAULT_DEADLINE_MS,
+        ms => ms,
+    };
+    let ms = match &head.deadline_ms {
+        None => own,
+        Some(text) => match text.parse::<u32>() {
+            Ok(ms) if ms > 0 => ms.min(own),
+            _ => {
+                let detail = "x-deadline-ms is not a positive number of milliseconds";
+                return Err(refused(ResultCode::BadRequest, detail, 0));
+            }
+        },
+    };
+    Ok(Duration::from_millis(ms.into()))
+}
+
+fn prefix_of(body: &[u8]) -> Result<u64, Refused> {
+    let prompt: Prompt = serde_json::from_slice(body)
+        .map_err(|e| refused(ResultCode::BadRequest, &e.to_string(), 0))?;
+    Ok(xxh3_64(prompt.prompt.as_bytes()))
+}
+
+fn stored_answer(record: inner::ClaimRecord) -> Completed {
+    Completed {
+        status: u16::try_from(record.http_status).unwrap_or(200),
+        body: record.answer.into(),
+        content_type: record.content_type.into(),
+        spans: Vec::new(),
+        upstream: "".into(),
+    }
+}
+
+#[derive(Serialize)]
+struct EngineAnswer<'a> {
+    text: &'a str,
+    spans: Vec<Span>,
+}
+
+#[derive(Serialize)]
+struct Span {
+    version: u64,
+    tokens: u32,
+}
+
+fn answer(profile: &inner::Profile, completed: &Completed) -> http::Response {
+    let mut response = match std::str::from_utf8(&completed.body) {
+        Ok(text) if profile.engine => {
+            let spans = completed.spans.iter();
+            let spans = spans.map(|s| Span { version: s.version, tokens: s.tokens }).collect();
+            http::json(completed.status, &EngineAnswer { text, spans })
+        }
+        _ => http::whole(completed.status, &completed.content_type, completed.body.clone()),
+    };
+    set_header(&mut response, "x-upstream", &completed.upstream);
+    response
+}
+
+/// Sets a header when there is a value that fits into one.
+pub fn set_header(response: &mut http::Response, name: &'static str, value: &str) {
+    if !value.is_empty()
+        && let Ok(value) = value.parse()
+    {
+        response.headers_mut().insert(name, value);
+    }
+}
--- /dev/null
+++ b/orioleworks_entry/src/claims.rs
@@ -0,0 +1,253 @@
+//! Claims of non-idempotent requests: replicated before the first byte is sent, finished with the stored answer.
+//!
+//! See `docs/design.md`, section 7.
+
+use std::{rc::Rc, time::Duration};
+
+use compio::{runtime, time};
+use orioleworks_daemon::{clock, control::ControlClient, event, shutdown::InFlight};
+use orioleworks_proto::{
+    codes::ResultCode,
+    inner::{self, command::Kind},
+};
+use orioleworks_rules::claims::{CLAIM_RETENTION_MS, ClaimDecision, is_expired, may_dispatch};
+
+use crate::{
+    dispatch::{Completed, Refused},
+    dispatcher::refused,
+};
+
+/// Longest wait for a claim before the caller is told to come back.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time of one try to confirm an order in the background.
+const CONFIRM_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause between two tries.
+const CONFIRM_PAUSE: Duration = Duration::from_millis(200);
+/// Time after which a caller should ask again when claims cannot be replicated or are in progress.
+const RETRY_AFTER_MS: u32 = 1000;
+
+/// A parsed idempotency key.
+#[derive(Clone, Debug)]
+pub struct Key {
+    /// The key as sent.
+    pub text: Rc<str>,
+    /// Issue time in milliseconds since the epoch.
+    pub issued_ms: u64,
+}
+
+impl Key {
+    /// Parses `<issue time in ms since the epoch>-<random>`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of a malformed or old key.
+    pub fn parse(text: &str) -> Result<Self, Refused> {
+        let malformed =
+            || refused(ResultCode::BadRequest, "idempotency-key is not <ms>-<random>", 0);
+        let (issued, random) = text.split_once('-').ok_or_else(malformed)?;
+        let issued_ms: u64 = issued.parse().map_err(|_| malformed())?;
+        if random.is_empty() || text.len() > 128 || !text.is_ascii() {
+            return Err(malformed());
+        }
+        if is_expired(issued_ms, clock::unix_ms()) {
+            return Err(refused(ResultCode::KeyExpired, "", 0));
+        }
+        Ok(Self { text: text.into(), issued_ms })
+    }
+}
+
+/// What is claimed.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Key of the caller.
+    pub key: Key,
+    /// Profile.
+    pub profile: Rc<str>,
+    /// Profile and content.
+    pub fingerprint: Rc<str>,
+    /// Names this attempt.
+    pub attempt_id: Rc<str>,
+}
+
+/// Result of asking for a claim.
+#[derive(Clone, Debug)]
+pub enum Claimed {
+    /// This attempt holds the claim; the request may be sent once.
+    Granted,
+    /// The stored answer of the request.
+    Stored(inner::ClaimRecord),
+    /// The request does not run now.
+    Refused(Refused),
+}
+
+/// End of a claimed request.
+#[derive(Clone, Debug)]
+pub enum End {
+    /// The answer is complete.
+    Finished(Completed),
+    /// The request certainly did not run.
+    Released,
+    /// The request may have run.
+    Unknown,
+}
+
+/// Claims of one entry; clones share the control client.
+#[derive(Clone, Debug)]
+pub struct Claims {
+    control: ControlClient,
+    entry: Rc<str>,
+    incarnation: u64,
+    in_flight: InFlight,
+}
+
+impl Claims {
+    /// Claims of the named entry; `in_flight` counts what a drain has to wait for.
+    pub fn new(
+        control: ControlClient,
+        entry: impl Into<Rc<str>>,
+        incarnation: u64,
+        in_flight: InFlight,
+    ) -> Self {
+        Self { control, entry: entry.into(), incarnation, in_flight }
+    }
+
+    /// Asks control for the claim.
+    pub async fn claim(&self, request: &Request, left: Duration) -> Claimed {
+        fail::fail_point!("claims.before_claim");
+        let timeout = left.min(CLAIM_TIMEOUT);
+        let reply =
+            self.control.propose(claim_order(request), self.command(request), timeout).await;
+        let reply = match reply {
+            Ok(reply) => reply,
+            Err(e) => {
+                // An order without a result may still be accepted, also after an earlier try that was lost.
+                self.release_late(request.clone());
+                let detail = e.to_string();
+                return Claimed::Refused(refused(
+                    ResultCode::ClaimsUnavailable,
+                    &detail,
+                    RETRY_AFTER_MS,
+                ));
+            }
+        };
+        fail::fail_point!("claims.after_claim");
+        match decision(request, &reply) {
+            // The reply of a leader is sent after the commit.
+            decision if may_dispatch(decision, true, false) => Claimed::Granted,
+            ClaimDecision::Finished => Claimed::Stored(reply.claim.unwrap_or_default()),
+            ClaimDecision::InProgress => {
+                Claimed::Refused(refused(ResultCode::InProgress, "", RETRY_AFTER_MS))
+            }
+            ClaimDecision::KeyReused => Claimed::Refused(refused(ResultCode::KeyReused, "", 0)),
+            ClaimDecision::KeyExpired => Claimed::Refused(refused(ResultCode::KeyExpired, "", 0)),
+            ClaimDecision::Unknown | ClaimDecision::Granted => {
+                Claimed::Refused(refused(ResultCode::OutcomeUnknown, "", 0))
+            }
+        }
+    }
+
+    /// Stores the end of a claimed request; the order is repeated until control has confirmed it.
+    pub async fn finish(&self, request: &Request, end: End) {
+        let _in_flight = self.in_flight.enter();
+        fail::fail_point!("claims.before_finish");
+        self.confirm(request, finish_order(request), finish_command(request, end)).await;
+        fail::fail_point!("claims.after_finish");
+    }
+
+    /// Releases a claim that may be granted after its caller was told that the request did not run.
+    fn release_late(&self, request: Request) {
+        let claims = self.clone();
+        let guard = self.in_flight.enter();
+        runtime::spawn(async move {
+            // The release must come after the claim in the log, so the claim is confirmed first.
+            let command = claims.command(&request);
+            let reply = claims.confirm(&request, claim_order(&request), command).await;
+            if reply.is_some_and(|reply| decision(&request, &reply) == ClaimDecision::Granted) {
+                event!(info, "late_claim_released", attempt_id = request.attempt_id);
+                claims.finish(&request, End::Released).await;
+            }
+            drop(guard);
+        })
+        .detach();
+    }
+
+    async fn confirm(
+        &self,
+        request: &Request,
+        order_id: String,
+        command: inner::Command,
+    ) -> Option<inner::ProposeReply> {
+        // After the retention the key is rejected whatever the claim says.
+        while clock::unix_ms() < request.key.issued_ms.saturating_add(CLAIM_RETENTION_MS) {
+            match self.control.propose(order_id.clone(), command.clone(), CONFIRM_TIMEOUT).await {
+                Ok(reply) => return Some(reply),
+                Err(e) => {
+                    event!(warn, "claim_not_confirmed", order_id = order_id, reason = e);
+                    time::sleep(CONFIRM_PAUSE).await;
+                }
+            }
+        }
+        None
+    }
+
+    fn command(&self, request: &Request) -> inner::Command {
+        let claim = inner::Claim {
+            key: request.key.text.to_string(),
+            profile: request.profile.to_string(),
+            fingerprint: request.fingerprint.to_string(),
+            issued_ms: request.key.issued_ms,
+            entry: self.entry.to_string(),
+            entry_incarnation: self.incarnation,
+            attempt_id: request.attempt_id.to_string(),
+        };
+        inner::Command { expected_revision: None, kind: Some(Kind::Claim(claim)) }
+    }
+}
+
+fn claim_order(request: &Request) -> String {
+    format!("{}.claim", request.attempt_id)
+}
+
+fn finish_order(request: &Request) -> String {
+    format!("{}.finish", request.attempt_id)
+}
+
+fn finish_command(request: &Request, end: End) -> inner::Command {
+    let (state, completed) = match end {
+        End::Finished(completed) => (inner::ClaimState::Finished, Some(completed)),
+        End::Released => (inner::ClaimState::Released, None),
+        End::Unknown => (inner::ClaimState::Unknown, None),
+    };
+    let mut finish = inner::FinishClaim {
+        key: request.key.text.to_string(),
+        attempt_id: request.attempt_id.to_string(),
+        state: state.into(),
+        ..inner::FinishClaim::default()
+    };
+    if let Some(completed) = completed {
+        finish.http_status = completed.status.into();
+        finish.answer = completed.body.to_vec();
+        finish.content_type = completed.content_type.to_string();
+    }
+    inner::Command { expected_revision: None, kind: Some(Kind::FinishClaim(finish)) }
+}
+
+/// Decision that a reply of control stands for; what is not clearly a grant is none.
+fn decision(request: &Request, reply: &inner::ProposeReply) -> ClaimDecision {
+    match ResultCode::from_number(reply.code) {
+        Some(ResultCode::Ok) => {}
+        Some(ResultCode::InProgress) => return ClaimDecision::InProgress,
+        Some(ResultCode::KeyReused) => return ClaimDecision::KeyReused,
+        Some(ResultCode::KeyExpired) => return ClaimDecision::KeyExpired,
+        _ => return ClaimDecision::Unknown,
+    }
+    let Some(record) = &reply.claim else { return ClaimDecision::Unknown };
+    match record.state() {
+        inner::ClaimState::Finished => ClaimDecision::Finished,
+        inner::ClaimState::Running if *record.attempt_id == *request.attempt_id => {
+            ClaimDecision::Granted
+        }
+        inner::ClaimState::Running => ClaimDecision::InProgress,
+        _ => ClaimDecision::Unknown,
+    }
+}
--- /dev/null
+++ b/orioleworks_entry/src/deaths.rs
@@ -0,0 +1,76 @@
+//! Deaths of upstreams, and the requests that were in flight on them.
+//!
+//! See `docs/design.md`, section 7.
+
+use std::{rc::Rc, time::Duration};
+
+use orioleworks_daemon::clock;
+
+use crate::{
+    attempt,
+    placement::Upstream,
+    slots::{Grant, Slots},
+};
+
+/// Time for which a broken connection counts as evidence when a restart of the upstream shows up.
+const BROKEN_RETENTION: Duration = Duration::from_secs(3);
+
+impl Slots {
+    /// Notes a broken connection that the slot's request has seen; finds out whether the upstream has died.
+    pub async fn connection_broke(&self, grant: &Grant) {
+        let target = &grant.target;
+        if attempt::has_died(&target.address).await {
+            if self.members.fail(&target.name, target.incarnation) {
+                self.record_death(&target.name, target.incarnation);
+            }
+            return;
+        }
+        let now = clock::since_boot();
+        let mut state = self.state.borrow_mut();
+        if let Some(upstream) = state.upstreams.get_mut(&target.name)
+            && upstream.incarnation == target.incarnation
+        {
+            upstream.broken.retain(|(at, _)| *at + BROKEN_RETENTION > now);
+            let running = upstream.running.iter().find(|r| r.id == grant.id).cloned();
+            upstream.broken.extend(running.map(|r| (now, r)));
+        }
+    }
+
+    /// Notes that a new incarnation of an upstream replaced a live one.
+    pub fn restarted(&self, name: &str) {
+        let known = self.state.borrow().upstreams.get(name).map(|u| u.incarnation);
+        if let Some(incarnation) = known {
+            self.record_death(name, incarnation);
+        }
+    }
+
+    fn record_death(&self, name: &str, incarnation: u64) {
+        let now = clock::since_boot();
+        let in_flight: Vec<(Rc<str>, Rc<str>)> = {
+            let state = self.state.borrow();
+            let upstream = state.upstreams.get(name).filter(|u| u.incarnation == incarnation);
+            let recent = |u: &Upstream| {
+                let broken = u.broken.iter().filter(|(at, _)| *at + BROKEN_RETENTION > now);
+                broken.map(|(_, r)| r.clone()).collect::<Vec<_>>()
+            };
+            let all = upstream.map(|u| [u.running.clone(), recent(u)].concat()).unwrap_or_default();
+            all.into_iter().map(|r| (r.fingerprint, r.profile)).collect()
+        };
+        self.suspects.record_death(name, incarnation, &in_flight, self.members.live_count());
+        self.drop_upstream(name, incarnation);
+    }
+
+    /// Ends what runs on a lost upstream; the slots stay counted until their requests have noticed.
+    pub(crate) fn drop_upstream(&self, name: &str, incarnation: u64) {
+        let mut state = self.state.borrow_mut();
+        state.affinity.forget_upstream(name);
+        if let Some(upstream) = state.upstreams.get(name)
+            && upstream.incarnation == incarnation
+        {
+            upstream.lost.cancel();
+            state.upstreams.remove(name);
+        }
+        drop(state);
+        self.wake();
+    }
+}
--- /dev/null
+++ b/orioleworks_entry/src/dispatcher.rs
@@ -0,0 +1,357 @@
+//! Runs requests on upstreams: waits for a slot, attempts, retries, and says honestly what became of the request.
+//!
+//! See `docs/design.md`, sections 7 and 8.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Instant};
+
+use futures_util::{FutureExt, future::LocalBoxFuture, select};
+use orioleworks_daemon::{clock, event};
+use orioleworks_proto::{codes::ResultCode, inner};
+use orioleworks_routing::budget::Budget;
+
+use crate::{
+    attempt::{self, Failure, Outgoing, Success},
+    configuration::Configuration,
+    dispatch::{Completed, Job, Refused},
+    placement::Waiter,
+    slots::{Grant, NoSlot, Slots},
+    suspects::{self, Standing, Suspects},
+    telemetry,
+};
+
+/// Attempts of one idempotent request.
+const MAX_ATTEMPTS: usize = 3;
+/// Time after which a repeat of a request without an upstream makes sense: one lease.
+const RETRY_AFTER_MS: u32 = 2000;
+
+type Forward = Rc<dyn Fn(Job) -> LocalBoxFuture<'static, Result<Completed, Refused>>>;
+
+/// Runs requests; clones share the state.
+#[derive(Clone)]
+pub struct Dispatcher {
+    configuration: Configuration,
+    suspects: Suspects,
+    slots: Slots,
+    budgets: Rc<RefCell<HashMap<Rc<str>, Budget>>>,
+    budget_settings: orioleworks_routing::budget::Settings,
+    forward: Rc<RefCell<Option<Forward>>>,
+}
+
+/// Progress of one request over its attempts.
+struct Progress {
+    tried: Vec<Rc<str>>,
+    last: Option<Failure>,
+    sent: bool,
+}
+
+impl Dispatcher {
+    /// Dispatcher over these slots.
+    pub fn new(
+        configuration: Configuration,
+        suspects: Suspects,
+        slots: Slots,
+        budget_settings: orioleworks_routing::budget::Settings,
+    ) -> Self {
+        Self {
+            configuration,
+            suspects,
+            slots,
+            budgets: Rc::default(),
+            budget_settings,
+            forward: Rc::default(),
+        }
+    }
+
+    /// Sets what runs a request that finds no live upstream of its kind in the failure domain.
+    pub fn set_forward(
+        &self,
+        f: impl Fn(Job) -> LocalBoxFuture<'static, Result<Completed, Refused>> + 'static,
+    ) {
+        *self.forward.borrow_mut() = Some(Rc::new(f));
+    }
+
+    /// Load of each kind of upstream.
+    pub fn loads(&self) -> Vec<inner::KindLoad> {
+        self.slots.loads()
+    }
+
+    /// Suspects of the failure domain.
+    pub fn suspects(&self) -> &Suspects {
+        &self.suspects
+    }
+
+    /// Runs a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final refusal; its code says whether the request may have run.
+    pub async fn run(&self, job: Job) -> Result<Completed, Refused> {
+        self.run_with_key(job, None).await
+    }
+
+    /// Runs a request whose claim on the idempotency key is committed for this attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final refusal; its code says whether the request may have run.
+    pub async fn run_claimed(&self, job: Job, key: &str) -> Result<Completed, Refused> {
+        self.run_with_key(job, Some(key)).await
+    }
+
+    /// Whether the request is quarantined.
+    pub fn check_quarantine(&self, fingerprint: &str) -> Result<(), Refused> {
+        if self.configuration.quarantined(fingerprint).is_some() {
+            // From here on the record of control decides, so that an operator can release the request.
+            self.suspects.clear(fingerprint);
+            return Err(refused(ResultCode::Quarantined, "", 0));
+        }
+        match self.suspects.standing(fingerprint) {
+            Standing::Quarantined => Err(refused(ResultCode::Quarantined, "", 0)),
+            _ => Ok(()),
+        }
+    }
+
+    async fn run_with_key(&self, job: Job, key: Option<&str>) -> Result<Completed, Refused> {
+        let fingerprint = suspects::fingerprint(&job.profile.name, &job.body);
+        // Callers may repeat a request ID, but an answer must match exactly one attempt.
+        let unique: u32 = rand::random();
+        let mut progress = Progress { tried: Vec::new(), last: None, sent: false };
+        loop {
+            if let Err(quarantined) = self.check_quarantine(&fingerprint) {
+                // The code of a quarantine promises that the request did not run, which a sent one did.
+                return if progress.sent {
+                    self.conclude(&job, progress)
+                } else {
+                    Err(quarantined)
+                };
+            }
+            let grant = match self.wait_for_slot(&job, &fingerprint, &progress).await {
+                Ok(grant) => grant,
+                Err(no_slot) => return self.without_slot(job, no_slot, progress).await,
+            };
+            let attempt_id =
+                format!("{}.{unique:08x}.{}", job.request_id, progress.tried.len() + 1);
+            progress.tried.push(grant.target.name.clone());
+            let started = Instant::now();
+            let result = self.attempt(&job, key, &grant, &attempt_id).await;
+            let failure = match result {
+                Ok(success) => {
+                    self.succeeded(&job, &fingerprint, &grant, started, success.units);
+                    return Ok(success.completed);
+                }
+                Err(failure) => failure,
+            };
+            self.note_failure(&job, &grant, &failure, started).await;
+            drop(grant);
+            progress.sent |= !failure.not_run();
+            let again = self.may_retry(&job, &failure, &progress);
+            progress.last = Some(failure);
+            if !again {
+                return self.conclude(&job, progress);
+            }
+        }
+    }
+
+    async fn wait_for_slot(
+        &self,
+        job: &Job,
+        fingerprint: &Rc<str>,
+        progress: &Progress,
+    ) -> Result<Grant, WaitError> {
+        let left = job.deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(WaitError::Deadline);
+        }
+        let waiter = Waiter {
+            fingerprint: fingerprint.clone(),
+            profile: job.profile.clone(),
+            prefix: job.prefix,
+            lowest_version: job.lowest_version,
+            avoid: job.avoid.iter().chain(&progress.tried).cloned().collect(),
+            tx: RefCell::default(),
+        };
+        let rx =
+            self.slots.enqueue(waiter, clock::since_boot() + left).map_err(WaitError::NoSlot)?;
+        let mut granted = std::pin::pin!(compio::time::timeout(left, rx).fuse());
+        let mut cancelled = std::pin::pin!(job.cancel.cancelled().fuse());
+        select! {
+            granted = granted => match granted {
+                Ok(Ok(grant)) => Ok(grant),
+                // The queue drops requests that are past their deadline or have no upstream left.
+                Ok(Err(_)) if job.deadline <= Instant::now() => Err(WaitError::Deadline),
+                Ok(Err(_)) => Err(WaitError::NoSlot(NoSlot::NoUpstream)),
+                Err(_) => Err(WaitError::Deadline),
+            },
+            () = cancelled => Err(WaitError::Cancelled),
+        }
+    }
+
+    async fn attempt(
+        &self,
+        job: &Job,
+        key: Option<&str>,
+        grant: &Grant,
+        attempt_id: &str,
+    ) -> Result<Success, Failure> {
+        let outgoing = Outgoing {
+            attempt_id,
+            body: &job.body,
+            content_type: &job.content_type,
+            idempotency_key: key,
+            engine: job.profile.engine,
+        };
+        let left = job.deadline.saturating_duration_since(Instant::now());
+        let run = attempt::run(&grant.client, &grant.target, outgoing);
+        let mut run = std::pin::pin!(compio::time::timeout(left, run).fuse());
+        let mut cancelled = std::pin::pin!(job.cancel.cancelled().fuse());
+        // The answer of a request that cannot be repeated is awaited even from an upstream that has fallen silent.
+        let idempotent = job.profile.idempotent;
+        let lost = async {
+            grant.lost.cancelled().await;
+            if !idempotent {
+                std::future::pending::<()>().await;
+            }
+        };
+        let mut lost = std::pin::pin!(lost.fuse());
+        let reason = select! {
+            result = run => match result {
+                Ok(result) => return result,
+                Err(_) => "the deadline passed",
+            },
+            () = lost => "the upstream was lost",
+            () = cancelled => "the request was cancelled",
+        };
+        telemetry::abandoned(&job.profile.name);
+        Err(Failure {
+            facts: orioleworks_rules::claims::AttemptFacts { sent: true, ..Default::default() },
+            broken: false,
+            answer: None,
+            retry: true,
+            reason: reason.into(),
+        })
+    }
+
+    fn succeeded(&self, job: &Job, fingerprint: &str, grant: &Grant, started: Instant, units: u32) {
+        let latency = started.elapsed();
+        grant.finished(latency, units);
+        if grant.alone {
+            self.suspects.clear(fingerprint);
+        }
+        self.with_budget(job, |budget| budget.success(clock::since_boot()));
+        telemetry::attempt(&job.profile.name, "finished", latency);
+    }
+
+    async fn note_failure(&self, job: &Job, grant: &Grant, failure: &Failure, started: Instant) {
+        event!(
+            info,
+            "attempt_failed",
+            request_id = job.request_id,
+            profile = job.profile.name,
+            upstream = grant.target.name,
+            reason = failure.reason
+        );
+        let result = if failure.not_run() { "not_run" } else { "unknown" };
+        telemetry::attempt(&job.profile.name, result, started.elapsed());
+        if failure.facts.refused_by_upstream {
+            grant.overloaded();
+        }
+        if failure.broken {
+            self.slots.connection_broke(grant).await;
+        }
+    }
+
+    fn may_retry(&self, job: &Job, failure: &Failure, progress: &Progress) -> bool {
+        // A request that no byte of was sent may go elsewhere, even one that must run at most once.
+        let safe = job.profile.idempotent || !failure.facts.sent;
+        safe && failure.retry
+            && progress.tried.len() < MAX_ATTEMPTS
+            && !job.cancel.is_cancelled()
+            && job.deadline > Instant::now()
+            && self.with_budget(job, |budget| budget.try_retry(clock::since_boot()))
+    }
+
+    fn with_budget<T>(&self, job: &Job, f: impl FnOnce(&mut Budget) -> T) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        let name = job.profile.name.as_str();
+        let settings = self.budget_settings;
+        f(budgets.entry(name.into()).or_insert_with(|| Budget::new(settings)))
+    }
+
+    /// Ends a request that got no slot.
+    async fn without_slot(
+        &self,
+        job: Job,
+        error: WaitError,
+        mut progress: Progress,
+    ) -> Result<Completed, Refused> {
+        let kind = &job.profile.upstream_kind;
+        let unreachable = matches!(error, WaitError::NoSlot(NoSlot::NoUpstream))
+            && !progress.sent
+            && !self.slots.has_live(kind);
+        if progress.last.is_some() && !unreachable {
+            let deadline = matches!(error, WaitError::Deadline);
+            if deadline && progress.sent && job.profile.idempotent {
+                progress.last = None;
+            }
+            return self.conclude(&job, progress);
+        }
+        match error {
+            WaitError::NoSlot(NoSlot::NoUpstream) => {
+                let forward = self.forward.borrow().clone().filter(|_| !job.local_only);
+                match forward {
+                    Some(forward) => forward(job).await,
+                    None => {
+                        let reason = progress.last.map(|failure| failure.reason);
+                        let detail = reason.unwrap_or_default();
+                        Err(refused(ResultCode::NoUpstream, &detail, RETRY_AFTER_MS))
+                    }
+                }
+            }
+            WaitError::NoSlot(NoSlot::Full) => Err(refused(ResultCode::Overloaded, "", 1000)),
+            WaitError::Deadline => Err(refused(ResultCode::DeadlineBeforeDispatch, "", 1000)),
+            WaitError::Cancelled => {
+                Err(refused(ResultCode::DeadlineBeforeDispatch, "the request was cancelled", 0))
+            }
+        }
+    }
+
+    /// Final answer of a request whose attempts have all failed.
+    fn conclude(&self, job: &Job, progress: Progress) -> Result<Completed, Refused> {
+        let Progress { last, sent, .. } = progress;
+        let late = job.deadline <= Instant::now();
+        let Some(failure) = last else {
+            return Err(refused(ResultCode::DeadlineExceeded, "", 1000));
+        };
+        if !sent {
+            let code = match failure.facts.refused_by_upstream {
+                true => ResultCode::RefusedByUpstream,
+                false if !failure.retry => ResultCode::BadRequest,
+                false => ResultCode::NoUpstream,
+            };
+            let retry_after_ms = if failure.retry { 1000 } else { 0 };
+            return Err(refused(code, &failure.reason, retry_after_ms));
+        }
+        // A plain service's own error is an answer; an engine's is no sample.
+        if let Some(answer) = failure.answer.clone().filter(|_| !job.profile.engine) {
+            return Ok(*answer);
+        }
+        let code = match (job.profile.idempotent, late) {
+            (_, true) => ResultCode::DeadlineExceeded,
+            (true, false) => ResultCode::AttemptsExhausted,
+            (false, false) => ResultCode::OutcomeUnknown,
+        };
+        let retry_after_ms = if job.profile.idempotent { 1000 } else { 0 };
+        Err(refused(code, &failure.reason, retry_after_ms))
+    }
+}
+
+enum WaitError {
+    NoSlot(NoSlot),
+    Deadline,
+    Cancelled,
+}
+
+/// A refusal.
+pub fn refused(code: ResultCode, detail: &str, retry_after_ms: u32) -> Refused {
+    Refused { code, detail: detail.into(), retry_after_ms }
+}
--- a/orioleworks_entry/src/lib.rs
+++ b/orioleworks_entry/src/lib.rs
@@ -2,9 +2,26 @@
 //!
 //! See `docs/design.md`, sections 5 to 12. The parts are a library, so that others can embed them.
 
+pub mod announce;
 pub mod app;
+pub mod attempt;
+pub mod calls;
+pub mod claims;
 pub mod cli;
 pub mod config;
 pub mod configuration;
+pub mod deaths;
 pub mod dispatch;
+pub mod dispatcher;
+pub mod inner;
+pub mod members;
+pub mod orders;
+pub mod persist;
+pub mod placement;
+pub mod restart;
+pub mod router;
+pub mod slots;
+pub mod stream;
+pub mod suspects;
+pub mod telemetry;
 pub mod watch;
--- /dev/null
+++ b/orioleworks_entry/src/members.rs
@@ -0,0 +1,66 @@
+//! Shared view of the upstreams of the failure domain.
+//!
+//! See `docs/design.md`, section 6.
+
+use std::{cell::RefCell, rc::Rc};
+
+use orioleworks_daemon::clock;
+use orioleworks_routing::members as routing;
+pub use orioleworks_routing::members::{Announced, Announcement, Engine, Member};
+
+/// Shared membership; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    members: Rc<RefCell<routing::Members>>,
+}
+
+impl Members {
+    /// Live engines of the failure domain, in the order of their names.
+    pub fn engines(&self) -> Vec<Engine> {
+        self.members.borrow().engines()
+    }
+
+    /// Takes in an announcement.
+    pub fn announce(&self, a: Announcement) -> Announced {
+        self.members.borrow_mut().announce(clock::since_boot(), a)
+    }
+
+    /// Ends leases that were not renewed; returns name and incarnation of the upstreams lost by this call.
+    pub fn expire(&self) -> Vec<(Rc<str>, u64)> {
+        self.members.borrow_mut().expire(clock::since_boot())
+    }
+
+    /// Notes that an upstream refused a connection; returns whether it was live until now.
+    pub fn fail(&self, name: &str, incarnation: u64) -> bool {
+        self.members.borrow_mut().fail(clock::since_boot(), name, incarnation)
+    }
+
+    /// Follows the stop orders of the configuration.
+    pub fn follow_orders(&self, is_stopped: impl Fn(&str) -> bool) {
+        let names: Vec<Rc<str>> =
+            self.members.borrow().all().map(|m| m.last.name.clone()).collect();
+        let mut members = self.members.borrow_mut();
+        for name in names {
+            match (is_stopped(&name), members.is_stopped(&name)) {
+                (true, _) => members.stop(&name),
+                (false, true) => members.start(&name),
+                (false, false) => {}
+            }
+        }
+    }
+
+    /// Whether a kind has an upstream that takes new requests.
+    pub fn has_live(&self, kind: &str) -> bool {
+        self.members.borrow().live(kind).next().is_some()
+    }
+
+    /// Number of live upstreams of all kinds.
+    pub fn live_count(&self) -> usize {
+        self.members.borrow().live_count()
+    }
+
+    /// Reads the membership.
+    pub fn read<T>(&self, f: impl FnOnce(&routing::Members) -> T) -> T {
+        f(&self.members.borrow())
+    }
+}
--- /dev/null
+++ b/orioleworks_entry/src/orders.rs
@@ -0,0 +1,50 @@
+//! Orders that the caller path gives to control.
+
+use std::{future::Future, time::Duration};
+
+use compio::time;
+use orioleworks_daemon::{control::ControlClient, event};
+use orioleworks_proto::inner::{self, command::Kind};
+use tokio_util::sync::CancellationToken;
+
+use crate::suspects::{Quarantine, Suspects};
+
+/// Interval in which new quarantines are looked for; every entry is to know one within 2 s.
+const INTERVAL: Duration = Duration::from_millis(50);
+/// Time of one try to propose a quarantine.
+const TIMEOUT: Duration = Duration::from_secs(5);
+/// Tries, after which the local record protects this entry alone until it expires.
+const TRIES: u32 = 20;
+
+/// Proposes the quarantine of requests that have crashed two upstreams.
+pub async fn propose_quarantines(suspects: Suspects, control: ControlClient) {
+    loop {
+        for Quarantine { fingerprint, profile } in suspects.take_quarantine() {
+            event!(warn, "request_quarantined", fingerprint = fingerprint, profile = profile);
+            let control = control.clone();
+            compio::runtime::spawn(async move {
+                let order_id = format!("quarantine-{:032x}", rand::random::<u128>());
+                let quarantine = inner::Quarantine {
+                    fingerprint: fingerprint.to_string(),
+                    profile: profile.to_string(),
+                    reason: "crashed two upstreams".into(),
+                };
+                let kind = Some(Kind::Quarantine(quarantine));
+                let command = inner::Command { expected_revision: None, kind };
+                for _ in 0..TRIES {
+                    match control.propose(order_id.clone(), command.clone(), TIMEOUT).await {
+                        Ok(_) => return,
+                        Err(e) => event!(warn, "quarantine_not_confirmed", reason = e),
+                    }
+                }
+            })
+            .detach();
+        }
+        time::sleep(INTERVAL).await;
+    }
+}
+
+/// Runs a future until the token is cancelled.
+pub async fn until(token: CancellationToken, f: impl Future<Output = ()>) {
+    futures_util::future::select(Box::pin(f), Box::pin(token.cancelled())).await;
+}
--- /dev/null
+++ b/orioleworks_entry/src/placement.rs
@@ -0,0 +1,193 @@
+//! Chooses an upstream for a waiting request.
+//!
+//! See `docs/design.md`, section 8.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
+
+use futures_channel::oneshot;
+use orioleworks_proto::inner;
+use orioleworks_routing::{
+    affinity::Affinity,
+    choice::{self, Candidate},
+    limit::Limit,
+    members::Member,
+    suspects::{MAX_SPREAD, Standing},
+};
+use rand::rngs::StdRng;
+use tokio_util::sync::CancellationToken;
+
+use crate::slots::Grant;
+
+/// Time after which an upstream is no longer kept free for a suspect that has stopped waiting.
+const RESERVATION: Duration = Duration::from_secs(1);
+
+/// A request that waits for an upstream.
+pub struct Waiter {
+    /// Profile and content.
+    pub fingerprint: Rc<str>,
+    /// Profile.
+    pub profile: Rc<inner::Profile>,
+    /// Hash of the prompt prefix.
+    pub prefix: Option<u64>,
+    /// Lowest acceptable weight version.
+    pub lowest_version: u64,
+    /// Upstreams that must not be chosen.
+    pub avoid: Vec<Rc<str>>,
+    /// Receives the upstream.
+    pub tx: RefCell<Option<oneshot::Sender<Grant>>>,
+}
+
+/// One request in flight.
+#[derive(Clone, Debug)]
+pub struct Running {
+    /// Names it among the running ones.
+    pub id: u64,
+    /// Profile and content.
+    pub fingerprint: Rc<str>,
+    /// Profile.
+    pub profile: Rc<str>,
+}
+
+/// What the entry keeps for one upstream incarnation.
+pub struct Upstream {
+    /// Incarnation to which all of this applies.
+    pub incarnation: u64,
+    /// Learnt limit.
+    pub limit: Limit,
+    /// Requests in flight.
+    pub running: Vec<Running>,
+    /// A suspect runs alone here.
+    pub exclusive: bool,
+    /// Kept free for this suspect until the given time.
+    pub reserved: Option<(Rc<str>, Duration)>,
+    /// Cancelled when the upstream is lost.
+    pub lost: CancellationToken,
+    /// Connections that broke without proof of death, for a restart that shows up a little later.
+    pub broken: Vec<(Duration, Running)>,
+    /// HTTP client.
+    pub client: cyper::Client,
+}
+
+impl Upstream {
+    /// Requests in flight.
+    pub fn in_flight(&self) -> u32 {
+        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+    }
+
+    fn is_reserved(&self, now: Duration) -> bool {
+        self.reserved.as_ref().is_some_and(|(_, until)| *until > now)
+    }
+}
+
+/// What a placement needs besides the waiting request.
+pub struct View<'a> {
+    /// Time since boot.
+    pub now: Duration,
+    /// Upstreams of the kind that take requests.
+    pub live: Vec<&'a Member>,
+    /// State by name.
+    pub upstreams: &'a mut HashMap<Rc<str>, Upstream>,
+    /// Prefix affinity.
+    pub affinity: &'a Affinity,
+    /// Setting of the selection.
+    pub choice: choice::Settings,
+    /// Live entries of the failure domain.
+    pub live_entries: u32,
+    /// Source of samples.
+    pub rng: &'a mut StdRng,
+}
+
+impl View<'_> {
+    /// Whether any upstream may take one more request.
+    pub fn has_capacity(&self) -> bool {
+        self.live.iter().any(|m| self.has_room(m))
+    }
+
+    fn has_room(&self, member: &Member) -> bool {
+        let Some(upstream) = self.upstreams.get(&member.last.name) else { return false };
+        !upstream.exclusive && upstream.in_flight() < upstream.limit.share(self.live_entries)
+    }
+
+    /// Name of the upstream that takes the request now, and whether it runs alone there.
+    pub fn place(&mut self, waiter: &Waiter, standing: Standing) -> Option<(Rc<str>, bool)> {
+        match standing {
+            Standing::Free => self.place_free(waiter).map(|name| (name, false)),
+            Standing::Alone => self.place_alone(waiter).map(|name| (name, true)),
+            // A quarantined request is taken out of the queue by its own task.
+            Standing::Wait(_) | Standing::Quarantined => None,
+        }
+    }
+
+    fn place_free(&mut self, waiter: &Waiter) -> Option<Rc<str>> {
+        let holders = self.holders(&waiter.fingerprint);
+        let now = self.now;
+        let fits = |m: &&&Member| {
+            allowed(waiter, m)
+                && self.has_room(m)
+                && !self.upstreams.get(&m.last.name).is_some_and(|u| u.is_reserved(now))
+                && (holders.len() < MAX_SPREAD || holders.contains(&m.last.name))
+        };
+        let fitting: Vec<&Member> = self.live.iter().filter(fits).copied().collect();
+        let names: Vec<Rc<str>> = fitting.iter().map(|m| m.last.name.clone()).collect();
+        let preferred = waiter.prefix.and_then(|prefix| {
+            let loads: Vec<u32> = names.iter().map(|n| self.upstreams[n].in_flight()).collect();
+            // The mean is over all live upstreams, or full ones would lower the bound of the others.
+            let total = self.live.iter().filter_map(|m| self.upstreams.get(&m.last.name));
+            let total: u32 = total.map(Upstream::in_flight).sum();
+            let holds = |i: usize| fitting[i].holds_prefix(prefix);
+            self.affinity.prefer(prefix, &names, &loads, total, holds)
+        });
+        let candidates: Vec<Candidate> = fitting.iter().map(|m| self.candidate(m)).collect();
+        let at = preferred.or_else(|| choice::choose(&candidates, self.choice, self.rng))?;
+        Some(names[at].clone())
+    }
+
+    /// Keeps the least loaded upstream free until the suspect has it for itself.
+    fn place_alone(&mut self, waiter: &Waiter) -> Option<Rc<str>> {
+        if !self.holders(&waiter.fingerprint).is_empty() {
+            return None;
+        }
+        let (now, fingerprint) = (self.now, &waiter.fingerprint);
+        let own = |u: &Upstream| u.reserved.as_ref().is_some_and(|(f, _)| f == fingerprint);
+        let fitting = self.live.iter().filter(|m| allowed(waiter, m)).filter(|m| {
+            let upstream = self.upstreams.get(&m.last.name);
+            upstream.is_some_and(|u| !u.exclusive && (own(u) || !u.is_reserved(now)))
+        });
+        let best = fitting.min_by_key(|m| {
+            let upstream = &self.upstreams[&m.last.name];
+            (!own(upstream), upstream.in_flight())
+        })?;
+        let name = best.last.name.clone();
+        let upstream = self.upstreams.get_mut(&name)?;
+        if upstream.running.is_empty() {
+            upstream.reserved = None;
+            return Some(name);
+        }
+        upstream.reserved = Some((fingerprint.clone(), now + RESERVATION));
+        None
+    }
+
+    fn holders(&self, fingerprint: &str) -> Vec<Rc<str>> {
+        let holds = |u: &Upstream| u.running.iter().any(|r| *r.fingerprint == *fingerprint);
+        self.upstreams.iter().filter(|(_, u)| holds(u)).map(|(name, _)| name.clone()).collect()
+    }
+
+    fn candidate(&self, member: &Member) -> Candidate {
+        let upstream = &self.upstreams[&member.last.name];
+        Candidate {
+            own_in_flight: upstream.in_flight(),
+            reported: member.last.running + member.last.queued,
+            report_age: self.now.saturating_sub(member.measured_at),
+            capacity: upstream.limit.current(),
+        }
+    }
+}
+
+/// Whether the upstream may run the request at all.
+pub fn allowed(waiter: &Waiter, member: &Member) -> bool {
+    let a = &member.last;
+    let drains = waiter.profile.objective() == inner::Objective::Staleness
+        && a.engine
+        && a.pending_version > a.weight_version;
+    !waiter.avoid.contains(&a.name) && a.weight_version >= waiter.lowest_version && !drains
+}
--- /dev/null
+++ b/orioleworks_entry/src/restart.rs
@@ -0,0 +1,48 @@
+//! Finds a configuration after a start while control does not answer.
+//!
+//! See `docs/design.md`, section 5.
+
+use std::{rc::Rc, time::Duration};
+
+use compio::time;
+use orioleworks_daemon::{event, rpc};
+use orioleworks_proto::inner::{self, frame::Body};
+use tokio_util::sync::CancellationToken;
+
+use crate::configuration::Configuration;
+
+/// Time for which control is asked alone.
+const CONTROL_FIRST: Duration = Duration::from_millis(1500);
+/// Longest wait for a peer's answer.
+const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause between two rounds over the peers.
+const ROUND_PAUSE: Duration = Duration::from_millis(500);
+
+/// Waits for control's configuration; without it, starts with the highest revision of the peers and the own copy.
+pub async fn run(
+    peers: Rc<[rpc::Client]>,
+    configuration: Configuration,
+    has_copy: bool,
+    token: CancellationToken,
+) {
+    time::sleep(CONTROL_FIRST).await;
+    while !configuration.is_ready() && !token.is_cancelled() {
+        let asked = peers
+            .iter()
+            .map(|peer| peer.call(Body::FetchConfig(inner::FetchConfig {}), PEER_TIMEOUT));
+        let mut found = has_copy;
+        for reply in futures_util::future::join_all(asked).await {
+            if let Ok(Body::FetchConfigReply(inner::FetchConfigReply { config: Some(config) })) =
+                reply
+            {
+                configuration.apply_whole(config);
+                found = true;
+            }
+        }
+        if found && !configuration.is_ready() {
+            event!(warn, "started_without_control", revision = configuration.revision());
+            configuration.set_ready();
+        }
+        time::sleep(ROUND_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/orioleworks_entry/src/stream.rs
@@ -0,0 +1,138 @@
+//! Reader of an engine's server-sent events.
+//!
+//! A stream is whole only with its end marker, and its spans count only when every chunk names the weight version and
+//! the engine's incarnation did not change. See `docs/design.md`, sections 9 and 14.
+
+use orioleworks_proto::inner;
+use serde::Deserialize;
+
+/// End marker of a stream.
+const DONE: &str = "[DONE]";
+
+#[derive(Debug, Deserialize)]
+struct Chunk {
+    #[serde(default)]
+    choices: Vec<Choice>,
+    weight_version: Option<u64>,
+    #[serde(default)]
+    tokens: u32,
+    incarnation: Option<u64>,
+    request_id: Option<String>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Choice {
+    #[serde(default)]
+    text: String,
+}
+
+/// What is wrong with a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamError {
+    /// An event is not the JSON of a chunk.
+    Malformed,
+    /// The stream answers another request.
+    Crossed,
+    /// The answer is larger than the bound.
+    TooLarge,
+}
+
+/// Collects a stream.
+#[derive(Debug)]
+pub struct Reader {
+    request_id: String,
+    max_bytes: usize,
+    line: Vec<u8>,
+    text: String,
+    spans: Vec<inner::Span>,
+    incarnation: Option<u64>,
+    conclusive: bool,
+    done: bool,
+}
+
+impl Reader {
+    /// Reader of the answer to one attempt.
+    pub fn new(request_id: impl Into<String>, max_bytes: usize) -> Self {
+        Self {
+            request_id: request_id.into(),
+            max_bytes,
+            line: Vec::new(),
+            text: String::new(),
+            spans: Vec::new(),
+            incarnation: None,
+            conclusive: true,
+            done: false,
+        }
+    }
+
+    /// Takes in the next bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream cannot be the answer.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), StreamError> {
+        for part in bytes.split_inclusive(|b| *b == b'\n') {
+            if self.line.len() + part.len() + self.text.len() > self.max_bytes {
+                return Err(StreamError::TooLarge);
+            }
+            self.line.extend_from_slice(part);
+            if part.ends_with(b"\n") {
+                let line = std::mem::take(&mut self.line);
+                self.take_line(&line)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether the end marker has arrived.
+    pub fn is_done(&self) -> bool {
+        self.done
+    }
+
+    /// Tokens so far.
+    pub fn tokens(&self) -> u32 {
+        self.spans.iter().map(|span| span.tokens).sum()
+    }
+
+    /// Text and spans of a whole stream; the spans are `None` when the engine's report is inconclusive.
+    pub fn finish(self) -> Option<(String, Option<Vec<inner::Span>>)> {
+        let conclusive = self.conclusive && !self.spans.is_empty();
+        self.done.then_some((self.text, conclusive.then_some(self.spans)))
+    }
+
+    fn take_line(&mut self, line: &[u8]) -> Result<(), StreamError> {
+        let line = std::str::from_utf8(line).map_err(|_| StreamError::Malformed)?.trim_end();
+        let Some(data) = line.strip_prefix("data:").map(str::trim_start) else { return Ok(()) };
+        if self.done {
+            return Ok(());
+        }
+        if data == DONE {
+            self.done = true;
+            return Ok(());
+        }
+        let chunk: Chunk = serde_json::from_str(data).map_err(|_| StreamError::Malformed)?;
+        if chunk.request_id.is_some_and(|id| id != self.request_id) {
+            return Err(StreamError::Crossed);
+        }
+        if let Some(incarnation) = chunk.incarnation
+            && *self.incarnation.get_or_insert(incarnation) != incarnation
+        {
+            self.conclusive = false;
+        }
+        for choice in &chunk.choices {
+            self.text.push_str(&choice.text);
+        }
+        match chunk.weight_version {
+            Some(version) => self.add_tokens(version, chunk.tokens),
+            None => self.conclusive = false,
+        }
+        Ok(())
+    }
+
+    fn add_tokens(&mut self, version: u64, tokens: u32) {
+        match self.spans.last_mut() {
+            Some(span) if span.version == version => span.tokens += tokens,
+            _ => self.spans.push(inner::Span { version, tokens }),
+        }
+    }
+}
--- /dev/null
+++ b/orioleworks_entry/src/suspects.rs
@@ -0,0 +1,139 @@
+//! Shared record of requests that crashed upstreams.
+//!
+//! See `docs/design.md`, section 7.
+
+use std::{cell::RefCell, rc::Rc};
+
+use orioleworks_daemon::{clock, event};
+use orioleworks_proto::inner;
+use orioleworks_routing::suspects as routing;
+pub use orioleworks_routing::suspects::Standing;
+use sha2::{Digest, Sha256};
+
+type Callback = Rc<dyn Fn()>;
+
+/// A request as its quarantine names it.
+#[derive(Clone, Debug)]
+pub struct Quarantine {
+    /// Profile and content.
+    pub fingerprint: Rc<str>,
+    /// Profile.
+    pub profile: Rc<str>,
+}
+
+/// Shared suspects; clones share them.
+#[derive(Clone, Default)]
+pub struct Suspects {
+    suspects: Rc<RefCell<routing::Suspects>>,
+    on_change: Rc<RefCell<Option<Callback>>>,
+    quarantine: Rc<RefCell<Vec<Quarantine>>>,
+}
+
+impl std::fmt::Debug for Suspects {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Suspects").field("suspects", &self.suspects).finish_non_exhaustive()
+    }
+}
+
+impl Suspects {
+    /// Sets what is called when there is a new suspect, so that peers can be told before the next regular digest.
+    pub fn set_on_change(&self, f: impl Fn() + 'static) {
+        *self.on_change.borrow_mut() = Some(Rc::new(f));
+    }
+
+    /// Every suspect as it goes into a digest.
+    pub fn to_messages(&self) -> Vec<inner::Suspect> {
+        let reports = self.suspects.borrow().reports();
+        reports
+            .into_iter()
+            .map(|r| inner::Suspect {
+                fingerprint: r.fingerprint.to_string(),
+                profile: r.profile.to_string(),
+                upstream: r.upstream.to_string(),
+                crashes: u32::try_from(r.crashes).unwrap_or(u32::MAX),
+            })
+            .collect()
+    }
+
+    /// Takes in the suspects of an entry of the same failure domain.
+    pub fn absorb(&self, messages: &[inner::Suspect]) {
+        for message in messages {
+            let report = routing::Report {
+                fingerprint: message.fingerprint.as_str().into(),
+                profile: message.profile.as_str().into(),
+                upstream: message.upstream.as_str().into(),
+                crashes: message.crashes as usize,
+            };
+            if self.suspects.borrow_mut().absorb(clock::since_boot(), &report) {
+                self.quarantine
+                    .borrow_mut()
+                    .push(Quarantine { fingerprint: report.fingerprint, profile: report.profile });
+            }
+        }
+    }
+
+    /// Records the death of an upstream incarnation with (fingerprint, profile) of the requests in flight on it.
+    pub fn record_death(
+        &self,
+        name: &str,
+        incarnation: u64,
+        in_flight: &[(Rc<str>, Rc<str>)],
+        live: usize,
+    ) {
+        let upstream: Rc<str> = format!("{name}#{incarnation}").into();
+        event!(
+            warn,
+            "upstream_died",
+            upstream = upstream,
+            in_flight = in_flight.len(),
+            live = live
+        );
+        let quarantine = self.suspects.borrow_mut().record_death(
+            clock::since_boot(),
+            upstream,
+            in_flight.iter().cloned(),
+            live,
+        );
+        for fingerprint in quarantine {
+            let profile = in_flight.iter().find(|(f, _)| *f == fingerprint).map(|(_, p)| p.clone());
+            self.quarantine
+                .borrow_mut()
+                .push(Quarantine { fingerprint, profile: profile.unwrap_or_default() });
+        }
+        let on_change = self.on_change.borrow().clone();
+        if let Some(f) = on_change.filter(|_| !in_flight.is_empty()) {
+            f();
+        }
+    }
+
+    /// How a request may run now.
+    pub fn standing(&self, fingerprint: &str) -> Standing {
+        self.suspects.borrow().standing(fingerprint, clock::since_boot())
+    }
+
+    /// Clears a request that finished alone, or whose quarantine control has taken over.
+    pub fn clear(&self, fingerprint: &str) {
+        self.suspects.borrow_mut().clear(fingerprint, clock::since_boot());
+    }
+
+    /// Takes the requests whose quarantine is to be proposed to control.
+    pub fn take_quarantine(&self) -> Vec<Quarantine> {
+        std::mem::take(&mut self.quarantine.borrow_mut())
+    }
+}
+
+/// Fingerprint of a request: SHA-256 of profile and body, in hexadecimal.
+pub fn fingerprint(profile: &str, body: &[u8]) -> Rc<str> {
+    use std::fmt::Write as _;
+    let mut hash = Sha256::new();
+    hash.update(profile.as_bytes());
+    // Names contain no NUL, so that profile and body cannot run into each other.
+    hash.update([0]);
+    hash.update(body);
+    let mut text = String::with_capacity(64);
+    for byte in hash.finalize() {
+        let written = write!(text, "{byte:02x}");
+        debug_assert!(written.is_ok());
+    }
+    text.into()
+}
--- a/orioleworks_entry/src/watch.rs
+++ b/orioleworks_entry/src/watch.rs
@@ -12,7 +12,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::configuration::Configuration;
+use crate::{configuration::Configuration, persist};
 
 /// Time for which control may hold a watch when nothing changes.
 const HOLD_MS: u32 = 1000;
@@ -20,6 +20,8 @@
 const WATCH_TIMEOUT: Duration = Duration::from_millis(1800);
 /// Pause after a failed watch.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Pause after a failed save, because control answers an unacknowledged revision at once.
+const SAVE_RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Answers of a replica of another failure domain after which the own domain's replicas are tried again.
 const PREFERRED_RETRY_ROUNDS: u32 = 5;
 
@@ -28,6 +30,7 @@
     identity: inner::EntryIdentity,
     replicas: Vec<rpc::Client>,
     configuration: Configuration,
+    store: Option<persist::Store>,
     live_entries: impl Fn(Vec<inner::EntryIdentity>),
     token: CancellationToken,
 ) {
@@ -35,7 +38,7 @@
     let mut at = 0;
     let mut rounds = 0;
     while !token.is_cancelled() && !replicas.is_empty() {
-        match watch_once(&identity, &replicas[at], &configuration).await {
+        match watch_once(&identity, &replicas[at], &configuration, store.as_ref()).await {
             Some(entries) => {
                 live_entries(entries);
                 rounds += 1;
@@ -57,10 +60,12 @@
     identity: &inner::EntryIdentity,
     replica: &rpc::Client,
     configuration: &Configuration,
+    store: Option<&persist::Store>,
 ) -> Option<Vec<inner::EntryIdentity>> {
     let watch = inner::Watch {
         entry: Some(identity.clone()),
-        applied_revision: configuration.revision(),
+        // Control counts this as the acknowledgement, so it never runs ahead of the synced copy.
+        applied_revision: store.map_or(configuration.revision(), persist::Store::saved_revision),
         wait_ms: if configuration.is_ready() { HOLD_MS } else { 0 },
     };
     let reply = match replica.call(Body::Watch(watch), WATCH_TIMEOUT).await {
@@ -76,5 +81,10 @@
     if configuration.revision() >= reply.revision {
         configuration.set_ready();
     }
+    if let Some(store) = store
+        && !store.save(configuration).await
+    {
+        time::sleep(SAVE_RETRY_PAUSE).await;
+    }
     Some(reply.entries)
 }
--- a/orioleworks_routing/src/members.rs
+++ b/orioleworks_routing/src/members.rs
@@ -168,9 +168,10 @@
             return Announced::Outdated;
         }
         if a.incarnation > member.last.incarnation {
-            let was_lost = member.lost;
+            // The end of a leaving upstream is no surprise.
+            let expected = member.lost || member.leaving;
             *member = new_member(now, a, stopped);
-            return if was_lost { Announced::Joined } else { Announced::Restarted };
+            return if expected { Announced::Joined } else { Announced::Restarted };
         }
         if member.lost && now < member.revive_after {
             member.leaving |= a.leaving;
