--- /dev/null
+++ b/orioleworks_entry/tests/common/mod.rs
@@ -0,0 +1,407 @@
+//! Small fakes of control and upstreams for the tests of the entry.
+#![allow(dead_code, reason = "each test file uses a part of the fakes")]
+
+use std::{cell::RefCell, collections::HashMap, future::Future, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use compio::{net::TcpListener, runtime, time};
+use orioleworks_daemon::{clock, http, rpc, shutdown::Shutdown};
+use orioleworks_entry::{app::Entry, config::Config, slots::Policies};
+use orioleworks_proto::{
+    codes::ResultCode,
+    inner::{self, command::Kind, frame::Body},
+};
+use orioleworks_rules::claims::{ClaimDecision, ClaimRequest, ClaimState, HeldClaim, decide_claim};
+use serde_json::json;
+use tokio_util::sync::CancellationToken;
+
+pub fn block_on<T>(f: impl Future<Output = T>) -> T {
+    compio::runtime::Runtime::new().unwrap().block_on(f)
+}
+
+pub fn profile(name: &str, kind: &str) -> inner::Profile {
+    inner::Profile {
+        name: name.into(),
+        upstream_kind: kind.into(),
+        class: inner::Class::Lookup.into(),
+        idempotent: true,
+        deadline_ms: 5000,
+        share: 1,
+        ..Default::default()
+    }
+}
+
+pub fn booking() -> inner::Profile {
+    let class = inner::Class::Booking.into();
+    inner::Profile { idempotent: false, class, ..profile("gate-slot", "booking-portal") }
+}
+
+pub fn scorer() -> inner::Profile {
+    let class = inner::Class::Rollout.into();
+    inner::Profile { engine: true, class, ..profile("scorer", "scorer-llm") }
+}
+
+/// Control in memory.
+#[derive(Clone, Default)]
+pub struct FakeControl {
+    pub config: Rc<RefCell<inner::Config>>,
+    pub claims: Rc<RefCell<HashMap<String, inner::ClaimRecord>>>,
+    pub results: Rc<RefCell<HashMap<String, inner::ProposeReply>>>,
+    /// Delay of every answer to a proposal, after it was applied.
+    pub delay: Rc<RefCell<Duration>>,
+    pub applied: Rc<RefCell<Vec<u64>>>,
+}
+
+impl FakeControl {
+    async fn answer(self, body: Body) -> Option<Body> {
+        match body {
+            Body::Propose(propose) => {
+                let known = self.results.borrow().get(&propose.order_id).cloned();
+                let reply = known.unwrap_or_else(|| self.apply(propose.command.unwrap()));
+                self.results.borrow_mut().insert(propose.order_id, reply.clone());
+                let delay = *self.delay.borrow();
+                time::sleep(delay).await;
+                Some(Body::ProposeReply(reply))
+            }
+            Body::Watch(watch) => {
+                self.applied.borrow_mut().push(watch.applied_revision);
+                for _ in 0..watch.wait_ms / 10 {
+                    if self.config.borrow().revision > watch.applied_revision {
+                        break;
+                    }
+                    time::sleep(Duration::from_millis(10)).await;
+                }
+                let config = self.config.borrow().clone();
+                let revision = config.revision;
+                let entries = watch.entry.into_iter().collect();
+                Some(Body::WatchReply(inner::WatchReply {
+                    revision,
+                    config: Some(config),
+                    entries,
+                    ..Default::default()
+                }))
+            }
+            _ => None,
+        }
+    }
+
+    fn apply(&self, command: inner::Command) -> inner::ProposeReply {
+        match command.kind.unwrap() {
+            Kind::Claim(claim) => self.apply_claim(claim),
+            Kind::FinishClaim(finish) => {
+                let mut claims = self.claims.borrow_mut();
+                let record = claims.get_mut(&finish.key).unwrap();
+                assert_eq!(record.attempt_id, finish.attempt_id);
+                record.state = finish.state;
+                record.http_status = finish.http_status;
+                record.answer = finish.answer;
+                record.content_type = finish.content_type;
+                inner::ProposeReply::default()
+            }
+            Kind::Quarantine(quarantine) => {
+                let mut config = self.config.borrow_mut();
+                config.revision += 1;
+                config.quarantined.push(inner::Quarantined {
+                    fingerprint: quarantine.fingerprint,
+                    profile: quarantine.profile,
+                    reason: quarantine.reason,
+                    until_ms: clock::unix_ms() + 600_000,
+                });
+                inner::ProposeReply::default()
+            }
+            _ => inner::ProposeReply::default(),
+        }
+    }
+
+    fn apply_claim(&self, claim: inner::Claim) -> inner::ProposeReply {
+        let mut claims = self.claims.borrow_mut();
+        let held = claims.get(&claim.key);
+        let state = |record: &inner::ClaimRecord| match record.state() {
+            inner::ClaimState::Finished => ClaimState::Finished,
+            inner::ClaimState::Unknown => ClaimState::Unknown,
+            inner::ClaimState::Released => ClaimState::Released,
+            _ => ClaimState::Running,
+        };
+        let held = held.map(|record| HeldClaim {
+            state: state(record),
+            attempt_id: &record.attempt_id,
+            fingerprint: &record.fingerprint,
+            holder_gone: false,
+        });
+        let request = ClaimRequest {
+            attempt_id: &claim.attempt_id,
+            fingerprint: &claim.fingerprint,
+            issued_ms: claim.issued_ms,
+        };
+        let decision = decide_claim(held, request, clock::unix_ms());
+        if decision == ClaimDecision::Granted {
+            let record = inner::ClaimRecord {
+                key: claim.key.clone(),
+                fingerprint: claim.fingerprint,
+                attempt_id: claim.attempt_id,
+                state: inner::ClaimState::Running.into(),
+                ..Default::default()
+            };
+            claims.insert(claim.key.clone(), record);
+        }
+        let code = match decision {
+            ClaimDecision::Granted | ClaimDecision::Finished => ResultCode::Ok,
+            ClaimDecision::InProgress => ResultCode::InProgress,
+            ClaimDecision::Unknown => ResultCode::OutcomeUnknown,
+            ClaimDecision::KeyReused => ResultCode::KeyReused,
+            ClaimDecision::KeyExpired => ResultCode::KeyExpired,
+        };
+        let claim = claims.get(&claim.key).cloned();
+        inner::ProposeReply { code: code.number(), claim, ..Default::default() }
+    }
+
+    pub fn claim_state(&self, key: &str) -> Option<inner::ClaimState> {
+        self.claims.borrow().get(key).map(inner::ClaimRecord::state)
+    }
+}
+
+/// What a fake upstream does with a request.
+#[derive(Clone, Debug)]
+pub enum Mode {
+    /// Answers with its name and the body.
+    Echo,
+    /// Answers after a delay.
+    Slow(Duration),
+    /// Refuses with 503 and `x-not-run`.
+    NotRun,
+    /// Answers with the given request ID instead of the own one.
+    Crossed,
+    /// Answers an engine request with this stream.
+    Stream(&'static str),
+    /// Ends at once, with all connections, when the body contains this text.
+    CrashOn(&'static str),
+}
+
+pub struct FakeUpstream {
+    pub name: &'static str,
+    pub address: String,
+    pub seen: Rc<RefCell<Vec<String>>>,
+    pub process: Shutdown,
+    pub announcing: CancellationToken,
+}
+
+impl FakeUpstream {
+    pub fn is_dead(&self) -> bool {
+        self.process.stop.is_cancelled()
+    }
+}
+
+async fn answer_upstream(
+    name: &'static str,
+    mode: Mode,
+    seen: Rc<RefCell<Vec<String>>>,
+    process: Shutdown,
+    req: http::Request,
+) -> http::Response {
+    let id = req.headers().get("x-request-id").cloned();
+    let body = http::read_body(req.into_body(), &http::Limits::default()).await.unwrap();
+    let text = String::from_utf8_lossy(&body).into_owned();
+    seen.borrow_mut().push(text.clone());
+    let echo = || http::whole(200, "text/plain", Bytes::from(format!("{name}:{text}")));
+    let mut response = match mode {
+        Mode::Echo | Mode::Crossed => echo(),
+        Mode::Slow(delay) => {
+            time::sleep(delay).await;
+            echo()
+        }
+        Mode::NotRun => {
+            let mut response = http::whole(503, "text/plain", "busy");
+            response.headers_mut().insert("x-not-run", "true".parse().unwrap());
+            response
+        }
+        Mode::Stream(events) => http::whole(200, "text/event-stream", events),
+        Mode::CrashOn(poison) if text.contains(poison) => {
+            process.drain.cancel();
+            process.stop.cancel();
+            std::future::pending().await
+        }
+        Mode::CrashOn(_) => echo(),
+    };
+    let id = if matches!(mode, Mode::Crossed) { "other".parse().ok() } else { id };
+    if let Some(id) = id {
+        response.headers_mut().insert("x-request-id", id);
+    }
+    response
+}
+
+/// An entry with its fakes.
+pub struct World {
+    pub entry: Rc<Entry>,
+    pub control: FakeControl,
+    pub url: String,
+    pub client: cyper::Client,
+    pub shutdown: Shutdown,
+}
+
+pub struct Answer {
+    pub status: u16,
+    pub body: String,
+    pub headers: ::http::HeaderMap,
+}
+
+impl Answer {
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_str(&self.body).unwrap()
+    }
+
+    /// Name of the result code, and whether the answer promises that the request did not run.
+    pub fn refusal(&self) -> (String, bool) {
+        let json = self.json();
+        (json["name"].as_str().unwrap().into(), json["not_run"].as_bool().unwrap())
+    }
+}
+
+impl World {
+    pub async fn start(profiles: Vec<inner::Profile>) -> Self {
+        Self::start_with(profiles, "").await
+    }
+
+    pub async fn start_with(profiles: Vec<inner::Profile>, data: &str) -> Self {
+        let control = FakeControl::default();
+        let profiles = profiles.into_iter();
+        let profiles =
+            profiles.map(|p| inner::VersionedProfile { revision: 1, profile: Some(p) }).collect();
+        *control.config.borrow_mut() =
+            inner::Config { revision: 1, profiles, ..Default::default() };
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let handler = {
+            let control = control.clone();
+            move |body| control.clone().answer(body)
+        };
+        runtime::spawn(rpc::serve(listener, CancellationToken::new(), handler)).detach();
+        let mut text = json!({
+            "instance": {"name": "entry-a1", "failure_domain": "sicilia-a"},
+            "listen": {"http": "127.0.0.1:0", "inner": "127.0.0.1:0"},
+            "control": {"replicas": [{"address": address, "failure_domain": "sicilia-a"}]},
+            "limits": {"drain_grace_ms": 100, "body_bytes": 4096},
+        });
+        if !data.is_empty() {
+            text["data"] = json!({"directory": data});
+        }
+        let cfg: Config = orioleworks_settings::parse("test", &text.to_string()).unwrap();
+        let shutdown = Shutdown::default();
+        let entry = Entry::bind(cfg, Policies::default(), shutdown.clone(), String::new);
+        let entry = entry.await.unwrap();
+        let url = format!("http://{}", entry.cfg.listen.http);
+        let served = entry.clone();
+        runtime::spawn(async move { served.serve().await }).detach();
+        while !entry.configuration.is_ready() {
+            time::sleep(Duration::from_millis(5)).await;
+        }
+        let client = cyper::Client::builder().no_proxy().build().unwrap();
+        Self { entry, control, url, client, shutdown }
+    }
+
+    pub async fn post(&self, path: &str, headers: &[(&str, &str)], body: &str) -> Answer {
+        post(&self.client, format!("{}{path}", self.url), headers, body).await
+    }
+
+    pub async fn call(&self, profile: &str, body: &str) -> Answer {
+        self.post(&format!("/v1/call/{profile}"), &[], body).await
+    }
+
+    pub async fn book(&self, key: &str, body: &str) -> Answer {
+        self.post("/v1/call/gate-slot", &[("idempotency-key", key)], body).await
+    }
+
+    /// Starts an upstream that announces itself.
+    pub async fn upstream(&self, name: &'static str, kind: &str, mode: Mode) -> FakeUpstream {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let process = Shutdown::default();
+        let seen = Rc::new(RefCell::new(Vec::new()));
+        let (handler_seen, handler_process) = (seen.clone(), process.clone());
+        let handler = move |req| {
+            let (seen, process) = (handler_seen.clone(), handler_process.clone());
+            answer_upstream(name, mode.clone(), seen, process, req)
+        };
+        let limits = http::Limits::default();
+        runtime::spawn(http::serve(listener, limits, process.clone(), handler)).detach();
+        let announcing = self.announce(name, kind, &address, 1).await;
+        FakeUpstream { name, address, seen, process, announcing }
+    }
+
+    /// Announces an upstream until the token is cancelled or its process ends.
+    pub async fn announce(
+        &self,
+        name: &str,
+        kind: &str,
+        address: &str,
+        n: u64,
+    ) -> CancellationToken {
+        let body = json!({"name": name, "incarnation": n, "kind": kind, "address": address,
+            "engine": kind.ends_with("-llm"), "model": "m", "weight_version": 3, "capacity": 8});
+        let (url, body) = (format!("{}/v1/announce", self.url), body.to_string());
+        let answer = post(&self.client, url.clone(), &[], &body).await;
+        assert_eq!(answer.status, 200, "{}", answer.body);
+        let token = CancellationToken::new();
+        let (client, stopped) = (self.client.clone(), token.clone());
+        let address = address.to_owned();
+        runtime::spawn(async move {
+            loop {
+                time::sleep(Duration::from_millis(500)).await;
+                let alive = compio::net::TcpStream::connect(&*address).await.is_ok();
+                if stopped.is_cancelled() || !alive {
+                    return;
+                }
+                post(&client, url.clone(), &[], &body).await;
+            }
+        })
+        .detach();
+        token
+    }
+}
+
+pub async fn post(
+    client: &cyper::Client,
+    url: String,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Answer {
+    let mut request = client.post(url).unwrap();
+    for (name, value) in headers {
+        request = request.header(*name, *value).unwrap();
+    }
+    let response = request.body(body.to_owned()).send().await.unwrap();
+    let (status, headers) = (response.status().as_u16(), response.headers().clone());
+    Answer { status, headers, body: response.text().await.unwrap() }
+}
+
+/// An upstream that reads the head of a request and closes the connection without an answer.
+pub async fn breaking_upstream() -> (String, Rc<RefCell<u32>>) {
+    use compio::io::AsyncRead;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let requests = Rc::new(RefCell::new(0));
+    let counted = requests.clone();
+    runtime::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let counted = counted.clone();
+            runtime::spawn(async move {
+                let compio::BufResult(read, _) = stream.read(vec![0; 4096]).await;
+                if read.is_ok_and(|n| n > 0) {
+                    *counted.borrow_mut() += 1;
+                }
+            })
+            .detach();
+        }
+    })
+    .detach();
+    (address, requests)
+}
+
+/// Address on which nothing listens.
+pub async fn closed_address() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap().to_string()
+}
+
+pub fn key(random: &str) -> String {
+    format!("{}-{random}", clock::unix_ms())
+}
--- /dev/null
+++ b/orioleworks_entry/tests/edges.rs
@@ -0,0 +1,128 @@
+//! Bad input, stop orders, restart and shutdown of the entry.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Mode, World, block_on, booking, key, profile, scorer};
+use compio::time;
+use futures_util::future::join_all;
+use orioleworks_proto::inner;
+use rstest::rstest;
+
+/// Guards against bad input that is answered without its result code, or that disturbs later requests.
+#[rstest]
+#[case::unknown_path("/v1/nothing", &[], "", 404, "unknown_path")]
+#[case::nested_profile("/v1/call/a/b", &[], "", 404, "unknown_path")]
+#[case::unknown_profile("/v1/call/nobody", &[], "", 404, "unknown_profile")]
+#[case::broken_engine_body("/v1/call/scorer", &[], "{", 400, "bad_request")]
+#[case::incomplete_engine_body("/v1/call/scorer", &[], "{}", 400, "bad_request")]
+#[case::broken_announcement("/v1/announce", &[], "[", 400, "bad_request")]
+#[case::nameless_announcement("/v1/announce", &[], r#"{"name":"","incarnation":1,"kind":"k","address":"127.0.0.1:1"}"#, 400, "bad_request")]
+#[case::hostname_announcement("/v1/announce", &[], r#"{"name":"n","incarnation":1,"kind":"k","address":"host:1"}"#, 400, "bad_request")]
+#[case::bad_deadline("/v1/call/lookup", &[("x-deadline-ms", "soon")], "", 400, "bad_request")]
+#[case::zero_deadline("/v1/call/lookup", &[("x-deadline-ms", "0")], "", 400, "bad_request")]
+#[case::no_key("/v1/call/gate-slot", &[], "", 400, "key_missing")]
+#[case::malformed_key("/v1/call/gate-slot", &[("idempotency-key", "abc")], "", 400, "bad_request")]
+#[case::old_key("/v1/call/gate-slot", &[("idempotency-key", "1000-a")], "", 410, "key_expired")]
+#[case::no_upstream("/v1/call/lookup", &[], "", 503, "no_upstream")]
+fn bad_input_gets_its_code(
+    #[case] path: &str,
+    #[case] headers: &[(&str, &str)],
+    #[case] body: &str,
+    #[case] status: u16,
+    #[case] name: &str,
+) {
+    block_on(async {
+        let world = World::start(vec![profile("lookup", "sheet-app"), booking(), scorer()]).await;
+        let answer = world.post(path, headers, body).await;
+        assert_eq!((answer.status, answer.refusal()), (status, (name.into(), true)));
+        assert!(answer.headers.contains_key("x-request-id"));
+    });
+}
+
+/// Guards against a body that exceeds the bound and is taken in all the same, and against a wrong method.
+#[rstest]
+fn large_body_and_wrong_method_are_refused() {
+    block_on(async {
+        let world = World::start(vec![profile("lookup", "sheet-app")]).await;
+        let answer = world.call("lookup", &"x".repeat(5000)).await;
+        assert_eq!((answer.status, answer.refusal().0.as_str()), (413, "body_too_large"));
+        let url = format!("{}/v1/call/lookup", world.url);
+        let response = world.client.get(url).unwrap().send().await.unwrap();
+        assert_eq!(response.status(), 405);
+        assert_eq!(response.headers()["allow"], "POST");
+    });
+}
+
+/// Guards against new work for a stopped upstream, and against cutting off what it runs.
+#[rstest]
+fn stopped_upstream_finishes_and_gets_nothing_new() {
+    block_on(async {
+        let world = World::start(vec![profile("lookup", "sheet-app")]).await;
+        let mode = Mode::Slow(Duration::from_millis(300));
+        let upstream = world.upstream("s-1", "sheet-app", mode).await;
+        let running = world.call("lookup", "running");
+        let stop = async {
+            time::sleep(Duration::from_millis(100)).await;
+            let mut config = world.control.config.borrow_mut();
+            config.revision = 2;
+            let name = "s-1".into();
+            config.stopped_upstreams.push(inner::StoppedUpstream { revision: 2, name });
+        };
+        let (running, ()) = futures_util::join!(running, stop);
+        assert_eq!(running.status, 200);
+        assert_eq!(world.call("lookup", "new").await.refusal().0, "no_upstream");
+        let body = format!(
+            r#"{{"name":"s-1","incarnation":1,"kind":"sheet-app","address":"{}"}}"#,
+            upstream.address
+        );
+        assert_eq!(world.post("/v1/announce", &[], &body).await.json()["stop"], true);
+        assert_eq!(upstream.seen.borrow().len(), 1);
+    });
+}
+
+/// Guards against an acknowledged revision that a restarted entry does not know.
+#[rstest]
+fn revision_is_saved_before_it_is_acknowledged() {
+    block_on(async {
+        let directory = tempfile::tempdir().unwrap();
+        let path = directory.path().to_str().unwrap();
+        let world = World::start_with(vec![profile("lookup", "sheet-app")], path).await;
+        while world.control.applied.borrow().last() != Some(&1) {
+            time::sleep(Duration::from_millis(10)).await;
+        }
+        let opened = orioleworks_entry::persist::Store::open(directory.path()).unwrap();
+        let config = opened.1.unwrap();
+        assert_eq!((config.revision, config.profiles.len()), (1, 1));
+    });
+}
+
+/// Guards against a planned stop that cuts off requests or answers new ones during the grace with an error.
+#[rstest]
+fn drain_cuts_off_no_request() {
+    block_on(async {
+        let world = World::start(vec![profile("lookup", "sheet-app"), booking()]).await;
+        let slow = || Mode::Slow(Duration::from_millis(300));
+        world.upstream("s-1", "sheet-app", slow()).await;
+        world.upstream("p-1", "booking-portal", slow()).await;
+        let lookups = join_all((0..20).map(|i| {
+            let world = &world;
+            async move { world.call("lookup", &i.to_string()).await.status }
+        }));
+        let bookings = join_all((0..4).map(|i| {
+            let world = &world;
+            async move { world.book(&key(&i.to_string()), "slot").await.status }
+        }));
+        let drain = async {
+            time::sleep(Duration::from_millis(100)).await;
+            world.shutdown.drain.cancel();
+            let ready = world.client.get(format!("{}/ready", world.url)).unwrap().send();
+            let ready = ready.await.unwrap().status().as_u16();
+            (ready, world.call("lookup", "during the grace").await.status)
+        };
+        let (lookups, bookings, drain) = futures_util::join!(lookups, bookings, drain);
+        assert!(lookups.iter().chain(&bookings).all(|status| *status == 200));
+        assert_eq!(drain, (503, 200));
+    });
+}
