--- /dev/null
+++ b/orioleworks_routing/tests/suspects.rs
@@ -0,0 +1,93 @@
+//! Requests that crash upstreams.
+
+use std::{rc::Rc, time::Duration};
+
+use orioleworks_routing::suspects::{Report, Standing, Suspects};
+use rstest::rstest;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn requests(names: &[&str]) -> Vec<(Rc<str>, Rc<str>)> {
+    names.iter().map(|name| ((*name).into(), "p".into())).collect()
+}
+
+/// Guards against a third lost upstream: the second crash of a suspect must count, in small domains too.
+#[rstest]
+#[case::three_upstreams(3)]
+#[case::twelve_upstreams(12)]
+fn second_crash_quarantines(#[case] upstreams: usize) {
+    let mut suspects = Suspects::default();
+    let first = suspects.record_death(ms(0), "a#1".into(), requests(&["f", "g"]), upstreams - 1);
+    assert!(first.is_empty());
+    let Standing::Wait(until) = suspects.standing("f", ms(1)) else { panic!("no wait") };
+    assert_eq!(suspects.standing("f", until), Standing::Alone);
+    let at = until + ms(1);
+    let second = suspects.record_death(at, "b#1".into(), requests(&["f"]), upstreams - 2);
+    assert_eq!(second, ["f".into()]);
+    assert_eq!(suspects.standing("f", at), Standing::Quarantined);
+    assert_eq!(suspects.standing("g", at), Standing::Alone);
+}
+
+/// Guards against suspecting requests for a lost rack; at least 2 upstreams and a quarter must die within 2 s.
+#[rstest]
+#[case::quarter(8, &[0, 1000], true)]
+#[case::less_than_a_quarter(12, &[0, 1000], false)]
+#[case::quarter_of_twelve(12, &[0, 1000, 2000], true)]
+#[case::too_far_apart(8, &[0, 2001], false)]
+fn correlated_deaths(#[case] upstreams: usize, #[case] deaths: &[u64], #[case] dismissed: bool) {
+    let mut suspects = Suspects::default();
+    for (i, at) in deaths.iter().enumerate() {
+        let name = format!("u{i}#1").into();
+        let request = format!("f{i}");
+        suspects.record_death(ms(*at), name, requests(&[&request]), upstreams - i - 1);
+    }
+    assert_eq!(suspects.reports().is_empty(), dismissed);
+    let report = Report {
+        fingerprint: "f".into(),
+        profile: "p".into(),
+        upstream: "u0#1".into(),
+        crashes: 1,
+    };
+    suspects.absorb(ms(3000), &report);
+    let free = suspects.standing("f", ms(6000)) == Standing::Free;
+    assert_eq!(free, dismissed, "a report of another entry brings back dismissed evidence");
+}
+
+/// Guards against an innocent request that stays a suspect, also through a late digest of another entry.
+#[rstest]
+fn clean_run_clears() {
+    let mut suspects = Suspects::default();
+    suspects.record_death(ms(0), "a#1".into(), requests(&["f"]), 11);
+    let reports = suspects.reports();
+    suspects.clear("f", ms(3000));
+    assert!(!suspects.absorb(ms(3500), &reports[0]));
+    assert_eq!(suspects.standing("f", ms(3500)), Standing::Free);
+}
+
+/// Guards against counting one crash twice when entries tell each other, and against missing different ones.
+#[rstest]
+#[case::same_crash("a#1", false)]
+#[case::other_upstream("b#1", true)]
+#[case::same_upstream_again("a#2", true)]
+fn digests_merge(#[case] upstream: &str, #[case] quarantined: bool) {
+    let mut suspects = Suspects::default();
+    suspects.record_death(ms(0), "a#1".into(), requests(&["f"]), 11);
+    let report = Report {
+        fingerprint: "f".into(),
+        profile: "p".into(),
+        upstream: upstream.into(),
+        crashes: 1,
+    };
+    assert_eq!(suspects.absorb(ms(100), &report), quarantined);
+    assert!(!suspects.absorb(ms(200), &report), "reported twice");
+}
+
+/// Guards against suspects that are kept for ever.
+#[rstest]
+fn suspects_expire() {
+    let mut suspects = Suspects::default();
+    suspects.record_death(ms(0), "a#1".into(), requests(&["f"]), 11);
+    assert_eq!(suspects.standing("f", ms(600_000)), Standing::Free);
+}
