--- a/orioleworks_entry/src/app.rs
+++ b/orioleworks_entry/src/app.rs
@@ -24,8 +24,10 @@
     dispatcher::Dispatcher,
     inner as inner_server,
     members::Members,
-    orders, persist, restart, router,
-    slots::{Policies, Slots},
+    orders, persist,
+    policies::Policies,
+    restart, router,
+    slots::Slots,
     suspects::Suspects,
     watch,
 };
@@ -350,8 +352,7 @@
     let handle = metrics::install();
     let shutdown = Shutdown::default();
     shutdown.watch_signals(Duration::from_millis(cfg.limits.drain_deadline_ms));
-    let mut policies = Policies::default();
-    policies.queue.bound = cfg.limits.queued_requests;
+    let policies = Policies::new(&cfg);
     match Entry::bind(cfg, policies, shutdown, move || handle.render()).await {
         Ok(entry) => {
             entry.serve().await;
--- a/orioleworks_entry/src/config.rs
+++ b/orioleworks_entry/src/config.rs
@@ -24,6 +24,9 @@
     /// Bounds of work in hand.
     #[serde(default)]
     pub limits: Limits,
+    /// Routing policies.
+    #[serde(default)]
+    pub routing: Routing,
     /// Log output.
     #[serde(default)]
     pub log: Log,
@@ -118,6 +121,22 @@
     }
 }
 
+/// Routing policies; each setting selects a simple baseline, so that the policy can be measured against it.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Routing {
+    /// Fixed concurrency limit of every upstream instead of a learnt one.
+    pub fixed_limit: Option<u32>,
+    /// First in, first out instead of classes and fairness.
+    pub fifo_queue: bool,
+    /// No retry budget.
+    pub unlimited_retries: bool,
+    /// A random upstream instead of the better of two samples.
+    pub random_choice: bool,
+    /// No prefix affinity.
+    pub no_affinity: bool,
+}
+
 /// Log output.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -151,6 +170,8 @@
             let own = peer.name == self.instance.name;
             problems.require(format!("peers[{i}].name"), !own, "the name of another entry");
         }
+        let fixed_limit = self.routing.fixed_limit.unwrap_or(1);
+        problems.range("routing.fixed_limit", fixed_limit, 1..=4096, "requests");
         let limits = &self.limits;
         problems.range("limits.connections", limits.connections, 1..=65_536, "connections");
         problems.range("limits.body_bytes", limits.body_bytes, 1024..=4 * 1024 * 1024, "bytes");
--- a/orioleworks_entry/src/lib.rs
+++ b/orioleworks_entry/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod orders;
 pub mod persist;
 pub mod placement;
+pub mod policies;
 pub mod restart;
 pub mod router;
 pub mod slots;
--- a/orioleworks_entry/src/slots.rs
+++ b/orioleworks_entry/src/slots.rs
@@ -15,9 +15,8 @@
 use orioleworks_daemon::{clock, event};
 use orioleworks_proto::inner;
 use orioleworks_routing::{
-    affinity::{self, Affinity},
-    choice,
-    limit::{self, Limit},
+    affinity::Affinity,
+    limit::Limit,
     members::Member,
     queue::{self, Queue},
 };
@@ -29,24 +28,10 @@
     configuration::Configuration,
     members::{Expired, Members},
     placement::{Running, Upstream, View, Waiter},
+    policies::Policies,
     suspects::{Standing, Suspects},
 };
 
-/// Settings of the routing policies.
-#[derive(Clone, Debug, Default)]
-pub struct Policies {
-    /// Concurrency limit.
-    pub limit: limit::Settings,
-    /// Queue of each kind.
-    pub queue: queue::Settings,
-    /// Selection of an upstream.
-    pub choice: choice::Settings,
-    /// Prefix affinity.
-    pub affinity: affinity::Settings,
-    /// Retry budget of each profile.
-    pub budget: orioleworks_routing::budget::Settings,
-}
-
 pub(crate) struct State {
     queues: IndexMap<Rc<str>, Queue<Waiter>>,
     pub(crate) upstreams: HashMap<Rc<str>, Upstream>,
--- a/orioleworks_entry/tests/process.rs
+++ b/orioleworks_entry/tests/process.rs
@@ -16,7 +16,7 @@
     unistd::Pid,
 };
 use orioleworks_daemon::shutdown::Shutdown;
-use orioleworks_entry::{app::Entry, config::Config, slots::Policies};
+use orioleworks_entry::{app::Entry, config::Config, policies::Policies};
 use rstest::rstest;
 use serde_json::json;
 
