entry: tests that a sent request is neither repeated nor called not run

Two broken variants passed the earlier tests: a retry of a sent non-idempotent request, and the code of a quarantine for a request that had itself crashed two upstreams. Each is caught now.

--- a/orioleworks_entry/tests/calls.rs
+++ b/orioleworks_entry/tests/calls.rs
@@ -70,15 +70,18 @@
 fn broken_non_idempotent_request_is_sent_once() {
     block_on(async {
         let world = World::start(vec![booking()]).await;
+        // A second upstream is there from the start, so that a wrong retry would have somewhere to go.
         let (address, requests) = breaking_upstream().await;
+        let (spare_address, spare_requests) = breaking_upstream().await;
         world.announce("p-1", "booking-portal", &address, 1).await;
+        world.announce("p-3", "booking-portal", &spare_address, 1).await;
         let key = key("a");
         let answer = world.book(&key, "slot 4").await;
         assert_eq!(answer.refusal(), ("outcome_unknown".into(), false));
         let other = world.upstream("p-2", "booking-portal", Mode::Echo).await;
         let repeat = world.book(&key, "slot 4").await;
         assert_eq!(repeat.refusal(), ("outcome_unknown".into(), false));
-        assert_eq!(*requests.borrow(), 1);
+        assert_eq!(*requests.borrow() + *spare_requests.borrow(), 1);
         assert!(other.seen.borrow().is_empty());
     });
 }
@@ -218,9 +221,14 @@
             upstreams.push(world.upstream(name, "sheet-app", Mode::CrashOn("poison")).await);
         }
         let mut last = String::new();
-        for _ in 0..20 {
-            for answer in join_all((0..at_once).map(|_| world.call("lookup", "poison"))).await {
+        for round in 0..20 {
+            let answers = join_all((0..at_once).map(|_| world.call("lookup", "poison"))).await;
+            for answer in answers {
                 assert_ne!(answer.status, 200);
+                if at_once == 1 && round == 0 {
+                    // This one ran and crashed both upstreams, so its quarantine must not say that it did not run.
+                    assert_eq!(answer.refusal(), ("attempts_exhausted".into(), false));
+                }
                 last = answer.refusal().0;
             }
         }
