--- /dev/null
+++ b/orioleworks_entry/src/delivery.rs
@@ -0,0 +1,182 @@
+//! Batches of samples for a trainer, by cursor.
+//!
+//! See `docs/design.md`, section 10. The cursor rules are `orioleworks_rules::delivery::decide_batch`.
+//!
+//! A repeated cursor gets the open batch again. If samples of the open batch have meanwhile become too old for the
+//! trainer, the batch shrinks to its samples that are still fresh, and the slots of the others are run again:
+//!
+//! - R2: every answer holds only samples that are fresh for the trainer version of its own request.
+//! - R3: a trainer advances its cursor in the same write that records the slots, and never takes the answer of a
+//!   request that it has given up. A request for cursor `c` therefore proves that the trainer had not taken batch `c`
+//!   when it sent the request. Only a delayed request can arrive after the batch was taken; its trainer version is no
+//!   higher than that of the request whose answer was taken, so it finds every sample fresh and changes nothing.
+//! - The batch only shrinks, no slot is added while it is open. Even a trainer that took the earlier, larger answer
+//!   loses nothing when it acknowledges the cursor: the slots that were removed are run again and the trainer ignores
+//!   them as taken.
+//!
+//! A batch that shrinks to nothing is no longer open, and the next samples go out under the same cursor.
+
+use std::time::{Duration, Instant};
+
+use fail::fail_point;
+use orioleworks_daemon::clock;
+use orioleworks_proto::codes::ResultCode;
+use orioleworks_rules::delivery::{BatchDecision, OwnerCursor, decide_batch};
+
+use crate::{
+    runs_messages::{Batch, FetchBatch, RunError, Sample},
+    runs_step::{Slot, State, Step},
+};
+
+/// Longest wait for samples.
+pub const MAX_WAIT: Duration = Duration::from_secs(30);
+/// Largest batch in bytes; a single larger sample goes out alone.
+pub const MAX_BATCH_BYTES: usize = 4 * 1024 * 1024;
+
+/// Answers a request for a batch, waiting for samples if there are none.
+///
+/// # Errors
+///
+/// Returns why the request does not fit the step.
+pub async fn fetch(step: &Step, req: &FetchBatch) -> Result<Batch, RunError> {
+    if req.max_samples == 0 {
+        return Err(RunError::new(ResultCode::BadRequest, "max_samples must be at least 1"));
+    }
+    let until = Instant::now() + Duration::from_millis(req.wait_ms).min(MAX_WAIT);
+    loop {
+        let changed = step.signal.wait();
+        let batch = decide(step, req)?;
+        let left = until.saturating_duration_since(Instant::now());
+        if !batch.samples.is_empty() || batch.complete || left.is_zero() {
+            fail_point!("delivery.before_send");
+            return Ok(batch);
+        }
+        if step.token.is_cancelled() {
+            return Err(RunError::new(ResultCode::UnknownStep, "the step was closed or reopened"));
+        }
+        changed.up_to(left).await;
+    }
+}
+
+/// Decides once, without waiting; an empty batch means that nothing is ready.
+fn decide(step: &Step, req: &FetchBatch) -> Result<Batch, RunError> {
+    let mut requeued = false;
+    {
+        let mut state = step.state.borrow_mut();
+        state.asked = clock::since_boot();
+        let owner = OwnerCursor {
+            epoch: step.epoch,
+            cursor: state.cursor,
+            batch_open: state.open.is_some(),
+        };
+        let decision = decide_batch(owner, req.epoch, req.cursor);
+        match decision {
+            BatchDecision::StaleEpoch => {
+                let detail = format!("the epoch of the run at this entry is {}", step.epoch);
+                return Err(RunError::new(ResultCode::StaleEpoch, detail));
+            }
+            BatchDecision::BadCursor => {
+                let detail = format!("the cursor of the step is {}", state.cursor);
+                return Err(RunError::new(ResultCode::BadCursor, detail));
+            }
+            BatchDecision::Repeat | BatchDecision::Next => {}
+        }
+        // Once closed, only the answer to the last acknowledgement can be lost and asked for again.
+        if !state.closed {
+            fail_point!("delivery.before_next");
+            state.trainer_version = state.trainer_version.max(req.trainer_version);
+            if decision == BatchDecision::Next {
+                acknowledge(&mut state);
+            }
+            requeued = discard_stale(step, &mut state);
+            if decision == BatchDecision::Next || state.open.is_none() {
+                open_batch(&mut state, req.max_samples);
+            }
+        }
+    }
+    if requeued {
+        step.signal.notify();
+    }
+    Ok(describe(step))
+}
+
+/// Takes the open batch as delivered.
+fn acknowledge(state: &mut State) {
+    let Some(open) = state.open.take() else { return };
+    state.cursor += 1;
+    for slot in open {
+        if let Slot::Sent(sample) = std::mem::replace(&mut state.slots[slot], Slot::Taken) {
+            state.held_bytes -= sample.bytes();
+        }
+    }
+}
+
+/// Discards every held sample that is too old for the trainer; true when a slot is to be run again.
+fn discard_stale(step: &Step, state: &mut State) -> bool {
+    let bound = step.profile.max_staleness;
+    let stale = |state: &State, slot: usize| match &state.slots[slot] {
+        Slot::Ready(sample) | Slot::Sent(sample) => !state.is_fresh(sample, bound),
+        _ => false,
+    };
+    let held = state.ready.iter().chain(state.open.iter().flatten()).copied();
+    let discarded: Vec<usize> = held.filter(|slot| stale(state, *slot)).collect();
+    if discarded.is_empty() {
+        return false;
+    }
+    for slot in &discarded {
+        state.discard(*slot);
+    }
+    let missing = |slots: &[Slot], slot: usize| matches!(slots[slot], Slot::Missing);
+    let State { slots, ready, open, .. } = state;
+    ready.retain(|slot| !missing(slots, *slot));
+    if let Some(batch) = open {
+        batch.retain(|slot| !missing(slots, *slot));
+        if batch.is_empty() {
+            *open = None;
+        }
+    }
+    metrics::counter!("orioleworks_samples_discarded_total", "reason" => "stale")
+        .increment(discarded.len() as u64);
+    true
+}
+
+/// Moves ready samples into a new batch, if there are any.
+fn open_batch(state: &mut State, max_samples: usize) {
+    let (mut batch, mut bytes) = (Vec::new(), 0);
+    while batch.len() < max_samples
+        && let Some(slot) = state.ready.front().copied()
+    {
+        let Slot::Ready(sample) = &state.slots[slot] else { break };
+        bytes += sample.bytes();
+        if !batch.is_empty() && bytes > MAX_BATCH_BYTES {
+            break;
+        }
+        state.slots[slot] = Slot::Sent(sample.clone());
+        state.ready.pop_front();
+        batch.push(slot);
+    }
+    if !batch.is_empty() {
+        state.open = Some(batch);
+    }
+}
+
+fn describe(step: &Step) -> Batch {
+    let missing = step.undelivered();
+    let state = step.state.borrow();
+    let open = state.open.iter().flatten();
+    let samples: Vec<Sample> = open
+        .filter_map(|slot| match &state.slots[*slot] {
+            Slot::Sent(sample) => Some(sample.clone()),
+            _ => None,
+        })
+        .collect();
+    Batch {
+        epoch: step.epoch,
+        step: step.step,
+        cursor: state.cursor,
+        next_cursor: state.cursor + u64::from(!samples.is_empty()),
+        samples,
+        missing,
+        complete: missing == 0,
+    }
+}
--- /dev/null
+++ b/orioleworks_entry/src/runs.rs
@@ -0,0 +1,314 @@
+//! Steps of the runs that this entry owns: open, reopen, close and expiry.
+//!
+//! See `docs/design.md`, section 10. Every open, also by the same entry, gets a new epoch from control, so that a
+//! trainer can never take a batch that was made for an earlier open.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use compio::{runtime, time};
+use fail::fail_point;
+use orioleworks_daemon::{clock, control::ControlClient, event, http, shutdown::Shutdown};
+use orioleworks_proto::{codes::ResultCode, inner};
+
+use crate::{
+    configuration::Configuration,
+    delivery,
+    runs_dispatch::{self, Deps},
+    runs_hedge::Budget,
+    runs_messages::{Batch, FetchBatch, OpenStep, Opened, RunError},
+    runs_step::{self, Step, Steps},
+};
+
+/// Steps open at a time.
+pub const MAX_STEPS: usize = 64;
+/// Time without a request of the trainer after which a step is closed.
+pub const EXPIRY: Duration = Duration::from_secs(600);
+/// Longest wait for control to confirm an open.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest wait for the status of one control replica.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
+/// Interval at which expired steps are closed.
+const EXPIRY_POLL: Duration = Duration::from_secs(10);
+/// Interval at which a draining owner asks control whether its runs were reopened elsewhere.
+const DRAIN_POLL: Duration = Duration::from_millis(500);
+/// Time after which a trainer may repeat a request that found no quorum.
+const RETRY_AFTER_MS: u32 = 500;
+/// Longest name of a run.
+const MAX_NAME_BYTES: usize = 128;
+
+/// This entry, as control and trainers know it.
+#[derive(Clone, Debug)]
+pub struct Own {
+    /// Name of the entry.
+    pub name: Rc<str>,
+    /// Number that rises with every start of the process.
+    pub incarnation: u64,
+    /// Address of its HTTP interface.
+    pub http_address: Rc<str>,
+}
+
+/// Runs of this entry; clones share them.
+#[derive(Clone)]
+pub struct Runs {
+    shared: Rc<Shared>,
+}
+
+struct Shared {
+    own: Own,
+    control: ControlClient,
+    configuration: Configuration,
+    deps: Deps,
+    shutdown: Shutdown,
+    steps: RefCell<Steps>,
+    budgets: RefCell<HashMap<Rc<str>, Budget>>,
+    orders: Cell<u64>,
+}
+
+impl Runs {
+    /// No run yet.
+    pub fn new(
+        own: Own,
+        control: ControlClient,
+        configuration: Configuration,
+        deps: Deps,
+        shutdown: Shutdown,
+    ) -> Self {
+        let (steps, budgets, orders) = Default::default();
+        let shared = Shared { own, control, configuration, deps, shutdown, steps, budgets, orders };
+        Self { shared: Rc::new(shared) }
+    }
+
+    /// Answers `POST /v1/runs/{run}/steps`.
+    pub async fn handle_open(&self, run: &str, body: &Bytes) -> http::Response {
+        answer(match parse(body) {
+            Ok(req) => self.open(run, req).await,
+            Err(e) => Err(e),
+        })
+    }
+
+    /// Answers `POST /v1/runs/{run}/batches`.
+    pub async fn handle_fetch(&self, run: &str, body: &Bytes) -> http::Response {
+        answer(match parse(body) {
+            Ok(req) => self.fetch(run, req).await,
+            Err(e) => Err(e),
+        })
+    }
+
+    /// Opens or reopens a step and starts to run its missing slots.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the step was not opened; then no slot runs.
+    pub async fn open(&self, run: &str, req: OpenStep) -> Result<Opened, RunError> {
+        let shared = &self.shared;
+        if shared.shutdown.draining() {
+            let detail = "open the step at another entry";
+            return Err(RunError::retry(ResultCode::ShuttingDown, detail, RETRY_AFTER_MS));
+        }
+        if run.is_empty() || run.len() > MAX_NAME_BYTES || !run.is_ascii() {
+            let detail = format!("the name of a run has 1 to {MAX_NAME_BYTES} ASCII bytes");
+            return Err(RunError::new(ResultCode::BadRequest, detail));
+        }
+        runs_step::check(&req)?;
+        let profile = shared
+            .configuration
+            .profile(&req.profile)
+            .ok_or_else(|| RunError::new(ResultCode::UnknownProfile, req.profile.as_str()))?;
+        self.check_room(run)?;
+        let epoch = self.acquire(run).await?;
+        fail_point!("runs.after_open");
+        self.check_epoch(run, epoch, req.last_epoch)?;
+        // The number of steps may have changed while control answered.
+        self.check_room(run)?;
+        let name: Rc<str> = run.into();
+        let budget = shared.budgets.borrow_mut().entry(name.clone()).or_default().clone();
+        let step = Rc::new(Step::new(name.clone(), epoch, profile, &req, budget));
+        let missing = step.undelivered();
+        let replaced = shared.steps.borrow_mut().insert(name, step.clone());
+        if let Some(old) = replaced {
+            retire(&old);
+        }
+        event!(info, "step_opened", run = run, step = req.step, epoch = epoch, missing = missing);
+        runtime::spawn(runs_dispatch::drive(shared.deps.clone(), step)).detach();
+        Ok(Opened { epoch, owner: shared.own.http_address.to_string(), missing })
+    }
+
+    /// Answers a request for a batch.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no batch, with the owner's address if another entry owns the run.
+    pub async fn fetch(&self, run: &str, req: FetchBatch) -> Result<Batch, RunError> {
+        let step = self.shared.steps.borrow().get(run).cloned();
+        let Some(step) = step else { return Err(self.unknown(run).await) };
+        if step.epoch < req.epoch {
+            // The trainer knows of a later open than this entry.
+            return Err(self.unknown(run).await);
+        }
+        if step.epoch == req.epoch && step.step != req.step {
+            let detail = format!("step {} of the run is open", step.step);
+            return Err(RunError::new(ResultCode::UnknownStep, detail));
+        }
+        let batch = delivery::fetch(&step, &req).await?;
+        if batch.complete && batch.samples.is_empty() {
+            close(&step);
+        }
+        fail_point!("delivery.after_send");
+        Ok(batch)
+    }
+
+    /// Closes steps that no trainer asks for, until the process stops.
+    pub async fn expire(&self) {
+        while !self.shared.shutdown.stop.is_cancelled() {
+            time::sleep(EXPIRY_POLL).await;
+            self.expire_before(clock::since_boot().saturating_sub(EXPIRY));
+        }
+    }
+
+    /// Closes steps whose trainer last asked before a time of the clock that counts while suspended.
+    pub fn expire_before(&self, time: Duration) {
+        let old = |step: &Rc<Step>| step.state.borrow().asked < time;
+        let expired: Vec<Rc<Step>> =
+            self.shared.steps.borrow().values().filter(|step| old(step)).cloned().collect();
+        for step in expired {
+            event!(warn, "step_expired", run = step.run, step = step.step, epoch = step.epoch);
+            self.forget(&step);
+        }
+    }
+
+    /// Number of steps that are not closed.
+    pub fn open_steps(&self) -> usize {
+        let steps = self.shared.steps.borrow();
+        steps.values().filter(|step| !step.state.borrow().closed).count()
+    }
+
+    /// Waits until every step is closed or reopened at another entry; for the drain, until the process stops.
+    pub async fn idle(&self) {
+        while self.open_steps() > 0 && !self.shared.shutdown.stop.is_cancelled() {
+            for record in self.records().await.unwrap_or_default() {
+                let step = self.shared.steps.borrow().get(record.run.as_str()).cloned();
+                if let Some(step) = step.filter(|step| record.epoch > step.epoch) {
+                    event!(info, "step_reopened_elsewhere", run = step.run, owner = record.owner);
+                    self.forget(&step);
+                }
+            }
+            time::sleep(DRAIN_POLL).await;
+        }
+    }
+
+    fn forget(&self, step: &Rc<Step>) {
+        let mut steps = self.shared.steps.borrow_mut();
+        if steps.get(&step.run).is_some_and(|known| Rc::ptr_eq(known, step)) {
+            steps.remove(&step.run);
+            self.shared.budgets.borrow_mut().remove(&step.run);
+        }
+        drop(steps);
+        retire(step);
+    }
+
+    fn check_room(&self, run: &str) -> Result<(), RunError> {
+        let known = self.shared.steps.borrow().get(run).is_some();
+        if known || self.open_steps() < MAX_STEPS {
+            return Ok(());
+        }
+        let detail = format!("{MAX_STEPS} steps are open at this entry");
+        Err(RunError::retry(ResultCode::Overloaded, detail, RETRY_AFTER_MS))
+    }
+
+    /// Becomes the owner of a run; the epoch is new with every call.
+    async fn acquire(&self, run: &str) -> Result<u64, RunError> {
+        let own = &self.shared.own;
+        let number = self.shared.orders.replace(self.shared.orders.get() + 1);
+        let order_id = format!("open-{}-{}-{number}", own.name, own.incarnation);
+        let open = inner::OpenRun {
+            run: run.into(),
+            owner: own.name.to_string(),
+            owner_address: own.http_address.to_string(),
+        };
+        let kind = Some(inner::command::Kind::OpenRun(open));
+        let command = inner::Command { expected_revision: None, kind };
+        match self.shared.control.propose(order_id, command, OPEN_TIMEOUT).await {
+            Ok(reply) => match ResultCode::from_number(reply.code) {
+                Some(ResultCode::Ok) => Ok(reply.epoch),
+                code => {
+                    let code = code.unwrap_or(ResultCode::NoQuorum);
+                    Err(RunError::new(code, reply.message))
+                }
+            },
+            Err(e) => Err(RunError::retry(e.code(), e.to_string(), RETRY_AFTER_MS)),
+        }
+    }
+
+    /// Refuses an open that a later one has overtaken.
+    fn check_epoch(&self, run: &str, epoch: u64, last_epoch: u64) -> Result<(), RunError> {
+        let known = self.shared.steps.borrow().get(run).map_or(0, |step| step.epoch);
+        let last = known.max(last_epoch);
+        if epoch > last {
+            return Ok(());
+        }
+        let detail = format!("the open got epoch {epoch}, but epoch {last} was given before");
+        Err(RunError::new(ResultCode::StaleEpoch, detail))
+    }
+
+    /// Error for a run that has no step here.
+    async fn unknown(&self, run: &str) -> RunError {
+        match self.records().await {
+            None => RunError::retry(ResultCode::NoQuorum, "the owner is unknown", RETRY_AFTER_MS),
+            Some(records) => match records.into_iter().find(|record| record.run == run) {
+                Some(record) if record.owner != *self.shared.own.name => {
+                    RunError::not_owner(record.owner_address)
+                }
+                _ => RunError::new(ResultCode::UnknownStep, "open the step again"),
+            },
+        }
+    }
+
+    /// Owners of the runs, from the first control replica that answers.
+    async fn records(&self) -> Option<Vec<inner::RunRecord>> {
+        let control = &self.shared.control;
+        for replica in 0..control.replicas().len() {
+            if let Ok(status) = control.status(replica, false, STATUS_TIMEOUT).await {
+                return Some(status.runs);
+            }
+        }
+        None
+    }
+}
+
+/// Ends a step whose every slot is acknowledged; it stays known, so that a repeated last request is answered.
+fn close(step: &Step) {
+    let mut state = step.state.borrow_mut();
+    let already = std::mem::replace(&mut state.closed, true);
+    // The prompts are no longer needed; the slots still tell a repeat that the step is complete.
+    state.groups = Vec::new();
+    drop(state);
+    if !already {
+        metrics::histogram!("orioleworks_step_duration_seconds")
+            .record(step.opened.elapsed().as_secs_f64());
+        event!(info, "step_closed", run = step.run, step = step.step, epoch = step.epoch);
+        retire(step);
+    }
+}
+
+/// Stops the work of a step and wakes the requests that wait for it.
+fn retire(step: &Step) {
+    step.token.cancel();
+    step.signal.notify();
+}
+
+fn parse<T: serde::de::DeserializeOwned>(body: &Bytes) -> Result<T, RunError> {
+    serde_json::from_slice(body).map_err(|e| RunError::new(ResultCode::BadRequest, e.to_string()))
+}
+
+fn answer(result: Result<impl serde::Serialize, RunError>) -> http::Response {
+    match result {
+        Ok(body) => http::json(200, &body),
+        Err(e) => e.into_response(),
+    }
+}
--- /dev/null
+++ b/orioleworks_entry/src/runs_dispatch.rs
@@ -0,0 +1,257 @@
+//! Runs the missing slots of a step: bounded concurrency, retries and second attempts.
+//!
+//! See `docs/design.md`, sections 8 to 10.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use fail::fail_point;
+use futures_util::{
+    FutureExt, StreamExt,
+    future::{LocalBoxFuture, join},
+    select,
+    stream::FuturesUnordered,
+};
+use orioleworks_daemon::event;
+use orioleworks_proto::codes::ResultCode;
+use serde::Serialize;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    dispatch::{Completed, Job, Refused},
+    runs_hedge, runs_judge,
+    runs_messages::{Sample, Span},
+    runs_step::{SlotId, Step},
+};
+
+/// Runs one job; the answer is a result or a final refusal.
+pub type Run = Rc<dyn Fn(Job) -> LocalBoxFuture<'static, Result<Completed, Refused>>>;
+/// Upstream on which a request runs now, by request ID.
+pub type RunningOn = Rc<dyn Fn(&str) -> Option<Rc<str>>>;
+
+/// Slots of one step that run at a time.
+const MAX_CONCURRENT: usize = 1024;
+/// Pause before a failed slot is run again; it doubles with each further failure.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause before a failed slot is run again.
+const MAX_RETRY_PAUSE: Duration = Duration::from_secs(5);
+/// Interval at which a straggler looks again at a budget that other groups fill.
+const HEDGE_POLL: Duration = Duration::from_millis(250);
+/// Interval at which the dispatch looks again for missing slots; changes wake it earlier.
+const DISPATCH_POLL: Duration = Duration::from_secs(1);
+/// Status of a success.
+const OK: u16 = 200;
+
+/// What the dispatch needs from the rest of the entry.
+#[derive(Clone)]
+pub struct Deps {
+    /// Runs one job.
+    pub run: Run,
+    /// Upstream of a running job, which its second attempt avoids.
+    pub running_on: RunningOn,
+}
+
+#[derive(Serialize)]
+struct EngineBody<'a> {
+    model: &'a str,
+    prompt: &'a str,
+    max_tokens: u32,
+}
+
+/// Runs missing slots until the step is closed.
+pub async fn drive(deps: Deps, step: Rc<Step>) {
+    let mut running = FuturesUnordered::new();
+    let mut cancelled = std::pin::pin!(step.token.cancelled().fuse());
+    loop {
+        let changed = step.signal.wait();
+        while running.len() < MAX_CONCURRENT
+            && let Some(id) = step.next_missing()
+        {
+            running.push(run_slot(&deps, &step, id));
+        }
+        let mut changed = std::pin::pin!(changed.up_to(DISPATCH_POLL).fuse());
+        select! {
+            () = running.select_next_some() => (),
+            () = changed => (),
+            () = cancelled => return,
+        }
+    }
+}
+
+/// Runs one slot until it has a sample.
+async fn run_slot(deps: &Deps, step: &Rc<Step>, id: SlotId) {
+    let mut pause = RETRY_PAUSE;
+    loop {
+        let mut wait = pause;
+        match attempt(deps, step, id).await {
+            Ok(done) => match sample(deps, step, id, done).await {
+                Some(sample) => {
+                    fail_point!("runs.after_sample");
+                    metrics::counter!("orioleworks_slots_run_total").increment(1);
+                    step.finish(id, sample);
+                    return;
+                }
+                None => {
+                    metrics::counter!("orioleworks_samples_discarded_total", "reason" => "judge")
+                        .increment(1);
+                }
+            },
+            Err(refused) => {
+                wait = wait.max(Duration::from_millis(refused.retry_after_ms.into()));
+                event!(
+                    debug,
+                    "sample_failed",
+                    run = step.run,
+                    step = step.step,
+                    code = refused.code.number(),
+                    detail = refused.detail,
+                );
+            }
+        }
+        compio::time::sleep(wait.min(MAX_RETRY_PAUSE)).await;
+        pause = (pause * 2).min(MAX_RETRY_PAUSE);
+    }
+}
+
+struct Started {
+    request_id: Rc<str>,
+    token: CancellationToken,
+    result: LocalBoxFuture<'static, Result<Completed, Refused>>,
+}
+
+/// Runs a slot once, with a second attempt if it is a straggler; the first conclusive answer wins.
+async fn attempt(deps: &Deps, step: &Rc<Step>, id: SlotId) -> Result<Completed, Refused> {
+    fail_point!("runs.before_dispatch");
+    let first = start(deps, step, id, Vec::new());
+    let first_id = first.request_id.clone();
+    let signal = step.state.borrow().groups[id.group].signal.clone();
+    let mut tokens = vec![first.token];
+    let mut running = FuturesUnordered::new();
+    running.push(join(std::future::ready(false), first.result));
+    let (mut hedged, mut charged) = (false, false);
+    let mut last_error = None;
+    loop {
+        let changed = signal.wait();
+        if !hedged && runs_hedge::reserve(step, id) {
+            (hedged, charged) = (true, true);
+            metrics::counter!("orioleworks_second_attempts_total").increment(1);
+            let avoid = (deps.running_on)(&first_id).into_iter().collect();
+            let second = start(deps, step, id, avoid);
+            tokens.push(second.token);
+            running.push(join(std::future::ready(true), second.result));
+        }
+        let mut changed = std::pin::pin!(changed.up_to(HEDGE_POLL).fuse());
+        let finished = select! { finished = running.next() => finished, () = changed => continue };
+        let Some((is_second, result)) = finished else {
+            return Err(last_error.unwrap_or_else(no_attempt));
+        };
+        match result.and_then(|done| conclusive(step, done)) {
+            Ok(done) => {
+                tokens.iter().for_each(CancellationToken::cancel);
+                // The cancelled attempt ends by itself, so that it can account for its connection.
+                if !running.is_empty() {
+                    compio::runtime::spawn(running.for_each(|_| async {})).detach();
+                }
+                if charged {
+                    metrics::counter!("orioleworks_extra_tokens_total")
+                        .increment(step.max_tokens.into());
+                }
+                return Ok(done);
+            }
+            Err(refused) => {
+                if is_second && refused.code.not_run() {
+                    charged = false;
+                    step.state.borrow().budget.refund(step.max_tokens);
+                }
+                last_error = Some(refused);
+                if running.is_empty() {
+                    return Err(last_error.unwrap_or_else(no_attempt));
+                }
+            }
+        }
+    }
+}
+
+fn no_attempt() -> Refused {
+    let code = ResultCode::AttemptsExhausted;
+    Refused { code, detail: "no attempt ended".into(), retry_after_ms: 0 }
+}
+
+fn start(deps: &Deps, step: &Step, id: SlotId, avoid: Vec<Rc<str>>) -> Started {
+    let (attempt, name, prompt, prefix) = {
+        let mut state = step.state.borrow_mut();
+        state.attempts[id.slot] += 1;
+        let group = &state.groups[id.group];
+        (state.attempts[id.slot], group.name.clone(), group.prompt.clone(), group.prefix)
+    };
+    let body = EngineBody { model: &step.model, prompt: &prompt, max_tokens: step.max_tokens };
+    let index = id.index;
+    let request_id: Rc<str> =
+        format!("{}-{}-{}-{name}-{index}-{attempt}", step.run, step.epoch, step.step).into();
+    let token = step.token.child_token();
+    let job = Job {
+        request_id: request_id.clone(),
+        profile: step.profile.clone(),
+        body: serde_json::to_vec(&body).unwrap_or_default().into(),
+        content_type: "application/json".into(),
+        deadline: Instant::now() + Duration::from_millis(step.profile.deadline_ms.into()),
+        prefix: Some(prefix),
+        lowest_version: step.lowest_version(),
+        avoid,
+        local_only: false,
+        cancel: token.clone(),
+    };
+    Started { request_id, token, result: (deps.run)(job) }
+}
+
+/// Refuses an answer that does not say which weights produced each of its tokens.
+fn conclusive(step: &Step, done: Completed) -> Result<Completed, Refused> {
+    let refuse = |detail: String| {
+        let code = ResultCode::OutcomeUnknown;
+        Err(Refused { code, detail, retry_after_ms: 0 })
+    };
+    if done.status != OK {
+        return refuse(format!("the upstream answered with status {}", done.status));
+    }
+    let known = !done.spans.is_empty() && done.spans.iter().all(|span| span.version > 0);
+    if step.profile.engine && !known {
+        metrics::counter!("orioleworks_samples_discarded_total", "reason" => "inconclusive")
+            .increment(1);
+        return refuse("the upstream did not report the weight version of every token".into());
+    }
+    Ok(done)
+}
+
+/// Makes the sample of an answer; `None` when it could not be judged.
+async fn sample(deps: &Deps, step: &Step, id: SlotId, done: Completed) -> Option<Sample> {
+    let (group, prompt, attempts) = {
+        let state = step.state.borrow();
+        let group = &state.groups[id.group];
+        (group.name.clone(), group.prompt.clone(), state.attempts[id.slot])
+    };
+    let text = String::from_utf8_lossy(&done.body).into_owned();
+    let score = match runs_judge::profile(&step.profile) {
+        None => None,
+        Some(judge) => {
+            let request_id = format!(
+                "{}-{}-{}-{group}-{}-{attempts}",
+                step.run, step.epoch, step.step, id.index
+            );
+            let judge = Rc::new(judge);
+            Some(runs_judge::score(&deps.run, step, &judge, &request_id, &prompt, &text).await?)
+        }
+    };
+    let spans: Vec<Span> =
+        done.spans.iter().map(|s| Span { version: s.version, tokens: s.tokens }).collect();
+    Some(Sample {
+        group: group.to_string(),
+        index: id.index,
+        text,
+        tokens: spans.iter().map(|span| u64::from(span.tokens)).sum(),
+        spans,
+        score,
+        attempts,
+    })
+}
--- /dev/null
+++ b/orioleworks_entry/src/runs_judge.rs
@@ -0,0 +1,86 @@
+//! Scores a finished sample by the profile's judge, a plain service.
+//!
+//! See `docs/design.md`, section 14.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use orioleworks_proto::inner;
+use serde::{Deserialize, Serialize};
+
+use crate::{dispatch::Job, runs_dispatch::Run, runs_step::Step};
+
+/// Suffix of the profile under which the samples of a profile are judged; peers derive the same profile from it.
+pub const PROFILE_SUFFIX: &str = "#judge";
+/// Attempts to judge a sample before its slot is run again.
+const ATTEMPTS: u32 = 4;
+/// Pause before the second attempt; it doubles with each further one.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Status of a success.
+const OK: u16 = 200;
+
+#[derive(Serialize)]
+struct Question<'a> {
+    prompt: &'a str,
+    text: &'a str,
+}
+
+#[derive(Deserialize)]
+struct Answer {
+    score: f64,
+}
+
+/// Profile under which the samples of a profile are judged, if it names a judge.
+pub fn profile(of: &inner::Profile) -> Option<inner::Profile> {
+    (!of.judge_kind.is_empty()).then(|| inner::Profile {
+        name: format!("{}{PROFILE_SUFFIX}", of.name),
+        upstream_kind: of.judge_kind.clone(),
+        class: inner::Class::Rollout.into(),
+        idempotent: true,
+        engine: false,
+        deadline_ms: of.deadline_ms,
+        share: of.share,
+        ..inner::Profile::default()
+    })
+}
+
+/// Scores a sample; `None` when no attempt gave a score.
+pub async fn score(
+    run: &Run,
+    step: &Step,
+    judge: &Rc<inner::Profile>,
+    request_id: &str,
+    prompt: &str,
+    text: &str,
+) -> Option<f64> {
+    let body = serde_json::to_vec(&Question { prompt, text }).ok()?;
+    let mut pause = RETRY_PAUSE;
+    for attempt in 1..=ATTEMPTS {
+        let job = Job {
+            request_id: format!("{request_id}-judge{attempt}").into(),
+            profile: judge.clone(),
+            body: body.clone().into(),
+            content_type: "application/json".into(),
+            deadline: Instant::now() + Duration::from_millis(judge.deadline_ms.into()),
+            prefix: None,
+            lowest_version: 0,
+            avoid: Vec::new(),
+            local_only: false,
+            cancel: step.token.child_token(),
+        };
+        if let Ok(done) = run(job).await
+            && done.status == OK
+            && let Ok(answer) = serde_json::from_slice::<Answer>(&done.body)
+        {
+            return Some(answer.score);
+        }
+        if step.token.is_cancelled() {
+            return None;
+        }
+        compio::time::sleep(pause).await;
+        pause *= 2;
+    }
+    None
+}
--- /dev/null
+++ b/orioleworks_entry/src/runs_step.rs
@@ -0,0 +1,277 @@
+//! Slots of one open step and their states.
+
+use std::{
+    cell::RefCell,
+    collections::{HashMap, HashSet, VecDeque},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use orioleworks_daemon::clock;
+use orioleworks_proto::{codes::ResultCode, inner};
+use orioleworks_rules::delivery;
+use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3;
+
+use crate::{
+    runs_hedge::Budget,
+    runs_messages::{OpenStep, RunError, Sample},
+    runs_signal::Signal,
+};
+
+/// Groups of one step.
+pub const MAX_GROUPS: usize = 16_384;
+/// Samples of one step; the design size is 8,192.
+pub const MAX_SAMPLES: usize = 32_768;
+/// Finished samples in bytes that one step holds; no further slot starts above it.
+pub const MAX_HELD_BYTES: usize = 64 * 1024 * 1024;
+/// Longest name of a group.
+const MAX_NAME_BYTES: usize = 128;
+
+/// State of a slot.
+#[derive(Clone, Debug)]
+pub enum Slot {
+    /// Waits to be run.
+    Missing,
+    /// Is being run.
+    Running,
+    /// Finished and not yet in a batch.
+    Ready(Sample),
+    /// In the open batch.
+    Sent(Sample),
+    /// Acknowledged by the trainer.
+    Taken,
+}
+
+/// One group of a step.
+#[derive(Debug)]
+pub struct GroupState {
+    /// Name of the group.
+    pub name: Rc<str>,
+    /// Prompt of the group.
+    pub prompt: Rc<str>,
+    /// Hash of the prompt, for affinity.
+    pub prefix: u64,
+    /// Slots of the group: the first slot and the number.
+    pub slots: (usize, usize),
+    /// Finished slots.
+    pub finished: usize,
+    /// Wakes the attempts of the group when one more slot has finished.
+    pub signal: Rc<Signal>,
+}
+
+/// Place of a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct SlotId {
+    /// Number of the slot in the step.
+    pub slot: usize,
+    /// Number of its group.
+    pub group: usize,
+    /// Index in its group.
+    pub index: u32,
+}
+
+/// What changes while a step is open.
+#[derive(Debug)]
+pub struct State {
+    /// Cursor of the open batch, or of the next one.
+    pub cursor: u64,
+    /// Slots of the open batch in order; `None` when no batch is open.
+    pub open: Option<Vec<usize>>,
+    /// Highest weight version that the trainer named.
+    pub trainer_version: u64,
+    /// Every slot.
+    pub slots: Vec<Slot>,
+    /// Attempts per slot.
+    pub attempts: Vec<u32>,
+    /// Groups.
+    pub groups: Vec<GroupState>,
+    /// Slots that wait to be run.
+    pub missing: VecDeque<SlotId>,
+    /// Finished slots that are in no batch, in the order in which they finished.
+    pub ready: VecDeque<usize>,
+    /// Bytes of finished samples.
+    pub held_bytes: usize,
+    /// Extra tokens of second attempts.
+    pub budget: Budget,
+    /// Time of the trainer's last request, of the clock that counts while suspended.
+    pub asked: Duration,
+    /// Whether every slot is acknowledged.
+    pub closed: bool,
+}
+
+/// One open step.
+#[derive(Debug)]
+pub struct Step {
+    /// Run of the step.
+    pub run: Rc<str>,
+    /// Number of the step.
+    pub step: u64,
+    /// Epoch of this open.
+    pub epoch: u64,
+    /// Model of the trainer.
+    pub model: Rc<str>,
+    /// Profile in force when the step was opened.
+    pub profile: Rc<inner::Profile>,
+    /// Longest sample in tokens.
+    pub max_tokens: u32,
+    /// Start of the step.
+    pub opened: Instant,
+    /// Cancelled when the step is closed or replaced.
+    pub token: CancellationToken,
+    /// Wakes batches when a sample is ready, and the dispatch when slots are missing.
+    pub signal: Signal,
+    /// State; no borrow is held over an await.
+    pub state: RefCell<State>,
+}
+
+/// Checks the bounds of a step.
+pub fn check(req: &OpenStep) -> Result<(), RunError> {
+    let bad = |detail: String| Err(RunError::new(ResultCode::BadRequest, detail));
+    if req.groups.len() > MAX_GROUPS {
+        return bad(format!("{} groups; at most {MAX_GROUPS} are allowed", req.groups.len()));
+    }
+    if req.max_tokens == 0 {
+        return bad("max_tokens must be at least 1".into());
+    }
+    let samples: usize = req.groups.iter().map(|group| group.samples as usize).sum();
+    if samples == 0 || samples > MAX_SAMPLES {
+        return bad(format!("{samples} samples; 1 to {MAX_SAMPLES} are allowed"));
+    }
+    let mut names = HashSet::new();
+    for group in &req.groups {
+        let name = &group.group;
+        if name.is_empty() || name.len() > MAX_NAME_BYTES || !name.is_ascii() {
+            return bad(format!("group name {name:?} must be 1 to {MAX_NAME_BYTES} ASCII bytes"));
+        }
+        if !names.insert(name.as_str()) {
+            return bad(format!("group {name:?} is listed twice"));
+        }
+    }
+    Ok(())
+}
+
+impl Step {
+    /// Opens a step that passed [`check`]; `budget` is what the run has left for second attempts.
+    pub fn new(
+        run: Rc<str>,
+        epoch: u64,
+        profile: Rc<inner::Profile>,
+        req: &OpenStep,
+        budget: Budget,
+    ) -> Self {
+        let taken: HashSet<(&str, u32)> = req.taken.iter().map(|(g, i)| (g.as_str(), *i)).collect();
+        let (mut slots, mut groups, mut missing) = (Vec::new(), Vec::new(), VecDeque::new());
+        for (number, group) in req.groups.iter().enumerate() {
+            let first = slots.len();
+            let mut finished = 0;
+            for index in 0..group.samples {
+                if taken.contains(&(group.group.as_str(), index)) {
+                    slots.push(Slot::Taken);
+                    finished += 1;
+                } else {
+                    missing.push_back(SlotId { slot: slots.len(), group: number, index });
+                    slots.push(Slot::Missing);
+                }
+            }
+            groups.push(GroupState {
+                name: group.group.as_str().into(),
+                prompt: group.prompt.as_str().into(),
+                prefix: xxh3::xxh3_64(group.prompt.as_bytes()),
+                slots: (first, group.samples as usize),
+                finished,
+                signal: Rc::default(),
+            });
+        }
+        let state = State {
+            cursor: 0,
+            open: None,
+            trainer_version: req.trainer_version,
+            attempts: vec![0; slots.len()],
+            slots,
+            groups,
+            missing,
+            ready: VecDeque::new(),
+            held_bytes: 0,
+            budget,
+            asked: clock::since_boot(),
+            closed: false,
+        };
+        Self {
+            run,
+            step: req.step,
+            epoch,
+            model: req.model.as_str().into(),
+            profile,
+            max_tokens: req.max_tokens,
+            opened: Instant::now(),
+            token: CancellationToken::new(),
+            signal: Signal::default(),
+            state: RefCell::new(state),
+        }
+    }
+
+    /// Takes the next slot to run, unless the step holds as many bytes as it may.
+    pub fn next_missing(&self) -> Option<SlotId> {
+        let mut state = self.state.borrow_mut();
+        if state.held_bytes >= MAX_HELD_BYTES {
+            return None;
+        }
+        let id = state.missing.pop_front()?;
+        state.slots[id.slot] = Slot::Running;
+        Some(id)
+    }
+
+    /// Lowest weight version that is still within the bound for the trainer now.
+    pub fn lowest_version(&self) -> u64 {
+        let bound = u64::from(self.profile.max_staleness);
+        self.state.borrow().trainer_version.saturating_sub(bound)
+    }
+
+    /// Stores a finished sample and wakes whoever waits for it.
+    pub fn finish(&self, id: SlotId, mut sample: Sample) {
+        let group_signal = {
+            let mut state = self.state.borrow_mut();
+            sample.attempts = state.attempts[id.slot];
+            state.held_bytes += sample.bytes();
+            state.budget.earn(sample.tokens, self.profile.second_attempt_permille);
+            state.slots[id.slot] = Slot::Ready(sample);
+            state.ready.push_back(id.slot);
+            let group = &mut state.groups[id.group];
+            group.finished += 1;
+            group.signal.clone()
+        };
+        group_signal.notify();
+        self.signal.notify();
+    }
+
+    /// Samples in no batch; 0 means that every slot is in the open or an acknowledged batch.
+    pub fn undelivered(&self) -> usize {
+        let state = self.state.borrow();
+        let in_batch = |slot: &&Slot| !matches!(slot, Slot::Sent(_) | Slot::Taken);
+        state.slots.iter().filter(in_batch).count()
+    }
+}
+
+impl State {
+    /// Whether a sample is within the bound for the trainer.
+    pub fn is_fresh(&self, sample: &Sample, max_staleness: u32) -> bool {
+        delivery::is_fresh(sample.lowest_version(), self.trainer_version, max_staleness.into())
+    }
+
+    /// Discards the sample of a slot, so that the slot is run again.
+    pub fn discard(&mut self, slot: usize) {
+        let old = std::mem::replace(&mut self.slots[slot], Slot::Missing);
+        if let Slot::Ready(sample) | Slot::Sent(sample) = old {
+            self.held_bytes -= sample.bytes();
+        }
+        let group = self.groups.partition_point(|group| group.slots.0 + group.slots.1 <= slot);
+        self.groups[group].finished -= 1;
+        let index = u32::try_from(slot - self.groups[group].slots.0).unwrap_or(u32::MAX);
+        // A discarded slot is the oldest work of the step.
+        self.missing.push_front(SlotId { slot, group, index });
+    }
+}
+
+/// Steps by run.
+pub type Steps = HashMap<Rc<str>, Rc<Step>>;
--- /dev/null
+++ b/orioleworks_entry/tests/rollout/delivery.rs
@@ -0,0 +1,188 @@
+//! Cursor, staleness and retry rules of an owner.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeSet,
+    rc::Rc,
+    time::Duration,
+};
+
+use orioleworks_entry::{
+    dispatch::Job,
+    runs_messages::{Batch, FetchBatch},
+};
+use orioleworks_proto::{codes::ResultCode, inner};
+use orioleworks_trainer::state::State;
+use rstest::rstest;
+
+use crate::fakes::{Control, Entry, answer, block_on, open_step, profile, refused};
+
+fn fetch(epoch: u64, cursor: u64, trainer_version: u64) -> FetchBatch {
+    FetchBatch { epoch, step: 1, cursor, trainer_version, max_samples: 100, wait_ms: 2000 }
+}
+
+fn indices(batch: &Batch) -> BTreeSet<u32> {
+    batch.samples.iter().map(|sample| sample.index).collect()
+}
+
+/// Takes every batch like a trainer, at a fixed version.
+async fn drain(entry: &Entry, epoch: u64, mut cursor: u64, version: u64) -> Vec<Batch> {
+    let mut batches = Vec::new();
+    loop {
+        let batch = entry.runs.fetch("run", fetch(epoch, cursor, version)).await.unwrap();
+        cursor = batch.next_cursor;
+        let done = batch.complete && batch.samples.is_empty();
+        batches.push(batch);
+        if done {
+            return batches;
+        }
+    }
+}
+
+/// Guards against a repeated cursor that gives other samples, and against too old samples in a repeat.
+#[rstest]
+fn repeat_is_unchanged_while_fresh_and_shrinks_when_stale() {
+    block_on(async {
+        let control = Control::start().await;
+        let runs = Rc::new(Cell::new(0_u64));
+        let lowest = Rc::new(RefCell::new(Vec::new()));
+        let (count, seen) = (runs.clone(), lowest.clone());
+        let entry = Entry::start("a", &control, profile(), move |job: Job| {
+            count.set(count.get() + 1);
+            seen.borrow_mut().push(job.lowest_version);
+            // The first two slots come from version 1, the others and every repeat from version 2.
+            let version = if count.get() <= 2 { 1 } else { 2 };
+            async move { Ok(answer("t", version, 4)) }
+        })
+        .await;
+        let epoch = entry.runs.open("run", open_step(1, 1, 4)).await.unwrap().epoch;
+        compio::time::sleep(Duration::from_millis(50)).await;
+        let first = entry.runs.fetch("run", fetch(epoch, 0, 2)).await.unwrap();
+        assert_eq!(indices(&first).len(), 4);
+        let again = entry.runs.fetch("run", fetch(epoch, 0, 2)).await.unwrap();
+        assert_eq!(again.samples, first.samples);
+        let shrunk = entry.runs.fetch("run", fetch(epoch, 0, 3)).await.unwrap();
+        assert_eq!(indices(&shrunk), BTreeSet::from([2, 3]));
+        assert_eq!(shrunk.missing, 2);
+        let rest = drain(&entry, epoch, shrunk.next_cursor, 3).await;
+        let rest: Vec<u32> = rest.iter().flat_map(indices).collect();
+        assert_eq!(rest.len(), 2);
+        assert_eq!(rest.into_iter().collect::<BTreeSet<_>>(), BTreeSet::from([0, 1]));
+        assert_eq!(lowest.borrow()[4..], [2, 2], "a repeat must not come back too old");
+    });
+}
+
+/// Guards against a too old sample in a first batch: it is discarded and its slot is run again.
+#[rstest]
+fn too_old_sample_is_run_again() {
+    block_on(async {
+        let control = Control::start().await;
+        let entry = Entry::start("a", &control, profile(), |job: Job| async move {
+            Ok(answer("t", job.lowest_version.max(1), 4))
+        })
+        .await;
+        let epoch = entry.runs.open("run", open_step(1, 2, 2)).await.unwrap().epoch;
+        compio::time::sleep(Duration::from_millis(50)).await;
+        let batches = drain(&entry, epoch, 0, 5).await;
+        let samples: Vec<_> = batches.iter().flat_map(|batch| &batch.samples).collect();
+        assert_eq!(samples.len(), 4);
+        assert!(samples.iter().all(|sample| sample.lowest_version() == 4 && sample.attempts == 2));
+    });
+}
+
+/// Guards against samples whose weights are unknown, and against slots that are lost after a failed attempt.
+#[rstest]
+#[case::no_span(Ok(inner::Span::default()))]
+#[case::unknown_outcome(Err(ResultCode::OutcomeUnknown))]
+#[case::not_run(Err(ResultCode::NoUpstream))]
+fn inconclusive_sample_is_run_again(#[case] first: Result<inner::Span, ResultCode>) {
+    block_on(async {
+        let control = Control::start().await;
+        let entry = Entry::start("a", &control, profile(), move |job: Job| async move {
+            let mut done = answer("t", 1, 4);
+            if job.request_id.ends_with("-1") {
+                done.spans.push(first.map_err(refused)?);
+            }
+            Ok(done)
+        })
+        .await;
+        let epoch = entry.runs.open("run", open_step(1, 2, 2)).await.unwrap().epoch;
+        let batches = drain(&entry, epoch, 0, 1).await;
+        let samples: Vec<_> = batches.iter().flat_map(|batch| &batch.samples).collect();
+        assert_eq!(samples.len(), 4);
+        assert!(samples.iter().all(|sample| sample.attempts == 2 && sample.spans.len() == 1));
+    });
+}
+
+/// Guards against a trainer that takes a batch of an owner that was paused while the step was reopened.
+#[rstest]
+fn batch_of_a_paused_owner_is_ignored() {
+    block_on(async {
+        let control = Control::start().await;
+        let engine = |_: Job| async { Ok(answer("t", 1, 4)) };
+        let old = Entry::start("a", &control, profile(), engine).await;
+        let new = Entry::start("b", &control, profile(), engine).await;
+        let old_epoch = old.runs.open("run", open_step(1, 1, 2)).await.unwrap().epoch;
+        let late = old.runs.fetch("run", fetch(old_epoch, 0, 1)).await.unwrap();
+        let epoch = new.runs.open("run", open_step(1, 1, 2)).await.unwrap().epoch;
+        let state = State::new("run").after_open(1, epoch);
+        let late = serde_json::from_value(serde_json::to_value(&late).unwrap()).unwrap();
+        assert!(state.after_batch(&late).is_none());
+        // The old owner refuses the new epoch and names the new owner.
+        let error = old.runs.fetch("run", fetch(epoch, 0, 1)).await.unwrap_err();
+        assert_eq!((error.code, error.owner), (ResultCode::NotOwner, Some(new.address.clone())));
+        // Its drain ends, because the step was reopened elsewhere.
+        old.runs.idle().await;
+        assert_eq!(old.runs.open_steps(), 0);
+    });
+}
+
+/// Guards against an older batch of the same entry that fits the cursor of a reopened step.
+#[rstest]
+fn reopening_at_the_same_entry_gives_a_new_epoch_and_runs_only_what_is_missing() {
+    block_on(async {
+        let control = Control::start().await;
+        let engine = |_: Job| async { Ok(answer("t", 1, 4)) };
+        let entry = Entry::start("a", &control, profile(), engine).await;
+        let first = entry.runs.open("run", open_step(1, 1, 4)).await.unwrap();
+        let mut again = open_step(1, 1, 4);
+        again.taken = vec![("g0".into(), 1), ("g0".into(), 2)];
+        again.last_epoch = first.epoch;
+        let second = entry.runs.open("run", again).await.unwrap();
+        assert!(second.epoch > first.epoch);
+        assert_eq!(second.missing, 2);
+        let error = entry.runs.fetch("run", fetch(first.epoch, 0, 1)).await.unwrap_err();
+        assert_eq!(error.code, ResultCode::StaleEpoch);
+        let batches = drain(&entry, second.epoch, 0, 1).await;
+        let slots: Vec<u32> = batches.iter().flat_map(indices).collect();
+        assert_eq!(slots, [0, 3]);
+        // The answer to the last acknowledgement may be lost, so a repeat gets it again.
+        let cursor = batches.last().unwrap().next_cursor;
+        let repeat = entry.runs.fetch("run", fetch(second.epoch, cursor, 1)).await.unwrap();
+        assert!(repeat.complete && repeat.samples.is_empty());
+    });
+}
+
+/// Guards against steps that are held for ever, and against opens without a quorum or beyond the bounds.
+#[rstest]
+fn steps_expire_and_bad_opens_are_refused() {
+    block_on(async {
+        let control = Control::start().await;
+        let engine = |_: Job| async { Ok(answer("t", 1, 4)) };
+        let entry = Entry::start("a", &control, profile(), engine).await;
+        let epoch = entry.runs.open("run", open_step(1, 1, 2)).await.unwrap().epoch;
+        let code = |result: Result<_, orioleworks_entry::runs_messages::RunError>| {
+            result.map(|_| ()).unwrap_err().code
+        };
+        assert_eq!(code(entry.runs.open("run", open_step(1, 0, 1)).await), ResultCode::BadRequest);
+        let large = open_step(1, 1, u32::MAX);
+        assert_eq!(code(entry.runs.open("run", large).await), ResultCode::BadRequest);
+        entry.runs.expire_before(Duration::MAX);
+        assert_eq!(entry.runs.open_steps(), 0);
+        let late = entry.runs.fetch("run", fetch(epoch, 0, 1)).await;
+        assert_eq!(late.map(|_| ()).unwrap_err().code, ResultCode::UnknownStep);
+        control.down.set(true);
+        let unconfirmed = code(entry.runs.open("run", open_step(1, 1, 2)).await);
+        assert_eq!(unconfirmed, ResultCode::OrderUnconfirmed);
+    });
+}
--- /dev/null
+++ b/orioleworks_entry/tests/rollout/main.rs
@@ -0,0 +1,5 @@
+//! Tests of runs, delivery, weights and peers with in-memory fakes.
+
+mod delivery;
+mod fakes;
+mod trainer;
--- /dev/null
+++ b/orioleworks_trainer/src/client.rs
@@ -0,0 +1,289 @@
+//! Opens steps and fetches batches at any entry of a list.
+
+use std::time::{Duration, Instant};
+
+use compio::time;
+use orioleworks_daemon::event;
+use orioleworks_proto::codes::ResultCode;
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{
+    error::TrainerError,
+    messages::{Batch, ErrorBody, FetchBatch, OpenStep, Opened, Sample, StepRequest},
+    state::State,
+};
+
+/// Longest wait for the answer to an open.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(6);
+/// Time beyond `wait_ms` after which a request for a batch is given up.
+const FETCH_SLACK: Duration = Duration::from_secs(2);
+/// Pause after a failed request.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Failed requests for a batch at one owner after which the step is reopened at another entry.
+const FETCH_ATTEMPTS: u32 = 2;
+
+/// Writes the new state and the newly taken samples in one atomic step, before the state counts.
+pub type Persist = Box<dyn FnMut(&State, &[Sample]) -> Result<(), String>>;
+
+/// Bounds of the requests.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Most samples in a batch.
+    pub max_samples: usize,
+    /// Longest wait of an entry for a sample in milliseconds.
+    pub wait_ms: u64,
+    /// Longest time for opening a step or publishing a version, over all entries.
+    pub patience: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self { max_samples: 256, wait_ms: 2000, patience: Duration::from_secs(30) }
+    }
+}
+
+/// Client of one run.
+pub struct Trainer {
+    pub(crate) http: cyper::Client,
+    pub(crate) entries: Vec<String>,
+    pub(crate) at: usize,
+    pub(crate) options: Options,
+    state: State,
+    persist: Persist,
+    owner: Option<String>,
+}
+
+impl Trainer {
+    /// Client with the state that was persisted last; `entries` are addresses as IP and port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no entry is named or the HTTP client cannot start.
+    pub fn new(
+        entries: impl IntoIterator<Item = impl Into<String>>,
+        state: State,
+        options: Options,
+        persist: Persist,
+    ) -> Result<Self, TrainerError> {
+        let entries: Vec<String> = entries.into_iter().map(Into::into).collect();
+        if entries.is_empty() {
+            return Err(TrainerError::NoEntry);
+        }
+        let http = cyper::Client::new().map_err(|e| TrainerError::NoAnswer(e.to_string()))?;
+        Ok(Self { http, entries, at: 0, options, state, persist, owner: None })
+    }
+
+    /// State that was persisted last.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Address of the entry that owns the open step.
+    pub fn owner(&self) -> Option<&str> {
+        self.owner.as_deref()
+    }
+
+    /// Opens or reopens a step at any entry that confirms it.
+    ///
+    /// # Errors
+    ///
+    /// Returns a final refusal, or the last failure when the patience is over.
+    pub async fn open(
+        &mut self,
+        step: &StepRequest,
+        trainer_version: u64,
+    ) -> Result<(), TrainerError> {
+        let deadline = Instant::now() + self.options.patience;
+        loop {
+            match self.open_once(step, trainer_version).await {
+                Ok(()) => return Ok(()),
+                Err(e) if e.is_final() || Instant::now() >= deadline => return Err(e),
+                Err(e) => {
+                    event!(warn, "open_failed", entry = self.entries[self.at], reason = e);
+                    self.next_entry();
+                    time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn open_once(&mut self, step: &StepRequest, version: u64) -> Result<(), TrainerError> {
+        let same_step = self.state.step == step.step;
+        let body = OpenStep {
+            step,
+            trainer_version: version,
+            taken: if same_step { self.state.taken.iter().collect() } else { Vec::new() },
+            last_epoch: self.state.epoch,
+        };
+        let path = format!("/v1/runs/{}/steps", self.state.run);
+        let opened: Opened = self.post(&self.entries[self.at], &path, &body, OPEN_TIMEOUT).await?;
+        if opened.epoch <= self.state.epoch {
+            let message = format!("epoch {} was given before", opened.epoch);
+            return Err(TrainerError::NoAnswer(message));
+        }
+        let next = self.state.after_open(step.step, opened.epoch);
+        self.commit(next, &[])?;
+        self.owner = Some(opened.owner);
+        Ok(())
+    }
+
+    /// Fetches and takes the next batch; the samples are new and already persisted.
+    ///
+    /// An empty result means that nothing was ready. The step is reopened when its owner is lost.
+    ///
+    /// # Errors
+    ///
+    /// Returns a final refusal, a failed write, or the last failure when the patience is over.
+    pub async fn next(
+        &mut self,
+        step: &StepRequest,
+        trainer_version: u64,
+    ) -> Result<(Vec<Sample>, bool), TrainerError> {
+        let mut failures = 0;
+        loop {
+            if self.owner.is_none() || self.state.step != step.step {
+                self.open(step, trainer_version).await?;
+            }
+            let error = match self.fetch(trainer_version).await {
+                Ok(batch) => return self.take(&batch),
+                Err(e) => e,
+            };
+            event!(warn, "fetch_failed", run = self.state.run, reason = error);
+            failures += 1;
+            match error {
+                // The same epoch is never served by another entry, but the named owner is up, so it is asked first.
+                TrainerError::Refused { owner: Some(owner), .. } => self.reopen_at(owner),
+                e if e.is_final() => return Err(e),
+                e => {
+                    let lost = failures >= FETCH_ATTEMPTS
+                        || matches!(
+                            e.code(),
+                            Some(
+                                ResultCode::UnknownStep
+                                    | ResultCode::StaleEpoch
+                                    | ResultCode::BadCursor
+                                    | ResultCode::NotOwner
+                            )
+                        );
+                    if lost {
+                        self.owner = None;
+                        failures = 0;
+                        if matches!(e, TrainerError::NoAnswer(_)) {
+                            self.next_entry();
+                        }
+                    }
+                    time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Runs a whole step; `sink` gets each newly taken sample after it was persisted.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first error of [`Self::next`].
+    pub async fn run_step(
+        &mut self,
+        step: &StepRequest,
+        trainer_version: u64,
+        mut sink: impl FnMut(Sample),
+    ) -> Result<(), TrainerError> {
+        let wanted: usize = step.groups.iter().map(|group| group.samples as usize).sum();
+        loop {
+            let (samples, complete) = self.next(step, trainer_version).await?;
+            samples.into_iter().for_each(&mut sink);
+            if complete && self.state.step == step.step && self.state.taken.len() >= wanted {
+                self.acknowledge(trainer_version).await;
+                return Ok(());
+            }
+        }
+    }
+
+    /// Acknowledges the last batch, which closes the step; a lost answer does no harm, since the step expires.
+    pub async fn acknowledge(&mut self, trainer_version: u64) {
+        if let Err(e) = self.fetch(trainer_version).await {
+            event!(warn, "acknowledge_failed", run = self.state.run, reason = e);
+        }
+    }
+
+    async fn fetch(&self, trainer_version: u64) -> Result<Batch, TrainerError> {
+        let owner = self.owner.as_deref().ok_or(TrainerError::NoEntry)?;
+        let body = FetchBatch {
+            epoch: self.state.epoch,
+            step: self.state.step,
+            cursor: self.state.cursor,
+            trainer_version,
+            max_samples: self.options.max_samples,
+            wait_ms: self.options.wait_ms,
+        };
+        let path = format!("/v1/runs/{}/batches", self.state.run);
+        let limit = Duration::from_millis(self.options.wait_ms) + FETCH_SLACK;
+        self.post(owner, &path, &body, limit).await
+    }
+
+    /// Takes a batch by the rules; a batch that does not fit is ignored.
+    fn take(&mut self, batch: &Batch) -> Result<(Vec<Sample>, bool), TrainerError> {
+        let Some((next, new)) = self.state.after_batch(batch) else {
+            event!(warn, "batch_ignored", epoch = batch.epoch, cursor = batch.cursor);
+            return Ok((Vec::new(), false));
+        };
+        if next != self.state {
+            self.commit(next, &new)?;
+        }
+        Ok((new, batch.complete))
+    }
+
+    fn commit(&mut self, next: State, samples: &[Sample]) -> Result<(), TrainerError> {
+        (self.persist)(&next, samples).map_err(TrainerError::Persist)?;
+        self.state = next;
+        Ok(())
+    }
+
+    fn reopen_at(&mut self, owner: String) {
+        self.owner = None;
+        self.at = match self.entries.iter().position(|entry| *entry == owner) {
+            Some(at) => at,
+            None => {
+                self.entries.push(owner);
+                self.entries.len() - 1
+            }
+        };
+    }
+
+    pub(crate) fn next_entry(&mut self) {
+        self.at = (self.at + 1) % self.entries.len();
+    }
+
+    pub(crate) async fn post<T: DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        body: &impl Serialize,
+        limit: Duration,
+    ) -> Result<T, TrainerError> {
+        let no_answer = |e: cyper::Error| TrainerError::NoAnswer(e.to_string());
+        let exchange = async {
+            let url = format!("http://{address}{path}");
+            let req = self.http.post(url).map_err(no_answer)?.json(body).map_err(no_answer)?;
+            let response = req.send().await.map_err(no_answer)?;
+            let status = response.status().as_u16();
+            Ok((status, response.bytes().await.map_err(no_answer)?))
+        };
+        // Dropping the exchange closes its connection, so that a late answer cannot be taken.
+        let (status, bytes) = time::timeout(limit, exchange)
+            .await
+            .map_err(|_| TrainerError::NoAnswer(format!("no answer of {address} in time")))??;
+        if status == 200 {
+            return serde_json::from_slice(&bytes)
+                .map_err(|e| TrainerError::NoAnswer(format!("malformed answer: {e}")));
+        }
+        let e: ErrorBody = serde_json::from_slice(&bytes).unwrap_or_default();
+        Err(TrainerError::Refused {
+            code: e.code,
+            message: e.message,
+            retry_after_ms: e.retry_after_ms,
+            owner: e.owner,
+        })
+    }
+}
