Add weight orders, peers and forwards of the entry

Cause: engines need orders from one holder per failure domain, and a domain without an upstream needs its peers (design sections 3, 8 and 9). Change: order lease, staggered prefetch, common activation, read-back and repair, fencing tokens; digests, forwards and the server side of the messages between entries; second attempts only for attempts that ran the mean time of the step.

--- /dev/null
+++ b/orioleworks_entry/src/forward.rs
@@ -0,0 +1,188 @@
+//! Requests between entries: a job that has no live upstream here runs once in another failure domain.
+//!
+//! See `docs/design.md`, sections 3, 7 and 8.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use futures_util::{FutureExt, select};
+use orioleworks_daemon::rpc::RpcError;
+use orioleworks_proto::{
+    codes::ResultCode,
+    inner::{self, frame::Body},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    configuration::Configuration,
+    dispatch::{Completed, Job, Refused},
+    peers::Peers,
+    runs_dispatch::Run,
+    runs_judge,
+};
+
+/// Time beyond the deadline in which the peer's own answer to a missed deadline may arrive.
+const DEADLINE_SLACK: Duration = Duration::from_millis(200);
+/// Time after which a repeat makes sense when no peer can run a job.
+const RETRY_AFTER_MS: u32 = 500;
+
+fn refused(code: ResultCode, detail: impl Into<String>, retry_after_ms: u32) -> Refused {
+    Refused { code, detail: detail.into(), retry_after_ms }
+}
+
+/// Runs a job once through a peer of another failure domain.
+///
+/// Another peer is asked only after a failure that proves that nothing was sent.
+///
+/// # Errors
+///
+/// Returns the peer's refusal. The outcome is unknown when the connection broke after the job was sent.
+pub async fn forward(peers: &Peers, job: Job) -> Result<Completed, Refused> {
+    if job.local_only {
+        return Err(refused(
+            ResultCode::NoUpstream,
+            "the job was forwarded before",
+            RETRY_AFTER_MS,
+        ));
+    }
+    for peer in peers.candidates(&job.profile.upstream_kind, job.lowest_version) {
+        let left = job.deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(refused(ResultCode::DeadlineBeforeDispatch, "", 0));
+        }
+        let call = peer.call(Body::Forward(message(&job, left)), left + DEADLINE_SLACK);
+        let mut call = std::pin::pin!(call.fuse());
+        let mut cancelled = std::pin::pin!(job.cancel.cancelled().fuse());
+        let result = select! {
+            result = call => result,
+            () = cancelled => {
+                let detail = "cancelled after the job was sent to a peer";
+                return Err(refused(ResultCode::OutcomeUnknown, detail, 0));
+            }
+        };
+        metrics::counter!("orioleworks_forwards_total").increment(1);
+        match result {
+            Ok(Body::ForwardReply(reply)) => return completed(reply),
+            Err(RpcError::Unreachable(_)) => {}
+            Err(RpcError::Timeout) => {
+                return Err(refused(ResultCode::DeadlineExceeded, "the peer gave no answer", 0));
+            }
+            Ok(_) | Err(_) => {
+                let detail = "the connection to the peer broke after the job was sent";
+                return Err(refused(ResultCode::OutcomeUnknown, detail, 0));
+            }
+        }
+    }
+    let detail = format!("kind {}", job.profile.upstream_kind);
+    Err(refused(ResultCode::NoUpstream, detail, RETRY_AFTER_MS))
+}
+
+fn message(job: &Job, left: Duration) -> inner::Forward {
+    inner::Forward {
+        attempt_id: job.request_id.to_string(),
+        profile: job.profile.name.clone(),
+        body: job.body.to_vec(),
+        content_type: job.content_type.to_string(),
+        deadline_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+        lowest_version: job.lowest_version,
+    }
+}
+
+fn completed(reply: inner::ForwardReply) -> Result<Completed, Refused> {
+    match ResultCode::from_number(reply.code) {
+        Some(ResultCode::Ok) => Ok(Completed {
+            status: u16::try_from(reply.http_status).unwrap_or(500),
+            body: reply.answer.into(),
+            content_type: reply.content_type.into(),
+            spans: reply.spans,
+            upstream: reply.upstream.into(),
+        }),
+        // A code that this version does not know promises nothing.
+        code => Err(Refused {
+            code: code.unwrap_or(ResultCode::OutcomeUnknown),
+            detail: reply.message,
+            retry_after_ms: reply.retry_after_ms,
+        }),
+    }
+}
+
+/// Server side of the messages between entries; clones share it.
+#[derive(Clone)]
+pub struct Server {
+    /// Peers whose digests arrive.
+    pub peers: Peers,
+    /// Configuration in force.
+    pub configuration: Configuration,
+    /// Runs a job on an upstream of this failure domain.
+    pub run: Run,
+}
+
+impl Server {
+    /// Answers one message; `None` for a message that entries do not take.
+    pub async fn handle(&self, body: Body) -> Option<Body> {
+        match body {
+            Body::Digest(digest) => {
+                self.peers.receive(digest);
+                let revision = self.configuration.revision();
+                Some(Body::DigestReply(inner::DigestReply { revision }))
+            }
+            Body::FetchConfig(_) => {
+                let config = self.configuration.is_ready().then(|| self.configuration.to_message());
+                Some(Body::FetchConfigReply(inner::FetchConfigReply { config }))
+            }
+            Body::Forward(forward) => Some(Body::ForwardReply(self.run_forwarded(forward).await)),
+            _ => None,
+        }
+    }
+
+    async fn run_forwarded(&self, forward: inner::Forward) -> inner::ForwardReply {
+        let Some(profile) = self.profile(&forward.profile) else {
+            let detail = format!("profile {} at the peer", forward.profile);
+            return reply(Err(refused(ResultCode::UnknownProfile, detail, RETRY_AFTER_MS)));
+        };
+        let job = Job {
+            request_id: forward.attempt_id.into(),
+            profile,
+            body: forward.body.into(),
+            content_type: forward.content_type.into(),
+            deadline: Instant::now() + Duration::from_millis(forward.deadline_ms.into()),
+            prefix: None,
+            lowest_version: forward.lowest_version,
+            avoid: Vec::new(),
+            local_only: true,
+            cancel: CancellationToken::new(),
+        };
+        reply((self.run)(job).await)
+    }
+
+    /// Profile in force, or the judge's profile derived from one.
+    fn profile(&self, name: &str) -> Option<Rc<inner::Profile>> {
+        match name.strip_suffix(runs_judge::PROFILE_SUFFIX) {
+            Some(of) => runs_judge::profile(&*self.configuration.profile(of)?).map(Rc::new),
+            None => self.configuration.profile(name),
+        }
+    }
+}
+
+fn reply(result: Result<Completed, Refused>) -> inner::ForwardReply {
+    match result {
+        Ok(done) => inner::ForwardReply {
+            code: ResultCode::Ok.number(),
+            http_status: done.status.into(),
+            answer: done.body.to_vec(),
+            content_type: done.content_type.to_string(),
+            spans: done.spans,
+            upstream: done.upstream.to_string(),
+            ..Default::default()
+        },
+        Err(refused) => inner::ForwardReply {
+            code: refused.code.number(),
+            message: refused.detail,
+            retry_after_ms: refused.retry_after_ms,
+            not_run: refused.code.not_run(),
+            ..Default::default()
+        },
+    }
+}
--- /dev/null
+++ b/orioleworks_entry/src/peers.rs
@@ -0,0 +1,158 @@
+//! Digests between entries: who is live, and what each can run.
+//!
+//! See `docs/design.md`, sections 3, 6 and 8.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
+
+use compio::{runtime, time};
+use futures_util::{FutureExt, select};
+use orioleworks_daemon::{clock, event, rpc};
+use orioleworks_proto::inner::{self, frame::Body};
+use tokio_util::sync::CancellationToken;
+
+/// Interval of digests.
+pub const INTERVAL: Duration = Duration::from_secs(1);
+/// Time without a digest after which a peer counts as lost.
+pub const LIVE_WITHIN: Duration = Duration::from_secs(3);
+/// Longest wait for the answer to a digest.
+const DIGEST_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Entry named in the settings.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Name of the entry.
+    pub name: Rc<str>,
+    /// Its failure domain.
+    pub failure_domain: Rc<str>,
+    /// Address of its inner protocol.
+    pub address: Rc<str>,
+}
+
+struct Known {
+    peer: Peer,
+    /// Connection for forwards; digests have their own, because a lost digest closes its connection.
+    forwards: rpc::Client,
+    last: RefCell<Option<(Duration, inner::Digest)>>,
+}
+
+/// Peers of this entry; clones share them.
+#[derive(Clone)]
+pub struct Peers {
+    shared: Rc<Shared>,
+}
+
+struct Shared {
+    failure_domain: Rc<str>,
+    known: HashMap<Rc<str>, Known>,
+    on_suspects: Box<dyn Fn(Vec<inner::Suspect>)>,
+}
+
+impl Peers {
+    /// Peers of the settings; `on_suspects` gets the suspects of peers of the own failure domain.
+    pub fn new(
+        failure_domain: impl Into<Rc<str>>,
+        peers: impl IntoIterator<Item = Peer>,
+        on_suspects: impl Fn(Vec<inner::Suspect>) + 'static,
+    ) -> Self {
+        let known = peers.into_iter().map(|peer| {
+            let forwards = rpc::Client::new(peer.address.clone());
+            (peer.name.clone(), Known { peer, forwards, last: RefCell::default() })
+        });
+        let shared = Shared {
+            failure_domain: failure_domain.into(),
+            known: known.collect(),
+            on_suspects: Box::new(on_suspects),
+        };
+        Self { shared: Rc::new(shared) }
+    }
+
+    /// Starts one task per peer that sends the digest each second until the token is cancelled.
+    pub fn start(&self, digest: Rc<dyn Fn() -> inner::Digest>, token: &CancellationToken) {
+        for known in self.shared.known.values() {
+            let client = rpc::Client::new(known.peer.address.clone());
+            let (peer, digest, token) = (known.peer.name.clone(), digest.clone(), token.clone());
+            runtime::spawn(send_digests(peer, client, digest, token)).detach();
+        }
+    }
+
+    /// Takes a peer's digest; one of an older incarnation is late and ignored.
+    pub fn receive(&self, digest: inner::Digest) {
+        let entry = digest.entry.clone().unwrap_or_default();
+        let Some(known) = self.shared.known.get(entry.name.as_str()) else {
+            event!(warn, "digest_of_unknown_entry", entry = entry.name);
+            return;
+        };
+        let incarnation = |digest: &inner::Digest| digest.entry.as_ref().map(|e| e.incarnation);
+        let newest = known.last.borrow().as_ref().and_then(|(_, last)| incarnation(last));
+        if newest > Some(entry.incarnation) {
+            return;
+        }
+        let suspects = digest.suspects.clone();
+        *known.last.borrow_mut() = Some((clock::since_boot(), digest));
+        if known.peer.failure_domain == self.shared.failure_domain && !suspects.is_empty() {
+            (self.shared.on_suspects)(suspects);
+        }
+    }
+
+    /// Live entries of the own failure domain, including this one; the share of a limit is divided by them.
+    pub fn live_in_domain(&self) -> usize {
+        let own = &self.shared.failure_domain;
+        1 + self.live().filter(|known| known.peer.failure_domain == *own).count()
+    }
+
+    /// Connections to live peers of other domains that can run a kind, the least loaded first.
+    pub fn candidates(&self, kind: &str, lowest_version: u64) -> Vec<rpc::Client> {
+        let own = &self.shared.failure_domain;
+        let mut found: Vec<(u64, &Known)> = self
+            .live()
+            .filter(|known| known.peer.failure_domain != *own)
+            .filter_map(|known| {
+                let last = known.last.borrow();
+                let (_, digest) = last.as_ref()?;
+                let load = digest.kinds.iter().find(|load| {
+                    load.kind == kind
+                        && load.upstreams > 0
+                        && load.highest_version >= lowest_version
+                })?;
+                Some((load_permille(load), known))
+            })
+            .collect();
+        found.sort_by_key(|(load, _)| *load);
+        found.into_iter().map(|(_, known)| known.forwards.clone()).collect()
+    }
+
+    fn live(&self) -> impl Iterator<Item = &Known> {
+        let now = clock::since_boot();
+        self.shared.known.values().filter(move |known| {
+            let last = known.last.borrow();
+            last.as_ref().is_some_and(|(heard, _)| now.saturating_sub(*heard) <= LIVE_WITHIN)
+        })
+    }
+}
+
+fn load_permille(load: &inner::KindLoad) -> u64 {
+    u64::from(load.in_flight) * 1000 / u64::from(load.capacity.max(1))
+}
+
+async fn send_digests(
+    peer: Rc<str>,
+    client: rpc::Client,
+    digest: Rc<dyn Fn() -> inner::Digest>,
+    token: CancellationToken,
+) {
+    let mut reachable = true;
+    loop {
+        let sent = client.call(Body::Digest(digest()), DIGEST_TIMEOUT).await;
+        if sent.is_ok() != reachable {
+            reachable = sent.is_ok();
+            event!(info, "peer_reachable_changed", peer = peer, reachable = reachable);
+        }
+        if sent.is_err() {
+            // A connection that was cut without notice would stay silent.
+            client.disconnect();
+        }
+        let mut pause = std::pin::pin!(time::sleep(INTERVAL).fuse());
+        let mut cancelled = std::pin::pin!(token.cancelled().fuse());
+        select! { () = pause => (), () = cancelled => return }
+    }
+}
--- a/orioleworks_entry/src/runs_dispatch.rs
+++ b/orioleworks_entry/src/runs_dispatch.rs
@@ -85,12 +85,13 @@
     let mut pause = RETRY_PAUSE;
     loop {
         let mut wait = pause;
+        let started = Instant::now();
         match attempt(deps, step, id).await {
             Ok(done) => match sample(deps, step, id, done).await {
                 Some(sample) => {
                     fail_point!("runs.after_sample");
                     metrics::counter!("orioleworks_slots_run_total").increment(1);
-                    step.finish(id, sample);
+                    step.finish(id, sample, started.elapsed());
                     return;
                 }
                 None => {
@@ -124,6 +125,7 @@
 /// Runs a slot once, with a second attempt if it is a straggler; the first conclusive answer wins.
 async fn attempt(deps: &Deps, step: &Rc<Step>, id: SlotId) -> Result<Completed, Refused> {
     fail_point!("runs.before_dispatch");
+    let started = Instant::now();
     let first = start(deps, step, id, Vec::new());
     let first_id = first.request_id.clone();
     let signal = step.state.borrow().groups[id.group].signal.clone();
@@ -134,7 +136,7 @@
     let mut last_error = None;
     loop {
         let changed = signal.wait();
-        if !hedged && runs_hedge::reserve(step, id) {
+        if !hedged && runs_hedge::reserve(step, id, started.elapsed()) {
             (hedged, charged) = (true, true);
             metrics::counter!("orioleworks_second_attempts_total").increment(1);
             let avoid = (deps.running_on)(&first_id).into_iter().collect();
--- a/orioleworks_entry/src/runs_hedge.rs
+++ b/orioleworks_entry/src/runs_hedge.rs
@@ -2,7 +2,7 @@
 //!
 //! See `docs/design.md`, section 8.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use crate::runs_step::{SlotId, Step};
 
@@ -54,10 +54,33 @@
     }
 }
 
-/// Whether a slot gets a second attempt now; reserves its tokens.
-pub fn reserve(step: &Step, id: SlotId) -> bool {
+/// Running times of finished samples.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Durations {
+    sum: Duration,
+    count: u32,
+}
+
+impl Durations {
+    /// Adds a finished sample.
+    pub fn add(&mut self, ran: Duration) {
+        self.sum += ran;
+        self.count += 1;
+    }
+
+    /// Mean running time, if any sample has finished.
+    pub fn mean(&self) -> Option<Duration> {
+        self.sum.checked_div(self.count)
+    }
+}
+
+/// Whether a slot whose attempt has run for a time gets a second attempt now; reserves its tokens.
+///
+/// A sample that was only just started again is no straggler, so it must have run for the mean time of the step.
+pub fn reserve(step: &Step, id: SlotId, running: Duration) -> bool {
     let state = step.state.borrow();
     let group = &state.groups[id.group];
     let enough = group.finished * 100 >= group.slots.1 * FINISHED_PERCENT;
-    enough && state.budget.reserve(step.max_tokens)
+    let late = state.durations.mean().is_some_and(|mean| running >= mean);
+    enough && late && state.budget.reserve(step.max_tokens)
 }
--- a/orioleworks_entry/src/runs_step.rs
+++ b/orioleworks_entry/src/runs_step.rs
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3;
 
 use crate::{
-    runs_hedge::Budget,
+    runs_hedge::{Budget, Durations},
     runs_messages::{OpenStep, RunError, Sample},
     runs_signal::Signal,
 };
@@ -94,6 +94,8 @@
     pub held_bytes: usize,
     /// Extra tokens of second attempts.
     pub budget: Budget,
+    /// Running times of the samples that finished.
+    pub durations: Durations,
     /// Time of the trainer's last request, of the clock that counts while suspended.
     pub asked: Duration,
     /// Whether every slot is acknowledged.
@@ -194,6 +196,7 @@
             ready: VecDeque::new(),
             held_bytes: 0,
             budget,
+            durations: Durations::default(),
             asked: clock::since_boot(),
             closed: false,
         };
@@ -229,11 +232,12 @@
     }
 
     /// Stores a finished sample and wakes whoever waits for it.
-    pub fn finish(&self, id: SlotId, mut sample: Sample) {
+    pub fn finish(&self, id: SlotId, mut sample: Sample, ran: Duration) {
         let group_signal = {
             let mut state = self.state.borrow_mut();
             sample.attempts = state.attempts[id.slot];
             state.held_bytes += sample.bytes();
+            state.durations.add(ran);
             state.budget.earn(sample.tokens, self.profile.second_attempt_permille);
             state.slots[id.slot] = Slot::Ready(sample);
             state.ready.push_back(id.slot);
--- /dev/null
+++ b/orioleworks_entry/src/weights.rs
@@ -0,0 +1,141 @@
+//! Keeps the engines of the failure domain on the desired weight versions.
+//!
+//! See `docs/design.md`, section 9. The loop is level-triggered: it compares announced with desired versions and
+//! starts one task for each engine that is behind. It never orders a version lower than the announced one, because
+//! versions only rise and an entry whose configuration lags would otherwise undo a swap.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashSet,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use compio::{runtime, time};
+use fail::fail_point;
+use futures_util::{FutureExt, select};
+use orioleworks_daemon::{control::ControlClient, event};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    configuration::Configuration,
+    runs_signal::Signal,
+    weights_engine::{self, Shared},
+    weights_http::Engines,
+    weights_lease::{self, Lease, RENEWAL},
+};
+
+/// Interval at which announced and desired versions are compared.
+const COMPARE: Duration = Duration::from_millis(100);
+
+/// Live engine, as it announced itself.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    /// Name of the upstream.
+    pub name: Rc<str>,
+    /// Incarnation of the upstream.
+    pub incarnation: u64,
+    /// Model that it serves.
+    pub model: Rc<str>,
+    /// Address as IP and port.
+    pub address: Rc<str>,
+    /// Version in use.
+    pub weight_version: u64,
+    /// Version of a pending swap, 0 for none.
+    pub pending_version: u64,
+    /// Whether it rejects old fencing tokens.
+    pub checks_fencing: bool,
+}
+
+/// Inputs of the loop.
+#[derive(Clone)]
+pub struct Deps {
+    /// Name of this entry.
+    pub entry: Rc<str>,
+    /// Number that rises with every start of this entry.
+    pub incarnation: u64,
+    /// Failure domain whose engines are ordered.
+    pub failure_domain: Rc<str>,
+    /// Client of control.
+    pub control: ControlClient,
+    /// Desired versions.
+    pub configuration: Configuration,
+    /// Live engines of the failure domain.
+    pub engines: Rc<dyn Fn() -> Vec<Engine>>,
+}
+
+type Busy = Rc<RefCell<HashSet<(Rc<str>, u64)>>>;
+
+/// Asks for the lease and orders engines while it is held, until the token is cancelled.
+///
+/// # Errors
+///
+/// Returns an error when the HTTP client cannot start.
+pub async fn run(deps: Deps, token: CancellationToken) -> cyper::Result<()> {
+    let engines = Engines::new(cyper::Client::new()?);
+    let shared = Rc::new(Shared {
+        deps,
+        engines,
+        prefetching: Cell::new(0),
+        prepared: RefCell::default(),
+        signal: Signal::default(),
+    });
+    let mut held: Option<Rc<Lease>> = None;
+    let mut busy = Busy::default();
+    let mut number = 0;
+    while !token.is_cancelled() {
+        fail_point!("weights.before_lease");
+        let started = Instant::now();
+        let asked_ms = weights_lease::now_ms();
+        number += 1;
+        let deps = &shared.deps;
+        let acquired = weights_lease::acquire(
+            &deps.control,
+            &deps.failure_domain,
+            &deps.entry,
+            deps.incarnation,
+            number,
+        )
+        .await;
+        let epoch = held.as_ref().map(|lease| lease.epoch);
+        held = weights_lease::update(held, acquired, asked_ms, &token);
+        let new_epoch = held.as_ref().map(|lease| lease.epoch);
+        if new_epoch != epoch {
+            event!(info, "order_lease_changed", epoch = new_epoch.unwrap_or_default());
+            // The tasks of the lost lease end on their own set.
+            busy = Busy::default();
+            shared.prepared.borrow_mut().clear();
+        }
+        while started.elapsed() < RENEWAL && !token.is_cancelled() {
+            if let Some(lease) = &held {
+                compare(&shared, lease, &busy);
+            }
+            time::sleep(COMPARE).await;
+        }
+    }
+    Ok(())
+}
+
+/// Starts a task for each engine that is behind and has none.
+fn compare(shared: &Rc<Shared>, lease: &Rc<Lease>, busy: &Busy) {
+    for engine in (shared.deps.engines)() {
+        let desired = shared.deps.configuration.version(&engine.model);
+        let key = (engine.name, engine.incarnation);
+        if desired.is_none_or(|desired| engine.weight_version >= desired)
+            || !busy.borrow_mut().insert(key.clone())
+        {
+            continue;
+        }
+        let (shared, lease, busy) = (shared.clone(), lease.clone(), busy.clone());
+        runtime::spawn(async move {
+            {
+                let mut work =
+                    std::pin::pin!(weights_engine::bring_up(&shared, &lease, &key).fuse());
+                let mut lost = std::pin::pin!(lease.token.cancelled().fuse());
+                select! { () = work => (), () = lost => () }
+            }
+            busy.borrow_mut().remove(&key);
+        })
+        .detach();
+    }
+}
--- /dev/null
+++ b/orioleworks_entry/src/weights_engine.rs
@@ -0,0 +1,221 @@
+//! Brings one engine to the desired version: prefetch, activate, read back, repair.
+//!
+//! See `docs/design.md`, section 9.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use compio::time;
+use fail::fail_point;
+use orioleworks_daemon::event;
+
+use crate::{
+    runs_signal::Signal,
+    weights::{Deps, Engine},
+    weights_http::{Engines, Order, Phase, SwapError, Weights},
+    weights_lease::{LONGEST_DELIVERY_MS, Lease},
+};
+
+/// Engines of the failure domain that prefetch at a time, because the weight store is rate limited.
+pub const MAX_PREFETCHES: usize = 2;
+/// Interval at which an engine is read back.
+const READ_BACK: Duration = Duration::from_millis(100);
+/// Longest prefetch before it is ordered again.
+const PREFETCH_TIMEOUT: Duration = Duration::from_secs(60);
+/// Longest activation before it is ordered again.
+const ACTIVATE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait of a prefetched engine for the others; new weights are to be on every replica within 6 s.
+const TOGETHER_WAIT: Duration = Duration::from_secs(3);
+/// Pause before a failed swap is tried again; it doubles with each further failure.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause before a failed swap is tried again.
+const MAX_RETRY_PAUSE: Duration = Duration::from_secs(5);
+
+/// What the tasks of all engines share.
+pub struct Shared {
+    /// Inputs of the loop.
+    pub deps: Deps,
+    /// Client of the engines.
+    pub engines: Engines,
+    /// Prefetches under way.
+    pub prefetching: Cell<usize>,
+    /// Version that an incarnation of an engine has prefetched, or failed to.
+    pub prepared: RefCell<HashMap<(Rc<str>, u64), Prepared>>,
+    /// Wakes tasks when a prefetch has ended.
+    pub signal: Signal,
+}
+
+/// How far an engine is with its swap.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Prepared {
+    /// Has loaded a version.
+    Version(u64),
+    /// Failed, so that the others do not wait for it.
+    Failed,
+}
+
+/// One of the prefetches that may be under way.
+struct Permit<'a>(&'a Shared);
+
+impl Drop for Permit<'_> {
+    fn drop(&mut self) {
+        self.0.prefetching.set(self.0.prefetching.get() - 1);
+        self.0.signal.notify();
+    }
+}
+
+/// Works until the engine runs the desired version or has left.
+pub async fn bring_up(shared: &Shared, lease: &Lease, key: &(Rc<str>, u64)) {
+    let mut pause = RETRY_PAUSE;
+    while let Some(engine) = shared.engine(key) {
+        let Some(desired) = shared.deps.configuration.version(&engine.model) else { return };
+        let error = match swap(shared, lease, &engine, desired).await {
+            Ok(()) => return,
+            // The tasks of a lost lease end; a renewed lease starts new ones.
+            Err(SwapError::NoLease) => {
+                time::sleep(READ_BACK).await;
+                continue;
+            }
+            Err(SwapError::Superseded) => continue,
+            Err(e) => e,
+        };
+        event!(warn, "swap_failed", engine = key.0, version = desired, reason = error);
+        metrics::counter!("orioleworks_swap_failures_total").increment(1);
+        shared.prepared.borrow_mut().insert(key.clone(), Prepared::Failed);
+        shared.signal.notify();
+        time::sleep(pause).await;
+        pause = (pause * 2).min(MAX_RETRY_PAUSE);
+    }
+}
+
+/// Swaps once; `Ok` after the engine itself has reported the desired version.
+async fn swap(
+    shared: &Shared,
+    lease: &Lease,
+    engine: &Engine,
+    desired: u64,
+) -> Result<(), SwapError> {
+    let mut weights = shared.engines.read(&engine.address).await?;
+    if weights.version >= desired {
+        return Ok(());
+    }
+    if !engine.checks_fencing {
+        // An order of the former holder may still be under way to an engine that would take it.
+        time::sleep(lease.unfenced_wait()).await;
+    }
+    if !is_prefetched(&weights, desired) {
+        let _permit = shared.permit().await;
+        order(shared, lease, engine, desired, Phase::Prefetch).await?;
+        let done = |weights: &Weights| is_prefetched(weights, desired);
+        weights = poll(shared, engine, desired, PREFETCH_TIMEOUT, done).await?;
+    }
+    let key = (engine.name.clone(), engine.incarnation);
+    shared.prepared.borrow_mut().insert(key, Prepared::Version(desired));
+    shared.signal.notify();
+    if weights.version < desired {
+        shared.wait_for_others(&engine.model, desired).await;
+        order(shared, lease, engine, desired, Phase::Activate).await?;
+    }
+    poll(shared, engine, desired, ACTIVATE_TIMEOUT, |weights| weights.version >= desired).await?;
+    metrics::counter!("orioleworks_swaps_total").increment(1);
+    if !engine.checks_fencing {
+        // A late order of a former holder can undo the swap; later ones show in the announcements.
+        time::sleep(Duration::from_millis(LONGEST_DELIVERY_MS)).await;
+        if shared.engines.read(&engine.address).await?.version < desired {
+            return Err(SwapError::Reverted);
+        }
+    }
+    event!(info, "engine_swapped", engine = engine.name, version = desired);
+    Ok(())
+}
+
+fn is_prefetched(weights: &Weights, desired: u64) -> bool {
+    weights.version >= desired || weights.prefetched.is_some_and(|version| version >= desired)
+}
+
+async fn order(
+    shared: &Shared,
+    lease: &Lease,
+    engine: &Engine,
+    version: u64,
+    phase: Phase,
+) -> Result<(), SwapError> {
+    fail_point!("weights.before_order");
+    // Checked last, because the process may have been suspended before this line.
+    let fencing = lease.next_order(engine.checks_fencing).ok_or(SwapError::NoLease)?;
+    let result = shared.engines.order(&engine.address, Order { version, phase, fencing }).await;
+    fail_point!("weights.after_order");
+    result.map(|_| ())
+}
+
+/// Reads the engine back until it is done.
+async fn poll(
+    shared: &Shared,
+    engine: &Engine,
+    desired: u64,
+    limit: Duration,
+    done: impl Fn(&Weights) -> bool,
+) -> Result<Weights, SwapError> {
+    let until = Instant::now() + limit;
+    loop {
+        let weights = shared.engines.read(&engine.address).await?;
+        if done(&weights) {
+            return Ok(weights);
+        }
+        if shared.deps.configuration.version(&engine.model) != Some(desired) {
+            return Err(SwapError::Superseded);
+        }
+        if Instant::now() >= until {
+            return Err(SwapError::Slow);
+        }
+        time::sleep(READ_BACK).await;
+    }
+}
+
+impl Shared {
+    /// The engine of a name and incarnation, if it is still live.
+    fn engine(&self, (name, incarnation): &(Rc<str>, u64)) -> Option<Engine> {
+        let engines = (self.deps.engines)();
+        engines.into_iter().find(|e| e.name == *name && e.incarnation == *incarnation)
+    }
+
+    async fn permit(&self) -> Permit<'_> {
+        loop {
+            let changed = self.signal.wait();
+            if self.prefetching.get() < MAX_PREFETCHES {
+                self.prefetching.set(self.prefetching.get() + 1);
+                return Permit(self);
+            }
+            changed.up_to(TOGETHER_WAIT).await;
+        }
+    }
+
+    /// Waits until the other engines of the model are ready to activate, have failed, or took too long.
+    async fn wait_for_others(&self, model: &str, desired: u64) {
+        let until = Instant::now() + TOGETHER_WAIT;
+        loop {
+            let changed = self.signal.wait();
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() || self.all_prepared(model, desired) {
+                return;
+            }
+            changed.up_to(left.min(READ_BACK * 2)).await;
+        }
+    }
+
+    fn all_prepared(&self, model: &str, desired: u64) -> bool {
+        let prepared = self.prepared.borrow();
+        (self.deps.engines)().into_iter().filter(|engine| *engine.model == *model).all(|engine| {
+            engine.weight_version >= desired
+                || match prepared.get(&(engine.name, engine.incarnation)) {
+                    Some(Prepared::Version(version)) => *version >= desired,
+                    Some(Prepared::Failed) => true,
+                    None => false,
+                }
+        })
+    }
+}
--- /dev/null
+++ b/orioleworks_entry/tests/rollout/hedging.rs
@@ -0,0 +1,111 @@
+//! Second attempts for stragglers, and the judge.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use orioleworks_entry::{
+    dispatch::Job,
+    runs_messages::{FetchBatch, Sample},
+};
+use orioleworks_proto::{codes::ResultCode, inner};
+use rstest::rstest;
+
+use crate::fakes::{Control, Entry, answer, block_on, open_step, profile, refused};
+
+async fn run_step(entry: &Entry, groups: u32, samples: u32) -> Vec<Sample> {
+    let step = open_step(1, groups, samples);
+    let epoch = entry.runs.open("run", step).await.unwrap().epoch;
+    let (mut cursor, mut taken) = (0, Vec::new());
+    loop {
+        let fetch = FetchBatch {
+            epoch,
+            step: 1,
+            cursor,
+            trainer_version: 1,
+            max_samples: 100,
+            wait_ms: 1000,
+        };
+        let batch = entry.runs.fetch("run", fetch).await.unwrap();
+        cursor = batch.next_cursor;
+        let done = batch.complete && batch.samples.is_empty();
+        taken.extend(batch.samples);
+        if done {
+            return taken;
+        }
+    }
+}
+
+/// Guards against second attempts beyond the budget, a slot that is filled twice, and an attempt that is not cancelled.
+#[rstest]
+#[case::budget_for_one(100, 1)]
+#[case::budget_for_all(1000, 4)]
+#[case::no_budget(0, 0)]
+fn second_attempts_stay_in_their_budget(#[case] permille: u32, #[case] expected: usize) {
+    block_on(async {
+        let control = Control::start().await;
+        let second = Rc::new(RefCell::new(Vec::new()));
+        let cancelled = Rc::new(Cell::new(0));
+        let (seen, ended) = (second.clone(), cancelled.clone());
+        let profile = inner::Profile { second_attempt_permille: permille, ..profile() };
+        let entry = Entry::start("a", &control, profile, move |job: Job| {
+            let (seen, ended) = (seen.clone(), ended.clone());
+            async move {
+                if job.request_id.ends_with("-3-1") {
+                    let wait = Duration::from_millis(1500);
+                    if compio::time::timeout(wait, job.cancel.cancelled()).await.is_ok() {
+                        ended.set(ended.get() + 1);
+                        return Err(refused(ResultCode::OutcomeUnknown));
+                    }
+                } else if !job.avoid.is_empty() {
+                    seen.borrow_mut().push((job.request_id.clone(), job.avoid.clone()));
+                }
+                Ok(answer(&*job.request_id, 1, 10))
+            }
+        })
+        .await;
+        let mut samples = run_step(&entry, 4, 4).await;
+        samples.sort_by_key(|sample| (sample.group.clone(), sample.index));
+        samples.dedup_by_key(|sample| (sample.group.clone(), sample.index));
+        assert_eq!(samples.len(), 16);
+        assert_eq!(second.borrow().len(), expected);
+        assert!(second.borrow().iter().all(|(_, avoid)| **avoid == ["first".into()]));
+        let won = samples.iter().filter(|sample| sample.text.ends_with("-3-2")).count();
+        assert_eq!(won, expected, "the first complete answer wins");
+        compio::time::sleep(Duration::from_millis(20)).await;
+        assert_eq!(cancelled.get(), expected);
+    });
+}
+
+/// Guards against samples without a score, and against a failed judge call that costs the sample.
+#[rstest]
+fn judge_scores_each_sample_and_is_asked_again_after_a_failure() {
+    block_on(async {
+        let control = Control::start().await;
+        let failures = Rc::new(Cell::new(2));
+        let profile = inner::Profile { judge_kind: "judge".into(), ..profile() };
+        let entry = Entry::start("a", &control, profile, move |job: Job| {
+            let failures = failures.clone();
+            async move {
+                if job.profile.upstream_kind != "judge" {
+                    return Ok(answer("text", 1, 4));
+                }
+                if failures.get() > 0 {
+                    failures.set(failures.get() - 1);
+                    return Err(refused(ResultCode::NoUpstream));
+                }
+                let question: serde_json::Value = serde_json::from_slice(&job.body).unwrap();
+                assert_eq!(question["text"], "text");
+                let mut done = answer(r#"{"score": 0.5}"#, 1, 0);
+                done.spans.clear();
+                Ok(done)
+            }
+        })
+        .await;
+        let samples = run_step(&entry, 1, 3).await;
+        assert_eq!(samples.len(), 3);
+        assert!(samples.iter().all(|sample| sample.score == Some(0.5) && sample.attempts == 1));
+    });
+}
--- a/orioleworks_entry/tests/rollout/main.rs
+++ b/orioleworks_entry/tests/rollout/main.rs
@@ -2,4 +2,7 @@
 
 mod delivery;
 mod fakes;
+mod hedging;
+mod peers;
 mod trainer;
+mod weights;
--- /dev/null
+++ b/orioleworks_entry/tests/rollout/peers.rs
@@ -0,0 +1,190 @@
+//! Digests and forwards between entries.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use orioleworks_daemon::{http, rpc};
+use orioleworks_entry::{
+    dispatch::Job,
+    forward::{self, Server},
+    peers::{Peer, Peers},
+};
+use orioleworks_proto::{
+    codes::ResultCode,
+    inner::{self, frame::Body},
+};
+use rstest::rstest;
+use tokio_util::sync::CancellationToken;
+
+use crate::fakes::{answer, block_on, configuration, profile, refused};
+
+fn job(name: &str) -> Job {
+    Job {
+        request_id: "attempt".into(),
+        profile: Rc::new(inner::Profile { name: name.into(), ..profile() }),
+        body: "body".into(),
+        content_type: "text/plain".into(),
+        deadline: Instant::now() + Duration::from_millis(500),
+        prefix: None,
+        lowest_version: 3,
+        avoid: Vec::new(),
+        local_only: false,
+        cancel: CancellationToken::new(),
+    }
+}
+
+fn digest(incarnation: u64, upstreams: u32, highest_version: u64) -> inner::Digest {
+    let entry = inner::EntryIdentity { name: "b".into(), incarnation, ..Default::default() };
+    let kind = "scorer-llm".into();
+    let load = inner::KindLoad { kind, upstreams, highest_version, ..Default::default() };
+    let suspect = inner::Suspect { fingerprint: "f".into(), ..Default::default() };
+    inner::Digest { entry: Some(entry), revision: 1, kinds: vec![load], suspects: vec![suspect] }
+}
+
+/// Peer `b` of another or the own failure domain, served in this process.
+struct Served {
+    address: String,
+    token: CancellationToken,
+    runs: Rc<Cell<u32>>,
+}
+
+async fn serve(pause: Duration, result: Option<ResultCode>) -> Served {
+    let listener = http::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (token, runs) = (CancellationToken::new(), Rc::new(Cell::new(0)));
+    let count = runs.clone();
+    let run = move |job: Job| {
+        assert!(job.local_only);
+        count.set(count.get() + 1);
+        Box::pin(async move {
+            compio::time::sleep(pause).await;
+            result.map_or(Ok(answer("done", 4, 7)), |code| Err(refused(code)))
+        }) as futures_util::future::LocalBoxFuture<'static, _>
+    };
+    let peers = Peers::new("sicilia-b", [], |_| ());
+    let server = Server { peers, configuration: configuration(profile(), 1), run: Rc::new(run) };
+    server.configuration.set_ready();
+    let serve = rpc::serve(listener, token.clone(), move |body| {
+        let server = server.clone();
+        async move { server.handle(body).await }
+    });
+    compio::runtime::spawn(serve).detach();
+    Served { address, token, runs }
+}
+
+fn peers(domain: &str, address: &str, suspects: &Rc<RefCell<usize>>) -> Peers {
+    let peer = Peer { name: "b".into(), failure_domain: domain.into(), address: address.into() };
+    let suspects = suspects.clone();
+    Peers::new("sicilia-a", [peer], move |new| *suspects.borrow_mut() += new.len())
+}
+
+/// Guards against an outcome that is reported wrongly, and against a job that runs at a peer more than once.
+#[rstest]
+#[case::completed(0, None, "scorer", None, 1)]
+#[case::refused_as_not_run(
+    0,
+    Some(ResultCode::NoUpstream),
+    "scorer",
+    Some(ResultCode::NoUpstream),
+    1
+)]
+#[case::profile_unknown_at_the_peer(0, None, "other", Some(ResultCode::UnknownProfile), 0)]
+#[case::too_slow(2000, None, "scorer", Some(ResultCode::DeadlineExceeded), 1)]
+fn forward_reports_the_outcome(
+    #[case] pause_ms: u64,
+    #[case] result: Option<ResultCode>,
+    #[case] profile: &str,
+    #[case] expected: Option<ResultCode>,
+    #[case] runs: u32,
+) {
+    block_on(async {
+        let served = serve(Duration::from_millis(pause_ms), result).await;
+        let peers = peers("sicilia-b", &served.address, &Rc::default());
+        peers.receive(digest(1, 1, 4));
+        match forward::forward(&peers, job(profile)).await {
+            Ok(done) => {
+                assert_eq!((expected, done.status, &done.body[..]), (None, 200, &b"done"[..]));
+                assert_eq!(done.spans, [inner::Span { version: 4, tokens: 7 }]);
+            }
+            Err(refused) => assert_eq!(Some(refused.code), expected),
+        }
+        assert_eq!(served.runs.get(), runs);
+    });
+}
+
+/// Guards against a forward that is reported as not run although the peer may have run it.
+#[rstest]
+fn connection_that_breaks_after_sending_leaves_the_outcome_unknown() {
+    block_on(async {
+        let served = serve(Duration::from_secs(5), None).await;
+        let peers = peers("sicilia-b", &served.address, &Rc::default());
+        peers.receive(digest(1, 1, 4));
+        let token = served.token.clone();
+        compio::runtime::spawn(async move {
+            compio::time::sleep(Duration::from_millis(100)).await;
+            token.cancel();
+        })
+        .detach();
+        let refused = forward::forward(&peers, job("scorer")).await.unwrap_err();
+        assert!(!refused.code.not_run());
+        assert_eq!(served.runs.get(), 1);
+    });
+}
+
+/// Guards against forwards to peers that cannot run the job, and against late digests of an earlier incarnation.
+#[rstest]
+#[case::own_domain("sicilia-a", digest(2, 1, 4))]
+#[case::no_upstream("sicilia-b", digest(2, 0, 4))]
+#[case::weights_too_old("sicilia-b", digest(2, 1, 2))]
+fn unsuitable_peers_get_no_forward(#[case] domain: &str, #[case] newest: inner::Digest) {
+    block_on(async {
+        let served = serve(Duration::ZERO, None).await;
+        let suspects = Rc::default();
+        let peers = peers(domain, &served.address, &suspects);
+        let code = forward::forward(&peers, job("scorer")).await.unwrap_err().code;
+        assert_eq!(code, ResultCode::NoUpstream, "no digest has arrived");
+        peers.receive(newest);
+        peers.receive(digest(1, 1, 4));
+        let code = forward::forward(&peers, job("scorer")).await.unwrap_err().code;
+        assert_eq!((code, served.runs.get()), (ResultCode::NoUpstream, 0));
+        let own = usize::from(domain == "sicilia-a");
+        assert_eq!((peers.live_in_domain(), *suspects.borrow()), (1 + own, own));
+    });
+}
+
+/// Guards against peers that are not heard, kept after their loss, or restarted without a configuration.
+#[rstest]
+fn digests_make_a_peer_live_until_three_seconds_after_the_last() {
+    block_on(async {
+        let listener = http::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let receiving = peers("sicilia-b", "127.0.0.1:1", &Rc::default());
+        let run = Rc::new(|_: Job| -> futures_util::future::LocalBoxFuture<'static, _> {
+            Box::pin(async { Err(refused(ResultCode::NoUpstream)) })
+        });
+        let configuration = configuration(profile(), 1);
+        configuration.set_ready();
+        let server = Server { peers: receiving.clone(), configuration, run };
+        let handler = move |body| {
+            let server = server.clone();
+            async move { server.handle(body).await }
+        };
+        compio::runtime::spawn(rpc::serve(listener, CancellationToken::new(), handler)).detach();
+        let sending = peers("sicilia-a", &address, &Rc::default());
+        let token = CancellationToken::new();
+        sending.start(Rc::new(|| digest(1, 1, 4)), &token);
+        compio::time::sleep(Duration::from_millis(1500)).await;
+        assert_eq!(receiving.candidates("scorer-llm", 4).len(), 1);
+        token.cancel();
+        compio::time::sleep(Duration::from_millis(3200)).await;
+        assert!(receiving.candidates("scorer-llm", 4).is_empty());
+        let client = rpc::Client::new(address.as_str());
+        let fetch = Body::FetchConfig(inner::FetchConfig {});
+        let reply = client.call(fetch, Duration::from_secs(1)).await.unwrap();
+        let Body::FetchConfigReply(reply) = reply else { panic!("unexpected {reply:?}") };
+        assert_eq!(reply.config.unwrap().revision, 1);
+    });
+}
--- /dev/null
+++ b/orioleworks_entry/tests/rollout/weights.rs
@@ -0,0 +1,231 @@
+//! Weight orders against engines over HTTP.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use orioleworks_daemon::{http, shutdown::Shutdown};
+use orioleworks_entry::{
+    weights::{self, Deps, Engine},
+    weights_http::{Order, Phase, Weights},
+    weights_lease::{Fencing, LEASE_MS, LONGEST_DELIVERY_MS},
+    weights_publish,
+};
+use rstest::rstest;
+use tokio_util::sync::CancellationToken;
+
+use crate::fakes::{Control, block_on, configuration, profile};
+
+const PREFETCH: Duration = Duration::from_millis(150);
+
+#[derive(Default)]
+struct FakeEngine {
+    address: String,
+    checks_fencing: bool,
+    weights: Cell<Weights>,
+    failures: Cell<u32>,
+    orders: RefCell<Vec<(Instant, Order)>>,
+}
+
+impl FakeEngine {
+    async fn start(checks_fencing: bool, failures: u32, loading: Rc<Loading>) -> Rc<Self> {
+        let listener = http::bind("127.0.0.1:0").await.unwrap();
+        let engine = Rc::new(Self {
+            address: listener.local_addr().unwrap().to_string(),
+            checks_fencing,
+            weights: Cell::new(Weights { version: 1, ..Weights::default() }),
+            failures: Cell::new(failures),
+            orders: RefCell::default(),
+        });
+        let served = engine.clone();
+        let limits = http::Limits::default();
+        let serve = http::serve(listener, limits, Shutdown::default(), move |req| {
+            let (engine, loading) = (served.clone(), loading.clone());
+            async move {
+                if req.method() == "GET" {
+                    return http::json(200, &engine.weights.get());
+                }
+                let body = http::read_body(req.into_body(), &limits).await.unwrap();
+                let status = engine.take(serde_json::from_slice(&body).unwrap(), &loading);
+                http::json(status, &engine.weights.get())
+            }
+        });
+        compio::runtime::spawn(serve).detach();
+        engine
+    }
+
+    fn take(self: &Rc<Self>, order: Order, loading: &Rc<Loading>) -> u16 {
+        self.orders.borrow_mut().push((Instant::now(), order));
+        let mut weights = self.weights.get();
+        let last = Fencing { epoch: weights.epoch, sequence: weights.sequence };
+        if self.checks_fencing && order.fencing <= last {
+            return 409;
+        }
+        if self.failures.get() > 0 {
+            self.failures.set(self.failures.get() - 1);
+            return 500;
+        }
+        (weights.epoch, weights.sequence) = (order.fencing.epoch, order.fencing.sequence);
+        match order.phase {
+            Phase::Prefetch => self.clone().prefetch(order.version, loading.clone()),
+            Phase::Activate if weights.prefetched < Some(order.version) => return 425,
+            Phase::Activate => weights.version = order.version,
+        }
+        self.weights.set(weights);
+        200
+    }
+
+    fn prefetch(self: Rc<Self>, version: u64, loading: Rc<Loading>) {
+        loading.now.set(loading.now.get() + 1);
+        loading.most.set(loading.most.get().max(loading.now.get()));
+        compio::runtime::spawn(async move {
+            compio::time::sleep(PREFETCH).await;
+            loading.now.set(loading.now.get() - 1);
+            loading.last.set(Some(Instant::now()));
+            self.weights.set(Weights { prefetched: Some(version), ..self.weights.get() });
+        })
+        .detach();
+    }
+
+    fn first(&self, phase: Phase) -> Option<Instant> {
+        let orders = self.orders.borrow();
+        orders.iter().find(|(_, order)| order.phase == phase).map(|(at, _)| *at)
+    }
+}
+
+#[derive(Default)]
+struct Loading {
+    now: Cell<usize>,
+    most: Cell<usize>,
+    last: Cell<Option<Instant>>,
+}
+
+async fn start(control: &Control, engines: &[Rc<FakeEngine>]) -> CancellationToken {
+    let announced = engines.to_vec();
+    let announce = move || {
+        let engine = |(i, engine): (usize, &Rc<FakeEngine>)| Engine {
+            name: format!("engine-{i}").into(),
+            incarnation: 1,
+            model: "m".into(),
+            address: engine.address.as_str().into(),
+            weight_version: engine.weights.get().version,
+            pending_version: 0,
+            checks_fencing: engine.checks_fencing,
+        };
+        announced.iter().enumerate().map(engine).collect()
+    };
+    let deps = Deps {
+        entry: "a".into(),
+        incarnation: 1,
+        failure_domain: "sicilia-a".into(),
+        control: control.client(),
+        configuration: configuration(profile(), 5),
+        engines: Rc::new(announce),
+    };
+    let token = CancellationToken::new();
+    let run = weights::run(deps, token.clone());
+    compio::runtime::spawn(async move { run.await.unwrap() }).detach();
+    token
+}
+
+async fn until(what: &str, condition: impl Fn() -> bool) {
+    let started = Instant::now();
+    while !condition() {
+        assert!(started.elapsed() < Duration::from_secs(10), "{what} within 10 s");
+        compio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+fn on(engine: &Rc<FakeEngine>, version: u64) -> bool {
+    engine.weights.get().version == version
+}
+
+/// Guards against an overloaded weight store, mixed versions during a swap, and a failed or undone swap that stays so.
+#[rstest]
+fn engines_prefetch_two_at_a_time_activate_together_and_are_repaired() {
+    block_on(async {
+        let control = Control::start().await;
+        let loading = Rc::new(Loading::default());
+        let mut engines = Vec::new();
+        for i in 0..4 {
+            engines.push(FakeEngine::start(i != 3, 0, loading.clone()).await);
+        }
+        let token = start(&control, &engines).await;
+        until("every engine is on version 5", || engines.iter().all(|e| on(e, 5))).await;
+        assert_eq!(loading.most.get(), 2);
+        let last_prefetch = loading.last.get().unwrap();
+        assert!(engines.iter().all(|e| e.first(Phase::Activate).unwrap() >= last_prefetch));
+        // An old order of a former holder reaches the engine that ignores fencing tokens.
+        let fencing = Fencing { epoch: 0, sequence: 9 };
+        let late = Order { version: 4, phase: Phase::Activate, fencing };
+        assert_eq!(engines[3].take(late, &loading), 200);
+        assert_eq!(engines[0].take(late, &loading), 409);
+        assert!(on(&engines[3], 4) && on(&engines[0], 5));
+        until("the old order is corrected", || on(&engines[3], 5)).await;
+        token.cancel();
+    });
+}
+
+/// Guards against one failing engine that keeps its version for ever.
+#[rstest]
+fn failed_orders_are_repeated() {
+    block_on(async {
+        let control = Control::start().await;
+        let engine = FakeEngine::start(true, 3, Rc::default()).await;
+        let token = start(&control, std::slice::from_ref(&engine)).await;
+        until("the engine is on version 5", || on(&engine, 5)).await;
+        let tokens: Vec<Fencing> =
+            engine.orders.borrow().iter().map(|(_, order)| order.fencing).collect();
+        assert!(tokens.is_sorted_by(|a, b| a < b), "each order has a higher fencing token");
+        token.cancel();
+    });
+}
+
+/// Guards against orders of a new holder that cross late orders of the old one, and against orders without a lease.
+#[rstest]
+fn new_holder_waits_for_engines_without_fencing_and_a_lost_lease_stops_orders() {
+    block_on(async {
+        let control = Control::start().await;
+        *control.lease.borrow_mut() = Some(("b".into(), 1));
+        let loading = Rc::new(Loading::default());
+        let checks = FakeEngine::start(true, 0, loading.clone()).await;
+        let ignores = FakeEngine::start(false, 0, loading.clone()).await;
+        let token = start(&control, &[checks.clone(), ignores.clone()]).await;
+        compio::time::sleep(Duration::from_millis(1200)).await;
+        assert!(checks.orders.borrow().is_empty(), "another entry holds the lease");
+        let taken_over = Instant::now();
+        *control.lease.borrow_mut() = Some(("a".into(), 2));
+        until("the engine that checks is ordered", || !checks.orders.borrow().is_empty()).await;
+        until("the other engine is ordered", || !ignores.orders.borrow().is_empty()).await;
+        let wait = Duration::from_millis(LEASE_MS + LONGEST_DELIVERY_MS);
+        assert!(checks.first(Phase::Prefetch).unwrap() < taken_over + wait);
+        assert!(ignores.first(Phase::Prefetch).unwrap() >= taken_over + wait);
+        until("both are on version 5", || on(&checks, 5) && on(&ignores, 5)).await;
+        *control.lease.borrow_mut() = Some(("b".into(), 3));
+        compio::time::sleep(Duration::from_millis(1500)).await;
+        let orders = ignores.orders.borrow().len();
+        ignores.weights.set(Weights { version: 4, ..ignores.weights.get() });
+        compio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(ignores.orders.borrow().len(), orders);
+        token.cancel();
+    });
+}
+
+/// Guards against a publication that counts twice after a lost answer, and against malformed ones.
+#[rstest]
+#[case::valid(r#"{"version": 2, "order_id": "t-1"}"#, 200, 1)]
+#[case::no_version(r#"{"version": 0, "order_id": "t-1"}"#, 400, 0)]
+#[case::no_order_id(r#"{"version": 2, "order_id": ""}"#, 400, 0)]
+fn publication_is_idempotent(#[case] body: &str, #[case] status: u16, #[case] versions: usize) {
+    block_on(async {
+        let control = Control::start().await;
+        for _ in 0..2 {
+            let body = body.to_owned().into();
+            let response = weights_publish::handle(&control.client(), "m", &body).await;
+            assert_eq!(response.status(), status);
+        }
+        assert_eq!(control.versions.borrow().len(), versions);
+    });
+}
