Hand open steps over on a drain and keep samples of a reopened step

Cause: a draining entry started further slots, and a reopen at the same entry ran finished samples again.

--- a/orioleworks_entry/src/delivery.rs
+++ b/orioleworks_entry/src/delivery.rs
@@ -30,6 +30,8 @@
 
 /// Longest wait for samples.
 pub const MAX_WAIT: Duration = Duration::from_secs(30);
+/// Interval at which a waiting request looks for a drain; samples wake it earlier.
+const POLL: Duration = Duration::from_millis(500);
 /// Largest batch in bytes; a single larger sample goes out alone.
 pub const MAX_BATCH_BYTES: usize = 4 * 1024 * 1024;
 
@@ -47,20 +49,27 @@
         let changed = step.signal.wait();
         let batch = decide(step, req)?;
         let left = until.saturating_duration_since(Instant::now());
-        if !batch.samples.is_empty() || batch.complete || left.is_zero() {
+        // A draining owner delivers what it has before it sends the trainer to another entry.
+        let has_samples = !batch.samples.is_empty() || batch.complete;
+        if !has_samples && step.has_drained() {
+            let detail = "the entry shuts down; open the step at another entry";
+            return Err(RunError::new(ResultCode::ShuttingDown, detail));
+        }
+        if has_samples || left.is_zero() {
             fail_point!("delivery.before_send");
             return Ok(batch);
         }
         if step.token.is_cancelled() {
             return Err(RunError::new(ResultCode::UnknownStep, "the step was closed or reopened"));
         }
-        changed.up_to(left).await;
+        changed.up_to(left.min(POLL)).await;
     }
 }
 
 /// Decides once, without waiting; an empty batch means that nothing is ready.
 fn decide(step: &Step, req: &FetchBatch) -> Result<Batch, RunError> {
     let mut requeued = false;
+    fail_point!("delivery.before_next");
     {
         let mut state = step.state.borrow_mut();
         state.asked = clock::since_boot();
@@ -83,7 +92,6 @@
         }
         // Once closed, only the answer to the last acknowledgement can be lost and asked for again.
         if !state.closed {
-            fail_point!("delivery.before_next");
             state.trainer_version = state.trainer_version.max(req.trainer_version);
             if decision == BatchDecision::Next {
                 acknowledge(&mut state);
@@ -151,7 +159,9 @@
         if !batch.is_empty() && bytes > MAX_BATCH_BYTES {
             break;
         }
-        state.slots[slot] = Slot::Sent(sample.clone());
+        if let Slot::Ready(sample) = std::mem::replace(&mut state.slots[slot], Slot::Missing) {
+            state.slots[slot] = Slot::Sent(sample);
+        }
         state.ready.pop_front();
         batch.push(slot);
     }
--- a/orioleworks_entry/src/runs.rs
+++ b/orioleworks_entry/src/runs.rs
@@ -94,10 +94,18 @@
 
     /// Answers `POST /v1/runs/{run}/batches`.
     pub async fn handle_fetch(&self, run: &str, body: &Bytes) -> http::Response {
-        answer(match parse(body) {
+        let response = answer(match parse(body) {
             Ok(req) => self.fetch(run, req).await,
             Err(e) => Err(e),
+        });
+        #[cfg(feature = "failpoints")]
+        runtime::spawn(async {
+            // The server writes the answer after this handler has returned it.
+            time::sleep(Duration::from_millis(50)).await;
+            fail_point!("delivery.after_send");
         })
+        .detach();
+        response
     }
 
     /// Opens or reopens a step and starts to run its missing slots.
@@ -128,10 +136,12 @@
         self.check_room(run)?;
         let name: Rc<str> = run.into();
         let budget = shared.budgets.borrow_mut().entry(name.clone()).or_default().clone();
-        let step = Rc::new(Step::new(name.clone(), epoch, profile, &req, budget));
+        let drain = shared.shutdown.drain.clone();
+        let step = Rc::new(Step::new(name.clone(), epoch, profile, &req, budget, drain));
         let missing = step.undelivered();
         let replaced = shared.steps.borrow_mut().insert(name, step.clone());
         if let Some(old) = replaced {
+            step.adopt(&old);
             retire(&old);
         }
         event!(info, "step_opened", run = run, step = req.step, epoch = epoch, missing = missing);
@@ -159,15 +169,17 @@
         if batch.complete && batch.samples.is_empty() {
             close(&step);
         }
-        fail_point!("delivery.after_send");
         Ok(batch)
     }
 
-    /// Closes steps that no trainer asks for, until the process stops.
+    /// Closes steps that no trainer asks for or that were reopened elsewhere, until the process stops.
     pub async fn expire(&self) {
         while !self.shared.shutdown.stop.is_cancelled() {
             time::sleep(EXPIRY_POLL).await;
             self.expire_before(clock::since_boot().saturating_sub(EXPIRY));
+            if self.open_steps() > 0 {
+                self.drop_reopened().await;
+            }
         }
     }
 
@@ -191,17 +203,23 @@
     /// Waits until every step is closed or reopened at another entry; for the drain, until the process stops.
     pub async fn idle(&self) {
         while self.open_steps() > 0 && !self.shared.shutdown.stop.is_cancelled() {
-            for record in self.records().await.unwrap_or_default() {
-                let step = self.shared.steps.borrow().get(record.run.as_str()).cloned();
-                if let Some(step) = step.filter(|step| record.epoch > step.epoch) {
-                    event!(info, "step_reopened_elsewhere", run = step.run, owner = record.owner);
-                    self.forget(&step);
-                }
-            }
+            self.drop_reopened().await;
             time::sleep(DRAIN_POLL).await;
         }
     }
 
+    /// Ends the work on steps of which control knows a later owner.
+    async fn drop_reopened(&self) {
+        for record in self.records().await.unwrap_or_default() {
+            let step = self.shared.steps.borrow().get(record.run.as_str()).cloned();
+            let own = record.owner == *self.shared.own.name;
+            if let Some(step) = step.filter(|step| !own && record.epoch > step.epoch) {
+                event!(info, "step_reopened_elsewhere", run = step.run, owner = record.owner);
+                self.forget(&step);
+            }
+        }
+    }
+
     fn forget(&self, step: &Rc<Step>) {
         let mut steps = self.shared.steps.borrow_mut();
         if steps.get(&step.run).is_some_and(|known| Rc::ptr_eq(known, step)) {
--- a/orioleworks_entry/src/runs_dispatch.rs
+++ b/orioleworks_entry/src/runs_dispatch.rs
@@ -100,6 +100,10 @@
                 }
             },
             Err(refused) => {
+                if step.drain.is_cancelled() {
+                    step.give_back(id);
+                    return;
+                }
                 wait = wait.max(Duration::from_millis(refused.retry_after_ms.into()));
                 event!(
                     debug,
--- a/orioleworks_entry/src/runs_messages.rs
+++ b/orioleworks_entry/src/runs_messages.rs
@@ -45,7 +45,7 @@
     pub epoch: u64,
     /// HTTP address of the owner.
     pub owner: String,
-    /// Slots that the owner runs.
+    /// Slots that are not taken.
     pub missing: usize,
 }
 
--- a/orioleworks_entry/src/runs_step.rs
+++ b/orioleworks_entry/src/runs_step.rs
@@ -121,6 +121,8 @@
     pub opened: Instant,
     /// Cancelled when the step is closed or replaced.
     pub token: CancellationToken,
+    /// Cancelled when the entry drains: no further slot starts, the running ones finish.
+    pub drain: CancellationToken,
     /// Wakes batches when a sample is ready, and the dispatch when slots are missing.
     pub signal: Signal,
     /// State; no borrow is held over an await.
@@ -161,6 +163,7 @@
         profile: Rc<inner::Profile>,
         req: &OpenStep,
         budget: Budget,
+        drain: CancellationToken,
     ) -> Self {
         let taken: HashSet<(&str, u32)> = req.taken.iter().map(|(g, i)| (g.as_str(), *i)).collect();
         let (mut slots, mut groups, mut missing) = (Vec::new(), Vec::new(), VecDeque::new());
@@ -209,6 +212,7 @@
             max_tokens: req.max_tokens,
             opened: Instant::now(),
             token: CancellationToken::new(),
+            drain,
             signal: Signal::default(),
             state: RefCell::new(state),
         }
@@ -217,7 +221,7 @@
     /// Takes the next slot to run, unless the step holds as many bytes as it may.
     pub fn next_missing(&self) -> Option<SlotId> {
         let mut state = self.state.borrow_mut();
-        if state.held_bytes >= MAX_HELD_BYTES {
+        if state.held_bytes >= MAX_HELD_BYTES || self.drain.is_cancelled() {
             return None;
         }
         let id = state.missing.pop_front()?;
@@ -249,6 +253,53 @@
         self.signal.notify();
     }
 
+    /// Gives a slot back that was not finished.
+    pub fn give_back(&self, id: SlotId) {
+        let mut state = self.state.borrow_mut();
+        state.slots[id.slot] = Slot::Missing;
+        state.missing.push_front(id);
+        drop(state);
+        self.signal.notify();
+    }
+
+    /// Whether the entry drains and no slot of the step is running any more.
+    pub fn has_drained(&self) -> bool {
+        let running = |slot: &Slot| matches!(slot, Slot::Running);
+        self.drain.is_cancelled() && !self.state.borrow().slots.iter().any(running)
+    }
+
+    /// Takes over finished samples of an earlier open of the same step at this entry.
+    ///
+    /// A sample that the trainer took is named as taken in the open, so each other one may be delivered.
+    pub fn adopt(&self, old: &Self) {
+        let same = self.step == old.step
+            && self.profile == old.profile
+            && self.model == old.model
+            && self.max_tokens == old.max_tokens;
+        if !same {
+            return;
+        }
+        let (mut state, old) = (self.state.borrow_mut(), old.state.borrow());
+        let groups: HashMap<&str, &GroupState> =
+            old.groups.iter().map(|group| (&*group.name, group)).collect();
+        for id in std::mem::take(&mut state.missing) {
+            let group = &state.groups[id.group];
+            let known = groups
+                .get(&*group.name)
+                .filter(|known| known.prompt == group.prompt && id.index < known.slots.1 as u32)
+                .map(|known| &old.slots[known.slots.0 + id.index as usize]);
+            if let Some(Slot::Ready(sample) | Slot::Sent(sample)) = known {
+                state.held_bytes += sample.bytes();
+                state.attempts[id.slot] = sample.attempts;
+                state.slots[id.slot] = Slot::Ready(sample.clone());
+                state.ready.push_back(id.slot);
+                state.groups[id.group].finished += 1;
+            } else {
+                state.missing.push_back(id);
+            }
+        }
+    }
+
     /// Samples in no batch; 0 means that every slot is in the open or an acknowledged batch.
     pub fn undelivered(&self) -> usize {
         let state = self.state.borrow();
--- a/orioleworks_entry/tests/rollout/delivery.rs
+++ b/orioleworks_entry/tests/rollout/delivery.rs
@@ -163,6 +163,32 @@
     });
 }
 
+/// Guards against finished samples that are run again after a reopen at the same entry.
+#[rstest]
+fn reopening_at_the_same_entry_keeps_finished_samples() {
+    block_on(async {
+        let control = Control::start().await;
+        let entry = Entry::start("a", &control, profile(), |job: Job| async move {
+            if job.request_id.ends_with("-3-1") {
+                job.cancel.cancelled().await;
+            }
+            Ok(answer("t", 1, 4))
+        })
+        .await;
+        let first = entry.runs.open("run", open_step(1, 1, 4)).await.unwrap();
+        compio::time::sleep(Duration::from_millis(50)).await;
+        let batch = entry.runs.fetch("run", fetch(first.epoch, 0, 1)).await.unwrap();
+        assert_eq!(indices(&batch), BTreeSet::from([0, 1, 2]));
+        let mut again = open_step(1, 1, 4);
+        again.taken = vec![("g0".into(), 1)];
+        let second = entry.runs.open("run", again).await.unwrap();
+        assert_eq!(second.missing, 3);
+        let batch = entry.runs.fetch("run", fetch(second.epoch, 0, 1)).await.unwrap();
+        assert_eq!(indices(&batch), BTreeSet::from([0, 2]));
+        assert_eq!((batch.epoch, batch.missing), (second.epoch, 1));
+    });
+}
+
 /// Guards against steps that are held for ever, and against opens without a quorum or beyond the bounds.
 #[rstest]
 fn steps_expire_and_bad_opens_are_refused() {
--- a/orioleworks_entry/tests/rollout/fakes.rs
+++ b/orioleworks_entry/tests/rollout/fakes.rs
@@ -148,6 +148,8 @@
     pub runs: Runs,
     pub address: String,
     pub shutdown: Shutdown,
+    /// Drains the runs, while the server goes on.
+    pub runs_drain: CancellationToken,
     /// Answers are dropped while set, after the request was served.
     pub lose_answers: Rc<Cell<u32>>,
 }
@@ -173,8 +175,10 @@
         };
         let shutdown = Shutdown::default();
         let configuration = configuration(profile, 1);
-        let runs = Runs::new(own, control.client(), configuration, deps, shutdown.clone());
-        let entry = Self { runs, address, shutdown, lose_answers: Rc::default() };
+        let of_runs = Shutdown::default();
+        let runs_drain = of_runs.drain.clone();
+        let runs = Runs::new(own, control.client(), configuration, deps, of_runs);
+        let entry = Self { runs, address, shutdown, runs_drain, lose_answers: Rc::default() };
         let (handler, limits) = (entry.clone(), http::Limits::default());
         let stop = entry.shutdown.clone();
         compio::runtime::spawn(http::serve(listener, limits, stop, move |req| {
--- a/orioleworks_entry/tests/rollout/hedging.rs
+++ b/orioleworks_entry/tests/rollout/hedging.rs
@@ -67,6 +67,7 @@
         })
         .await;
         let mut samples = run_step(&entry, 4, 4).await;
+        assert_eq!(samples.len(), 16, "no slot is delivered twice");
         samples.sort_by_key(|sample| (sample.group.clone(), sample.index));
         samples.dedup_by_key(|sample| (sample.group.clone(), sample.index));
         assert_eq!(samples.len(), 16);
--- a/orioleworks_entry/tests/rollout/trainer.rs
+++ b/orioleworks_entry/tests/rollout/trainer.rs
@@ -72,6 +72,33 @@
     });
 }
 
+/// Guards against samples in hand that a planned stop loses, and against a drain that does not end.
+#[rstest]
+fn draining_owner_delivers_what_it_has_and_hands_over() {
+    block_on(async {
+        let control = Control::start().await;
+        let engine = |job: orioleworks_entry::dispatch::Job| async move {
+            let pause = if job.request_id.contains("-g2-") { 400 } else { 20 };
+            compio::time::sleep(Duration::from_millis(pause)).await;
+            Ok(answer(&*job.request_id, 1, 4))
+        };
+        let first = Entry::start("a", &control, profile(), engine).await;
+        let second = Entry::start("b", &control, profile(), engine).await;
+        let taken = Taken::default();
+        let mut trainer = trainer(&[&first, &second], &taken);
+        trainer.open(&step(1, 3, 4), 1).await.unwrap();
+        compio::time::sleep(Duration::from_millis(100)).await;
+        // The server of the fake goes on accepting, as the entry's does until its runs are idle.
+        first.runs_drain.cancel();
+        trainer.run_step(&step(1, 3, 4), 1, |_| ()).await.unwrap();
+        assert_each_once(&taken, 3, 4);
+        assert_eq!(trainer.owner(), Some(first.address.as_str()), "running slots finish here");
+        trainer.run_step(&step(2, 1, 2), 1, |_| ()).await.unwrap();
+        assert_eq!(trainer.owner(), Some(second.address.as_str()));
+        first.runs.idle().await;
+    });
+}
+
 /// Guards against slots that are lost or doubled when the owner dies in mid-step.
 #[rstest]
 fn lost_owner_is_replaced_and_each_slot_is_taken_once() {
--- a/orioleworks_trainer/src/client.rs
+++ b/orioleworks_trainer/src/client.rs
@@ -163,12 +163,14 @@
                                     | ResultCode::StaleEpoch
                                     | ResultCode::BadCursor
                                     | ResultCode::NotOwner
+                                    | ResultCode::ShuttingDown
                             )
                         );
                     if lost {
                         self.owner = None;
                         failures = 0;
-                        if matches!(e, TrainerError::NoAnswer(_)) {
+                        let leaving = e.code() == Some(ResultCode::ShuttingDown);
+                        if leaving || matches!(e, TrainerError::NoAnswer(_)) {
                             self.next_entry();
                         }
                     }
