--- a/orioleworks_trainer/src/client.rs
+++ b/orioleworks_trainer/src/client.rs
@@ -32,7 +32,7 @@
     pub max_samples: usize,
     /// Longest wait of an entry for a sample in milliseconds.
     pub wait_ms: u64,
-    /// Longest time for opening a step or publishing a version, over all entries.
+    /// Longest time in which one call repeats failed requests, over all entries.
     pub patience: Duration,
 }
 
@@ -123,7 +123,8 @@
         }
         let next = self.state.after_open(step.step, opened.epoch);
         self.commit(next, &[])?;
-        self.owner = Some(opened.owner);
+        let asked = &self.entries[self.at];
+        self.owner = Some(if opened.owner.is_empty() { asked.clone() } else { opened.owner });
         Ok(())
     }
 
@@ -140,6 +141,7 @@
         trainer_version: u64,
     ) -> Result<(Vec<Sample>, bool), TrainerError> {
         let mut failures = 0;
+        let deadline = Instant::now() + self.options.patience;
         loop {
             if self.owner.is_none() || self.state.step != step.step {
                 self.open(step, trainer_version).await?;
@@ -153,7 +155,7 @@
             match error {
                 // The same epoch is never served by another entry, but the named owner is up, so it is asked first.
                 TrainerError::Refused { owner: Some(owner), .. } => self.reopen_at(owner),
-                e if e.is_final() => return Err(e),
+                e if e.is_final() || Instant::now() >= deadline => return Err(e),
                 e => {
                     let lost = failures >= FETCH_ATTEMPTS
                         || matches!(
