Sharpen tests of forwards and the order lease

Cause: two mutations survived: a broken forward reported as not run, and a lost lease that was not cancelled. The fake peer kept its connection open, and no engine was in mid-swap at the loss. Change: the fake closes the connection after it has read the request; the lease rules have tests of their own.

--- a/orioleworks_entry/tests/rollout/peers.rs
+++ b/orioleworks_entry/tests/rollout/peers.rs
@@ -47,14 +47,13 @@
 /// Peer `b` of another or the own failure domain, served in this process.
 struct Served {
     address: String,
-    token: CancellationToken,
     runs: Rc<Cell<u32>>,
 }
 
 async fn serve(pause: Duration, result: Option<ResultCode>) -> Served {
     let listener = http::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
-    let (token, runs) = (CancellationToken::new(), Rc::new(Cell::new(0)));
+    let runs = Rc::new(Cell::new(0));
     let count = runs.clone();
     let run = move |job: Job| {
         assert!(job.local_only);
@@ -67,12 +66,12 @@
     let peers = Peers::new("sicilia-b", [], |_| ());
     let server = Server { peers, configuration: configuration(profile(), 1), run: Rc::new(run) };
     server.configuration.set_ready();
-    let serve = rpc::serve(listener, token.clone(), move |body| {
+    let serve = rpc::serve(listener, CancellationToken::new(), move |body| {
         let server = server.clone();
         async move { server.handle(body).await }
     });
     compio::runtime::spawn(serve).detach();
-    Served { address, token, runs }
+    Served { address, runs }
 }
 
 fn peers(domain: &str, address: &str, suspects: &Rc<RefCell<usize>>) -> Peers {
@@ -115,22 +114,27 @@
     });
 }
 
-/// Guards against a forward that is reported as not run although the peer may have run it.
+/// Guards against a forward that is reported as not run, or sent again, although the peer may have run it.
 #[rstest]
 fn connection_that_breaks_after_sending_leaves_the_outcome_unknown() {
     block_on(async {
-        let served = serve(Duration::from_secs(5), None).await;
-        let peers = peers("sicilia-b", &served.address, &Rc::default());
+        let listener = http::bind("127.0.0.1:0").await.unwrap();
+        let peers = peers("sicilia-b", &listener.local_addr().unwrap().to_string(), &Rc::default());
         peers.receive(digest(1, 1, 4));
-        let token = served.token.clone();
+        let connections = Rc::new(Cell::new(0));
+        let count = connections.clone();
         compio::runtime::spawn(async move {
-            compio::time::sleep(Duration::from_millis(100)).await;
-            token.cancel();
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                count.set(count.get() + 1);
+                // The request is read, and the connection ends without an answer.
+                compio::time::sleep(Duration::from_millis(100)).await;
+                drop(stream);
+            }
         })
         .detach();
         let refused = forward::forward(&peers, job("scorer")).await.unwrap_err();
-        assert!(!refused.code.not_run());
-        assert_eq!(served.runs.get(), 1);
+        assert_eq!((refused.code, connections.get()), (ResultCode::OutcomeUnknown, 1));
     });
 }
 
--- a/orioleworks_entry/tests/rollout/weights.rs
+++ b/orioleworks_entry/tests/rollout/weights.rs
@@ -10,7 +10,7 @@
 use orioleworks_entry::{
     weights::{self, Deps, Engine},
     weights_http::{Order, Phase, Weights},
-    weights_lease::{Fencing, LEASE_MS, LONGEST_DELIVERY_MS},
+    weights_lease::{self, Acquired, Fencing, LEASE_MS, LONGEST_DELIVERY_MS, Lease},
     weights_publish,
 };
 use rstest::rstest;
@@ -213,6 +213,44 @@
     });
 }
 
+/// Guards against orders under a lease that another entry holds, or that ended while the process was suspended.
+#[rstest]
+#[case::renewed(100, Acquired::Held(2), true, false)]
+#[case::no_answer_yet(100, Acquired::NoAnswer, true, false)]
+#[case::held_by_another(100, Acquired::Other, false, true)]
+#[case::new_epoch(100, Acquired::Held(3), false, true)]
+#[case::no_answer_until_the_end(3000, Acquired::NoAnswer, false, true)]
+fn lease_decides_about_orders(
+    #[case] age_ms: u64,
+    #[case] acquired: Acquired,
+    #[case] may_order: bool,
+    #[case] cancelled: bool,
+) {
+    let parent = CancellationToken::new();
+    let asked = weights_lease::now_ms() - age_ms;
+    let lease = Rc::new(Lease::new(2, asked, asked, parent.child_token()));
+    let held = weights_lease::update(Some(lease.clone()), acquired, asked + age_ms, &parent);
+    assert_eq!(lease.next_order(true).is_some(), may_order);
+    assert_eq!(lease.next_order(false), None, "the former holder's orders may still arrive");
+    assert_eq!(lease.token.is_cancelled(), cancelled);
+    let epoch = held.map(|lease| lease.epoch);
+    let expected = match acquired {
+        Acquired::Held(epoch) => Some(epoch),
+        _ => may_order.then_some(2),
+    };
+    assert_eq!(epoch, expected);
+}
+
+/// Guards against an order that could arrive after the end of the lease.
+#[rstest]
+#[case::in_time(1900, true)]
+#[case::too_late(2100, false)]
+fn no_order_goes_out_shortly_before_the_end_of_the_lease(#[case] age_ms: u64, #[case] goes: bool) {
+    let asked = weights_lease::now_ms() - age_ms;
+    let lease = Lease::new(1, asked, asked, CancellationToken::new());
+    assert_eq!(lease.next_order(true).is_some(), goes);
+}
+
 /// Guards against a publication that counts twice after a lost answer, and against malformed ones.
 #[rstest]
 #[case::valid(r#"{"version": 2, "order_id": "t-1"}"#, 200, 1)]
