--- /dev/null
+++ b/orioleworks_standins/src/client.rs
@@ -0,0 +1,128 @@
+//! HTTP client of the stand-ins: whole JSON requests with a deadline.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use displaydoc::Display;
+use http::HeaderMap;
+use serde::{Serialize, de::DeserializeOwned};
+
+/// Why a request has no whole answer.
+#[derive(Clone, Debug, Display)]
+pub enum ClientError {
+    /// connection: {0}
+    Connection(String),
+    /// no answer in time
+    Timeout,
+    /// status {0}: {1}
+    Status(u16, String),
+    /// answer cannot be read: {0}
+    Answer(String),
+}
+
+impl std::error::Error for ClientError {}
+
+/// Whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// Reads the body of a successful answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the status of an unsuccessful answer, or why the body cannot be read.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, ClientError> {
+        if self.status != 200 {
+            let text = String::from_utf8_lossy(&self.body).into_owned();
+            return Err(ClientError::Status(self.status, text));
+        }
+        serde_json::from_slice(&self.body).map_err(|e| ClientError::Answer(e.to_string()))
+    }
+}
+
+/// Client with a connection pool; clones share it.
+#[derive(Clone, Debug)]
+pub struct Client {
+    inner: cyper::Client,
+}
+
+impl Client {
+    /// New client.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the client cannot be set up.
+    pub fn new() -> Result<Self, ClientError> {
+        let inner = cyper::Client::new().map_err(connection)?;
+        Ok(Self { inner })
+    }
+
+    /// The client underneath, for streams.
+    pub fn inner(&self) -> &cyper::Client {
+        &self.inner
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no whole answer; the request may have run.
+    pub async fn send(
+        &self,
+        method: http::Method,
+        url: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+        timeout: Duration,
+    ) -> Result<Answer, ClientError> {
+        let mut builder = self.inner.request(method, url).map_err(connection)?;
+        for (name, value) in headers {
+            builder = builder.header(*name, *value).map_err(connection)?;
+        }
+        let body: Bytes = body.into();
+        let exchange = async {
+            let response = builder.body(body).send().await.map_err(connection)?;
+            let (status, headers) = (response.status().as_u16(), response.headers().clone());
+            let body = response.bytes().await.map_err(connection)?;
+            Ok(Answer { status, headers, body })
+        };
+        compio::time::timeout(timeout, exchange).await.map_err(|_| ClientError::Timeout)?
+    }
+
+    /// Posts JSON and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no whole answer; the request may have run.
+    pub async fn post(
+        &self,
+        url: &str,
+        body: &impl Serialize,
+        timeout: Duration,
+    ) -> Result<Answer, ClientError> {
+        let bytes = serde_json::to_vec(body).map_err(connection)?;
+        let headers = [("content-type", "application/json")];
+        self.send(http::Method::POST, url, &headers, bytes, timeout).await
+    }
+
+    /// Gets a whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no whole answer.
+    pub async fn get(&self, url: &str, timeout: Duration) -> Result<Answer, ClientError> {
+        self.send(http::Method::GET, url, &[], Bytes::new(), timeout).await
+    }
+}
+
+fn connection(e: impl std::fmt::Display) -> ClientError {
+    ClientError::Connection(e.to_string())
+}
--- /dev/null
+++ b/orioleworks_standins/src/deployment.rs
@@ -0,0 +1,387 @@
+//! A deployment on loopback: which processes there are, and faults on them by name.
+
+use std::{
+    cell::RefCell,
+    fs, io,
+    path::{Path, PathBuf},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use displaydoc::Display;
+use indexmap::IndexMap;
+use nix::sys::signal::Signal;
+use orioleworks_daemon::control::ControlClient;
+
+use crate::{
+    client::Client,
+    process::{Process, Usage},
+    relay::Relay,
+    settings_files::Daemon,
+};
+
+/// Sizes and places of a deployment.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Directory of the programs.
+    pub bin_dir: PathBuf,
+    /// Directory for settings, data and logs.
+    pub directory: PathBuf,
+    /// Failure domains; the letter after the last hyphen is part of the names.
+    pub domains: Vec<String>,
+    /// Entries in each domain.
+    pub entries_per_domain: usize,
+    /// Engines in each domain.
+    pub engines_per_domain: usize,
+    /// Judges, one in each of the first domains.
+    pub judges: usize,
+    /// Seed of the texts.
+    pub seed: u64,
+    /// Whether inner ports are behind relays.
+    pub relays: bool,
+    /// Further arguments of every engine.
+    pub engine_args: Vec<String>,
+}
+
+impl Options {
+    /// The consortium's deployment with 4 engines in each domain.
+    pub fn consortium(bin_dir: &Path, directory: &Path, seed: u64) -> Self {
+        Self {
+            bin_dir: bin_dir.to_owned(),
+            directory: directory.to_owned(),
+            domains: ["sicilia-a", "sicilia-b", "sicilia-c"].map(String::from).to_vec(),
+            entries_per_domain: 2,
+            engines_per_domain: 4,
+            judges: 1,
+            seed,
+            relays: true,
+            engine_args: Vec::new(),
+        }
+    }
+}
+
+/// What kind of process a name stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Control replica.
+    Control,
+    /// Entry.
+    Entry,
+    /// Engine.
+    Engine,
+    /// Plain service.
+    Service,
+    /// Judge.
+    Judge,
+    /// Weight store.
+    Weights,
+    /// Trainer or load generator.
+    Client,
+}
+
+/// Whether a restarted process finds its data directory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DataDirectory {
+    /// As it was.
+    Same,
+    /// Empty, as after the loss of a disk.
+    Empty,
+}
+
+/// Why the deployment cannot do what was asked.
+#[derive(Debug, Display)]
+pub enum DeploymentError {
+    /// no process is named {0}
+    UnknownName(String),
+    /// {name}: {reason}
+    System {
+        /// Process.
+        name: String,
+        /// Message of the operating system.
+        reason: io::Error,
+    },
+    /// not ready in time: {0}
+    NotReady(String),
+}
+
+impl std::error::Error for DeploymentError {}
+
+/// A place in the deployment.
+#[derive(Clone, Debug)]
+pub struct Node {
+    /// Kind of process.
+    pub kind: Kind,
+    /// Failure domain; empty for the weight store and clients.
+    pub domain: String,
+    /// HTTP address; empty for clients.
+    pub http: String,
+}
+
+pub(crate) type Processes = Rc<RefCell<IndexMap<String, Process>>>;
+
+/// A deployment and its processes. Dropping it kills every process that still runs.
+#[derive(Debug)]
+pub struct Deployment {
+    pub(crate) options: Options,
+    pub(crate) nodes: IndexMap<String, Node>,
+    pub(crate) processes: Processes,
+    pub(crate) controls: Vec<Daemon>,
+    pub(crate) entries: Vec<Daemon>,
+    pub(crate) relays: IndexMap<String, Relay>,
+}
+
+impl Deployment {
+    /// Options of the deployment.
+    pub fn options(&self) -> &Options {
+        &self.options
+    }
+
+    /// Directory of the data of a daemon.
+    pub fn data_directory(&self, name: &str) -> PathBuf {
+        self.options.directory.join("data").join(name)
+    }
+
+    pub(crate) fn settings_path(&self, name: &str) -> PathBuf {
+        self.options.directory.join(format!("{name}.jsonc"))
+    }
+
+    /// Names and places of a kind.
+    pub fn nodes(&self, kind: Kind) -> impl Iterator<Item = (&str, &Node)> {
+        self.nodes.iter().filter(move |(_, n)| n.kind == kind).map(|(name, n)| (name.as_str(), n))
+    }
+
+    /// HTTP addresses of a kind, separated by commas.
+    pub fn addresses(&self, kind: Kind) -> String {
+        let addresses: Vec<&str> = self.nodes(kind).map(|(_, node)| node.http.as_str()).collect();
+        addresses.join(",")
+    }
+
+    /// Client of the control replicas.
+    pub fn control_client(&self) -> ControlClient {
+        ControlClient::new(self.controls.iter().map(|c| c.public_inner.as_str()))
+    }
+
+    fn process<T>(
+        &self,
+        name: &str,
+        act: impl FnOnce(&mut Process) -> io::Result<T>,
+    ) -> Result<T, DeploymentError> {
+        let mut processes = self.processes.borrow_mut();
+        let unknown = || DeploymentError::UnknownName(name.to_owned());
+        act(processes.get_mut(name).ok_or_else(unknown)?).map_err(system(name))
+    }
+
+    /// Starts a process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an unknown name or what the operating system refused; so do the other methods by name.
+    pub fn start(&self, name: &str) -> Result<(), DeploymentError> {
+        self.process(name, Process::start)
+    }
+
+    /// Starts all processes but clients.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first process that cannot be started.
+    pub fn start_all(&self) -> Result<(), DeploymentError> {
+        let names = self.nodes.iter().filter(|(_, node)| node.kind != Kind::Client);
+        names.map(|(name, _)| name).try_for_each(|name| self.start(name))
+    }
+
+    /// Kills a process at once.
+    ///
+    /// # Errors
+    ///
+    /// See [`Deployment::start`].
+    pub fn kill(&self, name: &str) -> Result<(), DeploymentError> {
+        self.process(name, Process::kill)
+    }
+
+    /// Pauses a process.
+    ///
+    /// # Errors
+    ///
+    /// See [`Deployment::start`].
+    pub fn pause(&self, name: &str) -> Result<(), DeploymentError> {
+        self.process(name, |process| process.signal(Signal::SIGSTOP))
+    }
+
+    /// Resumes a paused process.
+    ///
+    /// # Errors
+    ///
+    /// See [`Deployment::start`].
+    pub fn resume(&self, name: &str) -> Result<(), DeploymentError> {
+        self.process(name, |process| process.signal(Signal::SIGCONT))
+    }
+
+    /// Asks a process to end; [`Deployment::wait_end`] waits for it.
+    ///
+    /// # Errors
+    ///
+    /// See [`Deployment::start`].
+    pub fn stop(&self, name: &str) -> Result<(), DeploymentError> {
+        self.process(name, |process| process.signal(Signal::SIGTERM))
+    }
+
+    /// Waits for the end of a process; its exit code, `None` when it still runs or died of a signal.
+    ///
+    /// # Errors
+    ///
+    /// See [`Deployment::start`].
+    pub async fn wait_end(
+        &self,
+        name: &str,
+        timeout: Duration,
+    ) -> Result<Option<i32>, DeploymentError> {
+        const POLL: Duration = Duration::from_millis(20);
+        let deadline = Instant::now() + timeout;
+        loop {
+            if let Some(status) = self.process(name, |process| Ok(process.exited()))? {
+                return Ok(status.code());
+            }
+            if Instant::now() >= deadline || !self.running(name) {
+                return Ok(None);
+            }
+            compio::time::sleep(POLL).await;
+        }
+    }
+
+    /// Whether a process runs.
+    pub fn running(&self, name: &str) -> bool {
+        self.process(name, |process| Ok(process.running())).unwrap_or(false)
+    }
+
+    /// Process ID.
+    pub fn pid(&self, name: &str) -> Option<u32> {
+        self.processes.borrow().get(name).and_then(Process::pid)
+    }
+
+    /// Use of the machine by a process.
+    pub fn usage(&self, name: &str) -> Option<Usage> {
+        self.processes.borrow().get(name).and_then(Process::usage)
+    }
+
+    /// Bytes over the relay of a daemon so far.
+    pub fn relay_bytes(&self, name: &str) -> u64 {
+        self.relays.get(name).map_or(0, Relay::bytes)
+    }
+
+    /// Kills a process, if it runs, and starts it again.
+    ///
+    /// # Errors
+    ///
+    /// See [`Deployment::start`].
+    pub fn restart(&self, name: &str, data: DataDirectory) -> Result<(), DeploymentError> {
+        self.kill(name)?;
+        if data == DataDirectory::Empty {
+            let directory = self.data_directory(name);
+            fs::remove_dir_all(&directory).map_err(system(name))?;
+            fs::create_dir_all(&directory).map_err(system(name))?;
+            if let Some(own) = self.controls.iter().find(|control| control.name == name) {
+                self.write_settings(own, Kind::Control, false).map_err(system(name))?;
+            }
+        }
+        self.start(name)
+    }
+
+    /// Cuts the link between two processes in both directions.
+    pub fn cut(&self, a: &str, b: &str) {
+        self.relays.get(a).into_iter().for_each(|relay| relay.cut(b));
+        self.relays.get(b).into_iter().for_each(|relay| relay.cut(a));
+    }
+
+    /// Heals the link between two processes.
+    pub fn heal(&self, a: &str, b: &str) {
+        self.relays.get(a).into_iter().for_each(|relay| relay.heal(b));
+        self.relays.get(b).into_iter().for_each(|relay| relay.heal(a));
+    }
+
+    /// Cuts all inner links between a failure domain and the others.
+    pub fn cut_domain(&self, domain: &str) {
+        let inside = |name: &str| self.nodes.get(name).is_some_and(|node| node.domain == domain);
+        for a in self.relays.keys().filter(|name| inside(name)) {
+            self.relays.keys().filter(|name| !inside(name)).for_each(|b| self.cut(a, b));
+        }
+    }
+
+    /// Cuts all inner links of a daemon.
+    pub fn isolate(&self, name: &str) {
+        self.relays.get(name).into_iter().for_each(|relay| relay.cut_all(true));
+        self.relays.values().for_each(|relay| relay.cut(name));
+    }
+
+    /// Heals all links.
+    pub fn heal_all(&self) {
+        self.relays.values().for_each(|relay| relay.cut_all(false));
+    }
+
+    /// Waits until every running process with an HTTP address answers `/ready` with 200.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first process that is not ready in time, or has ended.
+    pub async fn wait_ready(&self, timeout: Duration) -> Result<(), DeploymentError> {
+        const POLL: Duration = Duration::from_millis(100);
+        let deadline = Instant::now() + timeout;
+        let not_ready = |name: &str, reason: &str| {
+            DeploymentError::NotReady(format!("{name}: {reason}; see {name}.log"))
+        };
+        let client = Client::new().map_err(|e| not_ready("client", &e.to_string()))?;
+        for (name, node) in self.nodes.iter().filter(|(_, node)| !node.http.is_empty()) {
+            let url = format!("http://{}/ready", node.http);
+            loop {
+                let state = match client.get(&url, Duration::from_secs(1)).await {
+                    Ok(answer) if answer.status == 200 => break,
+                    Ok(answer) => String::from_utf8_lossy(&answer.body).trim().to_owned(),
+                    Err(e) => e.to_string(),
+                };
+                if !self.running(name) {
+                    return Err(not_ready(name, "has ended"));
+                }
+                if Instant::now() >= deadline {
+                    return Err(not_ready(name, &state));
+                }
+                compio::time::sleep(POLL).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Stops everything: clients, then entries, then upstreams, then control. Returns the names of the processes that
+    /// did not end by themselves before the deadline of their turn and were killed.
+    pub async fn stop_all(&self, deadline: Duration) -> Vec<String> {
+        const ORDER: [&[Kind]; 4] = [
+            &[Kind::Client],
+            &[Kind::Entry],
+            &[Kind::Engine, Kind::Service, Kind::Judge, Kind::Weights],
+            &[Kind::Control],
+        ];
+        let mut killed = Vec::new();
+        for kinds in ORDER {
+            let names: Vec<&str> =
+                kinds.iter().flat_map(|kind| self.nodes(*kind)).map(|n| n.0).collect();
+            for name in &names {
+                drop(self.resume(name));
+                drop(self.stop(name));
+            }
+            let until = Instant::now() + deadline;
+            for name in names {
+                let left = until.saturating_duration_since(Instant::now());
+                drop(self.wait_end(name, left).await);
+                if self.running(name) {
+                    killed.push(name.to_owned());
+                }
+                drop(self.kill(name));
+            }
+        }
+        killed
+    }
+}
+
+pub(crate) fn system(name: &str) -> impl FnOnce(io::Error) -> DeploymentError {
+    let name = name.to_owned();
+    move |reason| DeploymentError::System { name, reason }
+}
--- /dev/null
+++ b/orioleworks_standins/src/engine_stream.rs
@@ -0,0 +1,125 @@
+//! Token streams of the stand-in engine: server-sent events with continuous batching.
+
+use std::{convert::Infallible, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use futures_channel::mpsc;
+use futures_util::SinkExt;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use orioleworks_daemon::http::Response;
+use serde::Serialize;
+
+use crate::{
+    engine::{Completion, Engine, KvState},
+    provenance,
+};
+
+/// End marker of a stream.
+pub const DONE: &str = "data: [DONE]\n\n";
+/// Part of the time to the first token that a cached prefix leaves.
+const CACHED_PREFILL: f64 = 0.1;
+
+type Sender = mpsc::Sender<Result<Frame<Bytes>, Infallible>>;
+
+#[derive(Serialize)]
+struct Choice {
+    text: String,
+    finish_reason: Option<&'static str>,
+}
+
+#[derive(Serialize)]
+struct Chunk {
+    choices: [Choice; 1],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    weight_version: Option<u64>,
+    tokens: u64,
+    incarnation: u64,
+}
+
+/// Answers with a stream and starts the task that fills it.
+pub fn start(engine: Rc<Engine>, req: Completion) -> Response {
+    let (tx, rx) = mpsc::channel(1);
+    compio::runtime::spawn(run(engine, req, tx)).detach();
+    let mut response = http::Response::new(StreamBody::new(rx).boxed_unsync());
+    let value = http::HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(http::header::CONTENT_TYPE, value);
+    response
+}
+
+async fn run(engine: Rc<Engine>, req: Completion, mut tx: Sender) {
+    let guard = engine.running.enter();
+    if stream(&engine, &req, &mut tx).await.is_err() {
+        engine.count_cancelled();
+    }
+    drop(guard);
+}
+
+/// The reader has closed the connection.
+struct Cancelled;
+
+async fn stream(engine: &Engine, req: &Completion, tx: &mut Sender) -> Result<(), Cancelled> {
+    let cfg = &engine.config;
+    let nonce = provenance::nonce(&req.request_id);
+    let total = provenance::sample_tokens(&req.prompt, cfg.seed, nonce, req.max_tokens);
+    let cut_at = engine.faults.take(|f| &mut f.cut_answers).then_some(total / 2);
+    let mut drop_version = engine.faults.take(|f| &mut f.drop_versions);
+    let draw = u64::from(nonce) % 1000;
+
+    let cached = engine.touch_prefix(&req.prompt);
+    let prefill = cfg.prefill_time.mul_f64(if cached { CACHED_PREFILL } else { 1.0 });
+    pause(engine, tx, engine.faults.work_time(prefill, draw)).await?;
+    let mut at = 0;
+    while at < total {
+        let tokens = cfg.chunk_tokens.clamp(1, total - at);
+        let batch = token_time(cfg.token_time, engine.running.count(), cfg.knee);
+        let time = batch.saturating_mul(u32::try_from(tokens).unwrap_or(u32::MAX));
+        pause(engine, tx, engine.faults.work_time(time, draw)).await?;
+        if cut_at.is_some_and(|cut_at| at + tokens > cut_at) {
+            return Ok(());
+        }
+        let version = engine.weights.version();
+        let text: String = (at..at + tokens)
+            .map(|i| provenance::token(&req.prompt, cfg.seed, nonce, i, version))
+            .collect();
+        at += tokens;
+        let finish_reason = (at == total).then_some("length");
+        let lacks_version = std::mem::take(&mut drop_version);
+        let chunk = Chunk {
+            choices: [Choice { text, finish_reason }],
+            weight_version: (!lacks_version).then_some(version),
+            tokens,
+            incarnation: engine.membership.incarnation(),
+        };
+        let json = serde_json::to_string(&chunk).unwrap_or_default();
+        send(tx, format!("data: {json}\n\n")).await?;
+        engine.keep_kv(&req.request_id, KvState { prompt: req.prompt.clone(), tokens: at });
+    }
+    send(tx, DONE.to_owned()).await
+}
+
+/// Time per token of a batch: constant up to the knee, then in proportion to the running streams.
+pub fn token_time(base: Duration, running: usize, knee: u32) -> Duration {
+    let knee = knee.max(1);
+    let running = u32::try_from(running).unwrap_or(u32::MAX).max(knee);
+    base.mul_f64(f64::from(running) / f64::from(knee))
+}
+
+async fn pause(engine: &Engine, tx: &Sender, mut time: Duration) -> Result<(), Cancelled> {
+    /// Longest time after which a cancelled stream is noticed.
+    const STEP: Duration = Duration::from_millis(50);
+    while !time.is_zero() {
+        let step = time.min(STEP);
+        compio::time::sleep(step).await;
+        time -= step;
+        if tx.is_closed() {
+            return Err(Cancelled);
+        }
+    }
+    engine.faults.wait_hang(|| tx.is_closed()).await;
+    if tx.is_closed() { Err(Cancelled) } else { Ok(()) }
+}
+
+async fn send(tx: &mut Sender, text: String) -> Result<(), Cancelled> {
+    tx.send(Ok(Frame::data(Bytes::from(text)))).await.map_err(|_| Cancelled)
+}
--- /dev/null
+++ b/orioleworks_standins/src/engine_weights.rs
@@ -0,0 +1,212 @@
+//! Weight prefetch and activation of the stand-in engine, with fencing tokens.
+
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use compio::runtime;
+use orioleworks_daemon::{
+    event,
+    http::{self, Response},
+};
+use orioleworks_proto::codes::ResultCode;
+use serde::{Deserialize, Serialize};
+
+use crate::{client::Client, engine::Engine};
+
+/// Versions whose weights are kept.
+const KEPT_VERSIONS: usize = 4;
+/// Longest time of one fetch from the weight store.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(5);
+/// Fetches that are tried before a prefetch is given up; the next order starts again.
+const FETCH_ATTEMPTS: u32 = 10;
+
+/// Phase of a version order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Phase {
+    /// Fetches the weights in the background.
+    Prefetch,
+    /// Swaps to weights that are there.
+    Activate,
+}
+
+/// Token that orders the orders of successive lease holders.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Fencing {
+    /// Epoch of the order lease.
+    pub epoch: u64,
+    /// Number of the order within the epoch.
+    pub sequence: u64,
+}
+
+/// Body of `POST /v1/weights`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WeightOrder {
+    /// Version.
+    pub version: u64,
+    /// What to do with it.
+    pub phase: Phase,
+    /// Token of the order; an engine that checks tokens takes a missing one as 0.
+    #[serde(default)]
+    pub fencing: Fencing,
+}
+
+/// Answer about the weights.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightDocument {
+    /// Version in force.
+    pub version: u64,
+    /// Highest version whose weights are there.
+    pub prefetched: u64,
+    /// Epoch of the last accepted order.
+    pub epoch: u64,
+    /// Sequence of the last accepted order.
+    pub sequence: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    version: u64,
+    present: BTreeSet<u64>,
+    fetching: Option<u64>,
+    swapping: Option<u64>,
+    fencing: Fencing,
+}
+
+/// Weights of an engine.
+#[derive(Debug)]
+pub struct Weights {
+    state: RefCell<State>,
+}
+
+impl Weights {
+    /// Weights with one version in force.
+    pub fn new(version: u64) -> Self {
+        let present = BTreeSet::from([version]);
+        Self { state: RefCell::new(State { version, present, ..State::default() }) }
+    }
+
+    /// Version in force.
+    pub fn version(&self) -> u64 {
+        self.state.borrow().version
+    }
+
+    /// Version that is being fetched, waits for activation or is being swapped in; 0 for none.
+    pub fn pending(&self) -> u64 {
+        let state = self.state.borrow();
+        let waiting = state.present.last().copied().filter(|present| *present > state.version);
+        state.swapping.or(state.fetching).or(waiting).unwrap_or(0)
+    }
+
+    /// Answer about the weights.
+    pub fn document(&self) -> WeightDocument {
+        let state = self.state.borrow();
+        WeightDocument {
+            version: state.version,
+            prefetched: state.present.last().copied().unwrap_or(state.version),
+            epoch: state.fencing.epoch,
+            sequence: state.fencing.sequence,
+        }
+    }
+}
+
+/// Carries out a version order; prefetch and swap run on after the answer.
+pub fn order(engine: &Rc<Engine>, body: &[u8]) -> Response {
+    let order: WeightOrder = match serde_json::from_slice(body) {
+        Ok(order) => order,
+        Err(e) => return http::error(ResultCode::BadRequest, &e.to_string(), 0),
+    };
+    let weights = &engine.weights;
+    if engine.config.checks_fencing && order.fencing < weights.state.borrow().fencing {
+        return http::json(409, &weights.document());
+    }
+    weights.state.borrow_mut().fencing = order.fencing;
+    let status = match order.phase {
+        Phase::Prefetch => prefetch(engine, order.version),
+        Phase::Activate => activate(engine, order.version),
+    };
+    event!(info, "weight_order", version = order.version, status = status);
+    http::json(status, &weights.document())
+}
+
+fn prefetch(engine: &Rc<Engine>, version: u64) -> u16 {
+    let mut state = engine.weights.state.borrow_mut();
+    if !state.present.contains(&version) && state.fetching != Some(version) {
+        state.fetching = Some(version);
+        let engine = engine.clone();
+        runtime::spawn(async move { fetch(&engine, version).await }).detach();
+    }
+    200
+}
+
+async fn fetch(engine: &Engine, version: u64) {
+    let fetched = match &engine.config.weights {
+        Some(store) => fetch_from(store, &engine.config.model, version).await,
+        None => {
+            compio::time::sleep(engine.config.fetch_time).await;
+            true
+        }
+    };
+    let mut state = engine.weights.state.borrow_mut();
+    if state.fetching == Some(version) {
+        state.fetching = None;
+    }
+    if fetched {
+        state.present.insert(version);
+        while state.present.len() > KEPT_VERSIONS {
+            let lowest = state.present.iter().copied().find(|kept| *kept != state.version);
+            lowest.map(|lowest| state.present.remove(&lowest));
+        }
+    }
+}
+
+async fn fetch_from(store: &str, model: &str, version: u64) -> bool {
+    let Ok(client) = Client::new() else { return false };
+    let url = format!("http://{store}/v1/models/{model}/versions/{version}");
+    for _ in 0..FETCH_ATTEMPTS {
+        let answer = client.send(http_get(), &url, &[], Bytes::new(), FETCH_TIMEOUT).await;
+        let pause = match answer {
+            Ok(answer) if answer.status == 200 => return true,
+            Ok(answer) if answer.status == 429 => retry_after(&answer.headers),
+            Ok(answer) if answer.status == 404 => return false,
+            _ => Duration::from_millis(200),
+        };
+        compio::time::sleep(pause).await;
+    }
+    false
+}
+
+fn http_get() -> ::http::Method {
+    ::http::Method::GET
+}
+
+fn retry_after(headers: &::http::HeaderMap) -> Duration {
+    let value = headers.get(::http::header::RETRY_AFTER).and_then(|value| value.to_str().ok());
+    Duration::from_secs(value.and_then(|value| value.parse().ok()).unwrap_or(1))
+}
+
+/// Starts the swap; an activation of the version in force changes nothing.
+fn activate(engine: &Rc<Engine>, version: u64) -> u16 {
+    let mut state = engine.weights.state.borrow_mut();
+    if !state.present.contains(&version) {
+        return 425;
+    }
+    if state.version != version && state.swapping.is_none() {
+        state.swapping = Some(version);
+        let engine = engine.clone();
+        runtime::spawn(async move { swap(&engine, version).await }).detach();
+    }
+    200
+}
+
+async fn swap(engine: &Engine, version: u64) {
+    let late = Duration::from_millis(engine.faults.now().late_swap_ms);
+    compio::time::sleep(engine.config.swap_time + late).await;
+    let failed = engine.faults.take(|f| &mut f.fail_swaps);
+    let mut state = engine.weights.state.borrow_mut();
+    state.swapping = None;
+    if !failed {
+        state.version = version;
+    }
+    event!(info, "weights_swapped", version = version, failed = failed);
+}
--- /dev/null
+++ b/orioleworks_standins/src/fault.rs
@@ -0,0 +1,124 @@
+//! Faults of the stand-ins, set by option or at run time by `POST /fault`.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// Exit code of a crash that a fault ordered.
+pub const CRASH_EXIT: i32 = 86;
+
+/// Faults in force. Counters fall by one with each use; 0 switches the fault off.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Faults {
+    /// Exits the process when a request contains this text; empty for never.
+    pub crash_marker: String,
+    /// Factor on all times of work.
+    pub slow_factor: f64,
+    /// Swaps that fail.
+    pub fail_swaps: u32,
+    /// Time in milliseconds that is added to each swap.
+    pub late_swap_ms: u64,
+    /// Answers that stop in the middle.
+    pub cut_answers: u32,
+    /// Streams with one chunk that lacks its weight version.
+    pub drop_versions: u32,
+    /// Holds all requests until it is switched off.
+    pub hang: bool,
+    /// Requests that are refused as not run.
+    pub refuse: u32,
+    /// Share in thousandths of requests that straggle.
+    pub straggle_permille: u32,
+    /// Factor on the time of a straggling request.
+    pub straggle_factor: f64,
+    /// Loses the cache events of every n-th announcement.
+    pub gap_every: u32,
+    /// Answers of a plain service that carry the content of the request before.
+    pub cross: u32,
+    /// Stops announcing, as a cut link to the entries would.
+    pub mute: bool,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            crash_marker: String::new(),
+            slow_factor: 1.0,
+            fail_swaps: 0,
+            late_swap_ms: 0,
+            cut_answers: 0,
+            drop_versions: 0,
+            hang: false,
+            refuse: 0,
+            straggle_permille: 0,
+            straggle_factor: 4.0,
+            gap_every: 0,
+            cross: 0,
+            mute: false,
+        }
+    }
+}
+
+/// Faults of one stand-in; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct FaultSwitch {
+    faults: Rc<RefCell<Faults>>,
+}
+
+impl FaultSwitch {
+    /// Faults in force now.
+    pub fn now(&self) -> Faults {
+        self.faults.borrow().clone()
+    }
+
+    /// Sets the named faults and leaves the others as they are.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the JSON; nothing is changed then.
+    pub fn merge(&self, json: &[u8]) -> Result<Faults, serde_json::Error> {
+        let patch: serde_json::Map<String, Value> = serde_json::from_slice(json)?;
+        let mut value = serde_json::to_value(self.now())?;
+        if let Value::Object(fields) = &mut value {
+            fields.extend(patch);
+        }
+        let merged: Faults = serde_json::from_value(value)?;
+        *self.faults.borrow_mut() = merged.clone();
+        Ok(merged)
+    }
+
+    /// Uses up one count of a fault; says whether the fault applies.
+    pub fn take(&self, count: impl FnOnce(&mut Faults) -> &mut u32) -> bool {
+        let mut faults = self.faults.borrow_mut();
+        let count = count(&mut faults);
+        let applies = *count > 0;
+        *count = count.saturating_sub(1);
+        applies
+    }
+
+    /// Exits the process when the request contains the marker.
+    pub fn crash_on(&self, content: &[u8]) {
+        let faults = self.faults.borrow();
+        let marker = faults.crash_marker.as_bytes();
+        if !marker.is_empty() && content.windows(marker.len()).any(|part| part == marker) {
+            std::process::exit(CRASH_EXIT);
+        }
+    }
+
+    /// Time of work under the faults; `draw` in 0..1000 decides whether the request straggles.
+    pub fn work_time(&self, time: Duration, draw: u64) -> Duration {
+        let faults = self.faults.borrow();
+        let straggles = draw < u64::from(faults.straggle_permille);
+        let factor = if straggles { faults.straggle_factor } else { 1.0 };
+        time.mul_f64((factor * faults.slow_factor).clamp(0.0, 1e6))
+    }
+
+    /// Waits while the stand-in hangs; `abandoned` ends the wait early.
+    pub async fn wait_hang(&self, abandoned: impl Fn() -> bool) {
+        const POLL: Duration = Duration::from_millis(20);
+        while self.faults.borrow().hang && !abandoned() {
+            compio::time::sleep(POLL).await;
+        }
+    }
+}
--- /dev/null
+++ b/orioleworks_standins/src/host.rs
@@ -0,0 +1,135 @@
+//! What every stand-in process does: runtime, listener, faults at run time, and shutdown.
+
+use std::{future::Future, time::Duration};
+
+use compio::net::TcpListener;
+use orioleworks_daemon::{
+    event,
+    http::{self, Limits, Request, Response},
+    logging,
+    shutdown::Shutdown,
+};
+use orioleworks_proto::codes::{ResultCode, exit};
+
+use crate::{announce::Membership, fault::FaultSwitch};
+
+/// Time for which a leaving stand-in still takes connections, until the entries know.
+const LEAVE_GRACE: Duration = Duration::from_secs(1);
+/// Longest drain.
+const DRAIN_DEADLINE: Duration = Duration::from_secs(10);
+
+/// Runs a stand-in program in a runtime of its own and returns its exit code.
+pub fn run<F: Future<Output = i32>>(program: impl FnOnce() -> F) -> i32 {
+    logging::start("info");
+    match compio::runtime::Runtime::new() {
+        Ok(runtime) => runtime.block_on(program()),
+        Err(e) => {
+            eprintln!("runtime: {e}");
+            exit::FAILED
+        }
+    }
+}
+
+/// Binds the listener of a stand-in; the error is an exit code.
+///
+/// # Errors
+///
+/// Returns the exit code for an address that cannot be bound.
+pub async fn listen(address: &str) -> Result<(TcpListener, String), i32> {
+    let bound = match http::bind(address).await {
+        Ok(listener) => listener.local_addr().map(|local| (listener, local.to_string())),
+        Err(e) => Err(e),
+    };
+    bound.map_err(|e| {
+        eprintln!("{address}: {e}");
+        exit::LISTEN
+    })
+}
+
+/// Shutdown of a stand-in: the first signal makes it leave, and it drains when the entries had time to notice.
+pub fn watch_signals(membership: &Membership) -> Shutdown {
+    let (signals, shutdown) = (Shutdown::default(), Shutdown::default());
+    signals.watch_signals(DRAIN_DEADLINE);
+    let (membership, served) = (membership.clone(), shutdown.clone());
+    compio::runtime::spawn(async move {
+        signals.drain.cancelled().await;
+        membership.leave();
+        compio::time::sleep(LEAVE_GRACE).await;
+        served.drain.cancel();
+        signals.stop.cancelled().await;
+        served.stop.cancel();
+    })
+    .detach();
+    shutdown
+}
+
+/// Sets the faults of the command line.
+///
+/// # Errors
+///
+/// Returns the exit code for faults that are not understood.
+pub fn set_faults(faults: &FaultSwitch, json: Option<&str>) -> Result<(), i32> {
+    let Some(json) = json else { return Ok(()) };
+    faults.merge(json.as_bytes()).map(|_| ()).map_err(|e| {
+        eprintln!("option --fault: {e}");
+        exit::FAILED
+    })
+}
+
+/// Answers `POST /fault`, `POST /rejoin` and `/live`; gives any other request back.
+///
+/// # Errors
+///
+/// Returns the request when it is for the stand-in itself.
+pub async fn common(
+    req: Request,
+    faults: &FaultSwitch,
+    membership: &Membership,
+) -> Result<Response, Request> {
+    match req.uri().path() {
+        "/live" | "/ready" => Ok(http::whole(200, "text/plain", "ready\n")),
+        "/rejoin" => {
+            membership.rejoin();
+            Ok(http::json(200, &serde_json::json!({"incarnation": membership.incarnation()})))
+        }
+        "/fault" => {
+            let body = match http::read_body(req.into_body(), &Limits::default()).await {
+                Ok(body) => body,
+                Err(code) => return Ok(http::error(code, "", 0)),
+            };
+            let body = if body.is_empty() { bytes::Bytes::from_static(b"{}") } else { body };
+            match faults.merge(&body) {
+                Ok(faults) => {
+                    event!(info, "faults_set", faults = String::from_utf8_lossy(&body));
+                    Ok(http::json(200, &faults))
+                }
+                Err(e) => Ok(http::error(ResultCode::BadRequest, &e.to_string(), 0)),
+            }
+        }
+        _ => Err(req),
+    }
+}
+
+/// Refusal of a request that did not run.
+pub fn refused() -> Response {
+    let mut response = http::error(ResultCode::RefusedByUpstream, "", 100);
+    response.headers_mut().insert("x-not-run", ::http::HeaderValue::from_static("true"));
+    response
+}
+
+/// Splits a comma-separated list of the command line.
+pub fn list(text: &str) -> Vec<String> {
+    text.split(',').map(str::trim).filter(|part| !part.is_empty()).map(String::from).collect()
+}
+
+/// Writes a report as JSON to a file or to standard output; says whether it was written.
+pub fn write_report(report: &impl serde::Serialize, path: Option<&std::path::Path>) -> bool {
+    let json = serde_json::to_string_pretty(report).unwrap_or_default();
+    match path {
+        Some(path) => std::fs::write(path, json).inspect_err(|e| eprintln!("report: {e}")).is_ok(),
+        None => {
+            println!("{json}");
+            true
+        }
+    }
+}
--- /dev/null
+++ b/orioleworks_standins/src/layout.rs
@@ -0,0 +1,190 @@
+//! Builds a deployment: ports, settings files, relays and the list of processes.
+
+use std::{fs, io, rc::Rc};
+
+use indexmap::IndexMap;
+
+use crate::{
+    deployment::{Deployment, DeploymentError, Kind, Node, Options, Processes, system},
+    ports::Ports,
+    process::{Process, Spec, socket_inode},
+    relay::{Identify, Relay},
+    settings_files::{self, Daemon},
+};
+
+impl Deployment {
+    /// Chooses ports, writes the settings files and starts the relays; no process runs yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system refused.
+    pub async fn prepare(options: Options) -> Result<Self, DeploymentError> {
+        let mut deployment = Self {
+            options,
+            nodes: IndexMap::new(),
+            processes: Rc::default(),
+            controls: Vec::new(),
+            entries: Vec::new(),
+            relays: IndexMap::new(),
+        };
+        let mut ports = Ports::new();
+        deployment.place_daemons(&mut ports).map_err(system("ports"))?;
+        deployment.start_relays().await?;
+        deployment.add_daemons().map_err(system("settings"))?;
+        deployment.add_standins(&mut ports).map_err(system("ports"))?;
+        Ok(deployment)
+    }
+
+    fn place_daemons(&mut self, ports: &mut Ports) -> io::Result<()> {
+        for domain in &self.options.domains {
+            let letter = letter(domain);
+            self.controls.push(self.daemon(format!("control-{letter}"), domain, ports)?);
+        }
+        for domain in &self.options.domains {
+            for number in 1..=self.options.entries_per_domain {
+                let name = format!("entry-{}{number}", letter(domain));
+                self.entries.push(self.daemon(name, domain, ports)?);
+            }
+        }
+        Ok(())
+    }
+
+    fn daemon(&self, name: String, domain: &str, ports: &mut Ports) -> io::Result<Daemon> {
+        let (http, inner) = (ports.free()?, ports.free()?);
+        let public_inner = if self.options.relays { ports.free()? } else { inner.clone() };
+        Ok(Daemon { name, domain: domain.to_owned(), http, inner, public_inner })
+    }
+
+    async fn start_relays(&mut self) -> Result<(), DeploymentError> {
+        if !self.options.relays {
+            return Ok(());
+        }
+        for daemon in self.controls.iter().chain(&self.entries) {
+            let relay_port = daemon.public_inner.rsplit_once(':').and_then(|(_, p)| p.parse().ok());
+            let identify = identify(self.processes.clone(), relay_port.unwrap_or(0));
+            let relay = Relay::start(&daemon.public_inner, &daemon.inner, identify).await;
+            self.relays.insert(daemon.name.clone(), relay.map_err(system(&daemon.name))?);
+        }
+        Ok(())
+    }
+
+    fn add_daemons(&mut self) -> io::Result<()> {
+        for daemon in self.controls.clone() {
+            self.write_settings(&daemon, Kind::Control, true)?;
+            self.add_daemon(&daemon, Kind::Control, "orioleworks-control");
+        }
+        for daemon in self.entries.clone() {
+            self.write_settings(&daemon, Kind::Entry, false)?;
+            self.add_daemon(&daemon, Kind::Entry, "orioleworks-entry");
+        }
+        Ok(())
+    }
+
+    pub(crate) fn write_settings(
+        &self,
+        own: &Daemon,
+        kind: Kind,
+        bootstrap: bool,
+    ) -> io::Result<()> {
+        let data = self.data_directory(&own.name);
+        fs::create_dir_all(&data)?;
+        let settings = match kind {
+            Kind::Control => settings_files::control(own, &self.controls, &data, bootstrap),
+            _ => settings_files::entry(own, &self.controls, &self.entries, &data),
+        };
+        settings_files::write(&self.settings_path(&own.name), &settings)
+    }
+
+    fn add_daemon(&mut self, daemon: &Daemon, kind: Kind, program: &str) {
+        let path = self.settings_path(&daemon.name).display().to_string();
+        let node = Node { kind, domain: daemon.domain.clone(), http: daemon.http.clone() };
+        self.add(&daemon.name, node, program, vec!["--config".into(), path]);
+    }
+
+    fn add_standins(&mut self, ports: &mut Ports) -> io::Result<()> {
+        let weights = ports.free()?;
+        let node = Node { kind: Kind::Weights, domain: String::new(), http: weights.clone() };
+        self.add("weights", node, "standin-weights", args(&[("listen", &weights)]));
+        for (at, domain) in self.options.domains.clone().iter().enumerate() {
+            for number in 1..=self.options.engines_per_domain {
+                let name = format!("scorer-{}{number}", letter(domain));
+                let more = [("kind", "scorer-llm"), ("model", "scorer"), ("weights", &weights)];
+                self.add_upstream(&name, domain, Kind::Engine, "standin-engine", &more, ports)?;
+            }
+            for kind in ["sheet-app", "booking-portal"] {
+                let name = format!("{kind}-{}", letter(domain));
+                let more = [("kind", kind)];
+                self.add_upstream(&name, domain, Kind::Service, "standin-service", &more, ports)?;
+            }
+            if at < self.options.judges {
+                let name = format!("judge-{}", letter(domain));
+                self.add_upstream(&name, domain, Kind::Judge, "standin-judge", &[], ports)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn add_upstream(
+        &mut self,
+        name: &str,
+        domain: &str,
+        kind: Kind,
+        program: &str,
+        more: &[(&str, &str)],
+        ports: &mut Ports,
+    ) -> io::Result<()> {
+        let http = ports.free()?;
+        let of_domain = self.entries.iter().filter(|entry| entry.domain == domain);
+        let entries: Vec<&str> = of_domain.map(|entry| entry.http.as_str()).collect();
+        let (entries, seed) = (entries.join(","), self.options.seed.to_string());
+        let mut list = args(&[
+            ("listen", &http),
+            ("name", name),
+            ("domain", domain),
+            ("entries", &entries),
+            ("seed", &seed),
+        ]);
+        list.extend(args(more));
+        if kind == Kind::Engine {
+            list.extend(self.options.engine_args.iter().cloned());
+        }
+        self.add(name, Node { kind, domain: domain.to_owned(), http }, program, list);
+        Ok(())
+    }
+
+    /// Adds a process that is not started yet.
+    pub fn add(&mut self, name: &str, node: Node, program: &str, args: Vec<String>) {
+        let spec = Spec {
+            name: name.to_owned(),
+            program: self.options.bin_dir.join(program),
+            args,
+            output: self.options.directory.join(format!("{name}.log")),
+        };
+        self.nodes.insert(name.to_owned(), node);
+        self.processes.borrow_mut().insert(name.to_owned(), Process::new(spec));
+    }
+
+    /// Adds a trainer or load generator.
+    pub fn add_client(&mut self, name: &str, program: &str, args: Vec<String>) {
+        let node = Node { kind: Kind::Client, domain: String::new(), http: String::new() };
+        self.add(name, node, program, args);
+    }
+}
+
+fn identify(processes: Processes, relay_port: u16) -> Identify {
+    Rc::new(move |peer| {
+        let inode = socket_inode(peer.port(), relay_port)?;
+        let processes = processes.borrow();
+        processes.iter().find(|(_, p)| p.has_socket(inode)).map(|(name, _)| name.clone())
+    })
+}
+
+/// Part of a domain's name that goes into the names of its instances.
+fn letter(domain: &str) -> &str {
+    domain.rsplit_once('-').map_or(domain, |(_, letter)| letter)
+}
+
+/// Command line from names and values.
+pub fn args(pairs: &[(&str, &str)]) -> Vec<String> {
+    pairs.iter().flat_map(|(name, value)| [format!("--{name}"), (*value).to_owned()]).collect()
+}
--- a/orioleworks_standins/src/lib.rs
+++ b/orioleworks_standins/src/lib.rs
@@ -1,1 +1,27 @@
-//! Placeholder.
+//! Stand-ins with faults that tests switch on, a load generator, and the driver of a local deployment.
+//!
+//! See `docs/design.md`, sections 9, 10 and 14.
+
+pub mod announce;
+pub mod client;
+pub mod deployment;
+pub mod engine;
+pub mod engine_stream;
+pub mod engine_weights;
+pub mod fault;
+pub mod host;
+pub mod judge;
+pub mod layout;
+pub mod load;
+pub mod load_report;
+pub mod ports;
+pub mod process;
+pub mod provenance;
+pub mod relay;
+pub mod scenario;
+pub mod service;
+pub mod settings_files;
+pub mod table;
+pub mod trainer;
+pub mod trainer_client;
+pub mod weights;
--- /dev/null
+++ b/orioleworks_standins/src/load_report.rs
@@ -0,0 +1,123 @@
+//! Report of the load generator: latencies, result codes, and the check against what the services ran.
+
+use std::collections::{BTreeMap, HashMap};
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use crate::service::{Echo, Ran};
+
+/// Latency of one class in microseconds.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct Latency {
+    /// Answers.
+    pub count: u64,
+    /// Median.
+    pub p50_us: u64,
+    /// 99th percentile.
+    pub p99_us: u64,
+    /// Largest.
+    pub max_us: u64,
+}
+
+impl From<&Histogram<u64>> for Latency {
+    fn from(histogram: &Histogram<u64>) -> Self {
+        Self {
+            count: histogram.len(),
+            p50_us: histogram.value_at_quantile(0.5),
+            p99_us: histogram.value_at_quantile(0.99),
+            max_us: histogram.max(),
+        }
+    }
+}
+
+/// Report of a load run.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Requests, without repeats.
+    pub requests: u64,
+    /// Repeats with the key of an earlier request.
+    pub repeats: u64,
+    /// Answers by name of result code; `ok` for a success.
+    pub codes: BTreeMap<String, u64>,
+    /// Successes with the whole content of their own request.
+    pub whole: u64,
+    /// Successes with the content of another request.
+    pub crossed: u64,
+    /// Successes that cannot be read.
+    pub broken: u64,
+    /// Requests that got no answer.
+    pub unanswered: u64,
+    /// Repeats whose success differs from the first one.
+    pub repeats_differ: u64,
+    /// Latency by class, from the time at which a request was due.
+    pub latency: BTreeMap<String, Latency>,
+    /// Runs at the services.
+    pub runs: u64,
+    /// Non-idempotent requests that ran more than once.
+    pub double_runs: u64,
+    /// Requests whose every answer said "not run", and that ran.
+    pub not_run_ran: u64,
+    /// Requests that reached a service later than the bound after its stop.
+    pub late_starts: u64,
+    /// Services whose records could not be read.
+    pub unread_services: u64,
+}
+
+impl LoadReport {
+    /// Runs per request, over the plain requests.
+    pub fn attempts_per_request(&self) -> f64 {
+        if self.requests == 0 { 0.0 } else { self.runs as f64 / self.requests as f64 }
+    }
+}
+
+/// What the callers saw of one content.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// Whether the request may run at most once.
+    pub once: bool,
+    /// Answers and failures.
+    pub answers: u32,
+    /// Answers that said "not run".
+    pub not_run: u32,
+    /// First success, to compare repeats with.
+    pub first_success: Option<Vec<u8>>,
+}
+
+/// Result of the comparison of one answer with its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Content {
+    /// The answer has the content of its own request.
+    Whole,
+    /// The answer has other content.
+    Crossed,
+    /// The answer cannot be read.
+    Broken,
+}
+
+/// Compares the answer of a plain service with the body of its request.
+pub fn check_echo(sent: &[u8], answer: &[u8]) -> Content {
+    match serde_json::from_slice::<Echo>(answer) {
+        Ok(echo) if echo.echo.as_bytes() == sent => Content::Whole,
+        Ok(_) => Content::Crossed,
+        Err(_) => Content::Broken,
+    }
+}
+
+/// Compares what callers saw with what the services ran.
+pub fn reconcile(report: &mut LoadReport, seen: &HashMap<String, Seen>, services: &[Ran]) {
+    let mut runs: HashMap<&str, u64> = HashMap::new();
+    for ran in services {
+        report.late_starts += ran.late_starts;
+        for run in ran.runs.iter().filter(|run| seen.contains_key(&run.content)) {
+            *runs.entry(&run.content).or_default() += 1;
+            report.runs += 1;
+        }
+    }
+    for (content, seen) in seen {
+        let ran = runs.get(content.as_str()).copied().unwrap_or(0);
+        report.double_runs += u64::from(seen.once && ran > 1);
+        let refused = seen.answers > 0 && seen.not_run == seen.answers;
+        report.not_run_ran += u64::from(refused && ran > 0);
+    }
+}
--- /dev/null
+++ b/orioleworks_standins/src/relay.rs
@@ -0,0 +1,153 @@
+//! TCP relay in front of an inner port: counts bytes, and cuts and heals links by the name of the connecting process.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashSet,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use compio::{
+    BufResult,
+    buf::{IntoInner, IoBuf},
+    io::{AsyncRead, AsyncWrite, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    runtime,
+};
+use futures_util::{FutureExt, select};
+use tokio_util::sync::CancellationToken;
+
+/// Time between two looks at a cut link.
+const CUT_POLL: Duration = Duration::from_millis(10);
+/// Bytes per read.
+const BUFFER_BYTES: usize = 16 * 1024;
+
+/// Finds the name of the process behind a connection.
+pub type Identify = Rc<dyn Fn(SocketAddr) -> Option<String>>;
+
+#[derive(Default)]
+struct Links {
+    cut: RefCell<HashSet<String>>,
+    all_cut: Cell<bool>,
+    bytes: Cell<u64>,
+}
+
+impl Links {
+    fn is_cut(&self, source: &str) -> bool {
+        self.all_cut.get() || self.cut.borrow().contains(source)
+    }
+
+    /// Waits while the link is cut, as a sender's bytes wait in a partition.
+    async fn pass(&self, source: &str) {
+        while self.is_cut(source) {
+            compio::time::sleep(CUT_POLL).await;
+        }
+    }
+}
+
+/// Relay of one inner port. A cut link holds its bytes in both directions and delivers them when it is healed.
+pub struct Relay {
+    links: Rc<Links>,
+    token: CancellationToken,
+}
+
+impl std::fmt::Debug for Relay {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Relay").field("bytes", &self.bytes()).finish_non_exhaustive()
+    }
+}
+
+impl Relay {
+    /// Listens on an address and passes every connection on to another.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system when the address cannot be bound.
+    pub async fn start(address: &str, target: &str, identify: Identify) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let relay = Self { links: Rc::default(), token: CancellationToken::new() };
+        let (links, token, target) = (relay.links.clone(), relay.token.clone(), target.to_owned());
+        runtime::spawn(async move {
+            loop {
+                let mut accept = std::pin::pin!(listener.accept().fuse());
+                let mut cancelled = std::pin::pin!(token.cancelled().fuse());
+                let accepted = select! { accepted = accept => accepted, () = cancelled => return };
+                let Ok((stream, peer)) = accepted else { continue };
+                let source = identify(peer).unwrap_or_default();
+                let (links, token, target) = (links.clone(), token.clone(), target.clone());
+                runtime::spawn(async move {
+                    let mut passed = std::pin::pin!(pass(stream, &target, &source, &links).fuse());
+                    let mut cancelled = std::pin::pin!(token.cancelled().fuse());
+                    select! { _ = passed => (), () = cancelled => () }
+                })
+                .detach();
+            }
+        })
+        .detach();
+        Ok(relay)
+    }
+
+    /// Cuts the link from a process.
+    pub fn cut(&self, source: &str) {
+        self.links.cut.borrow_mut().insert(source.to_owned());
+    }
+
+    /// Heals the link from a process.
+    pub fn heal(&self, source: &str) {
+        self.links.cut.borrow_mut().remove(source);
+    }
+
+    /// Cuts or heals the links from all processes, known or not.
+    pub fn cut_all(&self, cut: bool) {
+        self.links.all_cut.set(cut);
+        if !cut {
+            self.links.cut.borrow_mut().clear();
+        }
+    }
+
+    /// Bytes in both directions so far.
+    pub fn bytes(&self) -> u64 {
+        self.links.bytes.get()
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.token.cancel();
+    }
+}
+
+async fn pass(stream: TcpStream, target: &str, source: &str, links: &Links) -> io::Result<()> {
+    links.pass(source).await;
+    let upstream = TcpStream::connect(target).await?;
+    stream.set_nodelay(true)?;
+    upstream.set_nodelay(true)?;
+    let mut there = std::pin::pin!(pump(stream.clone(), upstream.clone(), source, links).fuse());
+    let mut back = std::pin::pin!(pump(upstream, stream, source, links).fuse());
+    // The end of one direction ends the connection; the inner protocol has no half-closed connections.
+    select! { ended = there => ended, ended = back => ended }
+}
+
+async fn pump(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    source: &str,
+    links: &Links,
+) -> io::Result<()> {
+    let mut buf = Vec::with_capacity(BUFFER_BYTES);
+    loop {
+        buf.clear();
+        let BufResult(read, filled) = from.read(buf).await;
+        let count = read?;
+        if count == 0 {
+            return to.shutdown().await;
+        }
+        links.pass(source).await;
+        links.bytes.set(links.bytes.get() + count as u64);
+        let BufResult(written, slice) = to.write_all(filled.slice(..count)).await;
+        written?;
+        buf = slice.into_inner();
+    }
+}
--- /dev/null
+++ b/orioleworks_standins/src/scenario.rs
@@ -0,0 +1,340 @@
+//! Training steps with weight swaps beside caller traffic on a local deployment.
+
+use std::{
+    path::Path,
+    time::{Duration, Instant},
+};
+
+use displaydoc::Display;
+use orioleworks_daemon::event;
+use orioleworks_proto::{codes::ResultCode, inner};
+use serde::de::DeserializeOwned;
+
+use crate::{
+    client::Client,
+    deployment::{Deployment, DeploymentError, Kind},
+    layout::args,
+    load_report::LoadReport,
+    trainer::TrainerReport,
+};
+
+/// Staleness bound of the profile `scorer`: one version for the swap that runs, one for the step before.
+const MAX_STALENESS: u32 = 2;
+/// Longest wait for the deployment to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(15);
+/// Longest wait for one order to control.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after the end of the load within which its answers must have come.
+const LOAD_MARGIN: Duration = Duration::from_secs(20);
+
+/// What runs on the deployment.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Seed of prompts and load.
+    pub seed: u64,
+    /// Steps.
+    pub steps: u64,
+    /// Groups in a step.
+    pub groups: u32,
+    /// Samples in a group.
+    pub samples: u32,
+    /// Largest number of tokens of a sample.
+    pub max_tokens: u64,
+    /// Calls per second.
+    pub rate: f64,
+    /// Time of the load.
+    pub duration: Duration,
+    /// Longest time of all steps together.
+    pub training_deadline: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            steps: 4,
+            groups: 8,
+            samples: 4,
+            max_tokens: 64,
+            rate: 60.0,
+            duration: Duration::from_secs(12),
+            training_deadline: Duration::from_secs(25),
+        }
+    }
+}
+
+/// Why the scenario has no outcome.
+#[derive(Debug, Display)]
+pub enum ScenarioError {
+    /// {0}
+    Deployment(DeploymentError),
+    /// profile {profile}: {reason}
+    Profile {
+        /// Profile.
+        profile: String,
+        /// Why it is not accepted.
+        reason: String,
+    },
+    /// no call through {entry} succeeded: {reason}
+    NotServing {
+        /// Entry.
+        entry: String,
+        /// Last failure.
+        reason: String,
+    },
+    /// {0} left no report
+    NoReport(String),
+}
+
+impl std::error::Error for ScenarioError {}
+
+impl From<DeploymentError> for ScenarioError {
+    fn from(e: DeploymentError) -> Self {
+        Self::Deployment(e)
+    }
+}
+
+/// Use of the machine by one daemon during the traffic.
+#[derive(Clone, Debug, Default)]
+pub struct NodeUse {
+    /// Name.
+    pub name: String,
+    /// Share of one core.
+    pub cpu: f64,
+    /// Resident memory in bytes at the end.
+    pub memory_bytes: u64,
+    /// Bytes per second over its inner port.
+    pub bytes_per_second: f64,
+}
+
+/// What the scenario measured.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// Report of the trainer.
+    pub trainer: TrainerReport,
+    /// Report of the load generator.
+    pub load: LoadReport,
+    /// Control replicas.
+    pub control: Vec<NodeUse>,
+    /// Processes of the deployment that ended during the traffic.
+    pub ended: Vec<String>,
+}
+
+impl Outcome {
+    /// Everything that must not be; empty for a pass.
+    pub fn problems(&self) -> Vec<String> {
+        let (found, load) = (&self.trainer.findings, &self.load);
+        let zero = [
+            ("doubled samples", found.doubled),
+            ("lost samples", found.lost),
+            ("mislabelled samples", found.mislabelled),
+            ("crossed samples", found.crossed),
+            ("incomplete samples", found.broken),
+            ("samples over the staleness bound", found.over_bound),
+            ("misjudged samples", found.misjudged),
+            ("crossed answers", load.crossed),
+            ("unreadable answers", load.broken),
+            ("calls without an answer", load.unanswered),
+            ("repeats with another answer", load.repeats_differ),
+            ("non-idempotent double runs", load.double_runs),
+            ("not-run answers that ran", load.not_run_ran),
+            ("requests after a stop", load.late_starts),
+            ("services whose records are unread", load.unread_services),
+        ];
+        let mut problems: Vec<String> = zero
+            .iter()
+            .filter(|(_, count)| *count > 0)
+            .map(|(name, count)| format!("{name}: {count}"))
+            .collect();
+        if self.trainer.steps != self.trainer.steps_wanted || self.trainer.steps == 0 {
+            let (steps, wanted) = (self.trainer.steps, self.trainer.steps_wanted);
+            problems.push(format!("steps completed: {steps} of {wanted}"));
+        }
+        if load.requests > 0 && load.whole == 0 {
+            problems.push("no call succeeded".into());
+        }
+        problems.extend(self.trainer.failures.iter().cloned());
+        problems.extend(self.ended.iter().map(|name| format!("{name} has ended")));
+        problems
+    }
+}
+
+/// Starts the deployment and brings it to the point at which it serves calls.
+///
+/// # Errors
+///
+/// Returns what did not become ready, or the profile that was refused.
+pub async fn bring_up(deployment: &Deployment) -> Result<(), ScenarioError> {
+    deployment.start_all()?;
+    deployment.wait_ready(READY_TIMEOUT).await?;
+    put_profiles(deployment).await?;
+    for (entry, node) in deployment.nodes(Kind::Entry) {
+        wait_serving(entry, &node.http).await?;
+    }
+    event!(info, "deployment_ready");
+    Ok(())
+}
+
+/// Profiles of the local deployment; see `docs/design.md`, section 14.
+pub fn profiles() -> Vec<inner::Profile> {
+    let engine = |name: &str, kind: &str, objective| inner::Profile {
+        name: name.into(),
+        upstream_kind: kind.into(),
+        class: inner::Class::Rollout.into(),
+        idempotent: true,
+        engine: true,
+        deadline_ms: 30_000,
+        max_staleness: MAX_STALENESS,
+        objective: i32::from(objective),
+        share: 1,
+        judge_kind: String::new(),
+        second_attempt_permille: 50,
+    };
+    let plain = |name: &str, kind: &str, class: inner::Class, idempotent| inner::Profile {
+        name: name.into(),
+        upstream_kind: kind.into(),
+        class: class.into(),
+        idempotent,
+        deadline_ms: 3000,
+        objective: inner::Objective::Idle.into(),
+        share: 1,
+        ..inner::Profile::default()
+    };
+    vec![
+        inner::Profile {
+            judge_kind: "judge".into(),
+            ..engine("scorer", "scorer-llm", inner::Objective::Staleness)
+        },
+        plain("quality-lookup", "sheet-app", inner::Class::Lookup, true),
+        plain("gate-slot", "booking-portal", inner::Class::Booking, false),
+        engine("planner", "planner-lm", inner::Objective::Idle),
+    ]
+}
+
+async fn put_profiles(deployment: &Deployment) -> Result<(), ScenarioError> {
+    let control = deployment.control_client();
+    for profile in profiles() {
+        let name = profile.name.clone();
+        let order_id = format!("local-{}-{name}", std::process::id());
+        let kind = Some(inner::command::Kind::PutProfile(profile));
+        let command = inner::Command { expected_revision: Some(0), kind };
+        let refused = |reason: String| ScenarioError::Profile { profile: name.clone(), reason };
+        let reply = control.propose(order_id, command, ORDER_TIMEOUT).await;
+        let reply = reply.map_err(|e| refused(e.to_string()))?;
+        if reply.code != ResultCode::Ok.number() {
+            return Err(refused(format!("{} {}", reply.code, reply.message)));
+        }
+    }
+    Ok(())
+}
+
+async fn wait_serving(entry: &str, address: &str) -> Result<(), ScenarioError> {
+    const POLL: Duration = Duration::from_millis(100);
+    let not_serving =
+        |reason: String| ScenarioError::NotServing { entry: entry.to_owned(), reason };
+    let client = Client::new().map_err(|e| not_serving(e.to_string()))?;
+    let url = format!("http://{address}/v1/call/quality-lookup");
+    let deadline = Instant::now() + READY_TIMEOUT;
+    loop {
+        let probe = serde_json::json!({"probe": entry});
+        let reason = match client.post(&url, &probe, Duration::from_secs(3)).await {
+            Ok(answer) if answer.status == 200 => return Ok(()),
+            Ok(answer) => String::from_utf8_lossy(&answer.body).into_owned(),
+            Err(e) => e.to_string(),
+        };
+        if Instant::now() >= deadline {
+            return Err(not_serving(reason));
+        }
+        compio::time::sleep(POLL).await;
+    }
+}
+
+/// Runs trainer and load on a deployment that serves calls.
+///
+/// # Errors
+///
+/// Returns a process that cannot be started or left no report.
+pub async fn run(deployment: &mut Deployment, options: &Options) -> Result<Outcome, ScenarioError> {
+    let directory = deployment.options().directory.clone();
+    let (trainer, load) = (directory.join("trainer.json"), directory.join("load.json"));
+    add_trainer(deployment, options, &trainer);
+    add_load(deployment, options, &load);
+    let before = measure(deployment);
+    let started = Instant::now();
+    deployment.start("trainer")?;
+    deployment.start("load")?;
+    deployment.wait_end("trainer", options.training_deadline).await?;
+    let load_deadline = options.duration + LOAD_MARGIN;
+    deployment.wait_end("load", load_deadline.saturating_sub(started.elapsed())).await?;
+    let elapsed = started.elapsed().as_secs_f64();
+    let control = measure(deployment)
+        .into_iter()
+        .zip(before)
+        .map(|(after, before)| NodeUse {
+            cpu: (after.cpu - before.cpu) / elapsed,
+            bytes_per_second: (after.bytes_per_second - before.bytes_per_second) / elapsed,
+            ..after
+        })
+        .collect();
+    let ended = ended(deployment);
+    Ok(Outcome { trainer: read(&trainer)?, load: read(&load)?, control, ended })
+}
+
+/// Totals since the start of the processes, in the fields for rates.
+fn measure(deployment: &Deployment) -> Vec<NodeUse> {
+    let nodes = deployment.nodes(Kind::Control);
+    nodes
+        .map(|(name, _)| {
+            let usage = deployment.usage(name).unwrap_or_default();
+            NodeUse {
+                name: name.to_owned(),
+                cpu: usage.cpu_s,
+                memory_bytes: usage.memory_bytes,
+                bytes_per_second: deployment.relay_bytes(name) as f64,
+            }
+        })
+        .collect()
+}
+
+fn ended(deployment: &Deployment) -> Vec<String> {
+    const KINDS: [Kind; 6] =
+        [Kind::Control, Kind::Entry, Kind::Engine, Kind::Service, Kind::Judge, Kind::Weights];
+    let nodes = KINDS.iter().flat_map(|kind| deployment.nodes(*kind));
+    nodes.filter(|(name, _)| !deployment.running(name)).map(|(name, _)| name.to_owned()).collect()
+}
+
+fn add_trainer(deployment: &mut Deployment, options: &Options, report: &Path) {
+    let step_ms = options.training_deadline.as_millis() / u128::from(options.steps.max(1));
+    let list = args(&[
+        ("entries", &deployment.addresses(Kind::Entry)),
+        ("weights", &deployment.addresses(Kind::Weights)),
+        ("run", "nightly"),
+        ("steps", &options.steps.to_string()),
+        ("groups", &options.groups.to_string()),
+        ("samples", &options.samples.to_string()),
+        ("max-tokens", &options.max_tokens.to_string()),
+        ("max-staleness", &MAX_STALENESS.to_string()),
+        ("seed", &options.seed.to_string()),
+        ("step-deadline-ms", &step_ms.to_string()),
+        ("report", &report.display().to_string()),
+    ]);
+    deployment.add_client("trainer", "standin-trainer", list);
+}
+
+fn add_load(deployment: &mut Deployment, options: &Options, report: &Path) {
+    let list = args(&[
+        ("entries", &deployment.addresses(Kind::Entry)),
+        ("services", &deployment.addresses(Kind::Service)),
+        ("rate", &options.rate.to_string()),
+        ("duration-ms", &options.duration.as_millis().to_string()),
+        ("seed", &options.seed.to_string()),
+        ("report", &report.display().to_string()),
+    ]);
+    deployment.add_client("load", "orioleworks-load", list);
+}
+
+fn read<T: DeserializeOwned>(path: &Path) -> Result<T, ScenarioError> {
+    let text = std::fs::read(path).unwrap_or_default();
+    let name = path.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+    serde_json::from_slice(&text).map_err(|_| ScenarioError::NoReport(name))
+}
--- /dev/null
+++ b/orioleworks_standins/src/service.rs
@@ -0,0 +1,234 @@
+//! Stand-in plain service and judge: echoes content and records what it ran.
+
+use std::{cell::RefCell, convert::Infallible, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use compio::runtime;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use orioleworks_daemon::{
+    http::{self, Limits, Request, Response},
+    shutdown::{InFlight, Shutdown},
+};
+use orioleworks_proto::codes::ResultCode;
+use serde::{Deserialize, Serialize};
+use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    announce::{self, Announcement, Membership},
+    fault::FaultSwitch,
+    host, judge,
+};
+
+/// What a service is and how fast it is.
+#[derive(Clone, Debug)]
+pub struct ServiceConfig {
+    /// Unique name.
+    pub name: String,
+    /// Kind of upstream.
+    pub kind: String,
+    /// Time of one request.
+    pub work_time: Duration,
+    /// Own statement of the capacity.
+    pub capacity: u32,
+    /// Entries to announce to.
+    pub entries: Vec<String>,
+    /// Age of the announced load.
+    pub lag: Duration,
+    /// Whether it answers with scores instead of echoes.
+    pub judge: bool,
+}
+
+impl Default for ServiceConfig {
+    fn default() -> Self {
+        Self {
+            name: "service".into(),
+            kind: "sheet-app".into(),
+            work_time: Duration::from_millis(5),
+            capacity: 64,
+            entries: Vec::new(),
+            lag: Duration::from_millis(400),
+            judge: false,
+        }
+    }
+}
+
+/// One request that ran.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Run {
+    /// Header `x-request-id`.
+    pub request_id: String,
+    /// Header `idempotency-key`; empty when absent.
+    pub idempotency_key: String,
+    /// XXH3 of the body as hexadecimal digits, which names the content whatever the headers say.
+    pub content: String,
+}
+
+/// Answer to `GET /ran`.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Ran {
+    /// Every run in order; a request that ran twice is there twice.
+    pub runs: Vec<Run>,
+    /// Requests refused as not run.
+    pub refused: Vec<Run>,
+    /// Requests that arrived later than the bound after a stop.
+    pub late_starts: u64,
+}
+
+/// Answer to `POST /call`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Echo {
+    /// Body of the request.
+    pub echo: String,
+    /// Service that ran it.
+    pub served_by: String,
+    /// Number of the run at this service, so that two runs have different answers.
+    pub run: u64,
+}
+
+/// Name of a body in the records.
+pub fn content_name(body: &[u8]) -> String {
+    format!("{:016x}", xxh3_64(body))
+}
+
+/// State of a running service.
+#[derive(Debug)]
+pub struct Service {
+    /// Settings.
+    pub config: ServiceConfig,
+    /// Faults in force.
+    pub faults: FaultSwitch,
+    /// Membership state.
+    pub membership: Membership,
+    running: InFlight,
+    ran: RefCell<Ran>,
+    last_body: RefCell<Bytes>,
+}
+
+impl Service {
+    /// New service.
+    pub fn new(config: ServiceConfig, faults: FaultSwitch) -> Rc<Self> {
+        Rc::new(Self {
+            config,
+            faults,
+            membership: Membership::default(),
+            running: InFlight::default(),
+            ran: RefCell::default(),
+            last_body: RefCell::default(),
+        })
+    }
+
+    fn announcement(&self, address: &str) -> Announcement {
+        let running = u32::try_from(self.running.count()).unwrap_or(u32::MAX);
+        Announcement {
+            name: self.config.name.clone(),
+            kind: self.config.kind.clone(),
+            address: address.to_owned(),
+            capacity: self.config.capacity,
+            running: running.min(self.config.capacity),
+            queued: running.saturating_sub(self.config.capacity),
+            ..Announcement::default()
+        }
+    }
+}
+
+/// Serves and announces until the shutdown has finished.
+pub async fn serve(service: Rc<Service>, listener: compio::net::TcpListener, shutdown: Shutdown) {
+    let address = listener.local_addr().map(|a| a.to_string()).unwrap_or_default();
+    let token = CancellationToken::new();
+    let _cancel_on_drop = token.clone().drop_guard();
+    let announced = service.clone();
+    runtime::spawn(announce::run(
+        service.config.entries.clone(),
+        service.membership.clone(),
+        service.faults.clone(),
+        service.config.lag,
+        move || announced.announcement(&address),
+        token,
+    ))
+    .detach();
+    http::serve(listener, Limits::default(), shutdown, move |req| handle(service.clone(), req))
+        .await;
+}
+
+async fn handle(service: Rc<Service>, req: Request) -> Response {
+    let req = match host::common(req, &service.faults, &service.membership).await {
+        Ok(response) => return response,
+        Err(req) => req,
+    };
+    match (req.method().as_str(), req.uri().path()) {
+        ("POST", "/call") => call(&service, req).await,
+        ("GET", "/ran") => {
+            let mut ran = service.ran.borrow().clone();
+            ran.late_starts = service.membership.late_starts();
+            http::json(200, &ran)
+        }
+        (_, path) => http::error(ResultCode::UnknownPath, path, 0),
+    }
+}
+
+async fn call(service: &Rc<Service>, req: Request) -> Response {
+    let header = |name: &str| {
+        let value = req.headers().get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let (request_id, idempotency_key) = (header("x-request-id"), header("idempotency-key"));
+    let body = match http::read_body(req.into_body(), &Limits::default()).await {
+        Ok(body) => body,
+        Err(code) => return http::error(code, "", 0),
+    };
+    let content = content_name(&body);
+    let run = Run { request_id, idempotency_key, content };
+    if service.faults.take(|f| &mut f.refuse) {
+        service.ran.borrow_mut().refused.push(run);
+        return host::refused();
+    }
+    service.membership.count_start();
+    service.faults.crash_on(&body);
+    // A run goes on when its caller closes the connection, as a booking would.
+    let service = service.clone();
+    let task = runtime::spawn(async move { work(&service, run, body).await });
+    task.await.unwrap_or_else(|_| http::error(ResultCode::OutcomeUnknown, "", 0))
+}
+
+async fn work(service: &Service, run: Run, body: Bytes) -> Response {
+    let guard = service.running.enter();
+    let draw = xxh3_64(&body) % 1000;
+    service.ran.borrow_mut().runs.push(run);
+    let number = service.ran.borrow().runs.len() as u64;
+    compio::time::sleep(service.faults.work_time(service.config.work_time, draw)).await;
+    service.faults.wait_hang(|| false).await;
+    drop(guard);
+    if service.config.judge {
+        return judged(&body);
+    }
+    let previous = service.last_body.replace(body.clone());
+    let crossed = service.faults.take(|f| &mut f.cross);
+    let echo = String::from_utf8_lossy(if crossed { &previous } else { &body }).into_owned();
+    let answer = Echo { echo, served_by: service.config.name.clone(), run: number };
+    if service.faults.take(|f| &mut f.cut_answers) {
+        return cut(&answer);
+    }
+    http::json(200, &answer)
+}
+
+fn judged(body: &[u8]) -> Response {
+    match serde_json::from_slice::<judge::JudgeRequest>(body) {
+        Ok(req) => {
+            http::json(200, &judge::JudgeAnswer { score: judge::score(&req.prompt, &req.text) })
+        }
+        Err(e) => http::error(ResultCode::BadRequest, &e.to_string(), 0),
+    }
+}
+
+/// An answer whose body ends before the length that its head names.
+fn cut(answer: &Echo) -> Response {
+    let bytes = serde_json::to_vec(answer).unwrap_or_default();
+    let half = Bytes::copy_from_slice(&bytes[..bytes.len() / 2]);
+    let frames = stream::iter([Ok::<_, Infallible>(Frame::data(half))]);
+    let mut response = ::http::Response::new(StreamBody::new(frames).boxed_unsync());
+    response.headers_mut().insert(::http::header::CONTENT_LENGTH, bytes.len().into());
+    response
+}
--- /dev/null
+++ b/orioleworks_standins/src/settings_files.rs
@@ -0,0 +1,81 @@
+//! Settings files of the daemons of a local deployment.
+
+use std::{fs, io, path::Path};
+
+use serde_json::{Value, json};
+
+/// Longest drain of an entry in a local deployment in milliseconds; shorter than the default, so that a stop is quick.
+const DRAIN_DEADLINE_MS: u64 = 5000;
+
+/// Addresses and places of a daemon.
+#[derive(Clone, Debug)]
+pub struct Daemon {
+    /// Name.
+    pub name: String,
+    /// Failure domain.
+    pub domain: String,
+    /// HTTP address.
+    pub http: String,
+    /// Inner address on which the daemon listens.
+    pub inner: String,
+    /// Inner address under which others reach it: the relay's, or its own without relays.
+    pub public_inner: String,
+}
+
+impl Daemon {
+    fn instance(&self) -> Value {
+        json!({"name": self.name, "failure_domain": self.domain})
+    }
+
+    fn listen(&self) -> Value {
+        json!({"http": self.http, "inner": self.inner})
+    }
+}
+
+/// Settings of a control replica. `bootstrap` must be false for a replica that lost its directory, because it would
+/// found a second cluster otherwise.
+pub fn control(own: &Daemon, replicas: &[Daemon], directory: &Path, bootstrap: bool) -> Value {
+    let replicas: Vec<Value> = replicas
+        .iter()
+        .map(|r| json!({"name": r.name, "address": r.public_inner, "failure_domain": r.domain}))
+        .collect();
+    json!({
+        "instance": own.instance(),
+        "listen": own.listen(),
+        "cluster": {"bootstrap": bootstrap, "replicas": replicas},
+        "data": {"directory": directory},
+        "log": {"filter": "info"},
+    })
+}
+
+/// Settings of an entry.
+pub fn entry(own: &Daemon, replicas: &[Daemon], entries: &[Daemon], directory: &Path) -> Value {
+    let replicas: Vec<Value> = replicas
+        .iter()
+        .map(|r| json!({"address": r.public_inner, "failure_domain": r.domain}))
+        .collect();
+    let peers: Vec<Value> = entries
+        .iter()
+        .filter(|e| e.name != own.name)
+        .map(|e| json!({"name": e.name, "failure_domain": e.domain, "inner": e.public_inner}))
+        .collect();
+    json!({
+        "instance": own.instance(),
+        "listen": own.listen(),
+        "control": {"replicas": replicas},
+        "peers": peers,
+        "data": {"directory": directory},
+        "limits": {"drain_deadline_ms": DRAIN_DEADLINE_MS},
+        "log": {"filter": "info"},
+    })
+}
+
+/// Writes a settings file.
+///
+/// # Errors
+///
+/// Returns the error of the operating system.
+pub fn write(path: &Path, settings: &Value) -> io::Result<()> {
+    let text = serde_json::to_string_pretty(settings).unwrap_or_default();
+    fs::write(path, text)
+}
--- /dev/null
+++ b/orioleworks_standins/tests/engine.rs
@@ -0,0 +1,184 @@
+//! The stand-in engine must behave as the engines of the design page do, and misbehave only as told.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{completion, fast, get, post, read_stream, start_engine};
+use orioleworks_standins::{
+    engine::EngineConfig,
+    engine_stream::token_time,
+    provenance::{same_spans, verify_whole},
+};
+use rstest::rstest;
+use serde_json::json;
+
+fn weights(version: u64, phase: &str, epoch: u64, sequence: u64) -> serde_json::Value {
+    json!({"version": version, "phase": phase, "fencing": {"epoch": epoch, "sequence": sequence}})
+}
+
+/// Guards against streams without end marker, and against spans that the text contradicts.
+#[test]
+fn a_stream_is_whole_and_labelled() {
+    common::run(async {
+        let (_, address) = start_engine(fast()).await;
+        let read = read_stream(&address, completion("p", 24, "r"), |_| ()).await;
+        assert!(read.done);
+        let origin = verify_whole("p", 1, 24, &read.text).expect("whole");
+        assert!(same_spans(&origin.spans, &read.spans));
+    });
+}
+
+/// Guards against swaps that wait for running streams or that mislabel their tokens.
+#[test]
+fn a_running_stream_goes_on_under_the_new_version() {
+    common::run(async {
+        let config = EngineConfig { token_time: Duration::from_millis(5), ..fast() };
+        let (engine, address) = start_engine(config).await;
+        post(&address, "/v1/weights", weights(2, "prefetch", 1, 1)).await;
+        while engine.weights.document().prefetched < 2 {
+            compio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let orders = address.clone();
+        let mut ordered = false;
+        let read = read_stream(&address, completion("p", 80, "r"), |read| {
+            if !read.text.is_empty() && !std::mem::replace(&mut ordered, true) {
+                let orders = orders.clone();
+                compio::runtime::spawn(async move {
+                    post(&orders, "/v1/weights", weights(2, "activate", 1, 2)).await;
+                })
+                .detach();
+            }
+        })
+        .await;
+        let versions: Vec<u64> = read.spans.iter().map(|span| span.version).collect();
+        assert_eq!(versions, [1, 2]);
+        let origin = verify_whole("p", 1, 80, &read.text).expect("whole");
+        assert!(same_spans(&origin.spans, &read.spans));
+    });
+}
+
+/// Guards against an order of an old lease holder that a checking engine obeys, and against a stand-in that cannot
+/// show what happens on engines that ignore the token.
+#[rstest]
+#[case::checked(true, 409, 2)]
+#[case::ignored(false, 200, 1)]
+fn old_fencing_tokens(#[case] checks: bool, #[case] status: u16, #[case] version: u64) {
+    common::run(async {
+        let (engine, address) =
+            start_engine(EngineConfig { checks_fencing: checks, ..fast() }).await;
+        post(&address, "/v1/weights", weights(2, "prefetch", 2, 1)).await;
+        compio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(post(&address, "/v1/weights", weights(2, "activate", 2, 2)).await.status, 200);
+        compio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(engine.weights.version(), 2);
+        let old = post(&address, "/v1/weights", weights(1, "activate", 1, 9)).await;
+        assert_eq!(old.status, status);
+        compio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(engine.weights.version(), version);
+    });
+}
+
+/// Guards against an activation without weights, and against a failed swap that passes for a good one.
+#[test]
+fn swaps_need_weights_and_may_fail() {
+    common::run(async {
+        let (engine, address) = start_engine(fast()).await;
+        assert_eq!(post(&address, "/v1/weights", weights(2, "activate", 1, 1)).await.status, 425);
+        post(&address, "/v1/weights", weights(2, "prefetch", 1, 2)).await;
+        post(&address, "/fault", json!({"fail_swaps": 1})).await;
+        for expected in [1, 2] {
+            compio::time::sleep(Duration::from_millis(100)).await;
+            post(&address, "/v1/weights", weights(2, "activate", 1, 3)).await;
+            compio::time::sleep(Duration::from_millis(100)).await;
+            assert_eq!(engine.weights.version(), expected);
+        }
+    });
+}
+
+/// Guards against faults that do not show on the stream, or that outlast their count.
+#[test]
+fn stream_faults_apply_once() {
+    common::run(async {
+        let (_, address) = start_engine(fast()).await;
+        let fault = json!({"cut_answers": 1, "drop_versions": 1});
+        assert_eq!(post(&address, "/fault", fault).await.status, 200);
+        let read = read_stream(&address, completion("p", 40, "r"), |_| ()).await;
+        assert!(!read.done && read.lacks_version && !read.text.is_empty());
+        let read = read_stream(&address, completion("p", 40, "r"), |_| ()).await;
+        assert!(read.done && !read.lacks_version);
+        assert_eq!(post(&address, "/fault", json!({"refuse": 1})).await.status, 200);
+        let answer = post(&address, "/v1/completions", completion("p", 4, "s")).await;
+        assert_eq!(answer.status, 503);
+        assert_eq!(answer.headers["x-not-run"], "true");
+    });
+}
+
+/// Guards against a misspelt fault that switches nothing on and lets a test pass.
+#[test]
+fn unknown_faults_are_refused() {
+    common::run(async {
+        let (_, address) = start_engine(fast()).await;
+        assert_eq!(post(&address, "/fault", json!({"cut_answer": 1})).await.status, 400);
+        assert_eq!(post(&address, "/fault", json!({"cut_answers": -1})).await.status, 400);
+    });
+}
+
+/// Guards against streams that go on after their reader has left.
+#[test]
+fn a_closed_connection_cancels_the_stream() {
+    common::run(async {
+        let config = EngineConfig { token_time: Duration::from_millis(50), ..fast() };
+        let (engine, address) = start_engine(config).await;
+        let reader = read_stream(&address, completion("p", 4000, "r"), |_| ());
+        assert!(compio::time::timeout(Duration::from_millis(400), reader).await.is_err());
+        let deadline = Instant::now() + Duration::from_secs(5);
+        while engine.running.count() > 0 && Instant::now() < deadline {
+            compio::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert_eq!(engine.running.count(), 0);
+        let state = get(&address, "/v1/state").await.json::<serde_json::Value>().expect("state");
+        assert_eq!(state["cancelled"], 1);
+    });
+}
+
+/// Guards against a hang that lets requests through or that outlasts its end.
+#[test]
+fn a_hang_holds_streams_until_its_end() {
+    common::run(async {
+        let (_, address) = start_engine(fast()).await;
+        post(&address, "/fault", json!({"hang": true})).await;
+        let reader = read_stream(&address, completion("p", 4, "r"), |_| ());
+        assert!(compio::time::timeout(Duration::from_millis(300), reader).await.is_err());
+        post(&address, "/fault", json!({"hang": false})).await;
+        assert!(read_stream(&address, completion("p", 4, "r"), |_| ()).await.done);
+    });
+}
+
+/// Guards against a prefix cache without bound, and against an import that leaves the prompt uncached.
+#[test]
+fn prefixes_are_cached_within_the_bound() {
+    common::run(async {
+        let (engine, address) = start_engine(EngineConfig { cache_entries: 2, ..fast() }).await;
+        for prompt in ["a", "b", "c"] {
+            assert!(!engine.touch_prefix(prompt));
+        }
+        assert!(engine.touch_prefix("c") && !engine.touch_prefix("a"));
+        read_stream(&address, completion("d", 4, "r"), |_| ()).await;
+        let exported = get(&address, "/v1/kv/r").await;
+        assert_eq!(exported.status, 200);
+        let (other, target) = start_engine(fast()).await;
+        let state: serde_json::Value = serde_json::from_slice(&exported.body).expect("state");
+        assert_eq!(post(&target, "/v1/kv/r", state).await.status, 200);
+        assert!(other.touch_prefix("d"));
+    });
+}
+
+/// Guards against a batch whose tokens take no longer however many streams run.
+#[test]
+fn tokens_take_longer_beyond_the_knee() {
+    let base = Duration::from_millis(2);
+    assert_eq!(token_time(base, 1, 8), base);
+    assert_eq!(token_time(base, 8, 8), base);
+    assert_eq!(token_time(base, 16, 8), 2 * base);
+}
--- /dev/null
+++ b/orioleworks_standins/tests/provenance.rs
@@ -0,0 +1,61 @@
+//! The provenance check must find every difference between a text and what is claimed of it.
+
+use orioleworks_standins::provenance::{
+    ProvenanceError, Span, TOKEN_CHARS, nonce, same_spans, sample_tokens, token, verify,
+    verify_whole,
+};
+use rstest::rstest;
+
+const PROMPT: &str = "milk of lot 7";
+const SEED: u64 = 11;
+
+fn text(request_id: &str, versions: &[u64]) -> String {
+    let own = nonce(request_id);
+    let tokens = versions.iter().enumerate();
+    tokens.map(|(i, version)| token(PROMPT, SEED, own, i as u64, *version)).collect()
+}
+
+/// Guards against a check that cannot see a swap in the middle of a text.
+#[test]
+fn versions_are_recovered_from_the_text() {
+    let origin = verify(PROMPT, SEED, &text("r", &[3, 3, 4, 3])).expect("sample");
+    let span = |version, tokens| Span { version, tokens };
+    assert_eq!(origin.spans, [span(3, 2), span(4, 1), span(3, 1)]);
+    assert_eq!(origin.nonce, nonce("r"));
+}
+
+/// Guards against texts of another prompt, of another seed or with a lost or moved token that pass as a sample.
+#[rstest]
+#[case::prompt("another", SEED, text("r", &[1, 1]), ProvenanceError::Foreign(0))]
+#[case::seed(PROMPT, 12, text("r", &[1, 1]), ProvenanceError::Foreign(0))]
+#[case::first_token_lost(PROMPT, SEED, text("r", &[1, 1])[TOKEN_CHARS..].to_owned(), ProvenanceError::Foreign(0))]
+#[case::cut_token(PROMPT, SEED, text("r", &[1, 1])[..30].to_owned(), ProvenanceError::Broken)]
+#[case::empty(PROMPT, SEED, String::new(), ProvenanceError::Broken)]
+#[case::two_streams(PROMPT, SEED, text("r", &[1]) + &text("s", &[1, 1])[TOKEN_CHARS..], ProvenanceError::Mixed(1))]
+fn foreign_texts_are_refused(
+    #[case] prompt: &str,
+    #[case] seed: u64,
+    #[case] text: String,
+    #[case] expected: ProvenanceError,
+) {
+    assert_eq!(verify(prompt, seed, &text), Err(expected));
+}
+
+/// Guards against a stream cut at a token boundary that passes as complete.
+#[test]
+fn short_texts_are_refused() {
+    let expected = sample_tokens(PROMPT, SEED, nonce("r"), 20);
+    let whole = text("r", &vec![1; usize::try_from(expected).expect("small")]);
+    assert!(verify_whole(PROMPT, SEED, 20, &whole).is_ok());
+    let short = &whole[..whole.len() - TOKEN_CHARS];
+    let error = ProvenanceError::Length { found: expected - 1, expected };
+    assert_eq!(verify_whole(PROMPT, SEED, 20, short), Err(error));
+}
+
+/// Guards against a false alarm for spans that are split but say the same, and against a missed difference.
+#[test]
+fn spans_are_compared_by_content() {
+    let span = |version, tokens| Span { version, tokens };
+    assert!(same_spans(&[span(1, 2), span(1, 3)], &[span(1, 5)]));
+    assert!(!same_spans(&[span(1, 2), span(2, 3)], &[span(1, 3), span(2, 2)]));
+}
