Stand-ins: answers name their request; group names are text; no redirects or proxies

The entry on its way refuses an answer whose x-request-id is another request's, so stand-ins echo the header and the fault cross carries the header of the request before. The trainer client follows the owner that a 421 names. Tests of the trainer's rules against prepared answers of an entry.

--- a/orioleworks_standins/src/client.rs
+++ b/orioleworks_standins/src/client.rs
@@ -61,7 +61,9 @@
     ///
     /// Returns why the client cannot be set up.
     pub fn new() -> Result<Self, ClientError> {
-        let inner = cyper::Client::new().map_err(connection)?;
+        // A redirect would send a request a second time, and a proxy would hide a refused connection.
+        let builder = cyper::Client::builder().redirect(cyper::redirect::Policy::none());
+        let inner = builder.no_proxy().build().map_err(connection)?;
         Ok(Self { inner })
     }
 
--- a/orioleworks_standins/src/engine_stream.rs
+++ b/orioleworks_standins/src/engine_stream.rs
@@ -39,11 +39,15 @@
 
 /// Answers with a stream and starts the task that fills it.
 pub fn start(engine: Rc<Engine>, req: Completion) -> Response {
+    let request_id = http::HeaderValue::from_str(&req.request_id);
     let (tx, rx) = mpsc::channel(1);
     compio::runtime::spawn(run(engine, req, tx)).detach();
     let mut response = http::Response::new(StreamBody::new(rx).boxed_unsync());
     let value = http::HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert(http::header::CONTENT_TYPE, value);
+    if let Ok(value) = request_id {
+        response.headers_mut().insert("x-request-id", value);
+    }
     response
 }
 
--- a/orioleworks_standins/src/fault.rs
+++ b/orioleworks_standins/src/fault.rs
@@ -34,7 +34,7 @@
     pub straggle_factor: f64,
     /// Loses the cache events of every n-th announcement.
     pub gap_every: u32,
-    /// Answers of a plain service that carry the content of the request before.
+    /// Answers of a plain service that carry request ID and content of the request before.
     pub cross: u32,
     /// Stops announcing, as a cut link to the entries would.
     pub mute: bool,
--- a/orioleworks_standins/src/service.rs
+++ b/orioleworks_standins/src/service.rs
@@ -104,7 +104,7 @@
     pub membership: Membership,
     running: InFlight,
     ran: RefCell<Ran>,
-    last_body: RefCell<Bytes>,
+    last: RefCell<(String, Bytes)>,
 }
 
 impl Service {
@@ -116,7 +116,7 @@
             membership: Membership::default(),
             running: InFlight::default(),
             ran: RefCell::default(),
-            last_body: RefCell::default(),
+            last: RefCell::default(),
         })
     }
 
@@ -196,18 +196,32 @@
 async fn work(service: &Service, run: Run, body: Bytes) -> Response {
     let guard = service.running.enter();
     let draw = xxh3_64(&body) % 1000;
+    let request_id = run.request_id.clone();
     service.ran.borrow_mut().runs.push(run);
     let number = service.ran.borrow().runs.len() as u64;
     compio::time::sleep(service.faults.work_time(service.config.work_time, draw)).await;
     service.faults.wait_hang(|| false).await;
     drop(guard);
+    let own = (request_id, body);
+    let previous = service.last.replace(own.clone());
+    let crossed = service.faults.take(|f| &mut f.cross);
+    let (request_id, body) = if crossed { previous } else { own };
+    let mut response = answer(service, &body, number);
+    // Names the request that the answer belongs to, so that an entry can find a crossed one.
+    if let Ok(value) = ::http::HeaderValue::from_str(&request_id)
+        && !request_id.is_empty()
+    {
+        response.headers_mut().insert("x-request-id", value);
+    }
+    response
+}
+
+fn answer(service: &Service, body: &[u8], run: u64) -> Response {
     if service.config.judge {
-        return judged(&body);
+        return judged(body);
     }
-    let previous = service.last_body.replace(body.clone());
-    let crossed = service.faults.take(|f| &mut f.cross);
-    let echo = String::from_utf8_lossy(if crossed { &previous } else { &body }).into_owned();
-    let answer = Echo { echo, served_by: service.config.name.clone(), run: number };
+    let echo = String::from_utf8_lossy(body).into_owned();
+    let answer = Echo { echo, served_by: service.config.name.clone(), run };
     if service.faults.take(|f| &mut f.cut_answers) {
         return cut(&answer);
     }
--- a/orioleworks_standins/src/trainer.rs
+++ b/orioleworks_standins/src/trainer.rs
@@ -102,7 +102,7 @@
     max_tokens: u64,
     max_staleness: u64,
     trainer_version: u64,
-    streams: HashSet<(u32, u32)>,
+    streams: HashSet<(String, u32)>,
 }
 
 impl Checker {
@@ -135,7 +135,7 @@
                     return None;
                 }
             };
-        if !self.streams.insert((sample.group, origin.nonce)) {
+        if !self.streams.insert((sample.group.clone(), origin.nonce)) {
             found.doubled += 1;
         }
         let true_tokens: u64 = origin.spans.iter().map(|span| span.tokens).sum();
@@ -153,7 +153,11 @@
 pub fn groups(cfg: &TrainerConfig, step: u64) -> Vec<Group> {
     let prompt = |group| format!("{} {} step {step} group {group}", cfg.run, cfg.seed);
     (0..cfg.groups)
-        .map(|group| Group { group, prompt: prompt(group), samples: cfg.samples })
+        .map(|group| Group {
+            group: group.to_string(),
+            prompt: prompt(group),
+            samples: cfg.samples,
+        })
         .collect()
 }
 
@@ -201,7 +205,8 @@
     let result = client
         .run_step(&step, deadline, |sample| {
             report.attempts.push(sample.attempts);
-            let prompt = &step.groups[sample.group as usize].prompt;
+            let group = step.groups.iter().find(|group| group.group == sample.group);
+            let prompt = group.map_or("", |group| group.prompt.as_str());
             report.staleness.extend(checker.check(prompt, sample, &mut report.findings));
         })
         .await;
--- a/orioleworks_standins/src/trainer_client.rs
+++ b/orioleworks_standins/src/trainer_client.rs
@@ -27,8 +27,8 @@
 /// One group of samples with a common prompt.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Group {
-    /// Number of the group.
-    pub group: u32,
+    /// Name of the group, unique in its step.
+    pub group: String,
     /// Prompt.
     pub prompt: String,
     /// Samples wanted.
@@ -56,7 +56,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Sample {
     /// Group of the slot.
-    pub group: u32,
+    pub group: String,
     /// Index of the slot in its group.
     pub index: u32,
     /// Text.
@@ -110,7 +110,7 @@
     trainer_version: u64,
     max_tokens: u64,
     groups: &'a [Group],
-    taken: Vec<(u32, u32)>,
+    taken: Vec<(String, u32)>,
     last_epoch: u64,
 }
 
@@ -171,6 +171,21 @@
         compio::time::sleep(RETRY_PAUSE).await;
     }
 
+    /// Turns to the owner that an answer names, or to the next entry.
+    async fn choose_entry(&mut self, error: &ClientError) {
+        #[derive(Deserialize)]
+        struct NotOwner {
+            owner: String,
+        }
+        let ClientError::Status(421, body) = error else { return self.next_entry().await };
+        let owner = serde_json::from_str::<NotOwner>(body).map(|body| body.owner);
+        let known = |owner: &String| self.entries.iter().position(|entry| entry == owner);
+        match owner.ok().as_ref().and_then(known) {
+            Some(at) => self.at = at,
+            None => self.next_entry().await,
+        }
+    }
+
     /// Publishes a weight version; repeated with the same order ID until it is accepted.
     ///
     /// # Errors
@@ -223,20 +238,22 @@
             let last = match result.await {
                 Ok(()) if taken.len() == slots => return Ok(delivery),
                 Ok(()) => return Err(StepError::Lost(slots - taken.len())),
-                Err(e) => e.to_string(),
+                Err(e) => {
+                    self.choose_entry(&e).await;
+                    e.to_string()
+                }
             };
             event!(warn, "step_reopened", run = self.run, step = step.step, reason = last);
             if Instant::now() >= deadline {
                 return Err(StepError::Deadline { missing: slots - taken.len(), last });
             }
-            self.next_entry().await;
         }
     }
 
     async fn open_and_fetch(
         &mut self,
         step: &Step,
-        taken: &mut HashSet<(u32, u32)>,
+        taken: &mut HashSet<(String, u32)>,
         delivery: &mut Delivery,
         take: &mut impl FnMut(&Sample),
         deadline: Instant,
@@ -256,7 +273,7 @@
             }
             delivery.batches += u64::from(!reply.samples.is_empty());
             for sample in &reply.samples {
-                if wanted(step, sample) && taken.insert((sample.group, sample.index)) {
+                if wanted(step, sample) && taken.insert((sample.group.clone(), sample.index)) {
                     take(sample);
                 } else {
                     delivery.refused_samples += 1;
@@ -271,7 +288,11 @@
         }
     }
 
-    async fn open(&mut self, step: &Step, taken: &HashSet<(u32, u32)>) -> Result<u64, ClientError> {
+    async fn open(
+        &mut self,
+        step: &Step,
+        taken: &HashSet<(String, u32)>,
+    ) -> Result<u64, ClientError> {
         let body = OpenBody {
             step: step.step,
             profile: &step.profile,
@@ -279,7 +300,7 @@
             trainer_version: step.trainer_version,
             max_tokens: step.max_tokens,
             groups: &step.groups,
-            taken: taken.iter().copied().collect(),
+            taken: taken.iter().cloned().collect(),
             last_epoch: self.last_epoch,
         };
         let url = self.url(&format!("runs/{}/steps", self.run));
--- /dev/null
+++ b/orioleworks_standins/tests/trainer.rs
@@ -0,0 +1,185 @@
+//! The trainer's rules must hold against entries that deliver twice, late or under an old epoch.
+
+mod common;
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use orioleworks_daemon::{
+    http::{self, Response},
+    shutdown::Shutdown,
+};
+use orioleworks_proto::codes::ResultCode;
+use orioleworks_standins::{
+    provenance::{Span, nonce, sample_tokens, token},
+    trainer::{Checker, Findings, TrainerConfig, groups},
+    trainer_client::{Sample, Step, TrainerClient},
+};
+use rstest::rstest;
+use serde_json::{Value, json};
+
+const MAX_TOKENS: u64 = 16;
+
+fn config() -> TrainerConfig {
+    TrainerConfig {
+        entries: Vec::new(),
+        weights: None,
+        run: "run".into(),
+        profile: "scorer".into(),
+        model: "scorer".into(),
+        steps: 1,
+        groups: 1,
+        samples: 3,
+        max_tokens: MAX_TOKENS,
+        first_version: 5,
+        max_staleness: 2,
+        seed: 1,
+        train_time: Duration::ZERO,
+        step_deadline: Duration::from_secs(10),
+    }
+}
+
+fn sample(index: u32, version: u64) -> Sample {
+    let (prompt, own) = (groups(&config(), 1)[0].prompt.clone(), nonce(&index.to_string()));
+    let tokens = sample_tokens(&prompt, 1, own, MAX_TOKENS);
+    let text = (0..tokens).map(|i| token(&prompt, 1, own, i, version)).collect();
+    let spans = vec![Span { version, tokens }];
+    Sample { group: "0".into(), index, text, tokens, spans, score: None, attempts: 1 }
+}
+
+/// Serves prepared answers in order and records what was asked.
+async fn start_entry(answers: Vec<(u16, Value)>) -> (String, Rc<RefCell<Vec<Value>>>) {
+    let listener = http::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address").to_string();
+    let (asked, answers) = (Rc::new(RefCell::new(Vec::new())), Rc::new(RefCell::new(answers)));
+    let seen = asked.clone();
+    let handler = move |req: http::Request| {
+        let (answers, seen) = (answers.clone(), seen.clone());
+        async move {
+            let body = http::read_body(req.into_body(), &http::Limits::default()).await;
+            seen.borrow_mut().push(serde_json::from_slice(&body.expect("body")).expect("JSON"));
+            next(&mut answers.borrow_mut())
+        }
+    };
+    let limits = http::Limits::default();
+    compio::runtime::spawn(http::serve(listener, limits, Shutdown::default(), handler)).detach();
+    (address, asked)
+}
+
+fn next(answers: &mut Vec<(u16, Value)>) -> Response {
+    if answers.is_empty() {
+        return http::error(ResultCode::UnknownStep, "", 0);
+    }
+    let (status, body) = answers.remove(0);
+    http::json(status, &body)
+}
+
+fn opened(epoch: u64) -> (u16, Value) {
+    (200, json!({"epoch": epoch, "owner": "", "missing": 3}))
+}
+
+fn batch(epoch: u64, cursor: u64, indexes: &[u32], complete: bool) -> (u16, Value) {
+    let samples: Vec<Sample> = indexes.iter().map(|index| sample(*index, 5)).collect();
+    let next_cursor = cursor + u64::from(!samples.is_empty());
+    let body = json!({
+        "epoch": epoch, "step": 1, "cursor": cursor, "next_cursor": next_cursor,
+        "samples": samples, "missing": 0, "complete": complete,
+    });
+    (200, body)
+}
+
+fn step() -> Step {
+    let cfg = config();
+    Step {
+        step: 1,
+        profile: cfg.profile.clone(),
+        model: cfg.model.clone(),
+        trainer_version: 5,
+        max_tokens: MAX_TOKENS,
+        groups: groups(&cfg, 1),
+    }
+}
+
+/// Guards against samples taken twice, from an old epoch or from another cursor, and against a reopened step that
+/// runs taken slots again.
+#[rstest]
+#[case::in_order(vec![opened(1), batch(1, 0, &[0, 1], false), batch(1, 1, &[2], true)], 0, 0)]
+#[case::slot_twice(vec![opened(1), batch(1, 0, &[0, 1], false), batch(1, 1, &[1, 2], true)], 0, 1)]
+#[case::old_epoch(vec![opened(2), batch(1, 0, &[0], false), batch(2, 0, &[0, 1, 2], true)], 1, 0)]
+#[case::old_cursor(
+    vec![opened(1), batch(1, 0, &[0, 1], false), batch(1, 0, &[2], false), batch(1, 1, &[2], true)], 1, 0)]
+#[case::reopened(
+    vec![opened(1), batch(1, 0, &[0, 1], false), (409, json!({})), opened(2), batch(2, 0, &[2], true)], 0, 0)]
+fn each_slot_is_taken_once(
+    #[case] answers: Vec<(u16, Value)>,
+    #[case] refused_batches: u64,
+    #[case] refused_samples: u64,
+) {
+    common::run(async {
+        let (entry, asked) = start_entry(answers).await;
+        let mut client = TrainerClient::new(vec![entry], "run", 8).expect("client");
+        let mut taken = Vec::new();
+        let deadline = Instant::now() + Duration::from_secs(10);
+        let take = |sample: &Sample| taken.push(sample.index);
+        let delivery = client.run_step(&step(), deadline, take).await.expect("step");
+        assert_eq!(taken, [0, 1, 2]);
+        assert_eq!(delivery.refused_batches, refused_batches);
+        assert_eq!(delivery.refused_samples, refused_samples);
+        let asked = asked.borrow();
+        let opens: Vec<&Value> = asked.iter().filter(|body| body.get("taken").is_some()).collect();
+        assert_eq!(opens[0]["last_epoch"], 0);
+        if let Some(second) = opens.get(1) {
+            assert_eq!(second["last_epoch"], 1);
+            assert_eq!(second["taken"].as_array().map(Vec::len), Some(2));
+        }
+        let last = asked.last().expect("acknowledgement");
+        assert!(last["cursor"].as_u64() >= Some(1));
+    });
+}
+
+/// Guards against an entry that calls a step complete without all of its samples.
+#[test]
+fn a_lost_sample_fails_the_step() {
+    common::run(async {
+        let answers = vec![opened(1), batch(1, 0, &[0, 1], true)];
+        let (entry, _) = start_entry(answers).await;
+        let mut client = TrainerClient::new(vec![entry], "run", 8).expect("client");
+        let deadline = Instant::now() + Duration::from_secs(10);
+        assert!(client.run_step(&step(), deadline, |_| ()).await.is_err());
+    });
+}
+
+/// Guards against a check that passes samples with wrong labels, of old weights, of other prompts, cut or doubled.
+#[test]
+fn faulty_samples_are_counted() {
+    let prompt = groups(&config(), 1)[0].prompt.clone();
+    let mut checker = Checker::new(&config(), 5);
+    let mut found = Findings::default();
+    assert_eq!(checker.check(&prompt, &sample(0, 4), &mut found), Some(1));
+    assert_eq!(found, Findings { samples: 1, ..Findings::default() });
+    checker.check(&prompt, &sample(0, 4), &mut found);
+    assert_eq!(checker.check(&prompt, &sample(1, 2), &mut found), Some(3));
+    let mut mislabelled = sample(2, 4);
+    mislabelled.spans[0].version = 5;
+    checker.check(&prompt, &mislabelled, &mut found);
+    checker.check("another", &sample(3, 5), &mut found);
+    let mut cut = sample(4, 5);
+    cut.text.truncate(cut.text.len() - 24);
+    checker.check(&prompt, &cut, &mut found);
+    let misjudged = Sample { score: Some(2.0), ..sample(5, 5) };
+    checker.check(&prompt, &misjudged, &mut found);
+    let expected = Findings {
+        samples: 7,
+        doubled: 1,
+        over_bound: 1,
+        mislabelled: 1,
+        crossed: 1,
+        broken: 1,
+        misjudged: 1,
+        lost: 0,
+    };
+    assert_eq!(found, expected);
+}
