--- a/orioleworks_standins/tests/deployment.rs
+++ b/orioleworks_standins/tests/deployment.rs
@@ -15,6 +15,8 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
 };
+use orioleworks_entry::config;
+use orioleworks_settings as settings;
 use orioleworks_standins::{
     client::Client,
     deployment::{Deployment, Kind, Options},
@@ -32,19 +34,23 @@
 
 /// Guards against settings files that the daemons refuse, and against a missing place.
 #[test]
-fn all_places_are_there_and_settings_are_json() {
+fn all_places_are_there_and_entry_settings_are_accepted() {
     common::run(async {
         let directory = tempfile::tempdir().expect("directory");
         let deployment = prepare(directory.path()).await;
         let count = |kind| deployment.nodes(kind).count();
         let kinds = [Kind::Control, Kind::Entry, Kind::Engine, Kind::Service, Kind::Judge];
         assert_eq!(kinds.map(count), [3, 6, 12, 6, 1]);
-        for name in ["control-a", "entry-a1", "entry-c2"] {
-            let text = std::fs::read_to_string(directory.path().join(format!("{name}.jsonc")));
-            let value: serde_json::Value =
-                serde_json::from_str(&text.expect("file")).expect("JSON");
-            assert_eq!(value["instance"]["name"], name);
+        for (name, _) in deployment.nodes(Kind::Entry) {
+            let path = directory.path().join(format!("{name}.jsonc"));
+            let cfg: config::Config = settings::load(path).expect("accepted settings");
+            assert_eq!((&*cfg.instance.name, cfg.peers.len()), (name, 5));
         }
+        let path = directory.path().join("control-a.jsonc");
+        let text = std::fs::read_to_string(path).expect("file");
+        let value: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+        assert_eq!(value["instance"]["name"], "control-a");
+        assert_eq!(value["cluster"]["bootstrap"], true);
     });
 }
 
@@ -140,3 +146,19 @@
     assert!(answer.is_err());
     assert_eq!(status.code(), Some(CRASH_EXIT));
 }
+
+/// Guards against a driver that fails without a reason or leaves its directory of a run that never began unnamed.
+#[test]
+fn the_driver_says_what_it_cannot_start() {
+    let empty = tempfile::tempdir().expect("directory");
+    let output = Command::new(env!("CARGO_BIN_EXE_orioleworks-local"))
+        .arg("--bin-dir")
+        .arg(empty.path())
+        .env("TMPDIR", empty.path())
+        .output()
+        .expect("driver");
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(errors.contains("control-a: "), "{errors}");
+    assert!(errors.contains("settings and logs: "), "{errors}");
+}
