--- a/orioleworks_standins/src/scenario.rs
+++ b/orioleworks_standins/src/scenario.rs
@@ -24,6 +24,8 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 /// Longest wait for one order to control.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Part of the training deadline that is left for the trainer's report.
+const REPORT_MARGIN: Duration = Duration::from_secs(5);
 /// Time after the end of the load within which its answers must have come.
 const LOAD_MARGIN: Duration = Duration::from_secs(20);
 
@@ -82,8 +84,6 @@
         /// Last failure.
         reason: String,
     },
-    /// {0} left no report
-    NoReport(String),
 }
 
 impl std::error::Error for ScenarioError {}
@@ -118,6 +118,8 @@
     pub control: Vec<NodeUse>,
     /// Processes of the deployment that ended during the traffic.
     pub ended: Vec<String>,
+    /// Trainer or load generator without a report; their figures are zero then.
+    pub missing: Vec<String>,
 }
 
 impl Outcome {
@@ -154,6 +156,7 @@
             problems.push("no call succeeded".into());
         }
         problems.extend(self.trainer.failures.iter().cloned());
+        problems.extend(self.missing.iter().map(|name| format!("{name} left no report")));
         problems.extend(self.ended.iter().map(|name| format!("{name} has ended")));
         problems
     }
@@ -253,7 +256,7 @@
 ///
 /// # Errors
 ///
-/// Returns a process that cannot be started or left no report.
+/// Returns a process that cannot be started.
 pub async fn run(deployment: &mut Deployment, options: &Options) -> Result<Outcome, ScenarioError> {
     let directory = deployment.options().directory.clone();
     let (trainer, load) = (directory.join("trainer.json"), directory.join("load.json"));
@@ -277,7 +280,11 @@
         })
         .collect();
     let ended = ended(deployment);
-    Ok(Outcome { trainer: read(&trainer)?, load: read(&load)?, control, ended })
+    let (trainer, load) = (read(&trainer), read(&load));
+    let missing: Vec<String> =
+        [trainer.as_ref().err(), load.as_ref().err()].into_iter().flatten().cloned().collect();
+    let (trainer, load) = (trainer.unwrap_or_default(), load.unwrap_or_default());
+    Ok(Outcome { trainer, load, control, ended, missing })
 }
 
 /// Totals since the start of the processes, in the fields for rates.
@@ -304,7 +311,9 @@
 }
 
 fn add_trainer(deployment: &mut Deployment, options: &Options, report: &Path) {
-    let step_ms = options.training_deadline.as_millis() / u128::from(options.steps.max(1));
+    // A step that fails at its deadline leaves the trainer time for its report.
+    let training = options.training_deadline.saturating_sub(REPORT_MARGIN);
+    let step_ms = training.as_millis() / u128::from(options.steps.max(1));
     let list = args(&[
         ("entries", &deployment.addresses(Kind::Entry)),
         ("weights", &deployment.addresses(Kind::Weights)),
@@ -333,8 +342,9 @@
     deployment.add_client("load", "orioleworks-load", list);
 }
 
-fn read<T: DeserializeOwned>(path: &Path) -> Result<T, ScenarioError> {
+/// Reads a report; the error is the name of the process that left none.
+fn read<T: DeserializeOwned>(path: &Path) -> Result<T, String> {
     let text = std::fs::read(path).unwrap_or_default();
     let name = path.file_stem().unwrap_or_default().to_string_lossy().into_owned();
-    serde_json::from_slice(&text).map_err(|_| ScenarioError::NoReport(name))
+    serde_json::from_slice(&text).map_err(|_| name)
 }
--- a/orioleworks_standins/src/trainer.rs
+++ b/orioleworks_standins/src/trainer.rs
@@ -173,7 +173,10 @@
     let started = Instant::now();
     let mut version = cfg.first_version;
     for number in 1..=cfg.steps {
-        run_step(cfg, &mut client, number, version, &mut report).await;
+        // Without the samples there is nothing to train on, so a failed step ends the run.
+        if !run_step(cfg, &mut client, number, version, &mut report).await {
+            break;
+        }
         compio::time::sleep(cfg.train_time).await;
         version += 1;
         if let Err(e) = publish(cfg, &mut client, version).await {
@@ -190,7 +193,7 @@
     number: u64,
     version: u64,
     report: &mut TrainerReport,
-) {
+) -> bool {
     let step = Step {
         step: number,
         profile: cfg.profile.clone(),
@@ -215,6 +218,7 @@
     report.step_ms.push(elapsed);
     let wanted = u64::from(cfg.groups) * u64::from(cfg.samples);
     report.findings.lost += wanted.saturating_sub(report.findings.samples - before);
+    event!(info, "step_finished", step = number, ms = elapsed, version = version);
     match result {
         Ok(delivery) => {
             report.steps += 1;
@@ -222,10 +226,13 @@
             report.delivery.batches += delivery.batches;
             report.delivery.refused_batches += delivery.refused_batches;
             report.delivery.refused_samples += delivery.refused_samples;
+            true
+        }
+        Err(e) => {
+            report.failures.push(format!("step {number}: {e}"));
+            false
         }
-        Err(e) => report.failures.push(format!("step {number}: {e}")),
     }
-    event!(info, "step_finished", step = number, ms = elapsed, version = version);
 }
 
 /// Puts the weights into the store first, so that engines never wait for weights that are not there.
