--- a/orioleworks_standins/src/bin/orioleworks-local.rs
+++ b/orioleworks_standins/src/bin/orioleworks-local.rs
@@ -18,6 +18,13 @@
 /// Longest wait for the processes of one kind to end after the signal.
 const STOP_DEADLINE: Duration = Duration::from_secs(8);
 
+/// Longest time of training besides the steps.
+const TRAINING_BASE: Duration = Duration::from_secs(5);
+/// Longest time of one step with its publication.
+const STEP_TIME: Duration = Duration::from_secs(5);
+/// Time of the start besides training and load; a run that hangs ends after it, so that CI does not wait for it.
+const START_LIMIT: Duration = Duration::from_secs(15);
+
 /// Runs a small deployment on loopback with training steps beside caller traffic, prints one table and stops it.
 #[derive(FromArgs)]
 struct Options {
@@ -105,7 +112,10 @@
 
 async fn drive(deployment: &mut Deployment, options: &Options, shutdown: &Shutdown) -> bool {
     let outcome = {
-        let mut scenario = std::pin::pin!(scenario(deployment, options).fuse());
+        let traffic = scenario_options(options);
+        let limit = START_LIMIT + traffic.longest();
+        let limited = compio::time::timeout(limit, scenario(deployment, options));
+        let mut scenario = std::pin::pin!(limited.fuse());
         let mut signal = std::pin::pin!(shutdown.drain.cancelled().fuse());
         select! { outcome = scenario => outcome, () = signal => {
             eprintln!("interrupted");
@@ -113,13 +123,17 @@
         } }
     };
     let passed = match outcome {
-        Ok(outcome) => {
+        Err(_) => {
+            eprintln!("failed: not finished in time");
+            false
+        }
+        Ok(Ok(outcome)) => {
             println!("{}", table::render(&outcome));
             let problems = outcome.problems();
             problems.iter().for_each(|problem| eprintln!("failed: {problem}"));
             problems.is_empty()
         }
-        Err(e) => {
+        Ok(Err(e)) => {
             eprintln!("failed: {e}");
             false
         }
@@ -137,14 +151,19 @@
     options: &Options,
 ) -> Result<Outcome, ScenarioError> {
     scenario::bring_up(deployment).await?;
-    let options = scenario::Options {
+    scenario::run(deployment, &scenario_options(options)).await
+}
+
+fn scenario_options(options: &Options) -> scenario::Options {
+    let steps = u32::try_from(options.steps).unwrap_or(u32::MAX);
+    scenario::Options {
         seed: options.seed,
         steps: options.steps,
         groups: options.groups,
         samples: options.samples,
         rate: options.rate,
         duration: Duration::from_secs_f64(options.duration),
+        training_deadline: TRAINING_BASE + STEP_TIME.saturating_mul(steps),
         ..scenario::Options::default()
-    };
-    scenario::run(deployment, &options).await
+    }
 }
--- a/orioleworks_standins/src/layout.rs
+++ b/orioleworks_standins/src/layout.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 
 use crate::{
-    deployment::{Deployment, DeploymentError, Kind, Node, Options, Processes, system},
+    deployment::{Deployment, DeploymentError, Kind, Node, Options, system},
     ports::Ports,
     process::{Process, Spec, socket_inode},
     relay::{Identify, Relay},
@@ -61,13 +61,25 @@
         }
         for daemon in self.controls.iter().chain(&self.entries) {
             let relay_port = daemon.public_inner.rsplit_once(':').and_then(|(_, p)| p.parse().ok());
-            let identify = identify(self.processes.clone(), relay_port.unwrap_or(0));
+            let identify = self.identify(relay_port.unwrap_or(0));
             let relay = Relay::start(&daemon.public_inner, &daemon.inner, identify).await;
             self.relays.insert(daemon.name.clone(), relay.map_err(system(&daemon.name))?);
         }
         Ok(())
     }
 
+    /// Finds the process of this deployment behind a connection to a port of this machine.
+    ///
+    /// A relay needs it, because the inner protocol does not name the sender and a link has two ends.
+    pub fn identify(&self, port: u16) -> Identify {
+        let processes = self.processes.clone();
+        Rc::new(move |peer| {
+            let inode = socket_inode(peer.port(), port)?;
+            let processes = processes.borrow();
+            processes.iter().find(|(_, p)| p.has_socket(inode)).map(|(name, _)| name.clone())
+        })
+    }
+
     fn add_daemons(&mut self) -> io::Result<()> {
         for daemon in self.controls.clone() {
             self.write_settings(&daemon, Kind::Control, true)?;
@@ -171,14 +183,6 @@
     }
 }
 
-fn identify(processes: Processes, relay_port: u16) -> Identify {
-    Rc::new(move |peer| {
-        let inode = socket_inode(peer.port(), relay_port)?;
-        let processes = processes.borrow();
-        processes.iter().find(|(_, p)| p.has_socket(inode)).map(|(name, _)| name.clone())
-    })
-}
-
 /// Part of a domain's name that goes into the names of its instances.
 fn letter(domain: &str) -> &str {
     domain.rsplit_once('-').map_or(domain, |(_, letter)| letter)
--- a/orioleworks_standins/src/scenario.rs
+++ b/orioleworks_standins/src/scenario.rs
@@ -65,6 +65,13 @@
     }
 }
 
+impl Options {
+    /// Longest time of [`run`].
+    pub fn longest(&self) -> Duration {
+        self.training_deadline.max(self.duration + LOAD_MARGIN)
+    }
+}
+
 /// Why the scenario has no outcome.
 #[derive(Debug, Display)]
 pub enum ScenarioError {
@@ -267,8 +274,7 @@
     deployment.start("trainer")?;
     deployment.start("load")?;
     deployment.wait_end("trainer", options.training_deadline).await?;
-    let load_deadline = options.duration + LOAD_MARGIN;
-    deployment.wait_end("load", load_deadline.saturating_sub(started.elapsed())).await?;
+    deployment.wait_end("load", options.longest().saturating_sub(started.elapsed())).await?;
     let elapsed = started.elapsed().as_secs_f64();
     let control = measure(deployment)
         .into_iter()
--- a/orioleworks_standins/tests/deployment.rs
+++ b/orioleworks_standins/tests/deployment.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::{
+    cell::RefCell,
     io::{BufRead, BufReader},
     path::Path,
     process::{Command, Stdio},
@@ -119,6 +120,34 @@
     });
 }
 
+/// Guards against a cut between two processes that takes no effect, because the sender is not recognised.
+#[test]
+fn the_sender_of_a_connection_is_recognised() {
+    common::run(async {
+        let directory = tempfile::tempdir().expect("directory");
+        let deployment = prepare(directory.path()).await;
+        let entry = deployment.nodes(Kind::Entry).next().expect("entry").1.http.clone();
+        let port = entry.rsplit_once(':').and_then(|(_, port)| port.parse().ok()).expect("port");
+        let identify = deployment.identify(port);
+        let senders = Rc::new(RefCell::new(Vec::new()));
+        let seen = senders.clone();
+        let record = Rc::new(move |peer| {
+            seen.borrow_mut().push(identify(peer));
+            None
+        });
+        let _relay = Relay::start(&entry, "127.0.0.1:1", record).await.expect("relay");
+        deployment.start("scorer-a1").expect("start");
+        for _ in 0..250 {
+            if !senders.borrow().is_empty() {
+                break;
+            }
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(senders.borrow().first(), Some(&Some("scorer-a1".to_owned())));
+        deployment.kill("scorer-a1").expect("kill");
+    });
+}
+
 /// Guards against a crash fault that leaves the process alive.
 #[rstest]
 #[case::engine(env!("CARGO_BIN_EXE_standin-engine"), "/v1/completions")]
