--- a/orioleworks_standins/src/engine_weights.rs
+++ b/orioleworks_standins/src/engine_weights.rs
@@ -191,22 +191,37 @@
     if !state.present.contains(&version) {
         return 425;
     }
-    if state.version != version && state.swapping.is_none() {
+    let swapping = state.swapping.is_some();
+    if swapping || state.version != version {
         state.swapping = Some(version);
+    }
+    if !swapping && state.version != version {
         let engine = engine.clone();
-        runtime::spawn(async move { swap(&engine, version).await }).detach();
+        runtime::spawn(async move { while swap(&engine).await {} }).detach();
     }
     200
 }
 
-async fn swap(engine: &Engine, version: u64) {
+/// Version of the swap that is under way.
+fn version_of(engine: &Engine) -> u64 {
+    let state = engine.weights.state.borrow();
+    state.swapping.unwrap_or(state.version)
+}
+
+/// Swaps once; says whether another version was ordered meanwhile.
+async fn swap(engine: &Engine) -> bool {
+    let version = version_of(engine);
     let late = Duration::from_millis(engine.faults.now().late_swap_ms);
     compio::time::sleep(engine.config.swap_time + late).await;
     let failed = engine.faults.take(|f| &mut f.fail_swaps);
     let mut state = engine.weights.state.borrow_mut();
-    state.swapping = None;
     if !failed {
         state.version = version;
     }
+    let superseded = state.swapping != Some(version);
+    if !superseded {
+        state.swapping = None;
+    }
     event!(info, "weights_swapped", version = version, failed = failed);
+    superseded
 }
--- a/orioleworks_standins/tests/engine.rs
+++ b/orioleworks_standins/tests/engine.rs
@@ -182,3 +182,20 @@
     assert_eq!(token_time(base, 8, 8), base);
     assert_eq!(token_time(base, 16, 8), 2 * base);
 }
+
+/// Guards against an order that a running swap swallows, so that the engine stays on an old version.
+#[test]
+fn an_order_during_a_swap_is_carried_out_after_it() {
+    common::run(async {
+        let (engine, address) = start_engine(fast()).await;
+        for version in [2, 3] {
+            post(&address, "/v1/weights", weights(version, "prefetch", 1, 1)).await;
+            compio::time::sleep(Duration::from_millis(60)).await;
+        }
+        for version in [2, 3] {
+            post(&address, "/v1/weights", weights(version, "activate", 1, 2)).await;
+        }
+        compio::time::sleep(Duration::from_millis(200)).await;
+        assert_eq!((engine.weights.version(), engine.weights.pending()), (3, 0));
+    });
+}
