--- a/orioleworks_standins/src/bin/orioleworks-load.rs
+++ b/orioleworks_standins/src/bin/orioleworks-load.rs
@@ -17,7 +17,7 @@
     /// plain services whose records are compared, IP and port, separated by commas
     #[argh(option, default = "String::new()")]
     services: String,
-    /// profiles, each profile:class:weight or profile:class:weight:once, separated by commas
+    /// profiles, each profile:class:weight with an optional :once or :engine, separated by commas
     #[argh(option, default = "\"quality-lookup:lookup:3,gate-slot:booking:1:once\".into()")]
     mix: String,
     /// requests per second
--- a/orioleworks_standins/src/load.rs
+++ b/orioleworks_standins/src/load.rs
@@ -17,7 +17,9 @@
 
 use crate::{
     client::{Answer, Client, ClientError},
-    load_report::{Content, LoadReport, Seen, check_echo, reconcile},
+    load_report::{
+        CompletionCall, Content, LoadReport, Seen, check_completion, check_echo, reconcile,
+    },
     service::{Ran, content_name},
 };
 
@@ -26,6 +28,9 @@
 /// Largest delay of a repeat after its request, in milliseconds.
 const REPEAT_DELAY_MS: u64 = 300;
 
+/// Largest number of tokens of a completion.
+const MAX_TOKENS: u64 = 32;
+
 /// One profile in the mix.
 #[derive(Clone, Debug, PartialEq)]
 pub struct MixItem {
@@ -35,11 +40,22 @@
     pub class: String,
     /// Weight in the mix.
     pub weight: f64,
-    /// Whether requests carry an idempotency key and may run at most once.
-    pub once: bool,
+    /// What the requests are like.
+    pub kind: CallKind,
+}
+
+/// What the requests of a profile are like.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallKind {
+    /// Idempotent, to a plain service.
+    Plain,
+    /// With an idempotency key; may run at most once at a plain service.
+    Once,
+    /// A completion of an engine.
+    Engine,
 }
 
-/// a mix item is `profile:class:weight` or `profile:class:weight:once`, not `{0}`
+/// a mix item is `profile:class:weight`, optionally with `:once` or `:engine` after it, not `{0}`
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub struct MixError(String);
 
@@ -49,20 +65,19 @@
     type Err = MixError;
 
     fn from_str(text: &str) -> Result<Self, MixError> {
+        let bad = || MixError(text.into());
         let parts: Vec<&str> = text.split(':').collect();
-        let (&[profile, class, weight] | &[profile, class, weight, "once"]) = parts.as_slice()
-        else {
-            return Err(MixError(text.into()));
+        let (profile, class, weight, kind) = match *parts.as_slice() {
+            [profile, class, weight] => (profile, class, weight, CallKind::Plain),
+            [profile, class, weight, "once"] => (profile, class, weight, CallKind::Once),
+            [profile, class, weight, "engine"] => (profile, class, weight, CallKind::Engine),
+            _ => return Err(bad()),
         };
-        match weight.parse::<f64>() {
-            Ok(weight) if weight > 0.0 && weight.is_finite() => Ok(Self {
-                profile: profile.into(),
-                class: class.into(),
-                weight,
-                once: parts.len() == 4,
-            }),
-            _ => Err(MixError(text.into())),
+        let weight: f64 = weight.parse().map_err(|_| bad())?;
+        if !weight.is_finite() || weight <= 0.0 {
+            return Err(bad());
         }
+        Ok(Self { profile: profile.into(), class: class.into(), weight, kind })
     }
 }
 
@@ -81,7 +96,7 @@
     pub duration: Duration,
     /// Share of keyed requests that are repeated with the same key.
     pub repeats: f64,
-    /// Seed.
+    /// Seed of the load, and of the texts of the engines.
     pub seed: u64,
 }
 
@@ -89,12 +104,14 @@
 struct Call {
     url_path: String,
     class: String,
+    kind: CallKind,
     key: Option<String>,
     body: Bytes,
     due: Instant,
 }
 
 struct Generator {
+    seed: u64,
     client: Client,
     entries: Vec<String>,
     next_entry: Cell<usize>,
@@ -111,6 +128,7 @@
 /// Returns why the HTTP client cannot be set up.
 pub async fn run(cfg: &LoadConfig) -> Result<LoadReport, ClientError> {
     let generator = Rc::new(Generator {
+        seed: cfg.seed,
         client: Client::new()?,
         entries: cfg.entries.clone(),
         next_entry: Cell::new(0),
@@ -144,16 +162,15 @@
         time::sleep_until(start + offset).await;
         number += 1;
         let item = pick(&cfg.mix, rng.random::<f64>());
-        let content = serde_json::json!({
-            "id": format!("{}-{number}", cfg.seed),
-            "lot": rng.random_range(0..1_000_000_u32),
-        });
-        let key = item.once.then(|| format!("{}-{:016x}", clock::unix_ms(), rng.random::<u64>()));
+        let content = content(item.kind, cfg.seed, number, rng.random_range(0..1_000_000));
+        let once = item.kind == CallKind::Once;
+        let key = once.then(|| format!("{}-{:016x}", clock::unix_ms(), rng.random::<u64>()));
         let call = Call {
             url_path: format!("/v1/call/{}", item.profile),
             class: item.class.clone(),
             key,
-            body: content.to_string().into(),
+            kind: item.kind,
+            body: content.into(),
             due: start + offset,
         };
         generator.report.borrow_mut().requests += 1;
@@ -166,6 +183,18 @@
     }
 }
 
+/// Body of a request; its number makes it different from all others of the run.
+fn content(kind: CallKind, seed: u64, number: u64, lot: u32) -> String {
+    let id = format!("{seed}-{number}");
+    let body = match kind {
+        CallKind::Engine => {
+            serde_json::json!(CompletionCall { prompt: id, max_tokens: MAX_TOKENS })
+        }
+        CallKind::Plain | CallKind::Once => serde_json::json!({"id": id, "lot": lot}),
+    };
+    body.to_string()
+}
+
 fn pick(mix: &[MixItem], draw: f64) -> &MixItem {
     let total: f64 = mix.iter().map(|item| item.weight).sum();
     let mut left = draw * total;
@@ -211,7 +240,11 @@
         let code = match answer {
             Ok(answer) if answer.status == 200 => {
                 self.record_latency(call);
-                record_success(&mut report, seen, &call.body, &answer.body);
+                let content = match call.kind {
+                    CallKind::Engine => check_completion(&call.body, &answer.body, self.seed),
+                    CallKind::Plain | CallKind::Once => check_echo(&call.body, &answer.body),
+                };
+                record_success(&mut report, seen, content, &answer.body);
                 "ok".to_owned()
             }
             Ok(answer) => match serde_json::from_slice::<ErrorBody>(&answer.body) {
@@ -248,11 +281,12 @@
     }
 }
 
-fn record_success(report: &mut LoadReport, seen: &mut Seen, sent: &[u8], answer: &[u8]) {
-    match check_echo(sent, answer) {
+fn record_success(report: &mut LoadReport, seen: &mut Seen, content: Content, answer: &[u8]) {
+    match content {
         Content::Whole => report.whole += 1,
         Content::Crossed => report.crossed += 1,
         Content::Broken => report.broken += 1,
+        Content::Mislabelled => report.mislabelled += 1,
     }
     if seen.once {
         let first = seen.first_success.get_or_insert_with(|| answer.to_vec());
--- a/orioleworks_standins/src/load_report.rs
+++ b/orioleworks_standins/src/load_report.rs
@@ -5,7 +5,10 @@
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 
-use crate::service::{Echo, Ran};
+use crate::{
+    provenance::{self, ProvenanceError, Span},
+    service::{Echo, Ran},
+};
 
 /// Latency of one class in microseconds.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
@@ -44,8 +47,11 @@
     pub whole: u64,
     /// Successes with the content of another request.
     pub crossed: u64,
-    /// Successes that cannot be read.
+    /// Successes that cannot be read or are not complete.
     pub broken: u64,
+    /// Completions with spans that their text contradicts.
+    #[serde(default)]
+    pub mislabelled: u64,
     /// Requests that got no answer.
     pub unanswered: u64,
     /// Repeats whose success differs from the first one.
@@ -91,8 +97,41 @@
     Whole,
     /// The answer has other content.
     Crossed,
-    /// The answer cannot be read.
+    /// The answer cannot be read or is not complete.
     Broken,
+    /// The spans of a completion are not the versions that its text proves.
+    Mislabelled,
+}
+
+/// Body of a call under an engine profile.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct CompletionCall {
+    /// Prompt.
+    pub prompt: String,
+    /// Largest number of tokens.
+    pub max_tokens: u64,
+}
+
+/// Answer to a call under an engine profile.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct CompletionAnswer {
+    /// Text.
+    pub text: String,
+    /// Weight versions by token span.
+    pub spans: Vec<Span>,
+}
+
+/// Compares a completion with its request by what its text proves.
+pub fn check_completion(sent: &[u8], answer: &[u8], seed: u64) -> Content {
+    let sent = serde_json::from_slice::<CompletionCall>(sent);
+    let answer = serde_json::from_slice::<CompletionAnswer>(answer);
+    let (Ok(sent), Ok(answer)) = (sent, answer) else { return Content::Broken };
+    match provenance::verify_whole(&sent.prompt, seed, sent.max_tokens, &answer.text) {
+        Ok(origin) if provenance::same_spans(&origin.spans, &answer.spans) => Content::Whole,
+        Ok(_) => Content::Mislabelled,
+        Err(ProvenanceError::Foreign(_) | ProvenanceError::Mixed(_)) => Content::Crossed,
+        Err(_) => Content::Broken,
+    }
 }
 
 /// Compares the answer of a plain service with the body of its request.
--- a/orioleworks_standins/src/scenario.rs
+++ b/orioleworks_standins/src/scenario.rs
@@ -143,6 +143,7 @@
             ("misjudged samples", found.misjudged),
             ("crossed answers", load.crossed),
             ("unreadable answers", load.broken),
+            ("mislabelled answers", load.mislabelled),
             ("calls without an answer", load.unanswered),
             ("repeats with another answer", load.repeats_differ),
             ("non-idempotent double runs", load.double_runs),
--- a/orioleworks_standins/src/table.rs
+++ b/orioleworks_standins/src/table.rs
@@ -93,6 +93,7 @@
     table.row("attempts per request", format!("{:.3}", load.attempts_per_request()));
     table.row("crossed answers", load.crossed);
     table.row("unreadable answers", load.broken);
+    table.row("mislabelled answers", load.mislabelled);
     table.row("calls without an answer", load.unanswered);
     table.row("repeats with another answer", load.repeats_differ);
     table.row("non-idempotent double runs", load.double_runs);
--- a/orioleworks_standins/tests/service.rs
+++ b/orioleworks_standins/tests/service.rs
@@ -13,7 +13,8 @@
 use orioleworks_standins::{
     client::Client,
     load::{self, LoadConfig, MixItem},
-    load_report::{LoadReport, Seen, reconcile},
+    load_report::{Content, LoadReport, Seen, check_completion, reconcile},
+    provenance::{nonce, sample_tokens, token},
     service::{Ran, Run, ServiceConfig},
 };
 use rstest::rstest;
@@ -141,6 +142,25 @@
     assert_eq!((report.runs, report.double_runs, report.not_run_ran), (1, 0, 0));
 }
 
+/// Guards against completions of another prompt, cut ones, and spans that the text contradicts.
+#[test]
+fn completions_are_checked_by_their_text() {
+    let (own, seed) = (nonce("r"), 3);
+    let tokens = sample_tokens("p", seed, own, 8);
+    let text: String = (0..tokens).map(|i| token("p", seed, own, i, 2)).collect();
+    let check = |prompt: &str, text: &str, version: u64| {
+        let sent = json!({"prompt": prompt, "max_tokens": 8}).to_string();
+        let spans = json!([{"version": version, "tokens": tokens}]);
+        let answer = json!({"text": text, "spans": spans}).to_string();
+        check_completion(sent.as_bytes(), answer.as_bytes(), seed)
+    };
+    assert_eq!(check("p", &text, 2), Content::Whole);
+    assert_eq!(check("p", &text, 3), Content::Mislabelled);
+    assert_eq!(check("q", &text, 2), Content::Crossed);
+    assert_eq!(check("p", &text[24..], 2), Content::Crossed);
+    assert_eq!(check("p", &text[..text.len() - 24], 2), Content::Broken);
+}
+
 /// Guards against a mix that is read as something else than was meant.
 #[rstest]
 #[case("gate-slot:booking:1:twice")]
