--- a/orioleworks_standins/src/announce.rs
+++ b/orioleworks_standins/src/announce.rs
@@ -87,7 +87,7 @@
 pub struct Membership {
     incarnation: Rc<Cell<u64>>,
     leaving_since: Rc<Cell<Option<Instant>>>,
-    cache: Rc<RefCell<CacheEvents>>,
+    cache: Rc<RefCell<CacheQueue>>,
     late_starts: Rc<Cell<u64>>,
 }
 
@@ -99,7 +99,7 @@
         Self {
             incarnation: Rc::new(Cell::new(clock::unix_ms())),
             leaving_since: Rc::default(),
-            cache: Rc::new(RefCell::new(CacheEvents { first_sequence: 1, events: Vec::new() })),
+            cache: Rc::new(RefCell::new(CacheQueue { next_sequence: 1, events: VecDeque::new() })),
             late_starts: Rc::default(),
         }
     }
@@ -141,23 +141,32 @@
         self.late_starts.get()
     }
 
-    /// Queues a cache event for the next announcement.
+    /// Queues a cache event for an announcement.
     pub fn push_cache_event(&self, event: CacheEvent) {
-        self.cache.borrow_mut().events.push(event);
+        self.cache.borrow_mut().events.push_back((Instant::now(), event));
     }
 
-    /// Takes the queued events; a lost batch leaves a gap in the sequence.
-    fn take_cache_events(&self, lose: bool) -> CacheEvents {
+    /// Takes the events that are at least this old; a lost batch leaves a gap in the sequence.
+    fn take_cache_events(&self, age: Duration, lose: bool) -> CacheEvents {
         let mut cache = self.cache.borrow_mut();
-        let events = std::mem::take(&mut cache.events);
-        let first_sequence = cache.first_sequence;
-        cache.first_sequence += events.len() as u64;
-        let events = if lose { Vec::new() } else { events };
-        let first_sequence = if lose { cache.first_sequence } else { first_sequence };
+        let due = cache.events.iter().take_while(|(at, _)| at.elapsed() >= age).count();
+        let events: Vec<CacheEvent> = cache.events.drain(..due).map(|(_, event)| event).collect();
+        let first_sequence = cache.next_sequence;
+        cache.next_sequence += events.len() as u64;
+        if lose {
+            return CacheEvents { first_sequence: cache.next_sequence, events: Vec::new() };
+        }
         CacheEvents { first_sequence, events }
     }
 }
 
+/// Cache events that are not announced yet.
+#[derive(Debug)]
+struct CacheQueue {
+    next_sequence: u64,
+    events: VecDeque<(Instant, CacheEvent)>,
+}
+
 #[derive(Clone, Copy)]
 struct Load {
     at: Instant,
@@ -165,7 +174,7 @@
     queued: u32,
 }
 
-/// Announces every 500 ms until the token is cancelled; the load figures are `lag` old.
+/// Announces every 500 ms until the token is cancelled; load figures and cache events are `lag` old.
 pub async fn run(
     entries: Vec<String>,
     membership: Membership,
@@ -197,7 +206,7 @@
         round = round.wrapping_add(1);
         let gap_every = faults.now().gap_every;
         announcement.cache =
-            membership.take_cache_events(gap_every > 0 && round.is_multiple_of(gap_every));
+            membership.take_cache_events(lag, gap_every > 0 && round.is_multiple_of(gap_every));
         if !faults.now().mute {
             for entry in &entries {
                 send(&client, entry, &announcement, &membership);
