--- /dev/null
+++ b/orioleworks_ctl/src/order.rs
@@ -0,0 +1,87 @@
+//! Orders to control and their results.
+
+use std::time::Duration;
+
+use orioleworks_daemon::control::ControlClient;
+use orioleworks_proto::{
+    codes::{ResultCode, exit},
+    inner,
+};
+use serde::Serialize;
+
+/// Result of an order.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct OrderResult {
+    /// Order ID; a resend with it cannot be carried out twice.
+    pub order_id: String,
+    /// Number of the result code.
+    pub code: u32,
+    /// Name of the result code.
+    pub name: String,
+    /// What happened.
+    pub message: String,
+    /// Configuration revision of an accepted order, or the winner's revision on a conflict.
+    pub revision: u64,
+}
+
+impl OrderResult {
+    fn new(order_id: String, code: ResultCode, message: String, revision: u64) -> Self {
+        let message = if message.is_empty() { code.to_string() } else { message };
+        Self { order_id, code: code.number(), name: code.name(), message, revision }
+    }
+
+    /// Whether the order was carried out.
+    pub fn is_accepted(&self) -> bool {
+        self.code == ResultCode::Ok.number()
+    }
+
+    /// Exit code of the result.
+    pub fn exit_code(&self) -> i32 {
+        match ResultCode::from_number(self.code) {
+            Some(ResultCode::Ok) => exit::OK,
+            // Nothing refused these; the order was not sent, or its fate is not known.
+            Some(ResultCode::NoQuorum | ResultCode::OrderUnconfirmed) => exit::FAILED,
+            _ => exit::REFUSED,
+        }
+    }
+
+    /// Line for people.
+    pub fn text(&self) -> String {
+        let revision = match ResultCode::from_number(self.code) {
+            Some(ResultCode::Ok) => format!("\nrevision {}", self.revision),
+            Some(ResultCode::Conflict) => format!("\nwinner's revision {}", self.revision),
+            _ => String::new(),
+        };
+        format!(
+            "order {}\n{} {}: {}{revision}\n",
+            self.order_id, self.code, self.name, self.message
+        )
+    }
+}
+
+/// New order ID.
+pub fn new_order_id() -> String {
+    format!("{:032x}", rand::random::<u128>())
+}
+
+/// Sends an order; a resend has the ID of the first one.
+pub async fn send(
+    control: &ControlClient,
+    order_id: String,
+    command: inner::Command,
+    timeout: Duration,
+) -> OrderResult {
+    match control.propose(order_id.clone(), command, timeout).await {
+        Ok(reply) => match ResultCode::from_number(reply.code) {
+            Some(code) => OrderResult::new(order_id, code, reply.message, reply.revision),
+            None => OrderResult {
+                order_id,
+                code: reply.code,
+                name: "unknown".to_owned(),
+                message: reply.message,
+                revision: reply.revision,
+            },
+        },
+        Err(e) => OrderResult::new(order_id, e.code(), e.to_string(), 0),
+    }
+}
--- a/orioleworks_settings/src/lib.rs
+++ b/orioleworks_settings/src/lib.rs
@@ -71,6 +71,11 @@
             self.found.push((key.into(), accepted.into()));
         }
     }
+
+    /// First problem, as key path and reason, for values that come from elsewhere than a file.
+    pub fn into_first(self) -> Option<(String, String)> {
+        self.found.into_iter().next()
+    }
 }
 
 /// Settings that can be checked beyond their types.
