Wire runs, weight orders, peers and forwards into the entry

Cause: the parts were built apart; the entry answered callers only. Ruled out: keeping the epoch when the same owner opens a run again; a batch of the earlier open could then be taken twice, so every open raises the epoch and only a resent order keeps its first result. Conclusion: the whole path can be tried.

--- a/orioleworks_control/src/machine.rs
+++ b/orioleworks_control/src/machine.rs
@@ -144,12 +144,12 @@
 
     fn open_run(&mut self, open: &inner::OpenRun) -> inner::ProposeReply {
         let run = self.runs.entry(open.run.clone()).or_default();
-        let same = run.owner == open.owner && run.owner_incarnation == open.owner_incarnation;
         *run = inner::RunRecord {
             run: open.run.clone(),
             owner: open.owner.clone(),
             owner_address: open.owner_address.clone(),
-            epoch: if same { run.epoch } else { run.epoch + 1 },
+            // Each open starts a new delivery, also by the same owner; a resent order has its first result.
+            epoch: run.epoch + 1,
             owner_incarnation: open.owner_incarnation,
         };
         let (epoch, holder) = (run.epoch, run.owner.clone());
--- a/orioleworks_control/tests/machine.rs
+++ b/orioleworks_control/tests/machine.rs
@@ -130,14 +130,16 @@
     assert_eq!(d.apply(T0 + 5999, lease("two")).epoch, 2);
 }
 
-/// Guards against a restarted owner that keeps the epoch of the state it lost.
+/// Guards against a batch of an earlier open that fits a later one, also when the owner stays the same.
 #[rstest]
-fn run_epoch_rises_with_each_new_owner() {
+fn run_epoch_rises_with_each_open() {
     let mut d = Driver::new();
     assert_eq!(d.apply(T0, open_run("one", 1)).epoch, 1);
-    assert_eq!(d.apply(T0, open_run("one", 1)).epoch, 1);
-    assert_eq!(d.apply(T0, open_run("one", 2)).epoch, 2);
-    assert_eq!(d.apply(T0, open_run("two", 1)).epoch, 3);
+    assert_eq!(d.apply(T0, open_run("one", 1)).epoch, 2);
+    assert_eq!(d.apply(T0, open_run("one", 2)).epoch, 3);
+    assert_eq!(d.apply(T0, open_run("two", 1)).epoch, 4);
+    assert_eq!(d.apply_as("resent", T0, None, open_run("two", 1)).epoch, 5);
+    assert_eq!(d.apply_as("resent", T0, None, open_run("two", 1)).epoch, 5);
 }
 
 /// Guards against a version that goes back, and against refusals that count as changes.
--- a/orioleworks_entry/src/app.rs
+++ b/orioleworks_entry/src/app.rs
@@ -22,11 +22,10 @@
     cli, config,
     configuration::{self, Configuration},
     dispatcher::Dispatcher,
-    inner as inner_server,
     members::Members,
     orders, persist,
     policies::Policies,
-    restart, router,
+    restart, rollout, router,
     slots::Slots,
     suspects::Suspects,
     watch,
@@ -197,6 +196,7 @@
         runtime::spawn(restart::run(peers, configuration, has_copy, token.clone())).detach();
         let orders = orders::propose_quarantines(self.suspects.clone(), self.control.clone());
         runtime::spawn(orders::until(token.clone(), orders)).detach();
+        rollout::start(self, token);
     }
 
     fn set_live_entries(&self, entries: Vec<inner::EntryIdentity>) {
@@ -207,9 +207,6 @@
     }
 
     async fn answer_inner(self: Rc<Self>, body: Body) -> Option<Body> {
-        if matches!(body, Body::FetchConfig(_)) {
-            return Some(inner_server::fetch_config(&self.configuration));
-        }
         let extension = self.inner_extension.borrow().clone();
         match extension?(body) {
             Ok(answer) => answer.await,
--- a/orioleworks_entry/src/claims.rs
+++ b/orioleworks_entry/src/claims.rs
@@ -199,6 +199,7 @@
             entry: self.entry.to_string(),
             entry_incarnation: self.incarnation,
             attempt_id: request.attempt_id.to_string(),
+            gone_attempt_id: String::new(),
         };
         inner::Command { expected_revision: None, kind: Some(Kind::Claim(claim)) }
     }
--- a/orioleworks_entry/src/dispatcher.rs
+++ b/orioleworks_entry/src/dispatcher.rs
@@ -35,6 +35,19 @@
     budgets: Rc<RefCell<HashMap<Rc<str>, Budget>>>,
     budget_settings: orioleworks_routing::budget::Settings,
     forward: Rc<RefCell<Option<Forward>>>,
+    placed: Rc<RefCell<HashMap<Rc<str>, Rc<str>>>>,
+}
+
+/// Names the upstream of a running attempt until it is dropped.
+struct Place {
+    placed: Rc<RefCell<HashMap<Rc<str>, Rc<str>>>>,
+    request_id: Rc<str>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.placed.borrow_mut().remove(&self.request_id);
+    }
 }
 
 /// Progress of one request over its attempts.
@@ -59,6 +72,7 @@
             budgets: Rc::default(),
             budget_settings,
             forward: Rc::default(),
+            placed: Rc::default(),
         }
     }
 
@@ -75,6 +89,11 @@
         self.slots.loads()
     }
 
+    /// Upstream that a request runs on now.
+    pub fn running_on(&self, request_id: &str) -> Option<Rc<str>> {
+        self.placed.borrow().get(request_id).cloned()
+    }
+
     /// Suspects of the failure domain.
     pub fn suspects(&self) -> &Suspects {
         &self.suspects
@@ -133,7 +152,9 @@
                 format!("{}.{unique:08x}.{}", job.request_id, progress.tried.len() + 1);
             progress.tried.push(grant.target.name.clone());
             let started = Instant::now();
+            let place = self.place(&job.request_id, &grant.target.name);
             let result = self.attempt(&job, key, &grant, &attempt_id).await;
+            drop(place);
             let failure = match result {
                 Ok(success) => {
                     self.succeeded(&job, &fingerprint, &grant, started, success.units);
@@ -152,6 +173,11 @@
         }
     }
 
+    fn place(&self, request_id: &Rc<str>, upstream: &Rc<str>) -> Place {
+        self.placed.borrow_mut().insert(request_id.clone(), upstream.clone());
+        Place { placed: self.placed.clone(), request_id: request_id.clone() }
+    }
+
     async fn wait_for_slot(
         &self,
         job: &Job,
--- /dev/null
+++ b/orioleworks_entry/src/rollout.rs
@@ -0,0 +1,177 @@
+//! Connects runs, weight orders, peers and forwards to a running entry.
+//!
+//! See `docs/design.md`, sections 8 to 11.
+
+use std::rc::Rc;
+
+use compio::runtime;
+use futures_util::future::LocalBoxFuture;
+use orioleworks_daemon::{
+    event,
+    http::{self, Request, Response},
+};
+use orioleworks_proto::{codes::ResultCode, inner};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    app::{Entry, Extended},
+    forward,
+    peers::{self, Peers},
+    runs::{Own, Runs},
+    runs_dispatch, weights, weights_publish,
+};
+
+/// Starts the rollout side of an entry; it ends with the token.
+pub fn start(entry: &Rc<Entry>, token: &CancellationToken) {
+    let peers = start_peers(entry, token);
+    let runs = start_runs(entry, token);
+    start_weights(entry, token);
+    let owner = entry.clone();
+    entry.set_http_extension(Rc::new(move |req| answer_http(&owner, &runs, req)));
+    let dispatcher = entry.dispatcher.clone();
+    let server = forward::Server {
+        peers,
+        configuration: entry.configuration.clone(),
+        run: Rc::new(move |job| {
+            let dispatcher = dispatcher.clone();
+            Box::pin(async move { dispatcher.run(job).await })
+        }),
+    };
+    let in_flight = entry.in_flight.clone();
+    entry.set_inner_extension(Rc::new(move |body| {
+        let (server, guard) = (server.clone(), in_flight.enter());
+        Ok(Box::pin(async move {
+            let answer = server.handle(body).await;
+            drop(guard);
+            answer
+        }))
+    }));
+}
+
+fn start_peers(entry: &Rc<Entry>, token: &CancellationToken) -> Peers {
+    let known = entry.cfg.peers.iter().map(|peer| peers::Peer {
+        name: peer.name.as_ref().into(),
+        failure_domain: peer.failure_domain.as_ref().into(),
+        address: peer.inner.to_string().into(),
+    });
+    let suspects = entry.suspects.clone();
+    let domain = entry.cfg.instance.failure_domain.as_ref();
+    let peers = Peers::new(domain, known, move |messages| suspects.absorb(&messages));
+    let own = entry.clone();
+    let digest = move || inner::Digest {
+        entry: Some(own.identity.clone()),
+        revision: own.configuration.revision(),
+        kinds: own.dispatcher.loads(),
+        suspects: own.suspects.to_messages(),
+    };
+    peers.start(Rc::new(digest), token);
+    let forwards = peers.clone();
+    entry.dispatcher.set_forward(move |job| {
+        let peers = forwards.clone();
+        Box::pin(async move { forward::forward(&peers, job).await })
+    });
+    peers
+}
+
+fn start_runs(entry: &Rc<Entry>, token: &CancellationToken) -> Runs {
+    let own = Own {
+        name: entry.identity.name.as_str().into(),
+        incarnation: entry.identity.incarnation,
+        http_address: entry.identity.http_address.as_str().into(),
+    };
+    let (dispatcher, placed) = (entry.dispatcher.clone(), entry.dispatcher.clone());
+    let deps = runs_dispatch::Deps {
+        run: Rc::new(move |job| {
+            let dispatcher = dispatcher.clone();
+            Box::pin(async move { dispatcher.run(job).await })
+        }),
+        running_on: Rc::new(move |request_id| placed.running_on(request_id)),
+    };
+    let control = entry.control.clone();
+    let configuration = entry.configuration.clone();
+    let runs = Runs::new(own, control, configuration, deps, entry.shutdown.clone());
+    let expiring = runs.clone();
+    runtime::spawn(crate::orders::until(token.clone(), async move { expiring.expire().await }))
+        .detach();
+    // Open steps keep a draining entry alive until their trainers have reopened them elsewhere.
+    let (draining, idle) = (entry.shutdown.drain.clone(), runs.clone());
+    let in_flight = entry.in_flight.clone();
+    runtime::spawn(async move {
+        draining.cancelled().await;
+        let _guard = in_flight.enter();
+        idle.idle().await;
+    })
+    .detach();
+    runs
+}
+
+fn start_weights(entry: &Rc<Entry>, token: &CancellationToken) {
+    let members = entry.members.clone();
+    let engines = move || {
+        let engines = members.engines().into_iter();
+        engines
+            .map(|engine| weights::Engine {
+                name: engine.name,
+                incarnation: engine.incarnation,
+                model: engine.model,
+                address: engine.address,
+                weight_version: engine.weight_version,
+                pending_version: engine.pending_version,
+                checks_fencing: engine.checks_fencing,
+            })
+            .collect()
+    };
+    let deps = weights::Deps {
+        entry: entry.identity.name.as_str().into(),
+        incarnation: entry.identity.incarnation,
+        failure_domain: entry.cfg.instance.failure_domain.as_ref().into(),
+        control: entry.control.clone(),
+        configuration: entry.configuration.clone(),
+        engines: Rc::new(engines),
+    };
+    let token = token.clone();
+    runtime::spawn(async move {
+        if let Err(e) = weights::run(deps, token).await {
+            event!(error, "weight_orders_ended", reason = e);
+        }
+    })
+    .detach();
+}
+
+/// Path of the trainer interface.
+enum Path {
+    Open(String),
+    Fetch(String),
+    Publish(String),
+}
+
+fn parse(path: &str) -> Option<Path> {
+    let parts: Vec<&str> = path.strip_prefix("/v1/")?.split('/').collect();
+    match parts[..] {
+        ["runs", run, "steps"] if !run.is_empty() => Some(Path::Open(run.into())),
+        ["runs", run, "batches"] if !run.is_empty() => Some(Path::Fetch(run.into())),
+        ["models", model, "versions"] if !model.is_empty() => Some(Path::Publish(model.into())),
+        _ => None,
+    }
+}
+
+fn answer_http(entry: &Rc<Entry>, runs: &Runs, req: Request) -> Extended {
+    let Some(path) = parse(req.uri().path()) else { return Err(Box::new(req)) };
+    let (entry, runs) = (entry.clone(), runs.clone());
+    Ok(Box::pin(answer_trainer(entry, runs, path, req)) as LocalBoxFuture<'static, Response>)
+}
+
+async fn answer_trainer(entry: Rc<Entry>, runs: Runs, path: Path, req: Request) -> Response {
+    if req.method() != ::http::Method::POST {
+        return http::error(ResultCode::MethodNotAllowed, "", 0);
+    }
+    let body = match http::read_body(req.into_body(), &entry.http_limits()).await {
+        Ok(body) => body,
+        Err(code) => return http::error(code, "", 0),
+    };
+    match path {
+        Path::Open(run) => runs.handle_open(&run, &body).await,
+        Path::Fetch(run) => runs.handle_fetch(&run, &body).await,
+        Path::Publish(model) => weights_publish::handle(&entry.control, &model, &body).await,
+    }
+}
--- a/orioleworks_entry/src/runs.rs
+++ b/orioleworks_entry/src/runs.rs
@@ -248,6 +248,7 @@
             run: run.into(),
             owner: own.name.to_string(),
             owner_address: own.http_address.to_string(),
+            owner_incarnation: own.incarnation,
         };
         let kind = Some(inner::command::Kind::OpenRun(open));
         let command = inner::Command { expected_revision: None, kind };
