--- a/orioleworks_entry/tests/routing.rs
+++ b/orioleworks_entry/tests/routing.rs
@@ -194,3 +194,25 @@
         assert_eq!(world.entry.readiness(), Ok(()));
     });
 }
+
+/// Guards against a request that hangs on an upstream which has fallen silent, and against giving up the answer to a
+/// request that cannot be repeated.
+#[rstest]
+#[case::idempotent(true, "s-2")]
+#[case::not_idempotent(false, "s-1")]
+fn silent_upstream(#[case] idempotent: bool, #[case] answered_by: &str) {
+    block_on(async {
+        let world = World::start(vec![]).await;
+        let mode = Mode::Slow(Duration::from_millis(3500));
+        let first = world.upstream("s-1", "sheet-app", mode).await;
+        first.announcing.cancel();
+        let profile = inner::Profile { idempotent, ..profile("lookup", "sheet-app") };
+        let (result, _second) =
+            futures_util::join!(world.entry.dispatcher.run(job(profile, "x", 5000)), async {
+                time::sleep(Duration::from_millis(200)).await;
+                world.upstream("s-2", "sheet-app", Mode::Echo).await
+            });
+        assert_eq!(&*result.unwrap().upstream, answered_by);
+        assert!(world.entry.suspects.to_messages().is_empty(), "silence is no proof of a crash");
+    });
+}
