spec: replicated log, claims and delivery, explored exhaustively

Ruled out: a message set for the log, whose graph passed 3.8 GB before it ended; requests carry the sender's current state instead, one append is held back, and four bounds cover the cases. Trying every renaming of the voters was replaced by sorting them first. New rules: accepts_append, may_release, may_finish, may_raise_version, epoch_of_open.

--- a/orioleworks_rules/src/claims.rs
+++ b/orioleworks_rules/src/claims.rs
@@ -131,3 +131,13 @@
         AttemptOutcome::Unknown
     }
 }
+
+/// Whether a claim may be released: the request did not run, and its attempt can send nothing any more.
+pub fn may_release(outcome: AttemptOutcome, closed_to_sending: bool) -> bool {
+    outcome == AttemptOutcome::NotRun && closed_to_sending
+}
+
+/// Whether an attempt may finish a claim: a late report must not end the claim of another attempt.
+pub fn may_finish(held: HeldClaim<'_>, attempt_id: &str) -> bool {
+    held.state == ClaimState::Running && held.attempt_id == attempt_id
+}
--- a/orioleworks_rules/src/delivery.rs
+++ b/orioleworks_rules/src/delivery.rs
@@ -72,3 +72,16 @@
 ) -> u64 {
     if took_over { acquired_ms.saturating_add(lease_ms + longest_delivery_ms) } else { acquired_ms }
 }
+
+/// Whether a trainer may raise the version that it names in requests for batches.
+///
+/// A batch is checked for staleness against the version of the request that made it, and a repeat sends it unchanged.
+/// A trainer that raised its version between the two would take samples older than the bound.
+pub fn may_raise_version(asked_at_cursor: bool) -> bool {
+    !asked_at_cursor
+}
+
+/// Epoch of an open, also when the owner stays the same: its cursors start again, and late batches must not match.
+pub fn epoch_of_open(current_epoch: u64) -> u64 {
+    current_epoch + 1
+}
--- a/orioleworks_rules/src/lib.rs
+++ b/orioleworks_rules/src/lib.rs
@@ -1,6 +1,6 @@
 //! Guards that the daemons and the specifications share, so that the two cannot drift apart.
 //!
-//! Every rule is a plain function without I/O; `docs/PROOFS.md` names the specification that explores it.
+//! Every rule is a plain function without I/O; `docs/models.md` names the specification that explores it.
 
 pub mod claims;
 pub mod delivery;
--- a/orioleworks_rules/src/log.rs
+++ b/orioleworks_rules/src/log.rs
@@ -79,3 +79,8 @@
     let removed = old.iter().filter(|id| !new.contains(id)).count();
     added + removed <= 1 && !new.is_empty()
 }
+
+/// Whether a replica may take entries from a leader; a leader of an older term was replaced.
+pub fn accepts_append(own_term: u64, leader_term: u64) -> bool {
+    leader_term >= own_term
+}
--- /dev/null
+++ b/spec/src/claims.rs
@@ -0,0 +1,393 @@
+//! Specification of claim, dispatch and repeat of one non-idempotent request.
+//!
+//! One key, several attempts, each at an entry of its own. Requests and replies are lost by not being delivered, so a
+//! partition is a set of deliveries that do not happen.
+
+use orioleworks_rules::claims::{
+    self as rules, AttemptFacts, AttemptOutcome, CLAIM_RETENTION_MS, ClaimDecision, ClaimRequest,
+    ClaimState, HeldClaim, MAX_CLOCK_SKEW_MS,
+};
+
+use crate::explore::Model;
+
+/// Attempts of the caller, the first one and its repeats.
+const ATTEMPTS: usize = 3;
+/// Times of control's clock; the last two differ by the skew between two leaders.
+const TIMES_MS: [u64; 4] = [
+    0,
+    CLAIM_RETENTION_MS - MAX_CLOCK_SKEW_MS / 2,
+    CLAIM_RETENTION_MS + MAX_CLOCK_SKEW_MS / 4,
+    CLAIM_RETENTION_MS + MAX_CLOCK_SKEW_MS,
+];
+/// Changes of the leader.
+const LEADER_CHANGES: u8 = 1;
+/// Entries that crash.
+const CRASHES: u8 = 2;
+const NAMES: [&str; ATTEMPTS] = ["a", "b", "c"];
+
+/// Rule that is broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// Nothing.
+    Intact,
+    /// The request goes out before its claim is committed.
+    DispatchBeforeCommit,
+    /// The request goes out a second time under the same claim.
+    DispatchTwice,
+    /// A repeat is granted again when the holder is gone.
+    GoneHolderGrantsAgain,
+    /// A claim is released while its attempt may still send.
+    ReleaseWhileSending,
+    /// The report of one attempt ends the claim of another one.
+    ReportEndsOtherClaim,
+    /// An attempt without a response counts as not run.
+    SilenceIsNotRun,
+    /// A finished claim is granted again.
+    FinishedGrantsAgain,
+    /// A claim is forgotten as soon as its key expires by one leader's clock.
+    ForgetAtExpiry,
+    /// The age of a key is not checked.
+    ExpiryIgnored,
+}
+
+/// The specification.
+#[derive(Clone, Copy, Debug)]
+pub struct Claims {
+    /// Rule that is broken.
+    pub broken: Broken,
+}
+
+/// Claim of the key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Held {
+    state: ClaimState,
+    attempt: u8,
+}
+
+/// What the caller was told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Told {
+    /// The request did not run.
+    NotRun,
+    /// The complete response.
+    Response,
+    /// The request may have run.
+    Unknown,
+}
+
+/// One attempt at its entry, and its request on the way to the upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Attempt {
+    crashed: bool,
+    /// Control's answer to the request for the claim, and whether the claim was committed then.
+    decision: Option<(ClaimDecision, bool)>,
+    facts: AttemptFacts,
+    in_flight: u8,
+    ran: u8,
+    refused: bool,
+    closed: bool,
+    told: Option<Told>,
+    /// What the entry reports to control; lost when it crashes before delivery.
+    report: Option<ClaimState>,
+}
+
+/// State of control, of the attempts and of the caller.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct State {
+    time: u8,
+    leader_changes: u8,
+    crashes: u8,
+    committed: Option<Held>,
+    proposed: Option<Held>,
+    gone: [bool; ATTEMPTS],
+    attempts: [Attempt; ATTEMPTS],
+}
+
+/// Step of a trace; the number is the attempt.
+#[derive(Clone, Copy, Debug)]
+#[allow(missing_docs)]
+pub enum Step {
+    Ask { attempt: usize, reply_lost: bool },
+    CommitClaim,
+    Dispatch(usize),
+    Run(usize),
+    Refuse(usize),
+    HearResponse(usize),
+    HearRefusal(usize),
+    GiveUp(usize),
+    AnswerCaller(usize),
+    Report(usize),
+    CrashEntry(usize),
+    SuspectEntry(usize),
+    ChangeLeader { clock_back: bool },
+    Tick,
+    Forget,
+}
+
+/// Claim as the rules see it.
+fn known(s: &State, held: Held) -> HeldClaim<'static> {
+    HeldClaim {
+        state: held.state,
+        attempt_id: NAMES[held.attempt as usize],
+        fingerprint: "f",
+        holder_gone: s.gone[held.attempt as usize],
+    }
+}
+
+impl Claims {
+    fn is(&self, broken: Broken) -> bool {
+        self.broken == broken
+    }
+
+    fn decide(&self, s: &State, attempt: usize) -> ClaimDecision {
+        let held = s.proposed.or(s.committed).map(|held| known(s, held));
+        let now_ms = if self.is(Broken::ExpiryIgnored) { 0 } else { TIMES_MS[s.time as usize] };
+        let request = ClaimRequest { attempt_id: NAMES[attempt], fingerprint: "f", issued_ms: 0 };
+        match rules::decide_claim(held, request, now_ms) {
+            ClaimDecision::Unknown if self.is(Broken::GoneHolderGrantsAgain) => {
+                ClaimDecision::Granted
+            }
+            ClaimDecision::Finished if self.is(Broken::FinishedGrantsAgain) => {
+                ClaimDecision::Granted
+            }
+            decision => decision,
+        }
+    }
+
+    fn ask_steps(&self, s: &State, i: usize, out: &mut Vec<(Step, State)>) {
+        let decision = self.decide(s, i);
+        let running = Held { state: ClaimState::Running, attempt: i as u8 };
+        for reply_lost in [false, true] {
+            let mut n = *s;
+            let mut committed = s.committed == Some(running);
+            if decision == ClaimDecision::Granted && !committed && s.proposed != Some(running) {
+                n.proposed = Some(running);
+                committed = false;
+            }
+            let early = decision == ClaimDecision::Granted && !committed;
+            // Control replies to a granted claim only when it is committed.
+            if !reply_lost && (!early || self.is(Broken::DispatchBeforeCommit)) {
+                n.attempts[i].decision = Some((decision, committed));
+            }
+            if n != *s {
+                out.push((Step::Ask { attempt: i, reply_lost }, n));
+            }
+        }
+    }
+
+    fn entry_steps(&self, s: &State, i: usize, out: &mut Vec<(Step, State)>) {
+        let a = &s.attempts[i];
+        if a.crashed {
+            return;
+        }
+        let mut put = |step, change: &dyn Fn(&mut Attempt)| {
+            let mut n = *s;
+            change(&mut n.attempts[i]);
+            if n != *s {
+                out.push((step, n));
+            }
+        };
+        if let Some((decision, committed)) = a.decision {
+            let committed = committed || self.is(Broken::DispatchBeforeCommit);
+            let sent = a.facts.sent && !(self.is(Broken::DispatchTwice) && a.in_flight + a.ran < 2);
+            if !a.closed && rules::may_dispatch(decision, committed, sent) {
+                put(Step::Dispatch(i), &|a| {
+                    a.facts.sent = true;
+                    a.in_flight += 1;
+                });
+            }
+            if decision == ClaimDecision::Granted && a.told.is_none() {
+                // A deadline or a lost connection: nothing is sent after it.
+                put(Step::GiveUp(i), &|a| a.closed = true);
+                if let Some(told) = self.granted_answer(a) {
+                    put(Step::AnswerCaller(i), &|a| self.answer(a, told));
+                }
+            } else if a.told.is_none() {
+                let told = match decision {
+                    ClaimDecision::Finished => Some(Told::Response),
+                    ClaimDecision::Unknown => Some(Told::Unknown),
+                    ClaimDecision::KeyExpired | ClaimDecision::KeyReused => Some(Told::NotRun),
+                    // The caller repeats later through this or another entry.
+                    ClaimDecision::InProgress | ClaimDecision::Granted => None,
+                };
+                put(Step::AnswerCaller(i), &|a| {
+                    a.told = told;
+                    a.decision = a.decision.filter(|_| told.is_some());
+                });
+            }
+        }
+        if a.ran > 0 && !a.closed {
+            put(Step::HearResponse(i), &|a| a.facts.complete = true);
+        }
+        if a.refused && !a.closed {
+            put(Step::HearRefusal(i), &|a| a.facts.refused_by_upstream = true);
+        }
+    }
+
+    /// What the caller of a granted attempt may be told now.
+    fn granted_answer(&self, a: &Attempt) -> Option<Told> {
+        let over = a.closed || a.facts.complete || a.facts.refused_by_upstream;
+        let stalled = self.is(Broken::ReleaseWhileSending) && !a.facts.sent;
+        (over || stalled).then(|| match rules::attempt_outcome(a.facts) {
+            AttemptOutcome::NotRun => Told::NotRun,
+            AttemptOutcome::Finished => Told::Response,
+            AttemptOutcome::Unknown if self.is(Broken::SilenceIsNotRun) => Told::NotRun,
+            AttemptOutcome::Unknown => Told::Unknown,
+        })
+    }
+
+    fn answer(&self, a: &mut Attempt, told: Told) {
+        a.told = Some(told);
+        // Hearing the end of the exchange closes the attempt as well.
+        a.closed |= a.facts.sent || !self.is(Broken::ReleaseWhileSending);
+        let outcome = match told {
+            Told::NotRun => AttemptOutcome::NotRun,
+            Told::Response => AttemptOutcome::Finished,
+            Told::Unknown => AttemptOutcome::Unknown,
+        };
+        let closed = a.closed || self.is(Broken::ReleaseWhileSending);
+        a.report = Some(match outcome {
+            _ if rules::may_release(outcome, closed) => ClaimState::Released,
+            AttemptOutcome::Finished => ClaimState::Finished,
+            _ => ClaimState::Unknown,
+        });
+    }
+
+    fn upstream_steps(&self, s: &State, i: usize, out: &mut Vec<(Step, State)>) {
+        let a = &s.attempts[i];
+        if a.in_flight > 0 {
+            let mut n = *s;
+            n.attempts[i].in_flight -= 1;
+            n.attempts[i].ran += 1;
+            out.push((Step::Run(i), n));
+            if a.ran == 0 {
+                let mut n = *s;
+                n.attempts[i].in_flight -= 1;
+                n.attempts[i].refused = true;
+                out.push((Step::Refuse(i), n));
+            }
+        }
+        if a.crashed {
+            return;
+        }
+        // The report is delivered at any later time, and again.
+        if let Some(state) = a.report
+            && let Some(held) = s.committed.filter(|_| s.proposed.is_none())
+        {
+            let other = self.is(Broken::ReportEndsOtherClaim) && held.state == ClaimState::Running;
+            if other || rules::may_finish(known(s, held), NAMES[i]) {
+                let committed = Some(Held { state, ..held });
+                out.push((Step::Report(i), State { committed, ..*s }));
+            }
+        }
+    }
+
+    fn control_steps(&self, s: &State, out: &mut Vec<(Step, State)>) {
+        if let Some(held) = s.proposed {
+            out.push((Step::CommitClaim, State { committed: Some(held), proposed: None, ..*s }));
+        }
+        if s.leader_changes < LEADER_CHANGES {
+            let n = State { leader_changes: s.leader_changes + 1, proposed: None, ..*s };
+            out.push((Step::ChangeLeader { clock_back: false }, n));
+            let back = s.time.saturating_sub(1) as usize;
+            // Control's clocks differ by less than the skew.
+            if s.time > 0 && TIMES_MS[s.time as usize] - TIMES_MS[back] < MAX_CLOCK_SKEW_MS {
+                let n = State { time: s.time - 1, ..n };
+                out.push((Step::ChangeLeader { clock_back: true }, n));
+            }
+        }
+        if (s.time as usize) < TIMES_MS.len() - 1 {
+            out.push((Step::Tick, State { time: s.time + 1, ..*s }));
+        }
+        let now_ms = TIMES_MS[s.time as usize];
+        let forget = rules::may_forget(0, now_ms)
+            || (self.is(Broken::ForgetAtExpiry) && rules::is_expired(0, now_ms));
+        if forget && s.committed.is_some() {
+            out.push((Step::Forget, State { committed: None, ..*s }));
+        }
+    }
+
+    fn fault_steps(&self, s: &State, i: usize, out: &mut Vec<(Step, State)>) {
+        if s.crashes < CRASHES && !s.attempts[i].crashed {
+            let mut n = *s;
+            n.attempts[i].crashed = true;
+            n.crashes += 1;
+            out.push((Step::CrashEntry(i), n));
+        }
+        // Also when the entry is only slow: a suspicion may be wrong.
+        let holds = s.proposed.or(s.committed).is_some_and(|held| held.attempt as usize == i);
+        if holds && !s.gone[i] {
+            let mut n = *s;
+            n.gone[i] = true;
+            out.push((Step::SuspectEntry(i), n));
+        }
+    }
+}
+
+/// Sorts the attempts, which differ only by their names.
+fn canonical(s: &State) -> State {
+    let mut order: Vec<usize> = (0..ATTEMPTS).collect();
+    let holds = |held: Option<Held>, i: usize| held.is_some_and(|held| held.attempt as usize == i);
+    order.sort_by_key(|i| {
+        (s.attempts[*i], s.gone[*i], holds(s.committed, *i), holds(s.proposed, *i))
+    });
+    let place = |held: Held| {
+        let at = order.iter().position(|i| *i == held.attempt as usize).unwrap_or(0);
+        Held { attempt: at as u8, ..held }
+    };
+    let mut n = State { committed: s.committed.map(place), proposed: s.proposed.map(place), ..*s };
+    for (at, i) in order.iter().enumerate() {
+        (n.attempts[at], n.gone[at]) = (s.attempts[*i], s.gone[*i]);
+    }
+    n
+}
+
+impl Model for Claims {
+    type State = State;
+    type Step = Step;
+
+    fn name(&self) -> String {
+        format!("claims/{:?}", self.broken)
+    }
+
+    fn bound(&self) -> String {
+        format!(
+            "1 key, {ATTEMPTS} attempts, {CRASHES} entry crashes, {LEADER_CHANGES} leader changes, {} times",
+            TIMES_MS.len()
+        )
+    }
+
+    fn start(&self) -> State {
+        State::default()
+    }
+
+    fn steps(&self, s: &State) -> Vec<(Step, State)> {
+        let mut out = Vec::new();
+        for (i, a) in s.attempts.iter().enumerate() {
+            if !a.crashed && a.decision.is_none() && a.told.is_none() {
+                self.ask_steps(s, i, &mut out);
+            }
+            self.entry_steps(s, i, &mut out);
+            self.upstream_steps(s, i, &mut out);
+            self.fault_steps(s, i, &mut out);
+        }
+        self.control_steps(s, &mut out);
+        out.into_iter().map(|(step, n)| (step, canonical(&n))).collect()
+    }
+
+    fn violation(&self, s: &State) -> Option<&'static str> {
+        if s.attempts.iter().map(|a| a.ran).sum::<u8>() > 1 {
+            return Some("a request runs at most once");
+        }
+        let wrong = s.attempts.iter().any(|a| a.told == Some(Told::NotRun) && a.ran > 0);
+        wrong.then_some("\"not run\" never for a request that ran")
+    }
+
+    fn is_complete(&self, s: &State) -> bool {
+        s.attempts.iter().any(|a| a.told.is_some())
+    }
+
+    fn must_stay_completable(&self) -> bool {
+        true
+    }
+}
--- a/spec/src/lib.rs
+++ b/spec/src/lib.rs
@@ -1,1 +1,10 @@
-//! Placeholder.
+//! Specifications of the core protocols and their exhaustive exploration; see `docs/models.md`.
+//!
+//! The guards are the functions of `orioleworks_rules` that the daemons call.
+
+pub mod claims;
+pub mod delivery;
+pub mod explore;
+pub mod log;
+pub mod log_state;
+mod log_steps;
--- /dev/null
+++ b/spec/src/log_state.rs
@@ -0,0 +1,157 @@
+//! States of the log specification and their canonical order.
+
+use orioleworks_rules::log::LogPosition;
+
+/// Identities: the first voters and the identity that follows a lost disk.
+pub(crate) const IDS: usize = 5;
+/// Longest log.
+pub(crate) const LOG: usize = 3;
+/// Highest term.
+pub(crate) const TERMS: usize = 5;
+pub(crate) const NONE: u8 = u8::MAX;
+
+/// Log entry; a membership change names its voters.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Entry {
+    pub(crate) term: u8,
+    /// Bit set of the voters from this entry on; 0 for other entries.
+    pub(crate) voters: u8,
+    /// Identity that the entry promotes, plus 1, and the leader's commit index at that time; only checked.
+    pub(crate) promoted: u8,
+    pub(crate) floor: u8,
+}
+
+/// Role of an identity.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Role {
+    /// Not there, or its disk is lost.
+    #[default]
+    Absent,
+    /// Follower or learner.
+    Follower,
+    /// Candidate.
+    Candidate,
+    /// Leader, in its own opinion.
+    Leader,
+}
+
+/// One identity.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Replica {
+    pub(crate) role: Role,
+    pub(crate) term: u8,
+    pub(crate) voted_for: u8,
+    pub(crate) log: [Entry; LOG],
+    pub(crate) len: u8,
+    pub(crate) synced: u8,
+    pub(crate) commit: u8,
+    pub(crate) votes: u8,
+    pub(crate) matched: [u8; IDS],
+}
+
+/// State of all replicas, the held append and what was acknowledged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct State {
+    pub(crate) replicas: [Replica; IDS],
+    pub(crate) held: Option<(u8, u8, [Entry; LOG], u8)>,
+    pub(crate) crashes: u8,
+    pub(crate) wipes: u8,
+    pub(crate) helds: u8,
+    pub(crate) acknowledged: [(Entry, u8); LOG],
+    pub(crate) acknowledged_len: u8,
+    pub(crate) leaders: [bool; TERMS],
+    pub(crate) fault: Option<&'static str>,
+}
+
+impl Replica {
+    pub(crate) fn entries(&self) -> &[Entry] {
+        &self.log[..self.len as usize]
+    }
+
+    pub(crate) fn position(&self) -> LogPosition {
+        let term = self.entries().last().map_or(0, |e| u64::from(e.term));
+        LogPosition { term, index: u64::from(self.len) }
+    }
+
+    pub(crate) fn step_down(&mut self, term: u8) {
+        if term > self.term {
+            (self.term, self.voted_for) = (term, NONE);
+        }
+        (self.role, self.votes, self.commit, self.matched) = (Role::Follower, 0, 0, [0; IDS]);
+    }
+
+    pub(crate) fn push(&mut self, entry: Entry, sync: bool) {
+        self.log[self.len as usize] = entry;
+        self.len += 1;
+        if sync {
+            self.synced = self.len;
+        }
+    }
+
+    pub(crate) fn truncate(&mut self, len: u8) {
+        self.log[len as usize..].fill(Entry::default());
+        (self.len, self.synced) = (len, self.synced.min(len));
+    }
+}
+
+/// Smallest of the states that differ only by the names of the first voters.
+///
+/// Voters are sorted by what does not depend on names; only the order of equal ones is tried out.
+pub(crate) fn canonical(s: &State, voters: u8) -> State {
+    let key = |i: &usize| {
+        let r = &s.replicas[*i];
+        (r.role, r.term, r.len, r.synced, r.commit, r.log.map(|e| e.term), r.votes.count_ones())
+    };
+    let mut sorted: Vec<usize> = (0..voters as usize).collect();
+    sorted.sort_by_key(key);
+    let mut best: Option<State> = None;
+    let equal = |a: usize, b: usize| key(&a) == key(&b);
+    permute(&mut sorted, 0, &equal, &mut |places| {
+        let renamed = rename(s, places);
+        if best.as_ref().is_none_or(|b| renamed < *b) {
+            best = Some(renamed);
+        }
+    });
+    best.unwrap_or(*s)
+}
+
+fn permute(
+    order: &mut [usize],
+    at: usize,
+    equal: &impl Fn(usize, usize) -> bool,
+    f: &mut impl FnMut(&[usize]),
+) {
+    if at == order.len() {
+        return f(order);
+    }
+    for i in at..order.len() {
+        if equal(order[at], order[i]) {
+            order.swap(at, i);
+            permute(order, at + 1, equal, f);
+            order.swap(at, i);
+        }
+    }
+}
+
+/// Renames identity `places[i]` to `i`.
+fn rename(s: &State, places: &[usize]) -> State {
+    let mut names: [usize; IDS] = std::array::from_fn(|i| i);
+    places.iter().enumerate().for_each(|(place, i)| names[*i] = place);
+    let to = |i: usize| names[i];
+    let set = |bits: u8| (0..IDS).filter(|i| bits & (1 << i) != 0).fold(0, |b, i| b | 1 << to(i));
+    let one = |id: u8| if id == NONE { NONE } else { to(id as usize) as u8 };
+    let entry = |e: Entry| {
+        let promoted = if e.promoted == 0 { 0 } else { one(e.promoted - 1) + 1 };
+        Entry { voters: set(e.voters), promoted, ..e }
+    };
+    let mut n = *s;
+    for (i, r) in s.replicas.iter().enumerate() {
+        let mut m = Replica { voted_for: one(r.voted_for), votes: set(r.votes), ..*r };
+        m.log = r.log.map(entry);
+        (0..IDS).for_each(|j| m.matched[to(j)] = r.matched[j]);
+        n.replicas[to(i)] = m;
+    }
+    n.held = s.held.map(|(term, leader, log, len)| (term, one(leader), log.map(entry), len));
+    n.acknowledged = s.acknowledged.map(|(e, term)| (entry(e), term));
+    n
+}
--- /dev/null
+++ b/spec/src/log_steps.rs
@@ -0,0 +1,241 @@
+//! Steps of the log specification.
+
+use orioleworks_rules::log::{self as rules, LogPosition, VoteRecord};
+
+use crate::{
+    log::{Broken, Log, Step},
+    log_state::{Entry, IDS, NONE, Replica, Role, State},
+};
+
+fn ids(set: u8) -> Vec<u64> {
+    (0..IDS as u64).filter(|id| set & (1 << id) != 0).collect()
+}
+
+impl Log {
+    fn is(&self, broken: Broken) -> bool {
+        self.broken == broken
+    }
+
+    fn first_voters(&self) -> u8 {
+        (1 << self.bound.voters) - 1
+    }
+
+    /// Voters by the newest entry, which is in force as soon as it is in the log.
+    fn voters(&self, r: &Replica) -> u8 {
+        let newest = r.entries().iter().rev().find(|e| e.voters != 0);
+        newest.map_or(self.first_voters(), |e| e.voters)
+    }
+
+    /// Takes the entries of an append; returns the acknowledged index.
+    fn accept(&self, r: &mut Replica, term: u8, sent: &[Entry]) -> Option<u8> {
+        if !rules::accepts_append(r.term.into(), term.into()) {
+            return None;
+        }
+        r.step_down(term);
+        let same = sent.iter().zip(r.entries()).take_while(|(a, b)| a == b).count();
+        let conflict = same < sent.len() && same < r.len as usize;
+        if conflict || self.is(Broken::LateAppendTruncates) {
+            r.truncate(same as u8);
+        }
+        for entry in &sent[same..] {
+            r.push(*entry, !self.is(Broken::ReplyBeforeSync));
+        }
+        Some(sent.len() as u8)
+    }
+
+    pub(crate) fn election_steps(&self, s: &State, out: &mut Vec<(Step, State)>) {
+        for (i, r) in s.replicas.iter().enumerate() {
+            let member = self.voters(r) & (1 << i) != 0;
+            let may_stand = matches!(r.role, Role::Follower | Role::Candidate) && member;
+            let highest = s.replicas.iter().map(|r| r.term).max().unwrap_or(0);
+            let term = if self.bound.rivals { r.term } else { highest } + 1;
+            if may_stand && term <= self.bound.terms {
+                let mut n = *s;
+                let c = &mut n.replicas[i];
+                c.step_down(term);
+                (c.role, c.voted_for, c.votes) = (Role::Candidate, i as u8, 1 << i);
+                out.push((Step::Stand(i), n));
+            }
+            if r.role != Role::Candidate {
+                continue;
+            }
+            for (j, v) in s.replicas.iter().enumerate().filter(|(j, _)| *j != i) {
+                if v.role == Role::Absent || r.votes & (1 << j) != 0 {
+                    continue;
+                }
+                self.vote_steps(s, i, j, out);
+            }
+            if rules::is_elected(&ids(self.voters(r)), &ids(r.votes)) {
+                let mut n = *s;
+                let c = &mut n.replicas[i];
+                (c.role, c.votes, c.matched[i]) = (Role::Leader, 0, c.synced);
+                if std::mem::replace(&mut n.leaders[r.term as usize], true) {
+                    n.fault = Some("one leader per term");
+                }
+                out.push((Step::Lead(i), n));
+            }
+        }
+    }
+
+    fn vote_steps(&self, s: &State, i: usize, j: usize, out: &mut Vec<(Step, State)>) {
+        let (c, v) = (&s.replicas[i], &s.replicas[j]);
+        let vote = Some(v.voted_for).filter(|id| *id != NONE && !self.is(Broken::VoteTwice));
+        let record = VoteRecord { term: v.term.into(), voted_for: vote.map(u64::from) };
+        let own =
+            if self.is(Broken::VoteIgnoresLog) { LogPosition::default() } else { v.position() };
+        let granted = rules::may_grant_vote(record, own, c.term.into(), i as u64, c.position());
+        for reply_lost in [false, true].into_iter().filter(|lost| !lost || self.bound.rivals) {
+            let mut n = *s;
+            if c.term > v.term || granted {
+                n.replicas[j].step_down(c.term);
+            }
+            if granted {
+                n.replicas[j].voted_for = i as u8;
+                n.replicas[i].votes |= if reply_lost { 0 } else { 1 << j };
+            }
+            if n != *s {
+                out.push((Step::Vote { voter: j, candidate: i, reply_lost }, n));
+            }
+        }
+    }
+
+    pub(crate) fn leader_steps(&self, s: &State, i: usize, out: &mut Vec<(Step, State)>) {
+        let l = &s.replicas[i];
+        let sync = !self.is(Broken::ReplyBeforeSync);
+        if l.len < self.bound.entries {
+            let mut write = |step, entry| {
+                let mut n = *s;
+                n.replicas[i].push(entry, sync);
+                n.replicas[i].matched[i] = n.replicas[i].len;
+                out.push((step, n));
+            };
+            write(Step::Write(i), Entry { term: l.term, ..Entry::default() });
+            if self.bound.membership {
+                for entry in self.changes(s, l) {
+                    write(Step::ChangeVoters { leader: i, voters: entry.voters }, entry);
+                }
+            }
+        }
+        for (j, r) in s.replicas.iter().enumerate().filter(|(j, _)| *j != i) {
+            if r.role == Role::Absent {
+                continue;
+            }
+            for reply_lost in [false, true].into_iter().filter(|lost| !lost || self.bound.rivals) {
+                let mut n = *s;
+                let taken = self.accept(&mut n.replicas[j], l.term, l.entries());
+                if let Some(index) = taken.filter(|_| !reply_lost) {
+                    let matched = &mut n.replicas[i].matched[j];
+                    *matched = index.max(*matched);
+                }
+                if n != *s {
+                    out.push((Step::Append { leader: i, to: j, reply_lost }, n));
+                }
+            }
+        }
+        if s.helds < self.bound.held && l.len > 0 {
+            let mut n = *s;
+            (n.held, n.helds) = (Some((l.term, i as u8, l.log, l.len)), n.helds + 1);
+            out.push((Step::HoldAppend(i), n));
+        }
+        self.commit_step(s, i, out);
+    }
+
+    /// Membership changes that the leader may propose.
+    fn changes(&self, s: &State, l: &Replica) -> Vec<Entry> {
+        let newest = l.entries().iter().rposition(|e| e.voters != 0);
+        let in_flight = newest.is_some_and(|at| at >= l.commit as usize);
+        let own = l.commit > 0 && l.log[l.commit as usize - 1].term == l.term;
+        let own = own || self.is(Broken::ChangeBeforeOwnCommit);
+        if !rules::may_change_membership(own, in_flight && !self.is(Broken::TwoChanges)) {
+            return Vec::new();
+        }
+        let old = self.voters(l);
+        let mut changes = Vec::new();
+        for (j, r) in s.replicas.iter().enumerate() {
+            let voters = old ^ (1 << j);
+            let adds = old & (1 << j) == 0;
+            let gone = r.role == Role::Absent;
+            let ready = self.is(Broken::EarlyPromotion)
+                || rules::may_promote(l.matched[j].into(), l.commit.into());
+            let allowed = if adds { !gone && ready } else { gone || self.bound.wipes == 0 };
+            if allowed && rules::is_single_step(&ids(old), &ids(voters)) {
+                let promoted = if adds { j as u8 + 1 } else { 0 };
+                changes.push(Entry { term: l.term, voters, promoted, floor: l.commit });
+            }
+        }
+        changes
+    }
+
+    fn commit_step(&self, s: &State, i: usize, out: &mut Vec<(Step, State)>) {
+        let l = &s.replicas[i];
+        let voters = ids(self.voters(l));
+        let synced: Vec<u64> = voters.iter().map(|id| l.matched[*id as usize].into()).collect();
+        let index = rules::quorum_index(&synced).min(l.len.into()) as usize;
+        if index <= l.commit as usize {
+            return;
+        }
+        let entry_term = l.log[index - 1].term;
+        if !rules::may_commit(entry_term.into(), l.term.into()) && !self.is(Broken::CommitOlderTerm)
+        {
+            return;
+        }
+        let mut n = *s;
+        n.replicas[i].commit = index as u8;
+        for at in 0..index {
+            if at >= n.acknowledged_len as usize {
+                n.acknowledged[at] = (l.log[at], l.term);
+            } else if n.acknowledged[at].0 != l.log[at] {
+                n.fault = Some("no acknowledged entry is lost or replaced");
+            }
+            let entry = l.log[at];
+            if entry.promoted > 0 {
+                let p = &s.replicas[entry.promoted as usize - 1];
+                let floor = entry.floor as usize;
+                if p.role != Role::Absent && p.log[..floor] != l.log[..floor] {
+                    n.fault = Some("a promoted voter holds the committed log");
+                }
+            }
+        }
+        n.acknowledged_len = n.acknowledged_len.max(index as u8);
+        out.push((Step::Commit(i), n));
+    }
+
+    pub(crate) fn fault_steps(&self, s: &State, out: &mut Vec<(Step, State)>) {
+        for (i, r) in s.replicas.iter().enumerate().filter(|(_, r)| r.role != Role::Absent) {
+            if r.synced < r.len {
+                let mut n = *s;
+                n.replicas[i].synced = r.len;
+                out.push((Step::Sync(i), n));
+            }
+            if s.crashes < self.bound.crashes {
+                let mut n = *s;
+                n.replicas[i].step_down(r.term);
+                n.replicas[i].truncate(r.synced);
+                n.crashes += 1;
+                out.push((Step::Crash(i), n));
+            }
+            if s.wipes < self.bound.wipes && i < self.bound.voters as usize {
+                let mut n = *s;
+                let fresh = Replica { role: Role::Follower, voted_for: NONE, ..Replica::default() };
+                n.wipes += 1;
+                if self.is(Broken::WipedKeepsIdentity) {
+                    n.replicas[i] = fresh;
+                } else if self.is(Broken::WipedKeepsVote) {
+                    let (term, voted_for) = (r.term, r.voted_for);
+                    n.replicas[i] = Replica { term, voted_for, ..fresh };
+                } else {
+                    n.replicas[i] = Replica::default();
+                    n.replicas[self.bound.voters as usize + s.wipes as usize] = fresh;
+                }
+                out.push((Step::Wipe(i), n));
+            }
+            if let Some((term, _, log, len)) = s.held {
+                let mut n = *s;
+                self.accept(&mut n.replicas[i], term, &log[..len as usize]);
+                if n != *s {
+                    out.push((Step::LateAppend(i), n));
+                }
+            }
+        }
+    }
+}
