--- a/orioleworks_entry/src/runs_dispatch.rs
+++ b/orioleworks_entry/src/runs_dispatch.rs
@@ -32,7 +32,7 @@
 pub type RunningOn = Rc<dyn Fn(&str) -> Option<Rc<str>>>;
 
 /// Slots of one step that run at a time.
-const MAX_CONCURRENT: usize = 1024;
+pub const MAX_CONCURRENT: usize = 1024;
 /// Pause before a failed slot is run again; it doubles with each further failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause before a failed slot is run again.
--- a/orioleworks_entry/tests/rollout/delivery.rs
+++ b/orioleworks_entry/tests/rollout/delivery.rs
@@ -9,6 +9,7 @@
 
 use orioleworks_entry::{
     dispatch::Job,
+    runs_dispatch::MAX_CONCURRENT,
     runs_messages::{Batch, FetchBatch},
 };
 use orioleworks_proto::{codes::ResultCode, inner};
@@ -168,11 +169,16 @@
 fn reopening_at_the_same_entry_keeps_finished_samples() {
     block_on(async {
         let control = Control::start().await;
-        let entry = Entry::start("a", &control, profile(), |job: Job| async move {
-            if job.request_id.ends_with("-3-1") {
-                job.cancel.cancelled().await;
+        let runs = Rc::new(Cell::new(0));
+        let count = runs.clone();
+        let entry = Entry::start("a", &control, profile(), move |job: Job| {
+            count.set(count.get() + 1);
+            async move {
+                if job.request_id.ends_with("-3-1") {
+                    job.cancel.cancelled().await;
+                }
+                Ok(answer("t", 1, 4))
             }
-            Ok(answer("t", 1, 4))
         })
         .await;
         let first = entry.runs.open("run", open_step(1, 1, 4)).await.unwrap();
@@ -186,6 +192,36 @@
         let batch = entry.runs.fetch("run", fetch(second.epoch, 0, 1)).await.unwrap();
         assert_eq!(indices(&batch), BTreeSet::from([0, 2]));
         assert_eq!((batch.epoch, batch.missing), (second.epoch, 1));
+        assert_eq!(runs.get(), 5, "only the unfinished slot runs again");
+    });
+}
+
+/// Guards against new work of a draining owner, and against a trainer that waits there for the rest of the step.
+#[rstest]
+fn draining_owner_starts_no_slot_and_refuses_once_it_has_nothing_left() {
+    block_on(async {
+        let control = Control::start().await;
+        let engine = |_: Job| async {
+            compio::time::sleep(Duration::from_millis(300)).await;
+            Ok(answer("t", 1, 4))
+        };
+        let entry = Entry::start("a", &control, profile(), engine).await;
+        let epoch = entry.runs.open("run", open_step(1, 11, 100)).await.unwrap().epoch;
+        compio::time::sleep(Duration::from_millis(100)).await;
+        entry.runs_drain.cancel();
+        let (mut cursor, mut delivered) = (0, 0);
+        let code = loop {
+            match entry.runs.fetch("run", fetch(epoch, cursor, 1)).await {
+                Ok(batch) => {
+                    cursor = batch.next_cursor;
+                    delivered += batch.samples.len();
+                }
+                Err(e) => break e.code,
+            }
+        };
+        assert_eq!((code, delivered), (ResultCode::ShuttingDown, MAX_CONCURRENT));
+        let reopened = entry.runs.open("run", open_step(1, 1, 1)).await.unwrap_err();
+        assert_eq!(reopened.code, ResultCode::ShuttingDown);
     });
 }
 
