--- a/orioleworks_control/src/claims.rs
+++ b/orioleworks_control/src/claims.rs
@@ -17,13 +17,7 @@
     pub(crate) fn claim(&mut self, claim: &inner::Claim, now_ms: u64) -> inner::ProposeReply {
         let held = self.claims.get(&claim.key);
         let decision = rules::decide_claim(
-            held.map(|held| rules::HeldClaim {
-                state: rule_state(held.state()),
-                attempt_id: &held.attempt_id,
-                fingerprint: &held.fingerprint,
-                holder_gone: !claim.gone_attempt_id.is_empty()
-                    && held.attempt_id == claim.gone_attempt_id,
-            }),
+            held.map(|held| rule_claim(held, &claim.gone_attempt_id)),
             rules::ClaimRequest {
                 attempt_id: &claim.attempt_id,
                 fingerprint: &claim.fingerprint,
@@ -83,8 +77,8 @@
             let detail = format!("claim {} belongs to another attempt", finish.key);
             return self.refused(ResultCode::Conflict, detail);
         }
-        // The first final outcome stands; an unknown one may still be replaced by what the holder learns.
-        if matches!(held.state(), ClaimState::Running | ClaimState::Unknown) {
+        // The first final outcome stands; a repeated report of it is accepted without effect.
+        if rules::may_finish(rule_claim(held, ""), &finish.attempt_id) {
             held.state = finish.state;
             held.http_status = finish.http_status;
             held.answer = finish.answer.clone();
@@ -118,6 +112,15 @@
     }
 }
 
+fn rule_claim<'a>(held: &'a inner::ClaimRecord, gone_attempt_id: &str) -> rules::HeldClaim<'a> {
+    rules::HeldClaim {
+        state: rule_state(held.state()),
+        attempt_id: &held.attempt_id,
+        fingerprint: &held.fingerprint,
+        holder_gone: !gone_attempt_id.is_empty() && held.attempt_id == gone_attempt_id,
+    }
+}
+
 fn rule_state(state: ClaimState) -> rules::ClaimState {
     match state {
         ClaimState::Running => rules::ClaimState::Running,
--- a/orioleworks_control/src/machine.rs
+++ b/orioleworks_control/src/machine.rs
@@ -7,6 +7,7 @@
     codes::ResultCode,
     inner::{self, change, command::Kind},
 };
+use orioleworks_rules::delivery;
 
 /// Order results kept for resends.
 pub const MAX_ORDER_RESULTS: usize = 10_000;
@@ -149,7 +150,7 @@
             owner: open.owner.clone(),
             owner_address: open.owner_address.clone(),
             // Each open starts a new delivery, also by the same owner; a resent order has its first result.
-            epoch: run.epoch + 1,
+            epoch: delivery::epoch_of_open(run.epoch),
             owner_incarnation: open.owner_incarnation,
         };
         let (epoch, holder) = (run.epoch, run.owner.clone());
--- a/orioleworks_entry/src/app.rs
+++ b/orioleworks_entry/src/app.rs
@@ -35,8 +35,8 @@
 pub type HttpExtension = Rc<dyn Fn(http::Request) -> Extended>;
 /// Answer of an extension, or the request when its path is not one of the extension.
 pub type Extended = Result<LocalBoxFuture<'static, http::Response>, Box<http::Request>>;
-/// Answers messages of other entries, or gives the message back.
-pub type InnerExtension = Rc<dyn Fn(Body) -> Result<LocalBoxFuture<'static, Option<Body>>, Body>>;
+/// Answers messages of other entries.
+pub type InnerExtension = Rc<dyn Fn(Body) -> LocalBoxFuture<'static, Option<Body>>>;
 
 /// The parts of a running entry.
 pub struct Entry {
@@ -208,10 +208,7 @@
 
     async fn answer_inner(self: Rc<Self>, body: Body) -> Option<Body> {
         let extension = self.inner_extension.borrow().clone();
-        match extension?(body) {
-            Ok(answer) => answer.await,
-            Err(_) => None,
-        }
+        extension?(body).await
     }
 
     /// Sets what answers further HTTP paths.
@@ -219,7 +216,7 @@
         *self.http_extension.borrow_mut() = Some(extension);
     }
 
-    /// Sets what answers further messages of other entries.
+    /// Sets what answers messages of other entries.
     pub fn set_inner_extension(&self, extension: InnerExtension) {
         *self.inner_extension.borrow_mut() = Some(extension);
     }
--- a/orioleworks_entry/src/calls.rs
+++ b/orioleworks_entry/src/calls.rs
@@ -127,6 +127,7 @@
         prefix,
         lowest_version: 0,
         avoid: Vec::new(),
+        idempotency_key: None,
         local_only: false,
         cancel: CancellationToken::new(),
     };
@@ -166,7 +167,8 @@
         Claimed::Stored(record) => return Ok(stored_answer(record)),
         Claimed::Refused(e) => return Err(e),
     }
-    let result = entry.dispatcher.run_claimed(job, &request.key.text).await;
+    let job = Job { idempotency_key: Some(request.key.text.clone()), ..job };
+    let result = entry.dispatcher.run(job).await;
     let end = match &result {
         Ok(completed) => End::Finished(completed.clone()),
         Err(e) if e.code.not_run() => End::Released,
--- a/orioleworks_entry/src/dispatch.rs
+++ b/orioleworks_entry/src/dispatch.rs
@@ -27,6 +27,8 @@
     pub lowest_version: u64,
     /// Upstreams that are not to run it, for a hedged second attempt.
     pub avoid: Vec<Rc<str>>,
+    /// Key under which a claim is committed for this request; the upstream gets it.
+    pub idempotency_key: Option<Rc<str>>,
     /// Forbids a forward to another failure domain.
     pub local_only: bool,
     /// Cancelled when the answer is no longer wanted.
--- a/orioleworks_entry/src/dispatcher.rs
+++ b/orioleworks_entry/src/dispatcher.rs
@@ -99,24 +99,6 @@
         &self.suspects
     }
 
-    /// Runs a request.
-    ///
-    /// # Errors
-    ///
-    /// Returns the final refusal; its code says whether the request may have run.
-    pub async fn run(&self, job: Job) -> Result<Completed, Refused> {
-        self.run_with_key(job, None).await
-    }
-
-    /// Runs a request whose claim on the idempotency key is committed for this attempt.
-    ///
-    /// # Errors
-    ///
-    /// Returns the final refusal; its code says whether the request may have run.
-    pub async fn run_claimed(&self, job: Job, key: &str) -> Result<Completed, Refused> {
-        self.run_with_key(job, Some(key)).await
-    }
-
     /// Whether the request is quarantined.
     pub fn check_quarantine(&self, fingerprint: &str) -> Result<(), Refused> {
         if self.configuration.quarantined(fingerprint).is_some() {
@@ -130,7 +112,12 @@
         }
     }
 
-    async fn run_with_key(&self, job: Job, key: Option<&str>) -> Result<Completed, Refused> {
+    /// Runs a request; one that is not idempotent needs a claim on its key that is committed for this attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final refusal; its code says whether the request may have run.
+    pub async fn run(&self, job: Job) -> Result<Completed, Refused> {
         let fingerprint = suspects::fingerprint(&job.profile.name, &job.body);
         // Callers may repeat a request ID, but an answer must match exactly one attempt.
         let unique: u32 = rand::random();
@@ -153,7 +140,7 @@
             progress.tried.push(grant.target.name.clone());
             let started = Instant::now();
             let place = self.place(&job.request_id, &grant.target.name);
-            let result = self.attempt(&job, key, &grant, &attempt_id).await;
+            let result = self.attempt(&job, &grant, &attempt_id).await;
             drop(place);
             let failure = match result {
                 Ok(success) => {
@@ -216,7 +203,6 @@
     async fn attempt(
         &self,
         job: &Job,
-        key: Option<&str>,
         grant: &Grant,
         attempt_id: &str,
     ) -> Result<Success, Failure> {
@@ -224,7 +210,7 @@
             attempt_id,
             body: &job.body,
             content_type: &job.content_type,
-            idempotency_key: key,
+            idempotency_key: job.idempotency_key.as_deref(),
             engine: job.profile.engine,
         };
         let left = job.deadline.saturating_duration_since(Instant::now());
--- a/orioleworks_entry/src/forward.rs
+++ b/orioleworks_entry/src/forward.rs
@@ -87,6 +87,7 @@
         content_type: job.content_type.to_string(),
         deadline_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
         lowest_version: job.lowest_version,
+        idempotency_key: job.idempotency_key.as_deref().unwrap_or_default().into(),
     }
 }
 
@@ -151,6 +152,9 @@
             prefix: None,
             lowest_version: forward.lowest_version,
             avoid: Vec::new(),
+            idempotency_key: Some(forward.idempotency_key)
+                .filter(|key| !key.is_empty())
+                .map(Into::into),
             local_only: true,
             cancel: CancellationToken::new(),
         };
--- a/orioleworks_entry/src/peers.rs
+++ b/orioleworks_entry/src/peers.rs
@@ -4,12 +4,14 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
-use compio::{runtime, time};
+use compio::runtime;
 use futures_util::{FutureExt, select};
 use orioleworks_daemon::{clock, event, rpc};
 use orioleworks_proto::inner::{self, frame::Body};
 use tokio_util::sync::CancellationToken;
 
+use crate::signal::Signal;
+
 /// Interval of digests.
 pub const INTERVAL: Duration = Duration::from_secs(1);
 /// Time without a digest after which a peer counts as lost.
@@ -45,6 +47,7 @@
     failure_domain: Rc<str>,
     known: HashMap<Rc<str>, Known>,
     on_suspects: Box<dyn Fn(Vec<inner::Suspect>)>,
+    push: Signal,
 }
 
 impl Peers {
@@ -62,6 +65,7 @@
             failure_domain: failure_domain.into(),
             known: known.collect(),
             on_suspects: Box::new(on_suspects),
+            push: Signal::default(),
         };
         Self { shared: Rc::new(shared) }
     }
@@ -71,10 +75,16 @@
         for known in self.shared.known.values() {
             let client = rpc::Client::new(known.peer.address.clone());
             let (peer, digest, token) = (known.peer.name.clone(), digest.clone(), token.clone());
-            runtime::spawn(send_digests(peer, client, digest, token)).detach();
+            let shared = self.shared.clone();
+            runtime::spawn(send_digests(shared, peer, client, digest, token)).detach();
         }
     }
 
+    /// Sends the digest to every peer at once, since a suspect resent through a peer must not wait for the interval.
+    pub fn push(&self) {
+        self.shared.push.notify();
+    }
+
     /// Takes a peer's digest; one of an older incarnation is late and ignored.
     pub fn receive(&self, digest: inner::Digest) {
         let entry = digest.entry.clone().unwrap_or_default();
@@ -135,6 +145,7 @@
 }
 
 async fn send_digests(
+    shared: Rc<Shared>,
     peer: Rc<str>,
     client: rpc::Client,
     digest: Rc<dyn Fn() -> inner::Digest>,
@@ -142,6 +153,7 @@
 ) {
     let mut reachable = true;
     loop {
+        let pushed = shared.push.wait();
         let sent = client.call(Body::Digest(digest()), DIGEST_TIMEOUT).await;
         if sent.is_ok() != reachable {
             reachable = sent.is_ok();
@@ -151,7 +163,7 @@
             // A connection that was cut without notice would stay silent.
             client.disconnect();
         }
-        let mut pause = std::pin::pin!(time::sleep(INTERVAL).fuse());
+        let mut pause = std::pin::pin!(pushed.up_to(INTERVAL).fuse());
         let mut cancelled = std::pin::pin!(token.cancelled().fuse());
         select! { () = pause => (), () = cancelled => return }
     }
--- a/orioleworks_entry/src/rollout.rs
+++ b/orioleworks_entry/src/rollout.rs
@@ -40,11 +40,11 @@
     let in_flight = entry.in_flight.clone();
     entry.set_inner_extension(Rc::new(move |body| {
         let (server, guard) = (server.clone(), in_flight.enter());
-        Ok(Box::pin(async move {
+        Box::pin(async move {
             let answer = server.handle(body).await;
             drop(guard);
             answer
-        }))
+        })
     }));
 }
 
@@ -65,6 +65,8 @@
         suspects: own.suspects.to_messages(),
     };
     peers.start(Rc::new(digest), token);
+    let pushing = peers.clone();
+    entry.suspects.set_on_change(move || pushing.push());
     let forwards = peers.clone();
     entry.dispatcher.set_forward(move |job| {
         let peers = forwards.clone();
--- a/orioleworks_entry/src/runs_dispatch.rs
+++ b/orioleworks_entry/src/runs_dispatch.rs
@@ -206,6 +206,7 @@
         prefix: Some(prefix),
         lowest_version: step.lowest_version(),
         avoid,
+        idempotency_key: None,
         local_only: false,
         cancel: token.clone(),
     };
--- a/orioleworks_entry/src/runs_judge.rs
+++ b/orioleworks_entry/src/runs_judge.rs
@@ -67,6 +67,7 @@
             prefix: None,
             lowest_version: 0,
             avoid: Vec::new(),
+            idempotency_key: None,
             local_only: false,
             cancel: step.token.child_token(),
         };
--- a/orioleworks_entry/src/runs_step.rs
+++ b/orioleworks_entry/src/runs_step.rs
@@ -16,7 +16,7 @@
 use crate::{
     runs_hedge::{Budget, Durations},
     runs_messages::{OpenStep, RunError, Sample},
-    runs_signal::Signal,
+    signal::Signal,
 };
 
 /// Groups of one step.
--- a/orioleworks_entry/src/weights.rs
+++ b/orioleworks_entry/src/weights.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     configuration::Configuration,
-    runs_signal::Signal,
+    signal::Signal,
     weights_engine::{self, Shared},
     weights_http::Engines,
     weights_lease::{self, Lease, RENEWAL},
--- a/orioleworks_entry/src/weights_engine.rs
+++ b/orioleworks_entry/src/weights_engine.rs
@@ -14,7 +14,7 @@
 use orioleworks_daemon::event;
 
 use crate::{
-    runs_signal::Signal,
+    signal::Signal,
     weights::{Deps, Engine},
     weights_http::{Engines, Order, Phase, SwapError, Weights},
     weights_lease::{LONGEST_DELIVERY_MS, Lease},
--- a/orioleworks_entry/tests/rollout/peers.rs
+++ b/orioleworks_entry/tests/rollout/peers.rs
@@ -31,6 +31,7 @@
         prefix: None,
         lowest_version: 3,
         avoid: Vec::new(),
+        idempotency_key: None,
         local_only: false,
         cancel: CancellationToken::new(),
     }
--- a/orioleworks_entry/tests/routing.rs
+++ b/orioleworks_entry/tests/routing.rs
@@ -29,6 +29,7 @@
         prefix: None,
         lowest_version: 0,
         avoid: Vec::new(),
+        idempotency_key: None,
         local_only: false,
         cancel: CancellationToken::new(),
     }
--- a/orioleworks_log/src/follower.rs
+++ b/orioleworks_log/src/follower.rs
@@ -4,7 +4,7 @@
 
 use orioleworks_daemon::event;
 use orioleworks_proto::inner;
-use orioleworks_rules::log::LogPosition;
+use orioleworks_rules::log::{self as rules, LogPosition};
 
 use crate::{
     node::Log,
@@ -61,7 +61,8 @@
         }
         self.adopt_term(term).await;
         let mut state = self.inner.state.borrow_mut();
-        if state.term() != term || state.is_leader() {
+        // The term can have risen while a lower one was made durable; then the leader was replaced as well.
+        if !rules::accepts_append(state.term(), term) || state.is_leader() {
             return false;
         }
         state.role = Role::Follower;
--- a/orioleworks_rules/src/claims.rs
+++ b/orioleworks_rules/src/claims.rs
@@ -138,6 +138,8 @@
 }
 
 /// Whether an attempt may finish a claim: a late report must not end the claim of another attempt.
+///
+/// An unknown outcome may still be replaced by what its own attempt learns, for example after a pause of its entry.
 pub fn may_finish(held: HeldClaim<'_>, attempt_id: &str) -> bool {
-    held.state == ClaimState::Running && held.attempt_id == attempt_id
+    matches!(held.state, ClaimState::Running | ClaimState::Unknown) && held.attempt_id == attempt_id
 }
