--- a/orioleworks_control/src/service.rs
+++ b/orioleworks_control/src/service.rs
@@ -108,7 +108,7 @@
         }
         loop {
             let seen = self.committed.version();
-            // A replica that is cut off must not pass for news, so that the entry asks another one.
+            // A partitioned replica refuses the watch, so that the entry asks another one.
             if !self.log.is_current() {
                 let code = ResultCode::NoQuorum.number();
                 let leader_address = self.log.leader_address();
--- a/orioleworks_log/src/membership.rs
+++ b/orioleworks_log/src/membership.rs
@@ -95,7 +95,8 @@
         if !state.membership.members.is_empty() || state.last().index > 0 || state.term() != 1 {
             return false;
         }
-        event!(info, "cluster_founded", members = membership.members.len(), member_id = id);
+        let names: Vec<String> = membership.members.iter().map(describe).collect();
+        event!(info, "cluster_founded", members = names.join(","));
         let command =
             inner::Command { expected_revision: None, kind: Some(Kind::Membership(membership)) };
         state.push(inner::LogEntry {
--- a/orioleworks_log/src/replication.rs
+++ b/orioleworks_log/src/replication.rs
@@ -64,7 +64,7 @@
                 _ => unanswered += 1,
             }
             if unanswered >= MAX_UNANSWERED {
-                // Frames queued for a stopped peer would reach it later as old news.
+                // Frames queued for a stopped peer would be stale when it resumes.
                 client.disconnect();
                 unanswered = 0;
             }
