Burn report reads what the entries write

Cause: trying the report against a running deployment failed: entries label result codes by name, the report parsed numbers, and the log line of a finished request lacked code and request under the names that the report reads. Ruled out: numbers in the metrics, which operators would have to look up. Change: one log line request_finished for answers and refusals; the report reads names and counts unknown ones as failures.

--- a/orioleworks_burn/src/exposition.rs
+++ b/orioleworks_burn/src/exposition.rs
@@ -2,8 +2,12 @@
 
 use std::collections::BTreeMap;
 
+use orioleworks_proto::codes::ResultCode;
 use serde::{Deserialize, Serialize};
 
+/// Number under which codes of newer entries are counted; they spend budget.
+const UNKNOWN_CODE: u32 = 9999;
+
 /// Counters of one profile at one entry, summed over classes.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Counters {
@@ -47,7 +51,8 @@
     let counters = profiles.entry(label("profile")?.clone()).or_default();
     match sample.name.as_str() {
         "orioleworks_requests_total" => {
-            let code = label("code")?.parse().ok()?;
+            let code =
+                ResultCode::from_name(label("code")?).map_or(UNKNOWN_CODE, ResultCode::number);
             *counters.by_code.entry(code).or_default() += sample.value;
         }
         "orioleworks_request_seconds_bucket" => {
--- a/orioleworks_burn/src/requests.rs
+++ b/orioleworks_burn/src/requests.rs
@@ -44,7 +44,7 @@
         return None;
     }
     Some(Request {
-        request: get("request")?,
+        request: get("request_id")?,
         profile: get("profile")?,
         code: get("code")?.parse().ok()?,
         ms: get("ms")?.parse().ok()?,
--- a/orioleworks_burn/tests/report.rs
+++ b/orioleworks_burn/tests/report.rs
@@ -19,9 +19,9 @@
     let (fast, all) = (ok - slow, ok);
     format!(
         "# TYPE orioleworks_requests_total counter\n\
-         orioleworks_requests_total{{profile=\"quality-lookup\",class=\"lookup\",code=\"0\"}} {ok}\n\
-         orioleworks_requests_total{{profile=\"quality-lookup\",class=\"lookup\",code=\"2001\"}} {failed}\n\
-         orioleworks_requests_total{{profile=\"quality-lookup\",class=\"lookup\",code=\"1001\"}} 7\n\
+         orioleworks_requests_total{{profile=\"quality-lookup\",class=\"lookup\",code=\"ok\"}} {ok}\n\
+         orioleworks_requests_total{{profile=\"quality-lookup\",class=\"lookup\",code=\"no_upstream\"}} {failed}\n\
+         orioleworks_requests_total{{profile=\"quality-lookup\",class=\"lookup\",code=\"bad_request\"}} 7\n\
          orioleworks_request_seconds_bucket{{profile=\"quality-lookup\",class=\"lookup\",le=\"0.25\"}} {fast}\n\
          orioleworks_request_seconds_bucket{{profile=\"quality-lookup\",class=\"lookup\",le=\"+Inf\"}} {all}\n\
          orioleworks_request_seconds_sum{{profile=\"quality-lookup\",class=\"lookup\"}} 1.5\n\
@@ -88,10 +88,10 @@
 
 #[test]
 fn the_log_names_the_slowest_and_the_failed_requests() {
-    let log = "ts_ms=1 level=info event=request_finished request=r1 profile=quality-lookup code=0 ms=300\n\
-               ts_ms=2 level=info event=request_finished request=\"r 2\" profile=quality-lookup code=2001 ms=5\n\
-               ts_ms=3 level=info event=request_finished request=r3 profile=quality-lookup code=0 ms=900.5\n\
-               ts_ms=4 level=info event=request_finished request=r4 profile=gate-slot code=2001 ms=5\n\
+    let log = "ts_ms=1 level=info event=request_finished request_id=r1 profile=quality-lookup code=0 ms=300\n\
+               ts_ms=2 level=info event=request_finished request_id=\"r 2\" profile=quality-lookup code=2001 ms=5\n\
+               ts_ms=3 level=info event=request_finished request_id=r3 profile=quality-lookup code=0 ms=900.5\n\
+               ts_ms=4 level=info event=request_finished request_id=r4 profile=gate-slot code=2001 ms=5\n\
                ts_ms=5 level=warn event=other request=r5\n";
     let spenders = requests::spenders(&requests::parse(log), &config().objectives[0]);
     let slowest: Vec<&str> = spenders.slowest.iter().map(|r| r.request.as_str()).collect();
@@ -100,7 +100,7 @@
 }
 
 #[rstest]
-#[case::no_value("orioleworks_requests_total{profile=\"p\",code=\"0\"}")]
+#[case::no_value("orioleworks_requests_total{profile=\"p\",code=\"ok\"}")]
 #[case::open_quote("orioleworks_requests_total{profile=\"p} 1")]
 #[case::no_code("orioleworks_requests_total{profile=\"p\"} 1")]
 fn malformed_metrics_are_refused_with_the_line(#[case] text: &str) {
--- a/orioleworks_entry/src/calls.rs
+++ b/orioleworks_entry/src/calls.rs
@@ -58,26 +58,19 @@
     wait_for_resume(entry).await;
     let profile = match find_profile(entry, profile) {
         Ok(profile) => profile,
-        Err(e) => return refusal(&head, profile, &e),
+        Err(e) => {
+            log_finished(&head, profile, started, &Err(e.clone()));
+            return http::error(e.code, &e.detail, e.retry_after_ms);
+        }
     };
     let result = run(entry, &profile, &head, body, started).await;
     fail::fail_point!("dispatch.before_answer");
     let code = result.as_ref().map_or_else(|e| e.code, |_| ResultCode::Ok);
     telemetry::request(&profile, code, started.elapsed());
+    log_finished(&head, &profile.name, started, &result);
     match result {
-        Ok(completed) => {
-            event!(
-                info,
-                "request_finished",
-                request_id = head.request_id,
-                profile = profile.name,
-                upstream = completed.upstream,
-                status = completed.status,
-                ms = started.elapsed().as_millis()
-            );
-            answer(&profile, &completed)
-        }
-        Err(e) => refusal(&head, &profile.name, &e),
+        Ok(completed) => answer(&profile, &completed),
+        Err(e) => http::error(e.code, &e.detail, e.retry_after_ms),
     }
 }
 
@@ -89,17 +82,23 @@
     }
 }
 
-fn refusal(head: &Head, profile: &str, e: &Refused) -> http::Response {
+/// Logs the end of a request; the burn report reads this line.
+fn log_finished(head: &Head, profile: &str, started: Instant, result: &Result<Completed, Refused>) {
+    let (code, upstream, detail) = match result {
+        Ok(done) => (ResultCode::Ok, &*done.upstream, ""),
+        Err(e) => (e.code, "", e.detail.as_str()),
+    };
     event!(
         info,
-        "request_refused",
+        "request_finished",
         request_id = head.request_id,
         profile = profile,
-        code = e.code.number(),
-        name = e.code.name(),
-        detail = e.detail
+        code = code.number(),
+        name = code.name(),
+        upstream = upstream,
+        ms = started.elapsed().as_millis(),
+        detail = detail
     );
-    http::error(e.code, &e.detail, e.retry_after_ms)
 }
 
 fn find_profile(entry: &Entry, name: &str) -> Result<Rc<inner::Profile>, Refused> {
--- a/orioleworks_proto/src/codes.rs
+++ b/orioleworks_proto/src/codes.rs
@@ -125,7 +125,12 @@
         ALL.iter().copied().find(|code| code.number() == number)
     }
 
-    /// Stable name in JSON answers and logs.
+    /// Code of a stable name, if this version knows it.
+    pub fn from_name(name: &str) -> Option<Self> {
+        ALL.iter().copied().find(|code| code.name() == name)
+    }
+
+    /// Stable name in JSON answers, metrics and logs.
     pub fn name(self) -> String {
         let mut name = String::new();
         for (i, c) in format!("{self:?}").chars().enumerate() {
