--- a/orioleworks_entry/tests/rollout/delivery.rs
+++ b/orioleworks_entry/tests/rollout/delivery.rs
@@ -192,6 +192,7 @@
         let batch = entry.runs.fetch("run", fetch(second.epoch, 0, 1)).await.unwrap();
         assert_eq!(indices(&batch), BTreeSet::from([0, 2]));
         assert_eq!((batch.epoch, batch.missing), (second.epoch, 1));
+        compio::time::sleep(Duration::from_millis(50)).await;
         assert_eq!(runs.get(), 5, "only the unfinished slot runs again");
     });
 }
@@ -213,6 +214,7 @@
         let code = loop {
             match entry.runs.fetch("run", fetch(epoch, cursor, 1)).await {
                 Ok(batch) => {
+                    assert!(!batch.complete, "slots that had not started do not run");
                     cursor = batch.next_cursor;
                     delivered += batch.samples.len();
                 }
