Keep results of operators' orders apart from claims and leases

Cause: every claim, finish and lease renewal took one of the 10,000 kept results; six entries renewing leases each second alone push out an operator's order within half an hour, and a resend after that would run again. Ruled out: dropping the results of claims; a late repeat of a claim that was released would then hold the key until its entry is gone. Change: claims have their own room, leases keep nothing; a draining entry takes connections while trainers have open steps; founders state their failure domain. Figures: test claims_and_leases_leave_the_results_of_orders fails before (epoch 2 for the resend), passes after. Conclusion: the resend window of orders depends on orders only.

--- a/orioleworks_control/src/lib.rs
+++ b/orioleworks_control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cli;
 pub mod config;
 pub mod machine;
+mod results;
 pub mod service;
 pub mod sightings;
 pub mod snapshot;
--- a/orioleworks_control/src/machine.rs
+++ b/orioleworks_control/src/machine.rs
@@ -9,8 +9,8 @@
 };
 use orioleworks_rules::delivery;
 
-/// Order results kept for resends.
-pub const MAX_ORDER_RESULTS: usize = 10_000;
+use crate::results::Results;
+
 /// Changes kept for watches; an entry further behind gets the whole configuration.
 pub const MAX_CHANGES: usize = 1000;
 /// Time in milliseconds for which an order lease holds after its renewal.
@@ -32,8 +32,8 @@
     pub(crate) claims: HashMap<String, inner::ClaimRecord>,
     /// Keys by issue time, so that old claims are found without a scan.
     pub(crate) claims_by_age: BTreeSet<(u64, String)>,
-    pub(crate) results: HashMap<String, inner::ProposeReply>,
-    pub(crate) result_order: VecDeque<String>,
+    pub(crate) order_results: Results,
+    pub(crate) claim_results: Results,
 }
 
 impl Machine {
@@ -45,13 +45,14 @@
     /// Applies one committed entry.
     pub fn apply(&mut self, entry: &inner::LogEntry) -> inner::ProposeReply {
         self.forget_old(entry.now_ms);
-        if let Some(first) = self.results.get(&entry.order_id) {
+        let first = self.order_results.get(&entry.order_id);
+        if let Some(first) = first.or_else(|| self.claim_results.get(&entry.order_id)) {
             return self.with_answer(first.clone());
         }
         let Some(command) = &entry.command else { return inner::ProposeReply::default() };
         let reply = self.execute(command, entry.now_ms);
         if !entry.order_id.is_empty() {
-            self.keep_result(&entry.order_id, &reply);
+            self.keep_result(&entry.order_id, command.kind.as_ref(), &reply);
         }
         reply
     }
@@ -236,18 +237,20 @@
         Some(inner::ProposeReply { revision: current, ..conflict })
     }
 
-    fn keep_result(&mut self, order_id: &str, reply: &inner::ProposeReply) {
+    /// Keeps the first result for a resend; claims have their own room, so that they do not push out operators' orders.
+    fn keep_result(&mut self, order_id: &str, kind: Option<&Kind>, reply: &inner::ProposeReply) {
         let mut kept = reply.clone();
         // The claim holds the response already; see `with_answer`.
         if let Some(claim) = &mut kept.claim {
             claim.answer.clear();
         }
-        self.results.insert(order_id.into(), kept);
-        self.result_order.push_back(order_id.into());
-        if self.result_order.len() > MAX_ORDER_RESULTS
-            && let Some(oldest) = self.result_order.pop_front()
-        {
-            self.results.remove(&oldest);
+        match kind {
+            // A lease order is renewed each second, and a repeat of it is another renewal.
+            Some(Kind::AcquireOrderLease(_)) => (),
+            Some(Kind::Claim(_) | Kind::FinishClaim(_)) => {
+                self.claim_results.keep(order_id.into(), kept);
+            }
+            _ => self.order_results.keep(order_id.into(), kept),
         }
     }
 
--- a/orioleworks_control/src/snapshot.rs
+++ b/orioleworks_control/src/snapshot.rs
@@ -3,7 +3,7 @@
 use orioleworks_proto::inner;
 use prost::Message;
 
-use crate::machine::Machine;
+use crate::{machine::Machine, results::Results};
 
 impl Machine {
     /// The whole configuration.
@@ -42,16 +42,13 @@
     /// Encodes the whole state.
     pub fn encode(&self) -> Vec<u8> {
         let claims = self.claims_by_age.iter().filter_map(|(_, key)| self.claims.get(key));
-        let results = self.result_order.iter().filter_map(|order_id| {
-            let reply = Some(self.results.get(order_id)?.clone());
-            Some(inner::OrderResult { order_id: order_id.clone(), reply })
-        });
         inner::ControlState {
             config: Some(self.config()),
             runs: self.runs(),
             order_leases: self.order_leases(),
             claims: claims.cloned().collect(),
-            order_results: results.collect(),
+            order_results: self.order_results.to_messages(),
+            claim_results: self.claim_results.to_messages(),
             changes: self.changes.iter().cloned().collect(),
         }
         .encode_to_vec()
@@ -84,10 +81,8 @@
             machine.claims_by_age.insert((claim.issued_ms, claim.key.clone()));
             machine.claims.insert(claim.key.clone(), claim);
         }
-        for result in state.order_results {
-            machine.result_order.push_back(result.order_id.clone());
-            machine.results.insert(result.order_id, result.reply.unwrap_or_default());
-        }
+        machine.order_results = Results::from_messages(state.order_results);
+        machine.claim_results = Results::from_messages(state.claim_results);
         Ok(machine)
     }
 }
--- a/orioleworks_control/tests/machine.rs
+++ b/orioleworks_control/tests/machine.rs
@@ -191,6 +191,18 @@
     assert_eq!(d.apply_as("o0", T0, None, open_run("x", 0)).epoch, 10_002);
 }
 
+/// Guards against claims and lease renewals that push operators' results out before a resend arrives.
+#[rstest]
+fn claims_and_leases_leave_the_results_of_orders() {
+    let mut d = Driver::new();
+    assert_eq!(d.apply_as("order", T0, None, open_run("one", 1)).epoch, 1);
+    for n in 0..10_001_u64 {
+        d.apply_as(&format!("claim-{n}"), T0, None, claim("attempt", ""));
+        d.apply_as(&format!("lease-{n}"), T0, None, lease("one"));
+    }
+    assert_eq!(d.apply_as("order", T0, None, open_run("two", 1)).epoch, 1);
+}
+
 /// Guards against orders that no process can carry out, and against refusals that do not say what is accepted.
 #[rstest]
 #[case::bad_name(|p: &mut inner::Profile| p.name = "a b".into(), "1 to 128 ASCII")]
--- a/orioleworks_entry/src/app.rs
+++ b/orioleworks_entry/src/app.rs
@@ -60,6 +60,8 @@
     pub claims: Claims,
     /// Work that a drain waits for besides open connections.
     pub in_flight: InFlight,
+    /// Steps that trainers may still fetch from; a draining entry takes connections until they are closed.
+    pub open_steps: InFlight,
     /// Entries that control has seen lately.
     pub live_entries: RefCell<Vec<inner::EntryIdentity>>,
     /// Stages of the shutdown as signalled.
@@ -119,6 +121,7 @@
             control,
             claims,
             in_flight,
+            open_steps: InFlight::default(),
             live_entries: RefCell::default(),
             shutdown,
             render: Box::new(render),
@@ -152,9 +155,11 @@
             Shutdown { drain: CancellationToken::new(), stop: self.shutdown.stop.clone() };
         let (signalled, drain) = (self.shutdown.drain.clone(), serving.drain.clone());
         let grace = Duration::from_millis(self.cfg.limits.drain_grace_ms);
+        let open_steps = self.open_steps.clone();
         runtime::spawn(async move {
             signalled.cancelled().await;
             time::sleep(grace).await;
+            open_steps.idle().await;
             drain.cancel();
         })
         .detach();
--- a/orioleworks_entry/src/rollout.rs
+++ b/orioleworks_entry/src/rollout.rs
@@ -97,10 +97,10 @@
         .detach();
     // Open steps keep a draining entry alive until their trainers have reopened them elsewhere.
     let (draining, idle) = (entry.shutdown.drain.clone(), runs.clone());
-    let in_flight = entry.in_flight.clone();
+    let open_steps = entry.open_steps.clone();
     runtime::spawn(async move {
         draining.cancelled().await;
-        let _guard = in_flight.enter();
+        let _guard = open_steps.enter();
         idle.idle().await;
     })
     .detach();
--- a/orioleworks_log/src/membership.rs
+++ b/orioleworks_log/src/membership.rs
@@ -79,7 +79,8 @@
                     member_id: reply.member_id,
                     name: reply.name,
                     address: replica.address.clone(),
-                    ..inner::Member::default()
+                    domain: reply.domain,
+                    learner: false,
                 });
             }
         }
--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -311,6 +311,7 @@
             is_leader: state.is_leader(),
             name: self.inner.settings.name.clone(),
             bootstrap: self.inner.settings.bootstrap,
+            domain: self.inner.settings.domain.clone(),
             ..inner::StatusReply::default()
         }
     }
