--- a/orioleworks_burn/src/app.rs
+++ b/orioleworks_burn/src/app.rs
@@ -18,16 +18,32 @@
 
 /// Runs a command and returns its exit code.
 pub fn run(options: &cli::Options) -> i32 {
-    let cfg: Config = match settings::load(&options.config) {
+    if options.version {
+        println!("orioleworks-burn {}", env!("CARGO_PKG_VERSION"));
+        return exit::OK;
+    }
+    let Some(path) = &options.config else {
+        eprintln!("option --config is required; see --help");
+        return exit::SETTINGS;
+    };
+    let cfg: Config = match settings::load(path) {
         Ok(cfg) => cfg,
         Err(e) => {
             eprintln!("{e}");
             return exit::SETTINGS;
         }
     };
+    if options.check {
+        println!("{}: settings are valid", path.display());
+        return exit::OK;
+    }
     let result = match &options.command {
-        Command::Sample(options) => sample(&cfg, options),
-        Command::Report(options) => print_report(&cfg, options),
+        Some(Command::Sample(options)) => sample(&cfg, options),
+        Some(Command::Report(options)) => print_report(&cfg, options),
+        None => {
+            eprintln!("a command is required; see --help");
+            return exit::SETTINGS;
+        }
     };
     match result {
         Ok(()) => exit::OK,
--- a/orioleworks_burn/src/cli.rs
+++ b/orioleworks_burn/src/cli.rs
@@ -9,10 +9,16 @@
 pub struct Options {
     /// settings file, JSON with comments
     #[argh(option, short = 'c')]
-    pub config: PathBuf,
+    pub config: Option<PathBuf>,
+    /// check the settings file and exit
+    #[argh(switch)]
+    pub check: bool,
+    /// print the version and exit
+    #[argh(switch, short = 'V')]
+    pub version: bool,
     /// command
     #[argh(subcommand)]
-    pub command: Command,
+    pub command: Option<Command>,
 }
 
 /// Commands.
--- a/orioleworks_ctl/src/app.rs
+++ b/orioleworks_ctl/src/app.rs
@@ -61,12 +61,24 @@
 
 /// Runs a command; `in_force_timeout` bounds `--wait`.
 pub async fn execute(options: &Options, in_force_timeout: Duration) -> Output {
+    if options.version {
+        let text = format!("orioleworksctl {}\n", env!("CARGO_PKG_VERSION"));
+        return Output { text, error: String::new(), code: exit::OK };
+    }
     let addresses = match config::addresses(options) {
         Ok(addresses) => addresses,
         Err(reason) => return Output { code: exit::SETTINGS, ..Output::failed(reason) },
     };
+    if options.check {
+        let text = "settings are valid\n".into();
+        return Output { text, error: String::new(), code: exit::OK };
+    }
+    let Some(command) = &options.command else {
+        let reason = "a command is required; see --help".to_owned();
+        return Output { code: exit::SETTINGS, ..Output::failed(reason) };
+    };
     let control = ControlClient::new(addresses);
-    match &options.command {
+    match command {
         Command::List(list) => match in_force::status(&control).await {
             Ok(status) => match views::list(&list.what, &status) {
                 Some(listing) => Output::listing(&listing, options.json),
--- a/orioleworks_ctl/src/cli.rs
+++ b/orioleworks_ctl/src/cli.rs
@@ -19,9 +19,15 @@
     /// longest wait for control in ms, default 5000
     #[argh(option, default = "5000")]
     pub timeout_ms: u64,
+    /// check the settings file and exit
+    #[argh(switch)]
+    pub check: bool,
+    /// print the version and exit
+    #[argh(switch, short = 'V')]
+    pub version: bool,
     /// command
     #[argh(subcommand)]
-    pub command: Command,
+    pub command: Option<Command>,
 }
 
 /// Commands.
