--- a/orioleworks_matrix/src/lib.rs
+++ b/orioleworks_matrix/src/lib.rs
@@ -3,3 +3,5 @@
 //! See `docs/MATRIX.md`.
 
 pub mod cell;
+pub mod claims;
+pub mod site;
--- /dev/null
+++ b/orioleworks_matrix/src/site.rs
@@ -0,0 +1,300 @@
+//! A small deployment for one cell, and what a caller or an operator sees of it.
+
+use std::{
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use compio::time::sleep;
+use orioleworks_daemon::control::ControlClient;
+use orioleworks_proto::{
+    codes::ResultCode,
+    inner::{self, command::Kind as Command},
+};
+use orioleworks_standins::{
+    client::{Client, ClientError},
+    deployment::{DataDirectory, Deployment, Kind, Options},
+    scenario,
+    service::{Ran, Run},
+};
+use serde::Deserialize;
+use tempfile::TempDir;
+
+/// Environment variable with the directory of the programs, built with the feature `failpoints`.
+pub const BIN_DIR_VARIABLE: &str = "ORIOLEWORKS_BIN_DIR";
+/// Longest wait for a deployment to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(15);
+/// Longest wait for a caller's answer; longer than the deadline of every profile used.
+const CALL_TIMEOUT: Duration = Duration::from_secs(9);
+/// Longest wait for the result of one order.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait for the status of one replica.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(800);
+/// Interval of looks at a condition.
+const POLL: Duration = Duration::from_millis(20);
+
+/// A running deployment with its directory, which is removed at the end unless the cell failed.
+#[derive(Debug)]
+pub struct Site {
+    /// The processes.
+    pub deployment: Deployment,
+    directory: Option<TempDir>,
+    client: Client,
+}
+
+/// Answer of an entry as a caller sees it.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// HTTP status, 0 when no answer came.
+    pub status: u16,
+    /// Body of a success.
+    pub body: Bytes,
+    /// Stable name of the code, `ok`, or why no answer came.
+    pub name: String,
+    /// Whether the answer promises that the request did not run.
+    pub not_run: bool,
+}
+
+impl Reply {
+    /// Whether the answer is a success.
+    pub fn is_ok(&self) -> bool {
+        self.status == 200
+    }
+}
+
+#[derive(Deserialize)]
+struct ErrorBody {
+    name: String,
+    #[serde(default)]
+    not_run: bool,
+}
+
+impl Site {
+    /// Starts a deployment with what `shape` leaves in the options, and waits until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns what cannot be started.
+    pub async fn start(seed: u64, shape: impl FnOnce(&mut Options)) -> Result<Self, String> {
+        let bin_dir = std::env::var_os(BIN_DIR_VARIABLE).map(PathBuf::from);
+        let bin_dir = bin_dir.ok_or_else(|| format!("{BIN_DIR_VARIABLE} is not set"))?;
+        let directory = tempfile::tempdir().map_err(text)?;
+        let mut options = Options::consortium(&bin_dir, directory.path(), seed);
+        (options.entries_per_domain, options.engines_per_domain, options.judges) = (1, 0, 0);
+        (options.weight_store, options.service_kinds) = (false, Vec::new());
+        shape(&mut options);
+        let deployment = Deployment::prepare(options).await.map_err(text)?;
+        let client = Client::new().map_err(text)?;
+        let site = Self { deployment, directory: Some(directory), client };
+        site.deployment.start_all().map_err(text)?;
+        site.ready().await?;
+        Ok(site)
+    }
+
+    /// Waits until every process is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first that is not.
+    pub async fn ready(&self) -> Result<(), String> {
+        self.deployment.wait_ready(READY_TIMEOUT).await.map_err(text)
+    }
+
+    /// Keeps the directory with the logs and names it, for a cell that failed.
+    pub fn keep(&mut self) -> String {
+        self.directory.take().map(|d| d.keep().display().to_string()).unwrap_or_default()
+    }
+
+    /// Names of a kind in their order.
+    pub fn names(&self, kind: Kind) -> Vec<String> {
+        self.deployment.nodes(kind).map(|(name, _)| name.to_owned()).collect()
+    }
+
+    /// Failure domain of a process.
+    pub fn domain(&self, name: &str) -> String {
+        let kinds = [Kind::Control, Kind::Entry, Kind::Service];
+        let mut nodes = kinds.iter().flat_map(|kind| self.deployment.nodes(*kind));
+        nodes.find(|(n, _)| *n == name).map(|(_, node)| node.domain.clone()).unwrap_or_default()
+    }
+
+    fn http(&self, kind: Kind, name: &str) -> String {
+        let mut nodes = self.deployment.nodes(kind);
+        nodes.find(|(n, _)| *n == name).map(|(_, node)| node.http.clone()).unwrap_or_default()
+    }
+
+    /// Arms a fail point; see [`Deployment::arm`].
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system refused.
+    pub fn arm(&self, name: &str, fail_point: &str, action: &str) -> Result<(), String> {
+        self.deployment.arm(name, fail_point, action).map_err(text)
+    }
+
+    /// Waits until an armed fail point is reached.
+    pub async fn reached(&self, name: &str, timeout: Duration) -> bool {
+        wait_for(timeout, async || self.deployment.reached(name)).await
+    }
+
+    /// Starts a process that died at a step, or kills and starts it, with its fail points disarmed.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system refused.
+    pub fn restart(&self, name: &str, data: DataDirectory) -> Result<(), String> {
+        self.deployment.disarm(name).map_err(text)?;
+        self.deployment.restart(name, data).map_err(text)
+    }
+
+    /// Kills a process.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system refused.
+    pub fn kill(&self, name: &str) -> Result<(), String> {
+        self.deployment.kill(name).map_err(text)
+    }
+
+    /// Sends one call through an entry.
+    pub async fn call(
+        &self,
+        entry: &str,
+        profile: &str,
+        request_id: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> Reply {
+        let url = format!("http://{}/v1/call/{profile}", self.http(Kind::Entry, entry));
+        let mut headers = vec![("x-request-id", request_id)];
+        headers.extend(key.map(|key| ("idempotency-key", key)));
+        let body = body.to_owned();
+        match self.client.send(http::Method::POST, &url, &headers, body, CALL_TIMEOUT).await {
+            Ok(answer) if answer.status == 200 => {
+                Reply { status: 200, body: answer.body, name: "ok".into(), not_run: false }
+            }
+            Ok(answer) => {
+                let error = serde_json::from_slice(&answer.body);
+                let error = error.unwrap_or(ErrorBody { name: "no_code".into(), not_run: false });
+                let ErrorBody { name, not_run } = error;
+                Reply { status: answer.status, body: Bytes::new(), name, not_run }
+            }
+            Err(e) => {
+                let name = if matches!(e, ClientError::Timeout) { "timeout" } else { "broken" };
+                Reply { status: 0, body: Bytes::new(), name: name.into(), not_run: false }
+            }
+        }
+    }
+
+    /// Sets faults of a stand-in service.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the service did not take them.
+    pub async fn fault(&self, service: &str, fault: &serde_json::Value) -> Result<(), String> {
+        let url = format!("http://{}/fault", self.http(Kind::Service, service));
+        let answer = self.client.post(&url, fault, STATUS_TIMEOUT).await.map_err(text)?;
+        if answer.status == 200 { Ok(()) } else { Err(format!("fault: {}", answer.status)) }
+    }
+
+    /// Everything that ran on the services.
+    ///
+    /// # Errors
+    ///
+    /// Returns the service whose records cannot be read.
+    pub async fn ran(&self) -> Result<Vec<Run>, String> {
+        let mut runs = Vec::new();
+        for (name, node) in self.deployment.nodes(Kind::Service) {
+            let answer = self.client.get(&format!("http://{}/ran", node.http), CALL_TIMEOUT).await;
+            let ran = answer.and_then(|answer| answer.json::<Ran>());
+            runs.extend(ran.map_err(|e| format!("{name}: {e}"))?.runs);
+        }
+        Ok(runs)
+    }
+
+    /// Waits until an entry answers `/ready` with 200.
+    pub async fn entry_ready(&self, entry: &str, timeout: Duration) -> bool {
+        let url = format!("http://{}/ready", self.http(Kind::Entry, entry));
+        wait_for(timeout, async || {
+            let answer = self.client.get(&url, STATUS_TIMEOUT).await;
+            answer.is_ok_and(|answer| answer.status == 200)
+        })
+        .await
+    }
+
+    /// Client of all control replicas that shares no connection with others.
+    pub fn control(&self) -> ControlClient {
+        self.deployment.control_client()
+    }
+
+    /// Status of one replica.
+    pub async fn status(&self, replica: usize, current: bool) -> Option<inner::StatusReply> {
+        let reply = self.control().status(replica, current, STATUS_TIMEOUT).await.ok()?;
+        (reply.code == ResultCode::Ok.number()).then_some(reply)
+    }
+
+    /// Name of the leader that a quorum confirms.
+    ///
+    /// # Errors
+    ///
+    /// Returns that there is none in time.
+    pub async fn leader(&self) -> Result<String, String> {
+        let started = Instant::now();
+        while started.elapsed() < READY_TIMEOUT {
+            for (at, name) in self.names(Kind::Control).into_iter().enumerate() {
+                if self.deployment.running(&name)
+                    && self.status(at, true).await.is_some_and(|status| status.is_leader)
+                {
+                    return Ok(name);
+                }
+            }
+            sleep(POLL).await;
+        }
+        Err("no leader".into())
+    }
+
+    /// Proposes one order and expects that it is accepted.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal.
+    pub async fn put(&self, order_id: &str, profile: inner::Profile) -> Result<u64, String> {
+        let command =
+            inner::Command { expected_revision: None, kind: Some(Command::PutProfile(profile)) };
+        let reply = self.control().propose(order_id, command, ORDER_TIMEOUT).await;
+        let reply = reply.map_err(|e| format!("{order_id}: {e}"))?;
+        match reply.code {
+            0 => Ok(reply.revision),
+            code => Err(format!("{order_id}: {code} {}", reply.message)),
+        }
+    }
+
+    /// Puts a profile of the local deployment.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal.
+    pub async fn put_named(&self, name: &str) -> Result<u64, String> {
+        let profile = scenario::profiles().into_iter().find(|profile| profile.name == name);
+        self.put(&format!("put-{name}"), profile.ok_or("no such profile")?).await
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn wait_for(timeout: Duration, mut holds: impl AsyncFnMut() -> bool) -> bool {
+    let started = Instant::now();
+    loop {
+        if holds().await {
+            return true;
+        }
+        if started.elapsed() >= timeout {
+            return false;
+        }
+        sleep(POLL).await;
+    }
+}
+
+/// Text of an error.
+pub fn text(e: impl std::fmt::Display) -> String {
+    e.to_string()
+}
