--- a/orioleworks_matrix/src/claims.rs
+++ b/orioleworks_matrix/src/claims.rs
@@ -15,7 +15,7 @@
 };
 use orioleworks_daemon::clock;
 use orioleworks_standins::{
-    deployment::{DataDirectory, Kind},
+    deployment::{DataDirectory, Kind, Options},
     service::Run,
 };
 use rand::{RngExt, rngs::StdRng};
@@ -99,7 +99,11 @@
 /// Returns the invariant that was violated.
 pub async fn run(cell: &Cell) -> Result<Verdict, String> {
     let mut rng = cell.rng();
-    let site = Site::start(cell.seed, |o| o.service_kinds = vec!["booking-portal".into()]).await?;
+    let shape = |o: &mut Options| o.service_kinds = vec!["booking-portal".into()];
+    let site = match Site::start(cell.seed, shape).await {
+        Ok(site) => site,
+        Err(reason) => return Ok(Verdict::NotRun(reason)),
+    };
     site.put_named(PROFILE).await?;
     let at = places(&site, &mut rng);
     sleep(ANNOUNCED).await;
--- a/orioleworks_matrix/src/site.rs
+++ b/orioleworks_matrix/src/site.rs
@@ -24,7 +24,7 @@
 /// Environment variable with the directory of the programs, built with the feature `failpoints`.
 pub const BIN_DIR_VARIABLE: &str = "ORIOLEWORKS_BIN_DIR";
 /// Longest wait for a deployment to be ready.
-const READY_TIMEOUT: Duration = Duration::from_secs(15);
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Longest wait for a caller's answer; longer than the deadline of every profile used.
 const CALL_TIMEOUT: Duration = Duration::from_secs(9);
 /// Longest wait for the result of one order.
