--- a/orioleworks_matrix/src/lib.rs
+++ b/orioleworks_matrix/src/lib.rs
@@ -1,1 +1,7 @@
 //! Harness for the fault matrix: starts real processes with fail points and stops them by ID.
+//!
+//! See `docs/MATRIX.md`.
+
+pub mod cell;
+pub mod claims;
+pub mod site;
--- a/orioleworks_standins/src/relay.rs
+++ b/orioleworks_standins/src/relay.rs
@@ -1,7 +1,7 @@
 //! TCP relay in front of an inner port: counts bytes, and cuts and heals links by the name of the connecting process.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     collections::HashSet,
     io,
     net::SocketAddr,
@@ -27,20 +27,44 @@
 /// Finds the name of the process behind a connection.
 pub type Identify = Rc<dyn Fn(SocketAddr) -> Option<String>>;
 
+/// Connecting process, looked up when a cut asks for it: each look-up reads the machine's table of connections, which
+/// took 25 ms on a busy machine and, at every accept, starved the driver while daemons were connecting.
+struct Source {
+    peer: SocketAddr,
+    identify: Identify,
+    name: OnceCell<String>,
+}
+
+impl Source {
+    fn name(&self) -> &str {
+        self.name.get_or_init(|| (self.identify)(self.peer).unwrap_or_default())
+    }
+}
+
 #[derive(Default)]
 struct Links {
     cut: RefCell<HashSet<String>>,
     all_cut: Cell<bool>,
+    replies_held: Cell<bool>,
+    reset: RefCell<CancellationToken>,
     bytes: Cell<u64>,
 }
 
 impl Links {
-    fn is_cut(&self, source: &str) -> bool {
-        self.all_cut.get() || self.cut.borrow().contains(source)
+    fn is_cut(&self, source: &Source) -> bool {
+        self.all_cut.get()
+            || (!self.cut.borrow().is_empty() && self.cut.borrow().contains(source.name()))
+    }
+
+    async fn pass_reply(&self, source: &Source) {
+        while self.replies_held.get() {
+            compio::time::sleep(CUT_POLL).await;
+        }
+        self.pass(source).await;
     }
 
     /// Waits while the link is cut, as a sender's bytes wait in a partition.
-    async fn pass(&self, source: &str) {
+    async fn pass(&self, source: &Source) {
         while self.is_cut(source) {
             compio::time::sleep(CUT_POLL).await;
         }
@@ -68,6 +92,7 @@
     pub async fn start(address: &str, target: &str, identify: Identify) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let relay = Self { links: Rc::default(), token: CancellationToken::new() };
+        relay.reset_connections();
         let (links, token, target) = (relay.links.clone(), relay.token.clone(), target.to_owned());
         runtime::spawn(async move {
             loop {
@@ -75,8 +100,9 @@
                 let mut cancelled = std::pin::pin!(token.cancelled().fuse());
                 let accepted = select! { accepted = accept => accepted, () = cancelled => return };
                 let Ok((stream, peer)) = accepted else { continue };
-                let source = identify(peer).unwrap_or_default();
-                let (links, token, target) = (links.clone(), token.clone(), target.clone());
+                let source = Source { peer, identify: identify.clone(), name: OnceCell::new() };
+                let (links, target) = (links.clone(), target.clone());
+                let token = links.reset.borrow().clone();
                 runtime::spawn(async move {
                     let mut passed = std::pin::pin!(pass(stream, &target, &source, &links).fuse());
                     let mut cancelled = std::pin::pin!(token.cancelled().fuse());
@@ -107,6 +133,21 @@
         }
     }
 
+    /// Holds back all replies while requests still pass.
+    pub fn hold_replies(&self) {
+        self.links.replies_held.set(true);
+    }
+
+    /// Ends the holding of replies and loses them: every connection is closed with what it holds.
+    pub fn lose_replies(&self) {
+        self.reset_connections();
+        self.links.replies_held.set(false);
+    }
+
+    fn reset_connections(&self) {
+        self.links.reset.replace(self.token.child_token()).cancel();
+    }
+
     /// Bytes in both directions so far.
     pub fn bytes(&self) -> u64 {
         self.links.bytes.get()
@@ -119,21 +160,23 @@
     }
 }
 
-async fn pass(stream: TcpStream, target: &str, source: &str, links: &Links) -> io::Result<()> {
+async fn pass(stream: TcpStream, target: &str, source: &Source, links: &Links) -> io::Result<()> {
     links.pass(source).await;
     let upstream = TcpStream::connect(target).await?;
     stream.set_nodelay(true)?;
     upstream.set_nodelay(true)?;
-    let mut there = std::pin::pin!(pump(stream.clone(), upstream.clone(), source, links).fuse());
-    let mut back = std::pin::pin!(pump(upstream, stream, source, links).fuse());
+    let request = || links.pass(source);
+    let reply = || links.pass_reply(source);
+    let mut there = std::pin::pin!(pump(stream.clone(), upstream.clone(), request, links).fuse());
+    let mut back = std::pin::pin!(pump(upstream, stream, reply, links).fuse());
     // The end of one direction ends the connection; the inner protocol has no half-closed connections.
     select! { ended = there => ended, ended = back => ended }
 }
 
-async fn pump(
+async fn pump<F: Future<Output = ()>>(
     mut from: TcpStream,
     mut to: TcpStream,
-    source: &str,
+    wait: impl Fn() -> F,
     links: &Links,
 ) -> io::Result<()> {
     let mut buf = Vec::with_capacity(BUFFER_BYTES);
@@ -144,7 +187,7 @@
         if count == 0 {
             return to.shutdown().await;
         }
-        links.pass(source).await;
+        wait().await;
         links.bytes.set(links.bytes.get() + count as u64);
         let BufResult(written, slice) = to.write_all(filled.slice(..count)).await;
         written?;
