Stand-in trainer: use the trainer library, with a durable state

The stand-in had its own copy of the trainer's rules, which could drift from the library that users run. It now only supplies the atomic write: library state, samples of the step and report go into one file, from which a restarted process resumes.

The library counts opens, batches and what it ignored, because the stand-in's report shows them.

Tests: the same cases against the same scripted entries. Two changes keep them as strict: the refusal of a reopened step now carries the code that an entry gives (an empty error body was never a valid answer), and the scripted entry answers the publication after the step. The slot of a sample is now also checked for doubles.

--- a/orioleworks_standins/src/bin/standin-trainer.rs
+++ b/orioleworks_standins/src/bin/standin-trainer.rs
@@ -6,6 +6,7 @@
 use orioleworks_standins::{
     host,
     trainer::{TrainerConfig, run},
+    trainer_ledger::CrashAt,
 };
 
 /// Stand-in trainer: runs steps, publishes versions and checks every sample from its text.
@@ -53,6 +54,15 @@
     /// longest time of a step in milliseconds
     #[argh(option, default = "30000")]
     step_deadline_ms: u64,
+    /// longest wait of an entry for a sample in milliseconds
+    #[argh(option, default = "1000")]
+    wait_ms: u64,
+    /// file of the durable state, from which a restarted trainer resumes
+    #[argh(option)]
+    state: Option<PathBuf>,
+    /// crash at the write of a batch, unless the state was there at the start: before:<batch> or after:<batch>
+    #[argh(option)]
+    crash_at: Option<CrashAt>,
     /// file for the report as JSON; standard output without it
     #[argh(option)]
     report: Option<PathBuf>,
@@ -86,6 +96,9 @@
         seed: options.seed,
         train_time: Duration::from_millis(options.train_ms),
         step_deadline: Duration::from_millis(options.step_deadline_ms),
+        wait_ms: options.wait_ms,
+        state: options.state,
+        crash_at: options.crash_at,
     };
     match run(&config).await {
         Ok(report) => {
--- a/orioleworks_standins/src/lib.rs
+++ b/orioleworks_standins/src/lib.rs
@@ -23,5 +23,5 @@
 pub mod settings_files;
 pub mod table;
 pub mod trainer;
-pub mod trainer_client;
+pub mod trainer_ledger;
 pub mod weights;
--- a/orioleworks_standins/src/provenance.rs
+++ b/orioleworks_standins/src/provenance.rs
@@ -19,6 +19,12 @@
     pub tokens: u64,
 }
 
+impl From<&orioleworks_trainer::messages::Span> for Span {
+    fn from(span: &orioleworks_trainer::messages::Span) -> Self {
+        Self { version: span.version, tokens: span.tokens.into() }
+    }
+}
+
 /// What a text proves about its origin.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Provenance {
--- a/orioleworks_standins/src/table.rs
+++ b/orioleworks_standins/src/table.rs
@@ -76,7 +76,7 @@
     let refused = report.delivery;
     table.row(
         "refused batches / samples",
-        format!("{} / {}", refused.refused_batches, refused.refused_samples),
+        format!("{} / {}", refused.ignored_batches, refused.ignored_samples),
     );
 }
 
--- a/orioleworks_standins/src/trainer.rs
+++ b/orioleworks_standins/src/trainer.rs
@@ -2,18 +2,24 @@
 
 use std::{
     collections::HashSet,
+    path::PathBuf,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use orioleworks_daemon::event;
+use orioleworks_trainer::{
+    Trainer,
+    client::{Counts, Options},
+    messages::{Group, Sample, StepRequest},
+};
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    client::{Client, ClientError},
+    client::Client,
     judge,
-    provenance::{self, ProvenanceError},
-    trainer_client::{Delivery, Group, Sample, Step, TrainerClient},
+    provenance::{self, ProvenanceError, Span},
+    trainer_ledger::{self as ledger, CrashAt, Ledger, Shared},
 };
 
 /// What a trainer runs.
@@ -47,6 +53,12 @@
     pub train_time: Duration,
     /// Longest time of a step.
     pub step_deadline: Duration,
+    /// Longest wait of an entry for a sample in milliseconds.
+    pub wait_ms: u64,
+    /// File of the durable state; in memory only without it.
+    pub state: Option<PathBuf>,
+    /// Crash of the first process of the run.
+    pub crash_at: Option<CrashAt>,
 }
 
 /// What the checks of the samples found; all but `samples` must be zero.
@@ -54,7 +66,7 @@
 pub struct Findings {
     /// Samples taken.
     pub samples: u64,
-    /// Samples whose stream was delivered before in another slot.
+    /// Samples whose slot was taken before, or whose stream was delivered in another slot.
     pub doubled: u64,
     /// Slots without a sample.
     pub lost: u64,
@@ -80,7 +92,7 @@
     /// Checks.
     pub findings: Findings,
     /// Opens, batches and refusals.
-    pub delivery: Delivery,
+    pub delivery: Counts,
     /// Staleness of each sample by its text, in versions.
     pub staleness: Vec<u64>,
     /// Attempts of each sample.
@@ -103,6 +115,7 @@
     max_staleness: u64,
     trainer_version: u64,
     streams: HashSet<(String, u32)>,
+    slots: HashSet<(String, u32)>,
 }
 
 impl Checker {
@@ -114,6 +127,7 @@
             max_staleness: cfg.max_staleness,
             trainer_version,
             streams: HashSet::new(),
+            slots: HashSet::new(),
         }
     }
 
@@ -135,11 +149,12 @@
                     return None;
                 }
             };
-        if !self.streams.insert((sample.group.clone(), origin.nonce)) {
-            found.doubled += 1;
-        }
+        let new_slot = self.slots.insert((sample.group.clone(), sample.index));
+        let new_stream = self.streams.insert((sample.group.clone(), origin.nonce));
+        found.doubled += u64::from(!new_slot || !new_stream);
         let true_tokens: u64 = origin.spans.iter().map(|span| span.tokens).sum();
-        if !provenance::same_spans(&origin.spans, &sample.spans) || true_tokens != sample.tokens {
+        let reported: Vec<Span> = sample.spans.iter().map(Span::from).collect();
+        if !provenance::same_spans(&origin.spans, &reported) || true_tokens != sample.tokens {
             found.mislabelled += 1;
         }
         let lowest = origin.spans.iter().map(|span| span.version).min()?;
@@ -161,95 +176,126 @@
         .collect()
 }
 
-/// Runs all steps and publishes a version after each one.
+/// Runs all steps that the durable state does not have yet, and publishes a version after each one.
 ///
 /// # Errors
 ///
-/// Returns why the HTTP client cannot be set up; failures of steps are in the report.
-pub async fn run(cfg: &TrainerConfig) -> Result<TrainerReport, ClientError> {
-    let batch = (cfg.groups * cfg.samples / 4).clamp(1, 64);
-    let mut client = TrainerClient::new(cfg.entries.clone(), &cfg.run, batch)?;
-    let mut report = TrainerReport { steps_wanted: cfg.steps, ..TrainerReport::default() };
+/// Returns why the state cannot be read or the client cannot be set up; failures of steps are in the report.
+pub async fn run(cfg: &TrainerConfig) -> Result<TrainerReport, String> {
+    let ledger = Ledger::open(cfg)?;
+    let options = Options {
+        max_samples: (cfg.groups * cfg.samples / 4).clamp(1, 64) as usize,
+        wait_ms: cfg.wait_ms,
+        patience: cfg.step_deadline,
+    };
+    let state = ledger.borrow().durable.state.clone();
+    let persist = ledger::persist(&ledger);
+    let mut client =
+        Trainer::new(cfg.entries.clone(), state, options, persist).map_err(|e| e.to_string())?;
+    let before = ledger.borrow().durable.report.delivery;
     let started = Instant::now();
-    let mut version = cfg.first_version;
-    for number in 1..=cfg.steps {
+    publish_pending(cfg, &mut client, &ledger).await?;
+    let mut number = ledger.borrow().durable.finished_steps + 1;
+    while number <= cfg.steps {
         // Without the samples there is nothing to train on, so a failed step ends the run.
-        if !run_step(cfg, &mut client, number, version, &mut report).await {
+        if !run_step(cfg, &mut client, number, &ledger).await? {
             break;
         }
         compio::time::sleep(cfg.train_time).await;
-        version += 1;
-        if let Err(e) = publish(cfg, &mut client, version).await {
-            report.failures.push(format!("publish {version}: {e}"));
-        }
+        publish_pending(cfg, &mut client, &ledger).await?;
+        number += 1;
     }
-    report.total_ms = millis(started.elapsed());
+    let mut report = ledger.borrow().durable.report.clone();
+    report.total_ms += millis(started.elapsed());
+    report.delivery = sum(before, client.counts());
     Ok(report)
 }
 
 async fn run_step(
     cfg: &TrainerConfig,
-    client: &mut TrainerClient,
+    client: &mut Trainer,
     number: u64,
-    version: u64,
-    report: &mut TrainerReport,
-) -> bool {
-    let step = Step {
-        step: number,
-        profile: cfg.profile.clone(),
-        model: cfg.model.clone(),
-        trainer_version: version,
-        max_tokens: cfg.max_tokens,
-        groups: groups(cfg, number),
+    ledger: &Shared,
+) -> Result<bool, String> {
+    let step = step_request(cfg, number);
+    let version = ledger.borrow().durable.version;
+    let before = ledger.borrow_mut().start_step(number);
+    let opened = Instant::now();
+    // The client's patience counts from the last answer; the deadline of the step also ends a step without progress.
+    let work = client.run_step(&step, version, |_| ());
+    let result = match compio::time::timeout(cfg.step_deadline, work).await {
+        Ok(result) => result.map_err(|e| e.to_string()),
+        Err(_) => Err("the deadline passed".to_owned()),
     };
-    let mut checker = Checker::new(cfg, version);
-    let (opened, before) = (Instant::now(), report.findings.samples);
-    let deadline = opened + cfg.step_deadline;
-    let result = client
-        .run_step(&step, deadline, |sample| {
-            report.attempts.push(sample.attempts);
-            let group = step.groups.iter().find(|group| group.group == sample.group);
-            let prompt = group.map_or("", |group| group.prompt.as_str());
-            report.staleness.extend(checker.check(prompt, sample, &mut report.findings));
-        })
-        .await;
     let elapsed = millis(opened.elapsed());
+    event!(info, "step_finished", step = number, ms = elapsed, version = version);
+    let wanted = u64::from(cfg.groups) * u64::from(cfg.samples);
+    let mut ledger = ledger.borrow_mut();
+    let report = &mut ledger.durable.report;
     report.idle_ms += elapsed;
     report.step_ms.push(elapsed);
-    let wanted = u64::from(cfg.groups) * u64::from(cfg.samples);
     report.findings.lost += wanted.saturating_sub(report.findings.samples - before);
-    event!(info, "step_finished", step = number, ms = elapsed, version = version);
-    match result {
-        Ok(delivery) => {
-            report.steps += 1;
-            report.delivery.opens += delivery.opens;
-            report.delivery.batches += delivery.batches;
-            report.delivery.refused_batches += delivery.refused_batches;
-            report.delivery.refused_samples += delivery.refused_samples;
-            true
+    if let Err(e) = &result {
+        report.failures.push(format!("step {number}: {e}"));
+    } else {
+        report.steps += 1;
+        ledger.finish_step(number)?;
+    }
+    Ok(result.is_ok())
+}
+
+/// Request of a step.
+pub fn step_request(cfg: &TrainerConfig, number: u64) -> StepRequest {
+    StepRequest {
+        step: number,
+        profile: cfg.profile.clone(),
+        model: cfg.model.clone(),
+        max_tokens: u32::try_from(cfg.max_tokens).unwrap_or(u32::MAX),
+        groups: groups(cfg, number),
+    }
+}
+
+/// Publishes the own version, if the durable state does not say that it is published.
+///
+/// The weights go into the store first, so that engines never wait for weights that are not there.
+async fn publish_pending(
+    cfg: &TrainerConfig,
+    client: &mut Trainer,
+    ledger: &Shared,
+) -> Result<(), String> {
+    const STORE_TIMEOUT: Duration = Duration::from_secs(5);
+    let version = ledger.borrow().durable.version;
+    if version <= ledger.borrow().durable.published {
+        return Ok(());
+    }
+    let order_id = format!("{}-{}-{version}", cfg.run, cfg.model);
+    let publish = async {
+        if let Some(store) = &cfg.weights {
+            let url = format!("http://{store}/v1/models/{}/versions/{version}", cfg.model);
+            let put = http::Method::PUT;
+            let http = Client::new().map_err(|e| e.to_string())?;
+            http.send(put, &url, &[], Bytes::new(), STORE_TIMEOUT)
+                .await
+                .map_err(|e| e.to_string())?;
         }
+        client.publish(&cfg.model, version, &order_id).await.map_err(|e| e.to_string())
+    };
+    match publish.await {
+        Ok(_) => ledger.borrow_mut().published(version),
         Err(e) => {
-            report.failures.push(format!("step {number}: {e}"));
-            false
+            ledger.borrow_mut().durable.report.failures.push(format!("publish {version}: {e}"));
+            Ok(())
         }
     }
 }
 
-/// Puts the weights into the store first, so that engines never wait for weights that are not there.
-async fn publish(
-    cfg: &TrainerConfig,
-    client: &mut TrainerClient,
-    version: u64,
-) -> Result<(), ClientError> {
-    const STORE_TIMEOUT: Duration = Duration::from_secs(5);
-    const PUBLISH_DEADLINE: Duration = Duration::from_secs(15);
-    if let Some(store) = &cfg.weights {
-        let url = format!("http://{store}/v1/models/{}/versions/{version}", cfg.model);
-        let put = http::Method::PUT;
-        Client::new()?.send(put, &url, &[], Bytes::new(), STORE_TIMEOUT).await?;
+fn sum(a: Counts, b: Counts) -> Counts {
+    Counts {
+        opens: a.opens + b.opens,
+        batches: a.batches + b.batches,
+        ignored_batches: a.ignored_batches + b.ignored_batches,
+        ignored_samples: a.ignored_samples + b.ignored_samples,
     }
-    client.publish(&cfg.model, version, Instant::now() + PUBLISH_DEADLINE).await?;
-    Ok(())
 }
 
 fn millis(time: Duration) -> u64 {
--- a/orioleworks_standins/tests/trainer.rs
+++ b/orioleworks_standins/tests/trainer.rs
@@ -2,11 +2,7 @@
 
 mod common;
 
-use std::{
-    cell::RefCell,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use orioleworks_daemon::{
     http::{self, Response},
@@ -14,10 +10,11 @@
 };
 use orioleworks_proto::codes::ResultCode;
 use orioleworks_standins::{
-    provenance::{Span, nonce, sample_tokens, token},
-    trainer::{Checker, Findings, TrainerConfig, groups},
-    trainer_client::{Sample, Step, TrainerClient},
+    provenance::{nonce, sample_tokens, token},
+    trainer::{Checker, Findings, TrainerConfig, groups, run},
+    trainer_ledger::{CrashAt, Durable},
 };
+use orioleworks_trainer::messages::{Sample, Span};
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -38,7 +35,10 @@
         max_staleness: 2,
         seed: 1,
         train_time: Duration::ZERO,
-        step_deadline: Duration::from_secs(10),
+        step_deadline: Duration::from_secs(3),
+        wait_ms: 1000,
+        state: None,
+        crash_at: None,
     }
 }
 
@@ -46,7 +46,7 @@
     let (prompt, own) = (groups(&config(), 1)[0].prompt.clone(), nonce(&index.to_string()));
     let tokens = sample_tokens(&prompt, 1, own, MAX_TOKENS);
     let text = (0..tokens).map(|i| token(&prompt, 1, own, i, version)).collect();
-    let spans = vec![Span { version, tokens }];
+    let spans = vec![Span { version, tokens: u32::try_from(tokens).expect("small") }];
     Sample { group: "0".into(), index, text, tokens, spans, score: None, attempts: 1 }
 }
 
@@ -60,7 +60,11 @@
         let (answers, seen) = (answers.clone(), seen.clone());
         async move {
             let body = http::read_body(req.into_body(), &http::Limits::default()).await;
-            seen.borrow_mut().push(serde_json::from_slice(&body.expect("body")).expect("JSON"));
+            let body: Value = serde_json::from_slice(&body.expect("body")).expect("JSON");
+            if body.get("order_id").is_some() {
+                return http::json(200, &json!({"revision": 1}));
+            }
+            seen.borrow_mut().push(body);
             next(&mut answers.borrow_mut())
         }
     };
@@ -77,6 +81,12 @@
     http::json(status, &body)
 }
 
+/// Refusal that an entry gives for an epoch that is not in force.
+fn stale_epoch() -> (u16, Value) {
+    let code = ResultCode::StaleEpoch;
+    (code.http_status(), json!({"code": code.number(), "message": ""}))
+}
+
 fn opened(epoch: u64) -> (u16, Value) {
     (200, json!({"epoch": epoch, "owner": "", "missing": 3}))
 }
@@ -91,18 +101,6 @@
     (200, body)
 }
 
-fn step() -> Step {
-    let cfg = config();
-    Step {
-        step: 1,
-        profile: cfg.profile.clone(),
-        model: cfg.model.clone(),
-        trainer_version: 5,
-        max_tokens: MAX_TOKENS,
-        groups: groups(&cfg, 1),
-    }
-}
-
 /// Guards against samples taken twice, from an old epoch or from another cursor, and against a reopened step that
 /// runs taken slots again.
 #[rstest]
@@ -112,7 +110,7 @@
 #[case::old_cursor(
     vec![opened(1), batch(1, 0, &[0, 1], false), batch(1, 0, &[2], false), batch(1, 1, &[2], true)], 1, 0)]
 #[case::reopened(
-    vec![opened(1), batch(1, 0, &[0, 1], false), (409, json!({})), opened(2), batch(2, 0, &[2], true)], 0, 0)]
+    vec![opened(1), batch(1, 0, &[0, 1], false), stale_epoch(), opened(2), batch(2, 0, &[2], true)], 0, 0)]
 fn each_slot_is_taken_once(
     #[case] answers: Vec<(u16, Value)>,
     #[case] refused_batches: u64,
@@ -120,14 +118,18 @@
 ) {
     common::run(async {
         let (entry, asked) = start_entry(answers).await;
-        let mut client = TrainerClient::new(vec![entry], "run", 8).expect("client");
-        let mut taken = Vec::new();
-        let deadline = Instant::now() + Duration::from_secs(10);
-        let take = |sample: &Sample| taken.push(sample.index);
-        let delivery = client.run_step(&step(), deadline, take).await.expect("step");
+        let directory = tempfile::tempdir().expect("directory");
+        let state = Some(directory.path().join("state.json"));
+        let cfg = TrainerConfig { entries: vec![entry], state, ..config() };
+        let report = run(&cfg).await.expect("report");
+        let durable = Durable::read(cfg.state.as_deref().expect("path")).expect("state");
+        let samples = durable.expect("state").samples;
+        let taken: Vec<u32> = samples.iter().map(|sample| sample.index).collect();
         assert_eq!(taken, [0, 1, 2]);
-        assert_eq!(delivery.refused_batches, refused_batches);
-        assert_eq!(delivery.refused_samples, refused_samples);
+        assert_eq!(report.steps, 1);
+        assert_eq!(report.findings, Findings { samples: 3, ..Findings::default() });
+        assert_eq!(report.delivery.ignored_batches, refused_batches);
+        assert_eq!(report.delivery.ignored_samples, refused_samples);
         let asked = asked.borrow();
         let opens: Vec<&Value> = asked.iter().filter(|body| body.get("taken").is_some()).collect();
         assert_eq!(opens[0]["last_epoch"], 0);
@@ -135,7 +137,8 @@
             assert_eq!(second["last_epoch"], 1);
             assert_eq!(second["taken"].as_array().map(Vec::len), Some(2));
         }
-        let last = asked.last().expect("acknowledgement");
+        let mut fetches = asked.iter().filter(|body| body.get("cursor").is_some());
+        let last = fetches.next_back().expect("acknowledgement");
         assert!(last["cursor"].as_u64() >= Some(1));
     });
 }
@@ -146,12 +149,23 @@
     common::run(async {
         let answers = vec![opened(1), batch(1, 0, &[0, 1], true)];
         let (entry, _) = start_entry(answers).await;
-        let mut client = TrainerClient::new(vec![entry], "run", 8).expect("client");
-        let deadline = Instant::now() + Duration::from_secs(10);
-        assert!(client.run_step(&step(), deadline, |_| ()).await.is_err());
+        let report =
+            run(&TrainerConfig { entries: vec![entry], ..config() }).await.expect("report");
+        assert_eq!((report.steps, report.findings.lost), (0, 1));
+        assert!(!report.failures.is_empty());
     });
 }
 
+/// Guards against a crash order that is misread, so that a fault test would run without its fault.
+#[rstest]
+#[case("before:2", Some(CrashAt { after: false, batch: 2 }))]
+#[case("after:1", Some(CrashAt { after: true, batch: 1 }))]
+#[case("during:1", None)]
+#[case("after:", None)]
+fn crash_orders_are_read(#[case] text: &str, #[case] expected: Option<CrashAt>) {
+    assert_eq!(text.parse().ok(), expected);
+}
+
 /// Guards against a check that passes samples with wrong labels, of old weights, of other prompts, cut or doubled.
 #[test]
 fn faulty_samples_are_counted() {
--- a/orioleworks_trainer/src/client.rs
+++ b/orioleworks_trainer/src/client.rs
@@ -5,7 +5,7 @@
 use compio::time;
 use orioleworks_daemon::event;
 use orioleworks_proto::codes::ResultCode;
-use serde::{Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{
     error::TrainerError,
@@ -42,6 +42,19 @@
     }
 }
 
+/// What a client has done since it was made.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Times a step was opened.
+    pub opens: u64,
+    /// Batches taken.
+    pub batches: u64,
+    /// Batches ignored because of their epoch, step or cursor.
+    pub ignored_batches: u64,
+    /// Samples ignored because their slot was taken.
+    pub ignored_samples: u64,
+}
+
 /// Client of one run.
 pub struct Trainer {
     pub(crate) http: cyper::Client,
@@ -51,6 +64,7 @@
     state: State,
     persist: Persist,
     owner: Option<String>,
+    counts: Counts,
 }
 
 impl Trainer {
@@ -70,7 +84,16 @@
             return Err(TrainerError::NoEntry);
         }
         let http = cyper::Client::new().map_err(|e| TrainerError::NoAnswer(e.to_string()))?;
-        Ok(Self { http, entries, at: 0, options, state, persist, owner: None })
+        Ok(Self {
+            http,
+            entries,
+            at: 0,
+            options,
+            state,
+            persist,
+            owner: None,
+            counts: Counts::default(),
+        })
     }
 
     /// State that was persisted last.
@@ -78,6 +101,11 @@
         &self.state
     }
 
+    /// What this client has done.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
     /// Address of the entry that owns the open step.
     pub fn owner(&self) -> Option<&str> {
         self.owner.as_deref()
@@ -123,6 +151,7 @@
         }
         let next = self.state.after_open(step.step, opened.epoch);
         self.commit(next, &[])?;
+        self.counts.opens += 1;
         let asked = &self.entries[self.at];
         self.owner = Some(if opened.owner.is_empty() { asked.clone() } else { opened.owner });
         Ok(())
@@ -230,11 +259,14 @@
     fn take(&mut self, batch: &Batch) -> Result<(Vec<Sample>, bool), TrainerError> {
         let Some((next, new)) = self.state.after_batch(batch) else {
             event!(warn, "batch_ignored", epoch = batch.epoch, cursor = batch.cursor);
+            self.counts.ignored_batches += 1;
             return Ok((Vec::new(), false));
         };
         if next != self.state {
             self.commit(next, &new)?;
         }
+        self.counts.batches += u64::from(!batch.samples.is_empty());
+        self.counts.ignored_samples += (batch.samples.len() - new.len()) as u64;
         Ok((new, batch.complete))
     }
 
