--- a/orioleworks_matrix/src/lib.rs
+++ b/orioleworks_matrix/src/lib.rs
@@ -1,1 +1,5 @@
 //! Harness for the fault matrix: starts real processes with fail points and stops them by ID.
+//!
+//! See `docs/MATRIX.md`.
+
+pub mod cell;
