Fail points that a test arms in a running process

FAILPOINTS is read once at the start, so a fault at a step of the current leader could only be had by luck. Builds with the feature failpoints follow a file instead; each armed fail point takes effect once and leaves a mark when it is reached, so that a cell whose fault did not happen is told from one that passed. Relays can lose replies. New fail points: config.before_watch_reply, config.before_apply, config.after_apply.

--- a/orioleworks_control/src/app.rs
+++ b/orioleworks_control/src/app.rs
@@ -41,7 +41,7 @@
     logging::start(&cfg.log.filter);
     abort_on_panic();
     #[cfg(feature = "failpoints")]
-    let _scenario = fail::FailScenario::setup();
+    let _scenario = start_fail_points();
     match Runtime::new() {
         Ok(runtime) => runtime.block_on(serve(cfg)),
         Err(e) => {
@@ -61,6 +61,14 @@
     }));
 }
 
+/// Reads the fail points of the environment and follows those that a test arms later.
+#[cfg(feature = "failpoints")]
+fn start_fail_points() -> fail::FailScenario<'static> {
+    let scenario = fail::FailScenario::setup();
+    orioleworks_daemon::failpoints::follow_file();
+    scenario
+}
+
 async fn serve(cfg: config::Config) -> i32 {
     let handle = metrics::install();
     let token = CancellationToken::new();
--- a/orioleworks_control/src/service.rs
+++ b/orioleworks_control/src/service.rs
@@ -123,6 +123,9 @@
     }
 
     fn watch_reply(&self, applied: u64) -> inner::WatchReply {
+        if self.revision() > applied {
+            fail::fail_point!("config.before_watch_reply");
+        }
         let machine = self.machine.borrow();
         let changes = machine.changes_after(applied);
         let config = changes.is_none().then(|| machine.config());
--- a/orioleworks_daemon/src/lib.rs
+++ b/orioleworks_daemon/src/lib.rs
@@ -4,6 +4,8 @@
 
 pub mod clock;
 pub mod control;
+#[cfg(feature = "failpoints")]
+pub mod failpoints;
 pub mod http;
 pub mod logging;
 pub mod metrics;
--- a/orioleworks_entry/src/app.rs
+++ b/orioleworks_entry/src/app.rs
@@ -366,5 +366,7 @@
         eprintln!("{info}");
         std::process::abort();
     }));
-    fail::FailScenario::setup()
+    let scenario = fail::FailScenario::setup();
+    orioleworks_daemon::failpoints::follow_file();
+    scenario
 }
--- a/orioleworks_entry/src/watch.rs
+++ b/orioleworks_entry/src/watch.rs
@@ -73,6 +73,10 @@
         Ok(Body::WatchReply(reply)) if reply.code == ResultCode::Ok.number() => reply,
         _ => return None,
     };
+    let newer = reply.revision > configuration.revision();
+    if newer {
+        fail::fail_point!("config.before_apply");
+    }
     // A replica that lags behind this entry has nothing to tell it.
     if let Some(config) = reply.config {
         configuration.apply_whole(config);
@@ -82,6 +86,9 @@
     if configuration.revision() >= reply.revision {
         configuration.set_ready();
     }
+    if newer {
+        fail::fail_point!("config.after_apply");
+    }
     if let Some(store) = store
         && !store.save(configuration).await
     {
--- a/orioleworks_standins/src/deployment.rs
+++ b/orioleworks_standins/src/deployment.rs
@@ -41,6 +41,12 @@
     pub relays: bool,
     /// Further arguments of every engine.
     pub engine_args: Vec<String>,
+    /// Kinds of plain services, one of each in each domain.
+    pub service_kinds: Vec<String>,
+    /// Whether there is a weight store.
+    pub weight_store: bool,
+    /// Log entries from one snapshot of control to the next; `None` for the daemon's own value.
+    pub snapshot_entries: Option<u64>,
 }
 
 impl Options {
@@ -56,6 +62,9 @@
             seed,
             relays: true,
             engine_args: Vec::new(),
+            service_kinds: ["sheet-app", "booking-portal"].map(String::from).to_vec(),
+            weight_store: true,
+            snapshot_entries: None,
         }
     }
 }
--- a/orioleworks_standins/src/layout.rs
+++ b/orioleworks_standins/src/layout.rs
@@ -101,7 +101,10 @@
         let data = self.data_directory(&own.name);
         fs::create_dir_all(&data)?;
         let settings = match kind {
-            Kind::Control => settings_files::control(own, &self.controls, &data, bootstrap),
+            Kind::Control => {
+                let snapshot_entries = self.options.snapshot_entries;
+                settings_files::control(own, &self.controls, &data, bootstrap, snapshot_entries)
+            }
             _ => settings_files::entry(own, &self.controls, &self.entries, &data),
         };
         settings_files::write(&self.settings_path(&own.name), &settings)
@@ -115,17 +118,19 @@
 
     fn add_standins(&mut self, ports: &mut Ports) -> io::Result<()> {
         let weights = ports.free()?;
-        let node = Node { kind: Kind::Weights, domain: String::new(), http: weights.clone() };
-        self.add("weights", node, "standin-weights", args(&[("listen", &weights)]));
+        if self.options.weight_store {
+            let node = Node { kind: Kind::Weights, domain: String::new(), http: weights.clone() };
+            self.add("weights", node, "standin-weights", args(&[("listen", &weights)]));
+        }
         for (at, domain) in self.options.domains.clone().iter().enumerate() {
             for number in 1..=self.options.engines_per_domain {
                 let name = format!("scorer-{}{number}", letter(domain));
                 let more = [("kind", "scorer-llm"), ("model", "scorer"), ("weights", &weights)];
                 self.add_upstream(&name, domain, Kind::Engine, "standin-engine", &more, ports)?;
             }
-            for kind in ["sheet-app", "booking-portal"] {
+            for kind in self.options.service_kinds.clone() {
                 let name = format!("{kind}-{}", letter(domain));
-                let more = [("kind", kind)];
+                let more = [("kind", kind.as_str())];
                 self.add_upstream(&name, domain, Kind::Service, "standin-service", &more, ports)?;
             }
             if at < self.options.judges {
@@ -171,6 +176,7 @@
             program: self.options.bin_dir.join(program),
             args,
             output: self.options.directory.join(format!("{name}.log")),
+            env: vec![self.failpoints_variable(name)],
         };
         self.nodes.insert(name.to_owned(), node);
         self.processes.borrow_mut().insert(name.to_owned(), Process::new(spec));
--- a/orioleworks_standins/src/lib.rs
+++ b/orioleworks_standins/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod scenario;
 pub mod service;
 pub mod settings_files;
+pub mod steps;
 pub mod table;
 pub mod trainer;
 pub mod trainer_ledger;
--- a/orioleworks_standins/src/process.rs
+++ b/orioleworks_standins/src/process.rs
@@ -30,6 +30,8 @@
     pub args: Vec<String>,
     /// File that takes both outputs; appended at a restart.
     pub output: PathBuf,
+    /// Environment variables beside the inherited ones.
+    pub env: Vec<(String, String)>,
 }
 
 /// A process by name; it may be stopped.
@@ -72,6 +74,7 @@
         let output = File::options().create(true).append(true).open(&self.spec.output)?;
         let child = Command::new(&self.spec.program)
             .args(&self.spec.args)
+            .envs(self.spec.env.iter().map(|(name, value)| (name, value)))
             .stdin(Stdio::null())
             .stdout(output.try_clone()?)
             .stderr(output)
--- a/orioleworks_standins/src/relay.rs
+++ b/orioleworks_standins/src/relay.rs
@@ -31,6 +31,8 @@
 struct Links {
     cut: RefCell<HashSet<String>>,
     all_cut: Cell<bool>,
+    replies_held: Cell<bool>,
+    reset: RefCell<CancellationToken>,
     bytes: Cell<u64>,
 }
 
@@ -39,6 +41,13 @@
         self.all_cut.get() || self.cut.borrow().contains(source)
     }
 
+    async fn pass_reply(&self, source: &str) {
+        while self.replies_held.get() {
+            compio::time::sleep(CUT_POLL).await;
+        }
+        self.pass(source).await;
+    }
+
     /// Waits while the link is cut, as a sender's bytes wait in a partition.
     async fn pass(&self, source: &str) {
         while self.is_cut(source) {
@@ -68,6 +77,7 @@
     pub async fn start(address: &str, target: &str, identify: Identify) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let relay = Self { links: Rc::default(), token: CancellationToken::new() };
+        relay.reset_connections();
         let (links, token, target) = (relay.links.clone(), relay.token.clone(), target.to_owned());
         runtime::spawn(async move {
             loop {
@@ -76,7 +86,8 @@
                 let accepted = select! { accepted = accept => accepted, () = cancelled => return };
                 let Ok((stream, peer)) = accepted else { continue };
                 let source = identify(peer).unwrap_or_default();
-                let (links, token, target) = (links.clone(), token.clone(), target.clone());
+                let (links, target) = (links.clone(), target.clone());
+                let token = links.reset.borrow().clone();
                 runtime::spawn(async move {
                     let mut passed = std::pin::pin!(pass(stream, &target, &source, &links).fuse());
                     let mut cancelled = std::pin::pin!(token.cancelled().fuse());
@@ -107,6 +118,21 @@
         }
     }
 
+    /// Holds back all replies while requests still pass.
+    pub fn hold_replies(&self) {
+        self.links.replies_held.set(true);
+    }
+
+    /// Ends the holding of replies and loses them: every connection is closed with what it holds.
+    pub fn lose_replies(&self) {
+        self.reset_connections();
+        self.links.replies_held.set(false);
+    }
+
+    fn reset_connections(&self) {
+        self.links.reset.replace(self.token.child_token()).cancel();
+    }
+
     /// Bytes in both directions so far.
     pub fn bytes(&self) -> u64 {
         self.links.bytes.get()
@@ -124,16 +150,18 @@
     let upstream = TcpStream::connect(target).await?;
     stream.set_nodelay(true)?;
     upstream.set_nodelay(true)?;
-    let mut there = std::pin::pin!(pump(stream.clone(), upstream.clone(), source, links).fuse());
-    let mut back = std::pin::pin!(pump(upstream, stream, source, links).fuse());
+    let request = || links.pass(source);
+    let reply = || links.pass_reply(source);
+    let mut there = std::pin::pin!(pump(stream.clone(), upstream.clone(), request, links).fuse());
+    let mut back = std::pin::pin!(pump(upstream, stream, reply, links).fuse());
     // The end of one direction ends the connection; the inner protocol has no half-closed connections.
     select! { ended = there => ended, ended = back => ended }
 }
 
-async fn pump(
+async fn pump<F: Future<Output = ()>>(
     mut from: TcpStream,
     mut to: TcpStream,
-    source: &str,
+    wait: impl Fn() -> F,
     links: &Links,
 ) -> io::Result<()> {
     let mut buf = Vec::with_capacity(BUFFER_BYTES);
@@ -144,7 +172,7 @@
         if count == 0 {
             return to.shutdown().await;
         }
-        links.pass(source).await;
+        wait().await;
         links.bytes.set(links.bytes.get() + count as u64);
         let BufResult(written, slice) = to.write_all(filled.slice(..count)).await;
         written?;
--- a/orioleworks_standins/src/settings_files.rs
+++ b/orioleworks_standins/src/settings_files.rs
@@ -33,17 +33,27 @@
 }
 
 /// Settings of a control replica. `bootstrap` must be false for a replica that lost its directory, because it would
-/// found a second cluster otherwise.
-pub fn control(own: &Daemon, replicas: &[Daemon], directory: &Path, bootstrap: bool) -> Value {
+/// found a second cluster otherwise. `snapshot_entries` of `None` leaves the daemon's own value.
+pub fn control(
+    own: &Daemon,
+    replicas: &[Daemon],
+    directory: &Path,
+    bootstrap: bool,
+    snapshot_entries: Option<u64>,
+) -> Value {
     let replicas: Vec<Value> = replicas
         .iter()
         .map(|r| json!({"name": r.name, "address": r.public_inner, "failure_domain": r.domain}))
         .collect();
+    let mut data = json!({"directory": directory});
+    if let Some(entries) = snapshot_entries {
+        data["snapshot_entries"] = entries.into();
+    }
     json!({
         "instance": own.instance(),
         "listen": own.listen(),
         "cluster": {"bootstrap": bootstrap, "replicas": replicas},
-        "data": {"directory": directory},
+        "data": data,
         "log": {"filter": "info"},
     })
 }
