--- /dev/null
+++ b/orioleworks_matrix/src/http_relay.rs
@@ -0,0 +1,120 @@
+//! HTTP relay between a trainer and an entry that can lose a response after the entry has sent it.
+
+use std::{cell::Cell, io, rc::Rc};
+
+use compio::{
+    BufResult,
+    io::{AsyncRead, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    runtime,
+};
+use futures_util::{FutureExt, select};
+
+/// Relays in front of the entries.
+pub struct HttpRelays {
+    /// Address of each relay, in the order of the entries.
+    pub addresses: Vec<String>,
+    state: Rc<State>,
+}
+
+struct State {
+    /// Addresses of entry and relay.
+    pairs: Vec<(String, String)>,
+    lose: Cell<u32>,
+    lost: Cell<u32>,
+}
+
+impl HttpRelays {
+    /// Starts a relay in front of each entry.
+    ///
+    /// Responses name the owner of a run by its own address, so the relays replace entry addresses by their own; all
+    /// ports must have the same number of digits, because the length of a body must not change.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system refused, or ports of different lengths.
+    pub async fn start(entries: &[String]) -> io::Result<Self> {
+        let (mut listeners, mut pairs) = (Vec::new(), Vec::new());
+        for entry in entries {
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            let address = listener.local_addr()?.to_string();
+            if address.len() != entry.len() {
+                return Err(io::Error::other(format!("{address} and {entry} differ in length")));
+            }
+            pairs.push((entry.clone(), address));
+            listeners.push(listener);
+        }
+        let addresses = pairs.iter().map(|(_, relay)| relay.clone()).collect();
+        let state = Rc::new(State { pairs, lose: Cell::new(0), lost: Cell::new(0) });
+        for (listener, entry) in listeners.into_iter().zip(entries) {
+            runtime::spawn(accept(listener, entry.clone(), state.clone())).detach();
+        }
+        Ok(Self { addresses, state })
+    }
+
+    /// Loses the next response of any entry and closes its connection.
+    pub fn lose_next(&self) {
+        self.state.lose.set(self.state.lose.get() + 1);
+    }
+
+    /// Responses lost so far.
+    pub fn lost(&self) -> u32 {
+        self.state.lost.get()
+    }
+}
+
+async fn accept(listener: TcpListener, entry: String, state: Rc<State>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let (entry, state) = (entry.clone(), state.clone());
+        runtime::spawn(async move {
+            // A refused or broken connection of the entry closes the trainer's, which is all that it can notice.
+            drop(pass(stream, &entry, &state).await);
+        })
+        .detach();
+    }
+}
+
+async fn pass(stream: TcpStream, entry: &str, state: &State) -> io::Result<()> {
+    let upstream = TcpStream::connect(entry).await?;
+    stream.set_nodelay(true)?;
+    upstream.set_nodelay(true)?;
+    let mut there = std::pin::pin!(pump(stream.clone(), upstream.clone(), None).fuse());
+    let mut back = std::pin::pin!(pump(upstream, stream, Some(state)).fuse());
+    select! { ended = there => ended, ended = back => ended }
+}
+
+async fn pump(mut from: TcpStream, mut to: TcpStream, state: Option<&State>) -> io::Result<()> {
+    const BUFFER_BYTES: usize = 64 * 1024;
+    let mut buf = Vec::with_capacity(BUFFER_BYTES);
+    loop {
+        buf.clear();
+        let BufResult(read, mut filled) = from.read(buf).await;
+        if read? == 0 {
+            return Ok(());
+        }
+        if let Some(state) = state {
+            if state.lose.get() > 0 {
+                state.lose.set(state.lose.get() - 1);
+                state.lost.set(state.lost.get() + 1);
+                return Ok(());
+            }
+            state.pairs.iter().for_each(|(entry, relay)| replace(&mut filled, entry, relay));
+        }
+        let BufResult(written, slice) = to.write_all(filled).await;
+        written?;
+        buf = slice;
+    }
+}
+
+fn replace(bytes: &mut [u8], from: &str, to: &str) {
+    let mut at = 0;
+    while at + from.len() <= bytes.len() {
+        if bytes[at..].starts_with(from.as_bytes()) {
+            bytes[at..at + to.len()].copy_from_slice(to.as_bytes());
+            at += to.len();
+        } else {
+            at += 1;
+        }
+    }
+}
--- a/orioleworks_matrix/src/lib.rs
+++ b/orioleworks_matrix/src/lib.rs
@@ -3,3 +3,10 @@
 //! See `docs/MATRIX.md`.
 
 pub mod cell;
+pub mod http_relay;
+pub mod poison;
+pub mod samples;
+pub mod stops;
+pub mod swaps;
+pub mod traffic;
+pub mod verdicts;
--- /dev/null
+++ b/orioleworks_matrix/src/poison.rs
@@ -0,0 +1,244 @@
+//! Cells of requests that crash each upstream that runs them; see `docs/MATRIX-samples.md`.
+
+use std::{
+    cell::RefCell,
+    path::PathBuf,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use futures_util::future::join_all;
+use orioleworks_proto::codes::ResultCode;
+use orioleworks_standins::{
+    client::Client,
+    deployment::{DataDirectory, Deployment, Kind},
+    layout::args,
+};
+use rand::{RngExt, rngs::StdRng};
+
+use crate::{
+    cell::Verdict,
+    traffic::{self, Call},
+    verdicts::{self, Place, text},
+};
+
+/// Content that crashes an engine.
+const MARKER: &str = "crash-this-engine";
+/// Engines in each failure domain, as many as the consortium has.
+const ENGINES: usize = 4;
+/// Upstreams that one request may cost.
+const MOST_LOST: usize = 2;
+/// Longest time of a refusal that is called immediate.
+const AT_ONCE: Duration = Duration::from_millis(500);
+/// Time within which every entry knows a quarantine.
+const KNOWN_WITHIN: Duration = Duration::from_secs(2);
+/// Longest time in which the caller repeats its request until it is refused for good.
+const REPEATING: Duration = Duration::from_secs(20);
+
+/// How the caller repeats its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Caller {
+    /// Through one entry, each time after the answer.
+    OneEntry,
+    /// Through the entries in turn, each time after the answer.
+    EachEntryInTurn,
+    /// Through all entries of one failure domain at once.
+    WholeDomainAtOnce,
+    /// Through all entries of all failure domains at once.
+    AllEntriesAtOnce,
+}
+
+/// What else happens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing else.
+    None,
+    /// The first entry dies after the first crash and is started again.
+    EntryKill,
+    /// The control leader stands still from the first crash on, for 4 s.
+    LeaderPause,
+}
+
+/// Runs the cell of a caller and a fault.
+pub fn run(caller: Caller, fault: Fault) {
+    let row = match caller {
+        Caller::OneEntry => "repeat.one_entry",
+        Caller::EachEntryInTurn => "repeat.each_entry_in_turn",
+        Caller::WholeDomainAtOnce => "repeat.whole_domain_at_once",
+        Caller::AllEntriesAtOnce => "repeat.all_entries_at_once",
+    };
+    let column = match fault {
+        Fault::None => "engine_crash",
+        Fault::EntryKill => "engine_crash+kill",
+        Fault::LeaderPause => "engine_crash+leader_pause",
+    };
+    let place = Place::new("poison", row, column);
+    verdicts::run(place, |directory| poison(place, caller, fault, directory));
+}
+
+/// Runs the cell in which a whole failure domain of engines dies with innocent requests in flight.
+pub fn run_domain_loss() {
+    let place = Place::new("poison", "innocent_in_flight", "domain_loss");
+    verdicts::run(place, |directory| domain_loss(place, directory));
+}
+
+async fn start(place: Place, directory: PathBuf) -> Result<Deployment, String> {
+    let mut options = verdicts::small(&directory, place.seed)?;
+    options.engines_per_domain = ENGINES;
+    options.entries_per_domain = 2;
+    let faults = format!(r#"{{"crash_marker": "{MARKER}"}}"#);
+    options.engine_args = args(&[("fault", &faults), ("prefill-ms", "100")]);
+    let deployment = Deployment::prepare(options).await.map_err(text)?;
+    traffic::bring_up(&deployment, 2).await?;
+    Ok(deployment)
+}
+
+fn lost(deployment: &Deployment) -> Vec<String> {
+    let engines = deployment.nodes(Kind::Engine).map(|(name, _)| name);
+    engines.filter(|name| !deployment.running(name)).map(String::from).collect()
+}
+
+async fn poison(
+    place: Place,
+    caller: Caller,
+    fault: Fault,
+    directory: PathBuf,
+) -> Result<Verdict, String> {
+    let mut rng = place.rng();
+    let deployment = start(place, directory).await?;
+    let entries = order_entries(&deployment, caller, &mut rng);
+    let client = Client::new().map_err(text)?;
+    let prompt = format!("{MARKER} {}", place.seed);
+    let refused = Rc::new(RefCell::new(Vec::new()));
+    let started = Instant::now();
+    let repeating = async {
+        let mut turn = 0;
+        while started.elapsed() < REPEATING && refused.borrow().is_empty() {
+            let at_once = matches!(caller, Caller::WholeDomainAtOnce | Caller::AllEntriesAtOnce);
+            let now = match at_once {
+                true => entries.as_slice(),
+                false => std::slice::from_ref(&entries[turn % entries.len()]),
+            };
+            let calls = now.iter().map(|(_, entry)| traffic::call(&client, entry, &prompt, 8, 0));
+            let answers = join_all(calls).await;
+            let quarantined = answers.into_iter().filter(|c| c.has(ResultCode::Quarantined));
+            refused.borrow_mut().extend(quarantined);
+            turn += 1;
+            // A caller that repeats at once; the pause only keeps a dead entry from being asked in a busy loop.
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let disturbing = disturb(&deployment, fault, &entries[0].0);
+    let ((), disturbed) = futures_util::future::join(repeating, disturbing).await;
+    disturbed?;
+    let until_refused = started.elapsed();
+    if refused.borrow().is_empty() {
+        let lost = lost(&deployment);
+        return Err(format!("never refused for good; lost upstreams: {lost:?}"));
+    }
+    compio::time::sleep(KNOWN_WITHIN).await;
+    let mut late = Vec::new();
+    for (name, entry) in traffic::entries(&deployment) {
+        for _ in 0..3 {
+            let call = traffic::call(&client, &entry, &prompt, 8, 0).await;
+            if !call.has(ResultCode::Quarantined) || call.took > AT_ONCE {
+                late.push(format!("{name}: {} after {:?}", call.reason, call.took));
+            }
+        }
+    }
+    let lost = lost(&deployment);
+    if lost.len() > MOST_LOST || !late.is_empty() {
+        return Err(format!("lost upstreams: {lost:?}; not refused at once: {late:?}"));
+    }
+    Ok(Verdict::Passed(format!(
+        "lost={} refused_after_ms={}",
+        lost.len(),
+        until_refused.as_millis()
+    )))
+}
+
+/// Entries through which the caller sends its request.
+fn order_entries(
+    deployment: &Deployment,
+    caller: Caller,
+    rng: &mut StdRng,
+) -> Vec<(String, String)> {
+    let mut entries = traffic::entries(deployment);
+    let first = rng.random_range(0..entries.len());
+    entries.rotate_left(first);
+    let domain = |name: &str| name.chars().rev().nth(1);
+    let own = domain(&entries[0].0);
+    match caller {
+        Caller::OneEntry => entries.truncate(1),
+        Caller::WholeDomainAtOnce => entries.retain(|(name, _)| domain(name) == own),
+        Caller::EachEntryInTurn | Caller::AllEntriesAtOnce => {}
+    }
+    entries
+}
+
+async fn disturb(deployment: &Deployment, fault: Fault, entry: &str) -> Result<(), String> {
+    if fault == Fault::None {
+        return Ok(());
+    }
+    if !verdicts::wait_for(REPEATING, || !lost(deployment).is_empty()).await {
+        return Err("no upstream crashed".into());
+    }
+    match fault {
+        Fault::None => Ok(()),
+        Fault::EntryKill => {
+            // After the crash was noticed by the entry and before the request may run again.
+            compio::time::sleep(Duration::from_millis(300)).await;
+            deployment.restart(entry, DataDirectory::Same).map_err(text)
+        }
+        Fault::LeaderPause => {
+            let leader = verdicts::leader(deployment).await.ok_or("no control leader")?;
+            deployment.pause(&leader).map_err(text)?;
+            compio::time::sleep(Duration::from_secs(4)).await;
+            deployment.resume(&leader).map_err(text)
+        }
+    }
+}
+
+async fn domain_loss(place: Place, directory: PathBuf) -> Result<Verdict, String> {
+    const CALLS: usize = 12;
+    let deployment = start(place, directory).await?;
+    let domain = ["a", "b", "c"][place.rng().random_range(0..3)];
+    let own = |name: &str| name.chars().rev().nth(1).is_some_and(|c| domain.starts_with(c));
+    let entries: Vec<String> =
+        traffic::entries(&deployment).into_iter().filter(|(n, _)| own(n)).map(|(_, a)| a).collect();
+    let client = Client::new().map_err(text)?;
+    let prompt = |number: usize| format!("innocent {number}");
+    let seed = place.seed;
+    // Longer than the time until the engines die, so that each request is in flight then.
+    let first = (0..CALLS).map(|n| {
+        let (client, entry) = (client.clone(), entries[n % entries.len()].clone());
+        async move { traffic::call(&client, &entry, &prompt(n), 200, seed).await }
+    });
+    let killing = async {
+        compio::time::sleep(Duration::from_millis(350)).await;
+        let engines = deployment.nodes(Kind::Engine).map(|(name, _)| name).filter(|n| own(n));
+        engines.map(|name| deployment.kill(name).map_err(text)).collect::<Result<Vec<()>, _>>()
+    };
+    let (first, killed) = futures_util::future::join(join_all(first), killing).await;
+    if killed?.len() != ENGINES {
+        return Ok(Verdict::NotRun("not every engine was killed".into()));
+    }
+    let mut refused: Vec<Call> =
+        first.into_iter().filter(|c| c.has(ResultCode::Quarantined)).collect();
+    let repeats = (0..CALLS).flat_map(|n| entries.iter().map(move |entry| (n, entry.clone())));
+    let repeats = join_all(repeats.map(|(n, entry)| {
+        let client = client.clone();
+        async move { traffic::call(&client, &entry, &prompt(n), 200, seed).await }
+    }));
+    let repeats = repeats.await;
+    let good = repeats.iter().filter(|call| call.is_good()).count();
+    refused.extend(repeats.into_iter().filter(|call| call.has(ResultCode::Quarantined)));
+    if !refused.is_empty() || good != CALLS * entries.len() {
+        let wanted = CALLS * entries.len();
+        return Err(format!(
+            "{} innocent requests refused; {good} of {wanted} repeats ran",
+            refused.len()
+        ));
+    }
+    Ok(Verdict::Passed(format!("repeats={good}")))
+}
--- /dev/null
+++ b/orioleworks_matrix/src/samples.rs
@@ -0,0 +1,328 @@
+//! Cells of sample delivery: a fault at a step of the owner or of the trainer; see `docs/MATRIX-samples.md`.
+
+use std::{
+    collections::BTreeSet,
+    path::{Path, PathBuf},
+    time::{Duration, Instant},
+};
+
+use orioleworks_proto::{codes::ResultCode, inner};
+use orioleworks_standins::{
+    deployment::{DataDirectory, Deployment, Kind},
+    layout::args,
+    provenance, scenario,
+    trainer::TrainerReport,
+    trainer_ledger::Durable,
+};
+use rand::{RngExt, seq::SliceRandom};
+
+use crate::{
+    cell::Verdict,
+    http_relay::HttpRelays,
+    verdicts::{self, Place, text},
+};
+
+/// Steps of a run. The second one needs the version that is published after the first.
+const STEPS: u64 = 2;
+/// Groups in a step.
+const GROUPS: u32 = 4;
+/// Samples in a group.
+const SAMPLES: u32 = 4;
+/// Longest sample in tokens.
+const MAX_TOKENS: u64 = 48;
+/// Staleness bound; with 0, each sample of the second step must come from the new version.
+const MAX_STALENESS: u32 = 0;
+/// Time for which a paused process stands still; above the two waits after which the trainer takes an owner as lost.
+const PAUSE: Duration = Duration::from_millis(6500);
+/// Time for which a process or link is away.
+const AWAY: Duration = Duration::from_secs(1);
+/// Time for which a cut link or a paused control leader is away.
+const LONG_AWAY: Duration = Duration::from_secs(4);
+/// Longest wait for a fault to happen.
+const REACH: Duration = Duration::from_secs(10);
+/// Longest time from the fault to the end of both steps, beyond the length of a pause.
+const RECOVERY: Duration = Duration::from_secs(10);
+
+/// Fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The owner dies and is started again.
+    OwnerKill,
+    /// The owner stands still until after its run was reopened elsewhere, then goes on.
+    OwnerPause,
+    /// The trainer loses a response.
+    LostResponse,
+    /// The trainer dies and is started again.
+    TrainerKill,
+    /// The owner is cut off from every control replica.
+    OwnerPartition,
+    /// An engine that runs samples dies and is started again.
+    EngineKill,
+    /// The owner dies, and the new owner at the same step.
+    BothOwnersKill,
+    /// The owner dies while the control leader stands still.
+    OwnerKillLeaderPause,
+}
+
+impl Fault {
+    fn name(self) -> &'static str {
+        match self {
+            Self::OwnerKill => "kill",
+            Self::OwnerPause => "pause",
+            Self::LostResponse => "lost_response",
+            Self::TrainerKill => "trainer_kill",
+            Self::OwnerPartition => "partition",
+            Self::EngineKill => "engine_kill",
+            Self::BothOwnersKill => "kill+kill",
+            Self::OwnerKillLeaderPause => "kill+leader_pause",
+        }
+    }
+}
+
+/// Runs the cell of a step and a fault. Rows `trainer.before_persist` and `trainer.after_persist` are steps of the
+/// trainer, at which it dies together with the fault; the others are fail points of the owner.
+pub fn run(row: &'static str, fault: Fault) {
+    let place = Place::new("samples", row, fault.name());
+    verdicts::run(place, |directory| async move { cell(place, fault, directory).await });
+}
+
+struct Site {
+    deployment: Deployment,
+    relays: HttpRelays,
+    /// Entries in the order in which the trainer tries them.
+    entries: Vec<String>,
+    directory: PathBuf,
+    seed: u64,
+}
+
+async fn cell(place: Place, fault: Fault, directory: PathBuf) -> Result<Verdict, String> {
+    let mut rng = place.rng();
+    let site = Site::start(place, &directory, &mut rng).await?;
+    let trainer_row = place.row.starts_with("trainer.");
+    // An open happens once in a step; the other steps are reached many times.
+    let late = !trainer_row && place.row != "runs.after_open" && rng.random_bool(0.5);
+    let delay = Duration::from_millis(if late { rng.random_range(50..300) } else { 0 });
+    let engine = rng.random_range(1..=2);
+    if delay.is_zero() && !trainer_row {
+        site.arm(place.row, fault)?;
+    }
+    site.deployment.start("trainer").map_err(text)?;
+    if !delay.is_zero() {
+        compio::time::sleep(delay).await;
+        site.arm(place.row, fault)?;
+    }
+    let (deployment, owner) = (&site.deployment, site.entries[0].as_str());
+    let reached = || match trainer_row {
+        true => !deployment.running("trainer"),
+        false => deployment.reached(owner),
+    };
+    if !verdicts::wait_for(REACH, reached).await {
+        return Ok(Verdict::NotRun(format!("{} was not reached", place.row)));
+    }
+    let began = Instant::now();
+    site.apply(fault, trainer_row, engine).await?;
+    let limit = RECOVERY + if fault == Fault::OwnerPause { PAUSE } else { Duration::ZERO };
+    let code = deployment.wait_end("trainer", limit.saturating_sub(began.elapsed())).await;
+    let took = began.elapsed();
+    if code.map_err(text)? != Some(0) {
+        return Err(format!("the run did not complete within {limit:?} after the fault"));
+    }
+    site.check()?;
+    Ok(Verdict::Passed(format!("recovery_ms={}", took.as_millis())))
+}
+
+impl Site {
+    async fn start(
+        place: Place,
+        directory: &Path,
+        rng: &mut rand::rngs::StdRng,
+    ) -> Result<Self, String> {
+        let mut options = verdicts::small(directory, place.seed)?;
+        options.engine_args = args(&[("token-us", "6000")]);
+        let mut deployment = Deployment::prepare(options).await.map_err(text)?;
+        let mut nodes: Vec<(String, String)> =
+            deployment.nodes(Kind::Entry).map(|(n, node)| (n.into(), node.http.clone())).collect();
+        nodes.shuffle(rng);
+        let (entries, addresses): (Vec<String>, Vec<String>) = nodes.into_iter().unzip();
+        let relays = HttpRelays::start(&addresses).await.map_err(text)?;
+        let mut list = args(&[
+            ("entries", &relays.addresses.join(",")),
+            ("run", "nightly"),
+            ("steps", &STEPS.to_string()),
+            ("groups", &GROUPS.to_string()),
+            ("samples", &SAMPLES.to_string()),
+            ("max-tokens", &MAX_TOKENS.to_string()),
+            ("max-staleness", &MAX_STALENESS.to_string()),
+            ("seed", &place.seed.to_string()),
+            ("train-ms", "50"),
+            ("wait-ms", "400"),
+            ("step-deadline-ms", "25000"),
+            ("state", &directory.join("state.json").display().to_string()),
+            ("report", &directory.join("report.json").display().to_string()),
+        ]);
+        if let Some(step) = place.row.strip_prefix("trainer.") {
+            let when = if step == "before_persist" { "before" } else { "after" };
+            list.extend(args(&[("crash-at", &format!("{when}:{}", rng.random_range(1..=3)))]));
+        }
+        deployment.add_client("trainer", "standin-trainer", list);
+        deployment.start_all().map_err(text)?;
+        deployment.wait_ready(Duration::from_secs(15)).await.map_err(text)?;
+        let site =
+            Self { deployment, relays, entries, directory: directory.into(), seed: place.seed };
+        site.put_profile().await?;
+        Ok(site)
+    }
+
+    async fn put_profile(&self) -> Result<(), String> {
+        let profiles = scenario::profiles().into_iter();
+        let scorer = profiles.filter(|profile| profile.name == "scorer").map(|profile| {
+            inner::Profile { judge_kind: String::new(), max_staleness: MAX_STALENESS, ..profile }
+        });
+        for profile in scorer {
+            let kind = Some(inner::command::Kind::PutProfile(profile));
+            let command = inner::Command { expected_revision: Some(0), kind };
+            let control = self.deployment.control_client();
+            let reply = control.propose("profile-scorer", command, Duration::from_secs(10)).await;
+            let reply = reply.map_err(text)?;
+            if reply.code != ResultCode::Ok.number() {
+                return Err(format!("profile refused: {} {}", reply.code, reply.message));
+            }
+        }
+        // The trainer takes an unknown profile as a refusal of this entry, so a wait saves a few attempts only.
+        compio::time::sleep(Duration::from_millis(300)).await;
+        Ok(())
+    }
+
+    /// Arms the fail point of the owner; faults from outside only need to know when it is reached.
+    fn arm(&self, row: &str, fault: Fault) -> Result<(), String> {
+        let pause = format!("sleep({})", PAUSE.as_millis());
+        let action = match fault {
+            Fault::OwnerKill | Fault::BothOwnersKill | Fault::OwnerKillLeaderPause => "panic",
+            Fault::OwnerPause => &pause,
+            _ => "sleep(60)",
+        };
+        if fault == Fault::BothOwnersKill {
+            self.deployment.arm(&self.entries[1], row, action).map_err(text)?;
+        }
+        self.deployment.arm(&self.entries[0], row, action).map_err(text)
+    }
+
+    /// Applies what the fail point does not do itself, and ends the fault after its time.
+    async fn apply(&self, fault: Fault, trainer_row: bool, engine: u32) -> Result<(), String> {
+        let (deployment, owner) = (&self.deployment, self.entries[0].as_str());
+        if trainer_row {
+            self.apply_to_entries(fault).await?;
+        }
+        match fault {
+            Fault::OwnerPause if !trainer_row => {}
+            Fault::OwnerPause => {
+                deployment.start("trainer").map_err(text)?;
+                compio::time::sleep(PAUSE).await;
+                deployment.resume(owner).map_err(text)?;
+            }
+            Fault::LostResponse => self.relays.lose_next(),
+            Fault::TrainerKill => deployment.kill("trainer").map_err(text)?,
+            Fault::OwnerPartition => {
+                let control: Vec<&str> = deployment.nodes(Kind::Control).map(|n| n.0).collect();
+                control.iter().for_each(|name| deployment.cut(owner, name));
+                deployment.start("trainer").map_err(text)?;
+                compio::time::sleep(LONG_AWAY).await;
+                control.iter().for_each(|name| deployment.heal(owner, name));
+            }
+            Fault::EngineKill => {
+                let domain = owner.chars().rev().nth(1).unwrap_or('a');
+                let engine = format!("scorer-{domain}{engine}");
+                deployment.kill(&engine).map_err(text)?;
+                deployment.start("trainer").map_err(text)?;
+                compio::time::sleep(AWAY).await;
+                deployment.start(&engine).map_err(text)?;
+            }
+            Fault::OwnerKill | Fault::BothOwnersKill => {
+                deployment.start("trainer").map_err(text)?;
+                compio::time::sleep(AWAY).await;
+                self.restart(owner)?;
+            }
+            Fault::OwnerKillLeaderPause => {
+                let leader = verdicts::leader(deployment).await.ok_or("no control leader")?;
+                deployment.pause(&leader).map_err(text)?;
+                deployment.start("trainer").map_err(text)?;
+                compio::time::sleep(LONG_AWAY).await;
+                deployment.resume(&leader).map_err(text)?;
+                self.restart(owner)?;
+            }
+        }
+        if fault == Fault::BothOwnersKill {
+            let second = self.entries[1].as_str();
+            let died = || !deployment.running(second);
+            if !verdicts::wait_for(REACH, died).await {
+                return Err("the second owner did not reach the step".into());
+            }
+            self.restart(second)?;
+        }
+        deployment.start("trainer").map_err(text)
+    }
+
+    /// Faults of the entries beside the death of the trainer, which fail points of entries cannot do.
+    async fn apply_to_entries(&self, fault: Fault) -> Result<(), String> {
+        let deployment = &self.deployment;
+        match fault {
+            Fault::OwnerKill | Fault::BothOwnersKill | Fault::OwnerKillLeaderPause => {
+                deployment.kill(&self.entries[0]).map_err(text)?;
+                if fault == Fault::BothOwnersKill {
+                    deployment.kill(&self.entries[1]).map_err(text)?;
+                }
+                Ok(())
+            }
+            Fault::OwnerPause => deployment.pause(&self.entries[0]).map_err(text),
+            _ => Ok(()),
+        }
+    }
+
+    fn restart(&self, entry: &str) -> Result<(), String> {
+        self.deployment.disarm(entry).map_err(text)?;
+        self.deployment.restart(entry, DataDirectory::Same).map_err(text)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let path = self.directory.join("report.json");
+        let report = std::fs::read(path).map_err(text)?;
+        let report: TrainerReport = serde_json::from_slice(&report).map_err(text)?;
+        let wanted = STEPS * u64::from(GROUPS) * u64::from(SAMPLES);
+        let found = report.findings;
+        let expected =
+            orioleworks_standins::trainer::Findings { samples: wanted, ..Default::default() };
+        if found != expected || report.steps != STEPS || !report.failures.is_empty() {
+            return Err(format!("{found:?}, {} steps, {:?}", report.steps, report.failures));
+        }
+        let durable = Durable::read(&self.directory.join("state.json"))?.ok_or("no state")?;
+        check_state(&durable, self.seed)
+    }
+}
+
+/// Checks the samples of the last step apart from the trainer's own findings.
+fn check_state(durable: &Durable, seed: u64) -> Result<(), String> {
+    let slots: Vec<(String, u32)> =
+        (0..GROUPS).flat_map(|g| (0..SAMPLES).map(move |i| (g.to_string(), i))).collect();
+    let mut held: Vec<(String, u32)> =
+        durable.samples.iter().map(|s| (s.group.clone(), s.index)).collect();
+    held.sort();
+    if held != slots || durable.state.taken != slots.into_iter().collect::<BTreeSet<_>>() {
+        return Err(format!("slots in the state: {held:?}"));
+    }
+    let (run, step) = (&durable.state.run, durable.state.step);
+    for sample in &durable.samples {
+        let prompt = format!("{run} {seed} step {step} group {}", sample.group);
+        let origin = provenance::verify_whole(&prompt, seed, MAX_TOKENS, &sample.text);
+        let spans: Vec<provenance::Span> = sample.spans.iter().map(Into::into).collect();
+        let origin = origin.map_err(text)?;
+        if !provenance::same_spans(&origin.spans, &spans) {
+            return Err(format!("{}/{}: {spans:?}", sample.group, sample.index));
+        }
+        // The version of the trainer in step n is n, because it starts at 1 and rises with each step.
+        let lowest = origin.spans.iter().map(|span| span.version).min().unwrap_or(0);
+        if step.saturating_sub(lowest) > u64::from(MAX_STALENESS) {
+            return Err(format!("{}/{} is of version {lowest}", sample.group, sample.index));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/orioleworks_matrix/src/swaps.rs
@@ -0,0 +1,298 @@
+//! Cells of weight orders; see `docs/MATRIX-samples.md`.
+
+use std::{
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use orioleworks_standins::{
+    client::Client,
+    deployment::{DataDirectory, Deployment, Kind},
+    layout::args,
+    trainer::{Findings, TrainerReport},
+};
+use rand::RngExt;
+use serde_json::{Value, json};
+
+use crate::{
+    cell::Verdict,
+    traffic,
+    verdicts::{self, Place, text},
+};
+
+/// Time after the end of the fault within which every engine runs the desired version.
+const CONVERGENCE: Duration = Duration::from_secs(6);
+/// Pause of a lease holder; longer than the lease (3 s) and the wait of its successor (4 s after its grant).
+const PAUSE: Duration = Duration::from_millis(9000);
+/// Longest wait for a fault to happen.
+const REACH: Duration = Duration::from_secs(8);
+/// Samples of the trainer.
+const WANTED: u64 = 2 * 8 * 4;
+
+/// Fault during a swap.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// None; the swap takes place while samples stream.
+    MidStream,
+    /// Two swaps of one engine fail.
+    FailedSwap,
+    /// One engine swaps late.
+    LateSwap,
+    /// One engine dies during its swap and is started again on its old version.
+    EngineRestart,
+    /// The lease holder dies at a step.
+    HolderKill,
+    /// The lease holder stands still at a step until another entry has ordered, then sends its old order.
+    HolderPause,
+}
+
+/// Runs the cell of a fault; `row` is the fail point of the lease holder, or the engine's swap.
+pub fn run(row: &'static str, fault: Fault, ignore_fencing: bool) {
+    let column = match (fault, ignore_fencing) {
+        (Fault::MidStream, _) => "none",
+        (Fault::FailedSwap, _) => "failed_swap",
+        (Fault::LateSwap, _) => "late_swap",
+        (Fault::EngineRestart, _) => "engine_kill",
+        (Fault::HolderKill, false) => "kill",
+        (Fault::HolderKill, true) => "kill+ignored_fencing",
+        (Fault::HolderPause, false) => "pause",
+        (Fault::HolderPause, true) => "pause+ignored_fencing",
+    };
+    let place = Place::new("weights", row, column);
+    verdicts::run(place, |directory| cell(place, fault, ignore_fencing, directory));
+}
+
+async fn cell(
+    place: Place,
+    fault: Fault,
+    ignore_fencing: bool,
+    directory: PathBuf,
+) -> Result<Verdict, String> {
+    let mut rng = place.rng();
+    let mut options = verdicts::small(&directory, place.seed)?;
+    options.domains.truncate(1);
+    options.entries_per_domain = 2;
+    options.engines_per_domain = 3;
+    options.engine_args = args(&[("token-us", "12000")]);
+    if ignore_fencing {
+        options.engine_args.push("--ignore-fencing".into());
+    }
+    let mut deployment = Deployment::prepare(options).await.map_err(text)?;
+    add_trainer(&mut deployment, &directory, place.seed);
+    traffic::bring_up(&deployment, 1).await?;
+    let client = Client::new().map_err(text)?;
+    let engine = format!("scorer-a{}", rng.random_range(1..=3));
+    let holder = holder(&deployment).await?;
+    // The trainer starts at version 2: until the swap, its samples of version 1 are at the bound.
+    deployment.start("trainer").map_err(text)?;
+    compio::time::sleep(Duration::from_millis(rng.random_range(100..300))).await;
+    prepare(&deployment, &client, fault, place.row, &engine, &holder).await?;
+    publish(&client, &deployment, &holder, 2).await?;
+    let mut desired = 2;
+    let reached = match fault {
+        Fault::HolderKill | Fault::HolderPause => {
+            verdicts::wait_for(REACH, || deployment.reached(&holder)).await
+        }
+        _ => true,
+    };
+    if !reached {
+        return Ok(Verdict::NotRun(format!("{} was not reached", place.row)));
+    }
+    match fault {
+        Fault::MidStream | Fault::FailedSwap => {}
+        // The late engine needs this time by itself.
+        Fault::LateSwap => compio::time::sleep(LATE).await,
+        Fault::EngineRestart => {
+            wait_pending(&deployment, &client, &engine).await?;
+            deployment.restart(&engine, DataDirectory::Same).map_err(text)?;
+        }
+        Fault::HolderKill => {
+            deployment.disarm(&holder).map_err(text)?;
+            deployment.restart(&holder, DataDirectory::Same).map_err(text)?;
+            // The successor has to wait out the lease of the dead holder.
+            compio::time::sleep(Duration::from_secs(if ignore_fencing { 4 } else { 3 })).await;
+        }
+        Fault::HolderPause => {
+            // Another entry orders the next version meanwhile, so that the old order is an order of an old version.
+            desired = 3;
+            let other = traffic::entries(&deployment).into_iter().find(|(name, _)| *name != holder);
+            let (other, _) = other.ok_or("no other entry")?;
+            publish(&client, &deployment, &other, desired).await?;
+            compio::time::sleep(PAUSE).await;
+        }
+    }
+    let ended = Instant::now();
+    converge(&deployment, &client, desired, ended).await?;
+    let converged = ended.elapsed();
+    if fault == Fault::HolderPause {
+        let status = deliver_late_order(&deployment, &client, &engine).await?;
+        if !ignore_fencing && status != 409 {
+            return Err(format!("the engine answered the late order with {status}"));
+        }
+        // The late order must not have the last word.
+        compio::time::sleep(Duration::from_secs(1)).await;
+        converge(&deployment, &client, desired, Instant::now()).await?;
+    }
+    check_trainer(&deployment, &directory).await?;
+    Ok(Verdict::Passed(format!("converged_ms={}", converged.as_millis())))
+}
+
+/// Time that is added to a late swap.
+const LATE: Duration = Duration::from_secs(3);
+
+fn add_trainer(deployment: &mut Deployment, directory: &std::path::Path, seed: u64) {
+    let list = args(&[
+        ("entries", &deployment.addresses(Kind::Entry)),
+        ("steps", "2"),
+        ("groups", "8"),
+        ("samples", "4"),
+        ("max-tokens", "96"),
+        ("first-version", "2"),
+        ("max-staleness", "1"),
+        ("seed", &seed.to_string()),
+        ("step-deadline-ms", "30000"),
+        ("report", &directory.join("report.json").display().to_string()),
+    ]);
+    deployment.add_client("trainer", "standin-trainer", list);
+}
+
+async fn prepare(
+    deployment: &Deployment,
+    client: &Client,
+    fault: Fault,
+    row: &str,
+    engine: &str,
+    holder: &str,
+) -> Result<(), String> {
+    let of_engine = match fault {
+        Fault::FailedSwap => json!({"fail_swaps": 2}),
+        Fault::LateSwap => json!({"late_swap_ms": LATE.as_millis() as u64}),
+        Fault::EngineRestart => json!({"late_swap_ms": 1000}),
+        Fault::HolderKill => return deployment.arm(holder, row, "panic").map_err(text),
+        Fault::HolderPause => {
+            let action = format!("sleep({})", PAUSE.as_millis());
+            return deployment.arm(holder, row, &action).map_err(text);
+        }
+        Fault::MidStream => return Ok(()),
+    };
+    let url = format!("http://{}/fault", address(deployment, engine)?);
+    client.post(&url, &of_engine, Duration::from_secs(2)).await.map(|_| ()).map_err(text)
+}
+
+fn address(deployment: &Deployment, name: &str) -> Result<String, String> {
+    let found = [Kind::Engine, Kind::Entry]
+        .into_iter()
+        .flat_map(|kind| deployment.nodes(kind))
+        .find(|(node, _)| *node == name);
+    found.map(|(_, node)| node.http.clone()).ok_or_else(|| format!("no process {name}"))
+}
+
+/// Entry that holds the order lease.
+async fn holder(deployment: &Deployment) -> Result<String, String> {
+    let control = deployment.control_client();
+    for _ in 0..100 {
+        let status = control.status(0, false, Duration::from_millis(500)).await.map_err(text)?;
+        if let Some(lease) = status.order_leases.first() {
+            return Ok(lease.entry.clone());
+        }
+        compio::time::sleep(Duration::from_millis(50)).await;
+    }
+    Err("no order lease".into())
+}
+
+async fn publish(
+    client: &Client,
+    deployment: &Deployment,
+    entry: &str,
+    version: u64,
+) -> Result<(), String> {
+    let url = format!("http://{}/v1/models/scorer/versions", address(deployment, entry)?);
+    let body = json!({"version": version, "order_id": order_id(version)});
+    let answer = client.post(&url, &body, Duration::from_secs(6)).await.map_err(text)?;
+    match answer.status {
+        200 => Ok(()),
+        status => Err(format!("publication refused: {status}")),
+    }
+}
+
+/// The trainer's own order ID, so that its publication of the same version gets the result of this one.
+fn order_id(version: u64) -> String {
+    format!("run-scorer-{version}")
+}
+
+/// Delivers an order of the former lease holder late; an engine that checks fencing refuses it.
+async fn deliver_late_order(
+    deployment: &Deployment,
+    client: &Client,
+    engine: &str,
+) -> Result<u16, String> {
+    let url = format!("http://{}/v1/weights", address(deployment, engine)?);
+    let fencing = json!({"epoch": 0, "sequence": 1});
+    let order = json!({"version": 2, "phase": "activate", "fencing": fencing});
+    let answer = client.post(&url, &order, Duration::from_secs(2)).await.map_err(text)?;
+    Ok(answer.status)
+}
+
+async fn weights(deployment: &Deployment, client: &Client) -> Vec<(String, u64)> {
+    let mut found = Vec::new();
+    for (name, node) in deployment.nodes(Kind::Engine) {
+        let url = format!("http://{}/v1/weights", node.http);
+        let answer = client.get(&url, Duration::from_millis(500)).await;
+        let body: Option<Value> = answer.ok().and_then(|answer| answer.json().ok());
+        let version = body.and_then(|body| body["version"].as_u64());
+        found.push((name.to_owned(), version.unwrap_or(0)));
+    }
+    found
+}
+
+/// Waits until a swap of the engine is under way: its weights are there and not in force.
+async fn wait_pending(
+    deployment: &Deployment,
+    client: &Client,
+    engine: &str,
+) -> Result<(), String> {
+    let url = format!("http://{}/v1/weights", address(deployment, engine)?);
+    let until = Instant::now() + REACH;
+    while Instant::now() < until {
+        let answer = client.get(&url, Duration::from_millis(500)).await.map_err(text)?;
+        let body: Value = answer.json().map_err(text)?;
+        if body["prefetched"].as_u64() > body["version"].as_u64() {
+            // Activation follows at once; the swap takes 1.2 s under the fault.
+            compio::time::sleep(Duration::from_millis(400)).await;
+            return Ok(());
+        }
+        compio::time::sleep(Duration::from_millis(10)).await;
+    }
+    Err("the engine did not prefetch".into())
+}
+
+/// Waits until every engine runs at least the desired version; the trainer may have published a later one.
+async fn converge(
+    deployment: &Deployment,
+    client: &Client,
+    desired: u64,
+    since: Instant,
+) -> Result<(), String> {
+    loop {
+        let found = weights(deployment, client).await;
+        if found.iter().all(|(_, version)| *version >= desired) {
+            return Ok(());
+        }
+        if since.elapsed() > CONVERGENCE {
+            return Err(format!("not on version {desired} within {CONVERGENCE:?}: {found:?}"));
+        }
+        compio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+async fn check_trainer(deployment: &Deployment, directory: &std::path::Path) -> Result<(), String> {
+    let code = deployment.wait_end("trainer", Duration::from_secs(25)).await.map_err(text)?;
+    let report =
+        std::fs::read(directory.join("report.json")).map_err(|e| format!("report: {e}"))?;
+    let report: TrainerReport = serde_json::from_slice(&report).map_err(text)?;
+    let good = Findings { samples: WANTED, ..Findings::default() };
+    match code == Some(0) && report.findings == good {
+        true => Ok(()),
+        false => Err(format!("exit {code:?}, {:?}, {:?}", report.findings, report.failures)),
+    }
+}
--- /dev/null
+++ b/orioleworks_matrix/src/verdicts.rs
@@ -0,0 +1,146 @@
+//! Runner of cells whose columns are particular to one protocol; prints the verdict line of [`crate::cell`].
+
+use std::{
+    env,
+    fs::OpenOptions,
+    io::Write,
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use orioleworks_standins::deployment::{Deployment, Kind, Options};
+use rand::{SeedableRng, rngs::StdRng};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::cell::{REPORT_VARIABLE, SEED_VARIABLE, Verdict};
+
+/// Longest time of one cell. A cell that hangs must not stop the matrix.
+const CELL_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Place in the matrix.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    /// Protocol.
+    pub protocol: &'static str,
+    /// Step of the protocol.
+    pub row: &'static str,
+    /// Fault.
+    pub column: &'static str,
+    /// Seed of the matrix.
+    pub seed: u64,
+}
+
+impl Place {
+    /// Place under the seed of the environment, or seed 1.
+    pub fn new(protocol: &'static str, row: &'static str, column: &'static str) -> Self {
+        let seed = env::var(SEED_VARIABLE).ok().and_then(|text| text.parse().ok()).unwrap_or(1);
+        Self { protocol, row, column, seed }
+    }
+
+    /// Random numbers of this cell; each cell has its own, whichever cells run before it.
+    pub fn rng(&self) -> StdRng {
+        let name = format!("{} {} {} {}", self.seed, self.protocol, self.row, self.column);
+        StdRng::seed_from_u64(xxh3_64(name.as_bytes()))
+    }
+}
+
+/// Runs a cell on a runtime of its own in a new directory and prints its verdict line. The directory of a cell that
+/// did not pass is kept for its logs.
+///
+/// # Panics
+///
+/// Panics unless the cell passed or does not apply.
+pub fn run<F: Future<Output = Result<Verdict, String>>>(
+    place: Place,
+    body: impl FnOnce(PathBuf) -> F,
+) {
+    let started = Instant::now();
+    let directory = tempfile::tempdir().expect("directory");
+    let runtime = compio::runtime::Runtime::new().expect("runtime");
+    let verdict = runtime.block_on(async {
+        let timed = compio::time::timeout(CELL_TIMEOUT, body(directory.path().to_owned())).await;
+        timed.unwrap_or_else(|_| Err(format!("no end after {CELL_TIMEOUT:?}")))
+    });
+    let verdict = verdict.unwrap_or_else(Verdict::Failed);
+    let (word, detail) = match &verdict {
+        Verdict::Passed(detail) => ("passed", detail),
+        Verdict::Failed(detail) => ("failed", detail),
+        Verdict::NotRun(detail) => ("not_run", detail),
+        Verdict::NotApplicable(detail) => ("not_applicable", detail),
+    };
+    let Place { protocol, row, column, seed } = place;
+    let ms = started.elapsed().as_millis();
+    let mut line = format!(
+        "cell protocol={protocol} row={row} column={column} seed={seed} verdict={word} ms={ms}"
+    );
+    if !detail.is_empty() {
+        line.push_str(&format!(" detail={detail:?}"));
+    }
+    println!("{line}");
+    report(&line);
+    let good = matches!(verdict, Verdict::Passed(_) | Verdict::NotApplicable(_));
+    if !good {
+        println!("logs: {}", directory.keep().display());
+    }
+    assert!(good, "{line}");
+}
+
+fn report(line: &str) {
+    let Ok(path) = env::var(REPORT_VARIABLE) else { return };
+    // One write keeps the lines of parallel cells apart.
+    let file = OpenOptions::new().create(true).append(true).open(path);
+    if let Err(e) = file.and_then(|mut file| file.write_all(format!("{line}\n").as_bytes())) {
+        eprintln!("the verdict line is not in the report: {e}");
+    }
+}
+
+/// Options of a small deployment: the programs of `ORIOLEWORKS_BIN_DIR`, one entry in each of three domains.
+///
+/// # Errors
+///
+/// Returns that the variable is not set.
+pub fn small(directory: &std::path::Path, seed: u64) -> Result<Options, String> {
+    let programs = env::var_os("ORIOLEWORKS_BIN_DIR").ok_or("ORIOLEWORKS_BIN_DIR is not set")?;
+    Ok(Options {
+        entries_per_domain: 1,
+        engines_per_domain: 2,
+        judges: 0,
+        service_kinds: Vec::new(),
+        weight_store: false,
+        ..Options::consortium(&PathBuf::from(programs), directory, seed)
+    })
+}
+
+/// Name of the control leader, asked for until there is one.
+pub async fn leader(deployment: &Deployment) -> Option<String> {
+    let control = deployment.control_client();
+    let names: Vec<&str> = deployment.nodes(Kind::Control).map(|(name, _)| name).collect();
+    for _ in 0..50 {
+        for (at, name) in names.iter().enumerate() {
+            let status = control.status(at, false, Duration::from_millis(300)).await;
+            if status.is_ok_and(|status| status.is_leader) {
+                return Some((*name).to_owned());
+            }
+        }
+        compio::time::sleep(Duration::from_millis(50)).await;
+    }
+    None
+}
+
+/// Waits for a condition; says whether it came true in time.
+pub async fn wait_for(limit: Duration, condition: impl Fn() -> bool) -> bool {
+    const POLL: Duration = Duration::from_millis(5);
+    let until = Instant::now() + limit;
+    while !condition() {
+        if Instant::now() >= until {
+            return false;
+        }
+        compio::time::sleep(POLL).await;
+    }
+    true
+}
+
+/// Text of an error.
+pub fn text(e: impl std::fmt::Display) -> String {
+    e.to_string()
+}
