--- a/orioleworks_matrix/src/samples.rs
+++ b/orioleworks_matrix/src/samples.rs
@@ -147,6 +147,7 @@
         let relays = HttpRelays::start(&addresses).await.map_err(text)?;
         let mut list = args(&[
             ("entries", &relays.addresses.join(",")),
+            ("weights", &deployment.addresses(Kind::Weights)),
             ("run", "nightly"),
             ("steps", &STEPS.to_string()),
             ("groups", &GROUPS.to_string()),
--- a/orioleworks_matrix/src/stops.rs
+++ b/orioleworks_matrix/src/stops.rs
@@ -205,6 +205,7 @@
     let seed = place.seed.to_string();
     let list = args(&[
         ("entries", &addresses.join(",")),
+        ("weights", &deployment.addresses(Kind::Weights)),
         ("steps", "1"),
         ("groups", "16"),
         ("samples", "8"),
--- a/orioleworks_matrix/src/swaps.rs
+++ b/orioleworks_matrix/src/swaps.rs
@@ -143,6 +143,7 @@
 fn add_trainer(deployment: &mut Deployment, directory: &std::path::Path, seed: u64) {
     let list = args(&[
         ("entries", &deployment.addresses(Kind::Entry)),
+        ("weights", &deployment.addresses(Kind::Weights)),
         ("steps", "2"),
         ("groups", "8"),
         ("samples", "4"),
@@ -206,6 +207,10 @@
     entry: &str,
     version: u64,
 ) -> Result<(), String> {
+    let store = deployment.addresses(Kind::Weights);
+    let url = format!("http://{store}/v1/models/scorer/versions/{version}");
+    let put = client.send(http::Method::PUT, &url, &[], "", Duration::from_secs(2)).await;
+    put.map_err(text)?;
     let url = format!("http://{}/v1/models/scorer/versions", address(deployment, entry)?);
     let body = json!({"version": version, "order_id": order_id(version)});
     let answer = client.post(&url, &body, Duration::from_secs(6)).await.map_err(text)?;
--- a/orioleworks_matrix/src/verdicts.rs
+++ b/orioleworks_matrix/src/verdicts.rs
@@ -106,7 +106,6 @@
         engines_per_domain: 2,
         judges: 0,
         service_kinds: Vec::new(),
-        weight_store: false,
         ..Options::consortium(&PathBuf::from(programs), directory, seed)
     })
 }
