--- a/orioleworks_standins/src/layout.rs
+++ b/orioleworks_standins/src/layout.rs
@@ -189,6 +189,15 @@
     }
 }
 
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        // Tasks of the relays share the processes and may never be dropped when the runtime ends.
+        for process in self.processes.borrow_mut().values_mut() {
+            drop(process.kill());
+        }
+    }
+}
+
 /// Part of a domain's name that goes into the names of its instances.
 fn letter(domain: &str) -> &str {
     domain.rsplit_once('-').map_or(domain, |(_, letter)| letter)
