Entry: order a failed swap again within 1.5 s; check the quarantine when a slot is granted

Cause: a failed swap shows in no report of the engine, and an activation was only ordered again after 10 s. Ruled out: lease loss and prefetch (the engine had the weights). The wait is now 1.5 s.

Causes: a suspect that waited for its slot was not checked again, and ran 2 s after its quarantine was in force at that entry; and the caller had its answer 43 ms before the quarantine was in force, so that its repeat started in another domain. Ruled out: a lost digest (both entries of a domain knew the suspect at once). The check now follows the grant too, and the answer to the request that has just crashed its second upstream waits until the quarantine is in force.

--- a/orioleworks_entry/src/dispatcher.rs
+++ b/orioleworks_entry/src/dispatcher.rs
@@ -135,6 +135,11 @@
                 Ok(grant) => grant,
                 Err(no_slot) => return self.without_slot(job, no_slot, progress).await,
             };
+            // A suspect waits for its slot, and may have been quarantined by another entry meanwhile.
+            if self.check_quarantine(&fingerprint).is_err() {
+                drop(grant);
+                continue;
+            }
             let attempt_id =
                 format!("{}.{unique:08x}.{}", job.request_id, progress.tried.len() + 1);
             progress.tried.push(grant.target.name.clone());
@@ -155,6 +160,8 @@
             let again = self.may_retry(&job, &failure, &progress);
             progress.last = Some(failure);
             if !again {
+                let in_force = || self.configuration.quarantined(&fingerprint).is_some();
+                self.suspects.await_quarantine(&fingerprint, in_force).await;
                 return self.conclude(&job, progress);
             }
         }
--- a/orioleworks_entry/src/weights_engine.rs
+++ b/orioleworks_entry/src/weights_engine.rs
@@ -26,8 +26,9 @@
 const READ_BACK: Duration = Duration::from_millis(100);
 /// Longest prefetch before it is ordered again.
 const PREFETCH_TIMEOUT: Duration = Duration::from_secs(60);
-/// Longest activation before it is ordered again.
-const ACTIVATE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest activation before it is ordered again. A failed swap shows in no report of an engine, and two failures must
+/// leave time for a third try within the 6 s; an order for the swap that is under way changes nothing.
+const ACTIVATE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Longest wait of a prefetched engine for the others; new weights are to be on every replica within 6 s.
 const TOGETHER_WAIT: Duration = Duration::from_secs(3);
 /// Pause before a failed swap is tried again; it doubles with each further failure.
