--- a/orioleworks_standins/src/lib.rs
+++ b/orioleworks_standins/src/lib.rs
@@ -24,5 +24,5 @@
 pub mod steps;
 pub mod table;
 pub mod trainer;
-pub mod trainer_client;
+pub mod trainer_ledger;
 pub mod weights;
