Measurement command: one workload on two policies, side by side

Cause: routing rules are to be kept only where a measurement shows their benefit. Deployment options take the section routing and arguments of services; a stand-in service can refuse above a bound and judge; a stand-in trainer can draw from a skewed prompt set; an engine counts prefix hits. Ruled out: running both policies at the same time, which would exceed 40 processes and disturb both.

--- a/orioleworks_standins/src/bin/standin-trainer.rs
+++ b/orioleworks_standins/src/bin/standin-trainer.rs
@@ -38,6 +38,9 @@
     /// largest number of tokens of a sample
     #[argh(option, default = "64")]
     max_tokens: u64,
+    /// prompts that the groups of all steps draw from, the first ones more often; 0 for a new one per group
+    #[argh(option, default = "0")]
+    prompts: u32,
     /// weight version of the engines at the start
     #[argh(option, default = "1")]
     first_version: u64,
@@ -84,6 +87,7 @@
         first_version: options.first_version,
         max_staleness: options.max_staleness,
         seed: options.seed,
+        prompts: options.prompts,
         train_time: Duration::from_millis(options.train_ms),
         step_deadline: Duration::from_millis(options.step_deadline_ms),
     };
--- a/orioleworks_standins/src/deployment.rs
+++ b/orioleworks_standins/src/deployment.rs
@@ -41,6 +41,10 @@
     pub relays: bool,
     /// Further arguments of every engine.
     pub engine_args: Vec<String>,
+    /// Further arguments of every plain service.
+    pub service_args: Vec<String>,
+    /// Section `routing` of the entries; null for the defaults.
+    pub routing: serde_json::Value,
 }
 
 impl Options {
@@ -56,6 +60,8 @@
             seed,
             relays: true,
             engine_args: Vec::new(),
+            service_args: Vec::new(),
+            routing: serde_json::Value::Null,
         }
     }
 }
--- a/orioleworks_standins/src/engine.rs
+++ b/orioleworks_standins/src/engine.rs
@@ -108,6 +108,8 @@
     prefixes: RefCell<IndexSet<u64>>,
     kv: RefCell<IndexMap<String, KvState>>,
     cancelled: Cell<u64>,
+    prefix_lookups: Cell<u64>,
+    prefix_hits: Cell<u64>,
 }
 
 /// Exported state of a stream; opaque to everyone else.
@@ -161,6 +163,8 @@
             prefixes: RefCell::default(),
             kv: RefCell::default(),
             cancelled: Cell::new(0),
+            prefix_lookups: Cell::new(0),
+            prefix_hits: Cell::new(0),
         })
     }
 
@@ -170,6 +174,8 @@
         let mut prefixes = self.prefixes.borrow_mut();
         let cached = prefixes.shift_remove(&prefix);
         prefixes.insert(prefix);
+        self.prefix_lookups.set(self.prefix_lookups.get() + 1);
+        self.prefix_hits.set(self.prefix_hits.get() + u64::from(cached));
         let event = |prefix: u64, stored| CacheEvent { prefix: format!("{prefix:016x}"), stored };
         if !cached {
             self.membership.push_cache_event(event(prefix, true));
@@ -273,6 +279,8 @@
         "model": *engine.model.borrow(),
         "role": *engine.role.borrow(),
         "cached_prefixes": engine.prefixes.borrow().len(),
+        "prefix_lookups": engine.prefix_lookups.get(),
+        "prefix_hits": engine.prefix_hits.get(),
         "now_ms": clock::unix_ms(),
     });
     http::json(200, &state)
--- a/orioleworks_standins/src/layout.rs
+++ b/orioleworks_standins/src/layout.rs
@@ -102,7 +102,13 @@
         fs::create_dir_all(&data)?;
         let settings = match kind {
             Kind::Control => settings_files::control(own, &self.controls, &data, bootstrap),
-            _ => settings_files::entry(own, &self.controls, &self.entries, &data),
+            _ => {
+                let mut entry = settings_files::entry(own, &self.controls, &self.entries, &data);
+                if !self.options.routing.is_null() {
+                    entry["routing"] = self.options.routing.clone();
+                }
+                entry
+            }
         };
         settings_files::write(&self.settings_path(&own.name), &settings)
     }
@@ -160,6 +166,9 @@
         if kind == Kind::Engine {
             list.extend(self.options.engine_args.iter().cloned());
         }
+        if kind == Kind::Service {
+            list.extend(self.options.service_args.iter().cloned());
+        }
         self.add(name, Node { kind, domain: domain.to_owned(), http }, program, list);
         Ok(())
     }
--- /dev/null
+++ b/orioleworks_standins/src/measure_workload.rs
@@ -0,0 +1,208 @@
+//! Workloads of the measurement: sizes, load, and faults at fixed times.
+
+use std::time::Duration;
+
+use orioleworks_proto::inner;
+
+use crate::scenario;
+
+/// What happens to the deployment at a time.
+#[derive(Clone, Copy, Debug)]
+pub enum Act {
+    /// Sets faults, as JSON, on every upstream whose name starts with this.
+    Fault(&'static str, &'static str),
+    /// Kills every process of this failure domain but its control replica.
+    KillDomain(&'static str),
+}
+
+/// One workload.
+#[derive(Clone, Debug)]
+pub struct Workload {
+    /// Arguments of the engines.
+    pub engine_args: Vec<String>,
+    /// Arguments of the plain services.
+    pub service_args: Vec<String>,
+    /// Trainer and load.
+    pub scenario: scenario::Options,
+    /// Whether the plain services of the lookups also judge the samples.
+    pub shared_judge: bool,
+    /// Faults in the order of their times.
+    pub acts: Vec<(Duration, Act)>,
+    /// Policy that it is compared with by default.
+    pub baseline: &'static str,
+}
+
+/// Names of the workloads.
+pub const NAMES: [&str; 10] = [
+    "steady",
+    "overload",
+    "refusals",
+    "knee",
+    "stragglers",
+    "skewed",
+    "lag",
+    "slow-engine",
+    "domain-loss",
+    "swaps",
+];
+
+/// Calls of the rollout class on the services of the lookups and of the bookings.
+const OVERLOAD_MIX: &str =
+    "quality-lookup:lookup:1,gate-slot:booking:1:once,audit:rollout:6,audit-slots:rollout:6";
+/// Completions for callers beside the samples of the trainer.
+const ENGINE_MIX: &str = "scorer-lookup:lookup:1:engine,gate-slot:booking:1:once";
+/// Longest time of the steps; with start and stop a run stays under 25 s.
+const TRAINING_DEADLINE: Duration = Duration::from_secs(17);
+
+/// The workload of a name.
+pub fn find(name: &str, seed: u64) -> Option<Workload> {
+    let base = base(seed);
+    let scenario = base.scenario.clone();
+    Some(match name {
+        "steady" => base,
+        // Each service runs 4 requests of 20 ms at a time: 200 per second, 600 of a kind over the three domains; the
+        // mix sends 8/14 of the rate to each kind.
+        "overload" => Workload {
+            service_args: words("--work-ms 20 --capacity 4"),
+            scenario: scenario::Options {
+                rate: 2100.0,
+                mix: OVERLOAD_MIX.into(),
+                duration: Duration::from_secs(5),
+                steps: 3,
+                groups: 12,
+                ..scenario
+            },
+            shared_judge: true,
+            baseline: "fifo",
+            ..base
+        },
+        // The services state more than they can run and refuse what is over it.
+        "refusals" => Workload {
+            service_args: words("--work-ms 20 --capacity 16 --refuse-over 4"),
+            scenario: scenario::Options {
+                rate: 2100.0,
+                mix: OVERLOAD_MIX.into(),
+                duration: Duration::from_secs(5),
+                steps: 3,
+                groups: 12,
+                ..scenario
+            },
+            baseline: "unlimited-retries",
+            ..base
+        },
+        // Engines state 64, but slow down from 8 on.
+        "knee" => Workload {
+            engine_args: words("--capacity 64 --knee 8"),
+            scenario: scenario::Options { rate: 60.0, mix: ENGINE_MIX.into(), ..scenario },
+            baseline: "fixed-limit=64",
+            ..base
+        },
+        "stragglers" => Workload {
+            acts: vec![(
+                Duration::ZERO,
+                Act::Fault("scorer-", r#"{"straggle_permille":40,"straggle_factor":8.0}"#),
+            )],
+            baseline: "second-attempts=0",
+            ..base
+        },
+        "skewed" => Workload {
+            engine_args: words("--cache-entries 4 --prefill-ms 150"),
+            scenario: scenario::Options { prompts: 40, ..scenario },
+            baseline: "no-affinity",
+            ..base
+        },
+        "lag" => Workload {
+            engine_args: words("--lag-ms 3000"),
+            scenario: scenario::Options { rate: 60.0, mix: ENGINE_MIX.into(), ..scenario },
+            baseline: "random-choice",
+            ..base
+        },
+        "slow-engine" => Workload {
+            acts: vec![(
+                Duration::from_secs(1),
+                Act::Fault("scorer-a1", r#"{"slow_factor":10.0}"#),
+            )],
+            baseline: "fixed-limit=16",
+            ..base
+        },
+        "domain-loss" => Workload {
+            acts: vec![(Duration::from_millis(1500), Act::KillDomain("sicilia-c"))],
+            baseline: "local-samples",
+            ..base
+        },
+        // The trainer publishes a version after each step of 1 to 2 s.
+        "swaps" => Workload {
+            engine_args: words("--swap-ms 500"),
+            scenario: scenario::Options {
+                steps: 6,
+                train_time: Duration::from_millis(800),
+                ..scenario
+            },
+            baseline: "objective-idle",
+            ..base
+        },
+        _ => return None,
+    })
+}
+
+fn base(seed: u64) -> Workload {
+    Workload {
+        engine_args: Vec::new(),
+        service_args: Vec::new(),
+        scenario: scenario::Options {
+            seed,
+            steps: 5,
+            groups: 24,
+            samples: 4,
+            max_tokens: 64,
+            rate: 60.0,
+            duration: Duration::from_secs(6),
+            training_deadline: TRAINING_DEADLINE,
+            train_time: Duration::from_millis(300),
+            ..scenario::Options::default()
+        },
+        shared_judge: false,
+        acts: Vec::new(),
+        baseline: "local-samples",
+    }
+}
+
+fn words(text: &str) -> Vec<String> {
+    text.split_whitespace().map(String::from).collect()
+}
+
+impl Workload {
+    /// Profiles of the local deployment, and those of the mixes.
+    pub fn profiles(&self) -> Vec<inner::Profile> {
+        let mut profiles = scenario::profiles();
+        let find = |name: &str| {
+            let found = profiles.iter().find(|profile| profile.name == name);
+            found.cloned().unwrap_or_default()
+        };
+        let (scorer, lookup, booking) = (find("scorer"), find("quality-lookup"), find("gate-slot"));
+        let rollout = i32::from(inner::Class::Rollout);
+        let more = [
+            inner::Profile { name: "audit".into(), class: rollout, ..lookup },
+            inner::Profile {
+                name: "audit-slots".into(),
+                class: rollout,
+                idempotent: true,
+                ..booking
+            },
+            inner::Profile {
+                name: "scorer-lookup".into(),
+                class: inner::Class::Lookup.into(),
+                judge_kind: String::new(),
+                deadline_ms: 5000,
+                ..scorer
+            },
+        ];
+        profiles.extend(more);
+        if self.shared_judge {
+            for profile in profiles.iter_mut().filter(|profile| profile.judge_kind == "judge") {
+                profile.judge_kind = "sheet-app".into();
+            }
+        }
+        profiles
+    }
+}
--- a/orioleworks_standins/src/scenario.rs
+++ b/orioleworks_standins/src/scenario.rs
@@ -13,19 +13,17 @@
 use crate::{
     client::Client,
     deployment::{Deployment, DeploymentError, Kind},
-    layout::args,
     load_report::LoadReport,
+    scenario_clients,
     trainer::TrainerReport,
 };
 
 /// Staleness bound of the profile `scorer`: one version for the swap that runs, one for the step before.
-const MAX_STALENESS: u32 = 2;
+pub(crate) const MAX_STALENESS: u32 = 2;
 /// Longest wait for the deployment to be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 /// Longest wait for one order to control.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(10);
-/// Part of the training deadline that is left for the trainer's report.
-const REPORT_MARGIN: Duration = Duration::from_secs(5);
 /// Time after the end of the load within which its answers must have come.
 const LOAD_MARGIN: Duration = Duration::from_secs(20);
 
@@ -48,6 +46,12 @@
     pub duration: Duration,
     /// Longest time of all steps together.
     pub training_deadline: Duration,
+    /// Time of training after each step.
+    pub train_time: Duration,
+    /// Prompts that the groups of all steps draw from; 0 for a new one per group.
+    pub prompts: u32,
+    /// Mix of the load, as for `orioleworks-load`; empty for its default.
+    pub mix: String,
 }
 
 impl Default for Options {
@@ -61,6 +65,9 @@
             rate: 60.0,
             duration: Duration::from_secs(12),
             training_deadline: Duration::from_secs(25),
+            train_time: Duration::from_millis(500),
+            prompts: 0,
+            mix: String::new(),
         }
     }
 }
@@ -176,9 +183,21 @@
 ///
 /// Returns what did not become ready, or the profile that was refused.
 pub async fn bring_up(deployment: &Deployment) -> Result<(), ScenarioError> {
+    bring_up_with(deployment, profiles()).await
+}
+
+/// Starts the deployment with these profiles, one of which must be `quality-lookup`.
+///
+/// # Errors
+///
+/// See [`bring_up`].
+pub async fn bring_up_with(
+    deployment: &Deployment,
+    profiles: Vec<inner::Profile>,
+) -> Result<(), ScenarioError> {
     deployment.start_all()?;
     deployment.wait_ready(READY_TIMEOUT).await?;
-    put_profiles(deployment).await?;
+    put_profiles(deployment, profiles).await?;
     for (entry, node) in deployment.nodes(Kind::Entry) {
         wait_serving(entry, &node.http).await?;
     }
@@ -222,9 +241,12 @@
     ]
 }
 
-async fn put_profiles(deployment: &Deployment) -> Result<(), ScenarioError> {
+async fn put_profiles(
+    deployment: &Deployment,
+    profiles: Vec<inner::Profile>,
+) -> Result<(), ScenarioError> {
     let control = deployment.control_client();
-    for profile in profiles() {
+    for profile in profiles {
         let name = profile.name.clone();
         let order_id = format!("local-{}-{name}", std::process::id());
         let kind = Some(inner::command::Kind::PutProfile(profile));
@@ -266,10 +288,18 @@
 ///
 /// Returns a process that cannot be started.
 pub async fn run(deployment: &mut Deployment, options: &Options) -> Result<Outcome, ScenarioError> {
-    let directory = deployment.options().directory.clone();
+    scenario_clients::add_clients(deployment, options);
+    drive(deployment, options).await
+}
+
+/// Runs the trainer and load that [`scenario_clients::add_clients`] added.
+///
+/// # Errors
+///
+/// Returns a process that cannot be started.
+pub async fn drive(deployment: &Deployment, options: &Options) -> Result<Outcome, ScenarioError> {
+    let directory = &deployment.options().directory;
     let (trainer, load) = (directory.join("trainer.json"), directory.join("load.json"));
-    add_trainer(deployment, options, &trainer);
-    add_load(deployment, options, &load);
     let before = measure(deployment);
     let started = Instant::now();
     deployment.start("trainer")?;
@@ -317,38 +347,6 @@
     nodes.filter(|(name, _)| !deployment.running(name)).map(|(name, _)| name.to_owned()).collect()
 }
 
-fn add_trainer(deployment: &mut Deployment, options: &Options, report: &Path) {
-    // A step that fails at its deadline leaves the trainer time for its report.
-    let training = options.training_deadline.saturating_sub(REPORT_MARGIN);
-    let step_ms = training.as_millis() / u128::from(options.steps.max(1));
-    let list = args(&[
-        ("entries", &deployment.addresses(Kind::Entry)),
-        ("weights", &deployment.addresses(Kind::Weights)),
-        ("run", "nightly"),
-        ("steps", &options.steps.to_string()),
-        ("groups", &options.groups.to_string()),
-        ("samples", &options.samples.to_string()),
-        ("max-tokens", &options.max_tokens.to_string()),
-        ("max-staleness", &MAX_STALENESS.to_string()),
-        ("seed", &options.seed.to_string()),
-        ("step-deadline-ms", &step_ms.to_string()),
-        ("report", &report.display().to_string()),
-    ]);
-    deployment.add_client("trainer", "standin-trainer", list);
-}
-
-fn add_load(deployment: &mut Deployment, options: &Options, report: &Path) {
-    let list = args(&[
-        ("entries", &deployment.addresses(Kind::Entry)),
-        ("services", &deployment.addresses(Kind::Service)),
-        ("rate", &options.rate.to_string()),
-        ("duration-ms", &options.duration.as_millis().to_string()),
-        ("seed", &options.seed.to_string()),
-        ("report", &report.display().to_string()),
-    ]);
-    deployment.add_client("load", "orioleworks-load", list);
-}
-
 /// Reads a report; the error is the name of the process that left none.
 fn read<T: DeserializeOwned>(path: &Path) -> Result<T, String> {
     let text = std::fs::read(path).unwrap_or_default();
--- a/orioleworks_standins/src/service.rs
+++ b/orioleworks_standins/src/service.rs
@@ -39,6 +39,8 @@
     pub lag: Duration,
     /// Whether it answers with scores instead of echoes.
     pub judge: bool,
+    /// Running requests above which further ones are refused as not run; 0 for no bound.
+    pub refuse_over: usize,
 }
 
 impl Default for ServiceConfig {
@@ -51,6 +53,7 @@
             entries: Vec::new(),
             lag: Duration::from_millis(400),
             judge: false,
+            refuse_over: 0,
         }
     }
 }
@@ -181,7 +184,9 @@
     };
     let content = content_name(&body);
     let run = Run { request_id, idempotency_key, content };
-    if service.faults.take(|f| &mut f.refuse) {
+    let bound = service.config.refuse_over;
+    let full = bound > 0 && service.running.count() >= bound;
+    if full || service.faults.take(|f| &mut f.refuse) {
         service.ran.borrow_mut().refused.push(run);
         return host::refused();
     }
@@ -217,7 +222,8 @@
 }
 
 fn answer(service: &Service, body: &[u8], run: u64) -> Response {
-    if service.config.judge {
+    // A service that also judges tells the two by the fields of the body.
+    if service.config.judge || serde_json::from_slice::<judge::JudgeRequest>(body).is_ok() {
         return judged(body);
     }
     let echo = String::from_utf8_lossy(body).into_owned();
--- a/orioleworks_standins/src/trainer.rs
+++ b/orioleworks_standins/src/trainer.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use orioleworks_daemon::event;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -43,6 +44,8 @@
     pub max_staleness: u64,
     /// Seed of prompts, and of the texts of the engines.
     pub seed: u64,
+    /// Prompts that the groups of all steps draw from, the first ones more often; 0 for a new one per group.
+    pub prompts: u32,
     /// Time of training after each step.
     pub train_time: Duration,
     /// Longest time of a step.
@@ -151,7 +154,15 @@
 
 /// Prompts of a step: the same in every run with the same seed.
 pub fn groups(cfg: &TrainerConfig, step: u64) -> Vec<Group> {
-    let prompt = |group| format!("{} {} step {step} group {group}", cfg.run, cfg.seed);
+    let mut rng = StdRng::seed_from_u64(cfg.seed ^ step.rotate_left(32));
+    let mut prompt = |group| match cfg.prompts {
+        0 => format!("{} {} step {step} group {group}", cfg.run, cfg.seed),
+        // The square of a uniform draw makes the low numbers common.
+        n => {
+            let draw = rng.random::<f64>();
+            format!("{} {} prompt {}", cfg.run, cfg.seed, (draw * draw * f64::from(n)) as u32)
+        }
+    };
     (0..cfg.groups)
         .map(|group| Group {
             group: group.to_string(),
--- a/orioleworks_standins/tests/trainer.rs
+++ b/orioleworks_standins/tests/trainer.rs
@@ -37,6 +37,7 @@
         first_version: 5,
         max_staleness: 2,
         seed: 1,
+        prompts: 0,
         train_time: Duration::ZERO,
         step_deadline: Duration::from_secs(10),
     }
