Spread the samples of a run over the failure domains; keep engines in use while all swap

Cause: the samples of a run ran only on the engines of its owner's failure domain, of whose limits the owner has a share; engines with a pending swap took no new samples under the staleness objective, also when all of them swapped. Change: samples run locally while the owner's share has room, else at the peer with the most room by its last digest, bounded in flight per peer. A group whose prompt has never finished stays in one place, or a prompt that crashes upstreams could destroy more than two at a time. When every engine of the kind would drain, none does. The settings local_samples and drain_all select the former rules. Ruled out: forwards of second attempts, which run in the owner's domain.

--- a/orioleworks_entry/src/calls.rs
+++ b/orioleworks_entry/src/calls.rs
@@ -203,7 +203,12 @@
     Ok(Duration::from_millis(ms.into()))
 }
 
-fn prefix_of(body: &[u8]) -> Result<u64, Refused> {
+/// Hash of the prompt, for affinity.
+///
+/// # Errors
+///
+/// Refuses a body without a prompt.
+pub fn prefix_of(body: &[u8]) -> Result<u64, Refused> {
     let prompt: Prompt = serde_json::from_slice(body)
         .map_err(|e| refused(ResultCode::BadRequest, &e.to_string(), 0))?;
     Ok(xxh3_64(prompt.prompt.as_bytes()))
--- a/orioleworks_entry/src/dispatcher.rs
+++ b/orioleworks_entry/src/dispatcher.rs
@@ -89,6 +89,11 @@
         self.slots.loads()
     }
 
+    /// Requests of a kind that this entry may have in flight in its failure domain.
+    pub fn own_share(&self, kind: &str) -> u32 {
+        self.slots.own_share(kind)
+    }
+
     /// Upstream that a request runs on now.
     pub fn running_on(&self, request_id: &str) -> Option<Rc<str>> {
         self.placed.borrow().get(request_id).cloned()
--- a/orioleworks_entry/src/forward.rs
+++ b/orioleworks_entry/src/forward.rs
@@ -8,7 +8,7 @@
 };
 
 use futures_util::{FutureExt, select};
-use orioleworks_daemon::rpc::RpcError;
+use orioleworks_daemon::rpc::{self, RpcError};
 use orioleworks_proto::{
     codes::ResultCode,
     inner::{self, frame::Body},
@@ -16,6 +16,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    calls,
     configuration::Configuration,
     dispatch::{Completed, Job, Refused},
     peers::Peers,
@@ -48,37 +49,44 @@
         ));
     }
     for peer in peers.candidates(&job.profile.upstream_kind, job.lowest_version) {
-        let left = job.deadline.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            return Err(refused(ResultCode::DeadlineBeforeDispatch, "", 0));
-        }
-        let call = peer.call(Body::Forward(message(&job, left)), left + DEADLINE_SLACK);
-        let mut call = std::pin::pin!(call.fuse());
-        let mut cancelled = std::pin::pin!(job.cancel.cancelled().fuse());
-        let result = select! {
-            result = call => result,
-            () = cancelled => {
-                let detail = "cancelled after the job was sent to a peer";
-                return Err(refused(ResultCode::OutcomeUnknown, detail, 0));
-            }
-        };
-        metrics::counter!("orioleworks_forwards_total").increment(1);
-        match result {
-            Ok(Body::ForwardReply(reply)) => return completed(reply),
-            Err(RpcError::Unreachable(_)) => {}
-            Err(RpcError::Timeout) => {
-                return Err(refused(ResultCode::DeadlineExceeded, "the peer gave no answer", 0));
-            }
-            Ok(_) | Err(_) => {
-                let detail = "the connection to the peer broke after the job was sent";
-                return Err(refused(ResultCode::OutcomeUnknown, detail, 0));
-            }
+        if let Some(result) = forward_to(&peer, &job).await {
+            return result;
         }
     }
     let detail = format!("kind {}", job.profile.upstream_kind);
     Err(refused(ResultCode::NoUpstream, detail, RETRY_AFTER_MS))
 }
 
+/// Runs a job once through one peer; `None` when nothing was sent because the peer cannot be reached.
+pub async fn forward_to(peer: &rpc::Client, job: &Job) -> Option<Result<Completed, Refused>> {
+    let left = job.deadline.saturating_duration_since(Instant::now());
+    if left.is_zero() {
+        return Some(Err(refused(ResultCode::DeadlineBeforeDispatch, "", 0)));
+    }
+    let call = peer.call(Body::Forward(message(job, left)), left + DEADLINE_SLACK);
+    let mut call = std::pin::pin!(call.fuse());
+    let mut cancelled = std::pin::pin!(job.cancel.cancelled().fuse());
+    let result = select! {
+        result = call => result,
+        () = cancelled => {
+            let detail = "cancelled after the job was sent to a peer";
+            return Some(Err(refused(ResultCode::OutcomeUnknown, detail, 0)));
+        }
+    };
+    metrics::counter!("orioleworks_forwards_total").increment(1);
+    match result {
+        Ok(Body::ForwardReply(reply)) => Some(completed(reply)),
+        Err(RpcError::Unreachable(_)) => None,
+        Err(RpcError::Timeout) => {
+            Some(Err(refused(ResultCode::DeadlineExceeded, "the peer gave no answer", 0)))
+        }
+        Ok(_) | Err(_) => {
+            let detail = "the connection to the peer broke after the job was sent";
+            Some(Err(refused(ResultCode::OutcomeUnknown, detail, 0)))
+        }
+    }
+}
+
 fn message(job: &Job, left: Duration) -> inner::Forward {
     inner::Forward {
         attempt_id: job.request_id.to_string(),
@@ -143,13 +151,14 @@
             let detail = format!("profile {} at the peer", forward.profile);
             return reply(Err(refused(ResultCode::UnknownProfile, detail, RETRY_AFTER_MS)));
         };
+        let prefix = profile.engine.then(|| calls::prefix_of(&forward.body).ok()).flatten();
         let job = Job {
             request_id: forward.attempt_id.into(),
             profile,
             body: forward.body.into(),
             content_type: forward.content_type.into(),
             deadline: Instant::now() + Duration::from_millis(forward.deadline_ms.into()),
-            prefix: None,
+            prefix,
             lowest_version: forward.lowest_version,
             avoid: Vec::new(),
             idempotency_key: Some(forward.idempotency_key)
--- a/orioleworks_entry/src/lib.rs
+++ b/orioleworks_entry/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod runs_hedge;
 pub mod runs_judge;
 pub mod runs_messages;
+pub mod runs_spread;
 pub mod runs_step;
 pub mod signal;
 pub mod slots;
--- a/orioleworks_entry/src/peers.rs
+++ b/orioleworks_entry/src/peers.rs
@@ -8,6 +8,7 @@
 use futures_util::{FutureExt, select};
 use orioleworks_daemon::{clock, event, rpc};
 use orioleworks_proto::inner::{self, frame::Body};
+use orioleworks_routing::spread::PeerRoom;
 use tokio_util::sync::CancellationToken;
 
 use crate::signal::Signal;
@@ -131,6 +132,48 @@
         found.into_iter().map(|(_, known)| known.forwards.clone()).collect()
     }
 
+    /// Connection for forwards to a peer.
+    pub fn forwards(&self, name: &str) -> Option<rpc::Client> {
+        self.shared.known.get(name).map(|known| known.forwards.clone())
+    }
+
+    /// Room at the live peers of other domains that can run a kind; `own` is what this entry has in flight at each.
+    ///
+    /// The limits of a domain's upstreams are shared by its live entries.
+    pub fn rooms(
+        &self,
+        kind: &str,
+        lowest_version: u64,
+        own: impl Fn(&Rc<str>) -> u32,
+    ) -> Vec<PeerRoom> {
+        let mut entries: HashMap<&str, u32> = HashMap::new();
+        for known in self.live() {
+            *entries.entry(&*known.peer.failure_domain).or_default() += 1;
+        }
+        let mut rooms = Vec::new();
+        for known in self.live() {
+            let domain = &known.peer.failure_domain;
+            let last = known.last.borrow();
+            let load = last.as_ref().and_then(|(_, digest)| {
+                digest.kinds.iter().find(|load| {
+                    load.kind == kind
+                        && load.upstreams > 0
+                        && load.highest_version >= lowest_version
+                })
+            });
+            let Some(load) = load.filter(|_| *domain != self.shared.failure_domain) else {
+                continue;
+            };
+            let name = known.peer.name.clone();
+            let share = load.capacity / entries.get(&**domain).copied().unwrap_or(1).max(1);
+            let others = load.in_flight.saturating_sub(own(&name));
+            rooms.push(PeerRoom { name, share, others });
+        }
+        // The order of a hash map differs from run to run.
+        rooms.sort_by(|a, b| a.name.cmp(&b.name));
+        rooms
+    }
+
     fn live(&self) -> impl Iterator<Item = &Known> {
         let now = clock::since_boot();
         self.shared.known.values().filter(move |known| {
--- a/orioleworks_entry/src/placement.rs
+++ b/orioleworks_entry/src/placement.rs
@@ -93,6 +93,8 @@
     pub affinity: &'a Affinity,
     /// Setting of the selection.
     pub choice: choice::Settings,
+    /// Engines with a pending swap drain even when no other engine is left.
+    pub drain_all: bool,
     /// Live entries of the failure domain.
     pub live_entries: u32,
     /// Source of samples.
@@ -132,9 +134,12 @@
             Some(_) => self.holders(&waiter.fingerprint),
             None => Vec::new(),
         };
+        // Weights are fetched for all engines at a time, and a fetch that the store holds up would stop every sample.
+        let keep_all = !self.drain_all && self.live.iter().all(|m| drains(waiter, m));
         let now = self.now;
         let fits = |m: &&&Member| {
             allowed(waiter, m)
+                && (keep_all || !drains(waiter, m))
                 && self.has_room(m)
                 && !self.upstreams.get(&m.last.name).is_some_and(|u| u.is_reserved(now))
                 && (spread.is_none_or(|n| holders.len() < n) || holders.contains(&m.last.name))
@@ -161,10 +166,11 @@
         }
         let (now, fingerprint) = (self.now, &waiter.fingerprint);
         let own = |u: &Upstream| u.reserved.as_ref().is_some_and(|(f, _)| f == fingerprint);
-        let fitting = self.live.iter().filter(|m| allowed(waiter, m)).filter(|m| {
-            let upstream = self.upstreams.get(&m.last.name);
-            upstream.is_some_and(|u| !u.exclusive && (own(u) || !u.is_reserved(now)))
-        });
+        let fitting =
+            self.live.iter().filter(|m| allowed(waiter, m) && !drains(waiter, m)).filter(|m| {
+                let upstream = self.upstreams.get(&m.last.name);
+                upstream.is_some_and(|u| !u.exclusive && (own(u) || !u.is_reserved(now)))
+            });
         let best = fitting.min_by_key(|m| {
             let upstream = &self.upstreams[&m.last.name];
             (!own(upstream), upstream.in_flight())
@@ -198,8 +204,13 @@
 /// Whether the upstream may run the request at all.
 pub fn allowed(waiter: &Waiter, member: &Member) -> bool {
     let a = &member.last;
-    let drains = waiter.profile.objective() == inner::Objective::Staleness
+    !waiter.avoid.contains(&a.name) && a.weight_version >= waiter.lowest_version
+}
+
+/// Whether the upstream finishes its samples before a swap and takes no new ones of this request's profile.
+fn drains(waiter: &Waiter, member: &Member) -> bool {
+    let a = &member.last;
+    waiter.profile.objective() == inner::Objective::Staleness
         && a.engine
-        && a.pending_version > a.weight_version;
-    !waiter.avoid.contains(&a.name) && a.weight_version >= waiter.lowest_version && !drains
+        && a.pending_version > a.weight_version
 }
--- a/orioleworks_entry/src/rollout.rs
+++ b/orioleworks_entry/src/rollout.rs
@@ -18,13 +18,15 @@
     forward,
     peers::{self, Peers},
     runs::{Own, Runs},
-    runs_dispatch, weights, weights_publish,
+    runs_dispatch,
+    runs_spread::{self, Spread},
+    weights, weights_publish,
 };
 
 /// Starts the rollout side of an entry; it ends with the token.
 pub fn start(entry: &Rc<Entry>, token: &CancellationToken) {
     let peers = start_peers(entry, token);
-    let runs = start_runs(entry, token);
+    let runs = start_runs(entry, &peers, token);
     start_weights(entry, token);
     let owner = entry.clone();
     entry.set_http_extension(Rc::new(move |req| answer_http(&owner, &runs, req)));
@@ -75,20 +77,25 @@
     peers
 }
 
-fn start_runs(entry: &Rc<Entry>, token: &CancellationToken) -> Runs {
+fn start_runs(entry: &Rc<Entry>, peers: &Peers, token: &CancellationToken) -> Runs {
     let own = Own {
         name: entry.identity.name.as_str().into(),
         incarnation: entry.identity.incarnation,
         http_address: entry.identity.http_address.as_str().into(),
     };
-    let (dispatcher, placed) = (entry.dispatcher.clone(), entry.dispatcher.clone());
-    let deps = runs_dispatch::Deps {
-        run: Rc::new(move |job| {
+    let spread = Spread::new(entry.dispatcher.clone(), peers.clone());
+    let (dispatcher, placed) = (entry.dispatcher.clone(), spread.clone());
+    let run: runs_dispatch::Run = if entry.cfg.routing.local_samples {
+        Rc::new(move |job| {
             let dispatcher = dispatcher.clone();
             Box::pin(async move { dispatcher.run(job).await })
-        }),
-        running_on: Rc::new(move |request_id| placed.running_on(request_id)),
+        })
+    } else {
+        runtime::spawn(spread.clone().poll(token.clone())).detach();
+        Rc::new(runs_spread::run(spread))
     };
+    let running_on = Rc::new(move |request_id: &str| placed.running_on(request_id));
+    let deps = runs_dispatch::Deps { run, running_on };
     let control = entry.control.clone();
     let configuration = entry.configuration.clone();
     let runs = Runs::new(own, control, configuration, deps, entry.shutdown.clone());
--- /dev/null
+++ b/orioleworks_entry/src/runs_spread.rs
@@ -0,0 +1,192 @@
+//! Runs samples in the failure domains that have room for them; see `docs/design.md`, section 8.
+
+use std::{
+    cell::RefCell,
+    collections::{HashMap, VecDeque},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use compio::time;
+use futures_channel::oneshot;
+use futures_util::{FutureExt, future::LocalBoxFuture, select};
+use orioleworks_proto::codes::ResultCode;
+use orioleworks_routing::spread::{self, Place};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    dispatch::{Completed, Job, Refused},
+    dispatcher::{Dispatcher, refused},
+    forward,
+    peers::Peers,
+    suspects,
+};
+
+/// Interval at which waiting samples look again for room; finished ones wake them earlier.
+const POLL: Duration = Duration::from_millis(100);
+/// Waiting samples that one pass looks at.
+const MAX_SCAN: usize = 256;
+
+struct Waiting {
+    group: Rc<str>,
+    kind: Rc<str>,
+    lowest_version: u64,
+    tx: oneshot::Sender<Place>,
+}
+
+#[derive(Default)]
+struct State {
+    spread: spread::Spread,
+    waiting: VecDeque<Waiting>,
+    /// Peers of forwarded samples by request ID.
+    forwarded: HashMap<Rc<str>, Rc<str>>,
+}
+
+/// Places samples; clones share the state.
+#[derive(Clone)]
+pub struct Spread {
+    dispatcher: Dispatcher,
+    peers: Peers,
+    state: Rc<RefCell<State>>,
+}
+
+/// A place that is given back when it is dropped.
+struct Held {
+    owner: Spread,
+    place: Place,
+    request_id: Rc<str>,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        let mut state = self.owner.state.borrow_mut();
+        state.spread.release(&self.place);
+        state.forwarded.remove(&self.request_id);
+        drop(state);
+        self.owner.pump();
+    }
+}
+
+impl Spread {
+    /// Spread over the upstreams of the dispatcher and the peers.
+    pub fn new(dispatcher: Dispatcher, peers: Peers) -> Self {
+        Self { dispatcher, peers, state: Rc::default() }
+    }
+
+    /// Looks for room at intervals, because digests change it, until the token is cancelled.
+    pub async fn poll(self, token: CancellationToken) {
+        while !token.is_cancelled() {
+            time::sleep(POLL).await;
+            self.pump();
+        }
+    }
+
+    /// Where a sample runs now: an upstream of this domain, or a peer.
+    pub fn running_on(&self, request_id: &str) -> Option<Rc<str>> {
+        let forwarded = self.state.borrow().forwarded.get(request_id).cloned();
+        forwarded.or_else(|| self.dispatcher.running_on(request_id))
+    }
+
+    /// Runs a sample in the domain that has room for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final refusal.
+    pub async fn run(&self, job: Job) -> Result<Completed, Refused> {
+        let group = suspects::fingerprint(&job.profile.name, &job.body);
+        let held = self.wait(&job, &group).await?;
+        let result = match &held.place {
+            Place::Local => self.dispatcher.run(job).await,
+            Place::Peer(name) => match self.forward(name, &job).await {
+                Err(refused) if refused.code.not_run() && !job.cancel.is_cancelled() => {
+                    self.state.borrow_mut().spread.refused(&group);
+                    self.dispatcher.run(job).await
+                }
+                result => result,
+            },
+        };
+        if result.is_ok() {
+            self.state.borrow_mut().spread.prove(&group);
+        }
+        drop(held);
+        result
+    }
+
+    async fn forward(&self, peer: &Rc<str>, job: &Job) -> Result<Completed, Refused> {
+        let client = self.peers.forwards(peer);
+        let client = client.ok_or_else(|| refused(ResultCode::NoUpstream, peer, 0))?;
+        self.state.borrow_mut().forwarded.insert(job.request_id.clone(), peer.clone());
+        let result = forward::forward_to(&client, job).await;
+        result.unwrap_or_else(|| Err(refused(ResultCode::NoUpstream, peer, 0)))
+    }
+
+    async fn wait(&self, job: &Job, group: &Rc<str>) -> Result<Held, Refused> {
+        let (tx, rx) = oneshot::channel();
+        let waiting = Waiting {
+            group: group.clone(),
+            kind: job.profile.upstream_kind.as_str().into(),
+            lowest_version: job.lowest_version,
+            tx,
+        };
+        self.state.borrow_mut().waiting.push_back(waiting);
+        self.pump();
+        let left = job.deadline.saturating_duration_since(Instant::now());
+        let mut placed = std::pin::pin!(time::timeout(left, rx).fuse());
+        let mut cancelled = std::pin::pin!(job.cancel.cancelled().fuse());
+        let late = |detail| Err(refused(ResultCode::DeadlineBeforeDispatch, detail, 0));
+        select! {
+            placed = placed => match placed {
+                Ok(Ok(place)) => {
+                    let request_id = job.request_id.clone();
+                    Ok(Held { owner: self.clone(), place, request_id })
+                }
+                Ok(Err(_)) | Err(_) => late("no failure domain had room"),
+            },
+            () = cancelled => late("the sample was cancelled"),
+        }
+    }
+
+    /// Places waiting samples, in order, as far as there is room.
+    fn pump(&self) {
+        let mut state = self.state.borrow_mut();
+        let State { spread, waiting, .. } = &mut *state;
+        let mut rooms = HashMap::new();
+        let (mut at, mut scanned) = (0, 0);
+        while scanned < MAX_SCAN
+            && let Some(next) = waiting.get(at)
+        {
+            scanned += 1;
+            if next.tx.is_canceled() {
+                waiting.remove(at);
+                continue;
+            }
+            let key = (next.kind.clone(), next.lowest_version);
+            let (local, peers) = rooms.entry(key).or_insert_with(|| {
+                let local = self.dispatcher.own_share(&next.kind);
+                let in_flight = |name: &Rc<str>| spread.in_flight(&Place::Peer(name.clone()));
+                (local, self.peers.rooms(&next.kind, next.lowest_version, in_flight))
+            });
+            match spread.place(&next.group, *local, peers) {
+                None => at += 1,
+                Some(place) => {
+                    let sent = waiting.remove(at).map(|next| next.tx.send(place.clone()));
+                    if !matches!(sent, Some(Ok(()))) {
+                        spread.release(&place);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Runs samples through the spread, and everything else as the dispatcher does.
+pub fn run(spread: Spread) -> impl Fn(Job) -> LocalBoxFuture<'static, Result<Completed, Refused>> {
+    move |job| {
+        let spread = spread.clone();
+        // A second attempt has an upstream or a peer to avoid and runs here.
+        let is_first_sample = job.profile.engine && job.prefix.is_some() && job.avoid.is_empty();
+        Box::pin(async move {
+            if is_first_sample { spread.run(job).await } else { spread.dispatcher.run(job).await }
+        })
+    }
+}
--- a/orioleworks_entry/src/slots.rs
+++ b/orioleworks_entry/src/slots.rs
@@ -29,7 +29,7 @@
     members::{Expired, Members},
     placement::{Running, Upstream, View, Waiter},
     policies::Policies,
-    suspects::{Standing, Suspects},
+    suspects::Suspects,
 };
 
 pub(crate) struct State {
@@ -246,6 +246,7 @@
                 upstreams: &mut state.upstreams,
                 affinity: &state.affinity,
                 choice: self.policies.choice,
+                drain_all: self.policies.drain_all,
                 live_entries: self.live_entries.get(),
                 rng: &mut state.rng,
             };
@@ -343,9 +344,17 @@
         loads.into_values().collect()
     }
 
-    /// Standing of a request.
-    pub fn standing(&self, fingerprint: &str) -> Standing {
-        self.suspects.standing(fingerprint)
+    /// Requests of a kind that this entry may have in flight.
+    pub fn own_share(&self, kind: &str) -> u32 {
+        let (state, live_entries) = (self.state.borrow(), self.live_entries.get());
+        self.members.read(|members| {
+            let live = members.live(kind).filter(|m| !self.configuration.is_stopped(&m.last.name));
+            let share = |m: &Member| match state.upstreams.get(&m.last.name) {
+                Some(upstream) => upstream.limit.share(live_entries),
+                None => (m.last.capacity / live_entries).max(1),
+            };
+            live.map(share).sum()
+        })
     }
 }
 
--- a/orioleworks_routing/src/lib.rs
+++ b/orioleworks_routing/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod limit;
 pub mod members;
 pub mod queue;
+pub mod spread;
 pub mod suspects;
--- /dev/null
+++ b/orioleworks_routing/src/spread.rs
@@ -0,0 +1,129 @@
+//! Spread of samples over the failure domains; see `docs/design.md`, section 8.
+//!
+//! ```
+//! use orioleworks_routing::spread::{PeerRoom, Place, Spread};
+//!
+//! let mut spread = Spread::default();
+//! let peer = PeerRoom { name: "entry-b1".into(), share: 8, others: 0 };
+//! assert_eq!(spread.place(&"group-1".into(), 1, &[peer.clone()]), Some(Place::Local));
+//! assert_eq!(spread.place(&"group-2".into(), 1, &[peer]), Some(Place::Peer("entry-b1".into())));
+//! ```
+
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+
+/// Groups remembered; the oldest are forgotten first.
+const MAX_GROUPS: usize = 16_384;
+
+/// Where a sample runs.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Place {
+    /// In the failure domain of this entry.
+    Local,
+    /// Through this peer in another failure domain.
+    Peer(Rc<str>),
+}
+
+/// Room at a peer, from its last digest.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerRoom {
+    /// Name of the peer.
+    pub name: Rc<str>,
+    /// Requests that it may have in flight.
+    pub share: u32,
+    /// Requests that it has in flight for others.
+    pub others: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Group {
+    place: Place,
+    /// A sample of the group has finished, so its prompt crashes no upstream.
+    proven: bool,
+}
+
+/// Samples in flight by place, and the places of their groups.
+#[derive(Clone, Debug, Default)]
+pub struct Spread {
+    in_flight: IndexMap<Place, u32>,
+    groups: IndexMap<Rc<str>, Group>,
+}
+
+impl Spread {
+    /// Samples in flight at a place.
+    pub fn in_flight(&self, place: &Place) -> u32 {
+        self.in_flight.get(place).copied().unwrap_or(0)
+    }
+
+    /// Takes the place for one more sample of a group; `None` while every place is full.
+    ///
+    /// A group whose prompt has never finished stays in one place, full or not: in several domains at a time a prompt
+    /// that crashes upstreams would destroy more than two. Other groups go where their prompt is cached, else run
+    /// locally while there is room, else at the least loaded peer.
+    pub fn place(
+        &mut self,
+        group: &Rc<str>,
+        local_share: u32,
+        peers: &[PeerRoom],
+    ) -> Option<Place> {
+        let place = self.choose(group, local_share, peers)?;
+        *self.in_flight.entry(place.clone()).or_default() += 1;
+        if self.groups.len() >= MAX_GROUPS && !self.groups.contains_key(group) {
+            // Half at a time, because removal from the front moves every later element.
+            drop(self.groups.drain(..MAX_GROUPS / 2));
+        }
+        let fresh = || Group { place: place.clone(), proven: false };
+        self.groups.entry(group.clone()).or_insert_with(fresh).place = place.clone();
+        Some(place)
+    }
+
+    fn choose(&self, group: &str, local_share: u32, peers: &[PeerRoom]) -> Option<Place> {
+        if peers.is_empty() {
+            return Some(Place::Local);
+        }
+        let load = |peer: &PeerRoom| self.in_flight(&Place::Peer(peer.name.clone())) + peer.others;
+        let has_room = |place: &Place| match place {
+            Place::Local => self.in_flight(place) < local_share,
+            Place::Peer(name) => peers.iter().any(|p| p.name == *name && load(p) < p.share),
+        };
+        let reachable = |place: &Place| match place {
+            Place::Local => true,
+            Place::Peer(name) => peers.iter().any(|peer| peer.name == *name),
+        };
+        let known = self.groups.get(group).filter(|group| reachable(&group.place));
+        match known {
+            Some(group) if !group.proven || has_room(&group.place) => {
+                return Some(group.place.clone());
+            }
+            _ => {}
+        }
+        if has_room(&Place::Local) {
+            return Some(Place::Local);
+        }
+        let relative = |peer: &&PeerRoom| load(peer) * 1000 / peer.share.max(1);
+        let free = peers.iter().filter(|peer| load(peer) < peer.share).min_by_key(relative);
+        free.map(|peer| Place::Peer(peer.name.clone()))
+    }
+
+    /// Gives a place back.
+    pub fn release(&mut self, place: &Place) {
+        if let Some(count) = self.in_flight.get_mut(place) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// Notes that a sample of a group has finished.
+    pub fn prove(&mut self, group: &str) {
+        if let Some(group) = self.groups.get_mut(group) {
+            group.proven = true;
+        }
+    }
+
+    /// Moves a group that a place has refused without running it.
+    pub fn refused(&mut self, group: &str) {
+        if let Some(group) = self.groups.get_mut(group) {
+            group.place = Place::Local;
+        }
+    }
+}
--- a/orioleworks_standins/src/bin/orioleworks-measure.rs
+++ b/orioleworks_standins/src/bin/orioleworks-measure.rs
@@ -13,7 +13,8 @@
 /// Runs one workload on two policies, seed by seed, and prints their figures side by side.
 #[derive(FromArgs)]
 struct Options {
-    /// workload: steady, overload, refusals, knee, stragglers, skewed, lag, slow-engine, domain-loss or swaps
+    /// workload: steady, overload, refusals, knee, stragglers, skewed, lag, slow-engine, domain-loss, swaps or
+    /// swaps-fast-store
     #[argh(positional)]
     workload: String,
     /// first seed
--- a/orioleworks_standins/src/bin/standin-judge.rs
+++ b/orioleworks_standins/src/bin/standin-judge.rs
@@ -69,6 +69,7 @@
         entries: host::list(&options.entries),
         lag: Duration::from_millis(options.lag_ms),
         judge: true,
+        workers: 0,
         refuse_over: 0,
     };
     let (listener, address) = match host::listen(&options.listen).await {
--- a/orioleworks_standins/src/bin/standin-service.rs
+++ b/orioleworks_standins/src/bin/standin-service.rs
@@ -39,6 +39,9 @@
     /// age of the announced load in milliseconds
     #[argh(option, default = "400")]
     lag_ms: u64,
+    /// requests that it works on at a time; 0 for no bound
+    #[argh(option, default = "0")]
+    workers: usize,
     /// running requests above which further ones are refused as not run; 0 for no bound
     #[argh(option, default = "0")]
     refuse_over: usize,
@@ -72,6 +75,7 @@
         entries: host::list(&options.entries),
         lag: Duration::from_millis(options.lag_ms),
         judge: false,
+        workers: options.workers,
         refuse_over: options.refuse_over,
     };
     let (listener, address) = match host::listen(&options.listen).await {
--- a/orioleworks_standins/src/deployment.rs
+++ b/orioleworks_standins/src/deployment.rs
@@ -43,6 +43,8 @@
     pub engine_args: Vec<String>,
     /// Further arguments of every plain service.
     pub service_args: Vec<String>,
+    /// Further arguments of the weight store.
+    pub weights_args: Vec<String>,
     /// Section `routing` of the entries; null for the defaults.
     pub routing: serde_json::Value,
 }
@@ -61,6 +63,7 @@
             relays: true,
             engine_args: Vec::new(),
             service_args: Vec::new(),
+            weights_args: Vec::new(),
             routing: serde_json::Value::Null,
         }
     }
--- a/orioleworks_standins/src/layout.rs
+++ b/orioleworks_standins/src/layout.rs
@@ -122,7 +122,9 @@
     fn add_standins(&mut self, ports: &mut Ports) -> io::Result<()> {
         let weights = ports.free()?;
         let node = Node { kind: Kind::Weights, domain: String::new(), http: weights.clone() };
-        self.add("weights", node, "standin-weights", args(&[("listen", &weights)]));
+        let mut list = args(&[("listen", &weights)]);
+        list.extend(self.options.weights_args.iter().cloned());
+        self.add("weights", node, "standin-weights", list);
         for (at, domain) in self.options.domains.clone().iter().enumerate() {
             for number in 1..=self.options.engines_per_domain {
                 let name = format!("scorer-{}{number}", letter(domain));
