--- a/orioleworks_entry/src/config.rs
+++ b/orioleworks_entry/src/config.rs
@@ -135,8 +135,8 @@
     pub random_choice: bool,
     /// No prefix affinity.
     pub no_affinity: bool,
-    /// Engines with a pending swap take no new samples even when no other engine is left.
-    pub drain_all: bool,
+    /// Engines with a pending swap take samples while no other engine of the kind is left.
+    pub drain_unless_all: bool,
     /// Samples run in the failure domain of the run's owner only, unless it has no upstream of the kind.
     pub local_samples: bool,
 }
--- a/orioleworks_entry/src/placement.rs
+++ b/orioleworks_entry/src/placement.rs
@@ -93,8 +93,8 @@
     pub affinity: &'a Affinity,
     /// Setting of the selection.
     pub choice: choice::Settings,
-    /// Engines with a pending swap drain even when no other engine is left.
-    pub drain_all: bool,
+    /// Engines with a pending swap take samples while no other engine of the kind is left.
+    pub drain_unless_all: bool,
     /// Live entries of the failure domain.
     pub live_entries: u32,
     /// Source of samples.
@@ -135,7 +135,7 @@
             None => Vec::new(),
         };
         // Weights are fetched for all engines at a time, and a fetch that the store holds up would stop every sample.
-        let keep_all = !self.drain_all && self.live.iter().all(|m| drains(waiter, m));
+        let keep_all = self.drain_unless_all && self.live.iter().all(|m| drains(waiter, m));
         let now = self.now;
         let fits = |m: &&&Member| {
             allowed(waiter, m)
--- a/orioleworks_entry/src/policies.rs
+++ b/orioleworks_entry/src/policies.rs
@@ -17,8 +17,8 @@
     pub choice: choice::Settings,
     /// Prefix affinity.
     pub affinity: affinity::Settings,
-    /// Engines with a pending swap drain even when no other engine is left.
-    pub drain_all: bool,
+    /// Engines with a pending swap take samples while no other engine of the kind is left.
+    pub drain_unless_all: bool,
     /// Retry budget of each profile.
     pub budget: budget::Settings,
 }
@@ -32,7 +32,7 @@
         policies.queue =
             queue::Settings { bound: cfg.limits.queued_requests, fifo: routing.fifo_queue };
         policies.budget.unlimited = routing.unlimited_retries;
-        policies.drain_all = routing.drain_all;
+        policies.drain_unless_all = routing.drain_unless_all;
         policies.choice.random = routing.random_choice;
         policies.affinity.off = routing.no_affinity;
         policies
--- a/orioleworks_entry/src/slots.rs
+++ b/orioleworks_entry/src/slots.rs
@@ -246,7 +246,7 @@
                 upstreams: &mut state.upstreams,
                 affinity: &state.affinity,
                 choice: self.policies.choice,
-                drain_all: self.policies.drain_all,
+                drain_unless_all: self.policies.drain_unless_all,
                 live_entries: self.live_entries.get(),
                 rng: &mut state.rng,
             };
--- a/orioleworks_standins/src/measure_policy.rs
+++ b/orioleworks_standins/src/measure_policy.rs
@@ -18,7 +18,7 @@
 }
 
 /// Names of the parts of a policy.
-pub const NAMES: &str = "default, local-samples, drain-all, fifo, fixed-limit=N, unlimited-retries, random-choice, no-affinity, \
+pub const NAMES: &str = "default, local-samples, drain-unless-all, fifo, fixed-limit=N, unlimited-retries, random-choice, no-affinity, \
     second-attempts=PERMILLE, objective-idle, objective-staleness; several are joined by +";
 
 /// unknown policy `{0}`
@@ -58,7 +58,7 @@
             }
             ("fixed-limit", limit) => ("fixed_limit", json!(limit.parse::<u32>().ok()?)),
             ("local-samples", "") => ("local_samples", json!(true)),
-            ("drain-all", "") => ("drain_all", json!(true)),
+            ("drain-unless-all", "") => ("drain_unless_all", json!(true)),
             ("fifo", "") => ("fifo_queue", json!(true)),
             ("unlimited-retries", "") => ("unlimited_retries", json!(true)),
             ("random-choice", "") => ("random_choice", json!(true)),
