--- a/orioleworks_entry/tests/common/mod.rs
+++ b/orioleworks_entry/tests/common/mod.rs
@@ -143,6 +143,14 @@
     }
 
     pub async fn start_with(profiles: Vec<inner::Profile>, data: &str) -> Self {
+        Self::start_under(profiles, data, Policies::default()).await
+    }
+
+    pub async fn start_under(
+        profiles: Vec<inner::Profile>,
+        data: &str,
+        policies: Policies,
+    ) -> Self {
         let control = FakeControl::default();
         let profiles = profiles.into_iter();
         let profiles =
@@ -167,7 +175,7 @@
         }
         let cfg: Config = orioleworks_settings::parse("test", &text.to_string()).unwrap();
         let shutdown = Shutdown::default();
-        let entry = Entry::bind(cfg, Policies::default(), shutdown.clone(), String::new);
+        let entry = Entry::bind(cfg, policies, shutdown.clone(), String::new);
         let entry = entry.await.unwrap();
         let url = format!("http://{}", entry.cfg.listen.http);
         let served = entry.clone();
--- a/orioleworks_entry/tests/routing.rs
+++ b/orioleworks_entry/tests/routing.rs
@@ -10,7 +10,10 @@
 
 use common::{Mode, World, block_on, profile, scorer};
 use compio::time;
-use orioleworks_entry::dispatch::{Completed, Job, Refused};
+use orioleworks_entry::{
+    dispatch::{Completed, Job, Refused},
+    policies::Policies,
+};
 use orioleworks_proto::{codes::ResultCode, inner};
 use rstest::rstest;
 use serde_json::json;
@@ -72,6 +75,34 @@
     });
 }
 
+/// Guards against a setting that lets an engine take samples before its swap while another one is free to run them.
+#[rstest]
+#[case::all_swap(4, &["e-1", "e-2"])]
+#[case::one_does_not(0, &["e-2"])]
+fn drain_unless_all_keeps_engines_in_use_only_when_all_swap(
+    #[case] other_pending: u64,
+    #[case] allowed: &[&str],
+) {
+    block_on(async {
+        let policies = Policies { drain_unless_all: true, ..Policies::default() };
+        let world = World::start_under(vec![], "", policies).await;
+        let (pending, profile) = (json!({"pending_version": 4}), scorer());
+        let objective = inner::Objective::Staleness.into();
+        let profile = inner::Profile { objective, ..profile };
+        let first = world.upstream("e-1", "scorer-llm", Mode::Stream(STREAM)).await;
+        first.announcing.cancel();
+        announce(&world, pending, &first.address).await;
+        let second = world.upstream("e-2", "scorer-llm", Mode::Stream(STREAM)).await;
+        second.announcing.cancel();
+        let other = json!({"name": "e-2", "pending_version": other_pending, "capacity": 8});
+        announce(&world, other, &second.address).await;
+        for _ in 0..8 {
+            let done = world.entry.dispatcher.run(sample(profile.clone())).await.unwrap();
+            assert!(allowed.contains(&&*done.upstream), "{}", done.upstream);
+        }
+    });
+}
+
 /// Guards against a sample from weights older than it may be.
 #[rstest]
 #[case(3, true)]
--- /dev/null
+++ b/orioleworks_routing/tests/spread.rs
@@ -0,0 +1,64 @@
+//! Spread of samples over the failure domains.
+
+use std::rc::Rc;
+
+use orioleworks_routing::spread::{PeerRoom, Place, Spread};
+use rstest::rstest;
+
+fn peer(name: &str, share: u32, others: u32) -> PeerRoom {
+    PeerRoom { name: name.into(), share, others }
+}
+
+fn at(name: &str) -> Place {
+    Place::Peer(name.into())
+}
+
+/// Guards against samples that leave the domain while it has room, or that exceed the bound of a peer.
+#[rstest]
+fn local_first_then_the_least_loaded_peer_up_to_its_bound() {
+    let mut spread = Spread::default();
+    let peers = [peer("b", 2, 1), peer("c", 2, 0)];
+    let mut place = |n: u32| spread.place(&Rc::from(n.to_string()), 2, &peers);
+    let placed: Vec<Option<Place>> = (0..6).map(&mut place).collect();
+    let expected =
+        [Some(Place::Local), Some(Place::Local), Some(at("c")), Some(at("b")), Some(at("c")), None];
+    assert_eq!(placed, expected);
+    spread.release(&at("b"));
+    assert_eq!(spread.place(&"7".into(), 2, &peers), Some(at("b")));
+}
+
+/// Guards against a prompt that crashes upstreams of several failure domains at a time.
+#[rstest]
+fn group_that_never_finished_stays_in_one_place() {
+    let mut spread = Spread::default();
+    let peers = [peer("b", 1, 0)];
+    let group: Rc<str> = "g".into();
+    assert_eq!(spread.place(&group, 0, &peers), Some(at("b")));
+    for _ in 0..3 {
+        assert_eq!(
+            spread.place(&group, 8, &peers),
+            Some(at("b")),
+            "over the bound, with local room"
+        );
+    }
+    spread.prove(&group);
+    assert_eq!(spread.place(&group, 8, &peers), Some(Place::Local), "the peer is full");
+}
+
+/// Guards against samples that wait for a peer that is lost, or that go back to one that refused them.
+#[rstest]
+#[case::lost(false)]
+#[case::refused(true)]
+fn group_leaves_a_peer_that_cannot_run_it(#[case] refused: bool) {
+    let mut spread = Spread::default();
+    let group: Rc<str> = "g".into();
+    let both = [peer("b", 1, 0), peer("c", 1, 1)];
+    assert_eq!(spread.place(&group, 0, &both), Some(at("b")));
+    if refused {
+        spread.refused(&group);
+        assert_eq!(spread.place(&group, 0, &both), Some(Place::Local));
+    } else {
+        assert_eq!(spread.place(&group, 0, &both[1..]), None, "the other peer is full");
+        assert_eq!(spread.place(&group, 0, &[]), Some(Place::Local), "no peer is left");
+    }
+}
