--- a/orioleworks_matrix/src/lib.rs
+++ b/orioleworks_matrix/src/lib.rs
@@ -4,10 +4,10 @@
 
 pub mod cell;
 pub mod claims;
-pub mod site;
 pub mod http_relay;
 pub mod poison;
 pub mod samples;
+pub mod site;
 pub mod stops;
 pub mod swaps;
 pub mod traffic;
--- a/orioleworks_standins/src/deployment.rs
+++ b/orioleworks_standins/src/deployment.rs
@@ -47,6 +47,12 @@
     pub weight_store: bool,
     /// Log entries from one snapshot of control to the next; `None` for the daemon's own value.
     pub snapshot_entries: Option<u64>,
+    /// Further arguments of every plain service.
+    pub service_args: Vec<String>,
+    /// Further arguments of the weight store.
+    pub weights_args: Vec<String>,
+    /// Section `routing` of the entries; null for the defaults.
+    pub routing: serde_json::Value,
 }
 
 impl Options {
@@ -65,6 +71,9 @@
             service_kinds: ["sheet-app", "booking-portal"].map(String::from).to_vec(),
             weight_store: true,
             snapshot_entries: None,
+            service_args: Vec::new(),
+            weights_args: Vec::new(),
+            routing: serde_json::Value::Null,
         }
     }
 }
--- a/orioleworks_standins/src/layout.rs
+++ b/orioleworks_standins/src/layout.rs
@@ -105,7 +105,13 @@
                 let snapshot_entries = self.options.snapshot_entries;
                 settings_files::control(own, &self.controls, &data, bootstrap, snapshot_entries)
             }
-            _ => settings_files::entry(own, &self.controls, &self.entries, &data),
+            _ => {
+                let mut entry = settings_files::entry(own, &self.controls, &self.entries, &data);
+                if !self.options.routing.is_null() {
+                    entry["routing"] = self.options.routing.clone();
+                }
+                entry
+            }
         };
         settings_files::write(&self.settings_path(&own.name), &settings)
     }
@@ -120,7 +126,9 @@
         let weights = ports.free()?;
         if self.options.weight_store {
             let node = Node { kind: Kind::Weights, domain: String::new(), http: weights.clone() };
-            self.add("weights", node, "standin-weights", args(&[("listen", &weights)]));
+            let mut list = args(&[("listen", &weights)]);
+            list.extend(self.options.weights_args.iter().cloned());
+            self.add("weights", node, "standin-weights", list);
         }
         for (at, domain) in self.options.domains.clone().iter().enumerate() {
             for number in 1..=self.options.engines_per_domain {
@@ -165,6 +173,9 @@
         if kind == Kind::Engine {
             list.extend(self.options.engine_args.iter().cloned());
         }
+        if kind == Kind::Service {
+            list.extend(self.options.service_args.iter().cloned());
+        }
         self.add(name, Node { kind, domain: domain.to_owned(), http }, program, list);
         Ok(())
     }
--- a/orioleworks_standins/src/service.rs
+++ b/orioleworks_standins/src/service.rs
@@ -1,6 +1,11 @@
 //! Stand-in plain service and judge: echoes content and records what it ran.
 
-use std::{cell::RefCell, convert::Infallible, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    convert::Infallible,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use compio::runtime;
@@ -39,6 +44,10 @@
     pub lag: Duration,
     /// Whether it answers with scores instead of echoes.
     pub judge: bool,
+    /// Requests that it works on at a time, the others wait their turn; 0 for no bound.
+    pub workers: usize,
+    /// Running requests above which further ones are refused as not run; 0 for no bound.
+    pub refuse_over: usize,
 }
 
 impl Default for ServiceConfig {
@@ -51,6 +60,8 @@
             entries: Vec::new(),
             lag: Duration::from_millis(400),
             judge: false,
+            workers: 0,
+            refuse_over: 0,
         }
     }
 }
@@ -105,12 +116,16 @@
     running: InFlight,
     ran: RefCell<Ran>,
     last: RefCell<(String, Bytes)>,
+    /// Times at which the workers are free again.
+    free_at: RefCell<Vec<Instant>>,
 }
 
 impl Service {
     /// New service.
     pub fn new(config: ServiceConfig, faults: FaultSwitch) -> Rc<Self> {
+        let free_at = RefCell::new(vec![Instant::now(); config.workers]);
         Rc::new(Self {
+            free_at,
             config,
             faults,
             membership: Membership::default(),
@@ -120,6 +135,15 @@
         })
     }
 
+    /// Time until a request that arrives now is done, with the wait for a worker.
+    fn done_in(&self, work: Duration) -> Duration {
+        let now = Instant::now();
+        let mut free_at = self.free_at.borrow_mut();
+        let Some(first) = free_at.iter_mut().min() else { return work };
+        *first = (*first).max(now) + work;
+        first.saturating_duration_since(now)
+    }
+
     fn announcement(&self, address: &str) -> Announcement {
         let running = u32::try_from(self.running.count()).unwrap_or(u32::MAX);
         Announcement {
@@ -181,7 +205,9 @@
     };
     let content = content_name(&body);
     let run = Run { request_id, idempotency_key, content };
-    if service.faults.take(|f| &mut f.refuse) {
+    let bound = service.config.refuse_over;
+    let full = bound > 0 && service.running.count() >= bound;
+    if full || service.faults.take(|f| &mut f.refuse) {
         service.ran.borrow_mut().refused.push(run);
         return host::refused();
     }
@@ -199,7 +225,8 @@
     let request_id = run.request_id.clone();
     service.ran.borrow_mut().runs.push(run);
     let number = service.ran.borrow().runs.len() as u64;
-    compio::time::sleep(service.faults.work_time(service.config.work_time, draw)).await;
+    let work = service.faults.work_time(service.config.work_time, draw);
+    compio::time::sleep(service.done_in(work)).await;
     service.faults.wait_hang(|| false).await;
     drop(guard);
     let own = (request_id, body);
@@ -217,7 +244,8 @@
 }
 
 fn answer(service: &Service, body: &[u8], run: u64) -> Response {
-    if service.config.judge {
+    // A service that also judges tells the two by the fields of the body.
+    if service.config.judge || serde_json::from_slice::<judge::JudgeRequest>(body).is_ok() {
         return judged(body);
     }
     let echo = String::from_utf8_lossy(body).into_owned();
