Measure slopes of control, entry and inner protocol: orioleworks-capacity

The figures of docs/CAPACITY.md need a command behind each of them. The command runs release builds of the daemons with fake entries, upstreams, engines and peers in its own process, and fits lines over at least three sizes.

--- /dev/null
+++ b/orioleworks_standins/src/capacity_control.rs
@@ -0,0 +1,267 @@
+//! Slopes of the control replicas and of the operators' command line.
+
+use std::{
+    cell::Cell,
+    io,
+    process::Stdio,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use compio::{runtime, time};
+use orioleworks_daemon::{clock, control::ControlClient};
+use orioleworks_proto::inner::{self, command::Kind};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    capacity_daemons::{
+        Bench, Measured, ORDER, Sample, add, client, command, four, profile, put, put_profiles,
+        sample, user_client,
+    },
+    capacity_fakes::Watchers,
+    capacity_fit::Series,
+};
+
+/// Time after which a deployment with new load is measured.
+const SETTLE: Duration = Duration::from_millis(1500);
+
+/// Largest of each figure over the replicas; the leader has the most work.
+fn busiest(samples: &[Sample]) -> Sample {
+    let largest = |f: fn(&Sample) -> f64| samples.iter().map(f).fold(0.0, f64::max);
+    Sample {
+        cpu_percent: largest(|s| s.cpu_percent),
+        memory_mb: largest(|s| s.memory_mb),
+        // Each byte between replicas passes one relay; both ends pay for it.
+        peer_bytes: samples.iter().map(|s| s.peer_bytes).sum::<f64>(),
+        user_bytes: samples.iter().map(|s| s.user_bytes).sum::<f64>(),
+    }
+}
+
+async fn measure(bench: &Bench, controls: &[Measured], series: &mut [Series; 4], size: f64) {
+    let all: Vec<&Measured> = controls.iter().collect();
+    for _ in 0..bench.repeats {
+        add(series, size, busiest(&sample(&all, bench.window).await));
+    }
+}
+
+fn watch_addresses(controls: &[Measured]) -> Vec<String> {
+    controls.iter().map(|c| c.users_address.clone()).collect()
+}
+
+/// Idle replicas: heartbeats alone.
+///
+/// # Errors
+///
+/// Returns what could not be started; so do the other measurements.
+pub async fn idle(bench: &mut Bench) -> io::Result<Vec<Series>> {
+    let mut series = four("control idle", "replica");
+    for count in [3_usize, 5, 7] {
+        let controls = bench.controls(count).await?;
+        time::sleep(SETTLE).await;
+        measure(bench, &controls, &mut series, count as f64).await;
+    }
+    Ok(series.into())
+}
+
+/// Entries that watch, and the time from an accepted order to its being in force on all of them.
+///
+/// # Errors
+///
+/// See [`idle`].
+pub async fn entries(bench: &mut Bench) -> io::Result<Vec<Series>> {
+    let mut series = four("control, entries watching", "entry");
+    let mut in_force = Series::new("order accepted to in force on all", "entry", "ms");
+    let mut accepted = Series::new("order sent to accepted", "entry", "ms");
+    let controls = bench.controls(3).await?;
+    let orders = client(&controls);
+    for count in [10_usize, 50, 150, 390] {
+        let watchers = Watchers::start(count, &watch_addresses(&controls));
+        time::sleep(SETTLE).await;
+        measure(bench, &controls, &mut series, count as f64).await;
+        for round in 0..bench.repeats * 5 {
+            let sent = Instant::now();
+            let revision = put(&orders, &format!("force-{count}-{round}"), profile(0)).await?;
+            let at = Instant::now();
+            accepted.add(count as f64, at.duration_since(sent).as_secs_f64() * 1e3);
+            if !watchers.wait(revision, ORDER).await {
+                return Err(io::Error::other("not in force in time"));
+            }
+            in_force.add(count as f64, at.elapsed().as_secs_f64() * 1e3);
+        }
+    }
+    let mut all: Vec<Series> = series.into();
+    all.extend([in_force, accepted]);
+    Ok(all)
+}
+
+/// Sends orders at an even rate until the token is cancelled; counts the accepted ones.
+fn orders_at(
+    rate: f64,
+    client: &ControlClient,
+    kinds: impl Fn(u64) -> Vec<Kind> + Clone + 'static,
+    token: &CancellationToken,
+) -> Rc<Cell<u64>> {
+    let accepted = Rc::new(Cell::new(0));
+    let (client, token, count) = (client.clone(), token.clone(), accepted.clone());
+    runtime::spawn(async move {
+        let started = Instant::now();
+        for number in 0_u64.. {
+            if token.is_cancelled() {
+                return;
+            }
+            let due = Duration::from_secs_f64(number as f64 / rate);
+            time::sleep(due.saturating_sub(started.elapsed())).await;
+            let (client, count, kinds) = (client.clone(), count.clone(), kinds.clone());
+            runtime::spawn(async move {
+                for (at, kind) in kinds(number).into_iter().enumerate() {
+                    let order = format!("load-{rate}-{number}-{at}");
+                    let reply = client.propose(order, command(kind), ORDER).await;
+                    if reply.is_ok_and(|reply| reply.code == 0) {
+                        count.set(count.get() + 1);
+                    }
+                }
+            })
+            .detach();
+        }
+    })
+    .detach();
+    accepted
+}
+
+async fn by_rate(
+    bench: &mut Bench,
+    name: &str,
+    per: &str,
+    rates: [f64; 3],
+    kinds: impl Fn(u64) -> Vec<Kind> + Clone + 'static,
+) -> io::Result<Vec<Series>> {
+    let mut series = four(name, per);
+    let mut done = Series::new(&format!("{name}: accepted orders"), per, "1/s");
+    let controls = bench.controls(3).await?;
+    let _watchers = Watchers::start(50, &watch_addresses(&controls));
+    let client = user_client(&controls);
+    for rate in rates {
+        let token = CancellationToken::new();
+        let accepted = orders_at(rate, &client, kinds.clone(), &token);
+        time::sleep(SETTLE).await;
+        let (before, started) = (accepted.get(), Instant::now());
+        measure(bench, &controls, &mut series, rate).await;
+        done.add(rate, (accepted.get() - before) as f64 / started.elapsed().as_secs_f64());
+        token.cancel();
+        time::sleep(SETTLE).await;
+    }
+    let mut all: Vec<Series> = series.into();
+    all.push(done);
+    Ok(all)
+}
+
+/// Configuration changes with 50 entries watching.
+///
+/// # Errors
+///
+/// See [`idle`].
+pub async fn changes(bench: &mut Bench) -> io::Result<Vec<Series>> {
+    let kinds = |number: u64| vec![Kind::PutProfile(profile((number % 10) as usize))];
+    by_rate(bench, "control, configuration changes", "change/s", [2.0, 10.0, 30.0], kinds).await
+}
+
+/// Claims with their finish, with 50 entries watching.
+///
+/// # Errors
+///
+/// See [`idle`].
+pub async fn claims(bench: &mut Bench) -> io::Result<Vec<Series>> {
+    let kinds = |number: u64| {
+        let issued_ms = clock::unix_ms();
+        let key = format!("{issued_ms}-{number}");
+        let claim = inner::Claim {
+            key: key.clone(),
+            profile: "gate-slot".into(),
+            fingerprint: "0123456789abcdef".repeat(4),
+            issued_ms,
+            entry: "node-000".into(),
+            entry_incarnation: 1,
+            attempt_id: key.clone(),
+            ..Default::default()
+        };
+        let finish = inner::FinishClaim {
+            key: key.clone(),
+            attempt_id: key,
+            state: inner::ClaimState::Finished.into(),
+            http_status: 200,
+            answer: vec![b'a'; 256],
+            content_type: "application/json".into(),
+        };
+        vec![Kind::Claim(claim), Kind::FinishClaim(finish)]
+    };
+    by_rate(bench, "control, claims with finish", "claim/s", [20.0, 100.0, 300.0], kinds).await
+}
+
+/// Profiles in the configuration: state of control, and the operators' list of them.
+///
+/// # Errors
+///
+/// See [`idle`].
+pub async fn profiles(bench: &mut Bench) -> io::Result<Vec<Series>> {
+    let mut series = four("control, profiles", "profile");
+    let mut list_time = Series::new("operator, list profiles: time", "profile", "ms");
+    let mut list_bytes = Series::new("operator, list profiles: bytes", "profile", "B");
+    let controls = bench.controls(3).await?;
+    let _watchers = Watchers::start(50, &watch_addresses(&controls));
+    let orders = client(&controls);
+    let mut put_so_far = 0;
+    for count in [10_usize, 100, 1000] {
+        put_profiles(&orders, put_so_far..count).await?;
+        put_so_far = count;
+        time::sleep(SETTLE).await;
+        measure(bench, &controls, &mut series, count as f64).await;
+    }
+    drop(_watchers);
+    // Without watchers only the command uses the relays for users, so that its bytes are counted alone.
+    time::sleep(SETTLE).await;
+    list(bench, &controls, 1000, &mut list_time, &mut list_bytes).await?;
+    for count in [100_usize, 10] {
+        for at in count..put_so_far {
+            let kind = Kind::RetireProfile(profile(at).name);
+            let reply = orders.propose(format!("retire-{at}"), command(kind), ORDER).await;
+            reply.map_err(|e| io::Error::other(e.to_string()))?;
+        }
+        put_so_far = count;
+        list(bench, &controls, count, &mut list_time, &mut list_bytes).await?;
+    }
+    let mut all: Vec<Series> = series.into();
+    all.extend([list_time, list_bytes]);
+    Ok(all)
+}
+
+async fn list(
+    bench: &Bench,
+    controls: &[Measured],
+    count: usize,
+    times: &mut Series,
+    bytes: &mut Series,
+) -> io::Result<()> {
+    let addresses = watch_addresses(controls).join(",");
+    let total = || controls.iter().map(|c| c.users.bytes()).sum::<u64>();
+    for _ in 0..bench.repeats {
+        let (before, started) = (total(), Instant::now());
+        let mut child = std::process::Command::new(bench.bin_dir.join("orioleworksctl"))
+            .args(["--control", &addresses, "list", "profiles"])
+            .stdout(Stdio::null())
+            .spawn()?;
+        // The relays run in this process, so the wait must not block.
+        let status = loop {
+            match child.try_wait()? {
+                Some(status) => break status,
+                None => time::sleep(Duration::from_millis(1)).await,
+            }
+        };
+        if !status.success() {
+            return Err(io::Error::other("the list command failed"));
+        }
+        times.add(count as f64, started.elapsed().as_secs_f64() * 1e3);
+        time::sleep(Duration::from_millis(50)).await;
+        bytes.add(count as f64, (total() - before) as f64);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/orioleworks_standins/src/capacity_daemons.rs
@@ -0,0 +1,292 @@
+//! Release-build daemons behind counting relays, for the measurements of `docs/CAPACITY.md`.
+
+use std::{
+    fs, io,
+    path::PathBuf,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use nix::{time, unistd::Pid};
+use orioleworks_daemon::control::ControlClient;
+use orioleworks_proto::inner::{self, command::Kind};
+use serde_json::{Value, json};
+
+use crate::{
+    capacity_fit::Series,
+    client::Client,
+    ports::Ports,
+    process::{Process, Spec},
+    relay::Relay,
+    settings_files::{self, Daemon},
+};
+
+/// Longest wait for a daemon to become ready.
+const READY: Duration = Duration::from_secs(20);
+/// Longest wait for one order.
+pub const ORDER: Duration = Duration::from_secs(5);
+
+/// Place and times of the measurements.
+pub struct Bench {
+    /// Directory of the programs.
+    pub bin_dir: PathBuf,
+    /// Directory of settings, data and logs.
+    pub directory: PathBuf,
+    /// Time of one measurement.
+    pub window: Duration,
+    /// Measurements at each size.
+    pub repeats: u32,
+    /// Heartbeat of the control replicas in milliseconds, instead of the default.
+    pub heartbeat_ms: Option<u64>,
+    /// Free ports.
+    pub ports: Ports,
+    /// Number of deployments so far, for the names of their directories.
+    pub started: u32,
+}
+
+/// A daemon with a relay for each kind of peer.
+pub struct Measured {
+    /// Addresses; the public one is that of the relay for other daemons.
+    pub daemon: Daemon,
+    /// The process.
+    pub process: Process,
+    /// Relay for the inner protocol from daemons of the same kind.
+    pub peers: Relay,
+    /// Relay for everybody else: watches and orders at control, HTTP at an entry.
+    pub users: Relay,
+    /// Address of the relay for everybody else.
+    pub users_address: String,
+}
+
+/// Use by one process in one window.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sample {
+    /// CPU time in percent of a core.
+    pub cpu_percent: f64,
+    /// Resident memory in MB.
+    pub memory_mb: f64,
+    /// Bytes per second with daemons of the same kind.
+    pub peer_bytes: f64,
+    /// Bytes per second with everybody else.
+    pub user_bytes: f64,
+}
+
+/// CPU time of a process in seconds, finer than the ticks of `/proc/<pid>/stat`.
+fn cpu_seconds(process: &Process) -> f64 {
+    let pid = process.pid().and_then(|pid| i32::try_from(pid).ok()).map(Pid::from_raw);
+    let clock = pid.and_then(|pid| time::clock_getcpuclockid(pid).ok());
+    let read = clock.and_then(|clock| clock.now().ok());
+    read.map_or(0.0, |spec| spec.tv_sec() as f64 + spec.tv_nsec() as f64 / 1e9)
+}
+
+/// Measures all processes over one window.
+pub async fn sample(measured: &[&Measured], window: Duration) -> Vec<Sample> {
+    let read = |m: &Measured| (cpu_seconds(&m.process), m.peers.bytes(), m.users.bytes());
+    let started = Instant::now();
+    let before: Vec<_> = measured.iter().map(|m| read(m)).collect();
+    compio::time::sleep(window).await;
+    let seconds = started.elapsed().as_secs_f64();
+    let pairs = measured.iter().zip(before);
+    pairs
+        .map(|(m, (cpu, peers, users))| {
+            let (cpu_after, peers_after, users_after) = read(m);
+            let memory = m.process.usage().map_or(0, |usage| usage.memory_bytes);
+            Sample {
+                cpu_percent: (cpu_after - cpu) / seconds * 100.0,
+                memory_mb: memory as f64 / 1e6,
+                peer_bytes: (peers_after - peers) as f64 / seconds,
+                user_bytes: (users_after - users) as f64 / seconds,
+            }
+        })
+        .collect()
+}
+
+/// The four figures of a [`Sample`] as series by one size.
+pub fn four(name: &str, per: &str) -> [Series; 4] {
+    [
+        Series::new(&format!("{name}: CPU"), per, "% of a core"),
+        Series::new(&format!("{name}: memory"), per, "MB"),
+        Series::new(&format!("{name}: bytes with its own kind"), per, "B/s"),
+        Series::new(&format!("{name}: bytes with others"), per, "B/s"),
+    ]
+}
+
+/// Adds a sample to the series of [`four`].
+pub fn add(series: &mut [Series; 4], size: f64, s: Sample) {
+    let values = [s.cpu_percent, s.memory_mb, s.peer_bytes, s.user_bytes];
+    series.iter_mut().zip(values).for_each(|(series, value)| series.add(size, value));
+}
+
+impl Bench {
+    fn place(&mut self, name: &str, domain: &str) -> io::Result<Daemon> {
+        Ok(Daemon {
+            name: name.to_owned(),
+            domain: domain.to_owned(),
+            http: self.ports.free()?,
+            inner: self.ports.free()?,
+            public_inner: self.ports.free()?,
+        })
+    }
+
+    async fn measured(
+        &mut self,
+        daemon: Daemon,
+        settings: &Value,
+        program: &str,
+        users_target: &str,
+    ) -> io::Result<Measured> {
+        let directory = self.directory.join(self.started.to_string());
+        fs::create_dir_all(&directory)?;
+        let path = directory.join(format!("{}.jsonc", daemon.name));
+        settings_files::write(&path, settings)?;
+        let users_address = self.ports.free()?;
+        let peers = Relay::start(&daemon.public_inner, &daemon.inner, Rc::new(|_| None)).await?;
+        let users = Relay::start(&users_address, users_target, Rc::new(|_| None)).await?;
+        let mut process = Process::new(Spec {
+            name: daemon.name.clone(),
+            program: self.bin_dir.join(program),
+            args: vec!["--config".into(), path.display().to_string()],
+            output: directory.join(format!("{}.log", daemon.name)),
+        });
+        process.start()?;
+        Ok(Measured { daemon, process, peers, users, users_address })
+    }
+
+    /// Starts control replicas and waits until they answer orders.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system refused, or that no order was accepted in time.
+    pub async fn controls(&mut self, count: usize) -> io::Result<Vec<Measured>> {
+        self.started += 1;
+        let mut daemons = Vec::new();
+        for at in 0..count {
+            daemons.push(self.place(&format!("control-{at}"), &domain(at))?);
+        }
+        let mut all = Vec::new();
+        for daemon in daemons.clone() {
+            let directory = self.directory.join(self.started.to_string()).join(&daemon.name);
+            fs::create_dir_all(&directory)?;
+            let mut settings = settings_files::control(&daemon, &daemons, &directory, true);
+            if let Some(ms) = self.heartbeat_ms {
+                settings["cluster"]["heartbeat_ms"] = json!(ms);
+                settings["cluster"]["election_timeout_min_ms"] = json!(ms * 6);
+                settings["cluster"]["election_timeout_max_ms"] = json!(ms * 12);
+            }
+            let target = daemon.inner.clone();
+            all.push(self.measured(daemon, &settings, "orioleworks-control", &target).await?);
+        }
+        let client = client(&all);
+        let open = inner::OpenRun { run: "ready".into(), ..Default::default() };
+        let reply = client.propose("ready", command(Kind::OpenRun(open)), READY).await;
+        reply.map_err(|e| io::Error::other(e.to_string()))?;
+        // Every replica has joined and the first elections are over.
+        compio::time::sleep(Duration::from_secs(1)).await;
+        Ok(all)
+    }
+
+    /// Starts an entry in the first failure domain with the given peers and waits until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the operating system refused, or that the entry was not ready in time.
+    pub async fn entry(
+        &mut self,
+        controls: &[Measured],
+        peers: &[(String, String, String)],
+    ) -> io::Result<Measured> {
+        let own = self.place("entry-0", &domain(0))?;
+        let replicas: Vec<Daemon> = controls
+            .iter()
+            .map(|c| Daemon { public_inner: c.users_address.clone(), ..c.daemon.clone() })
+            .collect();
+        let others: Vec<Daemon> = peers
+            .iter()
+            .map(|(name, domain, address)| Daemon {
+                name: name.clone(),
+                domain: domain.clone(),
+                http: address.clone(),
+                inner: address.clone(),
+                public_inner: address.clone(),
+            })
+            .collect();
+        let directory = self.directory.join(self.started.to_string()).join("entry-0");
+        fs::create_dir_all(&directory)?;
+        let settings = settings_files::entry(&own, &replicas, &others, &directory);
+        let target = own.http.clone();
+        let entry = self.measured(own, &settings, "orioleworks-entry", &target).await?;
+        let http = Client::new().map_err(|e| io::Error::other(e.to_string()))?;
+        let url = format!("http://{}/ready", entry.daemon.http);
+        let deadline = Instant::now() + READY;
+        while !matches!(http.get(&url, ORDER).await, Ok(answer) if answer.status == 200) {
+            if Instant::now() >= deadline {
+                return Err(io::Error::other("the entry is not ready in time"));
+            }
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+        Ok(entry)
+    }
+}
+
+/// Failure domain of an instance; there are 7 at the design size.
+pub fn domain(at: usize) -> String {
+    format!("domain-{}", at % 7)
+}
+
+/// Client of the replicas; it finds the leader by trying them, since they name each other's relays.
+pub fn client(controls: &[Measured]) -> ControlClient {
+    ControlClient::new(controls.iter().map(|c| c.daemon.public_inner.as_str()))
+}
+
+/// Client of the replicas over the relays for users.
+pub fn user_client(controls: &[Measured]) -> ControlClient {
+    ControlClient::new(controls.iter().map(|c| c.users_address.as_str()))
+}
+
+/// Command without an expected revision.
+pub fn command(kind: Kind) -> inner::Command {
+    inner::Command { expected_revision: None, kind: Some(kind) }
+}
+
+/// Profile with the given place in the list.
+pub fn profile(at: usize) -> inner::Profile {
+    inner::Profile {
+        name: format!("profile-{at:04}"),
+        upstream_kind: "sheet-app".into(),
+        class: inner::Class::Lookup.into(),
+        idempotent: true,
+        deadline_ms: 10_000,
+        share: 1,
+        ..Default::default()
+    }
+}
+
+/// Puts profiles with consecutive places.
+///
+/// # Errors
+///
+/// Returns the first order that was not accepted.
+pub async fn put_profiles(
+    client: &ControlClient,
+    places: std::ops::Range<usize>,
+) -> io::Result<()> {
+    for at in places {
+        let order = format!("profile-{at}");
+        put(client, &order, profile(at)).await?;
+    }
+    Ok(())
+}
+
+/// Puts one profile; returns the revision after it.
+///
+/// # Errors
+///
+/// Returns why the order was not accepted.
+pub async fn put(client: &ControlClient, order: &str, profile: inner::Profile) -> io::Result<u64> {
+    let kind = Kind::PutProfile(profile);
+    match client.propose(order, command(kind), ORDER).await {
+        Ok(reply) if reply.code == 0 => Ok(reply.revision),
+        Ok(reply) => Err(io::Error::other(reply.message)),
+        Err(e) => Err(io::Error::other(e.to_string())),
+    }
+}
--- /dev/null
+++ b/orioleworks_standins/src/capacity_election.rs
@@ -0,0 +1,78 @@
+//! Time without a leader after the loss of one, by heartbeat interval.
+
+use std::{
+    io,
+    time::{Duration, Instant},
+};
+
+use compio::time;
+use orioleworks_proto::inner::{self, command::Kind};
+
+use crate::{
+    capacity_daemons::{Bench, client, command, profile, put},
+    capacity_fakes::Watchers,
+    capacity_fit::Series,
+};
+
+/// Longest wait for an order after the loss.
+const LONGEST: Duration = Duration::from_secs(20);
+/// Heartbeats to compare in milliseconds.
+const HEARTBEATS_MS: [u64; 4] = [50, 100, 200, 400];
+
+/// Kills the leader and measures the time until an order is accepted, and the bytes and in-force time before that.
+///
+/// # Errors
+///
+/// Returns what could not be started.
+pub async fn elections(bench: &mut Bench) -> io::Result<Vec<Series>> {
+    let mut lost = Series::new("leader killed to next order accepted", "heartbeat ms", "ms");
+    let mut in_force = Series::new("order sent to in force on 30 entries", "heartbeat ms", "ms");
+    let mut bytes = Series::new("idle bytes between 3 replicas", "heartbeat ms", "B/s");
+    let configured = bench.heartbeat_ms;
+    for heartbeat in HEARTBEATS_MS {
+        bench.heartbeat_ms = Some(heartbeat);
+        for round in 0..bench.repeats * 2 {
+            let mut controls = bench.controls(3).await?;
+            let orders = client(&controls);
+            let (before, started) =
+                (controls.iter().map(|c| c.peers.bytes()).sum::<u64>(), Instant::now());
+            time::sleep(bench.window).await;
+            let after = controls.iter().map(|c| c.peers.bytes()).sum::<u64>();
+            bytes.add(heartbeat as f64, (after - before) as f64 / started.elapsed().as_secs_f64());
+            let addresses: Vec<String> = controls.iter().map(|c| c.users_address.clone()).collect();
+            let watchers = Watchers::start(30, &addresses);
+            time::sleep(Duration::from_secs(1)).await;
+            for order in 0..5 {
+                let sent = Instant::now();
+                let revision = put(&orders, &format!("put-{order}"), profile(0)).await?;
+                if !watchers.wait(revision, LONGEST).await {
+                    return Err(io::Error::other("not in force in time"));
+                }
+                in_force.add(heartbeat as f64, sent.elapsed().as_secs_f64() * 1e3);
+            }
+            drop(watchers);
+            let leader = leader(&orders, controls.len()).await?;
+            controls[leader].process.kill()?;
+            let killed = Instant::now();
+            let open = inner::OpenRun { run: format!("after-{round}"), ..Default::default() };
+            let reply = orders.propose("after", command(Kind::OpenRun(open)), LONGEST).await;
+            reply.map_err(|e| io::Error::other(e.to_string()))?;
+            lost.add(heartbeat as f64, killed.elapsed().as_secs_f64() * 1e3);
+        }
+    }
+    bench.heartbeat_ms = configured;
+    Ok(vec![lost, in_force, bytes])
+}
+
+async fn leader(
+    orders: &orioleworks_daemon::control::ControlClient,
+    count: usize,
+) -> io::Result<usize> {
+    for at in 0..count {
+        let status = orders.status(at, false, Duration::from_secs(1)).await;
+        if status.is_ok_and(|status| status.is_leader) {
+            return Ok(at);
+        }
+    }
+    Err(io::Error::other("no replica leads"))
+}
--- /dev/null
+++ b/orioleworks_standins/src/capacity_entry.rs
@@ -0,0 +1,232 @@
+//! Slopes of an entry: requests, tokens, upstreams and peers.
+
+use std::{
+    cell::Cell,
+    io,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use compio::{runtime, time};
+use orioleworks_daemon::rpc;
+use orioleworks_proto::inner::{self, frame::Body};
+use serde_json::json;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    capacity_daemons::{Bench, Measured, add, client, domain, four, put, sample},
+    capacity_fakes::{Stream, Upstreams, digest, peer_server},
+    capacity_fit::Series,
+    client::Client,
+    scenario,
+};
+
+/// Time after which a changed load is measured.
+const SETTLE: Duration = Duration::from_millis(2000);
+/// Longest wait for one call.
+const CALL: Duration = Duration::from_secs(20);
+
+/// Stream of an engine that answers with small chunks.
+pub const SMALL_CHUNKS: Stream =
+    Stream { pause: Duration::from_millis(20), chunk_tokens: 1, token_bytes: 4 };
+
+async fn measure(bench: &Bench, entry: &Measured, series: &mut [Series; 4], size: f64) {
+    for _ in 0..bench.repeats {
+        let samples = sample(&[entry], bench.window).await;
+        samples.into_iter().for_each(|s| add(series, size, s));
+    }
+}
+
+/// Starts one control replica with the profiles of the local deployment and an entry.
+///
+/// # Errors
+///
+/// Returns what could not be started; so do the measurements.
+pub async fn start(
+    bench: &mut Bench,
+    peers: &[(String, String, String)],
+) -> io::Result<(Vec<Measured>, Measured)> {
+    let controls = bench.controls(1).await?;
+    let orders = client(&controls);
+    for profile in scenario::profiles() {
+        let name = profile.name.clone();
+        let profile = inner::Profile { judge_kind: String::new(), deadline_ms: 20_000, ..profile };
+        put(&orders, &name, profile).await?;
+    }
+    let entry = bench.entry(&controls, peers).await?;
+    Ok((controls, entry))
+}
+
+/// Calls of plain services per second.
+///
+/// # Errors
+///
+/// See [`start`].
+pub async fn requests(bench: &mut Bench) -> io::Result<Vec<Series>> {
+    let mut series = four("entry, plain requests", "request/s");
+    let mut done = Series::new("entry, plain requests: answered", "request/s", "1/s");
+    let (_controls, entry) = start(bench, &[]).await?;
+    let upstreams = Upstreams::start(SMALL_CHUNKS).await?;
+    upstreams.announce(8, "sheet-app", false, &entry.daemon.http);
+    let url = format!("http://{}/v1/call/quality-lookup", entry.daemon.http);
+    time::sleep(SETTLE).await;
+    for rate in [200.0, 500.0, 1000.0] {
+        let token = CancellationToken::new();
+        let answered = calls_at(rate, &url, &token)?;
+        time::sleep(SETTLE).await;
+        let (before, started) = (answered.get(), Instant::now());
+        measure(bench, &entry, &mut series, rate).await;
+        done.add(rate, (answered.get() - before) as f64 / started.elapsed().as_secs_f64());
+        token.cancel();
+        time::sleep(Duration::from_millis(500)).await;
+    }
+    let mut all: Vec<Series> = series.into();
+    all.push(done);
+    Ok(all)
+}
+
+/// Calls at an even rate; counts the successful ones.
+fn calls_at(rate: f64, url: &str, token: &CancellationToken) -> io::Result<Rc<Cell<u64>>> {
+    let answered = Rc::new(Cell::new(0));
+    let http = Client::new().map_err(|e| io::Error::other(e.to_string()))?;
+    let (url, token, count) = (url.to_owned(), token.clone(), answered.clone());
+    runtime::spawn(async move {
+        let started = Instant::now();
+        let body = json!({"dairy": "latte-0042", "padding": "x".repeat(200)}).to_string();
+        for number in 0_u64.. {
+            if token.is_cancelled() {
+                return;
+            }
+            let due = Duration::from_secs_f64(number as f64 / rate);
+            time::sleep(due.saturating_sub(started.elapsed())).await;
+            let (http, url, count) = (http.clone(), url.clone(), count.clone());
+            let body = format!("{number}{body}");
+            runtime::spawn(async move {
+                let sent = http.send(::http::Method::POST, &url, &[], body, CALL).await;
+                count.set(count.get() + u64::from(sent.is_ok_and(|a| a.status == 200)));
+            })
+            .detach();
+        }
+    })
+    .detach();
+    Ok(answered)
+}
+
+/// Tokens per second of engine streams, one token in a chunk.
+///
+/// # Errors
+///
+/// See [`start`].
+pub async fn tokens(bench: &mut Bench) -> io::Result<Vec<Series>> {
+    let mut all = Vec::new();
+    for chunk_tokens in [1_u32, 8] {
+        let name = format!("entry, engine streams with {chunk_tokens} tokens in a chunk");
+        let mut series = four(&name, "token/s");
+        let (_controls, entry) = start(bench, &[]).await?;
+        let upstreams = Upstreams::start(Stream { chunk_tokens, ..SMALL_CHUNKS }).await?;
+        upstreams.announce(8, "scorer-llm", true, &entry.daemon.http);
+        let url = format!("http://{}/v1/call/scorer", entry.daemon.http);
+        time::sleep(SETTLE).await;
+        let token = CancellationToken::new();
+        let mut callers = 0;
+        for streams in [10_u32, 30, 60] {
+            for _ in callers..streams {
+                call_again_and_again(&url, 100 * chunk_tokens, &token)?;
+            }
+            callers = streams;
+            time::sleep(SETTLE).await;
+            for _ in 0..bench.repeats {
+                let (before, started) = (upstreams.tokens.get(), Instant::now());
+                let samples = sample(&[&entry], bench.window).await;
+                let rate = (upstreams.tokens.get() - before) as f64;
+                let rate = rate / started.elapsed().as_secs_f64();
+                samples.into_iter().for_each(|s| add(&mut series, rate.round(), s));
+            }
+        }
+        token.cancel();
+        all.extend(series);
+    }
+    Ok(all)
+}
+
+fn call_again_and_again(url: &str, max_tokens: u32, token: &CancellationToken) -> io::Result<()> {
+    let http = Client::new().map_err(|e| io::Error::other(e.to_string()))?;
+    let (url, token) = (url.to_owned(), token.clone());
+    runtime::spawn(async move {
+        while !token.is_cancelled() {
+            let number: u64 = rand::random();
+            let body = json!({"prompt": format!("prompt {number}"), "max_tokens": max_tokens});
+            if !matches!(http.post(&url, &body, CALL).await, Ok(answer) if answer.status == 200) {
+                time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    })
+    .detach();
+    Ok(())
+}
+
+/// Upstreams that announce.
+///
+/// # Errors
+///
+/// See [`start`].
+pub async fn upstreams(bench: &mut Bench) -> io::Result<Vec<Series>> {
+    let mut series = four("entry, upstreams announcing", "upstream");
+    for count in [10_usize, 100, 400] {
+        let (_controls, entry) = start(bench, &[]).await?;
+        let upstreams = Upstreams::start(SMALL_CHUNKS).await?;
+        upstreams.announce(count, "scorer-llm", true, &entry.users_address);
+        time::sleep(SETTLE).await;
+        measure(bench, &entry, &mut series, count as f64).await;
+    }
+    Ok(series.into())
+}
+
+/// Other entries: digests sent and received. The relay counts what peers send to the entry, and the bytes with others
+/// are those that the entry sends to its peers.
+///
+/// # Errors
+///
+/// See [`start`].
+pub async fn peers(bench: &mut Bench) -> io::Result<Vec<Series>> {
+    let mut series = four("entry, peers", "peer");
+    series[2].name = "entry, peers: bytes of digests received".into();
+    series[3].name = "entry, peers: bytes of digests sent".into();
+    for count in [6_usize, 60, 390] {
+        let token = CancellationToken::new();
+        let server = peer_server(&token).await?;
+        let relay_address = bench.ports.free()?;
+        let sent = crate::relay::Relay::start(&relay_address, &server, Rc::new(|_| None)).await?;
+        let peer = |at| (format!("node-{at:03}"), domain(at), relay_address.clone());
+        let peers: Vec<_> = (1..=count).map(peer).collect();
+        let (_controls, entry) = start(bench, &peers).await?;
+        let upstreams = Upstreams::start(SMALL_CHUNKS).await?;
+        for kind in ["scorer-llm", "planner-lm", "sheet-app", "booking-portal", "judge"] {
+            upstreams.announce(2, kind, kind.ends_with('m'), &entry.daemon.http);
+        }
+        (1..=count).for_each(|at| send_digests(at, &entry.daemon.public_inner, &token));
+        time::sleep(SETTLE).await;
+        for _ in 0..bench.repeats {
+            let (before, started) = (sent.bytes(), Instant::now());
+            for mut s in sample(&[&entry], bench.window).await {
+                s.user_bytes = (sent.bytes() - before) as f64 / started.elapsed().as_secs_f64();
+                add(&mut series, count as f64, s);
+            }
+        }
+        token.cancel();
+    }
+    Ok(series.into())
+}
+
+fn send_digests(at: usize, address: &str, token: &CancellationToken) {
+    let (client, token) = (rpc::Client::new(address), token.clone());
+    runtime::spawn(async move {
+        time::sleep(Duration::from_millis(at as u64 * 7 % 1000)).await;
+        while !token.is_cancelled() {
+            let body = Body::Digest(digest(at, rand::random_range(0..100)));
+            drop(client.call(body, Duration::from_millis(900)).await);
+            time::sleep(Duration::from_secs(1)).await;
+        }
+    })
+    .detach();
+}
--- /dev/null
+++ b/orioleworks_standins/src/capacity_fakes.rs
@@ -0,0 +1,271 @@
+//! Small stand-ins in one process: entries that watch, upstreams that announce and answer, peers that send digests.
+
+use std::{cell::Cell, convert::Infallible, io, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use compio::{runtime, time};
+use futures_channel::mpsc;
+use futures_util::SinkExt;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use orioleworks_daemon::{clock, http, rpc, shutdown::Shutdown};
+use orioleworks_proto::inner::{self, frame::Body};
+use serde::Deserialize;
+use serde_json::json;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    announce::{Announcement, CacheEvents, PERIOD},
+    capacity_daemons::domain,
+    client::Client,
+};
+
+/// Longest wait for one answer.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Identity of a fake entry.
+pub fn identity(at: usize) -> inner::EntryIdentity {
+    inner::EntryIdentity {
+        name: format!("node-{at:03}"),
+        incarnation: clock::unix_ms(),
+        domain: domain(at),
+        inner_address: format!("127.0.0.1:{}", 20_000 + at),
+        http_address: format!("127.0.0.1:{}", 30_000 + at),
+    }
+}
+
+/// Fake entries, each with a watch on one replica.
+pub struct Watchers {
+    applied: Vec<Rc<Cell<u64>>>,
+    token: CancellationToken,
+}
+
+impl Watchers {
+    /// Starts the watches, evenly over the addresses.
+    pub fn start(count: usize, addresses: &[String]) -> Self {
+        let token = CancellationToken::new();
+        let applied = (0..count).map(|at| {
+            let applied = Rc::new(Cell::new(0));
+            let client = rpc::Client::new(addresses[at % addresses.len()].as_str());
+            runtime::spawn(watch(identity(at), client, applied.clone(), token.clone())).detach();
+            applied
+        });
+        let applied = applied.collect();
+        Self { applied, token }
+    }
+
+    /// Waits until all have applied a revision; false after the time.
+    pub async fn wait(&self, revision: u64, longest: Duration) -> bool {
+        let all = async {
+            while self.applied.iter().any(|applied| applied.get() < revision) {
+                time::sleep(Duration::from_millis(1)).await;
+            }
+        };
+        time::timeout(longest, all).await.is_ok()
+    }
+}
+
+impl Drop for Watchers {
+    fn drop(&mut self) {
+        self.token.cancel();
+    }
+}
+
+async fn watch(
+    entry: inner::EntryIdentity,
+    client: rpc::Client,
+    applied: Rc<Cell<u64>>,
+    token: CancellationToken,
+) {
+    while !token.is_cancelled() {
+        let watch = inner::Watch {
+            entry: Some(entry.clone()),
+            applied_revision: applied.get(),
+            wait_ms: 1000,
+        };
+        match client.call(Body::Watch(watch), TIMEOUT).await {
+            Ok(Body::WatchReply(reply)) if reply.code == 0 => applied.set(reply.revision),
+            _ => time::sleep(Duration::from_millis(100)).await,
+        }
+    }
+}
+
+/// What a fake engine streams.
+#[derive(Clone, Copy, Debug)]
+pub struct Stream {
+    /// Time between two chunks.
+    pub pause: Duration,
+    /// Tokens in a chunk.
+    pub chunk_tokens: u32,
+    /// Bytes of text for each token.
+    pub token_bytes: usize,
+}
+
+/// Fake upstreams behind one listener.
+pub struct Upstreams {
+    /// Address of all of them.
+    pub address: String,
+    /// Whole answers so far.
+    pub answered: Rc<Cell<u64>>,
+    /// Tokens streamed so far.
+    pub tokens: Rc<Cell<u64>>,
+    token: CancellationToken,
+}
+
+#[derive(Deserialize)]
+struct Completion {
+    max_tokens: u32,
+    request_id: String,
+}
+
+impl Upstreams {
+    /// Serves `/call` and `/v1/completions`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub async fn start(stream: Stream) -> io::Result<Self> {
+        let listener = http::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?.to_string();
+        let (answered, tokens) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+        let counts = (answered.clone(), tokens.clone());
+        let handler = move |req| answer(req, stream, counts.clone());
+        runtime::spawn(http::serve(
+            listener,
+            http::Limits::default(),
+            Shutdown::default(),
+            handler,
+        ))
+        .detach();
+        Ok(Self { address, answered, tokens, token: CancellationToken::new() })
+    }
+
+    /// Announces upstreams of a kind at an entry until this is dropped.
+    pub fn announce(&self, count: usize, kind: &str, engine: bool, entry: &str) {
+        for at in 0..count {
+            let announcement = Announcement {
+                name: format!("{kind}-{at:04}"),
+                incarnation: clock::unix_ms(),
+                kind: kind.to_owned(),
+                model: if engine { "scorer".into() } else { String::new() },
+                address: self.address.clone(),
+                weight_version: u64::from(engine),
+                checks_fencing: engine,
+                engine,
+                capacity: 256,
+                cache: CacheEvents { first_sequence: 1, events: Vec::new() },
+                ..Announcement::default()
+            };
+            let offset = PERIOD.mul_f64(at as f64 / count as f64);
+            let url = format!("http://{entry}/v1/announce");
+            let token = self.token.clone();
+            runtime::spawn(async move {
+                let Ok(client) = Client::new() else { return };
+                time::sleep(offset).await;
+                while !token.is_cancelled() {
+                    let started = std::time::Instant::now();
+                    drop(client.post(&url, &announcement, TIMEOUT).await);
+                    time::sleep(PERIOD.saturating_sub(started.elapsed())).await;
+                }
+            })
+            .detach();
+        }
+    }
+}
+
+impl Drop for Upstreams {
+    fn drop(&mut self) {
+        self.token.cancel();
+    }
+}
+
+async fn answer(
+    req: http::Request,
+    stream: Stream,
+    (answered, tokens): (Rc<Cell<u64>>, Rc<Cell<u64>>),
+) -> http::Response {
+    let id = req.headers().get("x-request-id").cloned();
+    let is_engine = req.uri().path() == "/v1/completions";
+    let Ok(body) = http::read_body(req.into_body(), &http::Limits::default()).await else {
+        return http::whole(400, "text/plain", "body");
+    };
+    if !is_engine {
+        answered.set(answered.get() + 1);
+        let mut response = http::whole(200, "application/json", body);
+        id.into_iter().for_each(|id| drop(response.headers_mut().insert("x-request-id", id)));
+        return response;
+    }
+    let Ok(completion) = serde_json::from_slice::<Completion>(&body) else {
+        return http::whole(400, "text/plain", "completion");
+    };
+    let (tx, rx) = mpsc::channel(4);
+    runtime::spawn(send_stream(completion, stream, tx, (answered, tokens))).detach();
+    let mut response = ::http::Response::new(StreamBody::new(rx).boxed_unsync());
+    let kind = ::http::HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(::http::header::CONTENT_TYPE, kind);
+    id.into_iter().for_each(|id| drop(response.headers_mut().insert("x-request-id", id)));
+    response
+}
+
+async fn send_stream(
+    completion: Completion,
+    stream: Stream,
+    mut tx: mpsc::Sender<Result<Frame<Bytes>, Infallible>>,
+    (answered, tokens): (Rc<Cell<u64>>, Rc<Cell<u64>>),
+) {
+    let mut left = completion.max_tokens;
+    let started = std::time::Instant::now();
+    let mut due = Duration::ZERO;
+    while left > 0 {
+        let now = left.min(stream.chunk_tokens.max(1));
+        left -= now;
+        due += stream.pause;
+        time::sleep(due.saturating_sub(started.elapsed())).await;
+        let text = "t".repeat(stream.token_bytes * now as usize);
+        let reason = (left == 0).then_some("length");
+        let chunk = json!({"choices": [{"text": text, "finish_reason": reason}], "weight_version": 1, "tokens": now,
+            "incarnation": 1, "request_id": completion.request_id});
+        if tx.send(Ok(Frame::data(format!("data: {chunk}\n\n").into()))).await.is_err() {
+            return;
+        }
+        tokens.set(tokens.get() + u64::from(now));
+    }
+    if tx.send(Ok(Frame::data(Bytes::from_static(b"data: [DONE]\n\n")))).await.is_ok() {
+        answered.set(answered.get() + 1);
+    }
+}
+
+/// Serves all fake peers of an entry behind one address; returns it.
+///
+/// # Errors
+///
+/// Returns the error of the operating system.
+pub async fn peer_server(token: &CancellationToken) -> io::Result<String> {
+    let listener = http::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?.to_string();
+    let answer = |body| async move {
+        let reply = inner::DigestReply { revision: 1 };
+        matches!(body, Body::Digest(_)).then_some(Body::DigestReply(reply))
+    };
+    runtime::spawn(rpc::serve(listener, token.child_token(), answer)).detach();
+    Ok(address)
+}
+
+/// Digest of a fake peer with the kinds of the design size.
+pub fn digest(at: usize, in_flight: u32) -> inner::Digest {
+    let kinds = ["scorer-llm", "planner-lm", "sheet-app", "booking-portal", "judge"];
+    let kinds = kinds.into_iter().map(|kind| inner::KindLoad {
+        kind: kind.into(),
+        upstreams: 120,
+        capacity: 1920,
+        in_flight,
+        lowest_version: 700,
+        highest_version: 701,
+    });
+    inner::Digest {
+        entry: Some(identity(at)),
+        revision: 6300,
+        kinds: kinds.collect(),
+        ..Default::default()
+    }
+}
--- a/orioleworks_standins/src/lib.rs
+++ b/orioleworks_standins/src/lib.rs
@@ -3,6 +3,14 @@
 //! See `docs/design.md`, sections 9, 10 and 14.
 
 pub mod announce;
+pub mod capacity_control;
+pub mod capacity_daemons;
+pub mod capacity_election;
+pub mod capacity_entry;
+pub mod capacity_fakes;
+pub mod capacity_fit;
+pub mod capacity_protocol;
+pub mod capacity_rollout;
 pub mod client;
 pub mod deployment;
 pub mod engine;
