--- a/orioleworks_standins/src/capacity_daemons.rs
+++ b/orioleworks_standins/src/capacity_daemons.rs
@@ -147,6 +147,7 @@
             program: self.bin_dir.join(program),
             args: vec!["--config".into(), path.display().to_string()],
             output: directory.join(format!("{}.log", daemon.name)),
+            env: Vec::new(),
         });
         process.start()?;
         Ok(Measured { daemon, process, peers, users, users_address })
@@ -167,7 +168,7 @@
         for daemon in daemons.clone() {
             let directory = self.directory.join(self.started.to_string()).join(&daemon.name);
             fs::create_dir_all(&directory)?;
-            let mut settings = settings_files::control(&daemon, &daemons, &directory, true);
+            let mut settings = settings_files::control(&daemon, &daemons, &directory, true, None);
             if let Some(ms) = self.heartbeat_ms {
                 settings["cluster"]["heartbeat_ms"] = json!(ms);
                 settings["cluster"]["election_timeout_min_ms"] = json!(ms * 6);
