Give up requests at a peer that has fallen silent

Cause: a sample forwarded to a peer behind a partition waited until its deadline, 30 s for the local profile, because a partition breaks no connection; one such sample stalls its step. Ruled out: a shorter deadline of forwards, which would cut off long samples. Change: two digests in a row without an answer close the connection for forwards; what was sent there is unknown, samples run again elsewhere.

--- a/orioleworks_entry/src/peers.rs
+++ b/orioleworks_entry/src/peers.rs
@@ -19,6 +19,8 @@
 pub const LIVE_WITHIN: Duration = Duration::from_secs(3);
 /// Longest wait for the answer to a digest.
 const DIGEST_TIMEOUT: Duration = Duration::from_millis(900);
+/// Digests without an answer in a row after which the requests at the peer are given up.
+const LOST_AFTER: u32 = 2;
 
 /// Entry named in the settings.
 #[derive(Clone, Debug)]
@@ -194,18 +196,27 @@
     digest: Rc<dyn Fn() -> inner::Digest>,
     token: CancellationToken,
 ) {
-    let mut reachable = true;
+    let mut failures = 0;
     loop {
         let pushed = shared.push.wait();
         let sent = client.call(Body::Digest(digest()), DIGEST_TIMEOUT).await;
-        if sent.is_ok() != reachable {
-            reachable = sent.is_ok();
-            event!(info, "peer_reachable_changed", peer = peer, reachable = reachable);
-        }
-        if sent.is_err() {
+        if sent.is_ok() {
+            if failures > 0 {
+                event!(info, "peer_reachable", peer = peer);
+            }
+            failures = 0;
+        } else {
+            failures += 1;
+            event!(info, "peer_unreachable", peer = peer, failures = failures);
             // A connection that was cut without notice would stay silent.
             client.disconnect();
         }
+        if failures == LOST_AFTER
+            && let Some(known) = shared.known.get(&peer)
+        {
+            // Requests at a peer behind a partition would otherwise hold their callers until the deadline.
+            known.forwards.disconnect();
+        }
         let mut pause = std::pin::pin!(pushed.up_to(INTERVAL).fuse());
         let mut cancelled = std::pin::pin!(token.cancelled().fuse());
         select! { () = pause => (), () = cancelled => return }
--- a/orioleworks_entry/tests/rollout/peers.rs
+++ b/orioleworks_entry/tests/rollout/peers.rs
@@ -193,3 +193,24 @@
         assert_eq!(reply.config.unwrap().revision, 1);
     });
 }
+
+/// Guards against requests at a peer behind a partition that hold a step until their deadline.
+#[rstest]
+fn requests_at_a_silent_peer_are_given_up_before_their_deadline() {
+    block_on(async {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address: Rc<str> = listener.local_addr().unwrap().to_string().into();
+        let peer = Peer { name: "b".into(), failure_domain: "other".into(), address };
+        let peers = Peers::new("own", [peer], |_| ());
+        peers.receive(digest(1, 1, 3));
+        let token = CancellationToken::new();
+        peers.start(Rc::new(inner::Digest::default), &token);
+        let started = Instant::now();
+        let job = Job { deadline: started + Duration::from_secs(20), ..job("scorer") };
+        let refused = forward::forward(&peers, job).await.unwrap_err();
+        token.cancel();
+        assert_eq!(refused.code, ResultCode::OutcomeUnknown);
+        assert!(started.elapsed() < Duration::from_secs(6), "{:?}", started.elapsed());
+        drop(listener);
+    });
+}
