--- a/orioleworks_matrix/src/lib.rs
+++ b/orioleworks_matrix/src/lib.rs
@@ -4,4 +4,6 @@
 
 pub mod cell;
 pub mod claims;
+pub mod log;
+pub mod orders;
 pub mod site;
--- /dev/null
+++ b/orioleworks_matrix/src/orders.rs
@@ -0,0 +1,239 @@
+//! Racing operators: what they were told, and whether the log kept it.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use compio::{
+    runtime::{self, JoinHandle},
+    time::sleep,
+};
+use orioleworks_daemon::control::ControlClient;
+use orioleworks_proto::{
+    codes::ResultCode,
+    inner::{self, command::Kind as Command},
+};
+
+use crate::site::Site;
+
+/// Objects for which operators race.
+pub const OBJECTS: u32 = 2;
+/// Time of one try; an operator resends until the order has a result.
+const TRY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Rounds after which an operator resends orders that have a result.
+const RESEND_ROUNDS: u32 = 8;
+/// Interval of the reads that must see every acknowledged order.
+const READ_PAUSE: Duration = Duration::from_millis(150);
+
+/// Accepted order.
+#[derive(Clone, Debug)]
+struct Accepted {
+    order_id: String,
+    command: inner::Command,
+    revision: u64,
+}
+
+/// Operators of one cell and what they saw.
+#[derive(Default)]
+pub struct Operators {
+    accepted: RefCell<Vec<Accepted>>,
+    newest: RefCell<Vec<Option<Accepted>>>,
+    highest: Cell<u64>,
+    rounds: Cell<u32>,
+    last_result: Cell<Option<Instant>>,
+    longest_gap: Cell<Duration>,
+    stopping: Cell<bool>,
+    problem: RefCell<Option<String>>,
+}
+
+impl Operators {
+    /// Starts the operators and the reader; they end after [`Operators::stop`].
+    pub fn start(site: &Rc<Site>) -> (Rc<Self>, Vec<JoinHandle<()>>) {
+        let this = Rc::new(Self::default());
+        *this.newest.borrow_mut() = vec![None; OBJECTS as usize];
+        let mut tasks = Vec::new();
+        for object in 0..OBJECTS {
+            let (operators, a, b) = (this.clone(), site.control(), site.control());
+            tasks.push(runtime::spawn(async move { operators.race(object, &a, &b).await }));
+        }
+        let (operators, site) = (this.clone(), site.clone());
+        tasks.push(runtime::spawn(async move { operators.read(&site).await }));
+        (this, tasks)
+    }
+
+    /// Rounds that have results.
+    pub fn rounds(&self) -> u32 {
+        self.rounds.get()
+    }
+
+    /// Lets the operators end after their rounds.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+    }
+
+    /// Measures the longest time without a result from now on.
+    pub fn measure_gap(&self) {
+        self.last_result.set(Some(Instant::now()));
+        self.longest_gap.set(Duration::ZERO);
+    }
+
+    /// Longest time without a result.
+    pub fn longest_gap(&self) -> Duration {
+        let open = self.last_result.get().map_or(Duration::ZERO, |at| at.elapsed());
+        self.longest_gap.get().max(open)
+    }
+
+    /// First violation that an operator saw.
+    pub fn problem(&self) -> Option<String> {
+        self.problem.borrow().clone()
+    }
+
+    fn note_problem(&self, problem: String) {
+        self.problem.borrow_mut().get_or_insert(problem);
+        self.stop();
+    }
+
+    /// Two operators send orders with equal expected revisions, round by round.
+    async fn race(&self, object: u32, a: &ControlClient, b: &ControlClient) {
+        let name = format!("race-{object}");
+        let mut round = 0;
+        while !self.stopping.get() {
+            let newest = self.newest.borrow()[object as usize].clone();
+            let expected = newest.map_or(0, |accepted| accepted.revision);
+            let order = |side: u32| {
+                let profile = inner::Profile {
+                    name: name.clone(),
+                    upstream_kind: "sheet-app".into(),
+                    class: inner::Class::Lookup.into(),
+                    idempotent: true,
+                    // Names the order in the profile, so that a reverted one is seen.
+                    deadline_ms: 1000 + round * 2 + side,
+                    share: 1,
+                    ..inner::Profile::default()
+                };
+                let kind = Some(Command::PutProfile(profile));
+                let command = inner::Command { expected_revision: Some(expected), kind };
+                (format!("{name}-{round}-{side}"), command)
+            };
+            let orders = [order(0), order(1)];
+            let (first, second) =
+                futures_util::join!(self.send(a, &orders[0]), self.send(b, &orders[1]));
+            let replies = [first, second];
+            if let Err(problem) = self.take(object, &orders, &replies) {
+                return self.note_problem(problem);
+            }
+            if round % RESEND_ROUNDS == 0 {
+                for (order, first) in orders.iter().zip(&replies) {
+                    let again = self.send(b, order).await;
+                    if (again.code, again.revision) != (first.code, first.revision) {
+                        let id = &order.0;
+                        let problem = format!("resent {id} got {again:?}, first {first:?}");
+                        return self.note_problem(problem);
+                    }
+                }
+            }
+            round += 1;
+            self.rounds.set(self.rounds.get() + 1);
+        }
+    }
+
+    /// Sends an order until it has a result.
+    async fn send(
+        &self,
+        client: &ControlClient,
+        (order_id, command): &(String, inner::Command),
+    ) -> inner::ProposeReply {
+        loop {
+            let reply = client.propose(order_id.clone(), command.clone(), TRY_TIMEOUT).await;
+            if let Ok(reply) = reply {
+                if let Some(last) = self.last_result.replace(Some(Instant::now())) {
+                    self.longest_gap.set(self.longest_gap.get().max(last.elapsed()));
+                }
+                return reply;
+            }
+        }
+    }
+
+    fn take(
+        &self,
+        object: u32,
+        orders: &[(String, inner::Command); 2],
+        replies: &[inner::ProposeReply; 2],
+    ) -> Result<(), String> {
+        let won = |reply: &inner::ProposeReply| reply.code == ResultCode::Ok.number();
+        let winner = match (won(&replies[0]), won(&replies[1])) {
+            (true, false) => 0,
+            (false, true) => 1,
+            _ => return Err(format!("{} has not one winner: {replies:?}", orders[0].0)),
+        };
+        let (won, lost) = (&replies[winner], &replies[1 - winner]);
+        if lost.code != ResultCode::Conflict.number() || lost.revision != won.revision {
+            return Err(format!("the loser of {} got {lost:?}", orders[winner].0));
+        }
+        let (order_id, command) = orders[winner].clone();
+        let accepted = Accepted { order_id, command, revision: won.revision };
+        self.newest.borrow_mut()[object as usize] = Some(accepted.clone());
+        self.highest.set(self.highest.get().max(won.revision));
+        self.accepted.borrow_mut().push(accepted);
+        Ok(())
+    }
+
+    /// Reads through a quorum; a read must see every order that was acknowledged before it.
+    async fn read(&self, site: &Site) {
+        let mut replica = 0;
+        while !self.stopping.get() {
+            let acknowledged = self.highest.get();
+            if let Some(status) = site.status(replica, true).await {
+                let seen = status.config.map_or(0, |config| config.revision);
+                if seen < acknowledged {
+                    let problem = format!("a read saw revision {seen} after {acknowledged}");
+                    self.note_problem(problem);
+                }
+            }
+            replica = (replica + 1) % 3;
+            sleep(READ_PAUSE).await;
+        }
+    }
+
+    /// Whether a replica holds exactly what was acknowledged.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first difference.
+    pub fn compare(&self, config: &inner::Config) -> Result<(), String> {
+        let accepted = self.accepted.borrow().len() as u64;
+        if config.revision != accepted {
+            return Err(format!("revision {} after {accepted} accepted orders", config.revision));
+        }
+        for newest in self.newest.borrow().iter().flatten() {
+            let Some(Command::PutProfile(put)) = &newest.command.kind else { continue };
+            let held = config.profiles.iter().find(|held| {
+                held.revision == newest.revision && held.profile.as_ref() == Some(put)
+            });
+            if held.is_none() {
+                return Err(format!("{} is lost or reverted", newest.order_id));
+            }
+        }
+        Ok(())
+    }
+
+    /// Resends accepted orders of the whole cell; each must get its first result.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first order with another result.
+    pub async fn resend(&self, site: &Site, count: usize) -> Result<(), String> {
+        let accepted = self.accepted.borrow().clone();
+        let step = (accepted.len() / count.max(1)).max(1);
+        let client = site.control();
+        for order in accepted.iter().step_by(step) {
+            let again = self.send(&client, &(order.order_id.clone(), order.command.clone())).await;
+            if again.code != ResultCode::Ok.number() || again.revision != order.revision {
+                return Err(format!("resent {} got {again:?}", order.order_id));
+            }
+        }
+        Ok(())
+    }
+}
