--- a/orioleworks_matrix/src/lib.rs
+++ b/orioleworks_matrix/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod cell;
 pub mod claims;
+pub mod configuration;
 pub mod log;
 pub mod orders;
 pub mod site;
