--- a/orioleworks_standins/src/deployment.rs
+++ b/orioleworks_standins/src/deployment.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     client::Client,
+    layout::Sockets,
     process::{Process, Usage},
     relay::Relay,
     settings_files::Daemon,
@@ -137,6 +138,7 @@
     pub(crate) controls: Vec<Daemon>,
     pub(crate) entries: Vec<Daemon>,
     pub(crate) relays: IndexMap<String, Relay>,
+    pub(crate) sockets: Sockets,
 }
 
 impl Deployment {
--- a/orioleworks_standins/src/layout.rs
+++ b/orioleworks_standins/src/layout.rs
@@ -1,17 +1,49 @@
 //! Builds a deployment: ports, settings files, relays and the list of processes.
 
-use std::{fs, io, rc::Rc};
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    fs, io,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use indexmap::IndexMap;
 
 use crate::{
     deployment::{Deployment, DeploymentError, Kind, Node, Options, system},
     ports::Ports,
-    process::{Process, Spec, socket_inode},
+    process::{Process, Spec, socket_inodes},
     relay::{Identify, Relay},
     settings_files::{self, Daemon},
 };
 
+/// Time for which a table of sockets is used again. A cut asks for the senders of all connections at once, and reading
+/// the table takes 25 ms on a busy machine; a port is not used again within this time.
+const TABLE_AGE: Duration = Duration::from_millis(100);
+
+type Table = (Instant, HashMap<(u16, u16), u64>);
+
+/// Table of the machine's sockets; clones share it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Sockets {
+    table: Rc<RefCell<Option<Table>>>,
+}
+
+impl Sockets {
+    fn find(&self, local_port: u16, remote_port: u16) -> Option<u64> {
+        let mut table = self.table.borrow_mut();
+        let ports = (local_port, remote_port);
+        if let Some((_, inodes)) = table.as_ref().filter(|(read, _)| read.elapsed() < TABLE_AGE)
+            && let Some(inode) = inodes.get(&ports)
+        {
+            return Some(*inode);
+        }
+        let (_, inodes) = table.insert((Instant::now(), socket_inodes()));
+        inodes.get(&ports).copied()
+    }
+}
+
 impl Deployment {
     /// Chooses ports, writes the settings files and starts the relays; no process runs yet.
     ///
@@ -26,6 +58,7 @@
             controls: Vec::new(),
             entries: Vec::new(),
             relays: IndexMap::new(),
+            sockets: Sockets::default(),
         };
         let mut ports = Ports::new();
         deployment.place_daemons(&mut ports).map_err(system("ports"))?;
@@ -72,9 +105,9 @@
     ///
     /// A relay needs it, because the inner protocol does not name the sender and a link has two ends.
     pub fn identify(&self, port: u16) -> Identify {
-        let processes = self.processes.clone();
+        let (processes, sockets) = (self.processes.clone(), self.sockets.clone());
         Rc::new(move |peer| {
-            let inode = socket_inode(peer.port(), port)?;
+            let inode = sockets.find(peer.port(), port)?;
             let processes = processes.borrow();
             processes.iter().find(|(_, p)| p.has_socket(inode)).map(|(name, _)| name.clone())
         })
--- a/orioleworks_standins/src/process.rs
+++ b/orioleworks_standins/src/process.rs
@@ -1,6 +1,7 @@
 //! One process of a local deployment: start, signals, stop, and its use of the machine.
 
 use std::{
+    collections::HashMap,
     fs::{self, File},
     io,
     os::unix::process::CommandExt,
@@ -175,15 +176,16 @@
     Some(kib * 1024)
 }
 
-/// Inode of the local socket with this port that is connected to the other port, from `/proc/net/tcp`.
-pub fn socket_inode(local_port: u16, remote_port: u16) -> Option<u64> {
-    let table = fs::read_to_string("/proc/net/tcp").ok()?;
+/// Inodes of the local sockets by their own port and the port that they are connected to, from `/proc/net/tcp`.
+pub fn socket_inodes() -> HashMap<(u16, u16), u64> {
+    let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
     let port_of = |address: &str| u16::from_str_radix(address.rsplit_once(':')?.1, 16).ok();
-    table.lines().skip(1).find_map(|line| {
+    let sockets = table.lines().skip(1).filter_map(|line| {
         let fields: Vec<&str> = line.split_whitespace().collect();
-        let local = port_of(fields.get(1)?)?;
-        let remote = port_of(fields.get(2)?)?;
+        let ports = (port_of(fields.get(1)?)?, port_of(fields.get(2)?)?);
         let inode: u64 = fields.get(9)?.parse().ok()?;
-        (local == local_port && remote == remote_port && inode != 0).then_some(inode)
-    })
+        // A connection that is closed already has no socket.
+        (inode != 0).then_some((ports, inode))
+    });
+    sockets.collect()
 }
