--- a/orioleworks_matrix/src/lib.rs
+++ b/orioleworks_matrix/src/lib.rs
@@ -4,7 +4,10 @@
 
 pub mod cell;
 pub mod claims;
+pub mod configuration;
 pub mod http_relay;
+pub mod log;
+pub mod orders;
 pub mod poison;
 pub mod samples;
 pub mod site;
