Entries of other failure domains learn a quarantine by digest before control confirms it

Ruled out: the entry's own record (both entries of the first domain refused at once). Requests with two crashes are now taken over from digests of other domains too; single crashes stay in their domain, or the loss of a domain would make suspects of all of its requests everywhere.

The cell of a swap in mid-stream now requires that a sample was streamed during it.

--- a/orioleworks_entry/src/peers.rs
+++ b/orioleworks_entry/src/peers.rs
@@ -30,6 +30,8 @@
     pub address: Rc<str>,
 }
 
+type OnSuspects = Rc<dyn Fn(Vec<inner::Suspect>)>;
+
 struct Known {
     peer: Peer,
     /// Connection for forwards; digests have their own, because a lost digest closes its connection.
@@ -47,6 +49,7 @@
     failure_domain: Rc<str>,
     known: HashMap<Rc<str>, Known>,
     on_suspects: Box<dyn Fn(Vec<inner::Suspect>)>,
+    on_foreign: RefCell<Option<OnSuspects>>,
     push: Signal,
 }
 
@@ -65,11 +68,17 @@
             failure_domain: failure_domain.into(),
             known: known.collect(),
             on_suspects: Box::new(on_suspects),
+            on_foreign: RefCell::default(),
             push: Signal::default(),
         };
         Self { shared: Rc::new(shared) }
     }
 
+    /// Sets what gets the suspects of peers of other failure domains.
+    pub fn set_on_foreign_suspects(&self, f: impl Fn(Vec<inner::Suspect>) + 'static) {
+        *self.shared.on_foreign.borrow_mut() = Some(Rc::new(f));
+    }
+
     /// Starts one task per peer that sends the digest each second until the token is cancelled.
     pub fn start(&self, digest: Rc<dyn Fn() -> inner::Digest>, token: &CancellationToken) {
         for known in self.shared.known.values() {
@@ -99,8 +108,13 @@
         }
         let suspects = digest.suspects.clone();
         *known.last.borrow_mut() = Some((clock::since_boot(), digest));
-        if known.peer.failure_domain == self.shared.failure_domain && !suspects.is_empty() {
+        if suspects.is_empty() {
+            return;
+        }
+        if known.peer.failure_domain == self.shared.failure_domain {
             (self.shared.on_suspects)(suspects);
+        } else if let Some(f) = self.shared.on_foreign.borrow().clone() {
+            f(suspects);
         }
     }
 
--- a/orioleworks_entry/src/suspects.rs
+++ b/orioleworks_entry/src/suspects.rs
@@ -69,13 +69,7 @@
 
     /// Takes in the suspects of an entry of the same failure domain.
     pub fn absorb(&self, messages: &[inner::Suspect]) {
-        for message in messages {
-            let report = routing::Report {
-                fingerprint: message.fingerprint.as_str().into(),
-                profile: message.profile.as_str().into(),
-                upstream: message.upstream.as_str().into(),
-                crashes: message.crashes as usize,
-            };
+        for report in messages.iter().map(report) {
             if self.suspects.borrow_mut().absorb(clock::since_boot(), &report) {
                 self.quarantine
                     .borrow_mut()
@@ -84,6 +78,13 @@
         }
     }
 
+    /// Takes in what an entry of another failure domain has quarantined, before control confirms it.
+    pub fn absorb_quarantined(&self, messages: &[inner::Suspect]) {
+        for report in messages.iter().map(report) {
+            self.suspects.borrow_mut().absorb_quarantined(clock::since_boot(), &report);
+        }
+    }
+
     /// Records the death of an upstream incarnation with (fingerprint, profile) of the requests in flight on it.
     pub fn record_death(
         &self,
@@ -159,6 +160,15 @@
     }
 }
 
+fn report(message: &inner::Suspect) -> routing::Report {
+    routing::Report {
+        fingerprint: message.fingerprint.as_str().into(),
+        profile: message.profile.as_str().into(),
+        upstream: message.upstream.as_str().into(),
+        crashes: message.crashes as usize,
+    }
+}
+
 /// Fingerprint of a request: SHA-256 of profile and body, in hexadecimal.
 pub fn fingerprint(profile: &str, body: &[u8]) -> Rc<str> {
     use std::fmt::Write as _;
--- a/orioleworks_matrix/src/swaps.rs
+++ b/orioleworks_matrix/src/swaps.rs
@@ -133,8 +133,11 @@
         compio::time::sleep(Duration::from_secs(1)).await;
         converge(&deployment, &client, desired, Instant::now()).await?;
     }
-    check_trainer(&deployment, &directory).await?;
-    Ok(Verdict::Passed(format!("converged_ms={}", converged.as_millis())))
+    let mixed = check_trainer(&deployment, &directory).await?;
+    if fault == Fault::MidStream && mixed == 0 {
+        return Ok(Verdict::NotRun("no sample was streamed during the swap".into()));
+    }
+    Ok(Verdict::Passed(format!("converged_ms={} mixed_samples={mixed}", converged.as_millis())))
 }
 
 /// Time that is added to a late swap.
@@ -290,14 +293,17 @@
     }
 }
 
-async fn check_trainer(deployment: &Deployment, directory: &std::path::Path) -> Result<(), String> {
+async fn check_trainer(
+    deployment: &Deployment,
+    directory: &std::path::Path,
+) -> Result<u64, String> {
     let code = deployment.wait_end("trainer", Duration::from_secs(25)).await.map_err(text)?;
     let report =
         std::fs::read(directory.join("report.json")).map_err(|e| format!("report: {e}"))?;
     let report: TrainerReport = serde_json::from_slice(&report).map_err(text)?;
     let good = Findings { samples: WANTED, ..Findings::default() };
     match code == Some(0) && report.findings == good {
-        true => Ok(()),
+        true => Ok(report.mixed),
         false => Err(format!("exit {code:?}, {:?}, {:?}", report.findings, report.failures)),
     }
 }
--- a/orioleworks_routing/src/suspects.rs
+++ b/orioleworks_routing/src/suspects.rs
@@ -161,6 +161,17 @@
         !known && crashes >= QUARANTINE_CRASHES
     }
 
+    /// Takes in one crash of a request that another failure domain has quarantined.
+    ///
+    /// The death is no death of this domain, so it does not correlate with deaths here. Single crashes stay in their
+    /// domain, or the loss of a whole domain would make suspects of all of its requests in the others.
+    pub fn absorb_quarantined(&mut self, now: Duration, report: &Report) {
+        let refuted = (report.fingerprint.clone(), report.upstream.clone());
+        if report.crashes >= QUARANTINE_CRASHES && !self.refuted.contains_key(&refuted) {
+            self.add(now, &report.fingerprint, &report.profile, &report.upstream);
+        }
+    }
+
     fn add(
         &mut self,
         now: Duration,
--- a/orioleworks_routing/tests/suspects.rs
+++ b/orioleworks_routing/tests/suspects.rs
@@ -134,3 +134,21 @@
     }
     assert_eq!(suspects.record_death(ms(19_500), "b#1".into(), requests(&["f"]), 3), ["f".into()]);
 }
+
+/// Guards against a quarantine of another failure domain that is learnt only after the request has crashed upstreams
+/// here too, and against suspects that spread over all domains when one of them is lost.
+#[rstest]
+#[case::quarantined_there(2, Standing::Quarantined)]
+#[case::suspected_there(1, Standing::Free)]
+fn only_quarantines_cross_domains(#[case] crashes: usize, #[case] expected: Standing) {
+    let mut suspects = Suspects::default();
+    for upstream in ["a1#1", "a2#1"].into_iter().take(crashes) {
+        let (fingerprint, profile, upstream) = ("f".into(), "p".into(), upstream.into());
+        let report = Report { fingerprint, profile, upstream, crashes };
+        suspects.absorb_quarantined(ms(0), &report);
+    }
+    assert_eq!(suspects.standing("f", ms(100)), expected);
+    // The deaths there are none of this domain, so one death here is still evidence.
+    suspects.record_death(ms(200), "b1#1".into(), [("g".into(), "p".into())], 3);
+    assert_eq!(suspects.standing("g", ms(3000)), Standing::Alone);
+}
--- a/orioleworks_standins/src/trainer.rs
+++ b/orioleworks_standins/src/trainer.rs
@@ -95,6 +95,9 @@
     pub delivery: Counts,
     /// Staleness of each sample by its text, in versions.
     pub staleness: Vec<u64>,
+    /// Samples of more than one version.
+    #[serde(default)]
+    pub mixed: u64,
     /// Attempts of each sample.
     pub attempts: Vec<u32>,
     /// Time in milliseconds from the open to the last sample, by step.
--- a/orioleworks_standins/src/trainer_ledger.rs
+++ b/orioleworks_standins/src/trainer_ledger.rs
@@ -154,6 +154,7 @@
         for sample in new {
             let stale = checker.check(prompt(&groups, sample), sample, &mut next.report.findings);
             next.report.staleness.extend(stale);
+            next.report.mixed += u64::from(sample.spans.len() > 1);
             next.report.attempts.push(sample.attempts);
         }
         next.samples.extend_from_slice(new);
