Spread: give back the place of a cancelled sample, keep quarantined samples at the peer

Cause: a sample that ended between getting its place and reading it kept the place for good; a sample that a peer refused as quarantined ran once more in the owner's domain, where the quarantine may not be known yet. Change: the place is released when it is dropped in any state; a quarantined sample is not run locally.

--- a/orioleworks_entry/src/runs_spread.rs
+++ b/orioleworks_entry/src/runs_spread.rs
@@ -31,7 +31,8 @@
     group: Rc<str>,
     kind: Rc<str>,
     lowest_version: u64,
-    tx: oneshot::Sender<Place>,
+    request_id: Rc<str>,
+    tx: oneshot::Sender<Held>,
 }
 
 #[derive(Default)]
@@ -98,7 +99,7 @@
         let result = match &held.place {
             Place::Local => self.dispatcher.run(job).await,
             Place::Peer(name) => match self.forward(name, &job).await {
-                Err(refused) if refused.code.not_run() && !job.cancel.is_cancelled() => {
+                Err(refused) if may_run_here(&refused) && !job.cancel.is_cancelled() => {
                     self.state.borrow_mut().spread.refused(&group);
                     self.dispatcher.run(job).await
                 }
@@ -126,6 +127,7 @@
             group: group.clone(),
             kind: job.profile.upstream_kind.as_str().into(),
             lowest_version: job.lowest_version,
+            request_id: job.request_id.clone(),
             tx,
         };
         self.state.borrow_mut().waiting.push_back(waiting);
@@ -136,10 +138,7 @@
         let late = |detail| Err(refused(ResultCode::DeadlineBeforeDispatch, detail, 0));
         select! {
             placed = placed => match placed {
-                Ok(Ok(place)) => {
-                    let request_id = job.request_id.clone();
-                    Ok(Held { owner: self.clone(), place, request_id })
-                }
+                Ok(Ok(held)) => Ok(held),
                 Ok(Err(_)) | Err(_) => late("no failure domain had room"),
             },
             () = cancelled => late("the sample was cancelled"),
@@ -148,6 +147,14 @@
 
     /// Places waiting samples, in order, as far as there is room.
     fn pump(&self) {
+        for (tx, held) in self.place_waiting() {
+            // A sample that has given up returns its place, whose drop gives it back.
+            drop(tx.send(held));
+        }
+    }
+
+    fn place_waiting(&self) -> Vec<(oneshot::Sender<Held>, Held)> {
+        let mut found = Vec::new();
         let mut state = self.state.borrow_mut();
         let State { spread, waiting, .. } = &mut *state;
         let mut rooms = HashMap::new();
@@ -169,16 +176,22 @@
             match spread.place(&next.group, *local, peers) {
                 None => at += 1,
                 Some(place) => {
-                    let sent = waiting.remove(at).map(|next| next.tx.send(place.clone()));
-                    if !matches!(sent, Some(Ok(()))) {
-                        spread.release(&place);
-                    }
+                    let Some(Waiting { request_id, tx, .. }) = waiting.remove(at) else { break };
+                    found.push((tx, Held { owner: self.clone(), place, request_id }));
                 }
             }
         }
+        found
     }
 }
 
+/// Whether a sample that a peer has not run may run in this domain.
+///
+/// A quarantine of the peer's domain may not be known here yet, and the sample would destroy a third upstream.
+fn may_run_here(refused: &Refused) -> bool {
+    refused.code.not_run() && refused.code != ResultCode::Quarantined
+}
+
 /// Runs samples through the spread, and everything else as the dispatcher does.
 pub fn run(spread: Spread) -> impl Fn(Job) -> LocalBoxFuture<'static, Result<Completed, Refused>> {
     move |job| {
--- a/orioleworks_entry/tests/spread.rs
+++ b/orioleworks_entry/tests/spread.rs
@@ -41,6 +41,9 @@
     }
 }
 
+/// Samples that the peer has room for.
+const ROOM: u64 = 8;
+
 /// Peer of another failure domain that answers every forward with a code.
 async fn peer(code: ResultCode) -> (Peers, Rc<Cell<u32>>) {
     let listener = http::bind("127.0.0.1:0").await.unwrap();
@@ -59,13 +62,42 @@
     let peers = Peers::new("sicilia-a", [known], |_| ());
     let entry = inner::EntryIdentity { name: "b".into(), ..Default::default() };
     let kind = "scorer-llm".into();
-    let load = inner::KindLoad { kind, upstreams: 1, capacity: 8, ..Default::default() };
+    let load = inner::KindLoad { kind, upstreams: 1, capacity: ROOM as u32, ..Default::default() };
     peers.receive(inner::Digest { entry: Some(entry), kinds: vec![load], ..Default::default() });
     (peers, forwards)
 }
 
+/// Guards against room that is lost for good when a sample is cancelled while it waits or as it gets its place.
+#[rstest]
+fn cancelled_samples_give_their_room_back() {
+    block_on(async {
+        let world = World::start(vec![]).await;
+        let (peers, forwards) = peer(ResultCode::Ok).await;
+        let run = runs_spread::run(Spread::new(world.entry.dispatcher.clone(), peers));
+        let start = |n: u64| {
+            let body = format!(r#"{{"prompt": "{n}", "max_tokens": 4}}"#);
+            run(Job { body: body.into(), ..sample(Some(n)) })
+        };
+        for round in 0..ROOM {
+            let mut running: Vec<_> = (0..ROOM).map(|n| start(round * 100 + n)).collect();
+            let mut next = start(round * 100 + ROOM);
+            for sample in running.iter_mut().chain([&mut next]) {
+                assert!(futures_util::poll!(sample).is_pending());
+            }
+            // The first one's place goes to the waiting one, which ends before it has read it.
+            drop(running.remove(0));
+            drop(next);
+        }
+        assert!(
+            run(sample(Some(7))).await.is_ok(),
+            "more were cancelled than the peer has room for"
+        );
+        assert!(forwards.get() >= 1);
+    });
+}
+
 /// Guards against samples that leave a domain with room, stay in one without, or get lost when a peer refuses them,
-/// and against second judge runs or other requests that go through the spread.
+/// and against judge runs that go through the spread.
 #[rstest]
 #[case::local_room(true, ResultCode::Ok, Some(7), Ok("e-1"), 0)]
 #[case::no_local_engine(false, ResultCode::Ok, Some(7), Ok("peer-engine"), 1)]
@@ -77,6 +109,7 @@
     Err(ResultCode::OutcomeUnknown),
     1
 )]
+#[case::quarantined(false, ResultCode::Quarantined, Some(7), Err(ResultCode::Quarantined), 1)]
 #[case::no_sample(false, ResultCode::Ok, None, Err(ResultCode::NoUpstream), 0)]
 fn sample_runs_where_there_is_room(
     #[case] local: bool,
