List live entries in a watch reply only to entries that hold another list

Each WatchReply carried the identity of every live entry, though an entry only counts those of its failure domain: 63 bytes for each of 390, once a second. Watch now names the hash of the list that the entry holds; the reply has the list of the own failure domain when it differs. A watch without a hash, of an older entry, gets the whole list as before. Ruled out: listing at a lower rate, since a restarted entry would count too few entries meanwhile.

Also fixes orioleworks-capacity: its probe orders were refused as invalid, so that its first election figures were wrong.

--- a/orioleworks_control/src/service.rs
+++ b/orioleworks_control/src/service.rs
@@ -13,7 +13,11 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{machine::Machine, sightings::Sightings, validation};
+use crate::{
+    machine::Machine,
+    sightings::{self, Sightings},
+    validation,
+};
 
 /// Longest time to hold a watch.
 const MAX_HOLD: Duration = Duration::from_millis(1000);
@@ -101,11 +105,14 @@
     async fn watch(&self, watch: inner::Watch) -> inner::WatchReply {
         let hold = Duration::from_millis(watch.wait_ms.into()).min(MAX_HOLD);
         let deadline = Instant::now() + hold;
+        let mut domain = String::new();
         if let Some(entry) = watch.entry
             && validation::is_name(&entry.name)
         {
+            domain.clone_from(&entry.domain);
             self.sightings.note(entry, watch.applied_revision);
         }
+        let applied = watch.applied_revision;
         loop {
             let seen = self.committed.version();
             // A partitioned replica refuses the watch, so that the entry asks another one.
@@ -115,14 +122,34 @@
                 return inner::WatchReply { code, leader_address, ..inner::WatchReply::default() };
             }
             let left = deadline.saturating_duration_since(Instant::now());
-            if self.revision() > watch.applied_revision || left.is_zero() {
-                return self.watch_reply(watch.applied_revision);
+            if self.revision() > applied || left.is_zero() {
+                return match watch.entries_hash {
+                    Some(held) => self.watch_reply(applied, self.entries(&domain, held)),
+                    // Older entries take every reply's list as the whole truth.
+                    None => self.watch_reply(applied, (self.sightings.live(), None)),
+                };
             }
             self.committed.changed_within(seen, left).await;
         }
     }
 
-    fn watch_reply(&self, applied: u64) -> inner::WatchReply {
+    /// Live entries of a failure domain with their hash; the list is empty when the asker holds it.
+    ///
+    /// 390 identities are 25 KB, which the 3 KB/s of a node do not allow in each reply.
+    fn entries(&self, domain: &str, held: u64) -> (Vec<inner::EntryIdentity>, Option<u64>) {
+        let mut entries = self.sightings.live_in(domain);
+        let hash = sightings::hash(&entries);
+        if hash == held {
+            entries.clear();
+        }
+        (entries, Some(hash))
+    }
+
+    fn watch_reply(
+        &self,
+        applied: u64,
+        (entries, entries_hash): (Vec<inner::EntryIdentity>, Option<u64>),
+    ) -> inner::WatchReply {
         let machine = self.machine.borrow();
         let changes = machine.changes_after(applied);
         let config = changes.is_none().then(|| machine.config());
@@ -132,7 +159,8 @@
             changes: changes.unwrap_or_default(),
             config,
             leader_address: self.log.leader_address(),
-            entries: self.sightings.live(),
+            entries,
+            entries_hash,
         }
     }
 
--- a/orioleworks_control/src/sightings.rs
+++ b/orioleworks_control/src/sightings.rs
@@ -9,6 +9,7 @@
 
 use orioleworks_daemon::clock;
 use orioleworks_proto::inner;
+use xxhash_rust::xxh3::Xxh3;
 
 /// Time for which an entry counts as live after it was seen.
 pub const LIVE_FOR: Duration = Duration::from_secs(3);
@@ -104,6 +105,18 @@
         live.filter_map(|status| status.entry).collect()
     }
 
+    /// Entries of a failure domain seen within [`LIVE_FOR`], in the order of their names.
+    pub fn live_in(&self, domain: &str) -> Vec<inner::EntryIdentity> {
+        let now = clock::since_boot();
+        let seen = self.seen.borrow();
+        let live = seen
+            .values()
+            .filter(|seen| seen.entry.domain == domain && now.saturating_sub(seen.at) < LIVE_FOR);
+        let mut live: Vec<inner::EntryIdentity> = live.map(|seen| seen.entry.clone()).collect();
+        live.sort_by(|a, b| a.name.cmp(&b.name));
+        live
+    }
+
     /// Whether an entry is known to be gone; `collecting_for` is the time for which all replicas' sightings arrived.
     pub fn is_gone(&self, name: &str, incarnation: u64, collecting_for: Duration) -> bool {
         let seen = self.seen.borrow();
@@ -116,6 +129,18 @@
     }
 }
 
+/// Hash of a list of entries that changes with every name and every start of an entry; the same on all replicas.
+pub fn hash(entries: &[inner::EntryIdentity]) -> u64 {
+    let mut hash = Xxh3::new();
+    for entry in entries {
+        hash.update(entry.name.as_bytes());
+        // Names contain no NUL, so that neighbours cannot run into each other.
+        hash.update(&[0]);
+        hash.update(&entry.incarnation.to_le_bytes());
+    }
+    hash.digest()
+}
+
 fn status(seen: &Seen, now: Duration) -> inner::EntryStatus {
     let silent = now.saturating_sub(seen.at).as_millis();
     inner::EntryStatus {
--- a/orioleworks_control/tests/cluster.rs
+++ b/orioleworks_control/tests/cluster.rs
@@ -279,7 +279,12 @@
         };
         let watch = |applied_revision| {
             let entry = Some(entry.clone());
-            Body::Watch(inner::Watch { entry, applied_revision, wait_ms: 1000 })
+            Body::Watch(inner::Watch {
+                entry,
+                applied_revision,
+                wait_ms: 1000,
+                ..Default::default()
+            })
         };
         let waiting = follower.call(watch(0), LONG);
         let proposing = async {
@@ -338,7 +343,7 @@
         let watch = |incarnation| {
             let entry = Some(entry(incarnation));
             follower
-                .call(Body::Watch(inner::Watch { entry, applied_revision: 0, wait_ms: 500 }), LONG)
+                .call(Body::Watch(inner::Watch { entry, wait_ms: 500, ..Default::default() }), LONG)
         };
         let propose =
             async |attempt: &str| client.propose(attempt, claim(attempt), LONG).await.unwrap().code;
@@ -354,3 +359,38 @@
         assert_eq!(propose("restarted").await, ResultCode::OutcomeUnknown.number());
     });
 }
+
+/// Guards against a list of entries that fills every reply, that stays old after a change, or that an entry of an older
+/// version does not get.
+#[rstest]
+fn list_of_entries_comes_only_to_those_that_hold_another() {
+    block_on(async {
+        let cluster = Cluster::start();
+        cluster.leader().await;
+        let client = orioleworks_daemon::rpc::Client::new(cluster.addresses[0].as_str());
+        let watch = async |name: &str, domain: &str, incarnation, entries_hash| {
+            let (name, domain) = (name.to_owned(), domain.to_owned());
+            let entry =
+                Some(inner::EntryIdentity { name, domain, incarnation, ..Default::default() });
+            let watch = inner::Watch { entry, entries_hash, ..Default::default() };
+            let reply = client.call(Body::Watch(watch), LONG).await;
+            let Ok(Body::WatchReply(reply)) = reply else { panic!("{reply:?}") };
+            let names: Vec<String> = reply.entries.into_iter().map(|e| e.name).collect();
+            (names, reply.entries_hash)
+        };
+        let all = ["entry-a1", "entry-a2", "entry-b1"];
+        watch("entry-a1", "a", 7, Some(0)).await;
+        watch("entry-b1", "b", 7, Some(0)).await;
+        let (names, hash) = watch("entry-a2", "a", 7, Some(0)).await;
+        assert_eq!(names, all[..2]);
+        assert_eq!(watch("entry-a2", "a", 7, hash).await, (Vec::new(), hash), "the list is held");
+        let (names, restarted) = watch("entry-a1", "a", 8, hash).await;
+        assert_eq!(names, all[..2]);
+        assert_ne!(restarted, hash, "a restarted entry is another one");
+        let (names, none) = watch("entry-b1", "b", 7, None).await;
+        assert_eq!((names, none), (all.map(String::from).to_vec(), None), "no hash is named");
+        sleep(Duration::from_millis(3100)).await;
+        let (names, _) = watch("entry-a2", "a", 7, restarted).await;
+        assert_eq!(names, ["entry-a2"], "the silent entry is not live");
+    });
+}
--- a/orioleworks_entry/src/forward.rs
+++ b/orioleworks_entry/src/forward.rs
@@ -127,7 +127,7 @@
             Body::Digest(digest) => {
                 self.peers.receive(digest);
                 let revision = self.configuration.revision();
-                Some(Body::DigestReply(inner::DigestReply { revision }))
+                Some(Body::DigestReply(inner::DigestReply { revision, holds: false }))
             }
             Body::FetchConfig(_) => {
                 let config = self.configuration.is_ready().then(|| self.configuration.to_message());
--- a/orioleworks_entry/src/rollout.rs
+++ b/orioleworks_entry/src/rollout.rs
@@ -63,6 +63,7 @@
         revision: own.configuration.revision(),
         kinds: own.dispatcher.loads(),
         suspects: own.suspects.to_messages(),
+        unchanged: false,
     };
     peers.start(Rc::new(digest), token);
     let pushing = peers.clone();
--- a/orioleworks_entry/src/watch.rs
+++ b/orioleworks_entry/src/watch.rs
@@ -37,10 +37,16 @@
     let identity = Rc::new(identity);
     let mut at = 0;
     let mut rounds = 0;
+    let mut entries_hash = 0;
     while !token.is_cancelled() && !replicas.is_empty() {
-        match watch_once(&identity, &replicas[at], &configuration, store.as_ref()).await {
-            Some(entries) => {
-                live_entries(entries);
+        let replica = &replicas[at];
+        match watch_once(&identity, replica, &configuration, store.as_ref(), entries_hash).await {
+            Some((entries, hash)) => {
+                // An older replica names no hash and lists the entries in every reply.
+                if hash.is_none_or(|hash| hash != entries_hash) {
+                    live_entries(entries);
+                }
+                entries_hash = hash.unwrap_or(0);
                 rounds += 1;
                 if at != 0 && rounds >= PREFERRED_RETRY_ROUNDS {
                     (at, rounds) = (0, 0);
@@ -61,12 +67,14 @@
     replica: &rpc::Client,
     configuration: &Configuration,
     store: Option<&persist::Store>,
-) -> Option<Vec<inner::EntryIdentity>> {
+    entries_hash: u64,
+) -> Option<(Vec<inner::EntryIdentity>, Option<u64>)> {
     let watch = inner::Watch {
         entry: Some(identity.clone()),
         // Control counts this as the acknowledgement, so it never runs ahead of the synced copy.
         applied_revision: store.map_or(configuration.revision(), persist::Store::saved_revision),
         wait_ms: if configuration.is_ready() { HOLD_MS } else { 0 },
+        entries_hash: Some(entries_hash),
     };
     let sent = clock::since_boot();
     let reply = match replica.call(Body::Watch(watch), WATCH_TIMEOUT).await {
@@ -87,5 +95,5 @@
     {
         time::sleep(SAVE_RETRY_PAUSE).await;
     }
-    Some(reply.entries)
+    Some((reply.entries, reply.entries_hash))
 }
--- a/orioleworks_standins/src/bin/orioleworks-capacity.rs
+++ b/orioleworks_standins/src/bin/orioleworks-capacity.rs
@@ -14,13 +14,14 @@
 };
 
 /// Names of the measurements.
-const NAMES: [&str; 13] = [
+const NAMES: [&str; 14] = [
     "protocol",
     "control-idle",
     "control-election",
     "control-entries",
     "control-changes",
     "control-claims",
+    "control-claims-held",
     "control-profiles",
     "entry-requests",
     "entry-tokens",
@@ -91,7 +92,8 @@
     {
         println!("== {name}");
         match measure(name, &mut bench).await {
-            Ok(all) => all.iter().for_each(|series| println!("{series}")),
+            // A relay that this measurement does not use has counted nothing.
+            Ok(all) => all.iter().filter(|s| !s.is_zero()).for_each(|series| println!("{series}")),
             Err(e) => {
                 eprintln!("failed: {name}: {e}");
                 code = 1;
@@ -108,6 +110,7 @@
         "control-entries" => control::entries(bench).await,
         "control-changes" => control::changes(bench).await,
         "control-claims" => control::claims(bench).await,
+        "control-claims-held" => control::claims_held(bench).await,
         "control-profiles" => control::profiles(bench).await,
         "entry-requests" => entry::requests(bench).await,
         "entry-tokens" => entry::tokens(bench).await,
--- a/orioleworks_standins/src/capacity_control.rs
+++ b/orioleworks_standins/src/capacity_control.rs
@@ -15,8 +15,8 @@
 
 use crate::{
     capacity_daemons::{
-        Bench, Measured, ORDER, Sample, add, client, command, four, profile, put, put_profiles,
-        sample, user_client,
+        Bench, Measured, ORDER, Sample, add, client, command, four, order, profile, put,
+        put_profiles, sample, user_client,
     },
     capacity_fakes::Watchers,
     capacity_fit::Series,
@@ -171,30 +171,68 @@
 ///
 /// See [`idle`].
 pub async fn claims(bench: &mut Bench) -> io::Result<Vec<Series>> {
-    let kinds = |number: u64| {
-        let issued_ms = clock::unix_ms();
-        let key = format!("{issued_ms}-{number}");
-        let claim = inner::Claim {
-            key: key.clone(),
-            profile: "gate-slot".into(),
-            fingerprint: "0123456789abcdef".repeat(4),
-            issued_ms,
-            entry: "node-000".into(),
-            entry_incarnation: 1,
-            attempt_id: key.clone(),
-            ..Default::default()
-        };
-        let finish = inner::FinishClaim {
-            key: key.clone(),
-            attempt_id: key,
-            state: inner::ClaimState::Finished.into(),
-            http_status: 200,
-            answer: vec![b'a'; 256],
-            content_type: "application/json".into(),
-        };
-        vec![Kind::Claim(claim), Kind::FinishClaim(finish)]
+    let rates = [20.0, 100.0, 300.0];
+    by_rate(bench, "control, claims with finish", "claim/s", rates, claim).await
+}
+
+/// Finished claims within their retention: memory of the busiest replica.
+///
+/// # Errors
+///
+/// See [`idle`].
+pub async fn claims_held(bench: &mut Bench) -> io::Result<Vec<Series>> {
+    const AT_A_TIME: u64 = 100;
+    let mut memory = Series::new("control, claims held: memory", "claim", "MB");
+    let controls = bench.controls(3).await?;
+    let client = client(&controls);
+    let all: Vec<&Measured> = controls.iter().collect();
+    let mut made = 0;
+    // The kept order results and the log before its first snapshot are full from 5000 claims on.
+    for count in [5000_u64, 10_000, 20_000] {
+        while made < count {
+            let batch = (made..made + AT_A_TIME).map(|number| {
+                let client = client.clone();
+                async move {
+                    for (at, kind) in claim(number).into_iter().enumerate() {
+                        order(&client, &format!("held-{number}-{at}"), kind, ORDER).await?;
+                    }
+                    io::Result::Ok(())
+                }
+            });
+            futures_util::future::try_join_all(batch).await?;
+            made += AT_A_TIME;
+        }
+        for _ in 0..bench.repeats {
+            let samples = sample(&all, SETTLE).await;
+            memory.add(count as f64, busiest(&samples).memory_mb);
+        }
+    }
+    Ok(vec![memory])
+}
+
+/// A claim and its finish.
+fn claim(number: u64) -> Vec<Kind> {
+    let issued_ms = clock::unix_ms();
+    let key = format!("{issued_ms}-{number}");
+    let claim = inner::Claim {
+        key: key.clone(),
+        profile: "gate-slot".into(),
+        fingerprint: "0123456789abcdef".repeat(4),
+        issued_ms,
+        entry: "node-000".into(),
+        entry_incarnation: 1,
+        attempt_id: key.clone(),
+        ..Default::default()
     };
-    by_rate(bench, "control, claims with finish", "claim/s", [20.0, 100.0, 300.0], kinds).await
+    let finish = inner::FinishClaim {
+        key: key.clone(),
+        attempt_id: key,
+        state: inner::ClaimState::Finished.into(),
+        http_status: 200,
+        answer: vec![b'a'; 256],
+        content_type: "application/json".into(),
+    };
+    vec![Kind::Claim(claim), Kind::FinishClaim(finish)]
 }
 
 /// Profiles in the configuration: state of control, and the operators' list of them.
@@ -207,7 +245,7 @@
     let mut list_time = Series::new("operator, list profiles: time", "profile", "ms");
     let mut list_bytes = Series::new("operator, list profiles: bytes", "profile", "B");
     let controls = bench.controls(3).await?;
-    let _watchers = Watchers::start(50, &watch_addresses(&controls));
+    let watchers = Watchers::start(50, &watch_addresses(&controls));
     let orders = client(&controls);
     let mut put_so_far = 0;
     for count in [10_usize, 100, 1000] {
@@ -216,15 +254,14 @@
         time::sleep(SETTLE).await;
         measure(bench, &controls, &mut series, count as f64).await;
     }
-    drop(_watchers);
+    drop(watchers);
     // Without watchers only the command uses the relays for users, so that its bytes are counted alone.
     time::sleep(SETTLE).await;
     list(bench, &controls, 1000, &mut list_time, &mut list_bytes).await?;
     for count in [100_usize, 10] {
         for at in count..put_so_far {
             let kind = Kind::RetireProfile(profile(at).name);
-            let reply = orders.propose(format!("retire-{at}"), command(kind), ORDER).await;
-            reply.map_err(|e| io::Error::other(e.to_string()))?;
+            order(&orders, &format!("retire-{at}"), kind, ORDER).await?;
         }
         put_so_far = count;
         list(bench, &controls, count, &mut list_time, &mut list_bytes).await?;
--- a/orioleworks_standins/src/capacity_daemons.rs
+++ b/orioleworks_standins/src/capacity_daemons.rs
@@ -177,9 +177,7 @@
             all.push(self.measured(daemon, &settings, "orioleworks-control", &target).await?);
         }
         let client = client(&all);
-        let open = inner::OpenRun { run: "ready".into(), ..Default::default() };
-        let reply = client.propose("ready", command(Kind::OpenRun(open)), READY).await;
-        reply.map_err(|e| io::Error::other(e.to_string()))?;
+        order(&client, "ready", publish(1), READY).await?;
         // Every replica has joined and the first elections are over.
         compio::time::sleep(Duration::from_secs(1)).await;
         Ok(all)
@@ -283,8 +281,26 @@
 ///
 /// Returns why the order was not accepted.
 pub async fn put(client: &ControlClient, order: &str, profile: inner::Profile) -> io::Result<u64> {
-    let kind = Kind::PutProfile(profile);
-    match client.propose(order, command(kind), ORDER).await {
+    self::order(client, order, Kind::PutProfile(profile), ORDER).await
+}
+
+/// Publication of a version of a model that nothing serves, as an order without further effect.
+pub fn publish(version: u64) -> Kind {
+    Kind::PublishVersion(inner::ModelVersion { model: "probe".into(), version })
+}
+
+/// Sends an order until it is accepted; returns the revision after it.
+///
+/// # Errors
+///
+/// Returns why the order was not accepted.
+pub async fn order(
+    client: &ControlClient,
+    id: &str,
+    kind: Kind,
+    longest: Duration,
+) -> io::Result<u64> {
+    match client.propose(id, command(kind), longest).await {
         Ok(reply) if reply.code == 0 => Ok(reply.revision),
         Ok(reply) => Err(io::Error::other(reply.message)),
         Err(e) => Err(io::Error::other(e.to_string())),
--- a/orioleworks_standins/src/capacity_election.rs
+++ b/orioleworks_standins/src/capacity_election.rs
@@ -6,10 +6,9 @@
 };
 
 use compio::time;
-use orioleworks_proto::inner::{self, command::Kind};
 
 use crate::{
-    capacity_daemons::{Bench, client, command, profile, put},
+    capacity_daemons::{Bench, client, order, profile, publish, put},
     capacity_fakes::Watchers,
     capacity_fit::Series,
 };
@@ -31,7 +30,7 @@
     let configured = bench.heartbeat_ms;
     for heartbeat in HEARTBEATS_MS {
         bench.heartbeat_ms = Some(heartbeat);
-        for round in 0..bench.repeats * 2 {
+        for _ in 0..bench.repeats * 2 {
             let mut controls = bench.controls(3).await?;
             let orders = client(&controls);
             let (before, started) =
@@ -42,9 +41,9 @@
             let addresses: Vec<String> = controls.iter().map(|c| c.users_address.clone()).collect();
             let watchers = Watchers::start(30, &addresses);
             time::sleep(Duration::from_secs(1)).await;
-            for order in 0..5 {
+            for number in 0..5 {
                 let sent = Instant::now();
-                let revision = put(&orders, &format!("put-{order}"), profile(0)).await?;
+                let revision = put(&orders, &format!("put-{number}"), profile(0)).await?;
                 if !watchers.wait(revision, LONGEST).await {
                     return Err(io::Error::other("not in force in time"));
                 }
@@ -54,9 +53,7 @@
             let leader = leader(&orders, controls.len()).await?;
             controls[leader].process.kill()?;
             let killed = Instant::now();
-            let open = inner::OpenRun { run: format!("after-{round}"), ..Default::default() };
-            let reply = orders.propose("after", command(Kind::OpenRun(open)), LONGEST).await;
-            reply.map_err(|e| io::Error::other(e.to_string()))?;
+            order(&orders, "after", publish(2), LONGEST).await?;
             lost.add(heartbeat as f64, killed.elapsed().as_secs_f64() * 1e3);
         }
     }
--- a/orioleworks_standins/src/capacity_entry.rs
+++ b/orioleworks_standins/src/capacity_entry.rs
@@ -23,6 +23,8 @@
 
 /// Time after which a changed load is measured.
 const SETTLE: Duration = Duration::from_millis(2000);
+/// Pause between two digests of a peer of another failure domain.
+const DIGEST_PAUSE: Duration = Duration::from_secs(1);
 /// Longest wait for one call.
 const CALL: Duration = Duration::from_secs(20);
 
@@ -140,7 +142,9 @@
                 let samples = sample(&[&entry], bench.window).await;
                 let rate = (upstreams.tokens.get() - before) as f64;
                 let rate = rate / started.elapsed().as_secs_f64();
-                samples.into_iter().for_each(|s| add(&mut series, rate.round(), s));
+                // Repeats at one number of streams differ by less than the rounding.
+                let rate = (rate / 500.0).round() * 500.0;
+                samples.into_iter().for_each(|s| add(&mut series, rate, s));
             }
         }
         token.cancel();
@@ -204,11 +208,21 @@
         for kind in ["scorer-llm", "planner-lm", "sheet-app", "booking-portal", "judge"] {
             upstreams.announce(2, kind, kind.ends_with('m'), &entry.daemon.http);
         }
-        (1..=count).for_each(|at| send_digests(at, &entry.daemon.public_inner, &token));
+        // Like entries, all peers of the own domain send digests, and two of each other domain.
+        let in_domain = (1..=count).filter(|at| domain(*at) == domain(0)).count();
+        let pause = DIGEST_PAUSE.max(DIGEST_PAUSE * u32::try_from(in_domain).unwrap_or(0) / 8);
+        for at in 1..=count {
+            if domain(at) == domain(0) {
+                send_digests(at, pause, &entry.daemon.public_inner, &token);
+            } else if at < 2 * 7 {
+                send_digests(at, DIGEST_PAUSE, &entry.daemon.public_inner, &token);
+            }
+        }
         time::sleep(SETTLE).await;
         for _ in 0..bench.repeats {
             let (before, started) = (sent.bytes(), Instant::now());
-            for mut s in sample(&[&entry], bench.window).await {
+            // The windows hold several digests to each peer of the own domain, which come in bursts.
+            for mut s in sample(&[&entry], bench.window.max(pause * 3)).await {
                 s.user_bytes = (sent.bytes() - before) as f64 / started.elapsed().as_secs_f64();
                 add(&mut series, count as f64, s);
             }
@@ -218,15 +232,29 @@
     Ok(series.into())
 }
 
-fn send_digests(at: usize, address: &str, token: &CancellationToken) {
+fn send_digests(at: usize, pause: Duration, address: &str, token: &CancellationToken) {
     let (client, token) = (rpc::Client::new(address), token.clone());
     runtime::spawn(async move {
-        time::sleep(Duration::from_millis(at as u64 * 7 % 1000)).await;
+        time::sleep(pause.mul_f64(at as f64 % 50.0 / 50.0)).await;
+        let whole = digest(at, 50);
+        let mut held = false;
         while !token.is_cancelled() {
-            let body = Body::Digest(digest(at, rand::random_range(0..100)));
-            drop(client.call(body, Duration::from_millis(900)).await);
-            time::sleep(Duration::from_secs(1)).await;
+            let entry = identity_of(&whole);
+            let short = inner::Digest { entry, unchanged: true, ..Default::default() };
+            let body = Body::Digest(if held { short } else { whole.clone() });
+            let reply = client.call(body, Duration::from_millis(900)).await;
+            held = matches!(reply, Ok(Body::DigestReply(reply)) if reply.holds);
+            time::sleep(pause).await;
         }
     })
     .detach();
 }
+
+/// Name and start of the sender, without what a receiver holds already.
+fn identity_of(digest: &inner::Digest) -> Option<inner::EntryIdentity> {
+    digest.entry.as_ref().map(|entry| inner::EntryIdentity {
+        name: entry.name.clone(),
+        incarnation: entry.incarnation,
+        ..Default::default()
+    })
+}
--- a/orioleworks_standins/src/capacity_fakes.rs
+++ b/orioleworks_standins/src/capacity_fakes.rs
@@ -77,14 +77,19 @@
     applied: Rc<Cell<u64>>,
     token: CancellationToken,
 ) {
+    let mut entries_hash = 0;
     while !token.is_cancelled() {
         let watch = inner::Watch {
             entry: Some(entry.clone()),
             applied_revision: applied.get(),
             wait_ms: 1000,
+            entries_hash: Some(entries_hash),
         };
         match client.call(Body::Watch(watch), TIMEOUT).await {
-            Ok(Body::WatchReply(reply)) if reply.code == 0 => applied.set(reply.revision),
+            Ok(Body::WatchReply(reply)) if reply.code == 0 => {
+                entries_hash = reply.entries_hash.unwrap_or(0);
+                applied.set(reply.revision);
+            }
             _ => time::sleep(Duration::from_millis(100)).await,
         }
     }
@@ -244,7 +249,7 @@
     let listener = http::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?.to_string();
     let answer = |body| async move {
-        let reply = inner::DigestReply { revision: 1 };
+        let reply = inner::DigestReply { revision: 1, holds: true };
         matches!(body, Body::Digest(_)).then_some(Body::DigestReply(reply))
     };
     runtime::spawn(rpc::serve(listener, token.child_token(), answer)).detach();
--- a/orioleworks_standins/src/capacity_fit.rs
+++ b/orioleworks_standins/src/capacity_fit.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Whether every measurement is 0.
+    pub fn is_zero(&self) -> bool {
+        self.points.iter().all(|(_, values)| values.iter().all(|value| *value == 0.0))
+    }
+
     /// Line through all measurements; needs at least two sizes for a slope.
     pub fn fit(&self) -> Fit {
         let all: Vec<(f64, f64)> =
--- a/orioleworks_standins/src/capacity_protocol.rs
+++ b/orioleworks_standins/src/capacity_protocol.rs
@@ -80,6 +80,7 @@
             entry: Some(identity(389)),
             applied_revision: 6300,
             wait_ms: 1000,
+            entries_hash: Some(u64::MAX / 3),
         })
     });
     by("WatchReply with entries", "entry", [0, 56, 390], &|count| {
@@ -122,8 +123,17 @@
         };
         Body::Digest(inner::Digest { suspects: vec![suspect; count], ..digest(389, 700) })
     });
+    by("Digest, unchanged", "digest", [1, 2, 3], &|_| {
+        let whole = digest(389, 700);
+        let entry = whole.entry.map(|entry| inner::EntryIdentity {
+            name: entry.name,
+            incarnation: entry.incarnation,
+            ..Default::default()
+        });
+        Body::Digest(inner::Digest { entry, revision: 6300, unchanged: true, ..Default::default() })
+    });
     by("DigestReply", "reply", [1, 2, 3], &|_| {
-        Body::DigestReply(inner::DigestReply { revision: 6300 })
+        Body::DigestReply(inner::DigestReply { revision: 6300, holds: true })
     });
     by("Propose of a claim", "claim", [1, 2, 3], &|_| {
         let claim = inner::Claim {
