Tell followers of a commit at once instead of with the next heartbeat

The leader now sends an empty Append when a follower has entries whose commit it was not told of. Sightings in the reply to such a message were dropped; they are merged now.

--- a/orioleworks_control/tests/cluster.rs
+++ b/orioleworks_control/tests/cluster.rs
@@ -394,3 +394,24 @@
         assert_eq!(names, ["entry-a2"], "the silent entry is not live");
     });
 }
+
+/// Guards against orders that are in force on followers only with the next heartbeat.
+#[rstest]
+fn committed_order_reaches_followers_before_the_next_heartbeat() {
+    block_on(async {
+        let times =
+            r#","heartbeat_ms":800,"election_timeout_min_ms":3200,"election_timeout_max_ms":4800"#;
+        let cluster = Cluster::start_with(times);
+        let leader = cluster.leader().await;
+        let client = cluster.client();
+        for n in 0..6 {
+            let name = format!("p-{n}");
+            let reply = client.propose(&name, put(&name, Some(0)), LONG).await.unwrap();
+            sleep(Duration::from_millis(150)).await;
+            for follower in (0..3).filter(|i| *i != leader) {
+                let status = cluster.status(follower, false).await.unwrap();
+                assert_eq!(status.config.unwrap().revision, reply.revision, "order {n}");
+            }
+        }
+    });
+}
--- a/orioleworks_control/tests/support/mod.rs
+++ b/orioleworks_control/tests/support/mod.rs
@@ -43,6 +43,11 @@
 impl Cluster {
     /// Starts three replicas that found a cluster.
     pub fn start() -> Self {
+        Self::start_with("")
+    }
+
+    /// Starts three replicas with further settings of the section `cluster`, each after a comma.
+    pub fn start_with(times: &str) -> Self {
         let names: Vec<String> = ["a", "b", "c"].iter().map(|x| format!("control-{x}")).collect();
         let ports = free_ports(6);
         let addresses: Vec<String> =
@@ -58,7 +63,7 @@
             let text = format!(
                 r#"{{"instance":{{"name":"{name}","failure_domain":"{name}"}},
                 "listen":{{"http":"127.0.0.1:{}","inner":"{}"}},
-                "cluster":{{"bootstrap":true,"replicas":[{}]}},
+                "cluster":{{"bootstrap":true,"replicas":[{}]{times}}},
                 "data":{{"directory":"{}","snapshot_entries":400}}}}"#,
                 ports[3 + i],
                 addresses[i],
--- a/orioleworks_log/src/leader.rs
+++ b/orioleworks_log/src/leader.rs
@@ -65,7 +65,13 @@
             if !served.insert(member.member_id) {
                 continue;
             }
-            let progress = Progress { next, matched: 0, confirmed: None, added: Instant::now() };
+            let progress = Progress {
+                next,
+                matched: 0,
+                told_commit: 0,
+                confirmed: None,
+                added: Instant::now(),
+            };
             state.progress.insert(member.member_id, progress);
             let (this, m) = (self.clone(), member.clone());
             runtime::spawn(async move { this.heartbeat_loop(term, m).await }).detach();
--- a/orioleworks_log/src/replication.rs
+++ b/orioleworks_log/src/replication.rs
@@ -109,10 +109,11 @@
                     self.inner.changed.changed_within(seen, self.inner.settings.election_min).await;
                 }
                 Next::Append(append) => {
+                    let commit = append.commit_index;
                     let call = client.call(Body::Append(append), APPEND_TIMEOUT);
                     match time::timeout(APPEND_TIMEOUT, call).await {
                         Ok(Ok(Body::AppendReply(reply))) => {
-                            self.on_append_reply(term, id, reply).await;
+                            self.on_append_reply(term, id, commit, reply).await;
                         }
                         _ => time::sleep(self.inner.settings.heartbeat).await,
                     }
@@ -141,7 +142,9 @@
             return Next::Snapshot;
         }
         let probed = progress.matched + 1 == progress.next;
-        if progress.next > state.last().index && probed {
+        // A commit that waited for the next heartbeat would be in force that much later.
+        let told = progress.told_commit >= state.commit.min(progress.matched);
+        if progress.next > state.last().index && probed && told {
             return Next::Wait;
         }
         let prev_index = progress.next - 1;
@@ -166,7 +169,7 @@
         })
     }
 
-    async fn on_append_reply(&self, term: u64, id: u64, reply: inner::AppendReply) {
+    async fn on_append_reply(&self, term: u64, id: u64, commit: u64, reply: inner::AppendReply) {
         self.adopt_term(reply.term).await;
         if reply.member_id != id || reply.term != term {
             // Another identity answers at this address; its old one is removed by a membership change.
@@ -183,11 +186,16 @@
             if reply.success {
                 progress.matched = progress.matched.max(reply.match_index.min(last));
                 progress.next = progress.matched + 1;
+                // The follower commits no further than what it is known to have.
+                progress.told_commit = progress.told_commit.max(commit.min(reply.match_index));
             } else {
                 let retry = reply.retry_index.clamp(1, last + 1);
                 progress.next = retry.min(progress.next.saturating_sub(1).max(1));
             }
         }
+        if !reply.seen.is_empty() {
+            (self.inner.machine.merge_sightings)(reply.seen);
+        }
         self.inner.changed.notify();
         self.advance_commit();
     }
--- a/orioleworks_log/src/state.rs
+++ b/orioleworks_log/src/state.rs
@@ -29,6 +29,8 @@
     pub next: u64,
     /// Highest index known to be synced there and equal to the leader's.
     pub matched: u64,
+    /// Commit index that the other replica is known to have got.
+    pub told_commit: u64,
     /// Send time of the latest heartbeat that was answered under the leader's term.
     pub confirmed: Option<Instant>,
     /// Time from which the leader serves it.
