Followers do not echo sightings that the leader sent them

A sighting that the leader passed on was a change worth sharing for each follower, which reported it back, and every follower's copy came back once a second for each entry. Only own sightings are reported now; a new leader still gets all of them, because its followers report everything after a change of leader.

--- a/orioleworks_control/src/service.rs
+++ b/orioleworks_control/src/service.rs
@@ -205,7 +205,7 @@
             Ok(())
         }),
         sightings: Box::new(move |since| own.newer_than(since)),
-        merge_sightings: Box::new(move |statuses| merged.merge(statuses)),
+        merge_sightings: Box::new(move |statuses, sharing| merged.merge(statuses, sharing)),
     }
 }
 
--- a/orioleworks_control/src/sightings.rs
+++ b/orioleworks_control/src/sightings.rs
@@ -8,6 +8,7 @@
 };
 
 use orioleworks_daemon::clock;
+use orioleworks_log::Sharing;
 use orioleworks_proto::inner;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -37,25 +38,24 @@
 impl Sightings {
     /// Notes that an entry was seen now.
     pub fn note(&self, entry: inner::EntryIdentity, applied_revision: u64) {
-        self.merge_one(Seen { entry, applied_revision, at: clock::since_boot(), version: 0 });
+        let seen = Seen { entry, applied_revision, at: clock::since_boot(), version: 0 };
+        self.merge_one(seen, Sharing::PassOn);
     }
 
     /// Takes sightings of another replica.
-    pub fn merge(&self, statuses: Vec<inner::EntryStatus>) {
+    ///
+    /// What the leader says is not shared again: its echo from each follower doubled the bytes between the replicas.
+    pub fn merge(&self, statuses: Vec<inner::EntryStatus>, sharing: Sharing) {
         let now = clock::since_boot();
         for status in statuses {
             let Some(entry) = status.entry else { continue };
             let at = now.saturating_sub(Duration::from_millis(status.last_seen_ms.into()));
-            self.merge_one(Seen {
-                entry,
-                applied_revision: status.applied_revision,
-                at,
-                version: 0,
-            });
+            let applied_revision = status.applied_revision;
+            self.merge_one(Seen { entry, applied_revision, at, version: 0 }, sharing);
         }
     }
 
-    fn merge_one(&self, mut new: Seen) {
+    fn merge_one(&self, mut new: Seen, sharing: Sharing) {
         let mut seen = self.seen.borrow_mut();
         new.version = self.version.get() + 1;
         let Some(old) = seen.get_mut(&new.entry.name) else {
@@ -68,12 +68,12 @@
         }
         let restarted = new.entry.incarnation > old.entry.incarnation;
         let newer = new.at > old.at + SHARE_STEP || new.applied_revision > old.applied_revision;
-        if restarted || newer {
+        if (restarted || newer) && sharing == Sharing::PassOn {
             self.version.set(new.version);
             old.version = new.version;
         }
         if restarted {
-            *old = new;
+            *old = Seen { version: old.version, ..new };
         } else {
             old.at = old.at.max(new.at);
             old.applied_revision = old.applied_revision.max(new.applied_revision);
--- a/orioleworks_log/src/follower.rs
+++ b/orioleworks_log/src/follower.rs
@@ -7,7 +7,7 @@
 use orioleworks_rules::log::{self as rules, LogPosition};
 
 use crate::{
-    node::Log,
+    node::{Log, Sharing},
     state::{Incoming, Role},
 };
 
@@ -26,7 +26,7 @@
         }
         let heartbeat = append.entries.is_empty();
         if !append.seen.is_empty() {
-            (self.inner.machine.merge_sightings)(std::mem::take(&mut append.seen));
+            (self.inner.machine.merge_sightings)(std::mem::take(&mut append.seen), Sharing::Keep);
         }
         if append.hand_over && self.inner.state.borrow().is_voter() {
             let this = self.clone();
--- a/orioleworks_log/src/lib.rs
+++ b/orioleworks_log/src/lib.rs
@@ -18,5 +18,5 @@
 pub mod state;
 
 pub use error::LogError;
-pub use node::{Log, Machine, ProposeError};
+pub use node::{Log, Machine, ProposeError, Sharing};
 pub use settings::{Replica, Settings};
--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -39,6 +39,15 @@
 /// Replaces the whole state of the state machine, or says why the bytes are none.
 pub type Restore = Box<dyn Fn(&[u8]) -> Result<(), String>>;
 
+/// Whether sightings of another replica are worth sending again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sharing {
+    /// A follower reported them, so the other replicas lack them.
+    PassOn,
+    /// They come from the leader, which needs no echo of them.
+    Keep,
+}
+
 /// The replicated state machine, as closures.
 pub struct Machine {
     /// Applies a committed entry and returns the reply to its proposer.
@@ -49,8 +58,8 @@
     pub restore: Restore,
     /// Sightings of entries that are newer than a version, and the version that the next call should name.
     pub sightings: Box<dyn Fn(u64) -> (Vec<inner::EntryStatus>, u64)>,
-    /// Takes sightings of another replica.
-    pub merge_sightings: Box<dyn Fn(Vec<inner::EntryStatus>)>,
+    /// Takes sightings of another replica, which are passed on to the others when this one leads.
+    pub merge_sightings: Box<dyn Fn(Vec<inner::EntryStatus>, Sharing)>,
 }
 
 impl std::fmt::Debug for Machine {
--- a/orioleworks_log/src/replication.rs
+++ b/orioleworks_log/src/replication.rs
@@ -8,7 +8,10 @@
 use orioleworks_proto::inner::{self, frame::Body};
 use prost::Message;
 
-use crate::{node::Log, state::State};
+use crate::{
+    node::{Log, Sharing},
+    state::State,
+};
 
 /// Longest wait for a follower's sync.
 const APPEND_TIMEOUT: Duration = Duration::from_secs(5);
@@ -92,7 +95,7 @@
         }
         drop(state);
         if !reply.seen.is_empty() {
-            (self.inner.machine.merge_sightings)(reply.seen);
+            (self.inner.machine.merge_sightings)(reply.seen, Sharing::PassOn);
         }
         self.inner.changed.notify();
     }
@@ -194,7 +197,7 @@
             }
         }
         if !reply.seen.is_empty() {
-            (self.inner.machine.merge_sightings)(reply.seen);
+            (self.inner.machine.merge_sightings)(reply.seen, Sharing::PassOn);
         }
         self.inner.changed.notify();
         self.advance_commit();
