--- a/orioleworks_control/src/sightings.rs
+++ b/orioleworks_control/src/sightings.rs
@@ -8,7 +8,9 @@
 };
 
 use orioleworks_daemon::clock;
+use orioleworks_log::Sharing;
 use orioleworks_proto::inner;
+use xxhash_rust::xxh3::Xxh3;
 
 /// Time for which an entry counts as live after it was seen.
 pub const LIVE_FOR: Duration = Duration::from_secs(3);
@@ -36,25 +38,24 @@
 impl Sightings {
     /// Notes that an entry was seen now.
     pub fn note(&self, entry: inner::EntryIdentity, applied_revision: u64) {
-        self.merge_one(Seen { entry, applied_revision, at: clock::since_boot(), version: 0 });
+        let seen = Seen { entry, applied_revision, at: clock::since_boot(), version: 0 };
+        self.merge_one(seen, Sharing::PassOn);
     }
 
     /// Takes sightings of another replica.
-    pub fn merge(&self, statuses: Vec<inner::EntryStatus>) {
+    ///
+    /// What the leader says is not shared again: its echo from each follower doubled the bytes between the replicas.
+    pub fn merge(&self, statuses: Vec<inner::EntryStatus>, sharing: Sharing) {
         let now = clock::since_boot();
         for status in statuses {
             let Some(entry) = status.entry else { continue };
             let at = now.saturating_sub(Duration::from_millis(status.last_seen_ms.into()));
-            self.merge_one(Seen {
-                entry,
-                applied_revision: status.applied_revision,
-                at,
-                version: 0,
-            });
+            let applied_revision = status.applied_revision;
+            self.merge_one(Seen { entry, applied_revision, at, version: 0 }, sharing);
         }
     }
 
-    fn merge_one(&self, mut new: Seen) {
+    fn merge_one(&self, mut new: Seen, sharing: Sharing) {
         let mut seen = self.seen.borrow_mut();
         new.version = self.version.get() + 1;
         let Some(old) = seen.get_mut(&new.entry.name) else {
@@ -67,12 +68,12 @@
         }
         let restarted = new.entry.incarnation > old.entry.incarnation;
         let newer = new.at > old.at + SHARE_STEP || new.applied_revision > old.applied_revision;
-        if restarted || newer {
+        if (restarted || newer) && sharing == Sharing::PassOn {
             self.version.set(new.version);
             old.version = new.version;
         }
         if restarted {
-            *old = new;
+            *old = Seen { version: old.version, ..new };
         } else {
             old.at = old.at.max(new.at);
             old.applied_revision = old.applied_revision.max(new.applied_revision);
@@ -104,6 +105,18 @@
         live.filter_map(|status| status.entry).collect()
     }
 
+    /// Entries of a failure domain seen within [`LIVE_FOR`], in the order of their names.
+    pub fn live_in(&self, domain: &str) -> Vec<inner::EntryIdentity> {
+        let now = clock::since_boot();
+        let seen = self.seen.borrow();
+        let live = seen
+            .values()
+            .filter(|seen| seen.entry.domain == domain && now.saturating_sub(seen.at) < LIVE_FOR);
+        let mut live: Vec<inner::EntryIdentity> = live.map(|seen| seen.entry.clone()).collect();
+        live.sort_by(|a, b| a.name.cmp(&b.name));
+        live
+    }
+
     /// Whether an entry is known to be gone; `collecting_for` is the time for which all replicas' sightings arrived.
     pub fn is_gone(&self, name: &str, incarnation: u64, collecting_for: Duration) -> bool {
         let seen = self.seen.borrow();
@@ -116,6 +129,18 @@
     }
 }
 
+/// Hash of a list of entries that changes with every name and every start of an entry; the same on all replicas.
+pub fn hash(entries: &[inner::EntryIdentity]) -> u64 {
+    let mut hash = Xxh3::new();
+    for entry in entries {
+        hash.update(entry.name.as_bytes());
+        // Names contain no NUL, so that neighbours cannot run into each other.
+        hash.update(&[0]);
+        hash.update(&entry.incarnation.to_le_bytes());
+    }
+    hash.digest()
+}
+
 fn status(seen: &Seen, now: Duration) -> inner::EntryStatus {
     let silent = now.saturating_sub(seen.at).as_millis();
     inner::EntryStatus {
