--- a/orioleworks_entry/tests/rollout/peers.rs
+++ b/orioleworks_entry/tests/rollout/peers.rs
@@ -42,7 +42,13 @@
     let kind = "scorer-llm".into();
     let load = inner::KindLoad { kind, upstreams, highest_version, ..Default::default() };
     let suspect = inner::Suspect { fingerprint: "f".into(), ..Default::default() };
-    inner::Digest { entry: Some(entry), revision: 1, kinds: vec![load], suspects: vec![suspect] }
+    inner::Digest {
+        entry: Some(entry),
+        revision: 1,
+        kinds: vec![load],
+        suspects: vec![suspect],
+        ..Default::default()
+    }
 }
 
 /// Peer `b` of another or the own failure domain, served in this process.
