One type for a live engine

Change: the weight orders use the engine of the membership instead of a copy of its fields. Behaviour is the same.

--- a/orioleworks_entry/src/rollout.rs
+++ b/orioleworks_entry/src/rollout.rs
@@ -119,27 +119,13 @@
 
 fn start_weights(entry: &Rc<Entry>, token: &CancellationToken) {
     let members = entry.members.clone();
-    let engines = move || {
-        let engines = members.engines().into_iter();
-        engines
-            .map(|engine| weights::Engine {
-                name: engine.name,
-                incarnation: engine.incarnation,
-                model: engine.model,
-                address: engine.address,
-                weight_version: engine.weight_version,
-                pending_version: engine.pending_version,
-                checks_fencing: engine.checks_fencing,
-            })
-            .collect()
-    };
     let deps = weights::Deps {
         entry: entry.identity.name.as_str().into(),
         incarnation: entry.identity.incarnation,
         failure_domain: entry.cfg.instance.failure_domain.as_ref().into(),
         control: entry.control.clone(),
         configuration: entry.configuration.clone(),
-        engines: Rc::new(engines),
+        engines: Rc::new(move || members.engines()),
     };
     let token = token.clone();
     runtime::spawn(async move {
--- a/orioleworks_entry/src/weights.rs
+++ b/orioleworks_entry/src/weights.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     configuration::Configuration,
+    members::Engine,
     signal::Signal,
     weights_engine::{self, Shared},
     weights_http::Engines,
@@ -28,25 +29,6 @@
 /// Interval at which announced and desired versions are compared.
 const COMPARE: Duration = Duration::from_millis(100);
 
-/// Live engine, as it announced itself.
-#[derive(Clone, Debug)]
-pub struct Engine {
-    /// Name of the upstream.
-    pub name: Rc<str>,
-    /// Incarnation of the upstream.
-    pub incarnation: u64,
-    /// Model that it serves.
-    pub model: Rc<str>,
-    /// Address as IP and port.
-    pub address: Rc<str>,
-    /// Version in use.
-    pub weight_version: u64,
-    /// Version of a pending swap, 0 for none.
-    pub pending_version: u64,
-    /// Whether it rejects old fencing tokens.
-    pub checks_fencing: bool,
-}
-
 /// Inputs of the loop.
 #[derive(Clone)]
 pub struct Deps {
--- a/orioleworks_entry/src/weights_engine.rs
+++ b/orioleworks_entry/src/weights_engine.rs
@@ -14,8 +14,9 @@
 use orioleworks_daemon::event;
 
 use crate::{
+    members::Engine,
     signal::Signal,
-    weights::{Deps, Engine},
+    weights::Deps,
     weights_http::{Engines, Order, Phase, SwapError, Weights},
     weights_lease::{LONGEST_DELIVERY_MS, Lease},
 };
--- a/orioleworks_entry/tests/rollout/weights.rs
+++ b/orioleworks_entry/tests/rollout/weights.rs
@@ -8,7 +8,8 @@
 
 use orioleworks_daemon::{http, shutdown::Shutdown};
 use orioleworks_entry::{
-    weights::{self, Deps, Engine},
+    members::Engine,
+    weights::{self, Deps},
     weights_http::{Order, Phase, Weights},
     weights_lease::{self, Acquired, Fencing, LEASE_MS, LONGEST_DELIVERY_MS, Lease},
     weights_publish,
