Entries list their upstreams; orioleworksctl list live

Cause: operators had no view of the upstreams that announce themselves. Change: GET /v1/upstreams and a listing over all failure domains; a domain of which no entry answers is named and the command fails. Figures: 2 tests.

--- a/orioleworks_ctl/src/app.rs
+++ b/orioleworks_ctl/src/app.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     cli::{Command, Options, OrderOptions},
-    config, in_force, order, views,
+    config, in_force, live, order, views,
 };
 
 /// Longest wait for a revision to be in force; control answers for it within 9 s.
@@ -80,6 +80,7 @@
     let control = ControlClient::new(addresses);
     match command {
         Command::List(list) => match in_force::status(&control).await {
+            Ok(status) if list.what == "live" => live_upstreams(&status, options.json).await,
             Ok(status) => match views::list(&list.what, &status) {
                 Some(listing) => Output::listing(&listing, options.json),
                 None => {
@@ -96,6 +97,16 @@
     }
 }
 
+async fn live_upstreams(status: &inner::StatusReply, json: bool) -> Output {
+    let (listing, silent) = live::list(status).await;
+    let mut output = Output::listing(&listing, json);
+    if !silent.is_empty() {
+        output.error = format!("no entry answers in {}", silent.join(", "));
+        output.code = exit::FAILED;
+    }
+    output
+}
+
 /// Command for the log and the options of the order.
 async fn prepare(
     command: &Command,
--- a/orioleworks_ctl/src/cli.rs
+++ b/orioleworks_ctl/src/cli.rs
@@ -152,7 +152,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "list")]
 pub struct List {
-    /// profiles, upstreams, versions, entries, runs, leases, members or quarantine
+    /// profiles, upstreams (stop orders), live (upstreams as entries know them), versions, entries, runs, leases, members or quarantine
     #[argh(positional)]
     pub what: String,
 }
--- a/orioleworks_ctl/src/lib.rs
+++ b/orioleworks_ctl/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cli;
 pub mod config;
 pub mod in_force;
+pub mod live;
 pub mod order;
 pub mod profile;
 pub mod table;
--- /dev/null
+++ b/orioleworks_ctl/src/live.rs
@@ -0,0 +1,47 @@
+//! Upstreams as the entries of each failure domain know them.
+
+use std::time::Duration;
+
+use compio::time;
+use indexmap::IndexMap;
+use orioleworks_proto::inner;
+use serde_json::{Value, json};
+
+use crate::views::{self, Listing};
+
+/// Longest wait for one entry's answer.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Listing of every domain of which an entry answers, and the domains of which none does.
+pub async fn list(status: &inner::StatusReply) -> (Listing, Vec<String>) {
+    let mut domains: IndexMap<&str, Vec<&inner::EntryIdentity>> = IndexMap::new();
+    for entry in status.entries.iter().filter_map(|e| e.entry.as_ref()) {
+        domains.entry(&entry.domain).or_default().push(entry);
+    }
+    let (mut rows, mut silent) = (Vec::new(), Vec::new());
+    for (domain, entries) in domains {
+        match first_answer(&entries).await {
+            Some((entry, upstreams)) => rows.extend(upstreams.into_iter().map(|mut upstream| {
+                upstream["domain"] = json!(domain);
+                upstream["entry"] = json!(entry);
+                upstream
+            })),
+            None => silent.push(domain.to_owned()),
+        }
+    }
+    (views::live_upstreams(rows), silent)
+}
+
+async fn first_answer<'a>(entries: &[&'a inner::EntryIdentity]) -> Option<(&'a str, Vec<Value>)> {
+    for entry in entries {
+        let url = format!("http://{}/v1/upstreams", entry.http_address);
+        if let Ok(Ok(upstreams)) = time::timeout(FETCH_TIMEOUT, fetch(&url)).await {
+            return Some((&entry.name, upstreams));
+        }
+    }
+    None
+}
+
+async fn fetch(url: &str) -> cyper::Result<Vec<Value>> {
+    cyper::Client::new()?.get(url)?.send().await?.json().await
+}
--- a/orioleworks_ctl/src/views.rs
+++ b/orioleworks_ctl/src/views.rs
@@ -16,7 +16,8 @@
 }
 
 /// Kinds of objects that can be listed.
-pub const KINDS: &str = "profiles, upstreams, versions, entries, runs, leases, members, quarantine";
+pub const KINDS: &str =
+    "profiles, upstreams, live, versions, entries, runs, leases, members, quarantine";
 
 fn listing<T: Serialize>(headings: &[&str], objects: impl IntoIterator<Item = T>) -> Listing {
     let objects: Vec<Value> = objects.into_iter().map(|object| json!(object)).collect();
@@ -32,6 +33,26 @@
     Listing { table: table::render(headings, &rows), json: Value::Array(objects) }
 }
 
+/// Listing of upstreams as entries know them.
+pub fn live_upstreams(rows: Vec<Value>) -> Listing {
+    let keys = [
+        "name",
+        "domain",
+        "kind",
+        "state",
+        "incarnation",
+        "address",
+        "model",
+        "weight_version",
+        "pending_version",
+        "checks_fencing",
+        "running",
+        "queued",
+        "entry",
+    ];
+    listing(&keys, rows)
+}
+
 /// Listing of one kind, or nothing for an unknown kind.
 pub fn list(what: &str, status: &inner::StatusReply) -> Option<Listing> {
     let config = status.config.clone().unwrap_or_default();
--- a/orioleworks_ctl/tests/orders.rs
+++ b/orioleworks_ctl/tests/orders.rs
@@ -191,6 +191,14 @@
     assert!(outputs[0].error.contains(reason), "{}", outputs[0].error);
 }
 
+/// Guards against a list of upstreams that looks complete when no entry of a domain answers.
+#[test]
+fn a_silent_failure_domain_is_named() {
+    let outputs = run(Fake::default(), &["list live"]);
+    assert_eq!(outputs[0].code, exit::FAILED);
+    assert!(outputs[0].error.starts_with("no entry answers in"), "{}", outputs[0].error);
+}
+
 #[test]
 fn an_unreachable_control_is_a_failure_with_the_order_id() {
     // Port 9 of the loopback address has no listener.
--- a/orioleworks_entry/src/lib.rs
+++ b/orioleworks_entry/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod stream;
 pub mod suspects;
 pub mod telemetry;
+pub mod upstreams;
 pub mod watch;
 pub mod weights;
 pub mod weights_engine;
--- a/orioleworks_entry/src/router.rs
+++ b/orioleworks_entry/src/router.rs
@@ -10,7 +10,7 @@
 };
 use orioleworks_proto::codes::ResultCode;
 
-use crate::{announce, app::Entry, calls};
+use crate::{announce, app::Entry, calls, upstreams};
 
 /// Longest request ID that is taken over from a caller.
 const MAX_REQUEST_ID: usize = 128;
@@ -32,6 +32,9 @@
 async fn route(entry: &Rc<Entry>, req: Request, request_id: &Rc<str>) -> Response {
     let (head, body) = req.into_parts();
     let path = head.uri.path();
+    if path == "/v1/upstreams" && head.method == ::http::Method::GET {
+        return upstreams::handle(&entry.members);
+    }
     let profile = path.strip_prefix("/v1/call/").filter(|p| !p.is_empty() && !p.contains('/'));
     if profile.is_none() && path != "/v1/announce" {
         return refuse(ResultCode::UnknownPath, path, request_id);
--- a/orioleworks_entry/tests/edges.rs
+++ b/orioleworks_entry/tests/edges.rs
@@ -79,6 +79,10 @@
         );
         assert_eq!(world.post("/v1/announce", &[], &body).await.json()["stop"], true);
         assert_eq!(upstream.seen.borrow().len(), 1);
+        let url = format!("{}/v1/upstreams", world.url);
+        let listed = world.client.get(url).unwrap().send().await.unwrap();
+        let listed: Vec<serde_json::Value> = listed.json().await.unwrap();
+        assert_eq!((&listed[0]["name"], &listed[0]["state"]), (&"s-1".into(), &"stopped".into()));
     });
 }
 
