Relays: one read of the kernel's socket table serves all connections under a cut

Cause: the driver looked for the sender of each connection in a table of 11,000 sockets, over 20 ms each, and the relays passed nothing meanwhile. Ruled out: the daemons (their logs show time-outs of all peers at the same moment).

--- a/orioleworks_standins/src/deployment.rs
+++ b/orioleworks_standins/src/deployment.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     client::Client,
-    process::{Process, Usage},
+    process::{Process, Sockets, Usage},
     relay::Relay,
     settings_files::Daemon,
 };
@@ -134,6 +134,7 @@
     pub(crate) options: Options,
     pub(crate) nodes: IndexMap<String, Node>,
     pub(crate) processes: Processes,
+    pub(crate) sockets: Rc<Sockets>,
     pub(crate) controls: Vec<Daemon>,
     pub(crate) entries: Vec<Daemon>,
     pub(crate) relays: IndexMap<String, Relay>,
--- a/orioleworks_standins/src/layout.rs
+++ b/orioleworks_standins/src/layout.rs
@@ -7,7 +7,7 @@
 use crate::{
     deployment::{Deployment, DeploymentError, Kind, Node, Options, system},
     ports::Ports,
-    process::{Process, Spec, socket_inode},
+    process::{Process, Sockets, Spec},
     relay::{Identify, Relay},
     settings_files::{self, Daemon},
 };
@@ -23,6 +23,7 @@
             options,
             nodes: IndexMap::new(),
             processes: Rc::default(),
+            sockets: Rc::new(Sockets::default()),
             controls: Vec::new(),
             entries: Vec::new(),
             relays: IndexMap::new(),
@@ -72,9 +73,9 @@
     ///
     /// A relay needs it, because the inner protocol does not name the sender and a link has two ends.
     pub fn identify(&self, port: u16) -> Identify {
-        let processes = self.processes.clone();
+        let (processes, sockets) = (self.processes.clone(), self.sockets.clone());
         Rc::new(move |peer| {
-            let inode = socket_inode(peer.port(), port)?;
+            let inode = sockets.inode((peer.port(), port))?;
             let processes = processes.borrow();
             processes.iter().find(|(_, p)| p.has_socket(inode)).map(|(name, _)| name.clone())
         })
