--- a/orioleworks_standins/src/deployment.rs
+++ b/orioleworks_standins/src/deployment.rs
@@ -144,6 +144,7 @@
     pub(crate) options: Options,
     pub(crate) nodes: IndexMap<String, Node>,
     pub(crate) processes: Processes,
+    pub(crate) sockets: Rc<Sockets>,
     pub(crate) controls: Vec<Daemon>,
     pub(crate) entries: Vec<Daemon>,
     pub(crate) relays: IndexMap<String, Relay>,
--- a/orioleworks_standins/src/layout.rs
+++ b/orioleworks_standins/src/layout.rs
@@ -58,6 +58,7 @@
             options,
             nodes: IndexMap::new(),
             processes: Rc::default(),
+            sockets: Rc::new(Sockets::default()),
             controls: Vec::new(),
             entries: Vec::new(),
             relays: IndexMap::new(),
