--- a/orioleworks_standins/src/deployment.rs
+++ b/orioleworks_standins/src/deployment.rs
@@ -148,7 +148,6 @@
     pub(crate) controls: Vec<Daemon>,
     pub(crate) entries: Vec<Daemon>,
     pub(crate) relays: IndexMap<String, Relay>,
-    pub(crate) sockets: Sockets,
 }
 
 impl Deployment {
--- a/orioleworks_standins/src/layout.rs
+++ b/orioleworks_standins/src/layout.rs
@@ -62,7 +62,6 @@
             controls: Vec::new(),
             entries: Vec::new(),
             relays: IndexMap::new(),
-            sockets: Sockets::default(),
         };
         let mut ports = Ports::new();
         deployment.place_daemons(&mut ports).map_err(system("ports"))?;
