Send digests to a part of the entries, and short ones when nothing changed

Every entry sent a whole digest to every other entry each second. Entries of other domains only need candidates for forwards, so each of them now hears two entries of each domain (all of them where there are no more, as today). The own domain only needs suspects, and new ones are pushed at once: its digests share 8 per second, so up to 8 peers still get one each second. A digest is a short one while the receiver says that it holds the last whole one; whole ones are sent on a changed kind or version, a load that changed by 10 % of the capacity, new suspects, a restart of the receiver, and every 30 s. A receiver of an older version never says so and gets whole digests. Ruled out: a lower rate for all, since a lost entry would stay a candidate for forwards for longer; leaving the kinds out within the domain, since a settings error about a domain would then hide them.

--- a/orioleworks_entry/src/forward.rs
+++ b/orioleworks_entry/src/forward.rs
@@ -125,9 +125,9 @@
     pub async fn handle(&self, body: Body) -> Option<Body> {
         match body {
             Body::Digest(digest) => {
-                self.peers.receive(digest);
+                let holds = self.peers.receive(digest);
                 let revision = self.configuration.revision();
-                Some(Body::DigestReply(inner::DigestReply { revision, holds: false }))
+                Some(Body::DigestReply(inner::DigestReply { revision, holds }))
             }
             Body::FetchConfig(_) => {
                 let config = self.configuration.is_ready().then(|| self.configuration.to_message());
--- a/orioleworks_entry/src/peers.rs
+++ b/orioleworks_entry/src/peers.rs
@@ -2,7 +2,12 @@
 //!
 //! See `docs/design.md`, sections 3, 6 and 8.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    time::Duration,
+};
 
 use compio::runtime;
 use futures_util::{FutureExt, select};
@@ -12,10 +17,20 @@
 
 use crate::signal::Signal;
 
-/// Interval of digests.
+/// Shortest interval of digests to one peer.
 pub const INTERVAL: Duration = Duration::from_secs(1);
-/// Time without a digest after which a peer counts as lost.
-pub const LIVE_WITHIN: Duration = Duration::from_secs(3);
+/// Intervals without a digest after which a peer counts as lost.
+const MISSED_INTERVALS: u32 = 3;
+/// Digests per second to all peers of the own failure domain. They are only needed for suspects, and new suspects are
+/// pushed at once; 55 peers at one digest per second would alone be more than the 3 KB/s of a node.
+const DOMAIN_DIGESTS_PER_S: u32 = 8;
+/// Entries of a failure domain that send digests to the same entry of another one; a full mesh of 390 entries took
+/// 72 KB/s for each of them.
+const SENDERS_PER_DOMAIN: usize = 2;
+/// Longest time without a whole digest, so that a difference that nobody noticed does not last.
+const WHOLE_INTERVAL: Duration = Duration::from_secs(30);
+/// Change of a kind's load, in thousandths of its capacity, that is worth a whole digest.
+const LOAD_STEP_PERMILLE: u64 = 100;
 /// Longest wait for the answer to a digest.
 const DIGEST_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -70,38 +85,69 @@
         Self { shared: Rc::new(shared) }
     }
 
-    /// Starts one task per peer that sends the digest each second until the token is cancelled.
+    /// Starts one task for each receiver of digests; they end with the token.
     pub fn start(&self, digest: Rc<dyn Fn() -> inner::Digest>, token: &CancellationToken) {
-        for known in self.shared.known.values() {
-            let client = rpc::Client::new(known.peer.address.clone());
-            let (peer, digest, token) = (known.peer.name.clone(), digest.clone(), token.clone());
-            let shared = self.shared.clone();
-            runtime::spawn(send_digests(shared, peer, client, digest, token)).detach();
+        let own = digest().entry.map(|entry| entry.name).unwrap_or_default();
+        for peer in self.receivers(&own) {
+            let (digest, token) = (digest.clone(), token.clone());
+            let sender = Sender { shared: self.shared.clone(), peer: peer.clone(), sent: None };
+            runtime::spawn(sender.run(digest, token)).detach();
+        }
+    }
+
+    /// Peers that get digests of this entry: its own failure domain, and a part of every other one.
+    ///
+    /// The entry at place `j` of another domain hears the entries at places `j` and `j + 1`, modulo the size of this
+    /// domain, so every entry hears two of each domain, and all of them where there are no more.
+    pub fn receivers(&self, own: &str) -> Vec<&Peer> {
+        let peers = || self.shared.known.values().map(|known| &known.peer);
+        let mut domains: BTreeMap<&str, Vec<&Peer>> = BTreeMap::new();
+        peers().for_each(|peer| domains.entry(&peer.failure_domain).or_default().push(peer));
+        let is_own = |peer: &&Peer| peer.failure_domain == self.shared.failure_domain;
+        let place = peers().filter(is_own).filter(|peer| *peer.name < *own).count();
+        let size = 1 + peers().filter(is_own).count();
+        let mut receivers = Vec::new();
+        for (domain, mut peers) in domains {
+            peers.sort_by(|a, b| a.name.cmp(&b.name));
+            let hears = |at: usize| {
+                (0..SENDERS_PER_DOMAIN.min(size)).any(|offset| (at + offset) % size == place)
+            };
+            let all = domain == &*self.shared.failure_domain;
+            let peers = peers.into_iter().enumerate().filter(|(at, _)| all || hears(*at));
+            receivers.extend(peers.map(|(_, peer)| peer));
         }
+        receivers
     }
 
-    /// Sends the digest to every peer at once, since a suspect resent through a peer must not wait for the interval.
+    /// Sends the digest to every receiver at once, since a suspect resent through a peer must not wait for the interval.
     pub fn push(&self) {
         self.shared.push.notify();
     }
 
-    /// Takes a peer's digest; one of an older incarnation is late and ignored.
-    pub fn receive(&self, digest: inner::Digest) {
+    /// Takes a peer's digest; one of an older incarnation is late and ignored. Returns whether the last whole digest
+    /// of the incarnation is held, so that the peer need not send it again.
+    pub fn receive(&self, digest: inner::Digest) -> bool {
         let entry = digest.entry.clone().unwrap_or_default();
         let Some(known) = self.shared.known.get(entry.name.as_str()) else {
             event!(warn, "digest_of_unknown_entry", entry = entry.name);
-            return;
+            return false;
         };
         let incarnation = |digest: &inner::Digest| digest.entry.as_ref().map(|e| e.incarnation);
         let newest = known.last.borrow().as_ref().and_then(|(_, last)| incarnation(last));
         if newest > Some(entry.incarnation) {
-            return;
+            return false;
+        }
+        if digest.unchanged {
+            let mut last = known.last.borrow_mut();
+            let held = last.as_mut().filter(|_| newest == Some(entry.incarnation));
+            return held.map(|(heard, _)| *heard = clock::since_boot()).is_some();
         }
         let suspects = digest.suspects.clone();
         *known.last.borrow_mut() = Some((clock::since_boot(), digest));
-        if known.peer.failure_domain == self.shared.failure_domain && !suspects.is_empty() {
+        if self.shared.is_own(&known.peer) && !suspects.is_empty() {
             (self.shared.on_suspects)(suspects);
         }
+        true
     }
 
     /// Live entries of the own failure domain, including this one; the share of a limit is divided by them.
@@ -135,36 +181,120 @@
         let now = clock::since_boot();
         self.shared.known.values().filter(move |known| {
             let last = known.last.borrow();
-            last.as_ref().is_some_and(|(heard, _)| now.saturating_sub(*heard) <= LIVE_WITHIN)
+            let within = self.shared.interval(&known.peer) * MISSED_INTERVALS;
+            last.as_ref().is_some_and(|(heard, _)| now.saturating_sub(*heard) <= within)
         })
     }
 }
 
+impl Shared {
+    fn is_own(&self, peer: &Peer) -> bool {
+        peer.failure_domain == self.failure_domain
+    }
+
+    /// Interval of digests to a peer, and from it.
+    fn interval(&self, peer: &Peer) -> Duration {
+        if !self.is_own(peer) {
+            return INTERVAL;
+        }
+        let own = self.known.values().filter(|known| self.is_own(&known.peer)).count();
+        let own = u32::try_from(own).unwrap_or(u32::MAX);
+        INTERVAL.max(INTERVAL * own / DOMAIN_DIGESTS_PER_S)
+    }
+}
+
 fn load_permille(load: &inner::KindLoad) -> u64 {
     u64::from(load.in_flight) * 1000 / u64::from(load.capacity.max(1))
 }
 
-async fn send_digests(
+/// Whether two digests tell a receiver the same of every kind, but for small changes of the load.
+fn same_kinds(a: &inner::Digest, b: &inner::Digest) -> bool {
+    let same_kind = |a: &inner::KindLoad, b: &inner::KindLoad| {
+        let facts = |load: &inner::KindLoad| {
+            (load.upstreams, load.lowest_version, load.highest_version, load.kind.clone())
+        };
+        facts(a) == facts(b) && load_permille(a).abs_diff(load_permille(b)) < LOAD_STEP_PERMILLE
+    };
+    a.kinds.len() == b.kinds.len() && a.kinds.iter().zip(&b.kinds).all(|(a, b)| same_kind(a, b))
+}
+
+/// Sends digests to one peer.
+struct Sender {
     shared: Rc<Shared>,
-    peer: Rc<str>,
-    client: rpc::Client,
-    digest: Rc<dyn Fn() -> inner::Digest>,
-    token: CancellationToken,
-) {
-    let mut reachable = true;
-    loop {
-        let pushed = shared.push.wait();
-        let sent = client.call(Body::Digest(digest()), DIGEST_TIMEOUT).await;
-        if sent.is_ok() != reachable {
-            reachable = sent.is_ok();
-            event!(info, "peer_reachable_changed", peer = peer, reachable = reachable);
+    peer: Peer,
+    /// The last whole digest, while the peer says that it holds it.
+    sent: Option<(Duration, inner::Digest)>,
+}
+
+impl Sender {
+    async fn run(mut self, digest: Rc<dyn Fn() -> inner::Digest>, token: CancellationToken) {
+        let client = rpc::Client::new(self.peer.address.clone());
+        let regular = self.shared.interval(&self.peer);
+        let mut reachable = true;
+        loop {
+            let shared = self.shared.clone();
+            let pushed = shared.push.wait();
+            let held = self.send(&client, digest()).await;
+            if held.is_some() != reachable {
+                reachable = held.is_some();
+                event!(
+                    info,
+                    "peer_reachable_changed",
+                    peer = self.peer.name,
+                    reachable = reachable
+                );
+            }
+            if held.is_none() {
+                // A connection that was cut without notice would stay silent.
+                client.disconnect();
+            }
+            let interval = if reachable { regular } else { INTERVAL };
+            let mut pause = std::pin::pin!(pushed.up_to(interval).fuse());
+            let mut cancelled = std::pin::pin!(token.cancelled().fuse());
+            select! { () = pause => (), () = cancelled => return }
+        }
+    }
+
+    /// Sends what the peer does not hold; `None` when it cannot be reached.
+    async fn send(&mut self, client: &rpc::Client, mut digest: inner::Digest) -> Option<()> {
+        let own = self.shared.is_own(&self.peer);
+        // Only the own domain takes suspects, and only other domains forward requests by the kinds.
+        if !own {
+            digest.suspects.clear();
+        }
+        let now = clock::since_boot();
+        let held = self.sent.take().filter(|(at, sent)| {
+            let same =
+                if own { sent.suspects == digest.suspects } else { same_kinds(sent, &digest) };
+            same && now.saturating_sub(*at) < WHOLE_INTERVAL
+        });
+        if let Some(held) = held
+            && call(client, shortened(&digest)).await?
+        {
+            self.sent = Some(held);
+            return Some(());
         }
-        if sent.is_err() {
-            // A connection that was cut without notice would stay silent.
-            client.disconnect();
+        if call(client, digest.clone()).await? {
+            self.sent = Some((now, digest));
         }
-        let mut pause = std::pin::pin!(pushed.up_to(INTERVAL).fuse());
-        let mut cancelled = std::pin::pin!(token.cancelled().fuse());
-        select! { () = pause => (), () = cancelled => return }
+        Some(())
+    }
+}
+
+/// Digest that only says that the last whole one still holds.
+fn shortened(digest: &inner::Digest) -> inner::Digest {
+    let entry = digest.entry.as_ref().map(|entry| inner::EntryIdentity {
+        name: entry.name.clone(),
+        incarnation: entry.incarnation,
+        ..Default::default()
+    });
+    inner::Digest { entry, revision: digest.revision, unchanged: true, ..Default::default() }
+}
+
+/// Sends a digest; whether the peer holds the last whole one, or `None` without an answer.
+async fn call(client: &rpc::Client, digest: inner::Digest) -> Option<bool> {
+    match client.call(Body::Digest(digest), DIGEST_TIMEOUT).await {
+        Ok(Body::DigestReply(reply)) => Some(reply.holds),
+        _ => None,
     }
 }
--- a/orioleworks_entry/tests/rollout/peers.rs
+++ b/orioleworks_entry/tests/rollout/peers.rs
@@ -42,7 +42,13 @@
     let kind = "scorer-llm".into();
     let load = inner::KindLoad { kind, upstreams, highest_version, ..Default::default() };
     let suspect = inner::Suspect { fingerprint: "f".into(), ..Default::default() };
-    inner::Digest { entry: Some(entry), revision: 1, kinds: vec![load], suspects: vec![suspect] }
+    inner::Digest {
+        entry: Some(entry),
+        revision: 1,
+        kinds: vec![load],
+        suspects: vec![suspect],
+        ..Default::default()
+    }
 }
 
 /// Peer `b` of another or the own failure domain, served in this process.
@@ -193,3 +199,89 @@
         assert_eq!(reply.config.unwrap().revision, 1);
     });
 }
+
+/// Guards against an entry that hears too few entries of another domain to forward there, and against a full mesh.
+#[rstest]
+fn every_entry_hears_two_of_each_other_domain_and_all_of_its_own() {
+    let sizes = [("sicilia-a", 1_usize), ("sicilia-b", 2), ("sicilia-c", 7), ("sicilia-d", 40)];
+    let all: Vec<(String, &str, usize)> = sizes
+        .iter()
+        .flat_map(|(domain, size)| {
+            (0..*size).map(move |at| (format!("{domain}-{at:02}"), *domain, *size))
+        })
+        .collect();
+    let mut heard = std::collections::HashMap::new();
+    for (own, domain, _) in &all {
+        let others = all.iter().filter(|(name, ..)| name != own).map(|(name, domain, _)| Peer {
+            name: name.as_str().into(),
+            failure_domain: (*domain).into(),
+            address: "127.0.0.1:1".into(),
+        });
+        let peers = Peers::new(*domain, others, |_| ());
+        for receiver in peers.receivers(own) {
+            *heard.entry((receiver.name.to_string(), *domain)).or_insert(0) += 1;
+        }
+    }
+    for (name, own, _) in &all {
+        for (domain, size) in sizes {
+            let expected = if domain == *own { size - 1 } else { size.min(2) };
+            let count = heard.get(&(name.clone(), domain)).copied().unwrap_or(0);
+            assert_eq!(count, expected, "{name} hears {domain}");
+        }
+    }
+}
+
+/// Guards against a restarted peer that knows nothing for long, and against a change that is not sent because the digest
+/// before it was held.
+#[rstest]
+#[case::keeps("sicilia-b", false)]
+#[case::restarts("sicilia-b", true)]
+#[case::own_domain("sicilia-a", false)]
+fn unchanged_digests_are_short_and_refer_to_what_the_peer_holds(
+    #[case] domain: &str,
+    #[case] restarts: bool,
+) {
+    block_on(async {
+        let listener = http::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let own = domain == "sicilia-a";
+        let receiver = |domain: &str| peers(domain, "127.0.0.1:1", &Rc::default());
+        let receiving = Rc::new(RefCell::new(receiver("sicilia-b")));
+        let seen = Rc::new(RefCell::new(Vec::new()));
+        let (shared, log) = (receiving.clone(), seen.clone());
+        let handler = move |body| {
+            let Body::Digest(digest) = body else { panic!("unexpected {body:?}") };
+            log.borrow_mut().push((
+                digest.unchanged,
+                digest.kinds.first().map_or(0, |kind| kind.highest_version),
+                digest.suspects.len(),
+            ));
+            let holds = shared.borrow().receive(digest);
+            async move { Some(Body::DigestReply(inner::DigestReply { revision: 1, holds })) }
+        };
+        compio::runtime::spawn(rpc::serve(listener, CancellationToken::new(), handler)).detach();
+        let sending = peers(domain, &address, &Rc::default());
+        let version = Rc::new(Cell::new(4));
+        let (token, current) = (CancellationToken::new(), version.clone());
+        sending.start(Rc::new(move || digest(1, 1, current.get())), &token);
+        compio::time::sleep(Duration::from_millis(1500)).await;
+        if restarts {
+            *receiving.borrow_mut() = receiver("sicilia-b");
+        }
+        version.set(if restarts { 4 } else { 5 });
+        sending.push();
+        compio::time::sleep(Duration::from_millis(300)).await;
+        token.cancel();
+        // Only the own domain gets suspects, and it needs no news of what can run here.
+        let whole = |version| (false, version, usize::from(own));
+        let short = (true, 0, 0);
+        let expected = match (own, restarts) {
+            (true, _) => vec![whole(4), short, short],
+            (false, true) => vec![whole(4), short, short, whole(4)],
+            (false, false) => vec![whole(4), short, whole(5)],
+        };
+        assert_eq!(*seen.borrow(), expected);
+        let newest = if own || restarts { 4 } else { 5 };
+        assert_eq!(receiving.borrow().candidates("scorer-llm", newest).len(), 1);
+    });
+}
