Requests common to correlated deaths are evidence; final answers are not held back

Ruled out: dropping the correlation rule; the cell of a lost domain with innocent requests passes only with it. Change: a request that was on every one of the lost upstreams keeps its crashes; it is decided 2 s later, and further deaths without it acquit it. A waiting request looks whether it was quarantined. The wait of up to 2 s before the answer to a request that crashed its second upstream is gone: a final answer is given at once.

--- a/orioleworks_entry/src/dispatcher.rs
+++ b/orioleworks_entry/src/dispatcher.rs
@@ -2,7 +2,12 @@
 //!
 //! See `docs/design.md`, sections 7 and 8.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Instant};
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use futures_util::{FutureExt, future::LocalBoxFuture, select};
 use orioleworks_daemon::{clock, event};
@@ -24,6 +29,9 @@
 /// Time after which a repeat of a request without an upstream makes sense: one lease.
 const RETRY_AFTER_MS: u32 = 2000;
 
+/// Interval at which a waiting request looks whether it was quarantined.
+const QUARANTINE_POLL: Duration = Duration::from_millis(200);
+
 type Forward = Rc<dyn Fn(Job) -> LocalBoxFuture<'static, Result<Completed, Refused>>>;
 
 /// Runs requests; clones share the state.
@@ -165,8 +173,6 @@
             let again = self.may_retry(&job, &failure, &progress);
             progress.last = Some(failure);
             if !again {
-                let in_force = || self.configuration.quarantined(&fingerprint).is_some();
-                self.suspects.await_quarantine(&fingerprint, in_force).await;
                 return self.conclude(&job, progress);
             }
         }
@@ -200,7 +206,9 @@
             self.slots.enqueue(waiter, clock::since_boot() + left).map_err(WaitError::NoSlot)?;
         let mut granted = std::pin::pin!(compio::time::timeout(left, &mut wait.rx).fuse());
         let mut cancelled = std::pin::pin!(job.cancel.cancelled().fuse());
+        let mut quarantined = std::pin::pin!(self.until_quarantined(fingerprint).fuse());
         select! {
+            () = quarantined => Err(WaitError::Quarantined),
             granted = granted => match granted {
                 Ok(Ok(grant)) => Ok(grant),
                 // The queue drops requests that are past their deadline or have no upstream left.
@@ -212,6 +220,16 @@
         }
     }
 
+    /// Waits until the request is quarantined, which can happen while a suspect waits for its slot.
+    async fn until_quarantined(&self, fingerprint: &str) {
+        loop {
+            compio::time::sleep(QUARANTINE_POLL).await;
+            if self.check_quarantine(fingerprint).is_err() {
+                return;
+            }
+        }
+    }
+
     async fn attempt(
         &self,
         job: &Job,
@@ -340,6 +358,7 @@
                     }
                 }
             }
+            WaitError::Quarantined => Err(refused(ResultCode::Quarantined, "", 0)),
             WaitError::NoSlot(NoSlot::Full) => Err(refused(ResultCode::Overloaded, "", 1000)),
             WaitError::Deadline => Err(refused(ResultCode::DeadlineBeforeDispatch, "", 1000)),
             WaitError::Cancelled => {
@@ -379,6 +398,7 @@
 }
 
 enum WaitError {
+    Quarantined,
     NoSlot(NoSlot),
     Deadline,
     Cancelled,
--- a/orioleworks_entry/src/suspects.rs
+++ b/orioleworks_entry/src/suspects.rs
@@ -2,13 +2,8 @@
 //!
 //! See `docs/design.md`, section 7.
 
-use std::{
-    cell::RefCell,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use compio::time;
 use orioleworks_daemon::{clock, event};
 use orioleworks_proto::inner;
 use orioleworks_routing::suspects as routing;
@@ -17,13 +12,6 @@
 
 type Callback = Rc<dyn Fn()>;
 
-/// Longest wait for a new quarantine to be in force; every entry is to know one within 2 s.
-const QUARANTINE_WAIT: Duration = Duration::from_secs(2);
-/// Interval at which the configuration is looked at meanwhile.
-const QUARANTINE_POLL: Duration = Duration::from_millis(10);
-/// Time from the quarantine being in force here until it is at the other entries; up to 48 ms were seen on loopback.
-const QUARANTINE_SPREAD: Duration = Duration::from_millis(200);
-
 /// A request as its quarantine names it.
 #[derive(Clone, Debug)]
 pub struct Quarantine {
@@ -121,19 +109,6 @@
         self.suspects.borrow().standing(fingerprint, clock::since_boot())
     }
 
-    /// Holds the answer to a request that has just crashed a second upstream until its quarantine is in force, because
-    /// a caller that repeats at once through another failure domain would cost that domain upstreams too.
-    pub async fn await_quarantine(&self, fingerprint: &str, in_force: impl Fn() -> bool) {
-        if self.standing(fingerprint) != Standing::Quarantined || in_force() {
-            return;
-        }
-        let until = Instant::now() + QUARANTINE_WAIT;
-        while !in_force() && Instant::now() < until {
-            time::sleep(QUARANTINE_POLL).await;
-        }
-        time::sleep(QUARANTINE_SPREAD).await;
-    }
-
     /// Forgets what is too old to matter.
     pub fn expire(&self) {
         self.suspects.borrow_mut().expire(clock::since_boot());
@@ -156,7 +131,10 @@
 
     /// Takes the requests whose quarantine is to be proposed to control.
     pub fn take_quarantine(&self) -> Vec<Quarantine> {
-        std::mem::take(&mut self.quarantine.borrow_mut())
+        let decided = self.suspects.borrow_mut().take_decided(clock::since_boot());
+        let decided = decided.into_iter();
+        let decided = decided.map(|(fingerprint, profile)| Quarantine { fingerprint, profile });
+        self.quarantine.borrow_mut().drain(..).chain(decided).collect()
     }
 }
 
--- a/orioleworks_routing/src/suspects.rs
+++ b/orioleworks_routing/src/suspects.rs
@@ -56,6 +56,14 @@
     profile: Rc<str>,
     crashes: IndexSet<Rc<str>>,
     last: Duration,
+    /// Time at which crashes that look like correlated deaths, but all had this request in flight, are evidence.
+    decide_at: Option<Duration>,
+}
+
+impl Record {
+    fn is_decided(&self) -> bool {
+        self.crashes.len() >= QUARANTINE_CRASHES && self.decide_at.is_none()
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -71,6 +79,10 @@
     deaths: Vec<Death>,
     /// Deaths that are no evidence.
     dismissed: IndexMap<Rc<str>, Duration>,
+    /// Crashes of requests on dismissed upstreams; they count again when one request was on all of the upstreams.
+    aside: IndexMap<Rc<str>, (Duration, IndexSet<Rc<str>>)>,
+    /// Live upstreams at the last death.
+    live: usize,
     /// Evidence that a later clean run refuted.
     refuted: IndexMap<(Rc<str>, Rc<str>), Duration>,
     /// Contents that have finished without a crash.
@@ -90,30 +102,41 @@
         live: usize,
     ) -> Vec<Rc<str>> {
         self.expire(at);
+        self.live = live;
         let at = self.add_death(at, &upstream);
-        let dead = self.deaths.iter().filter(|d| d.at.abs_diff(at) <= CORRELATION).count();
-        if dead >= 2 && dead * 4 >= live + dead {
-            self.dismiss_around(at);
-        }
         let mut quarantine = Vec::new();
-        if self.dismissed.contains_key(&upstream) {
-            return quarantine;
-        }
         for (fingerprint, profile) in in_flight {
-            if self.add(at, &fingerprint, &profile, &upstream) >= QUARANTINE_CRASHES
-                && !quarantine.contains(&fingerprint)
+            if self.add(at, &fingerprint, &profile, &upstream) && !quarantine.contains(&fingerprint)
             {
                 quarantine.push(fingerprint);
             }
         }
+        if self.is_correlated(at) {
+            self.dismiss_around(at);
+        }
+        // What the dismissal has left of it.
+        quarantine.retain(|f| self.records.get(f).is_some_and(Record::is_decided));
         quarantine
     }
 
+    /// Requests whose crashes have become evidence by this time, as (fingerprint, profile).
+    pub fn take_decided(&mut self, now: Duration) -> Vec<(Rc<str>, Rc<str>)> {
+        let due = self.records.iter_mut().filter(|(_, r)| r.decide_at.is_some_and(|at| at <= now));
+        due.map(|(fingerprint, record)| {
+            record.decide_at = None;
+            (fingerprint.clone(), record.profile.clone())
+        })
+        .collect()
+    }
+
     /// How a request may run now.
     pub fn standing(&self, fingerprint: &str, now: Duration) -> Standing {
         match self.records.get(fingerprint) {
             None => Standing::Free,
             Some(r) if r.last + RETENTION <= now => Standing::Free,
+            Some(r) if r.decide_at.is_some_and(|at| now < at) => {
+                Standing::Wait(r.last + CORRELATION)
+            }
             Some(r) if r.crashes.len() >= QUARANTINE_CRASHES => Standing::Quarantined,
             Some(r) if now < r.last + CORRELATION => Standing::Wait(r.last + CORRELATION),
             Some(_) => Standing::Alone,
@@ -136,7 +159,8 @@
                 fingerprint: fingerprint.clone(),
                 profile: record.profile.clone(),
                 upstream: upstream.clone(),
-                crashes: record.crashes.len(),
+                // Other domains act on two crashes, so what is not decided yet does not count there.
+                crashes: if record.is_decided() { record.crashes.len() } else { 1 },
             })
         });
         reports.collect()
@@ -145,7 +169,12 @@
     /// Takes in a report of another entry; returns whether the request is to be quarantined now.
     pub fn absorb(&mut self, now: Duration, report: &Report) -> bool {
         let refuted = (report.fingerprint.clone(), report.upstream.clone());
-        if self.dismissed.contains_key(&report.upstream) || self.refuted.contains_key(&refuted) {
+        if self.refuted.contains_key(&refuted) {
+            return false;
+        }
+        if self.dismissed.contains_key(&report.upstream) {
+            self.set_aside(now, &report.fingerprint, &report.upstream);
+            self.restore(now, report);
             return false;
         }
         let known = self
@@ -157,8 +186,7 @@
             // no new death.
             self.add_death(now, &report.upstream);
         }
-        let crashes = self.add(now, &report.fingerprint, &report.profile, &report.upstream);
-        !known && crashes >= QUARANTINE_CRASHES
+        self.add(now, &report.fingerprint, &report.profile, &report.upstream) && !known
     }
 
     /// Takes in one crash of a request that another failure domain has quarantined.
@@ -172,23 +200,59 @@
         }
     }
 
+    /// Adds a crash; returns whether the request is to be quarantined now.
     fn add(
         &mut self,
         now: Duration,
         fingerprint: &Rc<str>,
         profile: &Rc<str>,
         up: &Rc<str>,
-    ) -> usize {
+    ) -> bool {
         self.proven.shift_remove(fingerprint);
+        let correlated = self.is_correlated(now);
         let record = self.records.entry(fingerprint.clone()).or_insert_with(|| Record {
             profile: profile.clone(),
             crashes: IndexSet::new(),
             last: now,
+            decide_at: None,
         });
         if record.crashes.insert(up.clone()) {
             record.last = now;
+            if correlated && record.crashes.len() >= QUARANTINE_CRASHES {
+                // Further deaths within the time may show that the request had nothing to do with them.
+                record.decide_at = Some(now + CORRELATION);
+            }
         }
-        record.crashes.len()
+        record.is_decided()
+    }
+
+    /// Whether so many upstreams died around a time that their deaths are no evidence.
+    fn is_correlated(&self, at: Duration) -> bool {
+        let dead = self.deaths.iter().filter(|d| d.at.abs_diff(at) <= CORRELATION).count();
+        dead >= 2 && dead * 4 >= self.live + dead
+    }
+
+    fn set_aside(&mut self, now: Duration, fingerprint: &Rc<str>, upstream: &Rc<str>) {
+        let (at, upstreams) = self.aside.entry(fingerprint.clone()).or_default();
+        *at = now;
+        upstreams.insert(upstream.clone());
+    }
+
+    /// Counts dismissed crashes of a request again when it was in flight on every upstream that died with this one.
+    fn restore(&mut self, now: Duration, report: &Report) {
+        let Some((_, on)) = self.aside.get(&report.fingerprint) else { return };
+        let Some(death) = self.deaths.iter().find(|d| d.upstream == report.upstream) else {
+            return;
+        };
+        let mut around = self.deaths.iter().filter(|d| d.at.abs_diff(death.at) <= CORRELATION);
+        if on.len() < QUARANTINE_CRASHES || !around.all(|d| on.contains(&d.upstream)) {
+            return;
+        }
+        let crashes = on.clone();
+        self.aside.shift_remove(&report.fingerprint);
+        let decide_at = Some(now + CORRELATION);
+        let record = Record { profile: report.profile.clone(), crashes, last: now, decide_at };
+        self.records.insert(report.fingerprint.clone(), record);
     }
 
     /// Remembers a death; returns the earliest time that is known for it.
@@ -218,16 +282,32 @@
         if self.proven.contains(fingerprint) { None } else { Some(1) }
     }
 
-    /// Withdraws the evidence of all deaths that are correlated with one at this time.
+    /// Withdraws the evidence of all deaths that are correlated with one at this time, but for requests that were in
+    /// flight on every one of the lost upstreams: those are what the deaths have in common.
     fn dismiss_around(&mut self, at: Duration) {
-        for death in self.deaths.iter().filter(|d| d.at.abs_diff(at) <= CORRELATION) {
-            self.dismissed.insert(death.upstream.clone(), at);
+        let around = self.deaths.iter().filter(|d| d.at.abs_diff(at) <= CORRELATION);
+        let lost: Vec<Rc<str>> = around.map(|d| d.upstream.clone()).collect();
+        for upstream in &lost {
+            self.dismissed.insert(upstream.clone(), at);
         }
-        let dismissed = &self.dismissed;
-        self.records.retain(|_, record| {
-            record.crashes.retain(|upstream| !dismissed.contains_key(upstream));
+        let mut withdrawn = Vec::new();
+        self.records.retain(|fingerprint, record| {
+            if lost.iter().all(|upstream| record.crashes.contains(upstream)) {
+                return true;
+            }
+            for upstream in &lost {
+                if record.crashes.shift_remove(upstream) {
+                    withdrawn.push((fingerprint.clone(), upstream.clone()));
+                }
+            }
+            if record.crashes.len() < QUARANTINE_CRASHES {
+                record.decide_at = None;
+            }
             !record.crashes.is_empty()
         });
+        for (fingerprint, upstream) in withdrawn {
+            self.set_aside(at, &fingerprint, &upstream);
+        }
     }
 
     /// Forgets what is too old to matter.
@@ -236,5 +316,6 @@
         self.records.retain(|_, r| r.last + RETENTION > now);
         self.dismissed.retain(|_, at| *at + RETENTION > now);
         self.refuted.retain(|_, at| *at + RETENTION > now);
+        self.aside.retain(|_, (at, _)| *at + DEATH_RETENTION > now);
     }
 }
--- a/orioleworks_routing/tests/suspects.rs
+++ b/orioleworks_routing/tests/suspects.rs
@@ -152,3 +152,41 @@
     suspects.record_death(ms(200), "b1#1".into(), [("g".into(), "p".into())], 3);
     assert_eq!(suspects.standing("g", ms(3000)), Standing::Alone);
 }
+
+/// Guards against a request that crashes several upstreams at once through several entries and passes for the loss of
+/// a rack, whatever order the news come in.
+#[rstest]
+#[case::own_death_last(&["report", "death"])]
+#[case::report_last(&["death", "report"])]
+#[case::death_without_the_request_first(&["silent", "report"])]
+fn common_request_of_correlated_deaths_is_evidence(#[case] order: &[&str]) {
+    let mut suspects = Suspects::default();
+    let report =
+        Report { fingerprint: "f".into(), profile: "p".into(), upstream: "b#1".into(), crashes: 1 };
+    if order[0] == "report" {
+        suspects.absorb(ms(10), &report);
+        suspects.record_death(ms(20), "a#1".into(), requests(&["f", "g"]), 2);
+    } else {
+        suspects.record_death(ms(10), "a#1".into(), requests(&["f", "g"]), 3);
+        if order[0] == "silent" {
+            suspects.record_death(ms(20), "b#1".into(), requests(&["h"]), 2);
+        }
+        suspects.absorb(ms(30), &report);
+    }
+    assert!(matches!(suspects.standing("f", ms(40)), Standing::Wait(_)), "no third upstream");
+    assert!(suspects.take_decided(ms(1000)).is_empty(), "further deaths may follow");
+    assert_eq!(suspects.take_decided(ms(2100)), [("f".into(), "p".into())]);
+    assert_eq!(suspects.standing("f", ms(2100)), Standing::Quarantined);
+    assert_ne!(suspects.standing("g", ms(2100)), Standing::Quarantined);
+}
+
+/// Guards against a duplicate innocent request that is condemned because its two upstreams died first in a lost rack.
+#[rstest]
+fn further_correlated_deaths_acquit() {
+    let mut suspects = Suspects::default();
+    suspects.record_death(ms(0), "a#1".into(), requests(&["f"]), 3);
+    suspects.record_death(ms(10), "b#1".into(), requests(&["f"]), 2);
+    suspects.record_death(ms(900), "c#1".into(), requests(&["g"]), 1);
+    assert!(suspects.take_decided(ms(5000)).is_empty());
+    assert_eq!(suspects.standing("f", ms(5000)), Standing::Free);
+}
