Settled crashes cross failure domains; dismissed ones are compared inside a domain

Ruled out: telling other domains of every crash at once, which would make suspects of all requests of a lost domain everywhere. Change: a crash is told to other domains once it can no longer be one of several correlated deaths, 2 s after it; suspects wait 2.5 s. Dismissed crashes go to the entries of the own domain with a mark.

--- a/orioleworks_entry/src/orders.rs
+++ b/orioleworks_entry/src/orders.rs
@@ -40,6 +40,7 @@
             })
             .detach();
         }
+        suspects.tell_settled();
         suspects.expire();
         time::sleep(INTERVAL).await;
     }
--- a/orioleworks_entry/src/rollout.rs
+++ b/orioleworks_entry/src/rollout.rs
@@ -60,7 +60,7 @@
     let domain = entry.cfg.instance.failure_domain.as_ref();
     let foreign = suspects.clone();
     let peers = Peers::new(domain, known, move |messages| suspects.absorb(&messages));
-    peers.set_on_foreign_suspects(move |messages| foreign.absorb_quarantined(&messages));
+    peers.set_on_foreign_suspects(move |messages| foreign.absorb_foreign(&messages));
     let own = entry.clone();
     let digest = move || inner::Digest {
         entry: Some(own.identity.clone()),
--- a/orioleworks_entry/src/suspects.rs
+++ b/orioleworks_entry/src/suspects.rs
@@ -43,7 +43,9 @@
 
     /// Every suspect as it goes into a digest.
     pub fn to_messages(&self) -> Vec<inner::Suspect> {
-        let reports = self.suspects.borrow().reports();
+        let suspects = self.suspects.borrow();
+        let mut reports = suspects.reports(clock::since_boot());
+        reports.extend(suspects.dismissed_reports());
         reports
             .into_iter()
             .map(|r| inner::Suspect {
@@ -51,6 +53,8 @@
                 profile: r.profile.to_string(),
                 upstream: r.upstream.to_string(),
                 crashes: u32::try_from(r.crashes).unwrap_or(u32::MAX),
+                settled: r.settled,
+                dismissed: r.dismissed,
             })
             .collect()
     }
@@ -66,10 +70,22 @@
         }
     }
 
-    /// Takes in what an entry of another failure domain has quarantined, before control confirms it.
-    pub fn absorb_quarantined(&self, messages: &[inner::Suspect]) {
+    /// Takes in the settled suspects of an entry of another failure domain.
+    pub fn absorb_foreign(&self, messages: &[inner::Suspect]) {
         for report in messages.iter().map(report) {
-            self.suspects.borrow_mut().absorb_quarantined(clock::since_boot(), &report);
+            if self.suspects.borrow_mut().absorb_foreign(clock::since_boot(), &report) {
+                let quarantine =
+                    Quarantine { fingerprint: report.fingerprint, profile: report.profile };
+                self.quarantine.borrow_mut().push(quarantine);
+            }
+        }
+    }
+
+    /// Tells other failure domains at once of suspects that have settled.
+    pub fn tell_settled(&self) {
+        if self.suspects.borrow_mut().take_settled(clock::since_boot()) {
+            let on_change = self.on_change.borrow().clone();
+            on_change.inspect(|f| f());
         }
     }
 
@@ -144,6 +160,8 @@
         profile: message.profile.as_str().into(),
         upstream: message.upstream.as_str().into(),
         crashes: message.crashes as usize,
+        settled: message.settled,
+        dismissed: message.dismissed,
     }
 }
 
--- a/orioleworks_routing/src/suspects.rs
+++ b/orioleworks_routing/src/suspects.rs
@@ -6,7 +6,7 @@
 //!
 //! let mut suspects = Suspects::default();
 //! suspects.record_death(Duration::ZERO, "engine-1#1".into(), [("f".into(), "p".into())], 12);
-//! assert_eq!(suspects.standing("f", Duration::ZERO), Standing::Wait(Duration::from_secs(2)));
+//! assert_eq!(suspects.standing("f", Duration::ZERO), Standing::Wait(Duration::from_millis(2500)));
 //! assert_eq!(suspects.standing("f", Duration::from_secs(3)), Standing::Alone);
 //! ```
 
@@ -16,12 +16,17 @@
 
 /// Deaths within this time of each other are correlated.
 pub const CORRELATION: Duration = Duration::from_secs(2);
+/// Time after a crash in which a suspect does not run: the correlated deaths, and then the news of a crash in another
+/// failure domain, must have come before a second upstream is risked.
+pub const NEWS: Duration = Duration::from_millis(2500);
 /// Crashes after which a request is quarantined.
 pub const QUARANTINE_CRASHES: usize = 2;
 /// Time for which a suspect is remembered.
 pub const RETENTION: Duration = Duration::from_secs(600);
 /// Contents that are remembered because they have finished once; the oldest are forgotten first.
 const MAX_PROVEN: usize = 65_536;
+/// Dismissed crashes that entries of a domain tell each other at a time.
+const MAX_DISMISSED_REPORTS: usize = 1000;
 /// Time for which a death is kept; lease ends are noticed one lease after the death.
 const DEATH_RETENTION: Duration = Duration::from_secs(8);
 
@@ -49,6 +54,10 @@
     pub upstream: Rc<str>,
     /// Crashes known in all.
     pub crashes: usize,
+    /// Whether the crash can no longer turn out to be one of several correlated deaths.
+    pub settled: bool,
+    /// Whether the sender holds the crash for one of several correlated deaths.
+    pub dismissed: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -58,14 +67,27 @@
     last: Duration,
     /// Time at which crashes that look like correlated deaths, but all had this request in flight, are evidence.
     decide_at: Option<Duration>,
+    /// Whether other failure domains were told.
+    told: bool,
 }
 
 impl Record {
+    fn is_settled(&self, now: Duration) -> bool {
+        self.decide_at.is_none() && (self.is_decided() || now >= self.last + CORRELATION)
+    }
+
     fn is_decided(&self) -> bool {
         self.crashes.len() >= QUARANTINE_CRASHES && self.decide_at.is_none()
     }
 }
 
+#[derive(Clone, Debug)]
+struct Aside {
+    at: Duration,
+    profile: Rc<str>,
+    upstreams: IndexSet<Rc<str>>,
+}
+
 #[derive(Clone, Debug)]
 struct Death {
     at: Duration,
@@ -80,7 +102,7 @@
     /// Deaths that are no evidence.
     dismissed: IndexMap<Rc<str>, Duration>,
     /// Crashes of requests on dismissed upstreams; they count again when one request was on all of the upstreams.
-    aside: IndexMap<Rc<str>, (Duration, IndexSet<Rc<str>>)>,
+    aside: IndexMap<Rc<str>, Aside>,
     /// Live upstreams at the last death.
     live: usize,
     /// Evidence that a later clean run refuted.
@@ -134,11 +156,9 @@
         match self.records.get(fingerprint) {
             None => Standing::Free,
             Some(r) if r.last + RETENTION <= now => Standing::Free,
-            Some(r) if r.decide_at.is_some_and(|at| now < at) => {
-                Standing::Wait(r.last + CORRELATION)
-            }
+            Some(r) if r.decide_at.is_some_and(|at| now < at) => Standing::Wait(r.last + NEWS),
             Some(r) if r.crashes.len() >= QUARANTINE_CRASHES => Standing::Quarantined,
-            Some(r) if now < r.last + CORRELATION => Standing::Wait(r.last + CORRELATION),
+            Some(r) if now < r.last + NEWS => Standing::Wait(r.last + NEWS),
             Some(_) => Standing::Alone,
         }
     }
@@ -153,27 +173,45 @@
     }
 
     /// Every suspect, one report for each crash.
-    pub fn reports(&self) -> Vec<Report> {
+    pub fn reports(&self, now: Duration) -> Vec<Report> {
         let reports = self.records.iter().flat_map(|(fingerprint, record)| {
             record.crashes.iter().map(|upstream| Report {
                 fingerprint: fingerprint.clone(),
                 profile: record.profile.clone(),
                 upstream: upstream.clone(),
-                // Other domains act on two crashes, so what is not decided yet does not count there.
-                crashes: if record.is_decided() { record.crashes.len() } else { 1 },
+                crashes: record.crashes.len(),
+                settled: record.is_settled(now),
+                dismissed: false,
             })
         });
         reports.collect()
     }
 
+    /// Dismissed crashes, the newest first; only together do the entries of a domain see what the deaths had in common.
+    pub fn dismissed_reports(&self) -> Vec<Report> {
+        let reports = self.aside.iter().rev().flat_map(|(fingerprint, aside)| {
+            aside.upstreams.iter().map(|upstream| Report {
+                fingerprint: fingerprint.clone(),
+                profile: aside.profile.clone(),
+                upstream: upstream.clone(),
+                crashes: 1,
+                settled: false,
+                dismissed: true,
+            })
+        });
+        reports.take(MAX_DISMISSED_REPORTS).collect()
+    }
+
     /// Takes in a report of another entry; returns whether the request is to be quarantined now.
     pub fn absorb(&mut self, now: Duration, report: &Report) -> bool {
         let refuted = (report.fingerprint.clone(), report.upstream.clone());
         if self.refuted.contains_key(&refuted) {
             return false;
         }
-        if self.dismissed.contains_key(&report.upstream) {
-            self.set_aside(now, &report.fingerprint, &report.upstream);
+        let suspected = self.records.contains_key(&report.fingerprint);
+        if self.dismissed.contains_key(&report.upstream) || (report.dismissed && !suspected) {
+            self.add_death(now, &report.upstream);
+            self.set_aside(now, &report.fingerprint, &report.profile, &report.upstream);
             self.restore(now, report);
             return false;
         }
@@ -189,15 +227,28 @@
         self.add(now, &report.fingerprint, &report.profile, &report.upstream) && !known
     }
 
-    /// Takes in one crash of a request that another failure domain has quarantined.
+    /// Takes in a settled crash in another failure domain; returns whether the request is to be quarantined now.
     ///
-    /// The death is no death of this domain, so it does not correlate with deaths here. Single crashes stay in their
-    /// domain, or the loss of a whole domain would make suspects of all of its requests in the others.
-    pub fn absorb_quarantined(&mut self, now: Duration, report: &Report) {
+    /// The death is no death of this domain, so it does not correlate with deaths here. Crashes that are not settled stay
+    /// in their domain, or the loss of a whole domain would make suspects of all of its requests in the others.
+    pub fn absorb_foreign(&mut self, now: Duration, report: &Report) -> bool {
         let refuted = (report.fingerprint.clone(), report.upstream.clone());
-        if report.crashes >= QUARANTINE_CRASHES && !self.refuted.contains_key(&refuted) {
-            self.add(now, &report.fingerprint, &report.profile, &report.upstream);
+        if !report.settled || self.refuted.contains_key(&refuted) {
+            return false;
         }
+        let record = self.records.get(&report.fingerprint);
+        let known = record.is_some_and(|r| r.crashes.contains(&report.upstream));
+        !known && self.add(now, &report.fingerprint, &report.profile, &report.upstream)
+    }
+
+    /// Whether a suspect has settled since the last call, so that other failure domains are to be told.
+    pub fn take_settled(&mut self, now: Duration) -> bool {
+        let mut settled = false;
+        for record in self.records.values_mut().filter(|r| !r.told && r.is_settled(now)) {
+            record.told = true;
+            settled = true;
+        }
+        settled
     }
 
     /// Adds a crash; returns whether the request is to be quarantined now.
@@ -215,9 +266,10 @@
             crashes: IndexSet::new(),
             last: now,
             decide_at: None,
+            told: false,
         });
         if record.crashes.insert(up.clone()) {
-            record.last = now;
+            (record.last, record.told) = (now, false);
             if correlated && record.crashes.len() >= QUARANTINE_CRASHES {
                 // Further deaths within the time may show that the request had nothing to do with them.
                 record.decide_at = Some(now + CORRELATION);
@@ -232,15 +284,21 @@
         dead >= 2 && dead * 4 >= self.live + dead
     }
 
-    fn set_aside(&mut self, now: Duration, fingerprint: &Rc<str>, upstream: &Rc<str>) {
-        let (at, upstreams) = self.aside.entry(fingerprint.clone()).or_default();
-        *at = now;
-        upstreams.insert(upstream.clone());
+    fn set_aside(&mut self, now: Duration, fingerprint: &Rc<str>, profile: &Rc<str>, up: &Rc<str>) {
+        let aside = self.aside.entry(fingerprint.clone()).or_insert_with(|| Aside {
+            at: now,
+            profile: profile.clone(),
+            upstreams: IndexSet::new(),
+        });
+        if aside.upstreams.insert(up.clone()) {
+            aside.at = now;
+        }
     }
 
     /// Counts dismissed crashes of a request again when it was in flight on every upstream that died with this one.
     fn restore(&mut self, now: Duration, report: &Report) {
-        let Some((_, on)) = self.aside.get(&report.fingerprint) else { return };
+        let Some(aside) = self.aside.get(&report.fingerprint) else { return };
+        let on = &aside.upstreams;
         let Some(death) = self.deaths.iter().find(|d| d.upstream == report.upstream) else {
             return;
         };
@@ -251,7 +309,8 @@
         let crashes = on.clone();
         self.aside.shift_remove(&report.fingerprint);
         let decide_at = Some(now + CORRELATION);
-        let record = Record { profile: report.profile.clone(), crashes, last: now, decide_at };
+        let (profile, told) = (report.profile.clone(), false);
+        let record = Record { profile, crashes, last: now, decide_at, told };
         self.records.insert(report.fingerprint.clone(), record);
     }
 
@@ -297,7 +356,8 @@
             }
             for upstream in &lost {
                 if record.crashes.shift_remove(upstream) {
-                    withdrawn.push((fingerprint.clone(), upstream.clone()));
+                    let profile = record.profile.clone();
+                    withdrawn.push((fingerprint.clone(), profile, upstream.clone()));
                 }
             }
             if record.crashes.len() < QUARANTINE_CRASHES {
@@ -305,8 +365,8 @@
             }
             !record.crashes.is_empty()
         });
-        for (fingerprint, upstream) in withdrawn {
-            self.set_aside(at, &fingerprint, &upstream);
+        for (fingerprint, profile, upstream) in withdrawn {
+            self.set_aside(at, &fingerprint, &profile, &upstream);
         }
     }
 
@@ -316,6 +376,6 @@
         self.records.retain(|_, r| r.last + RETENTION > now);
         self.dismissed.retain(|_, at| *at + RETENTION > now);
         self.refuted.retain(|_, at| *at + RETENTION > now);
-        self.aside.retain(|_, (at, _)| *at + DEATH_RETENTION > now);
+        self.aside.retain(|_, aside| aside.at + DEATH_RETENTION > now);
     }
 }
--- a/orioleworks_routing/tests/suspects.rs
+++ b/orioleworks_routing/tests/suspects.rs
@@ -43,12 +43,14 @@
         let request = format!("f{i}");
         suspects.record_death(ms(*at), name, requests(&[&request]), upstreams - i - 1);
     }
-    assert_eq!(suspects.reports().is_empty(), dismissed);
+    assert_eq!(suspects.reports(ms(3000)).is_empty(), dismissed);
     let report = Report {
         fingerprint: "f".into(),
         profile: "p".into(),
         upstream: "u0#1".into(),
         crashes: 1,
+        settled: false,
+        dismissed: false,
     };
     suspects.absorb(ms(3000), &report);
     let free = suspects.standing("f", ms(6000)) == Standing::Free;
@@ -60,7 +62,7 @@
 fn clean_run_clears() {
     let mut suspects = Suspects::default();
     suspects.record_death(ms(0), "a#1".into(), requests(&["f"]), 11);
-    let reports = suspects.reports();
+    let reports = suspects.reports(ms(3000));
     suspects.clear("f", ms(3000));
     assert!(!suspects.absorb(ms(3500), &reports[0]));
     assert_eq!(suspects.standing("f", ms(3500)), Standing::Free);
@@ -79,6 +81,8 @@
         profile: "p".into(),
         upstream: upstream.into(),
         crashes: 1,
+        settled: false,
+        dismissed: false,
     };
     assert_eq!(suspects.absorb(ms(100), &report), quarantined);
     assert!(!suspects.absorb(ms(200), &report), "reported twice");
@@ -99,8 +103,14 @@
 #[case::after_digest(true)]
 fn late_lease_end_is_not_correlated(#[case] digest: bool) {
     let mut suspects = Suspects::default();
-    let report =
-        Report { fingerprint: "f".into(), profile: "p".into(), upstream: "a#1".into(), crashes: 1 };
+    let report = Report {
+        fingerprint: "f".into(),
+        profile: "p".into(),
+        upstream: "a#1".into(),
+        crashes: 1,
+        settled: false,
+        dismissed: false,
+    };
     if digest {
         suspects.absorb(ms(1010), &report);
     }
@@ -108,7 +118,7 @@
     suspects.record_death(ms(900), "a#1".into(), [], 4);
     let quarantined = suspects.record_death(ms(3020), "b#1".into(), requests(&["f"]), 3);
     assert_eq!(quarantined.len(), usize::from(digest));
-    assert_eq!(suspects.reports().len(), 1 + usize::from(digest));
+    assert_eq!(suspects.reports(ms(3000)).len(), 1 + usize::from(digest));
 }
 
 /// Guards against concurrent copies of untried content on several upstreams, and against slowing down proven content.
@@ -126,8 +136,14 @@
 #[rstest]
 fn repeated_reports_are_no_deaths() {
     let mut suspects = Suspects::default();
-    let report =
-        Report { fingerprint: "f".into(), profile: "p".into(), upstream: "a#1".into(), crashes: 1 };
+    let report = Report {
+        fingerprint: "f".into(),
+        profile: "p".into(),
+        upstream: "a#1".into(),
+        crashes: 1,
+        settled: false,
+        dismissed: false,
+    };
     for s in 0..20 {
         suspects.absorb(ms(s * 1000), &report);
         suspects.expire(ms(s * 1000));
@@ -135,24 +151,41 @@
     assert_eq!(suspects.record_death(ms(19_500), "b#1".into(), requests(&["f"]), 3), ["f".into()]);
 }
 
-/// Guards against a quarantine of another failure domain that is learnt only after the request has crashed upstreams
-/// here too, and against suspects that spread over all domains when one of them is lost.
+/// Guards against a crash in another failure domain that is learnt only after the request has crashed two upstreams here
+/// too, and against suspects that spread over all domains when one of them is lost.
 #[rstest]
-#[case::quarantined_there(2, Standing::Quarantined)]
-#[case::suspected_there(1, Standing::Free)]
-fn only_quarantines_cross_domains(#[case] crashes: usize, #[case] expected: Standing) {
+#[case::quarantined_there(2, true, Standing::Quarantined, Standing::Quarantined)]
+#[case::settled_there(1, true, Standing::Wait(ms(2500)), Standing::Quarantined)]
+#[case::open_there(1, false, Standing::Free, Standing::Wait(ms(2600)))]
+fn only_settled_crashes_cross_domains(
+    #[case] crashes: usize,
+    #[case] settled: bool,
+    #[case] before: Standing,
+    #[case] after_own_crash: Standing,
+) {
     let mut suspects = Suspects::default();
     for upstream in ["a1#1", "a2#1"].into_iter().take(crashes) {
         let (fingerprint, profile, upstream) = ("f".into(), "p".into(), upstream.into());
-        let report = Report { fingerprint, profile, upstream, crashes };
-        suspects.absorb_quarantined(ms(0), &report);
+        let report = Report { fingerprint, profile, upstream, crashes, settled, dismissed: false };
+        suspects.absorb_foreign(ms(0), &report);
     }
-    assert_eq!(suspects.standing("f", ms(100)), expected);
+    assert_eq!(suspects.standing("f", ms(50)), before);
+    suspects.record_death(ms(100), "b1#1".into(), requests(&["f", "g"]), 3);
+    assert_eq!(suspects.standing("f", ms(100)), after_own_crash);
     // The deaths there are none of this domain, so one death here is still evidence.
-    suspects.record_death(ms(200), "b1#1".into(), [("g".into(), "p".into())], 3);
     assert_eq!(suspects.standing("g", ms(3000)), Standing::Alone);
 }
 
+/// Guards against a crash that other failure domains learn of before it is known not to be one of many, or never.
+#[rstest]
+fn a_crash_settles_once_its_window_has_passed() {
+    let mut suspects = Suspects::default();
+    suspects.record_death(ms(0), "a#1".into(), requests(&["f"]), 11);
+    assert!(!suspects.take_settled(ms(1999)) && !suspects.reports(ms(1999))[0].settled);
+    assert!(suspects.take_settled(ms(2000)) && suspects.reports(ms(2000))[0].settled);
+    assert!(!suspects.take_settled(ms(2001)), "told twice");
+}
+
 /// Guards against a request that crashes several upstreams at once through several entries and passes for the loss of
 /// a rack, whatever order the news come in.
 #[rstest]
@@ -161,8 +194,14 @@
 #[case::death_without_the_request_first(&["silent", "report"])]
 fn common_request_of_correlated_deaths_is_evidence(#[case] order: &[&str]) {
     let mut suspects = Suspects::default();
-    let report =
-        Report { fingerprint: "f".into(), profile: "p".into(), upstream: "b#1".into(), crashes: 1 };
+    let report = Report {
+        fingerprint: "f".into(),
+        profile: "p".into(),
+        upstream: "b#1".into(),
+        crashes: 1,
+        settled: false,
+        dismissed: false,
+    };
     if order[0] == "report" {
         suspects.absorb(ms(10), &report);
         suspects.record_death(ms(20), "a#1".into(), requests(&["f", "g"]), 2);
@@ -190,3 +229,19 @@
     assert!(suspects.take_decided(ms(5000)).is_empty());
     assert_eq!(suspects.standing("f", ms(5000)), Standing::Free);
 }
+
+/// Guards against two entries that both dismiss the deaths and never see that their requests were the same.
+#[rstest]
+fn entries_that_both_dismissed_find_the_common_request() {
+    let (mut one, mut two) = (Suspects::default(), Suspects::default());
+    one.record_death(ms(0), "b#1".into(), requests(&["h"]), 3);
+    one.record_death(ms(10), "a#1".into(), requests(&["f"]), 2);
+    two.record_death(ms(0), "a#1".into(), requests(&["i"]), 3);
+    two.record_death(ms(10), "b#1".into(), requests(&["f"]), 2);
+    for report in one.dismissed_reports() {
+        two.absorb(ms(20), &report);
+    }
+    assert!(matches!(two.standing("f", ms(30)), Standing::Wait(_)), "no third upstream");
+    assert_eq!(two.take_decided(ms(2100)), [("f".into(), "p".into())]);
+    assert_eq!(two.standing("h", ms(2100)), Standing::Free);
+}
--- a/orioleworks_standins/src/capacity_protocol.rs
+++ b/orioleworks_standins/src/capacity_protocol.rs
@@ -120,6 +120,8 @@
             profile: "quality-lookup".into(),
             upstream: "sheet-app-0001#1790000000000".into(),
             crashes: 1,
+            settled: true,
+            dismissed: false,
         };
         Body::Digest(inner::Digest { suspects: vec![suspect; count], ..digest(389, 700) })
     });
