--- a/orioleworks_matrix/src/cell.rs
+++ b/orioleworks_matrix/src/cell.rs
@@ -128,7 +128,8 @@
     let line = line(cell, &verdict, started.elapsed());
     println!("{line}");
     report(&line);
-    assert!(matches!(verdict, Verdict::Passed(_) | Verdict::NotApplicable(_)), "{line}");
+    let passed = matches!(verdict, Verdict::Passed(_) | Verdict::NotApplicable(_));
+    assert!(passed, "the verdict is {}", verdict.parts().0);
 }
 
 fn line(cell: &Cell, verdict: &Verdict, took: Duration) -> String {
--- a/orioleworks_standins/src/deployment.rs
+++ b/orioleworks_standins/src/deployment.rs
@@ -15,7 +15,8 @@
 
 use crate::{
     client::Client,
-    process::{Process, Sockets, Usage},
+    layout::Sockets,
+    process::{Process, Usage},
     relay::Relay,
     settings_files::Daemon,
 };
@@ -134,10 +135,10 @@
     pub(crate) options: Options,
     pub(crate) nodes: IndexMap<String, Node>,
     pub(crate) processes: Processes,
-    pub(crate) sockets: Rc<Sockets>,
     pub(crate) controls: Vec<Daemon>,
     pub(crate) entries: Vec<Daemon>,
     pub(crate) relays: IndexMap<String, Relay>,
+    pub(crate) sockets: Sockets,
 }
 
 impl Deployment {
--- a/orioleworks_standins/src/layout.rs
+++ b/orioleworks_standins/src/layout.rs
@@ -1,17 +1,43 @@
 //! Builds a deployment: ports, settings files, relays and the list of processes.
 
-use std::{fs, io, rc::Rc};
+use std::{
+    cell::RefCell,
+    fs, io,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use indexmap::IndexMap;
 
 use crate::{
     deployment::{Deployment, DeploymentError, Kind, Node, Options, system},
     ports::Ports,
-    process::{Process, Sockets, Spec},
+    process::{Process, Spec, socket_inode},
     relay::{Identify, Relay},
     settings_files::{self, Daemon},
 };
 
+/// Time for which a table of sockets is used again. A cut asks for the senders of all connections at once, and reading
+/// the table takes 25 ms on a busy machine; a port is not used again within this time.
+const TABLE_AGE: Duration = Duration::from_millis(100);
+
+/// Table of the machine's sockets; clones share it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Sockets {
+    table: Rc<RefCell<Option<(Instant, String)>>>,
+}
+
+impl Sockets {
+    fn find(&self, local_port: u16, remote_port: u16) -> Option<u64> {
+        let mut table = self.table.borrow_mut();
+        if table.as_ref().is_none_or(|(read, _)| read.elapsed() >= TABLE_AGE) {
+            *table = Some((Instant::now(), fs::read_to_string("/proc/net/tcp").ok()?));
+        }
+        let (_, text) = table.as_ref()?;
+        socket_inode(text, local_port, remote_port)
+    }
+}
+
 impl Deployment {
     /// Chooses ports, writes the settings files and starts the relays; no process runs yet.
     ///
@@ -23,10 +49,10 @@
             options,
             nodes: IndexMap::new(),
             processes: Rc::default(),
-            sockets: Rc::new(Sockets::default()),
             controls: Vec::new(),
             entries: Vec::new(),
             relays: IndexMap::new(),
+            sockets: Sockets::default(),
         };
         let mut ports = Ports::new();
         deployment.place_daemons(&mut ports).map_err(system("ports"))?;
@@ -71,13 +97,15 @@
 
     /// Finds the process of this deployment behind a connection to a port of this machine.
     ///
+    /// The name is empty for a process of another kind, and `None` when there is no such connection.
     /// A relay needs it, because the inner protocol does not name the sender and a link has two ends.
     pub fn identify(&self, port: u16) -> Identify {
         let (processes, sockets) = (self.processes.clone(), self.sockets.clone());
         Rc::new(move |peer| {
-            let inode = sockets.inode((peer.port(), port))?;
+            let inode = sockets.find(peer.port(), port)?;
             let processes = processes.borrow();
-            processes.iter().find(|(_, p)| p.has_socket(inode)).map(|(name, _)| name.clone())
+            let sender = processes.iter().find(|(_, p)| p.has_socket(inode));
+            Some(sender.map(|(name, _)| name.clone()).unwrap_or_default())
         })
     }
 
--- a/orioleworks_standins/src/process.rs
+++ b/orioleworks_standins/src/process.rs
@@ -1,8 +1,6 @@
 //! One process of a local deployment: start, signals, stop, and its use of the machine.
 
 use std::{
-    cell::RefCell,
-    collections::HashMap,
     fs::{self, File},
     io,
     os::unix::process::CommandExt,
@@ -177,48 +175,12 @@
     Some(kib * 1024)
 }
 
-/// Inodes by local and remote port.
-type Inodes = HashMap<(u16, u16), u64>;
-
-/// Sockets of this machine as they were last read; all relays of a deployment share them.
-#[derive(Debug, Default)]
-pub struct Sockets {
-    last: RefCell<Option<(Instant, Inodes)>>,
-}
-
-impl Sockets {
-    /// Inode of the socket with these local and remote ports.
-    ///
-    /// One read serves all connections that a new cut concerns: with 11,000 sockets beside other tests a read takes
-    /// over 20 ms, and one for each connection kept the relays from passing anything.
-    pub fn inode(&self, ports: (u16, u16)) -> Option<u64> {
-        /// Time after which a pair of ports may belong to another connection.
-        const REUSE: Duration = Duration::from_millis(500);
-        let mut last = self.last.borrow_mut();
-        let known = last.as_ref().filter(|(at, _)| at.elapsed() < REUSE);
-        if let Some(inode) = known.and_then(|(_, sockets)| sockets.get(&ports)) {
-            return Some(*inode);
-        }
-        let (_, sockets) = last.insert((Instant::now(), socket_inodes()));
-        sockets.get(&ports).copied()
-    }
-}
-
-/// Inodes of the established sockets by local and remote port, from `/proc/net/tcp`.
-fn socket_inodes() -> Inodes {
-    let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
-    table.lines().skip(1).filter_map(established).collect()
-}
-
-/// Ports and inode of an established socket; most lines are of closed ones, so the state is looked at first.
-fn established(line: &str) -> Option<((u16, u16), u64)> {
-    const ESTABLISHED: &str = "01";
-    // `<number>: <address>:<port> <address>:<port> <state> ...` with addresses of 8 and ports of 4 digits.
-    let (_, rest) = line.split_once(": ")?;
-    if rest.get(28..30)? != ESTABLISHED {
-        return None;
-    }
-    let port = |at: usize| u16::from_str_radix(rest.get(at..at + 4)?, 16).ok();
-    let inode = rest.split_whitespace().nth(8)?.parse().ok().filter(|inode| *inode != 0)?;
-    Some(((port(9)?, port(23)?), inode))
+/// Inode of the loopback socket with this port that is connected to the other port, in the text of `/proc/net/tcp`.
+pub fn socket_inode(table: &str, local_port: u16, remote_port: u16) -> Option<u64> {
+    const LOOPBACK: &str = "0100007F";
+    let ports = format!(" {LOOPBACK}:{local_port:04X} {LOOPBACK}:{remote_port:04X} ");
+    let line = table[table.find(&ports)?..].lines().next()?;
+    let inode = line.split_whitespace().nth(8)?.parse().ok()?;
+    // A connection that is closed already has no socket.
+    (inode != 0).then_some(inode)
 }
--- a/orioleworks_standins/tests/deployment.rs
+++ b/orioleworks_standins/tests/deployment.rs
@@ -136,8 +136,8 @@
             None
         });
         let relay = Relay::start(&entry, "127.0.0.1:1", record).await.expect("relay");
-        // A relay looks for the sender only while some link is cut.
-        relay.cut("another");
+        // Senders are looked up for a cut only.
+        relay.cut("entry-a1");
         deployment.start("scorer-a1").expect("start");
         for _ in 0..250 {
             if !senders.borrow().is_empty() {
