--- a/orioleworks_entry/src/runs_hedge.rs
+++ b/orioleworks_entry/src/runs_hedge.rs
@@ -8,9 +8,6 @@
 
 /// Share of a group that must have finished before a missing sample gets a second attempt, in percent.
 const FINISHED_PERCENT: usize = 75;
-/// Multiple of the mean running time from which a sample is a straggler. Half of all samples run for longer than the
-/// mean, and at a multiple of 1 they spent the whole budget before the stragglers of a step showed.
-const LATE_FACTOR: u32 = 2;
 /// Thousandths of a token in a token.
 const MILLI: u64 = 1000;
 
@@ -79,12 +76,11 @@
 
 /// Whether a slot whose attempt has run for a time gets a second attempt now; reserves its tokens.
 ///
-/// A sample that was only just started again is no straggler, so it must have run for a multiple of the mean time of
-/// the step.
+/// A sample that was only just started again is no straggler, so it must have run for the mean time of the step.
 pub fn reserve(step: &Step, id: SlotId, running: Duration) -> bool {
     let state = step.state.borrow();
     let group = &state.groups[id.group];
     let enough = group.finished * 100 >= group.slots.1 * FINISHED_PERCENT;
-    let late = state.durations.mean().is_some_and(|mean| running >= mean * LATE_FACTOR);
+    let late = state.durations.mean().is_some_and(|mean| running >= mean);
     enough && late && state.budget.reserve(step.max_tokens)
 }
