Heartbeat of 100 ms and election timeout of 400 to 800 ms by default

Idle replicas exchanged 2.5 KB/s (3), 5.0 KB/s (5) and 7.6 KB/s (7), all of it at the leader, for heartbeats of 50 ms. Since commits no longer wait for a heartbeat, its interval only decides about the loss of a leader.

The silence for which a learner may be promoted and a name is in use was fixed for 50 ms; it now follows the heartbeat.

--- a/orioleworks_control/src/config.rs
+++ b/orioleworks_control/src/config.rs
@@ -101,16 +101,17 @@
     }
 }
 
+/// 50 ms sent twice the bytes between idle replicas; 200 ms needed 1.6 s to replace a lost leader, see docs/CAPACITY.md.
 fn default_heartbeat_ms() -> u64 {
-    50
+    100
 }
 
 fn default_election_min_ms() -> u64 {
-    300
+    400
 }
 
 fn default_election_max_ms() -> u64 {
-    600
+    800
 }
 
 fn default_snapshot_entries() -> u64 {
--- a/orioleworks_log/src/membership.rs
+++ b/orioleworks_log/src/membership.rs
@@ -21,18 +21,20 @@
 /// Longest wait for another replica's answer.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(1000);
 
-/// Longest silence of a learner that is promoted.
-const LEARNER_LIVE: Duration = Duration::from_millis(300);
-/// Silence of a voter after which another identity may take its name; guards against two replicas of one name.
-const NAME_FREE_AFTER: Duration = Duration::from_millis(600);
+/// Longest silence of a learner that is promoted, in heartbeats.
+const LEARNER_LIVE_HEARTBEATS: u32 = 3;
+/// Silence of a voter, in heartbeats, after which another identity may take its name; guards against two replicas of
+/// one name.
+const NAME_FREE_HEARTBEATS: u32 = 6;
 
 impl State {
-    fn is_name_in_use(&self, name: &str) -> bool {
+    fn is_name_in_use(&self, name: &str, heartbeat: Duration) -> bool {
+        let free_after = heartbeat * NAME_FREE_HEARTBEATS;
         let voters = self.membership.members.iter().filter(|m| !m.learner && m.name == name);
         voters.into_iter().any(|m| {
             let progress = self.progress.get(&m.member_id);
             let confirmed = progress.map(|p| p.confirmed.unwrap_or(p.added));
-            m.member_id == self.id() || confirmed.is_some_and(|at| at.elapsed() < NAME_FREE_AFTER)
+            m.member_id == self.id() || confirmed.is_some_and(|at| at.elapsed() < free_after)
         })
     }
 }
@@ -152,6 +154,7 @@
         let Some(mut member) = join.member.filter(|m| m.member_id != 0) else {
             return reply(ResultCode::BadRequest);
         };
+        let heartbeat = self.inner.settings.heartbeat;
         let membership = {
             let state = self.inner.state.borrow();
             if !state.is_leader() {
@@ -160,7 +163,7 @@
             if state.member(member.member_id).is_some() {
                 return reply(ResultCode::Ok);
             }
-            if !may_change(&state) || state.is_name_in_use(&member.name) {
+            if !may_change(&state) || state.is_name_in_use(&member.name, heartbeat) {
                 return reply(ResultCode::MembershipBusy);
             }
             let mut membership = state.membership.clone();
@@ -178,9 +181,10 @@
 
     /// Removes the lost identity that a caught-up learner replaces, then promotes the learner.
     pub(crate) fn change_membership_if_due(&self) {
+        let heartbeat = self.inner.settings.heartbeat;
         let due = {
             let state = self.inner.state.borrow();
-            if may_change(&state) { next_step(&state) } else { None }
+            if may_change(&state) { next_step(&state, heartbeat) } else { None }
         };
         if let Some((membership, event)) = due {
             fail::fail_point!("log.before_promote");
@@ -220,15 +224,16 @@
 ///
 /// A lost identity of its name goes first: a promotion beside it would raise the quorum of three replicas to three of
 /// four, so that the loss of the repaired replica during its repair would stop the cluster for good.
-fn next_step(state: &State) -> Option<(inner::Membership, &'static str)> {
+fn next_step(state: &State, heartbeat: Duration) -> Option<(inner::Membership, &'static str)> {
+    let longest_silence = heartbeat * LEARNER_LIVE_HEARTBEATS;
     let ready = state.membership.members.iter().find(|m| {
         let Some(progress) = state.progress.get(&m.member_id) else { return false };
         let synced = progress.matched;
         // A learner that is lost just now would only raise the quorum.
-        let live = progress.confirmed.is_some_and(|at| at.elapsed() < LEARNER_LIVE);
+        let live = progress.confirmed.is_some_and(|at| at.elapsed() < longest_silence);
         m.learner && live && synced > 0 && rules::may_promote(synced, state.commit)
     })?;
-    if state.is_name_in_use(&ready.name) {
+    if state.is_name_in_use(&ready.name, heartbeat) {
         return None;
     }
     let (id, name) = (ready.member_id, ready.name.clone());
--- a/orioleworks_log/src/settings.rs
+++ b/orioleworks_log/src/settings.rs
@@ -48,9 +48,9 @@
             replicas: Vec::new(),
             bootstrap: false,
             directory: directory.into(),
-            heartbeat: Duration::from_millis(50),
-            election_min: Duration::from_millis(300),
-            election_max: Duration::from_millis(600),
+            heartbeat: Duration::from_millis(100),
+            election_min: Duration::from_millis(400),
+            election_max: Duration::from_millis(800),
             snapshot_entries: 1000,
             tail_entries: 100,
         }
--- a/orioleworks_standins/src/bin/orioleworks-capacity.rs
+++ b/orioleworks_standins/src/bin/orioleworks-capacity.rs
@@ -46,7 +46,7 @@
     /// measurements at each size
     #[argh(option, default = "3")]
     repeats: u32,
-    /// heartbeat of the control replicas in milliseconds, with 6 and 12 times it as the election timeouts
+    /// heartbeat of the control replicas in milliseconds, with 4 and 8 times it as the election timeouts
     #[argh(option)]
     heartbeat_ms: Option<u64>,
     /// directory of the programs; that of this program without it
--- a/orioleworks_standins/src/capacity_daemons.rs
+++ b/orioleworks_standins/src/capacity_daemons.rs
@@ -170,8 +170,8 @@
             let mut settings = settings_files::control(&daemon, &daemons, &directory, true);
             if let Some(ms) = self.heartbeat_ms {
                 settings["cluster"]["heartbeat_ms"] = json!(ms);
-                settings["cluster"]["election_timeout_min_ms"] = json!(ms * 6);
-                settings["cluster"]["election_timeout_max_ms"] = json!(ms * 12);
+                settings["cluster"]["election_timeout_min_ms"] = json!(ms * 4);
+                settings["cluster"]["election_timeout_max_ms"] = json!(ms * 8);
             }
             let target = daemon.inner.clone();
             all.push(self.measured(daemon, &settings, "orioleworks-control", &target).await?);
