--- a/orioleworks_control/src/service.rs
+++ b/orioleworks_control/src/service.rs
@@ -169,6 +169,10 @@
             true => self.log.confirm().await.map_or_else(|e| e.code(), |()| ResultCode::Ok),
             false => ResultCode::Ok,
         };
+        if code != ResultCode::Ok {
+            // The asker turns to another replica, which sends the configuration.
+            return inner::StatusReply { code: code.number(), ..self.log.status() };
+        }
         let machine = self.machine.borrow();
         inner::StatusReply {
             code: code.number(),
--- a/orioleworks_control/src/snapshot.rs
+++ b/orioleworks_control/src/snapshot.rs
@@ -40,21 +40,29 @@
     }
 
     /// Encodes the whole state.
+    ///
+    /// Messages that follow each other decode as one with the lists of all, so claims and results are encoded in parts
+    /// instead of beside a copy of all of them.
     pub fn encode(&self) -> Vec<u8> {
-        let claims = self.claims_by_age.iter().filter_map(|(_, key)| self.claims.get(key));
-        let results = self.result_order.iter().filter_map(|order_id| {
-            let reply = Some(self.results.get(order_id)?.clone());
-            Some(inner::OrderResult { order_id: order_id.clone(), reply })
-        });
-        inner::ControlState {
+        let mut buf = inner::ControlState {
             config: Some(self.config()),
             runs: self.runs(),
             order_leases: self.order_leases(),
-            claims: claims.cloned().collect(),
-            order_results: results.collect(),
             changes: self.changes.iter().cloned().collect(),
+            ..Default::default()
+        }
+        .encode_to_vec();
+        let mut append = |part: inner::ControlState| buf.extend(part.encode_to_vec());
+        for claim in self.claims_by_age.iter().filter_map(|(_, key)| self.claims.get(key)) {
+            append(inner::ControlState { claims: vec![claim.clone()], ..Default::default() });
+        }
+        for order_id in &self.result_order {
+            let Some(reply) = self.results.get(order_id) else { continue };
+            let result =
+                inner::OrderResult { order_id: order_id.clone(), reply: Some(reply.clone()) };
+            append(inner::ControlState { order_results: vec![result], ..Default::default() });
         }
-        .encode_to_vec()
+        buf
     }
 
     /// Decodes a whole state.
--- a/orioleworks_control/tests/cluster.rs
+++ b/orioleworks_control/tests/cluster.rs
@@ -415,3 +415,22 @@
         }
     });
 }
+
+/// Guards against a replica that answers a question for the current state with its own old one, or with all its bytes.
+#[rstest]
+fn follower_sends_no_configuration_as_the_current_one() {
+    block_on(async {
+        let cluster = Cluster::start();
+        let leader = cluster.leader().await;
+        let reply = cluster.client().propose("one", put("p", None), LONG).await.unwrap();
+        assert_eq!(reply.code, 0);
+        let follower = (leader + 1) % 3;
+        let current = cluster.status(follower, true).await.unwrap();
+        assert_eq!((current.code, current.config), (ResultCode::NotLeader.number(), None));
+        assert!(!current.leader_address.is_empty());
+        let holds = |status: &inner::StatusReply| {
+            status.config.as_ref().is_some_and(|config| config.revision == 1)
+        };
+        cluster.wait_for(follower, "its own state", holds).await;
+    });
+}
--- a/orioleworks_control/tests/support/mod.rs
+++ b/orioleworks_control/tests/support/mod.rs
@@ -7,6 +7,7 @@
     net::TcpListener,
     path::PathBuf,
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
@@ -35,9 +36,14 @@
     compio::runtime::Runtime::new().unwrap().block_on(test)
 }
 
+/// Ports below the range of outgoing connections, since those of other tests took released ports before their use.
 fn free_ports(count: usize) -> Vec<u16> {
-    let held: Vec<_> = (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    held.iter().map(|listener| listener.local_addr().unwrap().port()).collect()
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    let offset = std::process::id().wrapping_mul(97);
+    let next = || 20_000 + offset.wrapping_add(TAKEN.fetch_add(1, Ordering::Relaxed)) % 12_000;
+    let free = std::iter::repeat_with(|| next() as u16)
+        .filter(|port| TcpListener::bind(("127.0.0.1", *port)).is_ok());
+    free.take(count).collect()
 }
 
 impl Cluster {
