--- a/orioleworks_daemon/tests/rpc.rs
+++ b/orioleworks_daemon/tests/rpc.rs
@@ -15,7 +15,7 @@
 }
 
 fn watch(applied_revision: u64, wait_ms: u32) -> Body {
-    Body::Watch(inner::Watch { entry: None, applied_revision, wait_ms })
+    Body::Watch(inner::Watch { applied_revision, wait_ms, ..Default::default() })
 }
 
 /// Answers a watch after its wait with the revision it named, and everything else not at all.
