--- a/orioleworks_standins/src/bin/orioleworks-capacity.rs
+++ b/orioleworks_standins/src/bin/orioleworks-capacity.rs
@@ -14,7 +14,7 @@
 };
 
 /// Names of the measurements.
-const NAMES: [&str; 14] = [
+const NAMES: [&str; 15] = [
     "protocol",
     "control-idle",
     "control-election",
@@ -22,6 +22,7 @@
     "control-changes",
     "control-claims",
     "control-claims-held",
+    "control-leases",
     "control-profiles",
     "entry-requests",
     "entry-tokens",
@@ -46,7 +47,7 @@
     /// measurements at each size
     #[argh(option, default = "3")]
     repeats: u32,
-    /// heartbeat of the control replicas in milliseconds, with 6 and 12 times it as the election timeouts
+    /// heartbeat of the control replicas in milliseconds, with 4 and 8 times it as the election timeouts
     #[argh(option)]
     heartbeat_ms: Option<u64>,
     /// directory of the programs; that of this program without it
@@ -110,6 +111,7 @@
         "control-entries" => control::entries(bench).await,
         "control-changes" => control::changes(bench).await,
         "control-claims" => control::claims(bench).await,
+        "control-leases" => control::leases(bench).await,
         "control-claims-held" => control::claims_held(bench).await,
         "control-profiles" => control::profiles(bench).await,
         "entry-requests" => entry::requests(bench).await,
