--- a/orioleworks_matrix/src/configuration.rs
+++ b/orioleworks_matrix/src/configuration.rs
@@ -226,9 +226,9 @@
     }
     let places = Places { entry, domain, victim, other };
     apply(cell, bench, &places, rng).await?;
-    bench.set_faulty(&places.domain, false);
     bench.change().await?;
     let after = settled(bench).await?;
+    bench.set_faulty(&places.domain, false);
     let reported = bench.reported(&places.entry).await;
     if reported < before {
         return Err(format!("control reports revision {reported} after {before}"));
