--- a/orioleworks_control/src/results.rs
+++ b/orioleworks_control/src/results.rs
@@ -32,12 +32,11 @@
     }
 
     /// Results for a snapshot, the oldest first.
-    pub(crate) fn to_messages(&self) -> Vec<inner::OrderResult> {
-        let messages = self.oldest_first.iter().map(|order_id| inner::OrderResult {
+    pub(crate) fn messages(&self) -> impl Iterator<Item = inner::OrderResult> {
+        self.oldest_first.iter().map(|order_id| inner::OrderResult {
             order_id: order_id.clone(),
             reply: self.by_id.get(order_id).cloned(),
-        });
-        messages.collect()
+        })
     }
 
     /// Results of a snapshot.
--- a/orioleworks_control/src/snapshot.rs
+++ b/orioleworks_control/src/snapshot.rs
@@ -56,12 +56,12 @@
         for claim in self.claims_by_age.iter().filter_map(|(_, key)| self.claims.get(key)) {
             append(inner::ControlState { claims: vec![claim.clone()], ..Default::default() });
         }
-        for order_id in &self.result_order {
-            let Some(reply) = self.results.get(order_id) else { continue };
-            let result =
-                inner::OrderResult { order_id: order_id.clone(), reply: Some(reply.clone()) };
+        for result in self.order_results.messages() {
             append(inner::ControlState { order_results: vec![result], ..Default::default() });
         }
+        for result in self.claim_results.messages() {
+            append(inner::ControlState { claim_results: vec![result], ..Default::default() });
+        }
         buf
     }
 
