Cut off clients that stop reading; refuse a declared oversized body at once; one prefetch at a time

Cause: a client that stopped reading kept its whole response in memory for as long as it liked (64 MiB read after the pause); a declared oversized body was answered only after the body timeout, as a timeout. Two prefetches at a time in three domains exceeded the weight store's limit, and the engines it sent away held up the common activation (docs/MEASUREMENTS.md, long steps). Ruled out for the prefetches: drain_unless_all, which gives up freshness. Change: writes without progress for 20 s end the connection; the declared length is checked first; weights.prefetches is a setting, 1 by default.

--- a/orioleworks_daemon/src/http.rs
+++ b/orioleworks_daemon/src/http.rs
@@ -7,11 +7,15 @@
 use cyper_core::{CompioTimer, HyperStream};
 use futures_util::{FutureExt, select};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    body::{Body, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use orioleworks_proto::codes::ResultCode;
 use serde::{Deserialize, Serialize};
 
-use crate::{event, shutdown::Shutdown};
+use crate::{event, shutdown::Shutdown, stall::StallGuard};
 
 /// Request as the server hands it to a handler.
 pub type Request = http::Request<Incoming>;
@@ -30,7 +34,9 @@
     pub head_timeout: Duration,
     /// Longest time for the body of a request.
     pub body_timeout: Duration,
-    /// Buffer per connection in bytes, which bounds what a client that stops reading can hold.
+    /// Longest time for which a write may make no progress because the client does not read.
+    pub write_timeout: Duration,
+    /// Buffer per connection in bytes.
     pub buffer_bytes: usize,
 }
 
@@ -41,6 +47,7 @@
             body_bytes: 1024 * 1024,
             head_timeout: Duration::from_secs(30),
             body_timeout: Duration::from_secs(10),
+            write_timeout: Duration::from_secs(20),
             buffer_bytes: 64 * 1024,
         }
     }
@@ -103,7 +110,7 @@
     H: Fn(Request) -> F + 'static,
 {
     drop(stream.set_nodelay(true));
-    let io = Box::pin(HyperStream::new_plain(stream));
+    let io = StallGuard::new(Box::pin(HyperStream::new_plain(stream)), limits.write_timeout);
     let service = service_fn(move |req| {
         let answer = handler(req);
         async move { Ok::<_, Infallible>(answer.await) }
@@ -137,6 +144,10 @@
 ///
 /// Returns the result code of a body that is too large, too slow or broken off.
 pub async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, ResultCode> {
+    // A declared length is refused before the client has sent the body.
+    if body.size_hint().lower() > limits.body_bytes as u64 {
+        return Err(ResultCode::BodyTooLarge);
+    }
     let limited = Limited::new(body, limits.body_bytes);
     match compio::time::timeout(limits.body_timeout, limited.collect()).await {
         Err(_) => Err(ResultCode::RequestTimeout),
--- a/orioleworks_daemon/src/lib.rs
+++ b/orioleworks_daemon/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod metrics;
 pub mod rpc;
 pub mod shutdown;
+mod stall;
--- /dev/null
+++ b/orioleworks_daemon/src/stall.rs
@@ -0,0 +1,73 @@
+//! Ends a connection whose peer has stopped reading, so that unread responses do not pile up in memory.
+
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use cyper_core::CompioTimer;
+use hyper::rt::{Read, ReadBufCursor, Sleep, Timer, Write};
+
+/// Stream that fails a write which makes no progress for a time.
+pub(crate) struct StallGuard<S> {
+    stream: S,
+    limit: Duration,
+    waiting: Option<Pin<Box<dyn Sleep>>>,
+}
+
+impl<S> StallGuard<S> {
+    /// Guards the writes of a stream.
+    pub(crate) fn new(stream: S, limit: Duration) -> Self {
+        Self { stream, limit, waiting: None }
+    }
+
+    fn check<T>(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if written.is_ready() {
+            self.waiting = None;
+            return written;
+        }
+        let limit = self.limit;
+        let waiting = self.waiting.get_or_insert_with(|| CompioTimer.sleep(limit));
+        match waiting.as_mut().poll(cx) {
+            Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl<S: Read + Unpin> Read for StallGuard<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl<S: Write + Unpin> Write for StallGuard<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.check(cx, written)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
+        self.check(cx, flushed)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let closed = Pin::new(&mut self.stream).poll_shutdown(cx);
+        self.check(cx, closed)
+    }
+}
--- /dev/null
+++ b/orioleworks_daemon/tests/http.rs
@@ -0,0 +1,99 @@
+//! Guards against clients that send half a request or stop reading and thereby hold the server or its memory.
+
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    time::{Duration, Instant},
+};
+
+use compio::runtime;
+use orioleworks_daemon::{
+    http::{self, Limits},
+    shutdown::Shutdown,
+};
+use rstest::rstest;
+
+/// Larger than what the sockets of both sides buffer.
+const LARGE_BYTES: usize = 64 * 1024 * 1024;
+const LIMITS: Limits = Limits {
+    connections: 8,
+    body_bytes: 1000,
+    head_timeout: Duration::from_millis(300),
+    body_timeout: Duration::from_millis(300),
+    write_timeout: Duration::from_millis(300),
+    buffer_bytes: 16 * 1024,
+};
+
+/// Answers `/large` with a large body, and everything else after the body was read.
+async fn start() -> String {
+    let listener = http::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    runtime::spawn(http::serve(
+        listener,
+        LIMITS,
+        Shutdown::default(),
+        |req: http::Request| async {
+            if req.uri().path() == "/large" {
+                return http::whole(200, "text/plain", vec![b'x'; LARGE_BYTES]);
+            }
+            match http::read_body(req.into_body(), &LIMITS).await {
+                Ok(_) => http::whole(200, "text/plain", "read"),
+                Err(code) => http::error(code, "", 0),
+            }
+        },
+    ))
+    .detach();
+    address
+}
+
+/// Sends bytes, waits, and returns what the server answered until it closed the connection.
+fn exchange(address: &str, bytes: &[u8], pause: Duration) -> (String, Duration) {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    let started = Instant::now();
+    stream.write_all(bytes).unwrap();
+    std::thread::sleep(pause);
+    let mut answer = Vec::new();
+    // A reset after the answer is a closed connection too.
+    drop(stream.read_to_end(&mut answer));
+    (String::from_utf8_lossy(&answer).into_owned(), started.elapsed())
+}
+
+fn run(bytes: &'static [u8], pause: Duration) -> (String, Duration, String) {
+    runtime::Runtime::new().unwrap().block_on(async {
+        let address = start().await;
+        let own = address.clone();
+        let (answer, took) =
+            runtime::spawn_blocking(move || exchange(&own, bytes, pause)).await.unwrap();
+        let healthy =
+            b"POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok";
+        let after = runtime::spawn_blocking(move || exchange(&address, healthy, Duration::ZERO));
+        (answer, took, after.await.unwrap().0)
+    })
+}
+
+#[rstest]
+#[case::half_a_head(b"POST / HTTP/1.1\r\nhost: a\r\n", "")]
+#[case::half_a_body(
+    b"POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 9\r\n\r\nhalf",
+    "\"code\":1009"
+)]
+#[case::oversized_body(
+    b"POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 2000\r\n\r\n",
+    "\"code\":1002"
+)]
+#[case::no_http(b"\x16\x03\x01\x02\x00garbage\r\n\r\n", "")]
+fn a_broken_request_ends_in_time_and_alone(#[case] bytes: &'static [u8], #[case] expected: &str) {
+    let (answer, took, after) = run(bytes, Duration::ZERO);
+    assert!(answer.contains(expected), "{answer}");
+    assert!(took < Duration::from_secs(3), "{took:?}");
+    assert!(after.starts_with("HTTP/1.1 200"), "{after}");
+}
+
+#[test]
+fn a_client_that_stops_reading_is_cut_off() {
+    let request = b"GET /large HTTP/1.1\r\nhost: a\r\n\r\n";
+    let (answer, _, after) = run(request, Duration::from_millis(1500));
+    assert!(answer.len() < LARGE_BYTES, "the whole body was kept for {} bytes", answer.len());
+    assert!(after.starts_with("HTTP/1.1 200"), "{after}");
+}
--- a/orioleworks_entry/src/config.rs
+++ b/orioleworks_entry/src/config.rs
@@ -27,6 +27,9 @@
     /// Routing policies.
     #[serde(default)]
     pub routing: Routing,
+    /// Weight orders.
+    #[serde(default)]
+    pub weights: Weights,
     /// Log output.
     #[serde(default)]
     pub log: Log,
@@ -141,6 +144,22 @@
     pub local_samples: bool,
 }
 
+/// Weight orders to the engines of the failure domain.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Weights {
+    /// Engines that fetch weights from the store at a time.
+    pub prefetches: usize,
+}
+
+impl Default for Weights {
+    fn default() -> Self {
+        // With two, the fetches of three domains exceeded the store's limit, and the engines that it sent away for 1 s
+        // held up the activation; see docs/MEASUREMENTS.md.
+        Self { prefetches: 1 }
+    }
+}
+
 /// Log output.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -182,6 +201,7 @@
         problems.range("limits.queued_requests", limits.queued_requests, 1..=1_000_000, "requests");
         problems.range("limits.body_timeout_ms", limits.body_timeout_ms, 100..=600_000, "ms");
         problems.range("limits.drain_deadline_ms", limits.drain_deadline_ms, 0..=600_000, "ms");
+        problems.range("weights.prefetches", self.weights.prefetches, 1..=64, "engines");
         problems.range("limits.drain_grace_ms", limits.drain_grace_ms, 0..=60_000, "ms");
     }
 }
--- a/orioleworks_entry/src/rollout.rs
+++ b/orioleworks_entry/src/rollout.rs
@@ -125,6 +125,7 @@
         failure_domain: entry.cfg.instance.failure_domain.as_ref().into(),
         control: entry.control.clone(),
         configuration: entry.configuration.clone(),
+        max_prefetches: entry.cfg.weights.prefetches,
         engines: Rc::new(move || members.engines()),
     };
     let token = token.clone();
--- a/orioleworks_entry/src/weights.rs
+++ b/orioleworks_entry/src/weights.rs
@@ -42,6 +42,8 @@
     pub control: ControlClient,
     /// Desired versions.
     pub configuration: Configuration,
+    /// Engines that prefetch at a time.
+    pub max_prefetches: usize,
     /// Live engines of the failure domain.
     pub engines: Rc<dyn Fn() -> Vec<Engine>>,
 }
--- a/orioleworks_entry/src/weights_engine.rs
+++ b/orioleworks_entry/src/weights_engine.rs
@@ -21,8 +21,6 @@
     weights_lease::{LONGEST_DELIVERY_MS, Lease},
 };
 
-/// Engines of the failure domain that prefetch at a time, because the weight store is rate limited.
-pub const MAX_PREFETCHES: usize = 2;
 /// Interval at which an engine is read back.
 const READ_BACK: Duration = Duration::from_millis(100);
 /// Longest prefetch before it is ordered again.
@@ -188,7 +186,7 @@
     async fn permit(&self) -> Permit<'_> {
         loop {
             let changed = self.signal.wait();
-            if self.prefetching.get() < MAX_PREFETCHES {
+            if self.prefetching.get() < self.deps.max_prefetches {
                 self.prefetching.set(self.prefetching.get() + 1);
                 return Permit(self);
             }
--- a/orioleworks_entry/tests/rollout/weights.rs
+++ b/orioleworks_entry/tests/rollout/weights.rs
@@ -104,6 +104,14 @@
 }
 
 async fn start(control: &Control, engines: &[Rc<FakeEngine>]) -> CancellationToken {
+    start_with(control, engines, 2).await
+}
+
+async fn start_with(
+    control: &Control,
+    engines: &[Rc<FakeEngine>],
+    max_prefetches: usize,
+) -> CancellationToken {
     let announced = engines.to_vec();
     let announce = move || {
         let engine = |(i, engine): (usize, &Rc<FakeEngine>)| Engine {
@@ -123,6 +131,7 @@
         failure_domain: "sicilia-a".into(),
         control: control.client(),
         configuration: configuration(profile(), 5),
+        max_prefetches,
         engines: Rc::new(announce),
     };
     let token = CancellationToken::new();
@@ -145,7 +154,9 @@
 
 /// Guards against an overloaded weight store, mixed versions during a swap, and a failed or undone swap that stays so.
 #[rstest]
-fn engines_prefetch_two_at_a_time_activate_together_and_are_repaired() {
+#[case::one_at_a_time(1)]
+#[case::two_at_a_time(2)]
+fn engines_prefetch_in_turn_activate_together_and_are_repaired(#[case] max_prefetches: usize) {
     block_on(async {
         let control = Control::start().await;
         let loading = Rc::new(Loading::default());
@@ -153,9 +164,9 @@
         for i in 0..4 {
             engines.push(FakeEngine::start(i != 3, 0, loading.clone()).await);
         }
-        let token = start(&control, &engines).await;
+        let token = start_with(&control, &engines, max_prefetches).await;
         until("every engine is on version 5", || engines.iter().all(|e| on(e, 5))).await;
-        assert_eq!(loading.most.get(), 2);
+        assert_eq!(loading.most.get(), max_prefetches);
         let last_prefetch = loading.last.get().unwrap();
         assert!(engines.iter().all(|e| e.first(Phase::Activate).unwrap() >= last_prefetch));
         // An old order of a former holder reaches the engine that ignores fencing tokens.
