Entries of a domain try a suspect one after the other

The logs show both copies of the request on one upstream, then each entry running its suspect alone 2.5 s later at the same instant, on two upstreams. Ruled out: the correlation rule; both entries had decided the first crash alike. Change: a suspect waits 1 s more for each place of the entry among the live ones of its failure domain.

--- a/orioleworks_entry/src/app.rs
+++ b/orioleworks_entry/src/app.rs
@@ -207,6 +207,8 @@
     fn set_live_entries(&self, entries: Vec<inner::EntryIdentity>) {
         let domain = &*self.cfg.instance.failure_domain;
         let count = entries.iter().filter(|e| e.domain == domain).count();
+        let before = entries.iter().filter(|e| e.domain == domain && *e.name < *self.name());
+        self.suspects.set_turn(u32::try_from(before.count()).unwrap_or(0));
         self.slots.set_live_entries(u32::try_from(count).unwrap_or(u32::MAX));
         *self.live_entries.borrow_mut() = entries;
     }
--- a/orioleworks_entry/src/suspects.rs
+++ b/orioleworks_entry/src/suspects.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Sets the place of this entry among the live ones of its domain, from 0.
+    pub fn set_turn(&self, place: u32) {
+        self.suspects.borrow_mut().set_turn(place);
+    }
+
     /// How a request may run now.
     pub fn standing(&self, fingerprint: &str) -> Standing {
         self.suspects.borrow().standing(fingerprint, clock::since_boot())
--- a/orioleworks_routing/src/suspects.rs
+++ b/orioleworks_routing/src/suspects.rs
@@ -19,6 +19,8 @@
 /// Time after a crash in which a suspect does not run: the correlated deaths, and then the news of a crash in another
 /// failure domain, must have come before a second upstream is risked.
 pub const NEWS: Duration = Duration::from_millis(2500);
+/// Time between the tries of two entries of a domain; the news of a crash must come in between.
+const TURN: Duration = Duration::from_secs(1);
 /// Crashes after which a request is quarantined.
 pub const QUARANTINE_CRASHES: usize = 2;
 /// Time for which a suspect is remembered.
@@ -105,6 +107,8 @@
     aside: IndexMap<Rc<str>, Aside>,
     /// Live upstreams at the last death.
     live: usize,
+    /// Further wait of this entry, so that the entries of a domain try a suspect one after the other.
+    turn: Duration,
     /// Evidence that a later clean run refuted.
     refuted: IndexMap<(Rc<str>, Rc<str>), Duration>,
     /// Contents that have finished without a crash.
@@ -151,6 +155,13 @@
         .collect()
     }
 
+    /// Sets the place of this entry among the live ones of its domain, from 0.
+    ///
+    /// Two entries that tried a suspect at the same time would lose two further upstreams to it.
+    pub fn set_turn(&mut self, place: u32) {
+        self.turn = TURN * place;
+    }
+
     /// How a request may run now.
     pub fn standing(&self, fingerprint: &str, now: Duration) -> Standing {
         match self.records.get(fingerprint) {
@@ -158,7 +169,7 @@
             Some(r) if r.last + RETENTION <= now => Standing::Free,
             Some(r) if r.decide_at.is_some_and(|at| now < at) => Standing::Wait(r.last + NEWS),
             Some(r) if r.crashes.len() >= QUARANTINE_CRASHES => Standing::Quarantined,
-            Some(r) if now < r.last + NEWS => Standing::Wait(r.last + NEWS),
+            Some(r) if now < r.last + NEWS + self.turn => Standing::Wait(r.last + NEWS + self.turn),
             Some(_) => Standing::Alone,
         }
     }
--- a/orioleworks_routing/tests/suspects.rs
+++ b/orioleworks_routing/tests/suspects.rs
@@ -245,3 +245,13 @@
     assert_eq!(two.take_decided(ms(2100)), [("f".into(), "p".into())]);
     assert_eq!(two.standing("h", ms(2100)), Standing::Free);
 }
+
+/// Guards against two entries of a domain that try a suspect at the same time and lose two further upstreams.
+#[rstest]
+fn entries_try_a_suspect_one_after_the_other() {
+    let mut second = Suspects::default();
+    second.set_turn(1);
+    second.record_death(ms(0), "a#1".into(), requests(&["f"]), 11);
+    assert_eq!(second.standing("f", ms(2500)), Standing::Wait(ms(3500)));
+    assert_eq!(second.standing("f", ms(3500)), Standing::Alone);
+}
