--- a/orioleworks_control/src/machine.rs
+++ b/orioleworks_control/src/machine.rs
@@ -72,6 +72,13 @@
             Some(Kind::FinishClaim(finish)) => self.finish_claim(finish),
             Some(Kind::Quarantine(quarantine)) => self.quarantine(quarantine, now_ms),
             Some(Kind::ReleaseQuarantine(fingerprint)) => self.release_quarantine(fingerprint),
+            Some(
+                Kind::PutBatch(_)
+                | Kind::RecordResults(_)
+                | Kind::EndBatch(_)
+                | Kind::PutDocument(_)
+                | Kind::RetireStore(_),
+            ) => self.refused(ResultCode::InvalidOrder, "a command for stores".into()),
         }
     }
 
--- a/orioleworks_control/src/validation.rs
+++ b/orioleworks_control/src/validation.rs
@@ -70,6 +70,11 @@
             range("reason length", quarantine.reason.len() as u64, 0, MAX_REASON as u64)
         }
         Kind::ReleaseQuarantine(fingerprint) => name("release_quarantine", fingerprint),
+        Kind::PutBatch(_)
+        | Kind::RecordResults(_)
+        | Kind::EndBatch(_)
+        | Kind::PutDocument(_)
+        | Kind::RetireStore(_) => Err("command: this one is for stores".into()),
     }
 }
 
--- a/orioleworks_daemon/src/http.rs
+++ b/orioleworks_daemon/src/http.rs
@@ -20,8 +20,9 @@
 /// Request as the server hands it to a handler.
 pub type Request = http::Request<Incoming>;
 
-/// Response of a handler; the body may be whole or a stream.
-pub type Response = http::Response<UnsyncBoxBody<Bytes, Infallible>>;
+/// Response of a handler; the body may be whole or a stream. An error of the body closes the connection, so that a
+/// broken answer never looks complete.
+pub type Response = http::Response<UnsyncBoxBody<Bytes, io::Error>>;
 
 /// Bounds of the server.
 #[derive(Clone, Copy, Debug)]
@@ -194,7 +195,8 @@
 
 /// Answers with a whole body of the given content type.
 pub fn whole(status: u16, content_type: &str, body: impl Into<Bytes>) -> Response {
-    let mut response = http::Response::new(Full::new(body.into()).boxed_unsync());
+    let body = Full::new(body.into()).map_err(|never| match never {});
+    let mut response = http::Response::new(body.boxed_unsync());
     *response.status_mut() =
         http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
     if let Ok(value) = http::HeaderValue::from_str(content_type) {
--- a/orioleworks_daemon/src/lib.rs
+++ b/orioleworks_daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod http;
 pub mod logging;
 pub mod metrics;
+pub mod reload;
 pub mod rpc;
 pub mod shutdown;
 mod stall;
--- /dev/null
+++ b/orioleworks_daemon/src/reload.rs
@@ -0,0 +1,51 @@
+//! Settings that change while a daemon runs: by SIGHUP, or unannounced in the file.
+
+use std::{fs, path::PathBuf, pin::Pin, time::Duration};
+
+use compio::{runtime, time};
+use futures_util::{FutureExt, future::FusedFuture, select};
+use nix::sys::signal::Signal;
+use orioleworks_settings::{self as settings, Settings};
+use tokio_util::sync::CancellationToken;
+
+use crate::event;
+
+/// Pause between two looks at the file; addresses in it are out of date by seconds anyway.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// Starts a task that passes changed settings on; a file that is refused changes nothing.
+pub fn watch<T: Settings + 'static>(
+    path: PathBuf,
+    token: CancellationToken,
+    apply: impl Fn(T) + 'static,
+) {
+    runtime::spawn(async move {
+        let mut known = fs::read(&path).unwrap_or_default();
+        let mut signal = hangup();
+        while !token.is_cancelled() {
+            let mut timer = std::pin::pin!(time::sleep(LOOK).fuse());
+            select! {
+                // The next listener is in place before the old one goes, because an unhandled SIGHUP ends the process.
+                _ = signal => signal = hangup(),
+                () = timer => (),
+            }
+            let Ok(bytes) = fs::read(&path) else { continue };
+            if bytes == known {
+                continue;
+            }
+            match settings::load(&path) {
+                Ok(cfg) => {
+                    event!(info, "settings_reloaded", file = path.display());
+                    apply(cfg);
+                }
+                Err(e) => event!(warn, "settings_refused", reason = e),
+            }
+            known = bytes;
+        }
+    })
+    .detach();
+}
+
+fn hangup() -> Pin<Box<dyn FusedFuture<Output = std::io::Result<()>>>> {
+    Box::pin(compio::signal::unix::signal(Signal::SIGHUP as i32).fuse())
+}
--- a/orioleworks_daemon/src/rpc.rs
+++ b/orioleworks_daemon/src/rpc.rs
@@ -6,7 +6,7 @@
     future::Future,
     io,
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use compio::{
@@ -117,6 +117,8 @@
     tx: mpsc::Sender<inner::Frame>,
     waiting: Waiting,
     closed: CancellationToken,
+    /// Time of the last frame from the peer.
+    heard: Rc<Cell<Instant>>,
 }
 
 /// Client of one peer; it connects when first used and again after a loss. Clones share the connection.
@@ -157,6 +159,7 @@
     /// [`RpcError::Unreachable`] promises that nothing was sent; after any other error the request may have arrived.
     pub async fn call(&self, body: Body, timeout: Duration) -> Result<Body, RpcError> {
         let (mut tx, waiting) = self.connect().await?;
+        let sent = Instant::now();
         let request_id = self.next_id.replace(self.next_id.get() + 1);
         let (reply_tx, reply_rx) = oneshot::channel();
         waiting.borrow_mut().insert(request_id, reply_tx);
@@ -168,7 +171,20 @@
         match compio::time::timeout(timeout, reply_rx).await {
             Ok(Ok(body)) => Ok(body),
             Ok(Err(_)) => Err(RpcError::Lost),
-            Err(_) => Err(RpcError::Timeout),
+            Err(_) => {
+                self.disconnect_if_silent_since(sent);
+                Err(RpcError::Timeout)
+            }
+        }
+    }
+
+    /// Closes a connection that has carried nothing since a request was sent on it: a path can fall silent for good
+    /// without a reset, while a new connection works.
+    fn disconnect_if_silent_since(&self, sent: Instant) {
+        let silent = self.connection.borrow().as_ref().is_some_and(|c| c.heard.get() < sent);
+        if silent {
+            event!(info, "silent_connection_closed", peer = self.address);
+            self.disconnect();
         }
     }
 
@@ -216,13 +232,16 @@
     let waiting = Waiting::default();
     let closed = CancellationToken::new();
     spawn_writer(sink, rx, closed.clone());
+    let heard = Rc::new(Cell::new(Instant::now()));
     let (reader_waiting, reader_closed) = (waiting.clone(), closed.clone());
+    let reader_heard = heard.clone();
     runtime::spawn(async move {
         loop {
             let mut next = std::pin::pin!(source.next().fuse());
             let mut cancelled = std::pin::pin!(reader_closed.cancelled().fuse());
             let frame = select! { frame = next => frame, () = cancelled => None };
             let Some(Ok(inner::Frame { request_id, body: Some(body) })) = frame else { break };
+            reader_heard.set(Instant::now());
             // A reply without a waiting request is late: its caller has given up.
             if let Some(reply_tx) = reader_waiting.borrow_mut().remove(&request_id) {
                 drop(reply_tx.send(body));
@@ -232,7 +251,7 @@
         reader_waiting.borrow_mut().clear();
     })
     .detach();
-    Ok(Connection { tx, waiting, closed })
+    Ok(Connection { tx, waiting, closed, heard })
 }
 
 /// Writes frames until the token is cancelled, and cancels it when the connection can no longer be written.
--- /dev/null
+++ b/orioleworks_fleet/src/lib.rs
@@ -0,0 +1,8 @@
+//! What stores and gateways share: the view of upstreams and stores, and connections to upstreams.
+//!
+//! See `docs/platform.md`.
+
+pub mod convert;
+pub mod pool;
+pub mod stores;
+pub mod watch;
--- /dev/null
+++ b/orioleworks_fleet/src/pool.rs
@@ -0,0 +1,226 @@
+//! Connections to upstreams: one request at a time on each, kept for the next request of the same upstream.
+//!
+//! A connection belongs to one start of an upstream, so that a request never goes out on the connection of a
+//! predecessor at the same address. Dropping an [`Exchange`] closes its connection, which tells the upstream to stop.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use compio::{net::TcpStream, runtime};
+use cyper_core::HyperStream;
+use displaydoc::Display;
+use futures_util::{FutureExt, select};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, client::conn::http1};
+
+/// Longest time to connect; a connection takes a round trip and a millisecond at the upstream.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Idle time after which a connection is not used again where the upstream names no time of its own.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Share of the upstream's own idle time for which a connection is used again, in percent; the rest covers the way of a
+/// request that is sent just before the upstream closes.
+const IDLE_PERCENT: u32 = 80;
+/// Idle connections kept for one upstream.
+const MAX_IDLE: usize = 64;
+
+/// Why a request got no head of an answer.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum SendError {
+    /// cannot connect: {0}; nothing was sent
+    NotSent(String),
+    /// the connection broke after the request was sent: {0}
+    Broken(String),
+    /// no answer in time
+    Timeout,
+}
+
+impl std::error::Error for SendError {}
+
+type Key = (Rc<str>, u64);
+
+struct Idle {
+    sender: http1::SendRequest<Full<Bytes>>,
+    /// Ends with the connection; dropping it closes the connection.
+    #[allow(dead_code)]
+    task: runtime::JoinHandle<()>,
+    until: Instant,
+}
+
+/// Pool of connections; clones share it.
+#[derive(Clone, Default)]
+pub struct Pool {
+    idle: Rc<RefCell<HashMap<Key, Vec<Idle>>>>,
+    opened: Rc<Cell<u64>>,
+}
+
+impl std::fmt::Debug for Pool {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Pool").field("opened", &self.opened.get()).finish_non_exhaustive()
+    }
+}
+
+/// A request that was answered; its body is still to be read.
+pub struct Exchange {
+    /// Head of the answer.
+    pub head: http::response::Parts,
+    body: Incoming,
+    connection: Idle,
+    key: Key,
+    pool: Pool,
+}
+
+impl std::fmt::Debug for Exchange {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Exchange").field("status", &self.head.status).finish_non_exhaustive()
+    }
+}
+
+impl Pool {
+    /// Sends a request to a start of an upstream and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError::NotSent`] promises that the upstream got nothing.
+    pub async fn send(
+        &self,
+        address: &str,
+        key: &Key,
+        req: Request<Full<Bytes>>,
+        time: Duration,
+    ) -> Result<Exchange, SendError> {
+        let deadline = Instant::now() + time;
+        let mut connection = match self.take(key) {
+            Some(connection) => connection,
+            None => self.connect(address, time).await?,
+        };
+        let left = deadline.saturating_duration_since(Instant::now());
+        match compio::time::timeout(left, connection.sender.send_request(req)).await {
+            Err(_) => Err(SendError::Timeout),
+            Ok(Err(e)) => Err(SendError::Broken(e.to_string())),
+            Ok(Ok(response)) => {
+                let (head, body) = Response::into_parts(response);
+                connection.until = Instant::now() + reusable_for(&head);
+                Ok(Exchange { head, body, connection, key: key.clone(), pool: self.clone() })
+            }
+        }
+    }
+
+    fn take(&self, key: &Key) -> Option<Idle> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(key)?;
+        let now = Instant::now();
+        while let Some(connection) = kept.pop() {
+            if connection.until > now && connection.sender.is_ready() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    async fn connect(&self, address: &str, time: Duration) -> Result<Idle, SendError> {
+        let not_sent = |reason: String| SendError::NotSent(reason);
+        let connecting = TcpStream::connect(address);
+        let stream = compio::time::timeout(time.min(CONNECT_TIMEOUT), connecting)
+            .await
+            .map_err(|_| not_sent("no answer".into()))?
+            .map_err(|e| not_sent(e.to_string()))?;
+        drop(stream.set_nodelay(true));
+        let io = Box::pin(HyperStream::new_plain(stream));
+        let (sender, connection) =
+            http1::handshake(io).await.map_err(|e| not_sent(e.to_string()))?;
+        let task = runtime::spawn(async move {
+            // The reason is reported to the request in hand.
+            drop(connection.await);
+        });
+        self.opened.set(self.opened.get() + 1);
+        metrics::counter!("orioleworks_upstream_connections_total").increment(1);
+        Ok(Idle { sender, task, until: Instant::now() + IDLE_TIMEOUT })
+    }
+
+    /// Closes idle connections whose time is over.
+    pub fn trim(&self) {
+        let now = Instant::now();
+        self.idle.borrow_mut().retain(|_, kept| {
+            kept.retain(|c| c.until > now && !c.sender.is_closed());
+            !kept.is_empty()
+        });
+    }
+}
+
+impl Exchange {
+    /// Reads the next part of the body; `None` at its proper end.
+    ///
+    /// # Errors
+    ///
+    /// Returns that the body broke off.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, SendError> {
+        loop {
+            match self.body.frame().await {
+                None => return Ok(None),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+                Some(Err(e)) => return Err(SendError::Broken(e.to_string())),
+            }
+        }
+    }
+
+    /// Reads the whole rest of the body and keeps the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns that the body broke off, is larger than `max_bytes` or did not end in time.
+    pub async fn finish(mut self, max_bytes: usize, time: Duration) -> Result<Bytes, SendError> {
+        let mut timer = std::pin::pin!(compio::time::sleep(time).fuse());
+        let mut body = Vec::new();
+        loop {
+            let part = {
+                let mut next = std::pin::pin!(self.next().fuse());
+                select! { part = next => part, () = timer => return Err(SendError::Timeout) }
+            }?;
+            let Some(part) = part else { break };
+            if body.len() + part.len() > max_bytes {
+                return Err(SendError::Broken("the answer is too large".into()));
+            }
+            body.extend_from_slice(&part);
+        }
+        self.keep();
+        Ok(body.into())
+    }
+
+    /// Keeps the connection for the next request; only after the whole body was read.
+    pub fn keep(self) {
+        let closing = self
+            .head
+            .headers
+            .get_all(http::header::CONNECTION)
+            .iter()
+            .any(|v| v.to_str().is_ok_and(|v| v.to_ascii_lowercase().contains("close")));
+        if closing || self.connection.sender.is_closed() {
+            return;
+        }
+        let mut idle = self.pool.idle.borrow_mut();
+        let kept = idle.entry(self.key).or_default();
+        if kept.len() < MAX_IDLE {
+            kept.push(self.connection);
+        }
+    }
+}
+
+/// Time for which the connection of an answer may be used again.
+fn reusable_for(head: &http::response::Parts) -> Duration {
+    let stated = head.headers.get("keep-alive").and_then(|v| v.to_str().ok());
+    let seconds = stated.and_then(|text| {
+        let times = text.split(',').filter_map(|pair| pair.trim().split_once('='));
+        times.filter(|(key, _)| *key == "timeout").find_map(|(_, v)| v.trim().parse::<u64>().ok())
+    });
+    seconds.map_or(IDLE_TIMEOUT, |s| Duration::from_secs(s) * IDLE_PERCENT / 100)
+}
--- /dev/null
+++ b/orioleworks_fleet/src/stores.rs
@@ -0,0 +1,167 @@
+//! Calls to the stores: the leader is found by asking, and a call that surely did nothing is repeated elsewhere.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexSet;
+use orioleworks_daemon::rpc::{self, RpcError};
+use orioleworks_proto::{
+    codes::ResultCode,
+    inner::{self, frame::Body},
+};
+
+/// Pause before the stores are asked again while they elect a leader; an election takes about a second.
+const ELECTION_PAUSE: Duration = Duration::from_millis(60);
+
+#[derive(Debug, Default)]
+struct Inner {
+    seeds: RefCell<Vec<String>>,
+    members: RefCell<Vec<String>>,
+    leader: RefCell<String>,
+    clients: RefCell<HashMap<String, rpc::Client>>,
+}
+
+/// Addresses of the stores and connections to them; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Stores {
+    inner: Rc<Inner>,
+}
+
+/// Result of a call to the leader.
+#[derive(Debug)]
+pub enum Led {
+    /// The leader answered.
+    Answered(Body),
+    /// No leader took the call; it had no effect.
+    NoLeader,
+    /// The call may have had an effect.
+    Unconfirmed,
+}
+
+impl Stores {
+    /// Replaces the addresses that the settings name.
+    pub fn set_seeds(&self, seeds: impl IntoIterator<Item = String>) {
+        *self.inner.seeds.borrow_mut() = seeds.into_iter().collect();
+    }
+
+    /// Replaces the addresses of the members; an empty list changes nothing.
+    pub fn set_members(&self, members: Vec<String>) {
+        if !members.is_empty() {
+            *self.inner.members.borrow_mut() = members;
+        }
+    }
+
+    /// Notes the leader's address; an empty one changes nothing.
+    pub fn set_leader(&self, leader: &str) {
+        if !leader.is_empty() && *self.inner.leader.borrow() != leader {
+            leader.clone_into(&mut self.inner.leader.borrow_mut());
+        }
+    }
+
+    /// Address of the leader that was known last, empty for none.
+    pub fn leader(&self) -> String {
+        self.inner.leader.borrow().clone()
+    }
+
+    /// All known addresses, members first.
+    pub fn addresses(&self) -> IndexSet<String> {
+        let members = self.inner.members.borrow();
+        let seeds = self.inner.seeds.borrow();
+        members.iter().chain(seeds.iter()).cloned().collect()
+    }
+
+    /// Client of one store.
+    pub fn client(&self, address: &str) -> rpc::Client {
+        let mut clients = self.inner.clients.borrow_mut();
+        clients.entry(address.to_owned()).or_insert_with(|| rpc::Client::new(address)).clone()
+    }
+
+    /// Calls the leader until it answers or the time is over.
+    ///
+    /// `message` is built anew for each attempt, and its effect must not depend on how often it arrives. `reply_time`
+    /// bounds one attempt.
+    pub async fn call_leader(
+        &self,
+        message: impl Fn() -> Body,
+        time: Duration,
+        reply_time: Duration,
+    ) -> Led {
+        let deadline = Instant::now() + time;
+        let mut unconfirmed = false;
+        loop {
+            let leader = self.leader();
+            let mut tried: IndexSet<String> = IndexSet::new();
+            let mut next = if leader.is_empty() { None } else { Some(leader) };
+            loop {
+                let rest = || self.addresses().into_iter().find(|a| !tried.contains(a));
+                let Some(address) = next.take().filter(|a| !tried.contains(a)).or_else(rest) else {
+                    break;
+                };
+                tried.insert(address.clone());
+                let left = deadline.saturating_duration_since(Instant::now());
+                if left.is_zero() {
+                    break;
+                }
+                match self.client(&address).call(message(), reply_time.min(left)).await {
+                    Ok(body) => match verdict(&body) {
+                        ResultCode::NotLeader => {
+                            next = leader_of(&body).filter(|a| !a.is_empty());
+                        }
+                        ResultCode::NoQuorum | ResultCode::NotReady => {}
+                        ResultCode::OrderUnconfirmed => unconfirmed = true,
+                        _ => {
+                            self.set_leader(&address);
+                            return Led::Answered(body);
+                        }
+                    },
+                    Err(RpcError::Unreachable(_)) => {}
+                    Err(_) => unconfirmed = true,
+                }
+            }
+            if Instant::now() + ELECTION_PAUSE >= deadline {
+                return if unconfirmed { Led::Unconfirmed } else { Led::NoLeader };
+            }
+            compio::time::sleep(ELECTION_PAUSE).await;
+        }
+    }
+
+    /// Proposes a command that may arrive more than once.
+    pub async fn propose(&self, kind: inner::command::Kind, time: Duration) -> Led {
+        /// A leader answers within one and a half seconds, also when it finds no quorum.
+        const REPLY_TIME: Duration = Duration::from_millis(1600);
+        let message = || {
+            let command = inner::Command { expected_revision: None, kind: Some(kind.clone()) };
+            Body::Propose(inner::Propose { order_id: String::new(), command: Some(command) })
+        };
+        self.call_leader(message, time, REPLY_TIME).await
+    }
+}
+
+fn code_of(body: &Body) -> u32 {
+    match body {
+        Body::ProposeReply(reply) => reply.code,
+        Body::ReadBatchReply(reply) => reply.code,
+        Body::ReadItemReply(reply) => reply.code,
+        Body::ReadDocumentReply(reply) => reply.code,
+        _ => ResultCode::Ok.number(),
+    }
+}
+
+/// Result code of a leader's answer; a code that this version does not know promises nothing.
+pub fn verdict(body: &Body) -> ResultCode {
+    ResultCode::from_number(code_of(body)).unwrap_or(ResultCode::OrderUnconfirmed)
+}
+
+fn leader_of(body: &Body) -> Option<String> {
+    match body {
+        Body::ProposeReply(reply) => Some(reply.leader_address.clone()),
+        Body::ReadBatchReply(reply) => Some(reply.leader_address.clone()),
+        Body::ReadItemReply(reply) => Some(reply.leader_address.clone()),
+        Body::ReadDocumentReply(reply) => Some(reply.leader_address.clone()),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/orioleworks_fleet/src/watch.rs
@@ -0,0 +1,69 @@
+//! Watching a store: what changed since the last reply, answered at once when it is urgent.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use orioleworks_daemon::{
+    clock,
+    rpc::{self, RpcError},
+};
+use orioleworks_proto::inner::{self, frame::Body};
+use orioleworks_routing::fleet::{Fleet, Noted};
+
+use crate::convert;
+
+/// Longest time for which a store holds a watch; a silent path is noticed soon after it.
+const WAIT: Duration = Duration::from_millis(500);
+/// Time beyond the wait in which the reply must arrive.
+const REPLY_SLACK: Duration = Duration::from_millis(400);
+
+/// Position of a watcher in the changes of one store's process.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Position {
+    boot: u64,
+    cursor: u64,
+}
+
+/// What a watcher holds already.
+#[derive(Clone, Debug, Default)]
+pub struct Held {
+    /// Version of the route document.
+    pub document_version: u64,
+    /// Address of the leader.
+    pub leader_address: String,
+    /// Whether only what was announced to the store itself is wanted.
+    pub direct_only: bool,
+}
+
+/// Asks a store once and merges the upstreams of its reply.
+///
+/// # Errors
+///
+/// Returns why there is no reply.
+pub async fn once(
+    client: &rpc::Client,
+    position: &mut Position,
+    held: Held,
+    fleet: &Rc<RefCell<Fleet>>,
+) -> Result<(inner::FleetReply, bool), RpcError> {
+    let watch = inner::FleetWatch {
+        document_version: held.document_version,
+        store_boot: position.boot,
+        cursor: position.cursor,
+        wait_ms: u32::try_from(WAIT.as_millis()).unwrap_or(u32::MAX),
+        direct_only: held.direct_only,
+        leader_address: held.leader_address,
+    };
+    let Body::FleetReply(mut reply) =
+        client.call(Body::FleetWatch(watch), WAIT + REPLY_SLACK).await?
+    else {
+        return Err(RpcError::Unexpected);
+    };
+    *position = Position { boot: reply.store_boot, cursor: reply.cursor };
+    let now = clock::since_boot();
+    let mut changed = false;
+    for message in std::mem::take(&mut reply.upstreams) {
+        let (up, heard) = convert::from_message(message, now);
+        changed |= fleet.borrow_mut().announce(heard, up, false) == Noted::Changed;
+    }
+    Ok((reply, changed))
+}
--- /dev/null
+++ b/orioleworks_gateway/src/app.rs
@@ -0,0 +1,112 @@
+//! Start, wiring and graceful shutdown of the gateway daemon.
+
+use std::{path::PathBuf, time::Duration};
+
+use compio::runtime::{self, Runtime};
+use futures_util::{FutureExt, select};
+use orioleworks_daemon::{event, http, logging, metrics, reload, shutdown::Shutdown};
+use orioleworks_platform::caller::READINESS_PATH;
+use orioleworks_proto::codes::exit;
+use orioleworks_settings as settings;
+use tokio_util::sync::CancellationToken;
+
+use crate::{callers, cli, config::Config, view::View, watch};
+
+/// Time for which new connections are taken after the signal: the platform asks once a second and sends new callers
+/// until the second refusal.
+const ACCEPT_TIME: Duration = Duration::from_millis(3000);
+/// Longest graceful shutdown; less than the eight seconds after which the platform kills the process.
+const SHUTDOWN_DEADLINE: Duration = Duration::from_millis(7300);
+/// Longest time for the head of a request, also on an idle connection; callers use connections again that have been
+/// idle for up to four fifths of 15 s.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Runs the daemon and returns its exit code.
+pub fn run(options: &cli::Options) -> i32 {
+    if options.version {
+        println!("orioleworks-gateway {}", env!("CARGO_PKG_VERSION"));
+        return exit::OK;
+    }
+    let Some(path) = options.config.clone().or_else(settings::path_from_environment) else {
+        eprintln!("option --config is required; see --help");
+        return exit::SETTINGS;
+    };
+    let cfg: Config = match settings::load(&path) {
+        Ok(cfg) => cfg,
+        Err(e) => {
+            eprintln!("{e}");
+            return exit::SETTINGS;
+        }
+    };
+    if options.check {
+        println!("{}: settings are valid", path.display());
+        return exit::OK;
+    }
+    logging::start(&cfg.log.filter);
+    match Runtime::new() {
+        Ok(runtime) => runtime.block_on(serve(cfg, path)),
+        Err(e) => {
+            eprintln!("the runtime cannot be started: {e}");
+            exit::FAILED
+        }
+    }
+}
+
+async fn serve(cfg: Config, path: PathBuf) -> i32 {
+    let handle = metrics::install();
+    let token = CancellationToken::new();
+    let signals = Shutdown::default();
+    signals.watch_signals(SHUTDOWN_DEADLINE);
+    let listeners = (
+        http::bind(&cfg.listen.callers.to_string()).await,
+        http::bind(&cfg.listen.readiness.to_string()).await,
+    );
+    let (callers_listener, readiness_listener) = match listeners {
+        (Ok(callers), Ok(readiness)) => (callers, readiness),
+        (Err(e), _) | (_, Err(e)) => {
+            eprintln!("listen: {e}");
+            return exit::LISTEN;
+        }
+    };
+    event!(info, "gateway_started", name = cfg.instance.name, domain = cfg.instance.failure_domain);
+    let view = View::new(cfg);
+    runtime::spawn(watch::follow(view.clone(), token.clone())).detach();
+    let reloading = view.clone();
+    reload::watch(path, token.clone(), move |cfg: Config| {
+        reloading.stores.set_seeds(cfg.seed_addresses());
+    });
+    let asked = view.clone();
+    let readiness = move |req: http::Request| {
+        let ready = asked.readiness();
+        let status = if ready.is_ok() { 200 } else { 503 };
+        let text = ready.err().unwrap_or("ready");
+        let response = match req.uri().path() {
+            READINESS_PATH => http::whole(status, "text/plain", text),
+            _ => http::platform_endpoint(&req, ready, || handle.render())
+                .unwrap_or_else(|| http::whole(404, "text/plain", "no such path")),
+        };
+        std::future::ready(response)
+    };
+    let limits = http::Limits { head_timeout: HEAD_TIMEOUT, ..http::Limits::default() };
+    let readiness_shutdown = Shutdown::default();
+    runtime::spawn(http::serve(readiness_listener, limits, readiness_shutdown, readiness)).detach();
+    let answering = view.clone();
+    let handler = move |req| callers::answer(answering.clone(), req);
+    let callers_shutdown = Shutdown::default();
+    let serving = http::serve(callers_listener, limits, callers_shutdown.clone(), handler);
+    let mut serving = std::pin::pin!(serving.fuse());
+    let mut draining = std::pin::pin!(drain(&view, &signals, &callers_shutdown).fuse());
+    select! { () = serving => (), () = draining => () }
+    token.cancel();
+    event!(info, "gateway_stopped");
+    exit::OK
+}
+
+/// Ends the process's service in steps; returns only at the deadline.
+async fn drain(view: &View, signals: &Shutdown, callers: &Shutdown) {
+    signals.drain.cancelled().await;
+    view.start_drain();
+    compio::time::sleep(ACCEPT_TIME).await;
+    callers.drain.cancel();
+    signals.stop.cancelled().await;
+}
--- /dev/null
+++ b/orioleworks_gateway/src/batches.rs
@@ -0,0 +1,135 @@
+//! Batches: handed to the leading store, which answers for what becomes of them.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use orioleworks_daemon::{event, http as server};
+use orioleworks_fleet::stores::{self, Led};
+use orioleworks_platform::batch::{self, BatchCall};
+use orioleworks_proto::{
+    codes::ResultCode,
+    inner::{self, command::Kind, frame::Body},
+};
+use orioleworks_routing::routes::Route;
+
+use crate::{
+    callers::{Asked, Refusal},
+    view::View,
+};
+
+/// Time for which a submission is offered to the stores; covers an election.
+const SUBMIT_TIME: Duration = Duration::from_millis(3000);
+/// Time beyond the caller's own wait for which the leader is looked for.
+const READ_SLACK: Duration = Duration::from_millis(1200);
+/// Time beyond the wait in which the leader's reply must arrive.
+const REPLY_SLACK: Duration = Duration::from_millis(700);
+/// Time after which a repeat makes sense when there is no leader; most elections are over by then.
+const NO_LEADER_RETRY: Duration = Duration::from_millis(500);
+/// Text of one reply; the platform takes 1 MB with the rest of the reply.
+const RESULT_BYTES: u32 = 900_000;
+
+/// Submits a batch.
+///
+/// # Errors
+///
+/// Returns that the batch is malformed, that no store has taken it, or that a store may have.
+pub async fn submit(
+    view: &View,
+    route: &Route,
+    host: &str,
+    asked: &Asked,
+    body: &[u8],
+) -> Result<server::Response, Refusal> {
+    let service = route.pick(&mut rand::rng()).cloned().unwrap_or_default();
+    let mut decoded = batch::decode(&asked.id, host, route, &service, body)
+        .map_err(|e| Refusal::new(ResultCode::BadRequest, e.to_string(), Duration::ZERO))?;
+    decoded.status_retention_ms = view.cfg.batches.status_retention_s.saturating_mul(1000);
+    let (items, step, model) = (decoded.items.len(), decoded.step, decoded.model.clone());
+    let until = asked.within(SUBMIT_TIME).saturating_duration_since(Instant::now());
+    let led = view.stores.propose(Kind::PutBatch(decoded), until).await;
+    answered(led, "the batch")?;
+    event!(
+        info,
+        "batch_accepted",
+        request = asked.id,
+        route = route.name,
+        items = items,
+        model = model,
+        step = step,
+        ms = asked.arrived.elapsed().as_millis(),
+    );
+    Ok(server::whole(202, "application/json", Bytes::from_static(b"{}")))
+}
+
+/// Answers a call on a batch.
+///
+/// # Errors
+///
+/// Returns that the batch or item is not there, or that no store could say.
+pub async fn call(view: &View, call: BatchCall) -> Result<server::Response, Refusal> {
+    match call {
+        BatchCall::Read { id, after, wait } => read(view, &id, after, wait).await,
+        BatchCall::ReadItem { id, item } => {
+            let message = || {
+                let (batch_id, item_id) = (id.clone(), item.clone());
+                Body::ReadItem(inner::ReadItem { batch_id, item_id })
+            };
+            let led = view.stores.call_leader(message, READ_SLACK, REPLY_SLACK).await;
+            match answered(led, &item)? {
+                Body::ReadItemReply(reply) => {
+                    Ok(server::whole(200, "application/octet-stream", reply.body))
+                }
+                _ => Err(no_leader(&item)),
+            }
+        }
+        BatchCall::End { id } => {
+            let led = view.stores.propose(Kind::EndBatch(id.clone()), SUBMIT_TIME).await;
+            answered(led, &id)?;
+            event!(info, "batch_ended", request = id);
+            Ok(server::whole(200, "application/json", Bytes::from_static(b"{}")))
+        }
+    }
+}
+
+async fn read(
+    view: &View,
+    id: &str,
+    after: u64,
+    wait: Duration,
+) -> Result<server::Response, Refusal> {
+    let deadline = Instant::now() + wait;
+    let message = || {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let wait_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+        let max_bytes = RESULT_BYTES;
+        Body::ReadBatch(inner::ReadBatch { id: id.to_owned(), after, wait_ms, max_bytes })
+    };
+    let led = view.stores.call_leader(message, wait + READ_SLACK, wait + REPLY_SLACK).await;
+    match answered(led, id)? {
+        Body::ReadBatchReply(reply) => {
+            Ok(server::whole(200, "application/json", batch::results(&reply)))
+        }
+        _ => Err(no_leader(id)),
+    }
+}
+
+fn no_leader(what: &str) -> Refusal {
+    let detail = format!("no store leads; nothing was done for {what}");
+    Refusal::new(ResultCode::NoQuorum, detail, NO_LEADER_RETRY)
+}
+
+/// The leader's answer, if it did what was asked.
+fn answered(led: Led, what: &str) -> Result<Body, Refusal> {
+    match led {
+        Led::Answered(body) => match stores::verdict(&body) {
+            ResultCode::Ok => Ok(body),
+            code => Err(Refusal::new(code, what, Duration::ZERO)),
+        },
+        Led::NoLeader => Err(no_leader(what)),
+        // A store may still accept it, so that it must not be called refused.
+        Led::Unconfirmed => {
+            let detail = format!("no store confirmed {what} in time");
+            Err(Refusal::new(ResultCode::OrderUnconfirmed, detail, NO_LEADER_RETRY))
+        }
+    }
+}
--- /dev/null
+++ b/orioleworks_gateway/src/callers.rs
@@ -0,0 +1,125 @@
+//! Requests of callers and trainers: route them, or say at once why not.
+
+use std::time::{Duration, Instant};
+
+use http::{HeaderMap, header};
+use orioleworks_daemon::{event, http as server};
+use orioleworks_platform::{batch, caller};
+use orioleworks_proto::codes::ResultCode;
+
+use crate::{batches, forward, view::View};
+
+/// Time that is left of a caller's deadline when a request is given up, so that the answer arrives before it.
+const ANSWER_MARGIN: Duration = Duration::from_millis(10);
+
+/// Why a request has no answer of an upstream.
+#[derive(Clone, Debug)]
+pub struct Refusal {
+    /// Result code; it decides whether the request may have run.
+    pub code: ResultCode,
+    /// What happened.
+    pub detail: String,
+    /// Time after which a repeat makes sense, zero for none.
+    pub retry_after: Duration,
+}
+
+impl Refusal {
+    /// A refusal.
+    pub fn new(code: ResultCode, detail: impl Into<String>, retry_after: Duration) -> Self {
+        Self { code, detail: detail.into(), retry_after }
+    }
+}
+
+/// A caller's request as far as it is understood.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    /// ID of the caller's attempt.
+    pub id: String,
+    /// Arrival of the head.
+    pub arrived: Instant,
+    /// Time at which the caller stops waiting, if it says so.
+    pub deadline: Option<Instant>,
+}
+
+impl Asked {
+    /// Reads what a request says of itself.
+    pub fn read(headers: &HeaderMap) -> Self {
+        let arrived = Instant::now();
+        let left = caller::time_left(headers);
+        Self {
+            id: caller::attempt_id(headers).unwrap_or_default().to_owned(),
+            arrived,
+            deadline: left.map(|left| arrived + left.saturating_sub(ANSWER_MARGIN)),
+        }
+    }
+
+    /// End of a wait of at most the given time.
+    pub fn within(&self, time: Duration) -> Instant {
+        let end = self.arrived + time;
+        self.deadline.map_or(end, |deadline| deadline.min(end))
+    }
+}
+
+/// Answers one request.
+pub async fn answer(view: View, req: server::Request) -> server::Response {
+    let asked = Asked::read(req.headers());
+    let mut response = match route(&view, req, &asked).await {
+        Ok(response) => response,
+        Err(refusal) => refuse(&asked, &refusal),
+    };
+    if view.is_draining() {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+async fn route(
+    view: &View,
+    req: server::Request,
+    asked: &Asked,
+) -> Result<server::Response, Refusal> {
+    /// Routes arrive within a fraction of a second after a start.
+    const NO_ROUTES_RETRY: Duration = Duration::from_millis(300);
+    if let Some(call) = batch::call(req.method(), req.uri(), req.headers()) {
+        return batches::call(view, call).await;
+    }
+    let Some(table) = view.table() else {
+        return Err(Refusal::new(ResultCode::NotReady, "no routes are known yet", NO_ROUTES_RETRY));
+    };
+    let host = req.headers().get(header::HOST).and_then(|v| v.to_str().ok());
+    let host = host.or_else(|| req.uri().host()).unwrap_or_default().to_owned();
+    let Some(route) = table.find(&host, req.uri().path()).cloned() else {
+        let detail = format!("{host}{} in version {}", req.uri().path(), table.version);
+        return Err(Refusal::new(ResultCode::UnknownPath, detail, Duration::ZERO));
+    };
+    let limits = server::Limits { body_bytes: table.limits.body_bytes, ..Default::default() };
+    let (head, body) = req.into_parts();
+    let body = server::read_body(body, &limits)
+        .await
+        .map_err(|code| Refusal::new(code, "", Duration::ZERO))?;
+    if route.batch.is_some() {
+        return batches::submit(view, &route, &host, asked, &body).await;
+    }
+    forward::forward(view, &route, head, body, asked).await
+}
+
+fn refuse(asked: &Asked, refusal: &Refusal) -> server::Response {
+    let reason = refusal.code.name();
+    metrics::counter!("orioleworks_refusals_total", "reason" => reason.clone()).increment(1);
+    event!(
+        info,
+        "request_refused",
+        request = asked.id,
+        reason = reason,
+        detail = refusal.detail,
+        waited_ms = asked.arrived.elapsed().as_millis(),
+        retry_after_ms = refusal.retry_after.as_millis(),
+    );
+    let mut response = server::error(refusal.code, &refusal.detail, 0);
+    if !refusal.retry_after.is_zero() {
+        let value = caller::retry_after(refusal.retry_after);
+        response.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    response
+}
--- /dev/null
+++ b/orioleworks_gateway/src/config.rs
@@ -0,0 +1,103 @@
+//! Settings of the gateway daemon, one struct for each section.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use orioleworks_settings::{Problems, Settings};
+use serde::Deserialize;
+
+/// Settings file of a gateway.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// Which instance this is.
+    pub instance: Instance,
+    /// Where it listens.
+    pub listen: Listen,
+    /// Where the stores are.
+    pub stores: Stores,
+    /// Batches.
+    #[serde(default)]
+    pub batches: Batches,
+    /// Log output.
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// Name and place of the instance.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Instance {
+    /// Unique name.
+    pub name: Arc<str>,
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+}
+
+/// Addresses of the process.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// HTTP for callers and trainers.
+    pub callers: SocketAddr,
+    /// HTTP for the platform's question whether callers may come.
+    pub readiness: SocketAddr,
+}
+
+/// Where the stores are.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Stores {
+    /// Control addresses of some stores.
+    pub seeds: Vec<SocketAddr>,
+    /// Port of the stores' inner protocol.
+    pub inner_port: u16,
+}
+
+/// Batches.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Batches {
+    /// Time from the submission for which results stay readable, in seconds.
+    pub status_retention_s: u32,
+}
+
+/// Log output.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// Filter in the syntax of `env_logger`.
+    pub filter: String,
+}
+
+impl Default for Batches {
+    fn default() -> Self {
+        // The platform's operators read results for two minutes.
+        Self { status_retention_s: 120 }
+    }
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self { filter: "info".into() }
+    }
+}
+
+impl Settings for Config {
+    fn check(&self, problems: &mut Problems) {
+        let named = !self.instance.name.is_empty();
+        problems.require("instance.name", named, "a name that no other instance has");
+        problems.range("stores.seeds", self.stores.seeds.len(), 1..=64, "addresses");
+        problems.range("stores.inner_port", self.stores.inner_port, 1..=u16::MAX, "");
+        let retention = self.batches.status_retention_s;
+        problems.range("batches.status_retention_s", retention, 1..=86_400, "s");
+    }
+}
+
+impl Config {
+    /// Inner addresses of the seeds; all stores use the same port.
+    pub fn seed_addresses(&self) -> impl Iterator<Item = String> + use<> {
+        let port = self.stores.inner_port;
+        let seeds = self.stores.seeds.clone().into_iter();
+        seeds.map(move |seed| SocketAddr::new(seed.ip(), port).to_string())
+    }
+}
--- /dev/null
+++ b/orioleworks_gateway/src/forward.rs
@@ -0,0 +1,405 @@
+//! Forwards a request to upstreams: one attempt, and more where that may not run it twice.
+//!
+//! Answers the load patterns of a crashed, silent, slow or full upstream. An idempotent request gets a second attempt
+//! beside the first once half of its latency objective is over; a request that was surely not run goes on to the next
+//! upstream; anything else that failed is not repeated. See `docs/platform.md`.
+
+use std::{
+    io,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use compio::runtime;
+use futures_channel::mpsc;
+use futures_util::{FutureExt, SinkExt, StreamExt, select};
+use http::{HeaderMap, header, request, response};
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Frame;
+use orioleworks_daemon::{clock, event, http as server};
+use orioleworks_fleet::pool::{Exchange, SendError};
+use orioleworks_platform::upstream::{self, Verdict};
+use orioleworks_proto::codes::ResultCode;
+use orioleworks_routing::{fleet::Upstream, outlier::Key, routes::Route};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    callers::{Asked, Refusal},
+    view::View,
+};
+
+/// Share of the latency objective after which a second attempt starts, in percent: late enough that few healthy
+/// requests get one, early enough that it can still meet the objective.
+const SECOND_ATTEMPT_PERCENT: u32 = 50;
+/// Largest answer that is held in memory.
+const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
+/// Upstreams that may refuse a request before it is given back to its caller.
+const MAX_REFUSALS: usize = 4;
+/// Time after which a repeat makes sense when upstreams are full: about the time of a few requests.
+const FULL_RETRY: Duration = Duration::from_millis(100);
+/// Time after which a repeat makes sense when there is no upstream; a replica that starts announces itself by then.
+const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(500);
+/// Parts of a stream that wait for a slow caller.
+const STREAM_QUEUE: usize = 16;
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// How an attempt ended.
+enum End {
+    /// The upstream's whole answer.
+    Whole(response::Parts, Bytes),
+    /// The head of an answer that is passed on as it comes.
+    Stream(Box<Exchange>),
+    /// The upstream did not run it.
+    NotRun(String),
+    /// It may have run.
+    Unknown(String),
+}
+
+struct Attempt {
+    upstream: Rc<Upstream>,
+    key: Key,
+    end: End,
+}
+
+/// A request that is being forwarded.
+struct Forward<'a> {
+    view: &'a View,
+    route: &'a Rc<Route>,
+    service: Rc<str>,
+    head: Rc<request::Parts>,
+    body: Bytes,
+    asked: &'a Asked,
+    deadline: Instant,
+    tried: Vec<Key>,
+    /// Attempts that ran or may have run, and those in flight.
+    runs: u32,
+    in_flight: u32,
+    refusals: usize,
+    tx: mpsc::UnboundedSender<Attempt>,
+    cancel: CancellationToken,
+}
+
+/// Forwards a request and returns the upstream's answer.
+///
+/// # Errors
+///
+/// Returns why there is none, and whether the request may have run.
+pub async fn forward(
+    view: &View,
+    route: &Rc<Route>,
+    head: request::Parts,
+    body: Bytes,
+    asked: &Asked,
+) -> Result<server::Response, Refusal> {
+    let (tx, mut rx) = mpsc::unbounded();
+    let cancel = CancellationToken::new();
+    // A caller that leaves drops this future; its request is then stopped everywhere.
+    let guard = cancel.clone().drop_guard();
+    let service = route.pick(&mut rand::rng()).cloned().unwrap_or_default();
+    let deadline = asked.within(route.timeout);
+    let mut this = Forward {
+        view,
+        route,
+        service,
+        head: Rc::new(head),
+        body,
+        asked,
+        deadline,
+        tried: Vec::new(),
+        runs: 0,
+        in_flight: 0,
+        refusals: 0,
+        tx,
+        cancel,
+    };
+    let result = this.run(&mut rx).await;
+    if result.is_ok() {
+        // A slower second attempt may end, so that its connection can be kept.
+        guard.disarm();
+    }
+    result
+}
+
+impl Forward<'_> {
+    async fn run(
+        &mut self,
+        rx: &mut mpsc::UnboundedReceiver<Attempt>,
+    ) -> Result<server::Response, Refusal> {
+        if !self.start() {
+            let detail = format!("service {}", self.service);
+            return Err(Refusal::new(ResultCode::NoUpstream, detail, NO_UPSTREAM_RETRY));
+        }
+        let mut failure: Option<(response::Parts, Bytes)> = None;
+        let mut reason;
+        loop {
+            let now = Instant::now();
+            let second_at =
+                self.asked.arrived + self.route.latency_objective * SECOND_ATTEMPT_PERCENT / 100;
+            let hedge = self.may_repeat() && self.in_flight == 1 && second_at < self.deadline;
+            let wake = if hedge { second_at } else { self.deadline };
+            let mut timer =
+                std::pin::pin!(compio::time::sleep(wake.saturating_duration_since(now)).fuse());
+            let attempt = select! { attempt = rx.next() => attempt, () = timer => None };
+            let Some(attempt) = attempt else {
+                if Instant::now() >= self.deadline {
+                    return Err(self.out_of_time());
+                }
+                if self.view.try_retry(&self.route.name) && self.start() {
+                    event!(
+                        debug,
+                        "second_attempt",
+                        request = self.asked.id,
+                        after_ms = self.asked.arrived.elapsed().as_millis()
+                    );
+                } else {
+                    // No second upstream; only the first attempt is left to wait for.
+                    self.runs = self.route.max_attempts;
+                }
+                continue;
+            };
+            self.in_flight -= 1;
+            match attempt.end {
+                End::Stream(exchange) => return Ok(self.stream(*exchange, attempt.key)),
+                End::Whole(head, body) if !head.status.is_server_error() => {
+                    self.view.succeeded(&self.route.name);
+                    return Ok(whole(head, body));
+                }
+                End::Whole(head, body) => {
+                    reason = format!("status {}", head.status.as_u16());
+                    failure = Some((head, body));
+                }
+                End::NotRun(why) => {
+                    self.runs -= 1;
+                    self.refusals += 1;
+                    reason = why;
+                }
+                End::Unknown(why) => reason = why,
+            }
+            event!(
+                info,
+                "attempt_failed",
+                request = self.asked.id,
+                upstream = attempt.upstream.id,
+                reason = reason,
+                attempt = self.tried.len(),
+                ms = self.asked.arrived.elapsed().as_millis(),
+            );
+            if self.in_flight > 0 {
+                continue;
+            }
+            let unrun = self.runs == 0;
+            let again = if unrun {
+                self.refusals < MAX_REFUSALS
+            } else {
+                self.may_repeat() && self.view.try_retry(&self.route.name)
+            };
+            if again && self.start() {
+                continue;
+            }
+            return match failure {
+                Some((head, body)) => Ok(whole(head, body)),
+                None if unrun => {
+                    Err(Refusal::new(ResultCode::RefusedByUpstream, reason, FULL_RETRY))
+                }
+                None => Err(Refusal::new(ResultCode::OutcomeUnknown, reason, Duration::ZERO)),
+            };
+        }
+    }
+
+    fn out_of_time(&self) -> Refusal {
+        let detail = format!("{} attempts, {} in flight", self.tried.len(), self.in_flight);
+        Refusal::new(ResultCode::DeadlineExceeded, detail, Duration::ZERO)
+    }
+
+    fn may_repeat(&self) -> bool {
+        self.route.idempotent && self.runs < self.route.max_attempts
+    }
+
+    /// Starts an attempt at the best upstream that was not tried; false when there is none.
+    fn start(&mut self) -> bool {
+        let Some(upstream) = self.view.choose(&self.service, &self.tried) else { return false };
+        let key: Key = (upstream.id.clone(), upstream.incarnation);
+        self.tried.push(key.clone());
+        self.runs += 1;
+        self.in_flight += 1;
+        let attempt = Sending {
+            view: self.view.clone(),
+            streaming: self.route.streaming,
+            head: self.head.clone(),
+            body: self.body.clone(),
+            id: self.asked.id.clone(),
+            deadline: self.deadline,
+            upstream,
+            key,
+        };
+        let (tx, cancel) = (self.tx.clone(), self.cancel.clone());
+        runtime::spawn(async move {
+            let (upstream, key) = (attempt.upstream.clone(), attempt.key.clone());
+            let view = attempt.view.clone();
+            view.outliers.borrow_mut().sent(&key);
+            let mut sending = Box::pin(attempt.send().fuse());
+            let mut cancelled = std::pin::pin!(cancel.cancelled().fuse());
+            let end = select! { end = sending => Some(end), () = cancelled => None };
+            match end {
+                // A caller that has its answer already needs no other.
+                Some(end) => drop(tx.unbounded_send(Attempt { upstream, key, end })),
+                None => view.outliers.borrow_mut().dropped(&key),
+            }
+        })
+        .detach();
+        true
+    }
+
+    /// Passes a stream on as it comes; a broken one ends with a broken connection.
+    fn stream(&self, mut exchange: Exchange, key: Key) -> server::Response {
+        let (mut tx, rx) = mpsc::channel::<Result<Frame<Bytes>, io::Error>>(STREAM_QUEUE);
+        let head = passed_on(&exchange.head);
+        let (view, route, id) = (self.view.clone(), self.route.clone(), self.asked.id.clone());
+        runtime::spawn(async move {
+            loop {
+                let part = match exchange.next().await {
+                    Ok(Some(part)) => Ok(Frame::data(part)),
+                    Ok(None) => {
+                        view.succeeded(&route.name);
+                        exchange.keep();
+                        return;
+                    }
+                    Err(e) => Err(io::Error::other(e.to_string())),
+                };
+                let broken = part.is_err();
+                if broken {
+                    event!(info, "stream_broken", request = id, upstream = key.0);
+                    view.outliers.borrow_mut().failed(&key, clock::since_boot());
+                }
+                if tx.send(part).await.is_err() || broken {
+                    return;
+                }
+            }
+        })
+        .detach();
+        http::Response::from_parts(head, StreamBody::new(rx).boxed_unsync())
+    }
+}
+
+/// One attempt, independent of the caller's own task.
+struct Sending {
+    view: View,
+    streaming: bool,
+    head: Rc<request::Parts>,
+    body: Bytes,
+    id: String,
+    deadline: Instant,
+    upstream: Rc<Upstream>,
+    key: Key,
+}
+
+impl Sending {
+    async fn send(self) -> End {
+        let started = Instant::now();
+        let left = self.deadline.saturating_duration_since(started);
+        let mut req = http::Request::builder()
+            .method(self.head.method.clone())
+            .uri(self.head.uri.path_and_query().map_or("/", |p| p.as_str()));
+        if let Some(headers) = req.headers_mut() {
+            *headers = end_to_end(&self.head.headers);
+            headers.remove(header::CONTENT_LENGTH);
+            upstream::address_to(headers, &self.upstream.id, Some(left));
+        }
+        let req = match req.body(Full::new(self.body.clone())) {
+            Ok(req) => req,
+            Err(e) => return End::NotRun(e.to_string()),
+        };
+        let exchange = match self.view.pool.send(&self.upstream.address, &self.key, req, left).await
+        {
+            Ok(exchange) => exchange,
+            Err(e) => {
+                self.failed();
+                return match e {
+                    SendError::NotSent(why) => End::NotRun(why),
+                    other => End::Unknown(other.to_string()),
+                };
+            }
+        };
+        match upstream::judge(exchange.head.status, &exchange.head.headers, &self.id) {
+            Verdict::NotRun => {
+                self.view.outliers.borrow_mut().dropped(&self.key);
+                let why = format!("refused with status {}", exchange.head.status.as_u16());
+                drop(exchange.finish(MAX_ANSWER_BYTES, left).await);
+                End::NotRun(why)
+            }
+            Verdict::Foreign => {
+                self.failed();
+                End::Unknown("the answer belongs to another request or bears no signature".into())
+            }
+            Verdict::Answered if self.streaming && exchange.head.status.is_success() => {
+                self.view.outliers.borrow_mut().answered(&self.key, started.elapsed());
+                End::Stream(Box::new(exchange))
+            }
+            Verdict::Answered => self.read(exchange, started).await,
+        }
+    }
+
+    async fn read(&self, exchange: Exchange, started: Instant) -> End {
+        let head = passed_on(&exchange.head);
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        match exchange.finish(MAX_ANSWER_BYTES, left).await {
+            Ok(body) => {
+                if head.status.is_server_error() {
+                    self.failed();
+                } else {
+                    self.view.outliers.borrow_mut().answered(&self.key, started.elapsed());
+                }
+                End::Whole(head, body)
+            }
+            Err(e) => {
+                self.failed();
+                End::Unknown(e.to_string())
+            }
+        }
+    }
+
+    fn failed(&self) {
+        self.view.outliers.borrow_mut().failed(&self.key, clock::since_boot());
+    }
+}
+
+/// Headers without those of one connection.
+fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let kept = headers.iter().filter(|(name, _)| {
+        !CONNECTION_HEADERS.contains(&name.as_str()) && !named.iter().any(|n| n == name.as_str())
+    });
+    kept.map(|(name, value)| (name.clone(), value.clone())).collect()
+}
+
+fn passed_on(head: &response::Parts) -> response::Parts {
+    let mut response = http::Response::new(());
+    *response.status_mut() = head.status;
+    *response.headers_mut() = end_to_end(&head.headers);
+    response.into_parts().0
+}
+
+fn whole(mut head: response::Parts, body: Bytes) -> server::Response {
+    // The length is that of the body that was read; an answer without one ended with its connection.
+    head.headers.remove(header::CONTENT_LENGTH);
+    let body = Full::new(body).map_err(|never| match never {});
+    http::Response::from_parts(head, body.boxed_unsync())
+}
--- /dev/null
+++ b/orioleworks_gateway/src/lib.rs
@@ -0,0 +1,12 @@
+//! Gateway daemon: takes callers' requests and trainers' batches on a platform with routes.
+//!
+//! See `docs/platform.md`.
+
+pub mod app;
+pub mod batches;
+pub mod callers;
+pub mod cli;
+pub mod config;
+pub mod forward;
+pub mod view;
+pub mod watch;
--- /dev/null
+++ b/orioleworks_gateway/src/view.rs
@@ -0,0 +1,158 @@
+//! What a gateway knows: routes, upstreams and stores.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::Duration,
+};
+
+use orioleworks_daemon::{clock, event};
+use orioleworks_fleet::{pool::Pool, stores::Stores};
+use orioleworks_platform::document;
+use orioleworks_proto::inner;
+use orioleworks_routing::{
+    budget::{self, Budget},
+    fleet::{Fleet, Upstream},
+    outlier::{Candidate, Key, Outliers},
+    routes::RouteTable,
+};
+
+use crate::config::Config;
+
+/// Share of recent successes that may be second attempts, in percent; a lost replica of three makes a third of the
+/// requests fail until it is left out.
+const RETRY_PERCENT: u32 = 20;
+/// Second attempts that are allowed without any success; the requests in flight when a replica of a quiet service dies.
+const RETRY_FLOOR: u32 = 10;
+
+/// State of a gateway; clones share it.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// Settings of the process.
+    pub cfg: Rc<Config>,
+    /// Known upstreams.
+    pub fleet: Rc<RefCell<Fleet>>,
+    /// Health of upstreams as own requests show it.
+    pub outliers: Rc<RefCell<Outliers>>,
+    /// Stores.
+    pub stores: Stores,
+    /// Connections to upstreams.
+    pub pool: Pool,
+    table: Rc<RefCell<Option<Rc<RouteTable>>>>,
+    budgets: Rc<RefCell<HashMap<Rc<str>, Budget>>>,
+    draining: Rc<Cell<bool>>,
+}
+
+impl View {
+    /// A view that knows nothing yet.
+    pub fn new(cfg: Config) -> Self {
+        let stores = Stores::default();
+        stores.set_seeds(cfg.seed_addresses());
+        Self {
+            cfg: Rc::new(cfg),
+            fleet: Rc::default(),
+            outliers: Rc::default(),
+            stores,
+            pool: Pool::default(),
+            table: Rc::default(),
+            budgets: Rc::default(),
+            draining: Rc::default(),
+        }
+    }
+
+    /// Routes in force, `None` before the first document.
+    pub fn table(&self) -> Option<Rc<RouteTable>> {
+        self.table.borrow().clone()
+    }
+
+    /// Version of the routes in force, 0 for none.
+    pub fn document_version(&self) -> u64 {
+        self.table.borrow().as_ref().map_or(0, |table| table.version)
+    }
+
+    /// Takes over a document that is newer than the one in force.
+    pub fn adopt(&self, document: &inner::Document) {
+        if document.version <= self.document_version() {
+            return;
+        }
+        match document::decode(&document.content) {
+            Ok(table) => {
+                event!(info, "routes_in_force", version = table.version, routes = table.len());
+                *self.table.borrow_mut() = Some(Rc::new(table));
+            }
+            // The store checked it, so a store of another version must have accepted it.
+            Err(e) => event!(error, "document_unreadable", version = document.version, reason = e),
+        }
+    }
+
+    /// Whether callers may come.
+    pub fn readiness(&self) -> Result<(), &'static str> {
+        if self.draining.get() {
+            return Err("shutting down");
+        }
+        self.table().map(drop).ok_or("no routes are known yet")
+    }
+
+    /// Whether the process is shutting down.
+    pub fn is_draining(&self) -> bool {
+        self.draining.get()
+    }
+
+    /// Notes that the process is shutting down.
+    pub fn start_drain(&self) {
+        self.draining.set(true);
+    }
+
+    /// Best upstream of a service that is not among the tried ones.
+    pub fn choose(&self, service: &str, tried: &[Key]) -> Option<Rc<Upstream>> {
+        let now = clock::since_boot();
+        let fleet = self.fleet.borrow();
+        let domain = &*self.cfg.instance.failure_domain;
+        let candidates: Vec<Candidate> = fleet
+            .serving(service, now)
+            .map(|known| Candidate {
+                key: (known.upstream.id.clone(), known.upstream.incarnation),
+                slots: known.upstream.slots,
+                fresh: known.is_fresh(now),
+                local: *known.upstream.domain == *domain,
+            })
+            .filter(|c| !tried.contains(&c.key))
+            .collect();
+        let outliers = self.outliers.borrow();
+        let best = outliers.choose(&candidates, now)?;
+        fleet.get(&best.key.0).map(|known| known.upstream.clone())
+    }
+
+    /// Takes a second attempt from a route's budget.
+    pub fn try_retry(&self, route: &Rc<str>) -> bool {
+        self.with_budget(route, |budget, now| budget.try_retry(now))
+    }
+
+    /// Notes a success on a route.
+    pub fn succeeded(&self, route: &Rc<str>) {
+        self.with_budget(route, |budget, now| budget.success(now));
+    }
+
+    fn with_budget<T>(&self, route: &Rc<str>, use_it: impl Fn(&mut Budget, Duration) -> T) -> T {
+        let settings =
+            budget::Settings { percent: RETRY_PERCENT, floor: RETRY_FLOOR, unlimited: false };
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(route.clone()).or_insert_with(|| Budget::new(settings));
+        use_it(budget, clock::since_boot())
+    }
+
+    /// Forgets what is no longer needed.
+    pub fn keep_house(&self) {
+        let now = clock::since_boot();
+        self.fleet.borrow_mut().forget(now);
+        let fleet = self.fleet.borrow();
+        let known =
+            |id: &str, start: u64| fleet.get(id).is_some_and(|k| k.upstream.incarnation == start);
+        self.outliers.borrow_mut().retain(|(id, start)| known(id, *start));
+        if let Some(table) = self.table() {
+            self.budgets.borrow_mut().retain(|route, _| table.by_name(route).is_some());
+        }
+        self.pool.trim();
+    }
+}
--- /dev/null
+++ b/orioleworks_gateway/src/watch.rs
@@ -0,0 +1,82 @@
+//! Follows one store at a time; moves on when it is silent or has lost its leader.
+
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    time::{Duration, Instant},
+};
+
+use compio::time;
+use orioleworks_daemon::event;
+use orioleworks_fleet::watch::{self, Held, Position};
+use tokio_util::sync::CancellationToken;
+
+use crate::view::View;
+
+/// Pause after a store that did not answer or is not current.
+const RETRY: Duration = Duration::from_millis(100);
+/// Time without any current store after which routes of one that may be behind are taken: a domain that is cut off
+/// goes on serving, and a deployment that elects a leader is back sooner.
+const ACCEPT_STALE_AFTER: Duration = Duration::from_secs(3);
+/// Pause between two rounds of housekeeping.
+const HOUSEKEEPING: Duration = Duration::from_secs(2);
+
+/// Follows the stores until the token is cancelled.
+pub async fn follow(view: View, token: CancellationToken) {
+    let mut hasher = DefaultHasher::new();
+    view.cfg.instance.name.hash(&mut hasher);
+    // Gateways begin at different stores, so that they spread over them.
+    let mut at = usize::try_from(hasher.finish() % 1024).unwrap_or(0);
+    let mut position = Position::default();
+    let mut last_current = Instant::now();
+    let mut lost_since: Option<Instant> = None;
+    let mut next_housekeeping = Instant::now();
+    while !token.is_cancelled() {
+        if Instant::now() >= next_housekeeping {
+            next_housekeeping = Instant::now() + HOUSEKEEPING;
+            view.keep_house();
+        }
+        let addresses = view.stores.addresses();
+        let Some(address) = addresses.get_index(at % addresses.len().max(1)) else {
+            time::sleep(RETRY).await;
+            continue;
+        };
+        let held = Held {
+            document_version: view.document_version(),
+            leader_address: view.stores.leader(),
+            direct_only: false,
+        };
+        let client = view.stores.client(address);
+        let current = match watch::once(&client, &mut position, held, &view.fleet).await {
+            Ok((reply, _)) => {
+                view.stores.set_members(reply.stores);
+                if reply.current {
+                    view.stores.set_leader(&reply.leader_address);
+                }
+                let stale_allowed = last_current.elapsed() >= ACCEPT_STALE_AFTER;
+                if let Some(document) = reply.document.filter(|_| reply.current || stale_allowed) {
+                    view.adopt(&document);
+                }
+                if reply.current { Ok(()) } else { Err("the store has no leader".to_owned()) }
+            }
+            Err(e) => Err(e.to_string()),
+        };
+        match current {
+            Ok(()) => {
+                last_current = Instant::now();
+                if let Some(since) = lost_since.take() {
+                    let ms = since.elapsed().as_millis();
+                    event!(info, "store_regained", peer = address, gone_ms = ms);
+                }
+            }
+            Err(reason) => {
+                if lost_since.is_none() {
+                    event!(warn, "store_lost", peer = address, reason = reason);
+                    lost_since = Some(Instant::now());
+                }
+                at += 1;
+                position = Position::default();
+                time::sleep(RETRY).await;
+            }
+        }
+    }
+}
--- a/orioleworks_log/src/durable.rs
+++ b/orioleworks_log/src/durable.rs
@@ -1,6 +1,6 @@
 //! Durable effects off the event loop: group commit of entries, vote records and snapshots.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use compio::runtime;
 use orioleworks_daemon::event;
@@ -15,6 +15,9 @@
     state::Role,
 };
 
+/// Pause before a failed write is tried again; disks that fill up for seconds are the usual cause.
+const WRITE_RETRY: Duration = Duration::from_millis(200);
+
 enum Write {
     Append(Journal, Vec<inner::LogEntry>),
     Replace(LogPosition, Vec<inner::LogEntry>),
@@ -60,6 +63,7 @@
         metrics::histogram!("orioleworks_log_fsync_seconds").record(started.elapsed());
         match written {
             Ok(journal) => *self.inner.journal.borrow_mut() = Some(journal),
+            Err(e) if self.inner.settings.retry_writes => return self.retry_write(e).await,
             Err(e) => return self.fail(e),
         }
         {
@@ -73,6 +77,16 @@
         self.advance_commit();
     }
 
+    /// Gives up leadership and has the whole file written again, because a failed sync says nothing of what is stored.
+    async fn retry_write(&self, e: LogError) {
+        event!(error, "log_write_failed", reason = e, retry_ms = WRITE_RETRY.as_millis());
+        self.inner.state.borrow_mut().rewrite = true;
+        if self.inner.state.borrow().is_leader() {
+            self.become_follower("write_failed");
+        }
+        compio::time::sleep(WRITE_RETRY).await;
+    }
+
     /// Makes a term and vote durable and takes them over; returns false when a newer term came first.
     pub(crate) async fn record_vote(&self, vote: VoteRecord) -> bool {
         let _lock = self.inner.vote_lock.lock().await;
@@ -94,7 +108,7 @@
         let directory = self.inner.settings.directory.clone();
         let identity = Identity { vote, ..old };
         if let Err(e) = blocking(move || files::store_identity(&directory, identity)).await {
-            self.fail(e);
+            self.fail_or_log(e);
             return false;
         }
         self.inner.state.borrow_mut().identity.vote = vote;
@@ -144,7 +158,11 @@
         let _lock = self.inner.snapshot_lock.lock().await;
         let snapshot = {
             let state = self.inner.state.borrow();
-            if state.applied < state.snapshot.last_index + self.inner.settings.snapshot_entries {
+            let since = state.applied.saturating_sub(state.snapshot.last_index);
+            let settings = &self.inner.settings;
+            if since < settings.snapshot_entries
+                && (since == 0 || state.bytes < settings.snapshot_bytes)
+            {
                 return;
             }
             let (_, membership) = state.membership_at(state.applied);
@@ -180,12 +198,20 @@
                 true
             }
             Err(e) => {
-                self.fail(e);
+                self.fail_or_log(e);
                 false
             }
         }
     }
 
+    fn fail_or_log(&self, e: LogError) {
+        if self.inner.settings.retry_writes {
+            event!(error, "log_write_failed", reason = e);
+        } else {
+            self.fail(e);
+        }
+    }
+
     /// Reads the durable snapshot with its state.
     pub(crate) async fn read_snapshot(&self) -> Option<inner::Snapshot> {
         let directory = self.inner.settings.directory.clone();
--- a/orioleworks_log/src/follower.rs
+++ b/orioleworks_log/src/follower.rs
@@ -221,6 +221,7 @@
                 state.forget_through(position.index);
             } else {
                 state.entries.clear();
+                state.bytes = 0;
                 state.base = position;
                 state.synced = position.index;
                 state.generation += 1;
--- a/orioleworks_log/src/membership.rs
+++ b/orioleworks_log/src/membership.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use compio::time;
+use indexmap::IndexSet;
 use orioleworks_daemon::event;
 use orioleworks_proto::{
     codes::ResultCode,
@@ -12,7 +13,7 @@
 
 use crate::{
     node::Log,
-    settings::Replica,
+    settings::{Replica, Settings},
     state::{State, voters},
 };
 
@@ -23,6 +24,8 @@
 
 /// Longest silence of a learner that is promoted, in heartbeats.
 const LEARNER_LIVE_HEARTBEATS: u32 = 3;
+/// Silence of the leader, in longest election timeouts, after which a replica asks whether it is still a member.
+const ORPHAN_TIMEOUTS: u32 = 3;
 /// Silence of a voter, in heartbeats, after which another identity may take its name; guards against two replicas of
 /// one name.
 const NAME_FREE_HEARTBEATS: u32 = 6;
@@ -50,7 +53,8 @@
             if empty && self.inner.settings.bootstrap && self.found_if_first().await {
                 continue;
             }
-            if !member {
+            // A member that was removed while it was away hears no leader, and joins again as a learner.
+            if !member || self.is_orphan() {
                 self.ask_to_join().await;
             }
             time::sleep(JOIN_PAUSE).await;
@@ -114,26 +118,67 @@
         true
     }
 
+    fn is_orphan(&self) -> bool {
+        let silence = self.inner.settings.election_max * ORPHAN_TIMEOUTS;
+        let alone = self.inner.settings.replicas.len() <= 1;
+        !alone
+            && self.inner.opened.elapsed() > silence
+            && !self.inner.state.borrow().has_live_leader(silence)
+    }
+
     async fn ask_to_join(&self) {
-        for replica in self.others() {
+        let mut asked = IndexSet::new();
+        let mut next: Vec<String> = self.others().into_iter().map(|r| r.address).collect();
+        next.extend(self.peer_addresses());
+        while let Some(address) = next.pop() {
+            if address.is_empty() || !asked.insert(address.clone()) {
+                continue;
+            }
             let join = inner::Join { member: Some(self.own_member(true)) };
-            let reply = self.client(&replica.address).call(Body::Join(join), JOIN_TIMEOUT).await;
-            if let Ok(Body::JoinReply(reply)) = reply
-                && reply.code == ResultCode::Ok.number()
-            {
-                event!(
-                    info,
-                    "join_accepted",
-                    name = self.inner.settings.name,
-                    leader = replica.name
-                );
+            let reply = self.client(&address).call(Body::Join(join), JOIN_TIMEOUT).await;
+            let Ok(Body::JoinReply(reply)) = reply else { continue };
+            if reply.code == ResultCode::Ok.number() {
+                event!(info, "join_accepted", name = self.inner.settings.name, leader = address);
                 return;
             }
+            next.push(reply.leader_address);
         }
     }
 
-    fn others(&self) -> impl Iterator<Item = &Replica> {
-        self.inner.settings.replicas.iter().filter(|r| r.name != self.inner.settings.name)
+    /// Replicas of the settings or found since, without this one.
+    fn others(&self) -> Vec<Replica> {
+        let own = &self.inner.settings;
+        let known = self.inner.replicas.borrow();
+        let others = known.iter().filter(|r| r.name != own.name && r.address != own.address);
+        others.cloned().collect()
+    }
+
+    /// Addresses of the other members.
+    pub fn peer_addresses(&self) -> Vec<String> {
+        let state = self.inner.state.borrow();
+        let others = state.membership.members.iter().filter(|m| m.member_id != state.id());
+        others.map(|m| m.address.clone()).collect()
+    }
+
+    /// Replaces the replicas that are asked to join; those of the settings may have been replaced since.
+    pub fn set_replicas(&self, replicas: Vec<Replica>) {
+        *self.inner.replicas.borrow_mut() = replicas;
+    }
+
+    /// Names whose replicas are to be removed for good; a learner takes the place of each voter first.
+    pub fn set_retired(&self, names: impl IntoIterator<Item = String>) {
+        *self.inner.retired.borrow_mut() = names.into_iter().collect();
+    }
+
+    /// Members in force.
+    pub fn membership(&self) -> inner::Membership {
+        self.inner.state.borrow().membership.clone()
+    }
+
+    /// Whether the membership in force is committed.
+    pub fn membership_committed(&self) -> bool {
+        let state = self.inner.state.borrow();
+        state.membership_index <= state.commit
     }
 
     fn own_member(&self, learner: bool) -> inner::Member {
@@ -164,6 +209,9 @@
             if state.member(member.member_id).is_some() {
                 return reply(ResultCode::Ok);
             }
+            if self.inner.retired.borrow().contains(&member.name) {
+                return reply(ResultCode::InvalidOrder);
+            }
             if !may_change(&state) || state.is_name_in_use(&member.name, heartbeat) {
                 return reply(ResultCode::MembershipBusy);
             }
@@ -185,7 +233,11 @@
         let heartbeat = self.inner.settings.heartbeat;
         let due = {
             let state = self.inner.state.borrow();
-            if may_change(&state) { next_step(&state, heartbeat) } else { None }
+            let retired = self.inner.retired.borrow();
+            match may_change(&state) {
+                true => next_step(&state, &self.inner.settings, heartbeat, &retired),
+                false => None,
+            }
         };
         if let Some((membership, event)) = due {
             fail::fail_point!("log.before_promote");
@@ -221,31 +273,61 @@
     rules::may_change_membership(state.committed_own_term(), in_flight)
 }
 
-/// Next single step for a learner that could be promoted.
+/// Next single step towards the wanted voters.
 ///
-/// A lost identity of its name goes first: a promotion beside it would raise the quorum of three replicas to three of
-/// four, so that the loss of the repaired replica during its repair would stop the cluster for good.
-fn next_step(state: &State, heartbeat: Duration) -> Option<(inner::Membership, &'static str)> {
+/// A lost voter goes before the learner that takes its place: a promotion beside it would raise the quorum of three
+/// replicas to three of four, so that the loss of the repaired replica during its repair would stop the cluster for
+/// good.
+fn next_step(
+    state: &State,
+    settings: &Settings,
+    heartbeat: Duration,
+    retired: &IndexSet<String>,
+) -> Option<(inner::Membership, &'static str)> {
+    let members = &state.membership.members;
+    if let Some(at) = members.iter().position(|m| m.learner && retired.contains(&m.name)) {
+        return Some((without(&state.membership, at), "retired_learner_removed"));
+    }
     let longest_silence = heartbeat * LEARNER_LIVE_HEARTBEATS;
-    let ready = state.membership.members.iter().find(|m| {
+    let ready = members.iter().filter(|m| {
         let Some(progress) = state.progress.get(&m.member_id) else { return false };
         let synced = progress.matched;
         // A learner that is lost just now would only raise the quorum.
         let live = progress.confirmed.is_some_and(|at| at.elapsed() < longest_silence);
         m.learner && live && synced > 0 && rules::may_promote(synced, state.commit)
-    })?;
-    if state.is_name_in_use(&ready.name, heartbeat) {
-        return None;
-    }
-    let (id, name) = (ready.member_id, ready.name.clone());
-    let mut membership = state.membership.clone();
-    let lost = membership.members.iter().position(|m| !m.learner && m.name == name);
-    if let Some(lost) = lost {
-        membership.members.remove(lost);
-        return Some((membership, "lost_identity_removed"));
-    }
-    for member in membership.members.iter_mut().filter(|m| m.member_id == id) {
-        member.learner = false;
+    });
+    for ready in ready.filter(|m| !state.is_name_in_use(&m.name, heartbeat)) {
+        let voters = || members.iter().enumerate().filter(|(_, m)| !m.learner);
+        if let Some((lost, _)) = voters().find(|(_, m)| m.name == ready.name) {
+            return Some((without(&state.membership, lost), "lost_identity_removed"));
+        }
+        let in_domain = voters().filter(|(_, m)| m.domain == ready.domain).count();
+        if voters().count() < settings.max_voters && in_domain < settings.max_voters_per_domain {
+            let mut membership = state.membership.clone();
+            for member in membership.members.iter_mut().filter(|m| m.member_id == ready.member_id) {
+                member.learner = false;
+            }
+            return Some((membership, "learner_promoted"));
+        }
+        let full = in_domain >= settings.max_voters_per_domain;
+        let fits = |m: &inner::Member| !full || m.domain == ready.domain;
+        if let Some((at, _)) = voters().find(|(_, m)| fits(m) && retired.contains(&m.name)) {
+            return Some((without(&state.membership, at), "retired_voter_removed"));
+        }
+        let silent = |m: &inner::Member| {
+            let progress = state.progress.get(&m.member_id);
+            let heard = progress.map(|p| p.confirmed.unwrap_or(p.added));
+            settings.replace_after.is_some_and(|after| heard.is_some_and(|at| at.elapsed() > after))
+        };
+        if let Some((at, _)) = voters().find(|(_, m)| fits(m) && silent(m)) {
+            return Some((without(&state.membership, at), "silent_voter_removed"));
+        }
     }
-    Some((membership, "learner_promoted"))
+    None
+}
+
+fn without(membership: &inner::Membership, at: usize) -> inner::Membership {
+    let mut membership = membership.clone();
+    membership.members.remove(at);
+    membership
 }
--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -12,6 +12,7 @@
 use displaydoc::Display;
 use futures_channel::oneshot;
 use futures_util::lock::Mutex;
+use indexmap::IndexSet;
 use orioleworks_daemon::{clock, rpc};
 use orioleworks_proto::{
     codes::ResultCode,
@@ -25,7 +26,7 @@
     files,
     journal::Journal,
     notify::Notify,
-    settings::Settings,
+    settings::{Replica, Settings},
     state::{Incoming, Outcome, Role, State},
 };
 
@@ -105,6 +106,11 @@
     pub(crate) token: CancellationToken,
     pub(crate) failure: RefCell<Option<LogError>>,
     pub(crate) retiring: Cell<bool>,
+    /// Replicas to found with or to join.
+    pub(crate) replicas: RefCell<Vec<Replica>>,
+    /// Names of replicas that are removed for good.
+    pub(crate) retired: RefCell<IndexSet<String>>,
+    pub(crate) opened: Instant,
     /// Version of the sightings that the leader got last.
     pub(crate) reported: Cell<u64>,
     _lock: File,
@@ -158,7 +164,11 @@
         }
         let mut state = new_state(identity, snapshot, loaded.base, loaded.entries.into());
         state.reload_membership();
+        state.bytes = state.entries.iter().map(prost::Message::encoded_len).sum();
         let inner = Inner {
+            replicas: RefCell::new(settings.replicas.clone()),
+            retired: RefCell::default(),
+            opened: Instant::now(),
             settings,
             machine,
             state: RefCell::new(state),
@@ -342,7 +352,8 @@
 
     /// Client of a member, at the address of the settings or else of the membership.
     pub(crate) fn member_client(&self, member: &inner::Member) -> rpc::Client {
-        let configured = self.inner.settings.replicas.iter().find(|r| r.name == member.name);
+        let replicas = self.inner.replicas.borrow();
+        let configured = replicas.iter().find(|r| r.name == member.name);
         self.client(configured.map_or(&member.address, |replica| &replica.address))
     }
 
@@ -351,6 +362,30 @@
         clients.entry(address.to_owned()).or_insert_with(|| rpc::Client::new(address)).clone()
     }
 
+    /// Whether a quorum answered this leader within the shortest election timeout, so that no other can have been
+    /// elected.
+    pub fn holds_lease(&self) -> bool {
+        let state = self.inner.state.borrow();
+        state.committed_own_term() && state.quorum_contacted(self.inner.settings.election_min)
+    }
+
+    /// Term that this replica leads, once it has applied everything of older terms.
+    pub fn leading_term(&self) -> Option<u64> {
+        let state = self.inner.state.borrow();
+        (state.committed_own_term() && state.applied >= state.term_start).then(|| state.term())
+    }
+
+    /// Current term; a fencing token for what this replica orders while it leads.
+    pub fn term(&self) -> u64 {
+        self.inner.state.borrow().term()
+    }
+
+    /// Waits until the state of the log may have changed, at most the given time.
+    pub async fn changed_within(&self, time: Duration) {
+        let seen = self.inner.changed.version();
+        self.inner.changed.changed_within(seen, time).await;
+    }
+
     /// Stops the replica for good; a replica whose disk fails must not promise anything more.
     pub(crate) fn fail(&self, e: LogError) {
         orioleworks_daemon::event!(error, "log_failed", reason = e);
@@ -386,6 +421,7 @@
         commit: snapshot.last_index,
         applied: snapshot.last_index,
         snapshot,
+        bytes: 0,
         membership: inner::Membership::default(),
         membership_index: 0,
         progress: HashMap::new(),
--- a/orioleworks_log/src/settings.rs
+++ b/orioleworks_log/src/settings.rs
@@ -36,6 +36,16 @@
     pub snapshot_entries: u64,
     /// Log entries kept behind a snapshot, so that a replica that is slightly behind needs no snapshot.
     pub tail_entries: u64,
+    /// Bytes of log entries in memory after which a snapshot is taken.
+    pub snapshot_bytes: usize,
+    /// Largest number of voters; further replicas stay learners until a voter is lost.
+    pub max_voters: usize,
+    /// Largest number of voters in one failure domain, so that the loss of a domain leaves a quorum.
+    pub max_voters_per_domain: usize,
+    /// Silence of a voter after which a learner takes its place; `None` keeps the place for the voter's name.
+    pub replace_after: Option<Duration>,
+    /// Whether a failed write is tried again; otherwise the replica stops, so that an operator looks at its disk.
+    pub retry_writes: bool,
 }
 
 impl Settings {
@@ -53,6 +63,11 @@
             election_max: Duration::from_millis(800),
             snapshot_entries: 1000,
             tail_entries: 100,
+            snapshot_bytes: usize::MAX,
+            max_voters: usize::MAX,
+            max_voters_per_domain: usize::MAX,
+            replace_after: None,
+            retry_writes: false,
         }
     }
 }
--- a/orioleworks_log/src/state.rs
+++ b/orioleworks_log/src/state.rs
@@ -8,6 +8,7 @@
 use futures_channel::oneshot;
 use orioleworks_proto::inner::{self, command::Kind};
 use orioleworks_rules::log::{self as rules, LogPosition};
+use prost::Message;
 
 use crate::{files::Identity, node::ProposeError};
 
@@ -68,6 +69,8 @@
     pub entries: VecDeque<inner::LogEntry>,
     /// Highest stamp of the log; time never runs backwards, because leases and retentions are computed from it.
     pub stamp: u64,
+    /// Encoded size of `entries`, for the snapshot threshold.
+    pub bytes: usize,
     /// Last synced index.
     pub synced: u64,
     /// Raised whenever entries are removed, so that a running write is not taken for the new entries.
@@ -171,6 +174,7 @@
             self.membership_index = entry.index;
         }
         self.stamp = self.stamp.max(entry.now_ms);
+        self.bytes += entry.encoded_len();
         self.entries.push_back(entry);
     }
 
@@ -178,6 +182,7 @@
     pub fn truncate_from(&mut self, index: u64) {
         let keep = index.saturating_sub(self.base.index + 1);
         self.entries.truncate(usize::try_from(keep).unwrap_or(0));
+        self.bytes = self.entries.iter().map(Message::encoded_len).sum();
         self.synced = self.synced.min(index - 1);
         self.generation += 1;
         self.rewrite = true;
@@ -188,7 +193,9 @@
     pub fn forget_through(&mut self, index: u64) {
         let Some(term) = self.term_at(index) else { return };
         while self.entries.front().is_some_and(|entry| entry.index <= index) {
-            self.entries.pop_front();
+            let forgotten = self.entries.pop_front();
+            let bytes = forgotten.map_or(0, |entry| entry.encoded_len());
+            self.bytes = self.bytes.saturating_sub(bytes);
         }
         self.base = LogPosition { term, index };
         self.generation += 1;
--- a/orioleworks_routing/src/lib.rs
+++ b/orioleworks_routing/src/lib.rs
@@ -7,8 +7,13 @@
 pub mod affinity;
 pub mod budget;
 pub mod choice;
+pub mod fleet;
+pub mod items;
 pub mod limit;
 pub mod members;
+pub mod outlier;
 pub mod queue;
+pub mod routes;
 pub mod spread;
 pub mod suspects;
+pub mod versions;
--- a/orioleworks_settings/src/lib.rs
+++ b/orioleworks_settings/src/lib.rs
@@ -3,7 +3,11 @@
 //! Every refusal names the file, the line, the key path and what is accepted there, so that an operator can mend the
 //! file without reading code. See `docs/operators.md`.
 
-use std::{fmt, fs, ops::RangeInclusive, path::Path};
+use std::{
+    fmt, fs,
+    ops::RangeInclusive,
+    path::{Path, PathBuf},
+};
 
 use displaydoc::Display;
 use jsonc_parser::{CollectOptions, ParseOptions, ast};
@@ -84,6 +88,14 @@
     fn check(&self, problems: &mut Problems);
 }
 
+/// Variable that names the settings file where the command line does not.
+const PATH_VARIABLE: &str = "ORIOLEWORKS_NODE_FILE";
+
+/// Path of the settings file that the environment names.
+pub fn path_from_environment() -> Option<PathBuf> {
+    std::env::var_os(PATH_VARIABLE).map(PathBuf::from)
+}
+
 /// Reads and checks a settings file.
 ///
 /// # Errors
--- a/orioleworks_standins/src/capacity_fakes.rs
+++ b/orioleworks_standins/src/capacity_fakes.rs
@@ -1,6 +1,6 @@
 //! Small stand-ins in one process: entries that watch, upstreams that announce and answer, peers that send digests.
 
-use std::{cell::Cell, convert::Infallible, io, rc::Rc, time::Duration};
+use std::{cell::Cell, io, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use compio::{runtime, time};
@@ -215,7 +215,7 @@
 async fn send_stream(
     completion: Completion,
     stream: Stream,
-    mut tx: mpsc::Sender<Result<Frame<Bytes>, Infallible>>,
+    mut tx: mpsc::Sender<Result<Frame<Bytes>, io::Error>>,
     (answered, tokens): (Rc<Cell<u64>>, Rc<Cell<u64>>),
 ) {
     let mut left = completion.max_tokens;
--- a/orioleworks_standins/src/engine_stream.rs
+++ b/orioleworks_standins/src/engine_stream.rs
@@ -1,6 +1,6 @@
 //! Token streams of the stand-in engine: server-sent events with continuous batching.
 
-use std::{convert::Infallible, rc::Rc, time::Duration};
+use std::{io, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_channel::mpsc;
@@ -20,7 +20,7 @@
 /// Part of the time to the first token that a cached prefix leaves.
 const CACHED_PREFILL: f64 = 0.1;
 
-type Sender = mpsc::Sender<Result<Frame<Bytes>, Infallible>>;
+type Sender = mpsc::Sender<Result<Frame<Bytes>, io::Error>>;
 
 #[derive(Serialize)]
 struct Choice {
--- a/orioleworks_standins/src/service.rs
+++ b/orioleworks_standins/src/service.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::RefCell,
-    convert::Infallible,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -269,7 +268,7 @@
 fn cut(answer: &Echo) -> Response {
     let bytes = serde_json::to_vec(answer).unwrap_or_default();
     let half = Bytes::copy_from_slice(&bytes[..bytes.len() / 2]);
-    let frames = stream::iter([Ok::<_, Infallible>(Frame::data(half))]);
+    let frames = stream::iter([Ok::<_, std::io::Error>(Frame::data(half))]);
     let mut response = ::http::Response::new(StreamBody::new(frames).boxed_unsync());
     response.headers_mut().insert(::http::header::CONTENT_LENGTH, bytes.len().into());
     response
--- /dev/null
+++ b/orioleworks_store/src/app.rs
@@ -0,0 +1,121 @@
+//! Start, wiring and graceful shutdown of the store daemon.
+
+use std::{path::PathBuf, time::Duration};
+
+use compio::runtime::{self, Runtime};
+use futures_util::{FutureExt, select};
+use orioleworks_daemon::{event, http, logging, metrics, reload, rpc, shutdown::Shutdown};
+use orioleworks_proto::codes::exit;
+use orioleworks_settings as settings;
+use tokio_util::sync::CancellationToken;
+
+use crate::{cli, config::Config, control, service::Store};
+
+/// Longest graceful shutdown; hand-over of leadership takes up to 1 s of it.
+const SHUTDOWN_DEADLINE: Duration = Duration::from_secs(5);
+/// Time for which replies that are being written may finish.
+const REPLY_GRACE: Duration = Duration::from_millis(300);
+
+/// Runs the daemon and returns its exit code.
+pub fn run(options: &cli::Options) -> i32 {
+    if options.version {
+        println!("orioleworks-store {}", env!("CARGO_PKG_VERSION"));
+        return exit::OK;
+    }
+    let Some(path) = options.config.clone().or_else(settings::path_from_environment) else {
+        eprintln!("option --config is required; see --help");
+        return exit::SETTINGS;
+    };
+    let cfg: Config = match settings::load(&path) {
+        Ok(cfg) => cfg,
+        Err(e) => {
+            eprintln!("{e}");
+            return exit::SETTINGS;
+        }
+    };
+    if options.check {
+        println!("{}: settings are valid", path.display());
+        return exit::OK;
+    }
+    logging::start(&cfg.log.filter);
+    match Runtime::new() {
+        Ok(runtime) => runtime.block_on(serve(cfg, path)),
+        Err(e) => {
+            eprintln!("the runtime cannot be started: {e}");
+            exit::FAILED
+        }
+    }
+}
+
+async fn serve(cfg: Config, path: PathBuf) -> i32 {
+    let handle = metrics::install();
+    let token = CancellationToken::new();
+    let shutdown = Shutdown::default();
+    shutdown.watch_signals(SHUTDOWN_DEADLINE);
+    let listeners = (
+        http::bind(&cfg.inner_address().to_string()).await,
+        http::bind(&cfg.listen.control.to_string()).await,
+    );
+    let (inner_listener, control_listener) = match listeners {
+        (Ok(inner), Ok(control)) => (inner, control),
+        (Err(e), _) | (_, Err(e)) => {
+            eprintln!("listen: {e}");
+            return exit::LISTEN;
+        }
+    };
+    let name = cfg.instance.name.clone();
+    let store = match Store::open(cfg, token.clone()) {
+        Ok(store) => store,
+        Err(e) => {
+            event!(error, "data_refused", reason = e);
+            eprintln!("{e}");
+            return exit::DATA;
+        }
+    };
+    let member_id = format!("{:016x}", store.log().status().member_id);
+    event!(info, "store_started", name = name, member_id = member_id);
+    let answering = store.clone();
+    let handler = move |body| {
+        let store = answering.clone();
+        async move { store.handle(body).await }
+    };
+    runtime::spawn(rpc::serve(inner_listener, token.clone(), handler)).detach();
+    let answering = store.clone();
+    let calls = move |req: http::Request| {
+        let (store, handle) = (answering.clone(), handle.clone());
+        async move {
+            let ready = if store.log().is_current() { Ok(()) } else { Err("no leader is known") };
+            match http::platform_endpoint(&req, ready, || handle.render()) {
+                Some(response) => response,
+                None => control::answer(store, req).await,
+            }
+        }
+    };
+    let http = http::serve(control_listener, control::limits(), shutdown.clone(), calls);
+    runtime::spawn(http).detach();
+    let reloading = store.clone();
+    reload::watch(path, token.clone(), move |cfg: Config| reloading.set_seeds(&cfg));
+    store.start(&token);
+    wait(&store, &shutdown).await
+}
+
+async fn wait(store: &Store, shutdown: &Shutdown) -> i32 {
+    let mut drained = std::pin::pin!(shutdown.drain.cancelled().fuse());
+    let mut failed = std::pin::pin!(store.log().stopped().fuse());
+    select! {
+        () = drained => {
+            let mut handed = std::pin::pin!(store.log().hand_over().fuse());
+            let mut stop = std::pin::pin!(shutdown.stop.cancelled().fuse());
+            select! { () = handed => (), () = stop => () }
+            compio::time::sleep(REPLY_GRACE).await;
+            event!(info, "store_stopped");
+            exit::OK
+        }
+        () = failed => {
+            if let Some(reason) = store.log().failure() {
+                eprintln!("{reason}");
+            }
+            exit::DATA
+        }
+    }
+}
--- /dev/null
+++ b/orioleworks_store/src/config.rs
@@ -0,0 +1,177 @@
+//! Settings of the store daemon, one struct for each section.
+
+use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+
+use orioleworks_settings::{Problems, Settings};
+use serde::Deserialize;
+
+/// Settings file of a store.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// Which instance this is.
+    pub instance: Instance,
+    /// Where it listens.
+    pub listen: Listen,
+    /// The other stores.
+    pub cluster: Cluster,
+    /// Own state on disk.
+    pub data: Data,
+    /// Batches and their items.
+    #[serde(default)]
+    pub batches: Batches,
+    /// Orders to engines.
+    #[serde(default)]
+    pub orders: Orders,
+    /// Log output.
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// Name and place of the instance.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Instance {
+    /// Unique name.
+    pub name: Arc<str>,
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+}
+
+/// Addresses of the process.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// HTTP for operators, trainers and upstreams.
+    pub control: SocketAddr,
+    /// Port of the inner protocol, on the IP of `control`.
+    pub inner_port: u16,
+}
+
+/// The other stores.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cluster {
+    /// Control addresses of some stores; those that found a new cluster are among them.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether the cluster is started for the first time.
+    #[serde(default)]
+    pub bootstrap: bool,
+    /// Stores that may be lost at the same time.
+    #[serde(default = "default_tolerated_losses")]
+    pub tolerated_losses: usize,
+}
+
+/// State on disk.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Data {
+    /// Directory of vote record, log and snapshot.
+    pub directory: PathBuf,
+}
+
+/// Batches and their items.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Batches {
+    /// Time from the submission for which results stay readable, in seconds.
+    pub status_retention_s: u32,
+}
+
+/// Orders to engines.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Orders {
+    /// Time for which a new leader waits before its first order, in milliseconds.
+    pub lease_ms: u64,
+}
+
+/// Log output.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// Filter in the syntax of `env_logger`.
+    pub filter: String,
+}
+
+/// One instance or one failure domain is the smallest loss that a replicated store is built for.
+fn default_tolerated_losses() -> usize {
+    1
+}
+
+impl Default for Batches {
+    fn default() -> Self {
+        // The platform's operators read results for two minutes.
+        Self { status_retention_s: 120 }
+    }
+}
+
+impl Default for Orders {
+    fn default() -> Self {
+        // Engines take orders of one holder for this time after its last one.
+        Self { lease_ms: 3000 }
+    }
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self { filter: "info".into() }
+    }
+}
+
+impl Settings for Config {
+    fn check(&self, problems: &mut Problems) {
+        let named = !self.instance.name.is_empty();
+        problems.require("instance.name", named, "a name that no other instance has");
+        problems.range("cluster.seeds", self.cluster.seeds.len(), 1..=64, "addresses");
+        let losses = self.cluster.tolerated_losses;
+        problems.range("cluster.tolerated_losses", losses, 0..=3, "stores");
+        problems.range("listen.inner_port", self.listen.inner_port, 1..=u16::MAX, "");
+        let retention = self.batches.status_retention_s;
+        problems.range("batches.status_retention_s", retention, 1..=86_400, "s");
+        problems.range("orders.lease_ms", self.orders.lease_ms, 100..=60_000, "ms");
+    }
+}
+
+impl Config {
+    /// Address of the inner protocol.
+    pub fn inner_address(&self) -> SocketAddr {
+        SocketAddr::new(self.listen.control.ip(), self.listen.inner_port)
+    }
+
+    /// Inner addresses of the seeds; all stores use the same port.
+    pub fn seed_addresses(&self) -> impl Iterator<Item = String> + use<> {
+        let port = self.listen.inner_port;
+        let seeds = self.cluster.seeds.clone().into_iter();
+        seeds.map(move |seed| SocketAddr::new(seed.ip(), port).to_string())
+    }
+
+    /// The seeds as replicas to found with or to join.
+    pub fn replicas(&self) -> Vec<orioleworks_log::Replica> {
+        let replica = |address: String| orioleworks_log::Replica { name: address.clone(), address };
+        self.seed_addresses().map(replica).collect()
+    }
+
+    /// Settings of the replicated log.
+    pub fn log_settings(&self) -> orioleworks_log::Settings {
+        /// A step's results are some megabytes; more would only lengthen a restart.
+        const SNAPSHOT_BYTES: usize = 24 * 1024 * 1024;
+        /// A store that is down for its usual restart of seconds keeps its place; a lost one is replaced soon after.
+        const REPLACE_AFTER: Duration = Duration::from_secs(5);
+        let own = self.inner_address().to_string();
+        let losses = self.cluster.tolerated_losses.max(1);
+        let founder = self.seed_addresses().any(|seed| seed == own);
+        orioleworks_log::Settings {
+            domain: self.instance.failure_domain.to_string(),
+            replicas: self.replicas(),
+            bootstrap: self.cluster.bootstrap && founder,
+            snapshot_entries: 4000,
+            snapshot_bytes: SNAPSHOT_BYTES,
+            max_voters: 2 * losses + 1,
+            max_voters_per_domain: losses,
+            replace_after: Some(REPLACE_AFTER),
+            retry_writes: true,
+            ..orioleworks_log::Settings::new(&self.instance.name, &own, &self.data.directory)
+        }
+    }
+}
--- /dev/null
+++ b/orioleworks_store/src/control.rs
@@ -0,0 +1,96 @@
+//! HTTP interface for operators, trainers and upstreams.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use orioleworks_daemon::{event, http};
+use orioleworks_platform::{
+    DecodeError,
+    control::{self, ControlCall},
+};
+use orioleworks_proto::{codes::ResultCode, inner::command::Kind};
+
+use crate::service::Store;
+
+/// Time for which a call is worked on; its sender asks another store after a second.
+const CALL_TIME: Duration = Duration::from_millis(900);
+
+/// Bounds of the HTTP server.
+pub fn limits() -> http::Limits {
+    /// Largest route document that the operator may send.
+    const BODY_BYTES: usize = 32 * 1024 * 1024;
+    http::Limits { body_bytes: BODY_BYTES, ..http::Limits::default() }
+}
+
+/// Answers one call.
+pub async fn answer(store: Store, req: http::Request) -> http::Response {
+    let (head, body) = req.into_parts();
+    let body = match http::read_body(body, &limits()).await {
+        Ok(body) => body,
+        Err(code) => return http::error(code, "", 0),
+    };
+    match control::decode(&head.method, head.uri.path(), &body) {
+        Ok(call) => run(&store, call).await,
+        Err(DecodeError::UnknownCall) => http::error(ResultCode::UnknownPath, head.uri.path(), 0),
+        Err(e) => {
+            event!(info, "call_refused", path = head.uri.path(), reason = e);
+            http::error(ResultCode::BadRequest, &e.to_string(), 0)
+        }
+    }
+}
+
+async fn run(store: &Store, call: ControlCall) -> http::Response {
+    match call {
+        ControlCall::Announce(up) => {
+            store.announce(up);
+            done()
+        }
+        ControlCall::Leave { id, incarnation } => {
+            store.leave(&id, incarnation);
+            done()
+        }
+        ControlCall::PutDocument(document) => {
+            let version = document.version;
+            let code = store.propose(Kind::PutDocument(document), CALL_TIME).await;
+            event!(info, "document_put", version = version, outcome = code.name());
+            outcome(code)
+        }
+        ControlCall::ReadDocument => match store.read_document(CALL_TIME).await {
+            Ok(document) if document.version > 0 => {
+                http::whole(200, "application/json", document.content)
+            }
+            Ok(_) => http::error(ResultCode::NotReady, "no route document was put yet", 0),
+            Err(code) => outcome(code),
+        },
+        ControlCall::BeginRetirement(name) => {
+            let code = store.propose(Kind::RetireStore(name.clone()), CALL_TIME).await;
+            event!(info, "retirement_begun", store = name, outcome = code.name());
+            outcome(code)
+        }
+        ControlCall::ReadRetirement(name) => match store.retirement(&name) {
+            Some(complete) => http::json(200, &control::retirement(complete)),
+            None => outcome(ResultCode::UnknownObject),
+        },
+        ControlCall::NameVersion(named) => {
+            let (model, version) = (named.model.clone(), named.version);
+            let code = store.propose(Kind::PublishVersion(named), CALL_TIME).await;
+            event!(info, "version_named", model = model, version = version, outcome = code.name());
+            outcome(code)
+        }
+    }
+}
+
+fn done() -> http::Response {
+    http::whole(200, "application/json", Bytes::from_static(b"{}"))
+}
+
+fn outcome(code: ResultCode) -> http::Response {
+    if code == ResultCode::Ok {
+        return done();
+    }
+    let mut response = http::error(code, "", 0);
+    if let Ok(status) = ::http::StatusCode::from_u16(control::status(code)) {
+        *response.status_mut() = status;
+    }
+    response
+}
--- /dev/null
+++ b/orioleworks_store/src/dispatch.rs
@@ -0,0 +1,466 @@
+//! Runs the items of open batches while this store leads.
+//!
+//! Only the leader runs items, and a result counts once it is committed under the leader's term. So a leader that was
+//! frozen or cut off can add nothing to a batch that its successor works on. See `docs/platform.md`.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap, HashSet},
+    rc::Rc,
+    time::Duration,
+};
+
+use compio::runtime;
+use futures_util::{FutureExt, future, select};
+use indexmap::IndexMap;
+use orioleworks_daemon::{clock, event};
+use orioleworks_fleet::pool::Pool;
+use orioleworks_log::{Log, ProposeError, notify::Notify};
+use orioleworks_proto::inner::{self, command::Kind};
+use orioleworks_routing::{
+    fleet::{Fleet, Upstream},
+    items::{self, Rank},
+    outlier::Key,
+    routes::RouteTable,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    engines::{Engines, key_of},
+    runner::{self, Progress, Run, RunEnd, Sign},
+    state::State,
+};
+
+/// Longest time between two looks at the queue; what matters wakes the loop at once.
+const TICK: Duration = Duration::from_millis(100);
+/// Time beyond its retention after which an item is given up; covers steps of the wall clock, which stamps the
+/// submission.
+const GIVE_UP_SLACK: Duration = Duration::from_secs(10);
+/// Silence of an engine that loads weights after which an item goes on elsewhere.
+const LOADING_STALL: Duration = Duration::from_secs(4);
+
+type ItemKey = (Rc<str>, Rc<str>);
+
+struct Waiting {
+    key: ItemKey,
+    batch: Rc<inner::Batch>,
+    item: Rc<inner::BatchItem>,
+    give_up_at: Duration,
+    progress: Progress,
+    failed: u32,
+}
+
+#[derive(Default)]
+struct Work {
+    waiting: BTreeMap<Rank, Waiting>,
+    running: HashMap<ItemKey, CancellationToken>,
+    /// Batches whose items were taken in.
+    known: HashSet<Rc<str>>,
+    results: IndexMap<Rc<str>, inner::RecordResults>,
+    next_sequence: u64,
+}
+
+struct Inner {
+    log: Log,
+    state: Rc<RefCell<State>>,
+    fleet: Rc<RefCell<Fleet>>,
+    table: Rc<RefCell<Rc<RouteTable>>>,
+    engines: Rc<RefCell<Engines>>,
+    pool: Pool,
+    work: RefCell<Work>,
+    wake: Notify,
+    recorded: Notify,
+    term: Cell<u64>,
+}
+
+/// Dispatcher of batch items; clones share it.
+#[derive(Clone)]
+pub struct Dispatch {
+    inner: Rc<Inner>,
+}
+
+impl std::fmt::Debug for Dispatch {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Dispatch").finish_non_exhaustive()
+    }
+}
+
+impl Dispatch {
+    /// Dispatcher over the state of a store; `wake` is notified when state, fleet or engines change.
+    pub fn new(
+        log: Log,
+        state: Rc<RefCell<State>>,
+        fleet: Rc<RefCell<Fleet>>,
+        table: Rc<RefCell<Rc<RouteTable>>>,
+        engines: Rc<RefCell<Engines>>,
+        pool: Pool,
+        wake: Notify,
+    ) -> Self {
+        let inner = Inner {
+            log,
+            state,
+            fleet,
+            table,
+            engines,
+            pool,
+            work: RefCell::default(),
+            wake,
+            recorded: Notify::default(),
+            term: Cell::new(0),
+        };
+        Self { inner: Rc::new(inner) }
+    }
+
+    /// Starts the tasks; they end with the token.
+    pub fn start(&self, token: &CancellationToken) {
+        let (this, stop) = (self.clone(), token.clone());
+        runtime::spawn(async move { this.dispatch_loop(stop).await }).detach();
+        let (this, stop) = (self.clone(), token.clone());
+        runtime::spawn(async move { this.record_loop(stop).await }).detach();
+    }
+
+    async fn dispatch_loop(&self, token: CancellationToken) {
+        while !token.is_cancelled() {
+            let seen = self.inner.wake.version();
+            match self.inner.log.leading_term() {
+                Some(term) => {
+                    if self.inner.term.replace(term) != term {
+                        self.drop_work("term_started");
+                    }
+                    self.take_in();
+                    self.drop_ended();
+                    self.place_waiting();
+                }
+                None => {
+                    if self.inner.term.replace(0) != 0 {
+                        self.drop_work("leadership_lost");
+                    }
+                }
+            }
+            self.inner.wake.changed_within(seen, TICK).await;
+        }
+    }
+
+    fn drop_work(&self, reason: &str) {
+        let mut work = self.inner.work.borrow_mut();
+        let (waiting, running) = (work.waiting.len(), work.running.len());
+        for cancel in work.running.values() {
+            cancel.cancel();
+        }
+        *work = Work { next_sequence: work.next_sequence, ..Work::default() };
+        event!(info, "items_dropped", reason = reason, waiting = waiting, running = running);
+    }
+
+    /// Queues the items of batches that are new.
+    fn take_in(&self) {
+        let state = self.inner.state.borrow();
+        let mut work = self.inner.work.borrow_mut();
+        for (id, batch) in state.open_batches() {
+            if !work.known.insert(id.clone()) {
+                continue;
+            }
+            let age = Duration::from_millis(clock::unix_ms().saturating_sub(batch.submitted_ms));
+            let submitted = clock::since_boot().saturating_sub(age);
+            let ms = |ms: u32| Duration::from_millis(ms.into());
+            let due = submitted + ms(batch.spec.completion_ms);
+            let give_up_at = submitted + ms(batch.spec.retention_ms) + GIVE_UP_SLACK;
+            let unlisted = batch.items.iter().filter(|(_, item)| !item.listed);
+            let mut count = 0_usize;
+            for (item_id, item) in unlisted {
+                work.next_sequence += 1;
+                let expected = item.spec.expected_tokens;
+                let rank = Rank::new(batch.spec.priority, due, expected, work.next_sequence);
+                let waiting = Waiting {
+                    key: (id.clone(), item_id.clone()),
+                    batch: batch.spec.clone(),
+                    item: item.spec.clone(),
+                    give_up_at,
+                    progress: Progress::default(),
+                    failed: item.failed_attempts,
+                };
+                work.waiting.insert(rank, waiting);
+                count += 1;
+            }
+            event!(
+                info,
+                "batch_queued",
+                batch = id,
+                items = count,
+                listed = batch.results.len(),
+                model = batch.spec.model,
+                min_version = batch.spec.min_version,
+                step = batch.spec.step,
+                age_ms = age.as_millis(),
+            );
+        }
+    }
+
+    /// Cancels the items of batches that were ended or forgotten.
+    fn drop_ended(&self) {
+        let state = self.inner.state.borrow();
+        let mut work = self.inner.work.borrow_mut();
+        let over = |id: &str| state.batch(id).is_none_or(|batch| batch.ended);
+        let gone: Vec<Rc<str>> = work.known.iter().filter(|id| over(id)).cloned().collect();
+        for id in gone {
+            work.known.remove(&id);
+            let waiting = work.waiting.len();
+            work.waiting.retain(|_, w| w.key.0 != id);
+            let waiting = waiting - work.waiting.len();
+            let running: Vec<ItemKey> =
+                work.running.keys().filter(|key| key.0 == id).cloned().collect();
+            let cancelled = running.iter().filter_map(|key| work.running.remove(key));
+            let running = cancelled.map(|cancel| cancel.cancel()).count();
+            event!(info, "batch_closed", batch = id, waiting = waiting, running = running);
+        }
+    }
+
+    fn place_waiting(&self) {
+        let now = clock::since_boot();
+        let mut work = self.inner.work.borrow_mut();
+        let expired: Vec<Rank> =
+            work.waiting.iter().filter(|(_, w)| w.give_up_at <= now).map(|(r, _)| *r).collect();
+        for rank in expired {
+            if let Some(waiting) = work.waiting.remove(&rank) {
+                event!(
+                    warn,
+                    "item_given_up",
+                    item = waiting.key.1,
+                    batch = waiting.key.0,
+                    reason = "retention"
+                );
+                add_result(&mut work, &waiting.key, None);
+            }
+        }
+        // Items of one batch that fit nowhere say the same of the rest of it.
+        let mut full: HashSet<Rc<str>> = HashSet::new();
+        let ranks: Vec<Rank> = work.waiting.keys().copied().collect();
+        for rank in ranks {
+            let Some(waiting) = work.waiting.get(&rank) else { continue };
+            if full.contains(&waiting.key.0) {
+                continue;
+            }
+            match self.choose(waiting, now) {
+                Some(upstream) => {
+                    if let Some(waiting) = work.waiting.remove(&rank) {
+                        self.start_item(&mut work, rank, waiting, upstream);
+                    }
+                }
+                None => {
+                    full.insert(waiting.key.0.clone());
+                }
+            }
+        }
+        if !work.results.is_empty() {
+            self.inner.recorded.notify();
+        }
+    }
+
+    fn choose(&self, waiting: &Waiting, now: Duration) -> Option<Rc<Upstream>> {
+        let fleet = self.inner.fleet.borrow();
+        let engines = self.inner.engines.borrow();
+        let table = self.inner.table.borrow();
+        let service = table.service(&waiting.batch.service);
+        let memory = service.and_then(|s| s.engine.as_ref()).map_or(0, |e| e.memory_tokens);
+        let batch = &waiting.batch;
+        let mut found: Vec<(Rc<Upstream>, bool, items::EngineLoad)> = fleet
+            .serving(&batch.service, now)
+            .filter_map(|known| {
+                let group = &waiting.item.group;
+                let load =
+                    engines.load_for(known, &batch.model, batch.min_version, group, memory, now)?;
+                Some((known.upstream.clone(), known.is_fresh(now), load))
+            })
+            .collect();
+        if found.iter().any(|(_, fresh, _)| *fresh) {
+            found.retain(|(_, fresh, _)| *fresh);
+        }
+        let loads: Vec<items::EngineLoad> = found.iter().map(|(_, _, load)| *load).collect();
+        let at = items::place(&loads, waiting.item.tokens.into())?;
+        Some(found[at].0.clone())
+    }
+
+    fn start_item(&self, work: &mut Work, rank: Rank, waiting: Waiting, upstream: Rc<Upstream>) {
+        let key = key_of(&upstream);
+        let tokens = u64::from(waiting.item.tokens);
+        self.inner.engines.borrow_mut().started(&key, tokens, &waiting.item.group);
+        let cancel = CancellationToken::new();
+        work.running.insert(waiting.key.clone(), cancel.clone());
+        let (this, term) = (self.clone(), self.inner.term.get());
+        runtime::spawn(
+            async move { this.run_item(rank, waiting, upstream, key, cancel, term).await },
+        )
+        .detach();
+    }
+
+    async fn run_item(
+        &self,
+        rank: Rank,
+        mut waiting: Waiting,
+        upstream: Rc<Upstream>,
+        key: Key,
+        cancel: CancellationToken,
+        term: u64,
+    ) {
+        let (batch, item) = (waiting.batch.clone(), waiting.item.clone());
+        let version = self.inner.engines.borrow().version(&upstream, &batch.model);
+        if !waiting.progress.can_go_on(batch.single_version, version) {
+            waiting.progress.clear();
+        }
+        let run = Run { upstream, key: key.clone(), batch, item };
+        let end = {
+            let sign = |sign: Sign| self.note(&run, sign);
+            let stall = || self.stall(&run);
+            let mut running = Box::pin(
+                runner::run(&self.inner.pool, &run, &mut waiting.progress, sign, stall).fuse(),
+            );
+            let mut cancelled = std::pin::pin!(cancel.cancelled().fuse());
+            select! { end = running => Some(end), () = cancelled => None }
+        };
+        self.inner.engines.borrow_mut().ended(&key, waiting.item.tokens.into());
+        if let Some(end) = end.filter(|_| self.inner.term.get() == term) {
+            self.settle(rank, waiting, &run, end);
+        }
+        self.inner.wake.notify();
+    }
+
+    fn note(&self, run: &Run, sign: Sign) {
+        let mut engines = self.inner.engines.borrow_mut();
+        match sign {
+            Sign::Event(gap) => engines.event(&run.key, gap),
+            Sign::Version(version) => engines.saw_version(&run.key, &run.batch.model, version),
+        }
+    }
+
+    fn stall(&self, run: &Run) -> Duration {
+        let loads = self.inner.engines.borrow().loading(&run.key).is_some();
+        if loads { LOADING_STALL } else { runner::STALL }
+    }
+
+    fn settle(&self, rank: Rank, mut waiting: Waiting, run: &Run, end: RunEnd) {
+        let now = clock::since_boot();
+        let mut work = self.inner.work.borrow_mut();
+        work.running.remove(&waiting.key);
+        metrics::counter!("orioleworks_item_runs_total", "outcome" => outcome(&end)).increment(1);
+        match &end {
+            RunEnd::Completed => {
+                let (text, versions) = (waiting.progress.text(), waiting.progress.versions());
+                add_result(&mut work, &waiting.key, Some((text, versions)));
+                self.inner.recorded.notify();
+                return;
+            }
+            RunEnd::Impossible => {
+                event!(
+                    warn,
+                    "item_given_up",
+                    item = waiting.key.1,
+                    batch = waiting.key.0,
+                    reason = "impossible",
+                    upstream = run.upstream.id
+                );
+                add_result(&mut work, &waiting.key, None);
+                self.inner.recorded.notify();
+                return;
+            }
+            RunEnd::Failed => {
+                waiting.failed += 1;
+                let failed =
+                    inner::FailedAttempts { id: waiting.key.1.to_string(), count: waiting.failed };
+                record_of(&mut work, &waiting.key.0).failed.push(failed);
+                if waiting.failed >= waiting.batch.max_attempts {
+                    event!(
+                        warn,
+                        "item_given_up",
+                        item = waiting.key.1,
+                        batch = waiting.key.0,
+                        reason = "attempts",
+                        attempts = waiting.failed
+                    );
+                    add_result(&mut work, &waiting.key, None);
+                    self.inner.recorded.notify();
+                    return;
+                }
+            }
+            RunEnd::NotRun | RunEnd::WrongVersion => {
+                self.inner.engines.borrow_mut().refused(&run.key, now);
+            }
+            RunEnd::Lost(_) => self.inner.engines.borrow_mut().pause(&run.key, now),
+        }
+        let reason = match &end {
+            RunEnd::Lost(reason) => reason.as_str(),
+            other => outcome(other),
+        };
+        event!(
+            info,
+            "item_requeued",
+            item = waiting.key.1,
+            batch = waiting.key.0,
+            upstream = run.upstream.id,
+            events = waiting.progress.events(),
+            reason = reason,
+        );
+        if work.known.contains(&waiting.key.0) {
+            work.waiting.insert(rank, waiting);
+        }
+    }
+
+    /// Commits results as they come; those that come during a commit go into the next one.
+    async fn record_loop(&self, token: CancellationToken) {
+        while !token.is_cancelled() {
+            let seen = self.inner.recorded.version();
+            let records = std::mem::take(&mut self.inner.work.borrow_mut().results);
+            if records.is_empty() {
+                self.inner.recorded.changed_within(seen, TICK).await;
+                continue;
+            }
+            let term = self.inner.term.get();
+            future::join_all(records.into_values().map(|record| self.record(record, term))).await;
+        }
+    }
+
+    async fn record(&self, record: inner::RecordResults, term: u64) {
+        let kind = Some(Kind::RecordResults(record.clone()));
+        let command = inner::Command { expected_revision: None, kind };
+        let (id, count) = (record.batch_id.clone(), record.results.len());
+        match self.inner.log.propose("", command).await {
+            Ok(_) => {}
+            Err(ProposeError::NotLeader) => {
+                event!(info, "results_dropped", batch = id, results = count, reason = "not_leader");
+            }
+            Err(e) => {
+                event!(warn, "results_unconfirmed", batch = id, results = count, reason = e);
+                let mut work = self.inner.work.borrow_mut();
+                if self.inner.term.get() == term {
+                    let again = record_of(&mut work, &Rc::from(record.batch_id.as_str()));
+                    again.results.extend(record.results);
+                    again.failed.extend(record.failed);
+                }
+            }
+        }
+    }
+}
+
+fn record_of<'a>(work: &'a mut Work, batch: &Rc<str>) -> &'a mut inner::RecordResults {
+    work.results.entry(batch.clone()).or_insert_with(|| inner::RecordResults {
+        batch_id: batch.to_string(),
+        ..Default::default()
+    })
+}
+
+/// Adds the result of an item; `None` for one that was given up.
+fn add_result(work: &mut Work, key: &ItemKey, done: Option<(bytes::Bytes, Vec<u64>)>) {
+    let completed = done.is_some();
+    let (text, versions) = done.unwrap_or_default();
+    let result = inner::ItemResult { id: key.1.to_string(), completed, text, versions };
+    record_of(work, &key.0).results.push(result);
+}
+
+fn outcome(end: &RunEnd) -> &'static str {
+    match end {
+        RunEnd::Completed => "completed",
+        RunEnd::Impossible => "impossible",
+        RunEnd::Failed => "failed",
+        RunEnd::NotRun => "not_run",
+        RunEnd::WrongVersion => "wrong_version",
+        RunEnd::Lost(_) => "lost",
+    }
+}
--- /dev/null
+++ b/orioleworks_store/src/engines.rs
@@ -0,0 +1,155 @@
+//! What the leader knows of engines from its own requests and orders.
+
+use std::{rc::Rc, time::Duration};
+
+use indexmap::{IndexMap, IndexSet};
+use orioleworks_routing::{
+    fleet::{Known, Upstream},
+    items::{EngineLoad, EventTime},
+    outlier::Key,
+};
+
+/// First pause after a failure; a replica that was refused a moment ago is often free again within a step.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause; a returning engine announces itself within two seconds anyway.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// Groups remembered for each engine; more than run on it at a time.
+const MAX_GROUPS: usize = 64;
+
+/// A load that was ordered and is not known to have ended.
+#[derive(Clone, Debug)]
+pub struct Loading {
+    /// Model that is loaded.
+    pub model: Rc<str>,
+    /// Version that is loaded.
+    pub version: u64,
+}
+
+/// What is known of one start of an engine.
+#[derive(Clone, Debug, Default)]
+pub struct Record {
+    running: u32,
+    tokens: u64,
+    event_time: EventTime,
+    paused_until: Duration,
+    failures: u32,
+    versions: IndexMap<Rc<str>, u64>,
+    /// Load in progress.
+    pub loading: Option<Loading>,
+    groups: IndexSet<Rc<str>>,
+}
+
+/// What is known of all engines.
+#[derive(Clone, Debug, Default)]
+pub struct Engines {
+    records: IndexMap<Key, Record>,
+}
+
+/// Key of an upstream.
+pub fn key_of(up: &Upstream) -> Key {
+    (up.id.clone(), up.incarnation)
+}
+
+impl Engines {
+    /// Record of an engine.
+    pub fn record(&mut self, key: &Key) -> &mut Record {
+        self.records.entry(key.clone()).or_default()
+    }
+
+    /// Forgets engines that are not among the given ones and run nothing.
+    pub fn retain(&mut self, keep: impl Fn(&Key) -> bool) {
+        self.records.retain(|key, record| record.running > 0 || keep(key));
+    }
+
+    /// Notes that an item starts.
+    pub fn started(&mut self, key: &Key, tokens: u64, group: &str) {
+        let record = self.record(key);
+        record.running += 1;
+        record.tokens += tokens;
+        record.groups.insert(group.into());
+        if record.groups.len() > MAX_GROUPS {
+            record.groups.shift_remove_index(0);
+        }
+    }
+
+    /// Notes that an item ended.
+    pub fn ended(&mut self, key: &Key, tokens: u64) {
+        let record = self.record(key);
+        record.running = record.running.saturating_sub(1);
+        record.tokens = record.tokens.saturating_sub(tokens);
+    }
+
+    /// Notes the time between two events of a stream.
+    pub fn event(&mut self, key: &Key, gap: Duration) {
+        let record = self.record(key);
+        record.failures = 0;
+        record.event_time.note(gap);
+    }
+
+    /// Leaves an engine out for a while after a failure.
+    pub fn pause(&mut self, key: &Key, now: Duration) {
+        let record = self.record(key);
+        let pause = FIRST_PAUSE * 2_u32.saturating_pow(record.failures.min(8));
+        record.failures += 1;
+        record.paused_until = now + pause.min(LONGEST_PAUSE);
+    }
+
+    /// Leaves an engine out for a short while after it refused an item.
+    pub fn refused(&mut self, key: &Key, now: Duration) {
+        let record = self.record(key);
+        record.paused_until = record.paused_until.max(now + FIRST_PAUSE);
+    }
+
+    /// Notes the weight version that an engine was seen to use.
+    pub fn saw_version(&mut self, key: &Key, model: &str, version: u64) {
+        let record = self.record(key);
+        record.versions.insert(model.into(), version);
+    }
+
+    /// Weight version of a model as the engine announced or showed it, whichever is newer.
+    pub fn version(&self, up: &Upstream, model: &str) -> Option<u64> {
+        let seen = self.records.get(&key_of(up)).and_then(|r| r.versions.get(model).copied());
+        seen.max(up.version_of(model))
+    }
+
+    /// Load that is in progress on an engine.
+    pub fn loading(&self, key: &Key) -> Option<&Loading> {
+        self.records.get(key).and_then(|record| record.loading.as_ref())
+    }
+
+    /// Items that run on an engine.
+    pub fn running(&self, key: &Key) -> u32 {
+        self.records.get(key).map_or(0, |record| record.running)
+    }
+
+    /// Load of an engine for an item of a group; `None` where it may not run the item now.
+    pub fn load_for(
+        &self,
+        known: &Known,
+        model: &str,
+        min_version: u64,
+        group: &str,
+        memory_tokens: u64,
+        now: Duration,
+    ) -> Option<EngineLoad> {
+        let up = &known.upstream;
+        let record = self.records.get(&key_of(up));
+        if record.is_some_and(|r| now < r.paused_until) {
+            return None;
+        }
+        if !model.is_empty() {
+            let loads = record.and_then(|r| r.loading.as_ref()).is_some_and(|l| *l.model == *model);
+            if loads || self.version(up, model).is_none_or(|version| version < min_version) {
+                return None;
+            }
+        }
+        Some(EngineLoad {
+            running: record.map_or(0, |r| r.running),
+            slots: up.slots,
+            tokens: record.map_or(0, |r| r.tokens),
+            memory_tokens,
+            event_ms: record.map_or(EventTime::default(), |r| r.event_time).ms(),
+            holds_prompt: record.is_some_and(|r| r.groups.contains(group)),
+        })
+    }
+}
--- /dev/null
+++ b/orioleworks_store/src/orders.rs
@@ -0,0 +1,347 @@
+//! Orders to engines to load weight versions; given by the leader alone.
+//!
+//! The fencing token is the leader's term, so that it rises with each leader. A new leader waits for a lease before its
+//! first order, and each order is preceded by proof that this store still leads. An order with no answer may be
+//! carried out seconds later; it names the number of orders before it, so that it has no effect once another one came
+//! first. See `docs/platform.md`.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use compio::{runtime, time};
+use displaydoc::Display;
+use http_body_util::Full;
+use orioleworks_daemon::{clock, event};
+use orioleworks_fleet::pool::Pool;
+use orioleworks_log::{Log, notify::Notify};
+use orioleworks_platform::{
+    engine::{self, LoadOrder, Ordered, Report, RunningRequests},
+    upstream,
+};
+use orioleworks_routing::{
+    fleet::{Fleet, Upstream},
+    outlier::Key,
+    versions::{self, Engine, Homes, Load, Model},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    engines::{Engines, Loading, key_of},
+    state::State,
+};
+
+/// Longest time between two plans; what matters wakes the loop at once.
+const TICK: Duration = Duration::from_millis(250);
+/// Longest wait for the answer to a report or an order.
+const ANSWER_TIME: Duration = Duration::from_millis(1000);
+/// Time after an order before the engine is asked for the first time; a load takes about this long.
+const FIRST_LOOK: Duration = Duration::from_millis(950);
+/// Pause between two looks at an engine that loads.
+const NEXT_LOOK: Duration = Duration::from_millis(200);
+/// Time after which a load counts as failed; several times the usual one, and longer than runs that end first.
+const LOAD_TIME: Duration = Duration::from_secs(8);
+/// Pause before an engine that refused an order gets the next one.
+const REFUSED_PAUSE: Duration = Duration::from_millis(500);
+/// Largest body of an answer in bytes.
+const MAX_ANSWER_BYTES: usize = 256 * 1024;
+
+/// Why a load did not come about.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+enum LoadError {
+    /// this store does not lead any more
+    NotLeading,
+    /// a newer holder gave an order
+    Fenced,
+    /// the engine refused it
+    Refused,
+    /// another order is in progress
+    Busy,
+    /// no answer: {0}
+    NoAnswer(String),
+    /// the version did not come into use in time
+    Late,
+}
+
+struct Inner {
+    name: String,
+    lease: Duration,
+    log: Log,
+    state: Rc<RefCell<State>>,
+    fleet: Rc<RefCell<Fleet>>,
+    engines: Rc<RefCell<Engines>>,
+    pool: Pool,
+    wake: Notify,
+    homes: RefCell<Homes>,
+    /// Term in which an engine refused this store because of a newer holder; no more orders are given in it.
+    fenced_term: Cell<u64>,
+}
+
+/// Orders of the leader; clones share them.
+#[derive(Clone)]
+pub struct Orders {
+    inner: Rc<Inner>,
+}
+
+impl std::fmt::Debug for Orders {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Orders").field("name", &self.inner.name).finish_non_exhaustive()
+    }
+}
+
+impl Orders {
+    /// Orders under the name of an instance.
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        name: &str,
+        lease: Duration,
+        log: Log,
+        state: Rc<RefCell<State>>,
+        fleet: Rc<RefCell<Fleet>>,
+        engines: Rc<RefCell<Engines>>,
+        pool: Pool,
+        wake: Notify,
+    ) -> Self {
+        let inner = Inner {
+            name: name.into(),
+            lease,
+            log,
+            state,
+            fleet,
+            engines,
+            pool,
+            wake,
+            homes: RefCell::default(),
+            fenced_term: Cell::new(0),
+        };
+        Self { inner: Rc::new(inner) }
+    }
+
+    /// Starts the task; it ends with the token.
+    pub fn start(&self, token: &CancellationToken) {
+        let (this, token) = (self.clone(), token.clone());
+        runtime::spawn(async move {
+            while !token.is_cancelled() {
+                let seen = this.inner.wake.version();
+                this.order_what_is_due();
+                this.inner.wake.changed_within(seen, TICK).await;
+            }
+        })
+        .detach();
+    }
+
+    /// Term in which orders may be given now.
+    fn ordering_term(&self) -> Option<u64> {
+        let term = self.inner.log.leading_term()?;
+        let waited = self.inner.log.leading_for().is_some_and(|time| time >= self.inner.lease);
+        (waited && self.inner.fenced_term.get() != term).then_some(term)
+    }
+
+    fn order_what_is_due(&self) {
+        let Some(term) = self.ordering_term() else { return };
+        let models = self.models();
+        if models.is_empty() {
+            return;
+        }
+        let (engines, upstreams) = self.engines();
+        let mut homes = self.inner.homes.borrow_mut();
+        homes.assign(&engines, &models);
+        for load in versions::plan(&engines, &models, &homes) {
+            let Some(upstream) = upstreams.iter().find(|up| up.id == load.engine) else { continue };
+            let (key, model, version) = (key_of(upstream), load.model.clone(), load.version);
+            let loading = Loading { model, version };
+            self.inner.engines.borrow_mut().record(&key).loading = Some(loading);
+            let (this, upstream) = (self.clone(), upstream.clone());
+            runtime::spawn(async move { this.load(term, upstream, key, load).await }).detach();
+        }
+    }
+
+    fn models(&self) -> Vec<Model> {
+        let state = self.inner.state.borrow();
+        let models = state.models().iter();
+        let model = |(name, model): (&Rc<str>, &crate::state::ModelState)| Model {
+            name: name.clone(),
+            named: model.named,
+            oldest_allowed: model.named.saturating_sub(model.allowed_lag),
+            demand: model.step_tokens as f64,
+        };
+        models.map(model).collect()
+    }
+
+    /// Engines that take requests, for the plan and for the orders.
+    fn engines(&self) -> (Vec<Engine>, Vec<Rc<Upstream>>) {
+        let now = clock::since_boot();
+        let fleet = self.inner.fleet.borrow();
+        let known = self.inner.engines.borrow();
+        let serving = fleet.all().filter(|k| k.takes_requests(now) && k.is_fresh(now));
+        let upstreams: Vec<Rc<Upstream>> =
+            serving.filter(|k| !k.upstream.models.is_empty()).map(|k| k.upstream.clone()).collect();
+        let engine = |up: &Rc<Upstream>| {
+            let key = key_of(up);
+            let versions = up
+                .models
+                .iter()
+                .map(|(model, _)| (model.clone(), known.version(up, model).unwrap_or(0)));
+            let loading = known.loading(&key);
+            let mut versions: indexmap::IndexMap<Rc<str>, u64> = versions.collect();
+            if let Some(loading) = loading {
+                versions.insert(loading.model.clone(), loading.version);
+            }
+            Engine {
+                id: up.id.clone(),
+                versions,
+                busy: loading.is_some(),
+                running: known.running(&key),
+            }
+        };
+        (upstreams.iter().map(engine).collect(), upstreams)
+    }
+
+    async fn load(&self, term: u64, up: Rc<Upstream>, key: Key, load: Load) {
+        let started = Instant::now();
+        let result = self.load_once(term, &up, &key, &load).await;
+        if result.is_err() {
+            time::sleep(REFUSED_PAUSE).await;
+        }
+        let mut engines = self.inner.engines.borrow_mut();
+        engines.record(&key).loading = None;
+        let outcome = match &result {
+            Ok(()) => {
+                engines.saw_version(&key, &load.model, load.version);
+                "loaded".to_owned()
+            }
+            Err(e) => e.to_string(),
+        };
+        drop(engines);
+        if result == Err(LoadError::Fenced) {
+            self.inner.fenced_term.set(term);
+        }
+        event!(
+            info,
+            "weights_ordered",
+            upstream = up.id,
+            model = load.model,
+            version = load.version,
+            fencing_token = term,
+            ms = started.elapsed().as_millis(),
+            outcome = outcome,
+        );
+        self.inner.wake.notify();
+    }
+
+    async fn load_once(
+        &self,
+        term: u64,
+        up: &Upstream,
+        key: &Key,
+        load: &Load,
+    ) -> Result<(), LoadError> {
+        let report = self.report(up, key).await?;
+        if holds(&report, load) {
+            return Ok(());
+        }
+        if report.busy {
+            return Err(LoadError::Busy);
+        }
+        // The report may have taken long; the order goes out only under proof of leadership.
+        let confirmed = self.inner.log.confirm().await.is_ok();
+        if !confirmed || self.ordering_term() != Some(term) {
+            return Err(LoadError::NotLeading);
+        }
+        let order = LoadOrder {
+            model: &load.model,
+            version: load.version,
+            running: self.running_requests(&load.model),
+            holder: &self.inner.name,
+            fencing_token: term,
+            orders_before: report.orders,
+        };
+        let answer = self.post(up, key, engine::order(&order)).await;
+        metrics::counter!("orioleworks_orders_total").increment(1);
+        match answer {
+            Ok(Ordered::Holds) => return Ok(()),
+            Ok(Ordered::Accepted) => {}
+            Ok(Ordered::Fenced) => return Err(LoadError::Fenced),
+            Ok(Ordered::Busy) => return Err(LoadError::Busy),
+            Ok(Ordered::OtherUpstream | Ordered::Refused) => return Err(LoadError::Refused),
+            // It may be carried out later; the engine shows whether it was.
+            Err(e) => event!(info, "order_unanswered", upstream = up.id, reason = e),
+        }
+        self.wait_for(up, key, load).await
+    }
+
+    /// Streams of a route that allows one version only must end before the weights change.
+    fn running_requests(&self, model: &str) -> RunningRequests {
+        let state = self.inner.state.borrow();
+        let mut own = state.open_batches().filter(|(_, batch)| batch.spec.model == model);
+        let single = own.any(|(_, batch)| batch.spec.single_version);
+        if single { RunningRequests::Finish } else { RunningRequests::Continue }
+    }
+
+    /// Waits until the engine shows the version, by an announcement, an answer or a report.
+    async fn wait_for(&self, up: &Upstream, key: &Key, load: &Load) -> Result<(), LoadError> {
+        let started = Instant::now();
+        time::sleep(FIRST_LOOK).await;
+        while started.elapsed() < LOAD_TIME {
+            let announced = self.inner.fleet.borrow().get(&up.id).map(|k| k.upstream.clone());
+            let current = announced.filter(|now| now.incarnation == up.incarnation);
+            let Some(current) = current else { return Err(LoadError::Refused) };
+            let seen = self.inner.engines.borrow().version(&current, &load.model);
+            if seen.is_some_and(|version| version >= load.version) {
+                return Ok(());
+            }
+            match self.report(up, key).await {
+                Ok(report) if holds(&report, load) => return Ok(()),
+                Ok(_) | Err(LoadError::NoAnswer(_)) => {}
+                Err(e) => return Err(e),
+            }
+            time::sleep(NEXT_LOOK).await;
+        }
+        Err(LoadError::Late)
+    }
+
+    async fn report(&self, up: &Upstream, key: &Key) -> Result<Report, LoadError> {
+        let body = self.call(up, key, http::Method::GET, engine::REPORT_PATH, Bytes::new()).await?;
+        engine::report(&body.1).map_err(|e| LoadError::NoAnswer(e.to_string()))
+    }
+
+    async fn post(&self, up: &Upstream, key: &Key, body: Bytes) -> Result<Ordered, LoadError> {
+        let path = engine::ORDER_PATH;
+        self.call(up, key, http::Method::POST, path, body)
+            .await
+            .map(|(status, _)| engine::ordered(status))
+    }
+
+    async fn call(
+        &self,
+        up: &Upstream,
+        key: &Key,
+        method: http::Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(u16, Bytes), LoadError> {
+        let no_answer = |reason: String| LoadError::NoAnswer(reason);
+        let mut req = http::Request::builder().method(method).uri(path);
+        if let Some(headers) = req.headers_mut() {
+            if let Ok(host) = http::HeaderValue::from_str(&up.address) {
+                headers.insert(http::header::HOST, host);
+            }
+            let json = http::HeaderValue::from_static("application/json");
+            headers.insert(http::header::CONTENT_TYPE, json);
+            upstream::address_to(headers, &up.id, None);
+        }
+        let req = req.body(Full::new(body)).map_err(|e| no_answer(e.to_string()))?;
+        let sent = self.inner.pool.send(&up.address, key, req, ANSWER_TIME).await;
+        let exchange = sent.map_err(|e| no_answer(e.to_string()))?;
+        let status = exchange.head.status.as_u16();
+        let body = exchange.finish(MAX_ANSWER_BYTES, ANSWER_TIME).await;
+        body.map(|body| (status, body)).map_err(|e| no_answer(e.to_string()))
+    }
+}
+
+fn holds(report: &Report, load: &Load) -> bool {
+    report.models.iter().any(|m| m.name == load.model && m.version >= load.version)
+}
--- /dev/null
+++ b/orioleworks_store/src/peers.rs
@@ -0,0 +1,86 @@
+//! Watches the other stores for what was announced to them.
+
+use std::{cell::RefCell, collections::HashSet, rc::Rc, time::Duration};
+
+use compio::{runtime, time};
+use orioleworks_daemon::event;
+use orioleworks_fleet::{
+    stores::Stores,
+    watch::{self, Held, Position},
+};
+use orioleworks_log::{Log, notify::Notify};
+use orioleworks_routing::fleet::Fleet;
+use tokio_util::sync::CancellationToken;
+
+/// Pause after a watch that failed.
+const RETRY: Duration = Duration::from_millis(200);
+/// Pause between two looks at the membership.
+const MEMBERS_TICK: Duration = Duration::from_millis(300);
+
+/// Watches every other store in a task of its own until the token is cancelled.
+pub async fn watch_all(
+    log: Log,
+    stores: Stores,
+    fleet: Rc<RefCell<Fleet>>,
+    wake: Notify,
+    token: CancellationToken,
+) {
+    let watched: Rc<RefCell<HashSet<String>>> = Rc::default();
+    while !token.is_cancelled() {
+        let peers = log.peer_addresses();
+        for address in &peers {
+            if !watched.borrow_mut().insert(address.clone()) {
+                continue;
+            }
+            let (log, stores, fleet) = (log.clone(), stores.clone(), fleet.clone());
+            let (wake, token) = (wake.clone(), token.clone());
+            let (address, watched) = (address.clone(), watched.clone());
+            runtime::spawn(async move {
+                watch_one(&log, &stores, &address, &fleet, &wake, &token).await;
+                watched.borrow_mut().remove(&address);
+            })
+            .detach();
+        }
+        stores.set_members(peers);
+        time::sleep(MEMBERS_TICK).await;
+    }
+}
+
+async fn watch_one(
+    log: &Log,
+    stores: &Stores,
+    address: &str,
+    fleet: &Rc<RefCell<Fleet>>,
+    wake: &Notify,
+    token: &CancellationToken,
+) {
+    let client = stores.client(address);
+    let mut position = Position::default();
+    let mut reached = true;
+    while !token.is_cancelled() && log.peer_addresses().iter().any(|a| a == address) {
+        // The leader is known from the log; a reply that waits for another one would return at once.
+        let held = Held {
+            document_version: u64::MAX,
+            leader_address: log.leader_address(),
+            direct_only: true,
+        };
+        match watch::once(&client, &mut position, held, fleet).await {
+            Ok((_, changed)) => {
+                if !reached {
+                    event!(info, "store_regained", peer = address);
+                }
+                reached = true;
+                if changed {
+                    wake.notify();
+                }
+            }
+            Err(e) => {
+                if reached {
+                    event!(warn, "store_lost", peer = address, reason = e);
+                }
+                reached = false;
+                time::sleep(RETRY).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/orioleworks_store/src/runner.rs
@@ -0,0 +1,217 @@
+//! One run of an item on one engine.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use futures_util::{FutureExt, select};
+use http_body_util::Full;
+use orioleworks_fleet::pool::{Exchange, Pool, SendError};
+use orioleworks_platform::{
+    events::Decoder,
+    upstream::{self, Verdict},
+};
+use orioleworks_proto::inner;
+use orioleworks_routing::{fleet::Upstream, outlier::Key};
+
+/// Silence of an engine after which an item goes on elsewhere: several times the usual gap between events of a slow
+/// engine, and longer than a full batch takes to read its prompts.
+pub const STALL: Duration = Duration::from_millis(1500);
+/// Longest answer to a request that did not run, in bytes.
+const MAX_REFUSAL_BYTES: usize = 64 * 1024;
+/// Longest time for the body of a refusal.
+const REFUSAL_TIME: Duration = Duration::from_millis(500);
+
+/// What has been generated of an item so far.
+#[derive(Clone, Debug, Default)]
+pub struct Progress {
+    events: Vec<Bytes>,
+    last_id: Option<u64>,
+    versions: Vec<u64>,
+}
+
+impl Progress {
+    /// Number of events.
+    pub fn events(&self) -> usize {
+        self.events.len()
+    }
+
+    /// Whole text: the data of all events, separated by line feeds.
+    pub fn text(&self) -> Bytes {
+        if let [only] = self.events.as_slice() {
+            return only.clone();
+        }
+        self.events.join(&b'\n').into()
+    }
+
+    /// Weight versions that generated the text.
+    pub fn versions(&self) -> Vec<u64> {
+        self.versions.clone()
+    }
+
+    /// Whether a run under a weight version may go on from here.
+    pub fn can_go_on(&self, single_version: bool, version: Option<u64>) -> bool {
+        !single_version || self.versions.is_empty() || version.is_some_and(|v| self.versions == [v])
+    }
+
+    /// Forgets everything.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+}
+
+/// How a run ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// The item is complete.
+    Completed,
+    /// The engine says that the item can never be done.
+    Impossible,
+    /// The engine answered with a failure that counts as an attempt.
+    Failed,
+    /// The engine did not run it.
+    NotRun,
+    /// The engine uses weights that the batch does not allow.
+    WrongVersion,
+    /// The connection could not be opened, broke, or fell silent.
+    Lost(String),
+}
+
+/// Parts of a run that stay the same.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Engine that runs it.
+    pub upstream: Rc<Upstream>,
+    /// Key of the engine.
+    pub key: Key,
+    /// Batch of the item.
+    pub batch: Rc<inner::Batch>,
+    /// The item.
+    pub item: Rc<inner::BatchItem>,
+}
+
+/// What a run tells while it goes on.
+#[derive(Clone, Copy, Debug)]
+pub enum Sign {
+    /// An event came this long after the one before.
+    Event(Duration),
+    /// The engine uses a weight version.
+    Version(u64),
+}
+
+/// Runs an item on an engine, from where its progress ends.
+pub async fn run(
+    pool: &Pool,
+    run: &Run,
+    progress: &mut Progress,
+    sign: impl Fn(Sign),
+    stall: impl Fn() -> Duration,
+) -> RunEnd {
+    let head = upstream::item_request(
+        &run.batch.host,
+        &run.item,
+        &run.upstream.id,
+        progress.last_id.filter(|_| !progress.events.is_empty()),
+    );
+    let req = match head.map(|head| head.body(Full::new(run.item.body.clone()))) {
+        Ok(Ok(req)) => req,
+        // No upstream can be sent this item.
+        Ok(Err(_)) | Err(_) => return RunEnd::Impossible,
+    };
+    let sent = pool.send(&run.upstream.address, &run.key, req, stall()).await;
+    let exchange = match sent {
+        Ok(exchange) => exchange,
+        Err(e) => return RunEnd::Lost(e.to_string()),
+    };
+    let (status, headers) = (exchange.head.status, &exchange.head.headers);
+    match upstream::judge(status, headers, &run.item.id) {
+        Verdict::NotRun => return refused(exchange, RunEnd::NotRun).await,
+        Verdict::Foreign => return RunEnd::Lost("the answer belongs to another request".into()),
+        Verdict::Answered => {}
+    }
+    match status.as_u16() {
+        200..=299 => read_events(exchange, run, progress, sign, stall).await,
+        422 => refused(exchange, RunEnd::Impossible).await,
+        500 => refused(exchange, RunEnd::Failed).await,
+        other => refused(exchange, RunEnd::Lost(format!("status {other}"))).await,
+    }
+}
+
+async fn refused(exchange: Exchange, end: RunEnd) -> RunEnd {
+    // The rest of the answer only decides whether the connection can be kept.
+    drop(exchange.finish(MAX_REFUSAL_BYTES, REFUSAL_TIME).await);
+    end
+}
+
+async fn read_events(
+    mut exchange: Exchange,
+    run: &Run,
+    progress: &mut Progress,
+    sign: impl Fn(Sign),
+    stall: impl Fn() -> Duration,
+) -> RunEnd {
+    let mut decoder = Decoder::default();
+    let mut version = upstream::weight_version(&exchange.head.headers);
+    if let Some(version) = version {
+        sign(Sign::Version(version));
+    }
+    let mut last = Instant::now();
+    loop {
+        let part = match next_part(&mut exchange, stall()).await {
+            Ok(part) => part,
+            Err(e) => return RunEnd::Lost(e.to_string()),
+        };
+        let Some(part) = part else { break };
+        decoder.push(&part);
+        while let Some(event) = decoder.next_event() {
+            if let Some(changed) = event.version {
+                version = Some(changed);
+                sign(Sign::Version(changed));
+            }
+            if let Some(end) = refuse_version(run, progress, version) {
+                return end;
+            }
+            match (event.id, progress.last_id) {
+                (Some(id), Some(before)) if id <= before => continue,
+                (Some(id), Some(before)) if id != before + 1 => {
+                    return RunEnd::Lost(format!("event {id} follows event {before}"));
+                }
+                _ => {}
+            }
+            progress.last_id = event.id.or(progress.last_id);
+            progress.events.push(event.data);
+            if let Some(version) = version
+                && !progress.versions.contains(&version)
+            {
+                progress.versions.push(version);
+            }
+            sign(Sign::Event(last.elapsed()));
+            last = Instant::now();
+        }
+    }
+    if decoder.has_rest() {
+        return RunEnd::Lost("the stream ended inside an event".into());
+    }
+    exchange.keep();
+    RunEnd::Completed
+}
+
+fn refuse_version(run: &Run, progress: &mut Progress, version: Option<u64>) -> Option<RunEnd> {
+    let version = version?;
+    if version < run.batch.min_version {
+        return Some(RunEnd::WrongVersion);
+    }
+    if progress.can_go_on(run.batch.single_version, Some(version)) {
+        return None;
+    }
+    progress.clear();
+    Some(RunEnd::WrongVersion)
+}
+
+async fn next_part(exchange: &mut Exchange, time: Duration) -> Result<Option<Bytes>, SendError> {
+    let mut timer = std::pin::pin!(compio::time::sleep(time).fuse());
+    let mut next = std::pin::pin!(exchange.next().fuse());
+    select! { part = next => part, () = timer => Err(SendError::Timeout) }
+}
--- /dev/null
+++ b/orioleworks_store/src/service.rs
@@ -0,0 +1,423 @@
+//! A store: its log, its view of upstreams, and the answers to gateways and other stores.
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use compio::{runtime, time};
+use orioleworks_daemon::{clock, event};
+use orioleworks_fleet::{convert, pool::Pool, stores::Stores};
+use orioleworks_log::{Log, LogError, Machine, node::MAX_COMMAND_BYTES, notify::Notify};
+use orioleworks_platform::document;
+use orioleworks_proto::{
+    codes::ResultCode,
+    inner::{self, command::Kind, frame::Body},
+};
+use orioleworks_routing::{
+    fleet::{Fleet, Noted},
+    routes::RouteTable,
+};
+use prost::Message;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    config::Config, dispatch::Dispatch, engines::Engines, orders::Orders, peers, state::State,
+};
+
+/// Longest time for which a watch or a read of results is held.
+const MAX_WAIT: Duration = Duration::from_millis(2000);
+/// Pause between two rounds of housekeeping.
+const HOUSEKEEPING: Duration = Duration::from_secs(2);
+
+/// One store; clones share it.
+#[derive(Clone)]
+pub struct Store {
+    cfg: Rc<Config>,
+    log: Log,
+    state: Rc<RefCell<State>>,
+    fleet: Rc<RefCell<Fleet>>,
+    /// Notified when state, fleet or engines change.
+    wake: Notify,
+    stores: Stores,
+    dispatch: Dispatch,
+    orders: Orders,
+    engines: Rc<RefCell<Engines>>,
+    pool: Pool,
+    /// Tells this process from an earlier one, whose cursors mean nothing here.
+    boot: u64,
+}
+
+impl std::fmt::Debug for Store {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Store").field("name", &self.cfg.instance.name).finish_non_exhaustive()
+    }
+}
+
+impl Store {
+    /// Opens the data directory.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the directory.
+    pub fn open(cfg: Config, token: CancellationToken) -> Result<Self, LogError> {
+        let state = Rc::new(RefCell::new(State::default()));
+        let table = Rc::new(RefCell::new(Rc::new(RouteTable::default())));
+        let wake = Notify::default();
+        let machine = machine(&state, &table, &wake);
+        let log = Log::open(cfg.log_settings(), machine, token)?;
+        log.set_retired(state.borrow().retired().iter().cloned());
+        let fleet = Rc::new(RefCell::new(Fleet::default()));
+        let engines = Rc::new(RefCell::new(Engines::default()));
+        let pool = Pool::default();
+        let stores = Stores::default();
+        stores.set_seeds(cfg.seed_addresses());
+        let dispatch = Dispatch::new(
+            log.clone(),
+            state.clone(),
+            fleet.clone(),
+            table,
+            engines.clone(),
+            pool.clone(),
+            wake.clone(),
+        );
+        let orders = Orders::new(
+            &cfg.instance.name,
+            Duration::from_millis(cfg.orders.lease_ms),
+            log.clone(),
+            state.clone(),
+            fleet.clone(),
+            engines.clone(),
+            pool.clone(),
+            wake.clone(),
+        );
+        let boot = rand::random_range(1..=u64::MAX);
+        let cfg = Rc::new(cfg);
+        Ok(Self {
+            cfg,
+            log,
+            state,
+            fleet,
+            table,
+            wake,
+            stores,
+            dispatch,
+            orders,
+            engines,
+            pool,
+            boot,
+        })
+    }
+
+    /// Starts the tasks; they end with the token.
+    pub fn start(&self, token: &CancellationToken) {
+        self.log.start();
+        self.dispatch.start(token);
+        self.orders.start(token);
+        let (log, stores, fleet) = (self.log.clone(), self.stores.clone(), self.fleet.clone());
+        let (wake, stop) = (self.wake.clone(), token.clone());
+        runtime::spawn(peers::watch_all(log, stores, fleet, wake, stop)).detach();
+        let (this, stop) = (self.clone(), token.clone());
+        runtime::spawn(async move { this.keep_house(stop).await }).detach();
+    }
+
+    async fn keep_house(&self, token: CancellationToken) {
+        while !token.is_cancelled() {
+            self.fleet.borrow_mut().forget(clock::since_boot());
+            let fleet = self.fleet.borrow();
+            let known = |id: &str, start: u64| {
+                fleet.get(id).is_some_and(|k| k.upstream.incarnation == start)
+            };
+            self.engines.borrow_mut().retain(|(id, start)| known(id, *start));
+            drop(fleet);
+            self.pool.trim();
+            self.log.set_retired(self.state.borrow().retired().iter().cloned());
+            time::sleep(HOUSEKEEPING).await;
+        }
+    }
+
+    /// The replicated log.
+    pub fn log(&self) -> &Log {
+        &self.log
+    }
+
+    /// Replaces the seeds after the settings have changed.
+    pub fn set_seeds(&self, cfg: &Config) {
+        self.stores.set_seeds(cfg.seed_addresses());
+        self.log.set_replicas(cfg.replicas());
+    }
+
+    /// Answers a message of a gateway or another store; `None` for a message that stores do not take.
+    pub async fn handle(&self, body: Body) -> Option<Body> {
+        match body {
+            Body::Propose(propose) => Some(Body::ProposeReply(self.propose_here(propose).await)),
+            Body::FleetWatch(watch) => Some(Body::FleetReply(self.watch(watch).await)),
+            Body::ReadBatch(read) => Some(Body::ReadBatchReply(self.read_batch(read).await)),
+            Body::ReadItem(read) => Some(Body::ReadItemReply(self.read_item(read).await)),
+            Body::ReadDocument(_) => Some(Body::ReadDocumentReply(self.read_document_here().await)),
+            Body::Status(_) => Some(Body::StatusReply(self.log.status())),
+            other => self.log.handle(other).await,
+        }
+    }
+
+    async fn propose_here(&self, propose: inner::Propose) -> inner::ProposeReply {
+        let reply = |code: ResultCode| inner::ProposeReply {
+            code: code.number(),
+            leader_address: self.log.leader_address(),
+            ..Default::default()
+        };
+        let Some(command) = propose.command else { return reply(ResultCode::BadRequest) };
+        if matches!(command.kind, None | Some(Kind::Noop(_) | Kind::Membership(_))) {
+            return reply(ResultCode::InvalidOrder);
+        }
+        if command.encoded_len() > MAX_COMMAND_BYTES {
+            return reply(ResultCode::BodyTooLarge);
+        }
+        if let Some(Kind::RetireStore(name)) = &command.kind
+            && self.log.is_leader()
+            && let Err(code) = self.may_retire(name)
+        {
+            return reply(code);
+        }
+        match self.log.propose(&propose.order_id, command).await {
+            Ok(done) => done,
+            Err(e) => reply(e.code()),
+        }
+    }
+
+    /// Whether enough stores would be left without one.
+    fn may_retire(&self, name: &str) -> Result<(), ResultCode> {
+        let state = self.state.borrow();
+        if state.retired().contains(name) {
+            return Ok(());
+        }
+        let members = self.log.membership().members;
+        if !members.iter().any(|m| m.name == name) {
+            return Err(ResultCode::UnknownObject);
+        }
+        let left =
+            members.iter().filter(|m| m.name != name && !state.retired().contains(&m.name)).count();
+        let needed = 2 * self.cfg.cluster.tolerated_losses + 1;
+        if left < needed { Err(ResultCode::Conflict) } else { Ok(()) }
+    }
+
+    /// Has a command accepted, here or by the leader.
+    pub async fn propose(&self, kind: Kind, wait: Duration) -> ResultCode {
+        self.stores.set_leader(&self.log.leader_address());
+        if self.log.is_leader() {
+            let command = inner::Command { expected_revision: None, kind: Some(kind) };
+            let propose = inner::Propose { order_id: String::new(), command: Some(command) };
+            let reply = self.propose_here(propose).await;
+            return ResultCode::from_number(reply.code).unwrap_or(ResultCode::OrderUnconfirmed);
+        }
+        match self.stores.propose(kind, wait).await {
+            orioleworks_fleet::stores::Led::Answered(body) => {
+                orioleworks_fleet::stores::verdict(&body)
+            }
+            orioleworks_fleet::stores::Led::NoLeader => ResultCode::NoQuorum,
+            orioleworks_fleet::stores::Led::Unconfirmed => ResultCode::OrderUnconfirmed,
+        }
+    }
+
+    /// Newest route document, confirmed by a quorum.
+    ///
+    /// # Errors
+    ///
+    /// Returns that no leader could confirm which document is the newest.
+    pub async fn read_document(&self, wait: Duration) -> Result<inner::Document, ResultCode> {
+        self.stores.set_leader(&self.log.leader_address());
+        let reply = if self.log.is_leader() {
+            self.read_document_here().await
+        } else {
+            let message = || Body::ReadDocument(inner::ReadDocument {});
+            match self.stores.call_leader(message, wait, wait).await {
+                orioleworks_fleet::stores::Led::Answered(Body::ReadDocumentReply(reply)) => reply,
+                _ => return Err(ResultCode::NoQuorum),
+            }
+        };
+        match ResultCode::from_number(reply.code) {
+            Some(ResultCode::Ok) => Ok(reply.document.unwrap_or_default()),
+            _ => Err(ResultCode::NoQuorum),
+        }
+    }
+
+    async fn read_document_here(&self) -> inner::ReadDocumentReply {
+        let code = match self.confirm().await {
+            Ok(()) => ResultCode::Ok,
+            Err(code) => code,
+        };
+        let document = (code == ResultCode::Ok).then(|| self.state.borrow().document().clone());
+        let leader_address = self.log.leader_address();
+        inner::ReadDocumentReply { code: code.number(), document, leader_address }
+    }
+
+    /// Confirms that the state here is the newest.
+    async fn confirm(&self) -> Result<(), ResultCode> {
+        self.log.ready_to_propose().await.map_err(|e| e.code())?;
+        self.log.confirm().await.map_err(|e| e.code())
+    }
+
+    /// Whether a store has been emptied; `None` for one that is not being retired.
+    pub fn retirement(&self, name: &str) -> Option<bool> {
+        let retired = self.state.borrow().retired().contains(name);
+        let member = self.log.membership().members.iter().any(|m| m.name == name);
+        retired.then(|| !member && self.log.membership_committed() && self.log.is_current())
+    }
+
+    /// Takes in an announcement that arrived here.
+    pub fn announce(&self, up: orioleworks_routing::fleet::Upstream) {
+        let (id, leaving) = (up.id.clone(), up.leaving);
+        let (service, address, incarnation) =
+            (up.service.clone(), up.address.clone(), up.incarnation);
+        let noted = self.fleet.borrow_mut().announce(clock::since_boot(), up, true);
+        if noted == Noted::Changed {
+            event!(
+                info,
+                "upstream_changed",
+                upstream = id,
+                incarnation = incarnation,
+                service = service,
+                address = address,
+                leaving = leaving,
+            );
+            self.wake.notify();
+        }
+    }
+
+    /// Notes that an upstream leaves.
+    pub fn leave(&self, id: &str, incarnation: u64) {
+        if self.fleet.borrow_mut().leave(clock::since_boot(), id, incarnation) == Noted::Changed {
+            event!(info, "upstream_leaves", upstream = id, incarnation = incarnation);
+            self.wake.notify();
+        }
+    }
+
+    async fn watch(&self, watch: inner::FleetWatch) -> inner::FleetReply {
+        let known = if watch.store_boot == self.boot { watch.cursor } else { 0 };
+        let deadline = Instant::now() + Duration::from_millis(watch.wait_ms.into()).min(MAX_WAIT);
+        loop {
+            let seen = self.wake.version();
+            let newer = self.state.borrow().document().version > watch.document_version;
+            let urgent = watch.store_boot != self.boot || self.fleet.borrow().urgent_since(known);
+            let leader = self.log.leader_address() != watch.leader_address;
+            let left = deadline.saturating_duration_since(Instant::now());
+            if newer || urgent || leader || left.is_zero() {
+                break;
+            }
+            self.wake.changed_within(seen, left).await;
+        }
+        let now = clock::since_boot();
+        let state = self.state.borrow();
+        let fleet = self.fleet.borrow();
+        let document = state.document();
+        let upstreams = fleet.since(known, watch.direct_only).map(|k| convert::to_message(k, now));
+        let mut stores = self.log.peer_addresses();
+        stores.push(self.cfg.inner_address().to_string());
+        inner::FleetReply {
+            document: (document.version > watch.document_version).then(|| document.clone()),
+            store_boot: self.boot,
+            cursor: fleet.cursor(),
+            upstreams: upstreams.collect(),
+            leader_address: self.log.leader_address(),
+            current: self.log.is_current(),
+            stores,
+        }
+    }
+
+    async fn read_batch(&self, read: inner::ReadBatch) -> inner::ReadBatchReply {
+        let deadline = Instant::now() + Duration::from_millis(read.wait_ms.into()).min(MAX_WAIT);
+        let max_bytes = read.max_bytes as usize;
+        let refused = |code: ResultCode| inner::ReadBatchReply {
+            code: code.number(),
+            leader_address: self.log.leader_address(),
+            ..Default::default()
+        };
+        if let Err(e) = self.log.ready_to_propose().await {
+            return refused(e.code());
+        }
+        loop {
+            let seen = self.wake.version();
+            let (reply, done) = {
+                let state = self.state.borrow();
+                let done = state.batch(&read.id).is_none_or(crate::state::Batch::is_done);
+                (state.results(&read.id, read.after, max_bytes), done)
+            };
+            // A position that is filled stays as it is; only what is missing needs a proof that it is.
+            if let Some(reply) = reply.as_ref().filter(|reply| !reply.results.is_empty()) {
+                return reply.clone();
+            }
+            let left = deadline.saturating_duration_since(Instant::now());
+            if done || left.is_zero() {
+                let held = self.log.holds_lease() && reply.is_some();
+                if !held && let Err(code) = self.confirm().await {
+                    return refused(code);
+                }
+                // Another look, because the proof may have taken long.
+                let state = self.state.borrow();
+                let reply = state.results(&read.id, read.after, max_bytes);
+                return reply.unwrap_or_else(|| refused(ResultCode::UnknownObject));
+            }
+            if !self.log.is_leader() {
+                return refused(ResultCode::NotLeader);
+            }
+            self.wake.changed_within(seen, left).await;
+        }
+    }
+
+    async fn read_item(&self, read: inner::ReadItem) -> inner::ReadItemReply {
+        let reply = |code: ResultCode, body| inner::ReadItemReply {
+            code: code.number(),
+            body,
+            leader_address: self.log.leader_address(),
+        };
+        if let Err(code) = self.confirm().await {
+            return reply(code, bytes::Bytes::new());
+        }
+        let state = self.state.borrow();
+        let batch = state.batch(&read.batch_id).filter(|batch| !batch.ended);
+        let item = batch.and_then(|batch| batch.items.get(read.item_id.as_str()));
+        match item.filter(|item| !item.listed) {
+            Some(item) => reply(ResultCode::Ok, item.spec.body.clone()),
+            None => reply(ResultCode::UnknownObject, bytes::Bytes::new()),
+        }
+    }
+}
+
+fn machine(
+    state: &Rc<RefCell<State>>,
+    table: &Rc<RefCell<Rc<RouteTable>>>,
+    wake: &Notify,
+) -> Machine {
+    let (applied, applied_table, applied_wake) = (state.clone(), table.clone(), wake.clone());
+    let (saved, restored, restored_table) = (state.clone(), state.clone(), table.clone());
+    Machine {
+        apply: Box::new(move |entry| {
+            let reply = applied.borrow_mut().apply(entry);
+            refresh_table(&applied, &applied_table);
+            applied_wake.notify();
+            reply
+        }),
+        snapshot: Box::new(move || saved.borrow().snapshot()),
+        restore: Box::new(move |bytes| {
+            *restored.borrow_mut() = State::restore(bytes)?;
+            refresh_table(&restored, &restored_table);
+            Ok(())
+        }),
+        sightings: Box::new(|_| (Vec::new(), 0)),
+        merge_sightings: Box::new(|_, _| {}),
+    }
+}
+
+fn refresh_table(state: &Rc<RefCell<State>>, table: &Rc<RefCell<Rc<RouteTable>>>) {
+    let state = state.borrow();
+    let wanted = state.document();
+    if wanted.version == table.borrow().version {
+        return;
+    }
+    match document::decode(&wanted.content) {
+        Ok(decoded) => *table.borrow_mut() = Rc::new(decoded),
+        // It was checked before it was accepted, so another version of the program must have accepted it.
+        Err(e) => event!(error, "document_unreadable", version = wanted.version, reason = e),
+    }
+}
--- /dev/null
+++ b/orioleworks_store/src/state.rs
@@ -0,0 +1,339 @@
+//! Replicated state of the stores: route document, weight versions, batches and their results.
+//!
+//! A result's position is its order in the log, so that it is the same on every store for ever. See
+//! `docs/platform.md`.
+
+use std::{collections::HashMap, rc::Rc};
+
+use bytes::Bytes;
+use indexmap::{IndexMap, IndexSet};
+use orioleworks_proto::{
+    codes::ResultCode,
+    inner::{self, command::Kind},
+};
+use prost::Message;
+
+/// Time beyond its retention for which a batch is kept, in milliseconds; covers steps of the wall clock.
+const RETENTION_SLACK_MS: u64 = 30_000;
+/// Retention of a batch that was never ended, in units of its usual one.
+const OPEN_RETENTION: u64 = 4;
+
+/// An item of a batch.
+#[derive(Clone, Debug)]
+pub struct Item {
+    /// The item; its body is dropped once it is listed or the batch is ended.
+    pub spec: Rc<inner::BatchItem>,
+    /// Whether its result has a position.
+    pub listed: bool,
+    /// Attempts that an upstream answered with a failure.
+    pub failed_attempts: u32,
+}
+
+/// A batch and its results.
+#[derive(Clone, Debug)]
+pub struct Batch {
+    /// Everything but the items.
+    pub spec: Rc<inner::Batch>,
+    /// Time of acceptance in Unix milliseconds.
+    pub submitted_ms: u64,
+    /// Whether its trainer has ended it.
+    pub ended: bool,
+    /// Items by ID.
+    pub items: IndexMap<Rc<str>, Item>,
+    /// Results by position.
+    pub results: Vec<inner::ItemResult>,
+}
+
+impl Batch {
+    /// Whether nothing is left to run.
+    pub fn is_done(&self) -> bool {
+        self.ended || self.results.len() == self.items.len()
+    }
+
+    fn list(&mut self, result: inner::ItemResult) -> bool {
+        let Some(item) = self.items.get_mut(result.id.as_str()) else { return false };
+        if item.listed {
+            return false;
+        }
+        item.listed = true;
+        drop_body(item);
+        self.results.push(result);
+        true
+    }
+}
+
+fn drop_body(item: &mut Item) {
+    if !item.spec.body.is_empty() {
+        let spec = inner::BatchItem { body: Bytes::new(), ..(*item.spec).clone() };
+        item.spec = Rc::new(spec);
+    }
+}
+
+/// What is known of the weight versions of a model.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ModelState {
+    /// Newest named version.
+    pub named: u64,
+    /// Versions before the named one that the newest step allowed when it arrived.
+    pub allowed_lag: u64,
+    /// Tokens of the newest step.
+    pub step_tokens: u64,
+}
+
+/// The state machine.
+#[derive(Clone, Debug, Default)]
+pub struct State {
+    document: inner::Document,
+    models: IndexMap<Rc<str>, ModelState>,
+    batches: IndexMap<Rc<str>, Batch>,
+    retired: IndexSet<String>,
+    /// Batch and position of the newest result of each item, for items that come again in a later batch.
+    finished: HashMap<Rc<str>, (Rc<str>, usize)>,
+}
+
+impl State {
+    /// Applies a committed entry.
+    pub fn apply(&mut self, entry: &inner::LogEntry) -> inner::ProposeReply {
+        let kind = entry.command.as_ref().and_then(|c| c.kind.as_ref());
+        let code = match kind {
+            Some(Kind::PutBatch(batch)) => self.put_batch(batch, entry.now_ms),
+            Some(Kind::RecordResults(record)) => self.record(record),
+            Some(Kind::EndBatch(id)) => self.end_batch(id),
+            Some(Kind::PutDocument(document)) => self.put_document(document),
+            Some(Kind::PublishVersion(named)) => self.name_version(named),
+            Some(Kind::RetireStore(name)) => {
+                self.retired.insert(name.clone());
+                ResultCode::Ok
+            }
+            _ => ResultCode::InvalidOrder,
+        };
+        self.forget(entry.now_ms);
+        inner::ProposeReply { code: code.number(), ..Default::default() }
+    }
+
+    fn put_batch(&mut self, batch: &inner::Batch, now_ms: u64) -> ResultCode {
+        if self.batches.contains_key(batch.id.as_str()) {
+            return ResultCode::Ok;
+        }
+        let items = batch.items.iter().map(|spec| {
+            let item = Item { spec: Rc::new(spec.clone()), listed: false, failed_attempts: 0 };
+            (Rc::from(spec.id.as_str()), item)
+        });
+        let mut state = Batch {
+            items: items.collect(),
+            spec: Rc::new(inner::Batch { items: Vec::new(), ..batch.clone() }),
+            submitted_ms: now_ms,
+            ended: false,
+            results: Vec::new(),
+        };
+        self.carry_over(&mut state);
+        if !batch.model.is_empty() {
+            let model = self.models.entry(batch.model.as_str().into()).or_default();
+            let tokens = batch.items.iter().map(|item| u64::from(item.tokens)).sum();
+            model.step_tokens = tokens;
+            model.allowed_lag = model.named.max(1).saturating_sub(batch.min_version);
+        }
+        self.batches.insert(batch.id.as_str().into(), state);
+        ResultCode::Ok
+    }
+
+    /// Lists at once what an earlier batch has finished under versions that this one allows.
+    fn carry_over(&mut self, batch: &mut Batch) {
+        let spec = batch.spec.clone();
+        let known: Vec<inner::ItemResult> = batch
+            .items
+            .keys()
+            .filter_map(|id| {
+                let (earlier, at) = self.finished.get(id)?;
+                let earlier = self.batches.get(earlier)?;
+                let same = earlier.spec.model == spec.model && earlier.spec.route == spec.route;
+                let result = earlier.results.get(*at)?;
+                (same && is_allowed(&spec, result)).then(|| result.clone())
+            })
+            .collect();
+        for result in known {
+            batch.list(result);
+        }
+    }
+
+    fn record(&mut self, record: &inner::RecordResults) -> ResultCode {
+        let Some(batch) = self.batches.get_mut(record.batch_id.as_str()) else {
+            return ResultCode::UnknownObject;
+        };
+        for failed in &record.failed {
+            if let Some(item) = batch.items.get_mut(failed.id.as_str()) {
+                item.failed_attempts = item.failed_attempts.max(failed.count);
+            }
+        }
+        for result in &record.results {
+            if result.completed && !is_allowed(&batch.spec, result) {
+                continue;
+            }
+            if batch.list(result.clone()) && result.completed {
+                let place = (Rc::from(record.batch_id.as_str()), batch.results.len() - 1);
+                self.finished.insert(result.id.as_str().into(), place);
+            }
+        }
+        ResultCode::Ok
+    }
+
+    fn end_batch(&mut self, id: &str) -> ResultCode {
+        let Some(batch) = self.batches.get_mut(id) else { return ResultCode::UnknownObject };
+        batch.ended = true;
+        batch.items.values_mut().for_each(drop_body);
+        ResultCode::Ok
+    }
+
+    fn put_document(&mut self, document: &inner::Document) -> ResultCode {
+        if document.version > self.document.version {
+            self.document = document.clone();
+        }
+        ResultCode::Ok
+    }
+
+    fn name_version(&mut self, named: &inner::ModelVersion) -> ResultCode {
+        let model = self.models.entry(named.model.as_str().into()).or_default();
+        model.named = model.named.max(named.version);
+        ResultCode::Ok
+    }
+
+    /// Drops batches whose retention is over.
+    fn forget(&mut self, now_ms: u64) {
+        let over = |batch: &Batch| {
+            let retention = u64::from(batch.spec.status_retention_ms);
+            let retention = if batch.is_done() { retention } else { retention * OPEN_RETENTION };
+            batch.submitted_ms + retention + RETENTION_SLACK_MS < now_ms
+        };
+        if !self.batches.values().any(over) {
+            return;
+        }
+        self.batches.retain(|_, batch| !over(batch));
+        let batches = &self.batches;
+        self.finished.retain(|_, (batch, _)| batches.contains_key(batch));
+    }
+
+    /// Newest route document; version 0 stands for none.
+    pub fn document(&self) -> &inner::Document {
+        &self.document
+    }
+
+    /// A batch by ID.
+    pub fn batch(&self, id: &str) -> Option<&Batch> {
+        self.batches.get(id)
+    }
+
+    /// Batches that have something left to run.
+    pub fn open_batches(&self) -> impl Iterator<Item = (&Rc<str>, &Batch)> {
+        self.batches.iter().filter(|(_, batch)| !batch.is_done())
+    }
+
+    /// Models whose versions were named or that a batch asked for.
+    pub fn models(&self) -> &IndexMap<Rc<str>, ModelState> {
+        &self.models
+    }
+
+    /// Names of retired stores.
+    pub fn retired(&self) -> &IndexSet<String> {
+        &self.retired
+    }
+
+    /// Results of a batch from a position on, up to a number of text bytes but at least one.
+    pub fn results(&self, id: &str, after: u64, max_bytes: usize) -> Option<inner::ReadBatchReply> {
+        let batch = self.batches.get(id)?;
+        let from = usize::try_from(after).unwrap_or(usize::MAX).min(batch.results.len());
+        let mut bytes = 0;
+        let results: Vec<_> = batch.results[from..]
+            .iter()
+            .take_while(|result| {
+                let first = bytes == 0;
+                bytes += result.text.len() + result.id.len();
+                first || bytes <= max_bytes
+            })
+            .cloned()
+            .collect();
+        Some(inner::ReadBatchReply {
+            total: batch.items.len() as u64,
+            next: after + results.len() as u64,
+            results,
+            ..Default::default()
+        })
+    }
+
+    /// Encodes the whole state.
+    pub fn snapshot(&self) -> Vec<u8> {
+        let versions = self.models.iter().map(|(model, state)| inner::ModelVersion {
+            model: model.to_string(),
+            version: state.named,
+        });
+        let state = inner::StoreState {
+            document: Some(self.document.clone()),
+            versions: versions.collect(),
+            batches: self.batches.values().map(batch_message).collect(),
+            retired: self.retired.iter().cloned().collect(),
+        };
+        state.encode_to_vec()
+    }
+
+    /// Decodes a whole state.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the bytes are no state.
+    pub fn restore(bytes: &[u8]) -> Result<Self, String> {
+        let message = inner::StoreState::decode(bytes).map_err(|e| e.to_string())?;
+        let mut state = Self {
+            document: message.document.unwrap_or_default(),
+            retired: message.retired.into_iter().collect(),
+            ..Self::default()
+        };
+        for named in &message.versions {
+            state.name_version(named);
+        }
+        for saved in message.batches {
+            let Some(batch) = saved.batch else { continue };
+            let id: Rc<str> = batch.id.as_str().into();
+            state.put_batch(&batch, saved.submitted_ms);
+            let Some(restored) = state.batches.get_mut(&id) else { continue };
+            // What was carried over is among the saved results.
+            restored.results.clear();
+            restored.items.values_mut().for_each(|item| item.listed = false);
+            for failed in &saved.failed {
+                if let Some(item) = restored.items.get_mut(failed.id.as_str()) {
+                    item.failed_attempts = failed.count;
+                }
+            }
+            for result in saved.results {
+                let finished = result.completed.then(|| Rc::from(result.id.as_str()));
+                restored.list(result);
+                if let Some(item) = finished {
+                    state.finished.insert(item, (id.clone(), restored.results.len() - 1));
+                }
+            }
+            restored.ended = saved.ended;
+        }
+        Ok(state)
+    }
+}
+
+/// Whether a result's versions are ones that a batch allows.
+pub fn is_allowed(batch: &inner::Batch, result: &inner::ItemResult) -> bool {
+    let newer = result.versions.iter().all(|version| *version >= batch.min_version);
+    result.completed && newer && (!batch.single_version || result.versions.len() <= 1)
+}
+
+fn batch_message(batch: &Batch) -> inner::BatchState {
+    let items = batch.items.values();
+    let failed = items.clone().filter(|item| item.failed_attempts > 0).map(|item| {
+        inner::FailedAttempts { id: item.spec.id.clone(), count: item.failed_attempts }
+    });
+    inner::BatchState {
+        batch: Some(inner::Batch {
+            items: items.clone().map(|item| (*item.spec).clone()).collect(),
+            ..(*batch.spec).clone()
+        }),
+        submitted_ms: batch.submitted_ms,
+        ended: batch.ended,
+        results: batch.results.clone(),
+        failed: failed.collect(),
+    }
+}
