--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -99,7 +99,6 @@
             log,
             state,
             fleet,
-            table,
             wake,
             stores,
             dispatch,
