--- a/orioleworks_routing/src/items.rs
+++ b/orioleworks_routing/src/items.rs
@@ -57,6 +57,17 @@
     }
 }
 
+/// Memory that an item is expected to take at its end, in tokens.
+///
+/// Callers bound the output by the longest of all items, which would leave most of an engine's memory unused. An item
+/// that grows beyond the estimate costs the engine a preemption and a second read of its prompt.
+pub fn expected_memory(prompt: u32, expected_output: u32, most: u32) -> u64 {
+    if prompt == 0 || expected_output == 0 {
+        return most.into();
+    }
+    (u64::from(prompt) + u64::from(expected_output)).min(most.into())
+}
+
 /// What placement needs to know of an engine.
 #[derive(Clone, Copy, Debug)]
 pub struct EngineLoad {
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -275,13 +275,13 @@
             found.retain(|(_, fresh, _)| *fresh);
         }
         let loads: Vec<items::EngineLoad> = found.iter().map(|(_, _, load)| *load).collect();
-        let at = items::place(&loads, waiting.item.tokens.into())?;
+        let at = items::place(&loads, memory_of(&waiting.item))?;
         Some(found[at].0.clone())
     }
 
     fn start_item(&self, work: &mut Work, rank: Rank, waiting: Waiting, upstream: Rc<Upstream>) {
         let key = key_of(&upstream);
-        let tokens = u64::from(waiting.item.tokens);
+        let tokens = memory_of(&waiting.item);
         self.inner.engines.borrow_mut().started(&key, tokens, &waiting.item.group);
         let cancel = CancellationToken::new();
         work.running.insert(waiting.key.clone(), cancel.clone());
@@ -316,7 +316,7 @@
             let mut cancelled = std::pin::pin!(cancel.cancelled().fuse());
             select! { end = running => Some(end), () = cancelled => None }
         };
-        self.inner.engines.borrow_mut().ended(&key, waiting.item.tokens.into());
+        self.inner.engines.borrow_mut().ended(&key, memory_of(&waiting.item));
         if let Some(end) = end.filter(|_| self.inner.term.get() == term) {
             self.settle(rank, waiting, &run, end);
         }
@@ -439,6 +439,10 @@
     }
 }
 
+fn memory_of(item: &inner::BatchItem) -> u64 {
+    items::expected_memory(item.prompt_tokens, item.expected_tokens, item.tokens)
+}
+
 fn record_of<'a>(work: &'a mut Work, batch: &Rc<str>) -> &'a mut inner::RecordResults {
     work.results.entry(batch.clone()).or_insert_with(|| inner::RecordResults {
         batch_id: batch.to_string(),
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -94,19 +94,7 @@
         );
         let boot = rand::random_range(1..=u64::MAX);
         let cfg = Rc::new(cfg);
-        Ok(Self {
-            cfg,
-            log,
-            state,
-            fleet,
-            wake,
-            stores,
-            dispatch,
-            orders,
-            engines,
-            pool,
-            boot,
-        })
+        Ok(Self { cfg, log, state, fleet, wake, stores, dispatch, orders, engines, pool, boot })
     }
 
     /// Starts the tasks; they end with the token.
