Load each version on a part of all engines, oldest weights first, instead of engines with a home model

Cause looked for: a step waits up to two seconds for engines of its model while the others idle. Kept because it is simpler and uses every engine for every model.

--- a/orioleworks_routing/src/items.rs
+++ b/orioleworks_routing/src/items.rs
@@ -104,9 +104,14 @@
     fitting.min_by(|(_, a), (_, b)| a.cost().total_cmp(&b.cost())).map(|(i, _)| i)
 }
 
+/// Median of times in milliseconds; the assumed time when there are none.
+pub fn median(times: &[f64]) -> f64 {
+    let mut sorted = times.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    sorted.get(sorted.len() / 2).copied().unwrap_or(ASSUMED_EVENT_MS)
+}
+
 /// Whether an engine is so slow against the others that an item gains by going on elsewhere.
 pub fn is_slow(event_ms: f64, all: &[f64]) -> bool {
-    let mut sorted = all.to_vec();
-    sorted.sort_by(f64::total_cmp);
-    sorted.get(sorted.len() / 2).is_some_and(|median| event_ms > median * SLOW_RATIO)
+    event_ms > median(all) * SLOW_RATIO
 }
--- a/orioleworks_store/src/engines.rs
+++ b/orioleworks_store/src/engines.rs
@@ -117,6 +117,11 @@
         self.records.get(key).and_then(|record| record.loading.as_ref())
     }
 
+    /// Mean time of an engine for one event in milliseconds.
+    pub fn event_ms(&self, key: &Key) -> f64 {
+        self.records.get(key).map_or(EventTime::default(), |r| r.event_time).ms()
+    }
+
     /// Items that run on an engine.
     pub fn running(&self, key: &Key) -> u32 {
         self.records.get(key).map_or(0, |record| record.running)
--- a/orioleworks_store/src/orders.rs
+++ b/orioleworks_store/src/orders.rs
@@ -24,8 +24,9 @@
 };
 use orioleworks_routing::{
     fleet::{Fleet, Upstream},
+    items,
     outlier::Key,
-    versions::{self, Engine, Homes, Load, Model},
+    versions::{self, Engine, Load, Model},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -75,7 +76,6 @@
     engines: Rc<RefCell<Engines>>,
     pool: Pool,
     wake: Notify,
-    homes: RefCell<Homes>,
     /// Term in which an engine refused this store because of a newer holder; no more orders are given in it.
     fenced_term: Cell<u64>,
 }
@@ -114,7 +114,6 @@
             engines,
             pool,
             wake,
-            homes: RefCell::default(),
             fenced_term: Cell::new(0),
         };
         Self { inner: Rc::new(inner) }
@@ -147,9 +146,7 @@
             return;
         }
         let (engines, upstreams) = self.engines();
-        let mut homes = self.inner.homes.borrow_mut();
-        homes.assign(&engines, &models);
-        for load in versions::plan(&engines, &models, &homes) {
+        for load in versions::plan(&engines, &models) {
             let Some(upstream) = upstreams.iter().find(|up| up.id == load.engine) else { continue };
             let (key, model, version) = (key_of(upstream), load.model.clone(), load.version);
             let loading = Loading { model, version };
@@ -166,7 +163,6 @@
             name: name.clone(),
             named: model.named,
             oldest_allowed: model.named.saturating_sub(model.allowed_lag),
-            demand: model.step_tokens as f64,
         };
         models.map(model).collect()
     }
@@ -179,6 +175,8 @@
         let serving = fleet.all().filter(|k| k.takes_requests(now) && k.is_fresh(now));
         let upstreams: Vec<Rc<Upstream>> =
             serving.filter(|k| !k.upstream.models.is_empty()).map(|k| k.upstream.clone()).collect();
+        let times: Vec<f64> = upstreams.iter().map(|up| known.event_ms(&key_of(up))).collect();
+        let median = items::median(&times);
         let engine = |up: &Rc<Upstream>| {
             let key = key_of(up);
             let versions = up
@@ -190,12 +188,9 @@
             if let Some(loading) = loading {
                 versions.insert(loading.model.clone(), loading.version);
             }
-            Engine {
-                id: up.id.clone(),
-                versions,
-                busy: loading.is_some(),
-                running: known.running(&key),
-            }
+            let slowness = (known.event_ms(&key) / median).round();
+            let (id, busy) = (up.id.clone(), loading.is_some());
+            Engine { id, versions, busy, running: known.running(&key), slowness }
         };
         (upstreams.iter().map(engine).collect(), upstreams)
     }
--- a/orioleworks_store/src/state.rs
+++ b/orioleworks_store/src/state.rs
@@ -76,8 +76,6 @@
     pub named: u64,
     /// Versions before the named one that the newest step allowed when it arrived.
     pub allowed_lag: u64,
-    /// Tokens of the newest step.
-    pub step_tokens: u64,
 }
 
 /// The state machine.
@@ -129,8 +127,6 @@
         self.carry_over(&mut state);
         if !batch.model.is_empty() {
             let model = self.models.entry(batch.model.as_str().into()).or_default();
-            let tokens = batch.items.iter().map(|item| u64::from(item.tokens)).sum();
-            model.step_tokens = tokens;
             model.allowed_lag = model.named.max(1).saturating_sub(batch.min_version);
         }
         self.batches.insert(batch.id.as_str().into(), state);
