--- a/orioleworks_routing/src/versions.rs
+++ b/orioleworks_routing/src/versions.rs
@@ -17,6 +17,8 @@
 /// Loads that follow each other between two versions of a trainer: it names one each four seconds, and a load takes
 /// about a second.
 const LOADS_BETWEEN_VERSIONS: usize = 4;
+/// Waiting items for which one more engine gets the newest version; about as many as an engine runs at a time.
+const ITEMS_PER_ENGINE: usize = 12;
 /// Engines of a version below which a step would not survive the loss of one.
 const MIN_ENGINES: usize = 2;
 
@@ -50,6 +52,8 @@
     pub named: u64,
     /// Oldest version that the next step is expected to allow.
     pub oldest_allowed: u64,
+    /// Items that wait for an engine with weights that they allow.
+    pub waiting: usize,
 }
 
 /// An order to load a version.
@@ -91,7 +95,9 @@
         .iter()
         .map(|m| {
             let fresh = engines.iter().filter(|e| e.version(&m.name) >= m.named).count();
-            wanted_engines.saturating_sub(fresh)
+            // Items that wait are worth more than the loads that they need.
+            let more = m.waiting.div_ceil(ITEMS_PER_ENGINE).min(engines.len() - usable(m));
+            wanted_engines.saturating_sub(fresh).max(more)
         })
         .collect();
     // Models take turns, so that none waits for all loads of another.
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -119,6 +119,11 @@
         runtime::spawn(async move { this.record_loop(stop).await }).detach();
     }
 
+    /// Items of a model that wait for an engine.
+    pub fn waiting_for(&self, model: &str) -> usize {
+        self.inner.work.borrow().waiting.values().filter(|w| w.batch.model == model).count()
+    }
+
     async fn dispatch_loop(&self, token: CancellationToken) {
         while !token.is_cancelled() {
             let seen = self.inner.wake.version();
--- a/orioleworks_store/src/orders.rs
+++ b/orioleworks_store/src/orders.rs
@@ -31,6 +31,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    dispatch::Dispatch,
     engines::{Engines, Loading, key_of},
     state::State,
 };
@@ -74,6 +75,7 @@
     state: Rc<RefCell<State>>,
     fleet: Rc<RefCell<Fleet>>,
     engines: Rc<RefCell<Engines>>,
+    dispatch: Dispatch,
     pool: Pool,
     wake: Notify,
     /// Term in which an engine refused this store because of a newer holder; no more orders are given in it.
@@ -102,6 +104,7 @@
         state: Rc<RefCell<State>>,
         fleet: Rc<RefCell<Fleet>>,
         engines: Rc<RefCell<Engines>>,
+        dispatch: Dispatch,
         pool: Pool,
         wake: Notify,
     ) -> Self {
@@ -112,6 +115,7 @@
             state,
             fleet,
             engines,
+            dispatch,
             pool,
             wake,
             fenced_term: Cell::new(0),
@@ -163,6 +167,7 @@
             name: name.clone(),
             named: model.named,
             oldest_allowed: model.named.saturating_sub(model.allowed_lag),
+            waiting: self.inner.dispatch.waiting_for(name),
         };
         models.map(model).collect()
     }
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -89,6 +89,7 @@
             state.clone(),
             fleet.clone(),
             engines.clone(),
+            dispatch.clone(),
             pool.clone(),
             wake.clone(),
         );
