Save the progress of long items, so that the next leader goes on after it

Cause: each change of leader restarted items of up to seven seconds, and ended batches lost the text of groups that come again.

--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -36,27 +36,37 @@
 /// Time beyond its retention after which an item is given up; covers steps of the wall clock, which stamps the
 /// submission.
 const GIVE_UP_SLACK: Duration = Duration::from_secs(10);
+/// Time between two saves of what long items have generated; a lost leader costs them no more than this.
+const SAVE_EVERY: Duration = Duration::from_millis(1000);
+/// Events that are worth a save: less is generated again sooner than it is read back.
+const SAVE_EVENTS: usize = 20;
 /// Silence of an engine that loads weights after which an item goes on elsewhere.
 const LOADING_STALL: Duration = Duration::from_secs(4);
 
 type ItemKey = (Rc<str>, Rc<str>);
+type Records = IndexMap<Rc<str>, inner::RecordResults>;
 
 struct Waiting {
     key: ItemKey,
     batch: Rc<inner::Batch>,
     item: Rc<inner::BatchItem>,
     give_up_at: Duration,
-    progress: Progress,
+    progress: Rc<RefCell<Progress>>,
     failed: u32,
 }
 
+struct Running {
+    cancel: CancellationToken,
+    progress: Rc<RefCell<Progress>>,
+}
+
 #[derive(Default)]
 struct Work {
     waiting: BTreeMap<Rank, Waiting>,
-    running: HashMap<ItemKey, CancellationToken>,
+    running: HashMap<ItemKey, Running>,
     /// Batches whose items were taken in.
     known: HashSet<Rc<str>>,
-    results: IndexMap<Rc<str>, inner::RecordResults>,
+    results: Records,
     next_sequence: u64,
 }
 
@@ -117,6 +127,8 @@
         runtime::spawn(async move { this.dispatch_loop(stop).await }).detach();
         let (this, stop) = (self.clone(), token.clone());
         runtime::spawn(async move { this.record_loop(stop).await }).detach();
+        let (this, stop) = (self.clone(), token.clone());
+        runtime::spawn(async move { this.save_loop(stop).await }).detach();
     }
 
     /// Items of a model that wait for an engine.
@@ -149,8 +161,8 @@
     fn drop_work(&self, reason: &str) {
         let mut work = self.inner.work.borrow_mut();
         let (waiting, running) = (work.waiting.len(), work.running.len());
-        for cancel in work.running.values() {
-            cancel.cancel();
+        for running in work.running.values() {
+            running.cancel.cancel();
         }
         *work = Work { next_sequence: work.next_sequence, ..Work::default() };
         event!(info, "items_dropped", reason = reason, waiting = waiting, running = running);
@@ -175,12 +187,13 @@
                 work.next_sequence += 1;
                 let expected = item.spec.expected_tokens;
                 let rank = Rank::new(batch.spec.priority, due, expected, work.next_sequence);
+                let progress = item.progress.as_deref().map(Progress::restore).unwrap_or_default();
                 let waiting = Waiting {
                     key: (id.clone(), item_id.clone()),
+                    progress: Rc::new(RefCell::new(progress)),
                     batch: batch.spec.clone(),
                     item: item.spec.clone(),
                     give_up_at,
-                    progress: Progress::default(),
                     failed: item.failed_attempts,
                 };
                 work.waiting.insert(rank, waiting);
@@ -214,7 +227,7 @@
             let running: Vec<ItemKey> =
                 work.running.keys().filter(|key| key.0 == id).cloned().collect();
             let cancelled = running.iter().filter_map(|key| work.running.remove(key));
-            let running = cancelled.map(|cancel| cancel.cancel()).count();
+            let running = cancelled.map(|running| running.cancel.cancel()).count();
             event!(info, "batch_closed", batch = id, waiting = waiting, running = running);
         }
     }
@@ -289,7 +302,8 @@
         let tokens = memory_of(&waiting.item);
         self.inner.engines.borrow_mut().started(&key, tokens, &waiting.item.group);
         let cancel = CancellationToken::new();
-        work.running.insert(waiting.key.clone(), cancel.clone());
+        let running = Running { cancel: cancel.clone(), progress: waiting.progress.clone() };
+        work.running.insert(waiting.key.clone(), running);
         let (this, term) = (self.clone(), self.inner.term.get());
         runtime::spawn(
             async move { this.run_item(rank, waiting, upstream, key, cancel, term).await },
@@ -300,7 +314,7 @@
     async fn run_item(
         &self,
         rank: Rank,
-        mut waiting: Waiting,
+        waiting: Waiting,
         upstream: Rc<Upstream>,
         key: Key,
         cancel: CancellationToken,
@@ -308,15 +322,15 @@
     ) {
         let (batch, item) = (waiting.batch.clone(), waiting.item.clone());
         let version = self.inner.engines.borrow().version(&upstream, &batch.model);
-        if !waiting.progress.can_go_on(batch.single_version, version) {
-            waiting.progress.clear();
+        if !waiting.progress.borrow().can_go_on(batch.single_version, version) {
+            waiting.progress.borrow_mut().clear();
         }
         let run = Run { upstream, key: key.clone(), batch, item };
         let end = {
             let sign = |sign: Sign| self.note(&run, sign);
             let stall = || self.stall(&run);
             let mut running = Box::pin(
-                runner::run(&self.inner.pool, &run, &mut waiting.progress, sign, stall).fuse(),
+                runner::run(&self.inner.pool, &run, &waiting.progress, sign, stall).fuse(),
             );
             let mut cancelled = std::pin::pin!(cancel.cancelled().fuse());
             select! { end = running => Some(end), () = cancelled => None }
@@ -348,7 +362,8 @@
         metrics::counter!("orioleworks_item_runs_total", "outcome" => outcome(&end)).increment(1);
         match &end {
             RunEnd::Completed => {
-                let (text, versions) = (waiting.progress.text(), waiting.progress.versions());
+                let progress = waiting.progress.borrow();
+                let (text, versions) = (progress.text(), progress.versions());
                 add_result(&mut work, &waiting.key, Some((text, versions)));
                 self.inner.recorded.notify();
                 return;
@@ -370,7 +385,7 @@
                 waiting.failed += 1;
                 let failed =
                     inner::FailedAttempts { id: waiting.key.1.to_string(), count: waiting.failed };
-                record_of(&mut work, &waiting.key.0).failed.push(failed);
+                record_of(&mut work.results, &waiting.key.0).failed.push(failed);
                 if waiting.failed >= waiting.batch.max_attempts {
                     event!(
                         warn,
@@ -400,7 +415,7 @@
             item = waiting.key.1,
             batch = waiting.key.0,
             upstream = run.upstream.id,
-            events = waiting.progress.events(),
+            events = waiting.progress.borrow().events(),
             reason = reason,
         );
         if work.known.contains(&waiting.key.0) {
@@ -408,6 +423,27 @@
         }
     }
 
+    /// Saves what long items have generated, so that the next leader goes on from there.
+    async fn save_loop(&self, token: CancellationToken) {
+        while !token.is_cancelled() {
+            compio::time::sleep(SAVE_EVERY).await;
+            let mut work = self.inner.work.borrow_mut();
+            let work = &mut *work;
+            let mut any = false;
+            for (key, running) in &work.running {
+                let mut progress = running.progress.borrow_mut();
+                if progress.unsaved() < SAVE_EVENTS {
+                    continue;
+                }
+                record_of(&mut work.results, &key.0).progress.push(progress.save(&key.1));
+                any = true;
+            }
+            if any {
+                self.inner.recorded.notify();
+            }
+        }
+    }
+
     /// Commits results as they come; those that come during a commit go into the next one.
     async fn record_loop(&self, token: CancellationToken) {
         while !token.is_cancelled() {
@@ -435,9 +471,10 @@
                 event!(warn, "results_unconfirmed", batch = id, results = count, reason = e);
                 let mut work = self.inner.work.borrow_mut();
                 if self.inner.term.get() == term {
-                    let again = record_of(&mut work, &Rc::from(record.batch_id.as_str()));
+                    let again = record_of(&mut work.results, &Rc::from(record.batch_id.as_str()));
                     again.results.extend(record.results);
                     again.failed.extend(record.failed);
+                    again.progress.extend(record.progress);
                 }
             }
         }
@@ -448,8 +485,8 @@
     items::expected_memory(item.prompt_tokens, item.expected_tokens, item.tokens)
 }
 
-fn record_of<'a>(work: &'a mut Work, batch: &Rc<str>) -> &'a mut inner::RecordResults {
-    work.results.entry(batch.clone()).or_insert_with(|| inner::RecordResults {
+fn record_of<'a>(results: &'a mut Records, batch: &Rc<str>) -> &'a mut inner::RecordResults {
+    results.entry(batch.clone()).or_insert_with(|| inner::RecordResults {
         batch_id: batch.to_string(),
         ..Default::default()
     })
@@ -460,7 +497,7 @@
     let completed = done.is_some();
     let (text, versions) = done.unwrap_or_default();
     let result = inner::ItemResult { id: key.1.to_string(), completed, text, versions };
-    record_of(work, &key.0).results.push(result);
+    record_of(&mut work.results, &key.0).results.push(result);
 }
 
 fn outcome(end: &RunEnd) -> &'static str {
--- a/orioleworks_store/src/runner.rs
+++ b/orioleworks_store/src/runner.rs
@@ -1,6 +1,7 @@
 //! One run of an item on one engine.
 
 use std::{
+    cell::RefCell,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -10,7 +11,7 @@
 use http_body_util::Full;
 use orioleworks_fleet::pool::{Exchange, Pool, SendError};
 use orioleworks_platform::{
-    events::Decoder,
+    events::{Decoder, Event},
     upstream::{self, Verdict},
 };
 use orioleworks_proto::inner;
@@ -30,9 +31,38 @@
     events: Vec<Bytes>,
     last_id: Option<u64>,
     versions: Vec<u64>,
+    /// Events that were handed over to be saved.
+    saved: usize,
 }
 
 impl Progress {
+    /// Progress as it was saved.
+    pub fn restore(saved: &inner::ItemProgress) -> Self {
+        Self {
+            events: saved.events.clone(),
+            last_id: saved.last_id,
+            versions: saved.versions.clone(),
+            saved: saved.events.len(),
+        }
+    }
+
+    /// Events that are not saved yet.
+    pub fn unsaved(&self) -> usize {
+        self.events.len() - self.saved
+    }
+
+    /// Hands over what is not saved yet.
+    pub fn save(&mut self, id: &str) -> inner::ItemProgress {
+        let from = std::mem::replace(&mut self.saved, self.events.len());
+        inner::ItemProgress {
+            id: id.into(),
+            from: u32::try_from(from).unwrap_or(u32::MAX),
+            events: self.events[from..].to_vec(),
+            last_id: self.last_id,
+            versions: self.versions.clone(),
+        }
+    }
+
     /// Number of events.
     pub fn events(&self) -> usize {
         self.events.len()
@@ -56,6 +86,34 @@
         !single_version || self.versions.is_empty() || version.is_some_and(|v| self.versions == [v])
     }
 
+    /// ID of the event after which a run goes on.
+    fn resume_after(&self) -> Option<u64> {
+        self.last_id.filter(|_| !self.events.is_empty())
+    }
+
+    /// Takes an event in; false for one that was there before.
+    ///
+    /// # Errors
+    ///
+    /// Returns the gap when events are missing before it.
+    fn push(&mut self, event: Event, version: Option<u64>) -> Result<bool, String> {
+        match (event.id, self.last_id) {
+            (Some(id), Some(before)) if id <= before => return Ok(false),
+            (Some(id), Some(before)) if id != before + 1 => {
+                return Err(format!("event {id} follows event {before}"));
+            }
+            _ => {}
+        }
+        self.last_id = event.id.or(self.last_id);
+        self.events.push(event.data);
+        if let Some(version) = version
+            && !self.versions.contains(&version)
+        {
+            self.versions.push(version);
+        }
+        Ok(true)
+    }
+
     /// Forgets everything.
     pub fn clear(&mut self) {
         *self = Self::default();
@@ -105,7 +163,7 @@
 pub async fn run(
     pool: &Pool,
     run: &Run,
-    progress: &mut Progress,
+    progress: &RefCell<Progress>,
     sign: impl Fn(Sign),
     stall: impl Fn() -> Duration,
 ) -> RunEnd {
@@ -113,7 +171,7 @@
         &run.batch.host,
         &run.item,
         &run.upstream.id,
-        progress.last_id.filter(|_| !progress.events.is_empty()),
+        progress.borrow().resume_after(),
     );
     let req = match head.map(|head| head.body(Full::new(run.item.body.clone()))) {
         Ok(Ok(req)) => req,
@@ -148,7 +206,7 @@
 async fn read_events(
     mut exchange: Exchange,
     run: &Run,
-    progress: &mut Progress,
+    progress: &RefCell<Progress>,
     sign: impl Fn(Sign),
     stall: impl Fn() -> Duration,
 ) -> RunEnd {
@@ -173,19 +231,10 @@
             if let Some(end) = refuse_version(run, progress, version) {
                 return end;
             }
-            match (event.id, progress.last_id) {
-                (Some(id), Some(before)) if id <= before => continue,
-                (Some(id), Some(before)) if id != before + 1 => {
-                    return RunEnd::Lost(format!("event {id} follows event {before}"));
-                }
-                _ => {}
-            }
-            progress.last_id = event.id.or(progress.last_id);
-            progress.events.push(event.data);
-            if let Some(version) = version
-                && !progress.versions.contains(&version)
-            {
-                progress.versions.push(version);
+            match progress.borrow_mut().push(event, version) {
+                Ok(true) => {}
+                Ok(false) => continue,
+                Err(gap) => return RunEnd::Lost(gap),
             }
             sign(Sign::Event(last.elapsed()));
             last = Instant::now();
@@ -198,7 +247,8 @@
     RunEnd::Completed
 }
 
-fn refuse_version(run: &Run, progress: &mut Progress, version: Option<u64>) -> Option<RunEnd> {
+fn refuse_version(run: &Run, progress: &RefCell<Progress>, version: Option<u64>) -> Option<RunEnd> {
+    let mut progress = progress.borrow_mut();
     let version = version?;
     if version < run.batch.min_version {
         return Some(RunEnd::WrongVersion);
--- a/orioleworks_store/src/state.rs
+++ b/orioleworks_store/src/state.rs
@@ -27,6 +27,8 @@
     pub listed: bool,
     /// Attempts that an upstream answered with a failure.
     pub failed_attempts: u32,
+    /// What an earlier run generated of it.
+    pub progress: Option<Rc<inner::ItemProgress>>,
 }
 
 /// A batch and its results.
@@ -56,6 +58,7 @@
             return false;
         }
         item.listed = true;
+        item.progress = None;
         drop_body(item);
         self.results.push(result);
         true
@@ -85,6 +88,8 @@
     models: IndexMap<Rc<str>, ModelState>,
     batches: IndexMap<Rc<str>, Batch>,
     retired: IndexSet<String>,
+    /// What ended batches had generated of unfinished items, with the batch, for items that come again.
+    unfinished: HashMap<Rc<str>, (Rc<str>, Rc<inner::ItemProgress>)>,
     /// Batch and position of the newest result of each item, for items that come again in a later batch.
     finished: HashMap<Rc<str>, (Rc<str>, usize)>,
 }
@@ -114,7 +119,12 @@
             return ResultCode::Ok;
         }
         let items = batch.items.iter().map(|spec| {
-            let item = Item { spec: Rc::new(spec.clone()), listed: false, failed_attempts: 0 };
+            let item = Item {
+                spec: Rc::new(spec.clone()),
+                listed: false,
+                failed_attempts: 0,
+                progress: None,
+            };
             (Rc::from(spec.id.as_str()), item)
         });
         let mut state = Batch {
@@ -150,6 +160,13 @@
         for result in known {
             batch.list(result);
         }
+        for (id, item) in batch.items.iter_mut().filter(|(_, item)| !item.listed) {
+            let Some((earlier, progress)) = self.unfinished.get(id) else { continue };
+            let earlier = self.batches.get(earlier).map(|batch| &batch.spec);
+            let same = earlier.is_some_and(|e| e.model == spec.model && e.route == spec.route);
+            let fits = are_allowed(&spec, &progress.versions) && !progress.versions.is_empty();
+            item.progress = (same && fits).then(|| progress.clone());
+        }
     }
 
     fn record(&mut self, record: &inner::RecordResults) -> ResultCode {
@@ -161,6 +178,12 @@
                 item.failed_attempts = item.failed_attempts.max(failed.count);
             }
         }
+        for saved in &record.progress {
+            let Some(item) = batch.items.get_mut(saved.id.as_str()) else { continue };
+            if !item.listed {
+                item.progress = merge(item.progress.as_deref(), saved).map(Rc::new);
+            }
+        }
         for result in &record.results {
             if result.completed && !is_allowed(&batch.spec, result) {
                 continue;
@@ -176,7 +199,13 @@
     fn end_batch(&mut self, id: &str) -> ResultCode {
         let Some(batch) = self.batches.get_mut(id) else { return ResultCode::UnknownObject };
         batch.ended = true;
-        batch.items.values_mut().for_each(drop_body);
+        let id: Rc<str> = id.into();
+        for (item_id, item) in &mut batch.items {
+            drop_body(item);
+            if let Some(progress) = item.progress.take() {
+                self.unfinished.insert(item_id.clone(), (id.clone(), progress));
+            }
+        }
         ResultCode::Ok
     }
 
@@ -206,6 +235,7 @@
         self.batches.retain(|_, batch| !over(batch));
         let batches = &self.batches;
         self.finished.retain(|_, (batch, _)| batches.contains_key(batch));
+        self.unfinished.retain(|_, (batch, _)| batches.contains_key(batch));
     }
 
     /// Newest route document; version 0 stands for none.
@@ -292,7 +322,10 @@
             let Some(restored) = state.batches.get_mut(&id) else { continue };
             // What was carried over is among the saved results.
             restored.results.clear();
-            restored.items.values_mut().for_each(|item| item.listed = false);
+            for item in restored.items.values_mut() {
+                item.listed = false;
+                item.progress = None;
+            }
             for failed in &saved.failed {
                 if let Some(item) = restored.items.get_mut(failed.id.as_str()) {
                     item.failed_attempts = failed.count;
@@ -305,7 +338,14 @@
                     state.finished.insert(item, (id.clone(), restored.results.len() - 1));
                 }
             }
-            restored.ended = saved.ended;
+            for progress in saved.progress {
+                if let Some(item) = restored.items.get_mut(progress.id.as_str()) {
+                    item.progress = Some(Rc::new(progress));
+                }
+            }
+            if saved.ended {
+                state.end_batch(&id);
+            }
         }
         Ok(state)
     }
@@ -313,8 +353,28 @@
 
 /// Whether a result's versions are ones that a batch allows.
 pub fn is_allowed(batch: &inner::Batch, result: &inner::ItemResult) -> bool {
-    let newer = result.versions.iter().all(|version| *version >= batch.min_version);
-    result.completed && newer && (!batch.single_version || result.versions.len() <= 1)
+    result.completed && are_allowed(batch, &result.versions)
+}
+
+fn are_allowed(batch: &inner::Batch, versions: &[u64]) -> bool {
+    let newer = versions.iter().all(|version| *version >= batch.min_version);
+    newer && (!batch.single_version || versions.len() <= 1)
+}
+
+/// Adds saved events to those before them; `None` when they do not follow.
+fn merge(
+    before: Option<&inner::ItemProgress>,
+    saved: &inner::ItemProgress,
+) -> Option<inner::ItemProgress> {
+    let known = before.map_or(&[][..], |before| &before.events);
+    let from = saved.from as usize;
+    if from > known.len() {
+        return before.cloned();
+    }
+    let mut merged = saved.clone();
+    merged.from = 0;
+    merged.events = known[..from].iter().chain(&saved.events).cloned().collect();
+    Some(merged)
 }
 
 fn batch_message(batch: &Batch) -> inner::BatchState {
@@ -331,5 +391,10 @@
         ended: batch.ended,
         results: batch.results.clone(),
         failed: failed.collect(),
+        progress: batch
+            .items
+            .values()
+            .filter_map(|item| item.progress.as_deref().cloned())
+            .collect(),
     }
 }
