Long items wait for fast engines and leave slow ones; a retired store is replaced from any domain

Cause: items stayed on engines that turned three times as slow; a store that was retired kept its place because the only learner was in a domain with its share of voters.

--- a/orioleworks_log/src/membership.rs
+++ b/orioleworks_log/src/membership.rs
@@ -303,17 +303,18 @@
         }
         let in_domain = voters().filter(|(_, m)| m.domain == ready.domain).count();
         if voters().count() < settings.max_voters && in_domain < settings.max_voters_per_domain {
-            let mut membership = state.membership.clone();
-            for member in membership.members.iter_mut().filter(|m| m.member_id == ready.member_id) {
-                member.learner = false;
-            }
-            return Some((membership, "learner_promoted"));
+            return Some((promoted(&state.membership, ready.member_id), "learner_promoted"));
         }
-        let full = in_domain >= settings.max_voters_per_domain;
-        let fits = |m: &inner::Member| !full || m.domain == ready.domain;
-        if let Some((at, _)) = voters().find(|(_, m)| fits(m) && retired.contains(&m.name)) {
+        // A retired replica goes even where its successor is in a domain that has its share of voters.
+        let is_retired = |m: &inner::Member| retired.contains(&m.name);
+        if let Some((at, _)) = voters().find(|(_, m)| is_retired(m)) {
             return Some((without(&state.membership, at), "retired_voter_removed"));
         }
+        if voters().count() < settings.max_voters && replaces_retired(state, retired) {
+            return Some((promoted(&state.membership, ready.member_id), "learner_promoted"));
+        }
+        let full = in_domain >= settings.max_voters_per_domain;
+        let fits = |m: &inner::Member| !full || m.domain == ready.domain;
         let silent = |m: &inner::Member| {
             let progress = state.progress.get(&m.member_id);
             let heard = progress.map(|p| p.confirmed.unwrap_or(p.added));
@@ -326,6 +327,20 @@
     None
 }
 
+/// Whether a voter was removed for good, so that its place may be taken by a replica of any domain.
+fn replaces_retired(state: &State, retired: &IndexSet<String>) -> bool {
+    let gone = |name: &String| !state.membership.members.iter().any(|m| m.name == *name);
+    retired.iter().any(gone)
+}
+
+fn promoted(membership: &inner::Membership, id: u64) -> inner::Membership {
+    let mut membership = membership.clone();
+    for member in membership.members.iter_mut().filter(|m| m.member_id == id) {
+        member.learner = false;
+    }
+    membership
+}
+
 fn without(membership: &inner::Membership, at: usize) -> inner::Membership {
     let mut membership = membership.clone();
     membership.members.remove(at);
--- a/orioleworks_routing/src/items.rs
+++ b/orioleworks_routing/src/items.rs
@@ -17,6 +17,10 @@
 /// Event time against the median at which an engine counts as slow.
 const SLOW_RATIO: f64 = 2.0;
 
+/// Events left from which an item loses more on a slow engine than it loses by a move or a wait: about a second at the
+/// usual pace.
+const LONG_EVENTS: usize = 25;
+
 /// Rank of a waiting item; lower goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
@@ -104,6 +108,20 @@
     fitting.min_by(|(_, a), (_, b)| a.cost().total_cmp(&b.cost())).map(|(i, _)| i)
 }
 
+/// Events that an item is expected to need beyond those that it has.
+///
+/// An item that has outgrown its estimate is taken to be half done: lengths are spread widely, so that the longer an
+/// item runs, the longer it is expected to run on.
+pub fn events_left(expected_tokens: u32, event_tokens: u32, events: usize) -> usize {
+    let expected = (expected_tokens / event_tokens.max(1)) as usize;
+    if expected > events { expected - events } else { events }
+}
+
+/// Whether an item is long enough to wait for a fast engine, or to leave a slow one.
+pub fn is_worth_a_fast_engine(events_left: usize) -> bool {
+    events_left >= LONG_EVENTS
+}
+
 /// Median of times in milliseconds; the assumed time when there are none.
 pub fn median(times: &[f64]) -> f64 {
     let mut sorted = times.to_vec();
--- a/orioleworks_routing/src/routes.rs
+++ b/orioleworks_routing/src/routes.rs
@@ -81,6 +81,8 @@
     pub slots: u32,
     /// Tokens that fit into the memory of an engine.
     pub memory_tokens: u64,
+    /// Tokens of one event of a stream.
+    pub event_tokens: u32,
     /// Models that an engine holds.
     pub models: Vec<Rc<str>>,
 }
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -27,7 +27,7 @@
 
 use crate::{
     engines::{Engines, key_of},
-    runner::{self, Progress, Run, RunEnd, Sign},
+    runner::{self, Progress, Run, RunEnd, Sign, Watch},
     state::State,
 };
 
@@ -250,21 +250,25 @@
             }
         }
         // Items of one batch that fit nowhere say the same of the rest of it.
-        let mut full: HashSet<Rc<str>> = HashSet::new();
+        let mut full: HashSet<(Rc<str>, bool)> = HashSet::new();
         let ranks: Vec<Rank> = work.waiting.keys().copied().collect();
         for rank in ranks {
             let Some(waiting) = work.waiting.get(&rank) else { continue };
-            if full.contains(&waiting.key.0) {
+            let events = waiting.progress.borrow().events();
+            let left = self.events_left(&waiting.batch, &waiting.item, events);
+            let long = items::is_worth_a_fast_engine(left);
+            let kind = (waiting.key.0.clone(), long);
+            if full.contains(&kind) {
                 continue;
             }
-            match self.choose(waiting, now) {
+            match self.choose(waiting, long, now) {
                 Some(upstream) => {
                     if let Some(waiting) = work.waiting.remove(&rank) {
                         self.start_item(&mut work, rank, waiting, upstream);
                     }
                 }
                 None => {
-                    full.insert(waiting.key.0.clone());
+                    full.insert(kind);
                 }
             }
         }
@@ -273,7 +277,7 @@
         }
     }
 
-    fn choose(&self, waiting: &Waiting, now: Duration) -> Option<Rc<Upstream>> {
+    fn choose(&self, waiting: &Waiting, long: bool, now: Duration) -> Option<Rc<Upstream>> {
         let fleet = self.inner.fleet.borrow();
         let engines = self.inner.engines.borrow();
         let table = self.inner.table.borrow();
@@ -292,6 +296,10 @@
         if found.iter().any(|(_, fresh, _)| *fresh) {
             found.retain(|(_, fresh, _)| *fresh);
         }
+        let all = event_times(&fleet, &engines, &batch.service, now);
+        if long && found.iter().any(|(_, _, load)| !items::is_slow(load.event_ms, &all)) {
+            found.retain(|(_, _, load)| !items::is_slow(load.event_ms, &all));
+        }
         let loads: Vec<items::EngineLoad> = found.iter().map(|(_, _, load)| *load).collect();
         let at = items::place(&loads, memory_of(&waiting.item))?;
         Some(found[at].0.clone())
@@ -327,11 +335,13 @@
         }
         let run = Run { upstream, key: key.clone(), batch, item };
         let end = {
-            let sign = |sign: Sign| self.note(&run, sign);
-            let stall = || self.stall(&run);
-            let mut running = Box::pin(
-                runner::run(&self.inner.pool, &run, &waiting.progress, sign, stall).fuse(),
-            );
+            let watch = Watch {
+                sign: &|sign| self.note(&run, sign),
+                stall: &|| self.stall(&run),
+                leave: &|| self.should_move(&run),
+            };
+            let running = runner::run(&self.inner.pool, &run, &waiting.progress, &watch);
+            let mut running = Box::pin(running.fuse());
             let mut cancelled = std::pin::pin!(cancel.cancelled().fuse());
             select! { end = running => Some(end), () = cancelled => None }
         };
@@ -355,6 +365,41 @@
         if loads { LOADING_STALL } else { runner::STALL }
     }
 
+    /// Whether an item gains by going on elsewhere: its engine is slow, and another one that may run it has room.
+    fn should_move(&self, run: &Run) -> bool {
+        let progress = self.progress_of(&run.batch.id, &run.item.id);
+        if !items::is_worth_a_fast_engine(self.events_left(&run.batch, &run.item, progress)) {
+            return false;
+        }
+        let now = clock::since_boot();
+        let fleet = self.inner.fleet.borrow();
+        let engines = self.inner.engines.borrow();
+        let (batch, group) = (&run.batch, &run.item.group);
+        let all = event_times(&fleet, &engines, &batch.service, now);
+        if !items::is_slow(engines.event_ms(&run.key), &all) {
+            return false;
+        }
+        let others = fleet.serving(&batch.service, now).filter(|k| k.is_fresh(now));
+        others.filter(|known| key_of(&known.upstream) != run.key).any(|known| {
+            let load = engines.load_for(known, &batch.model, batch.min_version, group, 0, now);
+            let fast = !items::is_slow(engines.event_ms(&key_of(&known.upstream)), &all);
+            fast && load.is_some_and(|load| load.running < load.slots)
+        })
+    }
+
+    fn progress_of(&self, batch: &str, item: &str) -> usize {
+        let work = self.inner.work.borrow();
+        let running = work.running.get(&(Rc::from(batch), Rc::from(item)));
+        running.map_or(0, |running| running.progress.borrow().events())
+    }
+
+    fn events_left(&self, batch: &inner::Batch, item: &inner::BatchItem, events: usize) -> usize {
+        let table = self.inner.table.borrow();
+        let terms = table.service(&batch.service).and_then(|s| s.engine.as_ref());
+        let event_tokens = terms.map_or(0, |terms| terms.event_tokens);
+        items::events_left(item.expected_tokens, event_tokens, events)
+    }
+
     fn settle(&self, rank: Rank, mut waiting: Waiting, run: &Run, end: RunEnd) {
         let now = clock::since_boot();
         let mut work = self.inner.work.borrow_mut();
@@ -403,6 +448,7 @@
             RunEnd::NotRun | RunEnd::WrongVersion => {
                 self.inner.engines.borrow_mut().refused(&run.key, now);
             }
+            RunEnd::Moved => {}
             RunEnd::Lost(_) => self.inner.engines.borrow_mut().pause(&run.key, now),
         }
         let reason = match &end {
@@ -481,6 +527,11 @@
     }
 }
 
+fn event_times(fleet: &Fleet, engines: &Engines, service: &str, now: Duration) -> Vec<f64> {
+    let serving = fleet.serving(service, now);
+    serving.map(|known| engines.event_ms(&key_of(&known.upstream))).collect()
+}
+
 fn memory_of(item: &inner::BatchItem) -> u64 {
     items::expected_memory(item.prompt_tokens, item.expected_tokens, item.tokens)
 }
@@ -507,6 +558,7 @@
         RunEnd::Failed => "failed",
         RunEnd::NotRun => "not_run",
         RunEnd::WrongVersion => "wrong_version",
+        RunEnd::Moved => "slow_engine",
         RunEnd::Lost(_) => "lost",
     }
 }
--- a/orioleworks_store/src/runner.rs
+++ b/orioleworks_store/src/runner.rs
@@ -133,6 +133,8 @@
     NotRun,
     /// The engine uses weights that the batch does not allow.
     WrongVersion,
+    /// It was stopped, because it ends sooner at another engine.
+    Moved,
     /// The connection could not be opened, broke, or fell silent.
     Lost(String),
 }
@@ -150,6 +152,22 @@
     pub item: Rc<inner::BatchItem>,
 }
 
+/// What a run asks while it goes on.
+pub struct Watch<'a> {
+    /// Takes what the run shows of its engine.
+    pub sign: &'a dyn Fn(Sign),
+    /// Silence after which the run is given up.
+    pub stall: &'a dyn Fn() -> Duration,
+    /// Whether the run should go on at another engine.
+    pub leave: &'a dyn Fn() -> bool,
+}
+
+impl std::fmt::Debug for Watch<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Watch").finish_non_exhaustive()
+    }
+}
+
 /// What a run tells while it goes on.
 #[derive(Clone, Copy, Debug)]
 pub enum Sign {
@@ -164,8 +182,7 @@
     pool: &Pool,
     run: &Run,
     progress: &RefCell<Progress>,
-    sign: impl Fn(Sign),
-    stall: impl Fn() -> Duration,
+    watch: &Watch<'_>,
 ) -> RunEnd {
     let head = upstream::item_request(
         &run.batch.host,
@@ -178,7 +195,7 @@
         // No upstream can be sent this item.
         Ok(Err(_)) | Err(_) => return RunEnd::Impossible,
     };
-    let sent = pool.send(&run.upstream.address, &run.key, req, stall()).await;
+    let sent = pool.send(&run.upstream.address, &run.key, req, (watch.stall)()).await;
     let exchange = match sent {
         Ok(exchange) => exchange,
         Err(e) => return RunEnd::Lost(e.to_string()),
@@ -190,7 +207,7 @@
         Verdict::Answered => {}
     }
     match status.as_u16() {
-        200..=299 => read_events(exchange, run, progress, sign, stall).await,
+        200..=299 => read_events(exchange, run, progress, watch).await,
         422 => refused(exchange, RunEnd::Impossible).await,
         500 => refused(exchange, RunEnd::Failed).await,
         other => refused(exchange, RunEnd::Lost(format!("status {other}"))).await,
@@ -207,17 +224,16 @@
     mut exchange: Exchange,
     run: &Run,
     progress: &RefCell<Progress>,
-    sign: impl Fn(Sign),
-    stall: impl Fn() -> Duration,
+    watch: &Watch<'_>,
 ) -> RunEnd {
     let mut decoder = Decoder::default();
     let mut version = upstream::weight_version(&exchange.head.headers);
     if let Some(version) = version {
-        sign(Sign::Version(version));
+        (watch.sign)(Sign::Version(version));
     }
     let mut last = Instant::now();
     loop {
-        let part = match next_part(&mut exchange, stall()).await {
+        let part = match next_part(&mut exchange, (watch.stall)()).await {
             Ok(part) => part,
             Err(e) => return RunEnd::Lost(e.to_string()),
         };
@@ -226,7 +242,7 @@
         while let Some(event) = decoder.next_event() {
             if let Some(changed) = event.version {
                 version = Some(changed);
-                sign(Sign::Version(changed));
+                (watch.sign)(Sign::Version(changed));
             }
             if let Some(end) = refuse_version(run, progress, version) {
                 return end;
@@ -236,9 +252,12 @@
                 Ok(false) => continue,
                 Err(gap) => return RunEnd::Lost(gap),
             }
-            sign(Sign::Event(last.elapsed()));
+            (watch.sign)(Sign::Event(last.elapsed()));
             last = Instant::now();
         }
+        if (watch.leave)() {
+            return RunEnd::Moved;
+        }
     }
     if decoder.has_rest() {
         return RunEnd::Lost("the stream ended inside an event".into());
