--- a/orioleworks_fleet/src/stores.rs
+++ b/orioleworks_fleet/src/stores.rs
@@ -35,7 +35,7 @@
 #[derive(Debug)]
 pub enum Led {
     /// The leader answered.
-    Answered(Body),
+    Answered(Box<Body>),
     /// No leader took the call; it had no effect.
     NoLeader,
     /// The call may have had an effect.
@@ -115,7 +115,7 @@
                         ResultCode::OrderUnconfirmed => unconfirmed = true,
                         _ => {
                             self.set_leader(&address);
-                            return Led::Answered(body);
+                            return Led::Answered(Box::new(body));
                         }
                     },
                     Err(RpcError::Unreachable(_)) => {}
--- a/orioleworks_gateway/src/batches.rs
+++ b/orioleworks_gateway/src/batches.rs
@@ -122,7 +122,7 @@
 fn answered(led: Led, what: &str) -> Result<Body, Refusal> {
     match led {
         Led::Answered(body) => match stores::verdict(&body) {
-            ResultCode::Ok => Ok(body),
+            ResultCode::Ok => Ok(*body),
             code => Err(Refusal::new(code, what, Duration::ZERO)),
         },
         Led::NoLeader => Err(no_leader(what)),
--- a/orioleworks_gateway/src/view.rs
+++ b/orioleworks_gateway/src/view.rs
@@ -4,7 +4,7 @@
     cell::{Cell, RefCell},
     collections::HashMap,
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use orioleworks_daemon::{clock, event};
@@ -26,6 +26,12 @@
 /// Second attempts that are allowed without any success; the requests in flight when a replica of a quiet service dies.
 const RETRY_FLOOR: u32 = 10;
 
+/// Age of a process from which a service without known upstreams has none: upstreams announce themselves each 1.2 s, and
+/// the stores may have been restarted too.
+const LEARN_TIME: Duration = Duration::from_millis(3000);
+/// Pause between two looks while the first upstreams are awaited.
+const LEARN_LOOK: Duration = Duration::from_millis(20);
+
 /// State of a gateway; clones share it.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -42,6 +48,7 @@
     table: Rc<RefCell<Option<Rc<RouteTable>>>>,
     budgets: Rc<RefCell<HashMap<Rc<str>, Budget>>>,
     draining: Rc<Cell<bool>>,
+    started: Instant,
 }
 
 impl View {
@@ -58,6 +65,7 @@
             table: Rc::default(),
             budgets: Rc::default(),
             draining: Rc::default(),
+            started: Instant::now(),
         }
     }
 
@@ -99,6 +107,14 @@
         self.draining.get()
     }
 
+    /// Waits for the first upstream of a service while the process is too young to know that there is none.
+    pub async fn wait_for_upstream(&self, service: &str, until: Instant) {
+        let until = until.min(self.started + LEARN_TIME);
+        while self.choose(service, &[]).is_none() && Instant::now() < until {
+            compio::time::sleep(LEARN_LOOK).await;
+        }
+    }
+
     /// Notes that the process is shutting down.
     pub fn start_drain(&self) {
         self.draining.set(true);
--- a/orioleworks_log/src/lib.rs
+++ b/orioleworks_log/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod replication;
 pub mod settings;
 pub mod state;
+pub mod succession;
 
 pub use error::LogError;
 pub use node::{Log, Machine, ProposeError, Sharing};
--- a/orioleworks_log/src/membership.rs
+++ b/orioleworks_log/src/membership.rs
@@ -15,6 +15,7 @@
     node::Log,
     settings::{Replica, Settings},
     state::{State, voters},
+    succession::{self, Step},
 };
 
 /// Pause between two attempts to found or join.
@@ -230,12 +231,11 @@
 
     /// Removes the lost identity that a caught-up learner replaces, then promotes the learner.
     pub(crate) fn change_membership_if_due(&self) {
-        let heartbeat = self.inner.settings.heartbeat;
         let due = {
             let state = self.inner.state.borrow();
             let retired = self.inner.retired.borrow();
             match may_change(&state) {
-                true => next_step(&state, &self.inner.settings, heartbeat, &retired),
+                true => next_step(&state, &self.inner.settings, &retired),
                 false => None,
             }
         };
@@ -273,64 +273,50 @@
     rules::may_change_membership(state.committed_own_term(), in_flight)
 }
 
+/// What this leader knows of the members.
+fn standings(
+    state: &State,
+    settings: &Settings,
+    retired: &IndexSet<String>,
+) -> Vec<succession::Standing> {
+    let longest_silence = settings.heartbeat * LEARNER_LIVE_HEARTBEATS;
+    let standing = |m: &inner::Member| {
+        let progress = state.progress.get(&m.member_id);
+        let own = m.member_id == state.id();
+        let heard = progress.map(|p| p.confirmed.unwrap_or(p.added).elapsed());
+        let answered = progress.and_then(|p| p.confirmed).map(|at| at.elapsed());
+        let synced = progress.map_or(0, |p| p.matched);
+        succession::Standing {
+            id: m.member_id,
+            name: m.name.clone(),
+            domain: m.domain.clone(),
+            learner: m.learner,
+            live: own || answered.is_some_and(|silence| silence < longest_silence),
+            lost: heard.zip(settings.replace_after).is_some_and(|(silence, after)| silence > after),
+            caught_up: synced > 0 && rules::may_promote(synced, state.commit),
+            name_in_use: state.is_name_in_use(&m.name, settings.heartbeat),
+            retired: retired.contains(&m.name),
+        }
+    };
+    state.membership.members.iter().map(standing).collect()
+}
+
 /// Next single step towards the wanted voters.
-///
-/// A lost voter goes before the learner that takes its place: a promotion beside it would raise the quorum of three
-/// replicas to three of four, so that the loss of the repaired replica during its repair would stop the cluster for
-/// good.
 fn next_step(
     state: &State,
     settings: &Settings,
-    heartbeat: Duration,
     retired: &IndexSet<String>,
 ) -> Option<(inner::Membership, &'static str)> {
-    let members = &state.membership.members;
-    if let Some(at) = members.iter().position(|m| m.learner && retired.contains(&m.name)) {
-        return Some((without(&state.membership, at), "retired_learner_removed"));
-    }
-    let longest_silence = heartbeat * LEARNER_LIVE_HEARTBEATS;
-    let ready = members.iter().filter(|m| {
-        let Some(progress) = state.progress.get(&m.member_id) else { return false };
-        let synced = progress.matched;
-        // A learner that is lost just now would only raise the quorum.
-        let live = progress.confirmed.is_some_and(|at| at.elapsed() < longest_silence);
-        m.learner && live && synced > 0 && rules::may_promote(synced, state.commit)
-    });
-    for ready in ready.filter(|m| !state.is_name_in_use(&m.name, heartbeat)) {
-        let voters = || members.iter().enumerate().filter(|(_, m)| !m.learner);
-        if let Some((lost, _)) = voters().find(|(_, m)| m.name == ready.name) {
-            return Some((without(&state.membership, lost), "lost_identity_removed"));
-        }
-        let in_domain = voters().filter(|(_, m)| m.domain == ready.domain).count();
-        if voters().count() < settings.max_voters && in_domain < settings.max_voters_per_domain {
-            return Some((promoted(&state.membership, ready.member_id), "learner_promoted"));
-        }
-        // A retired replica goes even where its successor is in a domain that has its share of voters.
-        let is_retired = |m: &inner::Member| retired.contains(&m.name);
-        if let Some((at, _)) = voters().find(|(_, m)| is_retired(m)) {
-            return Some((without(&state.membership, at), "retired_voter_removed"));
-        }
-        if voters().count() < settings.max_voters && replaces_retired(state, retired) {
-            return Some((promoted(&state.membership, ready.member_id), "learner_promoted"));
-        }
-        let full = in_domain >= settings.max_voters_per_domain;
-        let fits = |m: &inner::Member| !full || m.domain == ready.domain;
-        let silent = |m: &inner::Member| {
-            let progress = state.progress.get(&m.member_id);
-            let heard = progress.map(|p| p.confirmed.unwrap_or(p.added));
-            settings.replace_after.is_some_and(|after| heard.is_some_and(|at| at.elapsed() > after))
-        };
-        if let Some((at, _)) = voters().find(|(_, m)| fits(m) && silent(m)) {
-            return Some((without(&state.membership, at), "silent_voter_removed"));
-        }
+    let members = standings(state, settings, retired);
+    let bounds = succession::Bounds {
+        voters: settings.max_voters,
+        per_domain: settings.max_voters_per_domain,
+    };
+    let gone = |name: &String| !members.iter().any(|m| m.name == *name);
+    match succession::next_step(&members, bounds, retired.iter().any(gone))? {
+        Step::Remove(id, reason) => Some((without(&state.membership, id), reason)),
+        Step::Promote(id) => Some((promoted(&state.membership, id), "learner_promoted")),
     }
-    None
-}
-
-/// Whether a voter was removed for good, so that its place may be taken by a replica of any domain.
-fn replaces_retired(state: &State, retired: &IndexSet<String>) -> bool {
-    let gone = |name: &String| !state.membership.members.iter().any(|m| m.name == *name);
-    retired.iter().any(gone)
 }
 
 fn promoted(membership: &inner::Membership, id: u64) -> inner::Membership {
@@ -341,8 +327,8 @@
     membership
 }
 
-fn without(membership: &inner::Membership, at: usize) -> inner::Membership {
+fn without(membership: &inner::Membership, id: u64) -> inner::Membership {
     let mut membership = membership.clone();
-    membership.members.remove(at);
+    membership.members.retain(|m| m.member_id != id);
     membership
 }
--- /dev/null
+++ b/orioleworks_log/tests/succession.rs
@@ -0,0 +1,90 @@
+//! Steps of the membership while members are lost or retired.
+
+use orioleworks_log::succession::{Bounds, Standing, Step, next_step};
+use rstest::rstest;
+
+const THREE: Bounds = Bounds { voters: 3, per_domain: 1 };
+
+fn voter(id: u64, domain: &str) -> Standing {
+    Standing {
+        id,
+        name: format!("store-{id}"),
+        domain: domain.into(),
+        live: true,
+        caught_up: true,
+        ..Default::default()
+    }
+}
+
+fn learner(id: u64, domain: &str) -> Standing {
+    Standing { learner: true, ..voter(id, domain) }
+}
+
+fn away(m: Standing) -> Standing {
+    Standing { live: false, ..m }
+}
+
+fn retired(m: Standing) -> Standing {
+    Standing { retired: true, ..m }
+}
+
+/// Guards against the outage of an incident on latte-giusto: a store was retired while another one was frozen, and the
+/// two voters that were left could not commit until it thawed.
+#[test]
+fn a_successor_votes_first_when_another_voter_is_away() {
+    let members = [away(voter(1, "a")), voter(2, "b"), retired(voter(3, "c")), learner(4, "a")];
+    assert_eq!(next_step(&members, THREE, false), Some(Step::Promote(4)));
+    let promoted = [away(voter(1, "a")), voter(2, "b"), retired(voter(3, "c")), voter(4, "a")];
+    assert_eq!(next_step(&promoted, THREE, false), Some(Step::Remove(3, "retired_voter_removed")));
+}
+
+/// Guards against a retired store that keeps its place because the only learner is in a domain with its share.
+#[test]
+fn a_retired_voter_goes_whatever_the_domain_of_its_successor() {
+    let members = [voter(1, "a"), voter(2, "b"), retired(voter(3, "c")), learner(4, "a")];
+    let step = next_step(&members, THREE, false);
+    assert_eq!(step, Some(Step::Remove(3, "retired_voter_removed")));
+    let rest = [voter(1, "a"), voter(2, "b"), learner(4, "a")];
+    assert_eq!(next_step(&rest, THREE, true), Some(Step::Promote(4)));
+}
+
+/// Guards against a lost machine that holds its place for ever while an empty one stands by.
+#[test]
+fn a_learner_takes_the_place_of_a_voter_that_is_lost() {
+    let lost = Standing { lost: true, ..away(voter(1, "a")) };
+    let members = [lost, voter(2, "b"), voter(3, "c"), learner(4, "a")];
+    assert_eq!(next_step(&members, THREE, false), Some(Step::Remove(1, "silent_voter_removed")));
+}
+
+/// Guards against two voters in one failure domain of three, whose loss would stop the cluster.
+#[rstest]
+#[case::full_cluster(&[1, 2, 3])]
+#[case::domain_has_its_share(&[1, 2])]
+fn a_learner_waits_where_its_domain_has_a_voter(#[case] voters: &[u64]) {
+    let domains = ["a", "b", "c"];
+    let mut members: Vec<Standing> =
+        voters.iter().map(|id| voter(*id, domains[*id as usize - 1])).collect();
+    members.push(learner(9, "a"));
+    assert_eq!(next_step(&members, THREE, false), None);
+}
+
+/// Guards against a promotion or removal that the members which answer could not commit afterwards.
+#[test]
+fn no_step_is_taken_that_would_stop_the_cluster() {
+    let members =
+        [away(voter(1, "a")), retired(voter(2, "b")), away(voter(3, "c")), learner(4, "a")];
+    assert_eq!(next_step(&members, THREE, false), None);
+}
+
+/// Guards against a wiped store that never votes again, and against one that replaces its identity while it is live.
+#[rstest]
+#[case::silent(false, Some(Step::Remove(1, "lost_identity_removed")))]
+#[case::still_heard(true, None)]
+fn a_new_identity_replaces_the_lost_one_of_its_name(
+    #[case] name_in_use: bool,
+    #[case] expected: Option<Step>,
+) {
+    let old = Standing { name_in_use, live: name_in_use, ..voter(1, "a") };
+    let new = Standing { id: 9, ..learner(1, "a") };
+    assert_eq!(next_step(&[old, voter(2, "b"), voter(3, "c"), new], THREE, false), expected);
+}
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -8,7 +8,11 @@
 
 use compio::{runtime, time};
 use orioleworks_daemon::{clock, event};
-use orioleworks_fleet::{convert, pool::Pool, stores::Stores};
+use orioleworks_fleet::{
+    convert,
+    pool::Pool,
+    stores::{self, Led, Stores},
+};
 use orioleworks_log::{Log, LogError, Machine, node::MAX_COMMAND_BYTES, notify::Notify};
 use orioleworks_platform::document;
 use orioleworks_proto::{
@@ -112,19 +116,21 @@
 
     async fn keep_house(&self, token: CancellationToken) {
         while !token.is_cancelled() {
-            self.fleet.borrow_mut().forget(clock::since_boot());
-            let fleet = self.fleet.borrow();
-            let known = |id: &str, start: u64| {
-                fleet.get(id).is_some_and(|k| k.upstream.incarnation == start)
-            };
-            self.engines.borrow_mut().retain(|(id, start)| known(id, *start));
-            drop(fleet);
+            self.forget_upstreams();
             self.pool.trim();
             self.log.set_retired(self.state.borrow().retired().iter().cloned());
             time::sleep(HOUSEKEEPING).await;
         }
     }
 
+    fn forget_upstreams(&self) {
+        self.fleet.borrow_mut().forget(clock::since_boot());
+        let fleet = self.fleet.borrow();
+        let known =
+            |id: &str, start: u64| fleet.get(id).is_some_and(|k| k.upstream.incarnation == start);
+        self.engines.borrow_mut().retain(|(id, start)| known(id, *start));
+    }
+
     /// The replicated log.
     pub fn log(&self) -> &Log {
         &self.log
@@ -200,11 +206,9 @@
             return ResultCode::from_number(reply.code).unwrap_or(ResultCode::OrderUnconfirmed);
         }
         match self.stores.propose(kind, wait).await {
-            orioleworks_fleet::stores::Led::Answered(body) => {
-                orioleworks_fleet::stores::verdict(&body)
-            }
-            orioleworks_fleet::stores::Led::NoLeader => ResultCode::NoQuorum,
-            orioleworks_fleet::stores::Led::Unconfirmed => ResultCode::OrderUnconfirmed,
+            Led::Answered(body) => stores::verdict(&body),
+            Led::NoLeader => ResultCode::NoQuorum,
+            Led::Unconfirmed => ResultCode::OrderUnconfirmed,
         }
     }
 
@@ -220,7 +224,10 @@
         } else {
             let message = || Body::ReadDocument(inner::ReadDocument {});
             match self.stores.call_leader(message, wait, wait).await {
-                orioleworks_fleet::stores::Led::Answered(Body::ReadDocumentReply(reply)) => reply,
+                Led::Answered(body) => match *body {
+                    Body::ReadDocumentReply(reply) => reply,
+                    _ => return Err(ResultCode::NoQuorum),
+                },
                 _ => return Err(ResultCode::NoQuorum),
             }
         };
