--- a/orioleworks_control/src/app.rs
+++ b/orioleworks_control/src/app.rs
@@ -1,6 +1,6 @@
 //! Start, wiring and graceful shutdown of the control daemon.
 
-use std::{io::Write as _, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use compio::runtime::{self, Runtime};
 use futures_util::{FutureExt, select};
@@ -39,7 +39,7 @@
         return exit::OK;
     }
     logging::start(&cfg.log.filter);
-    abort_on_panic();
+    logging::abort_on_panic();
     #[cfg(feature = "failpoints")]
     let _scenario = start_fail_points();
     match Runtime::new() {
@@ -51,16 +51,6 @@
     }
 }
 
-/// A task that panics must not leave a replica that answers heartbeats but does nothing else.
-fn abort_on_panic() {
-    let report = std::panic::take_hook();
-    std::panic::set_hook(Box::new(move |info| {
-        report(info);
-        drop(std::io::stderr().flush());
-        std::process::abort();
-    }));
-}
-
 /// Reads the fail points of the environment and follows those that a test arms later.
 #[cfg(feature = "failpoints")]
 fn start_fail_points() -> fail::FailScenario<'static> {
--- a/orioleworks_daemon/src/lib.rs
+++ b/orioleworks_daemon/src/lib.rs
@@ -7,6 +7,7 @@
 #[cfg(feature = "failpoints")]
 pub mod failpoints;
 pub mod http;
+pub mod log_writer;
 pub mod logging;
 pub mod metrics;
 pub mod reload;
--- a/orioleworks_daemon/src/logging.rs
+++ b/orioleworks_daemon/src/logging.rs
@@ -1,17 +1,61 @@
-//! Logs: one line of key=value pairs for each event, on standard error.
+//! Logs: one line of key=value pairs for each event.
 
-use std::{fmt::Write as _, io::Write as _};
+use std::{fmt::Write as _, io::Write as _, sync::OnceLock, time::Duration};
 
-use crate::clock;
+use crate::{clock, log_writer::LogWriter};
 
-/// Starts logging; `filter` has the syntax of `env_logger`, and the variable `ORIOLEWORKS_LOG` goes before it.
+static WRITER: OnceLock<LogWriter> = OnceLock::new();
+
+/// Variable whose filter goes before that of the settings.
+const FILTER_VARIABLE: &str = "ORIOLEWORKS_LOG";
+
+/// Starts logging of a tool to standard error; `filter` has the syntax of `env_logger`.
 pub fn start(filter: &str) {
-    let env = env_logger::Env::new().filter_or("ORIOLEWORKS_LOG", filter.to_owned());
+    start_to(filter, env_logger::Target::Stderr);
+}
+
+/// Starts logging of a daemon to standard output, which is never waited for.
+pub fn start_daemon(filter: &str) {
+    match LogWriter::start(std::io::stdout()) {
+        Ok(writer) => {
+            let writer = WRITER.get_or_init(|| writer).clone();
+            start_to(filter, env_logger::Target::Pipe(Box::new(writer)));
+        }
+        Err(e) => {
+            start(filter);
+            crate::event!(error, "log_thread_missing", reason = e);
+        }
+    }
+}
+
+/// Writes what is left of a daemon's lines before the process ends.
+pub fn finish() {
+    /// Longest wait; the end of a process must not hang on a reader that is gone.
+    const TIME: Duration = Duration::from_millis(200);
+    if let Some(writer) = WRITER.get() {
+        writer.finish(TIME);
+    }
+}
+
+/// Ends the process when a task panics, because a daemon without one of its tasks would answer and do nothing else.
+pub fn abort_on_panic() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        report(info);
+        finish();
+        drop(std::io::stderr().flush());
+        std::process::abort();
+    }));
+}
+
+fn start_to(filter: &str, target: env_logger::Target) {
+    let env = env_logger::Env::new().filter_or(FILTER_VARIABLE, filter.to_owned());
     let started = env_logger::Builder::from_env(env)
         .format(|buf, record| {
             let level = record.level().as_str().to_ascii_lowercase();
             writeln!(buf, "ts_ms={} level={level} {}", clock::unix_ms(), record.args())
         })
+        .target(target)
         .try_init();
     // A second start happens in tests only; the first logger stays.
     drop(started);
--- a/orioleworks_gateway/src/callers.rs
+++ b/orioleworks_gateway/src/callers.rs
@@ -53,6 +53,14 @@
         }
     }
 
+    /// Time up to which the process may learn what it needs; the other half of the caller's time is for the request.
+    pub fn half_time(&self) -> Instant {
+        /// Wait for a caller that names no deadline.
+        const WITHOUT_DEADLINE: Duration = Duration::from_secs(1);
+        let deadline = self.deadline.unwrap_or(self.arrived + WITHOUT_DEADLINE);
+        self.arrived + deadline.saturating_duration_since(self.arrived) / 2
+    }
+
     /// End of a wait of at most the given time.
     pub fn within(&self, time: Duration) -> Instant {
         let end = self.arrived + time;
@@ -84,7 +92,7 @@
     if let Some(call) = batch::call(req.method(), req.uri(), req.headers()) {
         return batches::call(view, call).await;
     }
-    let Some(table) = view.table() else {
+    let Some(table) = view.wait_for_table(asked.half_time()).await else {
         return Err(Refusal::new(ResultCode::NotReady, "no routes are known yet", NO_ROUTES_RETRY));
     };
     let host = req.headers().get(header::HOST).and_then(|v| v.to_str().ok());
--- a/orioleworks_gateway/src/forward.rs
+++ b/orioleworks_gateway/src/forward.rs
@@ -124,9 +124,7 @@
         tx,
         cancel,
     };
-    // The second half of the caller's time is left for the request itself.
-    let half = asked.arrived + deadline.saturating_duration_since(asked.arrived) / 2;
-    view.wait_for_upstream(&this.service, half).await;
+    view.wait_for_upstream(&this.service, asked.half_time()).await;
     let result = this.run(&mut rx).await;
     if result.is_ok() {
         // A slower second attempt may end, so that its connection can be kept.
--- a/orioleworks_gateway/src/view.rs
+++ b/orioleworks_gateway/src/view.rs
@@ -107,6 +107,15 @@
         self.draining.get()
     }
 
+    /// Waits for the first routes while the process is too young to be without.
+    pub async fn wait_for_table(&self, until: Instant) -> Option<Rc<RouteTable>> {
+        let until = until.min(self.started + LEARN_TIME);
+        while self.table().is_none() && Instant::now() < until {
+            compio::time::sleep(LEARN_LOOK).await;
+        }
+        self.table()
+    }
+
     /// Waits for the first upstream of a service while the process is too young to know that there is none.
     pub async fn wait_for_upstream(&self, service: &str, until: Instant) {
         let until = until.min(self.started + LEARN_TIME);
--- /dev/null
+++ b/orioleworks_gateway/tests/support/deployment.rs
@@ -0,0 +1,230 @@
+//! Stores and gateways as real processes on loopback.
+
+use std::{
+    fs::{self, File},
+    net::TcpListener,
+    path::PathBuf,
+    process::{Child, Command},
+    thread,
+    time::{Duration, Instant},
+};
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+
+use super::client::{self, Answer};
+
+/// A process that ends with the test.
+pub struct Process {
+    child: Child,
+    pub output: PathBuf,
+}
+
+impl Process {
+    pub fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).unwrap();
+        kill(Pid::from_raw(pid), signal).unwrap();
+    }
+
+    /// Waits for the end; `None` when it takes longer than the given time.
+    pub fn wait(&mut self, time: Duration) -> Option<i32> {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return Some(status.code().unwrap_or(-1));
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        None
+    }
+
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.output).unwrap_or_default()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+/// Stores and gateways.
+pub struct Deployment {
+    pub dir: tempfile::TempDir,
+    pub stores: Vec<Option<Process>>,
+    pub gateways: Vec<Option<Process>>,
+    inner_port: u16,
+    control_port: u16,
+    callers_port: u16,
+    readiness_port: u16,
+}
+
+/// Each process has an address of its own on loopback, so that all stores can use one port.
+fn ip(kind: u8, i: usize) -> String {
+    format!("127.0.{kind}.{}", i + 1)
+}
+
+impl Deployment {
+    /// Starts stores and gateways and waits until the gateways are ready with a route document.
+    pub fn start(stores: usize, gateways: usize, document: &str) -> Self {
+        let mut this = Self {
+            dir: tempfile::tempdir().unwrap(),
+            stores: (0..stores).map(|_| None).collect(),
+            gateways: (0..gateways).map(|_| None).collect(),
+            inner_port: free_port(),
+            control_port: free_port(),
+            callers_port: free_port(),
+            readiness_port: free_port(),
+        };
+        for i in 0..stores {
+            this.start_store(i, true);
+        }
+        for i in 0..gateways {
+            this.start_gateway(i);
+        }
+        this.until("the route document is accepted", || this.put_document(document) == 200);
+        for i in 0..gateways {
+            this.until("a gateway is ready", || this.is_ready(i));
+        }
+        this
+    }
+
+    pub fn control(&self, i: usize) -> String {
+        format!("{}:{}", ip(1, i), self.control_port)
+    }
+
+    pub fn controls(&self) -> Vec<String> {
+        (0..self.stores.len()).map(|i| self.control(i)).collect()
+    }
+
+    pub fn gateway(&self, i: usize) -> String {
+        format!("{}:{}", ip(2, i), self.callers_port)
+    }
+
+    pub fn is_ready(&self, i: usize) -> bool {
+        let address = format!("{}:{}", ip(2, i), self.readiness_port);
+        client::call(&address, "GET", "/v1/readiness", &[], "").is_some_and(|a| a.status == 200)
+    }
+
+    fn seeds(&self) -> String {
+        let seeds: Vec<String> =
+            self.controls().iter().take(3).map(|seed| format!("\"{seed}\"")).collect();
+        seeds.join(", ")
+    }
+
+    pub fn start_store(&mut self, i: usize, bootstrap: bool) {
+        let name = format!("store-{i}");
+        let settings = format!(
+            r#"{{ "instance": {{ "name": "{name}", "failure_domain": "domain-{i}" }},
+                 "listen": {{ "control": "{}", "inner_port": {} }},
+                 "cluster": {{ "seeds": [{}], "bootstrap": {bootstrap}, "tolerated_losses": 1 }},
+                 "orders": {{ "lease_ms": 300 }},
+                 "data": {{ "directory": "{}" }} }}"#,
+            self.control(i),
+            self.inner_port,
+            self.seeds(),
+            self.dir.path().join(&name).display(),
+        );
+        self.stores[i] = Some(self.spawn("orioleworks-store", &name, &settings));
+    }
+
+    pub fn start_gateway(&mut self, i: usize) {
+        let name = format!("gateway-{i}");
+        let settings = format!(
+            r#"{{ "instance": {{ "name": "{name}", "failure_domain": "zone-a" }},
+                 "listen": {{ "callers": "{}", "readiness": "{}:{}" }},
+                 "stores": {{ "seeds": [{}], "inner_port": {} }} }}"#,
+            self.gateway(i),
+            ip(2, i),
+            self.readiness_port,
+            self.seeds(),
+            self.inner_port,
+        );
+        self.gateways[i] = Some(self.spawn("orioleworks-gateway", &name, &settings));
+    }
+
+    /// Removes what a store has on its disk.
+    pub fn wipe_store(&self, i: usize) {
+        fs::remove_dir_all(self.dir.path().join(format!("store-{i}"))).unwrap();
+    }
+
+    fn spawn(&self, program: &str, name: &str, settings: &str) -> Process {
+        let path = self.dir.path().join(format!("{name}.json"));
+        fs::write(&path, settings).unwrap();
+        let output = self.dir.path().join(format!("{name}.log"));
+        let file = File::options().create(true).append(true).open(&output).unwrap();
+        let child = Command::new(binary(program))
+            .arg("--config")
+            .arg(&path)
+            .stdout(file.try_clone().unwrap())
+            .stderr(file)
+            .spawn()
+            .unwrap();
+        Process { child, output }
+    }
+
+    /// Puts a route document through the first store that answers.
+    pub fn put_document(&self, document: &str) -> u16 {
+        let path = "/v1/Configuration.Replace";
+        let answers = self.controls().into_iter();
+        let mut answers =
+            answers.filter_map(|store| client::call(&store, "POST", path, &[], document));
+        answers.find(|a| a.status < 500).map_or(0, |a| a.status)
+    }
+
+    /// Index of the store that leads.
+    pub fn leader(&self) -> Option<usize> {
+        let last = |i: usize| {
+            let log = self.stores[i].as_ref()?.log();
+            let elected = log.lines().filter(|l| l.contains("event=leader_elected"));
+            let term = |l: &str| l.split("term=").nth(1)?.trim().parse::<u64>().ok();
+            elected.filter_map(term).max().map(|term| (term, i))
+        };
+        (0..self.stores.len()).filter_map(last).max().map(|(_, i)| i)
+    }
+
+    /// Sends a request to a gateway.
+    pub fn ask(&self, i: usize, method: &str, path: &str, id: &str, body: &str) -> Option<Answer> {
+        let headers = [("X-Attempt-Id", id), ("X-Deadline-Ms", "5000")];
+        client::call(&self.gateway(i), method, path, &headers, body)
+    }
+
+    /// Waits until something holds.
+    pub fn until(&self, what: &str, holds: impl Fn() -> bool) {
+        const TIME: Duration = Duration::from_secs(20);
+        let until = Instant::now() + TIME;
+        while !holds() {
+            assert!(Instant::now() < until, "not within {TIME:?}: {what}\n{}", self.logs());
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    /// Last lines of every process.
+    pub fn logs(&self) -> String {
+        let processes = self.stores.iter().chain(&self.gateways).flatten();
+        let tail = |p: &Process| {
+            let log = p.log();
+            let lines: Vec<&str> = log.lines().rev().take(12).collect();
+            let lines: Vec<&str> = lines.into_iter().rev().collect();
+            format!("-- {}\n{}\n", p.output.display(), lines.join("\n"))
+        };
+        processes.map(tail).collect()
+    }
+}
+
+fn free_port() -> u16 {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+}
+
+/// Program of this workspace, beside the directory of the test's own program.
+fn binary(name: &str) -> PathBuf {
+    let own = std::env::current_exe().unwrap();
+    let directory = own.parent().and_then(|deps| deps.parent()).unwrap();
+    let path = directory.join(name);
+    assert!(path.exists(), "{} is missing; run `cargo build --workspace --bins`", path.display());
+    path
+}
--- /dev/null
+++ b/orioleworks_gateway/tests/support/upstream.rs
@@ -0,0 +1,297 @@
+//! Stand-in for the platform's replicas: a plain service, and an engine with weight versions and resumable streams.
+
+use std::{
+    collections::HashMap,
+    io::{BufRead, BufReader, Read, Write},
+    net::{TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use super::client;
+
+/// What a stand-in does wrong, and what it has seen.
+#[derive(Default)]
+pub struct Behaviour {
+    /// Takes requests and says nothing.
+    pub silent: AtomicBool,
+    /// Refuses requests as not run.
+    pub refuses: AtomicBool,
+    /// Breaks off the next streams after this many events.
+    pub break_after: AtomicU64,
+    /// Answers the next requests with a failure.
+    pub failures: AtomicU64,
+    /// Whether it announces that it leaves.
+    pub leaving: AtomicBool,
+    /// Whether it announces itself at all.
+    pub announces: AtomicBool,
+}
+
+#[derive(Default)]
+struct Seen {
+    /// Runs by request ID, with the event after which each went on.
+    runs: HashMap<String, Vec<Option<u64>>>,
+    versions: HashMap<String, u64>,
+    orders: u64,
+    order_bodies: Vec<serde_json::Value>,
+}
+
+/// One replica; clones share it.
+#[derive(Clone)]
+pub struct Upstream {
+    pub id: String,
+    pub address: String,
+    pub behaviour: Arc<Behaviour>,
+    seen: Arc<Mutex<Seen>>,
+    stopped: Arc<AtomicBool>,
+}
+
+/// Events of every stream.
+pub const EVENTS: u64 = 12;
+/// Time between two events.
+pub const EVENT_GAP: Duration = Duration::from_millis(25);
+/// Time that a load of weights takes.
+const LOAD_TIME: Duration = Duration::from_millis(200);
+
+impl Upstream {
+    /// Starts a replica of a service that announces itself to the stores; one with a model is an engine.
+    pub fn start(id: &str, service: &str, model: Option<&str>, stores: Vec<String>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let upstream = Self {
+            id: id.into(),
+            address,
+            behaviour: Arc::default(),
+            seen: Arc::default(),
+            stopped: Arc::default(),
+        };
+        upstream.behaviour.announces.store(true, Ordering::Relaxed);
+        if let Some(model) = model {
+            upstream.seen.lock().unwrap().versions.insert(model.into(), 1);
+        }
+        let serving = upstream.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if serving.stopped.load(Ordering::Relaxed) {
+                    return;
+                }
+                let serving = serving.clone();
+                thread::spawn(move || drop(serving.serve(&stream)));
+            }
+        });
+        let (beating, service) = (upstream.clone(), service.to_owned());
+        thread::spawn(move || beating.announce(&service, &stores));
+        upstream
+    }
+
+    /// Number of requests that it ran under an ID.
+    pub fn runs(&self, id: &str) -> Vec<Option<u64>> {
+        self.seen.lock().unwrap().runs.get(id).cloned().unwrap_or_default()
+    }
+
+    /// Number of all requests that it ran.
+    pub fn all_runs(&self) -> usize {
+        self.seen.lock().unwrap().runs.values().map(Vec::len).sum()
+    }
+
+    /// Weight version of a model.
+    pub fn version(&self, model: &str) -> u64 {
+        self.seen.lock().unwrap().versions.get(model).copied().unwrap_or(0)
+    }
+
+    /// Orders that it accepted.
+    pub fn orders(&self) -> Vec<serde_json::Value> {
+        self.seen.lock().unwrap().order_bodies.clone()
+    }
+
+    fn announce(&self, service: &str, stores: &[String]) {
+        const EVERY: Duration = Duration::from_millis(300);
+        let started = Instant::now();
+        let born =
+            std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis()
+                as u64;
+        let mut sequence = 0;
+        while !self.stopped.load(Ordering::Relaxed) && started.elapsed() < Duration::from_secs(300)
+        {
+            if self.behaviour.announces.load(Ordering::Relaxed) {
+                sequence += 1;
+                let state = if self.behaviour.leaving.load(Ordering::Relaxed) {
+                    "draining"
+                } else {
+                    "ready"
+                };
+                let models: Vec<serde_json::Value> = self
+                    .seen
+                    .lock()
+                    .unwrap()
+                    .versions
+                    .iter()
+                    .map(|(name, version)| serde_json::json!({"name": name, "version": version}))
+                    .collect();
+                let beat = serde_json::json!({
+                    "service": service, "address": self.address, "zone": "zone-a", "slots": 8,
+                    "state": state, "cold_remaining_ms": 0, "models": models,
+                    "sequence": sequence, "born": born,
+                });
+                let path = format!("/v1/Instances.Heartbeat/{}", self.id);
+                let beat = beat.to_string();
+                let taken = |store: &String| {
+                    client::call(store, "POST", &path, &[], &beat).is_some_and(|a| a.status == 200)
+                };
+                stores.iter().find(|store| taken(store));
+            }
+            thread::sleep(EVERY);
+        }
+    }
+
+    fn serve(&self, stream: &TcpStream) -> std::io::Result<()> {
+        let mut reader = BufReader::new(stream.try_clone()?);
+        let mut out = stream.try_clone()?;
+        loop {
+            let mut first = String::new();
+            if reader.read_line(&mut first)? == 0 {
+                return Ok(());
+            }
+            let mut headers = HashMap::new();
+            loop {
+                let mut line = String::new();
+                reader.read_line(&mut line)?;
+                let Some((name, value)) = line.trim_end().split_once(": ") else { break };
+                headers.insert(name.to_ascii_lowercase(), value.to_owned());
+            }
+            let length = headers.get("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
+            let mut body = vec![0; length];
+            reader.read_exact(&mut body)?;
+            let path = first.split(' ').nth(1).unwrap_or_default().to_owned();
+            if self.stopped.load(Ordering::Relaxed) {
+                return Ok(());
+            }
+            match path.as_str() {
+                "/v1/report" => self.report(&mut out)?,
+                "/v1/order" => self.order(&mut out, &body)?,
+                _ => self.run(&mut out, &headers)?,
+            }
+        }
+    }
+
+    fn report(&self, out: &mut TcpStream) -> std::io::Result<()> {
+        let body = {
+            let seen = self.seen.lock().unwrap();
+            let models: Vec<serde_json::Value> = seen
+                .versions
+                .iter()
+                .map(|(name, version)| serde_json::json!({"name": name, "version": version}))
+                .collect();
+            serde_json::json!({"busy": false, "sequence": seen.orders, "models": models})
+                .to_string()
+        };
+        whole(out, "200 OK", &[], &body)
+    }
+
+    fn order(&self, out: &mut TcpStream, body: &[u8]) -> std::io::Result<()> {
+        let order: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
+        let model = order["model"].as_str().unwrap_or_default().to_owned();
+        let version = order["version"].as_u64().unwrap_or(0);
+        {
+            let mut seen = self.seen.lock().unwrap();
+            if order["expected"].as_u64() != Some(seen.orders) {
+                drop(seen);
+                return whole(out, "409 Conflict", &[], "");
+            }
+            seen.orders += 1;
+            seen.order_bodies.push(order);
+        }
+        let seen = self.seen.clone();
+        thread::spawn(move || {
+            thread::sleep(LOAD_TIME);
+            seen.lock().unwrap().versions.insert(model, version);
+        });
+        whole(out, "202 Accepted", &[], "")
+    }
+
+    fn run(&self, out: &mut TcpStream, headers: &HashMap<String, String>) -> std::io::Result<()> {
+        let id = headers.get("x-attempt-id").cloned().unwrap_or_default();
+        if headers.get("x-expected-instance").is_some_and(|expected| *expected != self.id) {
+            return whole(out, "421 Misdirected Request", &[("X-Instance-Id", &self.id)], "");
+        }
+        if self.behaviour.refuses.load(Ordering::Relaxed) {
+            return whole(out, "503 Service Unavailable", &[("X-Not-Executed", "1")], "");
+        }
+        let after = headers.get("last-event-id").and_then(|v| v.parse().ok());
+        self.seen.lock().unwrap().runs.entry(id.clone()).or_default().push(after);
+        if self.behaviour.silent.load(Ordering::Relaxed) {
+            thread::sleep(Duration::from_secs(20));
+            return Ok(());
+        }
+        let stamp: &[(&str, &str)] = &[("X-Attempt-Id", &id), ("X-Server-Stamp", "stamp")];
+        let failing = |left: u64| left.checked_sub(1);
+        let failures = &self.behaviour.failures;
+        if failures.fetch_update(Ordering::Relaxed, Ordering::Relaxed, failing).is_ok() {
+            return whole(out, "500 Internal Server Error", stamp, "failed");
+        }
+        match headers.get("x-model") {
+            Some(model) => self.stream(out, &id, model, after.unwrap_or(0)),
+            None => whole(out, "200 OK", stamp, &format!("answer to {id}")),
+        }
+    }
+
+    fn stream(
+        &self,
+        out: &mut TcpStream,
+        id: &str,
+        model: &str,
+        after: u64,
+    ) -> std::io::Result<()> {
+        let mut version = self.version(model);
+        write!(
+            out,
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: \
+             stamp\r\nX-Weight-Versions: {version}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )?;
+        let break_after = self.behaviour.break_after.swap(0, Ordering::Relaxed);
+        for (sent, event) in (after + 1..=EVENTS).enumerate() {
+            if break_after > 0 && sent as u64 == break_after {
+                return Err(std::io::Error::other("broken off on purpose"));
+            }
+            thread::sleep(EVENT_GAP);
+            let current = self.version(model);
+            let changed = (current != version).then(|| format!("x-weight-versions: {current}\n"));
+            version = current;
+            let text = format!(
+                "{}id: {event}\ndata: {}\n\n",
+                changed.unwrap_or_default(),
+                event_data(id, event)
+            );
+            write!(out, "{:x}\r\n{text}\r\n", text.len())?;
+        }
+        write!(out, "0\r\n\r\n")
+    }
+}
+
+/// Data of one event of an item.
+pub fn event_data(id: &str, event: u64) -> String {
+    format!("{id} event {event}")
+}
+
+/// Whole text of an item.
+pub fn text_of(id: &str) -> String {
+    let events: Vec<String> = (1..=EVENTS).map(|event| event_data(id, event)).collect();
+    events.join("\n")
+}
+
+fn whole(
+    out: &mut TcpStream,
+    status: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> std::io::Result<()> {
+    let mut head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n", body.len());
+    for (name, value) in headers {
+        head += &format!("{name}: {value}\r\n");
+    }
+    write!(out, "{head}\r\n{body}")
+}
--- /dev/null
+++ b/orioleworks_routing/tests/engines.rs
@@ -0,0 +1,186 @@
+//! Batch items on engines, weight versions, and upstreams that fail: each test replays a load pattern.
+
+use std::{rc::Rc, time::Duration};
+
+use orioleworks_routing::{
+    items::{self, EngineLoad, Rank},
+    outlier::{Candidate, Key, Outliers},
+    versions::{self, Engine, Load, Model},
+};
+use rstest::rstest;
+
+const IDLE: EngineLoad = EngineLoad {
+    running: 0,
+    slots: 12,
+    tokens: 0,
+    memory_tokens: 40_000,
+    event_ms: 40.0,
+    holds_prompt: false,
+};
+
+/// Guards against stragglers: an item must not go to an engine that turned slow while a fast one has room.
+#[test]
+fn items_go_to_the_engine_on_which_they_end_first() {
+    let slow = EngineLoad { event_ms: 130.0, ..IDLE };
+    let busy = EngineLoad { running: 11, tokens: 20_000, ..IDLE };
+    assert_eq!(items::place(&[slow, busy, IDLE], 2000), Some(2));
+    assert_eq!(items::place(&[slow, busy], 2000), Some(1));
+    let full = EngineLoad { running: 12, ..IDLE };
+    assert_eq!(items::place(&[slow, full], 2000), Some(0));
+    assert_eq!(items::place(&[full], 2000), None);
+    let kin = EngineLoad { holds_prompt: true, ..IDLE };
+    assert_eq!(items::place(&[IDLE, kin], 2000), Some(1), "the shared prompt is read once");
+}
+
+/// Guards against engines that run 3 of 12 items because callers bound all items by the longest.
+#[test]
+fn memory_follows_the_expected_length() {
+    assert_eq!(items::expected_memory(300, 1700, 13_000), 2000);
+    assert_eq!(items::expected_memory(300, 20_000, 13_000), 13_000);
+    assert_eq!(items::expected_memory(0, 0, 13_000), 13_000, "without an estimate the bound holds");
+    let mut engine = IDLE;
+    let mut placed = 0;
+    while items::place(&[engine], 2000).is_some() {
+        engine = EngineLoad { running: engine.running + 1, tokens: engine.tokens + 2000, ..engine };
+        placed += 1;
+    }
+    assert_eq!(placed, 12);
+    assert_eq!(items::place(&[IDLE], 90_000), Some(0), "an item beyond all memory runs alone");
+}
+
+/// Guards against a late step behind an urgent one, and against the longest items of a step that start last.
+#[test]
+fn items_are_ranked_by_priority_due_time_and_length() {
+    let rank = |priority, due, tokens, n| Rank::new(priority, Duration::from_secs(due), tokens, n);
+    let mut ranks = [rank(1, 5, 10, 1), rank(0, 9, 10, 2), rank(1, 4, 10, 3), rank(1, 4, 900, 4)];
+    ranks.sort();
+    assert_eq!(
+        ranks,
+        [rank(0, 9, 10, 2), rank(1, 4, 900, 4), rank(1, 4, 10, 3), rank(1, 5, 10, 1)]
+    );
+}
+
+#[rstest]
+#[case::estimated(7200, 20, 80)]
+#[case::outgrown(720, 30, 30)]
+#[case::no_estimate(0, 0, 0)]
+fn events_left_follow_the_estimate(
+    #[case] tokens: u32,
+    #[case] events: usize,
+    #[case] left: usize,
+) {
+    assert_eq!(items::events_left(tokens, 72, events), left);
+}
+
+fn engine(id: usize, versions: &[(&str, u64)]) -> Engine {
+    let versions = versions.iter().map(|(m, v)| (Rc::from(*m), *v)).collect();
+    Engine { id: format!("e{id}").into(), versions, slowness: 1.0, ..Default::default() }
+}
+
+fn model(name: &str, named: u64, waiting: usize) -> Model {
+    Model { name: name.into(), named, oldest_allowed: named - 1, waiting }
+}
+
+/// Plays a trainer that names a version each four seconds and loads that take one second.
+fn play(engines: &mut [Engine], rounds: u64, models: &[&str]) -> (usize, usize) {
+    let (mut loads, mut fewest) = (0, usize::MAX);
+    for named in 2..2 + rounds {
+        for _second in 0..4 {
+            let wanted: Vec<Model> = models.iter().map(|m| model(m, named, 0)).collect();
+            let plan = versions::plan(engines, &wanted);
+            assert!(plan.len() <= versions::max_loads(engines.len()));
+            for Load { engine, model, version } in plan {
+                let at = engines.iter().position(|e| e.id == engine).unwrap();
+                engines[at].versions.insert(model, version);
+                loads += 1;
+            }
+        }
+        let usable = |m: &str| engines.iter().filter(|e| e.versions[m] + 1 >= named).count();
+        fewest = fewest.min(models.iter().map(|m| usable(m)).min().unwrap());
+    }
+    (loads, fewest)
+}
+
+/// Guards against trainers that wait for weights: two models whose versions cannot all be loaded everywhere.
+#[test]
+fn most_engines_serve_each_step_although_loads_are_rationed() {
+    let mut engines: Vec<Engine> = (0..9).map(|i| engine(i, &[("a", 1), ("b", 1)])).collect();
+    let (loads, fewest) = play(&mut engines, 10, &["a", "b"]);
+    assert!(fewest >= 7, "a step found only {fewest} of 9 engines");
+    assert!(
+        loads <= 10 * 9,
+        "{loads} loads; as many are free as there are engines for each version of both"
+    );
+}
+
+/// Guards against idle loads while items wait for a version that few engines have.
+#[test]
+fn waiting_items_bring_their_version_to_more_engines() {
+    let mut engines: Vec<Engine> = (0..9).map(|i| engine(i, &[("a", 3)])).collect();
+    for engine in engines.iter_mut().take(8) {
+        engine.versions.insert("a".into(), 5);
+    }
+    assert_eq!(versions::plan(&engines, &[model("a", 5, 0)]), []);
+    let plan = versions::plan(&engines, &[model("a", 5, 3)]);
+    assert_eq!(plan, [Load { engine: "e8".into(), model: "a".into(), version: 5 }]);
+}
+
+/// Guards against loads on slow or busy engines while others have weights that the next step cannot use either.
+#[test]
+fn loads_go_to_engines_that_the_next_step_cannot_use() {
+    let mut engines = vec![engine(0, &[("a", 4)]), engine(1, &[("a", 2)]), engine(2, &[("a", 2)])];
+    engines[1].slowness = 3.0;
+    let plan = versions::plan(&engines, &[model("a", 5, 0)]);
+    assert_eq!(plan.first().map(|l| l.engine.to_string()).as_deref(), Some("e2"));
+    engines[2].busy = true;
+    let plan = versions::plan(&engines, &[model("a", 5, 0)]);
+    assert!(plan.iter().all(|l| *l.engine != *"e2"), "an engine takes one order at a time");
+}
+
+fn candidate(id: &str, fresh: bool) -> Candidate {
+    Candidate { key: (id.into(), 1), slots: 6, fresh, local: true }
+}
+
+/// Guards against requests that follow each other into an upstream that has just failed.
+#[test]
+fn a_failed_upstream_is_left_out_and_tried_again_by_one_request() {
+    let (a, b) = (candidate("a", true), candidate("b", true));
+    let key: Key = a.key.clone();
+    let ms = Duration::from_millis;
+    let mut outliers = Outliers::default();
+    outliers.sent(&key);
+    outliers.failed(&key, ms(1000));
+    let both = [a, b];
+    let chosen = |o: &Outliers, now| o.choose(&both, now).map(|c| c.key.0.to_string());
+    assert_eq!(chosen(&outliers, ms(1100)).as_deref(), Some("b"));
+    assert!(!outliers.is_paused(&key, ms(1400)), "the pause is over");
+    outliers.sent(&key);
+    assert!(outliers.is_paused(&key, ms(1400)), "one request at a time until one succeeds");
+    outliers.failed(&key, ms(1500));
+    assert!(outliers.is_paused(&key, ms(1900)), "the pause doubles");
+    outliers.sent(&key);
+    outliers.answered(&key, ms(20));
+    assert!(!outliers.is_paused(&key, ms(1900)));
+    assert_eq!(outliers.choose(&both[..1], ms(1100)).map(|c| &c.key), Some(&key));
+}
+
+/// Guards against the choice of a slow, a loaded or a silent upstream before a better one.
+#[test]
+fn the_upstream_with_the_shortest_expected_time_is_chosen() {
+    let (a, b) = (candidate("a", true), candidate("b", true));
+    let mut outliers = Outliers::default();
+    for _ in 0..30 {
+        outliers.sent(&a.key);
+        outliers.answered(&a.key, Duration::from_millis(90));
+        outliers.sent(&b.key);
+        outliers.answered(&b.key, Duration::from_millis(25));
+    }
+    let now = Duration::from_secs(1);
+    assert_eq!(outliers.choose(&[a.clone(), b.clone()], now).unwrap().key, b.key);
+    for _ in 0..30 {
+        outliers.sent(&b.key);
+    }
+    assert_eq!(outliers.choose(&[a.clone(), b.clone()], now).unwrap().key, a.key);
+    let silent = candidate("c", false);
+    assert_eq!(Outliers::default().choose(&[silent, a.clone()], now).unwrap().key, a.key);
+}
--- /dev/null
+++ b/orioleworks_routing/tests/fleet.rs
@@ -0,0 +1,86 @@
+//! Upstreams whose announcements are late, out of order or from an earlier start.
+
+use std::time::Duration;
+
+use orioleworks_routing::fleet::{Fleet, Noted, STALE_AFTER, UNUSED_AFTER, Upstream};
+
+fn up(incarnation: u64, sequence: u64) -> Upstream {
+    Upstream {
+        id: "i-1".into(),
+        incarnation,
+        sequence,
+        service: "sheets".into(),
+        address: "10.0.0.1:80".into(),
+        slots: 4,
+        ..Default::default()
+    }
+}
+
+fn at(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+/// Guards against a late announcement that revives an upstream which is leaving.
+#[test]
+fn leaving_is_final_for_a_start() {
+    let mut fleet = Fleet::default();
+    fleet.announce(at(1), up(1, 1), true);
+    fleet.announce(at(2), Upstream { leaving: true, ..up(1, 3) }, true);
+    assert_eq!(fleet.announce(at(3), up(1, 2), true), Noted::Nothing);
+    assert_eq!(fleet.announce(at(4), up(1, 4), true), Noted::Renewed);
+    assert_eq!(fleet.serving("sheets", at(4)).count(), 0);
+    assert_eq!(fleet.announce(at(5), up(2, 1), true), Noted::Changed);
+    assert_eq!(fleet.serving("sheets", at(5)).count(), 1, "the next start serves");
+}
+
+/// Guards against word of leaving that is lost because a newer announcement overtook it.
+#[test]
+fn leaving_counts_also_when_it_was_overtaken() {
+    let mut fleet = Fleet::default();
+    fleet.announce(at(1), up(1, 5), true);
+    let overtaken = Upstream { leaving: true, ..up(1, 4) };
+    assert_eq!(fleet.announce(at(2), overtaken, false), Noted::Changed);
+    assert_eq!(fleet.serving("sheets", at(2)).count(), 0);
+}
+
+/// Guards against requests to the predecessor at an address, and against its return by a delayed announcement.
+#[test]
+fn an_address_belongs_to_its_latest_start() {
+    let mut fleet = Fleet::default();
+    fleet.announce(at(1), up(1, 9), true);
+    fleet.announce(at(2), Upstream { id: "i-2".into(), ..up(2, 1) }, true);
+    let serving: Vec<_> = fleet.serving("sheets", at(2)).map(|k| k.upstream.id.clone()).collect();
+    assert_eq!(serving, ["i-2".into()]);
+    assert_eq!(fleet.announce(at(3), up(0, 10), true), Noted::Changed, "unknown again");
+    fleet.announce(at(4), Upstream { id: "i-2".into(), ..up(3, 1) }, true);
+    assert_eq!(
+        fleet.announce(at(5), Upstream { id: "i-2".into(), ..up(2, 50) }, true),
+        Noted::Nothing
+    );
+}
+
+/// Guards against the loss of upstreams that are cut off from the stores but can still be reached.
+#[test]
+fn silence_first_ranks_an_upstream_lower_and_removes_it_later() {
+    let mut fleet = Fleet::default();
+    fleet.announce(at(0), up(1, 1), true);
+    let after = STALE_AFTER + at(1);
+    assert!(fleet.serving("sheets", after).all(|k| !k.is_fresh(after)));
+    assert_eq!(fleet.serving("sheets", after).count(), 1);
+    assert_eq!(fleet.serving("sheets", UNUSED_AFTER + at(1)).count(), 0);
+}
+
+/// Guards against watchers that are woken by every renewal, and against changes that they miss.
+#[test]
+fn watchers_are_woken_by_changes_only_and_get_renewals_later() {
+    let mut fleet = Fleet::default();
+    fleet.announce(at(1), up(1, 1), true);
+    let cursor = fleet.cursor();
+    fleet.announce(at(2), up(1, 2), true);
+    assert!(!fleet.urgent_since(cursor));
+    assert_eq!(fleet.since(cursor, true).count(), 1);
+    let cursor = fleet.cursor();
+    fleet.leave(at(3), "i-1", 0);
+    assert!(fleet.urgent_since(cursor));
+    assert_eq!(fleet.leave(at(4), "i-1", 7), Noted::Nothing, "another start");
+}
--- a/orioleworks_store/src/app.rs
+++ b/orioleworks_store/src/app.rs
@@ -37,14 +37,17 @@
         println!("{}: settings are valid", path.display());
         return exit::OK;
     }
-    logging::start(&cfg.log.filter);
-    match Runtime::new() {
+    logging::start_daemon(&cfg.log.filter);
+    logging::abort_on_panic();
+    let code = match Runtime::new() {
         Ok(runtime) => runtime.block_on(serve(cfg, path)),
         Err(e) => {
             eprintln!("the runtime cannot be started: {e}");
             exit::FAILED
         }
-    }
+    };
+    logging::finish();
+    code
 }
 
 async fn serve(cfg: Config, path: PathBuf) -> i32 {
--- /dev/null
+++ b/orioleworks_store/tests/state.rs
@@ -0,0 +1,193 @@
+//! The replicated state machine: batches, positions, documents and what a snapshot keeps.
+
+use bytes::Bytes;
+use orioleworks_proto::{
+    codes::ResultCode,
+    inner::{self, command::Kind},
+};
+use orioleworks_store::state::State;
+
+const NOW_MS: u64 = 1_000_000;
+
+fn apply(state: &mut State, kind: Kind, now_ms: u64) -> ResultCode {
+    let command = inner::Command { expected_revision: None, kind: Some(kind) };
+    let entry = inner::LogEntry { now_ms, command: Some(command), ..Default::default() };
+    ResultCode::from_number(state.apply(&entry).code).unwrap()
+}
+
+fn batch(id: &str, items: &[&str], min_version: u64) -> inner::Batch {
+    let item = |id: &&str| inner::BatchItem {
+        id: (*id).into(),
+        body: Bytes::from(format!("body of {id}")),
+        ..Default::default()
+    };
+    inner::Batch {
+        id: id.into(),
+        route: "r".into(),
+        model: "m".into(),
+        min_version,
+        items: items.iter().map(item).collect(),
+        status_retention_ms: 120_000,
+        ..Default::default()
+    }
+}
+
+fn result(id: &str, text: &str, versions: &[u64]) -> inner::ItemResult {
+    let text = Bytes::copy_from_slice(text.as_bytes());
+    inner::ItemResult { id: id.into(), completed: true, text, versions: versions.to_vec() }
+}
+
+fn record(batch_id: &str, results: Vec<inner::ItemResult>) -> Kind {
+    let batch_id = batch_id.into();
+    Kind::RecordResults(inner::RecordResults { batch_id, results, ..Default::default() })
+}
+
+fn progress(batch_id: &str, id: &str, from: u32, events: &[&str], versions: &[u64]) -> Kind {
+    let events: Vec<Bytes> = events.iter().map(|e| Bytes::copy_from_slice(e.as_bytes())).collect();
+    let last_id = Some(u64::from(from) + events.len() as u64);
+    let versions = versions.to_vec();
+    let progress = inner::ItemProgress { id: id.into(), from, events, last_id, versions };
+    Kind::RecordResults(inner::RecordResults {
+        batch_id: batch_id.into(),
+        progress: vec![progress],
+        ..Default::default()
+    })
+}
+
+fn listed(state: &State, id: &str, after: u64) -> Vec<String> {
+    let reply = state.results(id, after, usize::MAX).unwrap();
+    reply.results.into_iter().map(|r| r.id).collect()
+}
+
+/// Guards against an item at two positions and a position whose content changes, after repeated or late results.
+#[test]
+fn an_item_keeps_its_first_position() {
+    let mut state = State::default();
+    assert_eq!(
+        apply(&mut state, Kind::PutBatch(batch("b", &["x", "y"], 1)), NOW_MS),
+        ResultCode::Ok
+    );
+    apply(&mut state, record("b", vec![result("y", "first", &[1])]), NOW_MS);
+    apply(
+        &mut state,
+        record("b", vec![result("y", "second", &[1]), result("z", "none", &[1])]),
+        NOW_MS,
+    );
+    apply(&mut state, Kind::PutBatch(batch("b", &["other"], 1)), NOW_MS);
+    apply(&mut state, record("b", vec![result("x", "text", &[1])]), NOW_MS);
+    assert_eq!(listed(&state, "b", 0), ["y", "x"]);
+    let reply = state.results("b", 0, 1).unwrap();
+    assert_eq!((reply.total, reply.next, reply.results.len()), (2, 1, 1), "at least one result");
+    assert_eq!(reply.results[0].text, "first");
+}
+
+/// Guards against samples of older weights than the batch allows.
+#[test]
+fn a_result_of_older_weights_is_not_listed() {
+    let mut state = State::default();
+    apply(&mut state, Kind::PutBatch(batch("b", &["x"], 5)), NOW_MS);
+    apply(&mut state, record("b", vec![result("x", "old", &[4, 5])]), NOW_MS);
+    assert_eq!(listed(&state, "b", 0), [""; 0]);
+    apply(&mut state, record("b", vec![result("x", "new", &[5, 6])]), NOW_MS);
+    assert_eq!(listed(&state, "b", 0), ["x"]);
+}
+
+/// Guards against groups that are generated again although their text is there, and against text of forbidden weights.
+#[test]
+fn a_later_batch_takes_over_what_its_weights_allow() {
+    let mut state = State::default();
+    apply(&mut state, Kind::PutBatch(batch("b1", &["x", "y", "z"], 1)), NOW_MS);
+    apply(&mut state, record("b1", vec![result("x", "text", &[2])]), NOW_MS);
+    apply(&mut state, progress("b1", "y", 0, &["one", "two"], &[2]), NOW_MS);
+    apply(&mut state, progress("b1", "z", 0, &["one"], &[1]), NOW_MS);
+    assert_eq!(apply(&mut state, Kind::EndBatch("b1".into()), NOW_MS), ResultCode::Ok);
+    apply(&mut state, Kind::PutBatch(batch("b2", &["x", "y", "z"], 2)), NOW_MS);
+    assert_eq!(listed(&state, "b2", 0), ["x"]);
+    let items = &state.batch("b2").unwrap().items;
+    assert_eq!(items["y"].progress.as_ref().unwrap().events.len(), 2);
+    assert!(items["z"].progress.is_none(), "its weights are too old");
+    apply(&mut state, Kind::PutBatch(batch("b3", &["x"], 3)), NOW_MS);
+    assert_eq!(listed(&state, "b3", 0), [""; 0]);
+}
+
+/// Guards against a text with a gap or a doubled event after a save that came twice or too early.
+#[test]
+fn saved_events_follow_each_other() {
+    let mut state = State::default();
+    apply(&mut state, Kind::PutBatch(batch("b", &["x"], 1)), NOW_MS);
+    apply(&mut state, progress("b", "x", 0, &["one", "two"], &[1]), NOW_MS);
+    apply(&mut state, progress("b", "x", 5, &["six"], &[1]), NOW_MS);
+    apply(&mut state, progress("b", "x", 2, &["three"], &[1, 2]), NOW_MS);
+    apply(&mut state, progress("b", "x", 2, &["three"], &[1, 2]), NOW_MS);
+    let saved = state.batch("b").unwrap().items["x"].progress.clone().unwrap();
+    assert_eq!(saved.events, ["one", "two", "three"]);
+    assert_eq!((saved.last_id, saved.versions.as_slice()), (Some(3), [1, 2].as_slice()));
+}
+
+/// Guards against an ended batch that goes on, and bodies that are served after they may not be.
+#[test]
+fn an_ended_batch_keeps_its_list_and_drops_its_bodies() {
+    let mut state = State::default();
+    apply(&mut state, Kind::PutBatch(batch("b", &["x", "y"], 1)), NOW_MS);
+    assert_eq!(state.batch("b").unwrap().items["y"].spec.body, "body of y");
+    apply(&mut state, record("b", vec![result("x", "text", &[1])]), NOW_MS);
+    assert!(state.batch("b").unwrap().items["x"].spec.body.is_empty(), "listed");
+    apply(&mut state, Kind::EndBatch("b".into()), NOW_MS);
+    assert_eq!(apply(&mut state, Kind::EndBatch("b".into()), NOW_MS), ResultCode::Ok, "a repeat");
+    assert_eq!(apply(&mut state, Kind::EndBatch("none".into()), NOW_MS), ResultCode::UnknownObject);
+    assert_eq!(state.open_batches().count(), 0);
+    assert_eq!(listed(&state, "b", 0), ["x"]);
+}
+
+/// Guards against memory that grows without end, and against results that go before their time.
+#[test]
+fn a_batch_is_forgotten_after_its_retention() {
+    let mut state = State::default();
+    apply(&mut state, Kind::PutBatch(batch("b", &["x"], 1)), NOW_MS);
+    apply(&mut state, Kind::EndBatch("b".into()), NOW_MS);
+    apply(&mut state, Kind::EndBatch("none".into()), NOW_MS + 120_000);
+    assert!(state.batch("b").is_some());
+    apply(&mut state, Kind::EndBatch("none".into()), NOW_MS + 300_000);
+    assert!(state.batch("b").is_none());
+}
+
+/// Guards against a document that reverts.
+#[test]
+fn the_highest_document_stays() {
+    let mut state = State::default();
+    let document = |version, text: &'static str| {
+        Kind::PutDocument(inner::Document { version, content: Bytes::from_static(text.as_bytes()) })
+    };
+    for (version, text) in [(3, "three"), (2, "two"), (3, "other")] {
+        assert_eq!(apply(&mut state, document(version, text), NOW_MS), ResultCode::Ok);
+    }
+    assert_eq!((state.document().version, &*state.document().content), (3, b"three".as_slice()));
+}
+
+/// Guards against a replica that restores less from a snapshot than it had.
+#[test]
+fn a_snapshot_holds_everything() {
+    let mut state = State::default();
+    apply(
+        &mut state,
+        Kind::PublishVersion(inner::ModelVersion { model: "m".into(), version: 4 }),
+        NOW_MS,
+    );
+    apply(&mut state, Kind::PutBatch(batch("b1", &["x", "y", "z"], 1)), NOW_MS);
+    apply(&mut state, record("b1", vec![result("x", "text", &[4])]), NOW_MS);
+    apply(&mut state, progress("b1", "y", 0, &["one"], &[4]), NOW_MS);
+    apply(&mut state, Kind::EndBatch("b1".into()), NOW_MS);
+    apply(&mut state, Kind::PutBatch(batch("b2", &["x", "y", "w"], 4)), NOW_MS);
+    apply(&mut state, record("b2", vec![result("w", "other", &[4])]), NOW_MS);
+    apply(&mut state, Kind::RetireStore("store-1".into()), NOW_MS);
+    let mut restored = State::restore(&state.snapshot()).unwrap();
+    assert_eq!(listed(&restored, "b1", 0), ["x"]);
+    assert_eq!(listed(&restored, "b2", 0), ["x", "w"]);
+    assert!(restored.retired().contains("store-1"));
+    assert_eq!(restored.models()["m"].named, 4);
+    assert!(restored.batch("b1").unwrap().ended);
+    assert_eq!(restored.batch("b2").unwrap().items["y"].progress.as_ref().unwrap().events, ["one"]);
+    apply(&mut restored, Kind::PutBatch(batch("b3", &["x", "w"], 4)), NOW_MS);
+    assert_eq!(listed(&restored, "b3", 0), ["x", "w"], "known results are found after a restore");
+    assert!(State::restore(b"\xff\xff").is_err());
+}
