--- a/orioleworks_ctl/src/app.rs
+++ b/orioleworks_ctl/src/app.rs
@@ -11,8 +11,8 @@
 use serde_json::{Value, json};
 
 use crate::{
-    cli::{Command, Options, OrderOptions},
-    config, in_force, live, order, views,
+    cli::{Command, Explain, Options, OrderOptions},
+    config, explain, in_force, live, order, views,
 };
 
 /// Longest wait for a revision to be in force; control answers for it within 9 s.
@@ -48,9 +48,10 @@
 
 /// Runs a command and prints its output.
 pub fn run(options: &Options) -> i32 {
-    let output = match Runtime::new() {
-        Ok(runtime) => runtime.block_on(execute(options, IN_FORCE_TIMEOUT)),
-        Err(e) => Output::failed(format!("the runtime cannot start: {e}")),
+    let output = match (&options.command, Runtime::new()) {
+        (Some(Command::Explain(explain)), _) => explain_request(explain),
+        (_, Ok(runtime)) => runtime.block_on(execute(options, IN_FORCE_TIMEOUT)),
+        (_, Err(e)) => Output::failed(format!("the runtime cannot start: {e}")),
     };
     print!("{}", output.text);
     if !output.error.is_empty() {
@@ -97,6 +98,13 @@
     }
 }
 
+fn explain_request(command: &Explain) -> Output {
+    match explain::story(&command.id, &command.files) {
+        Ok(text) => Output { text, error: String::new(), code: exit::OK },
+        Err(reason) => Output::failed(reason),
+    }
+}
+
 async fn live_upstreams(status: &inner::StatusReply, json: bool) -> Output {
     let (listing, silent) = live::list(status).await;
     let mut output = Output::listing(&listing, json);
@@ -148,7 +156,9 @@
         Command::ReleaseQuarantine(c) => {
             (Kind::ReleaseQuarantine(c.name.clone()), object(&c.order_id, c.expect, c.wait))
         }
-        Command::List(_) | Command::Status(_) => return Err("the command is not an order".into()),
+        Command::List(_) | Command::Status(_) | Command::Explain(_) => {
+            return Err("the command is not an order".into());
+        }
     })
 }
 
--- a/orioleworks_ctl/src/cli.rs
+++ b/orioleworks_ctl/src/cli.rs
@@ -50,6 +50,8 @@
     List(List),
     /// Shows the cluster.
     Status(Status),
+    /// Explains one request.
+    Explain(Explain),
 }
 
 /// Options that every order takes.
@@ -161,3 +163,15 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "status")]
 pub struct Status {}
+
+/// Prints what the logs say of one request, in order of time, with the reason last; needs no control replica.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct Explain {
+    /// ID of a request, a batch or an item
+    #[argh(positional)]
+    pub id: String,
+    /// log files of any processes
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
--- /dev/null
+++ b/orioleworks_ctl/src/explain.rs
@@ -0,0 +1,68 @@
+//! What the logs of several processes say of one request.
+//!
+//! See `docs/OPERATIONS.md`.
+
+use std::{fmt::Write as _, fs, path::PathBuf};
+
+/// A line of a log.
+struct Line {
+    ts_ms: u64,
+    source: String,
+    text: String,
+}
+
+/// Tells the story of a request, a batch or an item in order of time; the last line gives the reason of its end.
+///
+/// # Errors
+///
+/// Returns which file cannot be read, or that no line names the ID.
+pub fn story(id: &str, files: &[PathBuf]) -> Result<String, String> {
+    let mut lines = Vec::new();
+    for file in files {
+        let bytes = fs::read(file).map_err(|e| format!("{}: {e}", file.display()))?;
+        let source = file.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+        let text = String::from_utf8_lossy(&bytes);
+        let named = text.lines().filter(|line| values(line).any(|(_, value)| value == id));
+        lines.extend(named.filter_map(|line| parse(&source, line)));
+    }
+    if lines.is_empty() {
+        return Err(format!("no line of {} files names {id}", files.len()));
+    }
+    lines.sort_by_key(|line| line.ts_ms);
+    let start = lines.first().map_or(0, |line| line.ts_ms);
+    let mut story = String::new();
+    for line in &lines {
+        // Writing to a string cannot fail.
+        let _ = writeln!(story, "{:>8} ms  {}  {}", line.ts_ms - start, line.source, line.text);
+    }
+    let reason = lines.iter().rev().find_map(|line| {
+        let event = values(&line.text).find(|(key, _)| *key == "event").map(|(_, v)| v);
+        let reason = values(&line.text).find(|(key, _)| *key == "reason").map(|(_, v)| v);
+        reason.map(|reason| format!("{reason} ({} at {})", event.unwrap_or("?"), line.source))
+    });
+    let reason = reason.unwrap_or_else(|| "no line gives one".into());
+    let _ = writeln!(story, "reason: {reason}");
+    Ok(story)
+}
+
+fn parse(source: &str, line: &str) -> Option<Line> {
+    let at = line.find("ts_ms=")?;
+    let (ts_ms, text) = line[at + "ts_ms=".len()..].split_once(' ')?;
+    Some(Line { ts_ms: ts_ms.parse().ok()?, source: source.into(), text: text.to_owned() })
+}
+
+/// Pairs of a line; the quotes of a value are left out.
+fn values(line: &str) -> impl Iterator<Item = (&str, &str)> {
+    let mut rest = line;
+    std::iter::from_fn(move || {
+        let equals = rest.find('=')?;
+        let key = rest[..equals].rsplit(' ').next().unwrap_or_default();
+        let value = &rest[equals + 1..];
+        let (value, after) = match value.strip_prefix('"') {
+            Some(quoted) => quoted.split_once('"').unwrap_or((quoted, "")),
+            None => value.split_once(' ').unwrap_or((value, "")),
+        };
+        rest = after;
+        Some((key, value))
+    })
+}
--- a/orioleworks_ctl/src/lib.rs
+++ b/orioleworks_ctl/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod app;
 pub mod cli;
 pub mod config;
+pub mod explain;
 pub mod in_force;
 pub mod live;
 pub mod order;
