--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -14,21 +14,19 @@
 use futures_util::{FutureExt, future, select};
 use indexmap::IndexMap;
 use orioleworks_daemon::{clock, event};
-use orioleworks_fleet::pool::Pool;
-use orioleworks_log::{Log, ProposeError, notify::Notify};
+use orioleworks_log::{ProposeError, notify::Notify};
 use orioleworks_proto::inner::{self, command::Kind};
 use orioleworks_routing::{
     fleet::{Fleet, Upstream},
     items::{self, Rank},
     outlier::Key,
-    routes::RouteTable,
 };
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     engines::{Engines, key_of},
     runner::{self, Progress, Run, RunEnd, Sign, Watch},
-    state::State,
+    shared::Shared,
 };
 
 /// Longest time between two looks at the queue; what matters wakes the loop at once.
@@ -71,14 +69,8 @@
 }
 
 struct Inner {
-    log: Log,
-    state: Rc<RefCell<State>>,
-    fleet: Rc<RefCell<Fleet>>,
-    table: Rc<RefCell<Rc<RouteTable>>>,
-    engines: Rc<RefCell<Engines>>,
-    pool: Pool,
+    shared: Shared,
     work: RefCell<Work>,
-    wake: Notify,
     recorded: Notify,
     term: Cell<u64>,
 }
@@ -96,29 +88,10 @@
 }
 
 impl Dispatch {
-    /// Dispatcher over the state of a store; `wake` is notified when state, fleet or engines change.
-    pub fn new(
-        log: Log,
-        state: Rc<RefCell<State>>,
-        fleet: Rc<RefCell<Fleet>>,
-        table: Rc<RefCell<Rc<RouteTable>>>,
-        engines: Rc<RefCell<Engines>>,
-        pool: Pool,
-        wake: Notify,
-    ) -> Self {
-        let inner = Inner {
-            log,
-            state,
-            fleet,
-            table,
-            engines,
-            pool,
-            work: RefCell::default(),
-            wake,
-            recorded: Notify::default(),
-            term: Cell::new(0),
-        };
-        Self { inner: Rc::new(inner) }
+    /// Dispatcher over the state of a store.
+    pub fn new(shared: Shared) -> Self {
+        let (work, recorded) = (RefCell::default(), Notify::default());
+        Self { inner: Rc::new(Inner { shared, work, recorded, term: Cell::new(0) }) }
     }
 
     /// Starts the tasks; they end with the token.
@@ -138,8 +111,8 @@
 
     async fn dispatch_loop(&self, token: CancellationToken) {
         while !token.is_cancelled() {
-            let seen = self.inner.wake.version();
-            match self.inner.log.leading_term() {
+            let seen = self.inner.shared.wake.version();
+            match self.inner.shared.log.leading_term() {
                 Some(term) => {
                     if self.inner.term.replace(term) != term {
                         self.drop_work("term_started");
@@ -154,7 +127,7 @@
                     }
                 }
             }
-            self.inner.wake.changed_within(seen, TICK).await;
+            self.inner.shared.wake.changed_within(seen, TICK).await;
         }
     }
 
@@ -170,7 +143,7 @@
 
     /// Queues the items of batches that are new.
     fn take_in(&self) {
-        let state = self.inner.state.borrow();
+        let state = self.inner.shared.state.borrow();
         let mut work = self.inner.work.borrow_mut();
         for (id, batch) in state.open_batches() {
             if !work.known.insert(id.clone()) {
@@ -215,7 +188,7 @@
 
     /// Cancels the items of batches that were ended or forgotten.
     fn drop_ended(&self) {
-        let state = self.inner.state.borrow();
+        let state = self.inner.shared.state.borrow();
         let mut work = self.inner.work.borrow_mut();
         let over = |id: &str| state.batch(id).is_none_or(|batch| batch.ended);
         let gone: Vec<Rc<str>> = work.known.iter().filter(|id| over(id)).cloned().collect();
@@ -278,9 +251,9 @@
     }
 
     fn choose(&self, waiting: &Waiting, long: bool, now: Duration) -> Option<Rc<Upstream>> {
-        let fleet = self.inner.fleet.borrow();
-        let engines = self.inner.engines.borrow();
-        let table = self.inner.table.borrow();
+        let fleet = self.inner.shared.fleet.borrow();
+        let engines = self.inner.shared.engines.borrow();
+        let table = self.inner.shared.table.borrow();
         let service = table.service(&waiting.batch.service);
         let memory = service.and_then(|s| s.engine.as_ref()).map_or(0, |e| e.memory_tokens);
         let batch = &waiting.batch;
@@ -308,7 +281,7 @@
     fn start_item(&self, work: &mut Work, rank: Rank, waiting: Waiting, upstream: Rc<Upstream>) {
         let key = key_of(&upstream);
         let tokens = memory_of(&waiting.item);
-        self.inner.engines.borrow_mut().started(&key, tokens, &waiting.item.group);
+        self.inner.shared.engines.borrow_mut().started(&key, tokens, &waiting.item.group);
         let cancel = CancellationToken::new();
         let running = Running { cancel: cancel.clone(), progress: waiting.progress.clone() };
         work.running.insert(waiting.key.clone(), running);
@@ -329,7 +302,7 @@
         term: u64,
     ) {
         let (batch, item) = (waiting.batch.clone(), waiting.item.clone());
-        let version = self.inner.engines.borrow().version(&upstream, &batch.model);
+        let version = self.inner.shared.engines.borrow().version(&upstream, &batch.model);
         if !waiting.progress.borrow().can_go_on(batch.single_version, version) {
             waiting.progress.borrow_mut().clear();
         }
@@ -340,20 +313,20 @@
                 stall: &|| self.stall(&run),
                 leave: &|| self.should_move(&run),
             };
-            let running = runner::run(&self.inner.pool, &run, &waiting.progress, &watch);
+            let running = runner::run(&self.inner.shared.pool, &run, &waiting.progress, &watch);
             let mut running = Box::pin(running.fuse());
             let mut cancelled = std::pin::pin!(cancel.cancelled().fuse());
             select! { end = running => Some(end), () = cancelled => None }
         };
-        self.inner.engines.borrow_mut().ended(&key, memory_of(&waiting.item));
+        self.inner.shared.engines.borrow_mut().ended(&key, memory_of(&waiting.item));
         if let Some(end) = end.filter(|_| self.inner.term.get() == term) {
             self.settle(rank, waiting, &run, end);
         }
-        self.inner.wake.notify();
+        self.inner.shared.wake.notify();
     }
 
     fn note(&self, run: &Run, sign: Sign) {
-        let mut engines = self.inner.engines.borrow_mut();
+        let mut engines = self.inner.shared.engines.borrow_mut();
         match sign {
             Sign::Event(gap) => engines.event(&run.key, gap),
             Sign::Version(version) => engines.saw_version(&run.key, &run.batch.model, version),
@@ -361,7 +334,7 @@
     }
 
     fn stall(&self, run: &Run) -> Duration {
-        let loads = self.inner.engines.borrow().loading(&run.key).is_some();
+        let loads = self.inner.shared.engines.borrow().loading(&run.key).is_some();
         if loads { LOADING_STALL } else { runner::STALL }
     }
 
@@ -372,8 +345,8 @@
             return false;
         }
         let now = clock::since_boot();
-        let fleet = self.inner.fleet.borrow();
-        let engines = self.inner.engines.borrow();
+        let fleet = self.inner.shared.fleet.borrow();
+        let engines = self.inner.shared.engines.borrow();
         let (batch, group) = (&run.batch, &run.item.group);
         let all = event_times(&fleet, &engines, &batch.service, now);
         if !items::is_slow(engines.event_ms(&run.key), &all) {
@@ -394,7 +367,7 @@
     }
 
     fn events_left(&self, batch: &inner::Batch, item: &inner::BatchItem, events: usize) -> usize {
-        let table = self.inner.table.borrow();
+        let table = self.inner.shared.table.borrow();
         let terms = table.service(&batch.service).and_then(|s| s.engine.as_ref());
         let event_tokens = terms.map_or(0, |terms| terms.event_tokens);
         items::events_left(item.expected_tokens, event_tokens, events)
@@ -446,10 +419,10 @@
                 }
             }
             RunEnd::NotRun | RunEnd::WrongVersion => {
-                self.inner.engines.borrow_mut().refused(&run.key, now);
+                self.inner.shared.engines.borrow_mut().refused(&run.key, now);
             }
             RunEnd::Moved => {}
-            RunEnd::Lost(_) => self.inner.engines.borrow_mut().pause(&run.key, now),
+            RunEnd::Lost(_) => self.inner.shared.engines.borrow_mut().pause(&run.key, now),
         }
         let reason = match &end {
             RunEnd::Lost(reason) => reason.as_str(),
@@ -508,7 +481,7 @@
         let kind = Some(Kind::RecordResults(record.clone()));
         let command = inner::Command { expected_revision: None, kind };
         let (id, count) = (record.batch_id.clone(), record.results.len());
-        match self.inner.log.propose("", command).await {
+        match self.inner.shared.log.propose("", command).await {
             Ok(_) => {}
             Err(ProposeError::NotLeader) => {
                 event!(info, "results_dropped", batch = id, results = count, reason = "not_leader");
--- a/orioleworks_store/src/lib.rs
+++ b/orioleworks_store/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod peers;
 pub mod runner;
 pub mod service;
+pub mod shared;
 pub mod state;
--- a/orioleworks_store/src/orders.rs
+++ b/orioleworks_store/src/orders.rs
@@ -6,7 +6,7 @@
 //! first. See `docs/platform.md`.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::Cell,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -16,14 +16,12 @@
 use displaydoc::Display;
 use http_body_util::Full;
 use orioleworks_daemon::{clock, event};
-use orioleworks_fleet::pool::Pool;
-use orioleworks_log::{Log, notify::Notify};
 use orioleworks_platform::{
     engine::{self, LoadOrder, Ordered, Report, RunningRequests},
     upstream,
 };
 use orioleworks_routing::{
-    fleet::{Fleet, Upstream},
+    fleet::Upstream,
     items,
     outlier::Key,
     versions::{self, Engine, Load, Model},
@@ -32,8 +30,9 @@
 
 use crate::{
     dispatch::Dispatch,
-    engines::{Engines, Loading, key_of},
-    state::State,
+    engines::{Loading, key_of},
+    shared::Shared,
+    state::ModelState,
 };
 
 /// Longest time between two plans; what matters wakes the loop at once.
@@ -71,13 +70,8 @@
 struct Inner {
     name: String,
     lease: Duration,
-    log: Log,
-    state: Rc<RefCell<State>>,
-    fleet: Rc<RefCell<Fleet>>,
-    engines: Rc<RefCell<Engines>>,
+    shared: Shared,
     dispatch: Dispatch,
-    pool: Pool,
-    wake: Notify,
     /// Term in which an engine refused this store because of a newer holder; no more orders are given in it.
     fenced_term: Cell<u64>,
 }
@@ -95,32 +89,10 @@
 }
 
 impl Orders {
-    /// Orders under the name of an instance.
-    #[allow(clippy::too_many_arguments)]
-    pub fn new(
-        name: &str,
-        lease: Duration,
-        log: Log,
-        state: Rc<RefCell<State>>,
-        fleet: Rc<RefCell<Fleet>>,
-        engines: Rc<RefCell<Engines>>,
-        dispatch: Dispatch,
-        pool: Pool,
-        wake: Notify,
-    ) -> Self {
-        let inner = Inner {
-            name: name.into(),
-            lease,
-            log,
-            state,
-            fleet,
-            engines,
-            dispatch,
-            pool,
-            wake,
-            fenced_term: Cell::new(0),
-        };
-        Self { inner: Rc::new(inner) }
+    /// Orders under the name of an instance; a new leader waits for the lease before its first one.
+    pub fn new(name: &str, lease: Duration, shared: Shared, dispatch: Dispatch) -> Self {
+        let (name, fenced_term) = (name.into(), Cell::new(0));
+        Self { inner: Rc::new(Inner { name, lease, shared, dispatch, fenced_term }) }
     }
 
     /// Starts the task; it ends with the token.
@@ -128,9 +100,9 @@
         let (this, token) = (self.clone(), token.clone());
         runtime::spawn(async move {
             while !token.is_cancelled() {
-                let seen = this.inner.wake.version();
+                let seen = this.inner.shared.wake.version();
                 this.order_what_is_due();
-                this.inner.wake.changed_within(seen, TICK).await;
+                this.inner.shared.wake.changed_within(seen, TICK).await;
             }
         })
         .detach();
@@ -138,8 +110,9 @@
 
     /// Term in which orders may be given now.
     fn ordering_term(&self) -> Option<u64> {
-        let term = self.inner.log.leading_term()?;
-        let waited = self.inner.log.leading_for().is_some_and(|time| time >= self.inner.lease);
+        let term = self.inner.shared.log.leading_term()?;
+        let waited =
+            self.inner.shared.log.leading_for().is_some_and(|time| time >= self.inner.lease);
         (waited && self.inner.fenced_term.get() != term).then_some(term)
     }
 
@@ -154,16 +127,16 @@
             let Some(upstream) = upstreams.iter().find(|up| up.id == load.engine) else { continue };
             let (key, model, version) = (key_of(upstream), load.model.clone(), load.version);
             let loading = Loading { model, version };
-            self.inner.engines.borrow_mut().record(&key).loading = Some(loading);
+            self.inner.shared.engines.borrow_mut().record(&key).loading = Some(loading);
             let (this, upstream) = (self.clone(), upstream.clone());
             runtime::spawn(async move { this.load(term, upstream, key, load).await }).detach();
         }
     }
 
     fn models(&self) -> Vec<Model> {
-        let state = self.inner.state.borrow();
+        let state = self.inner.shared.state.borrow();
         let models = state.models().iter();
-        let model = |(name, model): (&Rc<str>, &crate::state::ModelState)| Model {
+        let model = |(name, model): (&Rc<str>, &ModelState)| Model {
             name: name.clone(),
             named: model.named,
             oldest_allowed: model.named.saturating_sub(model.allowed_lag),
@@ -175,8 +148,8 @@
     /// Engines that take requests, for the plan and for the orders.
     fn engines(&self) -> (Vec<Engine>, Vec<Rc<Upstream>>) {
         let now = clock::since_boot();
-        let fleet = self.inner.fleet.borrow();
-        let known = self.inner.engines.borrow();
+        let fleet = self.inner.shared.fleet.borrow();
+        let known = self.inner.shared.engines.borrow();
         let serving = fleet.all().filter(|k| k.takes_requests(now) && k.is_fresh(now));
         let upstreams: Vec<Rc<Upstream>> =
             serving.filter(|k| !k.upstream.models.is_empty()).map(|k| k.upstream.clone()).collect();
@@ -206,7 +179,7 @@
         if result.is_err() {
             time::sleep(REFUSED_PAUSE).await;
         }
-        let mut engines = self.inner.engines.borrow_mut();
+        let mut engines = self.inner.shared.engines.borrow_mut();
         engines.record(&key).loading = None;
         let outcome = match &result {
             Ok(()) => {
@@ -229,7 +202,7 @@
             ms = started.elapsed().as_millis(),
             outcome = outcome,
         );
-        self.inner.wake.notify();
+        self.inner.shared.wake.notify();
     }
 
     async fn load_once(
@@ -247,7 +220,7 @@
             return Err(LoadError::Busy);
         }
         // The report may have taken long; the order goes out only under proof of leadership.
-        let confirmed = self.inner.log.confirm().await.is_ok();
+        let confirmed = self.inner.shared.log.confirm().await.is_ok();
         if !confirmed || self.ordering_term() != Some(term) {
             return Err(LoadError::NotLeading);
         }
@@ -275,7 +248,7 @@
 
     /// Streams of a route that allows one version only must end before the weights change.
     fn running_requests(&self, model: &str) -> RunningRequests {
-        let state = self.inner.state.borrow();
+        let state = self.inner.shared.state.borrow();
         let mut own = state.open_batches().filter(|(_, batch)| batch.spec.model == model);
         let single = own.any(|(_, batch)| batch.spec.single_version);
         if single { RunningRequests::Finish } else { RunningRequests::Continue }
@@ -286,10 +259,11 @@
         let started = Instant::now();
         time::sleep(FIRST_LOOK).await;
         while started.elapsed() < LOAD_TIME {
-            let announced = self.inner.fleet.borrow().get(&up.id).map(|k| k.upstream.clone());
+            let announced =
+                self.inner.shared.fleet.borrow().get(&up.id).map(|k| k.upstream.clone());
             let current = announced.filter(|now| now.incarnation == up.incarnation);
             let Some(current) = current else { return Err(LoadError::Refused) };
-            let seen = self.inner.engines.borrow().version(&current, &load.model);
+            let seen = self.inner.shared.engines.borrow().version(&current, &load.model);
             if seen.is_some_and(|version| version >= load.version) {
                 return Ok(());
             }
@@ -334,7 +308,7 @@
             upstream::address_to(headers, &up.id, None);
         }
         let req = req.body(Full::new(body)).map_err(|e| no_answer(e.to_string()))?;
-        let sent = self.inner.pool.send(&up.address, key, req, ANSWER_TIME).await;
+        let sent = self.inner.shared.pool.send(&up.address, key, req, ANSWER_TIME).await;
         let exchange = sent.map_err(|e| no_answer(e.to_string()))?;
         let status = exchange.head.status.as_u16();
         let body = exchange.finish(MAX_ANSWER_BYTES, ANSWER_TIME).await;
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -19,15 +19,12 @@
     codes::ResultCode,
     inner::{self, command::Kind, frame::Body},
 };
-use orioleworks_routing::{
-    fleet::{Fleet, Noted},
-    routes::RouteTable,
-};
+use orioleworks_routing::{fleet::Noted, routes::RouteTable};
 use prost::Message;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    config::Config, dispatch::Dispatch, engines::Engines, orders::Orders, peers, state::State,
+    config::Config, dispatch::Dispatch, orders::Orders, peers, shared::Shared, state::State,
 };
 
 /// Longest time for which a watch or a read of results is held.
@@ -39,16 +36,10 @@
 #[derive(Clone)]
 pub struct Store {
     cfg: Rc<Config>,
-    log: Log,
-    state: Rc<RefCell<State>>,
-    fleet: Rc<RefCell<Fleet>>,
-    /// Notified when state, fleet or engines change.
-    wake: Notify,
+    shared: Shared,
     stores: Stores,
     dispatch: Dispatch,
     orders: Orders,
-    engines: Rc<RefCell<Engines>>,
-    pool: Pool,
     /// Tells this process from an earlier one, whose cursors mean nothing here.
     boot: u64,
 }
@@ -72,43 +63,25 @@
         let machine = machine(&state, &table, &wake);
         let log = Log::open(cfg.log_settings(), machine, token)?;
         log.set_retired(state.borrow().retired().iter().cloned());
-        let fleet = Rc::new(RefCell::new(Fleet::default()));
-        let engines = Rc::new(RefCell::new(Engines::default()));
-        let pool = Pool::default();
         let stores = Stores::default();
         stores.set_seeds(cfg.seed_addresses());
-        let dispatch = Dispatch::new(
-            log.clone(),
-            state.clone(),
-            fleet.clone(),
-            table,
-            engines.clone(),
-            pool.clone(),
-            wake.clone(),
-        );
-        let orders = Orders::new(
-            &cfg.instance.name,
-            Duration::from_millis(cfg.orders.lease_ms),
-            log.clone(),
-            state.clone(),
-            fleet.clone(),
-            engines.clone(),
-            dispatch.clone(),
-            pool.clone(),
-            wake.clone(),
-        );
+        let (fleet, engines) = (Rc::default(), Rc::default());
+        let shared = Shared { log, state, fleet, table, engines, pool: Pool::default(), wake };
+        let dispatch = Dispatch::new(shared.clone());
+        let lease = Duration::from_millis(cfg.orders.lease_ms);
+        let orders = Orders::new(&cfg.instance.name, lease, shared.clone(), dispatch.clone());
         let boot = rand::random_range(1..=u64::MAX);
-        let cfg = Rc::new(cfg);
-        Ok(Self { cfg, log, state, fleet, wake, stores, dispatch, orders, engines, pool, boot })
+        Ok(Self { cfg: Rc::new(cfg), shared, stores, dispatch, orders, boot })
     }
 
     /// Starts the tasks; they end with the token.
     pub fn start(&self, token: &CancellationToken) {
-        self.log.start();
+        self.shared.log.start();
         self.dispatch.start(token);
         self.orders.start(token);
-        let (log, stores, fleet) = (self.log.clone(), self.stores.clone(), self.fleet.clone());
-        let (wake, stop) = (self.wake.clone(), token.clone());
+        let (log, stores, fleet) =
+            (self.shared.log.clone(), self.stores.clone(), self.shared.fleet.clone());
+        let (wake, stop) = (self.shared.wake.clone(), token.clone());
         runtime::spawn(peers::watch_all(log, stores, fleet, wake, stop)).detach();
         let (this, stop) = (self.clone(), token.clone());
         runtime::spawn(async move { this.keep_house(stop).await }).detach();
@@ -117,29 +90,29 @@
     async fn keep_house(&self, token: CancellationToken) {
         while !token.is_cancelled() {
             self.forget_upstreams();
-            self.pool.trim();
-            self.log.set_retired(self.state.borrow().retired().iter().cloned());
+            self.shared.pool.trim();
+            self.shared.log.set_retired(self.shared.state.borrow().retired().iter().cloned());
             time::sleep(HOUSEKEEPING).await;
         }
     }
 
     fn forget_upstreams(&self) {
-        self.fleet.borrow_mut().forget(clock::since_boot());
-        let fleet = self.fleet.borrow();
+        self.shared.fleet.borrow_mut().forget(clock::since_boot());
+        let fleet = self.shared.fleet.borrow();
         let known =
             |id: &str, start: u64| fleet.get(id).is_some_and(|k| k.upstream.incarnation == start);
-        self.engines.borrow_mut().retain(|(id, start)| known(id, *start));
+        self.shared.engines.borrow_mut().retain(|(id, start)| known(id, *start));
     }
 
     /// The replicated log.
     pub fn log(&self) -> &Log {
-        &self.log
+        &self.shared.log
     }
 
     /// Replaces the seeds after the settings have changed.
     pub fn set_seeds(&self, cfg: &Config) {
         self.stores.set_seeds(cfg.seed_addresses());
-        self.log.set_replicas(cfg.replicas());
+        self.shared.log.set_replicas(cfg.replicas());
     }
 
     /// Answers a message of a gateway or another store; `None` for a message that stores do not take.
@@ -150,15 +123,15 @@
             Body::ReadBatch(read) => Some(Body::ReadBatchReply(self.read_batch(read).await)),
             Body::ReadItem(read) => Some(Body::ReadItemReply(self.read_item(read).await)),
             Body::ReadDocument(_) => Some(Body::ReadDocumentReply(self.read_document_here().await)),
-            Body::Status(_) => Some(Body::StatusReply(self.log.status())),
-            other => self.log.handle(other).await,
+            Body::Status(_) => Some(Body::StatusReply(self.shared.log.status())),
+            other => self.shared.log.handle(other).await,
         }
     }
 
     async fn propose_here(&self, propose: inner::Propose) -> inner::ProposeReply {
         let reply = |code: ResultCode| inner::ProposeReply {
             code: code.number(),
-            leader_address: self.log.leader_address(),
+            leader_address: self.shared.log.leader_address(),
             ..Default::default()
         };
         let Some(command) = propose.command else { return reply(ResultCode::BadRequest) };
@@ -169,12 +142,12 @@
             return reply(ResultCode::BodyTooLarge);
         }
         if let Some(Kind::RetireStore(name)) = &command.kind
-            && self.log.is_leader()
+            && self.shared.log.is_leader()
             && let Err(code) = self.may_retire(name)
         {
             return reply(code);
         }
-        match self.log.propose(&propose.order_id, command).await {
+        match self.shared.log.propose(&propose.order_id, command).await {
             Ok(done) => done,
             Err(e) => reply(e.code()),
         }
@@ -182,11 +155,11 @@
 
     /// Whether enough stores would be left without one.
     fn may_retire(&self, name: &str) -> Result<(), ResultCode> {
-        let state = self.state.borrow();
+        let state = self.shared.state.borrow();
         if state.retired().contains(name) {
             return Ok(());
         }
-        let members = self.log.membership().members;
+        let members = self.shared.log.membership().members;
         if !members.iter().any(|m| m.name == name) {
             return Err(ResultCode::UnknownObject);
         }
@@ -198,8 +171,8 @@
 
     /// Has a command accepted, here or by the leader.
     pub async fn propose(&self, kind: Kind, wait: Duration) -> ResultCode {
-        self.stores.set_leader(&self.log.leader_address());
-        if self.log.is_leader() {
+        self.stores.set_leader(&self.shared.log.leader_address());
+        if self.shared.log.is_leader() {
             let command = inner::Command { expected_revision: None, kind: Some(kind) };
             let propose = inner::Propose { order_id: String::new(), command: Some(command) };
             let reply = self.propose_here(propose).await;
@@ -218,8 +191,8 @@
     ///
     /// Returns that no leader could confirm which document is the newest.
     pub async fn read_document(&self, wait: Duration) -> Result<inner::Document, ResultCode> {
-        self.stores.set_leader(&self.log.leader_address());
-        let reply = if self.log.is_leader() {
+        self.stores.set_leader(&self.shared.log.leader_address());
+        let reply = if self.shared.log.is_leader() {
             self.read_document_here().await
         } else {
             let message = || Body::ReadDocument(inner::ReadDocument {});
@@ -242,22 +215,25 @@
             Ok(()) => ResultCode::Ok,
             Err(code) => code,
         };
-        let document = (code == ResultCode::Ok).then(|| self.state.borrow().document().clone());
-        let leader_address = self.log.leader_address();
+        let document =
+            (code == ResultCode::Ok).then(|| self.shared.state.borrow().document().clone());
+        let leader_address = self.shared.log.leader_address();
         inner::ReadDocumentReply { code: code.number(), document, leader_address }
     }
 
     /// Confirms that the state here is the newest.
     async fn confirm(&self) -> Result<(), ResultCode> {
-        self.log.ready_to_propose().await.map_err(|e| e.code())?;
-        self.log.confirm().await.map_err(|e| e.code())
+        self.shared.log.ready_to_propose().await.map_err(|e| e.code())?;
+        self.shared.log.confirm().await.map_err(|e| e.code())
     }
 
     /// Whether a store has been emptied; `None` for one that is not being retired.
     pub fn retirement(&self, name: &str) -> Option<bool> {
-        let retired = self.state.borrow().retired().contains(name);
-        let member = self.log.membership().members.iter().any(|m| m.name == name);
-        retired.then(|| !member && self.log.membership_committed() && self.log.is_current())
+        let retired = self.shared.state.borrow().retired().contains(name);
+        let member = self.shared.log.membership().members.iter().any(|m| m.name == name);
+        retired.then(|| {
+            !member && self.shared.log.membership_committed() && self.shared.log.is_current()
+        })
     }
 
     /// Takes in an announcement that arrived here.
@@ -265,7 +241,7 @@
         let (id, leaving) = (up.id.clone(), up.leaving);
         let (service, address, incarnation) =
             (up.service.clone(), up.address.clone(), up.incarnation);
-        let noted = self.fleet.borrow_mut().announce(clock::since_boot(), up, true);
+        let noted = self.shared.fleet.borrow_mut().announce(clock::since_boot(), up, true);
         if noted == Noted::Changed {
             event!(
                 info,
@@ -276,15 +252,17 @@
                 address = address,
                 leaving = leaving,
             );
-            self.wake.notify();
+            self.shared.wake.notify();
         }
     }
 
     /// Notes that an upstream leaves.
     pub fn leave(&self, id: &str, incarnation: u64) {
-        if self.fleet.borrow_mut().leave(clock::since_boot(), id, incarnation) == Noted::Changed {
+        if self.shared.fleet.borrow_mut().leave(clock::since_boot(), id, incarnation)
+            == Noted::Changed
+        {
             event!(info, "upstream_leaves", upstream = id, incarnation = incarnation);
-            self.wake.notify();
+            self.shared.wake.notify();
         }
     }
 
@@ -292,30 +270,31 @@
         let known = if watch.store_boot == self.boot { watch.cursor } else { 0 };
         let deadline = Instant::now() + Duration::from_millis(watch.wait_ms.into()).min(MAX_WAIT);
         loop {
-            let seen = self.wake.version();
-            let newer = self.state.borrow().document().version > watch.document_version;
-            let urgent = watch.store_boot != self.boot || self.fleet.borrow().urgent_since(known);
-            let leader = self.log.leader_address() != watch.leader_address;
+            let seen = self.shared.wake.version();
+            let newer = self.shared.state.borrow().document().version > watch.document_version;
+            let urgent =
+                watch.store_boot != self.boot || self.shared.fleet.borrow().urgent_since(known);
+            let leader = self.shared.log.leader_address() != watch.leader_address;
             let left = deadline.saturating_duration_since(Instant::now());
             if newer || urgent || leader || left.is_zero() {
                 break;
             }
-            self.wake.changed_within(seen, left).await;
+            self.shared.wake.changed_within(seen, left).await;
         }
         let now = clock::since_boot();
-        let state = self.state.borrow();
-        let fleet = self.fleet.borrow();
+        let state = self.shared.state.borrow();
+        let fleet = self.shared.fleet.borrow();
         let document = state.document();
         let upstreams = fleet.since(known, watch.direct_only).map(|k| convert::to_message(k, now));
-        let mut stores = self.log.peer_addresses();
+        let mut stores = self.shared.log.peer_addresses();
         stores.push(self.cfg.inner_address().to_string());
         inner::FleetReply {
             document: (document.version > watch.document_version).then(|| document.clone()),
             store_boot: self.boot,
             cursor: fleet.cursor(),
             upstreams: upstreams.collect(),
-            leader_address: self.log.leader_address(),
-            current: self.log.is_current(),
+            leader_address: self.shared.log.leader_address(),
+            current: self.shared.log.is_current(),
             stores,
         }
     }
@@ -325,16 +304,16 @@
         let max_bytes = read.max_bytes as usize;
         let refused = |code: ResultCode| inner::ReadBatchReply {
             code: code.number(),
-            leader_address: self.log.leader_address(),
+            leader_address: self.shared.log.leader_address(),
             ..Default::default()
         };
-        if let Err(e) = self.log.ready_to_propose().await {
+        if let Err(e) = self.shared.log.ready_to_propose().await {
             return refused(e.code());
         }
         loop {
-            let seen = self.wake.version();
+            let seen = self.shared.wake.version();
             let (reply, done) = {
-                let state = self.state.borrow();
+                let state = self.shared.state.borrow();
                 let done = state.batch(&read.id).is_none_or(crate::state::Batch::is_done);
                 (state.results(&read.id, read.after, max_bytes), done)
             };
@@ -344,19 +323,19 @@
             }
             let left = deadline.saturating_duration_since(Instant::now());
             if done || left.is_zero() {
-                let held = self.log.holds_lease() && reply.is_some();
+                let held = self.shared.log.holds_lease() && reply.is_some();
                 if !held && let Err(code) = self.confirm().await {
                     return refused(code);
                 }
                 // Another look, because the proof may have taken long.
-                let state = self.state.borrow();
+                let state = self.shared.state.borrow();
                 let reply = state.results(&read.id, read.after, max_bytes);
                 return reply.unwrap_or_else(|| refused(ResultCode::UnknownObject));
             }
-            if !self.log.is_leader() {
+            if !self.shared.log.is_leader() {
                 return refused(ResultCode::NotLeader);
             }
-            self.wake.changed_within(seen, left).await;
+            self.shared.wake.changed_within(seen, left).await;
         }
     }
 
@@ -364,12 +343,12 @@
         let reply = |code: ResultCode, body| inner::ReadItemReply {
             code: code.number(),
             body,
-            leader_address: self.log.leader_address(),
+            leader_address: self.shared.log.leader_address(),
         };
         if let Err(code) = self.confirm().await {
             return reply(code, bytes::Bytes::new());
         }
-        let state = self.state.borrow();
+        let state = self.shared.state.borrow();
         let batch = state.batch(&read.batch_id).filter(|batch| !batch.ended);
         let item = batch.and_then(|batch| batch.items.get(read.item_id.as_str()));
         match item.filter(|item| !item.listed) {
--- /dev/null
+++ b/orioleworks_store/src/shared.rs
@@ -0,0 +1,28 @@
+//! What the parts of a store share.
+
+use std::{cell::RefCell, rc::Rc};
+
+use orioleworks_fleet::pool::Pool;
+use orioleworks_log::{Log, notify::Notify};
+use orioleworks_routing::{fleet::Fleet, routes::RouteTable};
+
+use crate::{engines::Engines, state::State};
+
+/// State and connections of one store; clones share them.
+#[derive(Clone, Debug)]
+pub struct Shared {
+    /// The replicated log.
+    pub log: Log,
+    /// State that the log has built.
+    pub state: Rc<RefCell<State>>,
+    /// Known upstreams.
+    pub fleet: Rc<RefCell<Fleet>>,
+    /// Routes of the newest document.
+    pub table: Rc<RefCell<Rc<RouteTable>>>,
+    /// What own requests and orders show of engines.
+    pub engines: Rc<RefCell<Engines>>,
+    /// Connections to upstreams.
+    pub pool: Pool,
+    /// Notified when state, fleet or engines change.
+    pub wake: Notify,
+}
