--- a/orioleworks_daemon/src/lib.rs
+++ b/orioleworks_daemon/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod rpc;
 pub mod shutdown;
 mod stall;
+pub mod start;
--- a/orioleworks_gateway/src/app.rs
+++ b/orioleworks_gateway/src/app.rs
@@ -2,12 +2,15 @@
 
 use std::{path::PathBuf, time::Duration};
 
-use compio::runtime::{self, Runtime};
+use compio::runtime;
 use futures_util::{FutureExt, select};
-use orioleworks_daemon::{event, http, logging, metrics, reload, shutdown::Shutdown};
+use orioleworks_daemon::{
+    event, http, metrics, reload,
+    shutdown::Shutdown,
+    start::{self, Start},
+};
 use orioleworks_platform::caller::READINESS_PATH;
 use orioleworks_proto::codes::exit;
-use orioleworks_settings as settings;
 use tokio_util::sync::CancellationToken;
 
 use crate::{callers, cli, config::Config, view::View, watch};
@@ -23,36 +26,13 @@
 
 /// Runs the daemon and returns its exit code.
 pub fn run(options: &cli::Options) -> i32 {
-    if options.version {
-        println!("orioleworks-gateway {}", env!("CARGO_PKG_VERSION"));
-        return exit::OK;
-    }
-    let Some(path) = options.config.clone().or_else(settings::path_from_environment) else {
-        eprintln!("option --config is required; see --help");
-        return exit::SETTINGS;
+    let start = Start {
+        program: "orioleworks-gateway",
+        config: options.config.clone(),
+        check: options.check,
+        version: options.version,
     };
-    let cfg: Config = match settings::load(&path) {
-        Ok(cfg) => cfg,
-        Err(e) => {
-            eprintln!("{e}");
-            return exit::SETTINGS;
-        }
-    };
-    if options.check {
-        println!("{}: settings are valid", path.display());
-        return exit::OK;
-    }
-    logging::start_daemon(&cfg.log.filter);
-    logging::abort_on_panic();
-    let code = match Runtime::new() {
-        Ok(runtime) => runtime.block_on(serve(cfg, path)),
-        Err(e) => {
-            eprintln!("the runtime cannot be started: {e}");
-            exit::FAILED
-        }
-    };
-    logging::finish();
-    code
+    start::run(start, |cfg: &Config| &cfg.log.filter, serve)
 }
 
 async fn serve(cfg: Config, path: PathBuf) -> i32 {
--- a/orioleworks_store/src/orders.rs
+++ b/orioleworks_store/src/orders.rs
@@ -198,7 +198,7 @@
             upstream = up.id,
             model = load.model,
             version = load.version,
-            fencing_token = term,
+            term = term,
             ms = started.elapsed().as_millis(),
             outcome = outcome,
         );
@@ -229,7 +229,7 @@
             version: load.version,
             running: self.running_requests(&load.model),
             holder: &self.inner.name,
-            fencing_token: term,
+            holder_term: term,
             orders_before: report.orders,
         };
         let answer = self.post(up, key, engine::order(&order)).await;
