Stores that watch each other are not answered at once because their leaders differ

Cause, found by reading: while two stores knew different leaders, and for good where one was retired and follows none, each watch returned at once, so that it was repeated without a pause. Watches between stores now wait for upstreams only; gateways still learn of a new leader at once.

--- a/orioleworks_store/src/peers.rs
+++ b/orioleworks_store/src/peers.rs
@@ -58,12 +58,8 @@
     let mut position = Position::default();
     let mut reached = true;
     while !token.is_cancelled() && log.peer_addresses().iter().any(|a| a == address) {
-        // The leader is known from the log; a reply that waits for another one would return at once.
-        let held = Held {
-            document_version: u64::MAX,
-            leader_address: log.leader_address(),
-            direct_only: true,
-        };
+        // Document and leader are known from the log.
+        let held = Held { document_version: u64::MAX, direct_only: true, ..Held::default() };
         match watch::once(&client, &mut position, held, fleet).await {
             Ok((_, changed)) => {
                 if !reached {
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -274,7 +274,10 @@
             let newer = self.shared.state.borrow().document().version > watch.document_version;
             let urgent =
                 watch.store_boot != self.boot || self.shared.fleet.borrow().urgent_since(known);
-            let leader = self.shared.log.leader_address() != watch.leader_address;
+            // Another store knows the leader from the log; answering it at once while the two differ would have it ask
+            // without a pause.
+            let leader =
+                !watch.direct_only && self.shared.log.leader_address() != watch.leader_address;
             let left = deadline.saturating_duration_since(Instant::now());
             if newer || urgent || leader || left.is_zero() {
                 break;
