--- a/orioleworks_store/src/state.rs
+++ b/orioleworks_store/src/state.rs
@@ -3,7 +3,7 @@
 //! A result's position is its order in the log, so that it is the same on every store for ever. See
 //! `docs/platform.md`.
 
-use std::{collections::HashMap, rc::Rc};
+use std::rc::Rc;
 
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
@@ -47,6 +47,21 @@
 }
 
 impl Batch {
+    fn new(batch: &inner::Batch, submitted_ms: u64) -> Self {
+        let items = batch.items.iter().map(|spec| {
+            let spec = Rc::new(spec.clone());
+            let id = Rc::from(spec.id.as_str());
+            (id, Item { spec, listed: false, failed_attempts: 0, progress: None })
+        });
+        Self {
+            items: items.collect(),
+            spec: Rc::new(inner::Batch { items: Vec::new(), ..batch.clone() }),
+            submitted_ms,
+            ended: false,
+            results: Vec::new(),
+        }
+    }
+
     /// Whether nothing is left to run.
     pub fn is_done(&self) -> bool {
         self.ended || self.results.len() == self.items.len()
@@ -89,9 +104,9 @@
     batches: IndexMap<Rc<str>, Batch>,
     retired: IndexSet<String>,
     /// What ended batches had generated of unfinished items, with the batch, for items that come again.
-    unfinished: HashMap<Rc<str>, (Rc<str>, Rc<inner::ItemProgress>)>,
+    unfinished: IndexMap<Rc<str>, (Rc<str>, Rc<inner::ItemProgress>)>,
     /// Batch and position of the newest result of each item, for items that come again in a later batch.
-    finished: HashMap<Rc<str>, (Rc<str>, usize)>,
+    finished: IndexMap<Rc<str>, (Rc<str>, usize)>,
 }
 
 impl State {
@@ -118,22 +133,7 @@
         if self.batches.contains_key(batch.id.as_str()) {
             return ResultCode::Ok;
         }
-        let items = batch.items.iter().map(|spec| {
-            let item = Item {
-                spec: Rc::new(spec.clone()),
-                listed: false,
-                failed_attempts: 0,
-                progress: None,
-            };
-            (Rc::from(spec.id.as_str()), item)
-        });
-        let mut state = Batch {
-            items: items.collect(),
-            spec: Rc::new(inner::Batch { items: Vec::new(), ..batch.clone() }),
-            submitted_ms: now_ms,
-            ended: false,
-            results: Vec::new(),
-        };
+        let mut state = Batch::new(batch, now_ms);
         self.carry_over(&mut state);
         if !batch.model.is_empty() {
             let model = self.models.entry(batch.model.as_str().into()).or_default();
@@ -180,7 +180,7 @@
         }
         for saved in &record.progress {
             let Some(item) = batch.items.get_mut(saved.id.as_str()) else { continue };
-            if !item.listed {
+            if !item.listed && !batch.ended {
                 item.progress = merge(item.progress.as_deref(), saved).map(Rc::new);
             }
         }
@@ -287,15 +287,27 @@
 
     /// Encodes the whole state.
     pub fn snapshot(&self) -> Vec<u8> {
-        let versions = self.models.iter().map(|(model, state)| inner::ModelVersion {
+        let models = self.models.iter().map(|(model, state)| inner::ModelWeights {
             model: model.to_string(),
-            version: state.named,
+            named: state.named,
+            allowed_lag: state.allowed_lag,
+        });
+        let finished = self.finished.iter().map(|(id, (batch, at))| inner::FinishedItem {
+            id: id.to_string(),
+            batch_id: batch.to_string(),
+            position: *at as u64,
+        });
+        let unfinished = self.unfinished.values().map(|(batch, progress)| inner::UnfinishedItem {
+            batch_id: batch.to_string(),
+            progress: Some((**progress).clone()),
         });
         let state = inner::StoreState {
             document: Some(self.document.clone()),
-            versions: versions.collect(),
+            models: models.collect(),
             batches: self.batches.values().map(batch_message).collect(),
             retired: self.retired.iter().cloned().collect(),
+            finished: finished.collect(),
+            unfinished: unfinished.collect(),
         };
         state.encode_to_vec()
     }
@@ -307,48 +319,46 @@
     /// Returns why the bytes are no state.
     pub fn restore(bytes: &[u8]) -> Result<Self, String> {
         let message = inner::StoreState::decode(bytes).map_err(|e| e.to_string())?;
-        let mut state = Self {
+        let models = message.models.into_iter().map(|saved| {
+            let state = ModelState { named: saved.named, allowed_lag: saved.allowed_lag };
+            (Rc::from(saved.model), state)
+        });
+        let finished = message.finished.into_iter().map(|saved| {
+            let at = usize::try_from(saved.position).map_err(|e| e.to_string())?;
+            Ok((Rc::from(saved.id), (Rc::from(saved.batch_id), at)))
+        });
+        let unfinished = message.unfinished.into_iter().map(|saved| {
+            let progress = Rc::new(saved.progress.unwrap_or_default());
+            (Rc::from(progress.id.as_str()), (Rc::from(saved.batch_id), progress))
+        });
+        Ok(Self {
             document: message.document.unwrap_or_default(),
+            models: models.collect(),
+            batches: message.batches.into_iter().filter_map(restore_batch).collect(),
             retired: message.retired.into_iter().collect(),
-            ..Self::default()
-        };
-        for named in &message.versions {
-            state.name_version(named);
+            unfinished: unfinished.collect(),
+            finished: finished.collect::<Result<_, String>>()?,
+        })
+    }
+}
+
+fn restore_batch(saved: inner::BatchState) -> Option<(Rc<str>, Batch)> {
+    let mut batch = Batch::new(&saved.batch?, saved.submitted_ms);
+    for failed in &saved.failed {
+        if let Some(item) = batch.items.get_mut(failed.id.as_str()) {
+            item.failed_attempts = failed.count;
         }
-        for saved in message.batches {
-            let Some(batch) = saved.batch else { continue };
-            let id: Rc<str> = batch.id.as_str().into();
-            state.put_batch(&batch, saved.submitted_ms);
-            let Some(restored) = state.batches.get_mut(&id) else { continue };
-            // What was carried over is among the saved results.
-            restored.results.clear();
-            for item in restored.items.values_mut() {
-                item.listed = false;
-                item.progress = None;
-            }
-            for failed in &saved.failed {
-                if let Some(item) = restored.items.get_mut(failed.id.as_str()) {
-                    item.failed_attempts = failed.count;
-                }
-            }
-            for result in saved.results {
-                let finished = result.completed.then(|| Rc::from(result.id.as_str()));
-                restored.list(result);
-                if let Some(item) = finished {
-                    state.finished.insert(item, (id.clone(), restored.results.len() - 1));
-                }
-            }
-            for progress in saved.progress {
-                if let Some(item) = restored.items.get_mut(progress.id.as_str()) {
-                    item.progress = Some(Rc::new(progress));
-                }
-            }
-            if saved.ended {
-                state.end_batch(&id);
-            }
+    }
+    for result in saved.results {
+        batch.list(result);
+    }
+    for progress in saved.progress {
+        if let Some(item) = batch.items.get_mut(progress.id.as_str()) {
+            item.progress = Some(Rc::new(progress));
         }
-        Ok(state)
     }
+    batch.ended = saved.ended;
+    Some((batch.spec.id.as_str().into(), batch))
 }
 
 /// Whether a result's versions are ones that a batch allows.
--- a/orioleworks_store/tests/state.rs
+++ b/orioleworks_store/tests/state.rs
@@ -6,6 +6,7 @@
     inner::{self, command::Kind},
 };
 use orioleworks_store::state::State;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 const NOW_MS: u64 = 1_000_000;
 
@@ -191,3 +192,44 @@
     assert_eq!(listed(&restored, "b3", 0), ["x", "w"], "known results are found after a restore");
     assert!(State::restore(b"\xff\xff").is_err());
 }
+
+/// A random command on few batches and items, so that they meet often.
+fn random_command(rng: &mut StdRng) -> Kind {
+    const ITEMS: [&str; 4] = ["w", "x", "y", "z"];
+    let id = format!("b{}", rng.random_range(0..6));
+    let item = ITEMS[rng.random_range(0..ITEMS.len())];
+    let version = rng.random_range(1..4);
+    match rng.random_range(0..10) {
+        0..3 => Kind::PutBatch(batch(&id, &ITEMS[rng.random_range(0..3)..], version)),
+        3..6 => record(&id, vec![result(item, &format!("text {version}"), &[version])]),
+        6 => progress(&id, item, rng.random_range(0..3), &["one", "two"], &[version]),
+        7 => Kind::PublishVersion(inner::ModelVersion { model: "m".into(), version }),
+        8 => Kind::PutDocument(inner::Document { version, ..Default::default() }),
+        _ => Kind::EndBatch(id),
+    }
+}
+
+/// Guards against stores that list an item at different positions because one of them was restored from a snapshot and
+/// the other one was not.
+#[test]
+fn a_restored_state_goes_on_like_the_original() {
+    for seed in 0..300 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let (mut original, mut restored) = (State::default(), State::default());
+        let mut now_ms = NOW_MS;
+        for step in 0..60 {
+            let kind = random_command(&mut rng);
+            now_ms += rng.random_range(0..20_000);
+            let codes = (
+                apply(&mut original, kind.clone(), now_ms),
+                apply(&mut restored, kind.clone(), now_ms),
+            );
+            assert_eq!(codes.0, codes.1, "seed {seed}, step {step}, {kind:?}");
+            let snapshots = (original.snapshot(), restored.snapshot());
+            assert!(snapshots.0 == snapshots.1, "seed {seed}, step {step}, {kind:?}");
+            if rng.random_bool(0.2) {
+                restored = State::restore(&snapshots.1).unwrap();
+            }
+        }
+    }
+}
