An upstream without an answer yet counts as fast as the fastest one

Cause: 20 ms were assumed of an upstream that had not answered yet, so that it got no request while another one answered in under a millisecond and had slots. Found by a test whose second upstream was never tried. Ruled out: the watch between gateway and store, which had both upstreams. Test: an_upstream_without_an_answer_yet_is_tried, failed before.

--- a/orioleworks_routing/src/outlier.rs
+++ b/orioleworks_routing/src/outlier.rs
@@ -100,11 +100,14 @@
         self.known.retain(|key, health| health.in_flight > 0 || keep(key));
     }
 
-    fn score(&self, c: &Candidate) -> f64 {
-        let health = self.known.get(&c.key);
-        let in_flight = health.map_or(0, |h| h.in_flight);
-        let mean = health.map_or(0.0, |h| h.mean_ms);
-        let ms = if mean == 0.0 { ASSUMED_MS } else { mean };
+    fn mean_ms(&self, key: &Key) -> Option<f64> {
+        self.known.get(key).map(|health| health.mean_ms).filter(|ms| *ms > 0.0)
+    }
+
+    /// Expected time of one more request; `assumed_ms` stands for the latency of an upstream without an answer yet.
+    fn score(&self, c: &Candidate, assumed_ms: f64) -> f64 {
+        let in_flight = self.in_flight(&c.key);
+        let ms = self.mean_ms(&c.key).unwrap_or(assumed_ms);
         let mut score = ms * f64::from(in_flight + c.slots.max(1)) / f64::from(c.slots.max(1));
         if !c.fresh {
             score *= STALE_FACTOR;
@@ -116,9 +119,14 @@
     }
 
     /// Best candidate; paused ones are taken only when there is no other.
+    ///
+    /// An upstream without an answer yet is taken to be as fast as the fastest one, so that it is tried at all.
     pub fn choose<'a>(&self, candidates: &'a [Candidate], now: Duration) -> Option<&'a Candidate> {
+        let known = candidates.iter().filter_map(|c| self.mean_ms(&c.key));
+        let assumed = known.min_by(f64::total_cmp).unwrap_or(ASSUMED_MS);
+        let score = |c: &Candidate| self.score(c, assumed);
+        let by_score = |a: &&Candidate, b: &&Candidate| score(a).total_cmp(&score(b));
         let healthy = candidates.iter().filter(|c| !self.is_paused(&c.key, now));
-        let best = healthy.min_by(|a, b| self.score(a).total_cmp(&self.score(b)));
-        best.or_else(|| candidates.iter().min_by(|a, b| self.score(a).total_cmp(&self.score(b))))
+        healthy.min_by(by_score).or_else(|| candidates.iter().min_by(by_score))
     }
 }
--- a/orioleworks_routing/tests/engines.rs
+++ b/orioleworks_routing/tests/engines.rs
@@ -184,3 +184,16 @@
     let silent = candidate("c", false);
     assert_eq!(Outliers::default().choose(&[silent, a.clone()], now).unwrap().key, a.key);
 }
+
+/// Guards against an upstream that is never tried because another one has already answered quickly.
+#[test]
+fn an_upstream_without_an_answer_yet_is_tried() {
+    let mut outliers = Outliers::default();
+    let keys: [Key; 2] = [("s-0".into(), 1), ("s-1".into(), 1)];
+    let candidates = keys.clone().map(|key| Candidate { key, slots: 8, fresh: true, local: true });
+    outliers.sent(&keys[0]);
+    outliers.answered(&keys[0], Duration::from_micros(300));
+    outliers.sent(&keys[0]);
+    let chosen = outliers.choose(&candidates, Duration::from_secs(1)).unwrap();
+    assert_eq!(chosen.key, keys[1]);
+}
