--- a/orioleworks_routing/src/fleet.rs
+++ b/orioleworks_routing/src/fleet.rs
@@ -191,6 +191,13 @@
         self.known.values().filter(of_service).filter(move |k| k.takes_requests(now))
     }
 
+    /// Number of upstreams that take new requests: those heard lately, and the others.
+    pub fn count(&self, now: Duration) -> (usize, usize) {
+        let serving = || self.known.values().filter(|k| k.takes_requests(now));
+        let fresh = serving().filter(|k| k.is_fresh(now)).count();
+        (fresh, serving().count() - fresh)
+    }
+
     /// All known upstreams.
     pub fn all(&self) -> impl Iterator<Item = &Known> {
         self.known.values()
--- a/orioleworks_routing/src/outlier.rs
+++ b/orioleworks_routing/src/outlier.rs
@@ -120,12 +120,16 @@
 
     /// Best candidate; paused ones are taken only when there is no other.
     ///
-    /// An upstream without an answer yet is taken to be as fast as the fastest one, so that it is tried at all.
+    /// An upstream without an answer yet is taken to be as fast as the fastest one and goes before it, so that it is
+    /// tried at all.
     pub fn choose<'a>(&self, candidates: &'a [Candidate], now: Duration) -> Option<&'a Candidate> {
         let known = candidates.iter().filter_map(|c| self.mean_ms(&c.key));
         let assumed = known.min_by(f64::total_cmp).unwrap_or(ASSUMED_MS);
         let score = |c: &Candidate| self.score(c, assumed);
-        let by_score = |a: &&Candidate, b: &&Candidate| score(a).total_cmp(&score(b));
+        let known = |c: &Candidate| self.mean_ms(&c.key).is_some();
+        let by_score = |a: &&Candidate, b: &&Candidate| {
+            score(a).total_cmp(&score(b)).then_with(|| known(a).cmp(&known(b)))
+        };
         let healthy = candidates.iter().filter(|c| !self.is_paused(&c.key, now));
         healthy.min_by(by_score).or_else(|| candidates.iter().min_by(by_score))
     }
