Requests, items and orders have metrics by class and outcome; late requests and overdue batches say why

Cause: a request that was late, a batch that waited for weights and an upstream's own failure left no line with their ID that named the reason, and a deadline that passed did not name the upstreams. Gateways had no histograms. Change: request_answered (late ones and a sample), request_failed, batch_overdue; tried upstreams in the detail; calls on a batch are logged under its ID; metrics under the names that orioleworks-burn reads. Tests: explain.rs fails a lookup, a batch and a single-run request in real processes and finds the cause with orioleworksctl; the lookup failed before the upstreams were named. Ruled out: reading upstreams from other requests' lines, which a sample of successes does not always have.

--- a/orioleworks_control/src/telemetry.rs
+++ b/orioleworks_control/src/telemetry.rs
@@ -21,10 +21,6 @@
 }
 
 fn publish(service: &Service) {
-    let status = service.log().status();
-    metrics::gauge!("orioleworks_log_term").set(status.term as f64);
-    metrics::gauge!("orioleworks_log_leader").set(if status.is_leader { 1.0 } else { 0.0 });
-    metrics::gauge!("orioleworks_log_commit_index").set(status.commit_index as f64);
-    metrics::gauge!("orioleworks_log_last_index").set(status.last_index as f64);
+    service.log().publish_metrics();
     metrics::gauge!("orioleworks_control_revision").set(service.revision() as f64);
 }
--- a/orioleworks_gateway/src/callers.rs
+++ b/orioleworks_gateway/src/callers.rs
@@ -7,7 +7,11 @@
 use orioleworks_platform::{batch, caller};
 use orioleworks_proto::codes::ResultCode;
 
-use crate::{batches, forward, view::View};
+use crate::{
+    batches, forward,
+    telemetry::{self, Kind},
+    view::View,
+};
 
 /// Time that is left of a caller's deadline when a request is given up, so that the answer arrives before it.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
@@ -70,11 +74,16 @@
 
 /// Answers one request.
 pub async fn answer(view: View, req: server::Request) -> server::Response {
-    let asked = Asked::read(req.headers());
-    let mut response = match route(&view, req, &asked).await {
-        Ok(response) => response,
-        Err(refusal) => refuse(&asked, &refusal),
+    let mut asked = Asked::read(req.headers());
+    let mut kind = Kind::unknown();
+    let result = route(&view, req, &mut asked, &mut kind).await;
+    let code = match &result {
+        Ok(response) if response.status().is_server_error() => ResultCode::AttemptsExhausted,
+        Ok(_) => ResultCode::Ok,
+        Err(refusal) => refusal.code,
     };
+    telemetry::request(&kind, code, asked.arrived.elapsed());
+    let mut response = result.unwrap_or_else(|refusal| refuse(&asked, &kind, &refusal));
     if view.is_draining() {
         let close = header::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -85,11 +94,15 @@
 async fn route(
     view: &View,
     req: server::Request,
-    asked: &Asked,
+    asked: &mut Asked,
+    kind: &mut Kind,
 ) -> Result<server::Response, Refusal> {
     /// Routes arrive within a fraction of a second after a start.
     const NO_ROUTES_RETRY: Duration = Duration::from_millis(300);
     if let Some(call) = batch::call(req.method(), req.uri(), req.headers()) {
+        *kind = Kind::of_call(call.name());
+        // Calls on a batch are looked up in the logs by the batch.
+        call.batch().clone_into(&mut asked.id);
         return batches::call(view, call).await;
     }
     let Some(table) = view.wait_for_table(asked.half_time()).await else {
@@ -101,6 +114,7 @@
         let detail = format!("{host}{} in version {}", req.uri().path(), table.version);
         return Err(Refusal::new(ResultCode::UnknownPath, detail, Duration::ZERO));
     };
+    *kind = Kind::of_route(&route);
     let limits = server::Limits { body_bytes: table.limits.body_bytes, ..Default::default() };
     let (head, body) = req.into_parts();
     let body = server::read_body(body, &limits)
@@ -112,14 +126,13 @@
     forward::forward(view, &route, head, body, asked).await
 }
 
-fn refuse(asked: &Asked, refusal: &Refusal) -> server::Response {
-    let reason = refusal.code.name();
-    metrics::counter!("orioleworks_refusals_total", "reason" => reason.clone()).increment(1);
+fn refuse(asked: &Asked, kind: &Kind, refusal: &Refusal) -> server::Response {
     event!(
         info,
         "request_refused",
         request = asked.id,
-        reason = reason,
+        route = kind.profile,
+        reason = refusal.code.name(),
         detail = refusal.detail,
         waited_ms = asked.arrived.elapsed().as_millis(),
         retry_after_ms = refusal.retry_after.as_millis(),
--- a/orioleworks_gateway/src/forward.rs
+++ b/orioleworks_gateway/src/forward.rs
@@ -26,6 +26,7 @@
 
 use crate::{
     callers::{Asked, Refusal},
+    telemetry,
     view::View,
 };
 
@@ -172,9 +173,13 @@
             };
             self.in_flight -= 1;
             match attempt.end {
-                End::Stream(exchange) => return Ok(self.stream(*exchange, attempt.key)),
+                End::Stream(exchange) => {
+                    self.log_answer(&attempt.upstream.id);
+                    return Ok(self.stream(*exchange, attempt.key));
+                }
                 End::Whole(head, body) if !head.status.is_server_error() => {
                     self.view.succeeded(&self.route.name);
+                    self.log_answer(&attempt.upstream.id);
                     return Ok(whole(head, body));
                 }
                 End::Whole(head, body) => {
@@ -210,7 +215,18 @@
                 continue;
             }
             return match failure {
-                Some((head, body)) => Ok(whole(head, body)),
+                Some((head, body)) => {
+                    event!(
+                        info,
+                        "request_failed",
+                        request = self.asked.id,
+                        route = self.route.name,
+                        reason = reason,
+                        attempts = self.tried.len(),
+                        ms = self.asked.arrived.elapsed().as_millis(),
+                    );
+                    Ok(whole(head, body))
+                }
                 None if unrun => {
                     Err(Refusal::new(ResultCode::RefusedByUpstream, reason, FULL_RETRY))
                 }
@@ -219,8 +235,14 @@
         }
     }
 
+    fn log_answer(&self, upstream: &str) {
+        let took = self.asked.arrived.elapsed();
+        telemetry::answered(self.route, &self.asked.id, upstream, self.tried.len(), took);
+    }
+
     fn out_of_time(&self) -> Refusal {
-        let detail = format!("{} attempts, {} in flight", self.tried.len(), self.in_flight);
+        let tried: Vec<&str> = self.tried.iter().map(|(id, _)| &**id).collect();
+        let detail = format!("{} in flight at {}", self.in_flight, tried.join(" "));
         Refusal::new(ResultCode::DeadlineExceeded, detail, Duration::ZERO)
     }
 
@@ -237,6 +259,7 @@
         self.in_flight += 1;
         let attempt = Sending {
             view: self.view.clone(),
+            route: self.route.name.clone(),
             streaming: self.route.streaming,
             head: self.head.clone(),
             body: self.body.clone(),
@@ -250,9 +273,11 @@
             let (upstream, key) = (attempt.upstream.clone(), attempt.key.clone());
             let view = attempt.view.clone();
             view.outliers.borrow_mut().sent(&key);
+            let (route, started) = (attempt.route.clone(), Instant::now());
             let mut sending = Box::pin(attempt.send().fuse());
             let mut cancelled = std::pin::pin!(cancel.cancelled().fuse());
             let end = select! { end = sending => Some(end), () = cancelled => None };
+            telemetry::attempt(&route, outcome(end.as_ref()), started.elapsed());
             match end {
                 // A caller that has its answer already needs no other.
                 Some(end) => drop(tx.unbounded_send(Attempt { upstream, key, end })),
@@ -297,6 +322,7 @@
 /// One attempt, independent of the caller's own task.
 struct Sending {
     view: View,
+    route: Rc<str>,
     streaming: bool,
     head: Rc<request::Parts>,
     body: Bytes,
@@ -376,6 +402,17 @@
     }
 }
 
+/// Result of an attempt as its metrics name it; `None` for one that was cancelled.
+fn outcome(end: Option<&End>) -> &'static str {
+    match end {
+        Some(End::Whole(head, _)) if head.status.is_server_error() => "failed",
+        Some(End::Whole(..) | End::Stream(_)) => "answered",
+        Some(End::NotRun(_)) => "not_run",
+        Some(End::Unknown(_)) => "unknown",
+        None => "cancelled",
+    }
+}
+
 /// Headers without those of one connection.
 fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let named: Vec<String> = headers
--- a/orioleworks_gateway/src/lib.rs
+++ b/orioleworks_gateway/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod cli;
 pub mod config;
 pub mod forward;
+pub mod telemetry;
 pub mod view;
 pub mod watch;
--- /dev/null
+++ b/orioleworks_gateway/src/telemetry.rs
@@ -0,0 +1,92 @@
+//! Metrics of a gateway; names and labels are those of `orioleworks-entry`, so that `orioleworks-burn` reads both.
+
+use std::{rc::Rc, time::Duration};
+
+use orioleworks_daemon::{clock, event};
+use orioleworks_proto::codes::ResultCode;
+use orioleworks_routing::routes::Route;
+
+use crate::view::View;
+
+/// One of this many requests in time has a line in the log, so that a quiet log still shows what is served.
+const SAMPLED: u32 = 64;
+
+/// What a request asked for, as the labels of its metrics say it.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    /// Name of the route, or of the call on a batch.
+    pub profile: Rc<str>,
+    /// Whether it may run again.
+    pub class: &'static str,
+}
+
+impl Kind {
+    /// A request whose route is not known.
+    pub fn unknown() -> Self {
+        Self { profile: "unknown".into(), class: "unknown" }
+    }
+
+    /// A call on a batch.
+    pub fn of_call(name: &str) -> Self {
+        Self { profile: name.into(), class: "batch_call" }
+    }
+
+    /// A request on a route.
+    pub fn of_route(route: &Route) -> Self {
+        let class = match (&route.batch, route.idempotent, route.streaming) {
+            (Some(_), ..) => "batch",
+            (None, _, true) => "stream",
+            (None, true, false) => "idempotent",
+            (None, false, false) => "once",
+        };
+        Self { profile: route.name.clone(), class }
+    }
+}
+
+/// Counts a request that was answered or refused; for a stream the time is that to its head.
+pub fn request(kind: &Kind, code: ResultCode, took: Duration) {
+    let profile = kind.profile.to_string();
+    metrics::counter!("orioleworks_requests_total",
+        "profile" => profile.clone(), "class" => kind.class, "code" => code.name())
+    .increment(1);
+    let outcome = if code == ResultCode::Ok { "answered" } else { "refused" };
+    metrics::histogram!("orioleworks_request_seconds",
+        "profile" => profile, "class" => kind.class, "outcome" => outcome)
+    .record(took);
+}
+
+/// Counts an attempt at an upstream by its result.
+pub fn attempt(route: &Rc<str>, result: &'static str, took: Duration) {
+    let profile = route.to_string();
+    metrics::counter!("orioleworks_attempts_total", "profile" => profile.clone(), "result" => result)
+        .increment(1);
+    metrics::histogram!("orioleworks_attempt_seconds", "profile" => profile).record(took);
+}
+
+/// Logs an answer that missed the route's objective, and a sample of the others.
+pub fn answered(route: &Route, id: &str, upstream: &str, attempts: usize, took: Duration) {
+    let late = took > route.latency_objective;
+    if !late && rand::random_range(0..SAMPLED) > 0 {
+        return;
+    }
+    event!(
+        info,
+        "request_answered",
+        request = id,
+        route = route.name,
+        upstream = upstream,
+        attempts = attempts,
+        ms = took.as_millis(),
+        objective_ms = route.latency_objective.as_millis(),
+        late = late,
+    );
+}
+
+/// Publishes what the gateway believes, and how old it is.
+pub fn publish(view: &View) {
+    let (fresh, earlier) = view.fleet.borrow().count(clock::since_boot());
+    metrics::gauge!("orioleworks_upstreams", "heard" => "lately").set(fresh as f64);
+    metrics::gauge!("orioleworks_upstreams", "heard" => "earlier").set(earlier as f64);
+    metrics::gauge!("orioleworks_document_version").set(view.document_version() as f64);
+    metrics::gauge!("orioleworks_view_age_seconds").set(view.age().as_secs_f64());
+}
--- a/orioleworks_gateway/src/view.rs
+++ b/orioleworks_gateway/src/view.rs
@@ -18,7 +18,7 @@
     routes::RouteTable,
 };
 
-use crate::config::Config;
+use crate::{config::Config, telemetry};
 
 /// Share of recent successes that may be second attempts, in percent; a lost replica of three makes a third of the
 /// requests fail until it is left out.
@@ -49,6 +49,8 @@
     budgets: Rc<RefCell<HashMap<Rc<str>, Budget>>>,
     draining: Rc<Cell<bool>>,
     started: Instant,
+    /// Newest reply of a store that knows a leader.
+    current_at: Rc<Cell<Instant>>,
 }
 
 impl View {
@@ -66,6 +68,7 @@
             budgets: Rc::default(),
             draining: Rc::default(),
             started: Instant::now(),
+            current_at: Rc::new(Cell::new(Instant::now())),
         }
     }
 
@@ -94,6 +97,16 @@
         }
     }
 
+    /// Notes that a store that knows a leader has answered.
+    pub fn note_current(&self) {
+        self.current_at.set(Instant::now());
+    }
+
+    /// Time since a store that knows a leader has answered.
+    pub fn age(&self) -> Duration {
+        self.current_at.get().elapsed()
+    }
+
     /// Whether callers may come.
     pub fn readiness(&self) -> Result<(), &'static str> {
         if self.draining.get() {
@@ -179,5 +192,7 @@
             self.budgets.borrow_mut().retain(|route, _| table.by_name(route).is_some());
         }
         self.pool.trim();
+        drop(fleet);
+        telemetry::publish(self);
     }
 }
--- a/orioleworks_gateway/src/watch.rs
+++ b/orioleworks_gateway/src/watch.rs
@@ -27,7 +27,6 @@
     // Gateways begin at different stores, so that they spread over them.
     let mut at = usize::try_from(hasher.finish() % 1024).unwrap_or(0);
     let mut position = Position::default();
-    let mut last_current = Instant::now();
     let mut lost_since: Option<Instant> = None;
     let mut next_housekeeping = Instant::now();
     while !token.is_cancelled() {
@@ -52,7 +51,7 @@
                 if reply.current {
                     view.stores.set_leader(&reply.leader_address);
                 }
-                let stale_allowed = last_current.elapsed() >= ACCEPT_STALE_AFTER;
+                let stale_allowed = view.age() >= ACCEPT_STALE_AFTER;
                 if let Some(document) = reply.document.filter(|_| reply.current || stale_allowed) {
                     view.adopt(&document);
                 }
@@ -62,7 +61,7 @@
         };
         match current {
             Ok(()) => {
-                last_current = Instant::now();
+                view.note_current();
                 if let Some(since) = lost_since.take() {
                     let ms = since.elapsed().as_millis();
                     event!(info, "store_regained", peer = address, gone_ms = ms);
--- /dev/null
+++ b/orioleworks_gateway/tests/explain.rs
@@ -0,0 +1,117 @@
+//! From the ID of a failed request to its cause, with nothing but the logs of real processes.
+
+mod support;
+
+use std::{process::Command, sync::atomic::Ordering, thread, time::Duration};
+
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use support::{
+    deployment::{self, Deployment},
+    upstream::Upstream,
+};
+
+const MODEL: &str = "scorer";
+
+fn document() -> String {
+    serde_json::json!({
+        "version": 1,
+        "routes": [
+            {"name": "lookup", "host": "test.example", "path_prefix": "/lookup/", "kind": "safe",
+             "timeout_ms": 500, "target_latency_ms": 100, "priority": 2, "service": "sheets", "max_attempts": 2},
+            {"name": "confirm", "host": "test.example", "path_prefix": "/confirm/", "kind": "unsafe",
+             "timeout_ms": 500, "target_latency_ms": 100, "priority": 2, "service": "sheets", "max_attempts": 2},
+            {"name": "batch", "host": "test.example", "path_prefix": "/batch/", "kind": "rollout",
+             "timeout_ms": 5000, "target_latency_ms": 400, "priority": 1, "service": "engines", "max_attempts": 3,
+             "retention_s": 40.0, "completion_deadline_ms": 1000, "single_version": false, "resumable": true},
+        ],
+        "services": [
+            {"name": "sheets", "connection_limit": 96},
+            {"name": "engines", "connection_limit": 96,
+             "engine": {"slots": 8, "kv_cache_tokens": 100_000, "stride": 72, "models": [{"name": MODEL}]}},
+        ],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 33_554_432, "header_timeout_ms": 3000,
+                   "idle_timeout_ms": 15000},
+    })
+    .to_string()
+}
+
+/// Story of an ID as `orioleworksctl explain` tells it.
+fn explain(d: &Deployment, id: &str) -> String {
+    // Lines are written by a thread of their own, which is not waited for.
+    thread::sleep(Duration::from_millis(200));
+    let ctl = Command::new(deployment::binary("orioleworksctl"))
+        .args(["explain", id])
+        .args(d.log_files())
+        .output()
+        .unwrap();
+    let story = String::from_utf8(ctl.stdout).unwrap();
+    assert!(ctl.status.success(), "{story}{}\n{}", String::from_utf8_lossy(&ctl.stderr), d.logs());
+    story
+}
+
+fn reason(story: &str) -> &str {
+    story.lines().last().unwrap_or_default()
+}
+
+/// Two upstreams of the lookups that are known to the gateway.
+fn sheets(d: &Deployment) -> [Upstream; 2] {
+    let up = ["s-0", "s-1"].map(|id| Upstream::start(id, "sheets", None, d.controls()));
+    d.until("both upstreams serve", || {
+        let id = format!("warm-{}", up[0].all_runs() + up[1].all_runs());
+        d.ask(0, "GET", "/lookup/a", &id, "");
+        up.iter().all(|up| up.all_runs() > 0)
+    });
+    up
+}
+
+/// Guards against a late or refused lookup whose lines do not say which upstreams were tried and what they did.
+#[test]
+fn a_lookup_that_ran_out_of_time_or_was_refused() {
+    let d = Deployment::start(3, 1, &document());
+    let up = sheets(&d);
+    up.iter().for_each(|up| up.behaviour.silent.store(true, Ordering::Relaxed));
+    assert_eq!(d.ask(0, "GET", "/lookup/a", "late-1", "").unwrap().status, 504);
+    let story = explain(&d, "late-1");
+    assert_eq!(reason(&story), "reason: deadline_exceeded (request_refused at gateway-0)");
+    assert!(story.contains("s-0") && story.contains("s-1"), "both upstreams are named: {story}");
+    up.iter().for_each(|up| up.behaviour.silent.store(false, Ordering::Relaxed));
+    up.iter().for_each(|up| up.behaviour.refuses.store(true, Ordering::Relaxed));
+    assert_eq!(d.ask(0, "GET", "/lookup/a", "full-1", "").unwrap().status, 503);
+    let story = explain(&d, "full-1");
+    assert_eq!(reason(&story), "reason: refused_by_upstream (request_refused at gateway-0)");
+}
+
+/// Guards against a step that misses its time while no line says what its items waited for.
+#[test]
+fn a_batch_that_waited_for_weights() {
+    let d = Deployment::start(3, 1, &document());
+    let _engine = Upstream::start("e-0", "engines", Some(MODEL), d.controls());
+    let item = serde_json::json!({
+        "id": "i-1", "path": "/batch/i-1", "body": STANDARD.encode("body"),
+        "headers": {"X-Model": MODEL}, "tokens": 1000, "group": "g1",
+    });
+    let body = serde_json::json!(
+        {"step": 5, "model": MODEL, "min_version": 5, "group_count": 1, "items": [item]});
+    let accepted = d.ask(0, "POST", "/batch/step", "lot-1", &body.to_string()).unwrap();
+    assert_eq!(accepted.status, 202, "{}", accepted.body);
+    thread::sleep(Duration::from_millis(1500));
+    let story = explain(&d, "lot-1");
+    assert!(
+        reason(&story).contains("no_engine_has_the_weights (batch_overdue at store-"),
+        "{story}"
+    );
+    assert!(story.contains("min_version=5"), "{story}");
+}
+
+/// Guards against an unknown outcome that cannot be traced to the upstream that died with the request.
+#[test]
+fn a_request_whose_upstream_died() {
+    let d = Deployment::start(3, 1, &document());
+    let up = sheets(&d);
+    up.iter().for_each(|up| up.behaviour.dies.store(true, Ordering::Relaxed));
+    assert_eq!(d.ask(0, "POST", "/confirm/a", "once-1", "").unwrap().status, 502);
+    let story = explain(&d, "once-1");
+    let died = up.iter().find(|up| !up.runs("once-1").is_empty()).unwrap();
+    assert_eq!(reason(&story), "reason: outcome_unknown (request_refused at gateway-0)");
+    assert!(story.contains(&format!("upstream={}", died.id)), "{story}");
+}
--- a/orioleworks_gateway/tests/support/deployment.rs
+++ b/orioleworks_gateway/tests/support/deployment.rs
@@ -203,6 +203,11 @@
         }
     }
 
+    /// Log files of all processes.
+    pub fn log_files(&self) -> Vec<PathBuf> {
+        self.stores.iter().chain(&self.gateways).flatten().map(|p| p.output.clone()).collect()
+    }
+
     /// Last lines of every process.
     pub fn logs(&self) -> String {
         let processes = self.stores.iter().chain(&self.gateways).flatten();
@@ -221,7 +226,7 @@
 }
 
 /// Program of this workspace, beside the directory of the test's own program.
-fn binary(name: &str) -> PathBuf {
+pub fn binary(name: &str) -> PathBuf {
     let own = std::env::current_exe().unwrap();
     let directory = own.parent().and_then(|deps| deps.parent()).unwrap();
     let path = directory.join(name);
--- a/orioleworks_gateway/tests/support/mod.rs
+++ b/orioleworks_gateway/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! A small deployment of real processes, and stand-ins that speak the platform's protocol.
 
+// Each test program uses a part of it.
+#![allow(dead_code)]
+
 pub mod client;
 pub mod deployment;
 pub mod upstream;
--- a/orioleworks_gateway/tests/support/upstream.rs
+++ b/orioleworks_gateway/tests/support/upstream.rs
@@ -19,6 +19,8 @@
 pub struct Behaviour {
     /// Takes requests and says nothing.
     pub silent: AtomicBool,
+    /// Dies with each request: its connection closes without an answer.
+    pub dies: AtomicBool,
     /// Refuses requests as not run.
     pub refuses: AtomicBool,
     /// Breaks off the next streams after this many events.
@@ -223,6 +225,9 @@
         }
         let after = headers.get("last-event-id").and_then(|v| v.parse().ok());
         self.seen.lock().unwrap().runs.entry(id.clone()).or_default().push(after);
+        if self.behaviour.dies.load(Ordering::Relaxed) {
+            return Err(std::io::Error::other("died on purpose"));
+        }
         if self.behaviour.silent.load(Ordering::Relaxed) {
             thread::sleep(Duration::from_secs(20));
             return Ok(());
--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -335,6 +335,18 @@
         }
     }
 
+    /// Publishes the gauges of the log; last less commit index is what waits for a majority.
+    pub fn publish_metrics(&self) {
+        let status = self.status();
+        metrics::gauge!("orioleworks_log_term").set(status.term as f64);
+        metrics::gauge!("orioleworks_log_leader").set(if status.is_leader { 1.0 } else { 0.0 });
+        metrics::gauge!("orioleworks_log_commit_index").set(status.commit_index as f64);
+        metrics::gauge!("orioleworks_log_last_index").set(status.last_index as f64);
+        let voters =
+            status.membership.map_or(0, |m| m.members.iter().filter(|m| !m.learner).count());
+        metrics::gauge!("orioleworks_log_voters").set(voters as f64);
+    }
+
     /// Whether this replica leads.
     pub fn is_leader(&self) -> bool {
         self.inner.state.borrow().is_leader()
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -49,6 +49,8 @@
     batch: Rc<inner::Batch>,
     item: Rc<inner::BatchItem>,
     give_up_at: Duration,
+    /// Time from which it has waited for an engine.
+    since: Duration,
     progress: Rc<RefCell<Progress>>,
     failed: u32,
 }
@@ -62,8 +64,8 @@
 struct Work {
     waiting: BTreeMap<Rank, Waiting>,
     running: HashMap<ItemKey, Running>,
-    /// Batches whose items were taken in.
-    known: HashSet<Rc<str>>,
+    /// Batches whose items were taken in, with the time at which they are due; none once that was reported.
+    known: HashMap<Rc<str>, Option<Duration>>,
     results: Records,
     next_sequence: u64,
 }
@@ -109,6 +111,12 @@
         self.inner.work.borrow().waiting.values().filter(|w| w.batch.model == model).count()
     }
 
+    /// Items that wait and items that run.
+    pub fn depth(&self) -> (usize, usize) {
+        let work = self.inner.work.borrow();
+        (work.waiting.len(), work.running.len())
+    }
+
     async fn dispatch_loop(&self, token: CancellationToken) {
         while !token.is_cancelled() {
             let seen = self.inner.shared.wake.version();
@@ -120,6 +128,7 @@
                     self.take_in();
                     self.drop_ended();
                     self.place_waiting();
+                    self.report_overdue();
                 }
                 None => {
                     if self.inner.term.replace(0) != 0 {
@@ -146,7 +155,7 @@
         let state = self.inner.shared.state.borrow();
         let mut work = self.inner.work.borrow_mut();
         for (id, batch) in state.open_batches() {
-            if !work.known.insert(id.clone()) {
+            if work.known.contains_key(id) {
                 continue;
             }
             let age = Duration::from_millis(clock::unix_ms().saturating_sub(batch.submitted_ms));
@@ -154,6 +163,7 @@
             let ms = |ms: u32| Duration::from_millis(ms.into());
             let due = submitted + ms(batch.spec.completion_ms);
             let give_up_at = submitted + ms(batch.spec.retention_ms) + GIVE_UP_SLACK;
+            work.known.insert(id.clone(), Some(due));
             let unlisted = batch.items.iter().filter(|(_, item)| !item.listed);
             let mut count = 0_usize;
             for (item_id, item) in unlisted {
@@ -167,6 +177,7 @@
                     batch: batch.spec.clone(),
                     item: item.spec.clone(),
                     give_up_at,
+                    since: clock::since_boot(),
                     failed: item.failed_attempts,
                 };
                 work.waiting.insert(rank, waiting);
@@ -191,7 +202,7 @@
         let state = self.inner.shared.state.borrow();
         let mut work = self.inner.work.borrow_mut();
         let over = |id: &str| state.batch(id).is_none_or(|batch| batch.ended);
-        let gone: Vec<Rc<str>> = work.known.iter().filter(|id| over(id)).cloned().collect();
+        let gone: Vec<Rc<str>> = work.known.keys().filter(|id| over(id)).cloned().collect();
         for id in gone {
             work.known.remove(&id);
             let waiting = work.waiting.len();
@@ -250,6 +261,50 @@
         }
     }
 
+    /// Says once of each batch that is not complete at its due time what it waits for.
+    fn report_overdue(&self) {
+        let now = clock::since_boot();
+        let state = self.inner.shared.state.borrow();
+        let mut work = self.inner.work.borrow_mut();
+        let late = |due: &Option<Duration>| due.is_some_and(|due| due <= now);
+        let overdue: Vec<Rc<str>> =
+            work.known.iter().filter(|(_, due)| late(due)).map(|(id, _)| id.clone()).collect();
+        for id in overdue {
+            work.known.insert(id.clone(), None);
+            let Some(batch) = state.batch(&id) else { continue };
+            let waiting = work.waiting.values().filter(|w| w.key.0 == id).count();
+            let running = work.running.keys().filter(|key| key.0 == id).count();
+            let engines = self.engines_for(&batch.spec, now);
+            let reason = match (waiting, engines) {
+                (0, _) => "items_still_run",
+                (_, 0) => "no_engine_has_the_weights",
+                _ => "engines_are_full",
+            };
+            event!(
+                warn,
+                "batch_overdue",
+                batch = id,
+                reason = reason,
+                waiting = waiting,
+                running = running,
+                listed = batch.results.len(),
+                engines = engines,
+                min_version = batch.spec.min_version,
+                named = state.models().get(batch.spec.model.as_str()).map_or(0, |m| m.named),
+            );
+        }
+    }
+
+    /// Number of engines whose weights a batch allows.
+    fn engines_for(&self, batch: &inner::Batch, now: Duration) -> usize {
+        let fleet = self.inner.shared.fleet.borrow();
+        let engines = self.inner.shared.engines.borrow();
+        let holds = |up: &Rc<Upstream>| {
+            engines.version(up, &batch.model).is_some_and(|version| version >= batch.min_version)
+        };
+        fleet.serving(&batch.service, now).filter(|known| holds(&known.upstream)).count()
+    }
+
     fn choose(&self, waiting: &Waiting, long: bool, now: Duration) -> Option<Rc<Upstream>> {
         let fleet = self.inner.shared.fleet.borrow();
         let engines = self.inner.shared.engines.borrow();
@@ -282,6 +337,8 @@
         let key = key_of(&upstream);
         let tokens = memory_of(&waiting.item);
         self.inner.shared.engines.borrow_mut().started(&key, tokens, &waiting.item.group);
+        metrics::histogram!("orioleworks_item_wait_seconds")
+            .record(clock::since_boot().saturating_sub(waiting.since));
         let cancel = CancellationToken::new();
         let running = Running { cancel: cancel.clone(), progress: waiting.progress.clone() };
         work.running.insert(waiting.key.clone(), running);
@@ -307,6 +364,7 @@
             waiting.progress.borrow_mut().clear();
         }
         let run = Run { upstream, key: key.clone(), batch, item };
+        let started = clock::since_boot();
         let end = {
             let watch = Watch {
                 sign: &|sign| self.note(&run, sign),
@@ -319,6 +377,9 @@
             select! { end = running => Some(end), () = cancelled => None }
         };
         self.inner.shared.engines.borrow_mut().ended(&key, memory_of(&waiting.item));
+        metrics::histogram!("orioleworks_item_run_seconds",
+            "outcome" => end.as_ref().map_or("cancelled", outcome))
+        .record(clock::since_boot().saturating_sub(started));
         if let Some(end) = end.filter(|_| self.inner.term.get() == term) {
             self.settle(rank, waiting, &run, end);
         }
@@ -377,7 +438,6 @@
         let now = clock::since_boot();
         let mut work = self.inner.work.borrow_mut();
         work.running.remove(&waiting.key);
-        metrics::counter!("orioleworks_item_runs_total", "outcome" => outcome(&end)).increment(1);
         match &end {
             RunEnd::Completed => {
                 let progress = waiting.progress.borrow();
@@ -437,7 +497,8 @@
             events = waiting.progress.borrow().events(),
             reason = reason,
         );
-        if work.known.contains(&waiting.key.0) {
+        if work.known.contains_key(&waiting.key.0) {
+            waiting.since = now;
             work.waiting.insert(rank, waiting);
         }
     }
--- a/orioleworks_store/src/lib.rs
+++ b/orioleworks_store/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod service;
 pub mod shared;
 pub mod state;
+pub mod telemetry;
--- a/orioleworks_store/src/orders.rs
+++ b/orioleworks_store/src/orders.rs
@@ -192,6 +192,8 @@
         if result == Err(LoadError::Fenced) {
             self.inner.fenced_term.set(term);
         }
+        metrics::histogram!("orioleworks_order_seconds", "outcome" => label(&result))
+            .record(started.elapsed());
         event!(
             info,
             "weights_ordered",
@@ -233,7 +235,6 @@
             orders_before: report.orders,
         };
         let answer = self.post(up, key, engine::order(&order)).await;
-        metrics::counter!("orioleworks_orders_total").increment(1);
         match answer {
             Ok(Ordered::Holds) => return Ok(()),
             Ok(Ordered::Accepted) => {}
@@ -316,6 +317,19 @@
     }
 }
 
+/// Result of a load as its metrics name it.
+fn label(result: &Result<(), LoadError>) -> &'static str {
+    match result {
+        Ok(()) => "loaded",
+        Err(LoadError::NotLeading) => "not_leading",
+        Err(LoadError::Fenced) => "fenced",
+        Err(LoadError::Refused) => "refused",
+        Err(LoadError::Busy) => "busy",
+        Err(LoadError::NoAnswer(_)) => "no_answer",
+        Err(LoadError::Late) => "late",
+    }
+}
+
 fn holds(report: &Report, load: &Load) -> bool {
     report.models.iter().any(|m| m.name == load.model && m.version >= load.version)
 }
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -25,6 +25,7 @@
 
 use crate::{
     config::Config, dispatch::Dispatch, orders::Orders, peers, shared::Shared, state::State,
+    telemetry,
 };
 
 /// Longest time for which a watch or a read of results is held.
@@ -91,6 +92,7 @@
         while !token.is_cancelled() {
             self.forget_upstreams();
             self.shared.pool.trim();
+            telemetry::publish(&self.shared, &self.dispatch);
             self.shared.log.set_retired(self.shared.state.borrow().retired().iter().cloned());
             time::sleep(HOUSEKEEPING).await;
         }
@@ -147,10 +149,15 @@
         {
             return reply(code);
         }
-        match self.shared.log.propose(&propose.order_id, command).await {
+        let started = Instant::now();
+        let reply = match self.shared.log.propose(&propose.order_id, command).await {
             Ok(done) => done,
             Err(e) => reply(e.code()),
-        }
+        };
+        let code = ResultCode::from_number(reply.code).map_or("unknown".into(), ResultCode::name);
+        metrics::histogram!("orioleworks_proposal_seconds", "code" => code)
+            .record(started.elapsed());
+        reply
     }
 
     /// Whether enough stores would be left without one.
--- /dev/null
+++ b/orioleworks_store/src/telemetry.rs
@@ -0,0 +1,36 @@
+//! Metrics of a store that are read at intervals; the rest is recorded where it happens.
+
+use std::rc::Rc;
+
+use orioleworks_daemon::clock;
+
+use crate::{dispatch::Dispatch, shared::Shared, state::ModelState};
+
+/// Publishes the gauges of the log, of the queue of items and of what the store believes.
+pub fn publish(shared: &Shared, dispatch: &Dispatch) {
+    shared.log.publish_metrics();
+    let (waiting, running) = dispatch.depth();
+    metrics::gauge!("orioleworks_items", "state" => "waiting").set(waiting as f64);
+    metrics::gauge!("orioleworks_items", "state" => "running").set(running as f64);
+    let state = shared.state.borrow();
+    metrics::gauge!("orioleworks_open_batches").set(state.open_batches().count() as f64);
+    metrics::gauge!("orioleworks_document_version").set(state.document().version as f64);
+    for (model, ModelState { named, .. }) in state.models() {
+        let model = model.to_string();
+        metrics::gauge!("orioleworks_named_version", "model" => model).set(*named as f64);
+    }
+    let now = clock::since_boot();
+    let fleet = shared.fleet.borrow();
+    let engines = shared.engines.borrow();
+    let (fresh, earlier) = fleet.count(now);
+    metrics::gauge!("orioleworks_upstreams", "heard" => "lately").set(fresh as f64);
+    metrics::gauge!("orioleworks_upstreams", "heard" => "earlier").set(earlier as f64);
+    for (model, ModelState { named, .. }) in state.models() {
+        let holds = |up: &Rc<_>| engines.version(up, model).is_some_and(|v| v >= *named);
+        let serving = fleet.all().filter(|known| known.takes_requests(now));
+        let holding = serving.filter(|known| holds(&known.upstream)).count();
+        let model = model.to_string();
+        metrics::gauge!("orioleworks_engines_at_named_version", "model" => model)
+            .set(holding as f64);
+    }
+}
