--- a/orioleworks_log/src/durable.rs
+++ b/orioleworks_log/src/durable.rs
@@ -1,7 +1,11 @@
 //! Durable effects off the event loop: group commit of entries, vote records and snapshots.
 
-use std::time::{Duration, Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
+use bytes::Bytes;
 use compio::runtime;
 use orioleworks_daemon::event;
 use orioleworks_proto::inner;
@@ -172,7 +176,7 @@
                 last_term,
                 membership: Some(membership),
                 now_ms: state.entry(state.applied).map_or(state.snapshot.now_ms, |e| e.now_ms),
-                state: (self.inner.machine.snapshot)(),
+                state: (self.inner.machine.snapshot)().into(),
             }
         };
         if !self.store_snapshot(snapshot.clone()).await {
@@ -180,7 +184,7 @@
         }
         let mut state = self.inner.state.borrow_mut();
         let keep_from = snapshot.last_index.saturating_sub(self.inner.settings.tail_entries);
-        state.snapshot = inner::Snapshot { state: Vec::new(), ..snapshot };
+        state.snapshot = inner::Snapshot { state: Bytes::new(), ..snapshot };
         if keep_from > state.base.index {
             state.forget_through(keep_from);
         }
@@ -212,11 +216,22 @@
         }
     }
 
-    /// Reads the durable snapshot with its state.
-    pub(crate) async fn read_snapshot(&self) -> Option<inner::Snapshot> {
+    /// Reads the durable snapshot with its state; those that send it at the same time share one copy.
+    pub(crate) async fn read_snapshot(&self) -> Option<Rc<inner::Snapshot>> {
+        let _lock = self.inner.reading.lock().await;
+        let newest = self.inner.state.borrow().snapshot.last_index;
+        let shared = self.inner.sent_snapshot.borrow().upgrade();
+        if let Some(shared) = shared.filter(|shared| shared.last_index == newest) {
+            return Some(shared);
+        }
         let directory = self.inner.settings.directory.clone();
         match blocking(move || files::load_snapshot(&directory)).await {
-            Ok(snapshot) => snapshot,
+            Ok(snapshot) => {
+                let snapshot = snapshot.map(Rc::new);
+                let weak = snapshot.as_ref().map(Rc::downgrade).unwrap_or_default();
+                *self.inner.sent_snapshot.borrow_mut() = weak;
+                snapshot
+            }
             Err(e) => {
                 self.fail(e);
                 None
--- a/orioleworks_log/src/files.rs
+++ b/orioleworks_log/src/files.rs
@@ -6,9 +6,13 @@
     path::Path,
 };
 
+use bytes::Bytes;
 use orioleworks_proto::inner;
 use orioleworks_rules::log::VoteRecord;
-use prost::Message;
+use prost::{
+    Message,
+    encoding::{self, WireType},
+};
 
 use crate::error::LogError;
 
@@ -61,10 +65,12 @@
 }
 
 /// Writes a file beside its final name and syncs it; [`commit_replacement`] puts it in place.
-pub(crate) fn write_replacement(path: &Path, bytes: &[u8]) -> Result<(), LogError> {
+pub(crate) fn write_replacement(path: &Path, parts: &[&[u8]]) -> Result<(), LogError> {
     let tmp = path.with_extension("tmp");
     let mut file = File::create(&tmp).map_err(|e| LogError::io(&tmp, "creation", &e))?;
-    file.write_all(bytes).map_err(|e| LogError::io(&tmp, "write", &e))?;
+    for part in parts {
+        file.write_all(part).map_err(|e| LogError::io(&tmp, "write", &e))?;
+    }
     file.sync_all().map_err(|e| LogError::io(&tmp, "sync", &e))
 }
 
@@ -124,7 +130,7 @@
     body.extend(identity.vote.term.to_le_bytes());
     body.extend(identity.vote.voted_for.unwrap_or(0).to_le_bytes());
     let path = directory.join(VOTE_FILE);
-    write_replacement(&path, &sealed(VOTE_MAGIC, &body))?;
+    write_replacement(&path, &[&sealed(VOTE_MAGIC, &body)])?;
     fail::fail_point!("log.before_vote_sync");
     commit_replacement(&path)?;
     fail::fail_point!("log.after_vote_sync");
@@ -139,24 +145,35 @@
         Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(None),
         Err(e) => return Err(LogError::io(&path, "read", &e)),
     };
-    let body = checked(&path, &bytes, SNAPSHOT_MAGIC)?;
-    inner::Snapshot::decode(body)
+    checked(&path, &bytes, SNAPSHOT_MAGIC)?;
+    let end = bytes.len() - CRC_LEN;
+    inner::Snapshot::decode(Bytes::from(bytes).slice(SNAPSHOT_MAGIC.len()..end))
         .map(Some)
         .map_err(|e| LogError::damaged(&path, SNAPSHOT_MAGIC.len() as u64, e.to_string()))
 }
 
-/// Makes a snapshot durable and returns its size in bytes.
+/// Makes a snapshot durable and returns its size in bytes; the state, which may be large, is not copied.
 pub(crate) fn store_snapshot(
     directory: &Path,
     snapshot: &inner::Snapshot,
 ) -> Result<usize, LogError> {
+    /// Number of the field `Snapshot.state`, which is written last.
+    const STATE_FIELD: u32 = 4;
     let path = directory.join(SNAPSHOT_FILE);
-    let bytes = sealed(SNAPSHOT_MAGIC, &snapshot.encode_to_vec());
-    write_replacement(&path, &bytes)?;
+    let mut head = SNAPSHOT_MAGIC.to_vec();
+    let without_state = inner::Snapshot { state: Bytes::new(), ..snapshot.clone() };
+    head.extend(without_state.encode_to_vec());
+    if !snapshot.state.is_empty() {
+        encoding::encode_key(STATE_FIELD, WireType::LengthDelimited, &mut head);
+        encoding::encode_varint(snapshot.state.len() as u64, &mut head);
+    }
+    let crc = crc32c::crc32c_append(crc32c::crc32c(&head), &snapshot.state);
+    let parts = [&head[..], &snapshot.state, &crc.to_le_bytes()];
+    write_replacement(&path, &parts)?;
     fail::fail_point!("log.before_snapshot_rename");
     commit_replacement(&path)?;
     fail::fail_point!("log.after_snapshot_rename");
-    Ok(bytes.len())
+    Ok(parts.iter().map(|part| part.len()).sum())
 }
 
 fn sealed(magic: &[u8; 8], body: &[u8]) -> Vec<u8> {
--- a/orioleworks_log/src/follower.rs
+++ b/orioleworks_log/src/follower.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use bytes::Bytes;
 use orioleworks_daemon::event;
 use orioleworks_proto::inner;
 use orioleworks_rules::log::{self as rules, LogPosition};
@@ -175,11 +176,12 @@
             }
             let incoming = &mut state.incoming;
             if incoming.position != position || incoming.leader_term != install.term {
-                let bytes = Vec::new();
+                // A vector that grows by doubling would take up to twice the snapshot.
+                let bytes = Vec::with_capacity(usize::try_from(install.total).unwrap_or(0));
                 *incoming = Incoming { position, leader_term: install.term, bytes };
             }
             if install.offset == incoming.bytes.len() as u64 {
-                incoming.bytes.append(&mut snapshot.state);
+                incoming.bytes.extend_from_slice(&snapshot.state);
             }
             let received = incoming.bytes.len() as u64;
             if received < install.total {
@@ -188,7 +190,7 @@
             }
             std::mem::take(&mut state.incoming).bytes
         };
-        snapshot.state = complete;
+        snapshot.state = complete.into();
         self.install(snapshot, position).await
     }
 
@@ -215,7 +217,7 @@
             let mut state = self.inner.state.borrow_mut();
             let continues = state.term_at(position.index) == Some(position.term);
             state.stamp = state.stamp.max(snapshot.now_ms);
-            state.snapshot = inner::Snapshot { state: Vec::new(), ..snapshot };
+            state.snapshot = inner::Snapshot { state: Bytes::new(), ..snapshot };
             if continues {
                 state.synced = state.synced.max(position.index);
                 state.forget_through(position.index);
--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -4,10 +4,11 @@
     cell::{Cell, RefCell},
     collections::{HashMap, VecDeque},
     fs::File,
-    rc::Rc,
+    rc::{Rc, Weak},
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use compio::runtime;
 use displaydoc::Display;
 use futures_channel::oneshot;
@@ -101,6 +102,10 @@
     pub(crate) changed: Notify,
     pub(crate) vote_lock: Mutex<()>,
     pub(crate) snapshot_lock: Mutex<()>,
+    /// Held while the snapshot is read.
+    pub(crate) reading: Mutex<()>,
+    /// Snapshot that is being sent.
+    pub(crate) sent_snapshot: RefCell<Weak<inner::Snapshot>>,
     pub(crate) journal: RefCell<Option<Journal>>,
     pub(crate) clients: RefCell<HashMap<String, rpc::Client>>,
     pub(crate) token: CancellationToken,
@@ -145,7 +150,7 @@
         let (mut journal, mut loaded) = Journal::open(&settings.directory)?;
         if snapshot.last_index > 0 {
             (machine.restore)(&snapshot.state).map_err(LogError::Restore)?;
-            snapshot.state = Vec::new();
+            snapshot.state = Bytes::new();
         }
         let last = loaded.base.index + loaded.entries.len() as u64;
         let at_snapshot = LogPosition { term: snapshot.last_term, index: snapshot.last_index };
@@ -175,6 +180,8 @@
             changed: Notify::default(),
             vote_lock: Mutex::new(()),
             snapshot_lock: Mutex::new(()),
+            reading: Mutex::new(()),
+            sent_snapshot: RefCell::default(),
             journal: RefCell::new(Some(journal)),
             clients: RefCell::default(),
             token,
--- a/orioleworks_log/src/replication.rs
+++ b/orioleworks_log/src/replication.rs
@@ -16,9 +16,9 @@
 /// Longest wait for a follower's sync.
 const APPEND_TIMEOUT: Duration = Duration::from_secs(5);
 /// Entries of one message, by encoded size in bytes; one larger entry still goes alone.
-const BATCH_BYTES: usize = 1024 * 1024;
+const BATCH_BYTES: usize = 256 * 1024;
 /// Part of a snapshot in one message, in bytes.
-const PART_BYTES: usize = 1024 * 1024;
+const PART_BYTES: usize = 256 * 1024;
 /// Heartbeats without an answer after which the connection is replaced.
 const MAX_UNANSWERED: u32 = 5;
 
@@ -215,9 +215,9 @@
             }
             let end = (offset + PART_BYTES).min(total);
             let part = inner::Snapshot {
-                state: snapshot.state[offset..end].to_vec(),
+                state: snapshot.state.slice(offset..end),
                 membership: snapshot.membership.clone(),
-                ..snapshot
+                ..*snapshot
             };
             let install = inner::Install {
                 term,
--- a/orioleworks_store/src/config.rs
+++ b/orioleworks_store/src/config.rs
@@ -154,8 +154,8 @@
 
     /// Settings of the replicated log.
     pub fn log_settings(&self) -> orioleworks_log::Settings {
-        /// A step's results are some megabytes; more would only lengthen a restart.
-        const SNAPSHOT_BYTES: usize = 24 * 1024 * 1024;
+        /// Memory that the log takes at most; a few steps' results, so that snapshots stay seconds apart.
+        const SNAPSHOT_BYTES: usize = 12 * 1024 * 1024;
         /// A store that is down for its usual restart of seconds keeps its place; a lost one is replaced soon after.
         const REPLACE_AFTER: Duration = Duration::from_secs(5);
         let own = self.inner_address().to_string();
--- a/orioleworks_store/src/state.rs
+++ b/orioleworks_store/src/state.rs
@@ -188,7 +188,9 @@
             if result.completed && !is_allowed(&batch.spec, result) {
                 continue;
             }
-            if batch.list(result.clone()) && result.completed {
+            // A copy, because the text of a follower is a part of a message that it would hold as a whole.
+            let text = Bytes::copy_from_slice(&result.text);
+            if batch.list(inner::ItemResult { text, ..result.clone() }) && result.completed {
                 let place = (Rc::from(record.batch_id.as_str()), batch.results.len() - 1);
                 self.finished.insert(result.id.as_str().into(), place);
             }
