--- a/orioleworks_control/tests/cluster.rs
+++ b/orioleworks_control/tests/cluster.rs
@@ -277,15 +277,18 @@
             incarnation: 7,
             ..inner::EntryIdentity::default()
         };
-        let watch = |applied_revision| {
+        let watch_for = |applied_revision, wait_ms| {
             let entry = Some(entry.clone());
-            Body::Watch(inner::Watch {
-                entry,
-                applied_revision,
-                wait_ms: 1000,
-                ..Default::default()
-            })
+            Body::Watch(inner::Watch { entry, applied_revision, wait_ms, ..Default::default() })
         };
+        let watch = |applied_revision| watch_for(applied_revision, 1000);
+        // A follower refuses watches until the leader has shown it what is committed.
+        let started = std::time::Instant::now();
+        while !matches!(follower.call(watch_for(0, 0), LONG).await, Ok(Body::WatchReply(r)) if r.code == 0)
+        {
+            assert!(started.elapsed() < LONG, "the follower is not current");
+            sleep(Duration::from_millis(20)).await;
+        }
         let waiting = follower.call(watch(0), LONG);
         let proposing = async {
             sleep(Duration::from_millis(200)).await;
--- a/orioleworks_proto/src/frames.rs
+++ b/orioleworks_proto/src/frames.rs
@@ -5,7 +5,7 @@
 use compio::{io::compat::AsyncStream, net::TcpStream};
 use prost::Message;
 use tokio_util::{
-    bytes::{Bytes, BytesMut},
+    bytes::{BufMut, BytesMut},
     codec::{Decoder, Encoder, Framed, LengthDelimitedCodec},
     compat::{Compat, FuturesAsyncReadCompatExt},
 };
@@ -15,16 +15,28 @@
 /// Largest frame in bytes; a larger one closes the connection.
 pub const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
 
+/// Bytes of a buffer that a connection keeps; a store has hundreds of connections, each of which carries a large frame
+/// now and then.
+pub const KEPT_BUFFER_BYTES: usize = 64 * 1024;
+/// Bytes of a buffer of a new connection; most frames are smaller.
+const FIRST_BUFFER_BYTES: usize = 8 * 1024;
+/// Bytes of the length before each frame.
+const LENGTH_BYTES: usize = 4;
+
 /// Encodes and decodes [`inner::Frame`] messages.
 #[derive(Debug)]
 pub struct FrameCodec {
     lengths: LengthDelimitedCodec,
+    /// Whether the buffers hold memory of a large frame. Their capacity doesn't tell: it shrinks as they are emptied,
+    /// and the memory stays.
+    read_large: bool,
+    wrote_large: bool,
 }
 
 impl Default for FrameCodec {
     fn default() -> Self {
         let lengths = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
-        Self { lengths }
+        Self { lengths, read_large: false, wrote_large: false }
     }
 }
 
@@ -33,7 +45,11 @@
     type Error = io::Error;
 
     fn decode(&mut self, buf: &mut BytesMut) -> io::Result<Option<inner::Frame>> {
-        let Some(bytes) = self.lengths.decode(buf)? else { return Ok(None) };
+        let Some(bytes) = self.lengths.decode(buf)? else {
+            release(buf, &mut self.read_large);
+            return Ok(None);
+        };
+        self.read_large |= bytes.len() > KEPT_BUFFER_BYTES;
         let frame = inner::Frame::decode(bytes)
             .map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))?;
         if frame.body.is_none() {
@@ -47,7 +63,25 @@
     type Error = io::Error;
 
     fn encode(&mut self, frame: inner::Frame, buf: &mut BytesMut) -> io::Result<()> {
-        self.lengths.encode(Bytes::from(frame.encode_to_vec()), buf)
+        let len = frame.encoded_len();
+        let prefix = u32::try_from(len).ok().filter(|_| len <= MAX_FRAME_BYTES);
+        let Some(prefix) = prefix else {
+            let reason = format!("a frame of {len} bytes is larger than {MAX_FRAME_BYTES}");
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, reason));
+        };
+        release(buf, &mut self.wrote_large);
+        self.wrote_large |= len > KEPT_BUFFER_BYTES;
+        buf.reserve(LENGTH_BYTES + len);
+        buf.put_u32(prefix);
+        frame.encode(buf).map_err(io::Error::other)
+    }
+}
+
+/// Gives back the memory of a large frame once nothing of it is left in the buffer.
+fn release(buf: &mut BytesMut, large: &mut bool) {
+    if *large && buf.is_empty() {
+        *buf = BytesMut::with_capacity(FIRST_BUFFER_BYTES);
+        *large = false;
     }
 }
 
@@ -58,5 +92,6 @@
 pub fn wrap(stream: TcpStream) -> io::Result<FrameStream> {
     stream.set_nodelay(true)?;
     // `Framed` needs an `Unpin` stream, which `AsyncStream` is only behind a pinned box.
-    Ok(Framed::new(Box::pin(AsyncStream::new(stream)).compat(), FrameCodec::default()))
+    let stream = AsyncStream::with_limits(FIRST_BUFFER_BYTES, KEPT_BUFFER_BYTES, stream);
+    Ok(Framed::new(Box::pin(stream).compat(), FrameCodec::default()))
 }
