Standby stores get entries only while they may be needed; a store that lags is not current

Cause: with 10 or 11 storage machines the leader sent everything to all of them, and each held a copy of everything; and a follower counted as current for good once it had caught up, so that gateways at one whose disk had stalled would not have learned of new routes. Ruled out: fewer stores by the deploy file, whose share would round three machines down to two. Change: the leader keeps two learners of different domains ready, and one of each domain while a voter is missing; gateways watch voters only; a replica is current while it has applied what the leader named within the last second. Tests: succession.rs, for spares and for missing voters.

--- a/orioleworks_log/src/follower.rs
+++ b/orioleworks_log/src/follower.rs
@@ -146,7 +146,13 @@
 
     fn note_caught_up(&self, leader_commit: u64) {
         let mut state = self.inner.state.borrow_mut();
-        state.caught_up |= leader_commit > 0 && state.applied >= leader_commit;
+        if leader_commit > 0 {
+            // While entries keep coming, the newest commit is never applied yet when it is named.
+            let (named, at) = *state.named_commit.get_or_insert((leader_commit, Instant::now()));
+            if state.applied >= named {
+                (state.current_at, state.named_commit) = (Some(at), None);
+            }
+        }
     }
 
     fn commit_through(&self, index: u64) {
--- a/orioleworks_log/src/membership.rs
+++ b/orioleworks_log/src/membership.rs
@@ -55,7 +55,9 @@
                 continue;
             }
             // A member that was removed while it was away hears no leader, and joins again as a learner.
-            if !member || self.is_orphan() {
+            // A learner that is not needed soon may not have got the entry that made it a member, but hears the leader.
+            let heard = self.has_leader();
+            if (!member && !heard) || self.is_orphan() {
                 self.ask_to_join().await;
             }
             time::sleep(JOIN_PAUSE).await;
@@ -231,6 +233,7 @@
 
     /// Removes the lost identity that a caught-up learner replaces, then promotes the learner.
     pub(crate) fn change_membership_if_due(&self) {
+        self.choose_warm_learners();
         let due = {
             let state = self.inner.state.borrow();
             let retired = self.inner.retired.borrow();
@@ -245,6 +248,21 @@
         }
     }
 
+    fn choose_warm_learners(&self) {
+        let warm = {
+            let state = self.inner.state.borrow();
+            let settings = &self.inner.settings;
+            let members = standings(&state, settings, &self.inner.retired.borrow());
+            succession::warm_learners(&members, bounds(settings))
+        };
+        let mut state = self.inner.state.borrow_mut();
+        if state.warm != warm {
+            state.warm = warm;
+            drop(state);
+            self.inner.changed.notify();
+        }
+    }
+
     fn change_membership(&self, membership: inner::Membership, event: &str) -> bool {
         {
             let state = self.inner.state.borrow();
@@ -293,6 +311,7 @@
             learner: m.learner,
             live: own || answered.is_some_and(|silence| silence < longest_silence),
             lost: heard.zip(settings.replace_after).is_some_and(|(silence, after)| silence > after),
+            synced,
             caught_up: synced > 0 && rules::may_promote(synced, state.commit),
             name_in_use: state.is_name_in_use(&m.name, settings.heartbeat),
             retired: retired.contains(&m.name),
@@ -308,17 +327,17 @@
     retired: &IndexSet<String>,
 ) -> Option<(inner::Membership, &'static str)> {
     let members = standings(state, settings, retired);
-    let bounds = succession::Bounds {
-        voters: settings.max_voters,
-        per_domain: settings.max_voters_per_domain,
-    };
     let gone = |name: &String| !members.iter().any(|m| m.name == *name);
-    match succession::next_step(&members, bounds, retired.iter().any(gone))? {
+    match succession::next_step(&members, bounds(settings), retired.iter().any(gone))? {
         Step::Remove(id, reason) => Some((without(&state.membership, id), reason)),
         Step::Promote(id) => Some((promoted(&state.membership, id), "learner_promoted")),
     }
 }
 
+fn bounds(settings: &Settings) -> succession::Bounds {
+    succession::Bounds { voters: settings.max_voters, per_domain: settings.max_voters_per_domain }
+}
+
 fn promoted(membership: &inner::Membership, id: u64) -> inner::Membership {
     let mut membership = membership.clone();
     for member in membership.members.iter_mut().filter(|m| m.member_id == id) {
--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     fs::File,
     rc::{Rc, Weak},
     time::{Duration, Instant},
@@ -35,6 +35,9 @@
 const PROPOSE_TIMEOUT: Duration = Duration::from_millis(1400);
 /// Longest quorum round of a linearizable read.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Lag behind the leader at which a replica is no longer fit for readers: several heartbeats and a slow sync, and less
+/// than the time in which a configuration must be in force.
+const CURRENT_WITHIN: Duration = Duration::from_millis(1000);
 /// Largest encoded command in bytes; it must fit into a frame with the entry around it.
 pub const MAX_COMMAND_BYTES: usize = 4 * 1024 * 1024;
 
@@ -309,13 +312,25 @@
         self.inner.state.borrow().has_live_leader(self.inner.settings.election_max)
     }
 
-    /// Whether the state here is fit for new readers: a leader is heard and its commits of this process's start are applied.
+    /// Whether the state here is fit for new readers: what a leader named as committed a moment ago is applied.
     pub fn is_current(&self) -> bool {
-        let caught_up = {
-            let state = self.inner.state.borrow();
-            state.caught_up || state.committed_own_term()
-        };
-        caught_up && self.has_leader()
+        let state = self.inner.state.borrow();
+        let applied = state.current_at.is_some_and(|at| at.elapsed() < CURRENT_WITHIN);
+        state.committed_own_term()
+            || applied && state.has_live_leader(self.inner.settings.election_max)
+    }
+
+    /// Addresses of the voters, without this replica.
+    pub fn voter_addresses(&self) -> Vec<String> {
+        let state = self.inner.state.borrow();
+        let members = state.membership.members.iter();
+        let others = members.filter(|m| !m.learner && m.member_id != state.id());
+        others.map(|m| m.address.clone()).collect()
+    }
+
+    /// Whether this replica is a voter.
+    pub fn is_voter(&self) -> bool {
+        self.inner.state.borrow().is_voter()
     }
 
     /// Time for which this replica has led its term.
@@ -447,7 +462,9 @@
         term_start: 0,
         waiting: HashMap::new(),
         leader_since: None,
-        caught_up: false,
+        named_commit: None,
+        current_at: None,
+        warm: HashSet::new(),
         incoming: Incoming::default(),
     }
 }
--- a/orioleworks_log/src/replication.rs
+++ b/orioleworks_log/src/replication.rs
@@ -141,6 +141,11 @@
         }
         let state = self.inner.state.borrow();
         let Some(progress) = state.progress.get(&id) else { return Next::Stop };
+        // A learner gets what is committed once, and later only while it may be needed soon.
+        let learner = state.member(id).is_some_and(|m| m.learner);
+        if learner && progress.matched > 0 && !state.warm.contains(&id) {
+            return Next::Wait;
+        }
         if progress.next <= state.base.index {
             return Next::Snapshot;
         }
--- a/orioleworks_log/src/state.rs
+++ b/orioleworks_log/src/state.rs
@@ -1,7 +1,7 @@
 //! Volatile state of a replica: its log in memory, its role and what it knows of the others.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -95,8 +95,12 @@
     pub waiting: HashMap<u64, (u64, oneshot::Sender<Outcome>)>,
     /// Time at which this replica became leader.
     pub leader_since: Option<Instant>,
-    /// Whether this process has applied everything that a leader had committed at some time after its start.
-    pub caught_up: bool,
+    /// Commit index that a leader named, and when, until this replica has applied it.
+    pub named_commit: Option<(u64, Instant)>,
+    /// Time at which a leader named a commit index that this replica has applied since.
+    pub current_at: Option<Instant>,
+    /// Learners that the leader sends entries to.
+    pub warm: HashSet<u64>,
     /// Snapshot that is being received.
     pub incoming: Incoming,
 }
--- a/orioleworks_log/src/succession.rs
+++ b/orioleworks_log/src/succession.rs
@@ -4,8 +4,17 @@
 //! goes before the learner that takes its place: a promotion beside it would raise the quorum of three replicas to
 //! three of four, so that the loss of the repaired replica during its repair would stop the cluster for good.
 
+use std::{
+    cmp::Reverse,
+    collections::{HashMap, HashSet},
+};
+
 use orioleworks_rules::log as rules;
 
+/// Learners that are kept ready while all voters are in place: two, because one may be in a domain that has its share
+/// of voters already.
+const SPARES: usize = 2;
+
 /// What the leader knows of a member.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Standing {
@@ -21,6 +30,8 @@
     pub live: bool,
     /// Whether it has been silent for so long that another replica may take its place.
     pub lost: bool,
+    /// Last entry that it is known to have synced.
+    pub synced: u64,
     /// Whether it has synced everything that is committed.
     pub caught_up: bool,
     /// Whether another identity may take over its name now.
@@ -90,6 +101,32 @@
     survives(members, step).then_some(step)
 }
 
+/// Learners that get every entry, because they may have to take a voter's place soon; the others cost no memory, disk or
+/// network until then.
+pub fn warm_learners(members: &[Standing], bounds: Bounds) -> HashSet<u64> {
+    let voters = || members.iter().filter(|m| !m.learner);
+    let sound = voters().filter(|m| !m.lost && !m.retired).count();
+    let missing = bounds.voters.saturating_sub(sound);
+    let mut in_domain: HashMap<&str, usize> = HashMap::new();
+    for voter in voters() {
+        *in_domain.entry(&voter.domain).or_default() += 1;
+    }
+    let mut learners: Vec<&Standing> =
+        members.iter().filter(|m| m.learner && m.live && !m.retired).collect();
+    let share = |m: &Standing| in_domain.get(&*m.domain).copied().unwrap_or(0);
+    learners.sort_by_key(|m| (share(m), Reverse(m.synced), m.id));
+    let returned = |m: &Standing| voters().any(|v| v.name == m.name);
+    let mut warm: HashSet<u64> = learners.iter().filter(|m| returned(m)).map(|m| m.id).collect();
+    // One of each domain first, so that no place is out of reach.
+    let mut domains = HashSet::new();
+    let (first, rest): (Vec<&Standing>, Vec<&Standing>) =
+        learners.into_iter().partition(|m| domains.insert(&*m.domain));
+    let at_once = if missing > 0 { missing.max(first.len()) } else { 0 };
+    let wanted = at_once.saturating_add(SPARES);
+    warm.extend(first.into_iter().chain(rest).take(wanted).map(|m| m.id));
+    warm
+}
+
 /// Whether the voters that answer now are a quorum after a step.
 fn survives(members: &[Standing], step: Step) -> bool {
     let after = members.iter().filter(|m| match step {
--- a/orioleworks_log/tests/succession.rs
+++ b/orioleworks_log/tests/succession.rs
@@ -1,6 +1,6 @@
 //! Steps of the membership while members are lost or retired.
 
-use orioleworks_log::succession::{Bounds, Standing, Step, next_step};
+use orioleworks_log::succession::{Bounds, Standing, Step, next_step, warm_learners};
 use rstest::rstest;
 
 const THREE: Bounds = Bounds { voters: 3, per_domain: 1 };
@@ -88,3 +88,39 @@
     let new = Standing { id: 9, ..learner(1, "a") };
     assert_eq!(next_step(&[old, voter(2, "b"), voter(3, "c"), new], THREE, false), expected);
 }
+
+const FIVE: Bounds = Bounds { voters: 5, per_domain: 2 };
+
+fn ids(members: &[Standing], bounds: Bounds) -> Vec<u64> {
+    let mut ids: Vec<u64> = warm_learners(members, bounds).into_iter().collect();
+    ids.sort_unstable();
+    ids
+}
+
+/// Guards against every standby machine of a large deployment holding a copy of everything, and against spares that are
+/// all in a domain which has its share of voters.
+#[test]
+fn two_spares_of_different_domains_are_kept_ready() {
+    let voters = [voter(1, "a"), voter(2, "a"), voter(3, "b"), voter(4, "b"), voter(5, "c")];
+    let learners = [learner(6, "a"), learner(7, "b"), learner(8, "c"), learner(9, "c")];
+    let members = [&voters[..], &learners].concat();
+    assert_eq!(ids(&members, FIVE), [6, 8]);
+    let ahead = Standing { synced: 10, ..learner(9, "c") };
+    let members = [&voters[..], &learners[..3], &[ahead]].concat();
+    assert_eq!(ids(&members, FIVE), [6, 9], "the one that has more goes first");
+}
+
+/// Guards against a lost or missing voter for which no learner of a possible domain is ready.
+#[test]
+fn learners_of_all_domains_are_ready_while_a_voter_is_missing() {
+    let lost = Standing { lost: true, ..away(voter(3, "b")) };
+    let voters = [voter(1, "a"), voter(2, "a"), lost, voter(4, "b"), voter(5, "c")];
+    let learners = [learner(6, "a"), learner(7, "b"), learner(8, "c"), learner(9, "c")];
+    assert_eq!(ids(&[&voters[..], &learners].concat(), FIVE), [6, 7, 8, 9]);
+    let founding = [voter(1, "a"), voter(2, "b"), voter(3, "c"), learner(4, "a"), learner(5, "b")];
+    assert_eq!(ids(&founding, FIVE), [4, 5]);
+    let returned = Standing { name: "store-5".into(), ..learner(10, "c") };
+    let all = [voter(1, "a"), voter(2, "a"), voter(3, "b"), voter(4, "b"), voter(5, "c")];
+    let members = [&all[..], &learners, &[returned]].concat();
+    assert!(ids(&members, FIVE).contains(&10), "the next identity of a voter that lost its disk");
+}
--- a/orioleworks_store/src/control.rs
+++ b/orioleworks_store/src/control.rs
@@ -69,6 +69,8 @@
         }
         ControlCall::ReadRetirement(name) => match store.retirement(&name) {
             Some(complete) => http::json(200, &control::retirement(complete)),
+            // A store that is behind may not have heard of it.
+            None if !store.log().is_current() => outcome(ResultCode::NoQuorum),
             None => outcome(ResultCode::UnknownObject),
         },
         ControlCall::NameVersion(named) => {
--- a/orioleworks_store/src/peers.rs
+++ b/orioleworks_store/src/peers.rs
@@ -27,7 +27,10 @@
 ) {
     let watched: Rc<RefCell<HashSet<String>>> = Rc::default();
     while !token.is_cancelled() {
+        // A learner serves no gateway, so that it needs no upstreams.
         let peers = log.peer_addresses();
+        stores.set_members(peers.clone());
+        let peers = if log.is_voter() { peers } else { Vec::new() };
         for address in &peers {
             if !watched.borrow_mut().insert(address.clone()) {
                 continue;
@@ -41,7 +44,6 @@
             })
             .detach();
         }
-        stores.set_members(peers);
         time::sleep(MEMBERS_TICK).await;
     }
 }
@@ -57,7 +59,10 @@
     let client = stores.client(address);
     let mut position = Position::default();
     let mut reached = true;
-    while !token.is_cancelled() && log.peer_addresses().iter().any(|a| a == address) {
+    while !token.is_cancelled()
+        && log.is_voter()
+        && log.peer_addresses().iter().any(|a| a == address)
+    {
         // Document and leader are known from the log.
         let held = Held { document_version: u64::MAX, direct_only: true, ..Held::default() };
         match watch::once(&client, &mut position, held, fleet).await {
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -296,8 +296,11 @@
         let fleet = self.shared.fleet.borrow();
         let document = state.document();
         let upstreams = fleet.since(known, watch.direct_only).map(|k| convert::to_message(k, now));
-        let mut stores = self.shared.log.peer_addresses();
-        stores.push(self.cfg.inner_address().to_string());
+        // Gateways need stores that hold everything; a learner may be far behind.
+        let mut stores = self.shared.log.voter_addresses();
+        if self.shared.log.is_voter() {
+            stores.push(self.cfg.inner_address().to_string());
+        }
         inner::FleetReply {
             document: (document.version > watch.document_version).then(|| document.clone()),
             store_boot: self.boot,
