Soak of real processes: signals, a faulty proxy, failing upstreams, checked from outside

Callers, a trainer and an operator keep asking while stores and gateways are killed, frozen, wiped, stopped and restarted with a torn tail, links are delayed, held one way, silenced or reset, and upstreams die, refuse, fail or fall silent. Checked: single runs against the upstreams, whole texts under the versions that made them, positions that never change, documents that never revert, lookups that end in time, processes that never end by themselves. Store: setting listen.inner_bind, for a proxy before the inner protocol.

--- /dev/null
+++ b/orioleworks_gateway/tests/soak.rs
@@ -0,0 +1,298 @@
+//! Randomized soak: real processes under signals, a faulty proxy and failing upstreams, checked from outside.
+//!
+//! `scripts/soak SEEDS SECONDS` runs more seeds than the two of each test run; see docs/TESTING.md.
+
+mod support;
+
+use std::{
+    env,
+    io::Write,
+    sync::{Arc, atomic::Ordering},
+    thread,
+    time::{Duration, Instant},
+};
+
+use nix::sys::signal::Signal;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use rstest::rstest;
+use support::{
+    deployment::Deployment,
+    ledger::{self, Ledger},
+    proxy::Faults,
+    upstream::Upstream,
+};
+
+const STORES: usize = 3;
+const GATEWAYS: usize = 2;
+/// Time in which a stopped gateway must have exited; the platform kills it then.
+const GRACE: Duration = Duration::from_secs(8);
+/// Time after the last fault in which everything that was accepted must be complete.
+const RECOVERY: Duration = Duration::from_secs(20);
+
+type Undo = Box<dyn FnOnce(&mut Soak)>;
+
+struct Soak {
+    d: Deployment,
+    upstreams: Vec<Upstream>,
+    ledger: Arc<Ledger>,
+    rng: StdRng,
+    pending: Vec<(Instant, Undo)>,
+    wiped: bool,
+}
+
+impl Soak {
+    fn start(seed: u64) -> Self {
+        let d = Deployment::start_with(STORES, GATEWAYS, &ledger::document(1), true);
+        let start = |id: &str, service: &str, model| {
+            Upstream::start_with(id, service, model, d.controls(), true)
+        };
+        let mut upstreams: Vec<Upstream> =
+            (0..2).map(|i| start(&format!("s-{i}"), "sheets", None)).collect();
+        upstreams.extend((0..3).map(|i| start(&format!("e-{i}"), "engines", Some(ledger::MODEL))));
+        let addresses = (0..GATEWAYS).map(|i| d.gateway(i)).collect();
+        let ledger = Ledger::start(seed, addresses, d.controls());
+        let rng = StdRng::seed_from_u64(seed);
+        Self { d, upstreams, ledger, rng, pending: Vec::new(), wiped: false }
+    }
+
+    fn after(&mut self, ms: std::ops::Range<u64>, undo: impl FnOnce(&mut Self) + 'static) {
+        let at = Instant::now() + Duration::from_millis(self.rng.random_range(ms));
+        self.pending.push((at, Box::new(undo)));
+    }
+
+    /// Runs what is due, or everything.
+    fn undo(&mut self, all: bool) {
+        let now = Instant::now();
+        let (due, later) =
+            std::mem::take(&mut self.pending).into_iter().partition(|(at, _)| all || *at <= now);
+        self.pending = later;
+        due.into_iter().for_each(|(_, undo): (Instant, Undo)| undo(self));
+    }
+
+    /// Kills a store; false when it is down already.
+    fn kill_store(&mut self, i: usize) -> bool {
+        let Some(mut process) = self.d.stores[i].take() else { return false };
+        if let Some(code) = process.exited() {
+            self.ledger.violation(format!("store {i} ended by itself with {code}"));
+        }
+        process.signal(Signal::SIGKILL);
+        true
+    }
+
+    fn kill_gateway(&mut self, i: usize) -> bool {
+        self.ledger.disturb(i);
+        let Some(mut process) = self.d.gateways[i].take() else { return false };
+        // One that was told to stop may have done so.
+        if let Some(code) = process.exited().filter(|code| *code != 0) {
+            self.ledger.violation(format!("gateway {i} ended by itself with {code}"));
+        }
+        process.signal(Signal::SIGKILL);
+        true
+    }
+
+    fn start_store(&mut self, i: usize) {
+        if self.d.stores[i].is_none() {
+            self.d.start_store(i, false);
+        }
+    }
+
+    fn start_gateway(&mut self, i: usize) {
+        self.ledger.disturb(i);
+        if self.d.gateways[i].is_none() {
+            self.d.start_gateway(i);
+        }
+    }
+
+    fn fault_link(&mut self, faults: &Arc<Faults>) {
+        match self.rng.random_range(0..4) {
+            0 => faults.delay_ms.store(self.rng.random_range(1..40), Ordering::Relaxed),
+            1 => faults.hold_requests.store(true, Ordering::Relaxed),
+            2 => faults.hold_replies.store(true, Ordering::Relaxed),
+            _ => drop(faults.resets.fetch_add(1, Ordering::Relaxed)),
+        }
+        let faults = faults.clone();
+        self.after(300..2500, move |_| faults.clear());
+    }
+
+    fn fault_upstream(&mut self, i: usize) {
+        let behaviour = self.upstreams[i].behaviour.clone();
+        let flag = match self.rng.random_range(0..5) {
+            0 => &behaviour.silent,
+            1 => &behaviour.dies,
+            2 => &behaviour.refuses,
+            3 => {
+                return behaviour.break_after.store(self.rng.random_range(1..9), Ordering::Relaxed);
+            }
+            _ => return behaviour.failures.store(self.rng.random_range(1..4), Ordering::Relaxed),
+        };
+        flag.store(true, Ordering::Relaxed);
+        self.after(300..1500, move |_| {
+            for flag in [&behaviour.silent, &behaviour.dies, &behaviour.refuses] {
+                flag.store(false, Ordering::Relaxed);
+            }
+        });
+    }
+
+    fn fault(&mut self) {
+        let (store, gateway) =
+            (self.rng.random_range(0..STORES), self.rng.random_range(0..GATEWAYS));
+        let what = self.rng.random_range(0..12);
+        eprintln!("fault={what} store={store} gateway={gateway}");
+        match what {
+            0 if self.kill_store(store) => self.after(100..2000, move |s| s.start_store(store)),
+            1 => {
+                if let Some(process) = &self.d.stores[store] {
+                    process.signal(Signal::SIGSTOP);
+                    self.after(200..2500, move |s| {
+                        s.d.stores[store].iter().for_each(|p| p.signal(Signal::SIGCONT));
+                    });
+                }
+            }
+            2 if self.kill_gateway(gateway) => {
+                self.after(100..1000, move |s| s.start_gateway(gateway));
+            }
+            3 => {
+                self.ledger.disturb(gateway);
+                if let Some(process) = &self.d.gateways[gateway] {
+                    process.signal(Signal::SIGSTOP);
+                    self.after(200..1500, move |s| {
+                        s.ledger.disturb(gateway);
+                        s.d.gateways[gateway].iter().for_each(|p| p.signal(Signal::SIGCONT));
+                    });
+                }
+            }
+            4 => self.stop_gateway(gateway),
+            5 | 6 => self.fault_link(&self.d.links[store].faults.clone()),
+            7 | 8 => {
+                let at = self.rng.random_range(0..self.upstreams.len());
+                let link = self.upstreams[at].link.as_ref().map(|link| link.faults.clone());
+                link.iter().for_each(|faults| self.fault_link(faults));
+            }
+            9 => {
+                let at = self.rng.random_range(0..self.upstreams.len());
+                self.fault_upstream(at);
+            }
+            10 if !self.wiped && self.kill_store(store) => {
+                // The deployment tolerates the loss of one disk.
+                self.wiped = true;
+                self.d.wipe_store(store);
+                self.after(100..1500, move |s| s.start_store(store));
+            }
+            11 => {
+                // All stores die at once, and one has a torn write behind its synced entries.
+                for i in 0..STORES {
+                    self.kill_store(i);
+                    self.after(100..600, move |s| s.start_store(i));
+                }
+                let log = self.d.store_data(store).join("log");
+                if let Ok(mut f) = std::fs::File::options().append(true).open(log) {
+                    f.write_all(&[0xa5; 37]).unwrap();
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Stops a gateway gracefully and starts it again once it has exited.
+    fn stop_gateway(&mut self, i: usize) {
+        let Some(process) = &self.d.gateways[i] else { return };
+        process.signal(Signal::SIGCONT);
+        process.signal(Signal::SIGTERM);
+        self.ledger.disturb(i);
+        let stopped = Instant::now();
+        self.after(0..1, move |s| s.await_exit(i, stopped));
+    }
+
+    fn await_exit(&mut self, i: usize, stopped: Instant) {
+        self.ledger.disturb(i);
+        let Some(process) = &mut self.d.gateways[i] else { return };
+        match process.exited() {
+            Some(code) => {
+                if code != 0 {
+                    self.ledger.violation(format!("gateway {i} exited with {code} after SIGTERM"));
+                }
+                self.d.gateways[i] = None;
+                self.start_gateway(i);
+            }
+            None if stopped.elapsed() > GRACE + Duration::from_secs(3) => {
+                self.ledger.violation(format!("gateway {i} did not exit after SIGTERM"));
+            }
+            None => self.after(100..101, move |s| s.await_exit(i, stopped)),
+        }
+    }
+
+    fn run(mut self, time: Duration) -> Vec<String> {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            self.fault();
+            let pause = Duration::from_millis(self.rng.random_range(100..900));
+            let next = Instant::now() + pause;
+            while Instant::now() < next {
+                self.undo(false);
+                thread::sleep(Duration::from_millis(10));
+            }
+        }
+        self.heal();
+        self.ledger.finish(RECOVERY, &self.upstreams);
+        let violations = self.ledger.violations();
+        if !violations.is_empty() {
+            let kept = env::temp_dir().join(format!("soak-{}", std::process::id()));
+            drop(std::fs::create_dir_all(&kept));
+            for log in self.d.log_files() {
+                drop(std::fs::copy(&log, kept.join(log.file_name().unwrap_or_default())));
+            }
+            eprintln!("logs are kept in {}", kept.display());
+        }
+        violations
+    }
+
+    /// Ends all faults and starts everything that is down.
+    fn heal(&mut self) {
+        self.undo(true);
+        for process in self.d.stores.iter().chain(&self.d.gateways).flatten() {
+            process.signal(Signal::SIGCONT);
+        }
+        let until = Instant::now() + GRACE;
+        while !self.pending.is_empty() && Instant::now() < until {
+            self.undo(false);
+            thread::sleep(Duration::from_millis(20));
+        }
+        self.undo(true);
+        let upstreams = self.upstreams.iter().filter_map(|up| up.link.as_ref());
+        upstreams.chain(&self.d.links).for_each(|link| link.faults.clear());
+        for up in &self.upstreams {
+            let b = &up.behaviour;
+            [&b.silent, &b.dies, &b.refuses].iter().for_each(|f| f.store(false, Ordering::Relaxed));
+            [&b.failures, &b.break_after].iter().for_each(|n| n.store(0, Ordering::Relaxed));
+        }
+        (0..STORES).for_each(|i| self.start_store(i));
+        (0..GATEWAYS).for_each(|i| self.start_gateway(i));
+    }
+}
+
+fn soak(seed: u64, seconds: u64) {
+    eprintln!("soak seed={seed} seconds={seconds}");
+    let violations = Soak::start(seed).run(Duration::from_secs(seconds));
+    assert!(violations.is_empty(), "seed {seed}: {}", violations.join("\n"));
+}
+
+/// Guards against broken promises under faults that overlap: doubled or lost requests, lost or changed results,
+/// configurations that revert, processes that end by themselves.
+#[rstest]
+#[case(1)]
+#[case(2)]
+fn promises_hold_under_random_faults(#[case] seed: u64) {
+    soak(seed, 8);
+}
+
+/// Seeds of `scripts/soak`; without its variables it has nothing to do.
+#[test]
+fn promises_hold_for_the_seeds_of_the_environment() {
+    let number = |name: &str| env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
+    let Some(first) = number("ORIOLEWORKS_SOAK_FIRST_SEED") else { return };
+    let count = number("ORIOLEWORKS_SOAK_SEEDS").unwrap_or(1);
+    let seconds = number("ORIOLEWORKS_SOAK_SECONDS").unwrap_or(8);
+    for seed in first..first + count {
+        soak(seed, seconds);
+    }
+}
--- a/orioleworks_gateway/tests/support/deployment.rs
+++ b/orioleworks_gateway/tests/support/deployment.rs
@@ -14,7 +14,10 @@
     unistd::Pid,
 };
 
-use super::client::{self, Answer};
+use super::{
+    client::{self, Answer},
+    proxy::Proxy,
+};
 
 /// A process that ends with the test.
 pub struct Process {
@@ -40,6 +43,11 @@
         None
     }
 
+    /// Exit code of a process that has ended.
+    pub fn exited(&mut self) -> Option<i32> {
+        self.child.try_wait().unwrap().map(|status| status.code().unwrap_or(-1))
+    }
+
     pub fn log(&self) -> String {
         fs::read_to_string(&self.output).unwrap_or_default()
     }
@@ -61,6 +69,8 @@
     control_port: u16,
     callers_port: u16,
     readiness_port: u16,
+    /// Proxies before the stores' inner protocol, where the deployment has them.
+    pub links: Vec<Proxy>,
 }
 
 /// Each process has an address of its own on loopback, so that all stores can use one port.
@@ -71,6 +81,11 @@
 impl Deployment {
     /// Starts stores and gateways and waits until the gateways are ready with a route document.
     pub fn start(stores: usize, gateways: usize, document: &str) -> Self {
+        Self::start_with(stores, gateways, document, false)
+    }
+
+    /// The same; with `proxied`, what goes to a store's inner protocol passes a proxy.
+    pub fn start_with(stores: usize, gateways: usize, document: &str, proxied: bool) -> Self {
         let mut this = Self {
             dir: tempfile::tempdir().unwrap(),
             stores: (0..stores).map(|_| None).collect(),
@@ -79,7 +94,12 @@
             control_port: free_port(),
             callers_port: free_port(),
             readiness_port: free_port(),
+            links: Vec::new(),
         };
+        if proxied {
+            let link = |i| Proxy::start(&this.inner(1, i), this.inner(3, i));
+            this.links = (0..stores).map(link).collect();
+        }
         for i in 0..stores {
             this.start_store(i, true);
         }
@@ -93,6 +113,11 @@
         this
     }
 
+    /// Address of a store's inner protocol: as it is advertised, or as it is bound behind a proxy.
+    fn inner(&self, kind: u8, i: usize) -> String {
+        format!("{}:{}", ip(kind, i), self.inner_port)
+    }
+
     pub fn control(&self, i: usize) -> String {
         format!("{}:{}", ip(1, i), self.control_port)
     }
@@ -118,14 +143,16 @@
 
     pub fn start_store(&mut self, i: usize, bootstrap: bool) {
         let name = format!("store-{i}");
+        let kind = if self.links.is_empty() { 1 } else { 3 };
         let settings = format!(
             r#"{{ "instance": {{ "name": "{name}", "failure_domain": "domain-{i}" }},
-                 "listen": {{ "control": "{}", "inner_port": {} }},
+                 "listen": {{ "control": "{}", "inner_port": {}, "inner_bind": "{}" }},
                  "cluster": {{ "seeds": [{}], "bootstrap": {bootstrap}, "tolerated_losses": 1 }},
                  "orders": {{ "lease_ms": 300 }},
                  "data": {{ "directory": "{}" }} }}"#,
             self.control(i),
             self.inner_port,
+            self.inner(kind, i),
             self.seeds(),
             self.dir.path().join(&name).display(),
         );
@@ -147,9 +174,14 @@
         self.gateways[i] = Some(self.spawn("orioleworks-gateway", &name, &settings));
     }
 
+    /// Directory of a store's data.
+    pub fn store_data(&self, i: usize) -> PathBuf {
+        self.dir.path().join(format!("store-{i}"))
+    }
+
     /// Removes what a store has on its disk.
     pub fn wipe_store(&self, i: usize) {
-        fs::remove_dir_all(self.dir.path().join(format!("store-{i}"))).unwrap();
+        fs::remove_dir_all(self.store_data(i)).unwrap();
     }
 
     fn spawn(&self, program: &str, name: &str, settings: &str) -> Process {
--- /dev/null
+++ b/orioleworks_gateway/tests/support/ledger.rs
@@ -0,0 +1,349 @@
+//! Load of callers, trainers and operators, and what each of them was promised.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use super::{
+    client::{self, Answer},
+    upstream::{Upstream, text_of},
+};
+
+pub const MODEL: &str = "scorer";
+const ITEMS: usize = 12;
+/// Time that callers give a lookup.
+const LOOKUP_TIME: Duration = Duration::from_millis(1500);
+/// Time beyond it in which the answer must have come; covers a busy machine.
+const LOOKUP_SLACK: Duration = Duration::from_millis(700);
+/// Time after a signal to a gateway in which its answers may be late.
+const DISTURBED: Duration = Duration::from_millis(2500);
+
+/// Routes for lookups, for requests that run once, and for batches.
+pub fn document(version: u64) -> String {
+    serde_json::json!({
+        "version": version,
+        "routes": [
+            {"name": "lookup", "host": "test.example", "path_prefix": "/lookup/", "kind": "safe",
+             "timeout_ms": 2000, "target_latency_ms": 150, "priority": 2, "service": "sheets", "max_attempts": 2},
+            {"name": "confirm", "host": "test.example", "path_prefix": "/confirm/", "kind": "unsafe",
+             "timeout_ms": 1000, "target_latency_ms": 150, "priority": 2, "service": "sheets", "max_attempts": 2},
+            {"name": "batch", "host": "test.example", "path_prefix": "/batch/", "kind": "rollout",
+             "timeout_ms": 10000, "target_latency_ms": 400, "priority": 1, "service": "engines", "max_attempts": 50,
+             "retention_s": 60.0, "completion_deadline_ms": 7500, "single_version": false, "resumable": true},
+        ],
+        "services": [
+            {"name": "sheets", "connection_limit": 96},
+            {"name": "engines", "connection_limit": 96,
+             "engine": {"slots": 8, "kv_cache_tokens": 100_000, "stride": 72, "models": [{"name": MODEL}]}},
+        ],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 33_554_432, "header_timeout_ms": 3000,
+                   "idle_timeout_ms": 15000},
+    })
+    .to_string()
+}
+
+#[derive(Default)]
+struct Batch {
+    id: String,
+    items: Vec<String>,
+    min_version: u64,
+    /// Results by position, as they were read first.
+    results: BTreeMap<u64, serde_json::Value>,
+    done: bool,
+}
+
+/// What was promised to whom; load goes on until the end.
+pub struct Ledger {
+    gateways: Vec<String>,
+    controls: Vec<String>,
+    disturbed: Vec<Mutex<Instant>>,
+    stopped: AtomicBool,
+    violations: Mutex<Vec<String>>,
+    once: Mutex<Vec<(String, Option<u16>)>>,
+    batches: Mutex<Vec<Batch>>,
+    named: AtomicU64,
+    put: AtomicU64,
+    answered: AtomicU64,
+}
+
+impl Ledger {
+    /// Starts callers, a trainer, and an operator.
+    pub fn start(seed: u64, gateways: Vec<String>, controls: Vec<String>) -> Arc<Self> {
+        let ledger = Arc::new(Self {
+            disturbed: gateways.iter().map(|_| Mutex::new(Instant::now())).collect(),
+            gateways,
+            controls,
+            stopped: AtomicBool::default(),
+            violations: Mutex::default(),
+            once: Mutex::default(),
+            batches: Mutex::default(),
+            named: AtomicU64::new(1),
+            put: AtomicU64::new(1),
+            answered: AtomicU64::default(),
+        });
+        let tasks: [fn(&Self, &mut StdRng); 5] =
+            [Self::look_up, Self::confirm, Self::train, Self::read_some, Self::operate];
+        for (i, task) in tasks.into_iter().enumerate() {
+            let ledger = ledger.clone();
+            let mut rng = StdRng::seed_from_u64(seed * 100 + i as u64);
+            thread::spawn(move || {
+                while !ledger.stopped.load(Ordering::Relaxed) {
+                    task(&ledger, &mut rng);
+                }
+            });
+        }
+        ledger
+    }
+
+    /// Notes that a gateway gets a signal.
+    pub fn disturb(&self, gateway: usize) {
+        *self.disturbed[gateway].lock().unwrap() = Instant::now();
+    }
+
+    pub fn violation(&self, what: String) {
+        eprintln!("violation: {what}");
+        self.violations.lock().unwrap().push(what);
+    }
+
+    pub fn violations(&self) -> Vec<String> {
+        self.violations.lock().unwrap().clone()
+    }
+
+    fn ask(
+        &self,
+        gateway: usize,
+        method: &str,
+        path: &str,
+        id: &str,
+        body: &str,
+    ) -> Option<Answer> {
+        let ms = LOOKUP_TIME.as_millis().to_string();
+        let headers = [("X-Attempt-Id", id), ("X-Deadline-Ms", &*ms)];
+        client::call(&self.gateways[gateway], method, path, &headers, body)
+    }
+
+    fn look_up(&self, rng: &mut StdRng) {
+        let gateway = rng.random_range(0..self.gateways.len());
+        let id = format!("l-{:016x}", rng.random::<u64>());
+        let started = Instant::now();
+        let answer = self.ask(gateway, "GET", "/lookup/a", &id, "");
+        let quiet_since = *self.disturbed[gateway].lock().unwrap() + DISTURBED;
+        if let Some(answer) = answer {
+            let took = started.elapsed();
+            if took > LOOKUP_TIME + LOOKUP_SLACK && started > quiet_since {
+                self.violation(format!("lookup {id} took {took:?}, status {}", answer.status));
+            }
+            if answer.status == 200 {
+                self.answered.fetch_add(1, Ordering::Relaxed);
+                if answer.body != format!("answer to {id}") {
+                    self.violation(format!("lookup {id} got {}", answer.body));
+                }
+            }
+        }
+        thread::sleep(Duration::from_millis(25));
+    }
+
+    fn confirm(&self, rng: &mut StdRng) {
+        let gateway = rng.random_range(0..self.gateways.len());
+        let id = format!("c-{:016x}", rng.random::<u64>());
+        let answer = self.ask(gateway, "POST", "/confirm/a", &id, "");
+        self.once.lock().unwrap().push((id, answer.map(|a| a.status)));
+        thread::sleep(Duration::from_millis(40));
+    }
+
+    /// Submits a batch until it is accepted.
+    fn train(&self, rng: &mut StdRng) {
+        let id = format!("b-{:016x}", rng.random::<u64>());
+        let items: Vec<String> = (0..ITEMS).map(|i| format!("{id}-{i}")).collect();
+        let min_version = self.named.load(Ordering::Relaxed).saturating_sub(1).max(1);
+        let body = submission(&items, min_version);
+        while !self.stopped.load(Ordering::Relaxed) {
+            let gateway = rng.random_range(0..self.gateways.len());
+            let accepted = self.ask(gateway, "POST", "/batch/step", &id, &body);
+            if accepted.is_some_and(|a| a.status == 202) {
+                let batch = Batch { id, items, min_version, ..Batch::default() };
+                self.batches.lock().unwrap().push(batch);
+                break;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        thread::sleep(Duration::from_millis(700));
+        if rng.random_bool(0.5) {
+            self.name_version(rng);
+        }
+    }
+
+    fn name_version(&self, rng: &mut StdRng) {
+        let version = self.named.load(Ordering::Relaxed) + 1;
+        let body = format!("{{\"model\":\"{MODEL}\",\"version\":{version}}}");
+        while !self.stopped.load(Ordering::Relaxed) {
+            let control = &self.controls[rng.random_range(0..self.controls.len())];
+            let named = client::call(control, "POST", "/v1/version-put", &[], &body);
+            if named.is_some_and(|a| a.status == 200) {
+                self.named.store(version, Ordering::Relaxed);
+                return;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    /// Reads a batch from a position that may have been read before.
+    fn read_some(&self, rng: &mut StdRng) {
+        let chosen = {
+            let batches = self.batches.lock().unwrap();
+            if batches.is_empty() { None } else { Some(rng.random_range(0..batches.len())) }
+        };
+        if let Some(at) = chosen {
+            let gateway = rng.random_range(0..self.gateways.len());
+            let known = self.batches.lock().unwrap()[at].results.len() as u64;
+            let after = if rng.random_bool(0.3) { 0 } else { known };
+            self.read(at, gateway, after);
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+
+    fn read(&self, at: usize, gateway: usize, after: u64) {
+        let id = self.batches.lock().unwrap()[at].id.clone();
+        let path = format!("/v1/lots/{id}?after={after}");
+        let headers = [("X-Wait-Ms", "100")];
+        let Some(answer) = client::call(&self.gateways[gateway], "GET", &path, &headers, "") else {
+            return;
+        };
+        if matches!(answer.status, 404 | 410) {
+            self.violation(format!("accepted batch {id}: status {}", answer.status));
+        }
+        if answer.status != 200 {
+            return;
+        }
+        let json = answer.json();
+        let mut batches = self.batches.lock().unwrap();
+        let batch = &mut batches[at];
+        let results = json["results"].as_array().cloned().unwrap_or_default();
+        for (position, result) in (after..).zip(results) {
+            let first = batch.results.entry(position).or_insert_with(|| result.clone());
+            if *first != result {
+                self.violation(format!("batch {id}, position {position}: {first}, then {result}"));
+            }
+        }
+        batch.done = batch.results.len() == batch.items.len();
+    }
+
+    /// Puts the next document, and reads back one that is not older than the newest acknowledged.
+    fn operate(&self, rng: &mut StdRng) {
+        let control = |rng: &mut StdRng| &self.controls[rng.random_range(0..self.controls.len())];
+        let version = self.put.load(Ordering::Relaxed) + 1;
+        let path = "/v1/Configuration.Replace";
+        let put = client::call(control(rng), "POST", path, &[], &document(version));
+        if put.is_some_and(|a| a.status == 200) {
+            self.put.store(version, Ordering::Relaxed);
+        }
+        let acknowledged = self.put.load(Ordering::Relaxed);
+        let read = client::call(control(rng), "GET", "/v1/Configuration.Read", &[], "");
+        if let Some(answer) = read.filter(|a| a.status == 200) {
+            let read = answer.json()["version"].as_u64().unwrap_or(0);
+            if read < acknowledged {
+                self.violation(format!("document {read} was read after {acknowledged}"));
+            }
+        }
+        thread::sleep(Duration::from_millis(300));
+    }
+
+    /// Ends the load and checks everything that was promised.
+    pub fn finish(&self, time: Duration, upstreams: &[Upstream]) {
+        let until = Instant::now() + time;
+        self.stopped.store(true, Ordering::Relaxed);
+        loop {
+            let open: Vec<usize> = {
+                let batches = self.batches.lock().unwrap();
+                (0..batches.len()).filter(|at| !batches[*at].done).collect()
+            };
+            if open.is_empty() || Instant::now() >= until {
+                break;
+            }
+            for at in open {
+                let known = self.batches.lock().unwrap()[at].results.len() as u64;
+                self.read(at, at % self.gateways.len(), known);
+            }
+        }
+        // Once more from the start, at the other gateway.
+        let count = self.batches.lock().unwrap().len();
+        (0..count).for_each(|at| self.read(at, (at + 1) % self.gateways.len(), 0));
+        self.check_batches(upstreams);
+        self.check_once(upstreams);
+        let answered = self.answered.load(Ordering::Relaxed);
+        if answered == 0 || count == 0 {
+            self.violation(format!("{answered} lookups were answered, {count} batches accepted"));
+        }
+        let once = self.once.lock().unwrap().len();
+        eprintln!("checked: {answered} lookups, {once} single runs, {count} batches");
+    }
+
+    fn check_batches(&self, upstreams: &[Upstream]) {
+        for batch in self.batches.lock().unwrap().iter() {
+            let id = &batch.id;
+            if !batch.done {
+                self.violation(format!("batch {id}: {} results", batch.results.len()));
+            }
+            let mut seen = BTreeSet::new();
+            for result in batch.results.values() {
+                let item = result["id"].as_str().unwrap_or_default().to_owned();
+                if !batch.items.contains(&item) || !seen.insert(item.clone()) {
+                    self.violation(format!("batch {id}: {item} is foreign or listed twice"));
+                }
+                if result["event_data"].as_str() != Some(&text_of(&item)) {
+                    self.violation(format!("batch {id}: {result}"));
+                }
+                let versions: BTreeSet<u64> = result["versions"]
+                    .as_array()
+                    .map(|all| all.iter().filter_map(serde_json::Value::as_u64).collect())
+                    .unwrap_or_default();
+                let made: BTreeSet<u64> =
+                    upstreams.iter().flat_map(|up| up.made_under(&item)).collect();
+                let old = versions.iter().any(|v| *v < batch.min_version);
+                if versions.is_empty() || old || !versions.is_subset(&made) {
+                    self.violation(format!(
+                        "batch {id}, at least version {}: {item} has {versions:?}, made under {made:?}",
+                        batch.min_version
+                    ));
+                }
+            }
+        }
+    }
+
+    /// A request that may run once never ran twice, and one that was refused as not run never ran.
+    fn check_once(&self, upstreams: &[Upstream]) {
+        for (id, status) in self.once.lock().unwrap().iter() {
+            let runs: usize = upstreams.iter().map(|up| up.runs(id).len()).sum();
+            let allowed = match status {
+                Some(200 | 500) => runs == 1,
+                Some(502 | 504) | None => runs <= 1,
+                Some(_) => runs == 0,
+            };
+            if !allowed {
+                self.violation(format!("request {id} with status {status:?} ran {runs} times"));
+            }
+        }
+    }
+}
+
+fn submission(items: &[String], min_version: u64) -> String {
+    let item = |id: &String| {
+        serde_json::json!({
+            "id": id, "path": format!("/batch/{id}"), "body": STANDARD.encode(format!("body of {id}")),
+            "headers": {"X-Model": MODEL, "X-Token-Count": "100,900", "X-Length-Hint": "500"},
+            "tokens": 1000, "group": "g1",
+        })
+    };
+    let items: Vec<serde_json::Value> = items.iter().map(item).collect();
+    serde_json::json!({"step": 1, "model": MODEL, "min_version": min_version, "group_count": 1, "items": items})
+        .to_string()
+}
--- a/orioleworks_gateway/tests/support/mod.rs
+++ b/orioleworks_gateway/tests/support/mod.rs
@@ -5,4 +5,6 @@
 
 pub mod client;
 pub mod deployment;
+pub mod ledger;
+pub mod proxy;
 pub mod upstream;
--- /dev/null
+++ b/orioleworks_gateway/tests/support/proxy.rs
@@ -0,0 +1,101 @@
+//! Loopback proxy that delays, holds or resets what passes it.
+
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+/// What a proxy does to connections while it is set; bytes that are held go on afterwards.
+#[derive(Debug, Default)]
+pub struct Faults {
+    /// Added to the way of each part, in milliseconds.
+    pub delay_ms: AtomicU64,
+    /// Holds what goes to the server.
+    pub hold_requests: AtomicBool,
+    /// Holds what comes back.
+    pub hold_replies: AtomicBool,
+    /// Raised to reset all connections that are open.
+    pub resets: AtomicU64,
+}
+
+impl Faults {
+    /// Ends all faults.
+    pub fn clear(&self) {
+        self.delay_ms.store(0, Ordering::Relaxed);
+        self.hold_requests.store(false, Ordering::Relaxed);
+        self.hold_replies.store(false, Ordering::Relaxed);
+    }
+}
+
+/// A proxy in front of one server; it ends with the test's process.
+#[derive(Clone, Debug)]
+pub struct Proxy {
+    pub address: String,
+    pub faults: Arc<Faults>,
+}
+
+impl Proxy {
+    /// Starts a proxy at `listen` for the server at `to`.
+    pub fn start(listen: &str, to: String) -> Self {
+        let listener = TcpListener::bind(listen).unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let faults = Arc::<Faults>::default();
+        let accepting = faults.clone();
+        thread::spawn(move || {
+            for client in listener.incoming().flatten() {
+                let Ok(server) = TcpStream::connect(&to) else { continue };
+                let (Ok(client_in), Ok(server_in)) = (client.try_clone(), server.try_clone())
+                else {
+                    continue;
+                };
+                let (f, g) = (accepting.clone(), accepting.clone());
+                thread::spawn(move || pass(client_in, server, &f, |f| &f.hold_requests));
+                thread::spawn(move || pass(server_in, client, &g, |f| &f.hold_replies));
+            }
+        });
+        Self { address, faults }
+    }
+}
+
+/// Copies one direction until its end, a reset or an error.
+fn pass(mut from: TcpStream, mut to: TcpStream, f: &Faults, hold: fn(&Faults) -> &AtomicBool) {
+    const LOOK: Duration = Duration::from_millis(5);
+    let resets = f.resets.load(Ordering::Relaxed);
+    let reset = || f.resets.load(Ordering::Relaxed) != resets;
+    drop((from.set_nodelay(true), to.set_nodelay(true), from.set_read_timeout(Some(LOOK))));
+    let mut buf = [0; 16 * 1024];
+    while !reset() {
+        let n = match from.read(&mut buf) {
+            Ok(0) => break,
+            Ok(n) => n,
+            Err(e)
+                if matches!(
+                    e.kind(),
+                    std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+                ) =>
+            {
+                continue;
+            }
+            Err(_) => break,
+        };
+        thread::sleep(Duration::from_millis(f.delay_ms.load(Ordering::Relaxed)));
+        while hold(f).load(Ordering::Relaxed) && !reset() {
+            thread::sleep(LOOK);
+        }
+        if reset() || to.write_all(&buf[..n]).is_err() {
+            break;
+        }
+    }
+    if reset() {
+        drop(from.shutdown(Shutdown::Both));
+        drop(to.shutdown(Shutdown::Both));
+    } else {
+        drop(to.shutdown(Shutdown::Write));
+    }
+}
--- a/orioleworks_gateway/tests/support/upstream.rs
+++ b/orioleworks_gateway/tests/support/upstream.rs
@@ -1,7 +1,7 @@
 //! Stand-in for the platform's replicas: a plain service, and an engine with weight versions and resumable streams.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     io::{BufRead, BufReader, Read, Write},
     net::{TcpListener, TcpStream},
     sync::{
@@ -12,7 +12,7 @@
     time::{Duration, Instant},
 };
 
-use super::client;
+use super::{client, proxy::Proxy};
 
 /// What a stand-in does wrong, and what it has seen.
 #[derive(Default)]
@@ -40,6 +40,8 @@
     versions: HashMap<String, u64>,
     orders: u64,
     order_bodies: Vec<serde_json::Value>,
+    /// Weight versions under which it made events of a request ID.
+    made: HashMap<String, BTreeSet<u64>>,
 }
 
 /// One replica; clones share it.
@@ -50,6 +52,8 @@
     pub behaviour: Arc<Behaviour>,
     seen: Arc<Mutex<Seen>>,
     stopped: Arc<AtomicBool>,
+    /// What its callers pass, where there is a proxy.
+    pub link: Option<Proxy>,
 }
 
 /// Events of every stream.
@@ -62,11 +66,24 @@
 impl Upstream {
     /// Starts a replica of a service that announces itself to the stores; one with a model is an engine.
     pub fn start(id: &str, service: &str, model: Option<&str>, stores: Vec<String>) -> Self {
+        Self::start_with(id, service, model, stores, false)
+    }
+
+    /// The same; with `proxied` it announces the address of a proxy.
+    pub fn start_with(
+        id: &str,
+        service: &str,
+        model: Option<&str>,
+        stores: Vec<String>,
+        proxied: bool,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap().to_string();
+        let own = listener.local_addr().unwrap().to_string();
+        let link = proxied.then(|| Proxy::start("127.0.0.1:0", own.clone()));
         let upstream = Self {
             id: id.into(),
-            address,
+            address: link.as_ref().map_or(own, |link| link.address.clone()),
+            link,
             behaviour: Arc::default(),
             seen: Arc::default(),
             stopped: Arc::default(),
@@ -105,6 +122,11 @@
         self.seen.lock().unwrap().versions.get(model).copied().unwrap_or(0)
     }
 
+    /// Weight versions under which it made events of a request ID.
+    pub fn made_under(&self, id: &str) -> BTreeSet<u64> {
+        self.seen.lock().unwrap().made.get(id).cloned().unwrap_or_default()
+    }
+
     /// Orders that it accepted.
     pub fn orders(&self) -> Vec<serde_json::Value> {
         self.seen.lock().unwrap().order_bodies.clone()
@@ -266,6 +288,7 @@
             let current = self.version(model);
             let changed = (current != version).then(|| format!("x-weight-versions: {current}\n"));
             version = current;
+            self.seen.lock().unwrap().made.entry(id.into()).or_default().insert(version);
             let text = format!(
                 "{}id: {event}\ndata: {}\n\n",
                 changed.unwrap_or_default(),
--- a/orioleworks_store/src/app.rs
+++ b/orioleworks_store/src/app.rs
@@ -36,7 +36,7 @@
     let shutdown = Shutdown::default();
     shutdown.watch_signals(SHUTDOWN_DEADLINE);
     let listeners = (
-        http::bind(&cfg.inner_address().to_string()).await,
+        http::bind(&cfg.inner_bind().to_string()).await,
         http::bind(&cfg.listen.control.to_string()).await,
     );
     let (inner_listener, control_listener) = match listeners {
--- a/orioleworks_store/src/config.rs
+++ b/orioleworks_store/src/config.rs
@@ -46,6 +46,8 @@
     pub control: SocketAddr,
     /// Port of the inner protocol, on the IP of `control`.
     pub inner_port: u16,
+    /// Address that the inner protocol is bound to where that differs, as behind a forwarding proxy.
+    pub inner_bind: Option<SocketAddr>,
 }
 
 /// The other stores.
@@ -139,6 +141,11 @@
         SocketAddr::new(self.listen.control.ip(), self.listen.inner_port)
     }
 
+    /// Address to listen at for the inner protocol.
+    pub fn inner_bind(&self) -> SocketAddr {
+        self.listen.inner_bind.unwrap_or_else(|| self.inner_address())
+    }
+
     /// Inner addresses of the seeds; all stores use the same port.
     pub fn seed_addresses(&self) -> impl Iterator<Item = String> + use<> {
         let port = self.listen.inner_port;
