--- a/orioleworks_gateway/tests/soak.rs
+++ b/orioleworks_gateway/tests/soak.rs
@@ -199,13 +199,14 @@
         process.signal(Signal::SIGCONT);
         process.signal(Signal::SIGTERM);
         self.ledger.disturb(i);
-        let stopped = Instant::now();
-        self.after(0..1, move |s| s.await_exit(i, stopped));
+        let (pid, stopped) = (process.id(), Instant::now());
+        self.after(0..1, move |s| s.await_exit(i, pid, stopped));
     }
 
-    fn await_exit(&mut self, i: usize, stopped: Instant) {
+    fn await_exit(&mut self, i: usize, pid: u32, stopped: Instant) {
+        // Another fault may have ended it, and its successor may run already.
+        let Some(process) = self.d.gateways[i].as_mut().filter(|p| p.id() == pid) else { return };
         self.ledger.disturb(i);
-        let Some(process) = &mut self.d.gateways[i] else { return };
         match process.exited() {
             Some(code) => {
                 if code != 0 {
@@ -217,7 +218,7 @@
             None if stopped.elapsed() > GRACE + Duration::from_secs(3) => {
                 self.ledger.violation(format!("gateway {i} did not exit after SIGTERM"));
             }
-            None => self.after(100..101, move |s| s.await_exit(i, stopped)),
+            None => self.after(100..101, move |s| s.await_exit(i, pid, stopped)),
         }
     }
 
--- a/orioleworks_gateway/tests/support/deployment.rs
+++ b/orioleworks_gateway/tests/support/deployment.rs
@@ -43,6 +43,10 @@
         None
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Exit code of a process that has ended.
     pub fn exited(&mut self) -> Option<i32> {
         self.child.try_wait().unwrap().map(|status| status.code().unwrap_or(-1))
