A process that is told to stop more than twice still ends by itself

Cause: each stage of a stop listened for one signal; between the stages and after the second one nothing listened, and the next SIGTERM ended the process by its default action, with requests in hand. Ruled out: a signal before the start. Test: a_gateway_that_is_told_to_stop_again_and_again_ends_by_itself, failed before with -1.

--- a/orioleworks_daemon/src/shutdown.rs
+++ b/orioleworks_daemon/src/shutdown.rs
@@ -2,13 +2,16 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use compio::runtime;
+use compio::{runtime, signal::unix};
 use futures_util::{FutureExt, select};
 use nix::sys::signal::Signal;
 use tokio_util::sync::CancellationToken;
 
 use crate::event;
 
+/// Signals that ask the process to end.
+const SIGNALS: [Signal; 2] = [Signal::SIGTERM, Signal::SIGINT];
+
 /// Tokens of the two stages; clones share them.
 #[derive(Clone, Debug, Default)]
 pub struct Shutdown {
@@ -23,6 +26,11 @@
     pub fn watch_signals(&self, deadline: Duration) {
         let shutdown = self.clone();
         runtime::spawn(async move {
+            // A signal without a listener ends the process, so these stay registered until its end.
+            let mut kept = SIGNALS.map(|signal| Box::pin(unix::signal(signal as i32)));
+            for listener in &mut kept {
+                let _registered = futures_util::poll!(listener.as_mut());
+            }
             next_signal().await;
             event!(info, "drain_started", deadline_ms = deadline.as_millis());
             shutdown.drain.cancel();
@@ -33,6 +41,7 @@
                 () = timer => event!(warn, "stopped_by_deadline"),
             }
             shutdown.stop.cancel();
+            std::future::pending::<()>().await;
         })
         .detach();
     }
@@ -44,8 +53,8 @@
 }
 
 async fn next_signal() {
-    let mut term = std::pin::pin!(compio::signal::unix::signal(Signal::SIGTERM as i32).fuse());
-    let mut int = std::pin::pin!(compio::signal::unix::signal(Signal::SIGINT as i32).fuse());
+    let [term, int] = SIGNALS.map(|signal| unix::signal(signal as i32).fuse());
+    let (mut term, mut int) = (std::pin::pin!(term), std::pin::pin!(int));
     select! { _ = term => (), _ = int => () }
 }
 
--- a/orioleworks_gateway/tests/platform.rs
+++ b/orioleworks_gateway/tests/platform.rs
@@ -321,3 +321,14 @@
         assert!(order["expected"].is_u64(), "{order}");
     }
 }
+
+/// Guards against a process that dies of a repeated signal instead of ending by itself (soak, seed 217).
+#[test]
+fn a_gateway_that_is_told_to_stop_again_and_again_ends_by_itself() {
+    let mut d = Deployment::start(3, 1, &document(1, 2000));
+    for _ in 0..20 {
+        d.gateways[0].as_ref().unwrap().signal(Signal::SIGTERM);
+        thread::sleep(Duration::from_millis(3));
+    }
+    assert_eq!(d.gateways[0].as_mut().unwrap().wait(Duration::from_secs(8)), Some(0));
+}
