Specification of batches; the stores and gateways call its rules

On the way: progress that is proposed again goes before what was saved since, so that none of it is dropped as a gap.

--- a/orioleworks_fleet/src/stores.rs
+++ b/orioleworks_fleet/src/stores.rs
@@ -13,6 +13,7 @@
     codes::ResultCode,
     inner::{self, frame::Body},
 };
+use orioleworks_rules::batches::{self as rules, Unaccepted};
 
 /// Pause before the stores are asked again while they elect a leader; an election takes about a second.
 const ELECTION_PAUSE: Duration = Duration::from_millis(60);
@@ -123,7 +124,10 @@
                 }
             }
             if Instant::now() + ELECTION_PAUSE >= deadline {
-                return if unconfirmed { Led::Unconfirmed } else { Led::NoLeader };
+                return match rules::unaccepted(unconfirmed) {
+                    Unaccepted::NotRun => Led::NoLeader,
+                    Unaccepted::Unknown => Led::Unconfirmed,
+                };
             }
             compio::time::sleep(ELECTION_PAUSE).await;
         }
--- a/orioleworks_rules/src/lib.rs
+++ b/orioleworks_rules/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Every rule is a plain function without I/O; `docs/models.md` names the specification that explores it.
 
+pub mod batches;
 pub mod claims;
 pub mod delivery;
 pub mod log;
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -21,12 +21,14 @@
     items::{self, Rank},
     outlier::Key,
 };
+use orioleworks_rules::batches as rules;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     engines::{Engines, key_of},
     runner::{self, Progress, Run, RunEnd, Sign, Watch},
     shared::Shared,
+    state::Item,
 };
 
 /// Longest time between two looks at the queue; what matters wakes the loop at once.
@@ -164,7 +166,8 @@
             let due = submitted + ms(batch.spec.completion_ms);
             let give_up_at = submitted + ms(batch.spec.retention_ms) + GIVE_UP_SLACK;
             work.known.insert(id.clone(), Some(due));
-            let unlisted = batch.items.iter().filter(|(_, item)| !item.listed);
+            let startable = |item: &Item| rules::may_start(batch.ended, item.listed);
+            let unlisted = batch.items.iter().filter(|(_, item)| startable(item));
             let mut count = 0_usize;
             for (item_id, item) in unlisted {
                 work.next_sequence += 1;
@@ -554,7 +557,8 @@
                     let again = record_of(&mut work.results, &Rc::from(record.batch_id.as_str()));
                     again.results.extend(record.results);
                     again.failed.extend(record.failed);
-                    again.progress.extend(record.progress);
+                    // What was saved since follows on what is recorded again.
+                    again.progress.splice(0..0, record.progress);
                 }
             }
         }
--- a/orioleworks_store/src/state.rs
+++ b/orioleworks_store/src/state.rs
@@ -11,6 +11,7 @@
     codes::ResultCode,
     inner::{self, command::Kind},
 };
+use orioleworks_rules::batches as rules;
 use prost::Message;
 
 /// Time beyond its retention for which a batch is kept, in milliseconds; covers steps of the wall clock.
@@ -68,8 +69,9 @@
     }
 
     fn list(&mut self, result: inner::ItemResult) -> bool {
+        let allowed = !result.completed || is_allowed(&self.spec, &result);
         let Some(item) = self.items.get_mut(result.id.as_str()) else { return false };
-        if item.listed {
+        if !rules::takes_result(item.listed, allowed) {
             return false;
         }
         item.listed = true;
@@ -183,9 +185,6 @@
             }
         }
         for result in &record.results {
-            if result.completed && !is_allowed(&batch.spec, result) {
-                continue;
-            }
             // A copy, because the text of a follower is a part of a message that it would hold as a whole.
             let text = Bytes::copy_from_slice(&result.text);
             if batch.list(inner::ItemResult { text, ..result.clone() }) && result.completed {
@@ -384,7 +383,7 @@
 ) -> Option<inner::ItemProgress> {
     let known = before.map_or(&[][..], |before| &before.events);
     let from = saved.from as usize;
-    if from > known.len() {
+    if !rules::continues(known.len(), from) {
         return before.cloned();
     }
     let mut merged = saved.clone();
--- a/spec/src/lib.rs
+++ b/spec/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The guards are the functions of `orioleworks_rules` that the daemons call.
 
+pub mod batches;
 pub mod claims;
 pub mod delivery;
 pub mod explore;
