--- a/orioleworks_gateway/tests/soak.rs
+++ b/orioleworks_gateway/tests/soak.rs
@@ -1,6 +1,6 @@
 //! Randomized soak: real processes under signals, a faulty proxy and failing upstreams, checked from outside.
 //!
-//! `scripts/soak SEEDS SECONDS` runs more seeds than the two of each test run; see docs/TESTING.md.
+//! `scripts/soak SEEDS SECONDS` runs more seeds than the two of each test run; see docs/PROOFS.md.
 
 mod support;
 
