--- a/orioleworks_log/src/durable.rs
+++ b/orioleworks_log/src/durable.rs
@@ -1,9 +1,6 @@
 //! Durable effects off the event loop: group commit of entries, vote records and snapshots.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use compio::runtime;
@@ -13,7 +10,7 @@
 
 use crate::{
     error::LogError,
-    files::{self, Identity, SnapshotWriter},
+    files::{self, Identity, SnapshotReader, SnapshotWriter},
     journal::Journal,
     node::{Log, ProposeError},
     state::Role,
@@ -229,22 +226,26 @@
         }
     }
 
-    /// Reads the durable snapshot with its state; those that send it at the same time share one copy.
-    pub(crate) async fn read_snapshot(&self) -> Option<Rc<inner::Snapshot>> {
-        let _lock = self.inner.reading.lock().await;
-        let newest = self.inner.state.borrow().snapshot.last_index;
-        let shared = self.inner.sent_snapshot.borrow().upgrade();
-        if let Some(shared) = shared.filter(|shared| shared.last_index == newest) {
-            return Some(shared);
-        }
+    /// Opens the durable snapshot for sending it.
+    pub(crate) async fn open_snapshot(&self) -> Option<SnapshotReader> {
         let directory = self.inner.settings.directory.clone();
-        match blocking(move || files::load_snapshot(&directory)).await {
-            Ok(snapshot) => {
-                let snapshot = snapshot.map(Rc::new);
-                let weak = snapshot.as_ref().map(Rc::downgrade).unwrap_or_default();
-                *self.inner.sent_snapshot.borrow_mut() = weak;
-                snapshot
+        match blocking(move || SnapshotReader::open(&directory)).await {
+            Ok(reader) => reader,
+            Err(e) => {
+                self.fail(e);
+                None
             }
+        }
+    }
+
+    /// Reads the next part of a snapshot that is sent.
+    pub(crate) async fn read_part(
+        &self,
+        reader: SnapshotReader,
+        most: u64,
+    ) -> Option<(SnapshotReader, Bytes)> {
+        match blocking(move || reader.next(most)).await {
+            Ok(next) => Some(next),
             Err(e) => {
                 self.fail(e);
                 None
--- a/orioleworks_log/src/files.rs
+++ b/orioleworks_log/src/files.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::{self, File, OpenOptions},
-    io::Write,
+    io::{Read, Write},
     path::{Path, PathBuf},
 };
 
@@ -151,6 +151,66 @@
     Ok(Some(inner::Snapshot { state: bytes.slice(state), ..head }))
 }
 
+/// Snapshot that is being sent; its state is read in parts and checked at the end.
+#[derive(Debug)]
+pub(crate) struct SnapshotReader {
+    /// The snapshot without its state.
+    pub(crate) head: inner::Snapshot,
+    /// Bytes of the state.
+    pub(crate) total: u64,
+    path: PathBuf,
+    file: File,
+    read: u64,
+    crc: u32,
+}
+
+impl SnapshotReader {
+    /// Opens the snapshot; `None` when there is none. The file stays readable after a newer one has replaced it.
+    pub(crate) fn open(directory: &Path) -> Result<Option<Self>, LogError> {
+        let path = directory.join(SNAPSHOT_FILE);
+        let mut file = match File::open(&path) {
+            Ok(file) => file,
+            Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(None),
+            Err(e) => return Err(LogError::io(&path, "open", &e)),
+        };
+        let failed = |e: std::io::Error| LogError::io(&path, "read", &e);
+        let mut before = [0; SNAPSHOT_MAGIC.len() + LENGTH_LEN];
+        file.read_exact(&mut before).map_err(failed)?;
+        let (magic, len) = before.split_at(SNAPSHOT_MAGIC.len());
+        let len = len.first_chunk().map_or(0, |len| u32::from_le_bytes(*len));
+        let file_len = file.metadata().map_err(failed)?.len();
+        let around = (before.len() + CRC_LEN) as u64 + u64::from(len);
+        if magic != SNAPSHOT_MAGIC || file_len < around {
+            return Err(LogError::damaged(&path, 0, "the header is not of this file type"));
+        }
+        let mut head = vec![0; len as usize];
+        file.read_exact(&mut head).map_err(failed)?;
+        let crc = crc32c::crc32c_append(crc32c::crc32c(&before), &head);
+        let decoded = inner::Snapshot::decode(&*head);
+        let damaged = |e: prost::DecodeError| LogError::damaged(&path, 0, e.to_string());
+        let head = decoded.map_err(damaged)?;
+        Ok(Some(Self { head, total: file_len - around, path, file, read: 0, crc }))
+    }
+
+    /// Reads the next part, of at most the given length; the last one only when the whole file is sound.
+    pub(crate) fn next(mut self, most: u64) -> Result<(Self, Bytes), LogError> {
+        let len = most.min(self.total - self.read);
+        let mut part = vec![0; usize::try_from(len).unwrap_or(0)];
+        let mut read = self.file.read_exact(&mut part);
+        self.read += len;
+        self.crc = crc32c::crc32c_append(self.crc, &part);
+        let mut crc = self.crc.to_le_bytes();
+        if self.read == self.total && read.is_ok() {
+            read = self.file.read_exact(&mut crc);
+        }
+        read.map_err(|e| LogError::io(&self.path, "read", &e))?;
+        if crc != self.crc.to_le_bytes() {
+            return Err(LogError::damaged(&self.path, 0, "the checksum does not match"));
+        }
+        Ok((self, part.into()))
+    }
+}
+
 /// Snapshot that is being written beside the one in place.
 ///
 /// The state follows the head as it is, so that it can be written in parts while its whole length is not known.
--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -4,7 +4,7 @@
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet, VecDeque},
     fs::File,
-    rc::{Rc, Weak},
+    rc::Rc,
     time::{Duration, Instant},
 };
 
@@ -109,10 +109,6 @@
     pub(crate) changed: Notify,
     pub(crate) vote_lock: Mutex<()>,
     pub(crate) snapshot_lock: Mutex<()>,
-    /// Held while the snapshot is read.
-    pub(crate) reading: Mutex<()>,
-    /// Snapshot that is being sent.
-    pub(crate) sent_snapshot: RefCell<Weak<inner::Snapshot>>,
     pub(crate) journal: RefCell<Option<Journal>>,
     pub(crate) clients: RefCell<HashMap<String, rpc::Client>>,
     pub(crate) token: CancellationToken,
@@ -186,8 +182,6 @@
             changed: Notify::default(),
             vote_lock: Mutex::new(()),
             snapshot_lock: Mutex::new(()),
-            reading: Mutex::new(()),
-            sent_snapshot: RefCell::default(),
             journal: RefCell::new(Some(journal)),
             clients: RefCell::default(),
             token,
--- a/orioleworks_log/src/replication.rs
+++ b/orioleworks_log/src/replication.rs
@@ -18,7 +18,7 @@
 /// Entries of one message, by encoded size in bytes; one larger entry still goes alone.
 const BATCH_BYTES: usize = 256 * 1024;
 /// Part of a snapshot in one message, in bytes.
-const PART_BYTES: usize = 256 * 1024;
+const PART_BYTES: u64 = 256 * 1024;
 /// Heartbeats without an answer after which the connection is replaced.
 const MAX_UNANSWERED: u32 = 5;
 
@@ -210,27 +210,26 @@
 
     /// Sends the durable snapshot in parts; returns false when it must be tried again later.
     async fn send_snapshot(&self, term: u64, member: &inner::Member) -> bool {
-        let Some(snapshot) = self.read_snapshot().await else { return false };
+        let Some(mut reader) = self.open_snapshot().await else { return false };
         let client = self.member_client(member);
-        let total = snapshot.state.len();
+        let (head, total) = (reader.head.clone(), reader.total);
         let mut offset = 0;
         loop {
             if !self.serves(term, member.member_id) {
                 return false;
             }
-            let end = (offset + PART_BYTES).min(total);
-            let part = inner::Snapshot {
-                state: snapshot.state.slice(offset..end),
-                membership: snapshot.membership.clone(),
-                ..*snapshot
+            let Some((rest, state)) = self.read_part(reader, PART_BYTES).await else {
+                return false;
             };
+            reader = rest;
+            let end = offset + state.len() as u64;
             let install = inner::Install {
                 term,
                 leader_id: self.inner.state.borrow().id(),
-                snapshot: Some(part),
+                snapshot: Some(inner::Snapshot { state, ..head.clone() }),
                 target_id: member.member_id,
-                offset: offset as u64,
-                total: total as u64,
+                offset,
+                total,
             };
             let call = client.call(Body::Install(install), APPEND_TIMEOUT);
             let Ok(Ok(Body::InstallReply(reply))) = time::timeout(APPEND_TIMEOUT, call).await
@@ -241,18 +240,19 @@
             if reply.member_id != member.member_id || reply.term != term {
                 return false;
             }
-            if reply.match_index >= snapshot.last_index {
+            if reply.match_index >= head.last_index {
                 let mut state = self.inner.state.borrow_mut();
                 if let Some(progress) = state.progress.get_mut(&member.member_id) {
-                    progress.matched = progress.matched.max(snapshot.last_index);
+                    progress.matched = progress.matched.max(head.last_index);
                     progress.next = progress.matched + 1;
                 }
                 return true;
             }
-            if reply.received as usize <= offset && total > 0 {
+            // A part that was not taken is sent again from the start, as the file is read in order.
+            if reply.received < end || offset == end {
                 return false;
             }
-            offset = (reply.received as usize).min(total);
+            offset = end;
         }
     }
 }
