--- a/orioleworks_gateway/tests/support/ledger.rs
+++ b/orioleworks_gateway/tests/support/ledger.rs
@@ -73,6 +73,7 @@
     named: AtomicU64,
     put: AtomicU64,
     answered: AtomicU64,
+    tasks: Mutex<Vec<thread::JoinHandle<()>>>,
 }
 
 impl Ledger {
@@ -89,17 +90,19 @@
             named: AtomicU64::new(1),
             put: AtomicU64::new(1),
             answered: AtomicU64::default(),
+            tasks: Mutex::default(),
         });
         let tasks: [fn(&Self, &mut StdRng); 5] =
             [Self::look_up, Self::confirm, Self::train, Self::read_some, Self::operate];
         for (i, task) in tasks.into_iter().enumerate() {
-            let ledger = ledger.clone();
+            let working = ledger.clone();
             let mut rng = StdRng::seed_from_u64(seed * 100 + i as u64);
-            thread::spawn(move || {
-                while !ledger.stopped.load(Ordering::Relaxed) {
-                    task(&ledger, &mut rng);
+            let handle = thread::spawn(move || {
+                while !working.stopped.load(Ordering::Relaxed) {
+                    task(&working, &mut rng);
                 }
             });
+            ledger.tasks.lock().unwrap().push(handle);
         }
         ledger
     }
@@ -259,8 +262,13 @@
 
     /// Ends the load and checks everything that was promised.
     pub fn finish(&self, time: Duration, upstreams: &[Upstream]) {
-        let until = Instant::now() + time;
         self.stopped.store(true, Ordering::Relaxed);
+        // What is accepted while the load ends is to be complete as well.
+        let tasks = std::mem::take(&mut *self.tasks.lock().unwrap());
+        if tasks.into_iter().any(|task| task.join().is_err()) {
+            self.violation("a part of the load panicked".into());
+        }
+        let until = Instant::now() + time;
         loop {
             let open: Vec<usize> = {
                 let batches = self.batches.lock().unwrap();
