--- a/orioleworks_log/src/durable.rs
+++ b/orioleworks_log/src/durable.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     error::LogError,
-    files::{self, Identity, SnapshotReader, SnapshotWriter},
+    files::{self, Identity, SnapshotReader, SnapshotWriter, WRITTEN_FILE},
     journal::Journal,
     node::{Log, ProposeError},
     state::Role,
@@ -177,7 +177,7 @@
             };
             (snapshot, (self.inner.machine.snapshot)())
         };
-        if !self.store_snapshot(snapshot.clone(), parts.map(Bytes::from)).await {
+        if !self.store_snapshot(snapshot.clone(), parts).await {
             return;
         }
         let mut state = self.inner.state.borrow_mut();
@@ -191,21 +191,33 @@
     }
 
     /// Makes a snapshot durable, part by part of its state; returns false after a failure.
-    pub(crate) async fn store_snapshot(
+    async fn store_snapshot(
         &self,
-        snapshot: inner::Snapshot,
-        parts: impl Iterator<Item = Bytes>,
+        head: inner::Snapshot,
+        parts: impl Iterator<Item = Vec<u8>>,
     ) -> bool {
-        let (directory, index) = (self.inner.settings.directory.clone(), snapshot.last_index);
-        let head = inner::Snapshot { state: Bytes::new(), ..snapshot };
+        let directory = self.inner.settings.directory.clone();
         let written = async {
-            let mut writer = blocking(move || SnapshotWriter::create(&directory, &head)).await?;
+            let mut writer =
+                blocking(move || SnapshotWriter::create(&directory, WRITTEN_FILE, &head)).await?;
             for part in parts {
                 writer = blocking(move || writer.push(&part)).await?;
             }
-            blocking(move || writer.finish()).await
+            Ok(writer)
         };
         match written.await {
+            Ok(writer) => self.finish_snapshot(writer).await,
+            Err(e) => {
+                self.fail_or_log(e);
+                false
+            }
+        }
+    }
+
+    /// Puts a written snapshot in place; returns false after a failure.
+    pub(crate) async fn finish_snapshot(&self, writer: SnapshotWriter) -> bool {
+        let index = writer.last_index();
+        match blocking(move || writer.finish()).await {
             Ok(bytes) => {
                 metrics::gauge!("orioleworks_log_snapshot_bytes").set(bytes as f64);
                 event!(info, "snapshot_stored", index = index, bytes = bytes);
@@ -218,7 +230,7 @@
         }
     }
 
-    fn fail_or_log(&self, e: LogError) {
+    pub(crate) fn fail_or_log(&self, e: LogError) {
         if self.inner.settings.retry_writes {
             event!(error, "log_write_failed", reason = e);
         } else {
@@ -255,7 +267,7 @@
 }
 
 /// Runs file work off the event loop, so that a slow sync delays no heartbeat.
-async fn blocking<T: Send + 'static>(
+pub(crate) async fn blocking<T: Send + 'static>(
     work: impl FnOnce() -> Result<T, LogError> + Send + 'static,
 ) -> Result<T, LogError> {
     match runtime::spawn_blocking(work).await {
--- a/orioleworks_log/src/files.rs
+++ b/orioleworks_log/src/files.rs
@@ -18,6 +18,10 @@
 /// Name of the snapshot.
 pub const SNAPSHOT_FILE: &str = "snapshot";
 const LOCK_FILE: &str = "lock";
+/// Own snapshot while it is written.
+pub(crate) const WRITTEN_FILE: &str = "snapshot.tmp";
+/// Snapshot of the leader while it is received.
+pub(crate) const RECEIVED_FILE: &str = "snapshot.received";
 
 const VOTE_MAGIC: &[u8; 8] = b"owvote01";
 const SNAPSHOT_MAGIC: &[u8; 8] = b"owsnap02";
@@ -216,41 +220,54 @@
 /// The state follows the head as it is, so that it can be written in parts while its whole length is not known.
 #[derive(Debug)]
 pub(crate) struct SnapshotWriter {
-    path: PathBuf,
+    directory: PathBuf,
+    tmp: PathBuf,
     file: File,
+    last_index: u64,
     crc: u32,
     len: usize,
 }
 
 impl SnapshotWriter {
     /// Starts with the head, a snapshot without its state.
-    pub(crate) fn create(directory: &Path, head: &inner::Snapshot) -> Result<Self, LogError> {
-        let path = directory.join(SNAPSHOT_FILE);
-        let tmp = path.with_extension("tmp");
+    pub(crate) fn create(
+        directory: &Path,
+        name: &str,
+        head: &inner::Snapshot,
+    ) -> Result<Self, LogError> {
+        let tmp = directory.join(name);
         let file = File::create(&tmp).map_err(|e| LogError::io(&tmp, "creation", &e))?;
+        let last_index = head.last_index;
         let head = head.encode_to_vec();
         let len = u32::try_from(head.len()).unwrap_or(u32::MAX).to_le_bytes();
-        let writer = Self { path, file, crc: 0, len: 0 };
+        let writer = Self { directory: directory.into(), tmp, file, last_index, crc: 0, len: 0 };
         writer.push(SNAPSHOT_MAGIC)?.push(&len)?.push(&head)
     }
 
+    /// Index of the last entry that the snapshot covers.
+    pub(crate) fn last_index(&self) -> u64 {
+        self.last_index
+    }
+
     /// Adds a part of the state.
     pub(crate) fn push(mut self, part: &[u8]) -> Result<Self, LogError> {
         self.crc = crc32c::crc32c_append(self.crc, part);
         self.len += part.len();
         match self.file.write_all(part) {
             Ok(()) => Ok(self),
-            Err(e) => Err(LogError::io(&self.path, "write", &e)),
+            Err(e) => Err(LogError::io(&self.tmp, "write", &e)),
         }
     }
 
     /// Makes the snapshot durable, puts it in place and returns its size in bytes.
     pub(crate) fn finish(self) -> Result<usize, LogError> {
         let crc = self.crc.to_le_bytes();
-        let Self { path, file, len, .. } = self.push(&crc)?;
-        file.sync_all().map_err(|e| LogError::io(&path, "sync", &e))?;
+        let Self { directory, tmp, file, len, .. } = self.push(&crc)?;
+        file.sync_all().map_err(|e| LogError::io(&tmp, "sync", &e))?;
         fail::fail_point!("log.before_snapshot_rename");
-        commit_replacement(&path)?;
+        let path = directory.join(SNAPSHOT_FILE);
+        fs::rename(&tmp, &path).map_err(|e| LogError::io(&path, "rename", &e))?;
+        sync_directory(&directory)?;
         fail::fail_point!("log.after_snapshot_rename");
         Ok(len)
     }
--- a/orioleworks_log/src/follower.rs
+++ b/orioleworks_log/src/follower.rs
@@ -8,6 +8,9 @@
 use orioleworks_rules::log::{self as rules, LogPosition};
 
 use crate::{
+    durable,
+    error::LogError,
+    files::{self, RECEIVED_FILE, SnapshotWriter},
     node::{Log, Sharing},
     state::{Incoming, Role},
 };
@@ -169,12 +172,13 @@
 
     /// Takes one part of a snapshot; the last part replaces state and log.
     pub(crate) async fn on_install(&self, install: inner::Install) -> inner::InstallReply {
-        let Some(mut snapshot) = install.snapshot else { return self.install_reply(0, 0) };
+        let Some(snapshot) = install.snapshot else { return self.install_reply(0, 0) };
         if !self.accept_leader(install.term, install.leader_id, install.target_id).await {
             return self.install_reply(0, 0);
         }
+        let _lock = self.inner.install_lock.lock().await;
         let position = LogPosition { term: snapshot.last_term, index: snapshot.last_index };
-        let complete = {
+        let writer = {
             let mut state = self.inner.state.borrow_mut();
             if position.index <= state.commit {
                 drop(state);
@@ -182,49 +186,83 @@
             }
             let incoming = &mut state.incoming;
             if incoming.position != position || incoming.leader_term != install.term {
-                // A vector that grows by doubling would take up to twice the snapshot.
-                let bytes = Vec::with_capacity(usize::try_from(install.total).unwrap_or(0));
-                *incoming = Incoming { position, leader_term: install.term, bytes };
+                *incoming =
+                    Incoming { position, leader_term: install.term, received: 0, writer: None };
             }
-            if install.offset == incoming.bytes.len() as u64 {
-                incoming.bytes.extend_from_slice(&snapshot.state);
-            }
-            let received = incoming.bytes.len() as u64;
-            if received < install.total {
+            if install.offset != incoming.received {
+                let received = incoming.received;
                 drop(state);
                 return self.install_reply(0, received);
             }
-            std::mem::take(&mut state.incoming).bytes
+            incoming.writer.take()
+        };
+        let received = install.offset + snapshot.state.len() as u64;
+        let writer = match self.write_part(writer, snapshot).await {
+            Ok(writer) => writer,
+            Err(e) => {
+                self.inner.state.borrow_mut().incoming = Incoming::default();
+                self.fail_or_log(e);
+                return self.install_reply(0, 0);
+            }
         };
-        snapshot.state = complete.into();
-        self.install(snapshot, position).await
+        if received < install.total {
+            let incoming = &mut self.inner.state.borrow_mut().incoming;
+            (incoming.received, incoming.writer) = (received, Some(writer));
+        } else {
+            self.inner.state.borrow_mut().incoming = Incoming::default();
+            return self.install(writer, position).await;
+        }
+        self.install_reply(0, received)
     }
 
-    async fn install(
+    /// Writes a part to the file that is received; nothing of it stays in memory beside the state that it will replace.
+    async fn write_part(
         &self,
-        snapshot: inner::Snapshot,
-        position: LogPosition,
-    ) -> inner::InstallReply {
+        writer: Option<SnapshotWriter>,
+        part: inner::Snapshot,
+    ) -> Result<SnapshotWriter, LogError> {
+        let directory = self.inner.settings.directory.clone();
+        durable::blocking(move || {
+            let head = inner::Snapshot { state: Bytes::new(), ..part };
+            let writer = match writer {
+                Some(writer) => writer,
+                None => SnapshotWriter::create(&directory, RECEIVED_FILE, &head)?,
+            };
+            writer.push(&part.state)
+        })
+        .await
+    }
+
+    async fn install(&self, writer: SnapshotWriter, position: LogPosition) -> inner::InstallReply {
         let _lock = self.inner.snapshot_lock.lock().await;
         if position.index <= self.inner.state.borrow().commit {
             return self.install_reply(position.index, 0);
         }
-        let state = std::iter::once(snapshot.state.clone());
-        if !self.store_snapshot(snapshot.clone(), state).await {
+        if !self.finish_snapshot(writer).await {
             return self.install_reply(0, 0);
         }
+        let directory = self.inner.settings.directory.clone();
+        let mut snapshot = match durable::blocking(move || files::load_snapshot(&directory)).await {
+            Ok(Some(snapshot)) => snapshot,
+            Ok(None) => return self.install_reply(0, 0),
+            Err(e) => {
+                self.fail(e);
+                return self.install_reply(0, 0);
+            }
+        };
+        // A newer leader may have brought this replica further meanwhile.
         if position.index <= self.inner.state.borrow().commit {
             return self.install_reply(position.index, 0);
         }
-        if let Err(reason) = (self.inner.machine.restore)(snapshot.state.clone()) {
-            self.fail(crate::LogError::Restore(reason));
+        if let Err(reason) = (self.inner.machine.restore)(std::mem::take(&mut snapshot.state)) {
+            self.fail(LogError::Restore(reason));
             return self.install_reply(0, 0);
         }
         {
             let mut state = self.inner.state.borrow_mut();
             let continues = state.term_at(position.index) == Some(position.term);
             state.stamp = state.stamp.max(snapshot.now_ms);
-            state.snapshot = inner::Snapshot { state: Bytes::new(), ..snapshot };
+            state.snapshot = snapshot;
             if continues {
                 state.synced = state.synced.max(position.index);
                 state.forget_through(position.index);
--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -109,6 +109,8 @@
     pub(crate) changed: Notify,
     pub(crate) vote_lock: Mutex<()>,
     pub(crate) snapshot_lock: Mutex<()>,
+    /// Held while a part of a snapshot is taken.
+    pub(crate) install_lock: Mutex<()>,
     pub(crate) journal: RefCell<Option<Journal>>,
     pub(crate) clients: RefCell<HashMap<String, rpc::Client>>,
     pub(crate) token: CancellationToken,
@@ -182,6 +184,7 @@
             changed: Notify::default(),
             vote_lock: Mutex::new(()),
             snapshot_lock: Mutex::new(()),
+            install_lock: Mutex::new(()),
             journal: RefCell::new(Some(journal)),
             clients: RefCell::default(),
             token,
--- a/orioleworks_log/src/state.rs
+++ b/orioleworks_log/src/state.rs
@@ -10,7 +10,10 @@
 use orioleworks_rules::log::{self as rules, LogPosition};
 use prost::Message;
 
-use crate::{files::Identity, node::ProposeError};
+use crate::{
+    files::{Identity, SnapshotWriter},
+    node::ProposeError,
+};
 
 /// Role of a replica in its term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,8 +51,10 @@
     pub position: LogPosition,
     /// Term of the leader that sends it.
     pub leader_term: u64,
-    /// Bytes received so far.
-    pub bytes: Vec<u8>,
+    /// Bytes of the state received so far.
+    pub received: u64,
+    /// File that they are in; none while a part is being written.
+    pub(crate) writer: Option<SnapshotWriter>,
 }
 
 /// State of one replica.
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -387,6 +387,8 @@
         }),
         snapshot: Box::new(move || Box::new(saved.borrow().snapshot())),
         restore: Box::new(move |bytes| {
+            // The old state goes first, because the two would not fit into memory together.
+            *restored.borrow_mut() = State::default();
             *restored.borrow_mut() = State::restore(bytes)?;
             refresh_table(&restored, &restored_table);
             Ok(())
