--- a/orioleworks_gateway/tests/platform.rs
+++ b/orioleworks_gateway/tests/platform.rs
@@ -26,6 +26,9 @@
              "timeout_ms": timeout_ms, "target_latency_ms": 150, "priority": 2, "service": "sheets", "max_attempts": 2},
             {"name": "confirm", "host": "test.example", "path_prefix": "/confirm/", "kind": "unsafe",
              "timeout_ms": timeout_ms, "target_latency_ms": 150, "priority": 2, "service": "sheets", "max_attempts": 2},
+            {"name": "say", "host": "test.example", "path_prefix": "/say/", "kind": "safe", "streaming": true,
+             "resumable": true, "timeout_ms": 5000, "target_latency_ms": 150, "priority": 2, "service": "engines",
+             "max_attempts": 2},
             {"name": "batch", "host": "test.example", "path_prefix": "/batch/", "kind": "rollout",
              "timeout_ms": 10000, "target_latency_ms": 400, "priority": 1, "service": "engines", "max_attempts": 3,
              "retention_s": 40.0, "completion_deadline_ms": 7500, "single_version": false, "resumable": true},
@@ -332,3 +335,78 @@
     }
     assert_eq!(d.gateways[0].as_mut().unwrap().wait(Duration::from_secs(8)), Some(0));
 }
+
+/// Guards against the loss of what was accepted when all processes die at the same moment.
+#[test]
+fn what_was_accepted_outlives_the_end_of_all_processes() {
+    let mut d = Deployment::start(3, 2, &document(1, 2000));
+    let _engines = engines(&d, 3);
+    let items = ids("item", 40);
+    submit(&d, 0, "b1", &items, 1);
+    assert_eq!(d.put_document(&document(3, 1500)), 200);
+    thread::sleep(EVENT_GAP * 6);
+    d.stores.iter_mut().chain(&mut d.gateways).for_each(|process| *process = None);
+    (0..3).for_each(|i| d.start_store(i, false));
+    (0..2).for_each(|i| d.start_gateway(i));
+    d.until("the gateways are ready again", || (0..2).all(|i| d.is_ready(i)));
+    check(&read_all(&d, "b1", items.len()), &items);
+    let stored = client::call(&d.control(0), "GET", "/v1/Configuration.Read", &[], "").unwrap();
+    assert_eq!(stored.body, document(3, 1500));
+}
+
+/// Guards against orders of two holders: a leader that was frozen and wakes must not order under its old term after its
+/// successor has.
+#[test]
+fn a_leader_that_wakes_orders_nothing_under_its_old_term() {
+    let d = Deployment::start(3, 1, &document(1, 2000));
+    let engines = engines(&d, 2);
+    let name = |version: u64, frozen: Option<usize>| {
+        let body = format!("{{\"model\":\"{MODEL}\",\"version\":{version}}}");
+        let named = |control: &String| {
+            client::call(control, "POST", "/v1/version-put", &[], &body)
+                .is_some_and(|a| a.status == 200)
+        };
+        let awake: Vec<String> =
+            (0..3).filter(|i| Some(*i) != frozen).map(|i| d.control(i)).collect();
+        d.until("a version is named", || awake.iter().any(named));
+        d.until("an engine has it", || engines.iter().any(|e| e.version(MODEL) == version));
+    };
+    name(2, None);
+    let frozen = d.leader().unwrap();
+    d.stores[frozen].as_ref().unwrap().signal(Signal::SIGSTOP);
+    d.until("another store leads", || d.leader() != Some(frozen));
+    name(3, Some(frozen));
+    d.stores[frozen].as_ref().unwrap().signal(Signal::SIGCONT);
+    name(4, None);
+    for engine in &engines {
+        let tokens: Vec<u64> =
+            engine.orders().iter().map(|o| o["fencing_token"].as_u64().unwrap()).collect();
+        assert!(tokens.is_sorted(), "{tokens:?}");
+    }
+    let all = engines.iter().flat_map(Upstream::orders);
+    let holders: std::collections::BTreeSet<u64> =
+        all.map(|o| o["fencing_token"].as_u64().unwrap()).collect();
+    assert!(holders.len() > 1, "both leaders ordered: {holders:?}");
+}
+
+/// Guards against a stream that is held back, loses events, or looks whole although it broke off.
+#[test]
+fn a_stream_is_passed_on_and_a_broken_one_never_looks_whole() {
+    let d = Deployment::start(3, 1, &document(1, 2000));
+    let engines = engines(&d, 1);
+    let ask = |id: &str| {
+        let headers = [("X-Attempt-Id", id), ("X-Deadline-Ms", "4000"), ("X-Model", MODEL)];
+        client::call(&d.gateway(0), "POST", "/say/a", &headers, "")
+    };
+    d.until("the engine is known", || ask("warm").is_some_and(|a| a.status == 200));
+    let whole = ask("whole").unwrap();
+    for event in 1..=EVENTS {
+        assert!(whole.body.contains(&format!("whole event {event}\n")), "{}", whole.body);
+    }
+    let end = "\r\n0\r\n\r\n";
+    assert!(whole.body.ends_with(end), "{:?}", whole.body);
+    engines[0].behaviour.break_after.store(4, std::sync::atomic::Ordering::Relaxed);
+    let broken = ask("broken").unwrap();
+    assert!(broken.body.contains("broken event 4\n"), "{}", broken.body);
+    assert!(!broken.body.ends_with(end), "a stream that broke off ends with its connection");
+}
