Texts of results are deflated

Ruled out: packing at each store, which costs the same work several times. Change: the leader packs a text once, gateways unpack what they answer with.

--- a/orioleworks_fleet/src/lib.rs
+++ b/orioleworks_fleet/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod convert;
 pub mod pool;
 pub mod stores;
+pub mod texts;
 pub mod watch;
--- a/orioleworks_gateway/src/batches.rs
+++ b/orioleworks_gateway/src/batches.rs
@@ -1,10 +1,16 @@
 //! Batches: handed to the leading store, which answers for what becomes of them.
 
-use std::time::{Duration, Instant};
+use std::{
+    io,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use orioleworks_daemon::{event, http as server};
-use orioleworks_fleet::stores::{self, Led};
+use orioleworks_fleet::{
+    stores::{self, Led},
+    texts,
+};
 use orioleworks_platform::batch::{self, BatchCall};
 use orioleworks_proto::{
     codes::ResultCode,
@@ -106,13 +112,22 @@
     };
     let led = view.stores.call_leader(message, wait + READ_SLACK, wait + REPLY_SLACK).await;
     match answered(led, id)? {
-        Body::ReadBatchReply(reply) => {
+        Body::ReadBatchReply(mut reply) => {
+            for result in &mut reply.results {
+                texts::unpack(result).map_err(|e| unreadable(id, &result.id, &e))?;
+            }
             Ok(server::whole(200, "application/json", batch::results(&reply)))
         }
         _ => Err(no_leader(id)),
     }
 }
 
+/// The stores hold it, so another version of the program must have packed it.
+fn unreadable(batch: &str, item: &str, reason: &io::Error) -> Refusal {
+    event!(error, "text_unreadable", batch = batch, item = item, reason = reason);
+    Refusal::new(ResultCode::OrderUnconfirmed, "a result cannot be read", NO_LEADER_RETRY)
+}
+
 fn no_leader(what: &str) -> Refusal {
     let detail = format!("no store leads; nothing was done for {what}");
     Refusal::new(ResultCode::NoQuorum, detail, NO_LEADER_RETRY)
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -14,6 +14,7 @@
 use futures_util::{FutureExt, future, select};
 use indexmap::IndexMap;
 use orioleworks_daemon::{clock, event};
+use orioleworks_fleet::texts;
 use orioleworks_log::{ProposeError, notify::Notify};
 use orioleworks_proto::inner::{self, command::Kind};
 use orioleworks_routing::{
@@ -585,7 +586,8 @@
 fn add_result(work: &mut Work, key: &ItemKey, done: Option<(bytes::Bytes, Vec<u64>)>) {
     let completed = done.is_some();
     let (text, versions) = done.unwrap_or_default();
-    let result = inner::ItemResult { id: key.1.to_string(), completed, text, versions };
+    let (text, text_len) = texts::pack(text);
+    let result = inner::ItemResult { id: key.1.to_string(), completed, text, versions, text_len };
     record_of(&mut work.results, &key.0).results.push(result);
 }
 
--- a/orioleworks_store/src/state.rs
+++ b/orioleworks_store/src/state.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
+use orioleworks_fleet::texts;
 use orioleworks_proto::{
     codes::ResultCode,
     inner::{self, command::Kind},
@@ -271,7 +272,7 @@
             .iter()
             .take_while(|result| {
                 let first = bytes == 0;
-                bytes += result.text.len() + result.id.len();
+                bytes += texts::text_len(result) + result.id.len();
                 first || bytes <= max_bytes
             })
             .cloned()
--- a/orioleworks_store/tests/state.rs
+++ b/orioleworks_store/tests/state.rs
@@ -35,7 +35,8 @@
 
 fn result(id: &str, text: &str, versions: &[u64]) -> inner::ItemResult {
     let text = Bytes::copy_from_slice(text.as_bytes());
-    inner::ItemResult { id: id.into(), completed: true, text, versions: versions.to_vec() }
+    let versions = versions.to_vec();
+    inner::ItemResult { id: id.into(), completed: true, text, versions, ..Default::default() }
 }
 
 fn record(batch_id: &str, results: Vec<inner::ItemResult>) -> Kind {
