--- a/orioleworks_log/src/files.rs
+++ b/orioleworks_log/src/files.rs
@@ -76,8 +76,11 @@
 
 /// Renames a replacement into place and syncs the directory.
 pub(crate) fn commit_replacement(path: &Path) -> Result<(), LogError> {
-    let tmp = path.with_extension("tmp");
-    fs::rename(&tmp, path).map_err(|e| LogError::io(path, "rename", &e))?;
+    put_in_place(&path.with_extension("tmp"), path)
+}
+
+fn put_in_place(tmp: &Path, path: &Path) -> Result<(), LogError> {
+    fs::rename(tmp, path).map_err(|e| LogError::io(path, "rename", &e))?;
     sync_directory(path.parent().unwrap_or(path))
 }
 
@@ -137,25 +140,15 @@
     Ok(())
 }
 
-/// Reads the snapshot, if there is one.
+/// Reads the snapshot with its state, if there is one.
 pub(crate) fn load_snapshot(directory: &Path) -> Result<Option<inner::Snapshot>, LogError> {
-    let path = directory.join(SNAPSHOT_FILE);
-    let bytes = match fs::read(&path) {
-        Ok(bytes) => Bytes::from(bytes),
-        Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(None),
-        Err(e) => return Err(LogError::io(&path, "read", &e)),
-    };
-    let body = checked(&path, &bytes, SNAPSHOT_MAGIC)?;
-    let damaged = |reason: &str| LogError::damaged(&path, SNAPSHOT_MAGIC.len() as u64, reason);
-    let head_len = body.first_chunk().map(|len| u32::from_le_bytes(*len) as usize);
-    let head = head_len.and_then(|len| body.get(LENGTH_LEN..LENGTH_LEN.checked_add(len)?));
-    let head = head.ok_or_else(|| damaged("the head is too short"))?;
-    let state = SNAPSHOT_MAGIC.len() + LENGTH_LEN + head.len()..bytes.len() - CRC_LEN;
-    let head = inner::Snapshot::decode(head).map_err(|e| damaged(&e.to_string()))?;
-    Ok(Some(inner::Snapshot { state: bytes.slice(state), ..head }))
+    let Some(reader) = SnapshotReader::open(directory)? else { return Ok(None) };
+    let whole = reader.total;
+    let (reader, state) = reader.next(whole)?;
+    Ok(Some(inner::Snapshot { state, ..reader.head }))
 }
 
-/// Snapshot that is being sent; its state is read in parts and checked at the end.
+/// Snapshot that is being read; its state comes in parts and is checked at the end.
 #[derive(Debug)]
 pub(crate) struct SnapshotReader {
     /// The snapshot without its state.
@@ -178,14 +171,18 @@
             Err(e) => return Err(LogError::io(&path, "open", &e)),
         };
         let failed = |e: std::io::Error| LogError::io(&path, "read", &e);
+        let wrong = || LogError::damaged(&path, 0, "the header is not of this file type");
+        let file_len = file.metadata().map_err(failed)?.len();
         let mut before = [0; SNAPSHOT_MAGIC.len() + LENGTH_LEN];
+        if file_len < before.len() as u64 {
+            return Err(wrong());
+        }
         file.read_exact(&mut before).map_err(failed)?;
         let (magic, len) = before.split_at(SNAPSHOT_MAGIC.len());
         let len = len.first_chunk().map_or(0, |len| u32::from_le_bytes(*len));
-        let file_len = file.metadata().map_err(failed)?.len();
         let around = (before.len() + CRC_LEN) as u64 + u64::from(len);
         if magic != SNAPSHOT_MAGIC || file_len < around {
-            return Err(LogError::damaged(&path, 0, "the header is not of this file type"));
+            return Err(wrong());
         }
         let mut head = vec![0; len as usize];
         file.read_exact(&mut head).map_err(failed)?;
@@ -265,9 +262,7 @@
         let Self { directory, tmp, file, len, .. } = self.push(&crc)?;
         file.sync_all().map_err(|e| LogError::io(&tmp, "sync", &e))?;
         fail::fail_point!("log.before_snapshot_rename");
-        let path = directory.join(SNAPSHOT_FILE);
-        fs::rename(&tmp, &path).map_err(|e| LogError::io(&path, "rename", &e))?;
-        sync_directory(&directory)?;
+        put_in_place(&tmp, &directory.join(SNAPSHOT_FILE))?;
         fail::fail_point!("log.after_snapshot_rename");
         Ok(len)
     }
--- a/orioleworks_log/src/membership.rs
+++ b/orioleworks_log/src/membership.rs
@@ -15,7 +15,7 @@
     node::Log,
     settings::{Replica, Settings},
     state::{State, voters},
-    succession::{self, Step},
+    succession::{self, Standing, Step},
 };
 
 /// Pause between two attempts to found or join.
@@ -233,14 +233,17 @@
 
     /// Removes the lost identity that a caught-up learner replaces, then promotes the learner.
     pub(crate) fn change_membership_if_due(&self) {
-        self.choose_warm_learners();
         let due = {
             let state = self.inner.state.borrow();
             let retired = self.inner.retired.borrow();
-            match may_change(&state) {
-                true => next_step(&state, &self.inner.settings, &retired),
+            let members = standings(&state, &self.inner.settings, &retired);
+            let due = match may_change(&state) {
+                true => next_step(&state, &members, self.bounds(), &retired),
                 false => None,
-            }
+            };
+            drop(state);
+            self.choose_warm_learners(&members);
+            due
         };
         if let Some((membership, event)) = due {
             fail::fail_point!("log.before_promote");
@@ -248,13 +251,14 @@
         }
     }
 
-    fn choose_warm_learners(&self) {
-        let warm = {
-            let state = self.inner.state.borrow();
-            let settings = &self.inner.settings;
-            let members = standings(&state, settings, &self.inner.retired.borrow());
-            succession::warm_learners(&members, bounds(settings))
-        };
+    fn bounds(&self) -> succession::Bounds {
+        let settings = &self.inner.settings;
+        let per_domain = settings.max_voters_per_domain;
+        succession::Bounds { voters: settings.max_voters, per_domain }
+    }
+
+    fn choose_warm_learners(&self, members: &[Standing]) {
+        let warm = succession::warm_learners(members, self.bounds());
         let mut state = self.inner.state.borrow_mut();
         if state.warm != warm {
             state.warm = warm;
@@ -292,11 +296,7 @@
 }
 
 /// What this leader knows of the members.
-fn standings(
-    state: &State,
-    settings: &Settings,
-    retired: &IndexSet<String>,
-) -> Vec<succession::Standing> {
+fn standings(state: &State, settings: &Settings, retired: &IndexSet<String>) -> Vec<Standing> {
     let longest_silence = settings.heartbeat * LEARNER_LIVE_HEARTBEATS;
     let standing = |m: &inner::Member| {
         let progress = state.progress.get(&m.member_id);
@@ -304,7 +304,7 @@
         let heard = progress.map(|p| p.confirmed.unwrap_or(p.added).elapsed());
         let answered = progress.and_then(|p| p.confirmed).map(|at| at.elapsed());
         let synced = progress.map_or(0, |p| p.matched);
-        succession::Standing {
+        Standing {
             id: m.member_id,
             name: m.name.clone(),
             domain: m.domain.clone(),
@@ -323,21 +323,17 @@
 /// Next single step towards the wanted voters.
 fn next_step(
     state: &State,
-    settings: &Settings,
+    members: &[Standing],
+    bounds: succession::Bounds,
     retired: &IndexSet<String>,
 ) -> Option<(inner::Membership, &'static str)> {
-    let members = standings(state, settings, retired);
     let gone = |name: &String| !members.iter().any(|m| m.name == *name);
-    match succession::next_step(&members, bounds(settings), retired.iter().any(gone))? {
+    match succession::next_step(members, bounds, retired.iter().any(gone))? {
         Step::Remove(id, reason) => Some((without(&state.membership, id), reason)),
         Step::Promote(id) => Some((promoted(&state.membership, id), "learner_promoted")),
     }
 }
 
-fn bounds(settings: &Settings) -> succession::Bounds {
-    succession::Bounds { voters: settings.max_voters, per_domain: settings.max_voters_per_domain }
-}
-
 fn promoted(membership: &inner::Membership, id: u64) -> inner::Membership {
     let mut membership = membership.clone();
     for member in membership.members.iter_mut().filter(|m| m.member_id == id) {
--- a/orioleworks_proto/src/frames.rs
+++ b/orioleworks_proto/src/frames.rs
@@ -5,7 +5,7 @@
 use compio::{io::compat::AsyncStream, net::TcpStream};
 use prost::Message;
 use tokio_util::{
-    bytes::{BufMut, BytesMut},
+    bytes::{Bytes, BytesMut},
     codec::{Decoder, Encoder, Framed, LengthDelimitedCodec},
     compat::{Compat, FuturesAsyncReadCompatExt},
 };
@@ -20,8 +20,6 @@
 pub const KEPT_BUFFER_BYTES: usize = 64 * 1024;
 /// Bytes of a buffer of a new connection; most frames are smaller.
 const FIRST_BUFFER_BYTES: usize = 8 * 1024;
-/// Bytes of the length before each frame.
-const LENGTH_BYTES: usize = 4;
 
 /// Encodes and decodes [`inner::Frame`] messages.
 #[derive(Debug)]
@@ -63,17 +61,10 @@
     type Error = io::Error;
 
     fn encode(&mut self, frame: inner::Frame, buf: &mut BytesMut) -> io::Result<()> {
-        let len = frame.encoded_len();
-        let prefix = u32::try_from(len).ok().filter(|_| len <= MAX_FRAME_BYTES);
-        let Some(prefix) = prefix else {
-            let reason = format!("a frame of {len} bytes is larger than {MAX_FRAME_BYTES}");
-            return Err(io::Error::new(io::ErrorKind::InvalidInput, reason));
-        };
         release(buf, &mut self.wrote_large);
-        self.wrote_large |= len > KEPT_BUFFER_BYTES;
-        buf.reserve(LENGTH_BYTES + len);
-        buf.put_u32(prefix);
-        frame.encode(buf).map_err(io::Error::other)
+        let bytes = Bytes::from(frame.encode_to_vec());
+        self.wrote_large |= bytes.len() > KEPT_BUFFER_BYTES;
+        self.lengths.encode(bytes, buf)
     }
 }
 
