The tests of the gateway share one route document

It stood in platform.rs, explain.rs and the soak's ledger with small variations; each now changes only what it needs. Values are as before, but all have the stream route.

--- a/orioleworks_gateway/tests/explain.rs
+++ b/orioleworks_gateway/tests/explain.rs
@@ -7,32 +7,19 @@
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use support::{
     deployment::{self, Deployment},
+    routes::{self, BATCH, CONFIRM, LOOKUP, MODEL},
     upstream::Upstream,
 };
 
-const MODEL: &str = "scorer";
-
+/// Routes with short times, whose batches are due after a second.
 fn document() -> String {
-    serde_json::json!({
-        "version": 1,
-        "routes": [
-            {"name": "lookup", "host": "test.example", "path_prefix": "/lookup/", "kind": "safe",
-             "timeout_ms": 500, "target_latency_ms": 100, "priority": 2, "service": "sheets", "max_attempts": 2},
-            {"name": "confirm", "host": "test.example", "path_prefix": "/confirm/", "kind": "unsafe",
-             "timeout_ms": 500, "target_latency_ms": 100, "priority": 2, "service": "sheets", "max_attempts": 2},
-            {"name": "batch", "host": "test.example", "path_prefix": "/batch/", "kind": "rollout",
-             "timeout_ms": 5000, "target_latency_ms": 400, "priority": 1, "service": "engines", "max_attempts": 3,
-             "retention_s": 40.0, "completion_deadline_ms": 1000, "single_version": false, "resumable": true},
-        ],
-        "services": [
-            {"name": "sheets", "connection_limit": 96},
-            {"name": "engines", "connection_limit": 96,
-             "engine": {"slots": 8, "kv_cache_tokens": 100_000, "stride": 72, "models": [{"name": MODEL}]}},
-        ],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 33_554_432, "header_timeout_ms": 3000,
-                   "idle_timeout_ms": 15000},
-    })
-    .to_string()
+    let mut document = routes::document(1, 500);
+    for route in [LOOKUP, CONFIRM] {
+        document["routes"][route]["target_latency_ms"] = 100.into();
+    }
+    document["routes"][BATCH]["timeout_ms"] = 5000.into();
+    document["routes"][BATCH]["completion_deadline_ms"] = 1000.into();
+    document.to_string()
 }
 
 /// Story of an ID as `orioleworksctl explain` tells it.
--- a/orioleworks_gateway/tests/platform.rs
+++ b/orioleworks_gateway/tests/platform.rs
@@ -13,35 +13,12 @@
 use support::{
     client,
     deployment::Deployment,
+    routes::{self, MODEL},
     upstream::{EVENT_GAP, EVENTS, Upstream, text_of},
 };
 
-const MODEL: &str = "scorer";
-
 fn document(version: u64, timeout_ms: u64) -> String {
-    serde_json::json!({
-        "version": version,
-        "routes": [
-            {"name": "lookup", "host": "test.example", "path_prefix": "/lookup/", "kind": "safe",
-             "timeout_ms": timeout_ms, "target_latency_ms": 150, "priority": 2, "service": "sheets", "max_attempts": 2},
-            {"name": "confirm", "host": "test.example", "path_prefix": "/confirm/", "kind": "unsafe",
-             "timeout_ms": timeout_ms, "target_latency_ms": 150, "priority": 2, "service": "sheets", "max_attempts": 2},
-            {"name": "say", "host": "test.example", "path_prefix": "/say/", "kind": "safe", "streaming": true,
-             "resumable": true, "timeout_ms": 5000, "target_latency_ms": 150, "priority": 2, "service": "engines",
-             "max_attempts": 2},
-            {"name": "batch", "host": "test.example", "path_prefix": "/batch/", "kind": "rollout",
-             "timeout_ms": 10000, "target_latency_ms": 400, "priority": 1, "service": "engines", "max_attempts": 3,
-             "retention_s": 40.0, "completion_deadline_ms": 7500, "single_version": false, "resumable": true},
-        ],
-        "services": [
-            {"name": "sheets", "connection_limit": 96},
-            {"name": "engines", "connection_limit": 96,
-             "engine": {"slots": 8, "kv_cache_tokens": 100_000, "stride": 72, "models": [{"name": MODEL}]}},
-        ],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 33_554_432, "header_timeout_ms": 3000,
-                   "idle_timeout_ms": 15000},
-    })
-    .to_string()
+    routes::document(version, timeout_ms).to_string()
 }
 
 fn engines(d: &Deployment, count: usize) -> Vec<Upstream> {
--- a/orioleworks_gateway/tests/soak.rs
+++ b/orioleworks_gateway/tests/soak.rs
@@ -19,6 +19,7 @@
     deployment::{Deployment, Process},
     ledger::{self, Ledger},
     proxy::Faults,
+    routes,
     upstream::Upstream,
 };
 
@@ -48,7 +49,7 @@
         };
         let mut upstreams: Vec<Upstream> =
             (0..2).map(|i| start(&format!("s-{i}"), "sheets", None)).collect();
-        upstreams.extend((0..3).map(|i| start(&format!("e-{i}"), "engines", Some(ledger::MODEL))));
+        upstreams.extend((0..3).map(|i| start(&format!("e-{i}"), "engines", Some(routes::MODEL))));
         let addresses = (0..GATEWAYS).map(|i| d.gateway(i)).collect();
         let ledger = Ledger::start(seed, addresses, d.controls());
         let rng = StdRng::seed_from_u64(seed);
--- a/orioleworks_gateway/tests/support/ledger.rs
+++ b/orioleworks_gateway/tests/support/ledger.rs
@@ -15,10 +15,10 @@
 
 use super::{
     client::{self, Answer},
+    routes::{self, BATCH, CONFIRM, MODEL},
     upstream::{Upstream, text_of},
 };
 
-pub const MODEL: &str = "scorer";
 const ITEMS: usize = 12;
 /// Time that callers give a lookup.
 const LOOKUP_TIME: Duration = Duration::from_millis(1500);
@@ -27,28 +27,13 @@
 /// Time after a signal to a gateway in which its answers may be late.
 const DISTURBED: Duration = Duration::from_millis(2500);
 
-/// Routes for lookups, for requests that run once, and for batches.
+/// Routes whose batches outlive the faults of a soak.
 pub fn document(version: u64) -> String {
-    serde_json::json!({
-        "version": version,
-        "routes": [
-            {"name": "lookup", "host": "test.example", "path_prefix": "/lookup/", "kind": "safe",
-             "timeout_ms": 2000, "target_latency_ms": 150, "priority": 2, "service": "sheets", "max_attempts": 2},
-            {"name": "confirm", "host": "test.example", "path_prefix": "/confirm/", "kind": "unsafe",
-             "timeout_ms": 1000, "target_latency_ms": 150, "priority": 2, "service": "sheets", "max_attempts": 2},
-            {"name": "batch", "host": "test.example", "path_prefix": "/batch/", "kind": "rollout",
-             "timeout_ms": 10000, "target_latency_ms": 400, "priority": 1, "service": "engines", "max_attempts": 50,
-             "retention_s": 60.0, "completion_deadline_ms": 7500, "single_version": false, "resumable": true},
-        ],
-        "services": [
-            {"name": "sheets", "connection_limit": 96},
-            {"name": "engines", "connection_limit": 96,
-             "engine": {"slots": 8, "kv_cache_tokens": 100_000, "stride": 72, "models": [{"name": MODEL}]}},
-        ],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 33_554_432, "header_timeout_ms": 3000,
-                   "idle_timeout_ms": 15000},
-    })
-    .to_string()
+    let mut document = routes::document(version, 2000);
+    document["routes"][CONFIRM]["timeout_ms"] = 1000.into();
+    document["routes"][BATCH]["max_attempts"] = 50.into();
+    document["routes"][BATCH]["retention_s"] = 60.0.into();
+    document.to_string()
 }
 
 #[derive(Default)]
--- a/orioleworks_gateway/tests/support/mod.rs
+++ b/orioleworks_gateway/tests/support/mod.rs
@@ -7,4 +7,5 @@
 pub mod deployment;
 pub mod ledger;
 pub mod proxy;
+pub mod routes;
 pub mod upstream;
