Log lines of failed attempts and requeued items name the content

On-call engineers could not tell whether two failed requests were the same request sent again: each attempt of a caller has an ID of its own, and nothing else of a request was in the lines. attempt_failed and item_requeued carry the start of a fingerprint of host, method, path and body.

The hash moves from orioleworks_entry to orioleworks_daemon; fingerprints of entries are unchanged. No decision changes.

--- a/orioleworks_daemon/src/lib.rs
+++ b/orioleworks_daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control;
 #[cfg(feature = "failpoints")]
 pub mod failpoints;
+pub mod fingerprint;
 pub mod http;
 pub mod log_writer;
 pub mod logging;
--- a/orioleworks_entry/src/suspects.rs
+++ b/orioleworks_entry/src/suspects.rs
@@ -4,11 +4,10 @@
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use orioleworks_daemon::{clock, event};
+use orioleworks_daemon::{clock, event, fingerprint};
 use orioleworks_proto::inner;
 use orioleworks_routing::suspects as routing;
 pub use orioleworks_routing::suspects::Admission;
-use sha2::{Digest, Sha256};
 
 type Callback = Rc<dyn Fn()>;
 
@@ -177,16 +176,6 @@
 
 /// Fingerprint of a request: SHA-256 of profile and body, in hexadecimal.
 pub fn fingerprint(profile: &str, body: &[u8]) -> Rc<str> {
-    use std::fmt::Write as _;
-    let mut hash = Sha256::new();
-    hash.update(profile.as_bytes());
-    // Profile names contain no NUL, so this separates profile and body unambiguously.
-    hash.update([0]);
-    hash.update(body);
-    let mut text = String::with_capacity(64);
-    for byte in hash.finalize() {
-        let written = write!(text, "{byte:02x}");
-        debug_assert!(written.is_ok());
-    }
-    text.into()
+    // Profile names contain no NUL.
+    fingerprint::of([profile.as_bytes(), body])
 }
--- a/orioleworks_gateway/src/callers.rs
+++ b/orioleworks_gateway/src/callers.rs
@@ -8,7 +8,8 @@
 use orioleworks_proto::codes::ResultCode;
 
 use crate::{
-    batches, forward,
+    batches,
+    forward::{self, Content},
     telemetry::{self, RequestLabels},
     view::View,
 };
@@ -125,7 +126,7 @@
     if route.batch.is_some() {
         return batches::submit(view, &route, &host, context, &body).await;
     }
-    forward::forward(view, &route, head, body, context).await
+    forward::forward(view, &route, Content::new(host, head, body), context).await
 }
 
 fn refusal_response(
--- a/orioleworks_gateway/src/forward.rs
+++ b/orioleworks_gateway/src/forward.rs
@@ -5,6 +5,7 @@
 //! request that may have run is repeated only if it is idempotent. See `docs/platform.md`.
 
 use std::{
+    cell::OnceCell,
     io,
     rc::Rc,
     time::{Duration, Instant},
@@ -17,7 +18,7 @@
 use http::{HeaderMap, header, request, response};
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Frame;
-use orioleworks_daemon::{clock, event, http as server};
+use orioleworks_daemon::{clock, event, fingerprint, http as server};
 use orioleworks_fleet::pool::{Exchange, SendError};
 use orioleworks_platform::upstream::{self, Verdict};
 use orioleworks_proto::codes::ResultCode;
@@ -68,6 +69,38 @@
     Unknown(String),
 }
 
+/// A caller's request as it is sent to upstreams.
+#[derive(Debug)]
+pub struct Content {
+    /// Host of the route.
+    pub host: String,
+    /// Head as received.
+    pub head: request::Parts,
+    /// Complete body.
+    pub body: Bytes,
+    /// Computed only if needed, because bodies may be large.
+    fingerprint: OnceCell<Rc<str>>,
+}
+
+impl Content {
+    /// Creates the content of a request.
+    pub fn new(host: String, head: request::Parts, body: Bytes) -> Self {
+        Self { host, head, body, fingerprint: OnceCell::new() }
+    }
+
+    fn path_and_query(&self) -> &str {
+        self.head.uri.path_and_query().map_or("/", |p| p.as_str())
+    }
+
+    /// Fingerprint, which is the same for every attempt and every repeat of the caller.
+    pub fn fingerprint(&self) -> &Rc<str> {
+        self.fingerprint.get_or_init(|| {
+            let method = self.head.method.as_str();
+            fingerprint::of_request(&self.host, method, self.path_and_query(), &self.body)
+        })
+    }
+}
+
 struct EndedAttempt {
     upstream: Rc<Upstream>,
     key: Key,
@@ -79,8 +112,7 @@
     view: &'a View,
     route: &'a Rc<Route>,
     service: Rc<str>,
-    head: Rc<request::Parts>,
-    body: Bytes,
+    content: Rc<Content>,
     context: &'a RequestContext,
     deadline: Instant,
     tried: Vec<Key>,
@@ -100,8 +132,7 @@
 pub async fn forward(
     view: &View,
     route: &Rc<Route>,
-    head: request::Parts,
-    body: Bytes,
+    content: Content,
     context: &RequestContext,
 ) -> Result<server::Response, Refusal> {
     let (tx, mut rx) = mpsc::unbounded();
@@ -114,8 +145,7 @@
         view,
         route,
         service,
-        head: Rc::new(head),
-        body,
+        content: Rc::new(content),
         context,
         deadline,
         tried: Vec::new(),
@@ -201,6 +231,7 @@
                 request = self.context.id,
                 upstream = attempt.upstream.id,
                 reason = reason,
+                content = fingerprint::logged(self.content.fingerprint()),
                 attempt = self.tried.len(),
                 ms = self.context.arrived.elapsed().as_millis(),
             );
@@ -263,8 +294,7 @@
             view: self.view.clone(),
             route: self.route.name.clone(),
             streaming: self.route.streaming,
-            head: self.head.clone(),
-            body: self.body.clone(),
+            content: self.content.clone(),
             id: self.context.id.clone(),
             deadline: self.deadline,
             upstream,
@@ -326,8 +356,7 @@
     view: View,
     route: Rc<str>,
     streaming: bool,
-    head: Rc<request::Parts>,
-    body: Bytes,
+    content: Rc<Content>,
     id: String,
     deadline: Instant,
     upstream: Rc<Upstream>,
@@ -339,14 +368,14 @@
         let started = Instant::now();
         let remaining = self.deadline.saturating_duration_since(started);
         let mut req = http::Request::builder()
-            .method(self.head.method.clone())
-            .uri(self.head.uri.path_and_query().map_or("/", |p| p.as_str()));
+            .method(self.content.head.method.clone())
+            .uri(self.content.path_and_query());
         if let Some(headers) = req.headers_mut() {
-            *headers = end_to_end_headers(&self.head.headers);
+            *headers = end_to_end_headers(&self.content.head.headers);
             headers.remove(header::CONTENT_LENGTH);
             upstream::set_upstream_headers(headers, &self.upstream.id, Some(remaining));
         }
-        let req = match req.body(Full::new(self.body.clone())) {
+        let req = match req.body(Full::new(self.content.body.clone())) {
             Ok(req) => req,
             Err(e) => return AttemptEnd::NotRun(e.to_string()),
         };
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -13,7 +13,7 @@
 use compio::runtime;
 use futures_util::{FutureExt, future, select};
 use indexmap::IndexMap;
-use orioleworks_daemon::{clock, event};
+use orioleworks_daemon::{clock, event, fingerprint};
 use orioleworks_fleet::texts;
 use orioleworks_log::{ProposeError, notify::Notify};
 use orioleworks_proto::inner::{self, command::Kind};
@@ -51,6 +51,8 @@
     key: ItemKey,
     batch: Rc<inner::Batch>,
     item: Rc<inner::BatchItem>,
+    /// Fingerprint of the item's request.
+    fingerprint: Rc<str>,
     give_up_at: Duration,
     /// Start of the wait for an engine.
     waiting_since: Duration,
@@ -180,6 +182,7 @@
                     progress: Rc::new(RefCell::new(progress)),
                     batch: batch.spec.clone(),
                     item: item.spec.clone(),
+                    fingerprint: request_fingerprint(&batch.spec, &item.spec),
                     give_up_at,
                     waiting_since: clock::since_boot(),
                     failed_attempts: item.failed_attempts,
@@ -511,6 +514,7 @@
             upstream = run.upstream.id,
             events = waiting.progress.borrow().event_count(),
             reason = reason,
+            content = fingerprint::logged(&waiting.fingerprint),
         );
         if work.queued_batches.contains_key(&waiting.key.0) {
             waiting.waiting_since = now;
@@ -583,6 +587,10 @@
     serving.map(|known| engines.event_ms(&key_of(&known.upstream))).collect()
 }
 
+fn request_fingerprint(batch: &inner::Batch, item: &inner::BatchItem) -> Rc<str> {
+    fingerprint::of_request(&batch.host, http::Method::POST.as_str(), &item.path, &item.body)
+}
+
 fn expected_memory(item: &inner::BatchItem) -> u64 {
     items::expected_memory(item.prompt_tokens, item.expected_tokens, item.tokens)
 }
