Tests that fail: a repeated request and an item crash one upstream after another

A stand-in upstream ends when it begins to run a request with a certain path: its connections close, its address refuses connections, and after 1.5 s it announces itself with another start time.

--- /dev/null
+++ b/orioleworks_gateway/tests/crashing_requests.rs
@@ -0,0 +1,207 @@
+//! Tests of requests that crash each upstream that begins to run them, and of innocent requests beside them.
+
+mod support;
+
+use std::{
+    cell::Cell,
+    thread,
+    time::{Duration, Instant},
+};
+
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use rstest::rstest;
+use support::{
+    client::Response,
+    deployment::Deployment,
+    routes::{self, MODEL},
+    upstream::{RESTART_TIME, Upstream},
+};
+
+/// Upstreams that one request may crash, however often its caller repeats it (docs/PROOFS.md, "Requests that crash
+/// upstreams").
+const MAX_CRASHES: u64 = 2;
+/// Longest time to refuse a quarantined request: "at once", with some room for a busy machine.
+const REFUSAL_TIME: Duration = Duration::from_millis(250);
+/// Part of the path of requests that crash upstreams.
+const CRASHES: &str = "crashes";
+
+fn start_upstreams(d: &Deployment, service: &str, model: Option<&str>, n: usize) -> Vec<Upstream> {
+    let start = |i| {
+        let up = Upstream::start(&format!("{service}-{i}"), service, model, d.control_addresses());
+        CRASHES.clone_into(&mut up.behaviour.crash_path.lock().unwrap());
+        up
+    };
+    (0..n).map(start).collect()
+}
+
+fn total_crashes(upstreams: &[Upstream]) -> u64 {
+    upstreams.iter().map(Upstream::crashes).sum()
+}
+
+/// Sends lookups through every gateway until each upstream has run one.
+fn warm_up(d: &Deployment, upstreams: &[Upstream]) {
+    let sent = Cell::new(0);
+    d.wait_until("each upstream runs a request", || {
+        for gateway in 0..d.gateways.len() {
+            let id = format!("warm-{}", sent.replace(sent.get() + 1));
+            d.send(gateway, "GET", &format!("/lookup/{id}"), &id, "");
+        }
+        upstreams.iter().all(|up| up.total_runs() > 0)
+    });
+}
+
+fn is_quarantined(response: &Response) -> bool {
+    response.json()["name"] == "quarantined"
+}
+
+/// Guards against a request that is sent to one upstream after another although each of them crashes under it: its
+/// caller repeats it with a new ID each time.
+#[rstest]
+#[case::safe_through_one_gateway("GET", "/lookup", 1)]
+#[case::safe_through_all_gateways("GET", "/lookup", 3)]
+#[case::unsafe_through_all_gateways("POST", "/confirm", 3)]
+fn a_repeated_request_crashes_two_upstreams_at_most(
+    #[case] method: &str,
+    #[case] route: &str,
+    #[case] gateways: usize,
+) {
+    let d = Deployment::start(3, 3, &routes::document(1, 2000).to_string());
+    let upstreams = start_upstreams(&d, "sheets", None, 4);
+    warm_up(&d, &upstreams);
+    let path = format!("{route}/{CRASHES}");
+    let until = Instant::now() + RESTART_TIME * 4;
+    let mut repeats = 0;
+    let (mut last, mut unserved) = (None, Vec::new());
+    while Instant::now() < until {
+        let id = format!("repeat-{repeats}");
+        let started = Instant::now();
+        let response = d.send(repeats % gateways, method, &path, &id, "body").unwrap();
+        last = Some((response, started.elapsed()));
+        let other = format!("/lookup/other-{repeats}");
+        let response = d.send(repeats % 3, "GET", &other, &format!("other-{repeats}"), "").unwrap();
+        if response.status != 200 {
+            unserved.push(response.body);
+        }
+        repeats += 1;
+        thread::sleep(Duration::from_millis(100));
+    }
+    let crashes = total_crashes(&upstreams);
+    assert!(crashes <= MAX_CRASHES, "{crashes} upstreams crashed under {repeats} repeats");
+    assert!(unserved.is_empty(), "other requests of {repeats} that were not served: {unserved:?}");
+    let (response, took) = last.unwrap();
+    assert!(is_quarantined(&response), "{} {}", response.status, response.body);
+    assert_eq!(response.status, 503, "the refused repeat has not run");
+    assert!(response.head.contains("retry-after"), "{}", response.head);
+    assert!(took < REFUSAL_TIME, "refused after {took:?}");
+}
+
+fn submission(items: &[String]) -> String {
+    let item = |id: &String| {
+        serde_json::json!({
+            "id": id, "path": format!("/batch/{id}"), "body": STANDARD.encode(format!("body of {id}")),
+            "headers": {"X-Model": MODEL, "X-Token-Count": "100,900", "X-Length-Hint": "500"},
+            "tokens": 1000, "group": id,
+        })
+    };
+    let items: Vec<serde_json::Value> = items.iter().map(item).collect();
+    serde_json::json!({"step": 1, "model": MODEL, "min_version": 1, "group_count": 1, "items": items})
+        .to_string()
+}
+
+/// Submits a batch of one item that crashes engines and `others` that don't.
+fn submit(d: &Deployment, id: &str, others: usize) {
+    let mut items = vec![format!("{CRASHES}-item")];
+    items.extend((0..others).map(|i| format!("{id}-{i}")));
+    let body = submission(&items);
+    d.wait_until("the batch is accepted", || {
+        d.send(0, "POST", &format!("/batch/{id}"), id, &body).is_some_and(|a| a.status == 202)
+    });
+}
+
+/// Waits until a number of items is listed as completed, and checks that nothing else is listed.
+fn wait_for_results(d: &Deployment, id: &str, count: usize) {
+    d.wait_until("the other items are complete", || {
+        let path = format!("/v1/lots/{id}?after=0");
+        let Some(response) = d.send(0, "GET", &path, "read", "") else { return false };
+        let results = response.json()["results"].as_array().cloned().unwrap_or_default();
+        assert!(results.iter().all(|r| r["state"] == "completed"), "{}", response.body);
+        assert!(results.len() <= count, "{}", response.body);
+        results.len() == count
+    });
+}
+
+/// Guards against an item that is run on one engine after another although each of them crashes under it, also after a
+/// change of leader and when a later batch contains it again; and against other items of the batch that wait for it.
+#[test]
+fn an_item_crashes_two_engines_at_most() {
+    let mut d = Deployment::start(3, 1, &routes::document(1, 2000).to_string());
+    let engines = start_upstreams(&d, "engines", Some(MODEL), 6);
+    submit(&d, "b1", 19);
+    thread::sleep(RESTART_TIME * 3);
+    let crashes = total_crashes(&engines);
+    assert!(crashes <= MAX_CRASHES, "{crashes} engines crashed under one item");
+    wait_for_results(&d, "b1", 19);
+    let leader = d.leader().unwrap();
+    d.stores[leader] = None;
+    submit(&d, "b2", 5);
+    thread::sleep(RESTART_TIME * 3);
+    let crashes = total_crashes(&engines);
+    assert!(crashes <= MAX_CRASHES, "{crashes} engines after the leader crashed");
+    wait_for_results(&d, "b2", 5);
+}
+
+/// Guards against the quarantine of requests and items that were in flight when half of the upstreams were lost at
+/// once, repeatedly.
+#[test]
+fn requests_in_flight_on_lost_upstreams_are_not_quarantined() {
+    const CALLERS: usize = 6;
+    let d = Deployment::start(3, 2, &routes::document(1, 2000).to_string());
+    let services = start_upstreams(&d, "sheets", None, 6);
+    let engines = start_upstreams(&d, "engines", Some(MODEL), 6);
+    warm_up(&d, &services);
+    for up in &services {
+        up.behaviour.delay_ms.store(40, std::sync::atomic::Ordering::Relaxed);
+    }
+    let items: Vec<String> = (0..60).map(|i| format!("item-{i}")).collect();
+    let body = submission(&items);
+    let until = Instant::now() + RESTART_TIME * 4;
+    thread::scope(|scope| {
+        let callers = (0..CALLERS).map(|caller| {
+            let address = d.gateway_address(caller % 2);
+            scope.spawn(move || {
+                let mut refused = Vec::new();
+                let mut n = 0;
+                while Instant::now() < until {
+                    let path = format!("/lookup/{caller}-{n}");
+                    // A caller repeats a request that failed.
+                    for repeat in 0..2 {
+                        let id = format!("{caller}-{n}-{repeat}");
+                        let headers = [("X-Attempt-Id", id.as_str()), ("X-Deadline-Ms", "2000")];
+                        let response = support::client::call(&address, "GET", &path, &headers, "");
+                        match response {
+                            Some(response) if response.status == 200 => break,
+                            Some(response) if is_quarantined(&response) => refused.push(id),
+                            _ => {}
+                        }
+                    }
+                    n += 1;
+                }
+                refused
+            })
+        });
+        let callers: Vec<_> = callers.collect();
+        d.wait_until("the batch is accepted", || {
+            d.send(0, "POST", "/batch/b1", "b1", &body).is_some_and(|a| a.status == 202)
+        });
+        for round in 0..3 {
+            thread::sleep(RESTART_TIME);
+            for up in services.iter().chain(&engines).skip(round % 2).step_by(2) {
+                up.crash();
+            }
+        }
+        let refused: Vec<String> =
+            callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect();
+        assert!(refused.is_empty(), "refused as quarantined: {refused:?}");
+    });
+    wait_for_results(&d, "b1", items.len());
+}
--- a/orioleworks_gateway/tests/support/upstream.rs
+++ b/orioleworks_gateway/tests/support/upstream.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeSet, HashMap},
     io::{BufRead, BufReader, Read, Write},
-    net::{TcpListener, TcpStream},
+    net::{Shutdown, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -21,6 +21,10 @@
     pub silent: AtomicBool,
     /// Closes the connection of each request without a response, like a crash.
     pub crashes: AtomicBool,
+    /// Part of the path of requests that crash the replica when it begins to run them; empty for none.
+    pub crash_path: Mutex<String>,
+    /// Time from the start of a run to its response, in milliseconds.
+    pub delay_ms: AtomicU64,
     /// Refuses requests as not run.
     pub refuses: AtomicBool,
     /// Aborts the next stream after this many events; 0 for none.
@@ -44,6 +48,24 @@
     generated: HashMap<String, BTreeSet<u64>>,
 }
 
+/// What ends with a crash of the replica, and what tells its starts apart.
+#[derive(Default)]
+struct Process {
+    listen_address: String,
+    connections: Mutex<Vec<TcpStream>>,
+    /// Start time in Unix milliseconds.
+    born: AtomicU64,
+    down: AtomicBool,
+    crashes: AtomicU64,
+}
+
+impl Process {
+    fn set_born(&self) {
+        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+        self.born.store(now.as_millis() as u64, Ordering::Relaxed);
+    }
+}
+
 /// One replica; clones share its state.
 #[derive(Clone)]
 pub struct Upstream {
@@ -52,6 +74,7 @@
     pub behaviour: Arc<Behaviour>,
     state: Arc<Mutex<State>>,
     stopped: Arc<AtomicBool>,
+    process: Arc<Process>,
     /// Proxy in front of the replica, if any.
     pub proxy: Option<Proxy>,
 }
@@ -60,6 +83,8 @@
 pub const EVENTS: u64 = 12;
 /// Time between two events.
 pub const EVENT_GAP: Duration = Duration::from_millis(25);
+/// Time from a crash to the next start.
+pub const RESTART_TIME: Duration = Duration::from_millis(1500);
 /// Duration of a load of weights.
 const LOAD_TIME: Duration = Duration::from_millis(200);
 
@@ -82,26 +107,22 @@
         let proxy = proxied.then(|| Proxy::start("127.0.0.1:0", listen_address.clone()));
         let upstream = Self {
             id: id.into(),
-            address: proxy.as_ref().map_or(listen_address, |proxy| proxy.address.clone()),
+            address: proxy
+                .as_ref()
+                .map_or_else(|| listen_address.clone(), |proxy| proxy.address.clone()),
             proxy,
             behaviour: Arc::default(),
             state: Arc::default(),
             stopped: Arc::default(),
+            process: Arc::new(Process { listen_address, ..Process::default() }),
         };
+        upstream.process.set_born();
         upstream.behaviour.announces.store(true, Ordering::Relaxed);
         if let Some(model) = model {
             upstream.state.lock().unwrap().versions.insert(model.into(), 1);
         }
         let serving = upstream.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                if serving.stopped.load(Ordering::Relaxed) {
-                    return;
-                }
-                let serving = serving.clone();
-                thread::spawn(move || drop(serving.serve(&stream)));
-            }
-        });
+        thread::spawn(move || serving.accept(listener));
         let (announcing, service) = (upstream.clone(), service.to_owned());
         thread::spawn(move || announcing.announce(&service, &stores));
         upstream
@@ -132,16 +153,65 @@
         self.state.lock().unwrap().accepted_orders.clone()
     }
 
+    /// Number of crashes.
+    pub fn crashes(&self) -> u64 {
+        self.process.crashes.load(Ordering::Relaxed)
+    }
+
+    /// Ends the replica: its connections are closed and its address refuses connections until the next start, which
+    /// has the same ID and another start time.
+    pub fn crash(&self) {
+        if self.process.down.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        self.process.crashes.fetch_add(1, Ordering::Relaxed);
+        for connection in self.process.connections.lock().unwrap().drain(..) {
+            drop(connection.shutdown(Shutdown::Both));
+        }
+        // Wakes the thread that accepts connections.
+        drop(TcpStream::connect(&self.process.listen_address));
+    }
+
+    fn is_down(&self) -> bool {
+        self.process.down.load(Ordering::Relaxed)
+    }
+
+    /// Accepts connections; after a crash, closes the listener until the next start.
+    fn accept(&self, listener: TcpListener) {
+        let mut listener = listener;
+        loop {
+            for stream in listener.incoming().flatten() {
+                if self.stopped.load(Ordering::Relaxed) {
+                    return;
+                }
+                if self.is_down() {
+                    break;
+                }
+                self.process.connections.lock().unwrap().extend(stream.try_clone());
+                let serving = self.clone();
+                thread::spawn(move || drop(serving.serve(&stream)));
+            }
+            drop(listener);
+            thread::sleep(RESTART_TIME);
+            listener = loop {
+                match TcpListener::bind(&self.process.listen_address) {
+                    Ok(listener) => break listener,
+                    Err(_) => thread::sleep(Duration::from_millis(20)),
+                }
+            };
+            self.process.set_born();
+            self.process.down.store(false, Ordering::Relaxed);
+        }
+    }
+
     fn announce(&self, service: &str, stores: &[String]) {
         const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(300);
         let started = Instant::now();
-        let born =
-            std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis()
-                as u64;
         let mut sequence = 0;
         while !self.stopped.load(Ordering::Relaxed) && started.elapsed() < Duration::from_secs(300)
         {
-            if self.behaviour.announces.load(Ordering::Relaxed) {
+            if self.behaviour.announces.load(Ordering::Relaxed) && !self.is_down() {
+                let born = self.process.born.load(Ordering::Relaxed);
                 sequence += 1;
                 let readiness = if self.behaviour.leaving.load(Ordering::Relaxed) {
                     "draining"
@@ -198,7 +268,7 @@
             match path.as_str() {
                 "/v1/report" => self.report(&mut out)?,
                 "/v1/order" => self.order(&mut out, &body)?,
-                _ => self.run(&mut out, &headers)?,
+                _ => self.run(&mut out, &path, &headers)?,
             }
         }
     }
@@ -238,7 +308,12 @@
         write_response(out, "202 Accepted", &[], "")
     }
 
-    fn run(&self, out: &mut TcpStream, headers: &HashMap<String, String>) -> std::io::Result<()> {
+    fn run(
+        &self,
+        out: &mut TcpStream,
+        path: &str,
+        headers: &HashMap<String, String>,
+    ) -> std::io::Result<()> {
         let id = headers.get("x-attempt-id").cloned().unwrap_or_default();
         if headers.get("x-expected-instance").is_some_and(|expected| *expected != self.id) {
             return write_response(
@@ -253,6 +328,12 @@
         }
         let after = headers.get("last-event-id").and_then(|v| v.parse().ok());
         self.state.lock().unwrap().runs.entry(id.clone()).or_default().push(after);
+        let crash_path = self.behaviour.crash_path.lock().unwrap().clone();
+        if !crash_path.is_empty() && path.contains(&crash_path) {
+            self.crash();
+            return Err(std::io::Error::other("injected crash of the replica"));
+        }
+        thread::sleep(Duration::from_millis(self.behaviour.delay_ms.load(Ordering::Relaxed)));
         if self.behaviour.crashes.load(Ordering::Relaxed) {
             return Err(std::io::Error::other("injected crash"));
         }
