routing: crashes of upstreams by the content that was in flight

Reports of crashes can be merged in any order. A content that has crashed two upstreams is quarantined for a minute, and for twice as long after each further crash, up to ten. What keeps innocent content out: a broken connection does not count once the upstream announces itself again; a crash that falls together with losses of other upstreams counts half; a completed run withdraws all earlier crashes. In any case four crashes quarantine a content, so that two such contents cannot excuse each other.

orioleworks_routing::suspects stays with orioleworks-entry: it holds a suspect back for 2.5 s and runs it alone, which requests with 0.8 s cannot wait for, and it takes lost leases of one failure domain as its input.

--- /dev/null
+++ b/orioleworks_routing/src/crashes.rs
@@ -0,0 +1,288 @@
+//! Contents that crash upstreams, on a platform where callers repeat a request through any gateway.
+//!
+//! Handles a request under which each upstream ends that begins to run it, and whose caller sends it again with a new
+//! ID. Crashes are counted by the fingerprint of the content. Gateways and stores exchange them as reports, which can
+//! be merged in any order and any number of times, so that all of them agree soon.
+//!
+//! [`crate::suspects`] solves the same problem for `orioleworks-entry`, whose failure domains own their upstreams: a
+//! suspect waits there for seconds before it runs again. Callers here allow less than a second. Therefore the first
+//! repeat runs at once, and what looked like a crash is withdrawn if the upstream announces itself again. See
+//! `docs/platform.md`.
+
+use std::{rc::Rc, time::Duration};
+
+use indexmap::IndexMap;
+
+use crate::{
+    fleet::Fleet,
+    outlier::Key,
+    suspects::{CORRELATION_WINDOW, RETENTION},
+};
+
+/// Evidence from which a content is quarantined: two crashes that nothing else explains, or four that may be
+/// coincidental.
+const QUARANTINE_EVIDENCE: u32 = 4;
+/// Evidence of a crash before the first output.
+const STRONG_EVIDENCE: u32 = 2;
+/// Evidence of a crash that may be coincidental.
+const WEAK_EVIDENCE: u32 = 1;
+/// First quarantine of a content; twice as long after each further crash, up to [`RETENTION`]. Content that was
+/// quarantined by coincidence is refused no longer than this.
+const FIRST_QUARANTINE: Duration = Duration::from_secs(60);
+/// Time after a crash in which announcements arrive that the upstream sent before it.
+const ANNOUNCEMENT_TRANSIT: Duration = Duration::from_millis(500);
+/// Time from a broken connection to an announcement that shows that the upstream is still alive: the interval of
+/// announcements, and the time to pass one on.
+const REFUTATION_TIME: Duration = Duration::from_secs(2);
+/// Largest number of contents; the oldest are evicted first.
+const MAX_CONTENTS: usize = 4096;
+/// Largest number of crashes of one content; at this number its quarantine has long had its longest duration.
+const MAX_CRASHES: usize = 16;
+
+/// How a run ended without a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Observation {
+    /// Nothing came back in time. This counts only if the upstream is known to have ended.
+    Silence,
+    /// The connection broke after some output.
+    BrokenMidway,
+    /// The connection broke before any output.
+    BrokenAtStart,
+}
+
+/// Whether and how a content may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// Without restriction.
+    Unrestricted,
+    /// On one upstream at a time, because it may have crashed one.
+    Suspect,
+    /// Not now; a repeat may be admitted at this time.
+    Quarantined(Duration),
+}
+
+/// A possible crash of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// Time at which the run ended.
+    pub at: Duration,
+    /// How the run ended.
+    pub observation: Observation,
+}
+
+/// What is known of one content, as exchanged between gateways and stores.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Fingerprint of the content.
+    pub fingerprint: Rc<str>,
+    /// Possible crashes by upstream.
+    pub crashes: IndexMap<Key, Crash>,
+    /// Newest time at which a run completed; earlier crashes do not count.
+    pub completed_at: Option<Duration>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Record {
+    crashes: IndexMap<Key, Crash>,
+    completed_at: Option<Duration>,
+    last_change: Duration,
+    /// Position of the newest change.
+    changed: u64,
+    /// Position of the newest change that this process observed or that was reported to it directly.
+    changed_directly: u64,
+}
+
+/// Possible crashes of upstreams, by the content that was in flight on them.
+#[derive(Clone, Debug, Default)]
+pub struct Crashes {
+    records: IndexMap<Rc<str>, Record>,
+    changes: u64,
+    /// Position of the newest change that no other store passed on.
+    direct_changes: u64,
+}
+
+impl Crashes {
+    /// Number of contents with a possible crash.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether no content has a possible crash.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Records how a run ended; returns whether that is new.
+    pub fn record(
+        &mut self,
+        fingerprint: &Rc<str>,
+        upstream: &Key,
+        at: Duration,
+        observation: Observation,
+    ) -> bool {
+        let crashes = IndexMap::from([(upstream.clone(), Crash { at, observation })]);
+        let fingerprint = fingerprint.clone();
+        self.merge(Report { fingerprint, crashes, completed_at: None }, at, true)
+    }
+
+    /// Records that a run has completed, which shows that earlier losses were coincidental; returns whether there were
+    /// any.
+    pub fn record_completion(&mut self, fingerprint: &str, now: Duration) -> bool {
+        let Some((fingerprint, record)) = self.records.get_key_value(fingerprint) else {
+            return false;
+        };
+        if record.crashes.is_empty() {
+            return false;
+        }
+        let (fingerprint, completed_at) = (fingerprint.clone(), Some(now));
+        self.merge(Report { fingerprint, crashes: IndexMap::new(), completed_at }, now, true)
+    }
+
+    /// Merges a report; returns whether it changed anything. `direct` tells that it does not come from another store.
+    pub fn merge(&mut self, report: Report, now: Duration, direct: bool) -> bool {
+        if !self.records.contains_key(&report.fingerprint) {
+            if report.crashes.is_empty() {
+                return false;
+            }
+            if self.records.len() >= MAX_CONTENTS {
+                self.records.shift_remove_index(0);
+            }
+        }
+        let record = self.records.entry(report.fingerprint).or_default();
+        let mut changed = report.completed_at > record.completed_at;
+        record.completed_at = record.completed_at.max(report.completed_at);
+        let completed_at = record.completed_at;
+        let counts = |crash: &Crash| completed_at.is_none_or(|completed| crash.at > completed);
+        record.crashes.retain(|_, crash| counts(crash));
+        for (upstream, crash) in report.crashes.into_iter().filter(|(_, crash)| counts(crash)) {
+            let full = record.crashes.len() >= MAX_CRASHES;
+            match record.crashes.get_mut(&upstream) {
+                Some(known) if known.observation >= crash.observation => {}
+                Some(known) => {
+                    known.observation = crash.observation;
+                    changed = true;
+                }
+                None if full => {}
+                None => {
+                    record.crashes.insert(upstream, crash);
+                    changed = true;
+                }
+            }
+        }
+        if changed {
+            self.changes += 1;
+            record.changed = self.changes;
+            record.last_change = now;
+            if direct {
+                record.changed_directly = self.changes;
+                self.direct_changes = self.changes;
+            }
+        }
+        changed
+    }
+
+    /// Whether and how a content may run now.
+    pub fn admission(&self, fingerprint: &str, fleet: &Fleet, now: Duration) -> Admission {
+        let Some(record) = self.records.get(fingerprint) else { return Admission::Unrestricted };
+        let standing = |upstream: &Key, crash: &Crash| is_standing(upstream, crash, fleet);
+        match record.evidence(standing, weight) {
+            0 => return Admission::Unrestricted,
+            // The search for an explanation is needed only if it decides.
+            evidence if evidence < QUARANTINE_EVIDENCE => return Admission::Suspect,
+            _ => {}
+        }
+        let explained = |crash: &Crash| {
+            if self.has_explanation(record, crash, fleet) { WEAK_EVIDENCE } else { weight(crash) }
+        };
+        let evidence = record.evidence(standing, explained);
+        if evidence < QUARANTINE_EVIDENCE {
+            return Admission::Suspect;
+        }
+        let ended = |upstream: &Key, _: &Crash| !is_known(upstream, fleet);
+        if record.evidence(ended, explained) < QUARANTINE_EVIDENCE {
+            return Admission::Quarantined(now + REFUTATION_TIME);
+        }
+        let further = (evidence - QUARANTINE_EVIDENCE) / STRONG_EVIDENCE;
+        let time = FIRST_QUARANTINE.saturating_mul(2_u32.saturating_pow(further)).min(RETENTION);
+        let last = record.crashes.iter().filter(|(up, crash)| standing(up, crash));
+        let last = last.map(|(_, crash)| crash.at).max().unwrap_or_default();
+        if now < last + time { Admission::Quarantined(last + time) } else { Admission::Suspect }
+    }
+
+    /// Whether another upstream, on which the content was not in flight, was lost around the time of a crash. Then both
+    /// may have a common cause outside the content.
+    fn has_explanation(&self, record: &Record, crash: &Crash, fleet: &Fleet) -> bool {
+        let losses = self.records.values().flat_map(|other| &other.crashes);
+        let mut around = losses.filter(|(_, loss)| {
+            loss.observation != Observation::Silence
+                && loss.at.abs_diff(crash.at) <= CORRELATION_WINDOW
+        });
+        around.any(|(other, loss)| {
+            !record.crashes.contains_key(other) && is_standing(other, loss, fleet)
+        })
+    }
+
+    /// Position of the newest change, for [`Self::since`].
+    pub fn cursor(&self) -> u64 {
+        self.changes
+    }
+
+    /// Whether [`Self::since`] returns anything.
+    pub fn changed_since(&self, cursor: u64, direct_only: bool) -> bool {
+        if direct_only { self.direct_changes > cursor } else { self.changes > cursor }
+    }
+
+    /// Contents that changed after a position; with `direct_only`, only by what was not learnt from another store.
+    pub fn since(&self, cursor: u64, direct_only: bool) -> impl Iterator<Item = Report> {
+        let changed = move |record: &Record| {
+            if direct_only { record.changed_directly } else { record.changed }
+        };
+        let newer = self.records.iter().filter(move |(_, record)| changed(record) > cursor);
+        newer.map(|(fingerprint, record)| Report {
+            fingerprint: fingerprint.clone(),
+            crashes: record.crashes.clone(),
+            completed_at: record.completed_at,
+        })
+    }
+
+    /// Removes records that no quarantine needs any more.
+    pub fn expire(&mut self, now: Duration) {
+        // The next quarantine after the longest one is as long again, if a crash follows it closely.
+        self.records.retain(|_, record| record.last_change + RETENTION * 2 > now);
+    }
+}
+
+impl Record {
+    /// Evidence of those crashes that `counts` selects.
+    fn evidence(
+        &self,
+        counts: impl Fn(&Key, &Crash) -> bool,
+        weight: impl Fn(&Crash) -> u32,
+    ) -> u32 {
+        let counted = self.crashes.iter().filter(|(upstream, crash)| counts(upstream, crash));
+        counted.map(|(_, crash)| weight(crash)).sum()
+    }
+}
+
+fn weight(crash: &Crash) -> u32 {
+    match crash.observation {
+        Observation::BrokenAtStart => STRONG_EVIDENCE,
+        Observation::BrokenMidway | Observation::Silence => WEAK_EVIDENCE,
+    }
+}
+
+/// Whether this start of an upstream has not been replaced or removed.
+fn is_known(upstream: &Key, fleet: &Fleet) -> bool {
+    fleet.get(&upstream.0).is_some_and(|known| known.upstream.incarnation == upstream.1)
+}
+
+/// Whether the upstream has ended as far as known: for a broken connection until it announces itself again, after
+/// silence once another start has taken its place.
+fn is_standing(upstream: &Key, crash: &Crash, fleet: &Fleet) -> bool {
+    if !is_known(upstream, fleet) {
+        return true;
+    }
+    let announced = fleet.get(&upstream.0).map(|known| known.last_seen);
+    crash.observation != Observation::Silence
+        && announced.is_none_or(|at| at <= crash.at + ANNOUNCEMENT_TRANSIT)
+}
--- a/orioleworks_routing/src/lib.rs
+++ b/orioleworks_routing/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod affinity;
 pub mod budget;
 pub mod choice;
+pub mod crashes;
 pub mod fleet;
 pub mod items;
 pub mod limit;
--- /dev/null
+++ b/orioleworks_routing/tests/crashes.rs
@@ -0,0 +1,246 @@
+//! Tests of contents that crash upstreams.
+
+use std::{rc::Rc, time::Duration};
+
+use orioleworks_routing::{
+    crashes::{Admission, Crashes, Observation},
+    fleet::{Fleet, Upstream},
+    outlier::Key,
+    suspects::RETENTION,
+};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const CONTENT: &str = "poison";
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn key(n: u64) -> Key {
+    (Rc::from(format!("up-{n}")), 1)
+}
+
+/// Fleet of upstreams that announced themselves at time 0.
+fn fleet(count: u64) -> Fleet {
+    let mut fleet = Fleet::default();
+    (0..count).for_each(|n| announce(&mut fleet, n, 1, 1, ms(0)));
+    fleet
+}
+
+fn announce(fleet: &mut Fleet, n: u64, incarnation: u64, sequence: u64, at: Duration) {
+    let address = Rc::from(format!("10.0.0.{n}:80"));
+    let id = key(n).0;
+    fleet.announce(at, Upstream { id, incarnation, sequence, address, ..Default::default() }, true);
+}
+
+fn record(crashes: &mut Crashes, content: &str, upstream: u64, at: Duration) {
+    crashes.record(&Rc::from(content), &key(upstream), at, Observation::BrokenAtStart);
+}
+
+fn is_quarantined(crashes: &Crashes, content: &str, fleet: &Fleet, now: Duration) -> bool {
+    matches!(crashes.admission(content, fleet, now), Admission::Quarantined(_))
+}
+
+/// Guards against a third upstream that is lost to a content, and against a suspect that runs on two at the same time.
+#[test]
+fn the_second_crash_quarantines_a_content() {
+    let (mut crashes, fleet) = (Crashes::default(), fleet(4));
+    assert_eq!(crashes.admission(CONTENT, &fleet, ms(1000)), Admission::Unrestricted);
+    record(&mut crashes, CONTENT, 0, ms(1000));
+    assert_eq!(crashes.admission(CONTENT, &fleet, ms(1000)), Admission::Suspect);
+    record(&mut crashes, CONTENT, 1, ms(1010));
+    assert!(is_quarantined(&crashes, CONTENT, &fleet, ms(1010)));
+    assert_eq!(crashes.admission("other", &fleet, ms(1010)), Admission::Unrestricted);
+}
+
+/// Guards against two broken connections to one upstream that count as two crashes.
+#[test]
+fn an_upstream_counts_once() {
+    let (mut crashes, fleet) = (Crashes::default(), fleet(4));
+    (0..5).for_each(|n| record(&mut crashes, CONTENT, 0, ms(1000 + n)));
+    assert_eq!(crashes.admission(CONTENT, &fleet, ms(1100)), Admission::Suspect);
+}
+
+/// Guards against the quarantine of a request whose responses were lost on the way while its upstreams went on.
+#[test]
+fn an_upstream_that_announces_itself_again_has_not_crashed() {
+    let (mut crashes, mut fleet) = (Crashes::default(), fleet(4));
+    record(&mut crashes, CONTENT, 0, ms(1000));
+    record(&mut crashes, CONTENT, 1, ms(1010));
+    // Sent before the crash and still on its way.
+    announce(&mut fleet, 0, 1, 2, ms(1100));
+    assert!(is_quarantined(&crashes, CONTENT, &fleet, ms(1100)));
+    announce(&mut fleet, 0, 1, 3, ms(2200));
+    assert_eq!(crashes.admission(CONTENT, &fleet, ms(2200)), Admission::Suspect);
+    announce(&mut fleet, 1, 1, 2, ms(2300));
+    assert_eq!(crashes.admission(CONTENT, &fleet, ms(2300)), Admission::Unrestricted);
+}
+
+/// Guards against a crash that no longer counts because a delayed announcement of the same start arrived after it.
+#[test]
+fn another_start_of_the_upstream_proves_the_crash() {
+    let (mut crashes, mut fleet) = (Crashes::default(), fleet(4));
+    record(&mut crashes, CONTENT, 0, ms(1000));
+    record(&mut crashes, CONTENT, 1, ms(1010));
+    announce(&mut fleet, 0, 1, 2, ms(3000));
+    assert!(!is_quarantined(&crashes, CONTENT, &fleet, ms(3000)));
+    announce(&mut fleet, 0, 2, 1, ms(4000));
+    assert!(is_quarantined(&crashes, CONTENT, &fleet, ms(4000)));
+}
+
+/// Guards against a caller that is sent away for a minute although the evidence may be withdrawn within seconds, and
+/// against one that is told to come back in seconds for nothing.
+#[test]
+fn the_time_of_the_next_try_depends_on_what_is_proved() {
+    let (mut crashes, mut fleet) = (Crashes::default(), fleet(4));
+    record(&mut crashes, CONTENT, 0, ms(1000));
+    record(&mut crashes, CONTENT, 1, ms(1000));
+    assert_eq!(crashes.admission(CONTENT, &fleet, ms(1500)), Admission::Quarantined(ms(3500)));
+    announce(&mut fleet, 0, 2, 1, ms(4000));
+    announce(&mut fleet, 1, 2, 1, ms(4000));
+    assert_eq!(crashes.admission(CONTENT, &fleet, ms(4000)), Admission::Quarantined(ms(61_000)));
+}
+
+/// Guards against the quarantine of requests that were in flight when a failure domain was lost: they were tried on two
+/// of its upstreams, but not on all.
+#[test]
+fn upstreams_lost_together_are_weak_evidence() {
+    let (mut crashes, fleet) = (Crashes::default(), fleet(6));
+    record(&mut crashes, "innocent-a", 0, ms(1000));
+    record(&mut crashes, "innocent-b", 2, ms(1000));
+    record(&mut crashes, "innocent-a", 1, ms(1005));
+    assert_eq!(crashes.admission("innocent-a", &fleet, ms(1005)), Admission::Suspect);
+    assert_eq!(crashes.admission("innocent-b", &fleet, ms(1005)), Admission::Suspect);
+}
+
+/// Guards against content that is never quarantined because other losses always explain its crashes.
+#[test]
+fn four_crashes_quarantine_a_content_in_any_case() {
+    let (mut crashes, fleet) = (Crashes::default(), fleet(8));
+    for n in 0..4 {
+        assert!(!is_quarantined(&crashes, CONTENT, &fleet, ms(1000 * n + 1)), "after {n} crashes");
+        record(&mut crashes, CONTENT, n, ms(1000 * n));
+        record(&mut crashes, "innocent", 4 + n, ms(1000 * n));
+    }
+    assert!(is_quarantined(&crashes, CONTENT, &fleet, ms(3001)));
+}
+
+/// Guards against the quarantine of an innocent request that many callers send: it runs again and again between two
+/// unrelated crashes.
+#[test]
+fn a_completed_run_withdraws_earlier_crashes() {
+    let (mut crashes, fleet) = (Crashes::default(), fleet(4));
+    record(&mut crashes, CONTENT, 0, ms(1000));
+    assert!(crashes.record_completion(CONTENT, ms(2000)));
+    assert_eq!(crashes.admission(CONTENT, &fleet, ms(2000)), Admission::Unrestricted);
+    record(&mut crashes, CONTENT, 1, ms(9000));
+    assert_eq!(crashes.admission(CONTENT, &fleet, ms(9000)), Admission::Suspect);
+    // A report of the earlier crash that took a detour does not count any more.
+    record(&mut crashes, CONTENT, 0, ms(1000));
+    assert_eq!(crashes.admission(CONTENT, &fleet, ms(9000)), Admission::Suspect);
+}
+
+/// Guards against a silent upstream that counts as crashed while it is merely slow, and against a request that makes one
+/// upstream after another fall silent.
+#[test]
+fn silence_counts_once_the_upstream_has_been_replaced() {
+    let (mut crashes, mut fleet) = (Crashes::default(), fleet(4));
+    for n in 0..4 {
+        crashes.record(&Rc::from(CONTENT), &key(n), ms(1000), Observation::Silence);
+    }
+    assert_eq!(crashes.admission(CONTENT, &fleet, ms(1000)), Admission::Unrestricted);
+    (0..3).for_each(|n| announce(&mut fleet, n, 2, 1, ms(5000)));
+    assert_eq!(crashes.admission(CONTENT, &fleet, ms(5000)), Admission::Suspect);
+    announce(&mut fleet, 3, 2, 1, ms(5000));
+    assert!(is_quarantined(&crashes, CONTENT, &fleet, ms(5000)));
+}
+
+/// Guards against a quarantine that never ends for innocent content, and against content that crashes an upstream every
+/// minute.
+#[test]
+fn each_further_crash_doubles_the_quarantine() {
+    let mut crashes = Crashes::default();
+    // No upstream is known any more, so all crashes are proved.
+    let fleet = Fleet::default();
+    let mut at = ms(1000);
+    record(&mut crashes, CONTENT, 0, at);
+    record(&mut crashes, CONTENT, 1, at);
+    for (n, seconds) in [(2, 60), (3, 120), (4, 240), (5, 480), (6, 600), (7, 600)] {
+        let end = at + Duration::from_secs(seconds);
+        assert!(is_quarantined(&crashes, CONTENT, &fleet, end - ms(1)), "crash {n}");
+        assert_eq!(crashes.admission(CONTENT, &fleet, end), Admission::Suspect, "crash {n}");
+        crashes.expire(end);
+        at = end;
+        record(&mut crashes, CONTENT, n, at);
+    }
+    crashes.expire(at + RETENTION * 2);
+    assert!(crashes.is_empty());
+}
+
+/// Guards against unbounded memory, and against a new crash that is forgotten instead of an old one.
+#[test]
+fn the_oldest_contents_are_evicted() {
+    let (mut crashes, fleet) = (Crashes::default(), fleet(4));
+    for n in 0..5000 {
+        record(&mut crashes, &format!("content-{n}"), 0, ms(n));
+    }
+    assert_eq!(crashes.len(), 4096);
+    assert_eq!(crashes.admission("content-4999", &fleet, ms(5000)), Admission::Suspect);
+}
+
+/// Guards against reports that a store sends back and forth, or does not pass on.
+#[rstest]
+#[case::observed_here(true)]
+#[case::from_another_store(false)]
+fn reports_of_other_stores_are_not_passed_to_stores(#[case] direct: bool) {
+    let mut origin = Crashes::default();
+    record(&mut origin, CONTENT, 0, ms(1000));
+    let report = origin.since(0, true).next().unwrap();
+    let mut store = Crashes::default();
+    assert!(store.merge(report.clone(), ms(1001), direct));
+    assert_eq!(store.since(0, false).next().as_ref(), Some(&report));
+    assert_eq!(store.since(0, true).count(), usize::from(direct));
+    assert_eq!(store.changed_since(0, true), direct);
+    let cursor = store.cursor();
+    assert!(!store.merge(report, ms(1002), direct), "the same report changes nothing");
+    assert!(!store.changed_since(cursor, false));
+}
+
+proptest! {
+    /// Guards against gateways that disagree because reports reached them in another order or more than once.
+    #[test]
+    fn the_order_of_reports_does_not_matter(
+        events in prop::collection::vec((0..3_u64, 0..6_u64, 0..20_u64, prop::bool::ANY), 1..20),
+        order in prop::collection::vec(0..40_usize, 0..60),
+    ) {
+        let mut origin = Crashes::default();
+        let mut reports = Vec::new();
+        for (content, upstream, at, completes) in events {
+            let (content, at) = (format!("content-{content}"), ms(at * 500));
+            if completes {
+                origin.record_completion(&content, at);
+            } else {
+                record(&mut origin, &content, upstream, at);
+            }
+            reports.extend(origin.since(0, false));
+        }
+        let fleet = fleet(6);
+        let mut copy = Crashes::default();
+        for at in order {
+            if let Some(report) = reports.get(at % reports.len().max(1)) {
+                copy.merge(report.clone(), ms(10_000), false);
+            }
+        }
+        for report in origin.since(0, false) {
+            copy.merge(report, ms(10_000), false);
+        }
+        for content in 0..3 {
+            let content = format!("content-{content}");
+            prop_assert_eq!(
+                origin.admission(&content, &fleet, ms(10_000)),
+                copy.admission(&content, &fleet, ms(10_000))
+            );
+        }
+    }
+}
