Gateways count crashes against the content and refuse what has crashed two upstreams

What callers saw: a request that crashes each upstream that begins to run it was sent to one upstream after another, for as long as its caller repeated it, and other requests found no upstream left (BUDGET).

Cause: a gateway knew a request only by the ID of one attempt. A repeat has a new ID, so that it went to max_attempts upstreams again, at this gateway or any other.

Why it works: an attempt that ends without a response is recorded by fingerprint of the content and reported to the store that the gateway follows. Stores pass reports on at once to each other and to all gateways, and to those that start later. A report is sent again to the next store until it is acknowledged. Suspects get no parallel second attempt. A quarantined request is refused before it is sent, as 503 with Retry-After: it has not run, and the platform's callers do not take 422 as such.

--- a/orioleworks_fleet/src/convert.rs
+++ b/orioleworks_fleet/src/convert.rs
@@ -1,14 +1,16 @@
-//! Conversion of upstreams between the inner protocol and the routing types.
+//! Conversion of upstreams and of their crashes between the inner protocol and the routing types.
 
 use std::{rc::Rc, time::Duration};
 
 use orioleworks_proto::inner;
-use orioleworks_routing::fleet::{Known, Upstream};
+use orioleworks_routing::{
+    crashes::{Crash, Observation, Report},
+    fleet::{Known, Upstream},
+};
 
 /// Message for a known upstream.
 pub fn to_message(known: &Known, now: Duration) -> inner::Upstream {
     let up = &known.upstream;
-    let ms = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
     let models = up.models.iter().map(|(model, version)| inner::ModelVersion {
         model: model.to_string(),
         version: *version,
@@ -22,9 +24,9 @@
         domain: up.domain.to_string(),
         slots: up.slots,
         leaving: up.leaving,
-        cold_ms: ms(up.cold),
+        cold_ms: millis(up.cold),
         models: models.collect(),
-        age_ms: ms(now.saturating_sub(known.last_seen)),
+        age_ms: millis(now.saturating_sub(known.last_seen)),
     }
 }
 
@@ -46,3 +48,47 @@
     };
     (up, last_seen)
 }
+
+/// Message for what is known of a content.
+pub fn to_crash_message(report: &Report, now: Duration) -> inner::ContentCrashes {
+    let age = |at: Duration| millis(now.saturating_sub(at));
+    let crashes = report.crashes.iter().map(|((id, incarnation), crash)| inner::UpstreamCrash {
+        upstream: id.to_string(),
+        incarnation: *incarnation,
+        age_ms: age(crash.at),
+        observation: match crash.observation {
+            Observation::Silence => inner::CrashObservation::Silence,
+            Observation::BrokenMidway => inner::CrashObservation::BrokenMidway,
+            Observation::BrokenAtStart => inner::CrashObservation::BrokenAtStart,
+        }
+        .into(),
+    });
+    inner::ContentCrashes {
+        fingerprint: report.fingerprint.to_string(),
+        crashes: crashes.collect(),
+        completed_age_ms: report.completed_at.map(age),
+    }
+}
+
+/// What a message tells of a content. An observation that this version does not know counts as silence.
+pub fn from_crash_message(message: inner::ContentCrashes, now: Duration) -> Report {
+    let time = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
+    let crashes = message.crashes.into_iter().map(|crash| {
+        let observation = match crash.observation() {
+            inner::CrashObservation::Silence => Observation::Silence,
+            inner::CrashObservation::BrokenMidway => Observation::BrokenMidway,
+            inner::CrashObservation::BrokenAtStart => Observation::BrokenAtStart,
+        };
+        let at = time(crash.age_ms);
+        ((Rc::from(crash.upstream), crash.incarnation), Crash { at, observation })
+    });
+    Report {
+        fingerprint: message.fingerprint.into(),
+        crashes: crashes.collect(),
+        completed_at: message.completed_age_ms.map(time),
+    }
+}
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/orioleworks_fleet/src/watch.rs
+++ b/orioleworks_fleet/src/watch.rs
@@ -7,7 +7,10 @@
     rpc::{self, RpcError},
 };
 use orioleworks_proto::inner::{self, frame::Body};
-use orioleworks_routing::fleet::{AnnounceOutcome, Fleet};
+use orioleworks_routing::{
+    crashes::Crashes,
+    fleet::{AnnounceOutcome, Fleet},
+};
 
 use crate::convert;
 
@@ -21,6 +24,7 @@
 pub struct Position {
     boot: u64,
     cursor: u64,
+    crash_cursor: u64,
 }
 
 /// What a watcher already knows, and what it wants.
@@ -34,7 +38,16 @@
     pub direct_only: bool,
 }
 
-/// Sends one watch request and merges the upstreams of the reply into `fleet`. The flag tells whether that changed it.
+/// What a watcher knows of upstreams; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct Knowledge {
+    /// Known upstreams.
+    pub fleet: Rc<RefCell<Fleet>>,
+    /// Contents that may have crashed upstreams.
+    pub crashes: Rc<RefCell<Crashes>>,
+}
+
+/// Sends one watch request and merges the reply into `knowledge`. The flag tells whether that changed anything.
 ///
 /// # Errors
 ///
@@ -43,7 +56,7 @@
     client: &rpc::Client,
     position: &mut Position,
     state: WatcherState,
-    fleet: &Rc<RefCell<Fleet>>,
+    knowledge: &Knowledge,
 ) -> Result<(inner::FleetReply, bool), RpcError> {
     let watch = inner::FleetWatch {
         document_version: state.document_version,
@@ -52,18 +65,25 @@
         wait_ms: u32::try_from(MAX_WAIT.as_millis()).unwrap_or(u32::MAX),
         direct_only: state.direct_only,
         leader_address: state.leader_address,
+        crash_cursor: Some(position.crash_cursor),
     };
     let Body::FleetReply(mut reply) =
         client.call(Body::FleetWatch(watch), MAX_WAIT + REPLY_SLACK).await?
     else {
         return Err(RpcError::Unexpected);
     };
-    *position = Position { boot: reply.store_boot, cursor: reply.cursor };
+    *position =
+        Position { boot: reply.store_boot, cursor: reply.cursor, crash_cursor: reply.crash_cursor };
     let now = clock::since_boot();
     let mut changed = false;
     for message in std::mem::take(&mut reply.upstreams) {
         let (up, last_seen) = convert::from_message(message, now);
-        changed |= fleet.borrow_mut().announce(last_seen, up, false) == AnnounceOutcome::Changed;
+        let outcome = knowledge.fleet.borrow_mut().announce(last_seen, up, false);
+        changed |= outcome == AnnounceOutcome::Changed;
+    }
+    for message in std::mem::take(&mut reply.crashes) {
+        let report = convert::from_crash_message(message, now);
+        changed |= knowledge.crashes.borrow_mut().merge(report, now, false);
     }
     Ok((reply, changed))
 }
--- a/orioleworks_gateway/src/callers.rs
+++ b/orioleworks_gateway/src/callers.rs
@@ -145,6 +145,7 @@
         retry_after_ms = refusal.retry_after.as_millis(),
     );
     let mut response = server::error(refusal.code, &refusal.detail, 0);
+    *response.status_mut() = caller::refusal_status(refusal.code);
     if !refusal.retry_after.is_zero() {
         let value = caller::retry_after(refusal.retry_after);
         response.headers_mut().insert(header::RETRY_AFTER, value);
--- a/orioleworks_gateway/src/forward.rs
+++ b/orioleworks_gateway/src/forward.rs
@@ -22,7 +22,12 @@
 use orioleworks_fleet::pool::{Exchange, SendError};
 use orioleworks_platform::upstream::{self, Verdict};
 use orioleworks_proto::codes::ResultCode;
-use orioleworks_routing::{fleet::Upstream, outlier::Key, routes::Route};
+use orioleworks_routing::{
+    crashes::{Admission, Observation},
+    fleet::Upstream,
+    outlier::Key,
+    routes::Route,
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -67,6 +72,8 @@
     NotRun(String),
     /// The request may have run.
     Unknown(String),
+    /// The request may have run, and its upstream may have crashed under it.
+    NoResponse(Observation, String),
 }
 
 /// A caller's request as it is sent to upstreams.
@@ -118,7 +125,7 @@
     tried: Vec<Key>,
     /// Attempts that ran or may have run, plus those in flight.
     runs: u32,
-    in_flight: u32,
+    in_flight: Vec<Key>,
     refusals: usize,
     tx: mpsc::UnboundedSender<EndedAttempt>,
     cancel: CancellationToken,
@@ -150,7 +157,7 @@
         deadline,
         tried: Vec::new(),
         runs: 0,
-        in_flight: 0,
+        in_flight: Vec::new(),
         refusals: 0,
         tx,
         cancel,
@@ -169,6 +176,9 @@
         &mut self,
         rx: &mut mpsc::UnboundedReceiver<EndedAttempt>,
     ) -> Result<server::Response, Refusal> {
+        if let Admission::Quarantined(retry_at) = self.admission() {
+            return Err(self.quarantine_refusal(retry_at));
+        }
         if !self.start() {
             let detail = format!("service {}", self.service);
             return Err(Refusal::new(ResultCode::NoUpstream, detail, NO_UPSTREAM_RETRY));
@@ -179,14 +189,20 @@
             let now = Instant::now();
             let second_attempt_at =
                 self.context.arrived + self.route.latency_objective * SECOND_ATTEMPT_PERCENT / 100;
-            let hedge =
-                self.may_repeat() && self.in_flight == 1 && second_attempt_at < self.deadline;
+            // Two attempts at the same time could crash two upstreams.
+            let hedge = self.may_repeat()
+                && self.in_flight.len() == 1
+                && second_attempt_at < self.deadline
+                && self.admission() == Admission::Unrestricted;
             let wake = if hedge { second_attempt_at } else { self.deadline };
             let mut timer =
                 std::pin::pin!(compio::time::sleep(wake.saturating_duration_since(now)).fuse());
             let attempt = select! { attempt = rx.next() => attempt, () = timer => None };
             let Some(attempt) = attempt else {
                 if Instant::now() >= self.deadline {
+                    for key in &self.in_flight {
+                        self.record_crash(key, Observation::Silence);
+                    }
                     return Err(self.deadline_refusal());
                 }
                 if self.view.try_retry(&self.route.name) && self.start() {
@@ -203,18 +219,20 @@
                 }
                 continue;
             };
-            self.in_flight -= 1;
+            self.in_flight.retain(|key| *key != attempt.key);
             match attempt.end {
                 AttemptEnd::Stream(exchange) => {
                     self.log_response(&attempt.upstream.id);
                     return Ok(self.stream(*exchange, attempt.key));
                 }
                 AttemptEnd::Complete(head, body) if !head.status.is_server_error() => {
+                    self.view.crashes.record_completion(&self.content, &self.context.id);
                     self.view.record_success(&self.route.name);
                     self.log_response(&attempt.upstream.id);
                     return Ok(complete_response(head, body));
                 }
                 AttemptEnd::Complete(head, body) => {
+                    self.view.crashes.record_completion(&self.content, &self.context.id);
                     reason = format!("status {}", head.status.as_u16());
                     failure = Some((head, body));
                 }
@@ -224,6 +242,10 @@
                     reason = why;
                 }
                 AttemptEnd::Unknown(why) => reason = why,
+                AttemptEnd::NoResponse(observation, why) => {
+                    self.record_crash(&attempt.key, observation);
+                    reason = why;
+                }
             }
             event!(
                 info,
@@ -235,7 +257,7 @@
                 attempt = self.tried.len(),
                 ms = self.context.arrived.elapsed().as_millis(),
             );
-            if self.in_flight > 0 {
+            if !self.in_flight.is_empty() {
                 continue;
             }
             let not_run = self.runs == 0;
@@ -244,7 +266,8 @@
             } else {
                 self.may_repeat() && self.view.try_retry(&self.route.name)
             };
-            if retry && self.start() {
+            let quarantined = matches!(self.admission(), Admission::Quarantined(_));
+            if retry && !quarantined && self.start() {
                 continue;
             }
             return match failure {
@@ -275,10 +298,24 @@
 
     fn deadline_refusal(&self) -> Refusal {
         let tried: Vec<&str> = self.tried.iter().map(|(id, _)| &**id).collect();
-        let detail = format!("{} in flight at {}", self.in_flight, tried.join(" "));
+        let detail = format!("{} in flight at {}", self.in_flight.len(), tried.join(" "));
         Refusal::new(ResultCode::DeadlineExceeded, detail, Duration::ZERO)
     }
 
+    fn admission(&self) -> Admission {
+        self.view.crashes.admission(&self.content)
+    }
+
+    fn record_crash(&self, upstream: &Key, observation: Observation) {
+        self.view.crashes.record(&self.content, &self.context.id, upstream, observation);
+    }
+
+    fn quarantine_refusal(&self, retry_at: Duration) -> Refusal {
+        let detail = format!("content {}", fingerprint::logged(self.content.fingerprint()));
+        let retry_after = retry_at.saturating_sub(clock::since_boot());
+        Refusal::new(ResultCode::Quarantined, detail, retry_after)
+    }
+
     fn may_repeat(&self) -> bool {
         self.route.idempotent && self.runs < self.route.max_attempts
     }
@@ -289,7 +326,7 @@
         let key: Key = (upstream.id.clone(), upstream.incarnation);
         self.tried.push(key.clone());
         self.runs += 1;
-        self.in_flight += 1;
+        self.in_flight.push(key.clone());
         let attempt = Attempt {
             view: self.view.clone(),
             route: self.route.name.clone(),
@@ -325,12 +362,18 @@
         let (mut tx, rx) = mpsc::channel::<Result<Frame<Bytes>, io::Error>>(STREAM_QUEUE_CHUNKS);
         let head = response_head(&exchange.head);
         let (view, route, id) = (self.view.clone(), self.route.clone(), self.context.id.clone());
+        let content = self.content.clone();
         runtime::spawn(async move {
+            let mut observation = Observation::BrokenAtStart;
             loop {
                 let part = match exchange.next().await {
-                    Ok(Some(part)) => Ok(Frame::data(part)),
+                    Ok(Some(part)) => {
+                        observation = Observation::BrokenMidway;
+                        Ok(Frame::data(part))
+                    }
                     Ok(None) => {
                         view.record_success(&route.name);
+                        view.crashes.record_completion(&content, &id);
                         exchange.return_to_pool();
                         return;
                     }
@@ -340,6 +383,7 @@
                 if broken {
                     event!(info, "stream_broken", request = id, upstream = key.0);
                     view.outliers.borrow_mut().failed(&key, clock::since_boot());
+                    view.crashes.record(&content, &id, &key, observation);
                 }
                 if tx.send(part).await.is_err() || broken {
                     return;
@@ -384,9 +428,14 @@
                 Ok(exchange) => exchange,
                 Err(e) => {
                     self.record_failure();
-                    return match e {
-                        SendError::NotSent(why) => AttemptEnd::NotRun(why),
-                        other => AttemptEnd::Unknown(other.to_string()),
+                    return match &e {
+                        SendError::NotSent(why) => AttemptEnd::NotRun(why.clone()),
+                        SendError::Timeout => {
+                            AttemptEnd::NoResponse(Observation::Silence, e.to_string())
+                        }
+                        SendError::Broken(_) => {
+                            AttemptEnd::NoResponse(Observation::BrokenAtStart, e.to_string())
+                        }
                     };
                 }
             };
@@ -425,7 +474,11 @@
             }
             Err(e) => {
                 self.record_failure();
-                AttemptEnd::Unknown(e.to_string())
+                let observation = match &e {
+                    SendError::Broken(_) => Observation::BrokenMidway,
+                    SendError::NotSent(_) | SendError::Timeout => Observation::Silence,
+                };
+                AttemptEnd::NoResponse(observation, e.to_string())
             }
         }
     }
@@ -441,7 +494,7 @@
         Some(AttemptEnd::Complete(head, _)) if head.status.is_server_error() => "failed",
         Some(AttemptEnd::Complete(..) | AttemptEnd::Stream(_)) => "answered",
         Some(AttemptEnd::NotRun(_)) => "not_run",
-        Some(AttemptEnd::Unknown(_)) => "unknown",
+        Some(AttemptEnd::Unknown(_) | AttemptEnd::NoResponse(..)) => "unknown",
         None => "cancelled",
     }
 }
--- a/orioleworks_gateway/src/lib.rs
+++ b/orioleworks_gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod callers;
 pub mod cli;
 pub mod config;
+pub mod crashes;
 pub mod forward;
 pub mod telemetry;
 pub mod view;
--- a/orioleworks_gateway/src/telemetry.rs
+++ b/orioleworks_gateway/src/telemetry.rs
@@ -84,9 +84,10 @@
 
 /// Publishes the state of the view and its age.
 pub fn publish(view: &View) {
-    let (fresh, stale) = view.fleet.borrow().count(clock::since_boot());
+    let (fresh, stale) = view.knowledge.fleet.borrow().count(clock::since_boot());
     metrics::gauge!("orioleworks_upstreams", "heard" => "lately").set(fresh as f64);
     metrics::gauge!("orioleworks_upstreams", "heard" => "earlier").set(stale as f64);
+    metrics::gauge!("orioleworks_suspect_contents").set(view.crashes.count() as f64);
     metrics::gauge!("orioleworks_document_version").set(view.document_version() as f64);
     metrics::gauge!("orioleworks_view_age_seconds").set(view.age().as_secs_f64());
 }
--- a/orioleworks_gateway/src/view.rs
+++ b/orioleworks_gateway/src/view.rs
@@ -8,17 +8,17 @@
 };
 
 use orioleworks_daemon::{clock, event};
-use orioleworks_fleet::{pool::Pool, stores::Stores};
+use orioleworks_fleet::{pool::Pool, stores::Stores, watch::Knowledge};
 use orioleworks_platform::document;
 use orioleworks_proto::inner;
 use orioleworks_routing::{
     budget::{self, Budget},
-    fleet::{Fleet, Upstream},
+    fleet::Upstream,
     outlier::{Candidate, Key, Outliers},
     routes::RouteTable,
 };
 
-use crate::{config::Config, telemetry};
+use crate::{config::Config, crashes::ContentCrashes, telemetry};
 
 /// Second attempts allowed per recent successes, in percent. When one of three replicas fails, a third of the requests
 /// fail until it is excluded.
@@ -38,8 +38,10 @@
 pub struct View {
     /// Settings of the process.
     pub cfg: Rc<Config>,
-    /// Known upstreams.
-    pub fleet: Rc<RefCell<Fleet>>,
+    /// What is known from stores and from this gateway's requests.
+    pub knowledge: Knowledge,
+    /// Contents that may have crashed upstreams.
+    pub crashes: ContentCrashes,
     /// Health of upstreams as observed by this gateway's requests.
     pub outliers: Rc<RefCell<Outliers>>,
     /// Stores.
@@ -52,16 +54,18 @@
     started: Instant,
     /// Time of the newest reply from a store that knows a leader.
     last_current: Rc<Cell<Instant>>,
+    followed_store: Rc<RefCell<Option<String>>>,
 }
 
 impl View {
     /// Creates a view without routes and upstreams.
     pub fn new(cfg: Config) -> Self {
-        let stores = Stores::default();
+        let (stores, knowledge) = (Stores::default(), Knowledge::default());
         stores.set_seeds(cfg.seed_addresses());
         Self {
             cfg: Rc::new(cfg),
-            fleet: Rc::default(),
+            crashes: ContentCrashes::new(knowledge.clone()),
+            knowledge,
             outliers: Rc::default(),
             stores,
             pool: Pool::default(),
@@ -70,6 +74,7 @@
             draining: Rc::default(),
             started: Instant::now(),
             last_current: Rc::new(Cell::new(Instant::now())),
+            followed_store: Rc::default(),
         }
     }
 
@@ -99,8 +104,17 @@
     }
 
     /// Records that a store that knows a leader has replied.
-    pub fn mark_current(&self) {
+    pub fn mark_current(&self, store: &str) {
         self.last_current.set(Instant::now());
+        let mut followed = self.followed_store.borrow_mut();
+        if followed.as_deref() != Some(store) {
+            *followed = Some(store.to_owned());
+        }
+    }
+
+    /// Address of the store that last replied and knows a leader.
+    pub fn followed_store(&self) -> Option<String> {
+        self.followed_store.borrow().clone()
     }
 
     /// Time since the last reply from a store that knows a leader.
@@ -146,7 +160,7 @@
     /// Best upstream of a service, without those already tried.
     pub fn choose(&self, service: &str, tried: &[Key]) -> Option<Rc<Upstream>> {
         let now = clock::since_boot();
-        let fleet = self.fleet.borrow();
+        let fleet = self.knowledge.fleet.borrow();
         let domain = &*self.cfg.instance.failure_domain;
         let candidates: Vec<Candidate> = fleet
             .serving(service, now)
@@ -184,8 +198,9 @@
     /// Drops expired state and publishes the metrics.
     pub fn run_housekeeping(&self) {
         let now = clock::since_boot();
-        self.fleet.borrow_mut().remove_expired(now);
-        let fleet = self.fleet.borrow();
+        self.knowledge.fleet.borrow_mut().remove_expired(now);
+        self.crashes.expire();
+        let fleet = self.knowledge.fleet.borrow();
         let known =
             |id: &str, start: u64| fleet.get(id).is_some_and(|k| k.upstream.incarnation == start);
         self.outliers.borrow_mut().retain(|(id, start)| known(id, *start));
--- a/orioleworks_gateway/src/watch.rs
+++ b/orioleworks_gateway/src/watch.rs
@@ -45,7 +45,7 @@
             direct_only: false,
         };
         let client = view.stores.client(address);
-        let current = match watch::poll(&client, &mut position, state, &view.fleet).await {
+        let current = match watch::poll(&client, &mut position, state, &view.knowledge).await {
             Ok((reply, _)) => {
                 view.stores.set_members(reply.stores);
                 if reply.current {
@@ -61,7 +61,7 @@
         };
         match current {
             Ok(()) => {
-                view.mark_current();
+                view.mark_current(address);
                 if let Some(since) = lost_since.take() {
                     let ms = since.elapsed().as_millis();
                     event!(info, "store_regained", peer = address, gone_ms = ms);
--- a/orioleworks_store/src/peers.rs
+++ b/orioleworks_store/src/peers.rs
@@ -1,4 +1,4 @@
-//! Watches the other stores for the upstreams that announced themselves there.
+//! Watches the other stores for the upstreams that announced themselves there, and for the crashes reported there.
 
 use std::{cell::RefCell, collections::HashSet, rc::Rc, time::Duration};
 
@@ -6,10 +6,9 @@
 use orioleworks_daemon::event;
 use orioleworks_fleet::{
     stores::Stores,
-    watch::{self, Position, WatcherState},
+    watch::{self, Knowledge, Position, WatcherState},
 };
 use orioleworks_log::{Log, notify::Notify};
-use orioleworks_routing::fleet::Fleet;
 use tokio_util::sync::CancellationToken;
 
 /// Pause after a watch that failed.
@@ -21,7 +20,7 @@
 pub async fn watch_all(
     log: Log,
     stores: Stores,
-    fleet: Rc<RefCell<Fleet>>,
+    knowledge: Knowledge,
     wake: Notify,
     token: CancellationToken,
 ) {
@@ -35,11 +34,11 @@
             if !watched.borrow_mut().insert(address.clone()) {
                 continue;
             }
-            let (log, stores, fleet) = (log.clone(), stores.clone(), fleet.clone());
+            let (log, stores, knowledge) = (log.clone(), stores.clone(), knowledge.clone());
             let (wake, token) = (wake.clone(), token.clone());
             let (address, watched) = (address.clone(), watched.clone());
             runtime::spawn(async move {
-                watch_one(&log, &stores, &address, &fleet, &wake, &token).await;
+                watch_one(&log, &stores, &address, &knowledge, &wake, &token).await;
                 watched.borrow_mut().remove(&address);
             })
             .detach();
@@ -52,7 +51,7 @@
     log: &Log,
     stores: &Stores,
     address: &str,
-    fleet: &Rc<RefCell<Fleet>>,
+    knowledge: &Knowledge,
     wake: &Notify,
     token: &CancellationToken,
 ) {
@@ -69,7 +68,7 @@
             direct_only: true,
             ..WatcherState::default()
         };
-        match watch::poll(&client, &mut position, state, fleet).await {
+        match watch::poll(&client, &mut position, state, knowledge).await {
             Ok((_, changed)) => {
                 if !reached {
                     event!(info, "store_regained", peer = address);
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -12,6 +12,7 @@
     convert,
     pool::Pool,
     stores::{self, CallOutcome, Stores},
+    watch::Knowledge,
 };
 use orioleworks_log::{Log, LogError, Machine, node::MAX_COMMAND_BYTES, notify::Notify};
 use orioleworks_platform::document;
@@ -66,8 +67,9 @@
         log.set_retired(state.borrow().retired().iter().cloned());
         let stores = Stores::default();
         stores.set_seeds(cfg.seed_addresses());
-        let (fleet, engines) = (Rc::default(), Rc::default());
-        let shared = Shared { log, state, fleet, table, engines, pool: Pool::default(), wake };
+        let Knowledge { fleet, crashes } = Knowledge::default();
+        let (engines, pool) = (Rc::default(), Pool::default());
+        let shared = Shared { log, state, fleet, crashes, table, engines, pool, wake };
         let dispatch = Dispatch::new(shared.clone());
         let lease = Duration::from_millis(cfg.orders.lease_ms);
         let orders = Orders::new(&cfg.instance.name, lease, shared.clone(), dispatch.clone());
@@ -80,10 +82,11 @@
         self.shared.log.start();
         self.dispatch.start(token);
         self.orders.start(token);
-        let (log, stores, fleet) =
-            (self.shared.log.clone(), self.stores.clone(), self.shared.fleet.clone());
+        let (log, stores) = (self.shared.log.clone(), self.stores.clone());
+        let (fleet, crashes) = (self.shared.fleet.clone(), self.shared.crashes.clone());
+        let knowledge = Knowledge { fleet, crashes };
         let (wake, stop) = (self.shared.wake.clone(), token.clone());
-        runtime::spawn(peers::watch_all(log, stores, fleet, wake, stop)).detach();
+        runtime::spawn(peers::watch_all(log, stores, knowledge, wake, stop)).detach();
         let (this, stop) = (self.clone(), token.clone());
         runtime::spawn(async move { this.run_housekeeping(stop).await }).detach();
     }
@@ -91,6 +94,7 @@
     async fn run_housekeeping(&self, token: CancellationToken) {
         while !token.is_cancelled() {
             self.remove_expired_upstreams();
+            self.shared.crashes.borrow_mut().expire(clock::since_boot());
             self.shared.pool.close_expired();
             telemetry::publish(&self.shared, &self.dispatch);
             self.shared.log.set_retired(self.shared.state.borrow().retired().iter().cloned());
@@ -122,6 +126,10 @@
         match body {
             Body::Propose(propose) => Some(Body::ProposeReply(self.propose_locally(propose).await)),
             Body::FleetWatch(watch) => Some(Body::FleetReply(self.watch(watch).await)),
+            Body::ReportCrashes(report) => {
+                self.merge_crashes(report.contents);
+                Some(Body::ReportCrashesReply(inner::ReportCrashesReply {}))
+            }
             Body::ReadBatch(read) => Some(Body::ReadBatchReply(self.read_batch(read).await)),
             Body::ReadItem(read) => Some(Body::ReadItemReply(self.read_item(read).await)),
             Body::ReadDocument(_) => {
@@ -275,14 +283,34 @@
         }
     }
 
+    /// Merges what a gateway observed, and passes it on to the watchers at once.
+    fn merge_crashes(&self, contents: Vec<inner::ContentCrashes>) {
+        let now = clock::since_boot();
+        let mut crashes = self.shared.crashes.borrow_mut();
+        let mut changed = false;
+        for content in contents {
+            changed |= crashes.merge(convert::from_crash_message(content, now), now, true);
+        }
+        if changed {
+            self.shared.wake.notify();
+        }
+    }
+
     async fn watch(&self, watch: inner::FleetWatch) -> inner::FleetReply {
-        let known = if watch.store_boot == self.boot { watch.cursor } else { 0 };
+        let same_process = watch.store_boot == self.boot;
+        let known = if same_process { watch.cursor } else { 0 };
+        let known_crashes = watch.crash_cursor.map(|cursor| if same_process { cursor } else { 0 });
+        // A store that has just started may have lost what was once reported to it directly.
+        let direct_crashes_only = watch.direct_only && same_process;
         let deadline = Instant::now() + Duration::from_millis(watch.wait_ms.into()).min(MAX_WAIT);
         loop {
             let seen = self.shared.wake.version();
             let newer = self.shared.state.borrow().document().version > watch.document_version;
+            let crashes_changed = known_crashes.is_some_and(|cursor| {
+                self.shared.crashes.borrow().changed_since(cursor, direct_crashes_only)
+            });
             let urgent =
-                watch.store_boot != self.boot || self.shared.fleet.borrow().urgent_since(known);
+                !same_process || crashes_changed || self.shared.fleet.borrow().urgent_since(known);
             // Another store knows the leader from its log. Replying to it at once while the two differ would make it
             // send requests without a pause.
             let leader =
@@ -298,6 +326,9 @@
         let fleet = self.shared.fleet.borrow();
         let document = state.document();
         let upstreams = fleet.since(known, watch.direct_only).map(|k| convert::to_message(k, now));
+        let crashes = self.shared.crashes.borrow();
+        let changed = known_crashes.map(|cursor| crashes.since(cursor, direct_crashes_only));
+        let changed = changed.into_iter().flatten();
         // Only voters, because a learner may be far behind.
         let mut stores = self.shared.log.voter_addresses();
         if self.shared.log.is_voter() {
@@ -311,6 +342,8 @@
             leader_address: self.shared.log.leader_address(),
             current: self.shared.log.is_current(),
             stores,
+            crashes: changed.map(|report| convert::to_crash_message(&report, now)).collect(),
+            crash_cursor: crashes.cursor(),
         }
     }
 
--- a/orioleworks_store/src/shared.rs
+++ b/orioleworks_store/src/shared.rs
@@ -4,7 +4,7 @@
 
 use orioleworks_fleet::pool::Pool;
 use orioleworks_log::{Log, notify::Notify};
-use orioleworks_routing::{fleet::Fleet, routes::RouteTable};
+use orioleworks_routing::{crashes::Crashes, fleet::Fleet, routes::RouteTable};
 
 use crate::{engines::Engines, state::State};
 
@@ -17,6 +17,8 @@
     pub state: Rc<RefCell<State>>,
     /// Known upstreams.
     pub fleet: Rc<RefCell<Fleet>>,
+    /// Contents that may have crashed upstreams.
+    pub crashes: Rc<RefCell<Crashes>>,
     /// Routes of the newest document.
     pub table: Rc<RefCell<Rc<RouteTable>>>,
     /// State of engines as observed through own requests and orders.
--- a/orioleworks_store/src/telemetry.rs
+++ b/orioleworks_store/src/telemetry.rs
@@ -12,6 +12,7 @@
     let (waiting, running) = dispatch.depth();
     metrics::gauge!("orioleworks_items", "state" => "waiting").set(waiting as f64);
     metrics::gauge!("orioleworks_items", "state" => "running").set(running as f64);
+    metrics::gauge!("orioleworks_suspect_contents").set(shared.crashes.borrow().len() as f64);
     let state = shared.state.borrow();
     metrics::gauge!("orioleworks_open_batches").set(state.open_batches().count() as f64);
     metrics::gauge!("orioleworks_document_version").set(state.document().version as f64);
