Stores count crashes of engines against the item that ran

What callers saw: one item of a batch crashed engine after engine; the other items of the batch lost their runs with each.

Cause: an item whose run ended with its engine was queued again without a count. Only responses with a failure counted.

Only one item that may have crashed an engine starts on an engine at a time, until its first event; so the next crash tells which one it was. A quarantined item stays in the queue until its retention ends, does not count as waiting for weights, and batch_overdue says items_are_quarantined.

--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -18,6 +18,7 @@
 use orioleworks_log::{ProposeError, notify::Notify};
 use orioleworks_proto::inner::{self, command::Kind};
 use orioleworks_routing::{
+    crashes::{self, Admission},
     fleet::{Fleet, Upstream},
     items::{self, Rank},
     outlier::Key,
@@ -58,11 +59,24 @@
     waiting_since: Duration,
     progress: Rc<RefCell<Progress>>,
     failed_attempts: u32,
+    /// Whether the item must not run now, because it crashes engines.
+    quarantined: bool,
 }
 
 struct Running {
     cancel: CancellationToken,
     progress: Rc<RefCell<Progress>>,
+    engine: Key,
+    /// Whether the item may have crashed an engine before.
+    suspect: bool,
+    events_at_start: usize,
+}
+
+impl Running {
+    /// Whether the run has generated nothing yet; a crash of the engine is then most likely due to such a run.
+    fn is_starting(&self) -> bool {
+        self.progress.borrow().event_count() <= self.events_at_start
+    }
 }
 
 #[derive(Default)]
@@ -113,7 +127,9 @@
 
     /// Number of items of a model that wait for an engine.
     pub fn waiting_for(&self, model: &str) -> usize {
-        self.inner.work.borrow().waiting.values().filter(|w| w.batch.model == model).count()
+        let work = self.inner.work.borrow();
+        let waits = |w: &&Waiting| w.batch.model == model && !w.quarantined;
+        work.waiting.values().filter(waits).count()
     }
 
     /// Numbers of items that wait and of items that run.
@@ -186,6 +202,7 @@
                     give_up_at,
                     waiting_since: clock::since_boot(),
                     failed_attempts: item.failed_attempts,
+                    quarantined: false,
                 };
                 work.waiting.insert(rank, waiting);
                 count += 1;
@@ -243,9 +260,27 @@
         }
         // If no engine has room for an item, none has for the other items of its batch that are equally long or short.
         let mut full: HashSet<(Rc<str>, bool)> = HashSet::new();
+        let starting = work.running.values().filter(|r| r.suspect && r.is_starting());
+        let mut starting_suspects: HashSet<Key> = starting.map(|r| r.engine.clone()).collect();
         let ranks: Vec<Rank> = work.waiting.keys().copied().collect();
         for rank in ranks {
-            let Some(waiting) = work.waiting.get(&rank) else { continue };
+            let Some(waiting) = work.waiting.get_mut(&rank) else { continue };
+            let admission = self.admission(&waiting.fingerprint, now);
+            let quarantined = matches!(admission, Admission::Quarantined(_));
+            if std::mem::replace(&mut waiting.quarantined, quarantined) != quarantined {
+                event!(
+                    warn,
+                    "item_quarantine",
+                    item = waiting.key.1,
+                    batch = waiting.key.0,
+                    content = fingerprint::logged(&waiting.fingerprint),
+                    quarantined = quarantined,
+                );
+            }
+            if quarantined {
+                continue;
+            }
+            let suspect = admission == Admission::Suspect;
             let events = waiting.progress.borrow().event_count();
             let left = self.events_left(&waiting.batch, &waiting.item, events);
             let long = items::needs_fast_engine(left);
@@ -253,12 +288,18 @@
             if full.contains(&kind) {
                 continue;
             }
-            match self.choose_engine(waiting, long, now) {
+            // If two suspects started on an engine that crashes, both would look guilty.
+            let excluded = if suspect { &starting_suspects } else { &HashSet::new() };
+            match self.choose_engine(waiting, long, excluded, now) {
                 Some(upstream) => {
+                    if suspect {
+                        starting_suspects.insert(key_of(&upstream));
+                    }
                     if let Some(waiting) = work.waiting.remove(&rank) {
-                        self.start_item(&mut work, rank, waiting, upstream);
+                        self.start_item(&mut work, rank, waiting, upstream, suspect);
                     }
                 }
+                None if suspect => {}
                 None => {
                     full.insert(kind);
                 }
@@ -284,11 +325,14 @@
         for id in overdue {
             work.queued_batches.insert(id.clone(), None);
             let Some(batch) = state.batch(&id) else { continue };
-            let waiting = work.waiting.values().filter(|w| w.key.0 == id).count();
+            let of_batch = |w: &&Waiting| w.key.0 == id;
+            let waiting = work.waiting.values().filter(of_batch).count();
+            let all_quarantined = work.waiting.values().filter(of_batch).all(|w| w.quarantined);
             let running = work.running.keys().filter(|key| key.0 == id).count();
             let engines = self.engines_for(&batch.spec, now);
             let reason = match (waiting, engines) {
                 (0, _) => "items_still_run",
+                _ if all_quarantined => "items_are_quarantined",
                 (_, 0) => "no_engine_has_the_weights",
                 _ => "engines_are_full",
             };
@@ -317,7 +361,18 @@
         fleet.serving(&batch.service, now).filter(|known| holds(&known.upstream)).count()
     }
 
-    fn choose_engine(&self, waiting: &Waiting, long: bool, now: Duration) -> Option<Rc<Upstream>> {
+    fn admission(&self, fingerprint: &str, now: Duration) -> Admission {
+        let crashes = self.inner.shared.crashes.borrow();
+        crashes.admission(fingerprint, &self.inner.shared.fleet.borrow(), now)
+    }
+
+    fn choose_engine(
+        &self,
+        waiting: &Waiting,
+        long: bool,
+        excluded: &HashSet<Key>,
+        now: Duration,
+    ) -> Option<Rc<Upstream>> {
         let fleet = self.inner.shared.fleet.borrow();
         let engines = self.inner.shared.engines.borrow();
         let table = self.inner.shared.table.borrow();
@@ -326,6 +381,7 @@
         let batch = &waiting.batch;
         let mut candidates: Vec<(Rc<Upstream>, bool, items::EngineLoad)> = fleet
             .serving(&batch.service, now)
+            .filter(|known| !excluded.contains(&key_of(&known.upstream)))
             .filter_map(|known| {
                 let group = &waiting.item.group;
                 let load =
@@ -345,14 +401,31 @@
         Some(candidates[at].0.clone())
     }
 
-    fn start_item(&self, work: &mut Work, rank: Rank, waiting: Waiting, upstream: Rc<Upstream>) {
+    fn start_item(
+        &self,
+        work: &mut Work,
+        rank: Rank,
+        waiting: Waiting,
+        upstream: Rc<Upstream>,
+        suspect: bool,
+    ) {
         let key = key_of(&upstream);
+        let version = self.inner.shared.engines.borrow().version(&upstream, &waiting.batch.model);
+        if !waiting.progress.borrow().can_resume(waiting.batch.single_version, version) {
+            waiting.progress.borrow_mut().clear();
+        }
         let tokens = expected_memory(&waiting.item);
         self.inner.shared.engines.borrow_mut().item_started(&key, tokens, &waiting.item.group);
         metrics::histogram!("orioleworks_item_wait_seconds")
             .record(clock::since_boot().saturating_sub(waiting.waiting_since));
         let cancel = CancellationToken::new();
-        let running = Running { cancel: cancel.clone(), progress: waiting.progress.clone() };
+        let running = Running {
+            cancel: cancel.clone(),
+            progress: waiting.progress.clone(),
+            engine: key.clone(),
+            suspect,
+            events_at_start: waiting.progress.borrow().event_count(),
+        };
         work.running.insert(waiting.key.clone(), running);
         let (this, term) = (self.clone(), self.inner.term.get());
         runtime::spawn(
@@ -371,15 +444,18 @@
         term: u64,
     ) {
         let (batch, item) = (waiting.batch.clone(), waiting.item.clone());
-        let version = self.inner.shared.engines.borrow().version(&upstream, &batch.model);
-        if !waiting.progress.borrow().can_resume(batch.single_version, version) {
-            waiting.progress.borrow_mut().clear();
-        }
         let run = Run { upstream, key: key.clone(), batch, item };
         let started = clock::since_boot();
+        let events_at_start = waiting.progress.borrow().event_count();
         let end = {
             let observer = RunObserver {
-                observe: &|observation| self.observe(&run, observation),
+                observe: &|observation| {
+                    self.observe(&run, observation);
+                    if waiting.progress.borrow().event_count() == events_at_start + 1 {
+                        // Another suspect may start on the engine now.
+                        self.inner.shared.wake.notify();
+                    }
+                },
                 stall_timeout: &|| self.stall_timeout(&run),
                 should_move: &|| self.should_move(&run),
             };
@@ -451,7 +527,8 @@
     fn finish_run(&self, rank: Rank, mut waiting: Waiting, run: &Run, end: RunEnd) {
         let now = clock::since_boot();
         let mut work = self.inner.work.borrow_mut();
-        work.running.remove(&waiting.key);
+        let running = work.running.remove(&waiting.key);
+        self.record_end(&waiting, run, running.is_some_and(|r| r.is_starting()), &end);
         match &end {
             RunEnd::Completed => {
                 let progress = waiting.progress.borrow();
@@ -498,12 +575,14 @@
                 self.inner.shared.engines.borrow_mut().pause_after_refusal(&run.key, now);
             }
             RunEnd::Moved => {}
-            RunEnd::Lost(_) => {
+            RunEnd::Lost(_) | RunEnd::Broken(_) | RunEnd::Silent(_) => {
                 self.inner.shared.engines.borrow_mut().pause_after_failure(&run.key, now)
             }
         }
         let reason = match &end {
-            RunEnd::Lost(reason) => reason.as_str(),
+            RunEnd::Lost(reason) | RunEnd::Broken(reason) | RunEnd::Silent(reason) => {
+                reason.as_str()
+            }
             other => outcome(other),
         };
         event!(
@@ -522,6 +601,36 @@
         }
     }
 
+    /// Records what the end of a run says about crashes of engines under the item.
+    fn record_end(&self, waiting: &Waiting, run: &Run, was_starting: bool, end: &RunEnd) {
+        let now = clock::since_boot();
+        let content = fingerprint::logged(&waiting.fingerprint);
+        let mut crashes = self.inner.shared.crashes.borrow_mut();
+        let observation = match end {
+            RunEnd::Broken(_) if was_starting => crashes::Observation::BrokenAtStart,
+            RunEnd::Broken(_) => crashes::Observation::BrokenMidway,
+            RunEnd::Silent(_) => crashes::Observation::Silence,
+            RunEnd::Completed | RunEnd::Impossible | RunEnd::Failed => {
+                if crashes.record_completion(&waiting.fingerprint, now) {
+                    event!(info, "suspicion_withdrawn", item = waiting.key.1, content = content);
+                }
+                return;
+            }
+            RunEnd::NotRun | RunEnd::WrongVersion | RunEnd::Moved | RunEnd::Lost(_) => return,
+        };
+        if crashes.record(&waiting.fingerprint, &run.key, now, observation) {
+            event!(
+                info,
+                "crash_suspected",
+                item = waiting.key.1,
+                content = content,
+                upstream = run.key.0,
+                incarnation = run.key.1,
+                observation = format!("{observation:?}"),
+            );
+        }
+    }
+
     /// Saves the output of long items, so that the next leader can resume them.
     async fn save_loop(&self, token: CancellationToken) {
         while !token.is_cancelled() {
@@ -619,6 +728,6 @@
         RunEnd::NotRun => "not_run",
         RunEnd::WrongVersion => "wrong_version",
         RunEnd::Moved => "slow_engine",
-        RunEnd::Lost(_) => "lost",
+        RunEnd::Lost(_) | RunEnd::Broken(_) | RunEnd::Silent(_) => "lost",
     }
 }
--- a/orioleworks_store/src/runner.rs
+++ b/orioleworks_store/src/runner.rs
@@ -135,8 +135,12 @@
     WrongVersion,
     /// The run was stopped, because the item ends sooner on another engine.
     Moved,
-    /// The connection failed or timed out, or the response was invalid.
+    /// There was no connection, or the response was invalid.
     Lost(String),
+    /// The connection broke before the end of the response; the engine may have crashed.
+    Broken(String),
+    /// Nothing came back in time.
+    Silent(String),
 }
 
 /// Item and engine of a run.
@@ -198,7 +202,7 @@
     let sent = pool.send(&run.upstream.address, &run.key, req, (observer.stall_timeout)()).await;
     let exchange = match sent {
         Ok(exchange) => exchange,
-        Err(e) => return RunEnd::Lost(e.to_string()),
+        Err(e) => return failed_run(&e),
     };
     let (status, headers) = (exchange.head.status, &exchange.head.headers);
     match upstream::classify_response(status, headers, &run.item.id) {
@@ -216,6 +220,15 @@
     }
 }
 
+fn failed_run(error: &SendError) -> RunEnd {
+    let reason = error.to_string();
+    match error {
+        SendError::NotSent(_) => RunEnd::Lost(reason),
+        SendError::Broken(_) => RunEnd::Broken(reason),
+        SendError::Timeout => RunEnd::Silent(reason),
+    }
+}
+
 async fn drain_body(exchange: Exchange, end: RunEnd) -> RunEnd {
     // The body is read only to keep the connection.
     drop(exchange.finish(MAX_REFUSAL_BYTES, REFUSAL_TIMEOUT).await);
@@ -237,7 +250,7 @@
     loop {
         let part = match next_part(&mut exchange, (observer.stall_timeout)()).await {
             Ok(part) => part,
-            Err(e) => return RunEnd::Lost(e.to_string()),
+            Err(e) => return failed_run(&e),
         };
         let Some(part) = part else { break };
         decoder.push(&part);
