A store wakes early only for the first event of a suspect; the stand-in upstream closes its connections

Found on review and by a test before any landing: the early wake for suspects ran for the first event of every run, a pass over the queue for each item. And the stand-in kept a clone of each connection, so that one that it gave up on stayed open: a_request_whose_upstream_crashed got 504 for 502.

--- a/orioleworks_gateway/src/crashes.rs
+++ b/orioleworks_gateway/src/crashes.rs
@@ -32,7 +32,7 @@
 pub struct ContentCrashes {
     knowledge: Knowledge,
     /// Wakes the task that reports to a store.
-    wake: mpsc::Sender<()>,
+    wake: Rc<RefCell<mpsc::Sender<()>>>,
     woken: Rc<RefCell<Option<mpsc::Receiver<()>>>>,
 }
 
@@ -40,7 +40,8 @@
     /// Creates the state over what the gateway learns from stores.
     pub fn new(knowledge: Knowledge) -> Self {
         let (wake, woken) = mpsc::channel(0);
-        Self { knowledge, wake, woken: Rc::new(RefCell::new(Some(woken))) }
+        let (wake, woken) = (Rc::new(RefCell::new(wake)), Rc::new(RefCell::new(Some(woken))));
+        Self { knowledge, wake, woken }
     }
 
     /// Whether and how a request may run now.
@@ -97,7 +98,7 @@
 
     fn wake_reporter(&self) {
         // A full channel means that the reporter is about to look anyway.
-        drop(self.wake.clone().try_send(()));
+        drop(self.wake.borrow_mut().try_send(()));
     }
 
     fn unreported(&self, acknowledged: u64) -> (Vec<inner::ContentCrashes>, u64) {
--- a/orioleworks_gateway/tests/support/upstream.rs
+++ b/orioleworks_gateway/tests/support/upstream.rs
@@ -189,7 +189,14 @@
                 }
                 self.process.connections.lock().unwrap().extend(stream.try_clone());
                 let serving = self.clone();
-                thread::spawn(move || drop(serving.serve(&stream)));
+                thread::spawn(move || {
+                    let peer = stream.peer_addr().ok();
+                    drop(serving.serve(&stream));
+                    // The connection stays open as long as a clone of the stream exists.
+                    let mut connections = serving.process.connections.lock().unwrap();
+                    connections.retain(|connection| connection.peer_addr().ok() != peer);
+                    drop(stream.shutdown(Shutdown::Both));
+                });
             }
             drop(listener);
             thread::sleep(RESTART_TIME);
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -61,13 +61,14 @@
     failed_attempts: u32,
     /// Whether the item must not run now, because it crashes engines.
     quarantined: bool,
+    /// Whether the item may have crashed an engine before.
+    suspect: bool,
 }
 
 struct Running {
     cancel: CancellationToken,
     progress: Rc<RefCell<Progress>>,
     engine: Key,
-    /// Whether the item may have crashed an engine before.
     suspect: bool,
     events_at_start: usize,
 }
@@ -203,6 +204,7 @@
                     waiting_since: clock::since_boot(),
                     failed_attempts: item.failed_attempts,
                     quarantined: false,
+                    suspect: false,
                 };
                 work.waiting.insert(rank, waiting);
                 count += 1;
@@ -280,7 +282,8 @@
             if quarantined {
                 continue;
             }
-            let suspect = admission == Admission::Suspect;
+            waiting.suspect = admission == Admission::Suspect;
+            let suspect = waiting.suspect;
             let events = waiting.progress.borrow().event_count();
             let left = self.events_left(&waiting.batch, &waiting.item, events);
             let long = items::needs_fast_engine(left);
@@ -296,7 +299,7 @@
                         starting_suspects.insert(key_of(&upstream));
                     }
                     if let Some(waiting) = work.waiting.remove(&rank) {
-                        self.start_item(&mut work, rank, waiting, upstream, suspect);
+                        self.start_item(&mut work, rank, waiting, upstream);
                     }
                 }
                 None if suspect => {}
@@ -401,14 +404,7 @@
         Some(candidates[at].0.clone())
     }
 
-    fn start_item(
-        &self,
-        work: &mut Work,
-        rank: Rank,
-        waiting: Waiting,
-        upstream: Rc<Upstream>,
-        suspect: bool,
-    ) {
+    fn start_item(&self, work: &mut Work, rank: Rank, waiting: Waiting, upstream: Rc<Upstream>) {
         let key = key_of(&upstream);
         let version = self.inner.shared.engines.borrow().version(&upstream, &waiting.batch.model);
         if !waiting.progress.borrow().can_resume(waiting.batch.single_version, version) {
@@ -423,7 +419,7 @@
             cancel: cancel.clone(),
             progress: waiting.progress.clone(),
             engine: key.clone(),
-            suspect,
+            suspect: waiting.suspect,
             events_at_start: waiting.progress.borrow().event_count(),
         };
         work.running.insert(waiting.key.clone(), running);
@@ -451,7 +447,8 @@
             let observer = RunObserver {
                 observe: &|observation| {
                     self.observe(&run, observation);
-                    if waiting.progress.borrow().event_count() == events_at_start + 1 {
+                    let events = waiting.progress.borrow().event_count();
+                    if waiting.suspect && events == events_at_start + 1 {
                         // Another suspect may start on the engine now.
                         self.inner.shared.wake.notify();
                     }
