--- a/orioleworks_gateway/tests/crashing_requests.rs
+++ b/orioleworks_gateway/tests/crashing_requests.rs
@@ -95,6 +95,39 @@
     assert!(took < REFUSAL_TIME, "refused after {took:?}");
 }
 
+/// Guards against a quarantine that is forgotten: what a gateway observed must survive its own end, the end of the store
+/// that it reported to, and the restart of every process one after the other.
+#[test]
+fn a_quarantine_survives_restarts() {
+    /// Time for a store that has started to learn what the others know.
+    const CATCH_UP: Duration = Duration::from_millis(1500);
+    let mut d = Deployment::start(3, 2, &routes::document(1, 2000).to_string());
+    let upstreams = start_upstreams(&d, "sheets", None, 4);
+    warm_up(&d, &upstreams);
+    let path = format!("/lookup/{CRASHES}");
+    let sent = Cell::new(0);
+    let is_refused = |d: &Deployment, gateway: usize| {
+        let id = format!("repeat-{}", sent.replace(sent.get() + 1));
+        d.send(gateway, "GET", &path, &id, "").is_some_and(|response| is_quarantined(&response))
+    };
+    d.wait_until("the request is quarantined", || is_refused(&d, 0));
+    for round in 0..2 {
+        for gateway in 0..d.gateways.len() {
+            d.gateways[gateway] = None;
+            d.start_gateway(gateway);
+            d.wait_until("the gateway is ready", || d.is_ready(gateway));
+            assert!(is_refused(&d, gateway), "gateway {gateway} has forgotten it in round {round}");
+        }
+        for store in 0..d.stores.len() {
+            d.stores[store] = None;
+            thread::sleep(CATCH_UP);
+            d.start_store(store, false);
+            thread::sleep(CATCH_UP);
+        }
+    }
+    assert!(total_crashes(&upstreams) <= MAX_CRASHES, "{} crashes", total_crashes(&upstreams));
+}
+
 fn submission(items: &[String]) -> String {
     let item = |id: &String| {
         serde_json::json!({
