A content is quarantined only after signs of other losses had time to arrive

What callers saw: requests that were in flight on upstreams which ended together could be refused as quarantined.

Cause: a gateway judged a content as soon as it had crashed two upstreams. Whether another upstream, on which the content was not in flight, ended around then may be known only later: by the report of another gateway, or not at all if it was idle.

Why it works: within 200 ms of a crash a request of that content waits; then the reports are there. A refused connection now counts as a sign that an upstream was lost, so that idle ones are noticed by the next request that is sent to them.

--- a/orioleworks_fleet/src/convert.rs
+++ b/orioleworks_fleet/src/convert.rs
@@ -60,6 +60,7 @@
             Observation::Silence => inner::CrashObservation::Silence,
             Observation::BrokenMidway => inner::CrashObservation::BrokenMidway,
             Observation::BrokenAtStart => inner::CrashObservation::BrokenAtStart,
+            Observation::Refused => inner::CrashObservation::Refused,
         }
         .into(),
     });
@@ -78,6 +79,7 @@
             inner::CrashObservation::Silence => Observation::Silence,
             inner::CrashObservation::BrokenMidway => Observation::BrokenMidway,
             inner::CrashObservation::BrokenAtStart => Observation::BrokenAtStart,
+            inner::CrashObservation::Refused => Observation::Refused,
         };
         let at = time(crash.age_ms);
         ((Rc::from(crash.upstream), crash.incarnation), Crash { at, observation })
--- a/orioleworks_fleet/src/pool.rs
+++ b/orioleworks_fleet/src/pool.rs
@@ -7,6 +7,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    io,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -35,6 +36,8 @@
 pub enum SendError {
     /// cannot connect: {0}; nothing was sent
     NotSent(String),
+    /// cannot connect: {0}; nothing was sent
+    Refused(String),
     /// the connection broke after the request was sent: {0}
     Broken(String),
     /// no answer in time
@@ -87,7 +90,8 @@
     ///
     /// # Errors
     ///
-    /// [`SendError::NotSent`] guarantees that nothing was sent to the upstream.
+    /// [`SendError::NotSent`] and [`SendError::Refused`] guarantee that nothing was sent to the upstream;
+    /// `Refused` tells that no process listens at its address.
     pub async fn send(
         &self,
         address: &str,
@@ -130,7 +134,10 @@
         let stream = compio::time::timeout(timeout.min(CONNECT_TIMEOUT), connecting)
             .await
             .map_err(|_| not_sent("connection timed out".into()))?
-            .map_err(|e| not_sent(e.to_string()))?;
+            .map_err(|e| match e.kind() {
+                io::ErrorKind::ConnectionRefused => SendError::Refused(e.to_string()),
+                _ => not_sent(e.to_string()),
+            })?;
         drop(stream.set_nodelay(true));
         let io = Box::pin(HyperStream::new_plain(stream));
         let (sender, connection) =
--- a/orioleworks_gateway/src/crashes.rs
+++ b/orioleworks_gateway/src/crashes.rs
@@ -73,6 +73,14 @@
         self.wake_reporter();
     }
 
+    /// Records that an upstream refused a connection.
+    pub fn record_refusal(&self, upstream: &Key) {
+        let now = clock::since_boot();
+        if self.knowledge.crashes.borrow_mut().record_refusal(upstream, now) {
+            self.wake_reporter();
+        }
+    }
+
     /// Records an attempt that got a response.
     pub fn record_completion(&self, content: &Content, id: &str) {
         let mut crashes = self.knowledge.crashes.borrow_mut();
--- a/orioleworks_gateway/src/forward.rs
+++ b/orioleworks_gateway/src/forward.rs
@@ -176,9 +176,7 @@
         &mut self,
         rx: &mut mpsc::UnboundedReceiver<EndedAttempt>,
     ) -> Result<server::Response, Refusal> {
-        if let Admission::Quarantined(retry_at) = self.admission() {
-            return Err(self.quarantine_refusal(retry_at));
-        }
+        self.wait_for_admission().await?;
         if !self.start() {
             let detail = format!("service {}", self.service);
             return Err(Refusal::new(ResultCode::NoUpstream, detail, NO_UPSTREAM_RETRY));
@@ -266,8 +264,8 @@
             } else {
                 self.may_repeat() && self.view.try_retry(&self.route.name)
             };
-            let quarantined = matches!(self.admission(), Admission::Quarantined(_));
-            if retry && !quarantined && self.start() {
+            let admitted = matches!(self.admission(), Admission::Unrestricted | Admission::Suspect);
+            if retry && admitted && self.start() {
                 continue;
             }
             return match failure {
@@ -306,6 +304,23 @@
         self.view.crashes.admission(&self.content)
     }
 
+    /// Waits until it is known whether the request crashes upstreams, and refuses one that does.
+    async fn wait_for_admission(&self) -> Result<(), Refusal> {
+        loop {
+            match self.admission() {
+                Admission::Unrestricted | Admission::Suspect => return Ok(()),
+                Admission::Quarantined(retry_at) => return Err(self.quarantine_refusal(retry_at)),
+                Admission::NotBefore(at) => {
+                    let wait = at.saturating_sub(clock::since_boot());
+                    if Instant::now() + wait >= self.deadline {
+                        return Err(self.quarantine_refusal(at));
+                    }
+                    compio::time::sleep(wait).await;
+                }
+            }
+        }
+    }
+
     fn record_crash(&self, upstream: &Key, observation: Observation) {
         self.view.crashes.record(&self.content, &self.context.id, upstream, observation);
     }
@@ -430,6 +445,10 @@
                     self.record_failure();
                     return match &e {
                         SendError::NotSent(why) => AttemptEnd::NotRun(why.clone()),
+                        SendError::Refused(why) => {
+                            self.view.crashes.record_refusal(&self.key);
+                            AttemptEnd::NotRun(why.clone())
+                        }
                         SendError::Timeout => {
                             AttemptEnd::NoResponse(Observation::Silence, e.to_string())
                         }
@@ -476,7 +495,7 @@
                 self.record_failure();
                 let observation = match &e {
                     SendError::Broken(_) => Observation::BrokenMidway,
-                    SendError::NotSent(_) | SendError::Timeout => Observation::Silence,
+                    _ => Observation::Silence,
                 };
                 AttemptEnd::NoResponse(observation, e.to_string())
             }
--- a/orioleworks_routing/src/crashes.rs
+++ b/orioleworks_routing/src/crashes.rs
@@ -34,9 +34,14 @@
 /// Time from a broken connection to an announcement that shows that the upstream is still alive: the interval of
 /// announcements, and the time to pass one on.
 const REFUTATION_TIME: Duration = Duration::from_secs(2);
+/// Time after a crash before a content is quarantined. Reports of other losses that explain the crash arrive by then.
+const DECISION_TIME: Duration = Duration::from_millis(200);
+/// Key of the losses that were not observed by a run.
+const NO_CONTENT: &str = "";
 /// Largest number of contents; the oldest are evicted first.
 const MAX_CONTENTS: usize = 4096;
-/// Largest number of crashes of one content; at this number its quarantine has long had its longest duration.
+/// Largest number of crashes of one content; the oldest are evicted first. At this number the quarantine has long had its
+/// longest duration.
 const MAX_CRASHES: usize = 16;
 
 /// How a run ended without a response.
@@ -48,6 +53,8 @@
     BrokenMidway,
     /// The connection broke before any output.
     BrokenAtStart,
+    /// The upstream refused a connection, so that its process has ended. This says nothing of the content.
+    Refused,
 }
 
 /// Whether and how a content may run.
@@ -57,6 +64,8 @@
     Unrestricted,
     /// On one upstream at a time, because it may have crashed one.
     Suspect,
+    /// Not before this time, at which it is known whether other losses explain its crashes.
+    NotBefore(Duration),
     /// Not now; a repeat may be admitted at this time.
     Quarantined(Duration),
 }
@@ -104,12 +113,12 @@
 impl Crashes {
     /// Number of contents with a possible crash.
     pub fn len(&self) -> usize {
-        self.records.len()
+        self.records.len() - usize::from(self.records.contains_key(NO_CONTENT))
     }
 
     /// Whether no content has a possible crash.
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
+        self.len() == 0
     }
 
     /// Records how a run ended; returns whether that is new.
@@ -125,6 +134,11 @@
         self.merge(Report { fingerprint, crashes, completed_at: None }, at, true)
     }
 
+    /// Records that an upstream refused a connection; returns whether that is new. It may explain crashes around then.
+    pub fn record_refusal(&mut self, upstream: &Key, at: Duration) -> bool {
+        self.record(&NO_CONTENT.into(), upstream, at, Observation::Refused)
+    }
+
     /// Records that a run has completed, which shows that earlier losses were coincidental; returns whether there were
     /// any.
     pub fn record_completion(&mut self, fingerprint: &str, now: Duration) -> bool {
@@ -155,15 +169,16 @@
         let counts = |crash: &Crash| completed_at.is_none_or(|completed| crash.at > completed);
         record.crashes.retain(|_, crash| counts(crash));
         for (upstream, crash) in report.crashes.into_iter().filter(|(_, crash)| counts(crash)) {
-            let full = record.crashes.len() >= MAX_CRASHES;
             match record.crashes.get_mut(&upstream) {
                 Some(known) if known.observation >= crash.observation => {}
                 Some(known) => {
                     known.observation = crash.observation;
                     changed = true;
                 }
-                None if full => {}
                 None => {
+                    if record.crashes.len() >= MAX_CRASHES {
+                        record.crashes.shift_remove_index(0);
+                    }
                     record.crashes.insert(upstream, crash);
                     changed = true;
                 }
@@ -198,14 +213,17 @@
         if evidence < QUARANTINE_EVIDENCE {
             return Admission::Suspect;
         }
+        let last = record.crashes.iter().filter(|(up, crash)| standing(up, crash));
+        let last = last.map(|(_, crash)| crash.at).max().unwrap_or_default();
+        if now < last + DECISION_TIME {
+            return Admission::NotBefore(last + DECISION_TIME);
+        }
         let ended = |upstream: &Key, _: &Crash| !is_known(upstream, fleet);
         if record.evidence(ended, explained) < QUARANTINE_EVIDENCE {
             return Admission::Quarantined(now + REFUTATION_TIME);
         }
         let further = (evidence - QUARANTINE_EVIDENCE) / STRONG_EVIDENCE;
         let time = FIRST_QUARANTINE.saturating_mul(2_u32.saturating_pow(further)).min(RETENTION);
-        let last = record.crashes.iter().filter(|(up, crash)| standing(up, crash));
-        let last = last.map(|(_, crash)| crash.at).max().unwrap_or_default();
         if now < last + time { Admission::Quarantined(last + time) } else { Admission::Suspect }
     }
 
@@ -268,6 +286,7 @@
     match crash.observation {
         Observation::BrokenAtStart => STRONG_EVIDENCE,
         Observation::BrokenMidway | Observation::Silence => WEAK_EVIDENCE,
+        Observation::Refused => 0,
     }
 }
 
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -279,7 +279,7 @@
                     quarantined = quarantined,
                 );
             }
-            if quarantined {
+            if quarantined || matches!(admission, Admission::NotBefore(_)) {
                 continue;
             }
             waiting.suspect = admission == Admission::Suspect;
@@ -572,14 +572,15 @@
                 self.inner.shared.engines.borrow_mut().pause_after_refusal(&run.key, now);
             }
             RunEnd::Moved => {}
-            RunEnd::Lost(_) | RunEnd::Broken(_) | RunEnd::Silent(_) => {
+            RunEnd::Lost(_) | RunEnd::Refused(_) | RunEnd::Broken(_) | RunEnd::Silent(_) => {
                 self.inner.shared.engines.borrow_mut().pause_after_failure(&run.key, now)
             }
         }
         let reason = match &end {
-            RunEnd::Lost(reason) | RunEnd::Broken(reason) | RunEnd::Silent(reason) => {
-                reason.as_str()
-            }
+            RunEnd::Lost(reason)
+            | RunEnd::Refused(reason)
+            | RunEnd::Broken(reason)
+            | RunEnd::Silent(reason) => reason.as_str(),
             other => outcome(other),
         };
         event!(
@@ -607,6 +608,10 @@
             RunEnd::Broken(_) if was_starting => crashes::Observation::BrokenAtStart,
             RunEnd::Broken(_) => crashes::Observation::BrokenMidway,
             RunEnd::Silent(_) => crashes::Observation::Silence,
+            RunEnd::Refused(_) => {
+                crashes.record_refusal(&run.key, now);
+                return;
+            }
             RunEnd::Completed | RunEnd::Impossible | RunEnd::Failed => {
                 if crashes.record_completion(&waiting.fingerprint, now) {
                     event!(info, "suspicion_withdrawn", item = waiting.key.1, content = content);
@@ -725,6 +730,6 @@
         RunEnd::NotRun => "not_run",
         RunEnd::WrongVersion => "wrong_version",
         RunEnd::Moved => "slow_engine",
-        RunEnd::Lost(_) | RunEnd::Broken(_) | RunEnd::Silent(_) => "lost",
+        RunEnd::Lost(_) | RunEnd::Refused(_) | RunEnd::Broken(_) | RunEnd::Silent(_) => "lost",
     }
 }
--- a/orioleworks_store/src/runner.rs
+++ b/orioleworks_store/src/runner.rs
@@ -137,6 +137,8 @@
     Moved,
     /// There was no connection, or the response was invalid.
     Lost(String),
+    /// The engine refused the connection, so that its process has ended.
+    Refused(String),
     /// The connection broke before the end of the response; the engine may have crashed.
     Broken(String),
     /// Nothing came back in time.
@@ -224,6 +226,7 @@
     let reason = error.to_string();
     match error {
         SendError::NotSent(_) => RunEnd::Lost(reason),
+        SendError::Refused(_) => RunEnd::Refused(reason),
         SendError::Broken(_) => RunEnd::Broken(reason),
         SendError::Timeout => RunEnd::Silent(reason),
     }
