Tests: deployments of one test process get distinct ports

A port was drawn by binding it and closing the listener again, so that two draws could return the same port, for both listeners of a gateway or for two tests at the same time. deployments_get_distinct_ports failed before; ports that were given out are now kept.

--- a/orioleworks_gateway/tests/platform.rs
+++ b/orioleworks_gateway/tests/platform.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     thread,
     time::{Duration, Instant},
 };
@@ -12,7 +12,7 @@
 use nix::sys::signal::Signal;
 use support::{
     client,
-    deployment::Deployment,
+    deployment::{self, Deployment},
     routes::{self, MODEL},
     upstream::{EVENT_GAP, EVENTS, Upstream, item_text},
 };
@@ -89,6 +89,14 @@
     }
 }
 
+/// Guards against gateways that cannot start, because two listeners of parallel tests got the same port.
+#[test]
+fn deployments_get_distinct_ports() {
+    const PORTS: usize = 1000;
+    let ports: BTreeSet<u16> = (0..PORTS).map(|_| deployment::free_port()).collect();
+    assert_eq!(ports.len(), PORTS);
+}
+
 /// Guards against a lookup that waits until its deadline because its upstream is silent.
 #[test]
 fn a_lookup_gets_a_response_in_time_although_one_upstream_is_silent() {
--- a/orioleworks_gateway/tests/support/deployment.rs
+++ b/orioleworks_gateway/tests/support/deployment.rs
@@ -2,10 +2,12 @@
 
 use std::{
     cell::RefCell,
+    collections::BTreeSet,
     fs::{self, File},
     net::TcpListener,
     path::PathBuf,
     process::{Child, Command},
+    sync::Mutex,
     thread,
     time::{Duration, Instant},
 };
@@ -284,8 +286,16 @@
     }
 }
 
-fn free_port() -> u16 {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+/// A port that no other deployment of this test process uses. The system may offer a port again as soon as the listener
+/// that reserved it is closed.
+pub fn free_port() -> u16 {
+    static TAKEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+    loop {
+        let port = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
+        if TAKEN.lock().unwrap().insert(port) {
+            return port;
+        }
+    }
 }
 
 /// Path of a program of this workspace, in the parent of the directory of the test's own program.
