--- a/orioleworks_gateway/tests/crashing_requests.rs
+++ b/orioleworks_gateway/tests/crashing_requests.rs
@@ -4,6 +4,10 @@
 
 use std::{
     cell::Cell,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -19,23 +23,49 @@
 
 /// Upstreams that one request may crash, however often its caller repeats it (docs/PROOFS.md, "Requests that crash
 /// upstreams").
-const MAX_CRASHES: u64 = 2;
+const MAX_CRASHES: usize = 2;
 /// Longest time to refuse a quarantined request: "at once", with some room for a busy machine.
 const REFUSAL_TIME: Duration = Duration::from_millis(250);
 /// Part of the path of requests that crash upstreams.
 const CRASHES: &str = "crashes";
+/// Longest time for an owed item to complete once its engines are sound: "within seconds" (docs/platform.md, "Requests that
+/// crash upstreams"), and before a step that is due in 7.5 s is lost.
+const OWED_TIME: Duration = Duration::from_secs(5);
+/// Shortest time from the second loss of an engine under one item to the third.
+const FIRST_PAUSE: Duration = Duration::from_secs(1);
+/// Shortest time between all later ones.
+const FURTHER_PAUSE: Duration = Duration::from_secs(2);
 
 fn start_upstreams(d: &Deployment, service: &str, model: Option<&str>, n: usize) -> Vec<Upstream> {
+    start_upstreams_that_crash(d, service, model, n, &Arc::new(AtomicU64::new(u64::MAX)))
+}
+
+/// Starts upstreams of which `crashes_left` end under requests that crash upstreams; the others run these.
+fn start_upstreams_that_crash(
+    d: &Deployment,
+    service: &str,
+    model: Option<&str>,
+    n: usize,
+    crashes_left: &Arc<AtomicU64>,
+) -> Vec<Upstream> {
     let start = |i| {
         let up = Upstream::start(&format!("{service}-{i}"), service, model, d.control_addresses());
         CRASHES.clone_into(&mut up.behaviour.crash_path.lock().unwrap());
+        up.behaviour.crashes_left.lock().unwrap().clone_from(crashes_left);
         up
     };
     (0..n).map(start).collect()
 }
 
-fn total_crashes(upstreams: &[Upstream]) -> u64 {
-    upstreams.iter().map(Upstream::crashes).sum()
+/// Times of the crashes of all upstreams.
+fn crash_times(upstreams: &[Upstream]) -> Vec<Instant> {
+    let mut times: Vec<Instant> = upstreams.iter().flat_map(Upstream::crashes).collect();
+    times.sort();
+    times
+}
+
+fn total_crashes(upstreams: &[Upstream]) -> usize {
+    crash_times(upstreams).len()
 }
 
 /// Sends lookups through every gateway until each upstream has run one.
@@ -151,18 +181,82 @@
     });
 }
 
+/// Number of items that are listed as completed; checks that no other state is listed.
+fn completed(d: &Deployment, id: &str) -> usize {
+    let path = format!("/v1/lots/{id}?after=0");
+    let Some(response) = d.send(0, "GET", &path, "read", "") else { return 0 };
+    let results = response.json()["results"].as_array().cloned().unwrap_or_default();
+    assert!(results.iter().all(|r| r["state"] == "completed"), "{}", response.body);
+    results.len()
+}
+
 /// Waits until a number of items is listed as completed, and checks that nothing else is listed.
 fn wait_for_results(d: &Deployment, id: &str, count: usize) {
     d.wait_until("the other items are complete", || {
-        let path = format!("/v1/lots/{id}?after=0");
-        let Some(response) = d.send(0, "GET", &path, "read", "") else { return false };
-        let results = response.json()["results"].as_array().cloned().unwrap_or_default();
-        assert!(results.iter().all(|r| r["state"] == "completed"), "{}", response.body);
-        assert!(results.len() <= count, "{}", response.body);
-        results.len() == count
+        let listed = completed(d, id);
+        assert!(listed <= count, "{listed} of {count} items are listed");
+        listed == count
     });
 }
 
+/// Waits until the whole batch is listed as completed, no longer than an owed item may take.
+fn wait_for_owed_results(d: &Deployment, id: &str, count: usize) {
+    let started = Instant::now();
+    while completed(d, id) < count {
+        let waited = started.elapsed();
+        assert!(
+            waited < OWED_TIME,
+            "{} of {count} items of {id} are complete after {waited:?}\n{}",
+            completed(d, id),
+            d.logs()
+        );
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// Guards against an item that is never run again because engines ended while they ran it, also in the next batch.
+#[rstest]
+#[case::two_engines(2)]
+#[case::four_engines(4)]
+#[case::six_engines(6)]
+fn an_item_is_owed_and_completes_however_many_engines_ended_under_it(#[case] crashes: u64) {
+    let d = Deployment::start(3, 1, &routes::document(1, 2000).to_string());
+    let left = Arc::new(AtomicU64::new(crashes));
+    let engines = start_upstreams_that_crash(&d, "engines", Some(MODEL), 6, &left);
+    submit(&d, "b1", 19);
+    d.wait_until("all crashes have happened", || left.load(Ordering::Relaxed) == 0);
+    wait_for_owed_results(&d, "b1", 20);
+    submit(&d, "b2", 5);
+    wait_for_owed_results(&d, "b2", 6);
+    assert_eq!(total_crashes(&engines) as u64, crashes);
+}
+
+/// Guards against an item that takes one engine after another while each of them ends under it, also after a change of
+/// leader and when a later batch contains it again; against other items that wait for it; and against an item that is
+/// given up.
+#[test]
+fn an_item_under_which_engines_end_takes_one_at_a_time_and_stays_owed() {
+    let mut d = Deployment::start(3, 1, &routes::document(1, 2000).to_string());
+    let left = Arc::new(AtomicU64::new(u64::MAX));
+    let engines = start_upstreams_that_crash(&d, "engines", Some(MODEL), 6, &left);
+    submit(&d, "b1", 19);
+    thread::sleep(RESTART_TIME * 3);
+    wait_for_results(&d, "b1", 19);
+    let leader = d.leader().unwrap();
+    d.stores[leader] = None;
+    submit(&d, "b2", 5);
+    thread::sleep(RESTART_TIME * 3);
+    wait_for_results(&d, "b2", 5);
+    left.store(0, Ordering::Relaxed);
+    wait_for_owed_results(&d, "b1", 20);
+    wait_for_owed_results(&d, "b2", 6);
+    let times = crash_times(&engines);
+    assert!(times.len() > 2, "the item is still run");
+    let pauses: Vec<Duration> = times.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(pauses[1] >= FIRST_PAUSE, "{pauses:?}");
+    assert!(pauses[2..].iter().all(|pause| *pause >= FURTHER_PAUSE), "{pauses:?}");
+}
+
 /// Guards against an item that is run on one engine after another although each of them crashes under it, also after a
 /// change of leader and when a later batch contains it again; and against other items of the batch that wait for it.
 #[test]
--- a/orioleworks_gateway/tests/support/upstream.rs
+++ b/orioleworks_gateway/tests/support/upstream.rs
@@ -23,6 +23,8 @@
     pub crashes: AtomicBool,
     /// Part of the path of requests that crash the replica when it begins to run them; empty for none.
     pub crash_path: Mutex<String>,
+    /// How many more of these requests crash a replica; shared by the replicas under test.
+    pub crashes_left: Mutex<Arc<AtomicU64>>,
     /// Time from the start of a run to its response, in milliseconds.
     pub delay_ms: AtomicU64,
     /// Refuses requests as not run.
@@ -56,7 +58,7 @@
     /// Start time in Unix milliseconds.
     born: AtomicU64,
     down: AtomicBool,
-    crashes: AtomicU64,
+    crashes: Mutex<Vec<Instant>>,
 }
 
 impl Process {
@@ -153,9 +155,9 @@
         self.state.lock().unwrap().accepted_orders.clone()
     }
 
-    /// Number of crashes.
-    pub fn crashes(&self) -> u64 {
-        self.process.crashes.load(Ordering::Relaxed)
+    /// Times of the crashes.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.process.crashes.lock().unwrap().clone()
     }
 
     /// Ends the replica: its connections are closed and its address refuses connections until the next start, which
@@ -164,7 +166,7 @@
         if self.process.down.swap(true, Ordering::Relaxed) {
             return;
         }
-        self.process.crashes.fetch_add(1, Ordering::Relaxed);
+        self.process.crashes.lock().unwrap().push(Instant::now());
         for connection in self.process.connections.lock().unwrap().drain(..) {
             drop(connection.shutdown(Shutdown::Both));
         }
@@ -335,8 +337,7 @@
         }
         let after = headers.get("last-event-id").and_then(|v| v.parse().ok());
         self.state.lock().unwrap().runs.entry(id.clone()).or_default().push(after);
-        let crash_path = self.behaviour.crash_path.lock().unwrap().clone();
-        if !crash_path.is_empty() && path.contains(&crash_path) {
+        if self.must_crash(path) {
             self.crash();
             return Err(std::io::Error::other("injected crash of the replica"));
         }
@@ -360,6 +361,15 @@
         }
     }
 
+    fn must_crash(&self, path: &str) -> bool {
+        let crash_path = self.behaviour.crash_path.lock().unwrap().clone();
+        let left = self.behaviour.crashes_left.lock().unwrap().clone();
+        let decrement = |left: u64| left.checked_sub(1);
+        !crash_path.is_empty()
+            && path.contains(&crash_path)
+            && left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, decrement).is_ok()
+    }
+
     fn stream(
         &self,
         out: &mut TcpStream,
