Items are owed: quarantine is for requests of callers

Trainers saw: after a burst of crashes one item of a step was not run again for a minute and more, although all engines were sound, and an item of the next batch with the same content was held back as well.

Cause: stores applied the quarantine of requests to items. A caller that is refused gets an answer; an item only waits, until its step is lost. Items crash no engine by themselves, so that crashes under one are coincidental.

Why it works: the evidence that quarantines a request pauses an item for 1 s after its last crash, more evidence for 2 s, so that it always starts within 2 s. The evidence is the one that stores exchange, so that a new leader and the next batch know it. Items of one content start one at a time.

--- a/orioleworks_routing/src/crashes.rs
+++ b/orioleworks_routing/src/crashes.rs
@@ -36,6 +36,11 @@
 const REFUTATION_TIME: Duration = Duration::from_secs(2);
 /// Time after a crash before a content is quarantined. Reports of other losses that explain the crash arrive by then.
 const DECISION_TIME: Duration = Duration::from_millis(200);
+/// Pause of an item whose content has as much evidence as a quarantined request, after its last crash.
+const FIRST_ITEM_PAUSE: Duration = Duration::from_secs(1);
+/// Pause of an item after each further crash. Longer than an engine takes to start again, so that the item costs one engine
+/// at a time, and short compared with the time that a trainer waits for a step.
+const FURTHER_ITEM_PAUSE: Duration = Duration::from_secs(2);
 /// Key of the losses that were not observed by a run.
 const NO_CONTENT: &str = "";
 /// Largest number of contents; the oldest are evicted first.
@@ -70,6 +75,18 @@
     Quarantined(Duration),
 }
 
+/// When and how an item of a batch may start. The store owes it to its trainer, so that it may always start within
+/// seconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ItemStart {
+    /// Without restriction.
+    Unrestricted,
+    /// While no other suspect starts on the same upstream, because it may have crashed one.
+    Suspect,
+    /// Not before this time, because upstreams were lost under it one after another.
+    NotBefore(Duration),
+}
+
 /// A possible crash of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Crash {
@@ -196,29 +213,22 @@
         changed
     }
 
-    /// Whether and how a content may run now.
+    /// Whether and how a caller's request may run now.
     pub fn admission(&self, fingerprint: &str, fleet: &Fleet, now: Duration) -> Admission {
         let Some(record) = self.records.get(fingerprint) else { return Admission::Unrestricted };
-        let standing = |upstream: &Key, crash: &Crash| is_standing(upstream, crash, fleet);
-        match record.evidence(standing, weight) {
-            0 => return Admission::Unrestricted,
-            // The search for an explanation is needed only if it decides.
-            evidence if evidence < QUARANTINE_EVIDENCE => return Admission::Suspect,
-            _ => {}
+        let evidence = self.evidence(record, fleet);
+        if evidence == 0 {
+            return Admission::Unrestricted;
         }
-        let explained = |crash: &Crash| {
-            if self.has_explanation(record, crash, fleet) { WEAK_EVIDENCE } else { weight(crash) }
-        };
-        let evidence = record.evidence(standing, explained);
         if evidence < QUARANTINE_EVIDENCE {
             return Admission::Suspect;
         }
-        let last = record.crashes.iter().filter(|(up, crash)| standing(up, crash));
-        let last = last.map(|(_, crash)| crash.at).max().unwrap_or_default();
+        let last = record.last_crash(fleet);
         if now < last + DECISION_TIME {
             return Admission::NotBefore(last + DECISION_TIME);
         }
         let ended = |upstream: &Key, _: &Crash| !is_known(upstream, fleet);
+        let explained = |crash: &Crash| self.explained_weight(record, crash, fleet);
         if record.evidence(ended, explained) < QUARANTINE_EVIDENCE {
             return Admission::Quarantined(now + REFUTATION_TIME);
         }
@@ -227,6 +237,38 @@
         if now < last + time { Admission::Quarantined(last + time) } else { Admission::Suspect }
     }
 
+    /// When and how an item with this content may start. Evidence that quarantines a request pauses an item.
+    pub fn item_start(&self, fingerprint: &str, fleet: &Fleet, now: Duration) -> ItemStart {
+        let Some(record) = self.records.get(fingerprint) else { return ItemStart::Unrestricted };
+        let evidence = self.evidence(record, fleet);
+        if evidence == 0 {
+            return ItemStart::Unrestricted;
+        }
+        let pause = if evidence < QUARANTINE_EVIDENCE {
+            Duration::ZERO
+        } else if evidence < QUARANTINE_EVIDENCE + STRONG_EVIDENCE {
+            FIRST_ITEM_PAUSE
+        } else {
+            FURTHER_ITEM_PAUSE
+        };
+        let at = record.last_crash(fleet) + pause;
+        if now < at { ItemStart::NotBefore(at) } else { ItemStart::Suspect }
+    }
+
+    /// Evidence of the crashes of a content that stand.
+    fn evidence(&self, record: &Record, fleet: &Fleet) -> u32 {
+        let standing = |upstream: &Key, crash: &Crash| is_standing(upstream, crash, fleet);
+        match record.evidence(standing, weight) {
+            // The search for an explanation is needed only if it decides.
+            evidence if evidence < QUARANTINE_EVIDENCE => evidence,
+            _ => record.evidence(standing, |crash| self.explained_weight(record, crash, fleet)),
+        }
+    }
+
+    fn explained_weight(&self, record: &Record, crash: &Crash, fleet: &Fleet) -> u32 {
+        if self.has_explanation(record, crash, fleet) { WEAK_EVIDENCE } else { weight(crash) }
+    }
+
     /// Whether another upstream, on which the content was not in flight, was lost around the time of a crash. Then both
     /// may have a common cause outside the content.
     fn has_explanation(&self, record: &Record, crash: &Crash, fleet: &Fleet) -> bool {
@@ -280,6 +322,12 @@
         let counted = self.crashes.iter().filter(|(upstream, crash)| counts(upstream, crash));
         counted.map(|(_, crash)| weight(crash)).sum()
     }
+
+    /// Time of the last crash that stands.
+    fn last_crash(&self, fleet: &Fleet) -> Duration {
+        let standing = self.crashes.iter().filter(|(up, crash)| is_standing(up, crash, fleet));
+        standing.map(|(_, crash)| crash.at).max().unwrap_or_default()
+    }
 }
 
 fn weight(crash: &Crash) -> u32 {
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -18,7 +18,7 @@
 use orioleworks_log::{ProposeError, notify::Notify};
 use orioleworks_proto::inner::{self, command::Kind};
 use orioleworks_routing::{
-    crashes::{self, Admission},
+    crashes::{self, ItemStart},
     fleet::{Fleet, Upstream},
     items::{self, Rank},
     outlier::Key,
@@ -59,8 +59,8 @@
     waiting_since: Duration,
     progress: Rc<RefCell<Progress>>,
     failed_attempts: u32,
-    /// Whether the item must not run now, because it crashes engines.
-    quarantined: bool,
+    /// Whether the item pauses because engines were lost under it.
+    paused: bool,
     /// Whether the item may have crashed an engine before.
     suspect: bool,
 }
@@ -69,6 +69,7 @@
     cancel: CancellationToken,
     progress: Rc<RefCell<Progress>>,
     engine: Key,
+    fingerprint: Rc<str>,
     suspect: bool,
     events_at_start: usize,
 }
@@ -129,8 +130,7 @@
     /// Number of items of a model that wait for an engine.
     pub fn waiting_for(&self, model: &str) -> usize {
         let work = self.inner.work.borrow();
-        let waits = |w: &&Waiting| w.batch.model == model && !w.quarantined;
-        work.waiting.values().filter(waits).count()
+        work.waiting.values().filter(|w| w.batch.model == model).count()
     }
 
     /// Numbers of items that wait and of items that run.
@@ -203,7 +203,7 @@
                     give_up_at,
                     waiting_since: clock::since_boot(),
                     failed_attempts: item.failed_attempts,
-                    quarantined: false,
+                    paused: false,
                     suspect: false,
                 };
                 work.waiting.insert(rank, waiting);
@@ -262,27 +262,33 @@
         }
         // If no engine has room for an item, none has for the other items of its batch that are equally long or short.
         let mut full: HashSet<(Rc<str>, bool)> = HashSet::new();
-        let starting = work.running.values().filter(|r| r.suspect && r.is_starting());
-        let mut starting_suspects: HashSet<Key> = starting.map(|r| r.engine.clone()).collect();
+        let starting = || work.running.values().filter(|r| r.suspect && r.is_starting());
+        let mut starting_on: HashSet<Key> = starting().map(|r| r.engine.clone()).collect();
+        let mut starting_contents: HashSet<Rc<str>> =
+            starting().map(|r| r.fingerprint.clone()).collect();
         let ranks: Vec<Rank> = work.waiting.keys().copied().collect();
         for rank in ranks {
             let Some(waiting) = work.waiting.get_mut(&rank) else { continue };
-            let admission = self.admission(&waiting.fingerprint, now);
-            let quarantined = matches!(admission, Admission::Quarantined(_));
-            if std::mem::replace(&mut waiting.quarantined, quarantined) != quarantined {
-                event!(
-                    warn,
-                    "item_quarantine",
-                    item = waiting.key.1,
-                    batch = waiting.key.0,
-                    content = fingerprint::logged(&waiting.fingerprint),
-                    quarantined = quarantined,
-                );
+            let start = self.item_start(&waiting.fingerprint, now);
+            if let ItemStart::NotBefore(at) = start {
+                if !std::mem::replace(&mut waiting.paused, true) {
+                    event!(
+                        warn,
+                        "item_paused",
+                        item = waiting.key.1,
+                        batch = waiting.key.0,
+                        content = fingerprint::logged(&waiting.fingerprint),
+                        pause_ms = at.saturating_sub(now).as_millis(),
+                    );
+                }
+                continue;
             }
-            if quarantined || matches!(admission, Admission::NotBefore(_)) {
+            waiting.paused = false;
+            waiting.suspect = start == ItemStart::Suspect;
+            // Another batch may contain the same item.
+            if waiting.suspect && starting_contents.contains(&waiting.fingerprint) {
                 continue;
             }
-            waiting.suspect = admission == Admission::Suspect;
             let suspect = waiting.suspect;
             let events = waiting.progress.borrow().event_count();
             let left = self.events_left(&waiting.batch, &waiting.item, events);
@@ -292,11 +298,12 @@
                 continue;
             }
             // If two suspects started on an engine that crashes, both would look guilty.
-            let excluded = if suspect { &starting_suspects } else { &HashSet::new() };
+            let excluded = if suspect { &starting_on } else { &HashSet::new() };
             match self.choose_engine(waiting, long, excluded, now) {
                 Some(upstream) => {
                     if suspect {
-                        starting_suspects.insert(key_of(&upstream));
+                        starting_on.insert(key_of(&upstream));
+                        starting_contents.insert(waiting.fingerprint.clone());
                     }
                     if let Some(waiting) = work.waiting.remove(&rank) {
                         self.start_item(&mut work, rank, waiting, upstream);
@@ -330,12 +337,12 @@
             let Some(batch) = state.batch(&id) else { continue };
             let of_batch = |w: &&Waiting| w.key.0 == id;
             let waiting = work.waiting.values().filter(of_batch).count();
-            let all_quarantined = work.waiting.values().filter(of_batch).all(|w| w.quarantined);
+            let all_paused = work.waiting.values().filter(of_batch).all(|w| w.paused);
             let running = work.running.keys().filter(|key| key.0 == id).count();
             let engines = self.engines_for(&batch.spec, now);
             let reason = match (waiting, engines) {
                 (0, _) => "items_still_run",
-                _ if all_quarantined => "items_are_quarantined",
+                _ if all_paused => "items_are_paused",
                 (_, 0) => "no_engine_has_the_weights",
                 _ => "engines_are_full",
             };
@@ -364,9 +371,9 @@
         fleet.serving(&batch.service, now).filter(|known| holds(&known.upstream)).count()
     }
 
-    fn admission(&self, fingerprint: &str, now: Duration) -> Admission {
+    fn item_start(&self, fingerprint: &str, now: Duration) -> ItemStart {
         let crashes = self.inner.shared.crashes.borrow();
-        crashes.admission(fingerprint, &self.inner.shared.fleet.borrow(), now)
+        crashes.item_start(fingerprint, &self.inner.shared.fleet.borrow(), now)
     }
 
     fn choose_engine(
@@ -419,6 +426,7 @@
             cancel: cancel.clone(),
             progress: waiting.progress.clone(),
             engine: key.clone(),
+            fingerprint: waiting.fingerprint.clone(),
             suspect: waiting.suspect,
             events_at_start: waiting.progress.borrow().event_count(),
         };
