Entry: samples of a trainer's step are owed and never quarantined

Trainers of orioleworks-entry saw: a step that never completes. A sample under which two engines had ended was refused as quarantined for 10 minutes, and its slot was run again and refused again.

Calls and samples went through one quarantine.

Why it works: a job whose result is owed (samples and the requests to their judge) passes over the quarantine. Where a call is quarantined, a sample waits for the same 2.5 s as a suspect and then runs isolated, so that it costs one engine at a time.

--- a/orioleworks_entry/src/calls.rs
+++ b/orioleworks_entry/src/calls.rs
@@ -128,6 +128,7 @@
         lowest_version: 0,
         avoid: Vec::new(),
         idempotency_key: None,
+        owed: false,
         local_only: false,
         cancel: CancellationToken::new(),
     };
--- a/orioleworks_entry/src/dispatch.rs
+++ b/orioleworks_entry/src/dispatch.rs
@@ -29,6 +29,8 @@
     pub avoid: Vec<Rc<str>>,
     /// Key under which a claim is committed for this request; it is sent to the upstream.
     pub idempotency_key: Option<Rc<str>>,
+    /// Whether a trainer is owed the result. Such a job is never refused as quarantined.
+    pub owed: bool,
     /// Forbids forwarding to another failure domain.
     pub local_only: bool,
     /// Cancelled when the response is no longer needed.
--- a/orioleworks_entry/src/dispatcher.rs
+++ b/orioleworks_entry/src/dispatcher.rs
@@ -125,6 +125,11 @@
         }
     }
 
+    /// As [`Self::check_quarantine`], but never refuses a job whose result is owed to a trainer.
+    fn check_job(&self, job: &Job, fingerprint: &str) -> Result<(), Refused> {
+        if job.owed { Ok(()) } else { self.check_quarantine(fingerprint) }
+    }
+
     /// Runs a request. The claim of a non-idempotent request must already be committed for this attempt.
     ///
     /// # Errors
@@ -136,7 +141,7 @@
         let unique: u32 = rand::random();
         let mut progress = Progress { tried: Vec::new(), last: None, may_have_run: false };
         loop {
-            if let Err(quarantined) = self.check_quarantine(&fingerprint) {
+            if let Err(quarantined) = self.check_job(&job, &fingerprint) {
                 // `Quarantined` means that the request did not run, so it is not returned once the request may have
                 // run.
                 return if progress.may_have_run {
@@ -150,7 +155,7 @@
                 Err(no_slot) => return self.forward_or_refuse(job, no_slot, progress).await,
             };
             // Another entry may have quarantined a suspect while it waited for its slot.
-            if self.check_quarantine(&fingerprint).is_err() {
+            if self.check_job(&job, &fingerprint).is_err() {
                 drop(grant);
                 continue;
             }
@@ -203,6 +208,7 @@
             prefix: job.prefix,
             lowest_version: job.lowest_version,
             avoid: job.avoid.iter().chain(&progress.tried).cloned().collect(),
+            owed: job.owed,
             second_attempt: !job.avoid.is_empty(),
             tx: RefCell::default(),
         };
@@ -212,7 +218,7 @@
             .map_err(WaitError::NoSlot)?;
         let mut granted = std::pin::pin!(compio::time::timeout(remaining, &mut wait.rx).fuse());
         let mut cancelled = std::pin::pin!(job.cancel.cancelled().fuse());
-        let mut quarantined = std::pin::pin!(self.until_quarantined(fingerprint).fuse());
+        let mut quarantined = std::pin::pin!(self.until_quarantined(job, fingerprint).fuse());
         select! {
             () = quarantined => Err(WaitError::Quarantined),
             granted = granted => match granted {
@@ -226,11 +232,11 @@
         }
     }
 
-    /// Waits until the request is quarantined, which can happen while a suspect waits for its slot.
-    async fn until_quarantined(&self, fingerprint: &str) {
+    /// Waits until the job is quarantined, which can happen while a suspect waits for its slot.
+    async fn until_quarantined(&self, job: &Job, fingerprint: &str) {
         loop {
             compio::time::sleep(QUARANTINE_CHECK_INTERVAL).await;
-            if self.check_quarantine(fingerprint).is_err() {
+            if self.check_job(job, fingerprint).is_err() {
                 return;
             }
         }
--- a/orioleworks_entry/src/forward.rs
+++ b/orioleworks_entry/src/forward.rs
@@ -96,6 +96,7 @@
         deadline_ms: u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX),
         lowest_version: job.lowest_version,
         idempotency_key: job.idempotency_key.as_deref().unwrap_or_default().into(),
+        owed: job.owed,
     }
 }
 
@@ -164,6 +165,7 @@
             idempotency_key: Some(forward.idempotency_key)
                 .filter(|key| !key.is_empty())
                 .map(Into::into),
+            owed: forward.owed,
             local_only: true,
             cancel: CancellationToken::new(),
         };
--- a/orioleworks_entry/src/placement.rs
+++ b/orioleworks_entry/src/placement.rs
@@ -33,6 +33,8 @@
     pub lowest_version: u64,
     /// Upstreams that must not be chosen.
     pub avoid: Vec<Rc<str>>,
+    /// Whether the result is owed to a trainer.
+    pub owed: bool,
     /// Whether the request is a hedged second attempt.
     pub second_attempt: bool,
     /// Sends the granted slot to the waiting task.
--- a/orioleworks_entry/src/runs_dispatch.rs
+++ b/orioleworks_entry/src/runs_dispatch.rs
@@ -207,6 +207,7 @@
         lowest_version: step.lowest_version(),
         avoid,
         idempotency_key: None,
+        owed: true,
         local_only: false,
         cancel: token.clone(),
     };
--- a/orioleworks_entry/src/runs_judge.rs
+++ b/orioleworks_entry/src/runs_judge.rs
@@ -68,6 +68,7 @@
             lowest_version: 0,
             avoid: Vec::new(),
             idempotency_key: None,
+            owed: true,
             local_only: false,
             cancel: step.token.child_token(),
         };
--- a/orioleworks_entry/src/slots.rs
+++ b/orioleworks_entry/src/slots.rs
@@ -260,7 +260,11 @@
                     if stopped_waiting(waiter) {
                         return Some(None);
                     }
-                    let admission = self.suspects.admission(&waiter.fingerprint);
+                    let admission = if waiter.owed {
+                        self.suspects.owed_admission(&waiter.fingerprint)
+                    } else {
+                        self.suspects.admission(&waiter.fingerprint)
+                    };
                     let spread = self.suspects.max_spread(&waiter.fingerprint);
                     view.place(waiter, admission, spread).map(Some)
                 })?;
--- a/orioleworks_entry/src/suspects.rs
+++ b/orioleworks_entry/src/suspects.rs
@@ -133,6 +133,11 @@
         self.suspects.borrow().admission(fingerprint, clock::since_boot())
     }
 
+    /// Returns how a request whose result is owed to a trainer may run now.
+    pub fn owed_admission(&self, fingerprint: &str) -> Admission {
+        self.suspects.borrow().owed_admission(fingerprint, clock::since_boot())
+    }
+
     /// Removes expired records.
     pub fn expire(&self) {
         self.suspects.borrow_mut().expire(clock::since_boot());
--- a/orioleworks_entry/tests/rollout/peers.rs
+++ b/orioleworks_entry/tests/rollout/peers.rs
@@ -32,6 +32,7 @@
         lowest_version: 3,
         avoid: Vec::new(),
         idempotency_key: None,
+        owed: false,
         local_only: false,
         cancel: CancellationToken::new(),
     }
--- a/orioleworks_entry/tests/routing.rs
+++ b/orioleworks_entry/tests/routing.rs
@@ -33,6 +33,7 @@
         lowest_version: 0,
         avoid: Vec::new(),
         idempotency_key: None,
+        owed: false,
         local_only: false,
         cancel: CancellationToken::new(),
     }
@@ -195,6 +196,32 @@
     });
 }
 
+/// Guards against a sample of a trainer's step that is refused for minutes because engines ended under it.
+#[rstest]
+fn a_sample_is_owed_and_completes_after_two_engines_ended_under_it() {
+    const EVENTS: &str = "data: {\"choices\":[{\"text\":\"a\"}],\"weight_version\":3,\"tokens\":4,\"incarnation\":1}\n\n\
+        data: [DONE]\n\n";
+    block_on(async {
+        let env = TestEnv::start(vec![scorer()]).await;
+        let crash = UpstreamMode::CrashOn("prompt");
+        let first = env.upstream("e-1", "scorer-llm", crash.clone()).await;
+        let job = |deadline_ms| Job {
+            owed: true,
+            deadline: Instant::now() + Duration::from_millis(deadline_ms),
+            ..sample(scorer())
+        };
+        assert!(env.entry.dispatcher.run(job(500)).await.is_err());
+        let second = env.upstream("e-2", "scorer-llm", crash).await;
+        assert!(env.entry.dispatcher.run(job(4000)).await.is_err());
+        assert!(first.has_crashed() && second.has_crashed());
+        // The quarantine that control has recorded by then does not apply either.
+        time::sleep(Duration::from_millis(1500)).await;
+        env.upstream("e-3", "scorer-llm", UpstreamMode::Stream(EVENTS)).await;
+        let result = env.entry.dispatcher.run(job(4000)).await;
+        assert_eq!(result.unwrap().upstream, "e-3".into());
+    });
+}
+
 /// Guards against a cancelled request that keeps running, and against in-flight counts that are not released.
 #[rstest]
 fn cancelled_request_frees_its_slot() {
--- a/orioleworks_entry/tests/spread.rs
+++ b/orioleworks_entry/tests/spread.rs
@@ -36,6 +36,7 @@
         lowest_version: 0,
         avoid: Vec::new(),
         idempotency_key: None,
+        owed: false,
         local_only: false,
         cancel: CancellationToken::new(),
     }
--- a/orioleworks_routing/src/suspects.rs
+++ b/orioleworks_routing/src/suspects.rs
@@ -183,6 +183,18 @@
         }
     }
 
+    /// How a request may run whose result is owed to a trainer. Where another one is quarantined, it runs isolated after
+    /// the delay, so that it costs one upstream at a time.
+    pub fn owed_admission(&self, fingerprint: &str, now: Duration) -> Admission {
+        match (self.admission(fingerprint, now), self.records.get(fingerprint)) {
+            (Admission::Quarantined, Some(r)) => {
+                let retry_at = r.last_crash + RETRY_DELAY + self.retry_stagger;
+                if now < retry_at { Admission::NotBefore(retry_at) } else { Admission::Isolated }
+            }
+            (admission, _) => admission,
+        }
+    }
+
     /// Clears a suspect that finished without a crash, or that an operator released.
     pub fn clear(&mut self, fingerprint: &str, now: Duration) {
         if let Some((fingerprint, record)) = self.records.shift_remove_entry(fingerprint) {
--- a/orioleworks_routing/tests/suspects.rs
+++ b/orioleworks_routing/tests/suspects.rs
@@ -31,6 +31,20 @@
     assert_eq!(suspects.admission("g", at), Admission::Isolated);
 }
 
+/// Guards against an owed sample that is quarantined, and against one that runs again without delay or beside others.
+#[rstest]
+fn an_owed_request_runs_isolated_where_another_is_quarantined() {
+    let mut suspects = Suspects::default();
+    assert_eq!(suspects.owed_admission("f", ms(0)), Admission::Unrestricted);
+    for n in 0..6 {
+        let at = ms(3000 * n);
+        suspects.record_upstream_loss(at, format!("{n}#1").into(), requests(&["f"]), 11);
+        assert_eq!(suspects.owed_admission("f", at), Admission::NotBefore(at + ms(2500)));
+        assert_eq!(suspects.owed_admission("f", at + ms(2500)), Admission::Isolated);
+    }
+    assert_eq!(suspects.admission("f", ms(20_000)), Admission::Quarantined);
+}
+
 /// Guards against treating the requests of a lost rack as suspects. Losses are correlated if at least 2 upstreams, and
 /// at least a quarter of all, are lost within 2 s.
 #[rstest]
