A loss still explains others after its own content has completed

Callers could see: an innocent request refused as quarantined, because it was tried on two upstreams that were lost together with others, and everything else that ran on those others had completed elsewhere by then.

Cause: a completed run removed the crashes of its content, and with them the only sign that those upstreams had been lost around that time. Found by reading.

Evidence: a_loss_explains_others_also_after_its_own_content_completed failed: Quarantined(3.3s) instead of Suspect.

Why it works: crashes before the last completed run stay in the record and no longer count against the content. A record without a crash that counts is no suspect, so that a gateway stops computing fingerprints once all contents have completed; before, it went on for 20 minutes (a_content_that_completed_is_no_suspect failed with 2 instead of 1).

--- a/orioleworks_routing/src/crashes.rs
+++ b/orioleworks_routing/src/crashes.rs
@@ -103,12 +103,13 @@
     pub fingerprint: Rc<str>,
     /// Possible crashes by upstream.
     pub crashes: IndexMap<Key, Crash>,
-    /// Newest time at which a run completed; earlier crashes do not count.
+    /// Newest time at which a run completed; earlier crashes say nothing of the content.
     pub completed_at: Option<Duration>,
 }
 
 #[derive(Clone, Debug, Default)]
 struct Record {
+    /// Includes crashes before the last completed run: they are still signs that an upstream was lost.
     crashes: IndexMap<Key, Crash>,
     completed_at: Option<Duration>,
     last_change: Duration,
@@ -122,6 +123,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Crashes {
     records: IndexMap<Rc<str>, Record>,
+    /// Number of contents with a possible crash.
+    suspects: usize,
     changes: u64,
     /// Position of the newest change that no other store passed on.
     direct_changes: u64,
@@ -130,7 +133,7 @@
 impl Crashes {
     /// Number of contents with a possible crash.
     pub fn len(&self) -> usize {
-        self.records.len() - usize::from(self.records.contains_key(NO_CONTENT))
+        self.suspects
     }
 
     /// Whether no content has a possible crash.
@@ -162,7 +165,7 @@
         let Some((fingerprint, record)) = self.records.get_key_value(fingerprint) else {
             return false;
         };
-        if record.crashes.is_empty() {
+        if !record.is_suspect() {
             return false;
         }
         let (fingerprint, completed_at) = (fingerprint.clone(), Some(now));
@@ -175,32 +178,17 @@
             if report.crashes.is_empty() {
                 return false;
             }
-            if self.records.len() >= MAX_CONTENTS {
-                self.records.shift_remove_index(0);
+            if self.records.len() >= MAX_CONTENTS
+                && let Some((_, oldest)) = self.records.shift_remove_index(0)
+            {
+                self.suspects -= usize::from(oldest.is_suspect());
             }
         }
         let record = self.records.entry(report.fingerprint).or_default();
-        let mut changed = report.completed_at > record.completed_at;
-        record.completed_at = record.completed_at.max(report.completed_at);
-        let completed_at = record.completed_at;
-        let counts = |crash: &Crash| completed_at.is_none_or(|completed| crash.at > completed);
-        record.crashes.retain(|_, crash| counts(crash));
-        for (upstream, crash) in report.crashes.into_iter().filter(|(_, crash)| counts(crash)) {
-            match record.crashes.get_mut(&upstream) {
-                Some(known) if known.observation >= crash.observation => {}
-                Some(known) => {
-                    known.observation = crash.observation;
-                    changed = true;
-                }
-                None => {
-                    if record.crashes.len() >= MAX_CRASHES {
-                        record.crashes.shift_remove_index(0);
-                    }
-                    record.crashes.insert(upstream, crash);
-                    changed = true;
-                }
-            }
-        }
+        let was_suspect = record.is_suspect();
+        let changed = record.merge(report.crashes, report.completed_at);
+        self.suspects += usize::from(record.is_suspect());
+        self.suspects -= usize::from(was_suspect);
         if changed {
             self.changes += 1;
             record.changed = self.changes;
@@ -278,7 +266,8 @@
                 && loss.at.abs_diff(crash.at) <= CORRELATION_WINDOW
         });
         around.any(|(other, loss)| {
-            !record.crashes.contains_key(other) && is_standing(other, loss, fleet)
+            !record.counting().any(|(upstream, _)| upstream == other)
+                && is_standing(other, loss, fleet)
         })
     }
 
@@ -309,23 +298,65 @@
     pub fn expire(&mut self, now: Duration) {
         // The next quarantine after the longest one is as long again, if a crash follows it closely.
         self.records.retain(|_, record| record.last_change + RETENTION * 2 > now);
+        self.suspects = self.records.values().filter(|record| record.is_suspect()).count();
     }
 }
 
 impl Record {
+    /// Merges what another process knows; returns whether it changed anything.
+    fn merge(&mut self, crashes: IndexMap<Key, Crash>, completed_at: Option<Duration>) -> bool {
+        let mut changed = completed_at > self.completed_at;
+        self.completed_at = self.completed_at.max(completed_at);
+        let newest = self.completed_at;
+        let counts = |crash: &Crash| newest.is_none_or(|completed| crash.at > completed);
+        for (upstream, crash) in crashes {
+            match self.crashes.get_mut(&upstream) {
+                Some(known) if counts(&crash) && !counts(known) => {
+                    *known = crash;
+                    changed = true;
+                }
+                Some(known) if known.observation >= crash.observation => {}
+                Some(known) => {
+                    known.observation = crash.observation;
+                    changed = true;
+                }
+                None => {
+                    if self.crashes.len() >= MAX_CRASHES {
+                        self.crashes.shift_remove_index(0);
+                    }
+                    self.crashes.insert(upstream, crash);
+                    changed = true;
+                }
+            }
+        }
+        changed
+    }
+
+    /// Crashes since the last completed run.
+    fn counting(&self) -> impl Iterator<Item = (&Key, &Crash)> {
+        let completed_at = self.completed_at;
+        let counts = move |crash: &Crash| completed_at.is_none_or(|completed| crash.at > completed);
+        self.crashes.iter().filter(move |(_, crash)| counts(crash))
+    }
+
+    /// Whether a crash counts against the content; a refused connection never does.
+    fn is_suspect(&self) -> bool {
+        self.counting().any(|(_, crash)| weight(crash) > 0)
+    }
+
     /// Evidence of those crashes that `counts` selects.
     fn evidence(
         &self,
         counts: impl Fn(&Key, &Crash) -> bool,
         weight: impl Fn(&Crash) -> u32,
     ) -> u32 {
-        let counted = self.crashes.iter().filter(|(upstream, crash)| counts(upstream, crash));
+        let counted = self.counting().filter(|(upstream, crash)| counts(upstream, crash));
         counted.map(|(_, crash)| weight(crash)).sum()
     }
 
     /// Time of the last crash that stands.
     fn last_crash(&self, fleet: &Fleet) -> Duration {
-        let standing = self.crashes.iter().filter(|(up, crash)| is_standing(up, crash, fleet));
+        let standing = self.counting().filter(|(up, crash)| is_standing(up, crash, fleet));
         standing.map(|(_, crash)| crash.at).max().unwrap_or_default()
     }
 }
--- a/orioleworks_routing/tests/crashes.rs
+++ b/orioleworks_routing/tests/crashes.rs
@@ -115,6 +115,36 @@
     assert_eq!(crashes.admission("innocent-b", &fleet, ms(1005)), Admission::Suspect);
 }
 
+/// Guards against the quarantine of a request whose upstreams were lost together with others, once what ran on the others
+/// has completed elsewhere.
+#[test]
+fn a_loss_explains_others_also_after_its_own_content_completed() {
+    let (mut crashes, fleet) = (Crashes::default(), fleet(6));
+    record(&mut crashes, "innocent-a", 0, ms(1000));
+    record(&mut crashes, "innocent-b", 2, ms(1000));
+    assert!(crashes.record_completion("innocent-b", ms(1050)));
+    assert_eq!(crashes.admission("innocent-b", &fleet, ms(1050)), Admission::Unrestricted);
+    record(&mut crashes, "innocent-a", 1, ms(1060));
+    assert_eq!(crashes.admission("innocent-a", &fleet, ms(1300)), Admission::Suspect);
+}
+
+/// Guards against requests that are all fingerprinted for minutes because of a crash that no longer counts.
+#[test]
+fn a_content_that_completed_is_no_suspect() {
+    let mut crashes = Crashes::default();
+    record(&mut crashes, CONTENT, 0, ms(1000));
+    record(&mut crashes, "other", 0, ms(1000));
+    assert_eq!(crashes.len(), 2);
+    crashes.record_completion(CONTENT, ms(2000));
+    assert_eq!(crashes.len(), 1);
+    crashes.record_completion("other", ms(2000));
+    assert!(crashes.is_empty());
+    record(&mut crashes, CONTENT, 1, ms(3000));
+    assert_eq!(crashes.len(), 1);
+    crashes.expire(ms(3000) + RETENTION * 2);
+    assert!(crashes.is_empty());
+}
+
 /// Guards against content that is never quarantined because other losses always explain its crashes.
 #[test]
 fn four_crashes_quarantine_a_content_in_any_case() {
