A request that may have crashed an upstream runs once at a time over all gateways

Cause: a suspect is sent to one upstream at a time by each gateway.

Why it works: a gateway reports the run of a suspect to its store and waits for the acknowledgement, 50 ms at most, before it starts the run. Until that ends, by a crash, a completed run or otherwise, requests of the same content wait at all gateways, which learn of it as they learn of crashes. What remains is the time of such a report, one way to the store, between stores and to the gateways.

--- a/orioleworks_fleet/src/convert.rs
+++ b/orioleworks_fleet/src/convert.rs
@@ -4,7 +4,7 @@
 
 use orioleworks_proto::inner;
 use orioleworks_routing::{
-    crashes::{Crash, Observation, Report},
+    crashes::{Crash, Observation, Report, SuspectRun},
     fleet::{Known, Upstream},
 };
 
@@ -68,6 +68,10 @@
         fingerprint: report.fingerprint.to_string(),
         crashes: crashes.collect(),
         completed_age_ms: report.completed_at.map(age),
+        run: report.run.map(|run| inner::SuspectRun {
+            age_ms: age(run.at),
+            remaining_ms: millis(run.until.saturating_sub(now)),
+        }),
     }
 }
 
@@ -88,6 +92,10 @@
         fingerprint: message.fingerprint.into(),
         crashes: crashes.collect(),
         completed_at: message.completed_age_ms.map(time),
+        run: message.run.map(|run| SuspectRun {
+            at: time(run.age_ms),
+            until: now + Duration::from_millis(run.remaining_ms.into()),
+        }),
     }
 }
 
--- a/orioleworks_gateway/src/crashes.rs
+++ b/orioleworks_gateway/src/crashes.rs
@@ -26,6 +26,9 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(5);
 /// Longest time for a store to acknowledge reports.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time for a store to acknowledge the start of a suspect's run. Without an acknowledgement the run starts all the
+/// same, so that a gateway that is cut off from the stores goes on.
+const RUN_REPORT_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Contents that may have crashed upstreams; clones share them.
 #[derive(Clone, Debug)]
@@ -94,6 +97,22 @@
         self.wake_reporter();
     }
 
+    /// Records a run of a suspect that ends at `until` at the latest; returns whether the content is a suspect.
+    pub fn record_run(&self, content: &Content, until: Duration) -> bool {
+        let mut crashes = self.knowledge.crashes.borrow_mut();
+        let recorded = !crashes.is_empty()
+            && crashes.record_run(content.fingerprint(), clock::since_boot(), until);
+        if recorded {
+            self.wake_reporter();
+        }
+        recorded
+    }
+
+    /// Records that a run of a suspect has ended without a crash.
+    pub fn record_run_end(&self, content: &Content) {
+        self.record_run(content, clock::since_boot());
+    }
+
     /// Removes expired records.
     pub fn expire(&self) {
         self.knowledge.crashes.borrow_mut().expire(clock::since_boot());
@@ -117,6 +136,20 @@
     }
 }
 
+/// Records a run of a suspect, and tells the other gateways before it starts.
+pub async fn begin_run(view: &View, content: &Content, until: Duration) {
+    let acknowledged = view.crashes.knowledge.crashes.borrow().cursor();
+    if !view.crashes.record_run(content, until) {
+        return;
+    }
+    let Some(address) = view.followed_store() else { return };
+    let (contents, _) = view.crashes.unreported(acknowledged);
+    let message = Body::ReportCrashes(inner::ReportCrashes { contents });
+    if let Err(e) = view.stores.client(&address).call(message, RUN_REPORT_TIMEOUT).await {
+        event!(warn, "crash_report_failed", peer = address, contents = 1, reason = e);
+    }
+}
+
 /// Reports this gateway's observations to the store that it follows, until the token is cancelled.
 ///
 /// Everything is reported again to the next store, because the one before may have ended before it passed a report on.
--- a/orioleworks_gateway/src/forward.rs
+++ b/orioleworks_gateway/src/forward.rs
@@ -32,7 +32,7 @@
 
 use crate::{
     callers::{Refusal, RequestContext},
-    telemetry,
+    crashes, telemetry,
     view::View,
 };
 
@@ -47,6 +47,8 @@
 const FULL_RETRY: Duration = Duration::from_millis(100);
 /// Retry advice when there is no upstream; a replica that is starting announces itself by then.
 const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(500);
+/// Interval at which a repeat of a suspect checks whether the run in progress has ended.
+const RUN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Number of stream chunks buffered for a slow caller.
 const STREAM_QUEUE_CHUNKS: usize = 16;
 
@@ -127,6 +129,8 @@
     runs: u32,
     in_flight: Vec<Key>,
     refusals: usize,
+    /// Whether other gateways were told of a run that has not ended yet.
+    runs_as_suspect: bool,
     tx: mpsc::UnboundedSender<EndedAttempt>,
     cancel: CancellationToken,
 }
@@ -159,6 +163,7 @@
         runs: 0,
         in_flight: Vec::new(),
         refusals: 0,
+        runs_as_suspect: false,
         tx,
         cancel,
     };
@@ -198,10 +203,11 @@
             let attempt = select! { attempt = rx.next() => attempt, () = timer => None };
             let Some(attempt) = attempt else {
                 if Instant::now() >= self.deadline {
-                    for key in &self.in_flight {
-                        self.record_crash(key, Observation::Silence);
+                    let refusal = self.deadline_refusal();
+                    for key in std::mem::take(&mut self.in_flight) {
+                        self.record_crash(&key, Observation::Silence);
                     }
-                    return Err(self.deadline_refusal());
+                    return Err(refusal);
                 }
                 if self.view.try_retry(&self.route.name) && self.start() {
                     event!(
@@ -220,6 +226,8 @@
             self.in_flight.retain(|key| *key != attempt.key);
             match attempt.end {
                 AttemptEnd::Stream(exchange) => {
+                    // The task that streams the response ends the run.
+                    self.runs_as_suspect = false;
                     self.log_response(&attempt.upstream.id);
                     return Ok(self.stream(*exchange, attempt.key));
                 }
@@ -264,8 +272,7 @@
             } else {
                 self.may_repeat() && self.view.try_retry(&self.route.name)
             };
-            let admitted = matches!(self.admission(), Admission::Unrestricted | Admission::Suspect);
-            if retry && admitted && self.start() {
+            if retry && self.is_admitted_again().await && self.start() {
                 continue;
             }
             return match failure {
@@ -305,10 +312,30 @@
     }
 
     /// Waits until it is known whether the request crashes upstreams, and refuses one that does.
-    async fn wait_for_admission(&self) -> Result<(), Refusal> {
+    async fn wait_for_admission(&mut self) -> Result<(), Refusal> {
+        let mut waits = false;
         loop {
             match self.admission() {
-                Admission::Unrestricted | Admission::Suspect => return Ok(()),
+                Admission::Unrestricted => return Ok(()),
+                Admission::Suspect => {
+                    self.begin_run().await;
+                    return Ok(());
+                }
+                Admission::AfterRun(until) => {
+                    if !std::mem::replace(&mut waits, true) {
+                        event!(
+                            info,
+                            "suspect_waits",
+                            request = self.context.id,
+                            content = fingerprint::logged(self.content.fingerprint()),
+                            until_ms = until.saturating_sub(clock::since_boot()).as_millis(),
+                        );
+                    }
+                    if Instant::now() + RUN_CHECK_INTERVAL >= self.deadline {
+                        return Err(self.quarantine_refusal(until));
+                    }
+                    compio::time::sleep(RUN_CHECK_INTERVAL).await;
+                }
                 Admission::Quarantined(retry_at) => return Err(self.quarantine_refusal(retry_at)),
                 Admission::NotBefore(at) => {
                     let wait = at.saturating_sub(clock::since_boot());
@@ -321,8 +348,37 @@
         }
     }
 
-    fn record_crash(&self, upstream: &Key, observation: Observation) {
+    /// Whether another attempt may start after one that failed. Waits for a run of the same suspect elsewhere, but not for
+    /// the decision on its crashes.
+    async fn is_admitted_again(&mut self) -> bool {
+        self.end_run();
+        match self.admission() {
+            Admission::Unrestricted => true,
+            Admission::Suspect | Admission::AfterRun(_) => self.wait_for_admission().await.is_ok(),
+            Admission::NotBefore(_) | Admission::Quarantined(_) => false,
+        }
+    }
+
+    async fn begin_run(&mut self) {
+        self.runs_as_suspect = true;
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        crashes::begin_run(self.view, &self.content, clock::since_boot() + remaining).await;
+    }
+
+    fn end_run(&mut self) {
+        if std::mem::take(&mut self.runs_as_suspect) {
+            self.view.crashes.record_run_end(&self.content);
+        }
+    }
+
+    fn record_crash(&mut self, upstream: &Key, observation: Observation) {
         self.view.crashes.record(&self.content, &self.context.id, upstream, observation);
+        if !self.in_flight.is_empty() {
+            // A parallel attempt still runs what is a suspect now.
+            self.runs_as_suspect = true;
+            let remaining = self.deadline.saturating_duration_since(Instant::now());
+            self.view.crashes.record_run(&self.content, clock::since_boot() + remaining);
+        }
     }
 
     fn quarantine_refusal(&self, retry_at: Duration) -> Refusal {
@@ -383,6 +439,9 @@
             loop {
                 let part = match exchange.next().await {
                     Ok(Some(part)) => {
+                        if observation == Observation::BrokenAtStart {
+                            view.crashes.record_run_end(&content);
+                        }
                         observation = Observation::BrokenMidway;
                         Ok(Frame::data(part))
                     }
@@ -410,6 +469,12 @@
     }
 }
 
+impl Drop for ForwardedRequest<'_> {
+    fn drop(&mut self) {
+        self.end_run();
+    }
+}
+
 /// One attempt; runs in its own task, independent of the caller's.
 struct Attempt {
     view: View,
--- a/orioleworks_gateway/tests/crashing_requests.rs
+++ b/orioleworks_gateway/tests/crashing_requests.rs
@@ -125,6 +125,43 @@
     assert!(took < REFUSAL_TIME, "refused after {took:?}");
 }
 
+/// Guards against a repeat that crashes a third upstream through another gateway while the second one still runs the
+/// request.
+#[test]
+fn a_repeat_through_another_gateway_waits_for_the_run_of_a_suspect() {
+    const RUN_TIME: Duration = Duration::from_millis(500);
+    let mut routes = routes::document(1, 5000);
+    // No second attempt starts beside the first one.
+    routes["routes"][routes::LOOKUP]["target_latency_ms"] = 5000.into();
+    let d = Deployment::start(3, 3, &routes.to_string());
+    let upstreams = start_upstreams(&d, "sheets", None, 5);
+    warm_up(&d, &upstreams);
+    for up in &upstreams {
+        up.behaviour.delay_ms.store(RUN_TIME.as_millis() as u64, Ordering::Relaxed);
+    }
+    let path = format!("/lookup/{CRASHES}");
+    thread::scope(|scope| {
+        let send = |gateway: usize, id: &'static str| {
+            let (address, path) = (d.gateway_address(gateway), path.clone());
+            scope.spawn(move || {
+                let headers = [("X-Attempt-Id", id), ("X-Deadline-Ms", "4000")];
+                support::client::call(&address, "GET", &path, &headers, "").unwrap()
+            })
+        };
+        let first = send(0, "first");
+        // The first upstream has ended, and the second one runs the request.
+        thread::sleep(RUN_TIME * 3 / 2);
+        let repeats = [send(1, "repeat-1"), send(2, "repeat-2"), send(0, "repeat-3")];
+        assert_ne!(first.join().unwrap().status, 200);
+        for repeat in repeats {
+            let response = repeat.join().unwrap();
+            assert!(is_quarantined(&response), "{} {}", response.status, response.body);
+        }
+    });
+    let crashes = total_crashes(&upstreams);
+    assert!(crashes <= MAX_CRASHES, "{crashes} upstreams crashed\n{}", d.logs());
+}
+
 /// Guards against a quarantine that is forgotten: what a gateway observed must survive its own end, the end of the store
 /// that it reported to, and the restart of every process one after the other.
 #[test]
--- a/orioleworks_gateway/tests/support/upstream.rs
+++ b/orioleworks_gateway/tests/support/upstream.rs
@@ -25,7 +25,7 @@
     pub crash_path: Mutex<String>,
     /// How many more of these requests crash a replica; shared by the replicas under test.
     pub crashes_left: Mutex<Arc<AtomicU64>>,
-    /// Time from the start of a run to its response, in milliseconds.
+    /// Time from the start of a run to its response or crash, in milliseconds.
     pub delay_ms: AtomicU64,
     /// Refuses requests as not run.
     pub refuses: AtomicBool,
@@ -337,11 +337,11 @@
         }
         let after = headers.get("last-event-id").and_then(|v| v.parse().ok());
         self.state.lock().unwrap().runs.entry(id.clone()).or_default().push(after);
+        thread::sleep(Duration::from_millis(self.behaviour.delay_ms.load(Ordering::Relaxed)));
         if self.must_crash(path) {
             self.crash();
             return Err(std::io::Error::other("injected crash of the replica"));
         }
-        thread::sleep(Duration::from_millis(self.behaviour.delay_ms.load(Ordering::Relaxed)));
         if self.behaviour.crashes.load(Ordering::Relaxed) {
             return Err(std::io::Error::other("injected crash"));
         }
--- a/orioleworks_routing/src/crashes.rs
+++ b/orioleworks_routing/src/crashes.rs
@@ -69,6 +69,9 @@
     Unrestricted,
     /// On one upstream at a time, because it may have crashed one.
     Suspect,
+    /// Not while a run of this content, which may have crashed an upstream, is in progress; it ends at this time at the
+    /// latest.
+    AfterRun(Duration),
     /// Not before this time, at which it is known whether other losses explain its crashes.
     NotBefore(Duration),
     /// Not now; a repeat may be admitted at this time.
@@ -96,6 +99,16 @@
     pub observation: Observation,
 }
 
+/// A run of a suspect. Only one at a time is started, so that a content does not crash a third upstream before the second
+/// crash is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SuspectRun {
+    /// Start of the run.
+    pub at: Duration,
+    /// Time at which it ends at the latest.
+    pub until: Duration,
+}
+
 /// What is known of one content, as exchanged between gateways and stores.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Report {
@@ -105,6 +118,8 @@
     pub crashes: IndexMap<Key, Crash>,
     /// Newest time at which a run completed; earlier crashes say nothing of the content.
     pub completed_at: Option<Duration>,
+    /// Newest run that was started as a suspect.
+    pub run: Option<SuspectRun>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -112,6 +127,7 @@
     /// Includes crashes before the last completed run: they are still signs that an upstream was lost.
     crashes: IndexMap<Key, Crash>,
     completed_at: Option<Duration>,
+    run: Option<SuspectRun>,
     last_change: Duration,
     /// Position of the newest change.
     changed: u64,
@@ -151,7 +167,18 @@
     ) -> bool {
         let crashes = IndexMap::from([(upstream.clone(), Crash { at, observation })]);
         let fingerprint = fingerprint.clone();
-        self.merge(Report { fingerprint, crashes, completed_at: None }, at, true)
+        self.merge(Report { fingerprint, crashes, completed_at: None, run: None }, at, true)
+    }
+
+    /// Records that a run of a suspect starts, or with `until` = `now` that it has ended without a crash; returns whether
+    /// the content is a suspect.
+    pub fn record_run(&mut self, fingerprint: &Rc<str>, now: Duration, until: Duration) -> bool {
+        if !self.records.get(fingerprint).is_some_and(Record::is_suspect) {
+            return false;
+        }
+        let run = Some(SuspectRun { at: now, until });
+        let (fingerprint, crashes) = (fingerprint.clone(), IndexMap::new());
+        self.merge(Report { fingerprint, crashes, completed_at: None, run }, now, true)
     }
 
     /// Records that an upstream refused a connection; returns whether that is new. It may explain crashes around then.
@@ -169,7 +196,8 @@
             return false;
         }
         let (fingerprint, completed_at) = (fingerprint.clone(), Some(now));
-        self.merge(Report { fingerprint, crashes: IndexMap::new(), completed_at }, now, true)
+        let crashes = IndexMap::new();
+        self.merge(Report { fingerprint, crashes, completed_at, run: None }, now, true)
     }
 
     /// Merges a report; returns whether it changed anything. `direct` tells that it does not come from another store.
@@ -186,7 +214,7 @@
         }
         let record = self.records.entry(report.fingerprint).or_default();
         let was_suspect = record.is_suspect();
-        let changed = record.merge(report.crashes, report.completed_at);
+        let changed = record.merge(report.crashes, report.completed_at, report.run);
         self.suspects += usize::from(record.is_suspect());
         self.suspects -= usize::from(was_suspect);
         if changed {
@@ -209,7 +237,7 @@
             return Admission::Unrestricted;
         }
         if evidence < QUARANTINE_EVIDENCE {
-            return Admission::Suspect;
+            return record.suspect_admission(now);
         }
         let last = record.last_crash(fleet);
         if now < last + DECISION_TIME {
@@ -222,7 +250,11 @@
         }
         let further = (evidence - QUARANTINE_EVIDENCE) / STRONG_EVIDENCE;
         let time = FIRST_QUARANTINE.saturating_mul(2_u32.saturating_pow(further)).min(RETENTION);
-        if now < last + time { Admission::Quarantined(last + time) } else { Admission::Suspect }
+        if now < last + time {
+            Admission::Quarantined(last + time)
+        } else {
+            record.suspect_admission(now)
+        }
     }
 
     /// When and how an item with this content may start. Evidence that quarantines a request pauses an item.
@@ -291,6 +323,7 @@
             fingerprint: fingerprint.clone(),
             crashes: record.crashes.clone(),
             completed_at: record.completed_at,
+            run: record.run,
         })
     }
 
@@ -304,8 +337,17 @@
 
 impl Record {
     /// Merges what another process knows; returns whether it changed anything.
-    fn merge(&mut self, crashes: IndexMap<Key, Crash>, completed_at: Option<Duration>) -> bool {
+    fn merge(
+        &mut self,
+        crashes: IndexMap<Key, Crash>,
+        completed_at: Option<Duration>,
+        run: Option<SuspectRun>,
+    ) -> bool {
         let mut changed = completed_at > self.completed_at;
+        if run.map(|run| run.at) > self.run.map(|run| run.at) {
+            self.run = run;
+            changed = true;
+        }
         self.completed_at = self.completed_at.max(completed_at);
         let newest = self.completed_at;
         let counts = |crash: &Crash| newest.is_none_or(|completed| crash.at > completed);
@@ -339,6 +381,13 @@
         self.crashes.iter().filter(move |(_, crash)| counts(crash))
     }
 
+    /// How a suspect may run now: not beside another run of it.
+    fn suspect_admission(&self, now: Duration) -> Admission {
+        let crashed = |run: &SuspectRun| self.crashes.values().any(|crash| crash.at > run.at);
+        let in_progress = self.run.filter(|run| now < run.until && !crashed(run));
+        in_progress.map_or(Admission::Suspect, |run| Admission::AfterRun(run.until))
+    }
+
     /// Whether a crash counts against the content; a refused connection never does.
     fn is_suspect(&self) -> bool {
         self.counting().any(|(_, crash)| weight(crash) > 0)
--- a/orioleworks_routing/tests/crashes.rs
+++ b/orioleworks_routing/tests/crashes.rs
@@ -42,6 +42,12 @@
     matches!(crashes.admission(content, fleet, now), Admission::Quarantined(_))
 }
 
+fn pass_on(from: &Crashes, to: &mut Crashes, now: Duration) {
+    for report in from.since(0, true) {
+        to.merge(report, now, false);
+    }
+}
+
 /// Guards against a third upstream that is lost to a content, and against a suspect that runs on two at the same time.
 #[test]
 fn the_second_crash_quarantines_a_content() {
@@ -55,6 +61,41 @@
     assert_eq!(crashes.admission("other", &fleet, ms(1210)), Admission::Unrestricted);
 }
 
+/// Guards against a third upstream that is lost because a repeat runs beside the second run of a content, and against
+/// repeats that wait for a run that has ended.
+#[rstest]
+#[case::crashes(|crashes: &mut Crashes| record(crashes, CONTENT, 1, ms(1100)), None)]
+#[case::completes(|crashes: &mut Crashes| assert!(crashes.record_completion(CONTENT, ms(1100))), Some(Admission::Unrestricted))]
+#[case::ends_otherwise(
+    |crashes: &mut Crashes| assert!(crashes.record_run(&Rc::from(CONTENT), ms(1100), ms(1100))),
+    Some(Admission::Suspect)
+)]
+#[case::never_ends(|_: &mut Crashes| (), Some(Admission::AfterRun(ms(2000))))]
+fn a_suspect_runs_once_at_a_time(
+    #[case] end: impl Fn(&mut Crashes),
+    #[case] expected: Option<Admission>,
+) {
+    let (mut crashes, fleet) = (Crashes::default(), fleet(6));
+    assert!(!crashes.record_run(&Rc::from(CONTENT), ms(900), ms(2000)), "no suspect yet");
+    record(&mut crashes, CONTENT, 0, ms(1000));
+    assert!(crashes.record_run(&Rc::from(CONTENT), ms(1000), ms(2000)));
+    let mut elsewhere = Crashes::default();
+    pass_on(&crashes, &mut elsewhere, ms(1002));
+    for known in [&crashes, &elsewhere] {
+        let admission = known.admission(CONTENT, &fleet, ms(1050));
+        assert_eq!(admission, Admission::AfterRun(ms(2000)));
+    }
+    end(&mut crashes);
+    pass_on(&crashes, &mut elsewhere, ms(1102));
+    for known in [&crashes, &elsewhere] {
+        match expected {
+            Some(expected) => assert_eq!(known.admission(CONTENT, &fleet, ms(1300)), expected),
+            None => assert!(is_quarantined(known, CONTENT, &fleet, ms(1300))),
+        }
+        assert_ne!(known.admission(CONTENT, &fleet, ms(2000)), Admission::AfterRun(ms(2000)));
+    }
+}
+
 /// Guards against two broken connections to one upstream that count as two crashes.
 #[test]
 fn an_upstream_counts_once() {
