Store: what is known of upstreams stays together, crashes of items in a module

No change of behaviour. The store took a Knowledge apart and put it together again; it holds it now. The two copies of a batch submission in the gateway's tests become one.

--- a/orioleworks_gateway/tests/crashing_requests.rs
+++ b/orioleworks_gateway/tests/crashing_requests.rs
@@ -12,7 +12,6 @@
     time::{Duration, Instant},
 };
 
-use base64::{Engine as _, engine::general_purpose::STANDARD};
 use rstest::rstest;
 use support::{
     client::Response,
@@ -195,24 +194,11 @@
     assert!(total_crashes(&upstreams) <= MAX_CRASHES, "{} crashes", total_crashes(&upstreams));
 }
 
-fn submission(items: &[String]) -> String {
-    let item = |id: &String| {
-        serde_json::json!({
-            "id": id, "path": format!("/batch/{id}"), "body": STANDARD.encode(format!("body of {id}")),
-            "headers": {"X-Model": MODEL, "X-Token-Count": "100,900", "X-Length-Hint": "500"},
-            "tokens": 1000, "group": id,
-        })
-    };
-    let items: Vec<serde_json::Value> = items.iter().map(item).collect();
-    serde_json::json!({"step": 1, "model": MODEL, "min_version": 1, "group_count": 1, "items": items})
-        .to_string()
-}
-
 /// Submits a batch of one item that crashes engines and `others` that don't.
 fn submit(d: &Deployment, id: &str, others: usize) {
     let mut items = vec![format!("{CRASHES}-item")];
     items.extend((0..others).map(|i| format!("{id}-{i}")));
-    let body = submission(&items);
+    let body = routes::submission(&items, 1, |id| id);
     d.wait_until("the batch is accepted", || {
         d.send(0, "POST", &format!("/batch/{id}"), id, &body).is_some_and(|a| a.status == 202)
     });
@@ -307,7 +293,7 @@
         up.behaviour.delay_ms.store(40, std::sync::atomic::Ordering::Relaxed);
     }
     let items: Vec<String> = (0..60).map(|i| format!("item-{i}")).collect();
-    let body = submission(&items);
+    let body = routes::submission(&items, 1, |id| id);
     let until = Instant::now() + RESTART_TIME * 4;
     thread::scope(|scope| {
         let callers = (0..CALLERS).map(|caller| {
--- a/orioleworks_gateway/tests/platform.rs
+++ b/orioleworks_gateway/tests/platform.rs
@@ -8,7 +8,6 @@
     time::{Duration, Instant},
 };
 
-use base64::{Engine as _, engine::general_purpose::STANDARD};
 use nix::sys::signal::Signal;
 use support::{
     client,
@@ -27,19 +26,6 @@
     (0..count).map(start).collect()
 }
 
-fn submission(items: &[String], min_version: u64) -> String {
-    let item = |id: &String| {
-        serde_json::json!({
-            "id": id, "path": format!("/batch/{id}"), "body": STANDARD.encode(format!("body of {id}")),
-            "headers": {"X-Model": MODEL, "X-Token-Count": "100,900", "X-Length-Hint": "500"},
-            "tokens": 1000, "group": "g1",
-        })
-    };
-    let items: Vec<serde_json::Value> = items.iter().map(item).collect();
-    serde_json::json!({"step": 1, "model": MODEL, "min_version": min_version, "group_count": 1, "items": items})
-        .to_string()
-}
-
 fn item_ids(prefix: &str, count: usize) -> Vec<String> {
     (0..count).map(|i| format!("{prefix}-{i}")).collect()
 }
@@ -70,7 +56,7 @@
 }
 
 fn submit(d: &Deployment, gateway: usize, id: &str, items: &[String], min_version: u64) {
-    let body = submission(items, min_version);
+    let body = routes::submission(items, min_version, |_| "g1");
     d.wait_until("the batch is accepted", || {
         d.send(gateway, "POST", &format!("/batch/{id}"), id, &body).is_some_and(|a| a.status == 202)
     });
--- a/orioleworks_gateway/tests/support/routes.rs
+++ b/orioleworks_gateway/tests/support/routes.rs
@@ -1,4 +1,6 @@
-//! Route document of the tests.
+//! Route document of the tests, and batches for its routes.
+
+use base64::{Engine as _, engine::general_purpose::STANDARD};
 
 pub const MODEL: &str = "scorer";
 
@@ -32,3 +34,17 @@
                    "idle_timeout_ms": 15000},
     })
 }
+
+/// Submission of a batch with these items; `group_of` names the group of an item.
+pub fn submission(items: &[String], min_version: u64, group_of: impl Fn(&str) -> &str) -> String {
+    let item = |id: &String| {
+        serde_json::json!({
+            "id": id, "path": format!("/batch/{id}"), "body": STANDARD.encode(format!("body of {id}")),
+            "headers": {"X-Model": MODEL, "X-Token-Count": "100,900", "X-Length-Hint": "500"},
+            "tokens": 1000, "group": group_of(id),
+        })
+    };
+    let items: Vec<serde_json::Value> = items.iter().map(item).collect();
+    serde_json::json!({"step": 1, "model": MODEL, "min_version": min_version, "group_count": 1, "items": items})
+        .to_string()
+}
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -18,7 +18,7 @@
 use orioleworks_log::{ProposeError, notify::Notify};
 use orioleworks_proto::inner::{self, command::Kind};
 use orioleworks_routing::{
-    crashes::{self, ItemStart},
+    crashes::ItemStart,
     fleet::{Fleet, Upstream},
     items::{self, Rank},
     outlier::Key,
@@ -27,6 +27,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    crashes,
     engines::{Engines, key_of},
     runner::{self, Observation, Progress, Run, RunEnd, RunObserver},
     shared::Shared,
@@ -199,7 +200,7 @@
                     progress: Rc::new(RefCell::new(progress)),
                     batch: batch.spec.clone(),
                     item: item.spec.clone(),
-                    fingerprint: request_fingerprint(&batch.spec, &item.spec),
+                    fingerprint: crashes::fingerprint_of(&batch.spec, &item.spec),
                     give_up_at,
                     waiting_since: clock::since_boot(),
                     failed_attempts: item.failed_attempts,
@@ -266,10 +267,11 @@
         let mut starting_on: HashSet<Key> = starting().map(|r| r.engine.clone()).collect();
         let mut starting_contents: HashSet<Rc<str>> =
             starting().map(|r| r.fingerprint.clone()).collect();
+        let knowledge = &self.inner.shared.knowledge;
         let ranks: Vec<Rank> = work.waiting.keys().copied().collect();
         for rank in ranks {
             let Some(waiting) = work.waiting.get_mut(&rank) else { continue };
-            let start = self.item_start(&waiting.fingerprint, now);
+            let start = crashes::item_start(knowledge, &waiting.fingerprint, now);
             if let ItemStart::NotBefore(at) = start {
                 if !std::mem::replace(&mut waiting.paused, true) {
                     event!(
@@ -363,7 +365,7 @@
 
     /// Number of engines whose weights a batch allows.
     fn engines_for(&self, batch: &inner::Batch, now: Duration) -> usize {
-        let fleet = self.inner.shared.fleet.borrow();
+        let fleet = self.inner.shared.knowledge.fleet.borrow();
         let engines = self.inner.shared.engines.borrow();
         let holds = |up: &Rc<Upstream>| {
             engines.version(up, &batch.model).is_some_and(|version| version >= batch.min_version)
@@ -371,11 +373,6 @@
         fleet.serving(&batch.service, now).filter(|known| holds(&known.upstream)).count()
     }
 
-    fn item_start(&self, fingerprint: &str, now: Duration) -> ItemStart {
-        let crashes = self.inner.shared.crashes.borrow();
-        crashes.item_start(fingerprint, &self.inner.shared.fleet.borrow(), now)
-    }
-
     fn choose_engine(
         &self,
         waiting: &Waiting,
@@ -383,7 +380,7 @@
         excluded: &HashSet<Key>,
         now: Duration,
     ) -> Option<Rc<Upstream>> {
-        let fleet = self.inner.shared.fleet.borrow();
+        let fleet = self.inner.shared.knowledge.fleet.borrow();
         let engines = self.inner.shared.engines.borrow();
         let table = self.inner.shared.table.borrow();
         let service = table.service(&waiting.batch.service);
@@ -471,7 +468,7 @@
         };
         self.inner.shared.engines.borrow_mut().item_ended(&key, expected_memory(&waiting.item));
         metrics::histogram!("orioleworks_item_run_seconds",
-            "outcome" => end.as_ref().map_or("cancelled", outcome))
+            "outcome" => end.as_ref().map_or("cancelled", RunEnd::outcome))
         .record(clock::since_boot().saturating_sub(started));
         if let Some(end) = end.filter(|_| self.inner.term.get() == term) {
             self.finish_run(rank, waiting, &run, end);
@@ -501,7 +498,7 @@
             return false;
         }
         let now = clock::since_boot();
-        let fleet = self.inner.shared.fleet.borrow();
+        let fleet = self.inner.shared.knowledge.fleet.borrow();
         let engines = self.inner.shared.engines.borrow();
         let (batch, group) = (&run.batch, &run.item.group);
         let all = event_times(&fleet, &engines, &batch.service, now);
@@ -533,7 +530,9 @@
         let now = clock::since_boot();
         let mut work = self.inner.work.borrow_mut();
         let running = work.running.remove(&waiting.key);
-        self.record_end(&waiting, run, running.is_some_and(|r| r.is_starting()), &end);
+        let was_starting = running.is_some_and(|r| r.is_starting());
+        let content = (&waiting.fingerprint, &*waiting.key.1);
+        crashes::record_end(&self.inner.shared.knowledge, content, &run.key, was_starting, &end);
         match &end {
             RunEnd::Completed => {
                 let progress = waiting.progress.borrow();
@@ -589,7 +588,7 @@
             | RunEnd::Refused(reason)
             | RunEnd::Broken(reason)
             | RunEnd::Silent(reason) => reason.as_str(),
-            other => outcome(other),
+            other => other.outcome(),
         };
         event!(
             info,
@@ -607,40 +606,6 @@
         }
     }
 
-    /// Records what the end of a run says about crashes of engines under the item.
-    fn record_end(&self, waiting: &Waiting, run: &Run, was_starting: bool, end: &RunEnd) {
-        let now = clock::since_boot();
-        let content = fingerprint::logged(&waiting.fingerprint);
-        let mut crashes = self.inner.shared.crashes.borrow_mut();
-        let observation = match end {
-            RunEnd::Broken(_) if was_starting => crashes::Observation::BrokenAtStart,
-            RunEnd::Broken(_) => crashes::Observation::BrokenMidway,
-            RunEnd::Silent(_) => crashes::Observation::Silence,
-            RunEnd::Refused(_) => {
-                crashes.record_refusal(&run.key, now);
-                return;
-            }
-            RunEnd::Completed | RunEnd::Impossible | RunEnd::Failed => {
-                if crashes.record_completion(&waiting.fingerprint, now) {
-                    event!(info, "suspicion_withdrawn", item = waiting.key.1, content = content);
-                }
-                return;
-            }
-            RunEnd::NotRun | RunEnd::WrongVersion | RunEnd::Moved | RunEnd::Lost(_) => return,
-        };
-        if crashes.record(&waiting.fingerprint, &run.key, now, observation) {
-            event!(
-                info,
-                "crash_suspected",
-                item = waiting.key.1,
-                content = content,
-                upstream = run.key.0,
-                incarnation = run.key.1,
-                observation = format!("{observation:?}"),
-            );
-        }
-    }
-
     /// Saves the output of long items, so that the next leader can resume them.
     async fn save_loop(&self, token: CancellationToken) {
         while !token.is_cancelled() {
@@ -706,10 +671,6 @@
     serving.map(|known| engines.event_ms(&key_of(&known.upstream))).collect()
 }
 
-fn request_fingerprint(batch: &inner::Batch, item: &inner::BatchItem) -> Rc<str> {
-    fingerprint::of_request(&batch.host, http::Method::POST.as_str(), &item.path, &item.body)
-}
-
 fn expected_memory(item: &inner::BatchItem) -> u64 {
     items::expected_memory(item.prompt_tokens, item.expected_tokens, item.tokens)
 }
@@ -729,15 +690,3 @@
     let result = inner::ItemResult { id: key.1.to_string(), completed, text, versions, text_len };
     record_for(&mut work.results, &key.0).results.push(result);
 }
-
-fn outcome(end: &RunEnd) -> &'static str {
-    match end {
-        RunEnd::Completed => "completed",
-        RunEnd::Impossible => "impossible",
-        RunEnd::Failed => "failed",
-        RunEnd::NotRun => "not_run",
-        RunEnd::WrongVersion => "wrong_version",
-        RunEnd::Moved => "slow_engine",
-        RunEnd::Lost(_) | RunEnd::Refused(_) | RunEnd::Broken(_) | RunEnd::Silent(_) => "lost",
-    }
-}
--- a/orioleworks_store/src/lib.rs
+++ b/orioleworks_store/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cli;
 pub mod config;
 pub mod control;
+pub mod crashes;
 pub mod dispatch;
 pub mod engines;
 pub mod orders;
--- a/orioleworks_store/src/orders.rs
+++ b/orioleworks_store/src/orders.rs
@@ -149,7 +149,7 @@
     /// Engines that take requests: as input of the plan, and as upstreams.
     fn engines(&self) -> (Vec<Engine>, Vec<Rc<Upstream>>) {
         let now = clock::since_boot();
-        let fleet = self.inner.shared.fleet.borrow();
+        let fleet = self.inner.shared.knowledge.fleet.borrow();
         let known = self.inner.shared.engines.borrow();
         let serving = fleet.all().filter(|k| k.takes_requests(now) && k.is_fresh(now));
         let upstreams: Vec<Rc<Upstream>> =
@@ -269,7 +269,7 @@
         time::sleep(FIRST_CHECK_DELAY).await;
         while started.elapsed() < LOAD_TIMEOUT {
             let announced =
-                self.inner.shared.fleet.borrow().get(&up.id).map(|k| k.upstream.clone());
+                self.inner.shared.knowledge.fleet.borrow().get(&up.id).map(|k| k.upstream.clone());
             let current = announced.filter(|now| now.incarnation == up.incarnation);
             let Some(current) = current else { return Err(LoadError::Refused) };
             let seen = self.inner.shared.engines.borrow().version(&current, &load.model);
--- a/orioleworks_store/src/runner.rs
+++ b/orioleworks_store/src/runner.rs
@@ -145,6 +145,21 @@
     Silent(String),
 }
 
+impl RunEnd {
+    /// Name of the end in metrics and log lines.
+    pub fn outcome(&self) -> &'static str {
+        match self {
+            Self::Completed => "completed",
+            Self::Impossible => "impossible",
+            Self::Failed => "failed",
+            Self::NotRun => "not_run",
+            Self::WrongVersion => "wrong_version",
+            Self::Moved => "slow_engine",
+            Self::Lost(_) | Self::Refused(_) | Self::Broken(_) | Self::Silent(_) => "lost",
+        }
+    }
+}
+
 /// Item and engine of a run.
 #[derive(Clone, Debug)]
 pub struct Run {
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -67,9 +67,8 @@
         log.set_retired(state.borrow().retired().iter().cloned());
         let stores = Stores::default();
         stores.set_seeds(cfg.seed_addresses());
-        let Knowledge { fleet, crashes } = Knowledge::default();
-        let (engines, pool) = (Rc::default(), Pool::default());
-        let shared = Shared { log, state, fleet, crashes, table, engines, pool, wake };
+        let (knowledge, engines, pool) = (Knowledge::default(), Rc::default(), Pool::default());
+        let shared = Shared { log, state, knowledge, table, engines, pool, wake };
         let dispatch = Dispatch::new(shared.clone());
         let lease = Duration::from_millis(cfg.orders.lease_ms);
         let orders = Orders::new(&cfg.instance.name, lease, shared.clone(), dispatch.clone());
@@ -83,8 +82,7 @@
         self.dispatch.start(token);
         self.orders.start(token);
         let (log, stores) = (self.shared.log.clone(), self.stores.clone());
-        let (fleet, crashes) = (self.shared.fleet.clone(), self.shared.crashes.clone());
-        let knowledge = Knowledge { fleet, crashes };
+        let knowledge = self.shared.knowledge.clone();
         let (wake, stop) = (self.shared.wake.clone(), token.clone());
         runtime::spawn(peers::watch_all(log, stores, knowledge, wake, stop)).detach();
         let (this, stop) = (self.clone(), token.clone());
@@ -94,7 +92,7 @@
     async fn run_housekeeping(&self, token: CancellationToken) {
         while !token.is_cancelled() {
             self.remove_expired_upstreams();
-            self.shared.crashes.borrow_mut().expire(clock::since_boot());
+            self.shared.knowledge.crashes.borrow_mut().expire(clock::since_boot());
             self.shared.pool.close_expired();
             telemetry::publish(&self.shared, &self.dispatch);
             self.shared.log.set_retired(self.shared.state.borrow().retired().iter().cloned());
@@ -103,8 +101,8 @@
     }
 
     fn remove_expired_upstreams(&self) {
-        self.shared.fleet.borrow_mut().remove_expired(clock::since_boot());
-        let fleet = self.shared.fleet.borrow();
+        self.shared.knowledge.fleet.borrow_mut().remove_expired(clock::since_boot());
+        let fleet = self.shared.knowledge.fleet.borrow();
         let known =
             |id: &str, start: u64| fleet.get(id).is_some_and(|k| k.upstream.incarnation == start);
         self.shared.engines.borrow_mut().retain(|(id, start)| known(id, *start));
@@ -258,7 +256,8 @@
         let (id, leaving) = (up.id.clone(), up.leaving);
         let (service, address, incarnation) =
             (up.service.clone(), up.address.clone(), up.incarnation);
-        let noted = self.shared.fleet.borrow_mut().announce(clock::since_boot(), up, true);
+        let noted =
+            self.shared.knowledge.fleet.borrow_mut().announce(clock::since_boot(), up, true);
         if noted == AnnounceOutcome::Changed {
             event!(
                 info,
@@ -275,7 +274,7 @@
 
     /// Records that an upstream leaves.
     pub fn leave(&self, id: &str, incarnation: u64) {
-        if self.shared.fleet.borrow_mut().leave(clock::since_boot(), id, incarnation)
+        if self.shared.knowledge.fleet.borrow_mut().leave(clock::since_boot(), id, incarnation)
             == AnnounceOutcome::Changed
         {
             event!(info, "upstream_leaves", upstream = id, incarnation = incarnation);
@@ -286,7 +285,7 @@
     /// Merges what a gateway observed, and passes it on to the watchers at once.
     fn merge_crashes(&self, contents: Vec<inner::ContentCrashes>) {
         let now = clock::since_boot();
-        let mut crashes = self.shared.crashes.borrow_mut();
+        let mut crashes = self.shared.knowledge.crashes.borrow_mut();
         let mut changed = false;
         for content in contents {
             changed |= crashes.merge(convert::from_crash_message(content, now), now, true);
@@ -307,10 +306,11 @@
             let seen = self.shared.wake.version();
             let newer = self.shared.state.borrow().document().version > watch.document_version;
             let crashes_changed = known_crashes.is_some_and(|cursor| {
-                self.shared.crashes.borrow().changed_since(cursor, direct_crashes_only)
+                self.shared.knowledge.crashes.borrow().changed_since(cursor, direct_crashes_only)
             });
-            let urgent =
-                !same_process || crashes_changed || self.shared.fleet.borrow().urgent_since(known);
+            let urgent = !same_process
+                || crashes_changed
+                || self.shared.knowledge.fleet.borrow().urgent_since(known);
             // Another store knows the leader from its log. Replying to it at once while the two differ would make it
             // send requests without a pause.
             let leader =
@@ -323,10 +323,10 @@
         }
         let now = clock::since_boot();
         let state = self.shared.state.borrow();
-        let fleet = self.shared.fleet.borrow();
+        let fleet = self.shared.knowledge.fleet.borrow();
         let document = state.document();
         let upstreams = fleet.since(known, watch.direct_only).map(|k| convert::to_message(k, now));
-        let crashes = self.shared.crashes.borrow();
+        let crashes = self.shared.knowledge.crashes.borrow();
         let changed = known_crashes.map(|cursor| crashes.since(cursor, direct_crashes_only));
         let changed = changed.into_iter().flatten();
         // Only voters, because a learner may be far behind.
--- a/orioleworks_store/src/shared.rs
+++ b/orioleworks_store/src/shared.rs
@@ -2,9 +2,9 @@
 
 use std::{cell::RefCell, rc::Rc};
 
-use orioleworks_fleet::pool::Pool;
+use orioleworks_fleet::{pool::Pool, watch::Knowledge};
 use orioleworks_log::{Log, notify::Notify};
-use orioleworks_routing::{crashes::Crashes, fleet::Fleet, routes::RouteTable};
+use orioleworks_routing::routes::RouteTable;
 
 use crate::{engines::Engines, state::State};
 
@@ -15,10 +15,8 @@
     pub log: Log,
     /// Replicated state, built from the log.
     pub state: Rc<RefCell<State>>,
-    /// Known upstreams.
-    pub fleet: Rc<RefCell<Fleet>>,
-    /// Contents that may have crashed upstreams.
-    pub crashes: Rc<RefCell<Crashes>>,
+    /// Known upstreams, and contents that may have crashed some.
+    pub knowledge: Knowledge,
     /// Routes of the newest document.
     pub table: Rc<RefCell<Rc<RouteTable>>>,
     /// State of engines as observed through own requests and orders.
--- a/orioleworks_store/src/telemetry.rs
+++ b/orioleworks_store/src/telemetry.rs
@@ -12,7 +12,8 @@
     let (waiting, running) = dispatch.depth();
     metrics::gauge!("orioleworks_items", "state" => "waiting").set(waiting as f64);
     metrics::gauge!("orioleworks_items", "state" => "running").set(running as f64);
-    metrics::gauge!("orioleworks_suspect_contents").set(shared.crashes.borrow().len() as f64);
+    metrics::gauge!("orioleworks_suspect_contents")
+        .set(shared.knowledge.crashes.borrow().len() as f64);
     let state = shared.state.borrow();
     metrics::gauge!("orioleworks_open_batches").set(state.open_batches().count() as f64);
     metrics::gauge!("orioleworks_document_version").set(state.document().version as f64);
@@ -21,7 +22,7 @@
         metrics::gauge!("orioleworks_named_version", "model" => model).set(*named as f64);
     }
     let now = clock::since_boot();
-    let fleet = shared.fleet.borrow();
+    let fleet = shared.knowledge.fleet.borrow();
     let engines = shared.engines.borrow();
     let (fresh, earlier) = fleet.count(now);
     metrics::gauge!("orioleworks_upstreams", "heard" => "lately").set(fresh as f64);
