--- a/orioleworks_control/src/service.rs
+++ b/orioleworks_control/src/service.rs
@@ -210,12 +210,12 @@
     machine: &Rc<RefCell<Machine>>,
     sightings: &Sightings,
     committed: &Notify,
-) -> orioleworks_log::Machine {
+) -> orioleworks_log::StateMachine {
     let (apply_machine, snapshot_machine, restore_machine) =
         (machine.clone(), machine.clone(), machine.clone());
     let (apply_notify, restore_notify) = (committed.clone(), committed.clone());
     let (source, target) = (sightings.clone(), sightings.clone());
-    orioleworks_log::Machine {
+    orioleworks_log::StateMachine {
         apply: Box::new(move |entry| {
             let before = apply_machine.borrow().revision();
             let reply = apply_machine.borrow_mut().apply(entry);
--- a/orioleworks_control/src/sightings.rs
+++ b/orioleworks_control/src/sightings.rs
@@ -28,7 +28,7 @@
     version: u64,
 }
 
-/// Sightings of entries, which the replicas exchange; clones share the same data.
+/// When each entry was last seen by any replica; replicas exchange what they saw. Clones share the same data.
 #[derive(Clone, Debug, Default)]
 pub struct Sightings {
     by_entry: Rc<RefCell<HashMap<String, Sighting>>>,
--- a/orioleworks_entry/src/dispatcher.rs
+++ b/orioleworks_entry/src/dispatcher.rs
@@ -316,7 +316,7 @@
         let result = if failure.not_run() { "not_run" } else { "unknown" };
         telemetry::attempt(&job.profile.name, result, started.elapsed());
         if failure.facts.refused_by_upstream {
-            grant.overloaded();
+            grant.record_overload();
         }
         if failure.connection_failed {
             self.slots.handle_broken_connection(grant).await;
--- a/orioleworks_entry/src/peers.rs
+++ b/orioleworks_entry/src/peers.rs
@@ -242,7 +242,7 @@
             let name = known.peer.name.clone();
             let share = load.capacity / entries.get(&**domain).copied().unwrap_or(1).max(1);
             let others = load.in_flight.saturating_sub(own(&name));
-            capacities.push(PeerCapacity { name, share, others });
+            capacities.push(PeerCapacity { name, share, in_flight_for_others: others });
         }
         // Sorts, because the order of a hash map differs between runs.
         capacities.sort_by(|a, b| a.name.cmp(&b.name));
--- a/orioleworks_entry/src/runs_dispatch.rs
+++ b/orioleworks_entry/src/runs_dispatch.rs
@@ -190,7 +190,7 @@
         let mut state = step.state.borrow_mut();
         state.attempts[id.slot] += 1;
         let group = &state.groups[id.group];
-        (state.attempts[id.slot], group.name.clone(), group.prompt.clone(), group.prefix)
+        (state.attempts[id.slot], group.name.clone(), group.prompt.clone(), group.prompt_hash)
     };
     let body = EngineBody { model: &step.model, prompt: &prompt, max_tokens: step.max_tokens };
     let index = id.index;
--- a/orioleworks_entry/src/runs_hedge.rs
+++ b/orioleworks_entry/src/runs_hedge.rs
@@ -82,7 +82,7 @@
 pub fn reserve_second_attempt(step: &Step, id: SlotId, running: Duration) -> bool {
     let state = step.state.borrow();
     let group = &state.groups[id.group];
-    let enough_finished = group.finished * 100 >= group.slots.1 * FINISHED_PERCENT;
+    let enough_finished = group.finished * 100 >= group.slot_count * FINISHED_PERCENT;
     let is_straggler = state.durations.mean().is_some_and(|mean| running >= mean);
     enough_finished && is_straggler && state.budget.reserve(step.max_tokens)
 }
--- a/orioleworks_entry/src/runs_step.rs
+++ b/orioleworks_entry/src/runs_step.rs
@@ -51,9 +51,11 @@
     /// Prompt of the group.
     pub prompt: Rc<str>,
     /// Hash of the prompt, for affinity.
-    pub prefix: u64,
-    /// Index of the group's first slot in [`State::slots`], and the count of its slots.
-    pub slots: (usize, usize),
+    pub prompt_hash: u64,
+    /// Index of the group's first slot in [`State::slots`].
+    pub first_slot: usize,
+    /// Number of its slots.
+    pub slot_count: usize,
     /// Number of finished slots.
     pub finished: usize,
     /// Wakes the running attempts of the group when a slot finishes.
@@ -183,8 +185,9 @@
             groups.push(GroupState {
                 name: group.group.as_str().into(),
                 prompt: group.prompt.as_str().into(),
-                prefix: xxh3::xxh3_64(group.prompt.as_bytes()),
-                slots: (first, group.samples as usize),
+                prompt_hash: xxh3::xxh3_64(group.prompt.as_bytes()),
+                first_slot: first,
+                slot_count: group.samples as usize,
                 finished,
                 signal: Rc::default(),
             });
@@ -288,8 +291,8 @@
             let group = &state.groups[id.group];
             let old_slot = old_groups
                 .get(&*group.name)
-                .filter(|prev| prev.prompt == group.prompt && id.index < prev.slots.1 as u32)
-                .map(|prev| &old_state.slots[prev.slots.0 + id.index as usize]);
+                .filter(|prev| prev.prompt == group.prompt && id.index < prev.slot_count as u32)
+                .map(|prev| &old_state.slots[prev.first_slot + id.index as usize]);
             if let Some(Slot::Ready(sample) | Slot::Sent(sample)) = old_slot {
                 state.held_bytes += sample.bytes();
                 state.attempts[id.slot] = sample.attempts;
@@ -322,9 +325,10 @@
         if let Slot::Ready(sample) | Slot::Sent(sample) = old {
             self.held_bytes -= sample.bytes();
         }
-        let group = self.groups.partition_point(|group| group.slots.0 + group.slots.1 <= slot);
+        let group =
+            self.groups.partition_point(|group| group.first_slot + group.slot_count <= slot);
         self.groups[group].finished -= 1;
-        let index = u32::try_from(slot - self.groups[group].slots.0).unwrap_or(u32::MAX);
+        let index = u32::try_from(slot - self.groups[group].first_slot).unwrap_or(u32::MAX);
         // A discarded slot was started before the missing ones, so it is run first.
         self.missing.push_front(SlotId { slot, group, index });
     }
--- a/orioleworks_entry/src/slots.rs
+++ b/orioleworks_entry/src/slots.rs
@@ -372,7 +372,7 @@
     }
 
     /// Records a failure that indicates overload.
-    pub fn overloaded(&self) {
+    pub fn record_overload(&self) {
         self.with_limit(Limit::failed);
     }
 
--- a/orioleworks_entry/src/suspects.rs
+++ b/orioleworks_entry/src/suspects.rs
@@ -82,7 +82,7 @@
 
     /// Notifies other failure domains immediately of suspects that have settled.
     pub fn notify_settled(&self) {
-        if self.suspects.borrow_mut().take_settled(clock::since_boot()) {
+        if self.suspects.borrow_mut().take_newly_settled(clock::since_boot()) {
             let on_change = self.on_change.borrow().clone();
             on_change.inspect(|f| f());
         }
--- a/orioleworks_fleet/src/stores.rs
+++ b/orioleworks_fleet/src/stores.rs
@@ -39,7 +39,7 @@
 #[derive(Debug)]
 pub enum CallOutcome {
     /// The leader replied.
-    Answered(Box<Body>),
+    Replied(Box<Body>),
     /// No leader accepted the call; it had no effect.
     NoLeader,
     /// The call may have had an effect.
@@ -120,7 +120,7 @@
                         ResultCode::OrderUnconfirmed => unconfirmed = true,
                         _ => {
                             self.set_leader(&address);
-                            return CallOutcome::Answered(Box::new(body));
+                            return CallOutcome::Replied(Box::new(body));
                         }
                     },
                     Err(RpcError::Unreachable(_)) => {}
--- a/orioleworks_gateway/src/batches.rs
+++ b/orioleworks_gateway/src/batches.rs
@@ -138,7 +138,7 @@
 /// The leader's reply, if the call succeeded.
 fn successful_reply(outcome: CallOutcome, what: &str) -> Result<Body, Refusal> {
     match outcome {
-        CallOutcome::Answered(body) => match stores::result_code(&body) {
+        CallOutcome::Replied(body) => match stores::result_code(&body) {
             ResultCode::Ok => Ok(*body),
             code => Err(Refusal::new(code, what, Duration::ZERO)),
         },
--- a/orioleworks_gateway/src/forward.rs
+++ b/orioleworks_gateway/src/forward.rs
@@ -412,7 +412,7 @@
         runtime::spawn(async move {
             let (upstream, key) = (attempt.upstream.clone(), attempt.key.clone());
             let view = attempt.view.clone();
-            view.outliers.borrow_mut().sent(&key);
+            view.outliers.borrow_mut().record_sent(&key);
             let (route, started) = (attempt.route.clone(), Instant::now());
             let mut sending = Box::pin(attempt.send().fuse());
             let mut cancelled = std::pin::pin!(cancel.cancelled().fuse());
@@ -421,7 +421,7 @@
             match end {
                 // Sending fails if the caller already has its response.
                 Some(end) => drop(tx.unbounded_send(EndedAttempt { upstream, key, end })),
-                None => view.outliers.borrow_mut().dropped(&key),
+                None => view.outliers.borrow_mut().record_dropped(&key),
             }
         })
         .detach();
@@ -456,7 +456,7 @@
                 let broken = part.is_err();
                 if broken {
                     event!(info, "stream_broken", request = id, upstream = key.0);
-                    view.outliers.borrow_mut().failed(&key, clock::since_boot());
+                    view.outliers.borrow_mut().record_failure(&key, clock::since_boot());
                     view.crashes.record(&content, &id, &key, observation);
                 }
                 if tx.send(part).await.is_err() || broken {
@@ -525,7 +525,7 @@
             };
         match upstream::classify_response(exchange.head.status, &exchange.head.headers, &self.id) {
             Verdict::NotRun => {
-                self.view.outliers.borrow_mut().dropped(&self.key);
+                self.view.outliers.borrow_mut().record_dropped(&self.key);
                 let why = format!("refused with status {}", exchange.head.status.as_u16());
                 drop(exchange.finish(MAX_RESPONSE_BYTES, remaining).await);
                 AttemptEnd::NotRun(why)
@@ -537,7 +537,7 @@
                 )
             }
             Verdict::Answered if self.streaming && exchange.head.status.is_success() => {
-                self.view.outliers.borrow_mut().responded(&self.key, started.elapsed());
+                self.view.outliers.borrow_mut().record_response(&self.key, started.elapsed());
                 AttemptEnd::Stream(Box::new(exchange))
             }
             Verdict::Answered => self.read_response(exchange, started).await,
@@ -552,7 +552,7 @@
                 if head.status.is_server_error() {
                     self.record_failure();
                 } else {
-                    self.view.outliers.borrow_mut().responded(&self.key, started.elapsed());
+                    self.view.outliers.borrow_mut().record_response(&self.key, started.elapsed());
                 }
                 AttemptEnd::Complete(head, body)
             }
@@ -568,7 +568,7 @@
     }
 
     fn record_failure(&self) {
-        self.view.outliers.borrow_mut().failed(&self.key, clock::since_boot());
+        self.view.outliers.borrow_mut().record_failure(&self.key, clock::since_boot());
     }
 }
 
--- a/orioleworks_log/src/election.rs
+++ b/orioleworks_log/src/election.rs
@@ -10,6 +10,15 @@
 
 use crate::{node::Log, state::Role};
 
+/// Why a replica stands for election.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Campaign {
+    /// No message from a leader arrived in time.
+    Timeout,
+    /// The leader shuts down and asked this replica to follow it.
+    LeadershipTransfer,
+}
+
 impl Log {
     /// Starts an election when no message from a leader arrives within a random timeout.
     pub(crate) async fn election_loop(&self) {
@@ -35,7 +44,7 @@
                 state.is_voter() && !state.is_leader() && !self.inner.shutting_down.get()
             };
             if eligible {
-                self.campaign(false).await;
+                self.campaign(Campaign::Timeout).await;
             }
         }
     }
@@ -47,7 +56,8 @@
 
     /// Requests pre-votes, then votes; a replica that cannot win the pre-vote does not raise its term. A leadership
     /// transfer skips the pre-vote.
-    pub(crate) async fn campaign(&self, leadership_transfer: bool) {
+    pub(crate) async fn campaign(&self, campaign: Campaign) {
+        let leadership_transfer = campaign == Campaign::LeadershipTransfer;
         let term = self.inner.state.borrow().term();
         if !leadership_transfer && !self.collect_votes(term + 1, true, false).await {
             return;
--- a/orioleworks_log/src/follower.rs
+++ b/orioleworks_log/src/follower.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     durable,
+    election::Campaign,
     error::LogError,
     files::{self, SNAPSHOT_RECEIVED_FILE, SnapshotWriter},
     node::{Log, Sharing},
@@ -37,7 +38,10 @@
         }
         if append.hand_over && self.inner.state.borrow().is_voter() {
             let this = self.clone();
-            compio::runtime::spawn(async move { this.campaign(true).await }).detach();
+            compio::runtime::spawn(
+                async move { this.campaign(Campaign::LeadershipTransfer).await },
+            )
+            .detach();
         }
         let through = match self.append_entries(&mut append) {
             AppendOutcome::RetryFrom(index) => return self.append_reply(false, 0, index),
--- a/orioleworks_log/src/lib.rs
+++ b/orioleworks_log/src/lib.rs
@@ -13,11 +13,11 @@
 pub mod membership;
 pub mod node;
 pub mod notify;
+pub mod reconfiguration;
 pub mod replication;
 pub mod settings;
 pub mod state;
-pub mod succession;
 
 pub use error::LogError;
-pub use node::{Log, Machine, ProposeError, Sharing};
+pub use node::{Log, ProposeError, Sharing, StateMachine};
 pub use settings::{Replica, Settings};
--- a/orioleworks_log/src/membership.rs
+++ b/orioleworks_log/src/membership.rs
@@ -13,9 +13,9 @@
 
 use crate::{
     node::Log,
+    reconfiguration::{self, MemberStatus, Step},
     settings::{Replica, Settings},
     state::{State, voters},
-    succession::{self, MemberStatus, Step},
 };
 
 /// Time between two attempts to bootstrap or join.
@@ -253,14 +253,14 @@
         }
     }
 
-    fn bounds(&self) -> succession::Bounds {
+    fn bounds(&self) -> reconfiguration::Bounds {
         let settings = &self.inner.settings;
         let per_domain = settings.max_voters_per_domain;
-        succession::Bounds { voters: settings.max_voters, per_domain }
+        reconfiguration::Bounds { voters: settings.max_voters, per_domain }
     }
 
     fn update_warm_learners(&self, members: &[MemberStatus]) {
-        let warm = succession::warm_learners(members, self.bounds());
+        let warm = reconfiguration::warm_learners(members, self.bounds());
         let mut state = self.inner.state.borrow_mut();
         if state.warm_learners != warm {
             state.warm_learners = warm;
@@ -332,11 +332,11 @@
 fn next_step(
     state: &State,
     members: &[MemberStatus],
-    bounds: succession::Bounds,
+    bounds: reconfiguration::Bounds,
     retired: &IndexSet<String>,
 ) -> Option<(inner::Membership, &'static str)> {
     let is_removed = |name: &String| !members.iter().any(|m| m.name == *name);
-    match succession::next_step(members, bounds, retired.iter().any(is_removed))? {
+    match reconfiguration::next_step(members, bounds, retired.iter().any(is_removed))? {
         Step::Remove(id, reason) => Some((without_member(&state.membership, id), reason)),
         Step::Promote(id) => Some((with_promoted(&state.membership, id), "learner_promoted")),
     }
--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -58,7 +58,7 @@
 }
 
 /// The replicated state machine, as closures.
-pub struct Machine {
+pub struct StateMachine {
     /// Applies a committed entry and returns the reply to its proposer.
     pub apply: Box<dyn Fn(&inner::LogEntry) -> inner::ProposeReply>,
     /// Encodes the whole state.
@@ -71,7 +71,7 @@
     pub merge_sightings: Box<dyn Fn(Vec<inner::EntryStatus>, Sharing)>,
 }
 
-impl std::fmt::Debug for Machine {
+impl std::fmt::Debug for StateMachine {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Machine").finish_non_exhaustive()
     }
@@ -103,7 +103,7 @@
 
 pub(crate) struct Inner {
     pub(crate) settings: Settings,
-    pub(crate) machine: Machine,
+    pub(crate) machine: StateMachine,
     pub(crate) state: RefCell<State>,
     /// Notified when anything in the state changes that a task may wait for.
     pub(crate) changed: Notify,
@@ -146,7 +146,7 @@
     /// Returns what is wrong with the directory; see [`LogError`].
     pub fn open(
         settings: Settings,
-        machine: Machine,
+        machine: StateMachine,
         token: CancellationToken,
     ) -> Result<Self, LogError> {
         let lock = files::lock_directory(&settings.directory)?;
--- a/orioleworks_log/tests/succession.rs
+++ b/orioleworks_log/tests/reconfiguration.rs
@@ -1,6 +1,6 @@
 //! Membership changes while members are lost or retired.
 
-use orioleworks_log::succession::{Bounds, MemberStatus, Step, next_step, warm_learners};
+use orioleworks_log::reconfiguration::{Bounds, MemberStatus, Step, next_step, warm_learners};
 use rstest::rstest;
 
 const THREE: Bounds = Bounds { voters: 3, per_domain: 1 };
--- a/orioleworks_routing/src/outlier.rs
+++ b/orioleworks_routing/src/outlier.rs
@@ -53,12 +53,12 @@
 
 impl Outliers {
     /// Records that a request is sent.
-    pub fn sent(&mut self, key: &Key) {
+    pub fn record_sent(&mut self, key: &Key) {
         self.known.entry(key.clone()).or_default().in_flight += 1;
     }
 
     /// Records a response that arrived after `latency`.
-    pub fn responded(&mut self, key: &Key, latency: Duration) {
+    pub fn record_response(&mut self, key: &Key, latency: Duration) {
         let health = self.known.entry(key.clone()).or_default();
         health.in_flight = health.in_flight.saturating_sub(1);
         health.failures = 0;
@@ -70,13 +70,13 @@
     }
 
     /// Records a request that was cancelled or rejected because of overload; it does not affect the health.
-    pub fn dropped(&mut self, key: &Key) {
+    pub fn record_dropped(&mut self, key: &Key) {
         let health = self.known.entry(key.clone()).or_default();
         health.in_flight = health.in_flight.saturating_sub(1);
     }
 
     /// Records a request that failed.
-    pub fn failed(&mut self, key: &Key, now: Duration) {
+    pub fn record_failure(&mut self, key: &Key, now: Duration) {
         let health = self.known.entry(key.clone()).or_default();
         health.in_flight = health.in_flight.saturating_sub(1);
         health.failures += 1;
--- a/orioleworks_routing/src/spread.rs
+++ b/orioleworks_routing/src/spread.rs
@@ -33,7 +33,7 @@
     /// Requests that it may have in flight.
     pub share: u32,
     /// Requests that it has in flight for other entries.
-    pub others: u32,
+    pub in_flight_for_others: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -82,8 +82,9 @@
         if peers.is_empty() {
             return Some(Placement::Local);
         }
-        let load =
-            |peer: &PeerCapacity| self.in_flight(&Placement::Peer(peer.name.clone())) + peer.others;
+        let load = |peer: &PeerCapacity| {
+            self.in_flight(&Placement::Peer(peer.name.clone())) + peer.in_flight_for_others
+        };
         let has_capacity = |placement: &Placement| match placement {
             Placement::Local => self.in_flight(placement) < local_share,
             Placement::Peer(name) => peers.iter().any(|p| p.name == *name && load(p) < p.share),
--- a/orioleworks_routing/src/suspects.rs
+++ b/orioleworks_routing/src/suspects.rs
@@ -16,6 +16,11 @@
 
 /// Upstream losses within this time of each other may be correlated.
 pub const CORRELATION_WINDOW: Duration = Duration::from_secs(2);
+/// Fewest losses that may be correlated.
+const MIN_CORRELATED_LOSSES: usize = 2;
+/// One in this many upstreams of the domain must be lost for the losses to be correlated: a rack holds at least as many,
+/// while independent crashes seldom reach it.
+const CORRELATED_LOSS_RATIO: usize = 4;
 /// Delay after a crash before a suspect may run again. Within this delay, correlated losses are detected, and then
 /// reports of crashes in other failure domains arrive, so that a second upstream is not lost before both are known.
 pub const RETRY_DELAY: Duration = Duration::from_millis(2500);
@@ -276,7 +281,7 @@
     }
 
     /// Whether a suspect has settled since the last call, so that other failure domains must be notified.
-    pub fn take_settled(&mut self, now: Duration) -> bool {
+    pub fn take_newly_settled(&mut self, now: Duration) -> bool {
         let mut settled = false;
         for record in self.records.values_mut().filter(|r| !r.notified && r.is_settled(now)) {
             record.notified = true;
@@ -315,7 +320,7 @@
     /// Whether so many upstreams were lost around a time that the losses are not evidence against their requests.
     fn is_correlated(&self, at: Duration) -> bool {
         let lost = self.losses.iter().filter(|l| l.at.abs_diff(at) <= CORRELATION_WINDOW).count();
-        lost >= 2 && lost * 4 >= self.live + lost
+        lost >= MIN_CORRELATED_LOSSES && lost * CORRELATED_LOSS_RATIO >= self.live + lost
     }
 
     fn add_dismissed_crash(
--- a/orioleworks_routing/tests/engines.rs
+++ b/orioleworks_routing/tests/engines.rs
@@ -155,18 +155,18 @@
     let key: Key = a.key.clone();
     let ms = Duration::from_millis;
     let mut outliers = Outliers::default();
-    outliers.sent(&key);
-    outliers.failed(&key, ms(1000));
+    outliers.record_sent(&key);
+    outliers.record_failure(&key, ms(1000));
     let both = [a, b];
     let chosen = |o: &Outliers, now| o.choose(&both, now).map(|c| c.key.0.to_string());
     assert_eq!(chosen(&outliers, ms(1100)).as_deref(), Some("b"));
     assert!(!outliers.is_paused(&key, ms(1400)), "the pause has ended");
-    outliers.sent(&key);
+    outliers.record_sent(&key);
     assert!(outliers.is_paused(&key, ms(1400)), "one request at a time until one succeeds");
-    outliers.failed(&key, ms(1500));
+    outliers.record_failure(&key, ms(1500));
     assert!(outliers.is_paused(&key, ms(1900)), "the pause doubles");
-    outliers.sent(&key);
-    outliers.responded(&key, ms(20));
+    outliers.record_sent(&key);
+    outliers.record_response(&key, ms(20));
     assert!(!outliers.is_paused(&key, ms(1900)));
     assert_eq!(outliers.choose(&both[..1], ms(1100)).map(|c| &c.key), Some(&key));
 }
@@ -177,15 +177,15 @@
     let (a, b) = (candidate("a", true), candidate("b", true));
     let mut outliers = Outliers::default();
     for _ in 0..30 {
-        outliers.sent(&a.key);
-        outliers.responded(&a.key, Duration::from_millis(90));
-        outliers.sent(&b.key);
-        outliers.responded(&b.key, Duration::from_millis(25));
+        outliers.record_sent(&a.key);
+        outliers.record_response(&a.key, Duration::from_millis(90));
+        outliers.record_sent(&b.key);
+        outliers.record_response(&b.key, Duration::from_millis(25));
     }
     let now = Duration::from_secs(1);
     assert_eq!(outliers.choose(&[a.clone(), b.clone()], now).unwrap().key, b.key);
     for _ in 0..30 {
-        outliers.sent(&b.key);
+        outliers.record_sent(&b.key);
     }
     assert_eq!(outliers.choose(&[a.clone(), b.clone()], now).unwrap().key, a.key);
     let silent = candidate("c", false);
@@ -198,8 +198,8 @@
     let mut outliers = Outliers::default();
     let keys: [Key; 2] = [("s-0".into(), 1), ("s-1".into(), 1)];
     let candidates = keys.clone().map(|key| Candidate { key, slots: 8, fresh: true, local: true });
-    outliers.sent(&keys[0]);
-    outliers.responded(&keys[0], Duration::from_micros(300));
+    outliers.record_sent(&keys[0]);
+    outliers.record_response(&keys[0], Duration::from_micros(300));
     let chosen = outliers.choose(&candidates, Duration::from_secs(1)).unwrap();
     assert_eq!(chosen.key, keys[1]);
 }
--- a/orioleworks_routing/tests/spread.rs
+++ b/orioleworks_routing/tests/spread.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 
 fn peer(name: &str, share: u32, others: u32) -> PeerCapacity {
-    PeerCapacity { name: name.into(), share, others }
+    PeerCapacity { name: name.into(), share, in_flight_for_others: others }
 }
 
 fn at(name: &str) -> Placement {
--- a/orioleworks_routing/tests/suspects.rs
+++ b/orioleworks_routing/tests/suspects.rs
@@ -203,9 +203,9 @@
 fn a_crash_settles_once_its_window_has_passed() {
     let mut suspects = Suspects::default();
     suspects.record_upstream_loss(ms(0), "a#1".into(), requests(&["f"]), 11);
-    assert!(!suspects.take_settled(ms(1999)) && !suspects.reports(ms(1999))[0].settled);
-    assert!(suspects.take_settled(ms(2000)) && suspects.reports(ms(2000))[0].settled);
-    assert!(!suspects.take_settled(ms(2001)), "notified twice");
+    assert!(!suspects.take_newly_settled(ms(1999)) && !suspects.reports(ms(1999))[0].settled);
+    assert!(suspects.take_newly_settled(ms(2000)) && suspects.reports(ms(2000))[0].settled);
+    assert!(!suspects.take_newly_settled(ms(2001)), "notified twice");
 }
 
 /// Guards against a request that crashes several upstreams at once through several entries and looks like the loss of a
--- a/orioleworks_standins/src/deployment.rs
+++ b/orioleworks_standins/src/deployment.rs
@@ -331,13 +331,13 @@
 
     /// Cuts all inner links of a daemon.
     pub fn isolate(&self, name: &str) {
-        self.relays.get(name).into_iter().for_each(|relay| relay.cut_all(true));
+        self.relays.get(name).into_iter().for_each(|relay| relay.cut_all());
         self.relays.values().for_each(|relay| relay.cut(name));
     }
 
     /// Heals all links.
     pub fn heal_all(&self) {
-        self.relays.values().for_each(|relay| relay.cut_all(false));
+        self.relays.values().for_each(|relay| relay.heal_all());
     }
 
     /// Waits until every process with an HTTP address responds to `/ready` with status 200.
--- a/orioleworks_standins/src/failpoints.rs
+++ b/orioleworks_standins/src/failpoints.rs
@@ -65,6 +65,9 @@
 
     /// Discards the replies that are held back by closing the connections to the inner ports of the daemons.
     pub fn lose_replies<'a>(&self, names: impl IntoIterator<Item = &'a str>) {
-        names.into_iter().filter_map(|name| self.relays.get(name)).for_each(Relay::lose_replies);
+        names
+            .into_iter()
+            .filter_map(|name| self.relays.get(name))
+            .for_each(Relay::discard_held_replies);
     }
 }
--- a/orioleworks_standins/src/relay.rs
+++ b/orioleworks_standins/src/relay.rs
@@ -154,12 +154,15 @@
         self.links.cut_senders.borrow_mut().remove(sender);
     }
 
-    /// Cuts or heals the links from all processes, including unknown ones.
-    pub fn cut_all(&self, cut: bool) {
-        self.links.all_cut.set(cut);
-        if !cut {
-            self.links.cut_senders.borrow_mut().clear();
-        }
+    /// Cuts the links from all processes, including unknown ones.
+    pub fn cut_all(&self) {
+        self.links.all_cut.set(true);
+    }
+
+    /// Heals all links.
+    pub fn heal_all(&self) {
+        self.links.all_cut.set(false);
+        self.links.cut_senders.borrow_mut().clear();
     }
 
     /// Holds back all replies; requests still pass.
@@ -168,7 +171,7 @@
     }
 
     /// Closes every connection and so discards the replies that are held back; later replies pass again.
-    pub fn lose_replies(&self) {
+    pub fn discard_held_replies(&self) {
         self.reset_connections();
         self.links.replies_held.set(false);
     }
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -14,7 +14,7 @@
     stores::{self, CallOutcome, Stores},
     watch::Knowledge,
 };
-use orioleworks_log::{Log, LogError, Machine, node::MAX_COMMAND_BYTES, notify::Notify};
+use orioleworks_log::{Log, LogError, StateMachine, node::MAX_COMMAND_BYTES, notify::Notify};
 use orioleworks_platform::document;
 use orioleworks_proto::{
     codes::ResultCode,
@@ -194,7 +194,7 @@
             return ResultCode::from_number(reply.code).unwrap_or(ResultCode::OrderUnconfirmed);
         }
         match self.stores.propose(kind, wait).await {
-            CallOutcome::Answered(body) => stores::result_code(&body),
+            CallOutcome::Replied(body) => stores::result_code(&body),
             CallOutcome::NoLeader => ResultCode::NoQuorum,
             CallOutcome::Unconfirmed => ResultCode::OrderUnconfirmed,
         }
@@ -212,7 +212,7 @@
         } else {
             let message = || Body::ReadDocument(inner::ReadDocument {});
             match self.stores.call_leader(message, wait, wait).await {
-                CallOutcome::Answered(body) => match *body {
+                CallOutcome::Replied(body) => match *body {
                     Body::ReadDocumentReply(reply) => reply,
                     _ => return Err(ResultCode::NoQuorum),
                 },
@@ -410,10 +410,10 @@
     state: &Rc<RefCell<State>>,
     table: &Rc<RefCell<Rc<RouteTable>>>,
     wake: &Notify,
-) -> Machine {
+) -> StateMachine {
     let (applied, applied_table, applied_wake) = (state.clone(), table.clone(), wake.clone());
     let (saved, restored, restored_table) = (state.clone(), state.clone(), table.clone());
-    Machine {
+    StateMachine {
         apply: Box::new(move |entry| {
             let reply = applied.borrow_mut().apply(entry);
             refresh_table(&applied, &applied_table);
--- a/orioleworks_store/src/state.rs
+++ b/orioleworks_store/src/state.rs
@@ -138,6 +138,7 @@
         self.reuse_earlier_work(&mut accepted);
         if !batch.model.is_empty() {
             let model = self.models.entry(batch.model.as_str().into()).or_default();
+            // Engines start with version 1, which no trainer names.
             model.allowed_lag = model.named.max(1).saturating_sub(batch.min_version);
         }
         self.batches.insert(batch.id.as_str().into(), accepted);
--- a/spec/src/batches.rs
+++ b/spec/src/batches.rs
@@ -142,7 +142,7 @@
 }
 
 impl Batches {
-    fn is(&self, broken: Broken) -> bool {
+    fn is_variant(&self, broken: Broken) -> bool {
         self.broken == broken
     }
 
@@ -152,7 +152,7 @@
             Command::End => a.ended = true,
             Command::Save { from, text } => {
                 let known = len(&a.progress);
-                if rules::continues(known, from.into()) || self.is(Broken::GapIgnored) {
+                if rules::continues(known, from.into()) || self.is_variant(Broken::GapIgnored) {
                     let at = usize::from(from).min(known);
                     let mut merged = Text::default();
                     merged[..at].copy_from_slice(&a.progress[..at]);
@@ -166,7 +166,7 @@
                 let listed = len(&a.positions[0]) > 0;
                 if rules::accepts_result(listed, true) {
                     a.positions[0] = text;
-                } else if self.is(Broken::RepeatListsTwice) {
+                } else if self.is_variant(Broken::RepeatListsTwice) {
                     a.positions[1] = text;
                 }
             }
@@ -182,7 +182,8 @@
         let l = &s.leaders[i];
         let applied = Self::applied_by(s, i);
         let listed = len(&applied.positions[0]) > 0;
-        let may_start = rules::may_start(applied.ended && !self.is(Broken::StartAfterEnd), listed);
+        let may_start =
+            rules::may_start(applied.ended && !self.is_variant(Broken::StartAfterEnd), listed);
         if applied.accepted && may_start && !l.running {
             let mut n = *s;
             let text = if len(&l.text) > 0 { l.text } else { applied.progress };
@@ -228,7 +229,7 @@
     fn log_steps(&self, s: &State, i: usize, out: &mut Vec<(Step, State)>) {
         if s.leaders[i].pending[0].is_some() {
             let current = i == s.current as usize;
-            if current || self.is(Broken::StaleLeaderCommits) {
+            if current || self.is_variant(Broken::StaleLeaderCommits) {
                 let mut n = *s;
                 if let Some(command) = n.leaders[i].take_first() {
                     self.apply(&mut n.applied, command);
@@ -260,7 +261,7 @@
                 }
             }
             let offered = s.offers > 0;
-            if s.applied.accepted || (offered && self.is(Broken::AcceptBeforeCommit)) {
+            if s.applied.accepted || (offered && self.is_variant(Broken::AcceptBeforeCommit)) {
                 let mut n = *s;
                 n.caller_outcome = Some(CallerOutcome::Accepted);
                 out.push((Step::Accept, n));
@@ -268,8 +269,9 @@
             // The caller waits for the response unless it is lost; a replaced leader responds that it is not the leader.
             let pending = s.leaders[current].pending.contains(&Some(Command::Put));
             if !pending || s.unanswered {
-                let outcome =
-                    rules::submission_outcome(s.unanswered && !self.is(Broken::RefuseUnanswered));
+                let outcome = rules::submission_outcome(
+                    s.unanswered && !self.is_variant(Broken::RefuseUnanswered),
+                );
                 let mut n = *s;
                 n.caller_outcome = Some(match outcome {
                     SubmissionOutcome::NotRun if !s.applied.accepted || s.unanswered => {
@@ -311,7 +313,7 @@
                     self.apply(&mut n.applied, command);
                 }
             }
-            if !self.is(Broken::StaleLeaderCommits) {
+            if !self.is_variant(Broken::StaleLeaderCommits) {
                 n.leaders[0].pending = Default::default();
             }
             n.current = 1;
--- a/spec/src/claims.rs
+++ b/spec/src/claims.rs
@@ -136,20 +136,21 @@
 }
 
 impl Claims {
-    fn is(&self, broken: Broken) -> bool {
+    fn is_variant(&self, broken: Broken) -> bool {
         self.broken == broken
     }
 
     fn decide(&self, s: &State, attempt: usize) -> ClaimDecision {
         let held = s.proposed.or(s.committed).map(|held| held_claim(s, held));
-        let now_ms = if self.is(Broken::ExpiryIgnored) { 0 } else { TIMES_MS[s.time as usize] };
+        let now_ms =
+            if self.is_variant(Broken::ExpiryIgnored) { 0 } else { TIMES_MS[s.time as usize] };
         let request =
             ClaimRequest { attempt_id: ATTEMPT_IDS[attempt], fingerprint: "f", issued_ms: 0 };
         match rules::decide_claim(held, request, now_ms) {
-            ClaimDecision::Unknown if self.is(Broken::GoneHolderGrantsAgain) => {
+            ClaimDecision::Unknown if self.is_variant(Broken::GoneHolderGrantsAgain) => {
                 ClaimDecision::Granted
             }
-            ClaimDecision::Finished if self.is(Broken::FinishedGrantsAgain) => {
+            ClaimDecision::Finished if self.is_variant(Broken::FinishedGrantsAgain) => {
                 ClaimDecision::Granted
             }
             decision => decision,
@@ -168,7 +169,8 @@
             }
             let uncommitted_grant = decision == ClaimDecision::Granted && !committed;
             // Control replies that a claim is granted only after it is committed.
-            if !reply_lost && (!uncommitted_grant || self.is(Broken::DispatchBeforeCommit)) {
+            if !reply_lost && (!uncommitted_grant || self.is_variant(Broken::DispatchBeforeCommit))
+            {
                 n.attempts[i].decision = Some((decision, committed));
             }
             if n != *s {
@@ -190,8 +192,9 @@
             }
         };
         if let Some((decision, committed)) = a.decision {
-            let committed = committed || self.is(Broken::DispatchBeforeCommit);
-            let sent = a.facts.sent && !(self.is(Broken::DispatchTwice) && a.in_flight + a.ran < 2);
+            let committed = committed || self.is_variant(Broken::DispatchBeforeCommit);
+            let sent = a.facts.sent
+                && !(self.is_variant(Broken::DispatchTwice) && a.in_flight + a.ran < 2);
             if !a.closed && rules::may_dispatch(decision, committed, sent) {
                 push_step(Step::Dispatch(i), &|a| {
                     a.facts.sent = true;
@@ -231,11 +234,13 @@
     /// Outcome that may be reported to the caller of a granted attempt now.
     fn granted_outcome(&self, a: &Attempt) -> Option<CallerOutcome> {
         let ended = a.closed || a.facts.complete || a.facts.refused_by_upstream;
-        let released_early = self.is(Broken::ReleaseWhileSending) && !a.facts.sent;
+        let released_early = self.is_variant(Broken::ReleaseWhileSending) && !a.facts.sent;
         (ended || released_early).then(|| match rules::attempt_outcome(a.facts) {
             AttemptOutcome::NotRun => CallerOutcome::NotRun,
             AttemptOutcome::Finished => CallerOutcome::Response,
-            AttemptOutcome::Unknown if self.is(Broken::SilenceIsNotRun) => CallerOutcome::NotRun,
+            AttemptOutcome::Unknown if self.is_variant(Broken::SilenceIsNotRun) => {
+                CallerOutcome::NotRun
+            }
             AttemptOutcome::Unknown => CallerOutcome::Unknown,
         })
     }
@@ -243,13 +248,13 @@
     fn respond(&self, a: &mut Attempt, caller_outcome: CallerOutcome) {
         a.caller_outcome = Some(caller_outcome);
         // Receiving the end of the exchange closes the attempt as well.
-        a.closed |= a.facts.sent || !self.is(Broken::ReleaseWhileSending);
+        a.closed |= a.facts.sent || !self.is_variant(Broken::ReleaseWhileSending);
         let outcome = match caller_outcome {
             CallerOutcome::NotRun => AttemptOutcome::NotRun,
             CallerOutcome::Response => AttemptOutcome::Finished,
             CallerOutcome::Unknown => AttemptOutcome::Unknown,
         };
-        let closed = a.closed || self.is(Broken::ReleaseWhileSending);
+        let closed = a.closed || self.is_variant(Broken::ReleaseWhileSending);
         a.report = Some(match outcome {
             _ if rules::may_release(outcome, closed) => ClaimState::Released,
             AttemptOutcome::Finished => ClaimState::Finished,
@@ -279,7 +284,7 @@
             && let Some(held) = s.committed.filter(|_| s.proposed.is_none())
         {
             let ends_other_claim =
-                self.is(Broken::ReportEndsOtherClaim) && held.state == ClaimState::Running;
+                self.is_variant(Broken::ReportEndsOtherClaim) && held.state == ClaimState::Running;
             if ends_other_claim || rules::may_finish(held_claim(s, held), ATTEMPT_IDS[i]) {
                 let committed = Some(Held { state, ..held });
                 out.push((Step::Report(i), State { committed, ..*s }));
@@ -306,7 +311,7 @@
         }
         let now_ms = TIMES_MS[s.time as usize];
         let forget = rules::may_forget(0, now_ms)
-            || (self.is(Broken::ForgetAtExpiry) && rules::is_expired(0, now_ms));
+            || (self.is_variant(Broken::ForgetAtExpiry) && rules::is_expired(0, now_ms));
         if forget && s.committed.is_some() {
             out.push((Step::Forget, State { committed: None, ..*s }));
         }
--- a/spec/src/delivery.rs
+++ b/spec/src/delivery.rs
@@ -127,7 +127,7 @@
 }
 
 impl Delivery {
-    fn is(&self, broken: Broken) -> bool {
+    fn is_variant(&self, broken: Broken) -> bool {
         self.broken == broken
     }
 
@@ -144,7 +144,7 @@
             batch_open: o.batch_open,
         };
         let mut decision = rules::decide_batch(own, o.epoch.into(), cursor.into());
-        if decision == BatchDecision::Repeat && self.is(Broken::RepeatMakesNewBatch) {
+        if decision == BatchDecision::Repeat && self.is_variant(Broken::RepeatMakesNewBatch) {
             decision = BatchDecision::Next;
             (0..SLOTS).filter(|i| o.batch[*i] > 0).for_each(|i| o.ready[i] = o.batch[i]);
             (o.batch, o.batch_open) = (Samples::default(), false);
@@ -156,7 +156,7 @@
             }
             for sample in &mut o.ready {
                 let fresh = *sample == 0 || Self::is_fresh(*sample, version);
-                if !fresh && !self.is(Broken::StalenessAtDispatchOnly) {
+                if !fresh && !self.is_variant(Broken::StalenessAtDispatchOnly) {
                     *sample = 0;
                 }
             }
@@ -176,8 +176,10 @@
 
     fn take_batch(&self, s: &State, response: Response) -> Option<State> {
         let t = &s.trainer;
-        let epoch = if self.is(Broken::EpochNotCompared) { t.epoch } else { response.epoch };
-        let cursor = if self.is(Broken::CursorNotCompared) { t.cursor } else { response.cursor };
+        let epoch =
+            if self.is_variant(Broken::EpochNotCompared) { t.epoch } else { response.epoch };
+        let cursor =
+            if self.is_variant(Broken::CursorNotCompared) { t.cursor } else { response.cursor };
         let own = TrainerCursor { epoch: t.epoch.into(), cursor: t.cursor.into() };
         if t.open == 0
             || !t.request_pending
@@ -188,7 +190,7 @@
         let mut n = *s;
         let t = &mut n.trainer;
         for (slot, sample) in response.samples.iter().enumerate().filter(|(_, v)| **v > 0) {
-            if t.taken & (1 << slot) != 0 && !self.is(Broken::TakenSlotsIgnored) {
+            if t.taken & (1 << slot) != 0 && !self.is_variant(Broken::TakenSlotsIgnored) {
                 continue;
             }
             t.trained[slot] += 1;
@@ -198,7 +200,7 @@
             }
         }
         (t.cursor, t.request_pending) = (t.cursor + 1, false);
-        if !self.is(Broken::SlotsNotRecorded) {
+        if !self.is_variant(Broken::SlotsNotRecorded) {
             t.recorded = t.taken;
         }
         Some(n)
@@ -233,8 +235,8 @@
                 out.push((Step::HoldRequest, n));
             }
         }
-        let may_raise =
-            rules::may_raise_version(t.request_pending) || self.is(Broken::VersionRaisedInBatch);
+        let may_raise = rules::may_raise_version(t.request_pending)
+            || self.is_variant(Broken::VersionRaisedInBatch);
         if may_raise && t.version < MAX_VERSION {
             let mut n = *s;
             n.trainer.version += 1;
@@ -251,8 +253,8 @@
         let mut n = *s;
         let before = s.opens.checked_sub(1).map_or(0, |last| s.owners[last as usize].epoch);
         let next = rules::epoch_of_open(before.into()) as u8;
-        let epoch = if self.is(Broken::SameEpoch) { 1 } else { next };
-        let taken = if self.is(Broken::TakenSlotsIgnored) { 0 } else { s.trainer.taken };
+        let epoch = if self.is_variant(Broken::SameEpoch) { 1 } else { next };
+        let taken = if self.is_variant(Broken::TakenSlotsIgnored) { 0 } else { s.trainer.taken };
         n.owners[s.opens as usize] = Owner { alive: true, epoch, taken, ..Owner::default() };
         n.opens += 1;
         if !reply_lost {
@@ -266,7 +268,7 @@
         for (i, o) in s.owners.iter().enumerate().filter(|(_, o)| o.alive) {
             let done = o.taken | o.acknowledged | slots(o.batch) | slots(o.ready);
             let dispatched_fresh = Self::is_fresh(s.engine_version + 1, s.trainer.version);
-            let may_run = dispatched_fresh || !self.is(Broken::StalenessAtDispatchOnly);
+            let may_run = dispatched_fresh || !self.is_variant(Broken::StalenessAtDispatchOnly);
             for slot in (0..SLOTS).filter(|slot| may_run && done & (1 << slot) == 0) {
                 let mut n = *s;
                 n.owners[i].ready[slot] = s.engine_version + 1;
--- a/spec/src/log.rs
+++ b/spec/src/log.rs
@@ -50,7 +50,7 @@
     /// Replicas that lose their disk.
     pub wipes: u8,
     /// Appends that are held back.
-    pub held_appends: u8,
+    pub delayed_appends: u8,
     /// Whether the membership changes.
     pub membership: bool,
     /// Whether several candidates may run in the same term, and replies may be lost separately from their requests.
@@ -64,7 +64,7 @@
     entries: 1,
     crashes: 1,
     wipes: 0,
-    held_appends: 0,
+    delayed_appends: 0,
     membership: false,
     concurrent_candidates: true,
 };
@@ -75,7 +75,7 @@
     entries: 2,
     crashes: 1,
     wipes: 0,
-    held_appends: 1,
+    delayed_appends: 1,
     membership: false,
     concurrent_candidates: true,
 };
@@ -86,7 +86,7 @@
     entries: 3,
     crashes: 1,
     wipes: 1,
-    held_appends: 0,
+    delayed_appends: 0,
     membership: true,
     concurrent_candidates: true,
 };
@@ -97,7 +97,7 @@
     entries: 2,
     crashes: 0,
     wipes: 0,
-    held_appends: 0,
+    delayed_appends: 0,
     membership: true,
     concurrent_candidates: false,
 };
@@ -152,7 +152,7 @@
             b.entries,
             b.crashes,
             b.wipes,
-            b.held_appends
+            b.delayed_appends
         )
     }
 
@@ -168,7 +168,7 @@
         }
         State {
             replicas,
-            held_append: None,
+            delayed_append: None,
             crashes: 0,
             wipes: 0,
             held_count: 0,
--- a/spec/src/log_state.rs
+++ b/spec/src/log_state.rs
@@ -54,7 +54,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct State {
     pub(crate) replicas: [Replica; ID_COUNT],
-    pub(crate) held_append: Option<(u8, u8, [Entry; MAX_LOG_LEN], u8)>,
+    pub(crate) delayed_append: Option<(u8, u8, [Entry; MAX_LOG_LEN], u8)>,
     pub(crate) crashes: u8,
     pub(crate) wipes: u8,
     pub(crate) held_count: u8,
@@ -154,8 +154,9 @@
         (0..ID_COUNT).for_each(|j| m.matched[new_id(j)] = r.matched[j]);
         n.replicas[new_id(i)] = m;
     }
-    n.held_append =
-        s.held_append.map(|(term, leader, log, len)| (term, map_id(leader), log.map(entry), len));
+    n.delayed_append = s
+        .delayed_append
+        .map(|(term, leader, log, len)| (term, map_id(leader), log.map(entry), len));
     n.acknowledged = s.acknowledged.map(|(e, term)| (entry(e), term));
     n
 }
--- a/spec/src/log_steps.rs
+++ b/spec/src/log_steps.rs
@@ -12,7 +12,7 @@
 }
 
 impl Log {
-    fn is(&self, broken: Broken) -> bool {
+    fn is_variant(&self, broken: Broken) -> bool {
         self.broken == broken
     }
 
@@ -34,11 +34,11 @@
         r.step_down(term);
         let matching = sent.iter().zip(r.entries()).take_while(|(a, b)| a == b).count();
         let conflict = matching < sent.len() && matching < r.len as usize;
-        if conflict || self.is(Broken::LateAppendTruncates) {
+        if conflict || self.is_variant(Broken::LateAppendTruncates) {
             r.truncate(matching as u8);
         }
         for entry in &sent[matching..] {
-            r.push(*entry, !self.is(Broken::ReplyBeforeSync));
+            r.push(*entry, !self.is_variant(Broken::ReplyBeforeSync));
         }
         Some(sent.len() as u8)
     }
@@ -79,10 +79,14 @@
 
     fn vote_steps(&self, s: &State, i: usize, j: usize, out: &mut Vec<(Step, State)>) {
         let (c, v) = (&s.replicas[i], &s.replicas[j]);
-        let vote = Some(v.voted_for).filter(|id| *id != NO_VOTE && !self.is(Broken::VoteTwice));
+        let vote =
+            Some(v.voted_for).filter(|id| *id != NO_VOTE && !self.is_variant(Broken::VoteTwice));
         let record = VoteRecord { term: v.term.into(), voted_for: vote.map(u64::from) };
-        let voter_position =
-            if self.is(Broken::VoteIgnoresLog) { LogPosition::default() } else { v.position() };
+        let voter_position = if self.is_variant(Broken::VoteIgnoresLog) {
+            LogPosition::default()
+        } else {
+            v.position()
+        };
         let granted =
             rules::may_grant_vote(record, voter_position, c.term.into(), i as u64, c.position());
         for reply_lost in
@@ -104,7 +108,7 @@
 
     pub(crate) fn leader_steps(&self, s: &State, i: usize, out: &mut Vec<(Step, State)>) {
         let l = &s.replicas[i];
-        let sync = !self.is(Broken::ReplyBeforeSync);
+        let sync = !self.is_variant(Broken::ReplyBeforeSync);
         if l.len < self.bound.entries {
             let mut write = |step, entry| {
                 let mut n = *s;
@@ -138,9 +142,9 @@
                 }
             }
         }
-        if s.held_count < self.bound.held_appends && l.len > 0 {
+        if s.held_count < self.bound.delayed_appends && l.len > 0 {
             let mut n = *s;
-            (n.held_append, n.held_count) =
+            (n.delayed_append, n.held_count) =
                 (Some((l.term, i as u8, l.log, l.len)), n.held_count + 1);
             out.push((Step::HoldAppend(i), n));
         }
@@ -152,10 +156,11 @@
         let newest = l.entries().iter().rposition(|e| e.voters != 0);
         let in_flight = newest.is_some_and(|at| at >= l.commit as usize);
         let own_term_committed = l.commit > 0 && l.log[l.commit as usize - 1].term == l.term;
-        let own_term_committed = own_term_committed || self.is(Broken::ChangeBeforeOwnCommit);
+        let own_term_committed =
+            own_term_committed || self.is_variant(Broken::ChangeBeforeOwnCommit);
         if !rules::may_change_membership(
             own_term_committed,
-            in_flight && !self.is(Broken::TwoChanges),
+            in_flight && !self.is_variant(Broken::TwoChanges),
         ) {
             return Vec::new();
         }
@@ -165,8 +170,9 @@
             let voters = old ^ (1 << j);
             let adds = old & (1 << j) == 0;
             let absent = r.role == Role::Absent;
-            let ready = self.is(Broken::EarlyPromotion)
+            let ready = self.is_variant(Broken::EarlyPromotion)
                 || rules::may_promote(l.matched[j].into(), l.commit.into());
+            // Removing a live voter is explored only without wipes, which bounds the number of states.
             let allowed = if adds { !absent && ready } else { absent || self.bound.wipes == 0 };
             if allowed && rules::is_single_step(&ids(old), &ids(voters)) {
                 let promoted = if adds { j as u8 + 1 } else { 0 };
@@ -185,7 +191,8 @@
             return;
         }
         let entry_term = l.log[index - 1].term;
-        if !rules::may_commit(entry_term.into(), l.term.into()) && !self.is(Broken::CommitOlderTerm)
+        if !rules::may_commit(entry_term.into(), l.term.into())
+            && !self.is_variant(Broken::CommitOlderTerm)
         {
             return;
         }
@@ -230,9 +237,9 @@
                 let fresh =
                     Replica { role: Role::Follower, voted_for: NO_VOTE, ..Replica::default() };
                 n.wipes += 1;
-                if self.is(Broken::WipedKeepsIdentity) {
+                if self.is_variant(Broken::WipedKeepsIdentity) {
                     n.replicas[i] = fresh;
-                } else if self.is(Broken::WipedKeepsVote) {
+                } else if self.is_variant(Broken::WipedKeepsVote) {
                     let (term, voted_for) = (r.term, r.voted_for);
                     n.replicas[i] = Replica { term, voted_for, ..fresh };
                 } else {
@@ -242,7 +249,7 @@
                 }
                 out.push((Step::Wipe(i), n));
             }
-            if let Some((term, _, log, len)) = s.held_append {
+            if let Some((term, _, log, len)) = s.delayed_append {
                 let mut n = *s;
                 self.handle_append(&mut n.replicas[i], term, &log[..len as usize]);
                 if n != *s {
