--- a/orioleworks_routing/src/spread.rs
+++ b/orioleworks_routing/src/spread.rs
@@ -4,7 +4,7 @@
 //! use orioleworks_routing::spread::{PeerCapacity, Placement, Spread};
 //!
 //! let mut spread = Spread::default();
-//! let peer = PeerCapacity { name: "entry-b1".into(), share: 8, others: 0 };
+//! let peer = PeerCapacity { name: "entry-b1".into(), share: 8, in_flight_for_others: 0 };
 //! assert_eq!(spread.place(&"group-1".into(), 1, &[peer.clone()]), Some(Placement::Local));
 //! assert_eq!(spread.place(&"group-2".into(), 1, &[peer]), Some(Placement::Peer("entry-b1".into())));
 //! ```
