--- a/orioleworks_gateway/src/crashes.rs
+++ b/orioleworks_gateway/src/crashes.rs
@@ -97,15 +97,11 @@
         self.wake_reporter();
     }
 
-    /// Records a run of a suspect that ends at `until` at the latest; returns whether the content is a suspect.
-    pub fn record_run(&self, content: &Content, until: Duration) -> bool {
-        let mut crashes = self.knowledge.crashes.borrow_mut();
-        let recorded = !crashes.is_empty()
-            && crashes.record_run(content.fingerprint(), clock::since_boot(), until);
-        if recorded {
+    /// Records that a suspect runs, until a time at the latest.
+    pub fn record_run(&self, content: &Content, until: Duration) {
+        if self.note_run(content, until) {
             self.wake_reporter();
         }
-        recorded
     }
 
     /// Records that a run of a suspect has ended without a crash.
@@ -113,6 +109,12 @@
         self.record_run(content, clock::since_boot());
     }
 
+    /// Returns whether the content is a suspect.
+    fn note_run(&self, content: &Content, until: Duration) -> bool {
+        let mut crashes = self.knowledge.crashes.borrow_mut();
+        !crashes.is_empty() && crashes.record_run(content.fingerprint(), clock::since_boot(), until)
+    }
+
     /// Removes expired records.
     pub fn expire(&self) {
         self.knowledge.crashes.borrow_mut().expire(clock::since_boot());
@@ -139,14 +141,16 @@
 /// Records a run of a suspect, and tells the other gateways before it starts.
 pub async fn begin_run(view: &View, content: &Content, until: Duration) {
     let acknowledged = view.crashes.knowledge.crashes.borrow().cursor();
-    if !view.crashes.record_run(content, until) {
+    if !view.crashes.note_run(content, until) {
         return;
     }
     let Some(address) = view.followed_store() else { return };
     let (contents, _) = view.crashes.unreported(acknowledged);
+    let count = contents.len();
     let message = Body::ReportCrashes(inner::ReportCrashes { contents });
+    // The task that reports to a store sends it again.
     if let Err(e) = view.stores.client(&address).call(message, RUN_REPORT_TIMEOUT).await {
-        event!(warn, "crash_report_failed", peer = address, contents = 1, reason = e);
+        event!(warn, "crash_report_failed", peer = address, contents = count, reason = e);
     }
 }
 
