--- a/orioleworks_gateway/src/forward.rs
+++ b/orioleworks_gateway/src/forward.rs
@@ -351,9 +351,10 @@
     /// Whether another attempt may start after one that failed. Waits for a run of the same suspect elsewhere, but not for
     /// the decision on its crashes.
     async fn is_admitted_again(&mut self) -> bool {
-        self.end_run();
         match self.admission() {
             Admission::Unrestricted => true,
+            // The run of this request goes on at another upstream.
+            Admission::AfterRun(_) if self.runs_as_suspect => true,
             Admission::Suspect | Admission::AfterRun(_) => self.wait_for_admission().await.is_ok(),
             Admission::NotBefore(_) | Admission::Quarantined(_) => false,
         }
