Store: results are proposed once, however slow the quorum is

Cause: a leader waited 1.4 s for results to commit and then proposed them again, as a new entry of its log, while the entries before were still being replicated. Its log grew by 12 MB each 0.6 s (snapshot_stored of storage-sicilia-c-1, 10 entries apart), so that followers never caught up: retries without a bound that keep the overload going after its trigger. results_unconfirmed shows the same 224 results each 1.4 s.

Why it works: an entry of a leader stays in its log until it is committed or another replica leads. So a proposer that would repeat itself waits for one of the two; results that arrive meanwhile collect into the next entry. After a change of leader the next one runs the items that are not listed, as before.

--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -238,6 +238,19 @@
         }
     }
 
+    /// As [`Self::propose`], but waits for the outcome as long as this replica leads.
+    ///
+    /// For proposers that would propose the same again. The entry stays in the log of the leader, so that each further
+    /// copy would only delay the commit, and the copies of all proposers can keep a slow quorum from ever catching up.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::propose`]; [`ProposeError::Unconfirmed`] means that this replica leads no longer.
+    pub async fn propose_until_decided(&self, order_id: &str, command: inner::Command) -> Outcome {
+        self.ready_to_propose().await?;
+        self.append_own(order_id, command).await.unwrap_or(Err(ProposeError::Unconfirmed))
+    }
+
     /// Waits until this replica leads and has applied every entry of older terms.
     ///
     /// # Errors
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -645,13 +645,11 @@
         let kind = Some(Kind::RecordResults(record.clone()));
         let command = inner::Command { expected_revision: None, kind };
         let (id, count) = (record.batch_id.clone(), record.results.len());
-        match self.inner.shared.log.propose("", command).await {
+        match self.inner.shared.log.propose_until_decided("", command).await {
             Ok(_) => {}
-            Err(ProposeError::NotLeader) => {
-                event!(info, "results_dropped", batch = id, results = count, reason = "not_leader");
-            }
-            Err(e) => {
-                event!(warn, "results_unconfirmed", batch = id, results = count, reason = e);
+            Err(ProposeError::NoQuorum) => {
+                let reason = ProposeError::NoQuorum;
+                event!(warn, "results_unconfirmed", batch = id, results = count, reason = reason);
                 let mut work = self.inner.work.borrow_mut();
                 if self.inner.term.get() == term {
                     let pending =
@@ -662,6 +660,10 @@
                     pending.progress.splice(0..0, record.progress);
                 }
             }
+            // The next leader runs the items that are not listed.
+            Err(e) => {
+                event!(info, "results_dropped", batch = id, results = count, reason = e);
+            }
         }
     }
 }
