--- a/orioleworks_gateway/tests/crashing_requests.rs
+++ b/orioleworks_gateway/tests/crashing_requests.rs
@@ -276,8 +276,8 @@
     let times = crash_times(&engines);
     assert!(times.len() > 2, "the item is still run");
     let pauses: Vec<Duration> = times.windows(2).map(|pair| pair[1] - pair[0]).collect();
-    assert!(pauses[1] >= FIRST_PAUSE, "{pauses:?}");
-    assert!(pauses[2..].iter().all(|pause| *pause >= FURTHER_PAUSE), "{pauses:?}");
+    let short = pauses[1] < FIRST_PAUSE || pauses[2..].iter().any(|pause| *pause < FURTHER_PAUSE);
+    assert!(!short, "{pauses:?}\n{}", d.logs());
 }
 
 /// Guards against the quarantine of requests and items that were in flight when half of the upstreams were lost at
