--- a/orioleworks_gateway/tests/crashing_requests.rs
+++ b/orioleworks_gateway/tests/crashing_requests.rs
@@ -331,7 +331,7 @@
         }
         let refused: Vec<String> =
             callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect();
-        assert!(refused.is_empty(), "refused as quarantined: {refused:?}");
+        assert!(refused.is_empty(), "refused as quarantined: {refused:?}\n{}", d.logs());
     });
     wait_for_results(&d, "b1", items.len());
 }
