Limits that upstreams name are read, passed on and logged

Gateways and the leader now read it from each response, report it to the stores as they report crashes (one report for both, in a module of its own), and log limit_named and limit_ended. Stores learn which gateways watch them, and count them. Nothing obeys a limit yet.

--- a/orioleworks_fleet/src/convert.rs
+++ b/orioleworks_fleet/src/convert.rs
@@ -6,6 +6,7 @@
 use orioleworks_routing::{
     crashes::{Crash, Observation, Report, SuspectRun},
     fleet::{Known, Upstream},
+    rates,
 };
 
 /// Message for a known upstream.
@@ -99,6 +100,27 @@
     }
 }
 
-fn millis(time: Duration) -> u32 {
+/// Message for the limit of an upstream.
+pub fn to_limit_message(report: &rates::Report, now: Duration) -> inner::NamedRate {
+    let (id, incarnation) = &report.upstream;
+    inner::NamedRate {
+        upstream: id.to_string(),
+        incarnation: *incarnation,
+        per_second: report.per_second,
+        age_ms: millis(now.saturating_sub(report.since)),
+    }
+}
+
+/// Limit of a message.
+pub fn from_limit_message(message: inner::NamedRate, now: Duration) -> rates::Report {
+    rates::Report {
+        upstream: (message.upstream.into(), message.incarnation),
+        per_second: message.per_second,
+        since: now.saturating_sub(Duration::from_millis(message.age_ms.into())),
+    }
+}
+
+/// Time in whole milliseconds, for messages.
+pub fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/orioleworks_fleet/src/watch.rs
+++ b/orioleworks_fleet/src/watch.rs
@@ -3,13 +3,15 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use orioleworks_daemon::{
-    clock,
+    clock, event,
     rpc::{self, RpcError},
 };
 use orioleworks_proto::inner::{self, frame::Body};
 use orioleworks_routing::{
     crashes::Crashes,
     fleet::{AnnounceOutcome, Fleet},
+    outlier::Key,
+    rates::{NamedRates, Notice, Senders},
 };
 
 use crate::convert;
@@ -25,6 +27,7 @@
     boot: u64,
     cursor: u64,
     crash_cursor: u64,
+    limit_cursor: u64,
 }
 
 /// What a watcher already knows, and what it wants.
@@ -36,15 +39,54 @@
     pub leader_address: String,
     /// Whether only upstreams that announced themselves to this store are wanted.
     pub direct_only: bool,
+    /// Name of the gateway that watches; empty for a store.
+    pub gateway: String,
 }
 
-/// What a watcher knows of upstreams; clones share it.
+/// What a watcher knows of upstreams and gateways; clones share it.
 #[derive(Clone, Debug, Default)]
 pub struct Knowledge {
     /// Known upstreams.
     pub fleet: Rc<RefCell<Fleet>>,
     /// Contents that may have crashed upstreams.
     pub crashes: Rc<RefCell<Crashes>>,
+    /// Limits that upstreams have named.
+    pub rates: Rc<RefCell<NamedRates>>,
+    /// Gateways, as far as stores know them.
+    pub gateways: Rc<RefCell<Senders>>,
+}
+
+impl Knowledge {
+    /// Records what a response says of the limit of its upstream; returns whether that changes the limit.
+    pub fn observe_rate(&self, up: &Key, sent_at: Duration, notice: Notice) -> bool {
+        let named = match notice {
+            Notice::Limit(rate) => Some(rate),
+            Notice::NoLimit => None,
+            Notice::Unreadable => {
+                event!(warn, "limit_unreadable", upstream = up.0, incarnation = up.1);
+                return false;
+            }
+            Notice::Silent => return false,
+        };
+        if !self.rates.borrow_mut().observe(up, sent_at, clock::since_boot(), named) {
+            return false;
+        }
+        match named {
+            Some(rate) => {
+                event!(info, "limit_named", upstream = up.0, incarnation = up.1, per_second = rate)
+            }
+            None => event!(info, "limit_ended", upstream = up.0, incarnation = up.1),
+        }
+        true
+    }
+
+    /// Removes limits of upstreams that are gone.
+    pub fn expire_rates(&self) {
+        let fleet = self.fleet.borrow();
+        self.rates.borrow_mut().retain(|(id, incarnation)| {
+            fleet.get(id).is_some_and(|known| known.upstream.incarnation == *incarnation)
+        });
+    }
 }
 
 /// Sends one watch request and merges the reply into `knowledge`. The flag tells whether that changed anything.
@@ -66,14 +108,20 @@
         direct_only: state.direct_only,
         leader_address: state.leader_address,
         crash_cursor: Some(position.crash_cursor),
+        limit_cursor: Some(position.limit_cursor),
+        gateway: state.gateway,
     };
     let Body::FleetReply(mut reply) =
         client.call(Body::FleetWatch(watch), MAX_WAIT + REPLY_SLACK).await?
     else {
         return Err(RpcError::Unexpected);
     };
-    *position =
-        Position { boot: reply.store_boot, cursor: reply.cursor, crash_cursor: reply.crash_cursor };
+    *position = Position {
+        boot: reply.store_boot,
+        cursor: reply.cursor,
+        crash_cursor: reply.crash_cursor,
+        limit_cursor: reply.limit_cursor,
+    };
     let now = clock::since_boot();
     let mut changed = false;
     for message in std::mem::take(&mut reply.upstreams) {
@@ -85,5 +133,13 @@
         let report = convert::from_crash_message(message, now);
         changed |= knowledge.crashes.borrow_mut().merge(report, now, false);
     }
+    for message in std::mem::take(&mut reply.limits) {
+        let report = convert::from_limit_message(message, now);
+        changed |= knowledge.rates.borrow_mut().merge(report, false);
+    }
+    for gateway in std::mem::take(&mut reply.gateways) {
+        let seen = now.saturating_sub(Duration::from_millis(gateway.age_ms.into()));
+        knowledge.gateways.borrow_mut().note(&gateway.name, seen, false);
+    }
     Ok((reply, changed))
 }
--- a/orioleworks_gateway/src/app.rs
+++ b/orioleworks_gateway/src/app.rs
@@ -13,7 +13,7 @@
 use orioleworks_proto::codes::exit;
 use tokio_util::sync::CancellationToken;
 
-use crate::{callers, cli, config::Config, crashes, view::View, watch};
+use crate::{callers, cli, config::Config, reports, view::View, watch};
 
 /// Time for which new connections are accepted after the signal. The platform checks readiness once a second and sends
 /// new callers until the second failed check.
@@ -54,7 +54,7 @@
     event!(info, "gateway_started", name = cfg.instance.name, domain = cfg.instance.failure_domain);
     let view = View::new(cfg);
     runtime::spawn(watch::follow(view.clone(), token.clone())).detach();
-    runtime::spawn(crashes::report(view.clone(), token.clone())).detach();
+    runtime::spawn(reports::run(view.clone(), token.clone())).detach();
     let reload_view = view.clone();
     reload::watch(path, token.clone(), move |cfg: Config| {
         reload_view.stores.set_seeds(cfg.seed_addresses());
--- a/orioleworks_gateway/src/crashes.rs
+++ b/orioleworks_gateway/src/crashes.rs
@@ -1,13 +1,10 @@
-//! Contents that may have crashed upstreams, and the reports of this gateway to the stores.
+//! Contents that may have crashed upstreams.
 //!
-//! A caller repeats its request through any gateway. Therefore each gateway reports what it observes to the store that
-//! it follows, and learns from that store what the others observed. See `docs/platform.md`.
+//! A caller repeats its request through any gateway. Therefore each gateway [reports](crate::reports) what it observes,
+//! and learns what the others observed. See `docs/platform.md`.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::time::Duration;
 
-use compio::time;
-use futures_channel::mpsc;
-use futures_util::{FutureExt, StreamExt, select};
 use orioleworks_daemon::{clock, event, fingerprint};
 use orioleworks_fleet::{convert, watch::Knowledge};
 use orioleworks_proto::inner::{self, frame::Body};
@@ -15,17 +12,9 @@
     crashes::{Admission, Observation, Report},
     outlier::Key,
 };
-use tokio_util::sync::CancellationToken;
 
-use crate::{forward::Content, view::View};
+use crate::{forward::Content, reports::Wake, view::View};
 
-/// Longest time without a check for reports that have not arrived, for example after a change of store.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Pause between two messages of reports. It bounds their number when many requests fail at the same time; a caller
-/// takes longer to repeat a request.
-const REPORT_INTERVAL: Duration = Duration::from_millis(5);
-/// Longest time for a store to acknowledge reports.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time for a store to acknowledge the start of a suspect's run. Without an acknowledgement the run starts all the
 /// same, so that a gateway that is cut off from the stores goes on.
 const RUN_REPORT_TIMEOUT: Duration = Duration::from_millis(50);
@@ -35,16 +24,13 @@
 pub struct ContentCrashes {
     knowledge: Knowledge,
     /// Wakes the task that reports to a store.
-    wake: Rc<RefCell<mpsc::Sender<()>>>,
-    woken: Rc<RefCell<Option<mpsc::Receiver<()>>>>,
+    wake: Wake,
 }
 
 impl ContentCrashes {
     /// Creates the state over what the gateway learns from stores.
-    pub fn new(knowledge: Knowledge) -> Self {
-        let (wake, woken) = mpsc::channel(0);
-        let (wake, woken) = (Rc::new(RefCell::new(wake)), Rc::new(RefCell::new(Some(woken))));
-        Self { knowledge, wake, woken }
+    pub fn new(knowledge: Knowledge, wake: Wake) -> Self {
+        Self { knowledge, wake }
     }
 
     /// Whether and how a request may run now.
@@ -73,14 +59,14 @@
             incarnation = upstream.1,
             observation = format!("{observation:?}"),
         );
-        self.wake_reporter();
+        self.wake.notify();
     }
 
     /// Records that an upstream refused a connection.
     pub fn record_refusal(&self, upstream: &Key) {
         let now = clock::since_boot();
         if self.knowledge.crashes.borrow_mut().record_refusal(upstream, now) {
-            self.wake_reporter();
+            self.wake.notify();
         }
     }
 
@@ -94,13 +80,13 @@
         }
         let content = fingerprint::logged(content.fingerprint());
         event!(info, "suspicion_withdrawn", request = id, content = content);
-        self.wake_reporter();
+        self.wake.notify();
     }
 
     /// Records that a suspect runs, until a time at the latest.
     pub fn record_run(&self, content: &Content, until: Duration) {
         if self.note_run(content, until) {
-            self.wake_reporter();
+            self.wake.notify();
         }
     }
 
@@ -125,12 +111,8 @@
         self.knowledge.crashes.borrow().len()
     }
 
-    fn wake_reporter(&self) {
-        // A full channel means that the reporter is about to look anyway.
-        drop(self.wake.borrow_mut().try_send(()));
-    }
-
-    fn unreported(&self, acknowledged: u64) -> (Vec<inner::ContentCrashes>, u64) {
+    /// Reports that a store has not acknowledged, and the cursor of the newest one.
+    pub fn unreported(&self, acknowledged: u64) -> (Vec<inner::ContentCrashes>, u64) {
         let now = clock::since_boot();
         let crashes = self.knowledge.crashes.borrow();
         let to_message = |report: Report| convert::to_crash_message(&report, now);
@@ -147,42 +129,10 @@
     let Some(address) = view.followed_store() else { return };
     let (contents, _) = view.crashes.unreported(acknowledged);
     let count = contents.len();
-    let message = Body::ReportCrashes(inner::ReportCrashes { contents });
+    let report = inner::ReportObservations { contents, limits: Vec::new() };
+    let message = Body::ReportObservations(report);
     // The task that reports to a store sends it again.
     if let Err(e) = view.stores.client(&address).call(message, RUN_REPORT_TIMEOUT).await {
-        event!(warn, "crash_report_failed", peer = address, contents = count, reason = e);
-    }
-}
-
-/// Reports this gateway's observations to the store that it follows, until the token is cancelled.
-///
-/// Everything is reported again to the next store, because the one before may have ended before it passed a report on.
-pub async fn report(view: View, token: CancellationToken) {
-    let Some(mut woken) = view.crashes.woken.borrow_mut().take() else { return };
-    let mut reported_to = String::new();
-    let mut acknowledged = 0;
-    while !token.is_cancelled() {
-        {
-            let mut check = std::pin::pin!(time::sleep(CHECK_INTERVAL).fuse());
-            select! { _ = woken.next() => (), () = check => () }
-        }
-        let Some(address) = view.followed_store() else { continue };
-        if address != reported_to {
-            acknowledged = 0;
-            reported_to.clone_from(&address);
-        }
-        let (contents, cursor) = view.crashes.unreported(acknowledged);
-        if contents.is_empty() {
-            continue;
-        }
-        let count = contents.len();
-        let message = Body::ReportCrashes(inner::ReportCrashes { contents });
-        match view.stores.client(&address).call(message, REPORT_TIMEOUT).await {
-            Ok(_) => acknowledged = cursor,
-            Err(e) => {
-                event!(warn, "crash_report_failed", peer = address, contents = count, reason = e);
-            }
-        }
-        time::sleep(REPORT_INTERVAL).await;
+        event!(warn, "report_failed", peer = address, contents = count, limits = 0, reason = e);
     }
 }
--- a/orioleworks_gateway/src/forward.rs
+++ b/orioleworks_gateway/src/forward.rs
@@ -490,7 +490,7 @@
 
 impl Attempt {
     async fn send(self) -> AttemptEnd {
-        let started = Instant::now();
+        let (started, sent_at) = (Instant::now(), clock::since_boot());
         let remaining = self.deadline.saturating_duration_since(started);
         let mut req = http::Request::builder()
             .method(self.content.head.method.clone())
@@ -524,7 +524,13 @@
                     };
                 }
             };
-        match upstream::classify_response(exchange.head.status, &exchange.head.headers, &self.id) {
+        let (status, headers) = (exchange.head.status, &exchange.head.headers);
+        let verdict = upstream::classify_response(status, headers, &self.id);
+        let notice = upstream::rate_notice(verdict, status, headers);
+        if self.view.knowledge.observe_rate(&self.key, sent_at, notice) {
+            self.view.report_wake.notify();
+        }
+        match verdict {
             Verdict::NotRun => {
                 self.view.outliers.borrow_mut().record_dropped(&self.key);
                 let why = format!("refused with status {}", exchange.head.status.as_u16());
--- a/orioleworks_gateway/src/view.rs
+++ b/orioleworks_gateway/src/view.rs
@@ -18,7 +18,7 @@
     routes::RouteTable,
 };
 
-use crate::{config::Config, crashes::ContentCrashes, telemetry};
+use crate::{config::Config, crashes::ContentCrashes, reports::Wake, telemetry};
 
 /// Second attempts allowed per recent successes, in percent. When one of three replicas fails, a third of the requests
 /// fail until it is excluded.
@@ -42,6 +42,8 @@
     pub knowledge: Knowledge,
     /// Contents that may have crashed upstreams.
     pub crashes: ContentCrashes,
+    /// Wakes the task that reports observations to a store.
+    pub report_wake: Wake,
     /// Health of upstreams as observed by this gateway's requests.
     pub outliers: Rc<RefCell<Outliers>>,
     /// Stores.
@@ -61,10 +63,12 @@
     /// Creates a view without routes and upstreams.
     pub fn new(cfg: Config) -> Self {
         let (stores, knowledge) = (Stores::default(), Knowledge::default());
+        let report_wake = Wake::default();
         stores.set_seeds(cfg.seed_addresses());
         Self {
             cfg: Rc::new(cfg),
-            crashes: ContentCrashes::new(knowledge.clone()),
+            crashes: ContentCrashes::new(knowledge.clone(), report_wake.clone()),
+            report_wake,
             knowledge,
             outliers: Rc::default(),
             stores,
@@ -200,6 +204,7 @@
         let now = clock::since_boot();
         self.knowledge.fleet.borrow_mut().remove_expired(now);
         self.crashes.expire();
+        self.knowledge.expire_rates();
         let fleet = self.knowledge.fleet.borrow();
         let known =
             |id: &str, start: u64| fleet.get(id).is_some_and(|k| k.upstream.incarnation == start);
--- a/orioleworks_gateway/src/watch.rs
+++ b/orioleworks_gateway/src/watch.rs
@@ -43,6 +43,7 @@
             document_version: view.document_version(),
             leader_address: view.stores.leader(),
             direct_only: false,
+            gateway: view.cfg.instance.name.to_string(),
         };
         let client = view.stores.client(address);
         let current = match watch::poll(&client, &mut position, state, &view.knowledge).await {
--- a/orioleworks_routing/src/lib.rs
+++ b/orioleworks_routing/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod members;
 pub mod outlier;
 pub mod queue;
+pub mod rates;
 pub mod routes;
 pub mod spread;
 pub mod suspects;
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -451,7 +451,7 @@
         let end = {
             let observer = RunObserver {
                 observe: &|observation| {
-                    self.observe(&run, observation);
+                    self.observe(&run, started, observation);
                     let events = waiting.progress.borrow().event_count();
                     if waiting.suspect && events == events_at_start + 1 {
                         // Another suspect may start on the engine now.
@@ -476,13 +476,18 @@
         self.inner.shared.wake.notify();
     }
 
-    fn observe(&self, run: &Run, observation: Observation) {
+    fn observe(&self, run: &Run, started: Duration, observation: Observation) {
         let mut engines = self.inner.shared.engines.borrow_mut();
         match observation {
             Observation::Event(gap) => engines.record_event(&run.key, gap),
             Observation::Version(version) => {
                 engines.record_version(&run.key, &run.batch.model, version)
             }
+            Observation::Rate(notice) => {
+                if self.inner.shared.knowledge.observe_rate(&run.key, started, notice) {
+                    self.inner.shared.wake.notify();
+                }
+            }
         }
     }
 
--- a/orioleworks_store/src/runner.rs
+++ b/orioleworks_store/src/runner.rs
@@ -15,7 +15,7 @@
     upstream::{self, Verdict},
 };
 use orioleworks_proto::inner;
-use orioleworks_routing::{fleet::Upstream, outlier::Key};
+use orioleworks_routing::{fleet::Upstream, outlier::Key, rates};
 
 /// Silence of an engine after which an item resumes on another engine: several times the usual gap between events of a
 /// slow engine, and longer than the engine takes to read the prompts of a full batch.
@@ -196,6 +196,8 @@
     Event(Duration),
     /// The engine uses a weight version.
     Version(u64),
+    /// A response says this of the engine's limit.
+    Rate(rates::Notice),
 }
 
 /// Runs an item on an engine, from where its progress ends.
@@ -222,7 +224,9 @@
         Err(e) => return failed_run(&e),
     };
     let (status, headers) = (exchange.head.status, &exchange.head.headers);
-    match upstream::classify_response(status, headers, &run.item.id) {
+    let verdict = upstream::classify_response(status, headers, &run.item.id);
+    (observer.observe)(Observation::Rate(upstream::rate_notice(verdict, status, headers)));
+    match verdict {
         Verdict::NotRun => return drain_body(exchange, RunEnd::NotRun).await,
         Verdict::Unverified => {
             return RunEnd::Lost("the response belongs to another request".into());
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -93,6 +93,8 @@
         while !token.is_cancelled() {
             self.remove_expired_upstreams();
             self.shared.knowledge.crashes.borrow_mut().expire(clock::since_boot());
+            self.shared.knowledge.expire_rates();
+            self.shared.knowledge.gateways.borrow_mut().expire(clock::since_boot());
             self.shared.pool.close_expired();
             telemetry::publish(&self.shared, &self.dispatch);
             self.shared.log.set_retired(self.shared.state.borrow().retired().iter().cloned());
@@ -124,9 +126,9 @@
         match body {
             Body::Propose(propose) => Some(Body::ProposeReply(self.propose_locally(propose).await)),
             Body::FleetWatch(watch) => Some(Body::FleetReply(self.watch(watch).await)),
-            Body::ReportCrashes(report) => {
-                self.merge_crashes(report.contents);
-                Some(Body::ReportCrashesReply(inner::ReportCrashesReply {}))
+            Body::ReportObservations(report) => {
+                self.merge_observations(report);
+                Some(Body::ReportObservationsReply(inner::ReportObservationsReply {}))
             }
             Body::ReadBatch(read) => Some(Body::ReadBatchReply(self.read_batch(read).await)),
             Body::ReadItem(read) => Some(Body::ReadItemReply(self.read_item(read).await)),
@@ -283,13 +285,17 @@
     }
 
     /// Merges what a gateway observed, and passes it on to the watchers at once.
-    fn merge_crashes(&self, contents: Vec<inner::ContentCrashes>) {
+    fn merge_observations(&self, report: inner::ReportObservations) {
         let now = clock::since_boot();
         let mut crashes = self.shared.knowledge.crashes.borrow_mut();
+        let mut rates = self.shared.knowledge.rates.borrow_mut();
         let mut changed = false;
-        for content in contents {
+        for content in report.contents {
             changed |= crashes.merge(convert::from_crash_message(content, now), now, true);
         }
+        for limit in report.limits {
+            changed |= rates.merge(convert::from_limit_message(limit, now), true);
+        }
         if changed {
             self.shared.wake.notify();
         }
@@ -298,18 +304,28 @@
     async fn watch(&self, watch: inner::FleetWatch) -> inner::FleetReply {
         let same_process = watch.store_boot == self.boot;
         let known = if same_process { watch.cursor } else { 0 };
-        let known_crashes = watch.crash_cursor.map(|cursor| if same_process { cursor } else { 0 });
+        let position = |cursor: u64| if same_process { cursor } else { 0 };
+        let known_crashes = watch.crash_cursor.map(position);
+        let known_limits = watch.limit_cursor.map(position);
         // A store that has just started may have lost what was once reported to it directly.
-        let direct_crashes_only = watch.direct_only && same_process;
+        let direct_reports_only = watch.direct_only && same_process;
+        if !watch.gateway.is_empty() {
+            let now = clock::since_boot();
+            self.shared.knowledge.gateways.borrow_mut().note(&watch.gateway, now, true);
+        }
         let deadline = Instant::now() + Duration::from_millis(watch.wait_ms.into()).min(MAX_WAIT);
         loop {
             let seen = self.shared.wake.version();
             let newer = self.shared.state.borrow().document().version > watch.document_version;
             let crashes_changed = known_crashes.is_some_and(|cursor| {
-                self.shared.knowledge.crashes.borrow().changed_since(cursor, direct_crashes_only)
+                self.shared.knowledge.crashes.borrow().changed_since(cursor, direct_reports_only)
+            });
+            let limits_changed = known_limits.is_some_and(|cursor| {
+                self.shared.knowledge.rates.borrow().changed_since(cursor, direct_reports_only)
             });
             let urgent = !same_process
                 || crashes_changed
+                || limits_changed
                 || self.shared.knowledge.fleet.borrow().urgent_since(known);
             // Another store knows the leader from its log. Replying to it at once while the two differ would make it
             // send requests without a pause.
@@ -327,8 +343,13 @@
         let document = state.document();
         let upstreams = fleet.since(known, watch.direct_only).map(|k| convert::to_message(k, now));
         let crashes = self.shared.knowledge.crashes.borrow();
-        let changed = known_crashes.map(|cursor| crashes.since(cursor, direct_crashes_only));
+        let changed = known_crashes.map(|cursor| crashes.since(cursor, direct_reports_only));
         let changed = changed.into_iter().flatten();
+        let rates = self.shared.knowledge.rates.borrow();
+        let limits = known_limits.map(|cursor| rates.since(cursor, direct_reports_only));
+        let limits = limits.into_iter().flatten();
+        let gateways = self.shared.knowledge.gateways.borrow();
+        let watching = gateways.direct().filter(|_| watch.direct_only);
         // Only voters, because a learner may be far behind.
         let mut stores = self.shared.log.voter_addresses();
         if self.shared.log.is_voter() {
@@ -344,6 +365,15 @@
             stores,
             crashes: changed.map(|report| convert::to_crash_message(&report, now)).collect(),
             crash_cursor: crashes.cursor(),
+            limits: limits.map(|report| convert::to_limit_message(&report, now)).collect(),
+            limit_cursor: rates.cursor(),
+            gateways: watching
+                .map(|(name, at)| inner::GatewaySign {
+                    name: name.to_string(),
+                    age_ms: convert::millis(now.saturating_sub(at)),
+                })
+                .collect(),
+            gateway_count: u32::try_from(gateways.count()).unwrap_or(u32::MAX),
         }
     }
 
