--- a/orioleworks_gateway/tests/support/upstream.rs
+++ b/orioleworks_gateway/tests/support/upstream.rs
@@ -37,6 +37,8 @@
     pub leaving: AtomicBool,
     /// Announces itself.
     pub announces: AtomicBool,
+    /// Requests a second that it names as its limit in each response, without refusing more.
+    pub rate_limit: Mutex<Option<f64>>,
 }
 
 #[derive(Default)]
@@ -48,6 +50,8 @@
     accepted_orders: Vec<serde_json::Value>,
     /// Weight versions under which events of a request ID were generated.
     generated: HashMap<String, BTreeSet<u64>>,
+    /// Arrival times of all requests, refused ones, reports and orders included.
+    arrivals: Vec<Instant>,
 }
 
 /// What ends with a crash of the replica, and what tells its starts apart.
@@ -140,6 +144,11 @@
         self.state.lock().unwrap().runs.values().map(Vec::len).sum()
     }
 
+    /// Arrival times of all requests.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.state.lock().unwrap().arrivals.clone()
+    }
+
     /// Weight version of a model.
     pub fn version(&self, model: &str) -> u64 {
         self.state.lock().unwrap().versions.get(model).copied().unwrap_or(0)
@@ -274,6 +283,7 @@
             if self.stopped.load(Ordering::Relaxed) {
                 return Ok(());
             }
+            self.state.lock().unwrap().arrivals.push(Instant::now());
             match path.as_str() {
                 "/v1/report" => self.report(&mut out)?,
                 "/v1/order" => self.order(&mut out, &body)?,
@@ -293,7 +303,7 @@
             serde_json::json!({"busy": false, "sequence": state.orders, "models": models})
                 .to_string()
         };
-        write_response(out, "200 OK", &[], &body)
+        self.respond(out, "200 OK", &[], &body)
     }
 
     fn order(&self, out: &mut TcpStream, body: &[u8]) -> std::io::Result<()> {
@@ -304,7 +314,7 @@
             let mut state = self.state.lock().unwrap();
             if order["expected"].as_u64() != Some(state.orders) {
                 drop(state);
-                return write_response(out, "409 Conflict", &[], "");
+                return self.respond(out, "409 Conflict", &[], "");
             }
             state.orders += 1;
             state.accepted_orders.push(order);
@@ -314,7 +324,7 @@
             thread::sleep(LOAD_TIME);
             state.lock().unwrap().versions.insert(model, version);
         });
-        write_response(out, "202 Accepted", &[], "")
+        self.respond(out, "202 Accepted", &[], "")
     }
 
     fn run(
@@ -325,7 +335,7 @@
     ) -> std::io::Result<()> {
         let id = headers.get("x-attempt-id").cloned().unwrap_or_default();
         if headers.get("x-expected-instance").is_some_and(|expected| *expected != self.id) {
-            return write_response(
+            return self.respond(
                 out,
                 "421 Misdirected Request",
                 &[("X-Instance-Id", &self.id)],
@@ -333,7 +343,7 @@
             );
         }
         if self.behaviour.refuses.load(Ordering::Relaxed) {
-            return write_response(out, "503 Service Unavailable", &[("X-Not-Executed", "1")], "");
+            return self.respond(out, "503 Service Unavailable", &[("X-Not-Executed", "1")], "");
         }
         let after = headers.get("last-event-id").and_then(|v| v.parse().ok());
         self.state.lock().unwrap().runs.entry(id.clone()).or_default().push(after);
@@ -353,14 +363,34 @@
         let decrement = |left: u64| left.checked_sub(1);
         let failures = &self.behaviour.failures;
         if failures.fetch_update(Ordering::Relaxed, Ordering::Relaxed, decrement).is_ok() {
-            return write_response(out, "500 Internal Server Error", stamp, "failed");
+            return self.respond(out, "500 Internal Server Error", stamp, "failed");
         }
         match headers.get("x-model") {
             Some(model) => self.stream(out, &id, model, after.unwrap_or(0)),
-            None => write_response(out, "200 OK", stamp, &format!("answer to {id}")),
+            None => self.respond(out, "200 OK", stamp, &format!("answer to {id}")),
         }
     }
 
+    fn respond(
+        &self,
+        out: &mut TcpStream,
+        status: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> std::io::Result<()> {
+        let limit = self.limit_header();
+        let mut head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n{limit}", body.len());
+        for (name, value) in headers {
+            head += &format!("{name}: {value}\r\n");
+        }
+        write!(out, "{head}\r\n{body}")
+    }
+
+    fn limit_header(&self) -> String {
+        let limit = *self.behaviour.rate_limit.lock().unwrap();
+        limit.map_or(String::new(), |rate| format!("Server-Limit: {rate}\r\n"))
+    }
+
     fn must_crash(&self, path: &str) -> bool {
         let crash_path = self.behaviour.crash_path.lock().unwrap().clone();
         let left = self.behaviour.crashes_left.lock().unwrap().clone();
@@ -378,9 +408,10 @@
         after: u64,
     ) -> std::io::Result<()> {
         let mut version = self.version(model);
+        let limit = self.limit_header();
         write!(
             out,
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: \
+            "HTTP/1.1 200 OK\r\n{limit}Content-Type: text/event-stream\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: \
              stamp\r\nX-Weight-Versions: {version}\r\nTransfer-Encoding: chunked\r\n\r\n"
         )?;
         let break_after = self.behaviour.break_after.swap(0, Ordering::Relaxed);
@@ -414,16 +445,3 @@
     let events: Vec<String> = (1..=EVENTS).map(|event| event_data(id, event)).collect();
     events.join("\n")
 }
-
-fn write_response(
-    out: &mut TcpStream,
-    status: &str,
-    headers: &[(&str, &str)],
-    body: &str,
-) -> std::io::Result<()> {
-    let mut head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n", body.len());
-    for (name, value) in headers {
-        head += &format!("{name}: {value}\r\n");
-    }
-    write!(out, "{head}\r\n{body}")
-}
