Requests keep to the limits that upstreams name, over all instances

The class is a limit whose scope is smaller than what it limits.

The leader of the stores now gives a permit for each request to an upstream that names a limit, out of one token bucket for all gateways and its own items and orders. Without it a gateway uses every n-th interval of the named rate, which the leader holds back for gateways that it has not heard of. What gets no permit in time is refused at once with the time of the next one.

--- a/orioleworks_fleet/src/convert.rs
+++ b/orioleworks_fleet/src/convert.rs
@@ -6,6 +6,7 @@
 use orioleworks_routing::{
     crashes::{Crash, Observation, Report, SuspectRun},
     fleet::{Known, Upstream},
+    permits::Permit,
     rates,
 };
 
@@ -120,6 +121,12 @@
     }
 }
 
+/// Permit of a reply with [`ResultCode::Ok`](orioleworks_proto::codes::ResultCode::Ok).
+pub fn from_permit_reply(reply: &inner::AcquirePermitReply) -> Permit {
+    let wait = Duration::from_millis(reply.wait_ms.into());
+    if reply.granted { Permit::After(wait) } else { Permit::Denied(wait) }
+}
+
 /// Time in whole milliseconds, for messages.
 pub fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
--- a/orioleworks_fleet/src/stores.rs
+++ b/orioleworks_fleet/src/stores.rs
@@ -155,6 +155,7 @@
         Body::ReadBatchReply(reply) => reply.code,
         Body::ReadItemReply(reply) => reply.code,
         Body::ReadDocumentReply(reply) => reply.code,
+        Body::AcquirePermitReply(reply) => reply.code,
         _ => ResultCode::Ok.number(),
     }
 }
@@ -170,6 +171,7 @@
         Body::ReadBatchReply(reply) => Some(reply.leader_address.clone()),
         Body::ReadItemReply(reply) => Some(reply.leader_address.clone()),
         Body::ReadDocumentReply(reply) => Some(reply.leader_address.clone()),
+        Body::AcquirePermitReply(reply) => Some(reply.leader_address.clone()),
         _ => None,
     }
 }
--- a/orioleworks_gateway/src/forward.rs
+++ b/orioleworks_gateway/src/forward.rs
@@ -26,19 +26,25 @@
     crashes::{Admission, Observation},
     fleet::Upstream,
     outlier::Key,
+    permits::Permit,
     routes::Route,
 };
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     callers::{Refusal, RequestContext},
-    crashes, telemetry,
+    crashes,
+    permits::Demand,
+    telemetry,
     view::View,
 };
 
 /// Share of the latency objective after which a second attempt starts, in percent: late enough that few healthy
 /// requests get one, early enough for the second attempt to meet the objective.
 const SECOND_ATTEMPT_PERCENT: u32 = 50;
+/// Share of the latency objective until which a request may wait for a permit of a limited upstream, in percent. Longer
+/// waits would make requests late without serving more of them.
+const PERMIT_WAIT_PERCENT: u32 = 50;
 /// Largest response that is buffered in memory.
 const MAX_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
 /// Number of upstreams that may refuse a request before its caller gets the refusal.
@@ -110,6 +116,15 @@
     }
 }
 
+/// Whether an attempt has started.
+enum Start {
+    Started,
+    /// No upstream is left to try.
+    NoUpstream,
+    /// All that are left name limits; one may take a request after this time.
+    RateLimited(Duration),
+}
+
 struct EndedAttempt {
     upstream: Rc<Upstream>,
     key: Key,
@@ -182,9 +197,13 @@
         rx: &mut mpsc::UnboundedReceiver<EndedAttempt>,
     ) -> Result<server::Response, Refusal> {
         self.wait_for_admission().await?;
-        if !self.start() {
-            let detail = format!("service {}", self.service);
-            return Err(Refusal::new(ResultCode::NoUpstream, detail, NO_UPSTREAM_RETRY));
+        match self.start().await {
+            Start::Started => {}
+            Start::NoUpstream => {
+                let detail = format!("service {}", self.service);
+                return Err(Refusal::new(ResultCode::NoUpstream, detail, NO_UPSTREAM_RETRY));
+            }
+            Start::RateLimited(wait) => return Err(self.limit_refusal(wait)),
         }
         let mut failure: Option<(response::Parts, Bytes)> = None;
         let mut reason;
@@ -209,7 +228,7 @@
                     }
                     return Err(refusal);
                 }
-                if self.view.try_retry(&self.route.name) && self.start() {
+                if self.view.try_retry(&self.route.name) && self.start_unlimited() {
                     event!(
                         debug,
                         "second_attempt",
@@ -272,8 +291,14 @@
             } else {
                 self.may_repeat() && self.view.try_retry(&self.route.name)
             };
-            if retry && self.is_admitted_again().await && self.start() {
-                continue;
+            if retry && self.is_admitted_again().await {
+                match self.start().await {
+                    Start::Started => continue,
+                    Start::RateLimited(wait) if not_run && failure.is_none() => {
+                        return Err(self.limit_refusal(wait));
+                    }
+                    Start::NoUpstream | Start::RateLimited(_) => {}
+                }
             }
             return match failure {
                 Some((head, body)) => {
@@ -392,9 +417,58 @@
         self.route.idempotent && self.runs < self.route.max_attempts
     }
 
-    /// Starts an attempt at the best upstream that has not been tried; false if there is none.
-    fn start(&mut self) -> bool {
-        let Some(upstream) = self.view.choose(&self.service, &self.tried) else { return false };
+    /// Starts an attempt at the best upstream that has not been tried and takes a request in time.
+    async fn start(&mut self) -> Start {
+        let mut excluded = self.tried.clone();
+        let mut next_free: Option<Duration> = None;
+        while let Some(upstream) = self.view.choose(&self.service, &excluded) {
+            let key: Key = (upstream.id.clone(), upstream.incarnation);
+            let Some(rate) = self.view.limit(&key) else {
+                self.send_to(upstream);
+                return Start::Started;
+            };
+            let demand = Demand {
+                priority: self.route.priority,
+                max_wait: self.longest_permit_wait(&excluded),
+            };
+            match self.view.permits.acquire(self.view, &key, rate, demand).await {
+                Permit::After(wait) => {
+                    if !wait.is_zero() {
+                        compio::time::sleep(wait).await;
+                    }
+                    self.send_to(upstream);
+                    return Start::Started;
+                }
+                Permit::Denied(wait) => {
+                    next_free = Some(next_free.map_or(wait, |known| known.min(wait)));
+                    excluded.push(key);
+                }
+            }
+        }
+        next_free.map_or(Start::NoUpstream, Start::RateLimited)
+    }
+
+    /// Starts a parallel attempt; it takes no permit, because limited upstreams are short of them. Returns false if no
+    /// upstream without a limit is left.
+    fn start_unlimited(&mut self) -> bool {
+        let upstream = self.view.choose_unlimited(&self.service, &self.tried);
+        upstream.map(|upstream| self.send_to(upstream)).is_some()
+    }
+
+    fn longest_permit_wait(&self, excluded: &[Key]) -> Duration {
+        if self.view.choose_unlimited(&self.service, excluded).is_some() {
+            return Duration::ZERO;
+        }
+        let until = self.context.arrived + self.route.latency_objective * PERMIT_WAIT_PERCENT / 100;
+        until.min(self.deadline).saturating_duration_since(Instant::now())
+    }
+
+    fn limit_refusal(&self, wait: Duration) -> Refusal {
+        let detail = format!("service {}", self.service);
+        Refusal::new(ResultCode::RateLimited, detail, wait)
+    }
+
+    fn send_to(&mut self, upstream: Rc<Upstream>) {
         let key: Key = (upstream.id.clone(), upstream.incarnation);
         self.tried.push(key.clone());
         self.runs += 1;
@@ -426,7 +500,6 @@
             }
         })
         .detach();
-        true
     }
 
     /// Streams a response to the caller; an error of the upstream aborts the caller's connection.
--- a/orioleworks_gateway/src/lib.rs
+++ b/orioleworks_gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod crashes;
 pub mod forward;
+pub mod permits;
 pub mod reports;
 pub mod telemetry;
 pub mod view;
--- a/orioleworks_gateway/src/view.rs
+++ b/orioleworks_gateway/src/view.rs
@@ -18,7 +18,7 @@
     routes::RouteTable,
 };
 
-use crate::{config::Config, crashes::ContentCrashes, reports::Wake, telemetry};
+use crate::{config::Config, crashes::ContentCrashes, permits::Permits, reports::Wake, telemetry};
 
 /// Second attempts allowed per recent successes, in percent. When one of three replicas fails, a third of the requests
 /// fail until it is excluded.
@@ -44,6 +44,8 @@
     pub crashes: ContentCrashes,
     /// Wakes the task that reports observations to a store.
     pub report_wake: Wake,
+    /// Permits for upstreams that name a limit.
+    pub permits: Permits,
     /// Health of upstreams as observed by this gateway's requests.
     pub outliers: Rc<RefCell<Outliers>>,
     /// Stores.
@@ -69,6 +71,7 @@
             cfg: Rc::new(cfg),
             crashes: ContentCrashes::new(knowledge.clone(), report_wake.clone()),
             report_wake,
+            permits: Permits::default(),
             knowledge,
             outliers: Rc::default(),
             stores,
@@ -161,8 +164,22 @@
         self.draining.set(true);
     }
 
-    /// Best upstream of a service, without those already tried.
-    pub fn choose(&self, service: &str, tried: &[Key]) -> Option<Rc<Upstream>> {
+    /// Best upstream of a service, without the excluded ones.
+    pub fn choose(&self, service: &str, excluded: &[Key]) -> Option<Rc<Upstream>> {
+        self.choose_among(service, |key| !excluded.contains(key))
+    }
+
+    /// Best upstream of a service that names no limit, without the excluded ones.
+    pub fn choose_unlimited(&self, service: &str, excluded: &[Key]) -> Option<Rc<Upstream>> {
+        self.choose_among(service, |key| !excluded.contains(key) && self.limit(key).is_none())
+    }
+
+    /// Requests a second that an upstream takes from all instances together; `None` if it names no limit.
+    pub fn limit(&self, up: &Key) -> Option<f64> {
+        self.knowledge.rates.borrow().limit(up)
+    }
+
+    fn choose_among(&self, service: &str, allowed: impl Fn(&Key) -> bool) -> Option<Rc<Upstream>> {
         let now = clock::since_boot();
         let fleet = self.knowledge.fleet.borrow();
         let domain = &*self.cfg.instance.failure_domain;
@@ -174,7 +191,7 @@
                 fresh: known.is_fresh(now),
                 local: *known.upstream.domain == *domain,
             })
-            .filter(|c| !tried.contains(&c.key))
+            .filter(|c| allowed(&c.key))
             .collect();
         let outliers = self.outliers.borrow();
         let best = outliers.choose(&candidates, now)?;
@@ -209,6 +226,7 @@
         let known =
             |id: &str, start: u64| fleet.get(id).is_some_and(|k| k.upstream.incarnation == start);
         self.outliers.borrow_mut().retain(|(id, start)| known(id, *start));
+        self.permits.retain(|(id, start)| known(id, *start));
         if let Some(table) = self.table() {
             self.budgets.borrow_mut().retain(|route, _| table.by_name(route).is_some());
         }
--- a/orioleworks_gateway/src/watch.rs
+++ b/orioleworks_gateway/src/watch.rs
@@ -8,6 +8,7 @@
 use compio::time;
 use orioleworks_daemon::event;
 use orioleworks_fleet::watch::{self, Position, WatcherState};
+use orioleworks_routing::permits::Share;
 use tokio_util::sync::CancellationToken;
 
 use crate::view::View;
@@ -49,6 +50,7 @@
         let current = match watch::poll(&client, &mut position, state, &view.knowledge).await {
             Ok((reply, _)) => {
                 view.stores.set_members(reply.stores);
+                view.permits.set_share(Share { rank: reply.gateway_rank, of: reply.gateway_count });
                 if reply.current {
                     view.stores.set_leader(&reply.leader_address);
                 }
--- a/orioleworks_proto/src/codes.rs
+++ b/orioleworks_proto/src/codes.rs
@@ -42,6 +42,8 @@
     Quarantined = 2007,
     /// the deadline passed before the request was sent to an upstream
     DeadlineBeforeDispatch = 2008,
+    /// the upstreams name limits that leave no room for the request in time
+    RateLimited = 2009,
     /// the outcome of the request is unknown; it may have run
     OutcomeUnknown = 3001,
     /// the deadline passed after the request was sent; it may have run
@@ -96,6 +98,7 @@
     ResultCode::RefusedByUpstream,
     ResultCode::Quarantined,
     ResultCode::DeadlineBeforeDispatch,
+    ResultCode::RateLimited,
     ResultCode::OutcomeUnknown,
     ResultCode::DeadlineExceeded,
     ResultCode::InProgress,
@@ -165,7 +168,7 @@
             Self::OutcomeUnknown | Self::AttemptsExhausted => 502,
             Self::NoUpstream | Self::ClaimsUnavailable | Self::ShuttingDown => 503,
             Self::NotReady | Self::RefusedByUpstream | Self::NoQuorum => 503,
-            Self::MembershipBusy => 503,
+            Self::MembershipBusy | Self::RateLimited => 503,
             Self::DeadlineBeforeDispatch | Self::DeadlineExceeded | Self::OrderUnconfirmed => 504,
         }
     }
--- a/orioleworks_routing/src/lib.rs
+++ b/orioleworks_routing/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod limit;
 pub mod members;
 pub mod outlier;
+pub mod permits;
 pub mod queue;
 pub mod rates;
 pub mod routes;
--- a/orioleworks_routing/src/rates.rs
+++ b/orioleworks_routing/src/rates.rs
@@ -168,6 +168,11 @@
         self.seen.iter().filter_map(|(name, sign)| Some((name, sign.direct_at?)))
     }
 
+    /// Position of an instance in the order of names.
+    pub fn rank(&self, name: &str) -> usize {
+        self.seen.keys().filter(|other| ***other < *name).count()
+    }
+
     /// Number of instances.
     pub fn count(&self) -> usize {
         self.seen.len()
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -22,6 +22,7 @@
     fleet::{Fleet, Upstream},
     items::{self, Rank},
     outlier::Key,
+    permits::Permit,
 };
 use orioleworks_rules::batches as rules;
 use tokio_util::sync::CancellationToken;
@@ -29,6 +30,7 @@
 use crate::{
     crashes,
     engines::{Engines, key_of},
+    permits,
     runner::{self, Observation, Progress, Run, RunEnd, RunObserver},
     shared::Shared,
     state::Item,
@@ -303,6 +305,10 @@
             let excluded = if suspect { &starting_on } else { &HashSet::new() };
             match self.choose_engine(waiting, long, excluded, now) {
                 Some(upstream) => {
+                    let priority = waiting.batch.priority;
+                    if !self.takes_permit(&key_of(&upstream), priority) {
+                        continue;
+                    }
                     if suspect {
                         starting_on.insert(key_of(&upstream));
                         starting_contents.insert(waiting.fingerprint.clone());
@@ -342,10 +348,12 @@
             let all_paused = work.waiting.values().filter(of_batch).all(|w| w.paused);
             let running = work.running.keys().filter(|key| key.0 == id).count();
             let engines = self.engines_for(&batch.spec, now);
+            let limited = self.are_limited(&batch.spec.service, now);
             let reason = match (waiting, engines) {
                 (0, _) => "items_still_run",
                 _ if all_paused => "items_are_paused",
                 (_, 0) => "no_engine_has_the_weights",
+                _ if limited => "engines_name_limits",
                 _ => "engines_are_full",
             };
             event!(
@@ -363,6 +371,13 @@
         }
     }
 
+    /// Whether all upstreams of a service name a limit.
+    fn are_limited(&self, service: &str, now: Duration) -> bool {
+        let fleet = self.inner.shared.knowledge.fleet.borrow();
+        let rates = self.inner.shared.knowledge.rates.borrow();
+        fleet.serving(service, now).all(|known| rates.limit(&key_of(&known.upstream)).is_some())
+    }
+
     /// Number of engines whose weights a batch allows.
     fn engines_for(&self, batch: &inner::Batch, now: Duration) -> usize {
         let fleet = self.inner.shared.knowledge.fleet.borrow();
@@ -389,6 +404,7 @@
         let mut candidates: Vec<(Rc<Upstream>, bool, items::EngineLoad)> = fleet
             .serving(&batch.service, now)
             .filter(|known| !excluded.contains(&key_of(&known.upstream)))
+            .filter(|known| permits::is_free(&self.inner.shared, &key_of(&known.upstream)))
             .filter_map(|known| {
                 let group = &waiting.item.group;
                 let load =
@@ -408,6 +424,12 @@
         Some(candidates[at].0.clone())
     }
 
+    /// Takes a permit to send one request to an engine; false if it takes none now.
+    fn takes_permit(&self, engine: &Key, priority: u32) -> bool {
+        let permit = permits::request(&self.inner.shared, engine, priority, Duration::ZERO);
+        matches!(permit, Some(Permit::After(_)))
+    }
+
     fn start_item(&self, work: &mut Work, rank: Rank, waiting: Waiting, upstream: Rc<Upstream>) {
         let key = key_of(&upstream);
         let version = self.inner.shared.engines.borrow().version(&upstream, &waiting.batch.model);
@@ -513,7 +535,9 @@
         let others = fleet.serving(&batch.service, now).filter(|k| k.is_fresh(now));
         others.filter(|known| key_of(&known.upstream) != run.key).any(|known| {
             let load = engines.load_for(known, &batch.model, batch.min_version, group, 0, now);
-            let fast = !items::is_slow(engines.event_ms(&key_of(&known.upstream)), &all);
+            let key = key_of(&known.upstream);
+            let fast = !items::is_slow(engines.event_ms(&key), &all)
+                && permits::is_free(&self.inner.shared, &key);
             fast && load.is_some_and(|load| load.running < load.slots)
         })
     }
--- a/orioleworks_store/src/lib.rs
+++ b/orioleworks_store/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod engines;
 pub mod orders;
 pub mod peers;
+pub mod permits;
 pub mod runner;
 pub mod service;
 pub mod shared;
--- a/orioleworks_store/src/orders.rs
+++ b/orioleworks_store/src/orders.rs
@@ -24,6 +24,7 @@
     fleet::Upstream,
     items,
     outlier::Key,
+    permits::Permit,
     versions::{self, Engine, Load, Model},
 };
 use tokio_util::sync::CancellationToken;
@@ -31,6 +32,7 @@
 use crate::{
     dispatch::Dispatch,
     engines::{Loading, key_of},
+    permits,
     shared::Shared,
     state::ModelState,
 };
@@ -48,6 +50,8 @@
 const LOAD_TIMEOUT: Duration = Duration::from_secs(8);
 /// Pause before an engine that refused an order gets the next one.
 const REFUSED_PAUSE: Duration = Duration::from_millis(500);
+/// Longest wait for the permits of a load at an engine that names a limit.
+const LONGEST_PERMIT_WAIT: Duration = Duration::from_secs(3);
 /// Largest body of a response in bytes.
 const MAX_RESPONSE_BYTES: usize = 256 * 1024;
 
@@ -62,6 +66,8 @@
     Refused,
     /// another order is in progress
     Busy,
+    /// the engine names a limit that leaves no room now
+    Limited,
     /// no answer: {0}
     NoResponse(String),
     /// the version did not come into use in time
@@ -215,6 +221,7 @@
         key: &Key,
         load: &Load,
     ) -> Result<(), LoadError> {
+        self.wait_for_permits(key).await?;
         let report = self.report(up, key).await?;
         if holds(&report, load) {
             return Ok(());
@@ -250,6 +257,25 @@
         self.wait_until_loaded(up, key, load).await
     }
 
+    /// Waits for the permits of a report and an order. They are taken before leadership is confirmed, because nothing may
+    /// delay an order after that.
+    async fn wait_for_permits(&self, key: &Key) -> Result<(), LoadError> {
+        /// Without its weights an engine serves nothing, so that loads come before any item.
+        const PRIORITY: u32 = 0;
+        let mut wait = Duration::ZERO;
+        for _ in 0..2 {
+            match permits::request(&self.inner.shared, key, PRIORITY, LONGEST_PERMIT_WAIT) {
+                Some(Permit::After(time)) => wait = time,
+                Some(Permit::Denied(_)) => return Err(LoadError::Limited),
+                None => return Err(LoadError::NotLeading),
+            }
+        }
+        if !wait.is_zero() {
+            time::sleep(wait).await;
+        }
+        Ok(())
+    }
+
     /// Running requests of a model must end before its weights change if an open batch allows only a single version.
     fn running_requests(&self, model: &str) -> RunningRequests {
         let state = self.inner.shared.state.borrow();
@@ -276,10 +302,13 @@
             if seen.is_some_and(|version| version >= load.version) {
                 return Ok(());
             }
-            match self.report(up, key).await {
-                Ok(report) if holds(&report, load) => return Ok(()),
-                Ok(_) | Err(LoadError::NoResponse(_)) => {}
-                Err(e) => return Err(e),
+            // A limited engine tells in its announcements, which cost no permit.
+            if self.inner.shared.knowledge.rates.borrow().limit(key).is_none() {
+                match self.report(up, key).await {
+                    Ok(report) if holds(&report, load) => return Ok(()),
+                    Ok(_) | Err(LoadError::NoResponse(_)) => {}
+                    Err(e) => return Err(e),
+                }
             }
             time::sleep(CHECK_INTERVAL).await;
         }
@@ -338,6 +367,7 @@
         Err(LoadError::Fenced) => "fenced",
         Err(LoadError::Refused) => "refused",
         Err(LoadError::Busy) => "busy",
+        Err(LoadError::Limited) => "limited",
         Err(LoadError::NoResponse(_)) => "no_answer",
         Err(LoadError::Timeout) => "late",
     }
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -25,12 +25,14 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    config::Config, dispatch::Dispatch, orders::Orders, peers, shared::Shared, state::State,
-    telemetry,
+    config::Config, dispatch::Dispatch, orders::Orders, peers, permits, shared::Shared,
+    state::State, telemetry,
 };
 
 /// Longest time for which a watch or a read of results waits for changes.
 const MAX_WAIT: Duration = Duration::from_millis(2000);
+/// Longest time to ask the leader for a permit.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(80);
 /// Pause between two rounds of housekeeping.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -68,7 +70,8 @@
         let stores = Stores::default();
         stores.set_seeds(cfg.seed_addresses());
         let (knowledge, engines, pool) = (Knowledge::default(), Rc::default(), Pool::default());
-        let shared = Shared { log, state, knowledge, table, engines, pool, wake };
+        let permits = Rc::default();
+        let shared = Shared { log, state, knowledge, table, engines, permits, pool, wake };
         let dispatch = Dispatch::new(shared.clone());
         let lease = Duration::from_millis(cfg.orders.lease_ms);
         let orders = Orders::new(&cfg.instance.name, lease, shared.clone(), dispatch.clone());
@@ -108,6 +111,7 @@
         let known =
             |id: &str, start: u64| fleet.get(id).is_some_and(|k| k.upstream.incarnation == start);
         self.shared.engines.borrow_mut().retain(|(id, start)| known(id, *start));
+        self.shared.permits.borrow_mut().retain(|(id, start)| known(id, *start));
     }
 
     /// The replicated log.
@@ -130,6 +134,9 @@
                 self.merge_observations(report);
                 Some(Body::ReportObservationsReply(inner::ReportObservationsReply {}))
             }
+            Body::AcquirePermit(ask) => {
+                Some(Body::AcquirePermitReply(self.acquire_permit(ask).await))
+            }
             Body::ReadBatch(read) => Some(Body::ReadBatchReply(self.read_batch(read).await)),
             Body::ReadItem(read) => Some(Body::ReadItemReply(self.read_item(read).await)),
             Body::ReadDocument(_) => {
@@ -140,6 +147,24 @@
         }
     }
 
+    /// Gives a permit, or asks the leader for it.
+    async fn acquire_permit(&self, ask: inner::AcquirePermit) -> inner::AcquirePermitReply {
+        let own = permits::reply(&self.shared, &ask);
+        if ask.relayed || own.code != ResultCode::NotLeader.number() || self.shared.log.is_leader()
+        {
+            return own;
+        }
+        self.stores.set_leader(&self.shared.log.leader_address());
+        let message = || Body::AcquirePermit(inner::AcquirePermit { relayed: true, ..ask.clone() });
+        match self.stores.call_leader(message, PERMIT_TIMEOUT, PERMIT_TIMEOUT).await {
+            CallOutcome::Replied(body) => match *body {
+                Body::AcquirePermitReply(reply) => reply,
+                _ => own,
+            },
+            CallOutcome::NoLeader | CallOutcome::Unconfirmed => own,
+        }
+    }
+
     async fn propose_locally(&self, propose: inner::Propose) -> inner::ProposeReply {
         let reply = |code: ResultCode| inner::ProposeReply {
             code: code.number(),
@@ -374,6 +399,7 @@
                 })
                 .collect(),
             gateway_count: u32::try_from(gateways.count()).unwrap_or(u32::MAX),
+            gateway_rank: u32::try_from(gateways.rank(&watch.gateway)).unwrap_or(u32::MAX),
         }
     }
 
