--- /dev/null
+++ b/orioleworks_gateway/tests/software_versions.rs
@@ -0,0 +1,219 @@
+//! Tests of services whose upstreams run two versions of their software, whose streams do not fit together.
+
+mod support;
+
+use std::{
+    collections::BTreeSet,
+    io::{Read, Write},
+    net::TcpStream,
+    sync::atomic::Ordering,
+    thread,
+    time::{Duration, Instant},
+};
+
+use support::{
+    deployment::Deployment,
+    routes::{self, MODEL},
+    upstream::{EVENTS, RESTART_TIME, Upstream, event_data},
+};
+
+/// Event after which a stand-in breaks off a stream.
+const BREAK_AFTER: u64 = 4;
+/// Longest time to refuse a stream that cannot go on: "at once", with some room for a busy machine.
+const REFUSAL_TIME: Duration = Duration::from_millis(300);
+
+/// Starts engines of two software versions in turn.
+fn start_engines(d: &Deployment, n: usize) -> Vec<Upstream> {
+    let start = |i| {
+        let up = Upstream::start(&format!("e-{i}"), "engines", Some(MODEL), d.control_addresses());
+        *up.behaviour.software.lock().unwrap() = format!("v{}", i % 2 + 1);
+        up
+    };
+    (0..n).map(start).collect()
+}
+
+/// Part of a stream that reached a caller.
+#[derive(Debug, Default)]
+struct Part {
+    status: u16,
+    head: String,
+    events: Vec<(u64, String)>,
+}
+
+/// Requests a stream, from the beginning or after what an earlier attempt brought, and reads it to its end.
+fn read_stream(address: &str, id: &str, resume: Option<(&str, u64)>) -> Part {
+    const TIMEOUT: Duration = Duration::from_secs(5);
+    let Ok(mut stream) = TcpStream::connect(address) else { return Part::default() };
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+    let resumed = resume.map_or(String::new(), |(first, after)| {
+        format!("Resumes: {first}\r\nLast-Event-Id: {after}\r\n")
+    });
+    let head = format!(
+        "POST /say/{id} HTTP/1.1\r\nHost: test.example\r\nConnection: close\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: \
+         4000\r\nX-Model: {MODEL}\r\n{resumed}Content-Length: 0\r\n\r\n"
+    );
+    if stream.write_all(head.as_bytes()).is_err() {
+        return Part::default();
+    }
+    let mut bytes = Vec::new();
+    let mut buf = [0; 4096];
+    // A broken stream ends with an error; what came before it counts.
+    while let Ok(n @ 1..) = stream.read(&mut buf) {
+        bytes.extend_from_slice(&buf[..n]);
+    }
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or_default();
+    let status = head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+    let mut lines = body.lines();
+    let mut events = Vec::new();
+    while let Some(line) = lines.next() {
+        if let Some(id) = line.strip_prefix("id: ")
+            && let Some(data) = lines.next().and_then(|line| line.strip_prefix("data: "))
+        {
+            events.push((id.parse().unwrap(), data.to_owned()));
+        }
+    }
+    Part { status, head: head.to_ascii_lowercase(), events }
+}
+
+fn software_versions(texts: impl IntoIterator<Item = impl AsRef<str>>) -> BTreeSet<String> {
+    let version = |text: &str| text.rsplit(" by ").next().unwrap_or_default().to_owned();
+    texts.into_iter().map(|text| version(text.as_ref())).collect()
+}
+
+fn break_next_streams(engines: &[Upstream], after: u64) {
+    for engine in engines {
+        engine.behaviour.break_after.store(after, Ordering::Relaxed);
+    }
+}
+
+/// Requests a stream that breaks off, and returns the part that came.
+fn broken_stream(d: &Deployment, engines: &[Upstream], gateway: usize, id: &str) -> Part {
+    break_next_streams(engines, BREAK_AFTER);
+    let part = read_stream(&d.gateway_address(gateway), id, None);
+    break_next_streams(engines, 0);
+    part
+}
+
+fn wait_for_engines(d: &Deployment, engines: &[Upstream]) {
+    d.wait_until("every gateway knows the engines", || {
+        let known = |g: usize| {
+            let part = read_stream(&d.gateway_address(g), &format!("warm-{g}"), None);
+            part.status == 200
+        };
+        (0..d.gateways.len()).all(known) && engines.iter().all(|e| e.total_runs() > 0)
+    });
+}
+
+/// Guards against items whose text comes from two software versions, and against items that wait for a version of which no
+/// engine is left.
+#[test]
+fn an_item_is_generated_by_one_software_version() {
+    const ITEMS: usize = 60;
+    let d = Deployment::start(3, 1, &routes::document(1, 2000).to_string());
+    let engines = start_engines(&d, 4);
+    let items: Vec<String> = (0..ITEMS).map(|i| format!("item-{i}")).collect();
+    let body = routes::submission(&items, 1, |id| id);
+    d.wait_until("the engines are known and the batch is accepted", || {
+        engines.iter().all(|e| d.stores.iter().flatten().any(|s| s.log().contains(&e.id)))
+            && d.send(0, "POST", "/batch/b", "b", &body).is_some_and(|a| a.status == 202)
+    });
+    for round in 0..3 {
+        thread::sleep(Duration::from_millis(150));
+        for engine in engines.iter().skip(round % 2).step_by(2) {
+            // All engines of one version end, and are back after a while.
+            engine.crash();
+        }
+        thread::sleep(RESTART_TIME);
+    }
+    let results = || {
+        let response = d.send(0, "GET", "/v1/lots/b?after=0", "read", "");
+        response.and_then(|r| r.json()["results"].as_array().cloned()).unwrap_or_default()
+    };
+    d.wait_until("the batch completes", || results().len() == ITEMS);
+    let mut mixed = Vec::new();
+    for result in results() {
+        let text = result["event_data"].as_str().unwrap().to_owned();
+        let id = result["id"].as_str().unwrap().to_owned();
+        assert_eq!(text.lines().count() as u64, EVENTS, "{result}");
+        let versions = software_versions(text.lines());
+        if versions.len() > 1 {
+            mixed.push((id, versions));
+        }
+    }
+    assert!(mixed.is_empty(), "{} of {ITEMS} texts are mixed: {mixed:?}", mixed.len());
+}
+
+/// Guards against streams that are taken up again through another gateway at an upstream of another software version, and
+/// against streams that do not go on although their version is served.
+#[test]
+fn a_resumed_stream_goes_on_at_the_version_that_began_it() {
+    const STREAMS: usize = 24;
+    let mut d = Deployment::start(3, 3, &routes::document(1, 5000).to_string());
+    let engines = start_engines(&d, 4);
+    wait_for_engines(&d, &engines);
+    let (mut mixed, mut resumed) = (Vec::new(), 0);
+    for n in 0..STREAMS {
+        let (first, second) = (format!("stream-{n}"), format!("resumed-{n}"));
+        let begun = broken_stream(&d, &engines, n % 3, &first);
+        assert_eq!(begun.status, 200, "{begun:?}\n{}", d.logs());
+        let Some((last, _)) = begun.events.last().cloned() else { continue };
+        // In every third case the gateway that began the stream ends.
+        let killed = n % 9 == 4;
+        if killed {
+            d.gateways[n % 3] = None;
+        }
+        let rest = read_stream(&d.gateway_address((n + 1) % 3), &second, Some((&first, last)));
+        if killed {
+            d.start_gateway(n % 3);
+            d.wait_until("the gateway is ready", || d.is_ready(n % 3));
+        }
+        if rest.status != 200 {
+            assert_eq!(rest.status, 503, "{rest:?}");
+            continue;
+        }
+        let ids: Vec<u64> = begun.events.iter().chain(&rest.events).map(|(id, _)| *id).collect();
+        assert_eq!(ids, (1..=EVENTS).collect::<Vec<u64>>(), "{first}");
+        let parts = begun.events.iter().chain(&rest.events).map(|(_, data)| data);
+        let versions = software_versions(parts);
+        if versions.len() > 1 {
+            mixed.push((first, versions));
+        }
+        resumed += 1;
+    }
+    assert!(mixed.is_empty(), "{} of {STREAMS} streams are mixed: {mixed:?}", mixed.len());
+    assert!(resumed * 10 >= STREAMS * 9, "{resumed} of {STREAMS} streams went on\n{}", d.logs());
+}
+
+/// Guards against a guess where nobody knows the version that began a stream, or where no upstream of it is left, and against
+/// a caller that waits for the refusal.
+#[test]
+fn a_stream_that_cannot_go_on_is_refused_at_once_and_not_run() {
+    let d = Deployment::start(3, 2, &routes::document(1, 5000).to_string());
+    let engines = start_engines(&d, 2);
+    wait_for_engines(&d, &engines);
+    let check = |first: &str, id: &str| {
+        let started = Instant::now();
+        let rest = read_stream(&d.gateway_address(1), id, Some((first, BREAK_AFTER)));
+        assert_eq!(rest.status, 503, "{rest:?}\n{}", d.logs());
+        assert!(rest.head.contains("retry-after"), "{}", rest.head);
+        assert!(started.elapsed() < REFUSAL_TIME, "{:?}", started.elapsed());
+        assert!(engines.iter().all(|e| e.runs(id).is_empty()), "{id} has run");
+    };
+    check("never-heard-of", "resumed-0");
+    let begun = broken_stream(&d, &engines, 0, "first");
+    let version = software_versions(begun.events.iter().map(|(_, data)| data));
+    let began = |e: &&Upstream| version.contains(&*e.behaviour.software.lock().unwrap());
+    let began = engines.iter().find(began).unwrap();
+    began.behaviour.leaving.store(true, Ordering::Relaxed);
+    d.wait_until("the engine that began the stream leaves", || {
+        d.stores.iter().flatten().any(|s| {
+            let log = s.log();
+            let mut lines = log.lines();
+            lines.any(|l| l.contains(&began.id) && l.contains("leaving=true"))
+        })
+    });
+    thread::sleep(Duration::from_millis(300));
+    check("first", "resumed-1");
+    assert!(begun.events.iter().all(|(id, data)| data.starts_with(&event_data("first", *id))));
+}
--- a/orioleworks_gateway/tests/support/upstream.rs
+++ b/orioleworks_gateway/tests/support/upstream.rs
@@ -39,6 +39,8 @@
     pub announces: AtomicBool,
     /// Requests a second that it names as its limit in each response, without refusing more.
     pub rate_limit: Mutex<Option<f64>>,
+    /// Version of its software; events name it, unless it is empty.
+    pub software: Mutex<String>,
 }
 
 #[derive(Default)]
@@ -246,6 +248,7 @@
                     .collect();
                 let heartbeat = serde_json::json!({
                     "service": service, "address": self.address, "zone": "zone-a", "slots": 8,
+                    "version": *self.behaviour.software.lock().unwrap(),
                     "state": readiness, "cold_remaining_ms": 0, "models": models,
                     "sequence": sequence, "born": born,
                 });
@@ -408,6 +411,8 @@
         after: u64,
     ) -> std::io::Result<()> {
         let mut version = self.version(model);
+        let software = self.behaviour.software.lock().unwrap().clone();
+        let suffix = if software.is_empty() { software } else { format!(" by {software}") };
         let limit = self.limit_header();
         write!(
             out,
@@ -427,7 +432,7 @@
             let text = format!(
                 "{}id: {event}\ndata: {}\n\n",
                 changed.unwrap_or_default(),
-                event_data(id, event)
+                event_data(id, event) + &suffix
             );
             write!(out, "{:x}\r\n{text}\r\n", text.len())?;
         }
--- a/orioleworks_routing/src/fleet.rs
+++ b/orioleworks_routing/src/fleet.rs
@@ -32,6 +32,8 @@
     pub address: Rc<str>,
     /// Failure domain.
     pub domain: Rc<str>,
+    /// Version of its software; empty if it does not tell. Streams of two versions do not fit together.
+    pub software: Rc<str>,
     /// Requests that it runs concurrently.
     pub slots: u32,
     /// Whether it is shutting down.
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -625,6 +625,7 @@
             item = waiting.key.1,
             batch = waiting.key.0,
             upstream = run.upstream.id,
+            software = run.upstream.software,
             events = waiting.progress.borrow().event_count(),
             reason = reason,
             content = fingerprint::logged(&waiting.fingerprint),
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -283,6 +283,7 @@
         let (id, leaving) = (up.id.clone(), up.leaving);
         let (service, address, incarnation) =
             (up.service.clone(), up.address.clone(), up.incarnation);
+        let software = up.software.clone();
         let noted =
             self.shared.knowledge.fleet.borrow_mut().announce(clock::since_boot(), up, true);
         if noted == AnnounceOutcome::Changed {
@@ -293,6 +294,7 @@
                 incarnation = incarnation,
                 service = service,
                 address = address,
+                software = software,
                 leaving = leaving,
             );
             self.shared.wake.notify();
