The text of an item comes from engines of one software version

Trainers could get texts whose parts were generated by two versions of an engine's software, which do not fit together: an item that moved went on wherever there was room. The class is state that is resumed without the identity of what made it; weight versions were checked, the software was not.

The progress of an item now names the software version of its first event, also where it is saved and taken over by a later batch. It goes on at an engine of that version, or starts over: at once if none holds weights that the batch allows, after 0.5 s if those have no room. An item does not move to a faster engine of another version, and waits without holding up its batch.

--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -48,6 +48,9 @@
 /// Silence of an engine that loads weights after which an item resumes on another engine.
 const LOADING_STALL_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Longest wait of an item for an engine of the software version that began its text, while others have room.
+const START_OVER_AFTER: Duration = Duration::from_millis(500);
+
 type ItemKey = (Rc<str>, Rc<str>);
 type Records = IndexMap<Rc<str>, inner::RecordResults>;
 
@@ -317,7 +320,8 @@
                         self.start_item(&mut work, rank, waiting, upstream);
                     }
                 }
-                None if suspect => {}
+                // Others of its batch may have more choice than a suspect or an item that has begun.
+                None if suspect || events > 0 => {}
                 None => {
                     full.insert(kind);
                 }
@@ -415,6 +419,17 @@
         if candidates.iter().any(|(_, fresh, _)| *fresh) {
             candidates.retain(|(_, fresh, _)| *fresh);
         }
+        if let Some(software) = waiting.progress.borrow().software()
+            && now.saturating_sub(waiting.waiting_since) < START_OVER_AFTER
+        {
+            let holds = |up: &Rc<Upstream>| {
+                let version = engines.version(up, &batch.model);
+                *up.software == *software && version.is_some_and(|v| v >= batch.min_version)
+            };
+            if fleet.serving(&batch.service, now).any(|k| k.is_fresh(now) && holds(&k.upstream)) {
+                candidates.retain(|(up, ..)| up.software == software);
+            }
+        }
         let all = event_times(&fleet, &engines, &batch.service, now);
         if long && candidates.iter().any(|(_, _, load)| !items::is_slow(load.event_ms, &all)) {
             candidates.retain(|(_, _, load)| !items::is_slow(load.event_ms, &all));
@@ -433,7 +448,8 @@
     fn start_item(&self, work: &mut Work, rank: Rank, waiting: Waiting, upstream: Rc<Upstream>) {
         let key = key_of(&upstream);
         let version = self.inner.shared.engines.borrow().version(&upstream, &waiting.batch.model);
-        if !waiting.progress.borrow().can_resume(waiting.batch.single_version, version) {
+        let single_version = waiting.batch.single_version;
+        if !waiting.progress.borrow().can_resume(single_version, &upstream.software, version) {
             waiting.progress.borrow_mut().clear();
         }
         let tokens = expected_memory(&waiting.item);
@@ -533,6 +549,7 @@
             return false;
         }
         let others = fleet.serving(&batch.service, now).filter(|k| k.is_fresh(now));
+        let others = others.filter(|known| known.upstream.software == run.upstream.software);
         others.filter(|known| key_of(&known.upstream) != run.key).any(|known| {
             let load = engines.load_for(known, &batch.model, batch.min_version, group, 0, now);
             let key = key_of(&known.upstream);
--- a/orioleworks_store/src/runner.rs
+++ b/orioleworks_store/src/runner.rs
@@ -31,6 +31,8 @@
     events: Vec<Bytes>,
     last_id: Option<u64>,
     versions: Vec<u64>,
+    /// Software version of the engines that generated the events.
+    software: Rc<str>,
     /// Number of events that [`Progress::take_unsaved`] has returned.
     saved: usize,
 }
@@ -42,6 +44,7 @@
             events: saved.events.clone(),
             last_id: saved.last_id,
             versions: saved.versions.clone(),
+            software: saved.software.as_str().into(),
             saved: saved.events.len(),
         }
     }
@@ -60,9 +63,15 @@
             events: self.events[from..].to_vec(),
             last_id: self.last_id,
             versions: self.versions.clone(),
+            software: self.software.to_string(),
         }
     }
 
+    /// Software version that must generate the rest; `None` before the first event.
+    pub fn software(&self) -> Option<Rc<str>> {
+        (!self.events.is_empty()).then(|| self.software.clone())
+    }
+
     /// Number of events.
     pub fn event_count(&self) -> usize {
         self.events.len()
@@ -81,8 +90,11 @@
         self.versions.clone()
     }
 
-    /// Whether a run under a weight version can resume from here.
-    pub fn can_resume(&self, single_version: bool, version: Option<u64>) -> bool {
+    /// Whether a run on an engine with this software and weight version can resume from here.
+    pub fn can_resume(&self, single_version: bool, software: &str, version: Option<u64>) -> bool {
+        if self.software().is_some_and(|begun| *begun != *software) {
+            return false;
+        }
         !single_version || self.versions.is_empty() || version.is_some_and(|v| self.versions == [v])
     }
 
@@ -96,7 +108,12 @@
     /// # Errors
     ///
     /// Returns the gap if events are missing before it.
-    fn push(&mut self, event: Event, version: Option<u64>) -> Result<bool, String> {
+    fn push(
+        &mut self,
+        event: Event,
+        software: &Rc<str>,
+        version: Option<u64>,
+    ) -> Result<bool, String> {
         match (event.id, self.last_id) {
             (Some(id), Some(before)) if id <= before => return Ok(false),
             (Some(id), Some(before)) if id != before + 1 => {
@@ -104,6 +121,9 @@
             }
             _ => {}
         }
+        if self.events.is_empty() {
+            self.software = software.clone();
+        }
         self.last_id = event.id.or(self.last_id);
         self.events.push(event.data);
         if let Some(version) = version
@@ -284,7 +304,7 @@
             if let Some(end) = check_version(run, progress, version) {
                 return end;
             }
-            match progress.borrow_mut().push(event, version) {
+            match progress.borrow_mut().push(event, &run.upstream.software, version) {
                 Ok(true) => {}
                 Ok(false) => continue,
                 Err(gap) => return RunEnd::Lost(gap),
@@ -309,7 +329,7 @@
     if version < run.batch.min_version {
         return Some(RunEnd::WrongVersion);
     }
-    if progress.can_resume(run.batch.single_version, Some(version)) {
+    if progress.can_resume(run.batch.single_version, &run.upstream.software, Some(version)) {
         return None;
     }
     progress.clear();
--- a/orioleworks_store/src/state.rs
+++ b/orioleworks_store/src/state.rs
@@ -383,14 +383,16 @@
     none_older && (!batch.single_version || versions.len() <= 1)
 }
 
-/// Appends saved events to the earlier ones. Saved events that leave a gap are ignored.
+/// Appends saved events to the earlier ones. Saved events that leave a gap, or that another software version generated, are
+/// ignored.
 fn merge_progress(
     before: Option<&inner::ItemProgress>,
     saved: &inner::ItemProgress,
 ) -> Option<inner::ItemProgress> {
     let known = before.map_or(&[][..], |before| &before.events);
     let from = saved.from as usize;
-    if !rules::continues(known.len(), from) {
+    let other_software = before.is_some_and(|before| before.software != saved.software);
+    if !rules::continues(known.len(), from) || from > 0 && other_software {
         return before.cloned();
     }
     let mut merged = saved.clone();
--- a/orioleworks_store/tests/state.rs
+++ b/orioleworks_store/tests/state.rs
@@ -48,7 +48,14 @@
     let events: Vec<Bytes> = events.iter().map(|e| Bytes::copy_from_slice(e.as_bytes())).collect();
     let last_id = Some(u64::from(from) + events.len() as u64);
     let versions = versions.to_vec();
-    let progress = inner::ItemProgress { id: id.into(), from, events, last_id, versions };
+    let progress = inner::ItemProgress {
+        id: id.into(),
+        from,
+        events,
+        last_id,
+        versions,
+        ..Default::default()
+    };
     Kind::RecordResults(inner::RecordResults {
         batch_id: batch_id.into(),
         progress: vec![progress],
@@ -159,6 +166,25 @@
     assert!(state.batch("b").is_none());
 }
 
+/// Guards against a text that begins with the output of one software version and goes on with that of another.
+#[test]
+fn saved_progress_holds_one_software_version() {
+    let mut state = State::default();
+    apply(&mut state, Kind::PutBatch(batch("b", &["x"], 1)), NOW_MS);
+    let save = |state: &mut State, from, events: &[&str], software: &str| {
+        let Kind::RecordResults(mut record) = progress("b", "x", from, events, &[1]) else {
+            unreachable!("progress is recorded with results")
+        };
+        record.progress[0].software = software.into();
+        apply(state, Kind::RecordResults(record), NOW_MS);
+        let saved = state.batch("b").unwrap().items["x"].progress.clone().unwrap();
+        (saved.events.len(), saved.software.clone())
+    };
+    assert_eq!(save(&mut state, 0, &["one", "two"], "v1"), (2, "v1".into()));
+    assert_eq!(save(&mut state, 2, &["three"], "v2"), (2, "v1".into()), "ignored");
+    assert_eq!(save(&mut state, 0, &["one"], "v2"), (1, "v2".into()), "started over");
+}
+
 /// Guards against a route document that reverts to an older version.
 #[test]
 fn the_highest_document_stays() {
