A stream that is taken up again goes on at the software version that began it

The caller's Last-Event-Id went to any upstream, and the attempt that it names in Resumes was read nowhere. Same class as with items: state that is resumed without the identity of what made it.

A gateway records the service and version that begin a stream, and has a store acknowledge that before the first event is passed on. A resumption looks the record up, here, at the followed store and at the others, and goes to that version only. Where nobody knows the attempt and several versions are known, or no upstream of the version is left, it is refused at once as not run.

--- a/orioleworks_gateway/src/crashes.rs
+++ b/orioleworks_gateway/src/crashes.rs
@@ -129,7 +129,7 @@
     let Some(address) = view.followed_store() else { return };
     let (contents, _) = view.crashes.unreported(acknowledged);
     let count = contents.len();
-    let report = inner::ReportObservations { contents, limits: Vec::new() };
+    let report = inner::ReportObservations { contents, ..Default::default() };
     let message = Body::ReportObservations(report);
     // The task that reports to a store sends it again.
     if let Err(e) = view.stores.client(&address).call(message, RUN_REPORT_TIMEOUT).await {
--- a/orioleworks_gateway/src/forward.rs
+++ b/orioleworks_gateway/src/forward.rs
@@ -20,7 +20,10 @@
 use hyper::body::Frame;
 use orioleworks_daemon::{clock, event, fingerprint, http as server};
 use orioleworks_fleet::pool::{Exchange, SendError};
-use orioleworks_platform::upstream::{self, Verdict};
+use orioleworks_platform::{
+    caller,
+    upstream::{self, Verdict},
+};
 use orioleworks_proto::codes::ResultCode;
 use orioleworks_routing::{
     crashes::{Admission, Observation},
@@ -28,6 +31,7 @@
     outlier::Key,
     permits::Permit,
     routes::Route,
+    streams::Origin,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -35,7 +39,7 @@
     callers::{Refusal, RequestContext},
     crashes,
     permits::Demand,
-    telemetry,
+    streams, telemetry,
     view::View,
 };
 
@@ -136,6 +140,8 @@
     view: &'a View,
     route: &'a Rc<Route>,
     service: Rc<str>,
+    /// Software version that began the stream, if the request takes one up again.
+    software: Option<Rc<str>>,
     content: Rc<Content>,
     context: &'a RequestContext,
     deadline: Instant,
@@ -165,12 +171,21 @@
     let cancel = CancellationToken::new();
     // This future is dropped when the caller disconnects; the guard then cancels all attempts.
     let guard = cancel.clone().drop_guard();
-    let service = route.pick(&mut rand::rng()).cloned().unwrap_or_default();
+    let resumed = caller::resumed_stream(&content.head.headers).filter(|_| route.streaming);
+    let origin = match &resumed {
+        Some(stream) => Some(streams::origin(view, route, stream).await?),
+        None => None,
+    };
+    let (service, software) = match origin {
+        Some(origin) => (origin.service, Some(origin.software)),
+        None => (route.pick(&mut rand::rng()).cloned().unwrap_or_default(), None),
+    };
     let deadline = context.deadline_within(route.timeout);
     let mut forwarded = ForwardedRequest {
         view,
         route,
         service,
+        software,
         content: Rc::new(content),
         context,
         deadline,
@@ -200,7 +215,8 @@
         match self.start().await {
             Start::Started => {}
             Start::NoUpstream => {
-                let detail = format!("service {}", self.service);
+                let software = self.software.as_deref().unwrap_or("any");
+                let detail = format!("service {} software {software}", self.service);
                 return Err(Refusal::new(ResultCode::NoUpstream, detail, NO_UPSTREAM_RETRY));
             }
             Start::RateLimited(wait) => return Err(self.limit_refusal(wait)),
@@ -248,7 +264,7 @@
                     // The task that streams the response ends the run.
                     self.runs_as_suspect = false;
                     self.log_response(&attempt.upstream.id);
-                    return Ok(self.stream(*exchange, attempt.key));
+                    return Ok(self.stream(*exchange, &attempt.upstream, attempt.key));
                 }
                 AttemptEnd::Complete(head, body) if !head.status.is_server_error() => {
                     self.view.crashes.record_completion(&self.content, &self.context.id);
@@ -421,7 +437,8 @@
     async fn start(&mut self) -> Start {
         let mut excluded = self.tried.clone();
         let mut next_free: Option<Duration> = None;
-        while let Some(upstream) = self.view.choose(&self.service, &excluded) {
+        let software = self.software.clone();
+        while let Some(upstream) = self.view.choose(&self.service, software.as_deref(), &excluded) {
             let key: Key = (upstream.id.clone(), upstream.incarnation);
             let Some(rate) = self.view.limit(&key) else {
                 self.send_to(upstream);
@@ -451,12 +468,14 @@
     /// Starts a parallel attempt; it takes no permit, because limited upstreams are short of them. Returns false if no
     /// upstream without a limit is left.
     fn start_unlimited(&mut self) -> bool {
-        let upstream = self.view.choose_unlimited(&self.service, &self.tried);
+        let software = self.software.as_deref();
+        let upstream = self.view.choose_unlimited(&self.service, software, &self.tried);
         upstream.map(|upstream| self.send_to(upstream)).is_some()
     }
 
     fn longest_permit_wait(&self, excluded: &[Key]) -> Duration {
-        if self.view.choose_unlimited(&self.service, excluded).is_some() {
+        let software = self.software.as_deref();
+        if self.view.choose_unlimited(&self.service, software, excluded).is_some() {
             return Duration::ZERO;
         }
         let until = self.context.arrived + self.route.latency_objective * PERMIT_WAIT_PERCENT / 100;
@@ -503,12 +522,18 @@
     }
 
     /// Streams a response to the caller; an error of the upstream aborts the caller's connection.
-    fn stream(&self, mut exchange: Exchange, key: Key) -> server::Response {
+    fn stream(&self, mut exchange: Exchange, upstream: &Upstream, key: Key) -> server::Response {
         let (mut tx, rx) = mpsc::channel::<Result<Frame<Bytes>, io::Error>>(STREAM_QUEUE_CHUNKS);
         let head = response_head(&exchange.head);
         let (view, route, id) = (self.view.clone(), self.route.clone(), self.context.id.clone());
         let content = self.content.clone();
+        let software = upstream.software.clone();
+        let origin = Origin { service: upstream.service.clone(), software };
+        let begins = self.route.resumable && self.software.is_none();
         runtime::spawn(async move {
+            if begins {
+                streams::record(&view, &id, origin).await;
+            }
             let mut observation = Observation::BrokenAtStart;
             loop {
                 let part = match exchange.next().await {
--- a/orioleworks_gateway/src/lib.rs
+++ b/orioleworks_gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod forward;
 pub mod permits;
 pub mod reports;
+pub mod streams;
 pub mod telemetry;
 pub mod view;
 pub mod watch;
--- a/orioleworks_gateway/src/reports.rs
+++ b/orioleworks_gateway/src/reports.rs
@@ -10,7 +10,7 @@
 use orioleworks_proto::inner::{self, frame::Body};
 use tokio_util::sync::CancellationToken;
 
-use crate::view::View;
+use crate::{streams, view::View};
 
 /// Longest time without a check for reports that have not arrived, for example after a change of store.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -49,7 +49,7 @@
 pub async fn run(view: View, token: CancellationToken) {
     let Some(mut woken) = view.report_wake.rx.borrow_mut().take() else { return };
     let mut reported_to = String::new();
-    let (mut known_contents, mut known_limits) = (0, 0);
+    let (mut known_contents, mut known_limits, mut known_streams) = (0, 0, 0);
     while !token.is_cancelled() {
         {
             let mut check = std::pin::pin!(time::sleep(CHECK_INTERVAL).fuse());
@@ -57,18 +57,24 @@
         }
         let Some(address) = view.followed_store() else { continue };
         if address != reported_to {
-            (known_contents, known_limits) = (0, 0);
+            (known_contents, known_limits, known_streams) = (0, 0, 0);
             reported_to.clone_from(&address);
         }
         let (contents, contents_cursor) = view.crashes.unreported(known_contents);
         let (limits, limits_cursor) = unreported_limits(&view, known_limits);
-        if contents.is_empty() && limits.is_empty() {
+        let (streams, streams_cursor) = unreported_streams(&view, known_streams);
+        if contents.is_empty() && limits.is_empty() && streams.is_empty() {
             continue;
         }
         let counts = (contents.len(), limits.len());
-        let message = Body::ReportObservations(inner::ReportObservations { contents, limits });
+        let report = inner::ReportObservations { contents, limits, streams };
+        let message = Body::ReportObservations(report);
         match view.stores.client(&address).call(message, REPORT_TIMEOUT).await {
-            Ok(_) => (known_contents, known_limits) = (contents_cursor, limits_cursor),
+            Ok(_) => {
+                known_contents = contents_cursor;
+                known_limits = limits_cursor;
+                known_streams = streams_cursor;
+            }
             Err(e) => event!(
                 warn,
                 "report_failed",
@@ -88,3 +94,10 @@
     let limits = rates.since(acknowledged, true);
     (limits.map(|report| convert::to_limit_message(&report, now)).collect(), rates.cursor())
 }
+
+/// Streams that began since an acknowledged report; stores forget them when they restart.
+fn unreported_streams(view: &View, acknowledged: u64) -> (Vec<inner::BegunStream>, u64) {
+    let known = view.streams.borrow();
+    let begun = known.since(acknowledged);
+    (begun.map(|(attempt, origin)| streams::message(attempt, origin)).collect(), known.cursor())
+}
--- a/orioleworks_gateway/src/view.rs
+++ b/orioleworks_gateway/src/view.rs
@@ -16,6 +16,7 @@
     fleet::Upstream,
     outlier::{Candidate, Key, Outliers},
     routes::RouteTable,
+    streams::Streams,
 };
 
 use crate::{config::Config, crashes::ContentCrashes, permits::Permits, reports::Wake, telemetry};
@@ -42,6 +43,8 @@
     pub knowledge: Knowledge,
     /// Contents that may have crashed upstreams.
     pub crashes: ContentCrashes,
+    /// Streams that began through this gateway.
+    pub streams: Rc<RefCell<Streams>>,
     /// Wakes the task that reports observations to a store.
     pub report_wake: Wake,
     /// Permits for upstreams that name a limit.
@@ -70,6 +73,7 @@
         Self {
             cfg: Rc::new(cfg),
             crashes: ContentCrashes::new(knowledge.clone(), report_wake.clone()),
+            streams: Rc::default(),
             report_wake,
             permits: Permits::default(),
             knowledge,
@@ -154,7 +158,7 @@
     /// Waits for the first upstream of a service, at most until `DISCOVERY_TIME` after the start.
     pub async fn wait_for_upstream(&self, service: &str, until: Instant) {
         let until = until.min(self.started + DISCOVERY_TIME);
-        while self.choose(service, &[]).is_none() && Instant::now() < until {
+        while self.choose(service, None, &[]).is_none() && Instant::now() < until {
             compio::time::sleep(DISCOVERY_INTERVAL).await;
         }
     }
@@ -164,14 +168,25 @@
         self.draining.set(true);
     }
 
-    /// Best upstream of a service, without the excluded ones.
-    pub fn choose(&self, service: &str, excluded: &[Key]) -> Option<Rc<Upstream>> {
-        self.choose_among(service, |key| !excluded.contains(key))
+    /// Best upstream of a service and, if given, of a software version, without the excluded ones.
+    pub fn choose(
+        &self,
+        service: &str,
+        software: Option<&str>,
+        excluded: &[Key],
+    ) -> Option<Rc<Upstream>> {
+        self.choose_among(service, software, |key| !excluded.contains(key))
     }
 
-    /// Best upstream of a service that names no limit, without the excluded ones.
-    pub fn choose_unlimited(&self, service: &str, excluded: &[Key]) -> Option<Rc<Upstream>> {
-        self.choose_among(service, |key| !excluded.contains(key) && self.limit(key).is_none())
+    /// Like [`Self::choose`], only among upstreams that name no limit.
+    pub fn choose_unlimited(
+        &self,
+        service: &str,
+        software: Option<&str>,
+        excluded: &[Key],
+    ) -> Option<Rc<Upstream>> {
+        let allowed = |key: &Key| !excluded.contains(key) && self.limit(key).is_none();
+        self.choose_among(service, software, allowed)
     }
 
     /// Requests a second that an upstream takes from all instances together; `None` if it names no limit.
@@ -179,12 +194,18 @@
         self.knowledge.rates.borrow().limit(up)
     }
 
-    fn choose_among(&self, service: &str, allowed: impl Fn(&Key) -> bool) -> Option<Rc<Upstream>> {
+    fn choose_among(
+        &self,
+        service: &str,
+        software: Option<&str>,
+        allowed: impl Fn(&Key) -> bool,
+    ) -> Option<Rc<Upstream>> {
         let now = clock::since_boot();
         let fleet = self.knowledge.fleet.borrow();
         let domain = &*self.cfg.instance.failure_domain;
         let candidates: Vec<Candidate> = fleet
             .serving(service, now)
+            .filter(|known| software.is_none_or(|wanted| *known.upstream.software == *wanted))
             .map(|known| Candidate {
                 key: (known.upstream.id.clone(), known.upstream.incarnation),
                 slots: known.upstream.slots,
@@ -222,6 +243,7 @@
         self.knowledge.fleet.borrow_mut().remove_expired(now);
         self.crashes.expire();
         self.knowledge.expire_rates();
+        self.streams.borrow_mut().expire(now);
         let fleet = self.knowledge.fleet.borrow();
         let known =
             |id: &str, start: u64| fleet.get(id).is_some_and(|k| k.upstream.incarnation == start);
--- a/orioleworks_proto/src/codes.rs
+++ b/orioleworks_proto/src/codes.rs
@@ -44,6 +44,8 @@
     DeadlineBeforeDispatch = 2008,
     /// the upstreams name limits that leave no room for the request in time
     RateLimited = 2009,
+    /// nothing is known of what began the stream, so that nothing can go on with it
+    StreamUnknown = 2010,
     /// the outcome of the request is unknown; it may have run
     OutcomeUnknown = 3001,
     /// the deadline passed after the request was sent; it may have run
@@ -99,6 +101,7 @@
     ResultCode::Quarantined,
     ResultCode::DeadlineBeforeDispatch,
     ResultCode::RateLimited,
+    ResultCode::StreamUnknown,
     ResultCode::OutcomeUnknown,
     ResultCode::DeadlineExceeded,
     ResultCode::InProgress,
@@ -168,7 +171,7 @@
             Self::OutcomeUnknown | Self::AttemptsExhausted => 502,
             Self::NoUpstream | Self::ClaimsUnavailable | Self::ShuttingDown => 503,
             Self::NotReady | Self::RefusedByUpstream | Self::NoQuorum => 503,
-            Self::MembershipBusy | Self::RateLimited => 503,
+            Self::MembershipBusy | Self::RateLimited | Self::StreamUnknown => 503,
             Self::DeadlineBeforeDispatch | Self::DeadlineExceeded | Self::OrderUnconfirmed => 504,
         }
     }
--- a/orioleworks_routing/src/fleet.rs
+++ b/orioleworks_routing/src/fleet.rs
@@ -205,6 +205,14 @@
         self.known.values().filter(of_service).filter(move |k| k.takes_requests(now))
     }
 
+    /// Software version of all known upstreams of a service, also of those that have left; `None` if there are several.
+    pub fn only_software(&self, service: &str) -> Option<Rc<str>> {
+        let mut of_service =
+            self.known.values().map(|k| &k.upstream).filter(|up| *up.service == *service);
+        let software = &of_service.next()?.software;
+        of_service.all(|up| up.software == *software).then(|| software.clone())
+    }
+
     /// Number of fresh and of stale upstreams that take new requests.
     pub fn count(&self, now: Duration) -> (usize, usize) {
         let serving = || self.known.values().filter(|k| k.takes_requests(now));
--- a/orioleworks_routing/src/lib.rs
+++ b/orioleworks_routing/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod rates;
 pub mod routes;
 pub mod spread;
+pub mod streams;
 pub mod suspects;
 pub mod versions;
--- /dev/null
+++ b/orioleworks_routing/src/streams.rs
@@ -0,0 +1,92 @@
+//! Which service and software version began a caller's stream.
+//!
+//! Handles streams that break off and are taken up through another instance, while upstreams of several software versions
+//! serve: what two versions write does not fit together. See `docs/platform.md`, "Streams and software versions".
+
+use std::{collections::VecDeque, rc::Rc, time::Duration};
+
+use indexmap::IndexMap;
+
+/// Time for which a stream can be taken up after it began.
+const RETENTION: Duration = Duration::from_secs(300);
+/// Streams that are remembered, the newest ones; about 100 bytes each.
+const MAX_STREAMS: usize = 32_768;
+
+/// What began a stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Origin {
+    /// Service of the upstream.
+    pub service: Rc<str>,
+    /// Version of its software.
+    pub software: Rc<str>,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    origin: Origin,
+    changed: u64,
+}
+
+/// Streams by the attempt that brought their first event.
+#[derive(Clone, Debug, Default)]
+pub struct Streams {
+    known: IndexMap<Rc<str>, Known>,
+    /// Attempts in the order in which they were recorded.
+    order: VecDeque<(Duration, Rc<str>)>,
+    changes: u64,
+}
+
+impl Streams {
+    /// Records what began a stream; the first record of an attempt holds.
+    pub fn record(&mut self, attempt: &str, origin: Origin, now: Duration) {
+        if attempt.is_empty() || self.known.contains_key(attempt) {
+            return;
+        }
+        self.changes += 1;
+        let attempt: Rc<str> = attempt.into();
+        self.known.insert(attempt.clone(), Known { origin, changed: self.changes });
+        self.order.push_back((now, attempt));
+        if self.order.len() > MAX_STREAMS {
+            self.forget_oldest();
+        }
+    }
+
+    /// What began the stream of an attempt.
+    pub fn get(&self, attempt: &str) -> Option<&Origin> {
+        self.known.get(attempt).map(|known| &known.origin)
+    }
+
+    /// Cursor of the newest record.
+    pub fn cursor(&self) -> u64 {
+        self.changes
+    }
+
+    /// Streams that were recorded after a cursor.
+    pub fn since(&self, cursor: u64) -> impl Iterator<Item = (&Rc<str>, &Origin)> {
+        let newer = self.known.iter().filter(move |(_, known)| known.changed > cursor);
+        newer.map(|(attempt, known)| (attempt, &known.origin))
+    }
+
+    /// Forgets streams that can no longer be taken up.
+    pub fn expire(&mut self, now: Duration) {
+        while self.order.front().is_some_and(|(at, _)| now.saturating_sub(*at) >= RETENTION) {
+            self.forget_oldest();
+        }
+    }
+
+    /// Number of streams.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Whether no stream is known.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    fn forget_oldest(&mut self) {
+        if let Some((_, attempt)) = self.order.pop_front() {
+            self.known.swap_remove(&attempt);
+        }
+    }
+}
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -7,6 +7,7 @@
 };
 
 use compio::{runtime, time};
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use orioleworks_daemon::{clock, event};
 use orioleworks_fleet::{
     convert,
@@ -20,7 +21,7 @@
     codes::ResultCode,
     inner::{self, command::Kind, frame::Body},
 };
-use orioleworks_routing::{fleet::AnnounceOutcome, routes::RouteTable};
+use orioleworks_routing::{fleet::AnnounceOutcome, routes::RouteTable, streams::Origin};
 use prost::Message;
 use tokio_util::sync::CancellationToken;
 
@@ -33,6 +34,8 @@
 const MAX_WAIT: Duration = Duration::from_millis(2000);
 /// Longest time to ask the leader for a permit.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(80);
+/// Longest time to ask another store what began a stream.
+const FIND_TIMEOUT: Duration = Duration::from_millis(100);
 /// Pause between two rounds of housekeeping.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -70,8 +73,8 @@
         let stores = Stores::default();
         stores.set_seeds(cfg.seed_addresses());
         let (knowledge, engines, pool) = (Knowledge::default(), Rc::default(), Pool::default());
-        let permits = Rc::default();
-        let shared = Shared { log, state, knowledge, table, engines, permits, pool, wake };
+        let (permits, streams) = (Rc::default(), Rc::default());
+        let shared = Shared { log, state, knowledge, table, engines, streams, permits, pool, wake };
         let dispatch = Dispatch::new(shared.clone());
         let lease = Duration::from_millis(cfg.orders.lease_ms);
         let orders = Orders::new(&cfg.instance.name, lease, shared.clone(), dispatch.clone());
@@ -97,6 +100,7 @@
             self.remove_expired_upstreams();
             self.shared.knowledge.crashes.borrow_mut().expire(clock::since_boot());
             self.shared.knowledge.expire_rates();
+            self.shared.streams.borrow_mut().expire(clock::since_boot());
             self.shared.knowledge.gateways.borrow_mut().expire(clock::since_boot());
             self.shared.pool.close_expired();
             telemetry::publish(&self.shared, &self.dispatch);
@@ -137,6 +141,7 @@
             Body::AcquirePermit(ask) => {
                 Some(Body::AcquirePermitReply(self.acquire_permit(ask).await))
             }
+            Body::FindStream(find) => Some(Body::FindStreamReply(self.find_stream(find).await)),
             Body::ReadBatch(read) => Some(Body::ReadBatchReply(self.read_batch(read).await)),
             Body::ReadItem(read) => Some(Body::ReadItemReply(self.read_item(read).await)),
             Body::ReadDocument(_) => {
@@ -147,6 +152,42 @@
         }
     }
 
+    /// Finds what began a stream, here or at another store.
+    async fn find_stream(&self, find: inner::FindStream) -> inner::FindStreamReply {
+        let known = self.shared.streams.borrow().get(&find.attempt).cloned();
+        if let Some(Origin { service, software }) = known {
+            let (service, software) = (service.to_string(), software.to_string());
+            let stream = inner::BegunStream { attempt: find.attempt, service, software };
+            return inner::FindStreamReply { stream: Some(stream) };
+        }
+        if find.relayed {
+            return inner::FindStreamReply { stream: None };
+        }
+        let ask = async |address: String| {
+            let relayed = inner::FindStream { relayed: true, ..find.clone() };
+            let client = self.stores.client(&address);
+            match client.call(Body::FindStream(relayed), FIND_TIMEOUT).await {
+                Ok(Body::FindStreamReply(reply)) => reply.stream,
+                Ok(_) => None,
+                Err(e) => {
+                    let request = &find.attempt;
+                    event!(
+                        warn,
+                        "stream_lookup_failed",
+                        request = request,
+                        peer = address,
+                        reason = e
+                    );
+                    None
+                }
+            }
+        };
+        let asked = self.shared.log.voter_addresses().into_iter().map(ask);
+        let replies: FuturesUnordered<_> = asked.collect();
+        let mut found = std::pin::pin!(replies.filter_map(std::future::ready));
+        inner::FindStreamReply { stream: found.next().await }
+    }
+
     /// Gives a permit, or asks the leader for it.
     async fn acquire_permit(&self, ask: inner::AcquirePermit) -> inner::AcquirePermitReply {
         let own = permits::reply(&self.shared, &ask);
@@ -323,6 +364,11 @@
         for limit in report.limits {
             changed |= rates.merge(convert::from_limit_message(limit, now), true);
         }
+        let mut streams = self.shared.streams.borrow_mut();
+        for begun in report.streams {
+            let (service, software) = (begun.service.into(), begun.software.into());
+            streams.record(&begun.attempt, Origin { service, software }, now);
+        }
         if changed {
             self.shared.wake.notify();
         }
--- a/orioleworks_store/src/shared.rs
+++ b/orioleworks_store/src/shared.rs
@@ -4,7 +4,7 @@
 
 use orioleworks_fleet::{pool::Pool, watch::Knowledge};
 use orioleworks_log::{Log, notify::Notify};
-use orioleworks_routing::{permits::Permits, routes::RouteTable};
+use orioleworks_routing::{permits::Permits, routes::RouteTable, streams::Streams};
 
 use crate::{engines::Engines, state::State};
 
@@ -21,6 +21,8 @@
     pub table: Rc<RefCell<Rc<RouteTable>>>,
     /// State of engines as observed through own requests and orders.
     pub engines: Rc<RefCell<Engines>>,
+    /// What began the streams of callers, as reported to this store.
+    pub streams: Rc<RefCell<Streams>>,
     /// Permits for upstreams that name a limit, given while this store leads.
     pub permits: Rc<RefCell<Permits>>,
     /// Connections to upstreams.
