--- a/orioleworks_log/src/durable.rs
+++ b/orioleworks_log/src/durable.rs
@@ -163,7 +163,7 @@
             let since = state.applied.saturating_sub(state.snapshot.last_index);
             let settings = &self.inner.settings;
             if since < settings.snapshot_entries
-                && (since == 0 || state.bytes < settings.snapshot_bytes)
+                && (since == 0 || state.bytes_after_snapshot() < settings.snapshot_bytes)
             {
                 return;
             }
@@ -182,8 +182,11 @@
             return;
         }
         let mut state = self.inner.state.borrow_mut();
-        let keep_from = snapshot.last_index.saturating_sub(self.inner.settings.tail_entries);
+        let settings = &self.inner.settings;
+        let (keep_from, tail_bytes) =
+            state.tail(snapshot.last_index, settings.tail_entries, settings.snapshot_bytes);
         state.snapshot = snapshot;
+        state.tail_bytes = tail_bytes;
         if keep_from > state.base.index {
             state.compact_through(keep_from);
         }
--- a/orioleworks_log/src/follower.rs
+++ b/orioleworks_log/src/follower.rs
@@ -290,6 +290,7 @@
                 state.generation += 1;
                 state.rewrite = true;
             }
+            state.tail_bytes = 0;
             state.commit = position.index;
             state.applied = position.index;
             state.reload_membership();
--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -20,6 +20,7 @@
     inner::{self, frame::Body},
 };
 use orioleworks_rules::log::LogPosition;
+use prost::Message;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -178,7 +179,6 @@
         }
         let mut state = new_state(identity, snapshot, loaded.base, loaded.entries.into());
         state.reload_membership();
-        state.bytes = state.entries.iter().map(prost::Message::encoded_len).sum();
         let inner = Inner {
             replicas: RefCell::new(settings.replicas.clone()),
             retired_names: RefCell::default(),
@@ -460,6 +460,9 @@
     entries: VecDeque<inner::LogEntry>,
 ) -> State {
     let synced = base.index + entries.len() as u64;
+    let covered = entries.iter().filter(|entry| entry.index <= snapshot.last_index);
+    let tail_bytes = covered.map(Message::encoded_len).sum();
+    let bytes = entries.iter().map(Message::encoded_len).sum();
     State {
         identity,
         role: Role::Follower,
@@ -474,7 +477,8 @@
         commit: snapshot.last_index,
         applied: snapshot.last_index,
         snapshot,
-        bytes: 0,
+        bytes,
+        tail_bytes,
         membership: inner::Membership::default(),
         membership_index: 0,
         progress: HashMap::new(),
--- a/orioleworks_log/src/state.rs
+++ b/orioleworks_log/src/state.rs
@@ -75,8 +75,10 @@
     /// Highest timestamp of the log in Unix milliseconds; timestamps never decrease, because leases and retention times
     /// are computed from them.
     pub last_timestamp_ms: u64,
-    /// Encoded size of `entries` in bytes, for the snapshot threshold.
+    /// Encoded size of `entries` in bytes.
     pub bytes: usize,
+    /// Encoded size of the entries that are kept behind the newest snapshot.
+    pub tail_bytes: usize,
     /// Last synced index.
     pub synced: u64,
     /// Incremented whenever entries are removed, so that a write in progress does not mark the new entries as synced.
@@ -212,6 +214,26 @@
         self.rewrite = true;
     }
 
+    /// Encoded size of the entries that the newest snapshot does not cover.
+    pub fn bytes_after_snapshot(&self) -> usize {
+        self.bytes.saturating_sub(self.tail_bytes)
+    }
+
+    /// Entries to keep behind a snapshot that covers those up to `last`: at most `count` with at most `bytes` bytes.
+    /// Returns the index through which the others are dropped, and the size of the kept ones.
+    pub fn tail(&self, last: u64, count: u64, bytes: usize) -> (u64, usize) {
+        let covered = self.entries.iter().rev().filter(|entry| entry.index <= last);
+        let (mut base, mut total) = (last, 0);
+        for entry in covered.take(usize::try_from(count).unwrap_or(usize::MAX)) {
+            let size = entry.encoded_len();
+            if total + size > bytes {
+                break;
+            }
+            (base, total) = (entry.index - 1, total + size);
+        }
+        (base, total)
+    }
+
     /// Sets the membership to the last one of the log, or the snapshot's.
     pub fn reload_membership(&mut self) {
         (self.membership_index, self.membership) = self.membership_at(u64::MAX);
