A gateway with old news does not bring back a limit that has ended

A request for a permit stated the limit with the present time, so that it could replace the news that the limit had ended. It states the time of the response that named it now. Found by reading; old_news_does_not_bring_back_a_limit_that_has_ended covers the merge. A gateway that does not know how many others there are takes no fixed share.

--- a/orioleworks_gateway/src/permits.rs
+++ b/orioleworks_gateway/src/permits.rs
@@ -16,7 +16,6 @@
 use orioleworks_routing::{
     outlier::Key,
     permits::{Fallback, Permit, Share},
-    rates,
 };
 
 use crate::view::View;
@@ -73,7 +72,7 @@
         if let Some(wait) = self.known_wait(up, demand, now) {
             return Permit::Denied(wait);
         }
-        match ask(view, up, rate, demand).await {
+        match ask(view, up, demand).await {
             Ok(permit) => {
                 if let Permit::Denied(wait) = permit {
                     let key = (up.clone(), demand.priority);
@@ -106,12 +105,11 @@
 
 /// Asks the followed store, which asks the leader. A gateway that reaches only the leader would not be counted as absent
 /// by it, and one that reaches only the store would be.
-async fn ask(view: &View, up: &Key, rate: f64, demand: Demand) -> Result<Permit, String> {
+async fn ask(view: &View, up: &Key, demand: Demand) -> Result<Permit, String> {
     let address = view.followed_store().ok_or("no store is known")?;
-    let now = clock::since_boot();
-    let limit = rates::Report { upstream: up.clone(), per_second: Some(rate), since: now };
+    let limit = view.knowledge.rates.borrow().report(up).ok_or("the limit is not known")?;
     let request = inner::AcquirePermit {
-        limit: Some(convert::to_limit_message(&limit, now)),
+        limit: Some(convert::to_limit_message(&limit, clock::since_boot())),
         max_wait_ms: convert::millis(demand.max_wait),
         priority: demand.priority,
         relayed: false,
--- a/orioleworks_routing/src/permits.rs
+++ b/orioleworks_routing/src/permits.rs
@@ -164,10 +164,11 @@
         max_wait: Duration,
         unix_time: Duration,
     ) -> Permit {
-        if rate < MIN_RATE {
+        // Without the number of instances the share is not known.
+        if rate < MIN_RATE || share.of == 0 {
             return Permit::Denied(CLOSED_RETRY);
         }
-        let count = u64::from(share.of.max(1));
+        let count = u64::from(share.of);
         let mut hasher = DefaultHasher::new();
         up.hash(&mut hasher);
         // The hash spreads the instances' intervals of different upstreams over time.
--- a/orioleworks_routing/src/rates.rs
+++ b/orioleworks_routing/src/rates.rs
@@ -108,6 +108,12 @@
         self.known.get(up).and_then(|known| known.per_second)
     }
 
+    /// What is known of the limit of an upstream.
+    pub fn report(&self, up: &Key) -> Option<Report> {
+        let Known { per_second, since, .. } = *self.known.get(up)?;
+        Some(Report { upstream: up.clone(), per_second, since })
+    }
+
     /// Cursor of the newest change.
     pub fn cursor(&self) -> u64 {
         self.changes
--- a/orioleworks_routing/tests/permits.rs
+++ b/orioleworks_routing/tests/permits.rs
@@ -140,8 +140,21 @@
     assert!(!permits.is_free(&up(), 0.0, ms(5000)));
     let denied = permits.request(&up(), 0.0, 0, ms(10_000), ms(5000));
     assert!(matches!(denied, Permit::Denied(wait) if !wait.is_zero()));
-    let denied = fallback.request(Share::default(), &up(), 0.0, ms(10_000), ms(5000));
-    assert!(matches!(denied, Permit::Denied(wait) if !wait.is_zero()));
+    for (share, rate) in [(Share { rank: 0, of: 3 }, 0.0), (Share::default(), 5.0)] {
+        let denied = fallback.request(share, &up(), rate, ms(10_000), ms(5000));
+        assert!(matches!(denied, Permit::Denied(wait) if !wait.is_zero()));
+    }
+}
+
+/// Guards against a limit that an instance with old news names again after others know that it has ended.
+#[test]
+fn old_news_does_not_bring_back_a_limit_that_has_ended() {
+    let (mut behind, mut ahead) = (NamedRates::default(), NamedRates::default());
+    behind.observe(&up(), ms(900), ms(1000), Some(2.0));
+    ahead.merge(behind.report(&up()).unwrap(), false);
+    assert!(ahead.observe(&up(), ms(1900), ms(2000), None));
+    assert!(!ahead.merge(behind.report(&up()).unwrap(), true));
+    assert_eq!(ahead.limit(&up()), None);
 }
 
 /// Guards against a limit that is ended by a response to a request from before the limit.
