Tests: a port must be free on the addresses of all roles

A gateway did not start ('Address already in use') while a soak ran beside the test: ports were checked on 127.0.0.1 only, while another test process used the same one on the address of a gateway.

--- a/orioleworks_gateway/tests/support/deployment.rs
+++ b/orioleworks_gateway/tests/support/deployment.rs
@@ -286,13 +286,18 @@
     }
 }
 
-/// A port that no other deployment of this test process uses. The system may offer a port again as soon as the listener
-/// that reserved it is closed.
+/// A port that no other deployment of this test process uses, and that is free on the addresses of all roles: another test
+/// process may use it there. The system may offer a port again as soon as the listener that reserved it is closed.
 pub fn free_port() -> u16 {
+    const ROLES: u8 = 3;
+    const MAX_INSTANCES: usize = 8;
     static TAKEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
     loop {
         let port = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
-        if TAKEN.lock().unwrap().insert(port) {
+        let is_free =
+            |role, i| TcpListener::bind(format!("{}:{port}", loopback_ip(role, i))).is_ok();
+        let free = (1..=ROLES).all(|role| (0..MAX_INSTANCES).all(|i| is_free(role, i)));
+        if free && TAKEN.lock().unwrap().insert(port) {
             return port;
         }
     }
