A response without end waits for a parallel attempt too; an engine without end is left out for longer

A response that has no end so far is held back while any attempt is in flight. After bytes without end an engine is left out for 5 s and its measured speed is forgotten. Buffers for responses are a module of their own; metric orioleworks_limited_upstreams.

--- a/orioleworks_gateway/src/forward.rs
+++ b/orioleworks_gateway/src/forward.rs
@@ -49,11 +49,6 @@
 /// Share of the latency objective until which a request may wait for a permit of a limited upstream, in percent. Longer
 /// waits would make requests late without serving more of them.
 const PERMIT_WAIT_PERCENT: u32 = 50;
-/// Largest response that is complete before it is passed on, so that another upstream can answer instead of one that breaks
-/// off.
-const MAX_BUFFERED_RESPONSE: usize = 256 * 1024;
-/// Bytes of responses that are buffered at the same time; the smallest gateways have 88 MB of memory.
-const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
 /// Longest time for which a response is passed on to a caller that states no deadline.
 const MAX_STREAM_TIME: Duration = Duration::from_secs(600);
 /// Number of upstreams that may refuse a request before its caller gets the refusal.
@@ -142,40 +137,6 @@
     key: Key,
 }
 
-/// Buffered part of a response; counts towards [`MAX_BUFFERED_BYTES`] until it is dropped.
-struct Buffered<'a> {
-    view: &'a View,
-    body: Vec<u8>,
-}
-
-impl Buffered<'_> {
-    /// Whether another part fits.
-    fn has_room_for(&self, part: &Bytes) -> bool {
-        self.body.len() + part.len() <= MAX_BUFFERED_RESPONSE
-            && self.view.buffered_bytes.get() + part.len() <= MAX_BUFFERED_BYTES
-    }
-
-    fn push(&mut self, part: &Bytes) {
-        self.body.extend_from_slice(part);
-        self.view.buffered_bytes.set(self.view.buffered_bytes.get() + part.len());
-    }
-
-    fn take(mut self) -> Vec<u8> {
-        self.release();
-        std::mem::take(&mut self.body)
-    }
-
-    fn release(&self) {
-        self.view.buffered_bytes.set(self.view.buffered_bytes.get() - self.body.len());
-    }
-}
-
-impl Drop for Buffered<'_> {
-    fn drop(&mut self) {
-        self.release();
-    }
-}
-
 struct EndedAttempt {
     upstream: Rc<Upstream>,
     key: Key,
@@ -320,8 +281,8 @@
                         EndedBy { upstream: attempt.upstream.clone(), key: attempt.key.clone() };
                     // Without a declared length the response may be one without end. If another upstream sends as much,
                     // it is only large.
-                    if exchange.declared_length().is_some() || held.is_some() || !self.may_repeat()
-                    {
+                    let another = !self.in_flight.is_empty() || self.may_repeat();
+                    if exchange.declared_length().is_some() || held.is_some() || !another {
                         self.log_response(&by.upstream.id);
                         return Ok(self.stream(*exchange, start, by));
                     }
@@ -740,7 +701,7 @@
 
     async fn read_response(&self, mut exchange: Exchange, started: Instant) -> AttemptEnd {
         let head = response_head(&exchange.head);
-        let mut buffered = Buffered { view: &self.view, body: Vec::new() };
+        let mut buffered = self.view.buffers.start();
         loop {
             let remaining = self.deadline.saturating_duration_since(Instant::now());
             let next = compio::time::timeout(remaining, exchange.next()).await;
@@ -752,9 +713,7 @@
                 }
                 Ok(Some(part)) => {
                     self.view.outliers.borrow_mut().record_dropped(&self.key);
-                    let mut start = buffered.take();
-                    start.extend_from_slice(&part);
-                    return AttemptEnd::Large(Box::new(exchange), start.into());
+                    return AttemptEnd::Large(Box::new(exchange), buffered.finish(Some(&part)));
                 }
                 Ok(None) => break,
                 Err(e) => {
@@ -773,7 +732,7 @@
         } else {
             self.view.outliers.borrow_mut().record_response(&self.key, started.elapsed());
         }
-        AttemptEnd::Complete(head, buffered.take().into())
+        AttemptEnd::Complete(head, buffered.finish(None))
     }
 
     fn record_failure(&self) {
--- a/orioleworks_gateway/src/lib.rs
+++ b/orioleworks_gateway/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod app;
 pub mod batches;
+pub mod buffers;
 pub mod callers;
 pub mod cli;
 pub mod config;
--- a/orioleworks_gateway/src/telemetry.rs
+++ b/orioleworks_gateway/src/telemetry.rs
@@ -88,6 +88,8 @@
     metrics::gauge!("orioleworks_upstreams", "heard" => "lately").set(fresh as f64);
     metrics::gauge!("orioleworks_upstreams", "heard" => "earlier").set(stale as f64);
     metrics::gauge!("orioleworks_suspect_contents").set(view.crashes.count() as f64);
+    let limited = view.knowledge.rates.borrow().limited();
+    metrics::gauge!("orioleworks_limited_upstreams").set(limited as f64);
     metrics::gauge!("orioleworks_document_version").set(view.document_version() as f64);
     metrics::gauge!("orioleworks_view_age_seconds").set(view.age().as_secs_f64());
 }
--- a/orioleworks_gateway/src/view.rs
+++ b/orioleworks_gateway/src/view.rs
@@ -19,7 +19,10 @@
     streams::Streams,
 };
 
-use crate::{config::Config, crashes::ContentCrashes, permits::Permits, reports::Wake, telemetry};
+use crate::{
+    buffers::Buffers, config::Config, crashes::ContentCrashes, permits::Permits, reports::Wake,
+    telemetry,
+};
 
 /// Second attempts allowed per recent successes, in percent. When one of three replicas fails, a third of the requests
 /// fail until it is excluded.
@@ -43,8 +46,8 @@
     pub knowledge: Knowledge,
     /// Contents that may have crashed upstreams.
     pub crashes: ContentCrashes,
-    /// Bytes of responses that are buffered until they are complete.
-    pub buffered_bytes: Rc<Cell<usize>>,
+    /// Memory for responses that are buffered until they are complete.
+    pub buffers: Buffers,
     /// Streams that began through this gateway.
     pub streams: Rc<RefCell<Streams>>,
     /// Wakes the task that reports observations to a store.
@@ -75,7 +78,7 @@
         Self {
             cfg: Rc::new(cfg),
             crashes: ContentCrashes::new(knowledge.clone(), report_wake.clone()),
-            buffered_bytes: Rc::default(),
+            buffers: Buffers::default(),
             streams: Rc::default(),
             report_wake,
             permits: Permits::default(),
--- a/orioleworks_store/src/engines.rs
+++ b/orioleworks_store/src/engines.rs
@@ -13,6 +13,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause; a restarted engine announces itself within 2 s.
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// Pause after bytes without end; an engine that sends them is in trouble for seconds, and looks fast.
+const ENDLESS_PAUSE: Duration = Duration::from_secs(5);
 /// Groups remembered for each engine; more than run on it at the same time.
 const MAX_GROUPS: usize = 64;
 
@@ -96,7 +98,9 @@
 
     /// Excludes an engine that sent bytes without end. Its events say nothing about its health.
     pub fn pause_after_endless(&mut self, key: &Key, now: Duration) {
-        self.record(key).paused_until = now + LONGEST_PAUSE;
+        let record = self.record(key);
+        record.paused_until = now + ENDLESS_PAUSE;
+        record.event_time = EventTime::default();
     }
 
     /// Excludes an engine for a short time after it refused an item.
