Stores log and publish their memory by use

A store that the platform killed for its memory had logged nothing of it, and no metric told what held it. memory_grown comes once for each tenth of the limit, which is a new setting (limits.memory_mb); orioleworks_memory_bytes has the same figures.

--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -388,6 +388,11 @@
         metrics::gauge!("orioleworks_log_voters").set(voters as f64);
     }
 
+    /// Encoded size of the log entries in memory, in bytes.
+    pub fn entry_bytes(&self) -> usize {
+        self.inner.state.borrow().bytes
+    }
+
     /// Whether this replica leads.
     pub fn is_leader(&self) -> bool {
         self.inner.state.borrow().is_leader()
--- a/orioleworks_store/src/config.rs
+++ b/orioleworks_store/src/config.rs
@@ -23,6 +23,9 @@
     /// Orders to engines.
     #[serde(default)]
     pub orders: Orders,
+    /// What the process may use.
+    #[serde(default)]
+    pub limits: Limits,
     /// Log output.
     #[serde(default)]
     pub log: Log,
@@ -88,6 +91,14 @@
     pub lease_ms: u64,
 }
 
+/// What the process may use.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Memory in megabytes; the platform kills a process that uses more.
+    pub memory_mb: usize,
+}
+
 /// Log output.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -115,6 +126,20 @@
     }
 }
 
+impl Default for Limits {
+    fn default() -> Self {
+        // The least that a store of today's deployments has.
+        Self { memory_mb: 140 }
+    }
+}
+
+impl Limits {
+    /// Memory in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.memory_mb * 1024 * 1024
+    }
+}
+
 impl Default for Log {
     fn default() -> Self {
         Self { filter: "info".into() }
@@ -131,6 +156,7 @@
         problems.range("listen.inner_port", self.listen.inner_port, 1..=u16::MAX, "");
         let retention = self.batches.status_retention_s;
         problems.range("batches.status_retention_s", retention, 1..=86_400, "s");
+        problems.range("limits.memory_mb", self.limits.memory_mb, 32..=1_048_576, "MB");
         problems.range("orders.lease_ms", self.orders.lease_ms, 100..=60_000, "ms");
     }
 }
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -145,6 +145,12 @@
         (work.waiting.len(), work.running.len())
     }
 
+    /// Bytes of output of running items.
+    pub fn output_bytes(&self) -> usize {
+        let work = self.inner.work.borrow();
+        work.running.values().map(|running| running.progress.borrow().text_bytes()).sum()
+    }
+
     async fn dispatch_loop(&self, token: CancellationToken) {
         while !token.is_cancelled() {
             let seen = self.inner.shared.wake.version();
--- /dev/null
+++ b/orioleworks_store/src/memory.rs
@@ -0,0 +1,94 @@
+//! Memory of a store by use; see `docs/platform.md`, "State and bounds".
+//!
+//! The platform kills a process that exceeds its limit, and the next leader takes over the same state. The figures tell
+//! what holds the memory before that happens.
+
+use std::{cell::Cell, fs};
+
+use orioleworks_daemon::event;
+
+use crate::{dispatch::Dispatch, shared::Shared};
+
+/// Size of a page of memory in bytes.
+const PAGE_BYTES: usize = 4096;
+/// Growth of the resident memory, in percent of the limit, after which the uses are logged again.
+const LOGGED_STEP_PERCENT: usize = 10;
+
+/// Bytes held by each use. What is resident beyond their sum are buffers, connections and free memory of the allocator.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Texts of listed results.
+    pub texts: usize,
+    /// Requests of unlisted items.
+    pub bodies: usize,
+    /// Saved output of unfinished items.
+    pub progress: usize,
+    /// Output of running items.
+    pub running: usize,
+    /// Log entries.
+    pub log: usize,
+}
+
+impl Usage {
+    /// Current usage of a store.
+    pub fn of(shared: &Shared, dispatch: &Dispatch) -> Self {
+        let state = shared.state.borrow().usage();
+        Self { running: dispatch.output_bytes(), log: shared.log.entry_bytes(), ..state }
+    }
+}
+
+/// Resident memory of this process in bytes; `None` where `/proc` does not tell.
+pub fn resident() -> Option<usize> {
+    let statm = fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: usize = statm.split_whitespace().nth(1)?.parse().ok()?;
+    Some(pages * PAGE_BYTES)
+}
+
+/// Publishes the memory by use, and logs it each time the resident memory has reached another tenth of the limit.
+#[derive(Debug)]
+pub struct Monitor {
+    limit: usize,
+    /// Resident memory that is logged next.
+    next_logged: Cell<usize>,
+}
+
+impl Monitor {
+    /// Creates a monitor for a limit in bytes.
+    pub fn new(limit: usize) -> Self {
+        Self { limit, next_logged: Cell::new(0) }
+    }
+
+    /// Publishes the gauges.
+    pub fn publish(&self, usage: Usage) {
+        let Some(resident) = resident() else { return };
+        let uses = [
+            ("texts", usage.texts),
+            ("bodies", usage.bodies),
+            ("progress", usage.progress),
+            ("running", usage.running),
+            ("log", usage.log),
+            ("resident", resident),
+            ("limit", self.limit),
+        ];
+        for (name, bytes) in uses {
+            metrics::gauge!("orioleworks_memory_bytes", "use" => name).set(bytes as f64);
+        }
+        if resident < self.next_logged.get() {
+            return;
+        }
+        let step = (self.limit * LOGGED_STEP_PERCENT / 100).max(1);
+        self.next_logged.set((resident / step + 1) * step);
+        let kb = |bytes: usize| bytes / 1024;
+        event!(
+            info,
+            "memory_grown",
+            resident_kb = kb(resident),
+            limit_kb = kb(self.limit),
+            texts_kb = kb(usage.texts),
+            bodies_kb = kb(usage.bodies),
+            progress_kb = kb(usage.progress),
+            running_kb = kb(usage.running),
+            log_kb = kb(usage.log),
+        );
+    }
+}
--- a/orioleworks_store/src/runner.rs
+++ b/orioleworks_store/src/runner.rs
@@ -81,7 +81,7 @@
     }
 
     /// Size of the text in bytes.
-    fn text_bytes(&self) -> usize {
+    pub fn text_bytes(&self) -> usize {
         self.bytes
     }
 
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -26,8 +26,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    config::Config, dispatch::Dispatch, orders::Orders, peers, permits, shared::Shared,
-    state::State, telemetry,
+    config::Config, dispatch::Dispatch, memory::Monitor, orders::Orders, peers, permits,
+    shared::Shared, state::State, telemetry,
 };
 
 /// Longest time for which a watch or a read of results waits for changes.
@@ -96,6 +96,7 @@
     }
 
     async fn run_housekeeping(&self, token: CancellationToken) {
+        let memory = Monitor::new(self.cfg.limits.memory_bytes());
         while !token.is_cancelled() {
             self.remove_expired_upstreams();
             self.shared.knowledge.crashes.borrow_mut().expire(clock::since_boot());
@@ -103,7 +104,7 @@
             self.shared.streams.borrow_mut().expire(clock::since_boot());
             self.shared.knowledge.gateways.borrow_mut().expire(clock::since_boot());
             self.shared.pool.close_expired();
-            telemetry::publish(&self.shared, &self.dispatch);
+            telemetry::publish(&self.shared, &self.dispatch, &memory);
             self.shared.log.set_retired(self.shared.state.borrow().retired().iter().cloned());
             time::sleep(HOUSEKEEPING_INTERVAL).await;
         }
--- a/orioleworks_store/src/state.rs
+++ b/orioleworks_store/src/state.rs
@@ -15,6 +15,8 @@
 use orioleworks_rules::batches as rules;
 use prost::Message;
 
+use crate::memory::Usage;
+
 /// Time in milliseconds for which a batch is kept after its retention; covers adjustments of the wall clock.
 const RETENTION_SLACK_MS: u64 = 30_000;
 /// Factor on the retention of a batch that still has items to run.
@@ -264,6 +266,20 @@
         &self.models
     }
 
+    /// Bytes held by the texts of results, the requests of items and the saved output.
+    pub fn usage(&self) -> Usage {
+        let items = || self.batches.values().flat_map(|batch| batch.items.values());
+        let results = self.batches.values().flat_map(|batch| &batch.results);
+        let saved = items().filter_map(|item| item.progress.as_ref());
+        let saved = saved.chain(self.unfinished.values().map(|(_, progress)| progress));
+        Usage {
+            texts: results.map(|result| result.text.len()).sum(),
+            bodies: items().map(|item| item.spec.body.len()).sum(),
+            progress: saved.flat_map(|progress| &progress.events).map(Bytes::len).sum(),
+            ..Usage::default()
+        }
+    }
+
     /// Names of retired stores.
     pub fn retired(&self) -> &IndexSet<String> {
         &self.retired
--- a/orioleworks_store/src/telemetry.rs
+++ b/orioleworks_store/src/telemetry.rs
@@ -4,11 +4,17 @@
 
 use orioleworks_daemon::clock;
 
-use crate::{dispatch::Dispatch, shared::Shared, state::ModelState};
+use crate::{
+    dispatch::Dispatch,
+    memory::{Monitor, Usage},
+    shared::Shared,
+    state::ModelState,
+};
 
-/// Publishes the gauges of the log, the item queue, the replicated state and the known upstreams.
-pub fn publish(shared: &Shared, dispatch: &Dispatch) {
+/// Publishes the gauges of the log, the memory, the item queue, the replicated state and the known upstreams.
+pub fn publish(shared: &Shared, dispatch: &Dispatch, memory: &Monitor) {
     shared.log.publish_metrics();
+    memory.publish(Usage::of(shared, dispatch));
     let (waiting, running) = dispatch.depth();
     metrics::gauge!("orioleworks_items", "state" => "waiting").set(waiting as f64);
     metrics::gauge!("orioleworks_items", "state" => "running").set(running as f64);
