--- a/orioleworks_gateway/tests/support/deployment.rs
+++ b/orioleworks_gateway/tests/support/deployment.rs
@@ -64,6 +64,13 @@
         self.child.borrow_mut().try_wait().unwrap().map(|status| status.code().unwrap_or(-1))
     }
 
+    /// Largest resident memory so far, in bytes.
+    pub fn peak_memory(&self) -> usize {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id())).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        peak.trim().trim_end_matches(" kB").parse::<usize>().unwrap() * 1024
+    }
+
     pub fn log(&self) -> String {
         fs::read_to_string(&self.output).unwrap_or_default()
     }
@@ -86,6 +93,8 @@
     control_port: u16,
     callers_port: u16,
     readiness_port: u16,
+    /// Memory limit in the settings of the stores, in megabytes.
+    store_memory_mb: usize,
     /// Proxies in front of the stores' inner protocol; empty without proxies.
     pub store_proxies: Vec<Proxy>,
 }
@@ -104,6 +113,17 @@
 
     /// Like [`Self::start`]; with `proxied`, connections to a store's inner protocol pass through a proxy.
     pub fn start_with(stores: usize, gateways: usize, document: &str, proxied: bool) -> Self {
+        Self::start_sized(stores, gateways, document, proxied, 140)
+    }
+
+    /// Like [`Self::start_with`]; `store_memory_mb` is the memory limit in the settings of the stores.
+    pub fn start_sized(
+        stores: usize,
+        gateways: usize,
+        document: &str,
+        proxied: bool,
+        store_memory_mb: usize,
+    ) -> Self {
         let mut deployment = Self {
             dir: tempfile::tempdir().unwrap(),
             stores: (0..stores).map(|_| None).collect(),
@@ -112,6 +132,7 @@
             control_port: free_port(),
             callers_port: free_port(),
             readiness_port: free_port(),
+            store_memory_mb,
             store_proxies: Vec::new(),
         };
         if proxied {
@@ -170,11 +191,13 @@
                  "listen": {{ "control": "{}", "inner_port": {}, "inner_bind": "{}" }},
                  "cluster": {{ "seeds": [{}], "bootstrap": {bootstrap}, "tolerated_losses": 1 }},
                  "orders": {{ "lease_ms": 300 }},
+                 "limits": {{ "memory_mb": {} }},
                  "data": {{ "directory": "{}" }} }}"#,
             self.control_address(i),
             self.inner_port,
             self.inner_address(role, i),
             self.seeds(),
+            self.store_memory_mb,
             self.dir.path().join(&name).display(),
         );
         self.stores[i] = Some(self.spawn("orioleworks-store", &name, &settings));
--- a/orioleworks_gateway/tests/support/upstream.rs
+++ b/orioleworks_gateway/tests/support/upstream.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeSet, HashMap},
+    hash::{DefaultHasher, Hash, Hasher},
     io::{BufRead, BufReader, Read, Write},
     net::{Shutdown, TcpListener, TcpStream},
     sync::{
@@ -64,6 +65,8 @@
     pub endless_connections: AtomicU64,
     /// Version of its software; events name it, unless it is empty.
     pub software: Mutex<String>,
+    /// Length of the text that is added to each event.
+    pub event_padding: AtomicU64,
 }
 
 #[derive(Default)]
@@ -443,6 +446,7 @@
         let mut version = self.version(model);
         let software = self.behaviour.software.lock().unwrap().clone();
         let suffix = if software.is_empty() { software } else { format!(" by {software}") };
+        let padding = self.behaviour.event_padding.load(Ordering::Relaxed);
         let limit = self.limit_header();
         write!(
             out,
@@ -462,7 +466,7 @@
             let text = format!(
                 "{}id: {event}\ndata: {}\n\n",
                 changed.unwrap_or_default(),
-                event_data(id, event) + &suffix
+                event_data(id, event) + &suffix + &event_padding(id, event, padding)
             );
             write!(out, "{:x}\r\n{text}\r\n", text.len())?;
         }
@@ -475,9 +479,30 @@
     format!("{id} event {event}")
 }
 
+/// Text that is added to an event: hexadecimal digits, which compression shortens by half at most.
+fn event_padding(id: &str, event: u64, len: u64) -> String {
+    let mut padding = String::new();
+    for n in 0_u64.. {
+        if padding.len() as u64 >= len {
+            break;
+        }
+        let mut hasher = DefaultHasher::new();
+        (id, event, n).hash(&mut hasher);
+        padding += &format!("{:016x}", hasher.finish());
+    }
+    padding.truncate(usize::try_from(len).unwrap());
+    padding
+}
+
 /// Complete text of an item.
 pub fn item_text(id: &str) -> String {
-    let events: Vec<String> = (1..=EVENTS).map(|event| event_data(id, event)).collect();
+    padded_item_text(id, 0)
+}
+
+/// Complete text of an item whose events have padding of this length.
+pub fn padded_item_text(id: &str, padding: u64) -> String {
+    let text = |event| event_data(id, event) + &event_padding(id, event, padding);
+    let events: Vec<String> = (1..=EVENTS).map(text).collect();
     events.join("\n")
 }
 
