Elections end although votes take long to sync

Callers saw refusals with "no leader" for as long as disks were slow: a candidate gave up its election after 0.4 s, before voters had synced their votes, and the next candidate's term made all of them sync again. Each vote took two syncs, one for the term and one for the vote.

A candidate now waits for votes as long as it is the candidate of its term, at most 4 s; after a refusal for four times as long as its own record took, because another candidate may hold the votes. A replica that is recording a vote neither stands nor grants pre-votes. Term and vote are one record.

--- a/orioleworks_log/src/election.rs
+++ b/orioleworks_log/src/election.rs
@@ -10,6 +10,15 @@
 
 use crate::{node::Log, state::Role};
 
+/// Longest wait for votes: a voter syncs its vote before it replies, and a disk in trouble takes seconds for that. The
+/// candidate of a later term would make these voters sync again.
+const VOTE_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Wait for votes after a refusal, as a multiple of the time that this replica took to sync its own.
+const REFUSED_WAIT_SYNCS: u32 = 4;
+/// Interval at which a candidate that waits for votes checks whether another replica leads by now.
+const CANDIDATE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Why a replica stands for election.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Campaign {
@@ -19,6 +28,20 @@
     LeadershipTransfer,
 }
 
+/// A round of requests to the voters.
+#[derive(Clone, Copy, Debug)]
+enum Round {
+    /// Asks whether votes would be granted; nothing is recorded.
+    PreVote,
+    /// Asks for the votes of the term.
+    Vote {
+        /// Whether a leader that shuts down asked for the election.
+        leadership_transfer: bool,
+        /// Wait for the other votes once one was refused: another candidate may hold them.
+        refused_wait: Duration,
+    },
+}
+
 impl Log {
     /// Starts an election when no message from a leader arrives within a random timeout.
     pub(crate) async fn election_loop(&self) {
@@ -43,7 +66,7 @@
                 let state = self.inner.state.borrow();
                 state.is_voter() && !state.is_leader() && !self.inner.shutting_down.get()
             };
-            if eligible {
+            if eligible && !self.is_recording_vote() {
                 self.campaign(Campaign::Timeout).await;
             }
         }
@@ -59,7 +82,7 @@
     pub(crate) async fn campaign(&self, campaign: Campaign) {
         let leadership_transfer = campaign == Campaign::LeadershipTransfer;
         let term = self.inner.state.borrow().term();
-        if !leadership_transfer && !self.collect_votes(term + 1, true, false).await {
+        if !leadership_transfer && !self.collect_votes(term + 1, Round::PreVote).await {
             return;
         }
         {
@@ -73,12 +96,15 @@
             state.role = Role::Candidate;
         }
         let vote = VoteRecord { term: term + 1, voted_for: Some(self.inner.state.borrow().id()) };
+        let started = Instant::now();
         if !self.record_vote(vote).await {
             return;
         }
+        let refused_wait = started.elapsed() * REFUSED_WAIT_SYNCS;
         self.inner.state.borrow_mut().role = Role::Candidate;
         event!(info, "election_started", term = term + 1);
-        if self.collect_votes(term + 1, false, leadership_transfer).await {
+        let refused_wait = refused_wait.clamp(self.inner.settings.election_min, VOTE_TIMEOUT);
+        if self.collect_votes(term + 1, Round::Vote { leadership_transfer, refused_wait }).await {
             let state = self.inner.state.borrow();
             let still_candidate = state.identity.vote == vote && state.role == Role::Candidate;
             drop(state);
@@ -88,12 +114,25 @@
         }
     }
 
-    /// Whether a quorum grants its votes within the shortest election timeout.
-    async fn collect_votes(&self, term: u64, pre_vote: bool, leadership_transfer: bool) -> bool {
+    /// Whether this replica is about to grant its vote, or to stand for election: a pre-vote or candidature now would
+    /// end the election for which the vote is.
+    fn is_recording_vote(&self) -> bool {
+        self.inner.vote_lock.try_lock().is_none()
+    }
+
+    /// Whether a quorum grants its votes in a round.
+    async fn collect_votes(&self, term: u64, round: Round) -> bool {
         let (voters, id, last, members) = {
             let state = self.inner.state.borrow();
             (state.voters(), state.id(), state.last(), state.membership.members.clone())
         };
+        let election_min = self.inner.settings.election_min;
+        let (pre_vote, hand_over, limit, refused_wait) = match round {
+            Round::PreVote => (true, false, election_min, election_min),
+            Round::Vote { leadership_transfer, refused_wait } => {
+                (false, leadership_transfer, VOTE_TIMEOUT, refused_wait)
+            }
+        };
         let mut granted = vec![id];
         let mut replies: FuturesUnordered<_> = members
             .iter()
@@ -106,16 +145,26 @@
                     last_term: last.term,
                     pre_vote,
                     target_id: m.member_id,
-                    hand_over: leadership_transfer,
+                    hand_over,
                 };
                 let client = self.member_client(m);
-                async move { client.call(Body::Vote(vote), self.inner.settings.election_min).await }
+                async move { client.call(Body::Vote(vote), limit).await }
             })
             .collect();
-        let deadline = Instant::now() + self.inner.settings.election_min;
+        let started = Instant::now();
+        let mut deadline = started + limit;
         while !rules::is_elected(&voters, &granted) {
-            let wait = deadline.saturating_duration_since(Instant::now());
-            let Ok(Some(reply)) = time::timeout(wait, replies.next()).await else { return false };
+            let left = deadline.saturating_duration_since(Instant::now());
+            let ended = !pre_vote && !self.is_candidate(term);
+            if left.is_zero() || ended {
+                return false;
+            }
+            let wait = left.min(CANDIDATE_CHECK_INTERVAL);
+            let reply = match time::timeout(wait, replies.next()).await {
+                Ok(Some(reply)) => reply,
+                Ok(None) => return false,
+                Err(_) => continue,
+            };
             let Ok(Body::VoteReply(reply)) = reply else { continue };
             if reply.term > term {
                 self.adopt_term(reply.term).await;
@@ -123,11 +172,18 @@
             }
             if reply.granted {
                 granted.push(reply.member_id);
+            } else {
+                deadline = deadline.min(started + refused_wait);
             }
         }
         true
     }
 
+    fn is_candidate(&self, term: u64) -> bool {
+        let state = self.inner.state.borrow();
+        state.role == Role::Candidate && state.term() == term
+    }
+
     /// Handles a vote request; a granted vote is synced before the reply.
     pub(crate) async fn on_vote(&self, vote: inner::Vote) -> inner::VoteReply {
         let is_target = vote.target_id == 0 || vote.target_id == self.inner.state.borrow().id();
@@ -136,7 +192,7 @@
         let granted = if !is_target || (live && !vote.hand_over) {
             false
         } else if vote.pre_vote {
-            self.would_grant(&vote)
+            self.would_grant(&vote) && !self.is_recording_vote()
         } else {
             self.grant(&vote).await
         };
@@ -156,11 +212,13 @@
         )
     }
 
+    /// Records term and vote in one sync.
     async fn grant(&self, vote: &inner::Vote) -> bool {
-        self.adopt_term(vote.term).await;
-        let _lock = self.inner.vote_lock.lock().await;
+        let lock = self.inner.vote_lock.lock().await;
         // Checked under the lock, so that no other candidate gets the vote of this term meanwhile.
         if !self.would_grant(vote) {
+            drop(lock);
+            self.adopt_term(vote.term).await;
             return false;
         }
         let record = VoteRecord { term: vote.term, voted_for: Some(vote.candidate_id) };
