The log file is written and read a part at a time

Entries are now copied, encoded and written up to 1 MB at a time, and the header follows at the end, before the sync. A replacement that finds entries removed between two parts starts again. A backlog of unsynced entries is appended in writes of up to 1 MB, and the log is read record by record at start. The file format is the same.

Tests (orioleworks_log/tests/memory.rs, a log of 24 MB, growth of the resident memory to its peak, bound 6 MB, when opening 24 + 6 MB).

--- a/orioleworks_log/src/durable.rs
+++ b/orioleworks_log/src/durable.rs
@@ -11,7 +11,7 @@
 use crate::{
     error::LogError,
     files::{self, Identity, SNAPSHOT_TMP_FILE, SnapshotReader, SnapshotWriter},
-    journal::Journal,
+    journal::{Journal, JournalWriter},
     node::{Log, ProposeError},
     state::Role,
 };
@@ -19,9 +19,16 @@
 /// Delay before a failed write is retried; the usual cause is a disk that is full for a few seconds.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Largest encoded size of the entries that are copied for the disk at a time, in bytes; a larger entry is alone.
+const MAX_WRITE_BYTES: usize = 1024 * 1024;
+
 enum Write {
     Append(Journal, Vec<inner::LogEntry>),
-    Replace(LogPosition, Vec<inner::LogEntry>),
+    /// Replaces the log file by one with the entries after `base`, up to the index `through` at least.
+    Replace {
+        base: LogPosition,
+        through: u64,
+    },
 }
 
 impl Log {
@@ -30,43 +37,50 @@
         while !self.inner.token.is_cancelled() {
             let seen = self.inner.changed.version();
             match self.next_write() {
-                Some((write, through, generation)) => self.write(write, through, generation).await,
+                Some((write, generation)) => self.write(write, generation).await,
                 None => self.inner.changed.changed(seen).await,
             }
         }
     }
 
-    fn next_write(&self) -> Option<(Write, u64, u64)> {
+    fn next_write(&self) -> Option<(Write, u64)> {
         let mut state = self.inner.state.borrow_mut();
         let (last, generation) = (state.last().index, state.generation);
         if state.rewrite {
             state.rewrite = false;
-            let entries = state.entries.iter().cloned().collect();
-            return Some((Write::Replace(state.base, entries), last, generation));
+            return Some((Write::Replace { base: state.base, through: last }, generation));
         }
         if last <= state.synced {
             return None;
         }
-        let from = (state.synced.max(state.base.index) - state.base.index) as usize;
-        let entries = state.entries.range(from..).cloned().collect();
+        let entries = state.entries_after(state.synced.max(state.base.index), MAX_WRITE_BYTES);
         let journal = self.inner.journal.borrow_mut().take()?;
-        Some((Write::Append(journal, entries), last, generation))
+        Some((Write::Append(journal, entries), generation))
     }
 
-    async fn write(&self, write: Write, through: u64, generation: u64) {
+    async fn write(&self, write: Write, generation: u64) {
         let started = Instant::now();
-        let directory = self.inner.settings.directory.clone();
-        let written = blocking(move || match write {
-            Write::Append(mut journal, entries) => journal.append(&entries).map(|()| journal),
-            Write::Replace(base, entries) => Journal::create(&directory, base, &entries),
-        })
-        .await;
+        let written = match write {
+            Write::Append(mut journal, entries) => {
+                blocking(move || {
+                    journal.append(&entries)?;
+                    Ok(entries.last().map(|last| (journal, last.index)))
+                })
+                .await
+            }
+            Write::Replace { base, through } => self.replace(base, through, generation).await,
+        };
         metrics::histogram!("orioleworks_log_fsync_seconds").record(started.elapsed());
-        match written {
-            Ok(journal) => *self.inner.journal.borrow_mut() = Some(journal),
+        let (journal, through) = match written {
+            Ok(Some(written)) => written,
+            Ok(None) => {
+                self.inner.state.borrow_mut().rewrite = true;
+                return;
+            }
             Err(e) if self.inner.settings.retry_writes => return self.retry_write(e).await,
             Err(e) => return self.fail(e),
-        }
+        };
+        *self.inner.journal.borrow_mut() = Some(journal);
         {
             let mut state = self.inner.state.borrow_mut();
             // If entries were removed meanwhile, the replacement that follows makes the new ones durable.
@@ -78,6 +92,33 @@
         self.advance_commit();
     }
 
+    /// Replaces the log file, with a part of the entries at a time, so that the log is not in memory twice. Returns the
+    /// index of the last entry in it, or `None` if entries were removed meanwhile and the replacement must start again.
+    async fn replace(
+        &self,
+        base: LogPosition,
+        through: u64,
+        generation: u64,
+    ) -> Result<Option<(Journal, u64)>, LogError> {
+        let directory = self.inner.settings.directory.clone();
+        let mut writer = blocking(move || JournalWriter::create(&directory, base)).await?;
+        let mut written = base.index;
+        while written < through {
+            let entries = {
+                let state = self.inner.state.borrow();
+                if state.generation != generation {
+                    return Ok(None);
+                }
+                state.entries_after(written, MAX_WRITE_BYTES)
+            };
+            let Some(last) = entries.last() else { return Ok(None) };
+            written = last.index;
+            writer = blocking(move || writer.push(&entries)).await?;
+        }
+        let journal = blocking(move || writer.finish()).await?;
+        Ok(Some((journal, written)))
+    }
+
     /// Gives up leadership and schedules a rewrite of the log file, because a failed sync leaves its contents unknown.
     async fn retry_write(&self, e: LogError) {
         event!(error, "log_write_failed", reason = e, retry_ms = WRITE_RETRY_DELAY.as_millis());
--- a/orioleworks_log/src/journal.rs
+++ b/orioleworks_log/src/journal.rs
@@ -7,7 +7,7 @@
 
 use std::{
     fs::{self, File, OpenOptions},
-    io::{Read, Write},
+    io::{BufReader, BufWriter, ErrorKind, Read, Write},
     os::unix::fs::FileExt,
     path::{Path, PathBuf},
 };
@@ -19,7 +19,7 @@
 
 use crate::{
     error::LogError,
-    files::{commit_replacement, sync_directory, write_replacement},
+    files::{commit_replacement, sync_directory},
 };
 
 /// Name of the log file.
@@ -34,6 +34,8 @@
 const RECORD_HEADER_LEN: usize = 8;
 /// Length of a mark in bytes. Two slots are written alternately, so that a torn write leaves the older mark intact.
 const SLOT_LEN: usize = 28;
+/// Size in bytes of the buffer between records and the file.
+const FILE_BUFFER_BYTES: usize = 64 * 1024;
 /// Offset of the second slot in bytes.
 const SLOT_DISTANCE: u64 = 512;
 
@@ -75,18 +77,17 @@
             let journal = Self::create(directory, LogPosition::default(), &[])?;
             return Ok((journal, Loaded::default()));
         }
-        let mut bytes = Vec::new();
-        File::open(&path)
-            .and_then(|mut f| f.read_to_end(&mut bytes))
-            .map_err(|e| LogError::io(&path, "read", &e))?;
-        let header = parse_header(&path, &bytes)?;
+        let mut reader = RecordReader::open(&path)?;
+        let header = reader.header()?;
         let (mark_sequence, marked) = read_mark(directory, header.file_id);
         let synced = header.synced_len.max(marked);
-        let (entries, end) = scan(&path, &bytes, header.base, synced)?;
-        let mut journal = Self::attach(directory, header.file_id, end as u64, mark_sequence)?;
-        if end < bytes.len() {
-            event!(warn, "torn_tail_cut", file = path.display(), offset = end, end = bytes.len());
-            journal.file.set_len(end as u64).map_err(|e| LogError::io(&path, "truncate", &e))?;
+        let entries = reader.entries(header.base, synced)?;
+        let (end, file_len) = (reader.at, reader.file_len);
+        drop(reader);
+        let mut journal = Self::attach(directory, header.file_id, end, mark_sequence)?;
+        if end < file_len {
+            event!(warn, "torn_tail_cut", file = path.display(), offset = end, end = file_len);
+            journal.file.set_len(end).map_err(|e| LogError::io(&path, "truncate", &e))?;
         }
         // Records at the end may be readable without being durable.
         journal.sync()?;
@@ -103,24 +104,7 @@
         base: LogPosition,
         entries: &[inner::LogEntry],
     ) -> Result<Self, LogError> {
-        let mut records = Vec::new();
-        for entry in entries {
-            append_record(&mut records, entry);
-        }
-        let len = (HEADER_LEN + records.len()) as u64;
-        let file_id = rand::random();
-        let mut bytes = MAGIC.to_vec();
-        for word in [file_id, len, base.index, base.term] {
-            bytes.extend(word.to_le_bytes());
-        }
-        bytes.extend(crc32c::crc32c(&bytes).to_le_bytes());
-        bytes.extend(records);
-        let path = directory.join(LOG_FILE);
-        fail::fail_point!("log.before_append_sync");
-        write_replacement(&path, &bytes)?;
-        commit_replacement(&path)?;
-        fail::fail_point!("log.after_append_sync");
-        Self::attach(directory, file_id, len, 0)
+        JournalWriter::create(directory, base)?.push(entries)?.finish()
     }
 
     fn attach(
@@ -183,15 +167,86 @@
     }
 }
 
+/// Writes a log file to a temporary file, which replaces the log file once it is complete.
+///
+/// The header holds the length of the file and is written last, so that the entries can be passed in parts.
+#[derive(Debug)]
+pub struct JournalWriter {
+    directory: PathBuf,
+    tmp: PathBuf,
+    file: BufWriter<File>,
+    base: LogPosition,
+    len: u64,
+    /// Record that is being written.
+    record: Vec<u8>,
+}
+
+impl JournalWriter {
+    /// Creates the temporary file of a log that begins after `base`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub fn create(directory: &Path, base: LogPosition) -> Result<Self, LogError> {
+        let tmp = directory.join(LOG_FILE).with_extension("tmp");
+        let file = File::create(&tmp).map_err(|e| LogError::io(&tmp, "creation", &e))?;
+        let mut file = BufWriter::with_capacity(FILE_BUFFER_BYTES, file);
+        file.write_all(&[0; HEADER_LEN]).map_err(|e| LogError::io(&tmp, "write", &e))?;
+        let (directory, len) = (directory.into(), HEADER_LEN as u64);
+        Ok(Self { directory, tmp, file, base, len, record: Vec::new() })
+    }
+
+    /// Adds the next entries.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub fn push(mut self, entries: &[inner::LogEntry]) -> Result<Self, LogError> {
+        for entry in entries {
+            self.record.clear();
+            append_record(&mut self.record, entry);
+            self.file.write_all(&self.record).map_err(|e| LogError::io(&self.tmp, "write", &e))?;
+            self.len += self.record.len() as u64;
+        }
+        Ok(self)
+    }
+
+    /// Makes the file durable and replaces the log file by it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub fn finish(self) -> Result<Journal, LogError> {
+        let Self { directory, tmp, file, base, len, .. } = self;
+        let file = file.into_inner().map_err(|e| LogError::io(&tmp, "write", e.error()))?;
+        let file_id = rand::random();
+        let mut header = MAGIC.to_vec();
+        for word in [file_id, len, base.index, base.term] {
+            header.extend(word.to_le_bytes());
+        }
+        header.extend(crc32c::crc32c(&header).to_le_bytes());
+        file.write_all_at(&header, 0).map_err(|e| LogError::io(&tmp, "write", &e))?;
+        fail::fail_point!("log.before_append_sync");
+        file.sync_all().map_err(|e| LogError::io(&tmp, "sync", &e))?;
+        commit_replacement(&directory.join(LOG_FILE))?;
+        fail::fail_point!("log.after_append_sync");
+        Journal::attach(&directory, file_id, len, 0)
+    }
+}
+
 fn append_record(buf: &mut Vec<u8>, entry: &inner::LogEntry) {
-    let payload = entry.encode_to_vec();
-    let len = u32::try_from(payload.len()).unwrap_or(u32::MAX);
-    let mut covered = len.to_le_bytes().to_vec();
-    covered.extend(&payload);
-    buf.extend(len.to_le_bytes());
-    buf.extend(crc32c::crc32c(&covered).to_le_bytes());
-    // Writing to a vector cannot fail.
-    drop(buf.write_all(&payload));
+    let start = buf.len();
+    buf.extend([0; RECORD_HEADER_LEN]);
+    // Encoding into a vector cannot fail.
+    entry.encode(buf).unwrap_or_default();
+    let (header, payload) = buf[start..].split_at_mut(RECORD_HEADER_LEN);
+    let len = u32::try_from(payload.len()).unwrap_or(u32::MAX).to_le_bytes();
+    header[..4].copy_from_slice(&len);
+    header[4..].copy_from_slice(&record_crc(&len, payload).to_le_bytes());
+}
+
+fn record_crc(len: &[u8], payload: &[u8]) -> u32 {
+    crc32c::crc32c_append(crc32c::crc32c(len), payload)
 }
 
 fn read_u64(bytes: &[u8], at: usize) -> Option<u64> {
@@ -230,41 +285,84 @@
     [slot(0), slot(SLOT_DISTANCE as usize)].into_iter().flatten().max().unwrap_or_default()
 }
 
-/// Entries of the file and the offset at which they end.
-fn scan(
-    path: &Path,
-    bytes: &[u8],
-    base: LogPosition,
-    synced: u64,
-) -> Result<(Vec<inner::LogEntry>, usize), LogError> {
-    let mut entries: Vec<inner::LogEntry> = Vec::new();
-    let mut at = HEADER_LEN;
-    while at < bytes.len() {
-        let next = base.index + entries.len() as u64 + 1;
-        match read_record(bytes, at).filter(|(entry, _)| entry.index == next) {
-            Some((entry, end)) => {
-                entries.push(entry);
-                at = end;
+/// Reads a log file record by record, so that its bytes and its decoded entries are not both in memory.
+struct RecordReader {
+    path: PathBuf,
+    file: BufReader<File>,
+    file_len: u64,
+    /// Offset of the next record.
+    at: u64,
+    /// Payload of the current record.
+    payload: Vec<u8>,
+}
+
+impl RecordReader {
+    fn open(path: &Path) -> Result<Self, LogError> {
+        let file = File::open(path).map_err(|e| LogError::io(path, "open", &e))?;
+        let file_len = file.metadata().map_err(|e| LogError::io(path, "read", &e))?.len();
+        let file = BufReader::with_capacity(FILE_BUFFER_BYTES, file);
+        Ok(Self { path: path.into(), file, file_len, at: 0, payload: Vec::new() })
+    }
+
+    fn header(&mut self) -> Result<Header, LogError> {
+        let mut bytes = [0; HEADER_LEN];
+        if !self.read_exact(&mut bytes)? {
+            return parse_header(&self.path, &[]);
+        }
+        self.at = HEADER_LEN as u64;
+        parse_header(&self.path, &bytes)
+    }
+
+    /// Reads the entries up to the end of the file or to the first invalid record.
+    fn entries(
+        &mut self,
+        base: LogPosition,
+        synced: u64,
+    ) -> Result<Vec<inner::LogEntry>, LogError> {
+        let mut entries: Vec<inner::LogEntry> = Vec::new();
+        while let Some((entry, len)) = self.record()? {
+            if entry.index != base.index + entries.len() as u64 + 1 {
+                break;
             }
-            None => break,
+            entries.push(entry);
+            self.at += len;
+        }
+        if self.at < synced {
+            let reason = format!("no valid record here, but records are synced up to {synced}");
+            return Err(LogError::damaged(&self.path, self.at, reason));
         }
+        Ok(entries)
     }
-    if (at as u64) < synced {
-        let reason = format!("no valid record here, but records are synced up to {synced}");
-        return Err(LogError::damaged(path, at as u64, reason));
+
+    /// Reads the next record and its length; `None` if there is no valid one.
+    fn record(&mut self) -> Result<Option<(inner::LogEntry, u64)>, LogError> {
+        let mut header = [0; RECORD_HEADER_LEN];
+        if !self.read_exact(&mut header)? {
+            return Ok(None);
+        }
+        let (Some(len), Some(crc)) = (read_u32(&header, 0), read_u32(&header, 4)) else {
+            return Ok(None);
+        };
+        let record_len = RECORD_HEADER_LEN as u64 + u64::from(len);
+        // A damaged length must not allocate more than the file has.
+        if self.at + record_len > self.file_len {
+            return Ok(None);
+        }
+        let mut payload = std::mem::take(&mut self.payload);
+        payload.resize(len as usize, 0);
+        let read = self.read_exact(&mut payload)?;
+        let valid = read && record_crc(&header[..4], &payload) == crc;
+        let entry = valid.then(|| inner::LogEntry::decode(&*payload).ok()).flatten();
+        self.payload = payload;
+        Ok(entry.map(|entry| (entry, record_len)))
     }
-    Ok((entries, at))
-}
 
-fn read_record(bytes: &[u8], at: usize) -> Option<(inner::LogEntry, usize)> {
-    let len = read_u32(bytes, at)? as usize;
-    let crc = read_u32(bytes, at + 4)?;
-    let start = at + RECORD_HEADER_LEN;
-    let payload = bytes.get(start..start.checked_add(len)?)?;
-    let mut covered = bytes[at..at + 4].to_vec();
-    covered.extend(payload);
-    if crc32c::crc32c(&covered) != crc {
-        return None;
+    /// Fills a buffer; returns false if the file ends before.
+    fn read_exact(&mut self, buf: &mut [u8]) -> Result<bool, LogError> {
+        match self.file.read_exact(buf) {
+            Ok(()) => Ok(true),
+            Err(e) if e.kind() == ErrorKind::UnexpectedEof => Ok(false),
+            Err(e) => Err(LogError::io(&self.path, "read", &e)),
+        }
     }
-    Some((inner::LogEntry::decode(payload).ok()?, start + len))
 }
--- a/orioleworks_log/src/replication.rs
+++ b/orioleworks_log/src/replication.rs
@@ -6,7 +6,6 @@
 
 use compio::time;
 use orioleworks_proto::inner::{self, frame::Body};
-use prost::Message;
 
 use crate::{
     node::{Log, Sharing},
@@ -156,15 +155,7 @@
             return NextMessage::Wait;
         }
         let prev_index = progress.next_index - 1;
-        let mut bytes = 0;
-        let from = (prev_index - state.base.index) as usize;
-        // The first message after an election only probes for the matching part.
-        let batch = state.entries.range(from..).take_while(|entry| {
-            let first = bytes == 0;
-            bytes += entry.encoded_len();
-            first || bytes <= MAX_BATCH_BYTES
-        });
-        let entries = batch.cloned().collect();
+        let entries = state.entries_after(prev_index, MAX_BATCH_BYTES);
         NextMessage::Append(inner::Append {
             term,
             leader_id: state.id(),
--- a/orioleworks_log/src/state.rs
+++ b/orioleworks_log/src/state.rs
@@ -148,6 +148,19 @@
         self.entries.get(usize::try_from(offset).ok()?)
     }
 
+    /// Copies the entries after an index up to an encoded size in bytes; the first one whatever its size.
+    pub fn entries_after(&self, index: u64, max_bytes: usize) -> Vec<inner::LogEntry> {
+        let from = index.saturating_sub(self.base.index);
+        let from = usize::try_from(from).unwrap_or(usize::MAX).min(self.entries.len());
+        let mut bytes = 0;
+        let part = self.entries.range(from..).take_while(|entry| {
+            let first = bytes == 0;
+            bytes += entry.encoded_len();
+            first || bytes <= max_bytes
+        });
+        part.cloned().collect()
+    }
+
     /// Term of the entry at an index; `None` when it is not known.
     pub fn term_at(&self, index: u64) -> Option<u64> {
         if index == self.base.index {
