--- a/orioleworks_log/src/durable.rs
+++ b/orioleworks_log/src/durable.rs
@@ -204,7 +204,7 @@
             let since = state.applied.saturating_sub(state.snapshot.last_index);
             let settings = &self.inner.settings;
             if since < settings.snapshot_entries
-                && (since == 0 || state.bytes_after_snapshot() < settings.snapshot_bytes)
+                && (since == 0 || !state.has_applied_bytes(settings.snapshot_bytes))
             {
                 return;
             }
@@ -225,7 +225,7 @@
         let mut state = self.inner.state.borrow_mut();
         let settings = &self.inner.settings;
         let (keep_from, tail_bytes) =
-            state.tail(snapshot.last_index, settings.tail_entries, settings.snapshot_bytes);
+            state.tail(snapshot.last_index, settings.tail_entries, settings.tail_bytes);
         state.snapshot = snapshot;
         state.tail_bytes = tail_bytes;
         if keep_from > state.base.index {
--- a/orioleworks_log/src/settings.rs
+++ b/orioleworks_log/src/settings.rs
@@ -36,7 +36,9 @@
     pub snapshot_entries: u64,
     /// Log entries kept behind a snapshot, so that a replica that is slightly behind needs no snapshot.
     pub tail_entries: u64,
-    /// Bytes of log entries in memory after which a snapshot is taken.
+    /// Largest encoded size of these entries in bytes.
+    pub tail_bytes: usize,
+    /// Bytes of applied log entries after which a snapshot is taken.
     pub snapshot_bytes: usize,
     /// Largest number of voters; further replicas stay learners until a voter is lost.
     pub max_voters: usize,
@@ -64,6 +66,7 @@
             election_max: Duration::from_millis(800),
             snapshot_entries: 1000,
             tail_entries: 100,
+            tail_bytes: usize::MAX,
             snapshot_bytes: usize::MAX,
             max_voters: usize::MAX,
             max_voters_per_domain: usize::MAX,
--- a/orioleworks_log/src/state.rs
+++ b/orioleworks_log/src/state.rs
@@ -227,9 +227,15 @@
         self.rewrite = true;
     }
 
-    /// Encoded size of the entries that the newest snapshot does not cover.
-    pub fn bytes_after_snapshot(&self) -> usize {
-        self.bytes.saturating_sub(self.tail_bytes)
+    /// Whether the applied entries that the newest snapshot does not cover have reached a size in bytes. Entries that wait
+    /// for a quorum do not count, because the next snapshot would not cover them either.
+    pub fn has_applied_bytes(&self, bytes: usize) -> bool {
+        let uncovered = self.bytes.saturating_sub(self.tail_bytes);
+        if uncovered < bytes {
+            return false;
+        }
+        let waiting = self.entries.iter().rev().take_while(|entry| entry.index > self.applied);
+        uncovered.saturating_sub(waiting.map(Message::encoded_len).sum()) >= bytes
     }
 
     /// Entries to keep behind a snapshot that covers those up to `last`: at most `count` with at most `bytes` bytes.
--- a/orioleworks_log/tests/replicas.rs
+++ b/orioleworks_log/tests/replicas.rs
@@ -8,7 +8,7 @@
 use futures_util::future;
 use orioleworks_daemon::http;
 use orioleworks_log::{
-    Log, ProposeError,
+    Log, ProposeError, Settings,
     journal::{Journal, LOG_FILE, Loaded, SYNCED_FILE},
 };
 use orioleworks_proto::inner::{self, frame::Body};
@@ -69,6 +69,64 @@
     });
 }
 
+/// Guards against a snapshot of the whole state for each applied entry while more than the threshold waits for a quorum.
+#[test]
+fn entries_that_wait_for_a_slow_quorum_do_not_cause_snapshots() {
+    const ENTRIES: usize = 60;
+    const THRESHOLD: usize = 10 * LARGE_ENTRY_BYTES;
+    const SLOW: Duration = Duration::from_millis(50);
+    run(async {
+        let directories = [tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap()];
+        let a = http::bind("127.0.0.1:0").await.unwrap();
+        let b = http::bind("127.0.0.1:0").await.unwrap();
+        let replicas = [replica("a", &a), replica("b", &b)];
+        let token = CancellationToken::new();
+        let settings = |name, i: usize| Settings {
+            snapshot_bytes: THRESHOLD,
+            ..settings(name, directories[i].path(), &replicas)
+        };
+        let logs =
+            [start(settings("a", 0), a, SLOW, &token), start(settings("b", 1), b, SLOW, &token)];
+        let (log, calls) = leader(&logs).await;
+        let content = "x".repeat(LARGE_ENTRY_BYTES);
+        let proposals =
+            (0..ENTRIES).map(|_| log.propose_until_decided("", command(content.clone())));
+        let decided = future::join_all(proposals).await;
+        assert!(decided.iter().all(Result::is_ok));
+        let (taken, due) = (calls.snapshots.get(), ENTRIES * LARGE_ENTRY_BYTES / THRESHOLD);
+        assert!(taken <= due + 1, "{taken} snapshots where {due} are due");
+        token.cancel();
+    });
+}
+
+/// Guards against a log that holds as much behind a snapshot as may collect until the next one.
+#[test]
+fn the_log_in_memory_keeps_to_the_sum_of_its_bounds() {
+    const THRESHOLD: usize = 10 * LARGE_ENTRY_BYTES;
+    const TAIL: usize = 3 * LARGE_ENTRY_BYTES;
+    run(async {
+        let directory = tempfile::tempdir().unwrap();
+        let listener = http::bind("127.0.0.1:0").await.unwrap();
+        let replicas = [replica("a", &listener)];
+        let token = CancellationToken::new();
+        let mut settings = settings("a", directory.path(), &replicas);
+        (settings.snapshot_bytes, settings.tail_bytes) = (THRESHOLD, TAIL);
+        let logs = [start(settings, listener, Duration::ZERO, &token)];
+        let (log, _) = leader(&logs).await;
+        let mut largest = 0;
+        for _ in 0..60 {
+            log.propose("", command("x".repeat(LARGE_ENTRY_BYTES))).await.unwrap();
+            largest = largest.max(log.entry_bytes());
+            // Lets the task that takes snapshots run.
+            time::sleep(Duration::from_millis(20)).await;
+        }
+        token.cancel();
+        // The entry that reaches the threshold is the last one before the snapshot.
+        let bound = THRESHOLD + TAIL + 2 * LARGE_ENTRY_BYTES;
+        assert!(largest <= bound, "{largest} B where {bound} B are the bound");
+    });
+}
+
 /// Entries of a leader from an index on; their content names index and term.
 fn entries(term: u64, first: u64, count: u64) -> Vec<inner::LogEntry> {
     let content = |index| format!("{index}/{term}/{}", "x".repeat(LARGE_ENTRY_BYTES));
--- a/orioleworks_store/src/config.rs
+++ b/orioleworks_store/src/config.rs
@@ -187,20 +187,32 @@
 
     /// Settings of the replicated log.
     pub fn log_settings(&self) -> orioleworks_log::Settings {
-        /// Largest size of the log in memory; holds the results of a few steps, so that snapshots are seconds apart.
-        const SNAPSHOT_BYTES: usize = 12 * 1024 * 1024;
+        /// Share of the memory for entries since the last snapshot, in percent. It sets the time between snapshots, each
+        /// of which writes the whole state.
+        const SNAPSHOT_PERCENT: usize = 6;
+        /// Share for entries behind it, in percent; a store that is away for less than `REPLACE_AFTER` should not need
+        /// a snapshot.
+        const TAIL_PERCENT: usize = 4;
+        /// Least size of either, in bytes; holds the results of several commits.
+        const MIN_BYTES: usize = 2 * 1024 * 1024;
+        /// Largest size of either, in bytes; more does not make snapshots much cheaper.
+        const MAX_BYTES: usize = 12 * 1024 * 1024;
         /// Longer than a restart, which takes seconds, so that a restarted store stays a member; a lost one is replaced
         /// soon after.
         const REPLACE_AFTER: Duration = Duration::from_secs(5);
         let own = self.inner_address().to_string();
         let losses = self.cluster.tolerated_losses.max(1);
+        let share = |percent: usize| {
+            (self.limits.memory_bytes() / 100 * percent).clamp(MIN_BYTES, MAX_BYTES)
+        };
         let is_seed = self.seed_addresses().any(|seed| seed == own);
         orioleworks_log::Settings {
             domain: self.instance.failure_domain.to_string(),
             replicas: self.replicas(),
             bootstrap: self.cluster.bootstrap && is_seed,
             snapshot_entries: 4000,
-            snapshot_bytes: SNAPSHOT_BYTES,
+            snapshot_bytes: share(SNAPSHOT_PERCENT),
+            tail_bytes: share(TAIL_PERCENT),
             max_voters: 2 * losses + 1,
             max_voters_per_domain: losses,
             replace_after: Some(REPLACE_AFTER),
