Collected results are committed in entries of about 1 MB

Results, failed attempts and saved output of a batch that collect while a quorum is slow became one entry whatever their size. An entry over the 8 MB of a frame closes the connection to each follower, again and again, so that nothing is committed any more. A record is now split into parts of up to 1 MB, which are committed one after another. A part that finds no quorum goes back with the parts after it, before what has been added meanwhile; parts that are left when the term ends are dropped, as the next leader runs their items.

No run of a whole deployment with a slow quorum was made.

--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -5,16 +5,14 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet, VecDeque},
     rc::Rc,
     time::Duration,
 };
 
 use compio::runtime;
 use futures_util::{FutureExt, future, select};
-use indexmap::IndexMap;
 use orioleworks_daemon::{clock, event, fingerprint};
-use orioleworks_fleet::texts;
 use orioleworks_log::{ProposeError, notify::Notify};
 use orioleworks_proto::inner::{self, command::Kind};
 use orioleworks_routing::{
@@ -31,6 +29,7 @@
     crashes,
     engines::{Engines, key_of},
     permits,
+    records::{self, ItemKey, MAX_RECORD_BYTES, Records, add_result, record_for},
     runner::{self, Observation, Progress, Run, RunEnd, RunObserver},
     shared::Shared,
     state::Item,
@@ -51,9 +50,6 @@
 /// Longest wait of an item for an engine of the software version that began its text, while others have room.
 const START_OVER_AFTER: Duration = Duration::from_millis(500);
 
-type ItemKey = (Rc<str>, Rc<str>);
-type Records = IndexMap<Rc<str>, inner::RecordResults>;
-
 struct Waiting {
     key: ItemKey,
     batch: Rc<inner::Batch>,
@@ -269,7 +265,7 @@
                     batch = waiting.key.0,
                     reason = "retention"
                 );
-                add_result(&mut work, &waiting.key, None);
+                add_result(&mut work.results, &waiting.key, None);
             }
         }
         // If no engine has room for an item, none has for the other items of its batch that are equally long or short.
@@ -589,7 +585,7 @@
             RunEnd::Completed => {
                 let progress = waiting.progress.borrow();
                 let (text, versions) = (progress.text(), progress.versions());
-                add_result(&mut work, &waiting.key, Some((text, versions)));
+                add_result(&mut work.results, &waiting.key, Some((text, versions)));
                 self.inner.records_pending.notify();
                 return;
             }
@@ -602,7 +598,7 @@
                     reason = "impossible",
                     upstream = run.upstream.id
                 );
-                add_result(&mut work, &waiting.key, None);
+                add_result(&mut work.results, &waiting.key, None);
                 self.inner.records_pending.notify();
                 return;
             }
@@ -622,7 +618,7 @@
                         reason = "attempts",
                         attempts = waiting.failed_attempts
                     );
-                    add_result(&mut work, &waiting.key, None);
+                    add_result(&mut work.results, &waiting.key, None);
                     self.inner.records_pending.notify();
                     return;
                 }
@@ -697,29 +693,37 @@
         }
     }
 
+    /// Commits a record in parts, one after another, because the order of saved output matters.
     async fn record(&self, record: inner::RecordResults, term: u64) {
-        let kind = Some(Kind::RecordResults(record.clone()));
-        let command = inner::Command { expected_revision: None, kind };
-        let (id, count) = (record.batch_id.clone(), record.results.len());
-        match self.inner.shared.log.propose_until_decided("", command).await {
-            Ok(_) => {}
-            Err(ProposeError::NoQuorum) => {
-                let reason = ProposeError::NoQuorum;
+        let mut parts = VecDeque::from(records::split(record, MAX_RECORD_BYTES));
+        while let Some(part) = parts.front() {
+            let kind = Some(Kind::RecordResults(part.clone()));
+            let command = inner::Command { expected_revision: None, kind };
+            // Results belong to the term in which they were generated.
+            let decided = if self.inner.term.get() == term {
+                self.inner.shared.log.propose_until_decided("", command).await
+            } else {
+                Err(ProposeError::NotLeader)
+            };
+            let Err(reason) = decided else {
+                parts.pop_front();
+                continue;
+            };
+            let id = part.batch_id.clone();
+            let count: usize = parts.iter().map(|part| part.results.len()).sum();
+            if reason == ProposeError::NoQuorum {
                 event!(warn, "results_unconfirmed", batch = id, results = count, reason = reason);
                 let mut work = self.inner.work.borrow_mut();
                 if self.inner.term.get() == term {
-                    let pending =
-                        record_for(&mut work.results, &Rc::from(record.batch_id.as_str()));
-                    pending.results.extend(record.results);
-                    pending.failed.extend(record.failed);
-                    // Progress that was saved in the meantime continues the progress that is recorded again.
-                    pending.progress.splice(0..0, record.progress);
+                    for part in parts.into_iter().rev() {
+                        records::put_back(&mut work.results, part);
+                    }
                 }
+            } else {
+                // The next leader runs the items that are not listed.
+                event!(info, "results_dropped", batch = id, results = count, reason = reason);
             }
-            // The next leader runs the items that are not listed.
-            Err(e) => {
-                event!(info, "results_dropped", batch = id, results = count, reason = e);
-            }
+            return;
         }
     }
 }
@@ -732,19 +736,3 @@
 fn expected_memory(item: &inner::BatchItem) -> u64 {
     items::expected_memory(item.prompt_tokens, item.expected_tokens, item.tokens)
 }
-
-fn record_for<'a>(results: &'a mut Records, batch: &Rc<str>) -> &'a mut inner::RecordResults {
-    results.entry(batch.clone()).or_insert_with(|| inner::RecordResults {
-        batch_id: batch.to_string(),
-        ..Default::default()
-    })
-}
-
-/// Adds the result of an item; `None` for one that was given up.
-fn add_result(work: &mut Work, key: &ItemKey, done: Option<(bytes::Bytes, Vec<u64>)>) {
-    let completed = done.is_some();
-    let (text, versions) = done.unwrap_or_default();
-    let (text, text_len) = texts::pack(text);
-    let result = inner::ItemResult { id: key.1.to_string(), completed, text, versions, text_len };
-    record_for(&mut work.results, &key.0).results.push(result);
-}
--- a/orioleworks_store/src/lib.rs
+++ b/orioleworks_store/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod orders;
 pub mod peers;
 pub mod permits;
+pub mod records;
 pub mod runner;
 pub mod service;
 pub mod shared;
