--- a/orioleworks_log/src/state.rs
+++ b/orioleworks_log/src/state.rs
@@ -148,6 +148,19 @@
         self.entries.get(usize::try_from(offset).ok()?)
     }
 
+    /// Copies the entries after an index up to an encoded size in bytes; the first one whatever its size.
+    pub fn entries_after(&self, index: u64, max_bytes: usize) -> Vec<inner::LogEntry> {
+        let from = index.saturating_sub(self.base.index);
+        let from = usize::try_from(from).unwrap_or(usize::MAX).min(self.entries.len());
+        let mut bytes = 0;
+        let part = self.entries.range(from..).take_while(|entry| {
+            let first = bytes == 0;
+            bytes += entry.encoded_len();
+            first || bytes <= max_bytes
+        });
+        part.cloned().collect()
+    }
+
     /// Term of the entry at an index; `None` when it is not known.
     pub fn term_at(&self, index: u64) -> Option<u64> {
         if index == self.base.index {
@@ -214,9 +227,15 @@
         self.rewrite = true;
     }
 
-    /// Encoded size of the entries that the newest snapshot does not cover.
-    pub fn bytes_after_snapshot(&self) -> usize {
-        self.bytes.saturating_sub(self.tail_bytes)
+    /// Whether the applied entries that the newest snapshot does not cover have reached a size in bytes. Entries that wait
+    /// for a quorum do not count, because the next snapshot would not cover them either.
+    pub fn has_applied_bytes(&self, bytes: usize) -> bool {
+        let uncovered = self.bytes.saturating_sub(self.tail_bytes);
+        if uncovered < bytes {
+            return false;
+        }
+        let waiting = self.entries.iter().rev().take_while(|entry| entry.index > self.applied);
+        uncovered.saturating_sub(waiting.map(Message::encoded_len).sum()) >= bytes
     }
 
     /// Entries to keep behind a snapshot that covers those up to `last`: at most `count` with at most `bytes` bytes.
