The successor of a retired store votes before the store is removed

Trainers and operators could read nothing that had been accepted: batches, results and the route document were gone, and no store led any more. A retired voter was removed first if the rest could still commit, so that two of three voters (four of five) were left until its successor was promoted; a retired leader even stepped down in between.

The class is a change that lowers for a moment what may be lost. A retired voter still holds everything and answers, so it stays until its successor has voted; while it stays, as many losses are tolerated as before. Among the learners that are ready, one of the domain with the fewest voters is taken. Lost voters are still removed first: they cannot vote in any case.

--- a/orioleworks_log/src/reconfiguration.rs
+++ b/orioleworks_log/src/reconfiguration.rs
@@ -2,7 +2,9 @@
 //!
 //! No step is taken after which the live voters could not commit. If both orders are possible, a lost voter is removed
 //! before the learner that replaces it is promoted. Promoting first would raise the quorum of three replicas to three
-//! of four, so that the loss of the new voter during the repair would stop the cluster permanently.
+//! of four, so that the loss of the new voter during the repair would stop the cluster permanently. A retired voter still
+//! holds everything, so that it stays until its successor votes: removing it first would leave two of three replicas, of which
+//! none may be lost.
 
 use std::{
     cmp::Reverse,
@@ -65,7 +67,10 @@
         return Some(Step::Remove(learner.id, "retired_learner_removed"));
     }
     let voters = || members.iter().filter(|m| !m.learner);
-    let ready = members.iter().filter(|m| m.learner && m.live && m.caught_up);
+    let mut ready: Vec<&MemberStatus> =
+        members.iter().filter(|m| m.learner && m.live && m.caught_up).collect();
+    // The domain with the fewest voters that stay comes first.
+    ready.sort_by_key(|m| voters().filter(|v| v.domain == m.domain && !v.retired).count());
     for ready in ready {
         let same_name = voters().find(|m| m.name == ready.name);
         if same_name.is_some_and(|m| m.name_in_use) {
@@ -83,9 +88,9 @@
         if let Some(old) = same_name {
             steps.push(Step::Remove(old.id, "lost_identity_removed"));
         } else if let Some(old) = retired {
-            steps.push(Step::Remove(old.id, "retired_voter_removed"));
-            // While another voter is down, the successor must be a voter before the retired one can be removed.
-            steps.push(successor);
+            let surplus = count > bounds.voters;
+            let removal = Step::Remove(old.id, "retired_voter_removed");
+            steps.push(if surplus { removal } else { successor });
         } else if has_vacancy {
             steps.push(successor);
         } else if let Some(old) = lost {
