--- a/orioleworks_gateway/tests/texts.rs
+++ b/orioleworks_gateway/tests/texts.rs
@@ -140,6 +140,32 @@
     assert!(read_all(&d) == listed, "after a restart of all");
 }
 
+/// Guards against figures of memory that do not tell texts in memory from texts on disk.
+#[test]
+fn figures_tell_texts_in_memory_from_texts_on_disk() {
+    let (d, _engines) = start();
+    submit(&d, 0);
+    read(&d, 0);
+    let leader = d.leader().unwrap();
+    let figure = |name: &str| {
+        let metrics = client::call(&d.control_address(leader), "GET", "/metrics", &[], "").unwrap();
+        let name = format!(r#"orioleworks_memory_bytes{{use="{name}"}} "#);
+        let value = metrics.body.lines().find_map(|line| line.strip_prefix(&name))?;
+        Some(value.parse::<f64>().unwrap() as u64)
+    };
+    let size = |file: fs::DirEntry| file.metadata().unwrap().len();
+    d.wait_until("the texts on disk are counted", || {
+        let on_disk: u64 = text_files(&d, leader).into_iter().map(size).sum();
+        on_disk > 0 && figure("texts_on_disk") == Some(on_disk)
+    });
+    let in_memory = figure("texts").unwrap();
+    assert!(in_memory > 0 && in_memory <= (MEMORY_MB << 20) as u64 / 10, "{in_memory} bytes");
+    let log = d.stores[leader].as_ref().unwrap().log();
+    let grown = log.lines().filter(|line| line.contains("event=memory_grown"));
+    assert!(grown.clone().count() > 0);
+    assert!(grown.clone().all(|line| line.contains(" texts_on_disk_kb=")), "{log}");
+}
+
 /// Guards against a wrong text, or results that are denied, after a disk damaged the file of texts.
 #[test]
 fn a_damaged_text_is_refused_until_the_store_has_restored_it() {
--- a/orioleworks_store/src/memory.rs
+++ b/orioleworks_store/src/memory.rs
@@ -65,6 +65,7 @@
         let Some(resident) = resident() else { return };
         let uses = [
             ("texts", usage.texts),
+            ("texts_on_disk", usage.texts_on_disk),
             ("bodies", usage.bodies),
             ("progress", usage.progress),
             ("running", usage.running),
@@ -87,6 +88,7 @@
             resident_kb = kb(resident),
             limit_kb = kb(self.limit),
             texts_kb = kb(usage.texts),
+            texts_on_disk_kb = kb(usage.texts_on_disk),
             bodies_kb = kb(usage.bodies),
             progress_kb = kb(usage.progress),
             running_kb = kb(usage.running),
