A leading store without memory for another batch refuses it as not run

A leader accepted batches until the platform killed it. It now refuses a new one with 503, result code 2011 and Retry-After while its lowest resident memory of three readings in 4 s is above 90 % of the limit, or bodies and output of open batches would take more than half of it; output that is still to come is not estimated. Three readings, because the allocator keeps freed memory after peaks. Any batch is accepted while none is open, because nothing else would make room. A batch that is accepted, or whose entry is still in the log of the leader, is never refused, and a gateway whose earlier copy is unconfirmed does not report one as not run.

--- a/orioleworks_fleet/src/stores.rs
+++ b/orioleworks_fleet/src/stores.rs
@@ -118,6 +118,8 @@
                         }
                         ResultCode::NoQuorum | ResultCode::NotReady => {}
                         ResultCode::OrderUnconfirmed => unconfirmed = true,
+                        // An earlier copy may still arrive where there is memory for it.
+                        ResultCode::MemoryShort if unconfirmed => return CallOutcome::Unconfirmed,
                         _ => {
                             self.set_leader(&address);
                             return CallOutcome::Replied(Box::new(body));
--- a/orioleworks_gateway/src/batches.rs
+++ b/orioleworks_gateway/src/batches.rs
@@ -31,6 +31,8 @@
 const REPLY_SLACK: Duration = Duration::from_millis(700);
 /// Retry advice when there is no leader; most elections are over by then.
 const NO_LEADER_RETRY: Duration = Duration::from_millis(500);
+/// Retry advice when a store has no memory for another batch; items of a few seconds are done by then.
+const MEMORY_SHORT_RETRY: Duration = Duration::from_millis(2000);
 /// Largest size of the texts in one reply, in bytes; the platform accepts 1 MB for the complete reply.
 const MAX_RESULT_BYTES: u32 = 900_000;
 
@@ -140,6 +142,9 @@
     match outcome {
         CallOutcome::Replied(body) => match stores::result_code(&body) {
             ResultCode::Ok => Ok(*body),
+            ResultCode::MemoryShort => {
+                Err(Refusal::new(ResultCode::MemoryShort, what, MEMORY_SHORT_RETRY))
+            }
             code => Err(Refusal::new(code, what, Duration::ZERO)),
         },
         CallOutcome::NoLeader => Err(no_leader(what)),
--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -428,6 +428,13 @@
         self.inner.state.borrow().bytes
     }
 
+    /// Whether an entry that is not applied yet has a command for which a condition holds.
+    pub fn has_pending(&self, holds: impl Fn(&inner::Command) -> bool) -> bool {
+        let state = self.inner.state.borrow();
+        let pending = state.entries.iter().rev().take_while(|entry| entry.index > state.applied);
+        pending.filter_map(|entry| entry.command.as_ref()).any(holds)
+    }
+
     /// Whether this replica leads.
     pub fn is_leader(&self) -> bool {
         self.inner.state.borrow().is_leader()
--- a/orioleworks_proto/src/codes.rs
+++ b/orioleworks_proto/src/codes.rs
@@ -46,6 +46,8 @@
     RateLimited = 2009,
     /// nothing is known of what began the stream, so that nothing can go on with it
     StreamUnknown = 2010,
+    /// the leading store has no memory for another batch now
+    MemoryShort = 2011,
     /// the outcome of the request is unknown; it may have run
     OutcomeUnknown = 3001,
     /// the deadline passed after the request was sent; it may have run
@@ -102,6 +104,7 @@
     ResultCode::DeadlineBeforeDispatch,
     ResultCode::RateLimited,
     ResultCode::StreamUnknown,
+    ResultCode::MemoryShort,
     ResultCode::OutcomeUnknown,
     ResultCode::DeadlineExceeded,
     ResultCode::InProgress,
@@ -172,6 +175,7 @@
             Self::NoUpstream | Self::ClaimsUnavailable | Self::ShuttingDown => 503,
             Self::NotReady | Self::RefusedByUpstream | Self::NoQuorum => 503,
             Self::MembershipBusy | Self::RateLimited | Self::StreamUnknown => 503,
+            Self::MemoryShort => 503,
             Self::DeadlineBeforeDispatch | Self::DeadlineExceeded | Self::OrderUnconfirmed => 504,
         }
     }
--- a/orioleworks_store/src/memory.rs
+++ b/orioleworks_store/src/memory.rs
@@ -1,9 +1,13 @@
 //! Memory of a store by use; see `docs/platform.md`, "State and bounds".
 //!
 //! The platform kills a process that exceeds its limit, and the next leader takes over the same state. The figures tell
-//! what holds the memory before that happens.
+//! what holds the memory before that happens, and a leader refuses batches for which there is none.
 
-use std::{cell::Cell, fs};
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    fs,
+};
 
 use orioleworks_daemon::event;
 
@@ -13,6 +17,12 @@
 const PAGE_BYTES: usize = 4096;
 /// Growth of the resident memory, in percent of the limit, after which the uses are logged again.
 const LOGGED_STEP_PERCENT: usize = 10;
+/// Resident memory, in percent of the limit, above which a leader with open batches accepts no other one.
+pub const RESIDENT_PERCENT: usize = 90;
+/// Most that open batches may hold, in percent of the limit; the rest is for texts, log, connections and free memory.
+pub const OPEN_PERCENT: usize = 50;
+/// Figures of the resident memory whose lowest one counts, so that a peak of a few seconds refuses nothing.
+const SAMPLES: usize = 3;
 
 /// Bytes held by each use. What is resident beyond their sum are buffers, connections and free memory of the allocator.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -39,6 +49,17 @@
     }
 }
 
+/// A batch for which there is no memory, with the figures that say so, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Short {
+    /// Resident memory.
+    pub resident: usize,
+    /// What the open batches and the new one hold.
+    pub held: usize,
+    /// Memory limit.
+    pub limit: usize,
+}
+
 /// Resident memory of this process in bytes; `None` where `/proc` does not tell.
 pub fn resident() -> Option<usize> {
     let statm = fs::read_to_string("/proc/self/statm").ok()?;
@@ -52,17 +73,39 @@
     limit: usize,
     /// Resident memory that is logged next.
     next_logged: Cell<usize>,
+    /// Latest figures of the resident memory.
+    samples: RefCell<VecDeque<usize>>,
 }
 
 impl Monitor {
     /// Creates a monitor for a limit in bytes.
     pub fn new(limit: usize) -> Self {
-        Self { limit, next_logged: Cell::new(0) }
+        Self { limit, next_logged: Cell::new(0), samples: RefCell::default() }
+    }
+
+    /// Notes a figure of the resident memory.
+    pub fn note(&self, resident: usize) {
+        let mut samples = self.samples.borrow_mut();
+        samples.truncate(SAMPLES - 1);
+        samples.push_front(resident);
+    }
+
+    /// Whether there is no memory for a batch with bodies of a size. Without an open batch there always is: what is resident
+    /// then is mostly free memory that the allocator keeps, and nothing would ever make room.
+    pub fn is_short(&self, usage: Usage, open_batches: usize, bodies: usize) -> Option<Short> {
+        let samples = self.samples.borrow();
+        let lowest = samples.iter().copied().min().filter(|_| samples.len() == SAMPLES);
+        let resident = lowest.unwrap_or(0);
+        let held = usage.bodies + usage.progress + usage.running + bodies;
+        let over = |bytes: usize, percent: usize| bytes > self.limit * percent / 100;
+        let short = over(resident, RESIDENT_PERCENT) || over(held, OPEN_PERCENT);
+        (open_batches > 0 && short).then_some(Short { resident, held, limit: self.limit })
     }
 
     /// Publishes the gauges.
     pub fn publish(&self, usage: Usage) {
         let Some(resident) = resident() else { return };
+        self.note(resident);
         let uses = [
             ("texts", usage.texts),
             ("texts_on_disk", usage.texts_on_disk),
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -31,7 +31,7 @@
 use crate::{
     config::Config,
     dispatch::Dispatch,
-    memory::Monitor,
+    memory::{Monitor, Usage},
     orders::Orders,
     peers, permits,
     shared::Shared,
@@ -58,6 +58,7 @@
     stores: Stores,
     dispatch: Dispatch,
     orders: Orders,
+    memory: Rc<Monitor>,
     /// Random ID of this process; the cursors of an earlier process are invalid.
     boot: u64,
 }
@@ -106,8 +107,9 @@
         let dispatch = Dispatch::new(shared.clone());
         let lease = Duration::from_millis(cfg.orders.lease_ms);
         let orders = Orders::new(&cfg.instance.name, lease, shared.clone(), dispatch.clone());
+        let memory = Rc::new(Monitor::new(cfg.limits.memory_bytes()));
         let boot = rand::random_range(1..=u64::MAX);
-        Ok(Self { cfg: Rc::new(cfg), shared, stores, dispatch, orders, boot })
+        Ok(Self { cfg: Rc::new(cfg), shared, stores, dispatch, orders, memory, boot })
     }
 
     /// Starts the tasks; they end with the token.
@@ -126,7 +128,6 @@
     }
 
     async fn run_housekeeping(&self, token: CancellationToken) {
-        let memory = Monitor::new(self.cfg.limits.memory_bytes());
         while !token.is_cancelled() {
             self.remove_expired_upstreams();
             self.shared.knowledge.crashes.borrow_mut().expire(clock::since_boot());
@@ -134,7 +135,7 @@
             self.shared.streams.borrow_mut().expire(clock::since_boot());
             self.shared.knowledge.gateways.borrow_mut().expire(clock::since_boot());
             self.shared.pool.close_expired();
-            telemetry::publish(&self.shared, &self.dispatch, &memory);
+            telemetry::publish(&self.shared, &self.dispatch, &self.memory);
             self.shared.log.set_retired(self.shared.state.borrow().retired().iter().cloned());
             time::sleep(HOUSEKEEPING_INTERVAL).await;
         }
@@ -256,6 +257,11 @@
         {
             return reply(code);
         }
+        if let Some(Kind::PutBatch(batch)) = &command.kind
+            && let Err(code) = self.check_memory(batch).await
+        {
+            return reply(code);
+        }
         let started = Instant::now();
         let reply = match self.shared.log.propose(&propose.order_id, command).await {
             Ok(done) => done,
@@ -267,6 +273,31 @@
         reply
     }
 
+    /// Checks that a new batch fits into memory. One that is accepted, or may still be, is not new.
+    async fn check_memory(&self, batch: &inner::Batch) -> Result<(), ResultCode> {
+        self.shared.log.ready_to_propose().await.map_err(|e| e.code())?;
+        let usage = Usage::of(&self.shared, &self.dispatch);
+        let state = self.shared.state.borrow();
+        let bodies = batch.items.iter().map(|item| item.body.len()).sum();
+        let short = self.memory.is_short(usage, state.open_batches().count(), bodies);
+        let Some(short) = short.filter(|_| state.batch(&batch.id).is_none()) else { return Ok(()) };
+        let is_copy = |command: &inner::Command| matches!(&command.kind, Some(Kind::PutBatch(pending)) if pending.id == batch.id);
+        if self.shared.log.has_pending(is_copy) {
+            return Ok(());
+        }
+        let kb = |bytes: usize| bytes / 1024;
+        event!(
+            warn,
+            "batch_refused",
+            batch = batch.id,
+            reason = ResultCode::MemoryShort.name(),
+            resident_kb = kb(short.resident),
+            held_kb = kb(short.held),
+            limit_kb = kb(short.limit),
+        );
+        Err(ResultCode::MemoryShort)
+    }
+
     /// Checks that enough stores remain without the named one.
     fn check_retirement(&self, name: &str) -> Result<(), ResultCode> {
         let state = self.shared.state.borrow();
