Texts leave the memory also after their directory was removed

Test: a_removed_directory_is_made_again failed before with "5920888 bytes" in memory where the limit is 256 KB. A file that is gone already counts as removed; it delayed every write before.

--- a/orioleworks_store/src/texts.rs
+++ b/orioleworks_store/src/texts.rs
@@ -215,7 +215,9 @@
         }
         let unused = std::mem::take(&mut *lock(&self.inner.status.unused));
         for path in unused {
-            if let Err(e) = fs::remove_file(&path) {
+            if let Err(e) = fs::remove_file(&path)
+                && e.kind() != io::ErrorKind::NotFound
+            {
                 writer.retry_at = Some(Instant::now() + RETRY_DELAY);
                 event!(warn, "text_file_kept", file = path.display(), reason = e);
                 lock(&self.inner.status.unused).push(path);
@@ -321,7 +323,11 @@
             writer.next += 1;
             let mut options = OpenOptions::new();
             let file = options.read(true).write(true).create(true).truncate(true).open(&path);
-            let file = file.map_err(|e| in_file(&path, "creation", &e))?;
+            let file = file.map_err(|e| {
+                // Someone has removed the directory, so the next write makes it again.
+                writer.prepared &= e.kind() != io::ErrorKind::NotFound;
+                in_file(&path, "creation", &e)
+            })?;
             let (len, status) = (AtomicUsize::new(0), status.clone());
             let segment = Arc::new(Segment { path, file, len, status });
             writer.segment.insert(segment).clone()
--- a/orioleworks_store/tests/texts.rs
+++ b/orioleworks_store/tests/texts.rs
@@ -172,6 +172,24 @@
     assert_reads_back(&added);
 }
 
+/// Guards against texts that stay in memory for good after the directory was removed under a running store.
+#[test]
+fn a_removed_directory_is_made_again() {
+    let dir = tempfile::tempdir().unwrap();
+    let texts = Texts::new(dir.path(), LIMIT);
+    let added = add(&texts, 400);
+    texts.spill();
+    fs::remove_dir_all(dir.path().join(DIRECTORY)).unwrap();
+    assert_reads_back(&added);
+    drop(added);
+    let added = add(&texts, 400);
+    texts.spill();
+    thread::sleep(AFTER_RETRY_DELAY);
+    texts.spill();
+    assert!(texts.memory_bytes() <= LIMIT, "{} bytes", texts.memory_bytes());
+    assert_reads_back(&added);
+}
+
 /// Guards against a wrong text after the disk damaged a file, and a store that goes on with it.
 #[test]
 fn a_damaged_file_is_never_read_as_a_text() {
