--- a/orioleworks_store/src/lib.rs
+++ b/orioleworks_store/src/lib.rs
@@ -17,5 +17,7 @@
 pub mod runner;
 pub mod service;
 pub mod shared;
+pub mod snapshot;
 pub mod state;
 pub mod telemetry;
+pub mod texts;
