Idle connections hold no socket buffers

A store has some 560 connections, whose buffers took 24 MB. A read of compio's TcpStream owns its buffer until bytes arrive, and AsyncStream has a write buffer beside it that shrinks only over 64 MB, so that each connection kept a copy of the largest body it had ever written. Sockets are now awaited with PollFd and read and written by hyper and the frame codec directly. StallGuard did not pass on vectored writes, because of which hyper copied each response into a buffer that it kept. The writer of frames has a buffer only while it writes. cyper-core is no longer needed by orioleworks_fleet; no crate is new.

Idle connections to one upstream: 32 instead of 64, and 600 altogether instead of no bound, enough for all slots (12) of 48 engines, as new connections are priced on one site. The longest idle one is closed first; before, the one that had just been used was.

--- a/orioleworks_daemon/src/http.rs
+++ b/orioleworks_daemon/src/http.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use compio::{net::TcpListener, runtime};
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::CompioTimer;
 use futures_util::{FutureExt, select};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody};
 use hyper::{
@@ -15,7 +15,7 @@
 use orioleworks_proto::codes::ResultCode;
 use serde::{Deserialize, Serialize};
 
-use crate::{event, shutdown::Shutdown, stall::StallGuard};
+use crate::{event, shutdown::Shutdown, stall::StallGuard, stream::Stream};
 
 /// Request that the server passes to a handler.
 pub type Request = http::Request<Incoming>;
@@ -112,8 +112,13 @@
     F: Future<Output = Response> + 'static,
     H: Fn(Request) -> F + 'static,
 {
-    drop(stream.set_nodelay(true));
-    let io = StallGuard::new(Box::pin(HyperStream::new_plain(stream)), limits.write_timeout);
+    let io = match Stream::new(stream) {
+        Ok(stream) => StallGuard::new(stream, limits.write_timeout),
+        Err(e) => {
+            event!(debug, "connection_failed", reason = e);
+            return;
+        }
+    };
     let service = service_fn(move |req| {
         let response = handler(req);
         async move { Ok::<_, Infallible>(response.await) }
--- a/orioleworks_daemon/src/lib.rs
+++ b/orioleworks_daemon/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod shutdown;
 mod stall;
 pub mod start;
+pub mod stream;
--- a/orioleworks_daemon/src/rpc.rs
+++ b/orioleworks_daemon/src/rpc.rs
@@ -15,7 +15,7 @@
 };
 use displaydoc::Display;
 use futures_channel::{mpsc, oneshot};
-use futures_util::{FutureExt, SinkExt, StreamExt, select, stream::SplitSink};
+use futures_util::{FutureExt, SinkExt, StreamExt, select};
 use orioleworks_proto::{
     frames,
     inner::{self, frame::Body},
@@ -85,7 +85,7 @@
     F: Future<Output = Option<Body>> + 'static,
     H: Fn(Body) -> F + 'static,
 {
-    let (sink, mut source) = frames::wrap(stream)?.split();
+    let (mut source, sink) = frames::split(stream)?;
     let (tx, rx) = mpsc::channel::<inner::Frame>(WRITE_QUEUE_FRAMES);
     spawn_writer(sink, rx, token.clone());
     let running = Rc::new(Cell::new(0_usize));
@@ -228,7 +228,7 @@
 }
 
 fn start_connection(stream: TcpStream) -> io::Result<Connection> {
-    let (sink, mut source) = frames::wrap(stream)?.split();
+    let (mut source, sink) = frames::split(stream)?;
     let (tx, rx) = mpsc::channel::<inner::Frame>(WRITE_QUEUE_FRAMES);
     let pending = PendingReplies::default();
     let closed = CancellationToken::new();
@@ -257,7 +257,7 @@
 
 /// Writes frames until the token is cancelled, and cancels it when a write fails.
 fn spawn_writer(
-    mut sink: SplitSink<frames::FrameStream, inner::Frame>,
+    mut sink: frames::FrameWriter,
     mut rx: mpsc::Receiver<inner::Frame>,
     token: CancellationToken,
 ) {
--- a/orioleworks_daemon/src/stall.rs
+++ b/orioleworks_daemon/src/stall.rs
@@ -1,7 +1,7 @@
 //! Closes a connection whose peer has stopped reading, so that unread responses do not accumulate in memory.
 
 use std::{
-    io,
+    io::{self, IoSlice},
     pin::Pin,
     task::{Context, Poll},
     time::Duration,
@@ -61,6 +61,20 @@
         self.check(cx, written)
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.check(cx, written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        // Without it hyper copies each body into a buffer, which stays as large.
+        self.stream.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let flushed = Pin::new(&mut self.stream).poll_flush(cx);
         self.check(cx, flushed)
--- a/orioleworks_fleet/src/pool.rs
+++ b/orioleworks_fleet/src/pool.rs
@@ -14,7 +14,6 @@
 
 use bytes::Bytes;
 use compio::{net::TcpStream, runtime};
-use cyper_core::HyperStream;
 use displaydoc::Display;
 use futures_util::{FutureExt, select};
 use http::{Request, Response};
@@ -23,6 +22,7 @@
     body::{Body, Incoming},
     client::conn::http1,
 };
+use orioleworks_daemon::stream::Stream;
 
 /// Longest time to connect; connecting takes one round trip and about 1 ms at the upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -37,8 +37,10 @@
 const MAX_DISCARDED_BYTES: usize = 64 * 1024;
 /// Longest time to read such a body.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
-/// Idle connections kept for one upstream.
-const MAX_IDLE: usize = 64;
+/// Idle connections kept for one upstream, of which an engine has 8 to 12 slots and a service may have more.
+const MAX_IDLE: usize = 32;
+/// Idle connections kept altogether: those to all slots of 50 engines, which the next step uses again. They take 16 MB.
+const MAX_IDLE_ALL: usize = 600;
 
 /// Why a request got no complete response.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
@@ -65,12 +67,38 @@
     #[allow(dead_code)]
     task: runtime::JoinHandle<()>,
     reusable_until: Instant,
+    /// Time of the return to the pool.
+    idle_since: Instant,
+}
+
+/// Idle connections by upstream, those that were used last at the end.
+#[derive(Default)]
+struct Idle(HashMap<Key, Vec<Connection>>);
+
+impl Idle {
+    fn push(&mut self, key: Key, connection: Connection) {
+        let kept = self.0.entry(key).or_default();
+        kept.push(connection);
+        if kept.len() > MAX_IDLE {
+            kept.remove(0);
+        } else if self.0.values().map(Vec::len).sum::<usize>() > MAX_IDLE_ALL {
+            self.remove_longest_idle();
+        }
+    }
+
+    fn remove_longest_idle(&mut self) {
+        let oldest = |kept: &Vec<Connection>| kept.first().map(|c| c.idle_since);
+        let used = self.0.values_mut().filter(|kept| !kept.is_empty());
+        if let Some(kept) = used.min_by_key(|kept| oldest(kept)) {
+            kept.remove(0);
+        }
+    }
 }
 
 /// Pool of connections; clones share it.
 #[derive(Clone, Default)]
 pub struct Pool {
-    idle: Rc<RefCell<HashMap<Key, Vec<Connection>>>>,
+    idle: Rc<RefCell<Idle>>,
     opened: Rc<Cell<u64>>,
 }
 
@@ -130,7 +158,7 @@
 
     fn take_idle(&self, key: &Key) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        let kept = idle.get_mut(key)?;
+        let kept = idle.0.get_mut(key)?;
         let now = Instant::now();
         while let Some(connection) = kept.pop() {
             if connection.reusable_until > now && connection.sender.is_ready() {
@@ -150,8 +178,7 @@
                 io::ErrorKind::ConnectionRefused => SendError::Refused(e.to_string()),
                 _ => not_sent(e.to_string()),
             })?;
-        drop(stream.set_nodelay(true));
-        let io = Box::pin(HyperStream::new_plain(stream));
+        let io = Stream::new(stream).map_err(|e| not_sent(e.to_string()))?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(io)
@@ -163,13 +190,14 @@
         });
         self.opened.set(self.opened.get() + 1);
         metrics::counter!("orioleworks_upstream_connections_total").increment(1);
-        Ok(Connection { sender, task, reusable_until: Instant::now() + IDLE_TIMEOUT })
+        let now = Instant::now();
+        Ok(Connection { sender, task, reusable_until: now + IDLE_TIMEOUT, idle_since: now })
     }
 
     /// Closes idle connections that have expired.
     pub fn close_expired(&self) {
         let now = Instant::now();
-        self.idle.borrow_mut().retain(|_, kept| {
+        self.idle.borrow_mut().0.retain(|_, kept| {
             kept.retain(|c| c.reusable_until > now && !c.sender.is_closed());
             !kept.is_empty()
         });
@@ -244,11 +272,8 @@
         if closing || self.connection.sender.is_closed() {
             return;
         }
-        let mut idle = self.pool.idle.borrow_mut();
-        let kept = idle.entry(self.key).or_default();
-        if kept.len() < MAX_IDLE {
-            kept.push(self.connection);
-        }
+        let connection = Connection { idle_since: Instant::now(), ..self.connection };
+        self.pool.idle.borrow_mut().push(self.key, connection);
     }
 }
 
--- a/orioleworks_proto/src/lib.rs
+++ b/orioleworks_proto/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod codes;
 pub mod frames;
+pub mod socket;
 
 /// Messages generated from `proto/inner.proto`.
 #[allow(missing_docs, clippy::all)]
--- a/orioleworks_proto/tests/frames.rs
+++ b/orioleworks_proto/tests/frames.rs
@@ -1,7 +1,7 @@
 //! Frames of the inner protocol.
 
 use orioleworks_proto::{
-    frames::{FrameCodec, MAX_FRAME_BYTES, RETAINED_BUFFER_BYTES},
+    frames::{FrameCodec, IDLE_BUFFER_BYTES, MAX_FRAME_BYTES},
     inner::{self, frame::Body},
 };
 use tokio_util::{
@@ -30,7 +30,7 @@
     }
     for mut buf in [written, read] {
         // `try_reclaim` counts the emptied front of the buffer as capacity again.
-        assert!(!buf.try_reclaim(RETAINED_BUFFER_BYTES + 1), "{} bytes were kept", buf.capacity());
+        assert!(!buf.try_reclaim(IDLE_BUFFER_BYTES + 1), "{} bytes were kept", buf.capacity());
     }
 }
 
