--- a/orioleworks_gateway/tests/texts.rs
+++ b/orioleworks_gateway/tests/texts.rs
@@ -22,6 +22,8 @@
 /// Length of the text that is added to each event; a text is about 48 KB long once compressed.
 const EVENT_PADDING: u64 = 8 * 1024;
 const ITEMS: usize = 100;
+/// Largest memory of a store that installs a snapshot, in megabytes: less than the program and all texts, which are 36 MB.
+const MAX_INSTALL_MB: usize = 40;
 /// Batches whose results exceed twice the size of the log from which a snapshot is taken, so that entries are dropped.
 const BATCHES: usize = 7;
 
@@ -100,7 +102,7 @@
 }
 
 /// Guards against a listed result that reads otherwise after a restart, from another leader, or from a store that installed a
-/// snapshot, once its text is on disk.
+/// snapshot, once its text is on disk, and against an installation that holds the whole state in memory.
 #[test]
 fn texts_on_disk_read_the_same_at_every_store_and_after_restarts() {
     let (mut d, _engines) = start();
@@ -129,6 +131,8 @@
         };
         installed(d.stores[first].as_ref().unwrap()) && logs.into_iter().any(promoted)
     });
+    let peak = d.stores[first].as_ref().unwrap().peak_memory() >> 20;
+    assert!(peak < MAX_INSTALL_MB, "{peak} MB of {MAX_INSTALL_MB} MB");
     make_leader(&mut d, first);
     assert!(read_all(&d) == listed, "from the store that installed a snapshot");
     for store in 0..3 {
