--- a/orioleworks_gateway/src/forward.rs
+++ b/orioleworks_gateway/src/forward.rs
@@ -15,15 +15,12 @@
 use compio::runtime;
 use futures_channel::mpsc;
 use futures_util::{FutureExt, SinkExt, StreamExt, select};
-use http::{HeaderMap, header, request, response};
+use http::{header, request, response};
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Frame;
 use orioleworks_daemon::{clock, event, fingerprint, http as server};
-use orioleworks_fleet::pool::{Exchange, SendError};
-use orioleworks_platform::{
-    caller,
-    upstream::{self, Verdict},
-};
+use orioleworks_fleet::pool::Exchange;
+use orioleworks_platform::caller;
 use orioleworks_proto::codes::ResultCode;
 use orioleworks_routing::{
     crashes::{Admission, Observation},
@@ -36,6 +33,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    attempt::{self, Attempt, AttemptEnd},
     callers::{Refusal, RequestContext},
     crashes,
     permits::Demand,
@@ -62,34 +60,6 @@
 /// Number of stream chunks buffered for a slow caller; a chunk has up to 64 KB.
 const STREAM_QUEUE_CHUNKS: usize = 2;
 
-/// Hop-by-hop headers.
-const HOP_BY_HOP_HEADERS: [&str; 8] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
-/// How an attempt ended.
-enum AttemptEnd {
-    /// The upstream's complete response.
-    Complete(response::Parts, Bytes),
-    /// A response that is streamed to the caller; its head has arrived.
-    Stream(Box<Exchange>),
-    /// The beginning of a response that is too large to be buffered.
-    Large(Box<Exchange>, Bytes),
-    /// The upstream did not run the request.
-    NotRun(String),
-    /// The request may have run.
-    Unknown(String),
-    /// The request may have run, and its upstream may have crashed under it.
-    NoResponse(Observation, String),
-}
-
 /// A caller's request as it is sent to upstreams.
 #[derive(Debug)]
 pub struct Content {
@@ -109,7 +79,8 @@
         Self { host, head, body, fingerprint: OnceCell::new() }
     }
 
-    fn path_and_query(&self) -> &str {
+    /// Path and query of the request.
+    pub fn path_and_query(&self) -> &str {
         self.head.uri.path_and_query().map_or("/", |p| p.as_str())
     }
 
@@ -543,7 +514,7 @@
             let mut sending = Box::pin(attempt.send().fuse());
             let mut cancelled = std::pin::pin!(cancel.cancelled().fuse());
             let end = select! { end = sending => Some(end), () = cancelled => None };
-            telemetry::record_attempt(&route, outcome(end.as_ref()), started.elapsed());
+            telemetry::record_attempt(&route, attempt::outcome(end.as_ref()), started.elapsed());
             match end {
                 // Sending fails if the caller already has its response.
                 Some(end) => drop(tx.unbounded_send(EndedAttempt { upstream, key, end })),
@@ -558,7 +529,7 @@
     fn stream(&self, mut exchange: Exchange, start: Bytes, by: EndedBy) -> server::Response {
         let EndedBy { upstream, key } = by;
         let (mut tx, rx) = mpsc::channel::<Result<Frame<Bytes>, io::Error>>(STREAM_QUEUE_CHUNKS);
-        let head = response_head(&exchange.head);
+        let head = attempt::response_head(&exchange.head);
         let (view, route, id) = (self.view.clone(), self.route.clone(), self.context.id.clone());
         let content = self.content.clone();
         let software = upstream.software.clone();
@@ -623,159 +594,6 @@
     }
 }
 
-/// One attempt; runs in its own task, independent of the caller's.
-struct Attempt {
-    view: View,
-    route: Rc<str>,
-    streaming: bool,
-    content: Rc<Content>,
-    id: String,
-    deadline: Instant,
-    upstream: Rc<Upstream>,
-    key: Key,
-}
-
-impl Attempt {
-    async fn send(self) -> AttemptEnd {
-        let (started, sent_at) = (Instant::now(), clock::since_boot());
-        let remaining = self.deadline.saturating_duration_since(started);
-        let mut req = http::Request::builder()
-            .method(self.content.head.method.clone())
-            .uri(self.content.path_and_query());
-        if let Some(headers) = req.headers_mut() {
-            *headers = end_to_end_headers(&self.content.head.headers);
-            headers.remove(header::CONTENT_LENGTH);
-            upstream::set_upstream_headers(headers, &self.upstream.id, Some(remaining));
-        }
-        let req = match req.body(Full::new(self.content.body.clone())) {
-            Ok(req) => req,
-            Err(e) => return AttemptEnd::NotRun(e.to_string()),
-        };
-        let exchange =
-            match self.view.pool.send(&self.upstream.address, &self.key, req, remaining).await {
-                Ok(exchange) => exchange,
-                Err(e) => {
-                    self.record_failure();
-                    return match &e {
-                        SendError::NotSent(why) => AttemptEnd::NotRun(why.clone()),
-                        SendError::Refused(why) => {
-                            self.view.crashes.record_refusal(&self.key);
-                            AttemptEnd::NotRun(why.clone())
-                        }
-                        SendError::Timeout => {
-                            AttemptEnd::NoResponse(Observation::Silence, e.to_string())
-                        }
-                        SendError::Broken(_) => {
-                            AttemptEnd::NoResponse(Observation::BrokenAtStart, e.to_string())
-                        }
-                        SendError::Invalid(_) => AttemptEnd::Unknown(e.to_string()),
-                    };
-                }
-            };
-        let (status, headers) = (exchange.head.status, &exchange.head.headers);
-        let verdict = upstream::classify_response(status, headers, &self.id);
-        let notice = upstream::rate_notice(verdict, status, headers);
-        if self.view.knowledge.observe_rate(&self.key, sent_at, notice) {
-            self.view.report_wake.notify();
-        }
-        match verdict {
-            Verdict::NotRun => {
-                self.view.outliers.borrow_mut().record_dropped(&self.key);
-                let why = format!("refused with status {}", exchange.head.status.as_u16());
-                exchange.discard();
-                AttemptEnd::NotRun(why)
-            }
-            Verdict::Unverified => {
-                self.record_failure();
-                AttemptEnd::Unknown(
-                    "the response belongs to another request or has no signature".into(),
-                )
-            }
-            Verdict::Answered if self.streaming && exchange.head.status.is_success() => {
-                self.view.outliers.borrow_mut().record_response(&self.key, started.elapsed());
-                AttemptEnd::Stream(Box::new(exchange))
-            }
-            Verdict::Answered => self.read_response(exchange, started).await,
-        }
-    }
-
-    async fn read_response(&self, mut exchange: Exchange, started: Instant) -> AttemptEnd {
-        let head = response_head(&exchange.head);
-        let mut buffered = self.view.buffers.start();
-        loop {
-            let remaining = self.deadline.saturating_duration_since(Instant::now());
-            let next = compio::time::timeout(remaining, exchange.next()).await;
-            match next.unwrap_or(Err(SendError::Timeout)) {
-                Ok(Some(part)) if buffered.has_room_for(&part) => buffered.push(&part),
-                Ok(Some(_)) if head.status.is_server_error() => {
-                    self.record_failure();
-                    return AttemptEnd::Unknown("a failure without end".into());
-                }
-                Ok(Some(part)) => {
-                    self.view.outliers.borrow_mut().record_dropped(&self.key);
-                    return AttemptEnd::Large(Box::new(exchange), buffered.finish(Some(&part)));
-                }
-                Ok(None) => break,
-                Err(e) => {
-                    self.record_failure();
-                    let observation = match &e {
-                        SendError::Broken(_) => Observation::BrokenMidway,
-                        _ => Observation::Silence,
-                    };
-                    return AttemptEnd::NoResponse(observation, e.to_string());
-                }
-            }
-        }
-        exchange.return_to_pool();
-        if head.status.is_server_error() {
-            self.record_failure();
-        } else {
-            self.view.outliers.borrow_mut().record_response(&self.key, started.elapsed());
-        }
-        AttemptEnd::Complete(head, buffered.finish(None))
-    }
-
-    fn record_failure(&self) {
-        self.view.outliers.borrow_mut().record_failure(&self.key, clock::since_boot());
-    }
-}
-
-/// Metric label for the result of an attempt; `None` stands for a cancelled attempt.
-fn outcome(end: Option<&AttemptEnd>) -> &'static str {
-    match end {
-        Some(AttemptEnd::Complete(head, _)) if head.status.is_server_error() => "failed",
-        Some(AttemptEnd::Complete(..) | AttemptEnd::Stream(_) | AttemptEnd::Large(..)) => {
-            "answered"
-        }
-        Some(AttemptEnd::NotRun(_)) => "not_run",
-        Some(AttemptEnd::Unknown(_) | AttemptEnd::NoResponse(..)) => "unknown",
-        None => "cancelled",
-    }
-}
-
-/// Copies the headers without hop-by-hop headers.
-fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
-    let connection_options: Vec<String> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    let kept = headers.iter().filter(|(name, _)| {
-        !HOP_BY_HOP_HEADERS.contains(&name.as_str())
-            && !connection_options.iter().any(|n| n == name.as_str())
-    });
-    kept.map(|(name, value)| (name.clone(), value.clone())).collect()
-}
-
-fn response_head(head: &response::Parts) -> response::Parts {
-    let mut response = http::Response::new(());
-    *response.status_mut() = head.status;
-    *response.headers_mut() = end_to_end_headers(&head.headers);
-    response.into_parts().0
-}
-
 fn complete_response(mut head: response::Parts, body: Bytes) -> server::Response {
     // The length is taken from the buffered body, because an upstream may mark the end of a response by closing the
     // connection instead of sending a length.
--- a/orioleworks_gateway/src/lib.rs
+++ b/orioleworks_gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! See `docs/platform.md`.
 
 pub mod app;
+pub mod attempt;
 pub mod batches;
 pub mod buffers;
 pub mod callers;
