--- /dev/null
+++ b/orioleworks_gateway/tests/partitioned.rs
@@ -0,0 +1,219 @@
+//! Tests of gateways that are partitioned from all upstreams, while callers, stores and other gateways reach them.
+
+mod support;
+
+use std::{
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use rstest::rstest;
+use support::{
+    client::{self, Response},
+    deployment::Deployment,
+    paths::Cut,
+    routes::{self, MODEL},
+    upstream::{EVENTS, Upstream},
+};
+
+/// Time after the cut from which callers must be served.
+const CONTACT_WINDOW: Duration = Duration::from_secs(3);
+/// Time for which callers are observed after that.
+const OBSERVED_TIME: Duration = Duration::from_secs(5);
+/// Interval between two requests of one caller.
+const CALL_INTERVAL: Duration = Duration::from_millis(100);
+const GATEWAYS: usize = 3;
+
+/// A caller's request and its response.
+struct Call {
+    gateway: usize,
+    kind: &'static str,
+    id: String,
+    at: Instant,
+    took: Duration,
+    response: Option<Response>,
+}
+
+impl Call {
+    fn is_served(&self) -> bool {
+        self.response.as_ref().is_some_and(|response| {
+            let complete = self.kind != "say"
+                || response.body.contains(&format!("{} event {EVENTS}", self.id));
+            response.status == 200 && complete
+        })
+    }
+
+    fn is_quarantined(&self) -> bool {
+        self.response.as_ref().is_some_and(|response| response.body.contains("quarantined"))
+    }
+}
+
+fn start_upstreams(d: &Deployment) -> Vec<Upstream> {
+    let start = |(id, service, model): (&str, &str, Option<&str>)| {
+        Upstream::start(id, service, model, d.control_addresses())
+    };
+    let engines = [("e-0", "engines", Some(MODEL)), ("e-1", "engines", Some(MODEL))];
+    let sheets = [("s-0", "sheets", None), ("s-1", "sheets", None), ("s-2", "sheets", None)];
+    sheets.into_iter().chain(engines).map(start).collect()
+}
+
+fn send(d: &Deployment, gateway: usize, kind: &'static str, id: &str) -> Call {
+    send_to(&d.gateway_address(gateway), gateway, kind, id)
+}
+
+fn send_to(address: &str, gateway: usize, kind: &'static str, id: &str) -> Call {
+    let method = if kind == "confirm" { "POST" } else { "GET" };
+    let mut headers = vec![("X-Attempt-Id", id), ("X-Deadline-Ms", "2000")];
+    if kind == "say" {
+        headers.push(("X-Model", MODEL));
+    }
+    let at = Instant::now();
+    let path = format!("/{kind}/{id}");
+    let response = client::call(address, method, &path, &headers, "");
+    Call { gateway, kind, id: id.into(), at, took: at.elapsed(), response }
+}
+
+/// Sends requests of all kinds through all gateways until each is served and knows the others.
+fn warm_up(d: &Deployment) {
+    for gateway in 0..GATEWAYS {
+        for kind in ["lookup", "confirm", "say"] {
+            let id = format!("warm-{gateway}-{kind}");
+            d.wait_until("a request is served", || send(d, gateway, kind, &id).is_served());
+        }
+    }
+    // A gateway learns of the others with the next replies of its store.
+    thread::sleep(Duration::from_millis(1500));
+}
+
+/// Runs `disturb` while callers send requests of all kinds through all gateways.
+fn under_load(d: &Deployment, disturb: impl FnOnce()) -> Vec<Call> {
+    let addresses: Vec<String> = (0..GATEWAYS).map(|i| d.gateway_address(i)).collect();
+    let (stop, calls) = (AtomicBool::new(false), Mutex::new(Vec::new()));
+    thread::scope(|scope| {
+        for (gateway, address) in addresses.iter().enumerate() {
+            for kind in ["lookup", "confirm", "say"] {
+                let (stop, calls) = (&stop, &calls);
+                scope.spawn(move || {
+                    for n in 0.. {
+                        if stop.load(Ordering::Relaxed) {
+                            return;
+                        }
+                        let id = format!("{kind}-{gateway}-{n}");
+                        let call = send_to(address, gateway, kind, &id);
+                        calls.lock().unwrap().push(call);
+                        thread::sleep(CALL_INTERVAL);
+                    }
+                });
+            }
+        }
+        disturb();
+        stop.store(true, Ordering::Relaxed);
+    });
+    calls.into_inner().unwrap()
+}
+
+/// Served calls and all calls.
+fn served<'a>(calls: impl Iterator<Item = &'a Call>) -> (usize, usize) {
+    calls.fold((0, 0), |(served, all), call| (served + usize::from(call.is_served()), all + 1))
+}
+
+/// Checks that what may run once ran at most once, and not at all if it was refused as not run.
+fn check_runs(calls: &[Call], upstreams: &[Upstream]) {
+    for call in calls.iter().filter(|call| call.kind == "confirm") {
+        let runs: usize = upstreams.iter().map(|up| up.runs(&call.id).len()).sum();
+        assert!(runs <= 1, "{} ran {runs} times", call.id);
+        let refused = call.response.as_ref().is_some_and(|response| response.status == 503);
+        assert!(!refused || runs == 0, "{} was refused as not run, and ran", call.id);
+    }
+}
+
+/// Guards against callers that are served only at the gateways that still reach the upstreams, and against a partition that
+/// makes other gateways refuse innocent requests.
+#[rstest]
+#[case::silent_one(Cut::Silent, 1)]
+#[case::silent_most(Cut::Silent, 2)]
+#[case::reset(Cut::Reset, 1)]
+#[case::refuse(Cut::Refuse, 1)]
+#[case::refuse_most(Cut::Refuse, 2)]
+fn callers_of_a_gateway_that_is_partitioned_from_all_upstreams_are_served(
+    #[case] cut: Cut,
+    #[case] gateways_cut: usize,
+) {
+    let d = Deployment::start_with_paths(3, GATEWAYS, &routes::document(1, 800).to_string());
+    let upstreams = start_upstreams(&d);
+    warm_up(&d);
+    let mut from = Instant::now();
+    let calls = under_load(&d, || {
+        thread::sleep(Duration::from_secs(1));
+        d.paths[..gateways_cut].iter().for_each(|paths| paths.set_cut(Some(cut)));
+        thread::sleep(CONTACT_WINDOW);
+        from = Instant::now();
+        thread::sleep(OBSERVED_TIME);
+        d.paths.iter().for_each(|paths| paths.set_cut(None));
+    });
+    let until = from + OBSERVED_TIME - Duration::from_secs(1);
+    let observed = || calls.iter().filter(|call| (from..until).contains(&call.at));
+    let (ok_cut, all_cut) = served(observed().filter(|call| call.gateway < gateways_cut));
+    let (ok_other, all_other) = served(observed().filter(|call| call.gateway >= gateways_cut));
+    let slowest = observed().filter(|c| c.gateway < gateways_cut).map(|c| c.took).max();
+    println!("served {ok_cut} of {all_cut}, {ok_other} of {all_other}; slowest {slowest:?}");
+    assert!(all_cut >= 20 && all_other >= 20, "{all_cut} and {all_other} calls");
+    assert!(ok_other * 20 >= all_other * 19, "{ok_other} of {all_other}\n{}", d.logs());
+    assert!(ok_cut * 10 >= all_cut * 9, "{ok_cut} of {all_cut}\n{}", d.logs());
+    let quarantined = calls.iter().filter(|call| call.is_quarantined()).count();
+    assert_eq!(quarantined, 0, "innocent requests were quarantined\n{}", d.logs());
+    check_runs(&calls, &upstreams);
+}
+
+/// Guards against a gateway with so few requests that each is the first one after its partition, of those that may run once
+/// too: the request is on no connection yet, so that it certainly has not run.
+#[rstest]
+#[case::silent(Cut::Silent)]
+#[case::refuse(Cut::Refuse)]
+fn the_first_request_after_a_partition_is_served_in_time(#[case] cut: Cut) {
+    const IN_TIME: Duration = Duration::from_millis(300);
+    /// Longer than a connection without requests is kept.
+    const IDLE_TIME: Duration = Duration::from_secs(5);
+    let d = Deployment::start_with_paths(3, GATEWAYS, &routes::document(1, 800).to_string());
+    let upstreams = start_upstreams(&d);
+    warm_up(&d);
+    thread::sleep(IDLE_TIME);
+    d.paths[0].set_cut(Some(cut));
+    // Time until the listeners are closed or their queues are full.
+    thread::sleep(Duration::from_millis(500));
+    let calls = [send(&d, 0, "confirm", "first")];
+    assert!(calls[0].is_served(), "{:?}\n{}", calls[0].response, d.logs());
+    assert!(calls[0].took < IN_TIME, "took {:?}\n{}", calls[0].took, d.logs());
+    check_runs(&calls, &upstreams);
+}
+
+/// Guards against requests that are held to their deadline, or not refused as not run, when no gateway reaches an upstream.
+#[test]
+fn a_request_that_no_gateway_can_send_is_refused_at_once() {
+    const AT_ONCE: Duration = Duration::from_millis(400);
+    let d = Deployment::start_with_paths(3, GATEWAYS, &routes::document(1, 800).to_string());
+    let upstreams = start_upstreams(&d);
+    warm_up(&d);
+    d.paths.iter().for_each(|paths| paths.set_cut(Some(Cut::Refuse)));
+    thread::sleep(Duration::from_secs(6));
+    let calls: Vec<Call> = (0..20)
+        .map(|n| {
+            thread::sleep(CALL_INTERVAL);
+            send(&d, n % GATEWAYS, "confirm", &format!("none-{n}"))
+        })
+        .collect();
+    for call in &calls {
+        let response = call.response.as_ref().unwrap();
+        let proper = response.status == 503 && response.head.contains("retry-after");
+        assert!(proper && call.took < AT_ONCE, "{response:?} {:?}\n{}", call.took, d.logs());
+    }
+    check_runs(&calls, &upstreams);
+    d.paths.iter().for_each(|paths| paths.set_cut(None));
+    d.wait_until("all gateways serve again", || {
+        (0..GATEWAYS).all(|gateway| send(&d, gateway, "lookup", "again").is_served())
+    });
+}
--- a/orioleworks_gateway/tests/support/deployment.rs
+++ b/orioleworks_gateway/tests/support/deployment.rs
@@ -19,6 +19,7 @@
 
 use super::{
     client::{self, Response},
+    paths::GatewayPaths,
     proxy::Proxy,
 };
 
@@ -97,11 +98,13 @@
     store_memory_mb: usize,
     /// Proxies in front of the stores' inner protocol; empty without proxies.
     pub store_proxies: Vec<Proxy>,
+    /// Paths from each gateway to the upstreams; empty if the gateways connect to them directly.
+    pub paths: Vec<GatewayPaths>,
 }
 
 /// Loopback address of a process. Each process has its own, so that all stores can use one port. The role is 1 for
-/// stores, 2 for gateways and 3 for stores behind proxies.
-fn loopback_ip(role: u8, i: usize) -> String {
+/// stores, 2 for gateways, 3 for stores behind proxies, and 4 and above for the stores as each gateway sees them.
+pub fn loopback_ip(role: u8, i: usize) -> String {
     format!("127.0.{role}.{}", i + 1)
 }
 
@@ -123,6 +126,22 @@
         document: &str,
         proxied: bool,
         store_memory_mb: usize,
+    ) -> Self {
+        Self::start_all(stores, gateways, document, proxied, store_memory_mb, false)
+    }
+
+    /// Like [`Self::start`]; each gateway has paths of its own to the upstreams, which can be cut.
+    pub fn start_with_paths(stores: usize, gateways: usize, document: &str) -> Self {
+        Self::start_all(stores, gateways, document, false, 140, true)
+    }
+
+    fn start_all(
+        stores: usize,
+        gateways: usize,
+        document: &str,
+        proxied: bool,
+        store_memory_mb: usize,
+        separate_paths: bool,
     ) -> Self {
         let mut deployment = Self {
             dir: tempfile::tempdir().unwrap(),
@@ -134,7 +153,12 @@
             readiness_port: free_port(),
             store_memory_mb,
             store_proxies: Vec::new(),
+            paths: Vec::new(),
         };
+        if separate_paths {
+            let paths = |i| GatewayPaths::start(i, stores, deployment.inner_port);
+            deployment.paths = (0..gateways).map(paths).collect();
+        }
         if proxied {
             let proxy =
                 |i| Proxy::start(&deployment.inner_address(1, i), deployment.inner_address(3, i));
@@ -205,6 +229,7 @@
 
     pub fn start_gateway(&mut self, i: usize) {
         let name = format!("gateway-{i}");
+        let seeds = self.paths.get(i).map_or_else(|| self.seeds(), GatewayPaths::seeds);
         let settings = format!(
             r#"{{ "instance": {{ "name": "{name}", "failure_domain": "zone-a" }},
                  "listen": {{ "callers": "{}", "readiness": "{}:{}" }},
@@ -212,7 +237,7 @@
             self.gateway_address(i),
             loopback_ip(2, i),
             self.readiness_port,
-            self.seeds(),
+            seeds,
             self.inner_port,
         );
         self.gateways[i] = Some(self.spawn("orioleworks-gateway", &name, &settings));
@@ -312,7 +337,7 @@
 /// A port that no other deployment of this test process uses, and that is free on the addresses of all roles: another test
 /// process may use it there. The system may offer a port again as soon as the listener that reserved it is closed.
 pub fn free_port() -> u16 {
-    const ROLES: u8 = 3;
+    const ROLES: u8 = 6;
     const MAX_INSTANCES: usize = 8;
     static TAKEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
     loop {
--- a/orioleworks_gateway/tests/support/mod.rs
+++ b/orioleworks_gateway/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod deployment;
 pub mod ledger;
+pub mod paths;
 pub mod proxy;
 pub mod routes;
 pub mod upstream;
--- a/orioleworks_gateway/tests/support/proxy.rs
+++ b/orioleworks_gateway/tests/support/proxy.rs
@@ -68,7 +68,7 @@
 }
 
 /// Copies one direction until the end of the stream, a reset or an error.
-fn forward(
+pub fn forward(
     mut from: TcpStream,
     mut to: TcpStream,
     faults: &Faults,
