Gateways send for one that is partitioned from the upstreams

A request goes to its upstream on a connection of its gateway or through another gateway. Both ways yield the same exchange and errors. Stores pass on where gateways take requests of others, a sample of eight to each.

--- a/orioleworks_fleet/src/convert.rs
+++ b/orioleworks_fleet/src/convert.rs
@@ -6,6 +6,7 @@
 use orioleworks_routing::{
     crashes::{Crash, Observation, Report, SuspectRun},
     fleet::{Known, Upstream},
+    helpers::Helper,
     permits::Permit,
     rates,
 };
@@ -33,6 +34,27 @@
     }
 }
 
+/// Message for a gateway, with the time since its last sign.
+pub fn to_gateway_message(
+    name: &str,
+    helper: Option<&Helper>,
+    age: Duration,
+) -> inner::GatewaySign {
+    inner::GatewaySign {
+        name: name.to_owned(),
+        age_ms: millis(age),
+        relay_address: helper.map_or_else(String::new, |helper| helper.address.to_string()),
+        domain: helper.map_or_else(String::new, |helper| helper.domain.to_string()),
+    }
+}
+
+/// Where the gateway of a message takes requests of others; `None` if it does not.
+pub fn from_gateway_message(sign: inner::GatewaySign) -> Option<Helper> {
+    let inner::GatewaySign { name, relay_address, domain, .. } = sign;
+    let helper = Helper { name: name.into(), address: relay_address.into(), domain: domain.into() };
+    (!helper.address.is_empty()).then_some(helper)
+}
+
 /// Upstream of a message, and the time of its newest announcement.
 pub fn from_message(message: inner::Upstream, now: Duration) -> (Upstream, Duration) {
     let last_seen = now.saturating_sub(Duration::from_millis(message.age_ms.into()));
--- a/orioleworks_fleet/src/pool.rs
+++ b/orioleworks_fleet/src/pool.rs
@@ -25,7 +25,7 @@
 };
 
 /// Longest time to connect; connecting takes one round trip and about 1 ms at the upstream.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Idle time after which a connection is not used again if the upstream states no idle time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Share of the stated idle time of an upstream for which a connection is used again, in percent; the rest covers the
@@ -59,7 +59,8 @@
 
 type Key = (Rc<str>, u64);
 
-struct Connection {
+/// A connection that no request uses; dropping it closes it.
+pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     /// Drives the connection; dropping it closes the connection.
     #[allow(dead_code)]
@@ -67,6 +68,12 @@
     reusable_until: Instant,
 }
 
+impl std::fmt::Debug for Connection {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Connection").finish_non_exhaustive()
+    }
+}
+
 /// Pool of connections; clones share it.
 #[derive(Clone, Default)]
 pub struct Pool {
@@ -111,12 +118,27 @@
         timeout: Duration,
     ) -> Result<Exchange, SendError> {
         let deadline = Instant::now() + timeout;
-        let mut connection = match self.take_idle(key) {
+        let connection = match self.take_idle(key) {
             Some(connection) => connection,
-            None => self.connect(address, timeout).await?,
+            None => self.connect(address, timeout.min(CONNECT_TIMEOUT)).await?,
         };
         let left = deadline.saturating_duration_since(Instant::now());
-        match compio::time::timeout(left, connection.sender.send_request(req)).await {
+        self.send_on(connection, key, req, left).await
+    }
+
+    /// Sends a request on a connection to the upstream with the given key.
+    ///
+    /// # Errors
+    ///
+    /// The request may have been sent.
+    pub async fn send_on(
+        &self,
+        mut connection: Connection,
+        key: &Key,
+        req: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Exchange, SendError> {
+        match compio::time::timeout(timeout, connection.sender.send_request(req)).await {
             Err(_) => Err(SendError::Timeout),
             Ok(Err(e)) if e.is_parse() => Err(SendError::Invalid(e.to_string())),
             Ok(Err(e)) => Err(SendError::Broken(e.to_string())),
@@ -128,7 +150,8 @@
         }
     }
 
-    fn take_idle(&self, key: &Key) -> Option<Connection> {
+    /// Takes a kept connection.
+    pub fn take_idle(&self, key: &Key) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(key)?;
         let now = Instant::now();
@@ -140,10 +163,29 @@
         None
     }
 
-    async fn connect(&self, address: &str, timeout: Duration) -> Result<Connection, SendError> {
+    /// Keeps a new connection for the next request.
+    pub fn keep(&self, key: &Key, connection: Connection) {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(key.clone()).or_default();
+        if kept.len() < MAX_IDLE {
+            kept.push(connection);
+        }
+    }
+
+    /// Closes all kept connections.
+    pub fn close_all(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError::Refused`] if no process listens at the address, otherwise [`SendError::NotSent`].
+    pub async fn connect(&self, address: &str, timeout: Duration) -> Result<Connection, SendError> {
         let not_sent = |reason: String| SendError::NotSent(reason);
         let connecting = TcpStream::connect(address);
-        let stream = compio::time::timeout(timeout.min(CONNECT_TIMEOUT), connecting)
+        let stream = compio::time::timeout(timeout, connecting)
             .await
             .map_err(|_| not_sent("connection timed out".into()))?
             .map_err(|e| match e.kind() {
@@ -244,11 +286,7 @@
         if closing || self.connection.sender.is_closed() {
             return;
         }
-        let mut idle = self.pool.idle.borrow_mut();
-        let kept = idle.entry(self.key).or_default();
-        if kept.len() < MAX_IDLE {
-            kept.push(self.connection);
-        }
+        self.pool.keep(&self.key, self.connection);
     }
 }
 
--- a/orioleworks_fleet/src/watch.rs
+++ b/orioleworks_fleet/src/watch.rs
@@ -41,6 +41,12 @@
     pub direct_only: bool,
     /// Name of the gateway that watches; empty for a store.
     pub gateway: String,
+    /// Address at which the gateway takes requests of other gateways; empty if it does not.
+    pub relay_address: String,
+    /// Failure domain of the gateway.
+    pub domain: String,
+    /// Digest of the gateways that it knows as helpers.
+    pub helpers_digest: u64,
 }
 
 /// What a watcher knows of upstreams and gateways; clones share it.
@@ -110,6 +116,9 @@
         crash_cursor: Some(position.crash_cursor),
         limit_cursor: Some(position.limit_cursor),
         gateway: state.gateway,
+        relay_address: state.relay_address,
+        domain: state.domain,
+        helpers_digest: state.helpers_digest,
     };
     let Body::FleetReply(mut reply) =
         client.call(Body::FleetWatch(watch), MAX_WAIT + REPLY_SLACK).await?
@@ -139,7 +148,11 @@
     }
     for gateway in std::mem::take(&mut reply.gateways) {
         let seen = now.saturating_sub(Duration::from_millis(gateway.age_ms.into()));
-        knowledge.gateways.borrow_mut().note(&gateway.name, seen, false);
+        let mut gateways = knowledge.gateways.borrow_mut();
+        gateways.note(&gateway.name, seen, false);
+        if let Some(helper) = convert::from_gateway_message(gateway) {
+            gateways.note_helper(helper);
+        }
     }
     Ok((reply, changed))
 }
--- a/orioleworks_gateway/src/app.rs
+++ b/orioleworks_gateway/src/app.rs
@@ -13,7 +13,7 @@
 use orioleworks_proto::codes::exit;
 use tokio_util::sync::CancellationToken;
 
-use crate::{callers, cli, config::Config, reports, view::View, watch};
+use crate::{callers, cli, config::Config, path, relay, reports, view::View, watch};
 
 /// Time for which new connections are accepted after the signal. The platform checks readiness once a second and sends
 /// new callers until the second failed check.
@@ -51,10 +51,24 @@
             return exit::LISTEN;
         }
     };
+    let relay_listener = match cfg.listen.relay {
+        Some(address) => match http::bind(&address.to_string()).await {
+            Ok(listener) => Some(listener),
+            Err(e) => {
+                eprintln!("listen: {e}");
+                return exit::LISTEN;
+            }
+        },
+        None => None,
+    };
     event!(info, "gateway_started", name = cfg.instance.name, domain = cfg.instance.failure_domain);
     let view = View::new(cfg);
     runtime::spawn(watch::follow(view.clone(), token.clone())).detach();
     runtime::spawn(reports::run(view.clone(), token.clone())).detach();
+    runtime::spawn(path::run(view.clone(), token.clone())).detach();
+    if let Some(listener) = relay_listener {
+        runtime::spawn(relay::serve(view.clone(), listener)).detach();
+    }
     let reload_view = view.clone();
     reload::watch(path, token.clone(), move |cfg: Config| {
         reload_view.stores.set_seeds(cfg.seed_addresses());
--- a/orioleworks_gateway/src/attempt.rs
+++ b/orioleworks_gateway/src/attempt.rs
@@ -1,6 +1,9 @@
 //! One attempt to run a request at an upstream.
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, header, response};
@@ -10,7 +13,12 @@
 use orioleworks_platform::upstream::{self, Verdict};
 use orioleworks_routing::{crashes::Observation, fleet::Upstream, outlier::Key};
 
-use crate::{forward::Content, view::View};
+use crate::{
+    carrier::{Carrier, Outbound},
+    forward::Content,
+    path, relay,
+    view::View,
+};
 
 /// Hop-by-hop headers.
 const HOP_BY_HOP_HEADERS: [&str; 8] = [
@@ -58,53 +66,36 @@
     pub upstream: Rc<Upstream>,
     /// Its key.
     pub key: Key,
+    /// The way on which it begins.
+    pub carrier: Carrier,
 }
 
 impl Attempt {
     /// Sends the request and waits for the end of the attempt.
     pub async fn send(self) -> AttemptEnd {
         let (started, sent_at) = (Instant::now(), clock::since_boot());
-        let remaining = self.deadline.saturating_duration_since(started);
-        let mut req = http::Request::builder()
-            .method(self.content.head.method.clone())
-            .uri(self.content.path_and_query());
-        if let Some(headers) = req.headers_mut() {
-            *headers = end_to_end_headers(&self.content.head.headers);
-            headers.remove(header::CONTENT_LENGTH);
-            upstream::set_upstream_headers(headers, &self.upstream.id, Some(remaining));
-        }
-        let req = match req.body(Full::new(self.content.body.clone())) {
-            Ok(req) => req,
-            Err(e) => return AttemptEnd::NotRun(e.to_string()),
+        let build = |remaining| {
+            let mut req = http::Request::builder()
+                .method(self.content.head.method.clone())
+                .uri(self.content.path_and_query());
+            if let Some(headers) = req.headers_mut() {
+                *headers = end_to_end_headers(&self.content.head.headers);
+                headers.remove(header::CONTENT_LENGTH);
+                upstream::set_upstream_headers(headers, &self.upstream.id, Some(remaining));
+            }
+            req.body(Full::new(self.content.body.clone()))
         };
-        let exchange =
-            match self.view.pool.send(&self.upstream.address, &self.key, req, remaining).await {
-                Ok(exchange) => exchange,
-                Err(e) => {
-                    self.record_failure();
-                    return match &e {
-                        SendError::NotSent(why) => AttemptEnd::NotRun(why.clone()),
-                        SendError::Refused(why) => {
-                            self.view.crashes.record_refusal(&self.key);
-                            AttemptEnd::NotRun(why.clone())
-                        }
-                        SendError::Timeout => {
-                            AttemptEnd::NoResponse(Observation::Silence, e.to_string())
-                        }
-                        SendError::Broken(_) => {
-                            AttemptEnd::NoResponse(Observation::BrokenAtStart, e.to_string())
-                        }
-                        SendError::Invalid(_) => AttemptEnd::Unknown(e.to_string()),
-                    };
-                }
-            };
-        let (status, headers) = (exchange.head.status, &exchange.head.headers);
-        let verdict = upstream::classify_response(status, headers, &self.id);
-        let notice = upstream::rate_notice(verdict, status, headers);
-        if self.view.knowledge.observe_rate(&self.key, sent_at, notice) {
-            self.view.report_wake.notify();
-        }
-        match verdict {
+        let outbound = Outbound {
+            view: &self.view,
+            upstream: &self.upstream,
+            key: &self.key,
+            deadline: self.deadline,
+        };
+        let exchange = match outbound.send(self.carrier, build).await {
+            Ok(exchange) => exchange,
+            Err(e) => return self.without_response(&e).await,
+        };
+        match learn(&self.view, &self.key, sent_at, &exchange.head, &self.id) {
             Verdict::NotRun => {
                 self.view.outliers.borrow_mut().record_dropped(&self.key);
                 let why = format!("refused with status {}", exchange.head.status.as_u16());
@@ -125,6 +116,34 @@
         }
     }
 
+    /// End of an attempt without a response. What the gateway's own path may have caused is no evidence against the upstream
+    /// or the request.
+    async fn without_response(&self, e: &SendError) -> AttemptEnd {
+        let own_fault = path::verdict(&self.view).await && self.carrier == Carrier::Direct;
+        if own_fault {
+            self.view.outliers.borrow_mut().record_dropped(&self.key);
+        } else {
+            self.record_failure();
+        }
+        match e {
+            SendError::NotSent(why) => AttemptEnd::NotRun(why.clone()),
+            SendError::Refused(why) => {
+                if !own_fault {
+                    self.view.crashes.record_refusal(&self.key);
+                }
+                AttemptEnd::NotRun(why.clone())
+            }
+            SendError::Invalid(_) => AttemptEnd::Unknown(e.to_string()),
+            SendError::Timeout | SendError::Broken(_) if own_fault => {
+                AttemptEnd::Unknown(e.to_string())
+            }
+            SendError::Timeout => AttemptEnd::NoResponse(Observation::Silence, e.to_string()),
+            SendError::Broken(_) => {
+                AttemptEnd::NoResponse(Observation::BrokenAtStart, e.to_string())
+            }
+        }
+    }
+
     async fn read_response(&self, mut exchange: Exchange, started: Instant) -> AttemptEnd {
         let head = response_head(&exchange.head);
         let mut buffered = self.view.buffers.start();
@@ -166,6 +185,23 @@
     }
 }
 
+/// Classifies the head of a response and records what it says of the upstream.
+pub fn learn(
+    view: &View,
+    key: &Key,
+    sent_at: Duration,
+    head: &response::Parts,
+    attempt_id: &str,
+) -> Verdict {
+    let (status, headers) = (head.status, &head.headers);
+    let verdict = upstream::classify_response(status, headers, attempt_id);
+    let notice = upstream::rate_notice(verdict, status, headers);
+    if view.knowledge.observe_rate(key, sent_at, notice) {
+        view.report_wake.notify();
+    }
+    verdict
+}
+
 /// Metric label for the result of an attempt; `None` stands for a cancelled attempt.
 pub fn outcome(end: Option<&AttemptEnd>) -> &'static str {
     match end {
@@ -200,5 +236,6 @@
     let mut response = http::Response::new(());
     *response.status_mut() = head.status;
     *response.headers_mut() = end_to_end_headers(&head.headers);
+    relay::remove_mark(response.headers_mut());
     response.into_parts().0
 }
--- a/orioleworks_gateway/src/config.rs
+++ b/orioleworks_gateway/src/config.rs
@@ -41,6 +41,10 @@
     pub callers: SocketAddr,
     /// HTTP for the platform's readiness check.
     pub readiness: SocketAddr,
+    /// HTTP for other gateways that have lost their path to the upstreams; without it this gateway neither helps nor is
+    /// helped.
+    #[serde(default)]
+    pub relay: Option<SocketAddr>,
 }
 
 /// Addresses of the stores.
--- a/orioleworks_gateway/src/forward.rs
+++ b/orioleworks_gateway/src/forward.rs
@@ -35,6 +35,7 @@
 use crate::{
     attempt::{self, Attempt, AttemptEnd},
     callers::{Refusal, RequestContext},
+    carrier::Carrier,
     crashes,
     permits::Demand,
     streams, telemetry,
@@ -124,6 +125,8 @@
     content: Rc<Content>,
     context: &'a RequestContext,
     deadline: Instant,
+    /// Time at which it began to be forwarded.
+    started: Duration,
     tried: Vec<Key>,
     /// Attempts that ran or may have run, plus those in flight.
     runs: u32,
@@ -168,6 +171,7 @@
         content: Rc::new(content),
         context,
         deadline,
+        started: clock::since_boot(),
         tried: Vec::new(),
         runs: 0,
         in_flight: Vec::new(),
@@ -219,12 +223,16 @@
             let Some(attempt) = attempt else {
                 if Instant::now() >= self.deadline {
                     let refusal = self.deadline_refusal();
-                    for key in std::mem::take(&mut self.in_flight) {
-                        self.record_crash(&key, Observation::Silence);
+                    let in_flight = std::mem::take(&mut self.in_flight);
+                    // The silence may have been this gateway's own fault.
+                    if !self.view.path.was_lost_since(self.started) {
+                        for key in in_flight {
+                            self.record_crash(&key, Observation::Silence);
+                        }
                     }
                     return Err(refusal);
                 }
-                if self.view.try_retry(&self.route.name) && self.start_unlimited() {
+                if self.view.try_retry(&self.route.name) && self.start_unlimited(self.carrier()) {
                     event!(
                         debug,
                         "second_attempt",
@@ -301,6 +309,10 @@
                 continue;
             }
             let not_run = self.runs == 0;
+            if not_run && failure.is_none() && held.is_none() && self.cannot_send() {
+                let detail = "neither this gateway nor another one reaches the upstreams";
+                return Err(Refusal::new(ResultCode::NoUpstream, detail, NO_UPSTREAM_RETRY));
+            }
             let retry = if not_run {
                 self.refusals < MAX_REFUSALS
             } else {
@@ -470,10 +482,10 @@
 
     /// Starts a parallel attempt; it takes no permit, because limited upstreams are short of them. Returns false if no
     /// upstream without a limit is left.
-    fn start_unlimited(&mut self) -> bool {
+    fn start_unlimited(&mut self, carrier: Carrier) -> bool {
         let software = self.software.as_deref();
         let upstream = self.view.choose_unlimited(&self.service, software, &self.tried);
-        upstream.map(|upstream| self.send_to(upstream)).is_some()
+        upstream.map(|upstream| self.send_by(upstream, carrier)).is_some()
     }
 
     fn longest_permit_wait(&self, excluded: &[Key]) -> Duration {
@@ -490,7 +502,23 @@
         Refusal::new(ResultCode::RateLimited, detail, wait)
     }
 
+    /// The way on which a parallel attempt begins: through another gateway, if nothing was heard since this request came. The
+    /// path may be lost, and a slow upstream costs only that hop.
+    fn carrier(&self) -> Carrier {
+        if self.view.path.heard_since(self.started) { Carrier::Direct } else { Carrier::Relay }
+    }
+
+    /// Whether this gateway has lost its path and no other one sends requests for it.
+    fn cannot_send(&self) -> bool {
+        let helpers = self.view.helpers.borrow();
+        self.view.path.is_lost() && !helpers.any_available(clock::since_boot())
+    }
+
     fn send_to(&mut self, upstream: Rc<Upstream>) {
+        self.send_by(upstream, Carrier::Direct);
+    }
+
+    fn send_by(&mut self, upstream: Rc<Upstream>, carrier: Carrier) {
         let key: Key = (upstream.id.clone(), upstream.incarnation);
         self.tried.push(key.clone());
         self.runs += 1;
@@ -504,6 +532,7 @@
             deadline: self.deadline,
             upstream,
             key,
+            carrier,
         };
         let (tx, cancel) = (self.tx.clone(), self.cancel.clone());
         runtime::spawn(async move {
--- a/orioleworks_gateway/src/reports.rs
+++ b/orioleworks_gateway/src/reports.rs
@@ -36,6 +36,11 @@
 }
 
 impl Wake {
+    /// Takes the end that the task waits on; `None` if another task has it.
+    pub fn take_receiver(&self) -> Option<mpsc::Receiver<()>> {
+        self.rx.borrow_mut().take()
+    }
+
     /// Makes the task report what is new.
     pub fn notify(&self) {
         // A full channel means that the task is about to look anyway.
@@ -47,7 +52,7 @@
 ///
 /// Everything is reported again to the next store, because the one before may have ended before it passed a report on.
 pub async fn run(view: View, token: CancellationToken) {
-    let Some(mut woken) = view.report_wake.rx.borrow_mut().take() else { return };
+    let Some(mut woken) = view.report_wake.take_receiver() else { return };
     let mut reported_to = String::new();
     let (mut known_contents, mut known_limits, mut known_streams) = (0, 0, 0);
     while !token.is_cancelled() {
--- a/orioleworks_gateway/src/view.rs
+++ b/orioleworks_gateway/src/view.rs
@@ -14,14 +14,15 @@
 use orioleworks_routing::{
     budget::{self, Budget},
     fleet::Upstream,
+    helpers::Helpers,
     outlier::{Candidate, Key, Outliers},
     routes::RouteTable,
     streams::Streams,
 };
 
 use crate::{
-    buffers::Buffers, config::Config, crashes::ContentCrashes, permits::Permits, reports::Wake,
-    telemetry,
+    buffers::Buffers, config::Config, crashes::ContentCrashes, path::UpstreamPath,
+    permits::Permits, relay::Relayed, reports::Wake, telemetry,
 };
 
 /// Second attempts allowed per recent successes, in percent. When one of three replicas fails, a third of the requests
@@ -60,6 +61,14 @@
     pub stores: Stores,
     /// Connections to upstreams.
     pub pool: Pool,
+    /// Path to the upstreams.
+    pub path: UpstreamPath,
+    /// Gateways that may send requests for this one.
+    pub helpers: Rc<RefCell<Helpers>>,
+    /// Connections to these gateways.
+    pub helper_pool: Pool,
+    /// Requests that this gateway sends for others.
+    pub relayed: Relayed,
     table: Rc<RefCell<Option<Rc<RouteTable>>>>,
     budgets: Rc<RefCell<HashMap<Rc<str>, Budget>>>,
     draining: Rc<Cell<bool>>,
@@ -86,6 +95,10 @@
             outliers: Rc::default(),
             stores,
             pool: Pool::default(),
+            path: UpstreamPath::default(),
+            helpers: Rc::default(),
+            helper_pool: Pool::default(),
+            relayed: Relayed::default(),
             table: Rc::default(),
             budgets: Rc::default(),
             draining: Rc::default(),
@@ -259,6 +272,7 @@
             self.budgets.borrow_mut().retain(|route, _| table.by_name(route).is_some());
         }
         self.pool.close_expired();
+        self.helper_pool.close_expired();
         drop(fleet);
         telemetry::publish(self);
     }
--- a/orioleworks_gateway/src/watch.rs
+++ b/orioleworks_gateway/src/watch.rs
@@ -7,7 +7,10 @@
 
 use compio::time;
 use orioleworks_daemon::event;
-use orioleworks_fleet::watch::{self, Position, WatcherState};
+use orioleworks_fleet::{
+    convert,
+    watch::{self, Position, WatcherState},
+};
 use orioleworks_routing::permits::Share;
 use tokio_util::sync::CancellationToken;
 
@@ -45,11 +48,16 @@
             leader_address: view.stores.leader(),
             direct_only: false,
             gateway: view.cfg.instance.name.to_string(),
+            relay_address: view.cfg.listen.relay.map_or_else(String::new, |a| a.to_string()),
+            domain: view.cfg.instance.failure_domain.to_string(),
+            helpers_digest: view.helpers.borrow().digest(),
         };
         let client = view.stores.client(address);
         let current = match watch::poll(&client, &mut position, state, &view.knowledge).await {
             Ok((reply, _)) => {
                 view.stores.set_members(reply.stores);
+                let helpers = reply.helpers.into_iter().filter_map(convert::from_gateway_message);
+                view.helpers.borrow_mut().set(helpers.collect());
                 view.permits.set_share(Share { rank: reply.gateway_rank, of: reply.gateway_count });
                 if reply.current {
                     view.stores.set_leader(&reply.leader_address);
--- a/orioleworks_gateway/tests/support/deployment.rs
+++ b/orioleworks_gateway/tests/support/deployment.rs
@@ -94,6 +94,7 @@
     control_port: u16,
     callers_port: u16,
     readiness_port: u16,
+    relay_port: u16,
     /// Memory limit in the settings of the stores, in megabytes.
     store_memory_mb: usize,
     /// Proxies in front of the stores' inner protocol; empty without proxies.
@@ -151,6 +152,7 @@
             control_port: free_port(),
             callers_port: free_port(),
             readiness_port: free_port(),
+            relay_port: free_port(),
             store_memory_mb,
             store_proxies: Vec::new(),
             paths: Vec::new(),
@@ -232,11 +234,13 @@
         let seeds = self.paths.get(i).map_or_else(|| self.seeds(), GatewayPaths::seeds);
         let settings = format!(
             r#"{{ "instance": {{ "name": "{name}", "failure_domain": "zone-a" }},
-                 "listen": {{ "callers": "{}", "readiness": "{}:{}" }},
+                 "listen": {{ "callers": "{}", "readiness": "{}:{}", "relay": "{}:{}" }},
                  "stores": {{ "seeds": [{}], "inner_port": {} }} }}"#,
             self.gateway_address(i),
             loopback_ip(2, i),
             self.readiness_port,
+            loopback_ip(2, i),
+            self.relay_port,
             seeds,
             self.inner_port,
         );
--- a/orioleworks_routing/src/outlier.rs
+++ b/orioleworks_routing/src/outlier.rs
@@ -84,6 +84,14 @@
         health.retry_at = now + pause.min(LONGEST_PAUSE);
     }
 
+    /// Forgets all failures, because they were the fault of this process.
+    pub fn forgive_all(&mut self) {
+        for health in self.known.values_mut() {
+            health.failures = 0;
+            health.retry_at = Duration::ZERO;
+        }
+    }
+
     /// Whether an upstream gets no requests because of recent failures.
     pub fn is_paused(&self, key: &Key, now: Duration) -> bool {
         self.known.get(key).is_some_and(|health| {
--- a/orioleworks_routing/src/rates.rs
+++ b/orioleworks_routing/src/rates.rs
@@ -8,7 +8,7 @@
 
 use indexmap::IndexMap;
 
-use crate::outlier::Key;
+use crate::{helpers::Helper, outlier::Key};
 
 /// Time without a sign of an instance after which its share is held back for it. Signs arrive every 0.5 s and are passed
 /// on within another 0.5 s.
@@ -151,9 +151,11 @@
     seen: IndexMap<Rc<str>, Sign>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Sign {
     at: Duration,
+    /// Where the instance takes requests of others, if it says so.
+    helper: Option<Helper>,
     /// Time of the last sign that reached this process without another one between.
     direct_at: Option<Duration>,
 }
@@ -161,7 +163,7 @@
 impl Senders {
     /// Records a sign of an instance; `direct` if no other process passed it on.
     pub fn note(&mut self, name: &str, at: Duration, direct: bool) {
-        let new = Sign { at, direct_at: None };
+        let new = Sign { at, helper: None, direct_at: None };
         let sign = self.seen.entry(name.into()).or_insert(new);
         sign.at = sign.at.max(at);
         if direct {
@@ -169,6 +171,26 @@
         }
     }
 
+    /// Records where an instance takes requests of others.
+    pub fn note_helper(&mut self, helper: Helper) {
+        if let Some(sign) = self.seen.get_mut(&helper.name) {
+            sign.helper = Some(helper);
+        }
+    }
+
+    /// Where an instance takes requests of others.
+    pub fn helper(&self, name: &str) -> Option<&Helper> {
+        self.seen.get(name).and_then(|sign| sign.helper.as_ref())
+    }
+
+    /// Instances that take requests of others and gave a sign lately. Longer than a store takes to find its peers again after a
+    /// partition, so that the list does not change with each one.
+    pub fn helpers(&self, now: Duration) -> impl Iterator<Item = &Helper> {
+        const LATELY: Duration = Duration::from_secs(10);
+        let lately = self.seen.values().filter(move |sign| now.saturating_sub(sign.at) < LATELY);
+        lately.filter_map(|sign| sign.helper.as_ref())
+    }
+
     /// Instances that this process has direct signs of, with the time of the last one.
     pub fn direct(&self) -> impl Iterator<Item = (&Rc<str>, Duration)> {
         self.seen.iter().filter_map(|(name, sign)| Some((name, sign.direct_at?)))
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -21,7 +21,12 @@
     codes::ResultCode,
     inner::{self, command::Kind, frame::Body},
 };
-use orioleworks_routing::{fleet::AnnounceOutcome, routes::RouteTable, streams::Origin};
+use orioleworks_routing::{
+    fleet::AnnounceOutcome,
+    helpers::{self, Helper},
+    routes::RouteTable,
+    streams::Origin,
+};
 use prost::Message;
 use tokio_util::sync::CancellationToken;
 
@@ -36,6 +41,8 @@
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(80);
 /// Longest time to ask another store what began a stream.
 const FIND_TIMEOUT: Duration = Duration::from_millis(100);
+/// Gateways that a gateway learns of as helpers: enough that several are left when a whole failure domain is partitioned.
+const SAMPLED_HELPERS: usize = 8;
 /// Pause between two rounds of housekeeping.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -385,7 +392,15 @@
         let direct_reports_only = watch.direct_only && same_process;
         if !watch.gateway.is_empty() {
             let now = clock::since_boot();
-            self.shared.knowledge.gateways.borrow_mut().note(&watch.gateway, now, true);
+            let mut gateways = self.shared.knowledge.gateways.borrow_mut();
+            gateways.note(&watch.gateway, now, true);
+            if !watch.relay_address.is_empty() {
+                gateways.note_helper(Helper {
+                    name: watch.gateway.as_str().into(),
+                    address: watch.relay_address.as_str().into(),
+                    domain: watch.domain.as_str().into(),
+                });
+            }
         }
         let deadline = Instant::now() + Duration::from_millis(watch.wait_ms.into()).min(MAX_WAIT);
         loop {
@@ -424,6 +439,15 @@
         let limits = limits.into_iter().flatten();
         let gateways = self.shared.knowledge.gateways.borrow();
         let watching = gateways.direct().filter(|_| watch.direct_only);
+        let helpers = match watch.gateway.as_str() {
+            "" => Vec::new(),
+            asker => helpers::sample(gateways.helpers(now).cloned(), asker, SAMPLED_HELPERS),
+        };
+        let known = helpers::digest(&helpers) == watch.helpers_digest;
+        let helpers = if known { Vec::new() } else { helpers };
+        let to_helper = |helper: &Helper| {
+            convert::to_gateway_message(&helper.name, Some(helper), Duration::ZERO)
+        };
         // Only voters, because a learner may be far behind.
         let mut stores = self.shared.log.voter_addresses();
         if self.shared.log.is_voter() {
@@ -442,13 +466,14 @@
             limits: limits.map(|report| convert::to_limit_message(&report, now)).collect(),
             limit_cursor: rates.cursor(),
             gateways: watching
-                .map(|(name, at)| inner::GatewaySign {
-                    name: name.to_string(),
-                    age_ms: convert::millis(now.saturating_sub(at)),
+                .map(|(name, at)| {
+                    let age = now.saturating_sub(at);
+                    convert::to_gateway_message(name, gateways.helper(name), age)
                 })
                 .collect(),
             gateway_count: u32::try_from(gateways.count()).unwrap_or(u32::MAX),
             gateway_rank: u32::try_from(gateways.rank(&watch.gateway)).unwrap_or(u32::MAX),
+            helpers: helpers.iter().map(to_helper).collect(),
         }
     }
 
