Gateways: evidence of a relayed attempt counts only where the path of the sender is in order

Without another gateway a request is sent directly all the same, because a pause of the process may have been taken for a lost path. Tests: crashing requests, cancellation, a gateway that ends while it sends, streams as they arrive.

--- a/orioleworks_gateway/src/attempt.rs
+++ b/orioleworks_gateway/src/attempt.rs
@@ -14,7 +14,7 @@
 use orioleworks_routing::{crashes::Observation, fleet::Upstream, outlier::Key};
 
 use crate::{
-    carrier::{Carrier, Outbound},
+    carrier::{Carrier, Failure, Outbound},
     forward::Content,
     path, relay,
     view::View,
@@ -93,7 +93,7 @@
         };
         let exchange = match outbound.send(self.carrier, build).await {
             Ok(exchange) => exchange,
-            Err(e) => return self.without_response(&e).await,
+            Err(e) => return self.without_response(e).await,
         };
         match learn(&self.view, &self.key, sent_at, &exchange.head, &self.id) {
             Verdict::NotRun => {
@@ -118,14 +118,15 @@
 
     /// End of an attempt without a response. What the gateway's own path may have caused is no evidence against the upstream
     /// or the request.
-    async fn without_response(&self, e: &SendError) -> AttemptEnd {
-        let own_fault = path::verdict(&self.view).await && self.carrier == Carrier::Direct;
+    async fn without_response(&self, failure: Failure) -> AttemptEnd {
+        let Failure { error: e, confirmed } = failure;
+        let own_fault = !confirmed && path::verdict(&self.view).await;
         if own_fault {
             self.view.outliers.borrow_mut().record_dropped(&self.key);
         } else {
             self.record_failure();
         }
-        match e {
+        match &e {
             SendError::NotSent(why) => AttemptEnd::NotRun(why.clone()),
             SendError::Refused(why) => {
                 if !own_fault {
--- a/orioleworks_gateway/src/carrier.rs
+++ b/orioleworks_gateway/src/carrier.rs
@@ -39,6 +39,21 @@
     Relay,
 }
 
+/// Why there is no response.
+#[derive(Debug)]
+pub struct Failure {
+    /// What happened.
+    pub error: SendError,
+    /// Whether another gateway, whose path is in order, tells so.
+    pub confirmed: bool,
+}
+
+impl From<SendError> for Failure {
+    fn from(error: SendError) -> Self {
+        Self { error, confirmed: false }
+    }
+}
+
 /// A request to an upstream, before it is carried.
 pub struct Outbound<'a> {
     /// State of the gateway.
@@ -67,10 +82,15 @@
         &self,
         carrier: Carrier,
         build: impl Fn(Duration) -> Result<Request<Full<Bytes>>, http::Error>,
-    ) -> Result<Exchange, SendError> {
+    ) -> Result<Exchange, Failure> {
         let helped = self.view.helpers.borrow().any_available(clock::since_boot());
         if self.view.path.is_lost() || (helped && carrier == Carrier::Relay) {
-            return self.relay(&build).await;
+            let result = self.relay(&build).await;
+            let Err(Failure { error: SendError::NotSent(_), confirmed: false }) = result else {
+                return result;
+            };
+            // What was taken for a lost path may have been a pause of this process.
+            return Ok(self.send_directly(CONNECT_PATIENCE, &build).await?);
         }
         let patience = if helped { CONNECT_PATIENCE } else { pool::CONNECT_TIMEOUT };
         let result = self.send_directly(patience, &build).await;
@@ -79,7 +99,7 @@
             Err(SendError::NotSent(_) | SendError::Refused(_)) if helped && !blamed => {
                 self.relay(&build).await
             }
-            result => result,
+            result => result.map_err(Failure::from),
         }
     }
 
@@ -143,7 +163,7 @@
     async fn relay(
         &self,
         build: impl Fn(Duration) -> Result<Request<Full<Bytes>>, http::Error>,
-    ) -> Result<Exchange, SendError> {
+    ) -> Result<Exchange, Failure> {
         let mut tried = Vec::new();
         while tried.len() < MAX_HELPERS {
             let random = rand::random_range(0..usize::MAX);
@@ -158,7 +178,7 @@
                 return result;
             }
         }
-        Err(SendError::NotSent("no other gateway sends it".into()))
+        Err(SendError::NotSent("no other gateway sends it".into()).into())
     }
 
     /// Result, unless the gateway certainly did not send the request and another one may; and its label.
@@ -166,7 +186,7 @@
         &self,
         helper: &Helper,
         build: impl Fn(Duration) -> Result<Request<Full<Bytes>>, http::Error>,
-    ) -> (Option<Result<Exchange, SendError>>, &'static str) {
+    ) -> (Option<Result<Exchange, Failure>>, &'static str) {
         let Self { view, key, .. } = self;
         let leave_out = || {
             view.helpers.borrow_mut().record_failure(&helper.name, clock::since_boot());
@@ -174,7 +194,7 @@
         let remaining = self.remaining();
         let mut req = match build(remaining) {
             Ok(req) => req,
-            Err(e) => return (Some(Err(SendError::NotSent(e.to_string()))), "invalid"),
+            Err(e) => return (Some(Err(SendError::NotSent(e.to_string()).into())), "invalid"),
         };
         relay::set_headers(req.headers_mut(), key);
         let helper_key: Key = (helper.address.clone(), 0);
@@ -194,15 +214,12 @@
         let sent = view.helper_pool.send_on(connection, &helper_key, req, self.remaining()).await;
         let exchange = match sent {
             Ok(exchange) => exchange,
-            Err(SendError::Timeout) => {
-                leave_out();
-                return (Some(Err(SendError::Timeout)), "timeout");
-            }
             // The request may have run, but this says nothing of the upstream.
             Err(e) => {
                 leave_out();
-                let why = format!("gateway {}: {e}", helper.name);
-                return (Some(Err(SendError::Invalid(why))), "broken");
+                let why = SendError::Invalid(format!("gateway {}: {e}", helper.name));
+                let label = if e == SendError::Timeout { "timeout" } else { "broken" };
+                return (Some(Err(why.into())), label);
             }
         };
         match relay::answer(&exchange.head) {
@@ -220,7 +237,8 @@
                 if matches!(e, SendError::NotSent(_) | SendError::Refused(_)) {
                     path::excuse(view, key);
                 }
-                (Some(Err(e)), "failed")
+                let confirmed = !matches!(e, SendError::Invalid(_));
+                (Some(Err(Failure { error: e, confirmed })), "failed")
             }
         }
     }
--- a/orioleworks_gateway/src/relay.rs
+++ b/orioleworks_gateway/src/relay.rs
@@ -24,7 +24,7 @@
 use orioleworks_routing::outlier::Key;
 use tokio_util::sync::CancellationToken;
 
-use crate::{attempt, carrier::Outbound, view::View};
+use crate::{attempt, carrier::Outbound, path, view::View};
 
 /// Requests that are sent for other gateways at the same time; the smallest gateways have an eighth of a core.
 const MAX_RELAYED: usize = 32;
@@ -52,6 +52,7 @@
 const REFUSED: &str = "refused";
 const SILENT: &str = "silent";
 const BROKEN: &str = "broken";
+const UNKNOWN: &str = "unknown";
 
 /// Answer of a gateway that was asked to send a request.
 #[derive(Debug, PartialEq, Eq)]
@@ -176,15 +177,16 @@
     let outbound = Outbound { view, upstream: &upstream, key: &key, deadline };
     let sent_at = clock::since_boot();
     let result = outbound.send_directly(CONNECT_PATIENCE, build).await;
+    let own_fault = result.is_err() && path::verdict(view).await;
     let word = match &result {
         Ok(_) => RESPONSE,
         // Only a gateway that reaches other upstreams can tell that this one is at fault.
         Err(SendError::NotSent(_)) if view.path.is_proven() => UNREACHABLE,
         Err(SendError::Refused(_)) if view.path.is_proven() => REFUSED,
         Err(SendError::NotSent(_) | SendError::Refused(_)) => UNAVAILABLE,
-        Err(SendError::Timeout) => SILENT,
-        Err(SendError::Broken(_)) => BROKEN,
-        Err(SendError::Invalid(_)) => "invalid",
+        Err(SendError::Timeout) if !own_fault => SILENT,
+        Err(SendError::Broken(_)) if !own_fault => BROKEN,
+        Err(_) => UNKNOWN,
     };
     event!(debug, "sent_for_another", request = id, upstream = key.0, result = word);
     match result {
--- a/orioleworks_gateway/tests/partitioned.rs
+++ b/orioleworks_gateway/tests/partitioned.rs
@@ -3,9 +3,11 @@
 mod support;
 
 use std::{
+    io::{Read, Write},
+    net::TcpStream,
     sync::{
-        Mutex,
-        atomic::{AtomicBool, Ordering},
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -17,7 +19,7 @@
     deployment::Deployment,
     paths::Cut,
     routes::{self, MODEL},
-    upstream::{EVENTS, Upstream},
+    upstream::{EVENT_GAP, EVENTS, Endless, Upstream},
 };
 
 /// Time after the cut from which callers must be served.
@@ -217,3 +219,112 @@
         (0..GATEWAYS).all(|gateway| send(&d, gateway, "lookup", "again").is_served())
     });
 }
+
+/// Cuts the path of the first gateway, and waits until it knows.
+fn cut_first(d: &Deployment) {
+    d.paths[0].set_cut(Some(Cut::Refuse));
+    d.wait_until("the gateway knows that its path is lost", || {
+        send(d, 0, "lookup", "cut");
+        d.gateways[0].as_ref().unwrap().log().contains("event=path_lost")
+    });
+}
+
+/// Guards against a request that crashes upstreams and is not recognized, because other gateways send it.
+#[test]
+fn a_request_that_crashes_upstreams_is_quarantined_at_a_partitioned_gateway() {
+    let d = Deployment::start_with_paths(3, GATEWAYS, &routes::document(1, 800).to_string());
+    let upstreams = start_upstreams(&d);
+    warm_up(&d);
+    cut_first(&d);
+    let left = Arc::new(AtomicU64::new(100));
+    for up in &upstreams {
+        *up.behaviour.crash_path.lock().unwrap() = "poison".into();
+        *up.behaviour.crashes_left.lock().unwrap() = left.clone();
+    }
+    let path = "/lookup/poison";
+    let mut quarantined = 0;
+    for n in 0..30 {
+        let id = format!("repeat-{n}");
+        let headers = [("X-Attempt-Id", id.as_str()), ("X-Deadline-Ms", "800")];
+        let response = client::call(&d.gateway_address(0), "GET", path, &headers, "");
+        quarantined += usize::from(response.is_some_and(|r| r.body.contains("quarantined")));
+        thread::sleep(CALL_INTERVAL);
+    }
+    let crashes: usize = upstreams.iter().map(|up| up.crashes().len()).sum();
+    println!("{crashes} crashes, {quarantined} refusals");
+    assert!(crashes <= 2 && quarantined > 0, "{crashes}, {quarantined}\n{}", d.logs());
+}
+
+/// Guards against an upstream that goes on after its caller has left, because another gateway sent the request.
+#[test]
+fn a_caller_that_leaves_a_partitioned_gateway_stops_the_upstream() {
+    let d = Deployment::start_with_paths(3, GATEWAYS, &routes::document(1, 5000).to_string());
+    let upstreams = start_upstreams(&d);
+    warm_up(&d);
+    cut_first(&d);
+    for up in &upstreams {
+        *up.behaviour.endless.lock().unwrap() = Some(Endless::Events);
+    }
+    let running = || -> u64 {
+        let running = |up: &Upstream| up.behaviour.endless_connections.load(Ordering::Relaxed);
+        upstreams.iter().map(running).sum()
+    };
+    let mut caller = TcpStream::connect(d.gateway_address(0)).unwrap();
+    let head = format!("X-Attempt-Id: leaves\r\nX-Deadline-Ms: 5000\r\nX-Model: {MODEL}\r\n");
+    write!(caller, "GET /say/leaves HTTP/1.1\r\nHost: test.example\r\n{head}\r\n").unwrap();
+    let mut part = [0; 1024];
+    assert!(caller.read(&mut part).unwrap() > 0, "the stream begins");
+    assert_eq!(running(), 1);
+    drop(caller);
+    let left = Instant::now();
+    d.wait_until("the upstream is stopped", || running() == 0);
+    assert!(left.elapsed() < Duration::from_secs(2), "took {:?}", left.elapsed());
+}
+
+/// Guards against a request that runs twice, or is said not to have run, when the gateway that sends it ends; and against
+/// evidence that its upstream crashed.
+#[test]
+fn a_request_may_have_run_when_the_gateway_that_sends_it_ends() {
+    let mut d = Deployment::start_with_paths(3, GATEWAYS, &routes::document(1, 3000).to_string());
+    let upstreams = start_upstreams(&d);
+    warm_up(&d);
+    cut_first(&d);
+    for up in &upstreams {
+        up.behaviour.delay_ms.store(1000, Ordering::Relaxed);
+    }
+    let address = d.gateway_address(0);
+    let caller = thread::spawn(move || send_to(&address, 0, "confirm", "lost"));
+    d.wait_until("the request runs", || upstreams.iter().any(|up| !up.runs("lost").is_empty()));
+    d.gateways[1] = None;
+    d.gateways[2] = None;
+    let call = caller.join().unwrap();
+    let status = call.response.as_ref().map(|response| response.status);
+    assert_eq!(status, Some(502), "{:?}\n{}", call.response, d.logs());
+    check_runs(&[call], &upstreams);
+    let log = d.gateways[0].as_ref().unwrap().log();
+    assert!(!log.contains("event=crash_suspected"), "{log}");
+}
+
+/// Guards against a stream that waits in the gateway that passes it on until it is complete.
+#[test]
+fn a_stream_through_another_gateway_is_passed_on_as_it_arrives() {
+    let d = Deployment::start_with_paths(3, GATEWAYS, &routes::document(1, 5000).to_string());
+    let _upstreams = start_upstreams(&d);
+    warm_up(&d);
+    cut_first(&d);
+    let mut caller = TcpStream::connect(d.gateway_address(0)).unwrap();
+    let head = format!("X-Attempt-Id: parts\r\nX-Deadline-Ms: 5000\r\nX-Model: {MODEL}\r\n");
+    write!(caller, "GET /say/parts HTTP/1.1\r\nHost: test.example\r\n{head}\r\n").unwrap();
+    let (mut text, mut part, mut first) = (String::new(), [0; 4096], None);
+    while !text.contains(&format!("event {EVENTS}")) {
+        let n = caller.read(&mut part).unwrap();
+        assert!(n > 0, "{text}\n{}", d.logs());
+        text += &String::from_utf8_lossy(&part[..n]);
+        if text.contains("event 1\n") {
+            first.get_or_insert_with(Instant::now);
+        }
+    }
+    let span = first.unwrap().elapsed();
+    let generated = EVENT_GAP * u32::try_from(EVENTS - 1).unwrap();
+    assert!(span > generated / 2, "{EVENTS} events within {span:?}");
+}
