--- a/orioleworks_gateway/src/path.rs
+++ b/orioleworks_gateway/src/path.rs
@@ -73,8 +73,14 @@
     }
 }
 
-/// Records a failure to connect to an upstream.
+/// Records a failure to connect to an upstream. It is the upstream's fault if another connection was opened just before.
 pub fn record_unconnected(view: &View, up: &Key) {
+    if !view.path.is_proven() {
+        add_evidence(view, up);
+    }
+}
+
+fn add_evidence(view: &View, up: &Key) {
     if view.helpers.borrow().is_empty() {
         return;
     }
@@ -163,7 +169,7 @@
             record_connected(view);
             view.pool.keep(&key, connection);
         }
-        Err(_) => record_unconnected(view, &key),
+        Err(_) => add_evidence(view, &key),
     }
 }
 
--- a/orioleworks_gateway/tests/partitioned.rs
+++ b/orioleworks_gateway/tests/partitioned.rs
@@ -328,3 +328,34 @@
     let generated = EVENT_GAP * u32::try_from(EVENTS - 1).unwrap();
     assert!(span > generated / 2, "{EVENTS} events within {span:?}");
 }
+
+/// Guards against a service that is down everywhere and sends its load round the gateways, and against another service that
+/// suffers from that.
+#[test]
+fn a_service_that_is_down_everywhere_is_not_sent_round_the_gateways() {
+    const DOWN_TIME: Duration = Duration::from_secs(5);
+    let d = Deployment::start(3, GATEWAYS, &routes::document(1, 800).to_string());
+    let upstreams = start_upstreams(&d);
+    warm_up(&d);
+    let calls = under_load(&d, || {
+        let until = Instant::now() + DOWN_TIME;
+        while Instant::now() < until {
+            upstreams.iter().filter(|up| up.id.starts_with("s-")).for_each(Upstream::crash);
+            thread::sleep(Duration::from_millis(20));
+        }
+    });
+    let of_service = calls.iter().filter(|call| call.kind != "say").count();
+    let relayed: f64 = (0..GATEWAYS).map(|gateway| relayed(&d, gateway)).sum();
+    let (ok, all) = served(calls.iter().filter(|call| call.kind == "say"));
+    println!("{relayed} of {of_service} sent to other gateways; streams {ok} of {all}");
+    assert!(of_service >= 100, "{of_service} calls");
+    assert!(relayed * 4.0 <= of_service as f64, "{relayed} of {of_service}\n{}", d.logs());
+    assert!(ok * 20 >= all * 19, "{ok} of {all} streams\n{}", d.logs());
+}
+
+/// Requests that a gateway has asked others to send.
+fn relayed(d: &Deployment, gateway: usize) -> f64 {
+    let response = client::call(&d.readiness_address(gateway), "GET", "/metrics", &[], "").unwrap();
+    let lines = response.body.lines().filter(|l| l.starts_with("orioleworks_relayed_total"));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+}
--- a/orioleworks_gateway/tests/support/deployment.rs
+++ b/orioleworks_gateway/tests/support/deployment.rs
@@ -198,8 +198,12 @@
         format!("{}:{}", loopback_ip(2, i), self.callers_port)
     }
 
+    pub fn readiness_address(&self, i: usize) -> String {
+        format!("{}:{}", loopback_ip(2, i), self.readiness_port)
+    }
+
     pub fn is_ready(&self, i: usize) -> bool {
-        let address = format!("{}:{}", loopback_ip(2, i), self.readiness_port);
+        let address = self.readiness_address(i);
         client::call(&address, "GET", "/v1/readiness", &[], "").is_some_and(|a| a.status == 200)
     }
 
