--- a/orioleworks_gateway/src/carrier.rs
+++ b/orioleworks_gateway/src/carrier.rs
@@ -11,7 +11,11 @@
 use http_body_util::Full;
 use orioleworks_daemon::{clock, event};
 use orioleworks_fleet::pool::{self, Exchange, SendError};
-use orioleworks_routing::{fleet::Upstream, helpers::Helper, outlier::Key};
+use orioleworks_routing::{
+    fleet::{AnnounceOutcome, Upstream},
+    helpers::Helper,
+    outlier::Key,
+};
 
 use crate::{
     path,
@@ -232,6 +236,16 @@
                 leave_out();
                 (None, "unavailable")
             }
+            Answer::Leaving => {
+                exchange.discard();
+                let now = clock::since_boot();
+                let outcome = view.knowledge.fleet.borrow_mut().leave(now, &key.0, key.1);
+                if outcome == AnnounceOutcome::Changed {
+                    event!(info, "upstream_leaves", upstream = key.0, incarnation = key.1);
+                }
+                let error = SendError::NotSent("the upstream is leaving".into());
+                (Some(Err(Failure { error, confirmed: true })), "leaving")
+            }
             Answer::Failed(e) => {
                 exchange.discard();
                 if matches!(e, SendError::NotSent(_) | SendError::Refused(_)) {
--- a/orioleworks_gateway/src/relay.rs
+++ b/orioleworks_gateway/src/relay.rs
@@ -48,6 +48,7 @@
 
 const RESPONSE: &str = "response";
 const UNAVAILABLE: &str = "unavailable";
+const LEAVING: &str = "leaving";
 const UNREACHABLE: &str = "unreachable";
 const REFUSED: &str = "refused";
 const SILENT: &str = "silent";
@@ -61,6 +62,8 @@
     Response,
     /// It did not send the request for a reason of its own.
     Unavailable,
+    /// It did not send the request because the upstream is leaving.
+    Leaving,
     /// There is no response, for a reason of the upstream.
     Failed(SendError),
 }
@@ -80,6 +83,7 @@
     match word {
         RESPONSE => Answer::Response,
         UNAVAILABLE => Answer::Unavailable,
+        LEAVING => Answer::Leaving,
         UNREACHABLE => Answer::Failed(SendError::NotSent(why())),
         REFUSED => Answer::Failed(SendError::Refused(why())),
         SILENT => Answer::Failed(SendError::Timeout),
@@ -149,11 +153,14 @@
     let upstream = key.as_ref().and_then(|key| {
         let fleet = view.knowledge.fleet.borrow();
         let known = fleet.get(&key.0).filter(|known| known.upstream.incarnation == key.1);
-        known.map(|known| known.upstream.clone()).filter(|up| !up.leaving)
+        known.map(|known| known.upstream.clone())
     });
     let (Some(key), Some(upstream)) = (key, upstream) else {
         return without_response(UNAVAILABLE);
     };
+    if upstream.leaving {
+        return without_response(LEAVING);
+    }
     let (head, body) = req.into_parts();
     let limits = server::Limits { body_bytes: MAX_RELAYED_BYTES, ..server::Limits::default() };
     let Ok(body) = server::read_body(body, &limits).await else {
