--- a/orioleworks_gateway/src/lib.rs
+++ b/orioleworks_gateway/src/lib.rs
@@ -3,14 +3,18 @@
 //! See `docs/platform.md`.
 
 pub mod app;
+pub mod attempt;
 pub mod batches;
 pub mod buffers;
 pub mod callers;
+pub mod carrier;
 pub mod cli;
 pub mod config;
 pub mod crashes;
 pub mod forward;
+pub mod path;
 pub mod permits;
+pub mod relay;
 pub mod reports;
 pub mod streams;
 pub mod telemetry;
