Gateways and stores obey Server-Leaving in responses

An upstream says in all its responses that it leaves (`Server-Leaving: 1`), maybe before any announcement does. The notice is decoded once in platform/ (`leaving_notice`), not from unverified responses and not from 421, which another upstream sends. Fleet records incarnations that leave apart from what is known of the upstream (`note_left`): announced state may be superseded, expire or arrive later. Leaving announcements go into the same record. It is kept for 24 h after the last sign, and for 300 s for a start without a time, because that cannot be told from the next one. A gateway reads a head in one function (`responses::read_head`), which a relay can call too.

A permit that was waited for is not used for an upstream that leaves meanwhile. Orders and reports check before each call and end with `leaving`. Connections to it are not kept. A deregistration without a start time is refused (503) by a store that does not know the upstream, instead of being acknowledged and forgotten; one with a start time is recorded there.

Not run: soak, memory.

--- a/orioleworks_fleet/src/convert.rs
+++ b/orioleworks_fleet/src/convert.rs
@@ -5,7 +5,7 @@
 use orioleworks_proto::inner;
 use orioleworks_routing::{
     crashes::{Crash, Observation, Report, SuspectRun},
-    fleet::{Known, Upstream},
+    fleet::{Known, Left, Upstream},
     permits::Permit,
     rates,
 };
@@ -123,6 +123,24 @@
     }
 }
 
+/// Message for an upstream that leaves.
+pub fn to_leaving_message(left: &Left, now: Duration) -> inner::LeavingUpstream {
+    let (id, incarnation) = &left.upstream;
+    inner::LeavingUpstream {
+        upstream: id.to_string(),
+        incarnation: *incarnation,
+        age_ms: millis(now.saturating_sub(left.since)),
+    }
+}
+
+/// Upstream of a message that leaves.
+pub fn from_leaving_message(message: inner::LeavingUpstream, now: Duration) -> Left {
+    Left {
+        upstream: (message.upstream.into(), message.incarnation),
+        since: now.saturating_sub(Duration::from_millis(message.age_ms.into())),
+    }
+}
+
 /// Permit of a reply with [`ResultCode::Ok`](orioleworks_proto::codes::ResultCode::Ok).
 pub fn from_permit_reply(reply: &inner::AcquirePermitReply) -> Permit {
     let wait = Duration::from_millis(reply.wait_ms.into());
--- a/orioleworks_fleet/src/pool.rs
+++ b/orioleworks_fleet/src/pool.rs
@@ -23,6 +23,7 @@
     body::{Body, Incoming},
     client::conn::http1,
 };
+use orioleworks_routing::{fleet::Fleet, outlier::Key};
 
 /// Longest time to connect; connecting takes one round trip and about 1 ms at the upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -57,8 +58,6 @@
 
 impl std::error::Error for SendError {}
 
-type Key = (Rc<str>, u64);
-
 struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     /// Drives the connection; dropping it closes the connection.
@@ -71,6 +70,8 @@
 #[derive(Clone, Default)]
 pub struct Pool {
     idle: Rc<RefCell<HashMap<Key, Vec<Connection>>>>,
+    /// Tells which upstreams leave; their connections are not kept.
+    fleet: Rc<RefCell<Fleet>>,
     opened: Rc<Cell<u64>>,
 }
 
@@ -97,6 +98,11 @@
 }
 
 impl Pool {
+    /// Creates a pool of connections to the upstreams of a fleet.
+    pub fn new(fleet: Rc<RefCell<Fleet>>) -> Self {
+        Self { fleet, ..Self::default() }
+    }
+
     /// Sends a request to an incarnation of an upstream and waits for the head of the response.
     ///
     /// # Errors
@@ -166,11 +172,13 @@
         Ok(Connection { sender, task, reusable_until: Instant::now() + IDLE_TIMEOUT })
     }
 
-    /// Closes idle connections that have expired.
+    /// Closes idle connections that have expired, and those to upstreams that leave.
     pub fn close_expired(&self) {
         let now = Instant::now();
-        self.idle.borrow_mut().retain(|_, kept| {
-            kept.retain(|c| c.reusable_until > now && !c.sender.is_closed());
+        let fleet = self.fleet.borrow();
+        self.idle.borrow_mut().retain(|key, kept| {
+            let leaves = fleet.has_left(key);
+            kept.retain(|c| !leaves && c.reusable_until > now && !c.sender.is_closed());
             !kept.is_empty()
         });
     }
@@ -241,7 +249,8 @@
             .get_all(http::header::CONNECTION)
             .iter()
             .any(|v| v.to_str().is_ok_and(|v| v.to_ascii_lowercase().contains("close")));
-        if closing || self.connection.sender.is_closed() {
+        let leaves = self.pool.fleet.borrow().has_left(&self.key);
+        if closing || leaves || self.connection.sender.is_closed() {
             return;
         }
         let mut idle = self.pool.idle.borrow_mut();
--- a/orioleworks_fleet/src/watch.rs
+++ b/orioleworks_fleet/src/watch.rs
@@ -9,7 +9,7 @@
 use orioleworks_proto::inner::{self, frame::Body};
 use orioleworks_routing::{
     crashes::Crashes,
-    fleet::{AnnounceOutcome, Fleet},
+    fleet::{AnnounceOutcome, Fleet, LeavingNotice, Left},
     outlier::Key,
     rates::{NamedRates, Notice, Senders},
 };
@@ -80,6 +80,38 @@
         true
     }
 
+    /// Records what a response says of whether its upstream leaves; returns whether that is news.
+    pub fn observe_leaving(&self, up: &Key, notice: LeavingNotice) -> bool {
+        match notice {
+            LeavingNotice::Leaves => {}
+            LeavingNotice::Unreadable => {
+                event!(warn, "leaving_unreadable", upstream = up.0, incarnation = up.1);
+                return false;
+            }
+            LeavingNotice::Silent => return false,
+        }
+        let left = Left { upstream: up.clone(), since: clock::since_boot() };
+        self.note_left(left, true, "response")
+    }
+
+    /// Records that an upstream leaves, as told by `source`; returns whether that is news.
+    pub fn note_left(&self, left: Left, direct: bool, source: &str) -> bool {
+        let now = clock::since_boot();
+        let ((id, incarnation), age) = (left.upstream.clone(), now.saturating_sub(left.since));
+        let news = self.fleet.borrow_mut().note_left(now, left, direct);
+        if news {
+            event!(
+                info,
+                "upstream_leaving",
+                upstream = id,
+                incarnation = incarnation,
+                source = source,
+                age_ms = age.as_millis(),
+            );
+        }
+        news
+    }
+
     /// Removes limits of upstreams that are gone.
     pub fn expire_rates(&self) {
         let fleet = self.fleet.borrow();
@@ -124,6 +156,10 @@
     };
     let now = clock::since_boot();
     let mut changed = false;
+    for message in std::mem::take(&mut reply.leaving) {
+        let left = convert::from_leaving_message(message, now);
+        changed |= knowledge.note_left(left, false, &client.address());
+    }
     for message in std::mem::take(&mut reply.upstreams) {
         let (up, last_seen) = convert::from_message(message, now);
         let outcome = knowledge.fleet.borrow_mut().announce(last_seen, up, false);
--- a/orioleworks_gateway/src/forward.rs
+++ b/orioleworks_gateway/src/forward.rs
@@ -39,7 +39,7 @@
     callers::{Refusal, RequestContext},
     crashes,
     permits::Demand,
-    streams, telemetry,
+    responses, streams, telemetry,
     view::View,
 };
 
@@ -485,6 +485,10 @@
                     if !wait.is_zero() {
                         compio::time::sleep(wait).await;
                     }
+                    if self.view.leaves(&key) {
+                        excluded.push(key);
+                        continue;
+                    }
                     self.send_to(upstream);
                     return Start::Started;
                 }
@@ -672,13 +676,7 @@
                     };
                 }
             };
-        let (status, headers) = (exchange.head.status, &exchange.head.headers);
-        let verdict = upstream::classify_response(status, headers, &self.id);
-        let notice = upstream::rate_notice(verdict, status, headers);
-        if self.view.knowledge.observe_rate(&self.key, sent_at, notice) {
-            self.view.report_wake.notify();
-        }
-        match verdict {
+        match responses::read_head(&self.view, &self.key, &self.id, sent_at, &exchange.head) {
             Verdict::NotRun => {
                 self.view.outliers.borrow_mut().record_dropped(&self.key);
                 let why = format!("refused with status {}", exchange.head.status.as_u16());
--- a/orioleworks_gateway/src/lib.rs
+++ b/orioleworks_gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod forward;
 pub mod permits;
 pub mod reports;
+pub mod responses;
 pub mod streams;
 pub mod telemetry;
 pub mod view;
--- a/orioleworks_gateway/src/reports.rs
+++ b/orioleworks_gateway/src/reports.rs
@@ -50,6 +50,7 @@
     let Some(mut woken) = view.report_wake.rx.borrow_mut().take() else { return };
     let mut reported_to = String::new();
     let (mut known_contents, mut known_limits, mut known_streams) = (0, 0, 0);
+    let mut known_leaving = 0;
     while !token.is_cancelled() {
         {
             let mut check = std::pin::pin!(time::sleep(CHECK_INTERVAL).fuse());
@@ -58,22 +59,25 @@
         let Some(address) = view.followed_store() else { continue };
         if address != reported_to {
             (known_contents, known_limits, known_streams) = (0, 0, 0);
+            known_leaving = 0;
             reported_to.clone_from(&address);
         }
         let (contents, contents_cursor) = view.crashes.unreported(known_contents);
         let (limits, limits_cursor) = unreported_limits(&view, known_limits);
         let (streams, streams_cursor) = unreported_streams(&view, known_streams);
-        if contents.is_empty() && limits.is_empty() && streams.is_empty() {
+        let (leaving, leaving_cursor) = unreported_leaving(&view, known_leaving);
+        if contents.is_empty() && limits.is_empty() && streams.is_empty() && leaving.is_empty() {
             continue;
         }
-        let counts = (contents.len(), limits.len());
-        let report = inner::ReportObservations { contents, limits, streams };
+        let counts = (contents.len(), limits.len(), leaving.len());
+        let report = inner::ReportObservations { contents, limits, streams, leaving };
         let message = Body::ReportObservations(report);
         match view.stores.client(&address).call(message, REPORT_TIMEOUT).await {
             Ok(_) => {
                 known_contents = contents_cursor;
                 known_limits = limits_cursor;
                 known_streams = streams_cursor;
+                known_leaving = leaving_cursor;
             }
             Err(e) => event!(
                 warn,
@@ -81,6 +85,7 @@
                 peer = address,
                 contents = counts.0,
                 limits = counts.1,
+                leaving = counts.2,
                 reason = e
             ),
         }
@@ -95,6 +100,14 @@
     (limits.map(|report| convert::to_limit_message(&report, now)).collect(), rates.cursor())
 }
 
+/// Upstreams whose responses said that they leave.
+fn unreported_leaving(view: &View, acknowledged: u64) -> (Vec<inner::LeavingUpstream>, u64) {
+    let now = clock::since_boot();
+    let fleet = view.knowledge.fleet.borrow();
+    let left = fleet.left_since(acknowledged, true);
+    (left.map(|left| convert::to_leaving_message(&left, now)).collect(), fleet.cursor())
+}
+
 /// Streams that began since an acknowledged report; stores forget them when they restart.
 fn unreported_streams(view: &View, acknowledged: u64) -> (Vec<inner::BegunStream>, u64) {
     let known = view.streams.borrow();
--- a/orioleworks_gateway/src/view.rs
+++ b/orioleworks_gateway/src/view.rs
@@ -82,10 +82,10 @@
             streams: Rc::default(),
             report_wake,
             permits: Permits::default(),
-            knowledge,
+            knowledge: knowledge.clone(),
             outliers: Rc::default(),
             stores,
-            pool: Pool::default(),
+            pool: Pool::new(knowledge.fleet.clone()),
             table: Rc::default(),
             budgets: Rc::default(),
             draining: Rc::default(),
@@ -200,6 +200,11 @@
         self.knowledge.rates.borrow().limit(up)
     }
 
+    /// Whether an upstream leaves.
+    pub fn leaves(&self, up: &Key) -> bool {
+        self.knowledge.fleet.borrow().has_left(up)
+    }
+
     fn choose_among(
         &self,
         service: &str,
--- a/orioleworks_gateway/src/watch.rs
+++ b/orioleworks_gateway/src/watch.rs
@@ -48,7 +48,10 @@
         };
         let client = view.stores.client(address);
         let current = match watch::poll(&client, &mut position, state, &view.knowledge).await {
-            Ok((reply, _)) => {
+            Ok((reply, changed)) => {
+                if changed {
+                    view.pool.close_expired();
+                }
                 view.stores.set_members(reply.stores);
                 view.permits.set_share(Share { rank: reply.gateway_rank, of: reply.gateway_count });
                 if reply.current {
--- a/orioleworks_gateway/tests/support/upstream.rs
+++ b/orioleworks_gateway/tests/support/upstream.rs
@@ -59,6 +59,8 @@
     pub announces: AtomicBool,
     /// Requests a second that it names as its limit in each response, without refusing more.
     pub rate_limit: Mutex<Option<f64>>,
+    /// Says in each response that it leaves, whatever it announces.
+    pub says_leaving: AtomicBool,
     /// Bytes without end in place of responses.
     pub endless: Mutex<Option<Endless>>,
     /// Number of connections on which it sends bytes without end now.
@@ -177,6 +179,16 @@
         self.state.lock().unwrap().arrivals.clone()
     }
 
+    /// Start time in Unix milliseconds.
+    pub fn born(&self) -> u64 {
+        self.process.born.load(Ordering::Relaxed)
+    }
+
+    /// Connections that are open now.
+    pub fn open_connections(&self) -> usize {
+        self.process.connections.lock().unwrap().len()
+    }
+
     /// Weight version of a model.
     pub fn version(&self, model: &str) -> u64 {
         self.state.lock().unwrap().versions.get(model).copied().unwrap_or(0)
@@ -414,17 +426,20 @@
         headers: &[(&str, &str)],
         body: &str,
     ) -> std::io::Result<()> {
-        let limit = self.limit_header();
-        let mut head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n{limit}", body.len());
+        let notices = self.notice_headers();
+        let mut head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n{notices}", body.len());
         for (name, value) in headers {
             head += &format!("{name}: {value}\r\n");
         }
         write!(out, "{head}\r\n{body}")
     }
 
-    fn limit_header(&self) -> String {
+    /// Headers about the replica itself.
+    fn notice_headers(&self) -> String {
         let limit = *self.behaviour.rate_limit.lock().unwrap();
-        limit.map_or(String::new(), |rate| format!("Server-Limit: {rate}\r\n"))
+        let limit = limit.map_or(String::new(), |rate| format!("Server-Limit: {rate}\r\n"));
+        let leaves = self.behaviour.says_leaving.load(Ordering::Relaxed);
+        limit + if leaves { "Server-Leaving: 1\r\n" } else { "" }
     }
 
     fn must_crash(&self, path: &str) -> bool {
@@ -447,10 +462,10 @@
         let software = self.behaviour.software.lock().unwrap().clone();
         let suffix = if software.is_empty() { software } else { format!(" by {software}") };
         let padding = self.behaviour.event_padding.load(Ordering::Relaxed);
-        let limit = self.limit_header();
+        let notices = self.notice_headers();
         write!(
             out,
-            "HTTP/1.1 200 OK\r\n{limit}Content-Type: text/event-stream\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: \
+            "HTTP/1.1 200 OK\r\n{notices}Content-Type: text/event-stream\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: \
              stamp\r\nX-Weight-Versions: {version}\r\nTransfer-Encoding: chunked\r\n\r\n"
         )?;
         let break_after = self.behaviour.break_after.swap(0, Ordering::Relaxed);
--- a/orioleworks_routing/src/fleet.rs
+++ b/orioleworks_routing/src/fleet.rs
@@ -9,6 +9,8 @@
 
 use indexmap::IndexMap;
 
+use crate::outlier::Key;
+
 /// Time without an announcement after which an upstream ranks behind fresh ones: three intervals of 1.2 s.
 pub const STALE_AFTER: Duration = Duration::from_millis(3600);
 /// Time without an announcement after which an upstream gets no new requests. Network partitions between domains last
@@ -16,6 +18,37 @@
 pub const UNUSED_AFTER: Duration = Duration::from_secs(30);
 /// Time without an announcement after which an upstream is removed; delayed announcements arrive within seconds.
 const REMOVED_AFTER: Duration = Duration::from_secs(300);
+/// Time without a sign of a leaving incarnation after which it is forgotten that it left; no upstream takes as long to leave.
+const LEFT_KEPT: Duration = Duration::from_secs(24 * 3600);
+
+/// What a response says of whether its upstream leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeavingNotice {
+    /// The upstream leaves.
+    Leaves,
+    /// It says something that cannot be read.
+    Unreadable,
+    /// The response does not tell.
+    Silent,
+}
+
+/// An incarnation that leaves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Left {
+    /// The upstream.
+    pub upstream: Key,
+    /// Time at which the first instance learnt of it.
+    pub since: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct KnownLeft {
+    since: Duration,
+    last_sign: Duration,
+    /// Whether it was observed by this process or reported to it directly.
+    direct: bool,
+    changed: u64,
+}
 
 /// Announced state of an upstream.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -90,6 +123,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     known: IndexMap<Rc<str>, Known>,
+    /// Incarnations that leave. They outlast what is known of the upstream, which may be superseded, expire, and announce
+    /// itself again.
+    left: IndexMap<Key, KnownLeft>,
     changes: u64,
     urgent: u64,
 }
@@ -102,6 +138,16 @@
         up: Upstream,
         direct: bool,
     ) -> AnnounceOutcome {
+        let mut up = up;
+        let key = (up.id.clone(), up.incarnation);
+        let mut news = false;
+        if up.leaving {
+            let left = Left { upstream: key, since: received_at };
+            news = self.note_left(received_at, left, direct);
+        } else if let Some(left) = self.left.get_mut(&key) {
+            left.last_sign = left.last_sign.max(received_at);
+            up.leaving = true;
+        }
         let Some(old) = self.known.get(&up.id) else {
             self.supersede(&up);
             return self.store(received_at, up, direct, true);
@@ -115,16 +161,10 @@
             return self.store(received_at, up, direct, true);
         }
         if up.sequence <= known.sequence {
-            // Leaving is final, even if a newer announcement arrived first.
-            return if up.leaving {
-                self.leave(received_at, &up.id, up.incarnation)
-            } else {
-                AnnounceOutcome::Unchanged
-            };
+            // Leaving is final, even if a newer announcement arrived first; that was recorded above.
+            return if news { AnnounceOutcome::Changed } else { AnnounceOutcome::Unchanged };
         }
-        let mut up = up;
-        up.leaving |= known.leaving;
-        let changed = up.leaving != known.leaving
+        let changed = news
             || up.address != known.address
             || up.models != known.models
             || up.service != known.service;
@@ -133,15 +173,61 @@
         self.store(last_seen, up, direct, changed)
     }
 
-    /// Marks an upstream as leaving; an incarnation of 0 matches any.
+    /// Marks an upstream as leaving; an incarnation of 0 matches any. Another incarnation than the known one is only
+    /// recorded.
     pub fn leave(&mut self, now: Duration, id: &str, incarnation: u64) -> AnnounceOutcome {
-        let Some(old) = self.known.get(id) else { return AnnounceOutcome::Unchanged };
-        let other = incarnation != 0 && incarnation != old.upstream.incarnation;
-        if other || old.upstream.leaving {
+        let current = self.known.get(id).map(|known| known.upstream.incarnation);
+        let Some(incarnation) = Some(incarnation).filter(|i| *i != 0).or(current) else {
             return AnnounceOutcome::Unchanged;
+        };
+        let left = Left { upstream: (id.into(), incarnation), since: now };
+        if self.note_left(now, left, true) && current == Some(incarnation) {
+            AnnounceOutcome::Changed
+        } else {
+            AnnounceOutcome::Unchanged
+        }
+    }
+
+    /// Records that an incarnation leaves, which is final, also if the upstream is not known yet. Returns whether that is
+    /// news.
+    pub fn note_left(&mut self, now: Duration, left: Left, direct: bool) -> bool {
+        let Left { upstream, since } = left;
+        if let Some(known) = self.left.get_mut(&upstream) {
+            known.last_sign = known.last_sign.max(now);
+            // Other stores ask only for what was reported directly, and may not reach the one that passed it on.
+            if direct && !known.direct {
+                self.changes += 1;
+                (known.direct, known.changed) = (true, self.changes);
+            }
+            return false;
         }
-        let up = Upstream { leaving: true, ..(*old.upstream).clone() };
-        self.store(now, up, true, true)
+        self.changes += 1;
+        self.urgent = self.changes;
+        let left = KnownLeft { since, last_sign: now, direct, changed: self.changes };
+        let (id, incarnation) = (upstream.0.clone(), upstream.1);
+        self.left.insert(upstream, left);
+        let known = self.known.get(&id).filter(|k| k.upstream.incarnation == incarnation);
+        if let Some(known) = known.filter(|k| !k.upstream.leaving) {
+            let up = Upstream { leaving: true, ..(*known.upstream).clone() };
+            let (last_seen, direct) = (known.last_seen, direct || known.direct);
+            self.store(last_seen, up, direct, true);
+        }
+        true
+    }
+
+    /// Whether an incarnation is known to leave.
+    pub fn has_left(&self, up: &Key) -> bool {
+        self.left.contains_key(up)
+    }
+
+    /// Incarnations that were learnt to leave after a cursor; with `direct_only`, without what other processes passed on.
+    pub fn left_since(&self, cursor: u64, direct_only: bool) -> impl Iterator<Item = Left> {
+        let changed =
+            move |left: &KnownLeft| left.changed > cursor && (left.direct || !direct_only);
+        self.left
+            .iter()
+            .filter(move |(_, left)| changed(left))
+            .map(|(up, left)| Left { upstream: up.clone(), since: left.since })
     }
 
     /// Removes older upstreams at the same address: only the latest start can own it.
@@ -177,6 +263,11 @@
     /// Removes upstreams that have not announced themselves for `REMOVED_AFTER`.
     pub fn remove_expired(&mut self, now: Duration) {
         self.known.retain(|_, k| now.saturating_sub(k.last_seen) < REMOVED_AFTER);
+        // A start without a time cannot be told from the next one.
+        self.left.retain(|(_, incarnation), left| match incarnation {
+            0 => now.saturating_sub(left.since) < REMOVED_AFTER,
+            _ => now.saturating_sub(left.last_sign) < LEFT_KEPT,
+        });
     }
 
     /// Cursor of the newest change, for [`Self::since`] and [`Self::urgent_since`].
--- a/orioleworks_routing/tests/fleet.rs
+++ b/orioleworks_routing/tests/fleet.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use orioleworks_routing::fleet::{AnnounceOutcome, Fleet, STALE_AFTER, UNUSED_AFTER, Upstream};
+use orioleworks_routing::fleet::{
+    AnnounceOutcome, Fleet, Left, STALE_AFTER, UNUSED_AFTER, Upstream,
+};
 
 fn up(incarnation: u64, sequence: u64) -> Upstream {
     Upstream {
@@ -88,3 +90,68 @@
     assert!(fleet.urgent_since(cursor));
     assert_eq!(fleet.leave(at(4), "i-1", 7), AnnounceOutcome::Unchanged, "another incarnation");
 }
+
+fn left(s: u64) -> Left {
+    Left { upstream: ("i-1".into(), 1), since: at(s) }
+}
+
+/// Guards against an upstream that serves again because it went on to announce itself as ready after it was learnt otherwise
+/// that it leaves, and against the next incarnation that does not serve.
+#[test]
+fn what_was_learnt_of_leaving_outlasts_announcements() {
+    let mut fleet = Fleet::default();
+    fleet.announce(at(1), up(1, 5), true);
+    let cursor = fleet.cursor();
+    assert!(fleet.note_left(at(2), left(2), true));
+    assert!(fleet.urgent_since(cursor), "watchers learn of it at once");
+    assert!(!fleet.note_left(at(2), left(2), true));
+    fleet.announce(at(3), up(1, 4), true);
+    fleet.announce(at(3), up(1, 6), true);
+    fleet.announce(at(3), Upstream { address: "10.0.0.9:80".into(), ..up(1, 7) }, false);
+    assert_eq!(fleet.serving("sheets", at(3)).count(), 0);
+    fleet.announce(at(4), up(2, 1), true);
+    assert!(!fleet.note_left(at(5), left(5), true), "the earlier incarnation has left before");
+    assert_eq!(fleet.serving("sheets", at(5)).count(), 1);
+}
+
+/// Guards against an upstream that is learnt to leave before anything else is known of it, and then serves.
+#[test]
+fn an_unknown_upstream_that_leaves_does_not_serve_once_it_is_known() {
+    let mut fleet = Fleet::default();
+    assert!(fleet.note_left(at(1), left(1), false));
+    assert_eq!(fleet.leave(at(1), "i-3", 1), AnnounceOutcome::Unchanged);
+    fleet.announce(at(2), up(1, 1), true);
+    fleet.announce(at(2), Upstream { id: "i-3".into(), address: "a:1".into(), ..up(1, 1) }, true);
+    assert_eq!(fleet.serving("sheets", at(2)).count(), 0);
+}
+
+/// Guards against a leaving upstream that is forgotten, because it was silent or because another start had its address, and
+/// serves after a delayed announcement.
+#[test]
+fn leaving_is_not_forgotten_with_the_upstream() {
+    let mut fleet = Fleet::default();
+    fleet.announce(at(1), Upstream { leaving: true, ..up(1, 1) }, true);
+    fleet.announce(at(2), Upstream { id: "i-2".into(), ..up(2, 1) }, true);
+    assert!(fleet.get("i-1").is_none(), "superseded");
+    fleet.announce(at(3), up(1, 2), true);
+    assert_eq!(
+        fleet.serving("sheets", at(3)).map(|k| &*k.upstream.id).collect::<Vec<_>>(),
+        ["i-2"]
+    );
+    fleet.remove_expired(at(1000));
+    assert!(fleet.get("i-1").is_none(), "expired");
+    fleet.announce(at(1001), up(1, 3), false);
+    assert_eq!(fleet.serving("sheets", at(1001)).count(), 0);
+}
+
+/// Guards against a store that keeps from the others what was reported to it after another store had passed it on.
+#[test]
+fn what_is_reported_directly_is_passed_on_to_stores() {
+    let mut fleet = Fleet::default();
+    fleet.note_left(at(1), left(1), false);
+    assert_eq!(fleet.left_since(0, true).count(), 0);
+    assert_eq!(fleet.left_since(0, false).collect::<Vec<_>>(), [left(1)]);
+    let cursor = fleet.cursor();
+    fleet.note_left(at(2), left(2), true);
+    assert_eq!(fleet.left_since(cursor, true).collect::<Vec<_>>(), [left(1)]);
+}
--- a/orioleworks_store/src/control.rs
+++ b/orioleworks_store/src/control.rs
@@ -46,8 +46,11 @@
             done()
         }
         ControlCall::Leave { id, incarnation } => {
-            store.leave(&id, incarnation);
-            done()
+            if store.leave(&id, incarnation) {
+                done()
+            } else {
+                outcome(ResultCode::NotReady)
+            }
         }
         ControlCall::PutDocument(document) => {
             let version = document.version;
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -527,10 +527,8 @@
             Observation::Version(version) => {
                 engines.record_version(&run.key, &run.batch.model, version)
             }
-            Observation::Rate(notice) => {
-                if self.inner.shared.knowledge.observe_rate(&run.key, started, notice) {
-                    self.inner.shared.wake.notify();
-                }
+            Observation::Head(rate, leaving) => {
+                self.inner.shared.note_head(&run.key, started, rate, leaving)
             }
         }
     }
--- a/orioleworks_store/src/orders.rs
+++ b/orioleworks_store/src/orders.rs
@@ -18,13 +18,14 @@
 use orioleworks_daemon::{clock, event};
 use orioleworks_platform::{
     engine::{self, LoadOrder, OrderOutcome, Report, RunningRequests},
-    upstream,
+    upstream::{self, Verdict},
 };
 use orioleworks_routing::{
     fleet::Upstream,
     items,
     outlier::Key,
     permits::Permit,
+    rates,
     versions::{self, Engine, Load, Model},
 };
 use tokio_util::sync::CancellationToken;
@@ -68,6 +69,8 @@
     Busy,
     /// the engine names a limit that leaves no room now
     Limited,
+    /// the engine leaves
+    Leaving,
     /// no answer: {0}
     NoResponse(String),
     /// the version did not come into use in time
@@ -252,6 +255,7 @@
                 return Err(LoadError::Refused);
             }
             // The order may take effect later; `wait_until_loaded` checks the engine for it.
+            Err(LoadError::Leaving) => return Err(LoadError::Leaving),
             Err(e) => event!(info, "order_unanswered", upstream = up.id, reason = e),
         }
         self.wait_until_loaded(up, key, load).await
@@ -351,9 +355,18 @@
             upstream::set_upstream_headers(headers, &up.id, None);
         }
         let req = req.body(Full::new(body)).map_err(|e| no_response(e.to_string()))?;
+        // It may have been learnt during the waits before this call.
+        if self.inner.shared.knowledge.fleet.borrow().has_left(key) {
+            return Err(LoadError::Leaving);
+        }
+        let sent_at = clock::since_boot();
         let sent = self.inner.shared.pool.send(&up.address, key, req, RESPONSE_TIMEOUT).await;
         let exchange = sent.map_err(|e| no_response(e.to_string()))?;
-        let status = exchange.head.status.as_u16();
+        let (status, headers) = (exchange.head.status, &exchange.head.headers);
+        // Answers to orders are not signed. They say nothing of limits, which end only with responses to requests.
+        let leaving = upstream::leaving_notice(Verdict::Answered, status, headers);
+        self.inner.shared.note_head(key, sent_at, rates::Notice::Silent, leaving);
+        let status = status.as_u16();
         let body = exchange.finish(MAX_RESPONSE_BYTES, RESPONSE_TIMEOUT).await;
         body.map(|body| (status, body)).map_err(|e| no_response(e.to_string()))
     }
@@ -368,6 +381,7 @@
         Err(LoadError::Refused) => "refused",
         Err(LoadError::Busy) => "busy",
         Err(LoadError::Limited) => "limited",
+        Err(LoadError::Leaving) => "leaving",
         Err(LoadError::NoResponse(_)) => "no_answer",
         Err(LoadError::Timeout) => "late",
     }
--- a/orioleworks_store/src/runner.rs
+++ b/orioleworks_store/src/runner.rs
@@ -15,7 +15,11 @@
     upstream::{self, Verdict},
 };
 use orioleworks_proto::inner;
-use orioleworks_routing::{fleet::Upstream, outlier::Key, rates};
+use orioleworks_routing::{
+    fleet::{LeavingNotice, Upstream},
+    outlier::Key,
+    rates,
+};
 
 /// Silence of an engine after which an item resumes on another engine: several times the usual gap between events of a
 /// slow engine, and longer than the engine takes to read the prompts of a full batch.
@@ -228,8 +232,8 @@
     Event(Duration),
     /// The engine uses a weight version.
     Version(u64),
-    /// A response says this of the engine's limit.
-    Rate(rates::Notice),
+    /// A response says this of the engine's limit, and of whether the engine leaves.
+    Head(rates::Notice, LeavingNotice),
 }
 
 /// Runs an item on an engine, from where its progress ends.
@@ -257,7 +261,8 @@
     };
     let (status, headers) = (exchange.head.status, &exchange.head.headers);
     let verdict = upstream::classify_response(status, headers, &run.item.id);
-    (observer.observe)(Observation::Rate(upstream::rate_notice(verdict, status, headers)));
+    let leaving = upstream::leaving_notice(verdict, status, headers);
+    (observer.observe)(Observation::Head(upstream::rate_notice(verdict, status, headers), leaving));
     match verdict {
         Verdict::NotRun => return without_events(exchange, RunEnd::NotRun),
         Verdict::Unverified => {
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -72,7 +72,8 @@
         log.set_retired(state.borrow().retired().iter().cloned());
         let stores = Stores::default();
         stores.set_seeds(cfg.seed_addresses());
-        let (knowledge, engines, pool) = (Knowledge::default(), Rc::default(), Pool::default());
+        let (knowledge, engines) = (Knowledge::default(), Rc::default());
+        let pool = Pool::new(knowledge.fleet.clone());
         let (permits, streams) = (Rc::default(), Rc::default());
         let shared = Shared { log, state, knowledge, table, engines, streams, permits, pool, wake };
         let dispatch = Dispatch::new(shared.clone());
@@ -322,13 +323,15 @@
 
     /// Merges an announcement that an upstream sent to this store.
     pub fn announce(&self, up: orioleworks_routing::fleet::Upstream) {
-        let (id, leaving) = (up.id.clone(), up.leaving);
+        let id = up.id.clone();
         let (service, address, incarnation) =
             (up.service.clone(), up.address.clone(), up.incarnation);
         let software = up.software.clone();
         let noted =
             self.shared.knowledge.fleet.borrow_mut().announce(clock::since_boot(), up, true);
         if noted == AnnounceOutcome::Changed {
+            let key = (id.clone(), incarnation);
+            let leaving = self.shared.knowledge.fleet.borrow().has_left(&key);
             event!(
                 info,
                 "upstream_changed",
@@ -343,22 +346,30 @@
         }
     }
 
-    /// Records that an upstream leaves.
-    pub fn leave(&self, id: &str, incarnation: u64) {
-        if self.shared.knowledge.fleet.borrow_mut().leave(clock::since_boot(), id, incarnation)
-            == AnnounceOutcome::Changed
-        {
+    /// Records that an upstream leaves. Returns false if it is not known which one does; another store may know it.
+    pub fn leave(&self, id: &str, incarnation: u64) -> bool {
+        let mut fleet = self.shared.knowledge.fleet.borrow_mut();
+        if incarnation == 0 && fleet.get(id).is_none() {
+            return false;
+        }
+        if fleet.leave(clock::since_boot(), id, incarnation) == AnnounceOutcome::Changed {
             event!(info, "upstream_leaves", upstream = id, incarnation = incarnation);
-            self.shared.wake.notify();
         }
+        drop(fleet);
+        self.shared.wake.notify();
+        true
     }
 
     /// Merges what a gateway observed, and passes it on to the watchers at once.
     fn merge_observations(&self, report: inner::ReportObservations) {
         let now = clock::since_boot();
+        let mut changed = false;
+        for leaving in report.leaving {
+            let left = convert::from_leaving_message(leaving, now);
+            changed |= self.shared.knowledge.note_left(left, true, "report");
+        }
         let mut crashes = self.shared.knowledge.crashes.borrow_mut();
         let mut rates = self.shared.knowledge.rates.borrow_mut();
-        let mut changed = false;
         for content in report.contents {
             changed |= crashes.merge(convert::from_crash_message(content, now), now, true);
         }
@@ -419,6 +430,8 @@
         let crashes = self.shared.knowledge.crashes.borrow();
         let changed = known_crashes.map(|cursor| crashes.since(cursor, direct_reports_only));
         let changed = changed.into_iter().flatten();
+        let leaving = fleet.left_since(known, direct_reports_only);
+        let leaving = leaving.map(|left| convert::to_leaving_message(&left, now));
         let rates = self.shared.knowledge.rates.borrow();
         let limits = known_limits.map(|cursor| rates.since(cursor, direct_reports_only));
         let limits = limits.into_iter().flatten();
@@ -441,6 +454,7 @@
             crash_cursor: crashes.cursor(),
             limits: limits.map(|report| convert::to_limit_message(&report, now)).collect(),
             limit_cursor: rates.cursor(),
+            leaving: leaving.collect(),
             gateways: watching
                 .map(|(name, at)| inner::GatewaySign {
                     name: name.to_string(),
--- a/orioleworks_store/src/shared.rs
+++ b/orioleworks_store/src/shared.rs
@@ -1,10 +1,13 @@
 //! State shared by the parts of a store.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use orioleworks_fleet::{pool::Pool, watch::Knowledge};
 use orioleworks_log::{Log, notify::Notify};
-use orioleworks_routing::{permits::Permits, routes::RouteTable, streams::Streams};
+use orioleworks_routing::{
+    fleet::LeavingNotice, outlier::Key, permits::Permits, rates, routes::RouteTable,
+    streams::Streams,
+};
 
 use crate::{engines::Engines, state::State};
 
@@ -30,3 +33,23 @@
     /// Notified when state, fleet or engines change.
     pub wake: Notify,
 }
+
+impl Shared {
+    /// Records what the head of an engine's response says of the engine; the request was sent at `sent_at`.
+    pub fn note_head(
+        &self,
+        engine: &Key,
+        sent_at: Duration,
+        rate: rates::Notice,
+        leaving: LeavingNotice,
+    ) {
+        let limited = self.knowledge.observe_rate(engine, sent_at, rate);
+        let left = self.knowledge.observe_leaving(engine, leaving);
+        if left {
+            self.pool.close_expired();
+        }
+        if limited || left {
+            self.wake.notify();
+        }
+    }
+}
