Inner calls end in time although their connection does not

A call waited without bound for room in the queue of its connection, which is full while the peer reads nothing, and for the attempts of all calls before it to connect, 500 ms each, one after the other. So the watch of a gateway could hang on a paused or unreachable store behind other calls. Waiting for the connection is bounded by the time of one attempt now, and sending belongs to the time of the call.

--- a/orioleworks_daemon/src/rpc.rs
+++ b/orioleworks_daemon/src/rpc.rs
@@ -159,19 +159,23 @@
     ///
     /// [`RpcError::Unreachable`] guarantees that nothing was sent; after any other error the request may have arrived.
     pub async fn call(&self, body: Body, timeout: Duration) -> Result<Body, RpcError> {
-        let (mut tx, pending) = self.connect().await?;
+        // Calls that began before this one may each try to connect first.
+        let connecting = compio::time::timeout(CONNECT_TIMEOUT, self.connect()).await;
+        let (mut tx, pending) = connecting.unwrap_or_else(|_| Err(self.unreachable()))?;
         let sent_at = Instant::now();
         let request_id = self.next_id.replace(self.next_id.get() + 1);
         let (reply_tx, reply_rx) = oneshot::channel();
         pending.borrow_mut().insert(request_id, reply_tx);
         // Removes the pending reply also when the caller drops this future.
         let _guard = PendingGuard { pending: pending.clone(), request_id };
-        if tx.send(inner::Frame { request_id, body: Some(body) }).await.is_err() {
-            return Err(RpcError::ConnectionLost);
-        }
-        match compio::time::timeout(timeout, reply_rx).await {
-            Ok(Ok(body)) => Ok(body),
-            Ok(Err(_)) => Err(RpcError::ConnectionLost),
+        let exchange = async {
+            // The queue is full if the peer reads nothing.
+            let sent = tx.send(inner::Frame { request_id, body: Some(body) }).await;
+            sent.map_err(|_| RpcError::ConnectionLost)?;
+            reply_rx.await.map_err(|_| RpcError::ConnectionLost)
+        };
+        match compio::time::timeout(timeout, exchange).await {
+            Ok(result) => result,
             Err(_) => {
                 self.disconnect_if_silent_since(sent_at);
                 Err(RpcError::Timeout)
@@ -197,17 +201,20 @@
         {
             return Ok((connection.tx.clone(), connection.pending.clone()));
         }
-        let unreachable = || RpcError::Unreachable(self.address.to_string());
         let stream = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(&*self.address))
             .await
-            .map_err(|_| unreachable())?
-            .map_err(|_| unreachable())?;
-        let connection = start_connection(stream).map_err(|_| unreachable())?;
+            .map_err(|_| self.unreachable())?
+            .map_err(|_| self.unreachable())?;
+        let connection = start_connection(stream).map_err(|_| self.unreachable())?;
         let parts = (connection.tx.clone(), connection.pending.clone());
         *self.connection.borrow_mut() = Some(connection);
         Ok(parts)
     }
 
+    fn unreachable(&self) -> RpcError {
+        RpcError::Unreachable(self.address.to_string())
+    }
+
     /// Closes the connection; the next call opens a new one.
     pub fn disconnect(&self) {
         if let Some(connection) = self.connection.borrow_mut().take() {
--- a/orioleworks_daemon/tests/rpc.rs
+++ b/orioleworks_daemon/tests/rpc.rs
@@ -98,3 +98,46 @@
     let unreachable = client.call(watch(2, 0), TIMEOUT).await;
     assert_eq!(unreachable, Err(rpc::RpcError::Unreachable(address)));
 }
+
+/// Guards against a call that outlasts its time because the peer reads nothing, so that the queue of its connection is full.
+#[compio::test]
+async fn a_call_to_a_peer_that_reads_nothing_ends_in_time() {
+    const LARGE_BYTES: usize = 1024 * 1024;
+    const CALLS: usize = 400;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let client = rpc::Client::new(listener.local_addr().unwrap().to_string());
+    let command = inner::Command { expected_revision: None, kind: None };
+    let order_id = "x".repeat(LARGE_BYTES);
+    for i in 0..CALLS {
+        // Only the first ones fill the buffers of the connection, the others the queue.
+        let order_id = if i < 16 { order_id.clone() } else { String::new() };
+        let body = Body::Propose(inner::Propose { order_id, command: Some(command.clone()) });
+        let client = client.clone();
+        compio::runtime::spawn(async move {
+            drop(client.call(body, TIMEOUT * 10).await);
+        })
+        .detach();
+    }
+    compio::time::sleep(Duration::from_millis(200)).await;
+    let call = client.call(watch(1, 0), Duration::from_millis(300));
+    let ended = compio::time::timeout(TIMEOUT, call).await;
+    assert_eq!(ended, Ok(Err(rpc::RpcError::Timeout)));
+}
+
+/// Guards against calls to a peer that cannot be reached that wait for each other, one connection attempt after the other.
+#[compio::test]
+async fn calls_to_a_peer_that_accepts_no_connection_end_in_time() {
+    const CALLS: usize = 8;
+    const CALL_TIME: Duration = Duration::from_millis(700);
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    // Fills the queue of connections that are not accepted; further attempts get no reply.
+    let connect = || std::net::TcpStream::connect_timeout(&address, Duration::from_millis(100));
+    let _queued: Vec<_> = std::iter::from_fn(|| connect().ok()).collect();
+    let client = rpc::Client::new(address.to_string());
+    let started = std::time::Instant::now();
+    let calls = (0..CALLS).map(|_| client.call(watch(1, 0), CALL_TIME));
+    let ends = futures_util::future::join_all(calls).await;
+    assert!(ends.iter().all(|end| matches!(end, Err(rpc::RpcError::Unreachable(_)))), "{ends:?}");
+    assert!(started.elapsed() < CALL_TIME * 2, "{:?}", started.elapsed());
+}
