A gateway follows one store, which votes

The store to follow was an index into the addresses that the last reply told, and each store tells them in another order. After a change of store a gateway therefore asked two stores in turn, both of which saw a watcher without a valid position and replied at once with everything. Gateways now try stores in an order of their own that does not depend on replies (rendezvous hashing, members first). A store that is no voter is not followed, as docs/platform.md says: it does not hear what the others are told.

--- a/orioleworks_fleet/src/stores.rs
+++ b/orioleworks_fleet/src/stores.rs
@@ -6,6 +6,7 @@
 use std::{
     cell::RefCell,
     collections::HashMap,
+    hash::{DefaultHasher, Hash, Hasher},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -78,6 +79,20 @@
         members.iter().chain(seeds.iter()).cloned().collect()
     }
 
+    /// All known addresses in the order in which an instance tries them: members first, each part in an order of its own
+    /// for each instance, which spreads the load and does not depend on the order in which members were told.
+    pub fn order_for(&self, instance: &str) -> Vec<String> {
+        let rank = |address: &String| {
+            let mut hasher = DefaultHasher::new();
+            (instance, address).hash(&mut hasher);
+            hasher.finish()
+        };
+        let members = self.inner.members.borrow();
+        let mut addresses: Vec<String> = self.addresses().into_iter().collect();
+        addresses.sort_by_cached_key(|a| (!members.contains(a), rank(a)));
+        addresses
+    }
+
     /// Client of one store.
     pub fn client(&self, address: &str) -> rpc::Client {
         let mut clients = self.inner.clients.borrow_mut();
--- a/orioleworks_fleet/src/watch.rs
+++ b/orioleworks_fleet/src/watch.rs
@@ -132,11 +132,13 @@
     state: WatcherState,
     knowledge: &Knowledge,
 ) -> Result<(inner::FleetReply, bool), RpcError> {
+    // A store replies at once to a watcher that knows nothing of its process.
+    let max_wait = if position.boot == 0 { Duration::ZERO } else { MAX_WAIT };
     let watch = inner::FleetWatch {
         document_version: state.document_version,
         store_boot: position.boot,
         cursor: position.cursor,
-        wait_ms: u32::try_from(MAX_WAIT.as_millis()).unwrap_or(u32::MAX),
+        wait_ms: convert::millis(max_wait),
         direct_only: state.direct_only,
         leader_address: state.leader_address,
         crash_cursor: Some(position.crash_cursor),
@@ -144,7 +146,7 @@
         gateway: state.gateway,
     };
     let Body::FleetReply(mut reply) =
-        client.call(Body::FleetWatch(watch), MAX_WAIT + REPLY_SLACK).await?
+        client.call(Body::FleetWatch(watch), max_wait + REPLY_SLACK).await?
     else {
         return Err(RpcError::Unexpected);
     };
--- a/orioleworks_gateway/src/watch.rs
+++ b/orioleworks_gateway/src/watch.rs
@@ -1,9 +1,6 @@
 //! Follows one store at a time; switches to the next when it does not reply or knows no leader.
 
-use std::{
-    hash::{DefaultHasher, Hash, Hasher},
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use compio::time;
 use orioleworks_daemon::event;
@@ -13,7 +10,7 @@
 
 use crate::view::View;
 
-/// Delay after a store that did not reply or knows no leader.
+/// Delay after a store that replied at once that it knows no leader, or refused the connection.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without a store that knows a leader after which routes of a store that may be stale are accepted. A partitioned
 /// failure domain then continues to serve; an election of a leader takes less time.
@@ -23,10 +20,7 @@
 
 /// Follows the stores until the token is cancelled.
 pub async fn follow(view: View, token: CancellationToken) {
-    let mut hasher = DefaultHasher::new();
-    view.cfg.instance.name.hash(&mut hasher);
-    // Gateways start at different stores to spread the load.
-    let mut store_index = usize::try_from(hasher.finish() % 1024).unwrap_or(0);
+    let mut store_index = 0;
     let mut position = Position::default();
     let mut lost_since: Option<Instant> = None;
     let mut next_housekeeping = Instant::now();
@@ -35,8 +29,8 @@
             next_housekeeping = Instant::now() + HOUSEKEEPING_INTERVAL;
             view.run_housekeeping();
         }
-        let addresses = view.stores.addresses();
-        let Some(address) = addresses.get_index(store_index % addresses.len().max(1)) else {
+        let addresses = view.stores.order_for(&view.cfg.instance.name);
+        let Some(address) = addresses.get(store_index % addresses.len().max(1)) else {
             time::sleep(RETRY_INTERVAL).await;
             continue;
         };
@@ -46,12 +40,14 @@
             direct_only: false,
             gateway: view.cfg.instance.name.to_string(),
         };
-        let client = view.stores.client(address);
+        let (client, asked_at) = (view.stores.client(address), Instant::now());
         let current = match watch::poll(&client, &mut position, state, &view.knowledge).await {
             Ok((reply, changed)) => {
                 if changed {
                     view.pool.close_expired();
                 }
+                // A learner or a retired store does not hear of what the others are told.
+                let votes = reply.stores.contains(address);
                 view.stores.set_members(reply.stores);
                 view.permits.set_share(Share { rank: reply.gateway_rank, of: reply.gateway_count });
                 if reply.current {
@@ -61,7 +57,11 @@
                 if let Some(document) = reply.document.filter(|_| reply.current || stale_allowed) {
                     view.apply_document(&document);
                 }
-                if reply.current { Ok(()) } else { Err("the store has no leader".to_owned()) }
+                match (reply.current, votes) {
+                    (true, true) => Ok(()),
+                    (false, _) => Err("the store has no leader".to_owned()),
+                    (true, false) => Err("the store does not vote".to_owned()),
+                }
             }
             Err(e) => Err(e.to_string()),
         };
@@ -80,7 +80,7 @@
                 }
                 store_index += 1;
                 position = Position::default();
-                time::sleep(RETRY_INTERVAL).await;
+                time::sleep(RETRY_INTERVAL.saturating_sub(asked_at.elapsed())).await;
             }
         }
     }
