An announcement of leaving is acknowledged once a majority of stores know it

Worst cases of the old path: the acknowledging store hangs or its replies do not arrive: without bound; the store was retired, so that nobody watches it: without bound; the followed store hangs: 0.9 s, and 0.9 s and a pause for each further one; calls before the watch that cannot connect: 0.5 s each; processors taken by gateways that asked two stores in turn.

The store now tells all others at once and acknowledges when a majority of the voters know, or refuses with 503 after 0.6 s.

--- a/orioleworks_store/src/control.rs
+++ b/orioleworks_store/src/control.rs
@@ -42,12 +42,16 @@
 async fn execute(store: &Store, call: ControlCall) -> http::Response {
     match call {
         ControlCall::Announce(up) => {
+            let leaves = up.leaving.then(|| (up.id.clone(), up.incarnation));
             store.announce(up);
-            done()
+            match leaves {
+                Some((id, incarnation)) => acknowledge_leaving(store, &id, incarnation).await,
+                None => done(),
+            }
         }
         ControlCall::Leave { id, incarnation } => {
             if store.leave(&id, incarnation) {
-                done()
+                acknowledge_leaving(store, &id, incarnation).await
             } else {
                 outcome(ResultCode::NotReady)
             }
@@ -85,6 +89,11 @@
     }
 }
 
+/// The time in which requests may still arrive begins with the acknowledgement.
+async fn acknowledge_leaving(store: &Store, id: &str, incarnation: u64) -> http::Response {
+    if store.spread_leaving(id, incarnation).await { done() } else { outcome(ResultCode::NoQuorum) }
+}
+
 fn done() -> http::Response {
     http::full_response(200, "application/json", Bytes::from_static(b"{}"))
 }
--- a/orioleworks_store/src/lib.rs
+++ b/orioleworks_store/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod crashes;
 pub mod dispatch;
 pub mod engines;
+pub mod leaving;
 pub mod memory;
 pub mod orders;
 pub mod peers;
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -26,7 +26,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    config::Config, dispatch::Dispatch, memory::Monitor, orders::Orders, peers, permits,
+    config::Config, dispatch::Dispatch, leaving, memory::Monitor, orders::Orders, peers, permits,
     shared::Shared, state::State, telemetry,
 };
 
@@ -74,8 +74,9 @@
         stores.set_seeds(cfg.seed_addresses());
         let (knowledge, engines) = (Knowledge::default(), Rc::default());
         let pool = Pool::new(knowledge.fleet.clone());
-        let (permits, streams) = (Rc::default(), Rc::default());
-        let shared = Shared { log, state, knowledge, table, engines, streams, permits, pool, wake };
+        let (permits, streams, spread) = (Rc::default(), Rc::default(), Rc::default());
+        let shared =
+            Shared { log, state, knowledge, table, engines, streams, permits, spread, pool, wake };
         let dispatch = Dispatch::new(shared.clone());
         let lease = Duration::from_millis(cfg.orders.lease_ms);
         let orders = Orders::new(&cfg.instance.name, lease, shared.clone(), dispatch.clone());
@@ -118,6 +119,7 @@
             |id: &str, start: u64| fleet.get(id).is_some_and(|k| k.upstream.incarnation == start);
         self.shared.engines.borrow_mut().retain(|(id, start)| known(id, *start));
         self.shared.permits.borrow_mut().retain(|(id, start)| known(id, *start));
+        self.shared.spread.borrow_mut().retain(|up| fleet.has_left(up));
     }
 
     /// The replicated log.
@@ -346,6 +348,12 @@
         }
     }
 
+    /// Passes on to the other stores that an upstream leaves. Returns whether a majority of the voters know it, so that
+    /// its announcement may be acknowledged.
+    pub async fn spread_leaving(&self, id: &str, incarnation: u64) -> bool {
+        leaving::spread(&self.shared, &self.stores, id, incarnation).await
+    }
+
     /// Records that an upstream leaves. Returns false if it is not known which one does; another store may know it.
     pub fn leave(&self, id: &str, incarnation: u64) -> bool {
         let mut fleet = self.shared.knowledge.fleet.borrow_mut();
--- a/orioleworks_store/src/shared.rs
+++ b/orioleworks_store/src/shared.rs
@@ -1,6 +1,6 @@
 //! State shared by the parts of a store.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::HashSet, rc::Rc, time::Duration};
 
 use orioleworks_fleet::{pool::Pool, watch::Knowledge};
 use orioleworks_log::{Log, notify::Notify};
@@ -28,6 +28,8 @@
     pub streams: Rc<RefCell<Streams>>,
     /// Permits for upstreams that name a limit, given while this store leads.
     pub permits: Rc<RefCell<Permits>>,
+    /// Upstreams of which a majority of the voters know that they leave.
+    pub spread: Rc<RefCell<HashSet<Key>>>,
     /// Connections to upstreams.
     pub pool: Pool,
     /// Notified when state, fleet or engines change.
