--- a/orioleworks_fleet/src/pool.rs
+++ b/orioleworks_fleet/src/pool.rs
@@ -23,6 +23,7 @@
     client::conn::http1,
 };
 use orioleworks_daemon::stream::Stream;
+use orioleworks_routing::{fleet::Fleet, outlier::Key};
 
 /// Longest time to connect; connecting takes one round trip and about 1 ms at the upstream.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -59,8 +60,6 @@
 
 impl std::error::Error for SendError {}
 
-type Key = (Rc<str>, u64);
-
 /// A connection that no request uses; dropping it closes it.
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
@@ -106,6 +105,8 @@
 #[derive(Clone, Default)]
 pub struct Pool {
     idle: Rc<RefCell<Idle>>,
+    /// Tells which upstreams leave; their connections are not kept.
+    fleet: Rc<RefCell<Fleet>>,
     opened: Rc<Cell<u64>>,
 }
 
@@ -132,6 +133,11 @@
 }
 
 impl Pool {
+    /// Creates a pool of connections to the upstreams of a fleet.
+    pub fn new(fleet: Rc<RefCell<Fleet>>) -> Self {
+        Self { fleet, ..Self::default() }
+    }
+
     /// Sends a request to an incarnation of an upstream and waits for the head of the response.
     ///
     /// # Errors
@@ -233,11 +239,13 @@
         Ok(Connection { sender, task, reusable_until: now + IDLE_TIMEOUT, idle_since: now })
     }
 
-    /// Closes idle connections that have expired.
+    /// Closes idle connections that have expired, and those to upstreams that leave.
     pub fn close_expired(&self) {
         let now = Instant::now();
-        self.idle.borrow_mut().0.retain(|_, kept| {
-            kept.retain(|c| c.reusable_until > now && !c.sender.is_closed());
+        let fleet = self.fleet.borrow();
+        self.idle.borrow_mut().0.retain(|key, kept| {
+            let leaves = fleet.has_left(key);
+            kept.retain(|c| !leaves && c.reusable_until > now && !c.sender.is_closed());
             !kept.is_empty()
         });
     }
@@ -308,7 +316,8 @@
             .get_all(http::header::CONNECTION)
             .iter()
             .any(|v| v.to_str().is_ok_and(|v| v.to_ascii_lowercase().contains("close")));
-        if closing || self.connection.sender.is_closed() {
+        let leaves = self.pool.fleet.borrow().has_left(&self.key);
+        if closing || leaves || self.connection.sender.is_closed() {
             return;
         }
         self.pool.keep(&self.key, self.connection);
--- a/orioleworks_gateway/src/attempt.rs
+++ b/orioleworks_gateway/src/attempt.rs
@@ -1,9 +1,6 @@
 //! One attempt to run a request at an upstream.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, header, response};
@@ -16,7 +13,7 @@
 use crate::{
     carrier::{Carrier, Failure, Outbound},
     forward::Content,
-    path, relay,
+    path, relay, responses,
     view::View,
 };
 
@@ -95,7 +92,7 @@
             Ok(exchange) => exchange,
             Err(e) => return self.without_response(e).await,
         };
-        match learn(&self.view, &self.key, sent_at, &exchange.head, &self.id) {
+        match responses::read_head(&self.view, &self.key, &self.id, sent_at, &exchange.head) {
             Verdict::NotRun => {
                 self.view.outliers.borrow_mut().record_dropped(&self.key);
                 let why = format!("refused with status {}", exchange.head.status.as_u16());
@@ -186,23 +183,6 @@
     }
 }
 
-/// Classifies the head of a response and records what it says of the upstream.
-pub fn learn(
-    view: &View,
-    key: &Key,
-    sent_at: Duration,
-    head: &response::Parts,
-    attempt_id: &str,
-) -> Verdict {
-    let (status, headers) = (head.status, &head.headers);
-    let verdict = upstream::classify_response(status, headers, attempt_id);
-    let notice = upstream::rate_notice(verdict, status, headers);
-    if view.knowledge.observe_rate(key, sent_at, notice) {
-        view.report_wake.notify();
-    }
-    verdict
-}
-
 /// Metric label for the result of an attempt; `None` stands for a cancelled attempt.
 pub fn outcome(end: Option<&AttemptEnd>) -> &'static str {
     match end {
--- a/orioleworks_gateway/src/carrier.rs
+++ b/orioleworks_gateway/src/carrier.rs
@@ -12,7 +12,7 @@
 use orioleworks_daemon::{clock, event};
 use orioleworks_fleet::pool::{self, Exchange, SendError};
 use orioleworks_routing::{
-    fleet::{AnnounceOutcome, Upstream},
+    fleet::{Left, Upstream},
     helpers::Helper,
     outlier::Key,
 };
@@ -238,10 +238,10 @@
             }
             Answer::Leaving => {
                 exchange.discard();
-                let now = clock::since_boot();
-                let outcome = view.knowledge.fleet.borrow_mut().leave(now, &key.0, key.1);
-                if outcome == AnnounceOutcome::Changed {
-                    event!(info, "upstream_leaves", upstream = key.0, incarnation = key.1);
+                let left = Left { upstream: (*key).clone(), since: clock::since_boot() };
+                if view.knowledge.note_left(left, true, "helper") {
+                    view.pool.close_expired();
+                    view.report_wake.notify();
                 }
                 let error = SendError::NotSent("the upstream is leaving".into());
                 (Some(Err(Failure { error, confirmed: true })), "leaving")
--- a/orioleworks_gateway/src/forward.rs
+++ b/orioleworks_gateway/src/forward.rs
@@ -468,6 +468,10 @@
                     if !wait.is_zero() {
                         compio::time::sleep(wait).await;
                     }
+                    if self.view.leaves(&key) {
+                        excluded.push(key);
+                        continue;
+                    }
                     self.send_to(upstream);
                     return Start::Started;
                 }
--- a/orioleworks_gateway/src/lib.rs
+++ b/orioleworks_gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod permits;
 pub mod relay;
 pub mod reports;
+pub mod responses;
 pub mod streams;
 pub mod telemetry;
 pub mod view;
--- a/orioleworks_gateway/src/relay.rs
+++ b/orioleworks_gateway/src/relay.rs
@@ -24,7 +24,7 @@
 use orioleworks_routing::outlier::Key;
 use tokio_util::sync::CancellationToken;
 
-use crate::{attempt, carrier::Outbound, path, view::View};
+use crate::{attempt, carrier::Outbound, path, responses, view::View};
 
 /// Requests that are sent for other gateways at the same time; the smallest gateways have an eighth of a core.
 const MAX_RELAYED: usize = 32;
@@ -158,7 +158,7 @@
     let (Some(key), Some(upstream)) = (key, upstream) else {
         return without_response(UNAVAILABLE);
     };
-    if upstream.leaving {
+    if upstream.leaving || view.leaves(&key) {
         return without_response(LEAVING);
     }
     let (head, body) = req.into_parts();
@@ -198,7 +198,7 @@
     event!(debug, "sent_for_another", request = id, upstream = key.0, result = word);
     match result {
         Ok(exchange) => {
-            attempt::learn(view, &key, sent_at, &exchange.head, &id);
+            responses::read_head(view, &key, &id, sent_at, &exchange.head);
             stream(exchange, slot)
         }
         Err(_) => without_response(word),
--- a/orioleworks_gateway/src/view.rs
+++ b/orioleworks_gateway/src/view.rs
@@ -91,10 +91,10 @@
             streams: Rc::default(),
             report_wake,
             permits: Permits::default(),
-            knowledge,
+            knowledge: knowledge.clone(),
             outliers: Rc::default(),
             stores,
-            pool: Pool::default(),
+            pool: Pool::new(knowledge.fleet.clone()),
             path: UpstreamPath::default(),
             helpers: Rc::default(),
             helper_pool: Pool::default(),
@@ -213,6 +213,11 @@
         self.knowledge.rates.borrow().limit(up)
     }
 
+    /// Whether an upstream leaves.
+    pub fn leaves(&self, up: &Key) -> bool {
+        self.knowledge.fleet.borrow().has_left(up)
+    }
+
     fn choose_among(
         &self,
         service: &str,
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -36,6 +36,7 @@
 use crate::{
     config::Config,
     dispatch::Dispatch,
+    leaving,
     memory::{Monitor, Usage},
     orders::Orders,
     peers, permits,
@@ -96,8 +97,9 @@
         log.set_retired(state.borrow().retired().iter().cloned());
         let stores = Stores::default();
         stores.set_seeds(cfg.seed_addresses());
-        let (knowledge, engines, pool) = (Knowledge::default(), Rc::default(), Pool::default());
-        let (permits, streams) = (Rc::default(), Rc::default());
+        let (knowledge, engines) = (Knowledge::default(), Rc::default());
+        let pool = Pool::new(knowledge.fleet.clone());
+        let (permits, streams, spread) = (Rc::default(), Rc::default(), Rc::default());
         let shared = Shared {
             log,
             state,
@@ -108,6 +110,7 @@
             engines,
             streams,
             permits,
+            spread,
             pool,
             wake,
         };
@@ -155,6 +158,7 @@
             |id: &str, start: u64| fleet.get(id).is_some_and(|k| k.upstream.incarnation == start);
         self.shared.engines.borrow_mut().retain(|(id, start)| known(id, *start));
         self.shared.permits.borrow_mut().retain(|(id, start)| known(id, *start));
+        self.shared.spread.borrow_mut().retain(|up| fleet.has_left(up));
     }
 
     /// The replicated log.
@@ -390,13 +394,15 @@
 
     /// Merges an announcement that an upstream sent to this store.
     pub fn announce(&self, up: orioleworks_routing::fleet::Upstream) {
-        let (id, leaving) = (up.id.clone(), up.leaving);
+        let id = up.id.clone();
         let (service, address, incarnation) =
             (up.service.clone(), up.address.clone(), up.incarnation);
         let software = up.software.clone();
         let noted =
             self.shared.knowledge.fleet.borrow_mut().announce(clock::since_boot(), up, true);
         if noted == AnnounceOutcome::Changed {
+            let key = (id.clone(), incarnation);
+            let leaving = self.shared.knowledge.fleet.borrow().has_left(&key);
             event!(
                 info,
                 "upstream_changed",
@@ -411,22 +417,36 @@
         }
     }
 
-    /// Records that an upstream leaves.
-    pub fn leave(&self, id: &str, incarnation: u64) {
-        if self.shared.knowledge.fleet.borrow_mut().leave(clock::since_boot(), id, incarnation)
-            == AnnounceOutcome::Changed
-        {
+    /// Passes on to the other stores that an upstream leaves. Returns whether a majority of the voters know it, so that
+    /// its announcement may be acknowledged.
+    pub async fn spread_leaving(&self, id: &str, incarnation: u64) -> bool {
+        leaving::spread(&self.shared, &self.stores, id, incarnation).await
+    }
+
+    /// Records that an upstream leaves. Returns false if it is not known which one does; another store may know it.
+    pub fn leave(&self, id: &str, incarnation: u64) -> bool {
+        let mut fleet = self.shared.knowledge.fleet.borrow_mut();
+        if incarnation == 0 && fleet.get(id).is_none() {
+            return false;
+        }
+        if fleet.leave(clock::since_boot(), id, incarnation) == AnnounceOutcome::Changed {
             event!(info, "upstream_leaves", upstream = id, incarnation = incarnation);
-            self.shared.wake.notify();
         }
+        drop(fleet);
+        self.shared.wake.notify();
+        true
     }
 
     /// Merges what a gateway observed, and passes it on to the watchers at once.
     fn merge_observations(&self, report: inner::ReportObservations) {
         let now = clock::since_boot();
+        let mut changed = false;
+        for leaving in report.leaving {
+            let left = convert::from_leaving_message(leaving, now);
+            changed |= self.shared.knowledge.note_left(left, true, "report");
+        }
         let mut crashes = self.shared.knowledge.crashes.borrow_mut();
         let mut rates = self.shared.knowledge.rates.borrow_mut();
-        let mut changed = false;
         for content in report.contents {
             changed |= crashes.merge(convert::from_crash_message(content, now), now, true);
         }
@@ -495,6 +515,8 @@
         let crashes = self.shared.knowledge.crashes.borrow();
         let changed = known_crashes.map(|cursor| crashes.since(cursor, direct_reports_only));
         let changed = changed.into_iter().flatten();
+        let leaving = fleet.left_since(known, direct_reports_only);
+        let leaving = leaving.map(|left| convert::to_leaving_message(&left, now));
         let rates = self.shared.knowledge.rates.borrow();
         let limits = known_limits.map(|cursor| rates.since(cursor, direct_reports_only));
         let limits = limits.into_iter().flatten();
@@ -526,6 +548,7 @@
             crash_cursor: crashes.cursor(),
             limits: limits.map(|report| convert::to_limit_message(&report, now)).collect(),
             limit_cursor: rates.cursor(),
+            leaving: leaving.collect(),
             gateways: watching
                 .map(|(name, at)| {
                     let age = now.saturating_sub(at);
