--- a/orioleworks_store/tests/records.rs
+++ b/orioleworks_store/tests/records.rs
@@ -79,7 +79,11 @@
     for entry in entries {
         state.apply(entry);
     }
-    state.snapshot().flatten().collect()
+    let mut bytes = Vec::new();
+    for part in state.snapshot() {
+        part(&mut bytes).unwrap();
+    }
+    bytes
 }
 
 /// Whether an entry arrives at a follower.
