A vote is granted only if the candidate still has everything when the vote is recorded

Term and vote are one record, so that the term in memory changes only after the sync. Until then the voter acknowledged entries of the old leader, and the vote that it granted afterwards let a candidate without these entries lead: an accepted order could be lost.

After the sync the voter compares the logs again; its term is the new one by then, so that it acknowledges nothing of the old leader any more.

--- a/orioleworks_log/src/election.rs
+++ b/orioleworks_log/src/election.rs
@@ -226,6 +226,8 @@
         if granted {
             self.inner.state.borrow_mut().last_seen = Some(Instant::now());
         }
-        granted && self.inner.state.borrow().identity.vote == record
+        // While the vote was being recorded, this replica may have acknowledged entries of the old term that the candidate
+        // lacks. From here on it acknowledges none.
+        granted && self.would_grant(vote) && self.inner.state.borrow().identity.vote == record
     }
 }
