The path to the upstreams is lost only after a probe that reaches none of three

A request that crashes its upstreams crashed up to eight of them instead of two, under repeats through three gateways. A gateway took its path for lost after failures at two upstreams, which had both crashed under this request, and then kept its evidence against the request to itself.

Failures of requests only cause a probe now, which connects to three upstreams at the same time, those that have not failed first; the path is lost if none of them can be reached. While it is lost, a probe connects to one.

The test prints the lines that decide.

--- a/orioleworks_gateway/src/path.rs
+++ b/orioleworks_gateway/src/path.rs
@@ -9,17 +9,19 @@
     time::Duration,
 };
 
-use futures_util::{FutureExt, StreamExt, select};
+use futures_util::{FutureExt, StreamExt, select, stream::FuturesUnordered};
 use orioleworks_daemon::{clock, event};
-use orioleworks_fleet::pool::SendError;
+use orioleworks_fleet::pool::{Connection, SendError};
 use orioleworks_routing::{fleet::Upstream, outlier::Key, path::Path};
-use rand::seq::IteratorRandom;
+use rand::seq::SliceRandom;
 use tokio_util::sync::CancellationToken;
 
 use crate::{reports::Wake, view::View};
 
 /// Longest time for a probe to connect; far longer than a round trip, and short compared with a latency objective.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(40);
+/// Upstreams that a probe connects to at the same time: all of a few may have crashed under one request.
+const PROBED_UPSTREAMS: usize = 3;
 /// Interval between two checks whether a probe is due or has ended.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which an attempt checks whether a probe has ended.
@@ -73,10 +75,11 @@
     }
 }
 
-/// Records a failure to connect to an upstream. It is the upstream's fault if another connection was opened just before.
+/// Records a failure to connect to an upstream. It is the upstream's fault if another connection was opened just before;
+/// otherwise a probe tells, because several upstreams may crash under one request.
 pub fn record_unconnected(view: &View, up: &Key) {
     if !view.path.is_proven() {
-        add_evidence(view, up);
+        record_silence(view, up);
     }
 }
 
@@ -150,13 +153,37 @@
     }
 }
 
+/// Connects to upstreams until one connection is open. The path is lost if none can be opened.
 async fn probe(view: &View) {
-    let Some(up) = choose(view) else { return };
-    let key: Key = (up.id.clone(), up.incarnation);
+    // One connection shows that a lost path is in order again.
+    let count = if view.path.is_lost() { 1 } else { PROBED_UPSTREAMS };
+    let chosen = choose(view, count);
+    if chosen.is_empty() {
+        return;
+    }
     view.path.state.borrow_mut().record_probe(clock::since_boot());
     view.path.probing.set(true);
-    let connected = view.pool.connect(&up.address, PROBE_TIMEOUT).await;
+    let mut probes: FuturesUnordered<_> =
+        chosen.iter().map(|up| async move { (up, connect(view, up).await) }).collect();
+    let mut unconnected = Vec::new();
+    while let Some((up, connected)) = probes.next().await {
+        let key: Key = (up.id.clone(), up.incarnation);
+        if let Some(connection) = connected {
+            view.path.probing.set(false);
+            record_connected(view);
+            view.pool.keep(&key, connection);
+            return;
+        }
+        unconnected.push(key);
+    }
     view.path.probing.set(false);
+    for key in unconnected {
+        add_evidence(view, &key);
+    }
+}
+
+async fn connect(view: &View, up: &Upstream) -> Option<Connection> {
+    let connected = view.pool.connect(&up.address, PROBE_TIMEOUT).await;
     let outcome = match &connected {
         Ok(_) => "connected",
         Err(SendError::Refused(_)) => "refused",
@@ -164,22 +191,21 @@
     };
     metrics::counter!("orioleworks_path_probes_total", "result" => outcome).increment(1);
     event!(debug, "path_probed", upstream = up.id, result = outcome);
-    match connected {
-        Ok(connection) => {
-            record_connected(view);
-            view.pool.keep(&key, connection);
-        }
-        Err(_) => add_evidence(view, &key),
-    }
+    connected.ok()
 }
 
-/// An upstream at random, if possible one that is not part of the evidence.
-fn choose(view: &View) -> Option<Rc<Upstream>> {
+/// Upstreams at random, those that are not part of the evidence first.
+fn choose(view: &View, count: usize) -> Vec<Rc<Upstream>> {
     let now = clock::since_boot();
     let fleet = view.knowledge.fleet.borrow();
     let path = view.path.state.borrow();
-    let fresh = || fleet.all().filter(|k| k.takes_requests(now)).map(|k| &k.upstream);
-    let unsuspected = fresh().filter(|up| !path.suspects(&(up.id.clone(), up.incarnation)));
-    let chosen = unsuspected.choose(&mut rand::rng());
-    chosen.or_else(|| fresh().choose(&mut rand::rng())).cloned()
+    let mut known: Vec<Rc<Upstream>> = fleet
+        .all()
+        .filter(|known| known.takes_requests(now))
+        .map(|known| known.upstream.clone())
+        .collect();
+    known.shuffle(&mut rand::rng());
+    known.sort_by_key(|up| path.suspects(&(up.id.clone(), up.incarnation)));
+    known.truncate(count);
+    known
 }
--- a/orioleworks_gateway/tests/crashing_requests.rs
+++ b/orioleworks_gateway/tests/crashing_requests.rs
@@ -115,7 +115,19 @@
         thread::sleep(Duration::from_millis(100));
     }
     let crashes = total_crashes(&upstreams);
-    assert!(crashes <= MAX_CRASHES, "{crashes} upstreams crashed under {repeats} repeats");
+    assert!(
+        crashes <= MAX_CRASHES,
+        "{crashes} upstreams crashed under {repeats} repeats\n{}",
+        d.decisions(&[
+            "path_",
+            "crash_",
+            "suspicion_",
+            "suspect_",
+            "attempt_failed",
+            "store_lost",
+            "report_failed"
+        ])
+    );
     assert!(unserved.is_empty(), "other requests of {repeats} that were not served: {unserved:?}");
     let (response, took) = last.unwrap();
     assert!(is_quarantined(&response), "{} {}", response.status, response.body);
--- a/orioleworks_gateway/tests/support/deployment.rs
+++ b/orioleworks_gateway/tests/support/deployment.rs
@@ -329,6 +329,18 @@
         self.stores.iter().chain(&self.gateways).flatten().map(|p| p.output.clone()).collect()
     }
 
+    /// Lines of every process that contain one of these texts.
+    pub fn decisions(&self, texts: &[&str]) -> String {
+        let processes = self.stores.iter().chain(&self.gateways).flatten();
+        let chosen = |p: &Process| {
+            let log = p.log();
+            let lines = log.lines().filter(|line| texts.iter().any(|text| line.contains(text)));
+            let lines: Vec<&str> = lines.collect();
+            format!("-- {}\n{}\n", p.output.display(), lines.join("\n"))
+        };
+        processes.map(chosen).collect()
+    }
+
     /// Last lines of every process.
     pub fn logs(&self) -> String {
         let processes = self.stores.iter().chain(&self.gateways).flatten();
