--- a/orioleworks_gateway/tests/partitioned.rs
+++ b/orioleworks_gateway/tests/partitioned.rs
@@ -26,6 +26,8 @@
 const CONTACT_WINDOW: Duration = Duration::from_secs(3);
 /// Time for which callers are observed after that.
 const OBSERVED_TIME: Duration = Duration::from_secs(5);
+/// Longer than gateways keep idle connections.
+const IDLE_TIME: Duration = Duration::from_secs(6);
 /// Interval between two requests of one caller.
 const CALL_INTERVAL: Duration = Duration::from_millis(100);
 const GATEWAYS: usize = 3;
@@ -201,7 +203,7 @@
     let upstreams = start_upstreams(&d);
     warm_up(&d);
     d.paths.iter().for_each(|paths| paths.set_cut(Some(Cut::Refuse)));
-    thread::sleep(Duration::from_secs(6));
+    thread::sleep(IDLE_TIME);
     let calls: Vec<Call> = (0..20)
         .map(|n| {
             thread::sleep(CALL_INTERVAL);
@@ -223,6 +225,8 @@
 /// Cuts the path of the first gateway, and waits until it knows.
 fn cut_first(d: &Deployment) {
     d.paths[0].set_cut(Some(Cut::Refuse));
+    // Open connections live on, and show nothing to a gateway that needs no other ones.
+    thread::sleep(IDLE_TIME);
     d.wait_until("the gateway knows that its path is lost", || {
         send(d, 0, "lookup", "cut");
         d.gateways[0].as_ref().unwrap().log().contains("event=path_lost")
