Reward calls: texts are committed, then scored by a call of the leader

Change: a complete text is committed as owed; then the leader sends the call through the route that its host and path have now, bounded for each upstream by what callers leave, and commits the score with which the result is listed. A new leader finds owed calls in the state.

--- a/orioleworks_fleet/src/pool.rs
+++ b/orioleworks_fleet/src/pool.rs
@@ -275,11 +275,20 @@
     /// together with its connection.
     pub fn discard(self) {
         runtime::spawn(async move {
-            drop(self.finish(MAX_DISCARDED_BYTES, DISCARD_TIMEOUT).await);
+            drop(self.skip(MAX_DISCARDED_BYTES, DISCARD_TIMEOUT).await);
         })
         .detach();
     }
 
+    /// Reads the rest of a body of which only the end matters, and keeps the connection.
+    ///
+    /// # Errors
+    ///
+    /// As [`Exchange::finish`].
+    pub async fn skip(self, max_bytes: usize, timeout: Duration) -> Result<(), SendError> {
+        self.read_rest(max_bytes, timeout, |_| ()).await
+    }
+
     /// Declared length of the body.
     pub fn declared_length(&self) -> Option<u64> {
         self.body.size_hint().exact()
@@ -290,22 +299,34 @@
     /// # Errors
     ///
     /// Fails if the connection broke inside the body, or the body is larger than `max_bytes` or did not end in time.
-    pub async fn finish(mut self, max_bytes: usize, timeout: Duration) -> Result<Bytes, SendError> {
-        let mut timer = std::pin::pin!(compio::time::sleep(timeout).fuse());
+    pub async fn finish(self, max_bytes: usize, timeout: Duration) -> Result<Bytes, SendError> {
         let mut body = Vec::new();
+        self.read_rest(max_bytes, timeout, |part| body.extend_from_slice(part)).await?;
+        Ok(body.into())
+    }
+
+    async fn read_rest(
+        mut self,
+        max_bytes: usize,
+        timeout: Duration,
+        mut each: impl FnMut(&[u8]),
+    ) -> Result<(), SendError> {
+        let mut timer = std::pin::pin!(compio::time::sleep(timeout).fuse());
+        let mut len = 0;
         loop {
             let part = {
                 let mut next = std::pin::pin!(self.next().fuse());
                 select! { part = next => part, () = timer => return Err(SendError::Timeout) }
             }?;
             let Some(part) = part else { break };
-            if body.len() + part.len() > max_bytes {
+            len += part.len();
+            if len > max_bytes {
                 return Err(SendError::Invalid("the response is too large".into()));
             }
-            body.extend_from_slice(&part);
+            each(&part);
         }
         self.return_to_pool();
-        Ok(body.into())
+        Ok(())
     }
 
     /// Keeps the connection for the next request. Call it only after the complete body was read.
--- a/orioleworks_gateway/src/batches.rs
+++ b/orioleworks_gateway/src/batches.rs
@@ -16,7 +16,7 @@
     codes::ResultCode,
     inner::{self, command::Kind, frame::Body},
 };
-use orioleworks_routing::routes::Route;
+use orioleworks_routing::routes::{Route, RouteTable};
 
 use crate::{
     callers::{Refusal, RequestContext},
@@ -33,6 +33,8 @@
 const NO_LEADER_RETRY: Duration = Duration::from_millis(500);
 /// Retry advice when a store has no memory for another batch; items of a few seconds are done by then.
 const MEMORY_SHORT_RETRY: Duration = Duration::from_millis(2000);
+/// Retry advice when a reward call has no route; a route document reaches all gateways within this time.
+const NO_ROUTE_RETRY: Duration = Duration::from_millis(500);
 /// Largest size of the texts in one reply, in bytes; the platform accepts 1 MB for the complete reply.
 const MAX_RESULT_BYTES: u32 = 900_000;
 
@@ -40,9 +42,11 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the batch is malformed, if no store accepted it, or if its acceptance was not confirmed in time.
+/// Returns an error if the batch is malformed, if a reward call has no route, if no store accepted it, or if its acceptance
+/// was not confirmed in time.
 pub async fn submit(
     view: &View,
+    table: &RouteTable,
     route: &Route,
     host: &str,
     context: &RequestContext,
@@ -51,6 +55,7 @@
     let service = route.pick(&mut rand::rng()).cloned().unwrap_or_default();
     let mut decoded = batch::decode(&context.id, host, route, &service, body)
         .map_err(|e| Refusal::new(ResultCode::BadRequest, e.to_string(), Duration::ZERO))?;
+    check_reward_calls(table, &decoded.items)?;
     decoded.status_retention_ms = view.cfg.batches.status_retention_s.saturating_mul(1000);
     let (items, step, model) = (decoded.items.len(), decoded.step, decoded.model.clone());
     let time_left =
@@ -70,6 +75,20 @@
     Ok(server::full_response(202, "application/json", Bytes::from_static(b"{}")))
 }
 
+/// Refuses items whose reward calls no route serves. The route may be newer than this gateway's routes, so the refusal is not
+/// final.
+fn check_reward_calls(table: &RouteTable, items: &[inner::BatchItem]) -> Result<(), Refusal> {
+    let calls = items.iter().filter_map(|item| Some((item, item.reward_call.as_ref()?)));
+    for (item, call) in calls {
+        if table.find(&call.host, &call.path).is_none() {
+            let (id, host, path) = (&item.id, &call.host, &call.path);
+            let detail = format!("item {id}: {host}{path} in version {}", table.version);
+            return Err(Refusal::new(ResultCode::RewardCallUnroutable, detail, NO_ROUTE_RETRY));
+        }
+    }
+    Ok(())
+}
+
 /// Handles a call on a batch.
 ///
 /// # Errors
--- a/orioleworks_gateway/src/callers.rs
+++ b/orioleworks_gateway/src/callers.rs
@@ -124,7 +124,7 @@
         .await
         .map_err(|code| Refusal::new(code, "", Duration::ZERO))?;
     if route.batch.is_some() {
-        return batches::submit(view, &route, &host, context, &body).await;
+        return batches::submit(view, &table, &route, &host, context, &body).await;
     }
     forward::forward(view, &route, Content::new(host, head, body), context).await
 }
--- a/orioleworks_proto/src/codes.rs
+++ b/orioleworks_proto/src/codes.rs
@@ -48,6 +48,8 @@
     StreamUnknown = 2010,
     /// the leading store has no memory for another batch now
     MemoryShort = 2011,
+    /// no route serves a reward call of the batch
+    RewardCallUnroutable = 2012,
     /// the outcome of the request is unknown; it may have run
     OutcomeUnknown = 3001,
     /// the deadline passed after the request was sent; it may have run
@@ -105,6 +107,7 @@
     ResultCode::RateLimited,
     ResultCode::StreamUnknown,
     ResultCode::MemoryShort,
+    ResultCode::RewardCallUnroutable,
     ResultCode::OutcomeUnknown,
     ResultCode::DeadlineExceeded,
     ResultCode::InProgress,
@@ -175,7 +178,7 @@
             Self::NoUpstream | Self::ClaimsUnavailable | Self::ShuttingDown => 503,
             Self::NotReady | Self::RefusedByUpstream | Self::NoQuorum => 503,
             Self::MembershipBusy | Self::RateLimited | Self::StreamUnknown => 503,
-            Self::MemoryShort => 503,
+            Self::MemoryShort | Self::RewardCallUnroutable => 503,
             Self::DeadlineBeforeDispatch | Self::DeadlineExceeded | Self::OrderUnconfirmed => 504,
         }
     }
--- a/orioleworks_routing/src/lib.rs
+++ b/orioleworks_routing/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod permits;
 pub mod queue;
 pub mod rates;
+pub mod rewards;
 pub mod routes;
 pub mod spread;
 pub mod streams;
--- a/orioleworks_routing/src/outlier.rs
+++ b/orioleworks_routing/src/outlier.rs
@@ -109,6 +109,12 @@
         self.known.retain(|key, health| health.in_flight > 0 || keep(key));
     }
 
+    /// Mean latency of the fastest candidate; `None` before the first response of any.
+    pub fn fastest(&self, candidates: &[Candidate]) -> Option<Duration> {
+        let known = candidates.iter().filter_map(|c| self.mean_ms(&c.key));
+        known.min_by(f64::total_cmp).map(|ms| Duration::from_secs_f64(ms / 1000.0))
+    }
+
     fn mean_ms(&self, key: &Key) -> Option<f64> {
         self.known.get(key).map(|health| health.mean_ms).filter(|ms| *ms > 0.0)
     }
--- a/orioleworks_store/src/crashes.rs
+++ b/orioleworks_store/src/crashes.rs
@@ -17,12 +17,17 @@
     fingerprint::of_request(&batch.host, http::Method::POST.as_str(), &item.path, &item.body)
 }
 
+/// Fingerprint of a reward call.
+pub fn fingerprint_of_call(call: &inner::RewardCall) -> Rc<str> {
+    fingerprint::of_request(&call.host, http::Method::POST.as_str(), &call.path, &call.body)
+}
+
 /// When and how an item with this fingerprint may start.
 pub fn item_start(knowledge: &Knowledge, fingerprint: &str, now: Duration) -> ItemStart {
     knowledge.crashes.borrow().item_start(fingerprint, &knowledge.fleet.borrow(), now)
 }
 
-/// Records what the end of a run says about a loss of its engine. `content` is the fingerprint and the ID of the item;
+/// Records what the end of a run says about a loss of its engine. `content` is the fingerprint and the ID of the request;
 /// `was_starting` tells that the run generated nothing.
 pub fn record_end(
     knowledge: &Knowledge,
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -4,17 +4,16 @@
 //! paused or partitioned can therefore add nothing to a batch that its successor runs. See `docs/platform.md`.
 
 use std::{
-    cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap, HashSet, VecDeque},
+    cell::RefCell,
+    collections::{BTreeMap, HashMap, HashSet},
     rc::Rc,
     time::Duration,
 };
 
 use compio::runtime;
-use futures_util::{FutureExt, future, select};
+use futures_util::{FutureExt, select};
 use orioleworks_daemon::{clock, event, fingerprint};
-use orioleworks_log::{ProposeError, notify::Notify};
-use orioleworks_proto::inner::{self, command::Kind};
+use orioleworks_proto::inner;
 use orioleworks_routing::{
     crashes::ItemStart,
     fleet::{Fleet, Upstream},
@@ -29,17 +28,16 @@
     crashes,
     engines::{Engines, key_of},
     permits,
-    records::{self, ItemKey, MAX_RECORD_BYTES, Records, add_result, record_for},
+    recorder::Recorder,
+    records::{ItemKey, add_result, add_unscored, record_for},
+    rewards::Rewards,
     runner::{self, Observation, Progress, Run, RunEnd, RunObserver},
     shared::Shared,
-    state::Item,
+    state::{Item, Times},
 };
 
 /// Longest time between two passes over the queue; a change of state, fleet or engines starts a pass at once.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Time beyond its retention after which an item is given up; covers adjustments of the wall clock, from which the time
-/// of submission is taken.
-const GIVE_UP_SLACK: Duration = Duration::from_secs(10);
 /// Time between two saves of the output of long items; the crash of a leader loses at most the output of this time.
 const SAVE_INTERVAL: Duration = Duration::from_millis(1000);
 /// Fewest new events that are saved: generating fewer again takes less time than reading them back.
@@ -89,15 +87,14 @@
     running: HashMap<ItemKey, Running>,
     /// Batches whose items were queued, with their due time; `None` once the batch was reported as overdue.
     queued_batches: HashMap<Rc<str>, Option<Duration>>,
-    results: Records,
     next_sequence: u64,
 }
 
 struct Inner {
     shared: Shared,
+    recorder: Recorder,
+    rewards: Rewards,
     work: RefCell<Work>,
-    records_pending: Notify,
-    term: Cell<u64>,
 }
 
 /// Dispatcher of batch items; clones share it.
@@ -115,16 +112,16 @@
 impl Dispatch {
     /// Creates a dispatcher over the state of a store.
     pub fn new(shared: Shared) -> Self {
-        let (work, records_pending) = (RefCell::default(), Notify::default());
-        Self { inner: Rc::new(Inner { shared, work, records_pending, term: Cell::new(0) }) }
+        let recorder = Recorder::new(shared.log.clone());
+        let rewards = Rewards::new(shared.clone(), recorder.clone());
+        Self { inner: Rc::new(Inner { shared, recorder, rewards, work: RefCell::default() }) }
     }
 
     /// Starts the tasks; they end with the token.
     pub fn start(&self, token: &CancellationToken) {
         let (this, stop) = (self.clone(), token.clone());
         runtime::spawn(async move { this.dispatch_loop(stop).await }).detach();
-        let (this, stop) = (self.clone(), token.clone());
-        runtime::spawn(async move { this.record_loop(stop).await }).detach();
+        runtime::spawn(self.inner.recorder.clone().run(token.clone())).detach();
         let (this, stop) = (self.clone(), token.clone());
         runtime::spawn(async move { this.save_loop(stop).await }).detach();
     }
@@ -141,6 +138,11 @@
         (work.waiting.len(), work.running.len())
     }
 
+    /// Numbers of reward calls that wait and of those that run.
+    pub fn reward_calls(&self) -> (usize, usize) {
+        self.inner.rewards.depth()
+    }
+
     /// Bytes of output of running items.
     pub fn output_bytes(&self) -> usize {
         let work = self.inner.work.borrow();
@@ -152,16 +154,17 @@
             let seen = self.inner.shared.wake.version();
             match self.inner.shared.log.leading_term() {
                 Some(term) => {
-                    if self.inner.term.replace(term) != term {
+                    if self.inner.recorder.begin_term(term) {
                         self.drop_work("term_started");
                     }
                     self.enqueue_new_batches();
                     self.drop_ended();
                     self.dispatch_waiting();
+                    self.inner.rewards.send_owed();
                     self.report_overdue();
                 }
                 None => {
-                    if self.inner.term.replace(0) != 0 {
+                    if self.inner.recorder.begin_term(0) {
                         self.drop_work("leadership_lost");
                     }
                 }
@@ -177,7 +180,16 @@
             running.cancel.cancel();
         }
         *work = Work { next_sequence: work.next_sequence, ..Work::default() };
-        event!(info, "items_dropped", reason = reason, waiting = waiting, running = running);
+        let (calls_waiting, calls_running) = self.inner.rewards.depth();
+        self.inner.rewards.drop_work();
+        event!(
+            info,
+            "items_dropped",
+            reason = reason,
+            waiting = waiting,
+            running = running,
+            reward_calls = calls_waiting + calls_running,
+        );
     }
 
     /// Queues the items of new batches.
@@ -188,16 +200,13 @@
             if work.queued_batches.contains_key(id) {
                 continue;
             }
-            let age = Duration::from_millis(clock::unix_ms().saturating_sub(batch.submitted_ms));
-            let submitted = clock::since_boot().saturating_sub(age);
-            let ms = |ms: u32| Duration::from_millis(ms.into());
-            let due = submitted + ms(batch.spec.completion_ms);
-            let give_up_at = submitted + ms(batch.spec.retention_ms) + GIVE_UP_SLACK;
+            let Times { age, due, give_up_at } = batch.times();
             work.queued_batches.insert(id.clone(), Some(due));
-            let startable = |item: &Item| rules::may_start(batch.ended, item.listed);
-            let unlisted = batch.items.iter().filter(|(_, item)| startable(item));
+            let startable = |(id, item): &(&Rc<str>, &Item)| {
+                rules::may_start(batch.ended, item.listed, batch.unscored.contains_key(*id))
+            };
             let mut count = 0_usize;
-            for (item_id, item) in unlisted {
+            for (item_id, item) in batch.items.iter().filter(startable) {
                 work.next_sequence += 1;
                 let expected = item.spec.expected_tokens;
                 let rank = Rank::new(batch.spec.priority, due, expected, work.next_sequence);
@@ -223,6 +232,7 @@
                 batch = id,
                 items = count,
                 listed = batch.results.len(),
+                reward_calls_owed = batch.unscored.len(),
                 model = batch.spec.model,
                 min_version = batch.spec.min_version,
                 step = batch.spec.step,
@@ -265,7 +275,7 @@
                     batch = waiting.key.0,
                     reason = "retention"
                 );
-                add_result(&mut work.results, &waiting.key, None);
+                self.inner.recorder.add(|records| add_result(records, &waiting.key, None));
             }
         }
         // If no engine has room for an item, none has for the other items of its batch that are equally long or short.
@@ -329,9 +339,6 @@
                 }
             }
         }
-        if !work.results.is_empty() {
-            self.inner.records_pending.notify();
-        }
     }
 
     /// Logs once for each batch that is incomplete at its due time what it waits for.
@@ -353,9 +360,11 @@
             let waiting = work.waiting.values().filter(of_batch).count();
             let all_paused = work.waiting.values().filter(of_batch).all(|w| w.paused);
             let running = work.running.keys().filter(|key| key.0 == id).count();
+            let owed = batch.unscored.len();
             let engines = self.engines_for(&batch.spec, now);
             let limited = self.are_limited(&batch.spec.service, now);
             let reason = match (waiting, engines) {
+                (0, _) if running == 0 && owed > 0 => "reward_calls_owed",
                 (0, _) => "items_still_run",
                 _ if all_paused => "items_are_paused",
                 (_, 0) => "no_engine_has_the_weights",
@@ -369,6 +378,7 @@
                 reason = reason,
                 waiting = waiting,
                 running = running,
+                reward_calls_owed = owed,
                 listed = batch.results.len(),
                 engines = engines,
                 min_version = batch.spec.min_version,
@@ -468,7 +478,7 @@
             events_at_start: waiting.progress.borrow().event_count(),
         };
         work.running.insert(waiting.key.clone(), running);
-        let (this, term) = (self.clone(), self.inner.term.get());
+        let (this, term) = (self.clone(), self.inner.recorder.term());
         runtime::spawn(
             async move { this.run_item(rank, waiting, upstream, key, cancel, term).await },
         )
@@ -510,7 +520,7 @@
         metrics::histogram!("orioleworks_item_run_seconds",
             "outcome" => end.as_ref().map_or("cancelled", RunEnd::outcome))
         .record(clock::since_boot().saturating_sub(started));
-        if let Some(end) = end.filter(|_| self.inner.term.get() == term) {
+        if let Some(end) = end.filter(|_| self.inner.recorder.term() == term) {
             self.finish_run(rank, waiting, &run, end);
         }
         self.inner.shared.wake.notify();
@@ -583,8 +593,10 @@
             RunEnd::Completed => {
                 let progress = waiting.progress.borrow();
                 let (text, versions) = (progress.text(), progress.versions());
-                add_result(&mut work.results, &waiting.key, Some((text, versions)));
-                self.inner.records_pending.notify();
+                self.inner.recorder.add(|records| match &waiting.item.reward_call {
+                    Some(_) => add_unscored(records, &waiting.key, text, versions),
+                    None => add_result(records, &waiting.key, Some((text, versions))),
+                });
                 return;
             }
             RunEnd::Impossible => {
@@ -596,8 +608,7 @@
                     reason = "impossible",
                     upstream = run.upstream.id
                 );
-                add_result(&mut work.results, &waiting.key, None);
-                self.inner.records_pending.notify();
+                self.inner.recorder.add(|records| add_result(records, &waiting.key, None));
                 return;
             }
             RunEnd::Failed => {
@@ -606,7 +617,8 @@
                     id: waiting.key.1.to_string(),
                     count: waiting.failed_attempts,
                 };
-                record_for(&mut work.results, &waiting.key.0).failed.push(failed);
+                let batch = &waiting.key.0;
+                self.inner.recorder.add(|records| record_for(records, batch).failed.push(failed));
                 if waiting.failed_attempts >= waiting.batch.max_attempts {
                     event!(
                         warn,
@@ -616,8 +628,7 @@
                         reason = "attempts",
                         attempts = waiting.failed_attempts
                     );
-                    add_result(&mut work.results, &waiting.key, None);
-                    self.inner.records_pending.notify();
+                    self.inner.recorder.add(|records| add_result(records, &waiting.key, None));
                     return;
                 }
             }
@@ -632,13 +643,6 @@
                 self.inner.shared.engines.borrow_mut().pause_after_failure(&run.key, now)
             }
         }
-        let reason = match &end {
-            RunEnd::Lost(reason)
-            | RunEnd::Refused(reason)
-            | RunEnd::Broken(reason)
-            | RunEnd::Silent(reason) => reason.as_str(),
-            other => other.outcome(),
-        };
         event!(
             info,
             "item_requeued",
@@ -647,7 +651,7 @@
             upstream = run.upstream.id,
             software = run.upstream.software,
             events = waiting.progress.borrow().event_count(),
-            reason = reason,
+            reason = end.reason(),
             content = fingerprint::logged(&waiting.fingerprint),
         );
         if work.queued_batches.contains_key(&waiting.key.0) {
@@ -660,68 +664,16 @@
     async fn save_loop(&self, token: CancellationToken) {
         while !token.is_cancelled() {
             compio::time::sleep(SAVE_INTERVAL).await;
-            let mut work = self.inner.work.borrow_mut();
-            let work = &mut *work;
-            let mut any = false;
+            let work = self.inner.work.borrow();
             for (key, running) in &work.running {
                 let mut progress = running.progress.borrow_mut();
-                if progress.unsaved() < MIN_SAVE_EVENTS {
-                    continue;
-                }
-                record_for(&mut work.results, &key.0).progress.push(progress.take_unsaved(&key.1));
-                any = true;
-            }
-            if any {
-                self.inner.records_pending.notify();
-            }
-        }
-    }
-
-    /// Commits results as they arrive; those that arrive during a commit are part of the next one.
-    async fn record_loop(&self, token: CancellationToken) {
-        while !token.is_cancelled() {
-            let seen = self.inner.records_pending.version();
-            let records = std::mem::take(&mut self.inner.work.borrow_mut().results);
-            if records.is_empty() {
-                self.inner.records_pending.changed_within(seen, CHECK_INTERVAL).await;
-                continue;
-            }
-            let term = self.inner.term.get();
-            future::join_all(records.into_values().map(|record| self.record(record, term))).await;
-        }
-    }
-
-    /// Commits a record in parts, one after another, because the order of saved output matters.
-    async fn record(&self, record: inner::RecordResults, term: u64) {
-        let mut parts = VecDeque::from(records::split(record, MAX_RECORD_BYTES));
-        while let Some(part) = parts.front() {
-            let kind = Some(Kind::RecordResults(part.clone()));
-            let command = inner::Command { expected_revision: None, kind };
-            // Results belong to the term in which they were generated.
-            let decided = if self.inner.term.get() == term {
-                self.inner.shared.log.propose_until_decided("", command).await
-            } else {
-                Err(ProposeError::NotLeader)
-            };
-            let Err(reason) = decided else {
-                parts.pop_front();
-                continue;
-            };
-            let id = part.batch_id.clone();
-            let count: usize = parts.iter().map(|part| part.results.len()).sum();
-            if reason == ProposeError::NoQuorum {
-                event!(warn, "results_unconfirmed", batch = id, results = count, reason = reason);
-                let mut work = self.inner.work.borrow_mut();
-                if self.inner.term.get() == term {
-                    for part in parts.into_iter().rev() {
-                        records::put_back(&mut work.results, part);
-                    }
+                if progress.unsaved() >= MIN_SAVE_EVENTS {
+                    let saved = progress.take_unsaved(&key.1);
+                    self.inner
+                        .recorder
+                        .add(|records| record_for(records, &key.0).progress.push(saved));
                 }
-            } else {
-                // The next leader runs the items that are not listed.
-                event!(info, "results_dropped", batch = id, results = count, reason = reason);
             }
-            return;
         }
     }
 }
--- a/orioleworks_store/src/records.rs
+++ b/orioleworks_store/src/records.rs
@@ -26,18 +26,32 @@
 
 /// Adds the result of an item; `None` for one that was given up.
 pub fn add_result(records: &mut Records, key: &ItemKey, done: Option<(Bytes, Vec<u64>)>) {
-    let completed = done.is_some();
-    let (text, versions) = done.unwrap_or_default();
-    let (text, text_len) = texts::pack(text);
-    let result = inner::ItemResult { id: key.1.to_string(), completed, text, versions, text_len };
+    let result = match done {
+        Some((text, versions)) => completed(key, text, versions),
+        None => inner::ItemResult { id: key.1.to_string(), ..Default::default() },
+    };
     record_for(records, &key.0).results.push(result);
 }
 
+/// Adds the complete text of an item whose reward call is owed from then on.
+pub fn add_unscored(records: &mut Records, key: &ItemKey, text: Bytes, versions: Vec<u64>) {
+    record_for(records, &key.0).unscored.push(completed(key, text, versions));
+}
+
+fn completed(key: &ItemKey, text: Bytes, versions: Vec<u64>) -> inner::ItemResult {
+    let (text, text_len) = texts::pack(text);
+    let id = key.1.to_string();
+    inner::ItemResult { id, completed: true, text, versions, text_len, ..Default::default() }
+}
+
 /// Puts a record that was not committed before what has been added meanwhile.
 pub fn put_back(records: &mut Records, record: inner::RecordResults) {
     let pending = record_for(records, &Rc::from(record.batch_id.as_str()));
     pending.results.splice(0..0, record.results);
     pending.failed.splice(0..0, record.failed);
+    pending.failed_reward_calls.splice(0..0, record.failed_reward_calls);
+    pending.unscored.splice(0..0, record.unscored);
+    pending.scores.splice(0..0, record.scores);
     // Progress that was saved in the meantime continues the progress that is recorded again.
     pending.progress.splice(0..0, record.progress);
 }
@@ -50,9 +64,18 @@
     for failed in record.failed {
         split.record_for(&failed).failed.push(failed);
     }
+    for failed in record.failed_reward_calls {
+        split.record_for(&failed).failed_reward_calls.push(failed);
+    }
     for progress in record.progress {
         split.record_for(&progress).progress.push(progress);
     }
+    for text in record.unscored {
+        split.record_for(&text).unscored.push(text);
+    }
+    for score in record.scores {
+        split.record_for(&score).scores.push(score);
+    }
     for result in record.results {
         split.record_for(&result).results.push(result);
     }
--- a/orioleworks_store/src/runner.rs
+++ b/orioleworks_store/src/runner.rs
@@ -194,6 +194,17 @@
             Self::Lost(_) | Self::Refused(_) | Self::Broken(_) | Self::Silent(_) => "lost",
         }
     }
+
+    /// Reason for log lines.
+    pub fn reason(&self) -> &str {
+        match self {
+            Self::Lost(reason)
+            | Self::Refused(reason)
+            | Self::Broken(reason)
+            | Self::Silent(reason) => reason,
+            other => other.outcome(),
+        }
+    }
 }
 
 /// Item and engine of a run.
@@ -278,7 +289,8 @@
     }
 }
 
-fn failed_run(error: &SendError) -> RunEnd {
+/// End of a run that got no complete response.
+pub fn failed_run(error: &SendError) -> RunEnd {
     let reason = error.to_string();
     match error {
         SendError::NotSent(_) | SendError::Invalid(_) => RunEnd::Lost(reason),
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -42,7 +42,7 @@
     peers, permits,
     shared::Shared,
     snapshot,
-    state::{Listing, State},
+    state::{Listing, State, body_bytes},
     telemetry,
     texts::{self, Texts},
 };
@@ -101,6 +101,7 @@
         let pool = Pool::new(knowledge.fleet.clone());
         let (permits, streams, spread) = (Rc::default(), Rc::default(), Rc::default());
         let shared = Shared {
+            domain: (&*cfg.instance.failure_domain).into(),
             log,
             state,
             texts,
@@ -289,7 +290,7 @@
         self.shared.log.ready_to_propose().await.map_err(|e| e.code())?;
         let usage = Usage::of(&self.shared, &self.dispatch);
         let state = self.shared.state.borrow();
-        let bodies = batch.items.iter().map(|item| item.body.len()).sum();
+        let bodies = batch.items.iter().map(body_bytes).sum();
         let short = self.memory.is_short(usage, state.open_batches().count(), bodies);
         let Some(short) = short.filter(|_| state.batch(&batch.id).is_none()) else { return Ok(()) };
         let is_copy = |command: &inner::Command| matches!(&command.kind, Some(Kind::PutBatch(pending)) if pending.id == batch.id);
--- a/orioleworks_store/src/shared.rs
+++ b/orioleworks_store/src/shared.rs
@@ -15,6 +15,8 @@
 /// State and connections of one store; clones share them.
 #[derive(Clone, Debug)]
 pub struct Shared {
+    /// Failure domain of this store.
+    pub domain: Rc<str>,
     /// The replicated log.
     pub log: Log,
     /// Replicated state, built from the log.
--- a/orioleworks_store/src/snapshot.rs
+++ b/orioleworks_store/src/snapshot.rs
@@ -21,18 +21,22 @@
 const BATCHES_FIELD: u32 = 3;
 /// Number of `BatchState.results`.
 const RESULTS_FIELD: u32 = 4;
+/// Number of `BatchState.unscored`.
+const UNSCORED_FIELD: u32 = 8;
 /// Number of `ItemResult.text`.
 const TEXT_FIELD: u32 = 3;
 /// Bits of the key of a field that tell its type.
 const WIRE_TYPE_BITS: u32 = 3;
 
-/// A batch as saved, with the results apart from their texts.
+/// A batch as saved, with results and complete texts apart.
 #[derive(Debug)]
 pub struct SavedBatch {
-    /// The batch without results.
+    /// The batch without results and complete texts.
     pub state: inner::BatchState,
     /// Its results by position.
     pub results: Vec<Listed>,
+    /// Complete texts whose reward calls are owed.
+    pub unscored: Vec<Listed>,
 }
 
 /// A state as saved.
@@ -56,11 +60,20 @@
 }
 
 fn write_batch(w: &mut dyn Write, batch: &SavedBatch) -> io::Result<()> {
-    let results = batch.results.iter().map(|listed| field_len(RESULTS_FIELD, result_len(listed)));
+    let fields = [(RESULTS_FIELD, &batch.results), (UNSCORED_FIELD, &batch.unscored)];
+    let len = |(field, all): &(u32, &Vec<Listed>)| -> usize {
+        all.iter().map(|listed| field_len(*field, result_len(listed))).sum()
+    };
     let head = batch.state.encode_to_vec();
-    write_key(w, BATCHES_FIELD, head.len() + results.sum::<usize>())?;
+    write_key(w, BATCHES_FIELD, head.len() + fields.iter().map(len).sum::<usize>())?;
     w.write_all(&head)?;
-    let mut rest = &batch.results[..];
+    for (field, all) in fields {
+        write_results(w, field, all)?;
+    }
+    Ok(())
+}
+
+fn write_results(w: &mut dyn Write, field: u32, mut rest: &[Listed]) -> io::Result<()> {
     while !rest.is_empty() {
         let mut bytes = 0;
         let fitting = rest.iter().take_while(|listed| {
@@ -72,7 +85,7 @@
         let texts: Vec<Text> = run.iter().map(|listed| listed.text.clone()).collect();
         for (listed, text) in run.iter().zip(texts::read(&texts)?) {
             let result = inner::ItemResult { text, ..listed.result.clone() };
-            write_key(w, RESULTS_FIELD, result.encoded_len())?;
+            write_key(w, field, result.encoded_len())?;
             w.write_all(&result.encode_to_vec())?;
         }
     }
@@ -105,7 +118,7 @@
 /// Fails if the bytes are not a state.
 pub fn read(r: &mut dyn Read, texts: &Texts) -> io::Result<Saved> {
     let mut batches = Vec::new();
-    let head = read_message(r, BATCHES_FIELD, |r| {
+    let head = read_message(r, &[BATCHES_FIELD], |_, r| {
         batches.push(read_batch(r, texts)?);
         Ok(())
     })?;
@@ -113,32 +126,34 @@
 }
 
 fn read_batch(r: &mut dyn Read, texts: &Texts) -> io::Result<SavedBatch> {
-    let mut results = Vec::new();
-    let state = read_message(r, RESULTS_FIELD, |r| {
+    let (mut results, mut unscored) = (Vec::new(), Vec::new());
+    let state = read_message(r, &[RESULTS_FIELD, UNSCORED_FIELD], |field, r| {
         let mut result = Vec::new();
         r.read_to_end(&mut result)?;
-        results.push(Listed::new(inner::ItemResult::decode(&*result)?, texts));
+        let all = if field == RESULTS_FIELD { &mut results } else { &mut unscored };
+        all.push(Listed::new(inner::ItemResult::decode(&*result)?, texts));
         texts.spill();
         Ok(())
     })?;
-    Ok(SavedBatch { state: inner::BatchState::decode(&*state)?, results })
+    Ok(SavedBatch { state: inner::BatchState::decode(&*state)?, results, unscored })
 }
 
-/// Reads a message: passes on the fields with a number, and returns all others as they are encoded.
+/// Reads a message: passes on the fields with certain numbers, and returns all others as they are encoded.
 fn read_message(
     r: &mut dyn Read,
-    number: u32,
-    mut each: impl FnMut(&mut dyn Read) -> io::Result<()>,
+    numbers: &[u32],
+    mut each: impl FnMut(u32, &mut dyn Read) -> io::Result<()>,
 ) -> io::Result<Vec<u8>> {
     let mut others = Vec::new();
     while let Some(key) = read_varint(r)? {
         let wire_type = key & ((1 << WIRE_TYPE_BITS) - 1);
+        let passed_on = numbers.iter().find(|n| key >> WIRE_TYPE_BITS == u64::from(**n));
         if wire_type == WireType::LengthDelimited as u64
-            && key >> WIRE_TYPE_BITS == u64::from(number)
+            && let Some(number) = passed_on
         {
             let len = read_value(r)?;
             let mut field = Read::take(&mut *r, len);
-            each(&mut field)?;
+            each(*number, &mut field)?;
             if field.limit() > 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
--- a/orioleworks_store/src/state.rs
+++ b/orioleworks_store/src/state.rs
@@ -3,10 +3,11 @@
 //! The position of a result follows from the order of the log, so that it is the same on every store and never changes.
 //! See `docs/platform.md`.
 
-use std::{io, rc::Rc};
+use std::{io, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
+use orioleworks_daemon::clock;
 use orioleworks_log::Part;
 use orioleworks_proto::{
     codes::ResultCode,
@@ -25,6 +26,10 @@
 /// Factor on the retention of a batch that still has items to run.
 const OPEN_RETENTION_FACTOR: u64 = 4;
 
+/// Time beyond its retention after which an item is given up; covers adjustments of the wall clock, from which the time
+/// of submission is taken.
+const GIVE_UP_SLACK: Duration = Duration::from_secs(10);
+
 /// An item of a batch.
 #[derive(Clone, Debug)]
 pub struct Item {
@@ -34,6 +39,8 @@
     pub listed: bool,
     /// Number of attempts that an upstream answered with a failure.
     pub failed_attempts: u32,
+    /// Number of reward calls that an upstream answered with a failure.
+    pub failed_reward_calls: u32,
     /// Output that earlier runs generated for it.
     pub progress: Option<Rc<inner::ItemProgress>>,
 }
@@ -88,6 +95,17 @@
     }
 }
 
+/// Times of a batch.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// Time since its submission.
+    pub age: Duration,
+    /// When all its results are due.
+    pub due: Duration,
+    /// When items without a result are given up.
+    pub give_up_at: Duration,
+}
+
 /// A batch and its results.
 #[derive(Clone, Debug)]
 pub struct Batch {
@@ -101,6 +119,8 @@
     pub items: IndexMap<Rc<str>, Item>,
     /// Results by position.
     pub results: Vec<Listed>,
+    /// Complete texts whose reward calls are owed, by item. Those of an ended batch may serve a later batch.
+    pub unscored: IndexMap<Rc<str>, Listed>,
 }
 
 impl Batch {
@@ -108,7 +128,14 @@
         let items = batch.items.iter().map(|spec| {
             let spec = Rc::new(spec.clone());
             let id = Rc::from(spec.id.as_str());
-            (id, Item { spec, listed: false, failed_attempts: 0, progress: None })
+            let item = Item {
+                spec,
+                listed: false,
+                failed_attempts: 0,
+                failed_reward_calls: 0,
+                progress: None,
+            };
+            (id, item)
         });
         Self {
             items: items.collect(),
@@ -116,6 +143,19 @@
             submitted_ms,
             ended: false,
             results: Vec::new(),
+            unscored: IndexMap::new(),
+        }
+    }
+
+    /// When the batch is due and when its items are given up, on this process's clock.
+    pub fn times(&self) -> Times {
+        let age = Duration::from_millis(clock::unix_ms().saturating_sub(self.submitted_ms));
+        let submitted = clock::since_boot().saturating_sub(age);
+        let ms = |ms: u32| Duration::from_millis(ms.into());
+        Times {
+            age,
+            due: submitted + ms(self.spec.completion_ms),
+            give_up_at: submitted + ms(self.spec.retention_ms) + GIVE_UP_SLACK,
         }
     }
 
@@ -128,15 +168,56 @@
         let result = &listed.result;
         let allowed = !result.completed || is_allowed(&self.spec, result);
         let Some(item) = self.items.get_mut(result.id.as_str()) else { return false };
-        if !rules::accepts_result(item.listed, allowed) {
+        let call = item.spec.reward_call.as_ref().filter(|_| result.completed);
+        let score_missing = call.is_some_and(|call| !has_score_of(result, call));
+        if !rules::accepts_result(item.listed, allowed, score_missing) {
             return false;
         }
         item.listed = true;
         item.progress = None;
         keep_only_id(item);
+        self.unscored.swap_remove(result.id.as_str());
         self.results.push(listed);
         true
     }
+
+    /// Keeps a complete text until its reward call is answered.
+    fn add_unscored(&mut self, listed: Listed) {
+        let id: Rc<str> = listed.result.id.as_str().into();
+        let allowed = is_allowed(&self.spec, &listed.result);
+        let Some(item) = self.items.get_mut(&id) else { return };
+        if rules::accepts_text(item.listed, self.unscored.contains_key(&id), allowed) {
+            item.progress = None;
+            self.unscored.insert(id, listed);
+        }
+    }
+
+    /// Lists the text that a score belongs to.
+    fn add_score(&mut self, score: &inner::ItemScore) -> bool {
+        let Some(mut listed) = self.unscored.get(score.id.as_str()).cloned() else { return false };
+        listed.result.score.clone_from(&score.score);
+        listed.result.reward_call_id.clone_from(&score.reward_call_id);
+        self.list_result(listed)
+    }
+
+    /// Lists what an earlier batch completed of an item, or keeps the text until this batch's reward call is answered.
+    fn take_over(&mut self, mut listed: Listed) {
+        let Some(item) = self.items.get(listed.result.id.as_str()) else { return };
+        let scored = item.spec.reward_call.as_ref().map(|call| has_score_of(&listed.result, call));
+        if scored != Some(true) {
+            listed.result.score = String::new();
+            listed.result.reward_call_id = String::new();
+        }
+        if scored == Some(false) {
+            self.add_unscored(listed);
+        } else {
+            self.list_result(listed);
+        }
+    }
+}
+
+fn has_score_of(result: &inner::ItemResult, call: &inner::RewardCall) -> bool {
+    !result.score.is_empty() && result.reward_call_id == call.id
 }
 
 /// Drops all that is needed to run an item; keeps its ID. A store holds thousands of listed items.
@@ -207,30 +288,34 @@
         ResultCode::Ok
     }
 
-    /// Lists results of earlier batches whose weight versions this batch allows, and restores the progress of
-    /// unfinished items under the same condition.
+    /// Takes over results and complete texts of earlier batches whose weight versions this batch allows, and restores the
+    /// progress of unfinished items under the same condition.
     fn reuse_earlier_work(&mut self, batch: &mut Batch) {
         let spec = batch.spec.clone();
+        let same_target =
+            |earlier: &Batch| earlier.spec.model == spec.model && earlier.spec.route == spec.route;
+        let with_texts: Vec<&Batch> =
+            self.batches.values().filter(|b| !b.unscored.is_empty() && same_target(b)).collect();
+        let finished = |id: &Rc<str>| {
+            let (earlier_id, position) = self.finished.get(id)?;
+            let earlier = self.batches.get(earlier_id).filter(|earlier| same_target(earlier))?;
+            earlier.results.get(*position)
+        };
+        let unscored = |id: &Rc<str>| with_texts.iter().rev().find_map(|b| b.unscored.get(id));
         let reusable: Vec<Listed> = batch
             .items
             .keys()
             .filter_map(|id| {
-                let (earlier_id, position) = self.finished.get(id)?;
-                let earlier = self.batches.get(earlier_id)?;
-                let same_target =
-                    earlier.spec.model == spec.model && earlier.spec.route == spec.route;
-                let listed = earlier.results.get(*position)?;
-                (same_target && is_allowed(&spec, &listed.result)).then(|| listed.clone())
+                let allowed = |listed: &&Listed| is_allowed(&spec, &listed.result);
+                finished(id).filter(allowed).or_else(|| unscored(id).filter(allowed)).cloned()
             })
             .collect();
         for listed in reusable {
-            batch.list_result(listed);
+            batch.take_over(listed);
         }
         for (id, item) in batch.items.iter_mut().filter(|(_, item)| !item.listed) {
             let Some((earlier_id, progress)) = self.unfinished.get(id) else { continue };
-            let earlier = self.batches.get(earlier_id).map(|batch| &batch.spec);
-            let same_target =
-                earlier.is_some_and(|e| e.model == spec.model && e.route == spec.route);
+            let same_target = self.batches.get(earlier_id).is_some_and(same_target);
             let fits = versions_allowed(&spec, &progress.versions) && !progress.versions.is_empty();
             item.progress = (same_target && fits).then(|| progress.clone());
         }
@@ -245,16 +330,32 @@
                 item.failed_attempts = item.failed_attempts.max(failed.count);
             }
         }
+        for failed in &record.failed_reward_calls {
+            if let Some(item) = batch.items.get_mut(failed.id.as_str()) {
+                item.failed_reward_calls = item.failed_reward_calls.max(failed.count);
+            }
+        }
         for saved in &record.progress {
             let Some(item) = batch.items.get_mut(saved.id.as_str()) else { continue };
             if !item.listed && !batch.ended {
                 item.progress = merge_progress(item.progress.as_deref(), saved).map(Rc::new);
             }
         }
+        for result in &record.unscored {
+            batch.add_unscored(Listed::new(result.clone(), &self.texts));
+        }
+        let batch_id: Rc<str> = record.batch_id.as_str().into();
+        let mut finished = |batch: &Batch, id: &str| {
+            self.finished.insert(id.into(), (batch_id.clone(), batch.results.len() - 1));
+        };
+        for score in &record.scores {
+            if batch.add_score(score) {
+                finished(batch, &score.id);
+            }
+        }
         for result in &record.results {
             if batch.list_result(Listed::new(result.clone(), &self.texts)) && result.completed {
-                let location = (Rc::from(record.batch_id.as_str()), batch.results.len() - 1);
-                self.finished.insert(result.id.as_str().into(), location);
+                finished(batch, &result.id);
             }
         }
         ResultCode::Ok
@@ -331,7 +432,7 @@
         Usage {
             texts: self.texts.memory_bytes(),
             texts_on_disk: self.texts.disk_bytes(),
-            bodies: items().map(|item| item.spec.body.len()).sum(),
+            bodies: items().map(|item| body_bytes(&item.spec)).sum(),
             progress: saved.flat_map(|progress| &progress.events).map(Bytes::len).sum(),
             ..Usage::default()
         }
@@ -424,16 +525,24 @@
 }
 
 fn restore_batch(batch: SavedBatch) -> Option<(Rc<str>, Batch)> {
-    let SavedBatch { state: saved, results } = batch;
+    let SavedBatch { state: saved, results, unscored } = batch;
     let mut batch = Batch::new(&saved.batch?, saved.submitted_ms);
     for failed in &saved.failed {
         if let Some(item) = batch.items.get_mut(failed.id.as_str()) {
             item.failed_attempts = failed.count;
         }
     }
+    for failed in &saved.failed_reward_calls {
+        if let Some(item) = batch.items.get_mut(failed.id.as_str()) {
+            item.failed_reward_calls = failed.count;
+        }
+    }
     for listed in results {
         batch.list_result(listed);
     }
+    for listed in unscored {
+        batch.unscored.insert(listed.result.id.as_str().into(), listed);
+    }
     for progress in saved.progress {
         if let Some(item) = batch.items.get_mut(progress.id.as_str()) {
             item.progress = Some(Rc::new(progress));
@@ -443,6 +552,11 @@
     Some((batch.spec.id.as_str().into(), batch))
 }
 
+/// Bytes of the bodies of an item's requests.
+pub fn body_bytes(item: &inner::BatchItem) -> usize {
+    item.body.len() + item.reward_call.as_ref().map_or(0, |call| call.body.len())
+}
+
 /// Whether a result is complete and a batch allows its weight versions.
 pub fn is_allowed(batch: &inner::Batch, result: &inner::ItemResult) -> bool {
     result.completed && versions_allowed(batch, &result.versions)
@@ -473,9 +587,14 @@
 
 fn save_batch(batch: Batch) -> SavedBatch {
     let items = batch.items.values();
-    let failed = items.clone().filter(|item| item.failed_attempts > 0).map(|item| {
-        inner::FailedAttempts { id: item.spec.id.clone(), count: item.failed_attempts }
-    });
+    let failures = |count: fn(&Item) -> u32| {
+        let failed = items.clone().filter(move |item| count(item) > 0);
+        let saved = move |item: &Item| inner::FailedAttempts {
+            id: item.spec.id.clone(),
+            count: count(item),
+        };
+        failed.map(saved).collect()
+    };
     let state = inner::BatchState {
         batch: Some(inner::Batch {
             items: items.clone().map(|item| (*item.spec).clone()).collect(),
@@ -484,12 +603,15 @@
         submitted_ms: batch.submitted_ms,
         ended: batch.ended,
         results: Vec::new(),
-        failed: failed.collect(),
+        unscored: Vec::new(),
+        failed: failures(|item| item.failed_attempts),
+        failed_reward_calls: failures(|item| item.failed_reward_calls),
         progress: batch
             .items
             .values()
             .filter_map(|item| item.progress.as_deref().cloned())
             .collect(),
     };
-    SavedBatch { state, results: batch.results }
+    let unscored = batch.unscored.into_values().collect();
+    SavedBatch { state, results: batch.results, unscored }
 }
--- a/orioleworks_store/src/telemetry.rs
+++ b/orioleworks_store/src/telemetry.rs
@@ -18,6 +18,9 @@
     let (waiting, running) = dispatch.depth();
     metrics::gauge!("orioleworks_items", "state" => "waiting").set(waiting as f64);
     metrics::gauge!("orioleworks_items", "state" => "running").set(running as f64);
+    let (waiting, running) = dispatch.reward_calls();
+    metrics::gauge!("orioleworks_reward_calls", "state" => "waiting").set(waiting as f64);
+    metrics::gauge!("orioleworks_reward_calls", "state" => "running").set(running as f64);
     metrics::gauge!("orioleworks_suspect_contents")
         .set(shared.knowledge.crashes.borrow().len() as f64);
     let state = shared.state.borrow();
--- a/spec/src/batches.rs
+++ b/spec/src/batches.rs
@@ -164,7 +164,7 @@
             }
             Command::Record(text) => {
                 let listed = len(&a.positions[0]) > 0;
-                if rules::accepts_result(listed, true) {
+                if rules::accepts_result(listed, true, false) {
                     a.positions[0] = text;
                 } else if self.is_variant(Broken::RepeatListsTwice) {
                     a.positions[1] = text;
@@ -182,8 +182,11 @@
         let l = &s.leaders[i];
         let applied = Self::applied_by(s, i);
         let listed = len(&applied.positions[0]) > 0;
-        let may_start =
-            rules::may_start(applied.ended && !self.is_variant(Broken::StartAfterEnd), listed);
+        let may_start = rules::may_start(
+            applied.ended && !self.is_variant(Broken::StartAfterEnd),
+            listed,
+            false,
+        );
         if applied.accepted && may_start && !l.running {
             let mut n = *s;
             let text = if len(&l.text) > 0 { l.text } else { applied.progress };
--- a/spec/src/lib.rs
+++ b/spec/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod log;
 pub mod log_state;
 mod log_steps;
+pub mod rewards;
