--- a/orioleworks_gateway/tests/support/upstream.rs
+++ b/orioleworks_gateway/tests/support/upstream.rs
@@ -69,6 +69,10 @@
     pub software: Mutex<String>,
     /// Length of the text that is added to each event.
     pub event_padding: AtomicU64,
+    /// Part of the path of requests that get a failure as response; empty for none.
+    pub fail_path: Mutex<String>,
+    /// Breaks off this many of the next responses of a plain service halfway.
+    pub breaks_responses: AtomicU64,
 }
 
 #[derive(Default)]
@@ -82,6 +86,10 @@
     generated: HashMap<String, BTreeSet<u64>>,
     /// Arrival times of all requests, refused ones, reports and orders included.
     arrivals: Vec<Instant>,
+    /// Start times of the runs of a request ID.
+    starts: HashMap<String, Vec<Instant>>,
+    /// Time of the last event of each complete stream by request ID.
+    completions: HashMap<String, Instant>,
 }
 
 /// What ends with a crash of the replica, and what tells its starts apart.
@@ -169,6 +177,16 @@
         self.state.lock().unwrap().runs.get(id).cloned().unwrap_or_default()
     }
 
+    /// Start times of the runs of a request ID.
+    pub fn starts(&self, id: &str) -> Vec<Instant> {
+        self.state.lock().unwrap().starts.get(id).cloned().unwrap_or_default()
+    }
+
+    /// Time of the last event of a complete stream.
+    pub fn completion(&self, id: &str) -> Option<Instant> {
+        self.state.lock().unwrap().completions.get(id).copied()
+    }
+
     /// Number of all requests that it ran.
     pub fn total_runs(&self) -> usize {
         self.state.lock().unwrap().runs.values().map(Vec::len).sum()
@@ -387,7 +405,11 @@
             return self.respond(out, "503 Service Unavailable", &[("X-Not-Executed", "1")], "");
         }
         let after = headers.get("last-event-id").and_then(|v| v.parse().ok());
-        self.state.lock().unwrap().runs.entry(id.clone()).or_default().push(after);
+        {
+            let mut state = self.state.lock().unwrap();
+            state.runs.entry(id.clone()).or_default().push(after);
+            state.starts.entry(id.clone()).or_default().push(Instant::now());
+        }
         thread::sleep(Duration::from_millis(self.behaviour.delay_ms.load(Ordering::Relaxed)));
         if self.must_crash(path) {
             self.crash();
@@ -407,14 +429,31 @@
             self.behaviour.endless_connections.fetch_sub(1, Ordering::Relaxed);
             return end;
         }
-        let stamp: &[(&str, &str)] = &[("X-Attempt-Id", &id), ("X-Server-Stamp", "stamp")];
+        let signature = signature(&id);
+        let stamp: &[(&str, &str)] = &[("X-Attempt-Id", &id), ("X-Server-Stamp", &signature)];
         let decrement = |left: u64| left.checked_sub(1);
+        let fail_path = self.behaviour.fail_path.lock().unwrap().clone();
+        if !fail_path.is_empty() && path.contains(&fail_path) {
+            return self.respond(out, "500 Internal Server Error", stamp, "failed");
+        }
         let failures = &self.behaviour.failures;
         if failures.fetch_update(Ordering::Relaxed, Ordering::Relaxed, decrement).is_ok() {
             return self.respond(out, "500 Internal Server Error", stamp, "failed");
         }
         match headers.get("x-model") {
             Some(model) => self.stream(out, &id, model, after.unwrap_or(0)),
+            None if self
+                .behaviour
+                .breaks_responses
+                .fetch_update(Ordering::Relaxed, Ordering::Relaxed, decrement)
+                .is_ok() =>
+            {
+                let half = format!(
+                    "HTTP/1.1 200 OK\r\nContent-Length: 100\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: broken-off\r\n\r\nhalf"
+                );
+                out.write_all(half.as_bytes())?;
+                Err(std::io::Error::other("injected end of the response"))
+            }
             None => self.respond(out, "200 OK", stamp, &format!("answer to {id}")),
         }
     }
@@ -485,10 +524,16 @@
             );
             write!(out, "{:x}\r\n{text}\r\n", text.len())?;
         }
+        self.state.lock().unwrap().completions.insert(id.into(), Instant::now());
         write!(out, "0\r\n\r\n")
     }
 }
 
+/// Signature of a plain service over its response to a request.
+pub fn signature(id: &str) -> String {
+    format!("signature-of-{id}")
+}
+
 /// Data of one event of an item.
 pub fn event_data(id: &str, event: u64) -> String {
     format!("{id} event {event}")
