A batch with reward calls waits until every voter understands them

A store of an earlier version would drop the reward calls of a batch that it decodes, and list texts without scores once it leads. Members are recorded with the protocol that they understand, and followers state it in each reply; gateways submit such batches by a command of its own, which an older leader refuses as not run.

--- a/orioleworks_control/src/machine.rs
+++ b/orioleworks_control/src/machine.rs
@@ -74,6 +74,7 @@
             Some(Kind::ReleaseQuarantine(fingerprint)) => self.release_quarantine(fingerprint),
             Some(
                 Kind::PutBatch(_)
+                | Kind::PutScoredBatch(_)
                 | Kind::RecordResults(_)
                 | Kind::EndBatch(_)
                 | Kind::PutDocument(_)
--- a/orioleworks_control/src/validation.rs
+++ b/orioleworks_control/src/validation.rs
@@ -71,6 +71,7 @@
         }
         Kind::ReleaseQuarantine(fingerprint) => check_name("release_quarantine", fingerprint),
         Kind::PutBatch(_)
+        | Kind::PutScoredBatch(_)
         | Kind::RecordResults(_)
         | Kind::EndBatch(_)
         | Kind::PutDocument(_)
--- a/orioleworks_gateway/src/batches.rs
+++ b/orioleworks_gateway/src/batches.rs
@@ -31,6 +31,8 @@
 const REPLY_SLACK: Duration = Duration::from_millis(700);
 /// Retry advice when there is no leader; most elections are over by then.
 const NO_LEADER_RETRY: Duration = Duration::from_millis(500);
+/// Retry advice while a store waits for its update; a restart of a store takes about as long.
+const UPDATE_RETRY: Duration = Duration::from_millis(1000);
 /// Retry advice when a store has no memory for another batch; items of a few seconds are done by then.
 const MEMORY_SHORT_RETRY: Duration = Duration::from_millis(2000);
 /// Retry advice when a reward call has no route; a route document reaches all gateways within this time.
@@ -60,8 +62,17 @@
     let (items, step, model) = (decoded.items.len(), decoded.step, decoded.model.clone());
     let time_left =
         context.deadline_within(SUBMIT_TIMEOUT).saturating_duration_since(Instant::now());
-    let outcome = view.stores.propose(Kind::PutBatch(decoded), time_left).await;
-    successful_reply(outcome, "the batch")?;
+    let scored = decoded.items.iter().any(|item| item.reward_call.is_some());
+    let command = if scored { Kind::PutScoredBatch(decoded) } else { Kind::PutBatch(decoded) };
+    let outcome = view.stores.propose(command, time_left).await;
+    successful_reply(outcome, "the batch").map_err(|refusal| match refusal.code {
+        // A store of an earlier version does not know the command.
+        ResultCode::InvalidOrder if scored => {
+            Refusal::new(ResultCode::UpdatePending, "the batch", UPDATE_RETRY)
+        }
+        ResultCode::UpdatePending => Refusal { retry_after: UPDATE_RETRY, ..refusal },
+        _ => refusal,
+    })?;
     event!(
         info,
         "batch_accepted",
--- a/orioleworks_log/src/follower.rs
+++ b/orioleworks_log/src/follower.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use orioleworks_daemon::event;
-use orioleworks_proto::inner;
+use orioleworks_proto::{PROTOCOL, inner};
 use orioleworks_rules::log::{self as rules, LogPosition};
 
 use crate::{
@@ -101,6 +101,7 @@
             match_index,
             retry_index: retry,
             seen: Vec::new(),
+            protocol: PROTOCOL,
         }
     }
 
--- a/orioleworks_log/src/leader.rs
+++ b/orioleworks_log/src/leader.rs
@@ -72,6 +72,7 @@
                 sent_commit: 0,
                 confirmed_at: None,
                 added_at: Instant::now(),
+                protocol: 0,
             };
             state.progress.insert(member.member_id, progress);
             let (this, m) = (self.clone(), member.clone());
--- a/orioleworks_log/src/membership.rs
+++ b/orioleworks_log/src/membership.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexSet;
 use orioleworks_daemon::event;
 use orioleworks_proto::{
+    PROTOCOL,
     codes::ResultCode,
     inner::{self, command::Kind, frame::Body},
 };
@@ -92,6 +93,7 @@
                     address: replica.address.clone(),
                     domain: reply.domain,
                     learner: false,
+                    protocol: reply.protocol,
                 });
             }
         }
@@ -193,6 +195,7 @@
             address: self.inner.settings.address.clone(),
             learner,
             domain: self.inner.settings.domain.clone(),
+            protocol: PROTOCOL,
         }
     }
 
--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -17,6 +17,7 @@
 use indexmap::IndexSet;
 use orioleworks_daemon::{clock, rpc};
 use orioleworks_proto::{
+    PROTOCOL,
     codes::ResultCode,
     inner::{self, frame::Body},
 };
@@ -407,10 +408,23 @@
             name: self.inner.settings.name.clone(),
             bootstrap: self.inner.settings.bootstrap,
             domain: self.inner.settings.domain.clone(),
+            protocol: PROTOCOL,
             ..inner::StatusReply::default()
         }
     }
 
+    /// Whether every voter is known to understand a protocol version, so that an entry that needs it is lost at none.
+    pub fn voters_understand(&self, protocol: u32) -> bool {
+        let state = self.inner.state.borrow();
+        let replied = |id: u64| state.progress.get(&id).map_or(0, |progress| progress.protocol);
+        let understood = |m: &inner::Member| match m.member_id == state.id() {
+            true => PROTOCOL,
+            false => m.protocol.max(replied(m.member_id)),
+        };
+        let mut voters = state.membership.members.iter().filter(|m| !m.learner);
+        voters.all(|m| understood(m) >= protocol)
+    }
+
     /// Publishes the gauges of the log; last index minus commit index is the number of entries that wait for a quorum.
     pub fn publish_metrics(&self) {
         let status = self.status();
--- a/orioleworks_log/src/replication.rs
+++ b/orioleworks_log/src/replication.rs
@@ -91,6 +91,7 @@
         }
         if let Some(progress) = state.progress.get_mut(&id) {
             progress.confirmed_at = progress.confirmed_at.max(Some(sent));
+            progress.protocol = reply.protocol;
         }
         drop(state);
         if !reply.seen.is_empty() {
@@ -182,6 +183,7 @@
             }
             let last = state.last().index;
             let Some(progress) = state.progress.get_mut(&id) else { return };
+            progress.protocol = reply.protocol;
             if reply.success {
                 progress.match_index = progress.match_index.max(reply.match_index.min(last));
                 progress.next_index = progress.match_index + 1;
--- a/orioleworks_log/src/state.rs
+++ b/orioleworks_log/src/state.rs
@@ -39,6 +39,8 @@
     pub confirmed_at: Option<Instant>,
     /// Time at which the leader started to replicate to it.
     pub added_at: Instant,
+    /// What it understands, by its newest reply; 0 before the first one.
+    pub protocol: u32,
 }
 
 /// Result of a proposal, sent to the task that waits for it.
--- a/orioleworks_log/tests/support/mod.rs
+++ b/orioleworks_log/tests/support/mod.rs
@@ -48,20 +48,32 @@
     listener: TcpListener,
     delay: Duration,
     token: &CancellationToken,
+) -> (Log, Calls) {
+    start_with(settings, listener, delay, token, |reply| reply)
+}
+
+/// Like [`start`]; `change` is applied to each reply.
+pub fn start_with(
+    settings: Settings,
+    listener: TcpListener,
+    delay: Duration,
+    token: &CancellationToken,
+    change: impl Fn(Body) -> Body + Clone + 'static,
 ) -> (Log, Calls) {
     let calls = Calls::default();
     let log = Log::open(settings, machine(&calls), token.clone()).unwrap();
     let handling = log.clone();
     let handler = move |body: Body| {
-        let log = handling.clone();
+        let (log, change) = (handling.clone(), change.clone());
         async move {
             if matches!(&body, Body::Append(append) if !append.entries.is_empty()) {
                 time::sleep(delay).await;
             }
-            match body {
+            let reply = match body {
                 Body::Status(_) => Some(Body::StatusReply(log.status())),
                 body => log.handle(body).await,
-            }
+            };
+            reply.map(change)
         }
     };
     runtime::spawn(rpc::serve(listener, token.clone(), handler)).detach();
--- a/orioleworks_proto/src/codes.rs
+++ b/orioleworks_proto/src/codes.rs
@@ -50,6 +50,8 @@
     MemoryShort = 2011,
     /// no route serves a reward call of the batch
     RewardCallUnroutable = 2012,
+    /// a store does not understand the batch until it is updated
+    UpdatePending = 2013,
     /// the outcome of the request is unknown; it may have run
     OutcomeUnknown = 3001,
     /// the deadline passed after the request was sent; it may have run
@@ -108,6 +110,7 @@
     ResultCode::StreamUnknown,
     ResultCode::MemoryShort,
     ResultCode::RewardCallUnroutable,
+    ResultCode::UpdatePending,
     ResultCode::OutcomeUnknown,
     ResultCode::DeadlineExceeded,
     ResultCode::InProgress,
@@ -178,7 +181,7 @@
             Self::NoUpstream | Self::ClaimsUnavailable | Self::ShuttingDown => 503,
             Self::NotReady | Self::RefusedByUpstream | Self::NoQuorum => 503,
             Self::MembershipBusy | Self::RateLimited | Self::StreamUnknown => 503,
-            Self::MemoryShort | Self::RewardCallUnroutable => 503,
+            Self::MemoryShort | Self::RewardCallUnroutable | Self::UpdatePending => 503,
             Self::DeadlineBeforeDispatch | Self::DeadlineExceeded | Self::OrderUnconfirmed => 504,
         }
     }
--- a/orioleworks_proto/src/lib.rs
+++ b/orioleworks_proto/src/lib.rs
@@ -6,6 +6,12 @@
 pub mod frames;
 pub mod socket;
 
+/// What this program understands of the messages and commands, where an older program would lose something: 0 until the
+/// landing of 2026-12-04, 1 with reward calls. See `docs/platform.md`, "Programs of two versions".
+pub const PROTOCOL: u32 = 1;
+/// The first protocol version with reward calls.
+pub const PROTOCOL_WITH_REWARD_CALLS: u32 = 1;
+
 /// Messages generated from `proto/inner.proto`.
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -21,6 +21,7 @@
 };
 use orioleworks_platform::document;
 use orioleworks_proto::{
+    PROTOCOL_WITH_REWARD_CALLS,
     codes::ResultCode,
     inner::{self, command::Kind, frame::Body},
 };
@@ -269,10 +270,13 @@
         {
             return reply(code);
         }
-        if let Some(Kind::PutBatch(batch)) = &command.kind
-            && let Err(code) = self.check_memory(batch).await
-        {
-            return reply(code);
+        if let Some(batch) = submitted_batch(&command) {
+            if let Err(code) = self.check_memory(batch).await {
+                return reply(code);
+            }
+            if let Err(code) = self.check_protocol(&command) {
+                return reply(code);
+            }
         }
         let started = Instant::now();
         let reply = match self.shared.log.propose(&propose.order_id, command).await {
@@ -293,7 +297,9 @@
         let bodies = batch.items.iter().map(body_bytes).sum();
         let short = self.memory.is_short(usage, state.open_batches().count(), bodies);
         let Some(short) = short.filter(|_| state.batch(&batch.id).is_none()) else { return Ok(()) };
-        let is_copy = |command: &inner::Command| matches!(&command.kind, Some(Kind::PutBatch(pending)) if pending.id == batch.id);
+        let is_copy = |command: &inner::Command| {
+            submitted_batch(command).is_some_and(|pending| pending.id == batch.id)
+        };
         if self.shared.log.has_pending(is_copy) {
             return Ok(());
         }
@@ -310,6 +316,19 @@
         Err(ResultCode::MemoryShort)
     }
 
+    /// Checks that no voter loses the reward calls of a new batch. Gateways send such a batch as another command, so that a
+    /// leader of an earlier version refuses it.
+    fn check_protocol(&self, command: &inner::Command) -> Result<(), ResultCode> {
+        let Some(Kind::PutScoredBatch(batch)) = &command.kind else { return Ok(()) };
+        let known = self.shared.state.borrow().batch(&batch.id).is_some();
+        if known || self.shared.log.voters_understand(PROTOCOL_WITH_REWARD_CALLS) {
+            return Ok(());
+        }
+        let reason = ResultCode::UpdatePending.name();
+        event!(warn, "batch_refused", batch = batch.id, reason = reason);
+        Err(ResultCode::UpdatePending)
+    }
+
     /// Checks that enough stores remain without the named one.
     fn check_retirement(&self, name: &str) -> Result<(), ResultCode> {
         let state = self.shared.state.borrow();
@@ -640,6 +659,14 @@
     }
 }
 
+/// The batch that a command submits.
+fn submitted_batch(command: &inner::Command) -> Option<&inner::Batch> {
+    match &command.kind {
+        Some(Kind::PutBatch(batch) | Kind::PutScoredBatch(batch)) => Some(batch),
+        _ => None,
+    }
+}
+
 fn machine(
     state: &Rc<RefCell<State>>,
     table: &Rc<RefCell<Rc<RouteTable>>>,
--- a/orioleworks_store/src/state.rs
+++ b/orioleworks_store/src/state.rs
@@ -258,7 +258,9 @@
     pub fn apply(&mut self, entry: &inner::LogEntry) -> inner::ProposeReply {
         let kind = entry.command.as_ref().and_then(|c| c.kind.as_ref());
         let code = match kind {
-            Some(Kind::PutBatch(batch)) => self.put_batch(batch, entry.now_ms),
+            Some(Kind::PutBatch(batch) | Kind::PutScoredBatch(batch)) => {
+                self.put_batch(batch, entry.now_ms)
+            }
             Some(Kind::RecordResults(record)) => self.record_results(record),
             Some(Kind::EndBatch(id)) => self.end_batch(id),
             Some(Kind::PutDocument(document)) => self.put_document(document),
