A stream is taken up only where its beginning is known, or only one version can have begun it

Cause: the record of a stream lived at its gateway and one store, and a gateway without it guessed from the upstreams known now.

Change: stores pass on records to all voters. The software versions of a service are remembered for as long as a stream can be taken up, apart from their upstreams, and passed on to processes that start; a guess needs the whole history, and a reply of a store in the last 2 s.

Items move to engines that are a fifth faster where 0.25 s is gained; the gap before a stream's first event no longer counts as the time of one.

--- a/orioleworks_fleet/src/convert.rs
+++ b/orioleworks_fleet/src/convert.rs
@@ -5,7 +5,7 @@
 use orioleworks_proto::inner;
 use orioleworks_routing::{
     crashes::{Crash, Observation, Report, SuspectRun},
-    fleet::{Known, Left, Upstream},
+    fleet::{Known, Left, Served, Upstream},
     helpers::Helper,
     permits::Permit,
     rates,
@@ -163,6 +163,24 @@
     }
 }
 
+/// Message for a software version.
+pub fn to_served_message(served: &Served, now: Duration) -> inner::ServedSoftware {
+    inner::ServedSoftware {
+        service: served.service.to_string(),
+        software: served.software.to_string(),
+        age_ms: millis(now.saturating_sub(served.last_seen)),
+    }
+}
+
+/// Software version of a message.
+pub fn from_served_message(message: inner::ServedSoftware, now: Duration) -> Served {
+    Served {
+        service: message.service.into(),
+        software: message.software.into(),
+        last_seen: now.saturating_sub(Duration::from_millis(message.age_ms.into())),
+    }
+}
+
 /// Permit of a reply with [`ResultCode::Ok`](orioleworks_proto::codes::ResultCode::Ok).
 pub fn from_permit_reply(reply: &inner::AcquirePermitReply) -> Permit {
     let wait = Duration::from_millis(reply.wait_ms.into());
--- a/orioleworks_fleet/src/watch.rs
+++ b/orioleworks_fleet/src/watch.rs
@@ -171,6 +171,13 @@
         let left = convert::from_leaving_message(message, now);
         changed |= knowledge.note_left(left, false, &client.address());
     }
+    for message in std::mem::take(&mut reply.served) {
+        let served = convert::from_served_message(message, now);
+        knowledge.fleet.borrow_mut().note_served(served);
+    }
+    if reply.complete_history {
+        knowledge.fleet.borrow_mut().complete_history();
+    }
     for message in std::mem::take(&mut reply.upstreams) {
         let (up, last_seen) = convert::from_message(message, now);
         let outcome = knowledge.fleet.borrow_mut().announce(last_seen, up, false);
--- a/orioleworks_gateway/src/reports.rs
+++ b/orioleworks_gateway/src/reports.rs
@@ -75,7 +75,8 @@
             continue;
         }
         let counts = (contents.len(), limits.len(), leaving.len());
-        let report = inner::ReportObservations { contents, limits, streams, leaving };
+        let report =
+            inner::ReportObservations { contents, limits, streams, leaving, relayed: false };
         let message = Body::ReportObservations(report);
         match view.stores.client(&address).call(message, REPORT_TIMEOUT).await {
             Ok(_) => {
--- a/orioleworks_gateway/src/streams.rs
+++ b/orioleworks_gateway/src/streams.rs
@@ -18,6 +18,9 @@
 const RECORD_TIMEOUT: Duration = Duration::from_millis(50);
 /// Longest time for a store to find the origin of a stream; it may ask the other stores.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(150);
+/// Longest time since a store with a leader replied, in which no new software version can have begun a stream elsewhere
+/// that broke off and is taken up here. A watch is answered each half second.
+const MAX_KNOWLEDGE_AGE: Duration = Duration::from_secs(2);
 /// Retry advice where the origin of a stream is unknown: a restarted store knows it again by then, if a gateway does.
 const UNKNOWN_RETRY: Duration = Duration::from_millis(500);
 
@@ -67,11 +70,15 @@
     Ok(origin)
 }
 
-/// Origin of every stream of a route, if it leads to one service whose known upstreams have one software version.
+/// Origin of every stream of a route, if it leads to one service of which only one software version has served for as long
+/// as a stream can be taken up. Another version may begin to serve while no store tells this gateway of it.
 fn only_origin(view: &View, route: &Route) -> Option<Origin> {
     let [target] = route.targets.as_slice() else { return None };
+    if view.age() > MAX_KNOWLEDGE_AGE {
+        return None;
+    }
     let fleet = view.knowledge.fleet.borrow();
-    let software = fleet.only_software(&target.service)?;
+    let software = fleet.only_software(&target.service, clock::since_boot())?;
     Some(Origin { service: target.service.clone(), software })
 }
 
--- a/orioleworks_gateway/src/view.rs
+++ b/orioleworks_gateway/src/view.rs
@@ -82,6 +82,7 @@
     /// Creates a view without routes and upstreams.
     pub fn new(cfg: Config) -> Self {
         let (stores, knowledge) = (Stores::default(), Knowledge::default());
+        knowledge.fleet.borrow_mut().begin(clock::since_boot());
         let report_wake = Wake::default();
         stores.set_seeds(cfg.seed_addresses());
         Self {
--- a/orioleworks_gateway/tests/software_versions.rs
+++ b/orioleworks_gateway/tests/software_versions.rs
@@ -11,6 +11,7 @@
     time::{Duration, Instant},
 };
 
+use rstest::rstest;
 use support::{
     deployment::Deployment,
     routes::{self, MODEL},
@@ -217,3 +218,116 @@
     check("first", "resumed-1");
     assert!(begun.events.iter().all(|(id, data)| data.starts_with(&event_data("first", *id))));
 }
+
+/// What is lost between the beginning of a stream and its taking up.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Loss {
+    /// All gateways and the store that the beginning gateway followed.
+    GatewaysAndFollowedStore,
+    /// All gateways and all stores.
+    Everything,
+}
+
+/// What becomes of the upstreams that began the stream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Old {
+    /// They serve on.
+    Serves,
+    /// They announce that they leave, and end.
+    Leaves,
+    /// They start again under their IDs with the newer software.
+    IsReplaced,
+}
+
+/// Index of the store that acknowledged what a gateway reported last.
+fn followed_store(d: &Deployment, gateway: usize) -> usize {
+    let connected = |i: &usize| {
+        let address = format!("peer={}:", support::deployment::loopback_ip(1, *i));
+        let log = d.gateways[gateway].as_ref().unwrap().log();
+        let lines: Vec<&str> = log.lines().filter(|l| l.contains("event=store_")).collect();
+        lines.last().is_some_and(|l| l.contains("store_regained") && l.contains(&address))
+    };
+    (0..d.stores.len()).find(connected).expect("the gateway follows a store")
+}
+
+/// Guards against texts of two versions that are joined because the beginning of a stream was forgotten, and against refusing
+/// to go on at a version that still serves.
+#[rstest]
+#[case::old_serves(Loss::GatewaysAndFollowedStore, Old::Serves, &[200])]
+#[case::old_leaves(Loss::GatewaysAndFollowedStore, Old::Leaves, &[503])]
+#[case::old_is_replaced(Loss::GatewaysAndFollowedStore, Old::IsReplaced, &[503])]
+#[case::everything_lost_and_old_serves(Loss::Everything, Old::Serves, &[200, 503])]
+#[case::everything_lost_and_old_leaves(Loss::Everything, Old::Leaves, &[503])]
+#[case::everything_lost_and_old_is_replaced(Loss::Everything, Old::IsReplaced, &[503])]
+fn a_stream_is_not_joined_after_its_beginning_is_forgotten(
+    #[case] loss: Loss,
+    #[case] old: Old,
+    #[case] expected: &[u16],
+) {
+    /// Time in which a store passes on what a gateway recorded.
+    const SPREAD_TIME: Duration = Duration::from_millis(100);
+    let mut d = Deployment::start(3, 2, &routes::document(1, 5000).to_string());
+    let engines = start_engines(&d, 4);
+    wait_for_engines(&d, &engines);
+    let begun = broken_stream(&d, &engines, 0, "first");
+    let (last, _) = begun.events.last().cloned().expect("the stream has begun");
+    let version = software_versions(begun.events.iter().map(|(_, data)| data));
+    thread::sleep(SPREAD_TIME);
+    let followed = followed_store(&d, 0);
+    let began = |e: &&Upstream| version.contains(&*e.behaviour.software.lock().unwrap());
+    let began: Vec<&Upstream> = engines.iter().filter(began).collect();
+    match old {
+        Old::Serves => {}
+        Old::Leaves => {
+            for engine in &began {
+                engine.behaviour.leaving.store(true, Ordering::Relaxed);
+            }
+            let left = |e: &Upstream| {
+                let line = |l: &str| l.contains(&e.id) && l.contains("leaving=true");
+                d.stores.iter().flatten().any(|s| s.log().lines().any(line))
+            };
+            d.wait_until("the old engines leave", || began.iter().all(|e| left(e)));
+            for engine in &began {
+                engine.behaviour.announces.store(false, Ordering::Relaxed);
+            }
+        }
+        Old::IsReplaced => {
+            let newer = engines.iter().find(|e| !began.iter().any(|b| b.id == e.id)).unwrap();
+            let newer = newer.behaviour.software.lock().unwrap().clone();
+            for engine in &began {
+                engine.behaviour.announces.store(false, Ordering::Relaxed);
+                newer.clone_into(&mut engine.behaviour.software.lock().unwrap());
+                engine.crash();
+            }
+        }
+    }
+    d.gateways.iter_mut().for_each(|gateway| *gateway = None);
+    let lost: Vec<usize> = match loss {
+        Loss::GatewaysAndFollowedStore => vec![followed],
+        Loss::Everything => (0..d.stores.len()).collect(),
+    };
+    lost.iter().for_each(|i| d.stores[*i] = None);
+    if old == Old::IsReplaced {
+        thread::sleep(RESTART_TIME);
+        for engine in &began {
+            engine.behaviour.announces.store(true, Ordering::Relaxed);
+        }
+    }
+    lost.iter().for_each(|i| d.start_store(*i, false));
+    (0..2).for_each(|i| d.start_gateway(i));
+    (0..2).for_each(|i| d.wait_until("a gateway is ready", || d.is_ready(i)));
+    d.wait_until("streams are served", || {
+        (0..2)
+            .all(|g| read_stream(&d.gateway_address(g), &format!("fresh-{g}"), None).status == 200)
+    });
+    let rest = read_stream(&d.gateway_address(1), "resumed", Some(("first", last)));
+    assert!(expected.contains(&rest.status), "{rest:?}\n{}", d.logs());
+    if rest.status == 200 {
+        let ids: Vec<u64> = begun.events.iter().chain(&rest.events).map(|(id, _)| *id).collect();
+        assert_eq!(ids, (1..=EVENTS).collect::<Vec<u64>>());
+        let parts = begun.events.iter().chain(&rest.events).map(|(_, data)| data);
+        assert_eq!(software_versions(parts), version, "the text is joined from two versions");
+    } else {
+        assert!(engines.iter().all(|e| e.runs("resumed").is_empty()), "a refused stream ran");
+    }
+}
--- a/orioleworks_routing/src/fleet.rs
+++ b/orioleworks_routing/src/fleet.rs
@@ -9,7 +9,7 @@
 
 use indexmap::IndexMap;
 
-use crate::outlier::Key;
+use crate::{outlier::Key, streams};
 
 /// Time without an announcement after which an upstream ranks behind fresh ones: three intervals of 1.2 s.
 pub const STALE_AFTER: Duration = Duration::from_millis(3600);
@@ -50,6 +50,23 @@
     changed: u64,
 }
 
+/// A software version that serves or has served.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Served {
+    /// Service of its upstreams.
+    pub service: Rc<str>,
+    /// Version of their software.
+    pub software: Rc<str>,
+    /// Time of their newest announcement.
+    pub last_seen: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct KnownServed {
+    last_seen: Duration,
+    changed: u64,
+}
+
 /// Announced state of an upstream.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Upstream {
@@ -126,6 +143,12 @@
     /// Incarnations that leave. They outlast what is known of the upstream, which may be superseded, expire, and announce
     /// itself again.
     left: IndexMap<Key, KnownLeft>,
+    /// Software versions by service. They outlast their upstreams, because a stream may outlast the one that began it.
+    served: IndexMap<(Rc<str>, Rc<str>), KnownServed>,
+    /// Start of this process.
+    began: Option<Duration>,
+    /// Whether no version is missing that served before then.
+    complete: bool,
     changes: u64,
     urgent: u64,
 }
@@ -140,6 +163,8 @@
     ) -> AnnounceOutcome {
         let mut up = up;
         let key = (up.id.clone(), up.incarnation);
+        let (service, software) = (up.service.clone(), up.software.clone());
+        self.note_served(Served { service, software, last_seen: received_at });
         let mut news = false;
         if up.leaving {
             let left = Left { upstream: key, since: received_at };
@@ -260,8 +285,52 @@
         if urgent { AnnounceOutcome::Changed } else { AnnounceOutcome::Renewed }
     }
 
-    /// Removes upstreams that have not announced themselves for `REMOVED_AFTER`.
+    /// Records the start of this process; it may miss what served before.
+    pub fn begin(&mut self, now: Duration) {
+        self.began = Some(now);
+    }
+
+    /// Records that a software version serves or has served.
+    pub fn note_served(&mut self, served: Served) {
+        let Served { service, software, last_seen } = served;
+        let changed = self.changes + 1;
+        let mut is_new = false;
+        let known = self.served.entry((service, software)).or_insert_with(|| {
+            is_new = true;
+            KnownServed { last_seen, changed }
+        });
+        known.last_seen = known.last_seen.max(last_seen);
+        if is_new {
+            self.changes = changed;
+        }
+    }
+
+    /// Software versions that were learnt of after a cursor.
+    pub fn served_since(&self, cursor: u64) -> impl Iterator<Item = Served> {
+        let newer = self.served.iter().filter(move |(_, known)| known.changed > cursor);
+        newer.map(|((service, software), known)| Served {
+            service: service.clone(),
+            software: software.clone(),
+            last_seen: known.last_seen,
+        })
+    }
+
+    /// Records that no software version is missing that served before this process began: nothing did, or a process that
+    /// misses none has passed on all.
+    pub fn complete_history(&mut self) {
+        self.complete = true;
+    }
+
+    /// Whether all software versions are known that may have begun a stream that can still be taken up.
+    pub fn has_history(&self, now: Duration) -> bool {
+        let old = |began: Duration| now.saturating_sub(began) >= streams::RETENTION;
+        self.complete || self.began.is_some_and(old)
+    }
+
+    /// Removes upstreams that have not announced themselves for `REMOVED_AFTER`, and software versions whose streams cannot
+    /// be taken up any more.
     pub fn remove_expired(&mut self, now: Duration) {
+        self.served.retain(|_, s| now.saturating_sub(s.last_seen) < streams::RETENTION);
         self.known.retain(|_, k| now.saturating_sub(k.last_seen) < REMOVED_AFTER);
         // A start without a time cannot be told from the next one.
         self.left.retain(|(_, incarnation), left| match incarnation {
@@ -296,12 +365,15 @@
         self.known.values().filter(of_service).filter(move |k| k.takes_requests(now))
     }
 
-    /// Software version of all known upstreams of a service, also of those that have left; `None` if there are several.
-    pub fn only_software(&self, service: &str) -> Option<Rc<str>> {
-        let mut of_service =
-            self.known.values().map(|k| &k.upstream).filter(|up| *up.service == *service);
-        let software = &of_service.next()?.software;
-        of_service.all(|up| up.software == *software).then(|| software.clone())
+    /// The only software version that can have begun a stream of a service; `None` if there are several, or if some may be
+    /// unknown.
+    pub fn only_software(&self, service: &str, now: Duration) -> Option<Rc<str>> {
+        if !self.has_history(now) {
+            return None;
+        }
+        let mut versions = self.served.keys().filter(|(of, _)| **of == *service);
+        let (_, only) = versions.next()?;
+        versions.next().is_none().then(|| only.clone())
     }
 
     /// Number of fresh and of stale upstreams that take new requests.
--- a/orioleworks_routing/src/items.rs
+++ b/orioleworks_routing/src/items.rs
@@ -16,6 +16,12 @@
 const FULL_SLOWDOWN: f64 = 0.3;
 /// Ratio of event time to the median above which an engine counts as slow.
 const SLOW_RATIO: f64 = 2.0;
+/// Time that a move must save: several times what the next engine takes to read the prompt and the output again.
+const MIN_MOVE_GAIN_MS: f64 = 250.0;
+/// Ratio of event times below which a difference may be noise of the averages.
+const MIN_SPEEDUP: f64 = 1.2;
+/// Events of a run before it may move, so that the averages describe the load that it meets.
+const MIN_EVENTS_BEFORE_MOVE: usize = 8;
 
 /// Remaining events from which a slow engine costs an item more time than a move or a wait; they take about a second at
 /// the usual event rate.
@@ -117,6 +123,30 @@
     if expected > events { expected - events } else { events }
 }
 
+/// Largest number of events that an item may still generate: its tokens bound prompt and output together.
+pub fn most_events_left(
+    tokens: u32,
+    prompt_tokens: u32,
+    event_tokens: u32,
+    events: usize,
+) -> usize {
+    let most = tokens.saturating_sub(prompt_tokens).div_ceil(event_tokens.max(1));
+    (most as usize).saturating_sub(events)
+}
+
+/// Whether an item ends so much sooner on an engine with another event time that moving there pays.
+///
+/// A trainer waits for the longest items of its step, and engines differ by a third in speed. Estimates of lengths are often
+/// far off, so that an item which turns out to be long may have started on a slower engine while faster ones were full.
+pub fn move_pays(events_left: usize, own_ms: f64, other_ms: f64) -> bool {
+    own_ms >= other_ms * MIN_SPEEDUP && events_left as f64 * (own_ms - other_ms) >= MIN_MOVE_GAIN_MS
+}
+
+/// Whether a run has generated enough events to be compared with other engines.
+pub fn may_move(events_of_run: usize) -> bool {
+    events_of_run >= MIN_EVENTS_BEFORE_MOVE
+}
+
 /// Whether an item is long enough to wait for a fast engine or to be moved away from a slow one.
 pub fn needs_fast_engine(events_left: usize) -> bool {
     events_left >= LONG_ITEM_EVENTS
--- a/orioleworks_routing/src/streams.rs
+++ b/orioleworks_routing/src/streams.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 
 /// Time for which a stream can be taken up after it began.
-const RETENTION: Duration = Duration::from_secs(300);
+pub const RETENTION: Duration = Duration::from_secs(300);
 /// Streams that are remembered, the newest ones; about 100 bytes each.
 const MAX_STREAMS: usize = 32_768;
 
@@ -37,10 +37,10 @@
 }
 
 impl Streams {
-    /// Records what began a stream; the first record of an attempt holds.
-    pub fn record(&mut self, attempt: &str, origin: Origin, now: Duration) {
+    /// Records what began a stream; the first record of an attempt holds. Returns whether it is news.
+    pub fn record(&mut self, attempt: &str, origin: Origin, now: Duration) -> bool {
         if attempt.is_empty() || self.known.contains_key(attempt) {
-            return;
+            return false;
         }
         self.changes += 1;
         let attempt: Rc<str> = attempt.into();
@@ -49,6 +49,7 @@
         if self.order.len() > MAX_STREAMS {
             self.forget_oldest();
         }
+        true
     }
 
     /// What began the stream of an attempt.
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -4,7 +4,7 @@
 //! paused or partitioned can therefore add nothing to a batch that its successor runs. See `docs/platform.md`.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap, HashSet},
     rc::Rc,
     time::Duration,
@@ -16,7 +16,7 @@
 use orioleworks_proto::inner;
 use orioleworks_routing::{
     crashes::ItemStart,
-    fleet::{Fleet, Upstream},
+    fleet::{Fleet, Known, Upstream},
     items::{self, Rank},
     outlier::Key,
     permits::Permit,
@@ -95,6 +95,10 @@
     recorder: Recorder,
     rewards: Rewards,
     work: RefCell<Work>,
+    /// Event time of the fastest engine at the last pass over the queue, in milliseconds.
+    fastest_ms: Cell<f64>,
+    /// Items that have left an engine for a faster one since that pass.
+    moving: Cell<u32>,
 }
 
 /// Dispatcher of batch items; clones share it.
@@ -114,7 +118,8 @@
     pub fn new(shared: Shared) -> Self {
         let recorder = Recorder::new(shared.log.clone());
         let rewards = Rewards::new(shared.clone(), recorder.clone());
-        Self { inner: Rc::new(Inner { shared, recorder, rewards, work: RefCell::default() }) }
+        let (work, fastest_ms, moving) = (RefCell::default(), Cell::new(0.0), Cell::new(0));
+        Self { inner: Rc::new(Inner { shared, recorder, rewards, work, fastest_ms, moving }) }
     }
 
     /// Starts the tasks; they end with the token.
@@ -263,6 +268,8 @@
 
     fn dispatch_waiting(&self) {
         let now = clock::since_boot();
+        self.inner.fastest_ms.set(self.inner.shared.engines.borrow().fastest_ms());
+        self.inner.moving.set(0);
         let mut work = self.inner.work.borrow_mut();
         let expired: Vec<Rank> =
             work.waiting.iter().filter(|(_, w)| w.give_up_at <= now).map(|(r, _)| *r).collect();
@@ -509,7 +516,11 @@
                     }
                 },
                 stall_timeout: &|| self.stall_timeout(&run),
-                should_move: &|| self.should_move(&run),
+                should_move: &|| {
+                    let progress = waiting.progress.borrow();
+                    items::may_move(progress.event_count().saturating_sub(events_at_start))
+                        && self.should_move(&run, &progress)
+                },
             };
             let running = runner::run(&self.inner.shared.pool, &run, &waiting.progress, &observer);
             let mut running = Box::pin(running.fuse());
@@ -544,42 +555,44 @@
         if is_loading { LOADING_STALL_TIMEOUT } else { runner::STALL_TIMEOUT }
     }
 
-    /// Whether an item should move: its engine is slow, and a faster one that may run it has a free slot.
-    fn should_move(&self, run: &Run) -> bool {
-        let progress = self.progress_of(&run.batch.id, &run.item.id);
-        if !items::needs_fast_engine(self.events_left(&run.batch, &run.item, progress)) {
+    /// Whether an item should move: it ends so much sooner on a faster engine with a free slot that moving there pays.
+    fn should_move(&self, run: &Run, progress: &Progress) -> bool {
+        let left = self.events_left(&run.batch, &run.item, progress.event_count());
+        let engines = self.inner.shared.engines.borrow();
+        let own_ms = engines.event_ms(&run.key);
+        // Most items are short or run on one of the fastest engines, and need no comparison with each engine.
+        if !items::move_pays(left, own_ms, self.inner.fastest_ms.get()) {
             return false;
         }
         let now = clock::since_boot();
         let fleet = self.inner.shared.knowledge.fleet.borrow();
-        let engines = self.inner.shared.engines.borrow();
         let (batch, group) = (&run.batch, &run.item.group);
-        let all = event_times(&fleet, &engines, &batch.service, now);
-        if !items::is_slow(engines.event_ms(&run.key), &all) {
-            return false;
-        }
-        let others = fleet.serving(&batch.service, now).filter(|k| k.is_fresh(now));
-        let others = others.filter(|known| known.upstream.software == run.upstream.software);
-        others.filter(|known| key_of(&known.upstream) != run.key).any(|known| {
+        let faster = |known: &&Known| {
+            let up = &known.upstream;
+            let (key, version) = (key_of(up), engines.version(up, &batch.model));
+            items::move_pays(left, own_ms, engines.event_ms(&key))
+                && progress.can_resume(batch.single_version, &up.software, version)
+                && permits::is_free(&self.inner.shared, &key)
+        };
+        let free_slots = |known: &Known| {
             let load = engines.load_for(known, &batch.model, batch.min_version, group, 0, now);
-            let key = key_of(&known.upstream);
-            let fast = !items::is_slow(engines.event_ms(&key), &all)
-                && permits::is_free(&self.inner.shared, &key);
-            fast && load.is_some_and(|load| load.running < load.slots)
-        })
-    }
-
-    fn progress_of(&self, batch: &str, item: &str) -> usize {
-        let work = self.inner.work.borrow();
-        let running = work.running.get(&(Rc::from(batch), Rc::from(item)));
-        running.map_or(0, |running| running.progress.borrow().event_count())
+            load.map_or(0, |load| load.slots.saturating_sub(load.running))
+        };
+        let serving = fleet.serving(&batch.service, now).filter(|known| known.is_fresh(now));
+        let free: u32 = serving.filter(faster).map(free_slots).sum();
+        // Items that move at the same time take a slot each.
+        let moving = self.inner.moving.get();
+        let moves = free > moving;
+        self.inner.moving.set(moving + u32::from(moves));
+        moves
     }
 
     fn events_left(&self, batch: &inner::Batch, item: &inner::BatchItem, events: usize) -> usize {
         let table = self.inner.shared.table.borrow();
         let engine = table.service(&batch.service).and_then(|s| s.engine.as_ref());
         let event_tokens = engine.map_or(0, |engine| engine.event_tokens);
-        items::events_left(item.expected_tokens, event_tokens, events)
+        let most = items::most_events_left(item.tokens, item.prompt_tokens, event_tokens, events);
+        items::events_left(item.expected_tokens, event_tokens, events).min(most)
     }
 
     fn finish_run(&self, rank: Rank, mut waiting: Waiting, run: &Run, end: RunEnd) {
@@ -593,6 +606,19 @@
             RunEnd::Completed => {
                 let progress = waiting.progress.borrow();
                 let (text, versions) = (progress.text(), progress.versions());
+                event!(
+                    debug,
+                    "item_completed",
+                    item = waiting.key.1,
+                    batch = waiting.key.0,
+                    group = waiting.item.group,
+                    model = waiting.batch.model,
+                    step = waiting.batch.step,
+                    expected_tokens = waiting.item.expected_tokens,
+                    events = progress.event_count(),
+                    upstream = run.upstream.id,
+                    run_ms = now.saturating_sub(waiting.waiting_since).as_millis(),
+                );
                 self.inner.recorder.add(|records| match &waiting.item.reward_call {
                     Some(_) => add_unscored(records, &waiting.key, text, versions),
                     None => add_result(records, &waiting.key, Some((text, versions))),
--- a/orioleworks_store/src/engines.rs
+++ b/orioleworks_store/src/engines.rs
@@ -81,11 +81,13 @@
         record.tokens = record.tokens.saturating_sub(tokens);
     }
 
-    /// Records the time between two events of a stream.
-    pub fn record_event(&mut self, key: &Key, gap: Duration) {
+    /// Records an event of a stream, and the time since the one before.
+    pub fn record_event(&mut self, key: &Key, gap: Option<Duration>) {
         let record = self.record(key);
         record.failures = 0;
-        record.event_time.note(gap);
+        if let Some(gap) = gap {
+            record.event_time.note(gap);
+        }
     }
 
     /// Excludes an engine after a failure, for a time that doubles with each failure in a row.
@@ -131,6 +133,12 @@
         self.records.get(key).map_or(EventTime::default(), |r| r.event_time).ms()
     }
 
+    /// Mean time of the fastest engine for one event in milliseconds.
+    pub fn fastest_ms(&self) -> f64 {
+        let times = self.records.values().map(|record| record.event_time.ms());
+        times.min_by(f64::total_cmp).unwrap_or(EventTime::default().ms())
+    }
+
     /// Number of items that run on an engine.
     pub fn running(&self, key: &Key) -> u32 {
         self.records.get(key).map_or(0, |record| record.running)
--- a/orioleworks_store/src/runner.rs
+++ b/orioleworks_store/src/runner.rs
@@ -239,8 +239,8 @@
 /// What a run observes of its engine.
 #[derive(Clone, Copy, Debug)]
 pub enum Observation {
-    /// An event arrived this long after the one before.
-    Event(Duration),
+    /// An event arrived, this long after the one before.
+    Event(Option<Duration>),
     /// The engine uses a weight version.
     Version(u64),
     /// A response says this of the engine's limit, and of whether the engine leaves.
@@ -317,6 +317,8 @@
         (observer.observe)(Observation::Version(version));
     }
     let mut last = Instant::now();
+    // The first event arrives with the head, and its gap says nothing of the time for an event.
+    let mut timed = false;
     loop {
         // Bytes that complete no event are no progress.
         let timeout = (observer.stall_timeout)().saturating_sub(last.elapsed());
@@ -339,8 +341,8 @@
                 Ok(false) => continue,
                 Err(gap) => return RunEnd::Lost(gap),
             }
-            (observer.observe)(Observation::Event(last.elapsed()));
-            last = Instant::now();
+            (observer.observe)(Observation::Event(timed.then(|| last.elapsed())));
+            (timed, last) = (true, Instant::now());
         }
         if decoder.partial_event_bytes() > MAX_EVENT_BYTES {
             return RunEnd::Endless("an event");
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -52,6 +52,8 @@
 const MAX_WAIT: Duration = Duration::from_millis(2000);
 /// Longest time to ask the leader for a permit.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(80);
+/// Longest time to pass on to another store what began streams.
+const PASS_ON_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time to ask another store what began a stream.
 const FIND_TIMEOUT: Duration = Duration::from_millis(100);
 /// Gateways that a gateway learns of as helpers: enough that several are left when a whole failure domain is partitioned.
@@ -99,6 +101,11 @@
         let stores = Stores::default();
         stores.set_seeds(cfg.seed_addresses());
         let (knowledge, engines) = (Knowledge::default(), Rc::default());
+        knowledge.fleet.borrow_mut().begin(clock::since_boot());
+        if cfg.cluster.bootstrap && log.status().last_index == 0 {
+            // The whole deployment starts for the first time, so that nothing has served before.
+            knowledge.fleet.borrow_mut().complete_history();
+        }
         let pool = Pool::new(knowledge.fleet.clone());
         let (permits, streams, spread) = (Rc::default(), Rc::default(), Rc::default());
         let shared = Shared {
@@ -473,14 +480,42 @@
         for limit in report.limits {
             changed |= rates.merge(convert::from_limit_message(limit, now), true);
         }
-        let mut streams = self.shared.streams.borrow_mut();
-        for begun in report.streams {
-            let (service, software) = (begun.service.into(), begun.software.into());
-            streams.record(&begun.attempt, Origin { service, software }, now);
-        }
         if changed {
             self.shared.wake.notify();
         }
+        let is_news = |begun: &inner::BegunStream| {
+            let (service, software) = (&*begun.service, &*begun.software);
+            let origin = Origin { service: service.into(), software: software.into() };
+            self.shared.streams.borrow_mut().record(&begun.attempt, origin, now)
+        };
+        let news: Vec<inner::BegunStream> = report.streams.into_iter().filter(is_news).collect();
+        if !report.relayed && !news.is_empty() {
+            self.pass_on_streams(news);
+        }
+    }
+
+    /// Passes on to the other voters what began streams. A stream is taken up after its gateway was lost, often together with
+    /// the store that the gateway followed.
+    fn pass_on_streams(&self, streams: Vec<inner::BegunStream>) {
+        let report = inner::ReportObservations { streams, relayed: true, ..Default::default() };
+        for address in self.shared.log.voter_addresses() {
+            let (client, report) = (self.stores.client(&address), report.clone());
+            runtime::spawn(async move {
+                let count = report.streams.len();
+                let sent = client.call(Body::ReportObservations(report), PASS_ON_TIMEOUT).await;
+                if let Err(e) = sent {
+                    let reason = e;
+                    event!(
+                        info,
+                        "streams_not_passed_on",
+                        peer = address,
+                        streams = count,
+                        reason = reason
+                    );
+                }
+            })
+            .detach();
+        }
     }
 
     async fn watch(&self, watch: inner::FleetWatch) -> inner::FleetReply {
@@ -537,6 +572,8 @@
         let changed = changed.into_iter().flatten();
         let leaving = fleet.left_since(known, direct_reports_only);
         let leaving = leaving.map(|left| convert::to_leaving_message(&left, now));
+        let served = fleet.served_since(known);
+        let served = served.map(|served| convert::to_served_message(&served, now));
         let rates = self.shared.knowledge.rates.borrow();
         let limits = known_limits.map(|cursor| rates.since(cursor, direct_reports_only));
         let limits = limits.into_iter().flatten();
@@ -569,6 +606,8 @@
             limits: limits.map(|report| convert::to_limit_message(&report, now)).collect(),
             limit_cursor: rates.cursor(),
             leaving: leaving.collect(),
+            served: served.collect(),
+            complete_history: fleet.has_history(now),
             gateways: watching
                 .map(|(name, at)| {
                     let age = now.saturating_sub(at);
