--- a/orioleworks_gateway/tests/support/ledger.rs
+++ b/orioleworks_gateway/tests/support/ledger.rs
@@ -16,7 +16,7 @@
 use super::{
     client::{self, Response},
     routes::{self, BATCH, CONFIRM, MODEL},
-    upstream::{Upstream, item_text},
+    upstream::{Upstream, item_text, signature},
 };
 
 const ITEMS: usize = 12;
@@ -303,6 +303,11 @@
                 if result["event_data"].as_str() != Some(&item_text(&item)) {
                     self.violation(format!("batch {id}: {result}"));
                 }
+                let score = result["score"].as_str().map(str::to_owned);
+                let scored = is_scored(&item).then(|| signature(&routes::reward_call_id(&item)));
+                if score != scored {
+                    self.violation(format!("batch {id}: {item} has the score {score:?}"));
+                }
                 let versions: BTreeSet<u64> = result["versions"]
                     .as_array()
                     .map(|all| all.iter().filter_map(serde_json::Value::as_u64).collect())
@@ -336,15 +341,19 @@
     }
 }
 
+/// Whether an item has a reward call; every second one does.
+fn is_scored(item: &str) -> bool {
+    item.ends_with(['1', '3', '5', '7', '9'])
+}
+
 fn submission(items: &[String], min_version: u64) -> String {
-    let item = |id: &String| {
-        serde_json::json!({
-            "id": id, "path": format!("/batch/{id}"), "body": STANDARD.encode(format!("body of {id}")),
-            "headers": {"X-Model": MODEL, "X-Token-Count": "100,900", "X-Length-Hint": "500"},
-            "tokens": 1000, "group": "g1",
-        })
-    };
-    let items: Vec<serde_json::Value> = items.iter().map(item).collect();
-    serde_json::json!({"step": 1, "model": MODEL, "min_version": min_version, "group_count": 1, "items": items})
-        .to_string()
+    let mut submission = routes::scored_submission(items);
+    submission["min_version"] = min_version.into();
+    for item in submission["items"].as_array_mut().unwrap() {
+        item["group"] = "g1".into();
+        if !is_scored(item["id"].as_str().unwrap()) {
+            item.as_object_mut().unwrap().remove("scorer");
+        }
+    }
+    submission.to_string()
 }
--- a/orioleworks_routing/src/items.rs
+++ b/orioleworks_routing/src/items.rs
@@ -123,13 +123,16 @@
     if expected > events { expected - events } else { events }
 }
 
-/// Largest number of events that an item may still generate: its tokens bound prompt and output together.
+/// Largest number of events that an item may still generate: its tokens, unless they are 0, bound prompt and output together.
 pub fn most_events_left(
     tokens: u32,
     prompt_tokens: u32,
     event_tokens: u32,
     events: usize,
 ) -> usize {
+    if tokens == 0 {
+        return usize::MAX;
+    }
     let most = tokens.saturating_sub(prompt_tokens).div_ceil(event_tokens.max(1));
     (most as usize).saturating_sub(events)
 }
--- a/orioleworks_routing/tests/engines.rs
+++ b/orioleworks_routing/tests/engines.rs
@@ -203,3 +203,68 @@
     let chosen = outliers.choose(&candidates, Duration::from_secs(1)).unwrap();
     assert_eq!(chosen.key, keys[1]);
 }
+
+/// Guards against long items that stay on engines a third slower than others, and against moves on the noise of averages.
+#[rstest]
+#[case::long_on_a_slower_engine(100, 50.0, 38.5, true)]
+#[case::short(20, 50.0, 38.5, false)]
+#[case::noise(179, 40.0, 38.5, false)]
+#[case::very_slow(4, 120.0, 38.5, true)]
+#[case::faster_here(179, 38.5, 50.0, false)]
+fn a_move_must_pay(
+    #[case] events_left: usize,
+    #[case] own_ms: f64,
+    #[case] other_ms: f64,
+    #[case] pays: bool,
+) {
+    assert_eq!(items::move_pays(events_left, own_ms, other_ms), pays);
+}
+
+/// Guards against moves before the averages describe the load of a run.
+#[test]
+fn a_run_does_not_move_at_its_start() {
+    assert!(!items::may_move(0) && !items::may_move(7) && items::may_move(8));
+}
+
+/// Guards against counting on more events than an item may have.
+#[rstest]
+#[case(13_000, 100, 72, 0, 180)]
+#[case(13_000, 100, 72, 170, 10)]
+#[case(13_000, 100, 72, 500, 0)]
+#[case(0, 100, 72, 0, usize::MAX)]
+fn the_tokens_of_an_item_bound_its_events(
+    #[case] tokens: u32,
+    #[case] prompt: u32,
+    #[case] event_tokens: u32,
+    #[case] events: usize,
+    #[case] left: usize,
+) {
+    assert_eq!(items::most_events_left(tokens, prompt, event_tokens, events), left);
+}
+
+/// Replays the longest item of a step that starts on a slower engine, because all faster ones are full, and checks when it ends.
+#[test]
+fn the_longest_item_of_a_step_ends_in_time() {
+    const EVENTS: usize = 179;
+    const FAST_MS: f64 = 38.5;
+    const SLOW_MS: f64 = 50.0;
+    /// Time in which the next step can still be asked on time.
+    const STEP_MS: f64 = 7500.0;
+    let end = |fast_free_at_ms: f64, moves: bool| {
+        let (mut ms, mut engine_ms) = (0.0, SLOW_MS);
+        for events in 0..EVENTS {
+            // Half done is the estimate for an item longer than expected.
+            let left = items::events_left(0, 72, events).min(EVENTS - events);
+            let free = ms >= fast_free_at_ms && items::may_move(events);
+            if moves && free && items::move_pays(left, engine_ms, FAST_MS) {
+                engine_ms = FAST_MS;
+                ms += 100.0;
+            }
+            ms += engine_ms;
+        }
+        ms
+    };
+    assert!(end(1000.0, false) > STEP_MS);
+    assert!(end(1000.0, true) < STEP_MS);
+    assert!(end(1500.0, true) < STEP_MS);
+}
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -148,6 +148,11 @@
         self.inner.rewards.depth()
     }
 
+    /// Forgets the health of upstreams that are gone.
+    pub fn retain_upstreams(&self, keep: impl Fn(&Key) -> bool) {
+        self.inner.rewards.retain_upstreams(keep);
+    }
+
     /// Bytes of output of running items.
     pub fn output_bytes(&self) -> usize {
         let work = self.inner.work.borrow();
--- a/orioleworks_store/src/rewards.rs
+++ b/orioleworks_store/src/rewards.rs
@@ -43,10 +43,19 @@
 struct Attempt {
     number: u64,
     upstream: Key,
-    started: Duration,
+    /// Time from which the call may be sent to another upstream as well.
+    overdue_at: Duration,
     cancel: CancellationToken,
 }
 
+/// Service to which the next attempt of a call goes, by a document.
+#[derive(Clone)]
+struct Target {
+    route: Rc<Route>,
+    service: Rc<str>,
+    document: u64,
+}
+
 /// An owed call.
 struct Owed {
     key: ItemKey,
@@ -64,6 +73,7 @@
     /// Upstreams that answered with a failure; others are tried first.
     failed_at: HashSet<Key>,
     attempts: Vec<Attempt>,
+    target: Option<Target>,
     /// Whether its score or its end waits to be committed.
     settled: bool,
     /// Whether it was logged that the call has no route.
@@ -75,6 +85,12 @@
         self.item.reward_call.as_ref()
     }
 
+    /// Whether another attempt may be due; the rest is decided with more effort.
+    fn may_need_attempt(&self, now: Duration) -> bool {
+        let overdue = self.attempts.iter().all(|attempt| attempt.overdue_at <= now);
+        !self.settled && self.not_before <= now && overdue
+    }
+
     fn settle(&mut self) {
         self.settled = true;
         self.cancel();
@@ -90,6 +106,8 @@
     owed: BTreeMap<Rank, Owed>,
     ranks: HashMap<ItemKey, Rank>,
     next_sequence: u64,
+    /// Entries that the state had applied when the owed calls were compared with it.
+    compared_at: Option<u64>,
 }
 
 struct Inner {
@@ -138,15 +156,19 @@
 
     /// Sends what can be sent now.
     pub fn send_owed(&self) {
-        self.drop_closed();
-        self.add_new();
+        let applied = Some(self.inner.shared.state.borrow().applied());
+        let compared_at = std::mem::replace(&mut self.inner.work.borrow_mut().compared_at, applied);
+        if compared_at != applied {
+            self.drop_closed();
+            self.add_new();
+        }
         self.give_up_expired();
         self.start_attempts();
-        let fleet = self.inner.shared.knowledge.fleet.borrow();
-        let known = |(id, start): &Key| {
-            fleet.get(id).is_some_and(|known| known.upstream.incarnation == *start)
-        };
-        self.inner.health.borrow_mut().retain(known);
+    }
+
+    /// Forgets the health of upstreams that are gone.
+    pub fn retain_upstreams(&self, keep: impl Fn(&Key) -> bool) {
+        self.inner.health.borrow_mut().retain(keep);
     }
 
     /// Drops calls whose results are listed, and cancels those of batches that were ended.
@@ -208,12 +230,20 @@
     fn start_attempts(&self) {
         let now = clock::since_boot();
         let mut work = self.inner.work.borrow_mut();
-        let running = |owed: &Owed| !owed.settled && !owed.attempts.is_empty();
-        let mut running_contents: HashSet<Rc<str>> =
-            work.owed.values().filter(|o| running(o)).map(|o| o.fingerprint.clone()).collect();
+        let ranks: Vec<Rank> = work
+            .owed
+            .iter()
+            .filter(|(_, owed)| owed.may_need_attempt(now))
+            .map(|(rank, _)| *rank)
+            .collect();
         // If no upstream of a service has room for a call, none has for those that are due later.
         let mut full: HashSet<Rc<str>> = HashSet::new();
-        for owed in work.owed.values_mut().filter(|o| !o.settled && o.not_before <= now) {
+        for rank in ranks {
+            let Some(owed) = work.owed.get_mut(&rank) else { continue };
+            let Some(target) = self.target_of(owed) else { continue };
+            if full.contains(&target.service) {
+                continue;
+            }
             let knowledge = &self.inner.shared.knowledge;
             let suspect = match crashes::item_start(knowledge, &owed.fingerprint, now) {
                 ItemStart::NotBefore(at) => {
@@ -222,66 +252,67 @@
                 }
                 start => start == ItemStart::Suspect,
             };
-            if !rewards::may_run_in_parallel(owed.attempts.len(), suspect)
-                || suspect && running_contents.contains(&owed.fingerprint)
-            {
+            if !rewards::may_run_in_parallel(owed.attempts.len(), suspect) {
                 continue;
             }
-            let Some(route) = self.route_of(owed) else { continue };
-            let Some(service) = route.pick(&mut rand::rng()).cloned() else { continue };
-            if full.contains(&service) {
+            // Two calls of a content that may crash upstreams could crash two.
+            let fingerprint = owed.fingerprint.clone();
+            let runs = |o: &Owed| !o.attempts.is_empty() && o.fingerprint == fingerprint;
+            if suspect && work.owed.values().any(runs) {
                 continue;
             }
-            let candidates = self.candidates(owed, &service, now);
-            if let Some(last) = owed.attempts.last() {
-                let objective = route.latency_objective;
-                let after =
-                    rewards::overdue_after(&self.inner.health.borrow(), &candidates, objective);
-                if now.saturating_sub(last.started) < after {
-                    continue;
-                }
-            }
+            let Some(owed) = work.owed.get_mut(&rank) else { continue };
+            let candidates = self.candidates(owed, &target.service, now);
             match self.choose(&candidates, now) {
                 Some(upstream) => {
-                    let permit = permits::request(
-                        &self.inner.shared,
-                        &upstream,
-                        route.priority,
-                        Duration::ZERO,
-                    );
+                    let priority = target.route.priority;
+                    let shared = &self.inner.shared;
+                    let permit = permits::request(shared, &upstream, priority, Duration::ZERO);
                     if matches!(permit, Some(Permit::After(_))) {
-                        running_contents.insert(owed.fingerprint.clone());
-                        self.start(owed, &route, upstream, now);
+                        let objective = target.route.latency_objective;
+                        let health = self.inner.health.borrow();
+                        let after = rewards::overdue_after(&health, &candidates, objective);
+                        drop(health);
+                        owed.target = None;
+                        self.start(owed, &target.route, upstream, now, after);
                     }
                 }
                 None if owed.attempts.is_empty() && owed.failed_at.is_empty() => {
-                    full.insert(service);
+                    full.insert(target.service);
                 }
                 None => {}
             }
         }
     }
 
-    /// Route that the call's host and path have now; without one the call waits until its item is given up.
-    fn route_of(&self, owed: &mut Owed) -> Option<Rc<Route>> {
+    /// Where the next attempt goes by the route that the call's host and path have now; without one the call waits until its
+    /// item is given up.
+    fn target_of(&self, owed: &mut Owed) -> Option<Target> {
         let table = self.inner.shared.table.borrow().clone();
-        let call = owed.item.reward_call.as_ref()?;
-        let route = table.find(&call.host, &call.path).cloned();
-        if route.is_none() && !std::mem::replace(&mut owed.without_route, true) {
-            event!(
-                warn,
-                "reward_call_without_route",
-                item = owed.key.1,
-                batch = owed.key.0,
-                request = call.id,
-                host = call.host,
-                path = call.path,
-                document = table.version,
-                reason = "no_route",
-            );
+        if let Some(target) = owed.target.as_ref().filter(|t| t.document == table.version) {
+            return Some(target.clone());
         }
-        owed.without_route = route.is_none();
-        route
+        let call = owed.item.reward_call.as_ref()?;
+        let Some(route) = table.find(&call.host, &call.path).cloned() else {
+            if !std::mem::replace(&mut owed.without_route, true) {
+                event!(
+                    warn,
+                    "reward_call_without_route",
+                    item = owed.key.1,
+                    batch = owed.key.0,
+                    request = call.id,
+                    host = call.host,
+                    path = call.path,
+                    document = table.version,
+                    reason = "no_route",
+                );
+            }
+            return None;
+        };
+        owed.without_route = false;
+        let service = route.pick(&mut rand::rng())?.clone();
+        owed.target = Some(Target { route, service, document: table.version });
+        owed.target.clone()
     }
 
     /// Upstreams that may take the call, without those that run it and, if there are others, those that failed it.
@@ -311,7 +342,15 @@
         rewards::choose(&health, candidates, now).map(|candidate| candidate.key.clone())
     }
 
-    fn start(&self, owed: &mut Owed, route: &Rc<Route>, key: Key, now: Duration) {
+    /// Sends a call to an upstream; `overdue_after` is the time after which another one may get it as well.
+    fn start(
+        &self,
+        owed: &mut Owed,
+        route: &Rc<Route>,
+        key: Key,
+        now: Duration,
+        overdue_after: Duration,
+    ) {
         let fleet = self.inner.shared.knowledge.fleet.borrow();
         let Some(upstream) = fleet.get(&key.0).map(|known| known.upstream.clone()) else { return };
         let Some(call) = owed.call().cloned() else { return };
@@ -321,7 +360,7 @@
         owed.attempts.push(Attempt {
             number,
             upstream: key.clone(),
-            started: now,
+            overdue_at: now + overdue_after,
             cancel: cancel.clone(),
         });
         let (this, term, item) = (self.clone(), self.inner.recorder.term(), owed.key.clone());
@@ -467,6 +506,7 @@
         failed_calls: item.failed_reward_calls,
         failed_at: HashSet::new(),
         attempts: Vec::new(),
+        target: None,
         settled: false,
         without_route: false,
     };
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -167,6 +167,7 @@
             |id: &str, start: u64| fleet.get(id).is_some_and(|k| k.upstream.incarnation == start);
         self.shared.engines.borrow_mut().retain(|(id, start)| known(id, *start));
         self.shared.permits.borrow_mut().retain(|(id, start)| known(id, *start));
+        self.dispatch.retain_upstreams(|(id, start)| known(id, *start));
         self.shared.spread.borrow_mut().retain(|up| fleet.has_left(up));
     }
 
--- a/orioleworks_store/src/state.rs
+++ b/orioleworks_store/src/state.rs
@@ -246,6 +246,8 @@
     /// Batch and position of the newest result of each item, for items that a later batch submits again.
     finished: IndexMap<Rc<str>, (Rc<str>, usize)>,
     texts: Texts,
+    /// Number of applied entries since this state was built.
+    applied: u64,
 }
 
 impl State {
@@ -272,6 +274,7 @@
             _ => ResultCode::InvalidOrder,
         };
         self.drop_expired(entry.now_ms);
+        self.applied += 1;
         inner::ProposeReply { code: code.number(), ..Default::default() }
     }
 
@@ -406,6 +409,11 @@
         self.unfinished.retain(|_, (batch, _)| batches.contains_key(batch));
     }
 
+    /// Number of applied entries since this state was built; it tells whether anything can have changed.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
     /// Newest route document; version 0 stands for none.
     pub fn document(&self) -> &inner::Document {
         &self.document
@@ -522,6 +530,7 @@
             unfinished: unfinished.collect(),
             finished: finished.collect::<Result<_, String>>()?,
             texts,
+            applied: 0,
         })
     }
 }
