--- a/orioleworks_fleet/src/watch.rs
+++ b/orioleworks_fleet/src/watch.rs
@@ -175,7 +175,8 @@
         let served = convert::from_served_message(message, now);
         knowledge.fleet.borrow_mut().note_served(served);
     }
-    if reply.complete_history {
+    // A store without a leader may have missed what the others know.
+    if reply.complete_history && reply.current {
         knowledge.fleet.borrow_mut().complete_history();
     }
     for message in std::mem::take(&mut reply.upstreams) {
--- a/orioleworks_gateway/tests/support/ledger.rs
+++ b/orioleworks_gateway/tests/support/ledger.rs
@@ -10,7 +10,6 @@
     time::{Duration, Instant},
 };
 
-use base64::{Engine as _, engine::general_purpose::STANDARD};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use super::{
--- a/orioleworks_store/src/recorder.rs
+++ b/orioleworks_store/src/recorder.rs
@@ -96,7 +96,10 @@
                 continue;
             };
             let id = part.batch_id.clone();
-            let count: usize = parts.iter().map(|part| part.results.len()).sum();
+            let results = |part: &inner::RecordResults| {
+                part.results.len() + part.unscored.len() + part.scores.len()
+            };
+            let count: usize = parts.iter().map(results).sum();
             if reason == ProposeError::NoQuorum {
                 event!(warn, "results_unconfirmed", batch = id, results = count, reason = reason);
                 if self.term() == term {
@@ -106,7 +109,7 @@
                     }
                 }
             } else {
-                // The next leader runs the items that are not listed.
+                // The next leader runs the items that are not listed, or makes their reward calls.
                 event!(info, "results_dropped", batch = id, results = count, reason = reason);
             }
             return;
