Reward calls: choose returns the key; one set-up for unanswered calls in tests

Found in a last reading: rewards::choose searched the candidates again for the one it had just chosen, and its caller took only the key, through a wrapper. Fleet::note_served kept a flag for what the map's entry tells. The rule of when a call may be sent was asked with a constant. Four tests repeated one set-up; their assertions are unchanged.

--- a/orioleworks_gateway/tests/rewards.rs
+++ b/orioleworks_gateway/tests/rewards.rs
@@ -71,6 +71,15 @@
     });
 }
 
+/// Submits batch `b` and waits until all its texts are complete and their calls wait for a response.
+fn submit_unanswered(d: &Deployment, fleet: &Fleet, count: usize) -> Vec<String> {
+    let items = item_ids(count);
+    fleet.silence(true);
+    submit(d, "b", &items);
+    d.wait_until("all texts are complete and called for", || fleet.all_called(&items));
+    items
+}
+
 /// Results of a batch by item.
 fn results(d: &Deployment, id: &str) -> BTreeMap<String, serde_json::Value> {
     let response = d.send(0, "GET", &format!("/v1/lots/{id}?after=0"), "read", "");
@@ -117,10 +126,7 @@
 fn a_call_is_made_again_after_the_loss_of_the_leader(#[case] signal: Signal) {
     let mut d = Deployment::start(3, 1, &document(|_| ()));
     let fleet = start_fleet(&d, 2);
-    let items = item_ids(8);
-    fleet.silence(true);
-    submit(&d, "b", &items);
-    d.wait_until("all texts are complete and called for", || fleet.all_called(&items));
+    let items = submit_unanswered(&d, &fleet, 8);
     assert!(results(&d, "b").is_empty(), "nothing is listed without a score");
     let leader = d.leader().unwrap();
     d.stores[leader].as_ref().unwrap().signal(signal);
@@ -137,10 +143,7 @@
 fn a_call_is_made_after_a_crash_of_all_processes() {
     let mut d = Deployment::start(3, 1, &document(|_| ()));
     let fleet = start_fleet(&d, 2);
-    let items = item_ids(8);
-    fleet.silence(true);
-    submit(&d, "b", &items);
-    d.wait_until("all texts are complete and called for", || fleet.all_called(&items));
+    let items = submit_unanswered(&d, &fleet, 8);
     d.stores.iter_mut().for_each(|store| *store = None);
     d.gateways[0] = None;
     fleet.silence(false);
@@ -213,10 +216,7 @@
 fn a_call_waits_for_its_route() {
     let d = Deployment::start(3, 1, &document(|_| ()));
     let fleet = start_fleet(&d, 2);
-    let items = item_ids(4);
-    fleet.silence(true);
-    submit(&d, "b", &items);
-    d.wait_until("all texts are complete and called for", || fleet.all_called(&items));
+    let items = submit_unanswered(&d, &fleet, 4);
     let mut withdrawn = routes::document(2, 2000);
     withdrawn["routes"].as_array_mut().unwrap().remove(SCORE);
     assert_eq!(d.put_document(&withdrawn.to_string()), 200);
@@ -237,10 +237,7 @@
 fn no_call_is_made_after_the_end_of_its_batch() {
     let d = Deployment::start(3, 1, &document(|_| ()));
     let fleet = start_fleet(&d, 2);
-    let items = item_ids(6);
-    fleet.silence(true);
-    submit(&d, "b", &items);
-    d.wait_until("all texts are complete and called for", || fleet.all_called(&items));
+    let items = submit_unanswered(&d, &fleet, 6);
     assert_eq!(d.send(0, "DELETE", "/v1/lots/b", "end", "").unwrap().status, 200);
     thread::sleep(END_TIME);
     let calls: usize = items.iter().map(|item| fleet.calls(item)).sum();
--- a/orioleworks_routing/src/fleet.rs
+++ b/orioleworks_routing/src/fleet.rs
@@ -7,7 +7,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, map::Entry};
 
 use crate::{outlier::Key, streams};
 
@@ -293,15 +293,14 @@
     /// Records that a software version serves or has served.
     pub fn note_served(&mut self, served: Served) {
         let Served { service, software, last_seen } = served;
-        let changed = self.changes + 1;
-        let mut is_new = false;
-        let known = self.served.entry((service, software)).or_insert_with(|| {
-            is_new = true;
-            KnownServed { last_seen, changed }
-        });
-        known.last_seen = known.last_seen.max(last_seen);
-        if is_new {
-            self.changes = changed;
+        match self.served.entry((service, software)) {
+            Entry::Occupied(mut known) => {
+                known.get_mut().last_seen = known.get().last_seen.max(last_seen);
+            }
+            Entry::Vacant(unknown) => {
+                self.changes += 1;
+                unknown.insert(KnownServed { last_seen, changed: self.changes });
+            }
         }
     }
 
--- a/orioleworks_routing/src/rewards.rs
+++ b/orioleworks_routing/src/rewards.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use crate::outlier::{Candidate, Outliers};
+use crate::outlier::{Candidate, Key, Outliers};
 
 /// Slots of an upstream that are left to callers, in percent, at least one.
 const RESERVED_PERCENT: u32 = 34;
@@ -29,16 +29,11 @@
 }
 
 /// Upstream on which a call is expected to end first; `None` while none may take one more.
-pub fn choose<'a>(
-    health: &Outliers,
-    candidates: &'a [Candidate],
-    now: Duration,
-) -> Option<&'a Candidate> {
+pub fn choose(health: &Outliers, candidates: &[Candidate], now: Duration) -> Option<Key> {
     let has_room = |c: &&Candidate| health.in_flight(&c.key) < capacity(c.slots);
     let open = candidates.iter().filter(|c| !health.is_paused(&c.key, now));
     let open: Vec<Candidate> = open.filter(has_room).cloned().collect();
-    let chosen = health.choose(&open, now)?.key.clone();
-    candidates.iter().find(|c| c.key == chosen)
+    health.choose(&open, now).map(|c| c.key.clone())
 }
 
 /// Pause of a call after a number of failures in a row.
--- a/orioleworks_routing/tests/rewards.rs
+++ b/orioleworks_routing/tests/rewards.rs
@@ -61,7 +61,7 @@
 type Place = fn(&Outliers, &[Candidate], Duration) -> Option<Key>;
 
 fn with_room_for_callers(health: &Outliers, all: &[Candidate], now: Duration) -> Option<Key> {
-    rewards::choose(health, all, now).map(|c| c.key.clone())
+    rewards::choose(health, all, now)
 }
 
 /// The rule that is replaced: each call goes to the best upstream at once.
@@ -214,7 +214,7 @@
     health.record_sent(&key(0));
     health.record_failure(&key(0), now);
     for _ in 0..rewards::capacity(SLOTS) {
-        let chosen = rewards::choose(&health, &all, now).unwrap().key.clone();
+        let chosen = rewards::choose(&health, &all, now).unwrap();
         assert_eq!(chosen, key(1));
         health.record_sent(&chosen);
     }
--- a/orioleworks_store/src/rewards.rs
+++ b/orioleworks_store/src/rewards.rs
@@ -263,7 +263,8 @@
             }
             let Some(owed) = work.owed.get_mut(&rank) else { continue };
             let candidates = self.candidates(owed, &target.service, now);
-            match self.choose(&candidates, now) {
+            let chosen = rewards::choose(&self.inner.health.borrow(), &candidates, now);
+            match chosen {
                 Some(upstream) => {
                     let priority = target.route.priority;
                     let shared = &self.inner.shared;
@@ -337,11 +338,6 @@
         candidates
     }
 
-    fn choose(&self, candidates: &[Candidate], now: Duration) -> Option<Key> {
-        let health = self.inner.health.borrow();
-        rewards::choose(&health, candidates, now).map(|candidate| candidate.key.clone())
-    }
-
     /// Sends a call to an upstream; `overdue_after` is the time after which another one may get it as well.
     fn start(
         &self,
@@ -487,7 +483,7 @@
 
 fn add_owed(work: &mut Work, key: ItemKey, batch: &Batch) {
     let Some(item) = batch.items.get(&key.1) else { return };
-    if !rules::may_call(batch.ended, item.listed, true) {
+    if !rules::may_call(batch.ended, item.listed, batch.unscored.contains_key(&key.1)) {
         return;
     }
     let Some(call) = &item.spec.reward_call else { return };
