Gateway: a read without a reply is refused with 503 instead of 504

Cause: a read of a batch or an item whose store broke the connection or did not reply in time got the outcome "order_unconfirmed" (504), which belongs to submissions. The platform's protocol knows 200, 404 and 503 for reads, and a read changes nothing.

Change: read_reply treats such an outcome like a missing leader, 503 with Retry-After. Submissions keep 504.

Result: a_read_without_a_reply_is_refused_and_may_be_repeated (all stores stopped) failed before with 504 and passes.

--- a/orioleworks_gateway/src/batches.rs
+++ b/orioleworks_gateway/src/batches.rs
@@ -114,7 +114,7 @@
                 Body::ReadItem(inner::ReadItem { batch_id, item_id })
             };
             let outcome = view.stores.call_leader(message, LEADER_SEARCH_SLACK, REPLY_SLACK).await;
-            match successful_reply(outcome, &item)? {
+            match read_reply(outcome, &item)? {
                 Body::ReadItemReply(reply) => {
                     Ok(server::full_response(200, "application/octet-stream", reply.body))
                 }
@@ -145,7 +145,7 @@
     };
     let outcome =
         view.stores.call_leader(message, wait + LEADER_SEARCH_SLACK, wait + REPLY_SLACK).await;
-    match successful_reply(outcome, id)? {
+    match read_reply(outcome, id)? {
         Body::ReadBatchReply(mut reply) => {
             for result in &mut reply.results {
                 texts::unpack(result).map_err(|e| unreadable_result(id, &result.id, &e))?;
@@ -159,7 +159,7 @@
 /// Refuses a stored result that cannot be unpacked; another version of the program must have packed it.
 fn unreadable_result(batch: &str, item: &str, reason: &io::Error) -> Refusal {
     event!(error, "text_unreadable", batch = batch, item = item, reason = reason);
-    Refusal::new(ResultCode::OrderUnconfirmed, "a result cannot be read", NO_LEADER_RETRY)
+    Refusal::new(ResultCode::NoQuorum, "a result cannot be read", NO_LEADER_RETRY)
 }
 
 fn no_leader(what: &str) -> Refusal {
@@ -167,6 +167,14 @@
     Refusal::new(ResultCode::NoQuorum, detail, NO_LEADER_RETRY)
 }
 
+/// The leader's reply to a read. A read changes nothing, so that one without a reply is refused like one without a leader.
+fn read_reply(outcome: CallOutcome, what: &str) -> Result<Body, Refusal> {
+    match outcome {
+        CallOutcome::Unconfirmed => Err(no_leader(what)),
+        CallOutcome::Replied(_) | CallOutcome::NoLeader => successful_reply(outcome, what),
+    }
+}
+
 /// The leader's reply, if the call succeeded.
 fn successful_reply(outcome: CallOutcome, what: &str) -> Result<Body, Refusal> {
     match outcome {
--- a/orioleworks_gateway/tests/platform.rs
+++ b/orioleworks_gateway/tests/platform.rs
@@ -190,6 +190,24 @@
     d.start_store(leader, false);
 }
 
+/// Guards against a read that is reported as an order of unknown outcome when the stores are slow to reply.
+#[test]
+fn a_read_without_a_reply_is_refused_and_may_be_repeated() {
+    let d = Deployment::start(3, 1, &document(1, 2000));
+    let items = item_ids("item", 2);
+    submit(&d, 0, "b1", &items, 1);
+    let paused = |signal| d.stores.iter().flatten().for_each(|store| store.signal(signal));
+    paused(Signal::SIGSTOP);
+    for path in ["/v1/lots/b1?after=0", "/v1/items/b1?id=item-0"] {
+        let response = d.send(0, "GET", path, "read", "").expect("a response");
+        assert_eq!(response.status, 503, "{path}: {}", response.body);
+        assert!(response.head.contains("retry-after"), "{path}: {}", response.head);
+    }
+    paused(Signal::SIGCONT);
+    let _engines = engines(&d, 1);
+    check_results(&read_all(&d, "b1", items.len()), &items);
+}
+
 /// Guards against lost batches when one store loses its disk, and another one right after the first is repaired.
 #[test]
 fn a_wiped_store_is_repaired_before_the_next_one_is_lost() {
