Crashes: reports agree in any order, also with a completed run between two crashes

Cause: of several crashes of one upstream a record kept the time of the first, unless a completed run lay between it and the next one. A process that learnt of the later crash and the completed run in one report kept the first time. Whether that crash explained the crashes of another content then differed between processes (the_order_of_reports_does_not_matter).

Change: a record keeps the newest time of each kind of crash of each upstream, which gives the same in any order; of the crashes since the last completed run the strongest counts.

--- a/orioleworks_fleet/src/convert.rs
+++ b/orioleworks_fleet/src/convert.rs
@@ -4,7 +4,7 @@
 
 use orioleworks_proto::inner;
 use orioleworks_routing::{
-    crashes::{Crash, Observation, Report, SuspectRun},
+    crashes::{Observation, Report, SuspectRun},
     fleet::{Known, Left, Served, Upstream},
     helpers::Helper,
     permits::Permit,
@@ -78,11 +78,11 @@
 /// Message for what is known of a content.
 pub fn to_crash_message(report: &Report, now: Duration) -> inner::ContentCrashes {
     let age = |at: Duration| millis(now.saturating_sub(at));
-    let crashes = report.crashes.iter().map(|((id, incarnation), crash)| inner::UpstreamCrash {
-        upstream: id.to_string(),
-        incarnation: *incarnation,
-        age_ms: age(crash.at),
-        observation: match crash.observation {
+    let crashes = report.crashes.iter().map(|((upstream, observation), at)| inner::UpstreamCrash {
+        upstream: upstream.0.to_string(),
+        incarnation: upstream.1,
+        age_ms: age(*at),
+        observation: match observation {
             Observation::Silence => inner::CrashObservation::Silence,
             Observation::BrokenMidway => inner::CrashObservation::BrokenMidway,
             Observation::BrokenAtStart => inner::CrashObservation::BrokenAtStart,
@@ -111,8 +111,8 @@
             inner::CrashObservation::BrokenAtStart => Observation::BrokenAtStart,
             inner::CrashObservation::Refused => Observation::Refused,
         };
-        let at = time(crash.age_ms);
-        ((Rc::from(crash.upstream), crash.incarnation), Crash { at, observation })
+        let upstream = (Rc::from(crash.upstream), crash.incarnation);
+        ((upstream, observation), time(crash.age_ms))
     });
     Report {
         fingerprint: message.fingerprint.into(),
--- a/orioleworks_routing/src/crashes.rs
+++ b/orioleworks_routing/src/crashes.rs
@@ -9,7 +9,7 @@
 //! repeat runs at once, and what looked like a crash is withdrawn if the upstream announces itself again. See
 //! `docs/platform.md`.
 
-use std::{rc::Rc, time::Duration};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use indexmap::IndexMap;
 
@@ -46,8 +46,8 @@
 /// Largest number of contents; the oldest are evicted first.
 const MAX_CONTENTS: usize = 4096;
 /// Largest number of crashes of one content; the oldest are evicted first. At this number the quarantine has long had its
-/// longest duration.
-const MAX_CRASHES: usize = 16;
+/// longest duration, also if each upstream has one crash of each kind.
+const MAX_CRASHES: usize = 32;
 
 /// How a run ended without a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -109,13 +109,17 @@
     pub until: Duration,
 }
 
+/// Newest time of each kind of crash, by upstream. The newer time wins in any order of reports, also if a completed run lies
+/// between the two.
+pub type CrashTimes = BTreeMap<(Key, Observation), Duration>;
+
 /// What is known of one content, as exchanged between gateways and stores.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Report {
     /// Fingerprint of the content.
     pub fingerprint: Rc<str>,
-    /// Possible crashes by upstream.
-    pub crashes: IndexMap<Key, Crash>,
+    /// Possible crashes.
+    pub crashes: CrashTimes,
     /// Newest time at which a run completed; earlier crashes say nothing of the content.
     pub completed_at: Option<Duration>,
     /// Newest run that was started as a suspect.
@@ -125,7 +129,7 @@
 #[derive(Clone, Debug, Default)]
 struct Record {
     /// Includes crashes before the last completed run: they are still signs that an upstream was lost.
-    crashes: IndexMap<Key, Crash>,
+    crashes: CrashTimes,
     completed_at: Option<Duration>,
     run: Option<SuspectRun>,
     last_change: Duration,
@@ -165,7 +169,7 @@
         at: Duration,
         observation: Observation,
     ) -> bool {
-        let crashes = IndexMap::from([(upstream.clone(), Crash { at, observation })]);
+        let crashes = CrashTimes::from([((upstream.clone(), observation), at)]);
         let fingerprint = fingerprint.clone();
         self.merge(Report { fingerprint, crashes, completed_at: None, run: None }, at, true)
     }
@@ -177,7 +181,7 @@
             return false;
         }
         let run = Some(SuspectRun { at: now, until });
-        let (fingerprint, crashes) = (fingerprint.clone(), IndexMap::new());
+        let (fingerprint, crashes) = (fingerprint.clone(), CrashTimes::new());
         self.merge(Report { fingerprint, crashes, completed_at: None, run }, now, true)
     }
 
@@ -196,7 +200,7 @@
             return false;
         }
         let (fingerprint, completed_at) = (fingerprint.clone(), Some(now));
-        let crashes = IndexMap::new();
+        let crashes = CrashTimes::new();
         self.merge(Report { fingerprint, crashes, completed_at, run: None }, now, true)
     }
 
@@ -292,14 +296,14 @@
     /// Whether another upstream, on which the content was not in flight, was lost around the time of a crash. Then both
     /// may have a common cause outside the content.
     fn has_explanation(&self, record: &Record, crash: &Crash, fleet: &Fleet) -> bool {
-        let losses = self.records.values().flat_map(|other| &other.crashes);
+        let losses = self.records.values().flat_map(Record::crashes);
         let mut around = losses.filter(|(_, loss)| {
             loss.observation != Observation::Silence
                 && loss.at.abs_diff(crash.at) <= CORRELATION_WINDOW
         });
         around.any(|(other, loss)| {
             !record.counting().any(|(upstream, _)| upstream == other)
-                && is_standing(other, loss, fleet)
+                && is_standing(other, &loss, fleet)
         })
     }
 
@@ -339,7 +343,7 @@
     /// Merges what another process knows; returns whether it changed anything.
     fn merge(
         &mut self,
-        crashes: IndexMap<Key, Crash>,
+        crashes: CrashTimes,
         completed_at: Option<Duration>,
         run: Option<SuspectRun>,
     ) -> bool {
@@ -349,58 +353,58 @@
             changed = true;
         }
         self.completed_at = self.completed_at.max(completed_at);
-        let newest = self.completed_at;
-        let counts = |crash: &Crash| newest.is_none_or(|completed| crash.at > completed);
-        for (upstream, crash) in crashes {
-            match self.crashes.get_mut(&upstream) {
-                Some(known) if counts(&crash) && !counts(known) => {
-                    *known = crash;
-                    changed = true;
-                }
-                Some(known) if known.observation >= crash.observation => {}
-                Some(known) => {
-                    known.observation = crash.observation;
-                    changed = true;
-                }
-                None => {
-                    if self.crashes.len() >= MAX_CRASHES {
-                        self.crashes.shift_remove_index(0);
-                    }
-                    self.crashes.insert(upstream, crash);
-                    changed = true;
-                }
+        for (crash, at) in crashes {
+            if self.crashes.get(&crash).is_none_or(|known| *known < at) {
+                self.crashes.insert(crash, at);
+                changed = true;
             }
         }
+        while self.crashes.len() > MAX_CRASHES {
+            let oldest = self.crashes.iter().min_by_key(|(_, at)| **at).map(|(key, _)| key.clone());
+            oldest.and_then(|key| self.crashes.remove(&key));
+        }
         changed
     }
 
+    /// All crashes with their upstreams.
+    fn crashes(&self) -> impl Iterator<Item = (&Key, Crash)> {
+        let crashes = self.crashes.iter();
+        crashes.map(|((upstream, observation), at)| {
+            (upstream, Crash { at: *at, observation: *observation })
+        })
+    }
+
     /// Crashes since the last completed run.
-    fn counting(&self) -> impl Iterator<Item = (&Key, &Crash)> {
+    fn counting(&self) -> impl Iterator<Item = (&Key, Crash)> {
         let completed_at = self.completed_at;
-        let counts = move |crash: &Crash| completed_at.is_none_or(|completed| crash.at > completed);
-        self.crashes.iter().filter(move |(_, crash)| counts(crash))
+        self.crashes().filter(move |(_, crash)| completed_at.is_none_or(|at| crash.at > at))
     }
 
     /// How a suspect may run now: not beside another run of it.
     fn suspect_admission(&self, now: Duration) -> Admission {
-        let crashed = |run: &SuspectRun| self.crashes.values().any(|crash| crash.at > run.at);
+        let crashed = |run: &SuspectRun| self.crashes.values().any(|at| *at > run.at);
         let in_progress = self.run.filter(|run| now < run.until && !crashed(run));
         in_progress.map_or(Admission::Suspect, |run| Admission::AfterRun(run.until))
     }
 
     /// Whether a crash counts against the content; a refused connection never does.
     fn is_suspect(&self) -> bool {
-        self.counting().any(|(_, crash)| weight(crash) > 0)
+        self.counting().any(|(_, crash)| weight(&crash) > 0)
     }
 
-    /// Evidence of those crashes that `counts` selects.
+    /// Evidence of those crashes that `counts` selects: for each upstream that of the strongest.
     fn evidence(
         &self,
         counts: impl Fn(&Key, &Crash) -> bool,
         weight: impl Fn(&Crash) -> u32,
     ) -> u32 {
-        let counted = self.counting().filter(|(upstream, crash)| counts(upstream, crash));
-        counted.map(|(_, crash)| weight(crash)).sum()
+        let mut strongest: BTreeMap<&Key, u32> = BTreeMap::new();
+        for (upstream, crash) in self.counting().filter(|(upstream, crash)| counts(upstream, crash))
+        {
+            let evidence = strongest.entry(upstream).or_default();
+            *evidence = weight(&crash).max(*evidence);
+        }
+        strongest.values().sum()
     }
 
     /// Time of the last crash that stands.
--- a/orioleworks_routing/tests/crashes.rs
+++ b/orioleworks_routing/tests/crashes.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use orioleworks_routing::{
-    crashes::{Admission, Crashes, ItemStart, Observation},
+    crashes::{Admission, CrashTimes, Crashes, ItemStart, Observation, Report},
     fleet::{Fleet, Upstream},
     outlier::Key,
     suspects::RETENTION,
@@ -330,6 +330,41 @@
     assert!(!store.changed_since(cursor, false));
 }
 
+/// Guards against processes that disagree on a content because they learnt of a completed run after two crashes of one
+/// upstream instead of between them.
+#[rstest]
+#[case::in_order([0, 1, 2])]
+#[case::completion_last([0, 2, 1])]
+#[case::newest_first([2, 1, 0])]
+#[case::completion_first_after_newest([2, 0, 1])]
+fn the_newer_crash_of_an_upstream_counts_in_any_order(#[case] order: [usize; 3]) {
+    let crash = |at, observation| Report {
+        fingerprint: Rc::from(CONTENT),
+        crashes: CrashTimes::from([((key(0), observation), at)]),
+        completed_at: None,
+        run: None,
+    };
+    let completed = Report { completed_at: Some(ms(2000)), ..crash(ms(500), Observation::Silence) };
+    let reports = [
+        crash(ms(1000), Observation::BrokenAtStart),
+        completed,
+        crash(ms(3000), Observation::BrokenMidway),
+    ];
+    let mut crashes = Crashes::default();
+    for at in order {
+        crashes.merge(reports[at].clone(), ms(4000), false);
+    }
+    let fleet = fleet(1);
+    assert_eq!(crashes.admission(CONTENT, &fleet, ms(4000)), Admission::Suspect, "{crashes:?}");
+    record(&mut crashes, CONTENT, 1, ms(4000));
+    let after_weak_and_strong = crashes.admission(CONTENT, &fleet, ms(4000));
+    assert_eq!(
+        after_weak_and_strong,
+        Admission::Suspect,
+        "the crash before the completed run counts"
+    );
+}
+
 proptest! {
     /// Guards against gateways that disagree because reports reached them in another order or more than once.
     #[test]
