Reward calls that are held up go by group

Cause: calls waited by due time only, so that a step's calls spread over all its groups and the groups completed with the last calls. Worse, the due time was taken from two clocks for each call and differed by up to 1 ms between the calls of one step, so that their order was accidental.

Change: a batch takes its time of submission on the process's clock once. Within a step the group that lacks the fewest results for which no call is under way goes first, and groups that lack the same stay together (orioleworks_routing::rewards::order).

--- a/orioleworks_gateway/tests/rewards.rs
+++ b/orioleworks_gateway/tests/rewards.rs
@@ -196,6 +196,43 @@
     assert!(items.iter().all(|item| fleet.generated_once(item)), "a text was generated again");
 }
 
+/// Guards against calls that spread over all groups while they are held up, so that no group completes before the last call.
+#[test]
+fn calls_that_were_held_up_complete_one_group_after_another() {
+    const GROUPS: usize = 4;
+    const SIZE: usize = 4;
+    /// Calls that the scorer, with 8 slots, runs at the same time; they may be listed in any order.
+    const PARALLEL: usize = 5;
+    let d = Deployment::start(3, 1, &document(|_| ()));
+    let fleet = start_fleet(&d, 0);
+    let items = item_ids(GROUPS * SIZE);
+    let mut submission = routes::scored_submission(&items);
+    for (at, item) in submission["items"].as_array_mut().unwrap().iter_mut().enumerate() {
+        item["group"] = format!("group-{}", at % GROUPS).into();
+    }
+    d.wait_until("the batch is accepted", || {
+        d.send(0, "POST", "/batch/b", "b", &submission.to_string()).is_some_and(|a| a.status == 202)
+    });
+    let completed = |item: &String| fleet.engines.iter().any(|up| up.completion(item).is_some());
+    d.wait_until("all texts are complete", || items.iter().all(completed));
+    thread::sleep(END_TIME);
+    let scorer = Upstream::start("s-0", "sheets", None, d.control_addresses());
+    scorer.behaviour.delay_ms.store(100, Ordering::Relaxed);
+    check_completed(&d, "b", &items);
+    let json = d.send(0, "GET", "/v1/lots/b?after=0", "read", "").unwrap().json();
+    let group_of = |result: &serde_json::Value| {
+        items.iter().position(|item| result["id"] == item.as_str()).unwrap() % GROUPS
+    };
+    let groups: Vec<usize> = json["results"].as_array().unwrap().iter().map(group_of).collect();
+    let end_of = |group| groups.iter().rposition(|g| *g == group).unwrap() + 1;
+    let mut ends: Vec<usize> = (0..GROUPS).map(end_of).collect();
+    ends.sort_unstable();
+    for (n, end) in ends.iter().enumerate() {
+        let after_parallel_ones = ((n + 1) * SIZE).next_multiple_of(PARALLEL);
+        assert!(*end <= after_parallel_ones, "{ends:?} {groups:?}\n{}", d.logs());
+    }
+}
+
 /// Guards against a burst that waits for the timeout of upstreams that do not respond.
 #[test]
 fn a_silent_upstream_does_not_hold_up_a_burst() {
--- a/orioleworks_routing/src/items.rs
+++ b/orioleworks_routing/src/items.rs
@@ -41,6 +41,11 @@
     pub fn new(priority: u32, due: Duration, expected_tokens: u32, sequence: u64) -> Self {
         Self { priority, due, longest_first: Reverse(expected_tokens), sequence }
     }
+
+    /// Order among steps, whatever the length and the arrival of an item.
+    pub fn of_step(&self) -> (u32, Duration) {
+        (self.priority, self.due)
+    }
 }
 
 /// Exponentially weighted moving average of the time that an engine takes for one event.
--- a/orioleworks_routing/src/rewards.rs
+++ b/orioleworks_routing/src/rewards.rs
@@ -2,12 +2,16 @@
 //!
 //! The items of a step end together, so their calls come in bursts: dozens to hundreds at once, each several times as long
 //! as a caller's request, at services that answer callers as well. The calls therefore leave a part of each upstream's slots
-//! to callers and wait here, where the step that is due first goes first. An upstream that hangs holds up a burst until its
+//! to callers and wait here, where the step that is due first goes first, and of its groups
+//! the one that lacks the fewest results: a trainer waits for complete groups, and not for all of them. An upstream that hangs holds up a burst until its
 //! calls are repeated elsewhere, long before they time out. See `docs/platform.md`, "Reward calls".
 
 use std::time::Duration;
 
-use crate::outlier::{Candidate, Key, Outliers};
+use crate::{
+    items::Rank,
+    outlier::{Candidate, Key, Outliers},
+};
 
 /// Slots of an upstream that are left to callers, in percent, at least one.
 const RESERVED_PERCENT: u32 = 34;
@@ -28,6 +32,24 @@
     slots.saturating_sub(reserved).max(1)
 }
 
+/// A call that may be sent now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadyCall {
+    /// Rank of its item.
+    pub rank: Rank,
+    /// Number of results that the item's group lacks and for which no call is under way.
+    pub missing_in_group: u32,
+    /// Lowest rank of the ready calls of its group, which keeps them together among groups that lack the same.
+    pub first_in_group: Rank,
+}
+
+/// Puts calls in the order in which they are sent.
+pub fn order(calls: &mut [ReadyCall]) {
+    calls.sort_unstable_by_key(|call| {
+        (call.rank.of_step(), call.missing_in_group, call.first_in_group, call.rank)
+    });
+}
+
 /// Upstream on which a call is expected to end first; `None` while none may take one more.
 pub fn choose(health: &Outliers, candidates: &[Candidate], now: Duration) -> Option<Key> {
     let has_room = |c: &&Candidate| health.in_flight(&c.key) < capacity(c.slots);
--- a/orioleworks_routing/tests/rewards.rs
+++ b/orioleworks_routing/tests/rewards.rs
@@ -7,10 +7,11 @@
 };
 
 use orioleworks_routing::{
+    items::Rank,
     outlier::{Candidate, Key, Outliers},
-    rewards,
+    rewards::{self, ReadyCall},
 };
-use rand::{RngExt, SeedableRng, rngs::StdRng};
+use rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom};
 use rstest::rstest;
 
 const SLOTS: u32 = 6;
@@ -193,6 +194,77 @@
     assert!(unbounded.late_callers > 2.0 * bounded.late_callers, "{unbounded:?}");
 }
 
+/// Time by which a number of groups is complete, if texts become complete in random order and one call is sent per tick.
+fn held_up(groups: u32, size: u32, order: impl Fn(&mut [ReadyCall])) -> impl Fn(usize) -> usize {
+    let mut rng = StdRng::seed_from_u64(11);
+    let mut waiting: Vec<u32> = (0..groups * size).map(|n| n % groups).collect();
+    waiting.shuffle(&mut rng);
+    let rank = |n: usize| Rank::new(1, Duration::ZERO, 0, n as u64);
+    let mut waiting: Vec<(Rank, u32)> =
+        waiting.into_iter().enumerate().map(|(n, group)| (rank(n), group)).collect();
+    let mut missing = vec![size; groups as usize];
+    let mut ends = Vec::new();
+    for tick in 1..=waiting.len() {
+        // Texts are complete twice as fast as calls are sent.
+        let complete = (2 * tick).min(waiting.len());
+        let ready = waiting[..complete].iter().map(|(rank, group)| ReadyCall {
+            rank: *rank,
+            missing_in_group: missing[*group as usize],
+            first_in_group: waiting.iter().find(|(_, g)| g == group).unwrap().0,
+        });
+        let mut ready: Vec<ReadyCall> = ready.collect();
+        order(&mut ready);
+        let at = waiting.iter().position(|(rank, _)| *rank == ready[0].rank).unwrap();
+        let (_, group) = waiting.remove(at);
+        missing[group as usize] -= 1;
+        if missing[group as usize] == 0 {
+            ends.push(tick);
+        }
+    }
+    move |count| ends[count - 1]
+}
+
+/// Guards against a step that waits for its last calls although most of its groups could be complete: calls at services that
+/// name a limit far below the burst.
+#[test]
+fn calls_that_are_held_up_complete_groups_first() {
+    let by_group = held_up(28, 8, rewards::order);
+    let by_arrival = held_up(28, 8, |_| ());
+    for (groups, share_of_time) in [(14, 0.75), (25, 0.98)] {
+        let (grouped, arrived) = (by_group(groups), by_arrival(groups));
+        println!(
+            "{groups} of 28 groups complete after {grouped} calls by group, {arrived} by arrival"
+        );
+        assert!((grouped as f64) < share_of_time * arrived as f64, "{grouped} of {arrived}");
+    }
+}
+
+/// Guards against a group that is preferred to a step that is due earlier or more urgent, and against calls that spread over
+/// groups that lack the same.
+#[test]
+fn steps_come_before_groups_and_groups_stay_together() {
+    let rank = |priority, due, sequence| Rank::new(priority, Duration::from_secs(due), 0, sequence);
+    let call = |rank, missing_in_group, first_in_group| ReadyCall {
+        rank,
+        missing_in_group,
+        first_in_group,
+    };
+    let (first, second) = (rank(1, 7, 1), rank(1, 7, 2));
+    let expected = [
+        call(rank(0, 9, 8), 9, rank(0, 9, 8)),
+        call(rank(1, 5, 7), 8, rank(1, 5, 7)),
+        call(rank(1, 7, 6), 1, rank(1, 7, 6)),
+        call(first, 2, first),
+        call(rank(1, 7, 3), 2, first),
+        call(second, 2, second),
+        call(rank(1, 7, 4), 2, second),
+    ];
+    let mut calls = expected;
+    calls.reverse();
+    rewards::order(&mut calls);
+    assert_eq!(calls, expected);
+}
+
 /// Guards against a slot count of which nothing, or everything, is used.
 #[rstest]
 #[case(0, 1)]
--- a/orioleworks_store/src/rewards.rs
+++ b/orioleworks_store/src/rewards.rs
@@ -21,7 +21,7 @@
     items::Rank,
     outlier::{Candidate, Key, Outliers},
     permits::Permit,
-    rewards,
+    rewards::{self, ReadyCall},
     routes::Route,
 };
 use orioleworks_rules::batches as rules;
@@ -85,6 +85,11 @@
         self.item.reward_call.as_ref()
     }
 
+    /// Batch and group of the item.
+    fn group(&self) -> (&str, &str) {
+        (&self.key.0, &self.item.group)
+    }
+
     /// Whether another attempt may be due; the rest is decided with more effort.
     fn may_need_attempt(&self, now: Duration) -> bool {
         let overdue = self.attempts.iter().all(|attempt| attempt.overdue_at <= now);
@@ -227,18 +232,37 @@
         metrics::counter!("orioleworks_reward_calls_given_up_total").increment(1);
     }
 
+    /// Calls that may be due for another attempt, in the order in which they are sent.
+    fn ready_calls(&self, work: &Work, now: Duration) -> Vec<ReadyCall> {
+        let state = self.inner.shared.state.borrow();
+        let mut under_way: HashMap<(&str, &str), u32> = HashMap::new();
+        for owed in work.owed.values().filter(|owed| owed.settled || !owed.attempts.is_empty()) {
+            *under_way.entry(owed.group()).or_default() += 1;
+        }
+        let missing = |owed: &Owed| {
+            let batch = state.batch(&owed.key.0);
+            let missing = batch.map_or(0, |batch| batch.missing_in_group(&owed.item.group));
+            missing.saturating_sub(under_way.get(&owed.group()).copied().unwrap_or_default())
+        };
+        let mut first_in_group: HashMap<(&str, &str), Rank> = HashMap::new();
+        let may_need_attempt = work.owed.iter().filter(|(_, owed)| owed.may_need_attempt(now));
+        let ready = may_need_attempt.map(|(rank, owed)| ReadyCall {
+            rank: *rank,
+            missing_in_group: missing(owed),
+            first_in_group: *first_in_group.entry(owed.group()).or_insert(*rank),
+        });
+        let mut ready: Vec<ReadyCall> = ready.collect();
+        rewards::order(&mut ready);
+        ready
+    }
+
     fn start_attempts(&self) {
         let now = clock::since_boot();
         let mut work = self.inner.work.borrow_mut();
-        let ranks: Vec<Rank> = work
-            .owed
-            .iter()
-            .filter(|(_, owed)| owed.may_need_attempt(now))
-            .map(|(rank, _)| *rank)
-            .collect();
+        let ready = self.ready_calls(&work, now);
         // If no upstream of a service has room for a call, none has for those that are due later.
         let mut full: HashSet<Rc<str>> = HashSet::new();
-        for rank in ranks {
+        for ReadyCall { rank, .. } in ready {
             let Some(owed) = work.owed.get_mut(&rank) else { continue };
             let Some(target) = self.target_of(owed) else { continue };
             if full.contains(&target.service) {
--- a/orioleworks_store/src/state.rs
+++ b/orioleworks_store/src/state.rs
@@ -3,7 +3,7 @@
 //! The position of a result follows from the order of the log, so that it is the same on every store and never changes.
 //! See `docs/platform.md`.
 
-use std::{io, rc::Rc, time::Duration};
+use std::{collections::HashMap, io, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
@@ -113,6 +113,8 @@
     pub spec: Rc<inner::Batch>,
     /// Time of acceptance in Unix milliseconds.
     pub submitted_ms: u64,
+    /// Time of acceptance on this process's clock. It is taken once, so that all items of the batch are due at the same time.
+    submitted: Duration,
     /// Whether its trainer has ended it.
     pub ended: bool,
     /// Items by ID.
@@ -121,6 +123,8 @@
     pub results: Vec<Listed>,
     /// Complete texts whose reward calls are owed, by item. Those of an ended batch may serve a later batch.
     pub unscored: IndexMap<Rc<str>, Listed>,
+    /// Number of items that are not listed, by group.
+    missing: HashMap<Rc<str>, u32>,
 }
 
 impl Batch {
@@ -137,8 +141,15 @@
             };
             (id, item)
         });
+        let mut missing: HashMap<Rc<str>, u32> = HashMap::new();
+        for item in &batch.items {
+            *missing.entry(item.group.as_str().into()).or_default() += 1;
+        }
+        let age = Duration::from_millis(clock::unix_ms().saturating_sub(submitted_ms));
         Self {
+            submitted: clock::since_boot().saturating_sub(age),
             items: items.collect(),
+            missing,
             spec: Rc::new(inner::Batch { items: Vec::new(), ..batch.clone() }),
             submitted_ms,
             ended: false,
@@ -147,15 +158,18 @@
         }
     }
 
+    /// Number of results that a group lacks.
+    pub fn missing_in_group(&self, group: &str) -> u32 {
+        self.missing.get(group).copied().unwrap_or_default()
+    }
+
     /// When the batch is due and when its items are given up, on this process's clock.
     pub fn times(&self) -> Times {
-        let age = Duration::from_millis(clock::unix_ms().saturating_sub(self.submitted_ms));
-        let submitted = clock::since_boot().saturating_sub(age);
         let ms = |ms: u32| Duration::from_millis(ms.into());
         Times {
-            age,
-            due: submitted + ms(self.spec.completion_ms),
-            give_up_at: submitted + ms(self.spec.retention_ms) + GIVE_UP_SLACK,
+            age: clock::since_boot().saturating_sub(self.submitted),
+            due: self.submitted + ms(self.spec.completion_ms),
+            give_up_at: self.submitted + ms(self.spec.retention_ms) + GIVE_UP_SLACK,
         }
     }
 
@@ -173,6 +187,9 @@
         if !rules::accepts_result(item.listed, allowed, score_missing) {
             return false;
         }
+        if let Some(missing) = self.missing.get_mut(item.spec.group.as_str()) {
+            *missing = missing.saturating_sub(1);
+        }
         item.listed = true;
         item.progress = None;
         keep_only_id(item);
