Stop: what cannot be finished is answered, not cut

Callers with a longer timeout got no answer.

Change: 0.3 s before the deadline each request without a response is answered with 504, deadline_exceeded, on a connection that closes, and logged as answered_at_stop. A second signal still ends the process at once. Streams that have begun are cut as before.

--- a/orioleworks_daemon/src/http.rs
+++ b/orioleworks_daemon/src/http.rs
@@ -63,8 +63,9 @@
     TcpListener::bind(address).await
 }
 
-/// Accepts connections until the drain starts, then finishes the requests in progress. Returns when the last connection
-/// has closed, or on stop.
+/// Accepts connections until the drain starts, then finishes the requests in progress. A request that is not finished shortly
+/// before the deadline of the drain is answered as one that may have run. Returns when the last connection has closed, or on
+/// stop.
 pub async fn serve<F, H>(listener: TcpListener, limits: Limits, shutdown: Shutdown, handler: H)
 where
     F: Future<Output = Response> + 'static,
@@ -119,9 +120,22 @@
             return;
         }
     };
-    let service = service_fn(move |req| {
-        let response = handler(req);
-        async move { Ok::<_, Infallible>(response.await) }
+    let answer = shutdown.answer.clone();
+    let service = service_fn(move |req: Request| {
+        let (method, path) = (req.method().clone(), req.uri().path().to_owned());
+        let (response, answer) = (handler(req), answer.clone());
+        async move {
+            let mut response = std::pin::pin!(response.fuse());
+            let mut unfinished = std::pin::pin!(answer.cancelled().fuse());
+            let response = select! {
+                response = response => response,
+                () = unfinished => {
+                    event!(warn, "answered_at_stop", method = method, path = path);
+                    error(ResultCode::DeadlineExceeded, "the instance has stopped", 0)
+                }
+            };
+            Ok::<_, Infallible>(response)
+        }
     });
     let mut connection = std::pin::pin!(
         http1::Builder::new()
--- a/orioleworks_daemon/src/shutdown.rs
+++ b/orioleworks_daemon/src/shutdown.rs
@@ -1,4 +1,5 @@
-//! Shutdown in two stages: drain on the first signal, stop on the second signal or the deadline.
+//! Shutdown in stages: drain on the first signal, stop on the second signal or the deadline, and shortly before the deadline
+//! an answer to each request that is not finished.
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
@@ -12,17 +13,22 @@
 /// Signals that request a shutdown.
 const SIGNALS: [Signal; 2] = [Signal::SIGTERM, Signal::SIGINT];
 
-/// Tokens of the two stages; clones share them.
+/// Time before the deadline at which unfinished requests are answered, so that the answers are sent before the process exits.
+const ANSWER_TIME: Duration = Duration::from_millis(300);
+
+/// Tokens of the stages; clones share them.
 #[derive(Clone, Debug, Default)]
 pub struct Shutdown {
     /// Cancelled when the drain starts: the process finishes the work in progress, and `/ready` fails.
     pub drain: CancellationToken,
+    /// Cancelled shortly before the deadline: requests without a response get one that says so.
+    pub answer: CancellationToken,
     /// Cancelled when the process must exit at once.
     pub stop: CancellationToken,
 }
 
 impl Shutdown {
-    /// Starts a task that turns SIGTERM and SIGINT into the two stages.
+    /// Starts a task that turns SIGTERM and SIGINT into the stages.
     pub fn watch_signals(&self, deadline: Duration) {
         let shutdown = self.clone();
         runtime::spawn(async move {
@@ -35,7 +41,13 @@
             event!(info, "drain_started", deadline_ms = deadline.as_millis());
             shutdown.drain.cancel();
             let mut second = std::pin::pin!(next_signal().fuse());
-            let mut timer = std::pin::pin!(compio::time::sleep(deadline).fuse());
+            let answer = shutdown.answer.clone();
+            let timer = async move {
+                compio::time::sleep(deadline.saturating_sub(ANSWER_TIME)).await;
+                answer.cancel();
+                compio::time::sleep(deadline.min(ANSWER_TIME)).await;
+            };
+            let mut timer = std::pin::pin!(timer.fuse());
             select! {
                 () = second => event!(warn, "stopped_by_second_signal"),
                 () = timer => event!(warn, "stopped_by_deadline"),
--- a/orioleworks_daemon/tests/http.rs
+++ b/orioleworks_daemon/tests/http.rs
@@ -107,3 +107,25 @@
     );
     assert!(after.starts_with("HTTP/1.1 200"), "{after}");
 }
+
+/// Guards against a stop that closes connections on which a response is owed.
+#[test]
+fn an_unfinished_request_is_answered_before_the_stop() {
+    runtime::Runtime::new().unwrap().block_on(async {
+        let listener = http::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let shutdown = Shutdown::default();
+        let handler = |_: http::Request| std::future::pending::<http::Response>();
+        let serving = runtime::spawn(http::serve(listener, LIMITS, shutdown.clone(), handler));
+        let request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+        let exchange = move || exchange(&address, request, Duration::ZERO);
+        let response = runtime::spawn_blocking(exchange);
+        compio::time::sleep(Duration::from_millis(200)).await;
+        shutdown.drain.cancel();
+        shutdown.answer.cancel();
+        let (response, _) = response.await.unwrap();
+        assert!(response.starts_with("HTTP/1.1 504 "), "{response}");
+        assert!(response.to_lowercase().contains("connection: close"), "{response}");
+        serving.await.unwrap();
+    });
+}
--- a/orioleworks_entry/src/app.rs
+++ b/orioleworks_entry/src/app.rs
@@ -157,8 +157,7 @@
             inner = self.cfg.listen.inner
         );
         // Accepts connections during the grace period, because load balancers notice the failing `/ready` with a delay.
-        let serving =
-            Shutdown { drain: CancellationToken::new(), stop: self.shutdown.stop.clone() };
+        let serving = Shutdown { drain: CancellationToken::new(), ..self.shutdown.clone() };
         let (signalled, drain) = (self.shutdown.drain.clone(), serving.drain.clone());
         let grace = Duration::from_millis(self.cfg.limits.drain_grace_ms);
         let open_steps = self.open_steps.clone();
--- a/orioleworks_gateway/src/app.rs
+++ b/orioleworks_gateway/src/app.rs
@@ -106,5 +106,7 @@
     view.start_drain();
     compio::time::sleep(ACCEPT_TIME).await;
     callers.drain.cancel();
+    signals.answer.cancelled().await;
+    callers.answer.cancel();
     signals.stop.cancelled().await;
 }
--- a/orioleworks_gateway/tests/platform.rs
+++ b/orioleworks_gateway/tests/platform.rs
@@ -251,6 +251,37 @@
     assert_eq!(upstream.runs("late").len(), 1);
 }
 
+/// Guards against a stopped gateway that cuts off a request without an answer because its upstream takes longer than the stop.
+#[test]
+fn a_stopped_gateway_answers_what_it_cannot_finish() {
+    let mut d = Deployment::start(3, 1, &document(1, 20_000));
+    let upstream = Upstream::start("s-0", "sheets", None, d.control_addresses());
+    d.wait_until("the upstream is known", || {
+        d.send(0, "GET", "/lookup/a", "first", "").is_some_and(|a| a.status == 200)
+    });
+    upstream.behaviour.silent.store(true, std::sync::atomic::Ordering::Relaxed);
+    let address = d.gateway_address(0);
+    let unfinished = ["/lookup/a", "/confirm/a"].map(|path| {
+        let (address, id) = (address.clone(), format!("unfinished{}", path.replace('/', "-")));
+        thread::spawn(move || {
+            let headers = [("X-Attempt-Id", id.as_str()), ("X-Deadline-Ms", "20000")];
+            let method = if path == "/lookup/a" { "GET" } else { "POST" };
+            client::call(&address, method, path, &headers, "")
+        })
+    });
+    d.wait_until("the requests are sent", || upstream.total_runs() >= 3);
+    d.gateways[0].as_ref().unwrap().signal(Signal::SIGTERM);
+    for request in unfinished {
+        let response = request.join().unwrap().expect("an answer");
+        assert_eq!(response.status, 504, "{}", response.body);
+        assert!(response.body.contains(r#""not_run":false"#), "{}", response.body);
+        assert!(response.head.contains("connection: close"), "{}", response.head);
+    }
+    assert_eq!(d.gateways[0].as_mut().unwrap().wait(Duration::from_secs(8)), Some(0));
+    let log = d.gateways[0].as_ref().unwrap().log();
+    assert_eq!(log.matches("event=answered_at_stop").count(), 2, "{log}");
+}
+
 /// Guards against requests to an upstream that has announced that it is draining.
 #[test]
 fn a_leaving_upstream_gets_no_new_request() {
