--- a/orioleworks_store/src/rewards.rs
+++ b/orioleworks_store/src/rewards.rs
@@ -234,6 +234,11 @@
 
     /// Calls that may be due for another attempt, in the order in which they are sent.
     fn ready_calls(&self, work: &Work, now: Duration) -> Vec<ReadyCall> {
+        let may_need_attempt = || work.owed.iter().filter(|(_, owed)| owed.may_need_attempt(now));
+        // Most passes find no call, and need not count those under way.
+        if may_need_attempt().next().is_none() {
+            return Vec::new();
+        }
         let state = self.inner.shared.state.borrow();
         let mut under_way: HashMap<(&str, &str), u32> = HashMap::new();
         for owed in work.owed.values().filter(|owed| owed.settled || !owed.attempts.is_empty()) {
@@ -245,8 +250,7 @@
             missing.saturating_sub(under_way.get(&owed.group()).copied().unwrap_or_default())
         };
         let mut first_in_group: HashMap<(&str, &str), Rank> = HashMap::new();
-        let may_need_attempt = work.owed.iter().filter(|(_, owed)| owed.may_need_attempt(now));
-        let ready = may_need_attempt.map(|(rank, owed)| ReadyCall {
+        let ready = may_need_attempt().map(|(rank, owed)| ReadyCall {
             rank: *rank,
             missing_in_group: missing(owed),
             first_in_group: *first_in_group.entry(owed.group()).or_insert(*rank),
