--- a/orioleworks_daemon/src/http.rs
+++ b/orioleworks_daemon/src/http.rs
@@ -131,7 +131,7 @@
                 response = response => response,
                 () = unfinished => {
                     event!(warn, "answered_at_stop", method = method, path = path);
-                    error(ResultCode::DeadlineExceeded, "the instance has stopped", 0)
+                    error(ResultCode::DeadlineExceeded, "the instance stops", 0)
                 }
             };
             Ok::<_, Infallible>(response)
--- a/orioleworks_routing/src/rewards.rs
+++ b/orioleworks_routing/src/rewards.rs
@@ -2,8 +2,8 @@
 //!
 //! The items of a step end together, so their calls come in bursts: dozens to hundreds at once, each several times as long
 //! as a caller's request, at services that answer callers as well. The calls therefore leave a part of each upstream's slots
-//! to callers and wait here, where the step that is due first goes first, and of its groups
-//! the one that lacks the fewest results: a trainer waits for complete groups, and not for all of them. An upstream that hangs holds up a burst until its
+//! to callers and wait here, where the step that is due first goes first, and of its groups the one that lacks the fewest
+//! results: a trainer waits for complete groups, and not for all of them. An upstream that hangs holds up a burst until its
 //! calls are repeated elsewhere, long before they time out. See `docs/platform.md`, "Reward calls".
 
 use std::time::Duration;
