Results that come closely share log entries

Cause: a result or a score was proposed as soon as the commit before it was through. Items of a step and their reward calls end within some 100 ms, so that each cost all stores an entry, a sync and a round of replies of its own; a reward call cost 41 to 108 % of its item.

Change: commits of results begin at least 20 ms apart. A result after a pause is committed at once.

--- a/orioleworks_store/src/recorder.rs
+++ b/orioleworks_store/src/recorder.rs
@@ -4,7 +4,7 @@
     cell::{Cell, RefCell},
     collections::VecDeque,
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use futures_util::future;
@@ -17,6 +17,9 @@
 
 /// Longest wait for records; new ones end it at once.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Least time between commits. The items of a step end together and their reward calls too; without it each result costs all
+/// stores an entry of its own. A result after a pause is committed at once.
+const COMMIT_INTERVAL: Duration = Duration::from_millis(20);
 
 struct Inner {
     log: Log,
@@ -67,13 +70,16 @@
 
     /// Commits records as they arrive; those that arrive during a commit are part of the next one.
     pub async fn run(self, token: CancellationToken) {
+        let mut next_commit = Instant::now();
         while !token.is_cancelled() {
             let seen = self.inner.pending.version();
-            let records = std::mem::take(&mut *self.inner.records.borrow_mut());
-            if records.is_empty() {
+            if self.inner.records.borrow().is_empty() {
                 self.inner.pending.changed_within(seen, CHECK_INTERVAL).await;
                 continue;
             }
+            compio::time::sleep_until(next_commit).await;
+            next_commit = Instant::now() + COMMIT_INTERVAL;
+            let records = std::mem::take(&mut *self.inner.records.borrow_mut());
             let term = self.term();
             future::join_all(records.into_values().map(|record| self.record(record, term))).await;
         }
