--- a/orioleworks_gateway/tests/platform.rs
+++ b/orioleworks_gateway/tests/platform.rs
@@ -109,6 +109,47 @@
     }
 }
 
+/// Guards against an answer of another caller: an upstream sends answers a second time, on connections that are in use again.
+#[test]
+fn a_late_copy_of_an_answer_reaches_no_other_caller() {
+    const CALLERS: usize = 4;
+    const CALLS: usize = 30;
+    const COPIES: u64 = 10;
+    let d = Deployment::start(3, 2, &document(1, 2000));
+    let upstreams =
+        ["s-0", "s-1"].map(|id| Upstream::start(id, "sheets", None, d.control_addresses()));
+    d.wait_until("the upstreams are known", || {
+        (0..8).for_each(|n| drop(d.send(n % 2, "GET", "/lookup/a", &format!("warm-{n}"), "")));
+        upstreams.iter().all(|up| up.total_runs() > 0)
+    });
+    for up in &upstreams {
+        up.behaviour.late_copies.store(COPIES, std::sync::atomic::Ordering::Relaxed);
+    }
+    let callers = (0..CALLERS).map(|caller| {
+        let address = d.gateway_address(caller % 2);
+        thread::spawn(move || {
+            let call = |n: usize| {
+                let id = format!("call-{caller}-{n}");
+                let headers = [("X-Attempt-Id", id.as_str()), ("X-Deadline-Ms", "2000")];
+                let response = client::call(&address, "GET", "/lookup/a", &headers, "");
+                let response = response.expect("a response");
+                if response.status == 200 {
+                    assert_eq!(response.body, format!("answer to {id}"));
+                }
+                usize::from(response.status == 200)
+            };
+            (0..CALLS).map(call).sum::<usize>()
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    let served: usize = callers.into_iter().map(|caller| caller.join().unwrap()).sum();
+    let left = upstreams
+        .each_ref()
+        .map(|up| up.behaviour.late_copies.load(std::sync::atomic::Ordering::Relaxed));
+    assert!(left.iter().sum::<u64>() < 2 * COPIES, "no copy was sent: {left:?}");
+    assert!(served + 2 * COPIES as usize >= CALLERS * CALLS, "{served} are served\n{}", d.logs());
+}
+
 /// Guards against a request that runs twice, and against reporting "not run" for one that may have run.
 #[test]
 fn a_request_that_may_run_once_is_not_repeated_after_a_failure() {
--- a/orioleworks_gateway/tests/rewards.rs
+++ b/orioleworks_gateway/tests/rewards.rs
@@ -233,6 +233,22 @@
     }
 }
 
+/// Guards against the score of another item: a service sends answers a second time, on connections that are in use again.
+#[test]
+fn a_late_copy_of_an_answer_scores_no_other_item() {
+    const COPIES: u64 = 10;
+    let d = Deployment::start(3, 1, &document(|_| ()));
+    let fleet = start_fleet(&d, 2);
+    for up in &fleet.scorers {
+        up.behaviour.late_copies.store(COPIES, Ordering::Relaxed);
+    }
+    let items = item_ids(60);
+    submit(&d, "b", &items);
+    check_completed(&d, "b", &items);
+    let left = |up: &Upstream| up.behaviour.late_copies.load(Ordering::Relaxed);
+    assert!(fleet.scorers.iter().map(left).sum::<u64>() < 2 * COPIES, "no copy was sent");
+}
+
 /// Guards against a burst that waits for the timeout of upstreams that do not respond.
 #[test]
 fn a_silent_upstream_does_not_hold_up_a_burst() {
--- a/orioleworks_gateway/tests/support/upstream.rs
+++ b/orioleworks_gateway/tests/support/upstream.rs
@@ -4,7 +4,7 @@
     collections::{BTreeSet, HashMap},
     hash::{DefaultHasher, Hash, Hasher},
     io::{BufRead, BufReader, Read, Write},
-    net::{Shutdown, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -73,6 +73,8 @@
     pub fail_path: Mutex<String>,
     /// Breaks off this many of the next responses of a plain service halfway.
     pub breaks_responses: AtomicU64,
+    /// Sends this many responses of a plain service once more, when the next request arrives on the connection.
+    pub late_copies: AtomicU64,
 }
 
 #[derive(Default)]
@@ -90,6 +92,8 @@
     starts: HashMap<String, Vec<Instant>>,
     /// Time of the last event of each complete stream by request ID.
     completions: HashMap<String, Instant>,
+    /// Request ID of the last response of a plain service by the peer of the connection.
+    answered: HashMap<SocketAddr, String>,
 }
 
 /// What ends with a crash of the replica, and what tells its starts apart.
@@ -454,10 +458,26 @@
                 out.write_all(half.as_bytes())?;
                 Err(std::io::Error::other("injected end of the response"))
             }
-            None => self.respond(out, "200 OK", stamp, &format!("answer to {id}")),
+            None => {
+                let peer = out.peer_addr()?;
+                let earlier = self.state.lock().unwrap().answered.insert(peer, id.clone());
+                let copies = &self.behaviour.late_copies;
+                let is_due =
+                    || copies.fetch_update(Ordering::Relaxed, Ordering::Relaxed, decrement).is_ok();
+                if let Some(earlier) = earlier.filter(|_| is_due()) {
+                    self.answer(out, &earlier)?;
+                }
+                self.answer(out, &id)
+            }
         }
     }
 
+    /// Answers a request to a plain service.
+    fn answer(&self, out: &mut TcpStream, id: &str) -> std::io::Result<()> {
+        let stamp = [("X-Attempt-Id", id), ("X-Server-Stamp", &signature(id))];
+        self.respond(out, "200 OK", &stamp, &format!("answer to {id}"))
+    }
+
     fn respond(
         &self,
         out: &mut TcpStream,
