Stop: a second signal ends a gateway again while requests are in progress

A second signal skips the answer stage, so that the gateway stayed until its requests were done.

Change: the server of the callers shares the token of the answer stage, as that of an entry does, and the gateway waits for the stop only, as before. The tests of a stop share their set-up.

Result: a_second_signal_ends_a_gateway_with_a_request_in_progress failed before (still running after 4.5 s) and passes.

--- a/orioleworks_gateway/src/app.rs
+++ b/orioleworks_gateway/src/app.rs
@@ -90,7 +90,7 @@
     runtime::spawn(http::serve(readiness_listener, limits, readiness_shutdown, readiness)).detach();
     let callers_view = view.clone();
     let handler = move |req| callers::handle(callers_view.clone(), req);
-    let callers_shutdown = Shutdown::default();
+    let callers_shutdown = Shutdown { answer: signals.answer.clone(), ..Shutdown::default() };
     let serving = http::serve(callers_listener, limits, callers_shutdown.clone(), handler);
     let mut serving = std::pin::pin!(serving.fuse());
     let mut draining = std::pin::pin!(drain(&view, &signals, &callers_shutdown).fuse());
@@ -106,7 +106,5 @@
     view.start_drain();
     compio::time::sleep(ACCEPT_TIME).await;
     callers.drain.cancel();
-    signals.answer.cancelled().await;
-    callers.answer.cancel();
     signals.stop.cancelled().await;
 }
--- a/orioleworks_gateway/tests/platform.rs
+++ b/orioleworks_gateway/tests/platform.rs
@@ -273,14 +273,20 @@
     assert_eq!(read_all(&d, "b1", items.len()), results);
 }
 
-/// Guards against a stopped gateway that aborts requests or stays ready for callers.
-#[test]
-fn a_stopped_gateway_finishes_its_requests_and_exits() {
-    let mut d = Deployment::start(3, 1, &document(1, 2000));
+/// A deployment with one gateway and one plain service, which has answered request `first`.
+fn start_with_service(timeout_ms: u64) -> (Deployment, Upstream) {
+    let d = Deployment::start(3, 1, &document(1, timeout_ms));
     let upstream = Upstream::start("s-0", "sheets", None, d.control_addresses());
     d.wait_until("the upstream is known", || {
         d.send(0, "GET", "/lookup/a", "first", "").is_some_and(|a| a.status == 200)
     });
+    (d, upstream)
+}
+
+/// Guards against a stopped gateway that aborts requests or stays ready for callers.
+#[test]
+fn a_stopped_gateway_finishes_its_requests_and_exits() {
+    let (mut d, upstream) = start_with_service(2000);
     d.gateways[0].as_ref().unwrap().signal(Signal::SIGTERM);
     thread::sleep(Duration::from_millis(300));
     assert!(!d.is_ready(0), "a stopped gateway must not count as ready");
@@ -295,11 +301,7 @@
 /// Guards against a stopped gateway that cuts off a request without an answer because its upstream takes longer than the stop.
 #[test]
 fn a_stopped_gateway_answers_what_it_cannot_finish() {
-    let mut d = Deployment::start(3, 1, &document(1, 20_000));
-    let upstream = Upstream::start("s-0", "sheets", None, d.control_addresses());
-    d.wait_until("the upstream is known", || {
-        d.send(0, "GET", "/lookup/a", "first", "").is_some_and(|a| a.status == 200)
-    });
+    let (mut d, upstream) = start_with_service(20_000);
     upstream.behaviour.silent.store(true, std::sync::atomic::Ordering::Relaxed);
     let address = d.gateway_address(0);
     let unfinished = ["/lookup/a", "/confirm/a"].map(|path| {
@@ -323,6 +325,27 @@
     assert_eq!(log.matches("event=answered_at_stop").count(), 2, "{log}");
 }
 
+/// Guards against a second stop signal that waits for requests in progress instead of ending the process.
+#[test]
+fn a_second_signal_ends_a_gateway_with_a_request_in_progress() {
+    /// Time for which new connections are accepted after the first signal, and some for the exit.
+    const EXIT_TIME: Duration = Duration::from_millis(4500);
+    let (mut d, upstream) = start_with_service(20_000);
+    upstream.behaviour.silent.store(true, std::sync::atomic::Ordering::Relaxed);
+    let address = d.gateway_address(0);
+    let unfinished = thread::spawn(move || {
+        let headers = [("X-Attempt-Id", "unfinished"), ("X-Deadline-Ms", "20000")];
+        client::call(&address, "GET", "/lookup/a", &headers, "")
+    });
+    d.wait_until("the request is sent", || !upstream.runs("unfinished").is_empty());
+    for _ in 0..2 {
+        d.gateways[0].as_ref().unwrap().signal(Signal::SIGTERM);
+        thread::sleep(Duration::from_millis(200));
+    }
+    assert_eq!(d.gateways[0].as_mut().unwrap().wait(EXIT_TIME), Some(0));
+    drop(unfinished.join().unwrap());
+}
+
 /// Guards against requests to an upstream that has announced that it is draining.
 #[test]
 fn a_leaving_upstream_gets_no_new_request() {
