Stop: an answer at the end of a stop closes its connection by itself

Cause: the answer relied on the drain having reached the connection before.

Change: the answer carries Connection: close. The test is unchanged.

--- a/orioleworks_daemon/src/http.rs
+++ b/orioleworks_daemon/src/http.rs
@@ -131,7 +131,11 @@
                 response = response => response,
                 () = unfinished => {
                     event!(warn, "answered_at_stop", method = method, path = path);
-                    error(ResultCode::DeadlineExceeded, "the instance stops", 0)
+                    let mut response = error(ResultCode::DeadlineExceeded, "the instance stops", 0);
+                    // The drain may not have reached this connection: an entry drains once its steps are closed.
+                    let close = http::HeaderValue::from_static("close");
+                    response.headers_mut().insert(http::header::CONNECTION, close);
+                    response
                 }
             };
             Ok::<_, Infallible>(response)
