--- a/orioleworks_daemon/src/http.rs
+++ b/orioleworks_daemon/src/http.rs
@@ -122,7 +122,7 @@
     };
     let answer = shutdown.answer.clone();
     let service = service_fn(move |req: Request| {
-        let (method, path) = (req.method().clone(), req.uri().path().to_owned());
+        let (method, uri) = (req.method().clone(), req.uri().clone());
         let (response, answer) = (handler(req), answer.clone());
         async move {
             let mut response = std::pin::pin!(response.fuse());
@@ -130,7 +130,7 @@
             let response = select! {
                 response = response => response,
                 () = unfinished => {
-                    event!(warn, "answered_at_stop", method = method, path = path);
+                    event!(warn, "answered_at_stop", method = method, path = uri.path());
                     let mut response = error(ResultCode::DeadlineExceeded, "the instance stops", 0);
                     // The drain may not have reached this connection: an entry drains once its steps are closed.
                     let close = http::HeaderValue::from_static("close");
--- a/orioleworks_gateway/tests/rewards.rs
+++ b/orioleworks_gateway/tests/rewards.rs
@@ -65,9 +65,12 @@
 }
 
 fn submit(d: &Deployment, id: &str, items: &[String]) {
-    let body = routes::scored_submission(items).to_string();
+    submit_body(d, id, &routes::scored_submission(items).to_string());
+}
+
+fn submit_body(d: &Deployment, id: &str, body: &str) {
     d.wait_until("the batch is accepted", || {
-        d.send(0, "POST", &format!("/batch/{id}"), id, &body).is_some_and(|a| a.status == 202)
+        d.send(0, "POST", &format!("/batch/{id}"), id, body).is_some_and(|a| a.status == 202)
     });
 }
 
@@ -210,9 +213,7 @@
     for (at, item) in submission["items"].as_array_mut().unwrap().iter_mut().enumerate() {
         item["group"] = format!("group-{}", at % GROUPS).into();
     }
-    d.wait_until("the batch is accepted", || {
-        d.send(0, "POST", "/batch/b", "b", &submission.to_string()).is_some_and(|a| a.status == 202)
-    });
+    submit_body(&d, "b", &submission.to_string());
     let completed = |item: &String| fleet.engines.iter().any(|up| up.completion(item).is_some());
     d.wait_until("all texts are complete", || items.iter().all(completed));
     thread::sleep(END_TIME);
--- a/orioleworks_store/src/recorder.rs
+++ b/orioleworks_store/src/recorder.rs
@@ -68,7 +68,7 @@
         self.inner.pending.notify();
     }
 
-    /// Commits records as they arrive; those that arrive during a commit are part of the next one.
+    /// Commits records as they arrive; those that arrive during a commit, or soon after its start, are part of the next one.
     pub async fn run(self, token: CancellationToken) {
         let mut next_commit = Instant::now();
         while !token.is_cancelled() {
--- a/orioleworks_store/src/rewards.rs
+++ b/orioleworks_store/src/rewards.rs
@@ -234,9 +234,10 @@
 
     /// Calls that may be due for another attempt, in the order in which they are sent.
     fn ready_calls(&self, work: &Work, now: Duration) -> Vec<ReadyCall> {
-        let may_need_attempt = || work.owed.iter().filter(|(_, owed)| owed.may_need_attempt(now));
+        let may_need_attempt = work.owed.iter().filter(|(_, owed)| owed.may_need_attempt(now));
+        let ready: Vec<(&Rank, &Owed)> = may_need_attempt.collect();
         // Most passes find no call, and need not count those under way.
-        if may_need_attempt().next().is_none() {
+        if ready.is_empty() {
             return Vec::new();
         }
         let state = self.inner.shared.state.borrow();
@@ -250,7 +251,7 @@
             missing.saturating_sub(under_way.get(&owed.group()).copied().unwrap_or_default())
         };
         let mut first_in_group: HashMap<(&str, &str), Rank> = HashMap::new();
-        let ready = may_need_attempt().map(|(rank, owed)| ReadyCall {
+        let ready = ready.into_iter().map(|(rank, owed)| ReadyCall {
             rank: *rank,
             missing_in_group: missing(owed),
             first_in_group: *first_in_group.entry(owed.group()).or_insert(*rank),
