--- a/review/case.sh
+++ b/review/case.sh
@@ -8,7 +8,7 @@
   [ -x "$needed" ] || { echo "missing: $needed"; exit 2; }
 done
 tmp=$(mktemp -d) || exit 2
-trap 'rm -rf "$tmp"' EXIT
+[ -n "${KEEP:-}" ] || trap 'rm -rf "$tmp"' EXIT; [ -z "${KEEP:-}" ] || echo "$tmp"
 REVIEW_ROOT="$root" REVIEW_TMP="$tmp" REVIEW_RECORD="$root/review/$1/record.txt" "$program" "$1"
 code=$?
 case "$code" in 0 | 1) exit "$code" ;; *) exit 2 ;; esac
--- a/review/harness/src/cluster.rs
+++ b/review/harness/src/cluster.rs
@@ -5,14 +5,18 @@
 
 use std::{
     fs::{self, File},
-    net::{Ipv4Addr, TcpListener},
+    net::{Ipv4Addr, SocketAddrV4, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     thread,
     time::{Duration, Instant},
 };
 
-use crate::{http, util};
+use crate::{
+    http,
+    partition::{Owner, Partition},
+    util,
+};
 
 /// What a case cannot run without.
 pub type Setup<T> = Result<T, String>;
@@ -24,6 +28,8 @@
     ip: Ipv4Addr,
     data: Option<&'a Path>,
     bootstrap: bool,
+    /// Address at which a store listens behind its proxy.
+    bound: Option<Ipv4Addr>,
 }
 
 struct Ports {
@@ -78,11 +84,23 @@
     block: (u8, u8),
     pub stores: Vec<Option<Process>>,
     pub gateways: Vec<Option<Process>>,
+    /// Proxies in front of the stores, if there are any.
+    partition: Option<Partition>,
 }
 
 impl Cluster {
     /// Starts stores and gateways, stores a route document and waits until all gateways are ready.
     pub fn start(stores: usize, gateways: usize, document: &str) -> Setup<Self> {
+        Self::start_behind(stores, gateways, document, None)
+    }
+
+    /// As [`Self::start`]; the stores' inner addresses are those of proxies.
+    pub fn start_behind(
+        stores: usize,
+        gateways: usize,
+        document: &str,
+        partition: Option<Partition>,
+    ) -> Setup<Self> {
         let root = std::env::var("REVIEW_ROOT").map_err(|_| "REVIEW_ROOT is not set")?;
         let dir = std::env::var("REVIEW_TMP").map_err(|_| "REVIEW_TMP is not set")?;
         let random = util::random();
@@ -100,7 +118,17 @@
             block,
             stores: (0..stores).map(|_| None).collect(),
             gateways: (0..gateways).map(|_| None).collect(),
+            partition,
         };
+        if let Some(partition) = &cluster.partition {
+            for i in 0..stores {
+                let inner = cluster.ports.inner;
+                let (advertised, bound) = (cluster.store_ip(i), cluster.bound_ip(i));
+                let advertised = SocketAddrV4::new(advertised, inner);
+                let started = partition.start_proxy(i, advertised, SocketAddrV4::new(bound, inner));
+                started.map_err(|e| e.to_string())?;
+            }
+        }
         for i in 0..stores {
             cluster.start_store(i, true)?;
         }
@@ -120,6 +148,10 @@
         Ipv4Addr::new(127, self.block.0, self.block.1, 10 + i as u8)
     }
 
+    fn bound_ip(&self, i: usize) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.block.0, self.block.1, 40 + i as u8)
+    }
+
     fn gateway_ip(&self, i: usize) -> Ipv4Addr {
         Ipv4Addr::new(127, self.block.0, self.block.1, 100 + i as u8)
     }
@@ -159,8 +191,13 @@
         let data = self.dir.join(format!("{name}.data"));
         fs::create_dir_all(&data).map_err(|e| e.to_string())?;
         let ip = self.store_ip(i);
-        let node = Node { name: &name, zone, ip, data: Some(&data), bootstrap };
-        self.stores[i] = Some(self.spawn("orioleworks-store", "deploy/store.json", &node)?);
+        let bound = self.partition.as_ref().map(|_| self.bound_ip(i));
+        let node = Node { name: &name, zone, ip, data: Some(&data), bootstrap, bound };
+        let process = self.spawn("orioleworks-store", "deploy/store.json", &node)?;
+        if let Some(partition) = &self.partition {
+            partition.register(Owner::Store(i), process.child.id());
+        }
+        self.stores[i] = Some(process);
         Ok(())
     }
 
@@ -168,8 +205,12 @@
     pub fn start_gateway(&mut self, i: usize) -> Setup<()> {
         let (name, zone) = (format!("frontend-{i}"), zone(i));
         let ip = self.gateway_ip(i);
-        let node = Node { name: &name, zone, ip, data: None, bootstrap: false };
-        self.gateways[i] = Some(self.spawn("orioleworks-gateway", "deploy/gateway.json", &node)?);
+        let node = Node { name: &name, zone, ip, data: None, bootstrap: false, bound: None };
+        let process = self.spawn("orioleworks-gateway", "deploy/gateway.json", &node)?;
+        if let Some(partition) = &self.partition {
+            partition.register(Owner::Gateway(i), process.child.id());
+        }
+        self.gateways[i] = Some(process);
         Ok(())
     }
 
@@ -231,6 +272,11 @@
         for (name, value) in values {
             settings = settings.replace(&format!("{{{{{name}}}}}"), &value);
         }
+        if let Some(bound) = node.bound {
+            // The store listens behind its proxy; it tells the others its own address all the same.
+            let listen = format!("\"listen\": {{ \"inner_bind\": \"{bound}:{}\",", self.ports.inner);
+            settings = settings.replacen("\"listen\": {", &listen, 1);
+        }
         match settings.find("{{") {
             Some(at) => Err(format!("unknown placeholder: {}", &settings[at..].chars().take(40).collect::<String>())),
             None => Ok(settings),
@@ -252,7 +298,7 @@
                 TcpListener::bind((ip, port)).is_ok()
             })
         };
-        if free(10) && free(100) {
+        if free(10) && free(40) && free(100) {
             return Ok(port);
         }
     }
--- a/review/harness/src/http.rs
+++ b/review/harness/src/http.rs
@@ -71,6 +71,29 @@
 
     /// Reads one message; `None` if the connection was closed before it.
     pub fn read(&mut self) -> io::Result<Option<Message>> {
+        let Some(mut message) = self.head()? else { return Ok(None) };
+        if is_chunked(&message) {
+            let mut body = Vec::new();
+            self.chunks(|chunk| body.extend_from_slice(chunk))?;
+            message.body = body;
+        } else if let Some(length) = message.header("content-length") {
+            let length = length.parse().map_err(io::Error::other)?;
+            message.body.resize(length, 0);
+            self.reader.read_exact(&mut message.body)?;
+        }
+        Ok(Some(message))
+    }
+
+    /// Passes on the body of an answer as it arrives, and returns its status once it is complete.
+    pub fn read_stream(&mut self, each: impl FnMut(&[u8])) -> io::Result<u16> {
+        let message = self.head()?.ok_or(io::ErrorKind::UnexpectedEof)?;
+        if is_chunked(&message) {
+            self.chunks(each)?;
+        }
+        Ok(message.status)
+    }
+
+    fn head(&mut self) -> io::Result<Option<Message>> {
         let mut message = Message::default();
         if self.line(&mut message.start)? == 0 {
             return Ok(None);
@@ -88,24 +111,23 @@
             let (name, value) = line.split_once(':').ok_or(io::ErrorKind::InvalidData)?;
             message.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
         }
-        if message.header("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked")) {
-            loop {
-                let mut line = String::new();
-                self.line(&mut line)?;
-                let size = usize::from_str_radix(line.trim(), 16).map_err(io::Error::other)?;
-                let mut chunk = vec![0; size + 2];
-                self.reader.read_exact(&mut chunk)?;
-                if size == 0 {
-                    break;
-                }
-                message.body.extend_from_slice(&chunk[..size]);
+        Ok(Some(message))
+    }
+
+    fn chunks(&mut self, mut each: impl FnMut(&[u8])) -> io::Result<()> {
+        loop {
+            let mut line = String::new();
+            if self.line(&mut line)? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
             }
-        } else if let Some(length) = message.header("content-length") {
-            let length = length.parse().map_err(io::Error::other)?;
-            message.body.resize(length, 0);
-            self.reader.read_exact(&mut message.body)?;
+            let size = usize::from_str_radix(line.trim(), 16).map_err(io::Error::other)?;
+            let mut chunk = vec![0; size + 2];
+            self.reader.read_exact(&mut chunk)?;
+            if size == 0 {
+                return Ok(());
+            }
+            each(&chunk[..size]);
         }
-        Ok(Some(message))
     }
 
     /// Reads a line without its end, and returns its length with the end.
@@ -118,6 +140,10 @@
     }
 }
 
+fn is_chunked(message: &Message) -> bool {
+    message.header("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked"))
+}
+
 /// Bytes of a request.
 pub fn request(
     host: &str,
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -3,13 +3,17 @@
 mod cluster;
 mod copies;
 mod http;
+mod partition;
 mod replica;
+mod speaker;
 mod util;
+mod versions;
 
 fn main() {
     let case = std::env::args().nth(1).unwrap_or_default();
     let result = match case.as_str() {
         "1" => copies::run(),
+        "2" => versions::run(),
         _ => Err(format!("there is no script for case {case}")),
     };
     let code = match result {
--- a/review/harness/src/util.rs
+++ b/review/harness/src/util.rs
@@ -62,3 +62,8 @@
 pub fn trouble() -> bool {
     std::env::var("TROUBLE").as_deref() != Ok("0")
 }
+
+/// Whether one of several disruptions takes place; `TROUBLE=NAME` leaves only that one.
+pub fn trouble_of(name: &str) -> bool {
+    trouble() && std::env::var("TROUBLE").map_or(true, |only| only == "1" || only.is_empty() || only == name)
+}
