--- a/review/harness/src/cluster.rs
+++ b/review/harness/src/cluster.rs
@@ -42,18 +42,12 @@
 /// One process of the system.
 pub struct Process {
     child: Child,
-    /// File with its standard output and standard error.
-    pub output: PathBuf,
 }
 
 impl Process {
-    /// Sends a signal to the process.
-    pub fn signal(&self, signal: &str) -> Setup<()> {
-        let status = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
-        match status {
-            Ok(status) if status.success() => Ok(()),
-            other => Err(format!("kill {signal}: {other:?}")),
-        }
+    /// Process ID.
+    pub fn id(&self) -> u32 {
+        self.child.id()
     }
 
     /// Kills the process and waits for its end.
@@ -203,9 +197,8 @@
 
     /// Starts a gateway.
     pub fn start_gateway(&mut self, i: usize) -> Setup<()> {
-        let (name, zone) = (format!("frontend-{i}"), zone(i));
-        let ip = self.gateway_ip(i);
-        let node = Node { name: &name, zone, ip, data: None, bootstrap: false, bound: None };
+        let name = format!("frontend-{i}");
+        let node = self.gateway_node(&name, i);
         let process = self.spawn("orioleworks-gateway", "deploy/gateway.json", &node)?;
         if let Some(partition) = &self.partition {
             partition.register(Owner::Gateway(i), process.child.id());
@@ -214,20 +207,26 @@
         Ok(())
     }
 
-    /// Index of the store that was elected last, by the logs of the processes.
-    pub fn leader(&self) -> Option<usize> {
-        let newest = |i: usize| {
-            let log = fs::read_to_string(&self.stores[i].as_ref()?.output).ok()?;
-            let elected = log.lines().filter(|line| line.contains("event=leader_elected"));
-            let term = |line: &str| util::field(line, "term=")?.parse::<u64>().ok();
-            elected.filter_map(term).max().map(|term| (term, i))
-        };
-        (0..self.stores.len()).filter_map(newest).max().map(|(_, i)| i)
+    fn gateway_node<'a>(&self, name: &'a str, i: usize) -> Node<'a> {
+        let (zone, ip) = (zone(i), self.gateway_ip(i));
+        Node { name, zone, ip, data: None, bootstrap: false, bound: None }
+    }
+
+    /// Settings of a gateway with these seeds.
+    pub fn gateway_settings(&self, i: usize, seeds: &[String]) -> Setup<String> {
+        let template = self.root.join("deploy/gateway.json");
+        let template = fs::read_to_string(template).map_err(|e| e.to_string())?;
+        self.fill_in(&template, &self.gateway_node(&format!("frontend-{i}"), i), seeds)
+    }
+
+    /// File that holds the settings of a gateway.
+    pub fn gateway_settings_file(&self, i: usize) -> PathBuf {
+        self.dir.join(format!("frontend-{i}.json"))
     }
 
     fn spawn(&self, program: &str, template: &str, node: &Node<'_>) -> Setup<Process> {
         let template = fs::read_to_string(self.root.join(template)).map_err(|e| e.to_string())?;
-        let settings = self.fill_in(&template, node)?;
+        let settings = self.fill_in(&template, node, &self.controls())?;
         let file = self.dir.join(format!("{}.json", node.name));
         fs::write(&file, settings).map_err(|e| e.to_string())?;
         let output = self.dir.join(format!("{}.log", node.name));
@@ -243,14 +242,14 @@
             .stderr(log)
             .spawn()
             .map_err(|e| format!("{program}: {e}"))?;
-        Ok(Process { child, output })
+        Ok(Process { child })
     }
 
     /// Fills in a template as the platform does.
-    fn fill_in(&self, template: &str, node: &Node<'_>) -> Setup<String> {
+    fn fill_in(&self, template: &str, node: &Node<'_>, seeds: &[String]) -> Setup<String> {
         let text = |value: &dyn std::fmt::Display| format!("\"{value}\"");
         let address = |port: u16| format!("\"{}:{port}\"", node.ip);
-        let seeds: Vec<String> = self.controls().iter().take(3).map(|s| text(s)).collect();
+        let seeds: Vec<String> = seeds.iter().take(3).map(|s| text(s)).collect();
         let data = node.data.map_or("null".to_owned(), |data| text(&data.display()));
         let values = [
             ("node_name|json", text(&node.name)),
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -2,7 +2,10 @@
 
 mod cluster;
 mod copies;
+mod hangup;
 mod http;
+mod large;
+mod lookups;
 mod partition;
 mod replica;
 mod speaker;
@@ -14,6 +17,8 @@
     let result = match case.as_str() {
         "1" => copies::run(),
         "2" => versions::run(),
+        "3" => large::run(),
+        "4" => hangup::run(),
         _ => Err(format!("there is no script for case {case}")),
     };
     let code = match result {
--- a/review/harness/src/util.rs
+++ b/review/harness/src/util.rs
@@ -52,12 +52,6 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
 
-/// Word after a key in a log line.
-pub fn field<'a>(line: &'a str, key: &str) -> Option<&'a str> {
-    let at = line.find(key)? + key.len();
-    line[at..].split_whitespace().next()
-}
-
 /// Whether the disruption takes place.
 pub fn trouble() -> bool {
     std::env::var("TROUBLE").as_deref() != Ok("0")
