--- a/review/harness/src/cluster.rs
+++ b/review/harness/src/cluster.rs
@@ -130,7 +130,8 @@
             cluster.start_gateway(i)?;
         }
         wait_until("a store accepts the route document", || {
-            (0..stores).any(|i| cluster.control_call(i, "/v1/Configuration.Replace", document) == 200)
+            (0..stores)
+                .any(|i| cluster.control_call(i, "/v1/Configuration.Replace", document) == 200)
         })?;
         for i in 0..gateways {
             wait_until("a gateway is ready", || cluster.is_ready(i))?;
@@ -273,11 +274,15 @@
         }
         if let Some(bound) = node.bound {
             // The store listens behind its proxy; it tells the others its own address all the same.
-            let listen = format!("\"listen\": {{ \"inner_bind\": \"{bound}:{}\",", self.ports.inner);
+            let listen =
+                format!("\"listen\": {{ \"inner_bind\": \"{bound}:{}\",", self.ports.inner);
             settings = settings.replacen("\"listen\": {", &listen, 1);
         }
         match settings.find("{{") {
-            Some(at) => Err(format!("unknown placeholder: {}", &settings[at..].chars().take(40).collect::<String>())),
+            Some(at) => Err(format!(
+                "unknown placeholder: {}",
+                &settings[at..].chars().take(40).collect::<String>()
+            )),
             None => Ok(settings),
         }
     }
--- a/review/harness/src/copies.rs
+++ b/review/harness/src/copies.rs
@@ -47,16 +47,25 @@
     let mut replicas = Vec::new();
     for i in 0..REPLICAS {
         let id = format!("i-portal-{i}");
-        let started =
-            Replica::start(&id, "portal", terms.clone(), COPY_EVERY, cluster.controls(), record.clone());
+        let started = Replica::start(
+            &id,
+            "portal",
+            terms.clone(),
+            COPY_EVERY,
+            cluster.controls(),
+            record.clone(),
+        );
         replicas.push(started.map_err(|e| e.to_string())?);
     }
     for i in 0..GATEWAYS {
         let address = cluster.frontend(i);
         wait_until("a request is answered", || {
             let id = format!("{:016x}", util::random());
-            let headers =
-                [("Host", "portal.example"), ("X-Attempt-Id", id.as_str()), ("X-Deadline-Ms", "2000")];
+            let headers = [
+                ("Host", "portal.example"),
+                ("X-Attempt-Id", id.as_str()),
+                ("X-Deadline-Ms", "2000"),
+            ];
             let answer = http::call(&address, "POST", "/book/warm", &headers, b"warm", DEADLINE);
             answer.is_ok_and(|a| a.status == 200)
         })?;
@@ -73,7 +82,8 @@
     thread::sleep(Duration::from_secs(2));
     for _ in 0..WINDOWS {
         if util::trouble() {
-            record.say("replica i-portal-0 begins to send copies of 2.94 % of its answers, for 5 s");
+            record
+                .say("replica i-portal-0 begins to send copies of 2.94 % of its answers, for 5 s");
             replicas[..AFFECTED].iter().for_each(|r| r.copies.store(true, Ordering::Relaxed));
         }
         thread::sleep(WINDOW);
@@ -110,13 +120,21 @@
         let of = |n: &AtomicU64| n.load(Ordering::Relaxed);
         record.say(format!(
             "{}: {} answers during the disruption, {} copies sent, {} refusals chosen for a copy",
-            r.id, of(&r.answers_in_window), of(&r.copies_sent), of(&r.refusals_copied)
+            r.id,
+            of(&r.answers_in_window),
+            of(&r.copies_sent),
+            of(&r.refusals_copied)
         ));
     }
     let count = |status: u16| answers.values().filter(|s| **s == status).count();
     record.say(format!(
         "{} requests sent: {} answered 200, {} 503, {} 502, {} 504, {} without an answer",
-        sent.load(Ordering::Relaxed), count(200), count(503), count(502), count(504), count(0)
+        sent.load(Ordering::Relaxed),
+        count(200),
+        count(503),
+        count(502),
+        count(504),
+        count(0)
     ));
     record.say(format!("TWICE broken by {twice} requests, REFUSED by {refused}"));
     if count(200) < 500 {
@@ -127,14 +145,25 @@
 
 /// Sends one request after another on a kept connection. After a promise that a request has not run it waits as long as
 /// it is told and sends a new attempt with an ID of its own.
-fn requester(address: &str, answers: &Answers, stop: &AtomicBool, sent: &AtomicU64, record: &Record) {
+fn requester(
+    address: &str,
+    answers: &Answers,
+    stop: &AtomicBool,
+    sent: &AtomicU64,
+    record: &Record,
+) {
     let mut kept: Option<Connection> = None;
     while !stop.load(Ordering::Relaxed) {
         let id = format!("{:016x}", util::random());
         let headers = [("X-Attempt-Id", id.as_str()), ("X-Deadline-Ms", "2000")];
         let body = format!("booking {id}");
-        let bytes =
-            http::request("portal.example", "POST", &format!("/book/{id}"), &headers, body.as_bytes());
+        let bytes = http::request(
+            "portal.example",
+            "POST",
+            &format!("/book/{id}"),
+            &headers,
+            body.as_bytes(),
+        );
         sent.fetch_add(1, Ordering::Relaxed);
         let started = Instant::now();
         let connection = match kept.take() {
@@ -158,7 +187,8 @@
             kept = Some(connection);
         }
         if answer.status == 503 {
-            let wait = answer.header("retry-after").and_then(|s| s.parse::<f64>().ok()).unwrap_or(0.1);
+            let wait =
+                answer.header("retry-after").and_then(|s| s.parse::<f64>().ok()).unwrap_or(0.1);
             thread::sleep(Duration::from_secs_f64(wait.clamp(0.0, DEADLINE.as_secs_f64() / 3.0)));
         }
     }
--- a/review/harness/src/hangup.rs
+++ b/review/harness/src/hangup.rs
@@ -62,7 +62,9 @@
         thread::sleep(CHANGE_INTERVAL);
         if cluster.gateways[0].as_mut().is_some_and(|g| g.has_ended()) {
             ends += 1;
-            record.say(format!("gateway 0 has ended after change {change}; the platform starts it again"));
+            record.say(format!(
+                "gateway 0 has ended after change {change}; the platform starts it again"
+            ));
             cluster.start_gateway(0)?;
             wait_until("the gateway is ready", || cluster.is_ready(0))?;
             thread::sleep(Duration::from_secs(1));
@@ -71,15 +73,19 @@
     stop.store(true, Ordering::Relaxed);
     requesters.into_iter().for_each(|requester| drop(requester.join()));
     let lost = lookups::passed_on(&seen.lost.lock().unwrap(), &replicas);
-    let after_signal = |lost: &&Lost| {
-        signals.iter().any(|at| lost.ended >= *at && lost.sent <= *at + APPLY_TIME)
-    };
+    let after_signal =
+        |lost: &&Lost| signals.iter().any(|at| lost.ended >= *at && lost.sent <= *at + APPLY_TIME);
     let lost: Vec<&Lost> = lost.iter().filter(after_signal).collect();
     for lost in &lost {
-        record.line(format!("LOST: {} was passed on to a replica, and its channel ended without an answer", lost.id));
+        record.line(format!(
+            "LOST: {} was passed on to a replica, and its channel ended without an answer",
+            lost.id
+        ));
     }
     let answered = *seen.answered.lock().unwrap();
-    record.say(format!("{answered} requests answered; gateway 0 ended by itself {ends} times in {CHANGES} changes"));
+    record.say(format!(
+        "{answered} requests answered; gateway 0 ended by itself {ends} times in {CHANGES} changes"
+    ));
     record.say(format!("LOST broken by {} requests", lost.len()));
     if answered < 500 {
         return Err("the system served too little for the case to count".into());
--- a/review/harness/src/large.rs
+++ b/review/harness/src/large.rs
@@ -53,9 +53,11 @@
         if util::trouble() {
             record.say(format!("{LARGE_AT_ONCE} requests of {LARGE_BYTES} bytes at the same time"));
             let uploads: Vec<_> = (0..LARGE_AT_ONCE).map(|i| thread::spawn(upload(i))).collect();
-            large_answered += uploads.into_iter().filter_map(|u| u.join().ok()).filter(|ok| *ok).count();
+            large_answered +=
+                uploads.into_iter().filter_map(|u| u.join().ok()).filter(|ok| *ok).count();
         } else {
-            record.say(format!("{LARGE_AT_ONCE} requests of {LARGE_BYTES} bytes one after another"));
+            record
+                .say(format!("{LARGE_AT_ONCE} requests of {LARGE_BYTES} bytes one after another"));
             large_answered += (0..LARGE_AT_ONCE).filter(|i| upload(*i)()).count();
         }
         thread::sleep(Duration::from_secs(2));
@@ -73,9 +75,15 @@
         ROUNDS * LARGE_AT_ONCE, peak_kb.load(Ordering::Relaxed) / 1024
     ));
     for lost in &lost {
-        record.line(format!("LOST: {} was passed on to a replica, and its channel ended without an answer", lost.id));
+        record.line(format!(
+            "LOST: {} was passed on to a replica, and its channel ended without an answer",
+            lost.id
+        ));
     }
-    record.say(format!("LOST: {} small requests from kept channels were passed on and not answered; 3 are allowed", lost.len()));
+    record.say(format!(
+        "LOST: {} small requests from kept channels were passed on and not answered; 3 are allowed",
+        lost.len()
+    ));
     if answered < 200 {
         return Err("the system served too little for the case to count".into());
     }
@@ -83,7 +91,13 @@
 }
 
 /// The platform: a process that uses more than `memory_mb` is killed, and started again after a short delay.
-fn enforce_memory(cluster: &Mutex<Cluster>, stop: &AtomicBool, peak_kb: &AtomicU64, kills: &AtomicU64, record: &Record) {
+fn enforce_memory(
+    cluster: &Mutex<Cluster>,
+    stop: &AtomicBool,
+    peak_kb: &AtomicU64,
+    kills: &AtomicU64,
+    record: &Record,
+) {
     let Some(pid) = cluster.lock().unwrap().gateways[0].as_ref().map(|g| g.id()) else { return };
     let mut pid = pid;
     while !stop.load(Ordering::Relaxed) {
--- a/review/harness/src/lookups.rs
+++ b/review/harness/src/lookups.rs
@@ -48,13 +48,23 @@
 }
 
 /// Starts replicas of the service and waits until a gateway reaches them.
-pub fn start_replicas(cluster: &Cluster, work: Duration, record: &Arc<Record>) -> Setup<Vec<Arc<Replica>>> {
+pub fn start_replicas(
+    cluster: &Cluster,
+    work: Duration,
+    record: &Arc<Record>,
+) -> Setup<Vec<Arc<Replica>>> {
     let terms = Terms { slots: 16, queue: 16, work };
     let mut replicas = Vec::new();
     for i in 0..REPLICAS {
         let id = format!("i-sheets-{i}");
-        let started =
-            Replica::start(&id, "sheets", terms.clone(), u64::MAX, cluster.controls(), record.clone());
+        let started = Replica::start(
+            &id,
+            "sheets",
+            terms.clone(),
+            u64::MAX,
+            cluster.controls(),
+            record.clone(),
+        );
         replicas.push(started.map_err(|e| e.to_string())?);
     }
     let address = cluster.frontend(0);
@@ -107,14 +117,22 @@
             .and_then(|()| connection.read());
         match result {
             Ok(Some(answer)) => {
-                record.line(format!("{id} answered {} after {:?}", answer.status, started.elapsed()));
+                record.line(format!(
+                    "{id} answered {} after {:?}",
+                    answer.status,
+                    started.elapsed()
+                ));
                 *seen.answered.lock().unwrap() += 1;
                 if !answer.closes() {
                     kept = Some(connection);
                 }
             }
             result => {
-                record.line(format!("{id} sent at {} ms on a kept channel: {is_kept}; it ended: {:?}", sent.as_millis(), result.err()));
+                record.line(format!(
+                    "{id} sent at {} ms on a kept channel: {is_kept}; it ended: {:?}",
+                    sent.as_millis(),
+                    result.err()
+                ));
                 if is_kept {
                     seen.lost.lock().unwrap().push(Lost { id, sent, ended: record.now() });
                 }
--- a/review/harness/src/partition.rs
+++ b/review/harness/src/partition.rs
@@ -39,7 +39,12 @@
 
 impl Partition {
     /// Passes on what arrives at `advertised` to `bound`, the address at which a store listens.
-    pub fn start_proxy(&self, store: usize, advertised: SocketAddrV4, bound: SocketAddrV4) -> io::Result<()> {
+    pub fn start_proxy(
+        &self,
+        store: usize,
+        advertised: SocketAddrV4,
+        bound: SocketAddrV4,
+    ) -> io::Result<()> {
         let listener = TcpListener::bind(advertised)?;
         let this = self.clone();
         thread::spawn(move || {
@@ -81,7 +86,13 @@
         from != store && isolated.is_some_and(|cut| cut == from || cut == store)
     }
 
-    fn carry(&self, stream: TcpStream, store: usize, advertised: SocketAddrV4, bound: SocketAddrV4) -> io::Result<()> {
+    fn carry(
+        &self,
+        stream: TcpStream,
+        store: usize,
+        advertised: SocketAddrV4,
+        bound: SocketAddrV4,
+    ) -> io::Result<()> {
         let SocketAddr::V4(peer) = stream.peer_addr()? else { return Ok(()) };
         let owner = self.owner_of(peer, advertised);
         while self.is_cut(owner, store) {
@@ -101,7 +112,14 @@
         Ok(())
     }
 
-    fn pump(&self, mut from: TcpStream, mut to: TcpStream, owner: Option<Owner>, store: usize, counter: &AtomicU64) {
+    fn pump(
+        &self,
+        mut from: TcpStream,
+        mut to: TcpStream,
+        owner: Option<Owner>,
+        store: usize,
+        counter: &AtomicU64,
+    ) {
         let mut buf = vec![0; 64 * 1024];
         while let Ok(len) = from.read(&mut buf) {
             while self.is_cut(owner, store) {
--- a/review/harness/src/replica.rs
+++ b/review/harness/src/replica.rs
@@ -147,7 +147,10 @@
                 self.answers_in_window.fetch_add(1, Ordering::Relaxed);
                 if number % self.copy_every == 0 {
                     self.refusals_copied.fetch_add(u64::from(refused), Ordering::Relaxed);
-                    self.record.line(format!("{} will send its answer to {id} again, refused={refused}", self.id));
+                    self.record.line(format!(
+                        "{} will send its answer to {id} again, refused={refused}",
+                        self.id
+                    ));
                     copy = Some(answer.clone());
                 }
             }
--- a/review/harness/src/speaker.rs
+++ b/review/harness/src/speaker.rs
@@ -19,8 +19,8 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1200);
 /// Events of a stream.
 pub const EVENTS: u64 = 40;
-/// Time to the first event: 10 ms, and up to this time more.
-const FIRST_EVENT_SPREAD_MS: u64 = 30;
+/// Time to the first event: this, and 1 ms for each stream that runs. The more requests run, the slower a replica is.
+const FIRST_EVENT_MS: u64 = 10;
 /// Time between two events.
 const EVENT_GAP: Duration = Duration::from_millis(60);
 
@@ -33,11 +33,27 @@
     record: Arc<Record>,
     /// Streams that it has begun.
     pub streams: AtomicUsize,
+    /// Streams that run.
+    running: AtomicUsize,
+}
+
+/// A stream that runs until this is dropped.
+struct Running<'a>(&'a AtomicUsize);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl Speaker {
     /// Starts a replica that sends its heartbeats to the first of these stores that acknowledges them.
-    pub fn start(id: &str, version: &str, stores: Vec<String>, record: Arc<Record>) -> io::Result<Arc<Self>> {
+    pub fn start(
+        id: &str,
+        version: &str,
+        stores: Vec<String>,
+        record: Arc<Record>,
+    ) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let speaker = Arc::new(Self {
             id: id.into(),
@@ -46,6 +62,7 @@
             born: util::unix_ms(),
             record,
             streams: AtomicUsize::new(0),
+            running: AtomicUsize::new(0),
         });
         let serving = speaker.clone();
         thread::spawn(move || {
@@ -77,7 +94,8 @@
                 let answer = http::call(&stores[i], "POST", &path, &[], body.as_bytes(), timeout);
                 if answer.is_ok_and(|a| a.status == 200) {
                     if sequence == 1 || i > 0 {
-                        self.record.line(format!("{} sends its heartbeats to {}", self.id, stores[i]));
+                        self.record
+                            .line(format!("{} sends its heartbeats to {}", self.id, stores[i]));
                     }
                     // It stays with a store that acknowledges.
                     stores.rotate_left(i);
@@ -110,7 +128,9 @@
         let after: u64 = req.header("last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0);
         self.streams.fetch_add(1, Ordering::Relaxed);
         self.record.line(format!("{} ({}) runs {id} after event {after}", self.id, self.version));
-        thread::sleep(Duration::from_millis(10 + util::random() % FIRST_EVENT_SPREAD_MS));
+        let running = self.running.fetch_add(1, Ordering::Relaxed) as u64;
+        let _running = Running(&self.running);
+        thread::sleep(Duration::from_millis(FIRST_EVENT_MS + running));
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: {}.{id}\r\nKeep-Alive: timeout=15\r\n\r\n",
             self.id
--- a/review/harness/src/util.rs
+++ b/review/harness/src/util.rs
@@ -59,5 +59,7 @@
 
 /// Whether one of several disruptions takes place; `TROUBLE=NAME` leaves only that one.
 pub fn trouble_of(name: &str) -> bool {
-    trouble() && std::env::var("TROUBLE").map_or(true, |only| only == "1" || only.is_empty() || only == name)
+    trouble()
+        && std::env::var("TROUBLE")
+            .map_or(true, |only| only == "1" || only.is_empty() || only == name)
 }
--- a/review/harness/src/versions.rs
+++ b/review/harness/src/versions.rs
@@ -76,7 +76,8 @@
     for i in 0..OLD_REPLICAS {
         let mut stores = cluster.controls();
         stores.rotate_left(i % STORES);
-        Speaker::start(&format!("i-old-{i}"), "v1", stores, record.clone()).map_err(|e| e.to_string())?;
+        Speaker::start(&format!("i-old-{i}"), "v1", stores, record.clone())
+            .map_err(|e| e.to_string())?;
     }
     for i in 0..GATEWAYS {
         let address = cluster.frontend(i);
@@ -93,13 +94,16 @@
     thread::sleep(Duration::from_secs(2));
     let after: Vec<Vec<u64>> = sent(&partition);
     record.line(format!("bytes from gateways to stores: {before:?}, 2 s later {after:?}"));
-    let followed = |g: &usize| (0..STORES).max_by_key(|s| after[*g][*s] - before[*g][*s]).unwrap_or(0);
+    let followed =
+        |g: &usize| (0..STORES).max_by_key(|s| after[*g][*s] - before[*g][*s]).unwrap_or(0);
     let followers = |s: usize| (0..GATEWAYS).filter(move |g| followed(g) == s);
     let with_followers = (0..STORES).filter(|s| followers(*s).next().is_some());
     let isolated = with_followers.min_by_key(|s| followers(*s).count()).unwrap_or(0);
     let Some(killed) = followers(isolated).next() else { return Ok(None) };
     let others: Vec<usize> = (0..GATEWAYS).filter(|g| followed(g) != isolated).collect();
-    record.say(format!("gateway {killed} follows store {isolated}, gateways {others:?} follow other stores"));
+    record.say(format!(
+        "gateway {killed} follows store {isolated}, gateways {others:?} follow other stores"
+    ));
     if others.is_empty() {
         return Ok(None);
     }
@@ -157,7 +161,8 @@
     for requester in requesters {
         requester.join().map_err(|_| "a requester failed")?;
     }
-    let ended = cluster.stores.iter_mut().chain(&mut cluster.gateways).flatten().any(|p| p.has_ended());
+    let ended =
+        cluster.stores.iter_mut().chain(&mut cluster.gateways).flatten().any(|p| p.has_ended());
     let of = |n: &AtomicU64| n.load(Ordering::Relaxed);
     let joined = seen.joined.lock().unwrap();
     record.say(format!(
@@ -229,7 +234,8 @@
         // Retries reach other nodes.
         gateway = (gateway + 1 + util::random() as usize % (addresses.len() - 1)) % addresses.len();
     }
-    let texts: Vec<&str> = events.iter().map(|(_, text)| text.split(' ').next().unwrap_or("")).collect();
+    let texts: Vec<&str> =
+        events.iter().map(|(_, text)| text.split(' ').next().unwrap_or("")).collect();
     let joined = texts.windows(2).any(|pair| pair[0] != pair[1]);
     if joined {
         record.line(format!(
@@ -261,14 +267,22 @@
     if let Some((_, Some(first))) = resumed {
         headers.push(("Resumes", first));
     }
-    connection.write(&http::request("speaker.example", "POST", "/say/hello", &headers, b"say it"))?;
+    connection.write(&http::request(
+        "speaker.example",
+        "POST",
+        "/say/hello",
+        &headers,
+        b"say it",
+    ))?;
     let mut part = String::new();
     let status = connection.read_stream(|bytes| {
         part += &String::from_utf8_lossy(bytes);
         while let Some(end) = part.find("\n\n") {
             let block: String = part.drain(..end + 2).collect();
             let value = |name: &str| block.lines().find_map(|line| line.strip_prefix(name));
-            if let (Some(id), Some(data)) = (value("id: ").and_then(|n| n.parse().ok()), value("data: ")) {
+            if let (Some(id), Some(data)) =
+                (value("id: ").and_then(|n| n.parse().ok()), value("data: "))
+            {
                 events.push((id, data.to_owned()));
             }
         }
