--- a/review/case.sh
+++ b/review/case.sh
@@ -8,7 +8,21 @@
   [ -x "$needed" ] || { echo "missing: $needed"; exit 2; }
 done
 tmp=$(mktemp -d) || exit 2
-[ -n "${KEEP:-}" ] || trap 'rm -rf "$tmp"' EXIT; [ -z "${KEEP:-}" ] || echo "$tmp"
-REVIEW_ROOT="$root" REVIEW_TMP="$tmp" REVIEW_RECORD="$root/review/$1/record.txt" "$program" "$1"
+# Ends the processes that the case started and left, and removes its folder.
+clean_up() {
+  [ -z "${child:-}" ] || kill -KILL "$child" 2>/dev/null
+  while read -r pid; do
+    if tr '\0' ' ' 2>/dev/null <"/proc/$pid/cmdline" | grep -q "^$root/target/release/orioleworks-"; then
+      kill -KILL "$pid"
+    fi
+  done < <(cat "$tmp/pids" 2>/dev/null)
+  rm -rf "$tmp"
+}
+trap clean_up EXIT
+trap 'exit 2' INT TERM
+REVIEW_ROOT="$root" REVIEW_TMP="$tmp" REVIEW_RECORD="$root/review/$1/record.txt" "$program" "$1" &
+child=$!
+wait "$child"
 code=$?
+kill -KILL "$child" 2>/dev/null
 case "$code" in 0 | 1) exit "$code" ;; *) exit 2 ;; esac
--- a/review/harness/src/cluster.rs
+++ b/review/harness/src/cluster.rs
@@ -5,6 +5,7 @@
 
 use std::{
     fs::{self, File},
+    io::Write,
     net::{Ipv4Addr, SocketAddrV4, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
@@ -243,6 +244,10 @@
             .stderr(log)
             .spawn()
             .map_err(|e| format!("{program}: {e}"))?;
+        // The script ends what is left, should this program be ended itself.
+        let pids = File::options().create(true).append(true).open(self.dir.join("pids"));
+        let noted = pids.and_then(|mut file| writeln!(file, "{}", child.id()));
+        noted.map_err(|e| e.to_string())?;
         Ok(Process { child })
     }
 
