--- a/review/harness/src/versions.rs
+++ b/review/harness/src/versions.rs
@@ -44,6 +44,8 @@
     resumed: AtomicU64,
     refused: AtomicU64,
     failed: AtomicU64,
+    /// Streams in which an event is missing or stands twice, or which end too early as complete.
+    broken: AtomicU64,
     /// Whether the requester named the attempt that began the stream, for each stream of two versions.
     joined: Mutex<Vec<bool>>,
 }
@@ -174,10 +176,11 @@
         "ORDER broken by {} streams whose text is joined from two versions; {named} of them were taken up with `Resumes`",
         joined.len()
     ));
+    record.say(format!("{} streams lack an event or have one twice", of(&seen.broken)));
     if of(&seen.complete) < 50 || begun(&newer) == 0 {
         return Err("the system served too little for the case to count".into());
     }
-    Ok(Some(joined.is_empty()))
+    Ok(Some(joined.is_empty() && of(&seen.broken) == 0))
 }
 
 /// Streams that replicas have begun.
@@ -244,6 +247,14 @@
         ));
         seen.joined.lock().unwrap().push(names_attempt);
     }
+    let in_order = events.iter().zip(1..).all(|((id, _), expected)| *id == expected);
+    if !in_order || (answered_whole && events.len() as u64 != EVENTS) {
+        record.line(format!(
+            "ORDER: stream {name} has {} events, in order: {in_order}",
+            events.len()
+        ));
+        seen.broken.fetch_add(1, Ordering::Relaxed);
+    }
     let whole = answered_whole && events.len() as u64 == EVENTS;
     if whole { &seen.complete } else { &seen.failed }.fetch_add(1, Ordering::Relaxed);
 }
