--- a/review/harness/src/hangup.rs
+++ b/review/harness/src/hangup.rs
@@ -19,10 +19,10 @@
 
 const REQUESTERS: usize = 20;
 /// Changes of the settings, each in two steps with a signal each.
-const CHANGES: usize = 150;
-const CHANGE_INTERVAL: Duration = Duration::from_millis(280);
+const CHANGES: usize = 300;
+const CHANGE_INTERVAL: Duration = Duration::from_millis(180);
 /// Longest time between the two signals of a change.
-const MAX_GAP_US: u64 = 300;
+const MAX_GAP_US: u64 = 250;
 /// `config_apply_ms` of the users' sheet.
 const APPLY_TIME: Duration = Duration::from_millis(2000);
 const SIGHUP: i32 = 1;
