Pool: a response counts only if it belongs to the request just sent

Cause: classify_response returned not-run for any response with X-Not-Executed or 421 before it compared X-Attempt-Id, so a late copy of a refusal on a kept connection was taken for the refusal of the next request. The connection was used again.

Change: the pool compares the attempt ID before anything else is read, for requests of callers, relayed requests, items and reward calls. A response that names another attempt, or none on a used connection, is an error after which the request may have run, and closes the connection. An attempt without a success is not sent again on its connection. Refusals of the stand-in name their attempt now, as the platform's page says.

--- a/orioleworks_fleet/src/pool.rs
+++ b/orioleworks_fleet/src/pool.rs
@@ -3,6 +3,9 @@
 //! A connection belongs to one incarnation of an upstream, so that a request is never sent on a connection to an
 //! earlier incarnation at the same address. Dropping an [`Exchange`] closes its connection, which tells the upstream to
 //! stop.
+//!
+//! A response counts only if it belongs to the request that was sent on its connection last; see `docs/platform.md`,
+//! "Responses and their requests".
 
 use std::{
     cell::{Cell, RefCell},
@@ -22,7 +25,11 @@
     body::{Body, Incoming},
     client::conn::http1,
 };
-use orioleworks_daemon::stream::Stream;
+use orioleworks_daemon::{event, stream::Stream};
+use orioleworks_platform::{
+    caller,
+    upstream::{self, Correlation},
+};
 use orioleworks_routing::{fleet::Fleet, outlier::Key};
 
 /// Longest time to connect; connecting takes one round trip and about 1 ms at the upstream.
@@ -42,6 +49,8 @@
 const MAX_IDLE: usize = 32;
 /// Idle connections kept altogether: those to all slots of 50 engines, which the next step uses again. They take 16 MB.
 const MAX_IDLE_ALL: usize = 600;
+/// Attempts without a success that are remembered for a connection before it is closed.
+const MAX_UNSUCCESSFUL: usize = 16;
 
 /// Why a request got no complete response.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
@@ -56,6 +65,8 @@
     Invalid(String),
     /// no answer in time
     Timeout,
+    /// a response that does not belong to the request came first: {0}
+    Unmatched(String),
 }
 
 impl std::error::Error for SendError {}
@@ -69,6 +80,34 @@
     reusable_until: Instant,
     /// Time of the return to the pool.
     idle_since: Instant,
+    /// Whether a response has arrived on it, of which a copy may follow.
+    used: bool,
+    /// Attempts that got no success on it. A late copy of that response could not be told from the response to a repeat
+    /// under the same ID.
+    unsuccessful: Vec<Rc<str>>,
+}
+
+impl Connection {
+    /// Whether every response to an attempt could be told from a late copy of an earlier one.
+    fn suits(&self, attempt: Option<&str>) -> bool {
+        !self.unsuccessful.iter().any(|earlier| attempt == Some(earlier))
+    }
+
+    /// Checks that a response belongs to the attempt that was sent last.
+    fn check_response(
+        &self,
+        attempt: Option<&str>,
+        head: &http::response::Parts,
+    ) -> Result<(), SendError> {
+        let reason = match upstream::correlate(attempt, &head.headers) {
+            Correlation::Matching => return Ok(()),
+            // Nothing was sent before that it could belong to.
+            Correlation::Unnamed if !self.used => return Ok(()),
+            Correlation::Unnamed => "it names no attempt",
+            Correlation::Other => "it names another attempt",
+        };
+        Err(SendError::Unmatched(reason.into()))
+    }
 }
 
 /// Idle connections by upstream, those that were used last at the end.
@@ -152,7 +191,7 @@
         timeout: Duration,
     ) -> Result<Exchange, SendError> {
         let deadline = Instant::now() + timeout;
-        let connection = match self.take_idle(key) {
+        let connection = match self.take_idle(key, caller::attempt_id(req.headers())) {
             Some(connection) => connection,
             None => self.connect(address, timeout.min(CONNECT_TIMEOUT)).await?,
         };
@@ -160,7 +199,27 @@
         self.send_on(connection, key, req, left).await
     }
 
-    /// Sends a request on a connection to the upstream with the given key.
+    /// Like [`Self::send`], for a request whose response names no attempt: on a new connection, where no copy of an earlier
+    /// response can take its place.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::send`].
+    pub async fn send_on_new(
+        &self,
+        address: &str,
+        key: &Key,
+        req: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Exchange, SendError> {
+        let deadline = Instant::now() + timeout;
+        let connection = self.connect(address, timeout.min(CONNECT_TIMEOUT)).await?;
+        let left = deadline.saturating_duration_since(Instant::now());
+        self.send_on(connection, key, req, left).await
+    }
+
+    /// Sends a request on a connection to the upstream with the given key. A connection on which a response of another
+    /// request arrives is closed, because more of the kind may follow.
     ///
     /// # Errors
     ///
@@ -172,24 +231,42 @@
         req: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Exchange, SendError> {
+        let attempt: Option<Rc<str>> = caller::attempt_id(req.headers()).map(Rc::from);
         match compio::time::timeout(timeout, connection.sender.send_request(req)).await {
             Err(_) => Err(SendError::Timeout),
             Ok(Err(e)) if e.is_parse() => Err(SendError::Invalid(e.to_string())),
             Ok(Err(e)) => Err(SendError::Broken(e.to_string())),
             Ok(Ok(response)) => {
                 let (head, body) = Response::into_parts(response);
+                if let Err(e) = connection.check_response(attempt.as_deref(), &head) {
+                    let (upstream, status) = (&key.0, head.status.as_u16());
+                    let request = attempt.as_deref().unwrap_or_default();
+                    event!(
+                        warn,
+                        "response_unmatched",
+                        request = request,
+                        upstream = upstream,
+                        status = status,
+                        reason = e
+                    );
+                    metrics::counter!("orioleworks_unmatched_responses_total").increment(1);
+                    return Err(e);
+                }
+                connection.used = true;
+                connection.unsuccessful.extend(attempt.filter(|_| !head.status.is_success()));
                 connection.reusable_until = Instant::now() + reusable_for(&head);
                 Ok(Exchange { head, body, connection, key: key.clone(), pool: self.clone() })
             }
         }
     }
 
-    /// Takes a kept connection.
-    pub fn take_idle(&self, key: &Key) -> Option<Connection> {
+    /// Takes a kept connection for the request of an attempt.
+    pub fn take_idle(&self, key: &Key, attempt: Option<&str>) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let kept = idle.0.get_mut(key)?;
         let now = Instant::now();
-        while let Some(connection) = kept.pop() {
+        while let Some(i) = kept.iter().rposition(|connection| connection.suits(attempt)) {
+            let connection = kept.remove(i);
             if connection.reusable_until > now && connection.sender.is_ready() {
                 return Some(connection);
             }
@@ -236,7 +313,9 @@
         self.opened.set(self.opened.get() + 1);
         metrics::counter!("orioleworks_upstream_connections_total").increment(1);
         let now = Instant::now();
-        Ok(Connection { sender, task, reusable_until: now + IDLE_TIMEOUT, idle_since: now })
+        let (used, unsuccessful) = (false, Vec::new());
+        let reusable_until = now + IDLE_TIMEOUT;
+        Ok(Connection { sender, task, reusable_until, idle_since: now, used, unsuccessful })
     }
 
     /// Closes idle connections that have expired, and those to upstreams that leave.
@@ -338,7 +417,8 @@
             .iter()
             .any(|v| v.to_str().is_ok_and(|v| v.to_ascii_lowercase().contains("close")));
         let leaves = self.pool.fleet.borrow().has_left(&self.key);
-        if closing || leaves || self.connection.sender.is_closed() {
+        let full = self.connection.unsuccessful.len() >= MAX_UNSUCCESSFUL;
+        if closing || leaves || full || self.connection.sender.is_closed() {
             return;
         }
         self.pool.keep(&self.key, self.connection);
--- /dev/null
+++ b/orioleworks_fleet/tests/responses.rs
@@ -0,0 +1,149 @@
+//! Which responses are taken for the response to a request.
+
+mod support;
+
+use std::{
+    io::{BufRead, BufReader, Write},
+    net::{TcpListener, TcpStream},
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use orioleworks_fleet::pool::{Exchange, Pool, SendError};
+use rstest::rstest;
+use support::run;
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// An upstream that responds with given bytes, `{id}` standing for the attempt ID of the request, one entry for each request
+/// on a connection; and its number of connections.
+struct Scripted {
+    address: String,
+    accepted: Arc<AtomicUsize>,
+}
+
+impl Scripted {
+    fn start(script: &'static [&'static str]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let accepted = Arc::new(AtomicUsize::new(0));
+        let counter = accepted.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                counter.fetch_add(1, Ordering::Relaxed);
+                thread::spawn(move || respond(stream, script));
+            }
+        });
+        Self { address, accepted }
+    }
+
+    fn accepted(&self) -> usize {
+        self.accepted.load(Ordering::Relaxed)
+    }
+}
+
+fn respond(mut stream: TcpStream, script: &[&str]) {
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    for response in script.iter().cycle() {
+        let mut id = String::new();
+        loop {
+            let mut line = String::new();
+            if reader.read_line(&mut line).unwrap_or(0) == 0 {
+                return;
+            }
+            if let Some(value) = line.strip_prefix("x-attempt-id: ") {
+                value.trim_end().clone_into(&mut id);
+            }
+            if line == "\r\n" {
+                break;
+            }
+        }
+        if stream.write_all(response.replace("{id}", &id).as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+const OK: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\ncontent-length: 2\r\n\r\nok";
+const REFUSAL: &str =
+    "HTTP/1.1 503 Full\r\nx-attempt-id: {id}\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+/// A late copy, and the response proper after it.
+const COPY_OF_REFUSAL: &str = "HTTP/1.1 503 Full\r\nx-attempt-id: a\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n\
+     HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\ncontent-length: 2\r\n\r\nok";
+const COPY_OF_SUCCESS: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: a\r\ncontent-length: 2\r\n\r\nok\
+     HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\ncontent-length: 2\r\n\r\nok";
+const UNNAMED_REFUSAL: &str = "HTTP/1.1 503 Full\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+const ACCEPTED_ORDER: &str = "HTTP/1.1 202 Accepted\r\ncontent-length: 0\r\n\r\n";
+const MISDIRECTED_COPY: &str = "HTTP/1.1 421 No\r\nx-attempt-id: a\r\ncontent-length: 0\r\n\r\n";
+
+async fn send(pool: &Pool, up: &Scripted, id: &str) -> Result<Exchange, SendError> {
+    let req = Request::get("/").header("host", "h").header("x-attempt-id", id);
+    let key = (Rc::<str>::from("u"), 1);
+    pool.send(&up.address, &key, req.body(Full::new(Bytes::new())).unwrap(), TIMEOUT).await
+}
+
+/// Guards against a late copy of an earlier response, or one that names no attempt, that is taken for the response to the
+/// request just sent, and against a connection on which the proper response is still to come and which is used again.
+#[rstest]
+#[case::refusal(&[REFUSAL, COPY_OF_REFUSAL])]
+#[case::success(&[OK, COPY_OF_SUCCESS])]
+#[case::misdirected(&[OK, MISDIRECTED_COPY])]
+#[case::unnamed(&[OK, UNNAMED_REFUSAL])]
+fn a_response_to_another_request_ends_its_connection(#[case] script: &'static [&'static str]) {
+    run(async {
+        let (pool, up) = (Pool::default(), Scripted::start(script));
+        let first = send(&pool, &up, "a").await.unwrap();
+        first.finish(100, TIMEOUT).await.unwrap();
+        let second = send(&pool, &up, "b").await;
+        assert!(matches!(second, Err(SendError::Unmatched(_))), "{second:?}");
+        assert_eq!(up.accepted(), 1);
+        let third = send(&pool, &up, "c").await.unwrap();
+        assert_eq!(third.head.headers["x-attempt-id"], "c");
+        assert_eq!(up.accepted(), 2);
+    });
+}
+
+/// Guards against refusals that are lost because they name no attempt, where there is no other request to which they could
+/// belong.
+#[test]
+fn an_unnamed_response_counts_on_a_new_connection() {
+    run(async {
+        let (pool, up) = (Pool::default(), Scripted::start(&[UNNAMED_REFUSAL]));
+        assert_eq!(send(&pool, &up, "a").await.unwrap().head.status, 503);
+    });
+}
+
+/// Guards against a late copy of a refusal that is taken for the response to a repeat under the same ID.
+#[test]
+fn a_refused_attempt_is_not_repeated_on_its_connection() {
+    run(async {
+        let (pool, up) = (Pool::default(), Scripted::start(&[REFUSAL, OK]));
+        send(&pool, &up, "a").await.unwrap().finish(100, TIMEOUT).await.unwrap();
+        send(&pool, &up, "a").await.unwrap().finish(100, TIMEOUT).await.unwrap();
+        assert_eq!(up.accepted(), 2);
+        send(&pool, &up, "b").await.unwrap().finish(100, TIMEOUT).await.unwrap();
+        assert_eq!(up.accepted(), 2, "another attempt uses a kept connection");
+    });
+}
+
+/// Guards against a late copy of a report that is taken for the outcome of an order: neither names an attempt.
+#[test]
+fn a_response_that_names_no_attempt_comes_on_a_new_connection() {
+    run(async {
+        let (pool, up) = (Pool::default(), Scripted::start(&[ACCEPTED_ORDER]));
+        send(&pool, &up, "a").await.unwrap().finish(100, TIMEOUT).await.unwrap();
+        let req = Request::post("/order").header("host", "h").body(Full::new(Bytes::new()));
+        let key = (Rc::<str>::from("u"), 1);
+        let sent = pool.send_on_new(&up.address, &key, req.unwrap(), TIMEOUT).await;
+        assert_eq!(sent.unwrap().head.status, 202);
+        assert_eq!(up.accepted(), 2);
+    });
+}
--- a/orioleworks_gateway/src/attempt.rs
+++ b/orioleworks_gateway/src/attempt.rs
@@ -7,7 +7,10 @@
 use http_body_util::Full;
 use orioleworks_daemon::clock;
 use orioleworks_fleet::pool::{Exchange, SendError};
-use orioleworks_platform::upstream::{self, Verdict};
+use orioleworks_platform::{
+    caller,
+    upstream::{self, Verdict},
+};
 use orioleworks_routing::{crashes::Observation, fleet::Upstream, outlier::Key};
 
 use crate::{
@@ -86,13 +89,14 @@
             view: &self.view,
             upstream: &self.upstream,
             key: &self.key,
+            attempt: caller::attempt_id(&self.content.head.headers),
             deadline: self.deadline,
         };
         let exchange = match outbound.send(self.carrier, build).await {
             Ok(exchange) => exchange,
             Err(e) => return self.without_response(e).await,
         };
-        match responses::read_head(&self.view, &self.key, &self.id, sent_at, &exchange.head) {
+        match responses::read_head(&self.view, &self.key, sent_at, &exchange.head) {
             Verdict::NotRun => {
                 self.view.outliers.borrow_mut().record_dropped(&self.key);
                 let why = format!("refused with status {}", exchange.head.status.as_u16());
@@ -101,9 +105,7 @@
             }
             Verdict::Unverified => {
                 self.record_failure();
-                AttemptEnd::Unknown(
-                    "the response belongs to another request or has no signature".into(),
-                )
+                AttemptEnd::Unknown("the response has no signature".into())
             }
             Verdict::Answered if self.streaming && exchange.head.status.is_success() => {
                 self.view.outliers.borrow_mut().record_response(&self.key, started.elapsed());
@@ -117,7 +119,8 @@
     /// or the request.
     async fn without_response(&self, failure: Failure) -> AttemptEnd {
         let Failure { error: e, confirmed } = failure;
-        let own_fault = !confirmed && path::verdict(&self.view).await;
+        let heard = matches!(e, SendError::Unmatched(_));
+        let own_fault = !confirmed && !heard && path::verdict(&self.view).await;
         if own_fault {
             self.view.outliers.borrow_mut().record_dropped(&self.key);
         } else {
@@ -131,7 +134,7 @@
                 }
                 AttemptEnd::NotRun(why.clone())
             }
-            SendError::Invalid(_) => AttemptEnd::Unknown(e.to_string()),
+            SendError::Invalid(_) | SendError::Unmatched(_) => AttemptEnd::Unknown(e.to_string()),
             SendError::Timeout | SendError::Broken(_) if own_fault => {
                 AttemptEnd::Unknown(e.to_string())
             }
--- a/orioleworks_gateway/src/carrier.rs
+++ b/orioleworks_gateway/src/carrier.rs
@@ -66,6 +66,8 @@
     pub upstream: &'a Upstream,
     /// Its key.
     pub key: &'a Key,
+    /// ID of the attempt, as the request names it.
+    pub attempt: Option<&'a str>,
     /// Time at which the attempt ends.
     pub deadline: Instant,
 }
@@ -122,7 +124,7 @@
         build: impl Fn(Duration) -> Result<Request<Full<Bytes>>, http::Error>,
     ) -> Result<Exchange, SendError> {
         let Self { view, upstream, key, .. } = self;
-        let connection = match view.pool.take_idle(key) {
+        let connection = match view.pool.take_idle(key, self.attempt) {
             Some(connection) => connection,
             None => {
                 let timeout = patience.min(self.remaining());
@@ -154,7 +156,7 @@
             }
         };
         match &result {
-            Ok(_) => view.path.record_response(),
+            Ok(_) | Err(SendError::Unmatched(_)) => view.path.record_response(),
             Err(SendError::Broken(_)) if !view.path.heard_since(sent_at) => {
                 path::record_silence(view, key);
             }
@@ -202,7 +204,7 @@
         };
         relay::set_headers(req.headers_mut(), key);
         let helper_key: Key = (helper.address.clone(), 0);
-        let connection = match view.helper_pool.take_idle(&helper_key) {
+        let connection = match view.helper_pool.take_idle(&helper_key, self.attempt) {
             Some(connection) => connection,
             None => {
                 let timeout = HELPER_CONNECT_TIMEOUT.min(remaining);
--- a/orioleworks_gateway/src/relay.rs
+++ b/orioleworks_gateway/src/relay.rs
@@ -143,7 +143,17 @@
     server::serve(listener, limits, Shutdown::default(), handler).await;
 }
 
+/// Answers with the attempt ID of the request, as an upstream does.
 async fn handle(view: &View, req: server::Request) -> server::Response {
+    let id = req.headers().get(caller::ATTEMPT_ID).cloned();
+    let mut answer = send_for_another(view, req).await;
+    if let (Some(id), false) = (id, answer.headers().contains_key(caller::ATTEMPT_ID)) {
+        answer.headers_mut().insert(caller::ATTEMPT_ID, id);
+    }
+    answer
+}
+
+async fn send_for_another(view: &View, req: server::Request) -> server::Response {
     let declared = usize::try_from(req.body().size_hint().lower()).unwrap_or(usize::MAX);
     let slot = if view.is_draining() { None } else { view.relayed.take(declared) };
     let (Some(slot), false) = (slot, view.path.is_lost()) else {
@@ -181,7 +191,8 @@
         Ok(req)
     };
     let deadline = Instant::now() + time;
-    let outbound = Outbound { view, upstream: &upstream, key: &key, deadline };
+    let attempt = caller::attempt_id(&headers);
+    let outbound = Outbound { view, upstream: &upstream, key: &key, attempt, deadline };
     let sent_at = clock::since_boot();
     let result = outbound.send_directly(CONNECT_PATIENCE, build).await;
     let own_fault = result.is_err() && path::verdict(view).await;
@@ -198,7 +209,7 @@
     event!(debug, "sent_for_another", request = id, upstream = key.0, result = word);
     match result {
         Ok(exchange) => {
-            responses::read_head(view, &key, &id, sent_at, &exchange.head);
+            responses::read_head(view, &key, sent_at, &exchange.head);
             stream(exchange, slot)
         }
         Err(_) => without_response(word),
--- a/orioleworks_gateway/src/responses.rs
+++ b/orioleworks_gateway/src/responses.rs
@@ -8,17 +8,11 @@
 
 use crate::view::View;
 
-/// Classifies the head of a response to the attempt with the given ID, and records what it says of its upstream. This takes
+/// Classifies the head of a response, and records what it says of its upstream. This takes
 /// effect before any part of the response is passed on.
-pub fn read_head(
-    view: &View,
-    up: &Key,
-    attempt_id: &str,
-    sent_at: Duration,
-    head: &response::Parts,
-) -> Verdict {
+pub fn read_head(view: &View, up: &Key, sent_at: Duration, head: &response::Parts) -> Verdict {
     let (status, headers) = (head.status, &head.headers);
-    let verdict = upstream::classify_response(status, headers, attempt_id);
+    let verdict = upstream::classify_response(status, headers);
     let rate = upstream::rate_notice(verdict, status, headers);
     let limited = view.knowledge.observe_rate(up, sent_at, rate);
     let leaving = upstream::leaving_notice(verdict, status, headers);
--- a/orioleworks_gateway/tests/platform.rs
+++ b/orioleworks_gateway/tests/platform.rs
@@ -150,6 +150,50 @@
     assert!(served + 2 * COPIES as usize >= CALLERS * CALLS, "{served} are served\n{}", d.logs());
 }
 
+/// Guards against a request that runs twice or is reported as not run: an upstream sends a refusal a second time, late, and
+/// it is taken for the refusal of the next request on its connection.
+#[test]
+fn a_late_copy_of_a_refusal_is_not_the_refusal_of_the_next_request() {
+    const ROUNDS: usize = 12;
+    let d = Deployment::start(3, 1, &document(1, 2000));
+    let upstreams =
+        ["s-0", "s-1"].map(|id| Upstream::start(id, "sheets", None, d.control_addresses()));
+    d.wait_until("the upstreams are known", || {
+        (0..8).for_each(|n| drop(d.send(0, "GET", "/lookup/a", &format!("warm-{n}"), "")));
+        upstreams.iter().all(|up| up.total_runs() > 0)
+    });
+    let refuse = |refuses| {
+        for up in &upstreams {
+            up.behaviour.refuses.store(refuses, std::sync::atomic::Ordering::Relaxed);
+        }
+    };
+    let (mut copies_sent, mut served) = (0, 0);
+    for n in 0..ROUNDS {
+        refuse(true);
+        let refused = d.send(0, "POST", "/confirm/a", &format!("refused-{n}"), "").unwrap();
+        assert_eq!(refused.status, 503, "{refused:?}\n{}", d.logs());
+        refuse(false);
+        for up in &upstreams {
+            up.behaviour.late_copies.store(1, std::sync::atomic::Ordering::Relaxed);
+        }
+        let id = format!("once-{n}");
+        let response = d.send(0, "POST", "/confirm/a", &id, "").expect("a response");
+        for up in &upstreams {
+            let left = up.behaviour.late_copies.swap(0, std::sync::atomic::Ordering::Relaxed);
+            copies_sent += 1 - left;
+        }
+        // What an upstream accepted has run by then.
+        thread::sleep(Duration::from_millis(50));
+        let runs: usize = upstreams.iter().map(|up| up.runs(&id).len()).sum();
+        assert!(runs <= 1, "{id} ran {runs} times\n{}", d.logs());
+        assert!(runs == 0 || response.status != 503, "{id} ran and was refused\n{}", d.logs());
+        let next = d.send(0, "POST", "/confirm/a", &format!("next-{n}"), "").unwrap();
+        served += usize::from(next.status == 200);
+    }
+    assert!(copies_sent > 0, "no copy was sent");
+    assert_eq!(served, ROUNDS, "a request after a copy is not served\n{}", d.logs());
+}
+
 /// Guards against a request that runs twice, and against reporting "not run" for one that may have run.
 #[test]
 fn a_request_that_may_run_once_is_not_repeated_after_a_failure() {
--- a/orioleworks_gateway/tests/support/upstream.rs
+++ b/orioleworks_gateway/tests/support/upstream.rs
@@ -73,7 +73,7 @@
     pub fail_path: Mutex<String>,
     /// Breaks off this many of the next responses of a plain service halfway.
     pub breaks_responses: AtomicU64,
-    /// Sends this many responses of a plain service once more, when the next request arrives on the connection.
+    /// Sends this many responses once more, when the next request arrives on the connection; not those that are streams.
     pub late_copies: AtomicU64,
 }
 
@@ -92,7 +92,7 @@
     starts: HashMap<String, Vec<Instant>>,
     /// Time of the last event of each complete stream by request ID.
     completions: HashMap<String, Instant>,
-    /// Request ID of the last response of a plain service by the peer of the connection.
+    /// Last response by the peer of the connection.
     answered: HashMap<SocketAddr, String>,
 }
 
@@ -397,16 +397,25 @@
         headers: &HashMap<String, String>,
     ) -> std::io::Result<()> {
         let id = headers.get("x-attempt-id").cloned().unwrap_or_default();
+        let decrement = |left: u64| left.checked_sub(1);
+        let earlier = self.state.lock().unwrap().answered.remove(&out.peer_addr()?);
+        let copies = &self.behaviour.late_copies;
+        if let Some(earlier) = earlier
+            && copies.fetch_update(Ordering::Relaxed, Ordering::Relaxed, decrement).is_ok()
+        {
+            out.write_all(earlier.as_bytes())?;
+        }
         if headers.get("x-expected-instance").is_some_and(|expected| *expected != self.id) {
             return self.respond(
                 out,
                 "421 Misdirected Request",
-                &[("X-Instance-Id", &self.id)],
+                &[("X-Attempt-Id", &id), ("X-Instance-Id", &self.id)],
                 "",
             );
         }
         if self.behaviour.refuses.load(Ordering::Relaxed) {
-            return self.respond(out, "503 Service Unavailable", &[("X-Not-Executed", "1")], "");
+            let headers = [("X-Attempt-Id", &*id), ("X-Not-Executed", "1")];
+            return self.respond(out, "503 Service Unavailable", &headers, "");
         }
         let after = headers.get("last-event-id").and_then(|v| v.parse().ok());
         {
@@ -435,7 +444,6 @@
         }
         let signature = signature(&id);
         let stamp: &[(&str, &str)] = &[("X-Attempt-Id", &id), ("X-Server-Stamp", &signature)];
-        let decrement = |left: u64| left.checked_sub(1);
         let fail_path = self.behaviour.fail_path.lock().unwrap().clone();
         if !fail_path.is_empty() && path.contains(&fail_path) {
             return self.respond(out, "500 Internal Server Error", stamp, "failed");
@@ -458,26 +466,10 @@
                 out.write_all(half.as_bytes())?;
                 Err(std::io::Error::other("injected end of the response"))
             }
-            None => {
-                let peer = out.peer_addr()?;
-                let earlier = self.state.lock().unwrap().answered.insert(peer, id.clone());
-                let copies = &self.behaviour.late_copies;
-                let is_due =
-                    || copies.fetch_update(Ordering::Relaxed, Ordering::Relaxed, decrement).is_ok();
-                if let Some(earlier) = earlier.filter(|_| is_due()) {
-                    self.answer(out, &earlier)?;
-                }
-                self.answer(out, &id)
-            }
+            None => self.respond(out, "200 OK", stamp, &format!("answer to {id}")),
         }
     }
 
-    /// Answers a request to a plain service.
-    fn answer(&self, out: &mut TcpStream, id: &str) -> std::io::Result<()> {
-        let stamp = [("X-Attempt-Id", id), ("X-Server-Stamp", &signature(id))];
-        self.respond(out, "200 OK", &stamp, &format!("answer to {id}"))
-    }
-
     fn respond(
         &self,
         out: &mut TcpStream,
@@ -490,7 +482,10 @@
         for (name, value) in headers {
             head += &format!("{name}: {value}\r\n");
         }
-        write!(out, "{head}\r\n{body}")
+        let response = format!("{head}\r\n{body}");
+        out.write_all(response.as_bytes())?;
+        self.state.lock().unwrap().answered.insert(out.peer_addr()?, response);
+        Ok(())
     }
 
     /// Headers about the replica itself.
--- a/orioleworks_store/src/orders.rs
+++ b/orioleworks_store/src/orders.rs
@@ -360,7 +360,8 @@
             return Err(LoadError::Leaving);
         }
         let sent_at = clock::since_boot();
-        let sent = self.inner.shared.pool.send(&up.address, key, req, RESPONSE_TIMEOUT).await;
+        let sent =
+            self.inner.shared.pool.send_on_new(&up.address, key, req, RESPONSE_TIMEOUT).await;
         let exchange = sent.map_err(|e| no_response(e.to_string()))?;
         let (status, headers) = (exchange.head.status, &exchange.head.headers);
         // Answers to orders are not signed. They say nothing of limits, which end only with responses to requests.
--- a/orioleworks_store/src/reward_call.rs
+++ b/orioleworks_store/src/reward_call.rs
@@ -48,7 +48,7 @@
         Err(e) => return CallEnd::Failed(failed_run(&e)),
     };
     let (status, headers) = (exchange.head.status, &exchange.head.headers);
-    let verdict = upstream::classify_response(status, headers, &call.id);
+    let verdict = upstream::classify_response(status, headers);
     observe(
         upstream::rate_notice(verdict, status, headers),
         upstream::leaving_notice(verdict, status, headers),
@@ -56,8 +56,7 @@
     let failure = match verdict {
         Verdict::NotRun => RunEnd::NotRun,
         Verdict::Unverified => {
-            // More of what belongs to another request may follow on the connection.
-            return CallEnd::Failed(RunEnd::Lost("the response belongs to another request".into()));
+            return CallEnd::Failed(RunEnd::Lost("the response is not signed".into()));
         }
         Verdict::Answered if status.is_success() => {
             let Some(score) = upstream::signature(headers).map(str::to_owned) else {
--- a/orioleworks_store/src/runner.rs
+++ b/orioleworks_store/src/runner.rs
@@ -271,13 +271,13 @@
         Err(e) => return failed_run(&e),
     };
     let (status, headers) = (exchange.head.status, &exchange.head.headers);
-    let verdict = upstream::classify_response(status, headers, &run.item.id);
+    let verdict = upstream::classify_response(status, headers);
     let leaving = upstream::leaving_notice(verdict, status, headers);
     (observer.observe)(Observation::Head(upstream::rate_notice(verdict, status, headers), leaving));
     match verdict {
         Verdict::NotRun => return without_events(exchange, RunEnd::NotRun),
         Verdict::Unverified => {
-            return RunEnd::Lost("the response belongs to another request".into());
+            return RunEnd::Lost("the response is not signed".into());
         }
         Verdict::Answered => {}
     }
@@ -293,7 +293,9 @@
 pub fn failed_run(error: &SendError) -> RunEnd {
     let reason = error.to_string();
     match error {
-        SendError::NotSent(_) | SendError::Invalid(_) => RunEnd::Lost(reason),
+        SendError::NotSent(_) | SendError::Invalid(_) | SendError::Unmatched(_) => {
+            RunEnd::Lost(reason)
+        }
         SendError::Refused(_) => RunEnd::Refused(reason),
         SendError::Broken(_) => RunEnd::Broken(reason),
         SendError::Timeout => RunEnd::Silent(reason),
