Streams: a majority of the stores tells where a stream may go on

Cause: without a record, a gateway concluded from its own list of versions that there was only one. It learns the list from one store, which may be cut off, paused or restarted, and uses it for 2 s after the store's last reply. A store that did not reply counted as one that knows nothing.

Change: a gateway has a majority of the voters record a version, and confirm it, before the version begins streams; it asks all voters itself when a stream is taken up. Without a record the stream goes on only if a majority of complete voters knows one version. A restarted voter is complete once a majority of the others has told it all.

--- a/orioleworks_fleet/src/stores.rs
+++ b/orioleworks_fleet/src/stores.rs
@@ -72,6 +72,11 @@
         self.inner.leader.borrow().clone()
     }
 
+    /// Addresses of the stores that vote; empty before a store has told them.
+    pub fn voters(&self) -> Vec<String> {
+        self.inner.members.borrow().clone()
+    }
+
     /// All known addresses, members first.
     pub fn addresses(&self) -> IndexSet<String> {
         let members = self.inner.members.borrow();
--- a/orioleworks_fleet/src/watch.rs
+++ b/orioleworks_fleet/src/watch.rs
@@ -175,10 +175,6 @@
         let served = convert::from_served_message(message, now);
         knowledge.fleet.borrow_mut().note_served(served);
     }
-    // A store without a leader may have missed what the others know.
-    if reply.complete_history && reply.current {
-        knowledge.fleet.borrow_mut().complete_history();
-    }
     for message in std::mem::take(&mut reply.upstreams) {
         let (up, last_seen) = convert::from_message(message, now);
         let outcome = knowledge.fleet.borrow_mut().announce(last_seen, up, false);
--- a/orioleworks_gateway/src/forward.rs
+++ b/orioleworks_gateway/src/forward.rs
@@ -28,7 +28,6 @@
     outlier::Key,
     permits::Permit,
     routes::Route,
-    streams::Origin,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -453,8 +452,19 @@
         let mut excluded = self.tried.clone();
         let mut next_free: Option<Duration> = None;
         let software = self.software.clone();
+        let mut unrecorded: Vec<Rc<str>> = Vec::new();
         while let Some(upstream) = self.view.choose(&self.service, software.as_deref(), &excluded) {
             let key: Key = (upstream.id.clone(), upstream.incarnation);
+            if self.begins_stream() {
+                if unrecorded.contains(&upstream.software) {
+                    excluded.push(key);
+                    continue;
+                }
+                if !streams::may_begin(self.view, &upstream).await {
+                    unrecorded.push(upstream.software.clone());
+                    continue;
+                }
+            }
             let Some(rate) = self.view.limit(&key) else {
                 self.send_to(upstream);
                 return Start::Started;
@@ -489,9 +499,18 @@
     fn start_unlimited(&mut self, carrier: Carrier) -> bool {
         let software = self.software.as_deref();
         let upstream = self.view.choose_unlimited(&self.service, software, &self.tried);
+        let (recorded, now) = (self.view.recorded.borrow(), clock::since_boot());
+        let may_begin = |up: &Rc<Upstream>| recorded.contains(&streams::origin_at(up), now);
+        let upstream = upstream.filter(|up| !self.begins_stream() || may_begin(up));
+        drop(recorded);
         upstream.map(|upstream| self.send_by(upstream, carrier)).is_some()
     }
 
+    /// Whether the request begins a stream that can be taken up later.
+    fn begins_stream(&self) -> bool {
+        self.route.streaming && self.route.resumable && self.software.is_none()
+    }
+
     fn longest_permit_wait(&self, excluded: &[Key]) -> Duration {
         let software = self.software.as_deref();
         if self.view.choose_unlimited(&self.service, software, excluded).is_some() {
@@ -565,13 +584,16 @@
         let head = attempt::response_head(&exchange.head);
         let (view, route, id) = (self.view.clone(), self.route.clone(), self.context.id.clone());
         let content = self.content.clone();
-        let software = upstream.software.clone();
-        let origin = Origin { service: upstream.service.clone(), software };
-        let begins = self.route.streaming && self.route.resumable && self.software.is_none();
+        let origin = streams::origin_at(&upstream);
+        let begins = self.begins_stream();
         let until = self.context.deadline.unwrap_or(self.context.arrived + MAX_STREAM_TIME);
         runtime::spawn(async move {
-            if begins {
-                streams::record(&view, &id, origin).await;
+            if begins && !streams::record(&view, &id, origin).await {
+                event!(info, "stream_cut", request = id, upstream = key.0);
+                let cut = io::Error::other("no majority of the stores knows the software version");
+                // Sending fails if the caller has left.
+                drop(tx.send(Err(cut)).await);
+                return;
             }
             let mut observation = Observation::BrokenAtStart;
             if !start.is_empty() {
--- a/orioleworks_gateway/src/reports.rs
+++ b/orioleworks_gateway/src/reports.rs
@@ -76,7 +76,7 @@
         }
         let counts = (contents.len(), limits.len(), leaving.len());
         let report =
-            inner::ReportObservations { contents, limits, streams, leaving, relayed: false };
+            inner::ReportObservations { contents, limits, streams, leaving, ..Default::default() };
         let message = Body::ReportObservations(report);
         match view.stores.client(&address).call(message, REPORT_TIMEOUT).await {
             Ok(_) => {
--- a/orioleworks_gateway/src/view.rs
+++ b/orioleworks_gateway/src/view.rs
@@ -17,7 +17,7 @@
     helpers::Helpers,
     outlier::{Candidate, Key, Outliers},
     routes::RouteTable,
-    streams::Streams,
+    streams::{Recorded, Streams},
 };
 
 use crate::{
@@ -51,6 +51,8 @@
     pub buffers: Buffers,
     /// Streams that began through this gateway.
     pub streams: Rc<RefCell<Streams>>,
+    /// Software versions that may begin streams.
+    pub recorded: Rc<RefCell<Recorded>>,
     /// Wakes the task that reports observations to a store.
     pub report_wake: Wake,
     /// Permits for upstreams that name a limit.
@@ -90,6 +92,7 @@
             crashes: ContentCrashes::new(knowledge.clone(), report_wake.clone()),
             buffers: Buffers::default(),
             streams: Rc::default(),
+            recorded: Rc::default(),
             report_wake,
             permits: Permits::default(),
             knowledge: knowledge.clone(),
@@ -139,6 +142,7 @@
         self.last_current.set(Instant::now());
         let mut followed = self.followed_store.borrow_mut();
         if followed.as_deref() != Some(store) {
+            event!(info, "store_followed", peer = store);
             *followed = Some(store.to_owned());
         }
     }
@@ -269,6 +273,7 @@
         self.crashes.expire();
         self.knowledge.expire_rates();
         self.streams.borrow_mut().expire(now);
+        self.recorded.borrow_mut().expire(now);
         let fleet = self.knowledge.fleet.borrow();
         let known =
             |id: &str, start: u64| fleet.get(id).is_some_and(|k| k.upstream.incarnation == start);
--- a/orioleworks_gateway/tests/software_versions.rs
+++ b/orioleworks_gateway/tests/software_versions.rs
@@ -11,6 +11,7 @@
     time::{Duration, Instant},
 };
 
+use nix::sys::signal::Signal;
 use rstest::rstest;
 use support::{
     deployment::Deployment,
@@ -43,9 +44,7 @@
 
 /// Requests a stream, from the beginning or after what an earlier attempt brought, and reads it to its end.
 fn read_stream(address: &str, id: &str, resume: Option<(&str, u64)>) -> Part {
-    const TIMEOUT: Duration = Duration::from_secs(5);
     let Ok(mut stream) = TcpStream::connect(address) else { return Part::default() };
-    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
     let resumed = resume.map_or(String::new(), |(first, after)| {
         format!("Resumes: {first}\r\nLast-Event-Id: {after}\r\n")
     });
@@ -56,6 +55,13 @@
     if stream.write_all(head.as_bytes()).is_err() {
         return Part::default();
     }
+    read_part(stream)
+}
+
+/// Reads the response to a request for a stream.
+fn read_part(mut stream: TcpStream) -> Part {
+    const TIMEOUT: Duration = Duration::from_secs(5);
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
     let mut bytes = Vec::new();
     let mut buf = [0; 4096];
     // A broken stream ends with an error; what came before it counts.
@@ -239,15 +245,15 @@
     IsReplaced,
 }
 
-/// Index of the store that acknowledged what a gateway reported last.
+/// Index of the store that a gateway follows.
 fn followed_store(d: &Deployment, gateway: usize) -> usize {
-    let connected = |i: &usize| {
+    let log = d.gateways[gateway].as_ref().unwrap().log();
+    let last = log.lines().rfind(|l| l.contains("event=store_followed"));
+    let is_at = |i: &usize| {
         let address = format!("peer={}:", support::deployment::loopback_ip(1, *i));
-        let log = d.gateways[gateway].as_ref().unwrap().log();
-        let lines: Vec<&str> = log.lines().filter(|l| l.contains("event=store_")).collect();
-        lines.last().is_some_and(|l| l.contains("store_regained") && l.contains(&address))
+        last.is_some_and(|l| l.contains(&address))
     };
-    (0..d.stores.len()).find(connected).expect("the gateway follows a store")
+    (0..d.stores.len()).find(is_at).expect("the gateway follows a store")
 }
 
 /// Guards against texts of two versions that are joined because the beginning of a stream was forgotten, and against refusing
@@ -331,3 +337,95 @@
         assert!(engines.iter().all(|e| e.runs("resumed").is_empty()), "a refused stream ran");
     }
 }
+
+/// Process that does not hear of a new software version.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Paused {
+    /// The store that a gateway follows.
+    Store,
+    /// The gateway.
+    Gateway,
+}
+
+/// Guards against a stream that goes on at the only version that a gateway knows: the gateway, or the store that it follows,
+/// stood still while upstreams of another version joined and began the stream through another gateway.
+#[rstest]
+#[case::store_and_named_attempt(Paused::Store, true)]
+#[case::store_and_unnamed_attempt(Paused::Store, false)]
+#[case::gateway_and_named_attempt(Paused::Gateway, true)]
+#[case::gateway_and_unnamed_attempt(Paused::Gateway, false)]
+fn a_stream_is_not_joined_through_a_gateway_that_missed_a_version(
+    #[case] paused: Paused,
+    #[case] named: bool,
+) {
+    const GATEWAYS: usize = 6;
+    let mut d = Deployment::start(3, GATEWAYS, &routes::document(1, 5000).to_string());
+    // The first ones all follow the store that led first; a restart spreads them.
+    for i in 0..GATEWAYS {
+        d.gateways[i] = None;
+        d.start_gateway(i);
+        d.wait_until("the gateway is ready", || d.is_ready(i));
+    }
+    let start = |id, software| Upstream::start_engine(id, MODEL, d.control_addresses(), software);
+    let old = vec![start("e-0", "v1"), start("e-1", "v1")];
+    wait_for_engines(&d, &old);
+    let leader = d.leader().expect("a store leads");
+    let followed = |g: usize| followed_store(&d, g);
+    let stale = (0..GATEWAYS).find(|g| followed(*g) != leader).expect("a gateway follows another");
+    let store = followed(stale);
+    let current = (0..GATEWAYS).find(|g| followed(*g) != store).expect("gateways are spread");
+    let signal = |signal| match paused {
+        Paused::Store => d.stores[store].as_ref().unwrap().signal(signal),
+        Paused::Gateway => d.gateways[stale].as_ref().unwrap().signal(signal),
+    };
+    let refuse = |refuses: bool| {
+        old.iter().for_each(|e| e.behaviour.refuses.store(refuses, Ordering::Relaxed));
+    };
+    signal(Signal::SIGSTOP);
+    let mut stores = d.control_addresses();
+    stores.remove(store);
+    let new = Upstream::start_engine("e-2", MODEL, stores, "v2");
+    new.behaviour.break_after.store(BREAK_AFTER, Ordering::Relaxed);
+    refuse(true);
+    let begun = (0..100).find_map(|n| {
+        let first = format!("first-{n}");
+        let part = read_stream(&d.gateway_address(current), &first, None);
+        (!part.events.is_empty()).then_some((first, part))
+    });
+    let (first, begun) = begun.expect("the new engine begins a stream");
+    new.behaviour.break_after.store(0, Ordering::Relaxed);
+    refuse(false);
+    let (last, _) = begun.events.last().cloned().unwrap();
+    let take_up = |id: &str| {
+        let mut head = format!(
+            "POST /say/{id} HTTP/1.1\r\nHost: test.example\r\nConnection: close\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: \
+             4000\r\nX-Model: {MODEL}\r\nLast-Event-Id: {last}\r\nContent-Length: 0\r\n"
+        );
+        if named {
+            head += &format!("Resumes: {first}\r\n");
+        }
+        let mut stream = TcpStream::connect(d.gateway_address(stale)).unwrap();
+        stream.write_all(format!("{head}\r\n").as_bytes()).unwrap();
+        stream
+    };
+    let waiting = take_up("resumed");
+    if paused == Paused::Gateway {
+        signal(Signal::SIGCONT);
+    }
+    let check = |rest: &Part| {
+        assert!([200, 503].contains(&rest.status), "{rest:?}\n{}", d.logs());
+        let parts = begun.events.iter().chain(&rest.events).map(|(_, data)| data);
+        assert_eq!(software_versions(parts), BTreeSet::from(["v2".to_owned()]), "{rest:?}");
+    };
+    check(&read_part(waiting));
+    if paused == Paused::Store {
+        signal(Signal::SIGCONT);
+    }
+    if named {
+        d.wait_until("the stream goes on", || {
+            let rest = read_part(take_up("resumed-later"));
+            check(&rest);
+            rest.status == 200
+        });
+    }
+}
--- a/orioleworks_gateway/tests/support/upstream.rs
+++ b/orioleworks_gateway/tests/support/upstream.rs
@@ -142,6 +142,11 @@
         Self::start_with(id, service, model, stores, false)
     }
 
+    /// Starts an engine with a version of its software.
+    pub fn start_engine(id: &str, model: &str, stores: Vec<String>, software: &str) -> Self {
+        Self::start_all(id, "engines", Some(model), stores, false, software)
+    }
+
     /// Like [`Self::start`]; with `proxied` it announces the address of a proxy.
     pub fn start_with(
         id: &str,
@@ -149,6 +154,17 @@
         model: Option<&str>,
         stores: Vec<String>,
         proxied: bool,
+    ) -> Self {
+        Self::start_all(id, service, model, stores, proxied, "")
+    }
+
+    fn start_all(
+        id: &str,
+        service: &str,
+        model: Option<&str>,
+        stores: Vec<String>,
+        proxied: bool,
+        software: &str,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let listen_address = listener.local_addr().unwrap().to_string();
@@ -166,6 +182,7 @@
         };
         upstream.process.set_born();
         upstream.behaviour.announces.store(true, Ordering::Relaxed);
+        software.clone_into(&mut upstream.behaviour.software.lock().unwrap());
         if let Some(model) = model {
             upstream.state.lock().unwrap().versions.insert(model.into(), 1);
         }
--- a/orioleworks_routing/src/fleet.rs
+++ b/orioleworks_routing/src/fleet.rs
@@ -9,7 +9,10 @@
 
 use indexmap::{IndexMap, map::Entry};
 
-use crate::{outlier::Key, streams};
+use crate::{
+    outlier::Key,
+    streams::{self, Origin},
+};
 
 /// Time without an announcement after which an upstream ranks behind fresh ones: three intervals of 1.2 s.
 pub const STALE_AFTER: Duration = Duration::from_millis(3600);
@@ -61,6 +64,14 @@
     pub last_seen: Duration,
 }
 
+impl Served {
+    /// What began a stream serves at that time.
+    pub fn by(origin: &Origin, now: Duration) -> Self {
+        let Origin { service, software } = origin.clone();
+        Self { service, software, last_seen: now }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct KnownServed {
     last_seen: Duration,
@@ -314,13 +325,13 @@
         })
     }
 
-    /// Records that no software version is missing that served before this process began: nothing did, or a process that
-    /// misses none has passed on all.
+    /// Records that no software version is missing that was recorded here before this process began: none was, or a majority
+    /// of the voters has passed on all.
     pub fn complete_history(&mut self) {
         self.complete = true;
     }
 
-    /// Whether all software versions are known that may have begun a stream that can still be taken up.
+    /// Whether no software version is missing that was recorded here and may have begun a stream that can still be taken up.
     pub fn has_history(&self, now: Duration) -> bool {
         let old = |began: Duration| now.saturating_sub(began) >= streams::RETENTION;
         self.complete || self.began.is_some_and(old)
@@ -364,15 +375,10 @@
         self.known.values().filter(of_service).filter(move |k| k.takes_requests(now))
     }
 
-    /// The only software version that can have begun a stream of a service; `None` if there are several, or if some may be
-    /// unknown.
-    pub fn only_software(&self, service: &str, now: Duration) -> Option<Rc<str>> {
-        if !self.has_history(now) {
-            return None;
-        }
-        let mut versions = self.served.keys().filter(|(of, _)| **of == *service);
-        let (_, only) = versions.next()?;
-        versions.next().is_none().then(|| only.clone())
+    /// Software versions of a service that are known to have served.
+    pub fn software_versions(&self, service: &str) -> impl Iterator<Item = &Rc<str>> {
+        let of_service = self.served.keys().filter(move |(of, _)| **of == *service);
+        of_service.map(|(_, software)| software)
     }
 
     /// Number of fresh and of stale upstreams that take new requests.
--- a/orioleworks_routing/src/streams.rs
+++ b/orioleworks_routing/src/streams.rs
@@ -12,8 +12,12 @@
 /// Streams that are remembered, the newest ones; about 100 bytes each.
 const MAX_STREAMS: usize = 32_768;
 
+/// Time for which a software version may begin streams after a majority of the stores has recorded it. Stores remember it for
+/// [`RETENTION`], so that they still know it when a stream is taken up a minute after it began.
+pub const RECORDED_FOR: Duration = Duration::from_secs(240);
+
 /// What began a stream.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Origin {
     /// Service of the upstream.
     pub service: Rc<str>,
@@ -91,3 +95,31 @@
         }
     }
 }
+
+/// Services and software versions that may begin streams, because a majority of the stores has recorded them.
+#[derive(Clone, Debug, Default)]
+pub struct Recorded(IndexMap<Origin, Duration>);
+
+impl Recorded {
+    /// Notes that a majority has recorded an origin, as it was told at `told_at`.
+    pub fn note(&mut self, origin: Origin, told_at: Duration) {
+        let recorded = self.0.entry(origin).or_default();
+        *recorded = told_at.max(*recorded);
+    }
+
+    /// Whether an origin may begin streams.
+    pub fn contains(&self, origin: &Origin, now: Duration) -> bool {
+        self.0.get(origin).is_some_and(|told_at| now.saturating_sub(*told_at) < RECORDED_FOR)
+    }
+
+    /// Whether an origin should be recorded again, well before it may begin no more streams.
+    pub fn is_due(&self, origin: &Origin, now: Duration) -> bool {
+        let age = |told_at: &Duration| now.saturating_sub(*told_at);
+        self.0.get(origin).is_none_or(|told_at| age(told_at) >= RECORDED_FOR / 2)
+    }
+
+    /// Forgets what may begin no more streams.
+    pub fn expire(&mut self, now: Duration) {
+        self.0.retain(|_, told_at| now.saturating_sub(*told_at) < RECORDED_FOR);
+    }
+}
--- a/orioleworks_rules/src/lib.rs
+++ b/orioleworks_rules/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod claims;
 pub mod delivery;
 pub mod log;
+pub mod streams;
--- a/orioleworks_store/src/peers.rs
+++ b/orioleworks_store/src/peers.rs
@@ -9,6 +9,7 @@
     watch::{self, Knowledge, Position, WatcherState},
 };
 use orioleworks_log::{Log, notify::Notify};
+use orioleworks_rules::streams;
 use tokio_util::sync::CancellationToken;
 
 /// Pause after a watch that failed.
@@ -25,6 +26,8 @@
     token: CancellationToken,
 ) {
     let watched: Rc<RefCell<HashSet<String>>> = Rc::default();
+    // Voters that have told all software versions since this process began.
+    let told: Rc<RefCell<HashSet<String>>> = Rc::default();
     while !token.is_cancelled() {
         // A learner serves no gateway and needs no upstreams.
         let peers = log.peer_addresses();
@@ -37,8 +40,9 @@
             let (log, stores, knowledge) = (log.clone(), stores.clone(), knowledge.clone());
             let (wake, token) = (wake.clone(), token.clone());
             let (address, watched) = (address.clone(), watched.clone());
+            let told = told.clone();
             runtime::spawn(async move {
-                watch_one(&log, &stores, &address, &knowledge, &wake, &token).await;
+                watch_one(&log, &stores, &address, &knowledge, &told, &wake, &token).await;
                 watched.borrow_mut().remove(&address);
             })
             .detach();
@@ -52,6 +56,7 @@
     stores: &Stores,
     address: &str,
     knowledge: &Knowledge,
+    told: &RefCell<HashSet<String>>,
     wake: &Notify,
     token: &CancellationToken,
 ) {
@@ -69,7 +74,10 @@
             ..WatcherState::default()
         };
         match watch::poll(&client, &mut position, state, knowledge).await {
-            Ok((_, changed)) => {
+            Ok((reply, changed)) => {
+                if reply.complete_history {
+                    note_history(log, address, knowledge, told);
+                }
                 if !reached {
                     event!(info, "store_regained", peer = address);
                 }
@@ -88,3 +96,17 @@
         }
     }
 }
+
+/// Records that a voter has told all software versions that it knows. This store may have lost some when it was restarted; a
+/// majority of the voters has told them all.
+fn note_history(log: &Log, address: &str, knowledge: &Knowledge, told: &RefCell<HashSet<String>>) {
+    if !told.borrow_mut().insert(address.to_owned()) {
+        return;
+    }
+    let voters = log.voter_addresses();
+    let told_by = voters.iter().filter(|voter| told.borrow().contains(*voter)).count();
+    // The addresses leave out this store.
+    if streams::is_complete_again(told_by, voters.len() + usize::from(log.is_voter())) {
+        knowledge.fleet.borrow_mut().complete_history();
+    }
+}
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -26,7 +26,7 @@
     inner::{self, command::Kind, frame::Body},
 };
 use orioleworks_routing::{
-    fleet::AnnounceOutcome,
+    fleet::{AnnounceOutcome, Served},
     helpers::{self, Helper},
     routes::RouteTable,
     streams::Origin,
@@ -189,7 +189,9 @@
             Body::FleetWatch(watch) => Some(Body::FleetReply(self.watch(watch).await)),
             Body::ReportObservations(report) => {
                 self.merge_observations(report);
-                Some(Body::ReportObservationsReply(inner::ReportObservationsReply {}))
+                let not_voting = !self.shared.log.is_voter();
+                let reply = inner::ReportObservationsReply { not_voting, store_boot: self.boot };
+                Some(Body::ReportObservationsReply(reply))
             }
             Body::AcquirePermit(ask) => {
                 Some(Body::AcquirePermitReply(self.acquire_permit(ask).await))
@@ -211,10 +213,13 @@
         if let Some(Origin { service, software }) = known {
             let (service, software) = (service.to_string(), software.to_string());
             let stream = inner::BegunStream { attempt: find.attempt, service, software };
-            return inner::FindStreamReply { stream: Some(stream) };
+            return inner::FindStreamReply { stream: Some(stream), ..Default::default() };
         }
         if find.relayed {
-            return inner::FindStreamReply { stream: None };
+            let fleet = self.shared.knowledge.fleet.borrow();
+            let complete = self.shared.log.is_voter() && fleet.has_history(clock::since_boot());
+            let software = fleet.software_versions(&find.service).map(ToString::to_string);
+            return inner::FindStreamReply { stream: None, software: software.collect(), complete };
         }
         let ask = async |address: String| {
             let relayed = inner::FindStream { relayed: true, ..find.clone() };
@@ -238,7 +243,7 @@
         let asked = self.shared.log.voter_addresses().into_iter().map(ask);
         let replies: FuturesUnordered<_> = asked.collect();
         let mut found = std::pin::pin!(replies.filter_map(std::future::ready));
-        inner::FindStreamReply { stream: found.next().await }
+        inner::FindStreamReply { stream: found.next().await, ..Default::default() }
     }
 
     /// Gives a permit, or asks the leader for it.
@@ -484,9 +489,14 @@
         if changed {
             self.shared.wake.notify();
         }
+        let fleet = &self.shared.knowledge.fleet;
+        for served in report.served {
+            fleet.borrow_mut().note_served(convert::from_served_message(served, now));
+        }
         let is_news = |begun: &inner::BegunStream| {
             let (service, software) = (&*begun.service, &*begun.software);
             let origin = Origin { service: service.into(), software: software.into() };
+            fleet.borrow_mut().note_served(Served::by(&origin, now));
             self.shared.streams.borrow_mut().record(&begun.attempt, origin, now)
         };
         let news: Vec<inner::BegunStream> = report.streams.into_iter().filter(is_news).collect();
--- a/spec/src/lib.rs
+++ b/spec/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod log_state;
 mod log_steps;
 pub mod rewards;
+pub mod streams;
