--- a/orioleworks_gateway/tests/platform.rs
+++ b/orioleworks_gateway/tests/platform.rs
@@ -194,6 +194,47 @@
     assert_eq!(served, ROUNDS, "a request after a copy is not served\n{}", d.logs());
 }
 
+/// Guards against processes that end by an odd announcement or stop to follow the others, and against taking one for an
+/// upstream.
+#[test]
+fn odd_announcements_do_no_harm() {
+    const SOUND: &str = r#"{"service":"sheets","address":"127.0.0.1:9","zone":"z","version":"v1","slots":8,"state":"ready","sequence":1,"born":1}"#;
+    let d = Deployment::start(3, 2, &document(1, 2000));
+    let _upstream = Upstream::start("s-0", "sheets", None, d.control_addresses());
+    let is_served = |id: &str| {
+        (0..2).all(|g| d.send(g, "GET", "/lookup/a", id, "").is_some_and(|a| a.status == 200))
+    };
+    d.wait_until("the upstream is known", || is_served("warm"));
+    let odd = [
+        SOUND.replace("\"born\":1", &format!("\"born\":{}1", "[".repeat(100_000))),
+        SOUND.replace("\"slots\":8", &format!("\"slots\":{}", "9".repeat(400))),
+        SOUND.replace("\"sequence\":1", "\"sequence\":1e999"),
+        SOUND.replace("127.0.0.1:9", "127.0.0.1:65536"),
+        SOUND.replace("127.0.0.1:9", "127.0.0.1:0"),
+        SOUND.replace("127.0.0.1:9", "0.0.0.0:9"),
+        SOUND.replace("\"slots\":8", "\"slots\":0"),
+        SOUND.replace("\"born\":1", "\"born\":18446744073709551615"),
+        SOUND.replace("sheets", &"s".repeat(200_000)),
+        "\u{0}\u{1}".into(),
+    ];
+    for (n, body) in odd.iter().enumerate() {
+        for store in d.control_addresses() {
+            for call in ["Heartbeat", "Deregister"] {
+                let id = if call == "Heartbeat" { format!("odd-{n}") } else { "s-0".into() };
+                let path = format!("/v1/Instances.{call}/{id}");
+                let response = client::call(&store, "POST", &path, &[], body);
+                // A deregistration of another start than the known one changes nothing.
+                let accepted = response.is_none_or(|r| r.status == 200);
+                assert!(call == "Deregister" || !accepted, "{body:.200}");
+            }
+        }
+        assert!(is_served(&format!("served-{n}")), "after {body:.200}\n{}", d.logs());
+    }
+    let processes = || d.stores.iter().chain(&d.gateways).flatten();
+    assert!(processes().all(|p| p.exit_code().is_none()), "a process has ended\n{}", d.logs());
+    assert!(!processes().any(|p| p.log().contains("upstream=odd-")), "{}", d.logs());
+}
+
 /// Guards against a request that runs twice, and against reporting "not run" for one that may have run.
 #[test]
 fn a_request_that_may_run_once_is_not_repeated_after_a_failure() {
