Streams: a success counts only as a stream of events

Here items did end early: when the engine at which an item goes on answered 200 with an empty page, or with events as plain text, the item was listed as completed. A caller that takes a stream up got a page with status 200 as its rest.

Cause: status 200 was read as a stream of events whatever its media type, and the end of its body as the end of the text.

Change: on routes with streams, and for items, a success of another media type is a failure of the upstream. An item without any event is not complete. Endless streams of the stand-in name their media type, so that their bounds are still tested.

--- a/orioleworks_gateway/src/attempt.rs
+++ b/orioleworks_gateway/src/attempt.rs
@@ -107,6 +107,15 @@
                 self.record_failure();
                 AttemptEnd::Unknown("the response has no signature".into())
             }
+            Verdict::Answered
+                if self.streaming
+                    && exchange.head.status.is_success()
+                    && !upstream::is_event_stream(&exchange.head.headers) =>
+            {
+                self.record_failure();
+                exchange.discard();
+                AttemptEnd::Unknown("the response is no stream of events".into())
+            }
             Verdict::Answered if self.streaming && exchange.head.status.is_success() => {
                 self.view.outliers.borrow_mut().record_response(&self.key, started.elapsed());
                 AttemptEnd::Stream(Box::new(exchange))
--- a/orioleworks_gateway/tests/partitioned.rs
+++ b/orioleworks_gateway/tests/partitioned.rs
@@ -333,6 +333,25 @@
     assert!(span > generated / 2, "{EVENTS} events within {span:?}");
 }
 
+/// Guards against a stream that breaks off behind another gateway, and then looks complete or ends with an error.
+#[test]
+fn a_stream_that_breaks_off_behind_another_gateway_does_not_look_complete() {
+    let d = Deployment::start_with_paths(3, GATEWAYS, &routes::document(1, 5000).to_string());
+    let upstreams = start_upstreams(&d);
+    warm_up(&d);
+    cut_first(&d);
+    for up in &upstreams {
+        up.behaviour.break_after.store(4, Ordering::Relaxed);
+    }
+    let headers = [("X-Attempt-Id", "broken"), ("X-Deadline-Ms", "5000"), ("X-Model", MODEL)];
+    let call = client::call(&d.gateway_address(0), "GET", "/say/broken", &headers, "");
+    let broken = call.expect("a response");
+    assert_eq!(broken.status, 200, "{broken:?}\n{}", d.logs());
+    assert!(broken.body.contains("broken event 4\n"), "{broken:?}");
+    assert!(!broken.body.contains("event 5") && !broken.body.contains("HTTP/"), "{broken:?}");
+    assert!(!broken.body.ends_with("\r\n0\r\n\r\n"), "it looks complete: {broken:?}");
+}
+
 /// Guards against a service that is down everywhere and sends its load round the gateways, and against another service that
 /// suffers from that.
 #[test]
--- a/orioleworks_gateway/tests/platform.rs
+++ b/orioleworks_gateway/tests/platform.rs
@@ -9,11 +9,12 @@
 };
 
 use nix::sys::signal::Signal;
+use rstest::rstest;
 use support::{
     client,
     deployment::{self, Deployment},
     routes::{self, MODEL},
-    upstream::{EVENT_GAP, EVENTS, Upstream, item_text},
+    upstream::{EVENT_GAP, EVENTS, OtherResponse, Upstream, item_text},
 };
 
 fn document(version: u64, timeout_ms: u64) -> String {
@@ -297,6 +298,73 @@
     assert!(resumed.flatten().any(|after| after == 4), "no run resumed after event 4");
 }
 
+/// Guards against a text that holds an error, or that is listed as complete too early: an engine breaks off a stream, and the
+/// next one answers with something else than its rest.
+#[rstest]
+#[case::failure("500 Internal Server Error", "text/plain", "the engine failed")]
+#[case::bad_gateway("502 Bad Gateway", "text/html", "<h1>bad gateway</h1>")]
+#[case::page("200 OK", "text/html", "<h1>maintenance</h1>")]
+#[case::empty_page("200 OK", "text/html", "")]
+#[case::events_of_another_type("200 OK", "text/plain", "id: 5\ndata: other\n\n")]
+fn an_item_does_not_end_with_another_response(
+    #[case] status: &'static str,
+    #[case] content_type: &'static str,
+    #[case] body: &'static str,
+) {
+    use std::sync::atomic::Ordering;
+    let d = Deployment::start(3, 1, &document(1, 2000));
+    let engines = engines(&d, 2);
+    for engine in &engines {
+        engine.behaviour.break_after.store(4, Ordering::Relaxed);
+        let other = OtherResponse { status, content_type, body };
+        *engine.behaviour.resumed_response.lock().unwrap() = Some(other);
+        engine.behaviour.resumed_responses.store(1, Ordering::Relaxed);
+    }
+    let items = item_ids("item", 4);
+    submit(&d, 0, "b1", &items, 1);
+    check_results(&read_all(&d, "b1", items.len()), &items);
+    let left = |e: &Upstream| e.behaviour.resumed_responses.load(Ordering::Relaxed);
+    assert!(engines.iter().any(|e| left(e) == 0), "no run that resumed got another response");
+}
+
+/// Guards against an error inside a caller's stream, and against one that ends as complete: an engine breaks it off, and the
+/// engine at which it is taken up fails.
+#[rstest]
+#[case::failure("500 Internal Server Error", "text/plain", 500)]
+#[case::page("200 OK", "text/html", 502)]
+fn a_callers_stream_does_not_end_with_an_error(
+    #[case] status: &'static str,
+    #[case] content_type: &'static str,
+    #[case] expected: u16,
+) {
+    use std::sync::atomic::Ordering;
+    let d = Deployment::start(3, 1, &document(1, 2000));
+    let engines = engines(&d, 2);
+    let send = |id: &str, resumed: &[(&str, &str)]| {
+        let mut headers = vec![("X-Attempt-Id", id), ("X-Deadline-Ms", "4000"), ("X-Model", MODEL)];
+        headers.extend(resumed);
+        client::call(&d.gateway_address(0), "POST", "/say/a", &headers, "")
+    };
+    d.wait_until("the engines are known", || {
+        send("warm", &[]).is_some_and(|a| a.status == 200)
+            && engines.iter().all(|e| e.total_runs() > 0)
+    });
+    let other = OtherResponse { status, content_type, body: "the engine failed" };
+    for engine in &engines {
+        engine.behaviour.break_after.store(4, Ordering::Relaxed);
+        *engine.behaviour.resumed_response.lock().unwrap() = Some(other);
+        engine.behaviour.resumed_responses.store(9, Ordering::Relaxed);
+    }
+    let broken = send("broken", &[]).unwrap();
+    assert!(broken.body.contains("broken event 4\n"), "{}", broken.body);
+    assert!(!broken.body.contains("failed") && !broken.body.contains("HTTP/"), "{}", broken.body);
+    assert!(!broken.body.ends_with("\r\n0\r\n\r\n"), "it looks complete: {}", broken.body);
+    let resumed = [("Resumes", "broken"), ("Last-Event-Id", "4")];
+    let refused = send("resumed", &resumed).unwrap();
+    assert_eq!(refused.status, expected, "{refused:?}");
+    assert!(!refused.head.contains("event-stream"), "{}", refused.head);
+}
+
 /// Guards against the loss of an accepted batch, a listed position or generated text when the leader crashes.
 #[test]
 fn a_batch_survives_a_crash_of_the_leader() {
--- a/orioleworks_gateway/tests/support/upstream.rs
+++ b/orioleworks_gateway/tests/support/upstream.rs
@@ -34,6 +34,14 @@
     Events,
 }
 
+/// Response in place of a stream.
+#[derive(Clone, Copy, Debug)]
+pub struct OtherResponse {
+    pub status: &'static str,
+    pub content_type: &'static str,
+    pub body: &'static str,
+}
+
 /// Faults and announcements of a stand-in.
 #[derive(Default)]
 pub struct Behaviour {
@@ -73,6 +81,9 @@
     pub fail_path: Mutex<String>,
     /// Breaks off this many of the next responses of a plain service halfway.
     pub breaks_responses: AtomicU64,
+    /// Response to the next requests that resume a stream, and their number.
+    pub resumed_response: Mutex<Option<OtherResponse>>,
+    pub resumed_responses: AtomicU64,
     /// Sends this many responses once more, when the next request arrives on the connection; not those that are streams.
     pub late_copies: AtomicU64,
 }
@@ -469,6 +480,14 @@
         if failures.fetch_update(Ordering::Relaxed, Ordering::Relaxed, decrement).is_ok() {
             return self.respond(out, "500 Internal Server Error", stamp, "failed");
         }
+        let other = *self.behaviour.resumed_response.lock().unwrap();
+        let others = &self.behaviour.resumed_responses;
+        if let Some(other) = other.filter(|_| after.is_some())
+            && others.fetch_update(Ordering::Relaxed, Ordering::Relaxed, decrement).is_ok()
+        {
+            let content_type = [("Content-Type", other.content_type)];
+            return self.respond(out, other.status, &[stamp, &content_type].concat(), other.body);
+        }
         match headers.get("x-model") {
             Some(model) => self.stream(out, &id, model, after.unwrap_or(0)),
             None if self
@@ -601,7 +620,9 @@
 /// Sends bytes until the receiver closes the connection.
 fn send_without_end(out: &mut TcpStream, id: &str, endless: Endless) -> std::io::Result<()> {
     const CHUNK: usize = 16 * 1024;
-    let signed = format!("X-Attempt-Id: {id}\r\nX-Server-Stamp: stamp\r\n");
+    let signed = format!(
+        "X-Attempt-Id: {id}\r\nX-Server-Stamp: stamp\r\nContent-Type: text/event-stream\r\n"
+    );
     let (status, headers) = match endless {
         Endless::Refusal => ("503 Service Unavailable", "X-Not-Executed: 1\r\n"),
         Endless::Failure => ("500 Internal Server Error", signed.as_str()),
--- a/orioleworks_store/src/runner.rs
+++ b/orioleworks_store/src/runner.rs
@@ -282,6 +282,9 @@
         Verdict::Answered => {}
     }
     match status.as_u16() {
+        200..=299 if !upstream::is_event_stream(headers) => {
+            without_events(exchange, RunEnd::Lost("the response is no stream of events".into()))
+        }
         200..=299 => read_events(exchange, run, progress, observer).await,
         422 => without_events(exchange, RunEnd::Impossible),
         500 => without_events(exchange, RunEnd::Failed),
@@ -360,6 +363,9 @@
     if decoder.has_partial_event() {
         return RunEnd::Lost("the stream ended inside an event".into());
     }
+    if progress.borrow().event_count() == 0 {
+        return RunEnd::Lost("the stream has no events".into());
+    }
     exchange.return_to_pool();
     RunEnd::Completed
 }
