Simplify: one way to send, one majority, one conversion of stream origins

Found by reading the change once more; behaviour stays as it is.

- Pool::send and send_on_new share send_with.
- Messages for what began a stream are converted in orioleworks_fleet::convert, in place of four spellings.
- streams::is_recorded replaces three spellings, one of which held a borrow that had to be dropped by hand.
- Attempt::id was written and never read since the pool compares the IDs; it is removed.
- The two arms for streams in Attempt::send are one function.
- Tests: one import of Ordering, and malformed_announcements_do_no_harm in place of odd_; no assertion changed.

--- a/orioleworks_fleet/src/convert.rs
+++ b/orioleworks_fleet/src/convert.rs
@@ -9,6 +9,7 @@
     helpers::Helper,
     permits::Permit,
     rates,
+    streams::Origin,
 };
 
 /// Message for a known upstream.
@@ -181,6 +182,20 @@
     }
 }
 
+/// Message for what began the stream of an attempt.
+pub fn to_stream_message(attempt: &str, origin: &Origin) -> inner::BegunStream {
+    inner::BegunStream {
+        attempt: attempt.to_owned(),
+        service: origin.service.to_string(),
+        software: origin.software.to_string(),
+    }
+}
+
+/// What began the stream of a message.
+pub fn from_stream_message(begun: &inner::BegunStream) -> Origin {
+    Origin { service: (&*begun.service).into(), software: (&*begun.software).into() }
+}
+
 /// Permit of a reply with [`ResultCode::Ok`](orioleworks_proto::codes::ResultCode::Ok).
 pub fn from_permit_reply(reply: &inner::AcquirePermitReply) -> Permit {
     let wait = Duration::from_millis(reply.wait_ms.into());
--- a/orioleworks_fleet/src/pool.rs
+++ b/orioleworks_fleet/src/pool.rs
@@ -190,13 +190,8 @@
         req: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Exchange, SendError> {
-        let deadline = Instant::now() + timeout;
-        let connection = match self.take_idle(key, caller::attempt_id(req.headers())) {
-            Some(connection) => connection,
-            None => self.connect(address, timeout.min(CONNECT_TIMEOUT)).await?,
-        };
-        let left = deadline.saturating_duration_since(Instant::now());
-        self.send_on(connection, key, req, left).await
+        let kept = self.take_idle(key, caller::attempt_id(req.headers()));
+        self.send_with(kept, address, key, req, timeout).await
     }
 
     /// Like [`Self::send`], for a request whose response names no attempt: on a new connection, where no copy of an earlier
@@ -211,9 +206,24 @@
         key: &Key,
         req: Request<Full<Bytes>>,
         timeout: Duration,
+    ) -> Result<Exchange, SendError> {
+        self.send_with(None, address, key, req, timeout).await
+    }
+
+    /// Sends a request on a kept connection, or on a new one.
+    async fn send_with(
+        &self,
+        kept: Option<Connection>,
+        address: &str,
+        key: &Key,
+        req: Request<Full<Bytes>>,
+        timeout: Duration,
     ) -> Result<Exchange, SendError> {
         let deadline = Instant::now() + timeout;
-        let connection = self.connect(address, timeout.min(CONNECT_TIMEOUT)).await?;
+        let connection = match kept {
+            Some(connection) => connection,
+            None => self.connect(address, timeout.min(CONNECT_TIMEOUT)).await?,
+        };
         let left = deadline.saturating_duration_since(Instant::now());
         self.send_on(connection, key, req, left).await
     }
--- a/orioleworks_gateway/src/attempt.rs
+++ b/orioleworks_gateway/src/attempt.rs
@@ -58,8 +58,6 @@
     pub streaming: bool,
     /// The request.
     pub content: Rc<Content>,
-    /// ID of the caller's attempt.
-    pub id: String,
     /// End of the attempt.
     pub deadline: Instant,
     /// Upstream that runs the request.
@@ -107,23 +105,23 @@
                 self.record_failure();
                 AttemptEnd::Unknown("the response has no signature".into())
             }
-            Verdict::Answered
-                if self.streaming
-                    && exchange.head.status.is_success()
-                    && !upstream::is_event_stream(&exchange.head.headers) =>
-            {
-                self.record_failure();
-                exchange.discard();
-                AttemptEnd::Unknown("the response is no stream of events".into())
-            }
             Verdict::Answered if self.streaming && exchange.head.status.is_success() => {
-                self.view.outliers.borrow_mut().record_response(&self.key, started.elapsed());
-                AttemptEnd::Stream(Box::new(exchange))
+                self.begin_stream(exchange, started)
             }
             Verdict::Answered => self.read_response(exchange, started).await,
         }
     }
 
+    fn begin_stream(&self, exchange: Exchange, started: Instant) -> AttemptEnd {
+        if !upstream::is_event_stream(&exchange.head.headers) {
+            self.record_failure();
+            exchange.discard();
+            return AttemptEnd::Unknown("the response is no stream of events".into());
+        }
+        self.view.outliers.borrow_mut().record_response(&self.key, started.elapsed());
+        AttemptEnd::Stream(Box::new(exchange))
+    }
+
     /// End of an attempt without a response. What the gateway's own path may have caused is no evidence against the upstream
     /// or the request.
     async fn without_response(&self, failure: Failure) -> AttemptEnd {
--- a/orioleworks_gateway/src/forward.rs
+++ b/orioleworks_gateway/src/forward.rs
@@ -499,10 +499,8 @@
     fn start_unlimited(&mut self, carrier: Carrier) -> bool {
         let software = self.software.as_deref();
         let upstream = self.view.choose_unlimited(&self.service, software, &self.tried);
-        let (recorded, now) = (self.view.recorded.borrow(), clock::since_boot());
-        let may_begin = |up: &Rc<Upstream>| recorded.contains(&streams::origin_at(up), now);
-        let upstream = upstream.filter(|up| !self.begins_stream() || may_begin(up));
-        drop(recorded);
+        let is_recorded = |up: &Upstream| streams::is_recorded(self.view, &streams::origin_at(up));
+        let upstream = upstream.filter(|up| !self.begins_stream() || is_recorded(up));
         upstream.map(|upstream| self.send_by(upstream, carrier)).is_some()
     }
 
@@ -551,7 +549,6 @@
             route: self.route.name.clone(),
             streaming: self.route.streaming,
             content: self.content.clone(),
-            id: self.context.id.clone(),
             deadline: self.deadline,
             upstream,
             key,
--- a/orioleworks_gateway/src/reports.rs
+++ b/orioleworks_gateway/src/reports.rs
@@ -10,7 +10,7 @@
 use orioleworks_proto::inner::{self, frame::Body};
 use tokio_util::sync::CancellationToken;
 
-use crate::{streams, view::View};
+use crate::view::View;
 
 /// Longest time without a check for reports that have not arrived, for example after a change of store.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -118,5 +118,5 @@
 fn unreported_streams(view: &View, acknowledged: u64) -> (Vec<inner::BegunStream>, u64) {
     let known = view.streams.borrow();
     let begun = known.since(acknowledged);
-    (begun.map(|(attempt, origin)| streams::message(attempt, origin)).collect(), known.cursor())
+    (begun.map(|(id, origin)| convert::to_stream_message(id, origin)).collect(), known.cursor())
 }
--- a/orioleworks_gateway/src/responses.rs
+++ b/orioleworks_gateway/src/responses.rs
@@ -8,8 +8,8 @@
 
 use crate::view::View;
 
-/// Classifies the head of a response, and records what it says of its upstream. This takes
-/// effect before any part of the response is passed on.
+/// Classifies the head of a response, and records what it says of its upstream. This takes effect before any part of the
+/// response is passed on.
 pub fn read_head(view: &View, up: &Key, sent_at: Duration, head: &response::Parts) -> Verdict {
     let (status, headers) = (head.status, &head.headers);
     let verdict = upstream::classify_response(status, headers);
--- a/orioleworks_gateway/src/streams.rs
+++ b/orioleworks_gateway/src/streams.rs
@@ -40,22 +40,27 @@
 /// Records what begins a stream, here and at a majority of the stores. Returns whether its first event may be passed on: not if
 /// the software version may have been forgotten since [`may_begin`].
 pub async fn record(view: &View, attempt: &str, origin: Origin) -> bool {
-    let streams = vec![message(attempt, &origin)];
+    let streams = vec![convert::to_stream_message(attempt, &origin)];
     view.streams.borrow_mut().record(attempt, origin.clone(), clock::since_boot());
     let report = inner::ReportObservations { streams, relayed: true, ..Default::default() };
     if tell_stores(view, report, RECORD_TIMEOUT, |_, _| true).await.is_none() {
         event!(info, "stream_unrecorded", request = attempt, software = origin.software);
     }
-    view.recorded.borrow().contains(&origin, clock::since_boot())
+    is_recorded(view, &origin)
+}
+
+/// Whether a majority of the stores has recorded the software version of an origin, so that it may begin streams.
+pub fn is_recorded(view: &View, origin: &Origin) -> bool {
+    view.recorded.borrow().contains(origin, clock::since_boot())
 }
 
 /// Whether the software version of an upstream may begin streams; has a majority of the stores record it first, if necessary.
 pub async fn may_begin(view: &View, upstream: &Upstream) -> bool {
-    let (origin, now) = (origin_at(upstream), clock::since_boot());
-    if !view.recorded.borrow().contains(&origin, now) {
+    let origin = origin_at(upstream);
+    if !is_recorded(view, &origin) {
         return record_software(view, &origin).await;
     }
-    if view.recorded.borrow().is_due(&origin, now) {
+    if view.recorded.borrow().is_due(&origin, clock::since_boot()) {
         // A gateway that loses the stores later begins streams for as long as possible.
         let view = view.clone();
         runtime::spawn(async move { record_software(&view, &origin).await }).detach();
@@ -119,22 +124,13 @@
         if counts(&address, boot) {
             acknowledged.insert(address, boot);
         }
-        if rules::may_begin(acknowledged.len(), voters.len()) {
+        if rules::is_majority(acknowledged.len(), voters.len()) {
             return Some(acknowledged);
         }
     }
     None
 }
 
-/// Message for the origin of a stream.
-pub fn message(attempt: &str, origin: &Origin) -> inner::BegunStream {
-    inner::BegunStream {
-        attempt: attempt.to_owned(),
-        service: origin.service.to_string(),
-        software: origin.software.to_string(),
-    }
-}
-
 /// Finds out where a stream may go on.
 ///
 /// # Errors
@@ -188,8 +184,7 @@
             }
         };
         if let Some(begun) = reply.stream {
-            let (service, software) = (begun.service.into(), begun.software.into());
-            return Some(Origin { service, software });
+            return Some(convert::from_stream_message(&begun));
         }
         replies.push(VoterReply { complete: reply.complete, versions: reply.software });
         let only = service.clone().zip(rules::only_version(&replies, voters.len()));
--- a/orioleworks_gateway/tests/platform.rs
+++ b/orioleworks_gateway/tests/platform.rs
@@ -4,6 +4,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    sync::atomic::Ordering,
     thread,
     time::{Duration, Instant},
 };
@@ -90,7 +91,7 @@
     let d = Deployment::start(3, 2, &document(1, 2000));
     let silent = Upstream::start("s-0", "sheets", None, d.control_addresses());
     let healthy = Upstream::start("s-1", "sheets", None, d.control_addresses());
-    silent.behaviour.silent.store(true, std::sync::atomic::Ordering::Relaxed);
+    silent.behaviour.silent.store(true, Ordering::Relaxed);
     d.wait_until("both upstreams were tried", || {
         for n in 0..4 {
             let id = format!("warm-{}-{n}", silent.total_runs());
@@ -124,7 +125,7 @@
         upstreams.iter().all(|up| up.total_runs() > 0)
     });
     for up in &upstreams {
-        up.behaviour.late_copies.store(COPIES, std::sync::atomic::Ordering::Relaxed);
+        up.behaviour.late_copies.store(COPIES, Ordering::Relaxed);
     }
     let callers = (0..CALLERS).map(|caller| {
         let address = d.gateway_address(caller % 2);
@@ -144,9 +145,7 @@
     });
     let callers: Vec<_> = callers.collect();
     let served: usize = callers.into_iter().map(|caller| caller.join().unwrap()).sum();
-    let left = upstreams
-        .each_ref()
-        .map(|up| up.behaviour.late_copies.load(std::sync::atomic::Ordering::Relaxed));
+    let left = upstreams.each_ref().map(|up| up.behaviour.late_copies.load(Ordering::Relaxed));
     assert!(left.iter().sum::<u64>() < 2 * COPIES, "no copy was sent: {left:?}");
     assert!(served + 2 * COPIES as usize >= CALLERS * CALLS, "{served} are served\n{}", d.logs());
 }
@@ -165,7 +164,7 @@
     });
     let refuse = |refuses| {
         for up in &upstreams {
-            up.behaviour.refuses.store(refuses, std::sync::atomic::Ordering::Relaxed);
+            up.behaviour.refuses.store(refuses, Ordering::Relaxed);
         }
     };
     let (mut copies_sent, mut served) = (0, 0);
@@ -175,12 +174,12 @@
         assert_eq!(refused.status, 503, "{refused:?}\n{}", d.logs());
         refuse(false);
         for up in &upstreams {
-            up.behaviour.late_copies.store(1, std::sync::atomic::Ordering::Relaxed);
+            up.behaviour.late_copies.store(1, Ordering::Relaxed);
         }
         let id = format!("once-{n}");
         let response = d.send(0, "POST", "/confirm/a", &id, "").expect("a response");
         for up in &upstreams {
-            let left = up.behaviour.late_copies.swap(0, std::sync::atomic::Ordering::Relaxed);
+            let left = up.behaviour.late_copies.swap(0, Ordering::Relaxed);
             copies_sent += 1 - left;
         }
         // What an upstream accepted has run by then.
@@ -195,10 +194,10 @@
     assert_eq!(served, ROUNDS, "a request after a copy is not served\n{}", d.logs());
 }
 
-/// Guards against processes that end by an odd announcement or stop to follow the others, and against taking one for an
+/// Guards against processes that end by a malformed announcement or stop to follow the others, and against taking one for an
 /// upstream.
 #[test]
-fn odd_announcements_do_no_harm() {
+fn malformed_announcements_do_no_harm() {
     const SOUND: &str = r#"{"service":"sheets","address":"127.0.0.1:9","zone":"z","version":"v1","slots":8,"state":"ready","sequence":1,"born":1}"#;
     let d = Deployment::start(3, 2, &document(1, 2000));
     let _upstream = Upstream::start("s-0", "sheets", None, d.control_addresses());
@@ -246,14 +245,14 @@
         d.send(0, "POST", "/confirm/a", "first", "").is_some_and(|a| a.status == 200)
     });
     for silent in [&upstream, &other] {
-        silent.behaviour.silent.store(true, std::sync::atomic::Ordering::Relaxed);
+        silent.behaviour.silent.store(true, Ordering::Relaxed);
     }
     let response = d.send(0, "POST", "/confirm/a", "once", "").expect("a response");
     assert_eq!(response.status, 504, "an unknown outcome must be reported as such");
     assert_eq!(upstream.runs("once").len() + other.runs("once").len(), 1);
     for full in [&upstream, &other] {
-        full.behaviour.silent.store(false, std::sync::atomic::Ordering::Relaxed);
-        full.behaviour.refuses.store(true, std::sync::atomic::Ordering::Relaxed);
+        full.behaviour.silent.store(false, Ordering::Relaxed);
+        full.behaviour.refuses.store(true, Ordering::Relaxed);
     }
     let response = d.send(0, "POST", "/confirm/a", "refused", "").expect("a response");
     assert_eq!(response.status, 503, "{}", response.body);
@@ -289,7 +288,7 @@
     let d = Deployment::start(3, 1, &document(1, 2000));
     let engines = engines(&d, 2);
     for engine in &engines {
-        engine.behaviour.break_after.store(4, std::sync::atomic::Ordering::Relaxed);
+        engine.behaviour.break_after.store(4, Ordering::Relaxed);
     }
     let items = item_ids("item", 4);
     submit(&d, 0, "b1", &items, 1);
@@ -311,7 +310,6 @@
     #[case] content_type: &'static str,
     #[case] body: &'static str,
 ) {
-    use std::sync::atomic::Ordering;
     let d = Deployment::start(3, 1, &document(1, 2000));
     let engines = engines(&d, 2);
     for engine in &engines {
@@ -337,7 +335,6 @@
     #[case] content_type: &'static str,
     #[case] expected: u16,
 ) {
-    use std::sync::atomic::Ordering;
     let d = Deployment::start(3, 1, &document(1, 2000));
     let engines = engines(&d, 2);
     let send = |id: &str, resumed: &[(&str, &str)]| {
@@ -455,7 +452,7 @@
 #[test]
 fn a_stopped_gateway_answers_what_it_cannot_finish() {
     let (mut d, upstream) = start_with_service(20_000);
-    upstream.behaviour.silent.store(true, std::sync::atomic::Ordering::Relaxed);
+    upstream.behaviour.silent.store(true, Ordering::Relaxed);
     let address = d.gateway_address(0);
     let unfinished = ["/lookup/a", "/confirm/a"].map(|path| {
         let (address, id) = (address.clone(), format!("unfinished{}", path.replace('/', "-")));
@@ -484,7 +481,7 @@
     /// Time for which new connections are accepted after the first signal, and some for the exit.
     const EXIT_TIME: Duration = Duration::from_millis(4500);
     let (mut d, upstream) = start_with_service(20_000);
-    upstream.behaviour.silent.store(true, std::sync::atomic::Ordering::Relaxed);
+    upstream.behaviour.silent.store(true, Ordering::Relaxed);
     let address = d.gateway_address(0);
     let unfinished = thread::spawn(move || {
         let headers = [("X-Attempt-Id", "unfinished"), ("X-Deadline-Ms", "20000")];
@@ -509,7 +506,7 @@
         d.send(0, "GET", "/lookup/a", &format!("w-{}", staying.total_runs()), "");
         leaving.total_runs() + staying.total_runs() > 2
     });
-    leaving.behaviour.leaving.store(true, std::sync::atomic::Ordering::Relaxed);
+    leaving.behaviour.leaving.store(true, Ordering::Relaxed);
     thread::sleep(Duration::from_millis(1000));
     let before = leaving.total_runs();
     for n in 0..20 {
@@ -652,7 +649,7 @@
     }
     let end = "\r\n0\r\n\r\n";
     assert!(complete.body.ends_with(end), "{:?}", complete.body);
-    engines[0].behaviour.break_after.store(4, std::sync::atomic::Ordering::Relaxed);
+    engines[0].behaviour.break_after.store(4, Ordering::Relaxed);
     let broken = send("broken").unwrap();
     assert!(broken.body.contains("broken event 4\n"), "{}", broken.body);
     assert!(!broken.body.ends_with(end), "an aborted stream ends with its connection");
--- a/orioleworks_rules/src/streams.rs
+++ b/orioleworks_rules/src/streams.rs
@@ -11,16 +11,21 @@
     pub versions: Vec<V>,
 }
 
-/// Whether so many voters are a majority. A version begins streams once a majority of the voters has recorded it and, asked
-/// again after that, has not been restarted in between; then every majority that is asked later tells of it.
+/// Whether so many voters are a majority; there is none of no voters.
+pub fn is_majority(count: usize, voters: usize) -> bool {
+    voters > 0 && count >= log::quorum(voters)
+}
+
+/// Whether a version may begin streams: a majority of the voters has recorded it and, asked again after that, has not been
+/// restarted in between. Then every majority that is asked later tells of it.
 pub fn may_begin(confirmed: usize, voters: usize) -> bool {
-    voters > 0 && confirmed >= log::quorum(voters)
+    is_majority(confirmed, voters)
 }
 
 /// Version that began a stream of which no record is found: the only one that a majority of complete voters knows.
 pub fn only_version<V: Clone + PartialEq>(replies: &[VoterReply<V>], voters: usize) -> Option<V> {
     let complete = replies.iter().filter(|reply| reply.complete).count();
-    if voters == 0 || complete < log::quorum(voters) {
+    if !is_majority(complete, voters) {
         return None;
     }
     let mut versions = replies.iter().flat_map(|reply| &reply.versions);
@@ -30,5 +35,5 @@
 
 /// Whether a voter that lost its memory is complete again: it has the versions of so many other voters that are complete.
 pub fn is_complete_again(told_by: usize, voters: usize) -> bool {
-    told_by >= log::quorum(voters)
+    is_majority(told_by, voters)
 }
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -29,7 +29,6 @@
     fleet::{AnnounceOutcome, Served},
     helpers::{self, Helper},
     routes::RouteTable,
-    streams::Origin,
 };
 use prost::Message;
 use tokio_util::sync::CancellationToken;
@@ -210,9 +209,8 @@
     /// Finds what began a stream, here or at another store.
     async fn find_stream(&self, find: inner::FindStream) -> inner::FindStreamReply {
         let known = self.shared.streams.borrow().get(&find.attempt).cloned();
-        if let Some(Origin { service, software }) = known {
-            let (service, software) = (service.to_string(), software.to_string());
-            let stream = inner::BegunStream { attempt: find.attempt, service, software };
+        if let Some(origin) = known {
+            let stream = convert::to_stream_message(&find.attempt, &origin);
             return inner::FindStreamReply { stream: Some(stream), ..Default::default() };
         }
         if find.relayed {
@@ -494,8 +492,7 @@
             fleet.borrow_mut().note_served(convert::from_served_message(served, now));
         }
         let is_news = |begun: &inner::BegunStream| {
-            let (service, software) = (&*begun.service, &*begun.software);
-            let origin = Origin { service: service.into(), software: software.into() };
+            let origin = convert::from_stream_message(begun);
             fleet.borrow_mut().note_served(Served::by(&origin, now));
             self.shared.streams.borrow_mut().record(&begun.attempt, origin, now)
         };
