--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -12,6 +12,7 @@
 
 use compio::runtime;
 use futures_util::{FutureExt, select};
+use indexmap::IndexMap;
 use orioleworks_daemon::{clock, event, fingerprint};
 use orioleworks_proto::inner;
 use orioleworks_routing::{
@@ -34,6 +35,7 @@
     runner::{self, Observation, Progress, Run, RunEnd, RunObserver},
     shared::Shared,
     state::{Item, Times},
+    steps::{Completed, ItemTimes, Step},
 };
 
 /// Longest time between two passes over the queue; a change of state, fleet or engines starts a pass at once.
@@ -45,6 +47,8 @@
 /// Silence of an engine that loads weights after which an item resumes on another engine.
 const LOADING_STALL_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Least time between two log lines about the items of a batch that wait for an engine.
+const WAIT_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest wait of an item for an engine of the software version that began its text, while others have room.
 const START_OVER_AFTER: Duration = Duration::from_millis(500);
 
@@ -63,6 +67,7 @@
     paused: bool,
     /// Whether the item may have crashed an engine before.
     suspect: bool,
+    times: RefCell<ItemTimes>,
 }
 
 struct Running {
@@ -87,6 +92,10 @@
     running: HashMap<ItemKey, Running>,
     /// Batches whose items were queued, with their due time; `None` once the batch was reported as overdue.
     queued_batches: HashMap<Rc<str>, Option<Duration>>,
+    /// Reports of the queued batches.
+    steps: HashMap<Rc<str>, Step>,
+    /// Time of the last report of waiting items.
+    waits_reported: Duration,
     next_sequence: u64,
 }
 
@@ -172,6 +181,7 @@
                     self.dispatch_waiting();
                     self.inner.rewards.send_owed();
                     self.report_overdue();
+                    self.report_waits();
                 }
                 None => {
                     if self.inner.recorder.begin_term(0) {
@@ -215,6 +225,11 @@
             let startable = |(id, item): &(&Rc<str>, &Item)| {
                 rules::may_start(batch.ended, item.listed, batch.unscored.contains_key(*id))
             };
+            let owed = batch.items.iter().filter(startable).map(|(_, item)| &*item.spec);
+            let groups = batch.spec.group_count as usize;
+            let wanted = groups.saturating_sub(batch.complete_groups());
+            let step = Step::new(owed, wanted, age, clock::since_boot());
+            work.steps.insert(id.clone(), step);
             let mut count = 0_usize;
             for (item_id, item) in batch.items.iter().filter(startable) {
                 work.next_sequence += 1;
@@ -232,6 +247,7 @@
                     failed_attempts: item.failed_attempts,
                     paused: false,
                     suspect: false,
+                    times: RefCell::default(),
                 };
                 work.waiting.insert(rank, waiting);
                 count += 1;
@@ -260,6 +276,7 @@
             work.queued_batches.keys().filter(|id| is_closed(id)).cloned().collect();
         for id in closed {
             work.queued_batches.remove(&id);
+            work.steps.remove(&id);
             let waiting = work.waiting.len();
             work.waiting.retain(|_, w| w.key.0 != id);
             let waiting = waiting - work.waiting.len();
@@ -399,6 +416,45 @@
         }
     }
 
+    /// Logs for each batch with waiting items how much of the engines' room its weights leave out.
+    fn report_waits(&self) {
+        let now = clock::since_boot();
+        let mut work = self.inner.work.borrow_mut();
+        if work.waiting.is_empty() || now < work.waits_reported + WAIT_REPORT_INTERVAL {
+            return;
+        }
+        work.waits_reported = now;
+        let mut waiting: IndexMap<&Rc<str>, (&inner::Batch, usize)> = IndexMap::new();
+        for item in work.waiting.values() {
+            waiting.entry(&item.key.0).or_insert((&item.batch, 0)).1 += 1;
+        }
+        let fleet = self.inner.shared.knowledge.fleet.borrow();
+        let engines = self.inner.shared.engines.borrow();
+        for (id, (batch, waiting)) in waiting {
+            let (mut allowed, mut free, mut free_elsewhere) = (0_u32, 0, 0);
+            for known in fleet.serving(&batch.service, now) {
+                let up = &known.upstream;
+                let room = up.slots.saturating_sub(engines.running(&key_of(up)));
+                match engines.load_for(known, &batch.model, batch.min_version, "", 0, now) {
+                    Some(_) => (allowed, free) = (allowed + 1, free + room),
+                    None => free_elsewhere += room,
+                }
+            }
+            event!(
+                info,
+                "items_wait",
+                batch = id,
+                model = batch.model,
+                step = batch.step,
+                waiting = waiting,
+                running = work.running.keys().filter(|key| key.0 == *id).count(),
+                engines = allowed,
+                free_slots = free,
+                free_slots_elsewhere = free_elsewhere,
+            );
+        }
+    }
+
     /// Whether all upstreams of a service name a limit.
     fn are_limited(&self, service: &str, now: Duration) -> bool {
         let fleet = self.inner.shared.knowledge.fleet.borrow();
@@ -478,8 +534,9 @@
         }
         let tokens = expected_memory(&waiting.item);
         self.inner.shared.engines.borrow_mut().item_started(&key, tokens, &waiting.item.group);
-        metrics::histogram!("orioleworks_item_wait_seconds")
-            .record(clock::since_boot().saturating_sub(waiting.waiting_since));
+        let waited = clock::since_boot().saturating_sub(waiting.waiting_since);
+        metrics::histogram!("orioleworks_item_wait_seconds").record(waited);
+        waiting.times.borrow_mut().run_started(waited);
         let cancel = CancellationToken::new();
         let running = Running {
             cancel: cancel.clone(),
@@ -514,6 +571,11 @@
             let observer = RunObserver {
                 observe: &|observation| {
                     self.observe(&run, started, observation);
+                    if let Observation::Event(gap) = observation {
+                        let loading = self.inner.shared.engines.borrow().loading(&key).is_some();
+                        let age = clock::since_boot().saturating_sub(started);
+                        waiting.times.borrow_mut().event(gap, age, loading);
+                    }
                     let events = waiting.progress.borrow().event_count();
                     if waiting.suspect && events == events_at_start + 1 {
                         // Another suspect may start on the engine now.
@@ -589,17 +651,35 @@
         let moving = self.inner.moving.get();
         let moves = free > moving;
         self.inner.moving.set(moving + u32::from(moves));
+        if moves {
+            event!(
+                info,
+                "item_moves",
+                item = run.item.id,
+                upstream = run.upstream.id,
+                event_ms = own_ms.round(),
+                fastest_event_ms = self.inner.fastest_ms.get().round(),
+                events_left = left,
+                free_slots = free,
+                moving = moving,
+            );
+        }
         moves
     }
 
     fn events_left(&self, batch: &inner::Batch, item: &inner::BatchItem, events: usize) -> usize {
-        let table = self.inner.shared.table.borrow();
-        let engine = table.service(&batch.service).and_then(|s| s.engine.as_ref());
-        let event_tokens = engine.map_or(0, |engine| engine.event_tokens);
+        let event_tokens = self.event_tokens(&batch.service);
         let most = items::most_events_left(item.tokens, item.prompt_tokens, event_tokens, events);
         items::events_left(item.expected_tokens, event_tokens, events).min(most)
     }
 
+    /// Tokens of one event of a service's engines; 0 if its configuration does not say.
+    fn event_tokens(&self, service: &str) -> u32 {
+        let table = self.inner.shared.table.borrow();
+        let engine = table.service(service).and_then(|s| s.engine.as_ref());
+        engine.map_or(0, |engine| engine.event_tokens)
+    }
+
     fn finish_run(&self, rank: Rank, mut waiting: Waiting, run: &Run, end: RunEnd) {
         let now = clock::since_boot();
         let mut work = self.inner.work.borrow_mut();
@@ -624,6 +704,18 @@
                     upstream = run.upstream.id,
                     run_ms = now.saturating_sub(waiting.waiting_since).as_millis(),
                 );
+                if let Some(step) = work.steps.get_mut(&waiting.key.0) {
+                    let completed = Completed {
+                        item: &waiting.key.1,
+                        group: &waiting.item.group,
+                        upstream: &run.upstream.id,
+                        times: &waiting.times.borrow(),
+                        events: progress.event_count(),
+                        expected_events: waiting.item.expected_tokens
+                            / self.event_tokens(&waiting.batch.service).max(1),
+                    };
+                    step.complete(&waiting.key.0, &waiting.batch, &completed, now);
+                }
                 self.inner.recorder.add(|records| match &waiting.item.reward_call {
                     Some(_) => add_unscored(records, &waiting.key, text, versions),
                     None => add_result(records, &waiting.key, Some((text, versions))),
@@ -666,7 +758,7 @@
             RunEnd::NotRun | RunEnd::WrongVersion => {
                 self.inner.shared.engines.borrow_mut().pause_after_refusal(&run.key, now);
             }
-            RunEnd::Moved => {}
+            RunEnd::Moved => waiting.times.borrow_mut().moves += 1,
             RunEnd::Endless(_) => {
                 self.inner.shared.engines.borrow_mut().pause_after_endless(&run.key, now);
             }
--- a/orioleworks_store/src/lib.rs
+++ b/orioleworks_store/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod shared;
 pub mod snapshot;
 pub mod state;
+pub mod steps;
 pub mod telemetry;
 pub mod texts;
--- a/orioleworks_store/src/state.rs
+++ b/orioleworks_store/src/state.rs
@@ -173,6 +173,11 @@
         }
     }
 
+    /// Number of groups of which each item is listed.
+    pub fn complete_groups(&self) -> usize {
+        self.missing.values().filter(|missing| **missing == 0).count()
+    }
+
     /// Whether nothing is left to run.
     pub fn is_done(&self) -> bool {
         self.ended || self.results.len() == self.items.len()
