--- a/orioleworks_routing/tests/engines.rs
+++ b/orioleworks_routing/tests/engines.rs
@@ -268,3 +268,24 @@
     assert!(end(1000.0, true) < STEP_MS);
     assert!(end(1500.0, true) < STEP_MS);
 }
+
+/// Guards against slots that stay empty while items wait (SHORT): two long items reserved an engine's memory at their start
+/// that they fill only seconds later, when the short ones beside them have ended.
+#[test]
+fn short_items_use_the_slots_beside_long_ones() {
+    const MEMORY: u64 = 28_000;
+    let (long, short) = (12_400, 1_400);
+    let mut engine = EngineLoad { slots: 8, memory_tokens: MEMORY, ..IDLE };
+    let mut started = (0, 0);
+    for (tokens, count) in [(long, &mut started.0), (short, &mut started.1)] {
+        while items::place(&[engine], tokens).is_some() {
+            engine = EngineLoad {
+                running: engine.running + 1,
+                tokens: engine.tokens + tokens,
+                ..engine
+            };
+            *count += 1;
+        }
+    }
+    assert_eq!(started, (2, 6), "long and short items that run at the same time on 8 slots");
+}
