Items: reserve the peak of what an engine's items use at the same time, not the sum of their final sizes

Cause: with step_complete and items_wait, the last item of a late step had waited 2 to 4 s for its first run and then took 6.9 s for 138 events, as on an idle engine. Meanwhile 10 to 70 slots were free at engines with allowed weights. An item reserved its whole final size when it was placed: two long ones (13,000 tokens each of 28,347) left no memory for the six slots beside them, although they fill it only seconds later, when short items have long ended. Besides, one item that found no room held up all others of its batch that were as long or short, so that a middling item waited behind one of 138 events. The class: a resource is reserved at its largest use, for a time at which it is not used.

Change: items::peak_usage projects the memory of an engine's items over time; an item is placed if the peak with it fits. Items of at most half the length of one that found no room are tried.

--- a/orioleworks_routing/src/items.rs
+++ b/orioleworks_routing/src/items.rs
@@ -72,15 +72,47 @@
     }
 }
 
-/// Expected memory use of an item when it finishes, in tokens.
+/// Memory that an item uses on an engine, in tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Usage {
+    /// Tokens that it has read and generated.
+    pub now: u64,
+    /// Tokens that it is expected to generate until it ends.
+    pub left: u64,
+}
+
+impl Usage {
+    /// Usage of an item with a prompt of `prompt` tokens; `most` bounds its tokens in all, unless it is 0.
+    ///
+    /// The caller's bound on the output covers the longest of all items, and reserving it for each would leave most of an
+    /// engine's memory unused. It is reserved only for items without a known prompt or an estimate of what is left.
+    pub fn new(prompt: u32, generated: u64, left: Option<u64>, most: u32) -> Self {
+        let most = u64::from(most);
+        let Some(left) = left.filter(|_| prompt > 0) else { return Self { now: most, left: 0 } };
+        let most = if most == 0 { u64::MAX } else { most };
+        let now = (u64::from(prompt) + generated).min(most);
+        Self { now, left: left.min(most - now) }
+    }
+}
+
+/// Largest memory that items use at the same time until the last one ends, if all of them generate at the same rate.
 ///
-/// The caller's bound on the output covers the longest of all items. Reserving it for each item would leave most of an
-/// engine's memory unused. An item that exceeds the estimate costs the engine a preemption and a second prompt read.
-pub fn expected_memory(prompt: u32, expected_output: u32, max_memory: u32) -> u64 {
-    if prompt == 0 || expected_output == 0 {
-        return max_memory.into();
+/// Short items end, and free their memory, long before the long ones beside them have grown. The sum of the final sizes
+/// would therefore keep slots empty for memory that is needed seconds later. An item that exceeds its estimate costs the
+/// engine a preemption and a second prompt read.
+pub fn peak_usage(items: &[Usage]) -> u64 {
+    let mut by_end = items.to_vec();
+    by_end.sort_unstable_by_key(|item| item.left);
+    let mut used: u64 = by_end.iter().map(|item| item.now).sum();
+    let (mut peak, mut generated) = (used, 0);
+    for (ended, item) in by_end.iter().enumerate() {
+        let running = (by_end.len() - ended) as u64;
+        used += (item.left - generated) * running;
+        generated = item.left;
+        peak = peak.max(used);
+        used -= item.now + item.left;
     }
-    (u64::from(prompt) + u64::from(expected_output)).min(max_memory.into())
+    peak
 }
 
 /// Load of an engine, as input to placement.
@@ -90,9 +122,9 @@
     pub running: u32,
     /// Items that it can run concurrently.
     pub slots: u32,
-    /// Tokens of the items that run on it.
-    pub tokens: u64,
-    /// Tokens that fit into its memory.
+    /// Largest memory in tokens that its items and the placed one use at the same time; see [`peak_usage`].
+    pub peak_tokens: u64,
+    /// Tokens that fit into its memory; 0 if that is unknown.
     pub memory_tokens: u64,
     /// Average time for one event in milliseconds.
     pub event_ms: f64,
@@ -101,8 +133,8 @@
 }
 
 impl EngineLoad {
-    fn fits(&self, tokens: u64) -> bool {
-        let memory = self.memory_tokens == 0 || self.tokens + tokens <= self.memory_tokens;
+    fn has_room(&self) -> bool {
+        let memory = self.memory_tokens == 0 || self.peak_tokens <= self.memory_tokens;
         self.running < self.slots && (memory || self.running == 0)
     }
 
@@ -114,8 +146,8 @@
 }
 
 /// Index of the engine on which an item is expected to finish first; `None` if no engine has capacity.
-pub fn place(engines: &[EngineLoad], tokens: u64) -> Option<usize> {
-    let fitting = engines.iter().enumerate().filter(|(_, e)| e.fits(tokens));
+pub fn place(engines: &[EngineLoad]) -> Option<usize> {
+    let fitting = engines.iter().enumerate().filter(|(_, e)| e.has_room());
     fitting.min_by(|(_, a), (_, b)| a.cost().total_cmp(&b.cost())).map(|(i, _)| i)
 }
 
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -18,7 +18,7 @@
 use orioleworks_routing::{
     crashes::ItemStart,
     fleet::{Fleet, Known, Upstream},
-    items::{self, Rank},
+    items::{self, Rank, Usage},
     outlier::Key,
     permits::Permit,
 };
@@ -72,6 +72,8 @@
 
 struct Running {
     cancel: CancellationToken,
+    batch: Rc<inner::Batch>,
+    item: Rc<inner::BatchItem>,
     progress: Rc<RefCell<Progress>>,
     engine: Key,
     fingerprint: Rc<str>,
@@ -307,8 +309,13 @@
                 self.inner.recorder.add(|records| add_result(records, &waiting.key, None));
             }
         }
-        // If no engine has room for an item, none has for the other items of its batch that are equally long or short.
-        let mut full: HashSet<(Rc<str>, bool)> = HashSet::new();
+        // Tokens of the shortest item that found no room, by batch and whether it needs a fast engine.
+        let mut too_long: HashMap<(Rc<str>, bool), u64> = HashMap::new();
+        let mut usage = MemoryUsage::default();
+        for running in work.running.values() {
+            let events = running.progress.borrow().event_count();
+            usage.add(&running.engine, self.usage_of(&running.batch, &running.item, events));
+        }
         let starting = || work.running.values().filter(|r| r.suspect && r.is_starting());
         let mut starting_on: HashSet<Key> = starting().map(|r| r.engine.clone()).collect();
         let mut starting_contents: HashSet<Rc<str>> =
@@ -342,17 +349,21 @@
             let left = self.events_left(&waiting.batch, &waiting.item, events);
             let long = items::needs_fast_engine(left);
             let kind = (waiting.key.0.clone(), long);
-            if full.contains(&kind) {
+            let own_usage = self.usage_of(&waiting.batch, &waiting.item, events);
+            // An item that is much shorter may fit where another one does not. Trying each would cost a pass over all
+            // engines for each item.
+            if too_long.get(&kind).is_some_and(|tokens| own_usage.left > tokens / 2) {
                 continue;
             }
             // If two suspects started on an engine that crashes, both would look guilty.
             let excluded = if suspect { &starting_on } else { &HashSet::new() };
-            match self.choose_engine(waiting, long, excluded, now) {
+            match self.choose_engine(waiting, (long, own_usage), excluded, &usage, now) {
                 Some(upstream) => {
                     let priority = waiting.batch.priority;
                     if !self.takes_permit(&key_of(&upstream), priority) {
                         continue;
                     }
+                    usage.add(&key_of(&upstream), own_usage);
                     if suspect {
                         starting_on.insert(key_of(&upstream));
                         starting_contents.insert(waiting.fingerprint.clone());
@@ -364,7 +375,7 @@
                 // Others of its batch may have more choice than a suspect or an item that has begun.
                 None if suspect || events > 0 => {}
                 None => {
-                    full.insert(kind);
+                    too_long.insert(kind, own_usage.left);
                 }
             }
         }
@@ -435,7 +446,7 @@
             for known in fleet.serving(&batch.service, now) {
                 let up = &known.upstream;
                 let room = up.slots.saturating_sub(engines.running(&key_of(up)));
-                match engines.load_for(known, &batch.model, batch.min_version, "", 0, now) {
+                match engines.load_for(known, &batch.model, batch.min_version, "", now) {
                     Some(_) => (allowed, free) = (allowed + 1, free + room),
                     None => free_elsewhere += room,
                 }
@@ -475,8 +486,9 @@
     fn choose_engine(
         &self,
         waiting: &Waiting,
-        long: bool,
+        (long, own_usage): (bool, Usage),
         excluded: &HashSet<Key>,
+        usage: &MemoryUsage,
         now: Duration,
     ) -> Option<Rc<Upstream>> {
         let fleet = self.inner.shared.knowledge.fleet.borrow();
@@ -491,8 +503,12 @@
             .filter(|known| permits::is_free(&self.inner.shared, &key_of(&known.upstream)))
             .filter_map(|known| {
                 let group = &waiting.item.group;
-                let load =
-                    engines.load_for(known, &batch.model, batch.min_version, group, memory, now)?;
+                let (model, min_version) = (&batch.model, batch.min_version);
+                let mut load = engines.load_for(known, model, min_version, group, now)?;
+                load.memory_tokens = memory;
+                if load.running < load.slots {
+                    load.peak_tokens = usage.peak_with(&key_of(&known.upstream), own_usage);
+                }
                 Some((known.upstream.clone(), known.is_fresh(now), load))
             })
             .collect();
@@ -515,7 +531,7 @@
             candidates.retain(|(_, _, load)| !items::is_slow(load.event_ms, &all));
         }
         let loads: Vec<items::EngineLoad> = candidates.iter().map(|(_, _, load)| *load).collect();
-        let at = items::place(&loads, expected_memory(&waiting.item))?;
+        let at = items::place(&loads)?;
         Some(candidates[at].0.clone())
     }
 
@@ -532,14 +548,15 @@
         if !waiting.progress.borrow().can_resume(single_version, &upstream.software, version) {
             waiting.progress.borrow_mut().clear();
         }
-        let tokens = expected_memory(&waiting.item);
-        self.inner.shared.engines.borrow_mut().item_started(&key, tokens, &waiting.item.group);
+        self.inner.shared.engines.borrow_mut().item_started(&key, &waiting.item.group);
         let waited = clock::since_boot().saturating_sub(waiting.waiting_since);
         metrics::histogram!("orioleworks_item_wait_seconds").record(waited);
         waiting.times.borrow_mut().run_started(waited);
         let cancel = CancellationToken::new();
         let running = Running {
             cancel: cancel.clone(),
+            batch: waiting.batch.clone(),
+            item: waiting.item.clone(),
             progress: waiting.progress.clone(),
             engine: key.clone(),
             fingerprint: waiting.fingerprint.clone(),
@@ -594,7 +611,7 @@
             let mut cancelled = std::pin::pin!(cancel.cancelled().fuse());
             select! { end = running => Some(end), () = cancelled => None }
         };
-        self.inner.shared.engines.borrow_mut().item_ended(&key, expected_memory(&waiting.item));
+        self.inner.shared.engines.borrow_mut().item_ended(&key);
         metrics::histogram!("orioleworks_item_run_seconds",
             "outcome" => end.as_ref().map_or("cancelled", RunEnd::outcome))
         .record(clock::since_boot().saturating_sub(started));
@@ -642,7 +659,7 @@
                 && permits::is_free(&self.inner.shared, &key)
         };
         let free_slots = |known: &Known| {
-            let load = engines.load_for(known, &batch.model, batch.min_version, group, 0, now);
+            let load = engines.load_for(known, &batch.model, batch.min_version, group, now);
             load.map_or(0, |load| load.slots.saturating_sub(load.running))
         };
         let serving = fleet.serving(&batch.service, now).filter(|known| known.is_fresh(now));
@@ -673,6 +690,14 @@
         items::events_left(item.expected_tokens, event_tokens, events).min(most)
     }
 
+    /// Memory that an item uses and is expected to use on its engine.
+    fn usage_of(&self, batch: &inner::Batch, item: &inner::BatchItem, events: usize) -> Usage {
+        let event_tokens = u64::from(self.event_tokens(&batch.service).max(1));
+        let left = self.events_left(batch, item, events).max(1) as u64 * event_tokens;
+        let left = (item.expected_tokens > 0).then_some(left);
+        Usage::new(item.prompt_tokens, events as u64 * event_tokens, left, item.tokens)
+    }
+
     /// Tokens of one event of a service's engines; 0 if its configuration does not say.
     fn event_tokens(&self, service: &str) -> u32 {
         let table = self.inner.shared.table.borrow();
@@ -806,6 +831,21 @@
     serving.map(|known| engines.event_ms(&key_of(&known.upstream))).collect()
 }
 
-fn expected_memory(item: &inner::BatchItem) -> u64 {
-    items::expected_memory(item.prompt_tokens, item.expected_tokens, item.tokens)
+/// Memory of the items that run on each engine.
+#[derive(Default)]
+struct MemoryUsage {
+    by_engine: HashMap<Key, Vec<Usage>>,
+}
+
+impl MemoryUsage {
+    fn add(&mut self, engine: &Key, usage: Usage) {
+        self.by_engine.entry(engine.clone()).or_default().push(usage);
+    }
+
+    /// Largest memory that an engine needs if it runs another item.
+    fn peak_with(&self, engine: &Key, usage: Usage) -> u64 {
+        let mut items = self.by_engine.get(engine).cloned().unwrap_or_default();
+        items.push(usage);
+        items::peak_usage(&items)
+    }
 }
--- a/orioleworks_store/src/engines.rs
+++ b/orioleworks_store/src/engines.rs
@@ -31,7 +31,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Record {
     running: u32,
-    tokens: u64,
     event_time: EventTime,
     paused_until: Duration,
     failures: u32,
@@ -64,10 +63,9 @@
     }
 
     /// Records the start of an item.
-    pub fn item_started(&mut self, key: &Key, tokens: u64, group: &str) {
+    pub fn item_started(&mut self, key: &Key, group: &str) {
         let record = self.record(key);
         record.running += 1;
-        record.tokens += tokens;
         record.groups.insert(group.into());
         if record.groups.len() > MAX_GROUPS {
             record.groups.shift_remove_index(0);
@@ -75,10 +73,9 @@
     }
 
     /// Records the end of an item.
-    pub fn item_ended(&mut self, key: &Key, tokens: u64) {
+    pub fn item_ended(&mut self, key: &Key) {
         let record = self.record(key);
         record.running = record.running.saturating_sub(1);
-        record.tokens = record.tokens.saturating_sub(tokens);
     }
 
     /// Records an event of a stream, and the time since the one before.
@@ -144,14 +141,13 @@
         self.records.get(key).map_or(0, |record| record.running)
     }
 
-    /// Load of an engine for an item of a group; `None` if it must not run the item now.
+    /// Load of an engine for an item of a group, without its memory; `None` if it must not run the item now.
     pub fn load_for(
         &self,
         known: &Known,
         model: &str,
         min_version: u64,
         group: &str,
-        memory_tokens: u64,
         now: Duration,
     ) -> Option<EngineLoad> {
         let up = &known.upstream;
@@ -169,8 +165,8 @@
         Some(EngineLoad {
             running: record.map_or(0, |r| r.running),
             slots: up.slots,
-            tokens: record.map_or(0, |r| r.tokens),
-            memory_tokens,
+            peak_tokens: 0,
+            memory_tokens: 0,
             event_ms: record.map_or(EventTime::default(), |r| r.event_time).ms(),
             holds_prompt: record.is_some_and(|r| r.groups.contains(group)),
         })
