Gateways: refuse late requests that may outlast a stop, before they are sent

What callers saw, as other operators report it: in a planned stop requests that came late in the grace period were passed on and cut at its end, among them requests that may not be repeated. A connection that is opened at 2.7 s and sends nothing until 3 s is closed then, so that case cannot happen.

Cause: nothing compared the time of a request with the time that the stop leaves. Now a request whose head or body ends after the first 3 s is sent only if its own time (the caller's or the route's) ends before unfinished requests are answered; else it gets 503 at once, as not run. Requests of the first 3 s are served as before: callers are still sent here, and nearly all end in the 4 s that are left. At the end of a stop a refusal goes before the answer that says less.

--- a/orioleworks_daemon/src/http.rs
+++ b/orioleworks_daemon/src/http.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use compio::{net::TcpListener, runtime};
 use cyper_core::CompioTimer;
-use futures_util::{FutureExt, select};
+use futures_util::{FutureExt, select, select_biased};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody};
 use hyper::{
     body::{Body, Incoming},
@@ -127,7 +127,8 @@
         async move {
             let mut response = std::pin::pin!(response.fuse());
             let mut unfinished = std::pin::pin!(answer.cancelled().fuse());
-            let response = select! {
+            // A request that arrives now may still be refused as not run, which says more.
+            let response = select_biased! {
                 response = response => response,
                 () = unfinished => {
                     event!(warn, "answered_at_stop", method = method, path = uri.path());
--- a/orioleworks_daemon/src/shutdown.rs
+++ b/orioleworks_daemon/src/shutdown.rs
@@ -14,7 +14,7 @@
 const SIGNALS: [Signal; 2] = [Signal::SIGTERM, Signal::SIGINT];
 
 /// Time before the deadline at which unfinished requests are answered, so that the answers are sent before the process exits.
-const ANSWER_TIME: Duration = Duration::from_millis(300);
+pub const ANSWER_TIME: Duration = Duration::from_millis(300);
 
 /// Tokens of the stages; clones share them.
 #[derive(Clone, Debug, Default)]
--- a/orioleworks_gateway/src/app.rs
+++ b/orioleworks_gateway/src/app.rs
@@ -1,19 +1,28 @@
 //! Start, wiring and graceful shutdown of the gateway daemon.
 
-use std::{path::PathBuf, time::Duration};
+use std::{
+    path::PathBuf,
+    time::{Duration, Instant},
+};
 
 use compio::runtime;
 use futures_util::{FutureExt, select};
 use orioleworks_daemon::{
     event, http, metrics, reload,
-    shutdown::Shutdown,
+    shutdown::{ANSWER_TIME, Shutdown},
     start::{self, StartOptions},
 };
 use orioleworks_platform::caller::READINESS_PATH;
 use orioleworks_proto::codes::exit;
 use tokio_util::sync::CancellationToken;
 
-use crate::{callers, cli, config::Config, path, relay, reports, view::View, watch};
+use crate::{
+    callers, cli,
+    config::Config,
+    path, relay, reports,
+    view::{Stop, View},
+    watch,
+};
 
 /// Time for which new connections are accepted after the signal. The platform checks readiness once a second and sends
 /// new callers until the second failed check.
@@ -103,7 +112,9 @@
 /// Shuts down in steps after the signal; returns only at the shutdown deadline.
 async fn drain(view: &View, signals: &Shutdown, callers: &Shutdown) {
     signals.drain.cancelled().await;
-    view.start_drain();
+    let now = Instant::now();
+    let answers_until = now + SHUTDOWN_DEADLINE.saturating_sub(ANSWER_TIME);
+    view.start_drain(Stop { accepts_until: now + ACCEPT_TIME, answers_until });
     compio::time::sleep(ACCEPT_TIME).await;
     callers.drain.cancel();
     signals.stop.cancelled().await;
--- a/orioleworks_gateway/src/callers.rs
+++ b/orioleworks_gateway/src/callers.rs
@@ -118,17 +118,29 @@
         return Err(Refusal::new(ResultCode::UnknownPath, detail, Duration::ZERO));
     };
     *labels = RequestLabels::of_route(&route);
+    let end = context.deadline_within(route.timeout);
+    refuse_if_stopping(view, end)?;
     let limits = server::Limits { body_bytes: table.limits.body_bytes, ..Default::default() };
     let (head, body) = req.into_parts();
     let body = server::read_body(body, &limits)
         .await
         .map_err(|code| Refusal::new(code, "", Duration::ZERO))?;
+    refuse_if_stopping(view, end)?;
     if route.batch.is_some() {
         return batches::submit(view, &table, &route, &host, context, &body).await;
     }
     forward::forward(view, &route, Content::new(host, head, body), context).await
 }
 
+/// Refuses a request that arrives late in a stop, unless its own time ends before that of the gateway.
+fn refuse_if_stopping(view: &View, end: Instant) -> Result<(), Refusal> {
+    if !view.may_outlast_stop(end) {
+        return Ok(());
+    }
+    // Other gateways have room now.
+    Err(Refusal::new(ResultCode::ShuttingDown, "it may outlast the stop", Duration::ZERO))
+}
+
 fn refusal_response(
     context: &RequestContext,
     labels: &RequestLabels,
--- a/orioleworks_gateway/src/view.rs
+++ b/orioleworks_gateway/src/view.rs
@@ -73,13 +73,22 @@
     pub relayed: Relayed,
     table: Rc<RefCell<Option<Rc<RouteTable>>>>,
     budgets: Rc<RefCell<HashMap<Rc<str>, Budget>>>,
-    draining: Rc<Cell<bool>>,
+    stop: Rc<Cell<Option<Stop>>>,
     started: Instant,
     /// Time of the newest reply from a store that knows a leader.
     last_current: Rc<Cell<Instant>>,
     followed_store: Rc<RefCell<Option<String>>>,
 }
 
+/// Times of a graceful shutdown.
+#[derive(Clone, Copy, Debug)]
+pub struct Stop {
+    /// End of the time in which new connections are accepted.
+    pub accepts_until: Instant,
+    /// Time at which requests in progress are answered as ones that may have run.
+    pub answers_until: Instant,
+}
+
 impl View {
     /// Creates a view without routes and upstreams.
     pub fn new(cfg: Config) -> Self {
@@ -105,7 +114,7 @@
             relayed: Relayed::default(),
             table: Rc::default(),
             budgets: Rc::default(),
-            draining: Rc::default(),
+            stop: Rc::default(),
             started: Instant::now(),
             last_current: Rc::new(Cell::new(Instant::now())),
             followed_store: Rc::default(),
@@ -159,7 +168,7 @@
 
     /// Whether the gateway accepts callers; the error says why not.
     pub fn readiness(&self) -> Result<(), &'static str> {
-        if self.draining.get() {
+        if self.is_draining() {
             return Err("shutting down");
         }
         self.table().map(drop).ok_or("no routes are known yet")
@@ -167,7 +176,14 @@
 
     /// Whether the process is shutting down.
     pub fn is_draining(&self) -> bool {
-        self.draining.get()
+        self.stop.get().is_some()
+    }
+
+    /// Whether a request that may take until `end` may be cut off by the stop. Requests that arrive while new connections are
+    /// accepted are served all the same: callers are still sent here, and nearly all of them end in the time that is left.
+    pub fn may_outlast_stop(&self, end: Instant) -> bool {
+        let late = |stop: &Stop| Instant::now() >= stop.accepts_until && end > stop.answers_until;
+        self.stop.get().as_ref().is_some_and(late)
     }
 
     /// Waits for the first routes, at most until `DISCOVERY_TIME` after the start.
@@ -188,8 +204,8 @@
     }
 
     /// Records that the process is shutting down.
-    pub fn start_drain(&self) {
-        self.draining.set(true);
+    pub fn start_drain(&self, stop: Stop) {
+        self.stop.set(Some(stop));
     }
 
     /// Best upstream of a service and, if given, of a software version, without the excluded ones.
