Items: compare measured engines only, with averages over time

Moves open connections, the dearest price there, and read prompts and output again.

Cause: an engine without streams had a start value of 40 ms and so was the fastest one. And the average weighed events by their number: ten that were held up for 500 ms come as one gap of 500 ms and nine of zero, after which it is 30 ms. The class: a decision on a figure that says nothing of its subject.

Change: events lose weight with time (2 s); an engine without eight events of that time is not measured and takes part in no move; in placement its time fades to that of a typical engine. The two tests failed before (40 ms; 29.7 ms where 50 are right). Known calls of plain services have the same kind of average (outlier.rs): there an upstream without a response counts as the fastest on purpose, so that it is tried; not changed.

--- a/orioleworks_routing/src/items.rs
+++ b/orioleworks_routing/src/items.rs
@@ -6,10 +6,12 @@
 
 use std::{cmp::Reverse, time::Duration};
 
-/// Time per event in milliseconds that is assumed for an engine before its first stream.
+/// Time per event in milliseconds that is assumed while no engine has been measured.
 pub const ASSUMED_EVENT_MS: f64 = 40.0;
-/// Weight of the newest event gap in the moving average.
-const EWMA_WEIGHT: f64 = 0.1;
+/// Time in seconds in which the weight of an event in an engine's average falls to a third.
+const AVERAGE_TIME_S: f64 = 2.0;
+/// Events of an average that counts as a measurement.
+const MIN_MEASURED_EVENTS: f64 = 8.0;
 /// Cost factor of an engine that has cached the shared prompt of the item's group.
 const AFFINITY_FACTOR: f64 = 0.9;
 /// Relative slowdown of an engine whose slots are all in use, compared to an idle one.
@@ -48,27 +50,45 @@
     }
 }
 
-/// Exponentially weighted moving average of the time that an engine takes for one event.
-#[derive(Clone, Copy, Debug)]
+/// Average of the time that an engine takes for one event, over the streams of the last seconds.
+///
+/// Events lose weight with time, not with the number of events after them: events that were held up arrive together, as one
+/// long gap and several of zero, and only all of them together tell the time for an event.
+#[derive(Clone, Copy, Debug, Default)]
 pub struct EventTime {
-    ms: f64,
+    /// Weighted sum of the gaps in milliseconds.
+    gaps_ms: f64,
+    /// Weighted number of the gaps.
+    events: f64,
+    /// Time of the newest event.
+    at: Duration,
 }
 
-impl Default for EventTime {
-    fn default() -> Self {
-        Self { ms: ASSUMED_EVENT_MS }
+impl EventTime {
+    /// Records the gap between two events of a stream.
+    pub fn note(&mut self, gap: Duration, now: Duration) {
+        let weight = self.weight(now);
+        self.gaps_ms = self.gaps_ms * weight + gap.as_secs_f64() * 1000.0;
+        self.events = self.events * weight + 1.0;
+        self.at = now;
     }
-}
 
-impl EventTime {
-    /// Records the gap between two events.
-    pub fn note(&mut self, gap: Duration) {
-        self.ms = self.ms * (1.0 - EWMA_WEIGHT) + gap.as_secs_f64() * 1000.0 * EWMA_WEIGHT;
+    /// Average in milliseconds; `None` without enough events of the last seconds.
+    pub fn measured_ms(&self, now: Duration) -> Option<f64> {
+        let enough = self.events * self.weight(now) >= MIN_MEASURED_EVENTS;
+        enough.then(|| self.gaps_ms / self.events)
+    }
+
+    /// Expected time for an event in milliseconds: the average, or more and more the time of a typical engine as its events
+    /// get few and old.
+    pub fn expected_ms(&self, typical_ms: f64, now: Duration) -> f64 {
+        let weight = self.weight(now);
+        let known = self.gaps_ms * weight + typical_ms * MIN_MEASURED_EVENTS;
+        known / (self.events * weight + MIN_MEASURED_EVENTS)
     }
 
-    /// Average in milliseconds.
-    pub fn ms(&self) -> f64 {
-        self.ms
+    fn weight(&self, now: Duration) -> f64 {
+        (-now.saturating_sub(self.at).as_secs_f64() / AVERAGE_TIME_S).exp()
     }
 }
 
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -106,9 +106,7 @@
     recorder: Recorder,
     rewards: Rewards,
     work: RefCell<Work>,
-    /// Event time of the fastest engine at the last pass over the queue, in milliseconds.
-    fastest_ms: Cell<f64>,
-    /// Items that have left an engine for a faster one since that pass.
+    /// Items that have left an engine for a faster one since the last pass over the queue.
     moving: Cell<u32>,
 }
 
@@ -129,8 +127,8 @@
     pub fn new(shared: Shared) -> Self {
         let recorder = Recorder::new(shared.log.clone());
         let rewards = Rewards::new(shared.clone(), recorder.clone());
-        let (work, fastest_ms, moving) = (RefCell::default(), Cell::new(0.0), Cell::new(0));
-        Self { inner: Rc::new(Inner { shared, recorder, rewards, work, fastest_ms, moving }) }
+        let (work, moving) = (RefCell::default(), Cell::new(0));
+        Self { inner: Rc::new(Inner { shared, recorder, rewards, work, moving }) }
     }
 
     /// Starts the tasks; they end with the token.
@@ -292,7 +290,7 @@
 
     fn dispatch_waiting(&self) {
         let now = clock::since_boot();
-        self.inner.fastest_ms.set(self.inner.shared.engines.borrow().fastest_ms());
+        self.inner.shared.engines.borrow_mut().update_times(now);
         self.inner.moving.set(0);
         let mut work = self.inner.work.borrow_mut();
         let expired: Vec<Rank> =
@@ -624,7 +622,7 @@
     fn observe(&self, run: &Run, started: Duration, observation: Observation) {
         let mut engines = self.inner.shared.engines.borrow_mut();
         match observation {
-            Observation::Event(gap) => engines.record_event(&run.key, gap),
+            Observation::Event(gap) => engines.record_event(&run.key, gap, clock::since_boot()),
             Observation::Version(version) => {
                 engines.record_version(&run.key, &run.batch.model, version)
             }
@@ -643,18 +641,21 @@
     fn should_move(&self, run: &Run, progress: &Progress) -> bool {
         let left = self.events_left(&run.batch, &run.item, progress.event_count());
         let engines = self.inner.shared.engines.borrow();
-        let own_ms = engines.event_ms(&run.key);
+        let now = clock::since_boot();
+        // Only measured engines are compared: what is assumed of the others would make one of them the fastest.
+        let own_ms = engines.measured_ms(&run.key, now);
+        let (Some(own_ms), Some(fastest_ms)) = (own_ms, engines.fastest_ms()) else { return false };
         // Most items are short or run on one of the fastest engines, and need no comparison with each engine.
-        if !items::move_pays(left, own_ms, self.inner.fastest_ms.get()) {
+        if !items::move_pays(left, own_ms, fastest_ms) {
             return false;
         }
-        let now = clock::since_boot();
         let fleet = self.inner.shared.knowledge.fleet.borrow();
         let (batch, group) = (&run.batch, &run.item.group);
         let faster = |known: &&Known| {
             let up = &known.upstream;
             let (key, version) = (key_of(up), engines.version(up, &batch.model));
-            items::move_pays(left, own_ms, engines.event_ms(&key))
+            let ms = engines.measured_ms(&key, now);
+            ms.is_some_and(|ms| items::move_pays(left, own_ms, ms))
                 && progress.can_resume(batch.single_version, &up.software, version)
                 && permits::is_free(&self.inner.shared, &key)
         };
@@ -675,7 +676,7 @@
                 item = run.item.id,
                 upstream = run.upstream.id,
                 event_ms = own_ms.round(),
-                fastest_event_ms = self.inner.fastest_ms.get().round(),
+                fastest_event_ms = fastest_ms.round(),
                 events_left = left,
                 free_slots = free,
                 moving = moving,
@@ -828,7 +829,7 @@
 
 fn event_times(fleet: &Fleet, engines: &Engines, service: &str, now: Duration) -> Vec<f64> {
     let serving = fleet.serving(service, now);
-    serving.map(|known| engines.event_ms(&key_of(&known.upstream))).collect()
+    serving.map(|known| engines.event_ms(&key_of(&known.upstream), now)).collect()
 }
 
 /// Memory of the items that run on each engine.
--- a/orioleworks_store/src/engines.rs
+++ b/orioleworks_store/src/engines.rs
@@ -5,7 +5,7 @@
 use indexmap::{IndexMap, IndexSet};
 use orioleworks_routing::{
     fleet::{Known, Upstream},
-    items::{EngineLoad, EventTime},
+    items::{self, EngineLoad, EventTime},
     outlier::Key,
 };
 
@@ -41,9 +41,20 @@
 }
 
 /// Observed state of all engines.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Engines {
     records: IndexMap<Key, Record>,
+    /// Median of the measured times for an event in milliseconds, as of [`Engines::update_times`].
+    typical_ms: f64,
+    /// Smallest measured time for an event in milliseconds, if any engine is measured.
+    fastest_ms: Option<f64>,
+}
+
+impl Default for Engines {
+    fn default() -> Self {
+        let records = IndexMap::default();
+        Self { records, typical_ms: items::ASSUMED_EVENT_MS, fastest_ms: None }
+    }
 }
 
 /// Key of an upstream.
@@ -79,14 +90,22 @@
     }
 
     /// Records an event of a stream, and the time since the one before.
-    pub fn record_event(&mut self, key: &Key, gap: Option<Duration>) {
+    pub fn record_event(&mut self, key: &Key, gap: Option<Duration>, now: Duration) {
         let record = self.record(key);
         record.failures = 0;
         if let Some(gap) = gap {
-            record.event_time.note(gap);
+            record.event_time.note(gap, now);
         }
     }
 
+    /// Updates the times that engines are compared with.
+    pub fn update_times(&mut self, now: Duration) {
+        let times = self.records.values().filter_map(|r| r.event_time.measured_ms(now));
+        let times: Vec<f64> = times.collect();
+        self.typical_ms = items::median(&times);
+        self.fastest_ms = times.into_iter().min_by(f64::total_cmp);
+    }
+
     /// Excludes an engine after a failure, for a time that doubles with each failure in a row.
     pub fn pause_after_failure(&mut self, key: &Key, now: Duration) {
         let record = self.record(key);
@@ -125,15 +144,20 @@
         self.records.get(key).and_then(|record| record.loading.as_ref())
     }
 
-    /// Mean time of an engine for one event in milliseconds.
-    pub fn event_ms(&self, key: &Key) -> f64 {
-        self.records.get(key).map_or(EventTime::default(), |r| r.event_time).ms()
+    /// Expected time of an engine for one event in milliseconds.
+    pub fn event_ms(&self, key: &Key, now: Duration) -> f64 {
+        let time = self.records.get(key).map_or(EventTime::default(), |r| r.event_time);
+        time.expected_ms(self.typical_ms, now)
+    }
+
+    /// Measured time of an engine for one event in milliseconds.
+    pub fn measured_ms(&self, key: &Key, now: Duration) -> Option<f64> {
+        self.records.get(key)?.event_time.measured_ms(now)
     }
 
-    /// Mean time of the fastest engine for one event in milliseconds.
-    pub fn fastest_ms(&self) -> f64 {
-        let times = self.records.values().map(|record| record.event_time.ms());
-        times.min_by(f64::total_cmp).unwrap_or(EventTime::default().ms())
+    /// Measured time of the fastest engine for one event in milliseconds.
+    pub fn fastest_ms(&self) -> Option<f64> {
+        self.fastest_ms
     }
 
     /// Number of items that run on an engine.
@@ -167,7 +191,7 @@
             slots: up.slots,
             peak_tokens: 0,
             memory_tokens: 0,
-            event_ms: record.map_or(EventTime::default(), |r| r.event_time).ms(),
+            event_ms: self.event_ms(&key_of(up), now),
             holds_prompt: record.is_some_and(|r| r.groups.contains(group)),
         })
     }
--- a/orioleworks_store/src/orders.rs
+++ b/orioleworks_store/src/orders.rs
@@ -163,7 +163,7 @@
         let serving = fleet.all().filter(|k| k.takes_requests(now) && k.is_fresh(now));
         let upstreams: Vec<Rc<Upstream>> =
             serving.filter(|k| !k.upstream.models.is_empty()).map(|k| k.upstream.clone()).collect();
-        let times: Vec<f64> = upstreams.iter().map(|up| known.event_ms(&key_of(up))).collect();
+        let times: Vec<f64> = upstreams.iter().map(|up| known.event_ms(&key_of(up), now)).collect();
         let median = items::median(&times);
         let engine = |up: &Rc<Upstream>| {
             let key = key_of(up);
@@ -176,7 +176,7 @@
             if let Some(loading) = loading {
                 versions.insert(loading.model.clone(), loading.version);
             }
-            let slowness = (known.event_ms(&key) / median).round();
+            let slowness = (known.event_ms(&key, now) / median).round();
             let (id, busy) = (up.id.clone(), loading.is_some());
             Engine { id, versions, busy, running: known.running(&key), slowness }
         };
--- a/orioleworks_store/tests/engines.rs
+++ b/orioleworks_store/tests/engines.rs
@@ -11,11 +11,27 @@
 fn an_engine_that_was_not_measured_is_not_the_fastest() {
     let (measured, idle): (Key, Key) = (("e1".into(), 1), ("e2".into(), 1));
     let mut engines = Engines::default();
+    engines.update_times(Duration::ZERO);
+    assert_eq!(engines.fastest_ms(), None);
+    let mut now = Duration::ZERO;
     for _ in 0..100 {
-        engines.record_event(&measured, Some(Duration::from_millis(50)));
+        now += Duration::from_millis(50);
+        engines.record_event(&measured, Some(Duration::from_millis(50)), now);
     }
-    engines.pause_after_refusal(&idle, Duration::from_secs(1));
-    assert!(engines.fastest_ms() >= 49.0, "fastest: {}", engines.fastest_ms());
+    engines.pause_after_refusal(&idle, now);
+    engines.update_times(now);
+    assert!(
+        engines.fastest_ms().is_some_and(|ms| ms >= 49.0),
+        "fastest: {:?}",
+        engines.fastest_ms()
+    );
+    assert_eq!(engines.measured_ms(&idle, now), None);
+    assert!(
+        (engines.event_ms(&idle, now) - 50.0).abs() < 1.0,
+        "it is expected to be as fast as others"
+    );
+    now += Duration::from_secs(20);
+    assert_eq!(engines.measured_ms(&measured, now), None, "an old average is no measurement");
 }
 
 /// Guards against moves after a pause of the reader (SHORT): events that were held up arrive together, and the last gaps of
@@ -24,12 +40,14 @@
 fn events_that_arrive_together_do_not_make_an_engine_fast() {
     let key: Key = ("e1".into(), 1);
     let mut engines = Engines::default();
+    let mut now = Duration::ZERO;
     for _ in 0..20 {
-        engines.record_event(&key, Some(Duration::from_millis(500)));
+        now += Duration::from_millis(500);
+        engines.record_event(&key, Some(Duration::from_millis(500)), now);
         for _ in 0..9 {
-            engines.record_event(&key, Some(Duration::ZERO));
+            engines.record_event(&key, Some(Duration::ZERO), now);
         }
     }
-    let ms = engines.event_ms(&key);
+    let ms = engines.measured_ms(&key, now).unwrap();
     assert!((45.0..=55.0).contains(&ms), "ten events in 500 ms were taken for one in {ms} ms");
 }
