Weights: as many loads at a time as run at full speed

items_wait shows 150 to 270 free slots at engines without allowed weights while items wait, and 9 orders in progress all the time. Loads are slowed down while more than a fifth of the engines load, which is 10 of 48; a fifth was rounded down, and an order takes an eighth longer than its load, so that 8 loaded on average. Now a fifth is rounded and one order for each eight is added; 2 of 9 and of 12 engines as before. The test failed before (9 for 11).

--- a/orioleworks_routing/src/versions.rs
+++ b/orioleworks_routing/src/versions.rs
@@ -14,6 +14,8 @@
 const ENGINES_PER_LOAD: usize = 5;
 /// Concurrent loads that are always allowed.
 const MIN_LOADS: usize = 2;
+/// Loads for one more order: an eighth of the time of an order goes to the report and the order before the load itself.
+const LOADS_PER_EXTRA_ORDER: usize = 8;
 /// Consecutive loads between two versions of a trainer: it publishes one every four seconds, and a load takes about a
 /// second.
 const LOADS_BETWEEN_VERSIONS: usize = 4;
@@ -74,9 +76,10 @@
     fit.min(engines / models).max(MIN_ENGINES).min(engines)
 }
 
-/// Largest number of concurrent loads.
+/// Largest number of orders in progress, so that as many engines load as can at full speed.
 pub fn max_loads(engines: usize) -> usize {
-    (engines / ENGINES_PER_LOAD).max(MIN_LOADS)
+    let loads = ((engines + ENGINES_PER_LOAD / 2) / ENGINES_PER_LOAD).max(MIN_LOADS);
+    loads + loads / LOADS_PER_EXTRA_ORDER
 }
 
 /// Loads to start now.
--- a/orioleworks_routing/tests/engines.rs
+++ b/orioleworks_routing/tests/engines.rs
@@ -141,6 +141,21 @@
     assert!(loads <= 10 * 9, "{loads} loads; at most one per engine and version is expected");
 }
 
+/// Guards against engines without allowed weights while fewer load than can at full speed: a fifth of all engines, and an order
+/// takes an eighth longer than its load.
+#[rstest]
+#[case::two_of_nine(9, 2)]
+#[case::two_of_twelve(12, 2)]
+#[case::ten_of_forty_eight(48, 11)]
+#[case::ten_of_fifty(50, 11)]
+#[case::few_engines(3, 2)]
+fn orders_keep_as_many_engines_loading_as_can_at_full_speed(
+    #[case] engines: usize,
+    #[case] orders: usize,
+) {
+    assert_eq!(versions::max_loads(engines), orders);
+}
+
 /// Guards against planning no loads while items wait for a version that few engines have, and against loads that no
 /// item needs.
 #[test]
