--- a/orioleworks_daemon/src/reload.rs
+++ b/orioleworks_daemon/src/reload.rs
@@ -21,11 +21,14 @@
 ) {
     runtime::spawn(async move {
         let mut last_bytes = fs::read(&path).unwrap_or_default();
+        // SIGHUP without a listener ends the process. This one is never polled again, so that it stays registered while the
+        // other one, which the signal has completed, is replaced.
+        let mut registered = hangup_signal();
+        let _pending = futures_util::poll!(registered.as_mut());
         let mut signal = hangup_signal();
         while !token.is_cancelled() {
             let mut timer = std::pin::pin!(time::sleep(FILE_CHECK_INTERVAL).fuse());
             select! {
-                // The next listener is registered before the old one is dropped: an unhandled SIGHUP ends the process.
                 _ = signal => signal = hangup_signal(),
                 () = timer => (),
             }
--- a/orioleworks_gateway/tests/stops.rs
+++ b/orioleworks_gateway/tests/stops.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::{
+    fs,
     io::{Read, Write},
     net::TcpStream,
     sync::atomic::Ordering,
@@ -77,6 +78,25 @@
     assert_eq!(upstream.runs("late").len(), 1);
 }
 
+/// Guards against a second SIGHUP that ends a process, because its listener is replaced only after the settings were read.
+#[test]
+fn hangups_in_quick_succession_do_not_end_a_gateway() {
+    const CHANGES: usize = 600;
+    let (d, _upstream) = start(2000);
+    let gateway = d.gateways[0].as_ref().unwrap();
+    let path = d.settings_file("gateway-0");
+    let settings = fs::read_to_string(&path).unwrap();
+    for i in 0..CHANGES {
+        fs::write(&path, format!("{settings}\n// change {i}")).unwrap();
+        for _ in 0..3 {
+            gateway.signal(Signal::SIGHUP);
+            thread::sleep(Duration::from_micros(70 * (i as u64 % 4)));
+        }
+        thread::sleep(Duration::from_millis(4));
+        assert_eq!(gateway.exit_code(), None, "it ended at change {i}");
+    }
+}
+
 /// A gateway with one plain service that has answered a request.
 fn start(timeout_ms: u64) -> (Deployment, Upstream) {
     let d = Deployment::start(3, 1, &document(1, timeout_ms).to_string());
--- a/orioleworks_gateway/tests/support/deployment.rs
+++ b/orioleworks_gateway/tests/support/deployment.rs
@@ -262,7 +262,7 @@
     }
 
     fn spawn(&self, program: &str, name: &str, settings: &str) -> Process {
-        let path = self.dir.path().join(format!("{name}.json"));
+        let path = self.settings_file(name);
         fs::write(&path, settings).unwrap();
         let output = self.dir.path().join(format!("{name}.log"));
         let file = File::options().create(true).append(true).open(&output).unwrap();
@@ -277,6 +277,11 @@
         Process { child, started: Instant::now(), output }
     }
 
+    /// Settings of a process.
+    pub fn settings_file(&self, name: &str) -> PathBuf {
+        self.dir.path().join(format!("{name}.json"))
+    }
+
     /// Sends a route document to the first store that responds with a status below 500; 0 if none does.
     pub fn put_document(&self, document: &str) -> u16 {
         let path = "/v1/Configuration.Replace";
