Weights: orders without a response keep no other engine from loading

The class is that of the moves: an order stands for a load that nobody has seen. An order older than 2 s, twice what a load takes, counts neither as a load that runs nor as the version of its engine; the engine gets no other order meanwhile. The test failed before: the two orders left no place.

--- a/orioleworks_routing/src/versions.rs
+++ b/orioleworks_routing/src/versions.rs
@@ -29,10 +29,12 @@
 pub struct Engine {
     /// ID of the engine.
     pub id: Rc<str>,
-    /// Weight version of each model, including one that is being loaded.
+    /// Weight version of each model, including one that it loads.
     pub versions: IndexMap<Rc<str>, u64>,
-    /// Whether an order to it is in progress.
+    /// Whether an order to it is in progress, so that it gets no other one.
     pub busy: bool,
+    /// Whether it loads: an order that takes far longer than a load does not keep others from loading.
+    pub loading: bool,
     /// Items that run on it.
     pub running: u32,
     /// Ratio of its event time to the median of all engines, rounded so that small differences are ignored.
@@ -84,7 +86,7 @@
 
 /// Loads to start now.
 pub fn plan(engines: &[Engine], models: &[Model]) -> Vec<Load> {
-    let running = engines.iter().filter(|e| e.busy).count();
+    let running = engines.iter().filter(|e| e.loading).count();
     let mut available_loads = max_loads(engines.len()).saturating_sub(running);
     let engines_wanted = engines_per_version(engines.len(), models.len());
     let mut assigned: Vec<Rc<str>> = Vec::new();
--- a/orioleworks_routing/tests/engines.rs
+++ b/orioleworks_routing/tests/engines.rs
@@ -176,11 +176,27 @@
     engines[1].slowness = 3.0;
     let plan = versions::plan(&engines, &[model("a", 5, 0)]);
     assert_eq!(plan.first().map(|l| l.engine.to_string()).as_deref(), Some("e2"));
-    engines[2].busy = true;
+    (engines[2].busy, engines[2].loading) = (true, true);
     let plan = versions::plan(&engines, &[model("a", 5, 0)]);
     assert!(plan.iter().all(|l| *l.engine != *"e2"), "an engine takes one order at a time");
 }
 
+/// Guards against orders that are not answered and hold the places of loads, while items wait for engines with their weights.
+#[test]
+fn an_overdue_order_keeps_no_other_engine_from_loading() {
+    let mut engines: Vec<Engine> = (0..10).map(|i| engine(i, &[("a", 1)])).collect();
+    for engine in &mut engines[..2] {
+        (engine.busy, engine.loading) = (true, true);
+    }
+    assert_eq!(versions::plan(&engines, &[model("a", 2, 0)]), [], "two load, as many as may");
+    for engine in &mut engines[..2] {
+        engine.loading = false;
+    }
+    let plan = versions::plan(&engines, &[model("a", 2, 0)]);
+    assert_eq!(plan.len(), 2);
+    assert!(plan.iter().all(|load| *load.engine != *"e0" && *load.engine != *"e1"), "{plan:?}");
+}
+
 fn candidate(id: &str, fresh: bool) -> Candidate {
     Candidate { key: (id.into(), 1), slots: 6, fresh, local: true }
 }
--- a/orioleworks_store/src/engines.rs
+++ b/orioleworks_store/src/engines.rs
@@ -25,6 +25,8 @@
     pub model: Rc<str>,
     /// Version that is loaded.
     pub version: u64,
+    /// Time of the order.
+    pub since: Duration,
 }
 
 /// Observed state of one incarnation of an engine.
--- a/orioleworks_store/src/orders.rs
+++ b/orioleworks_store/src/orders.rs
@@ -46,6 +46,9 @@
 const FIRST_CHECK_DELAY: Duration = Duration::from_millis(950);
 /// Time between two checks of an engine that loads.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after which an order no longer counts as a load that runs: twice what a load takes. An order without a response may
+/// take effect seconds later, or never.
+const OVERDUE_TIME: Duration = Duration::from_secs(2);
 /// Time after which a load counts as failed; several times the usual one, and longer than the running requests that end
 /// before it.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(8);
@@ -136,7 +139,7 @@
         for load in versions::plan(&engines, &models) {
             let Some(upstream) = upstreams.iter().find(|up| up.id == load.engine) else { continue };
             let (key, model, version) = (key_of(upstream), load.model.clone(), load.version);
-            let loading = Loading { model, version };
+            let loading = Loading { model, version, since: clock::since_boot() };
             self.inner.shared.engines.borrow_mut().record(&key).loading = Some(loading);
             let (this, upstream) = (self.clone(), upstream.clone());
             runtime::spawn(async move { this.run_load(term, upstream, key, load).await }).detach();
@@ -171,14 +174,16 @@
                 .models
                 .iter()
                 .map(|(model, _)| (model.clone(), known.version(up, model).unwrap_or(0)));
-            let loading = known.loading(&key);
+            let order = known.loading(&key);
+            let load = order.filter(|order| now.saturating_sub(order.since) < OVERDUE_TIME);
             let mut versions: indexmap::IndexMap<Rc<str>, u64> = versions.collect();
-            if let Some(loading) = loading {
-                versions.insert(loading.model.clone(), loading.version);
+            if let Some(load) = load {
+                versions.insert(load.model.clone(), load.version);
             }
             let slowness = (known.event_ms(&key, now) / median).round();
-            let (id, busy) = (up.id.clone(), loading.is_some());
-            Engine { id, versions, busy, running: known.running(&key), slowness }
+            let (id, running) = (up.id.clone(), known.running(&key));
+            let (busy, loading) = (order.is_some(), load.is_some());
+            Engine { id, versions, busy, loading, running, slowness }
         };
         (upstreams.iter().map(engine).collect(), upstreams)
     }
