Tests: heads of streams that are cut

The third kind of request beside calls that may and may not be repeated: a cut head gets 502; a stream whose head is whole is passed on, and its end short of its length shows that it broke off. Items, relayed requests and reward calls were not tried at the head.

--- a/orioleworks_gateway/tests/cut_heads.rs
+++ b/orioleworks_gateway/tests/cut_heads.rs
@@ -12,7 +12,8 @@
 use rstest::rstest;
 use support::{client, deployment::Deployment, routes::document};
 
-const WHOLE_BODY: &str = "whole";
+/// One event, so that it is a whole response of a stream too.
+const WHOLE_BODY: &str = "id: 1\ndata: whole\n\n";
 
 /// How an upstream ends a response that it has begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,7 +25,7 @@
 
 fn head(id: &str) -> String {
     format!(
-        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: stamp\r\nContent-Type: text/plain\r\n\
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: stamp\r\nContent-Type: text/event-stream\r\n\
          Content-Length: {}\r\n\r\n",
         WHOLE_BODY.len()
     )
@@ -60,8 +61,8 @@
     }
 }
 
-/// Starts an upstream of the service of calls and announces it until the test ends.
-fn start_upstream(stores: Vec<String>, end: End) {
+/// Starts an upstream and announces it until the test ends.
+fn start_upstream(service: &'static str, stores: Vec<String>, end: End) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
     thread::spawn(move || {
@@ -72,7 +73,7 @@
     thread::spawn(move || {
         for sequence in 0..400 {
             let heartbeat = serde_json::json!({
-                "service": "sheets", "address": address, "zone": "zone-a", "slots": 8, "version": "v1",
+                "service": service, "address": address, "zone": "zone-a", "slots": 8, "version": "v1",
                 "state": "ready", "cold_remaining_ms": 0, "models": [], "sequence": sequence, "born": 1,
             });
             let path = "/v1/Instances.Heartbeat/s-cut";
@@ -93,11 +94,13 @@
 #[rstest]
 fn a_head_that_is_cut_is_no_response(
     #[values(End::Close, End::Reset)] end: End,
-    #[values("/lookup", "/confirm")] route: &str,
+    #[values(("/lookup", "sheets"), ("/confirm", "sheets"), ("/say", "engines"))]
+    (route, service): (&str, &'static str),
 ) {
     let d = Deployment::start(3, 1, &document(1, 2000).to_string());
-    start_upstream(d.control_addresses(), end);
-    let response_len = head("id--lookup-cut-100").len() + WHOLE_BODY.len();
+    start_upstream(service, d.control_addresses(), end);
+    let id = |cut: usize| format!("id-{}", format!("{route}/cut-{cut}").replace('/', "-"));
+    let response_len = head(&id(100)).len() + WHOLE_BODY.len();
     for cut in (0..response_len).step_by(7) {
         // A whole response first: the connection is kept, and the pause after the last failure has ended.
         let until = Instant::now() + Duration::from_secs(20);
@@ -108,8 +111,16 @@
             thread::sleep(Duration::from_millis(50));
         }
         let response = call(&d, &format!("{route}/cut-{cut}"));
-        // It was sent, and may have run.
-        let status = response.as_ref().map(|r| r.status);
-        assert_eq!(status, Some(502), "{cut} bytes reached the caller as {response:?}");
+        if route == "/say" && cut >= head(&id(cut)).len() {
+            // The head of a stream is passed on before its events. That it broke off shows in its length.
+            let response = response.expect("the head of the stream");
+            let declared = format!("content-length: {}", WHOLE_BODY.len());
+            assert!(response.head.contains(&declared), "{}", response.head);
+            assert!(response.body.len() < WHOLE_BODY.len(), "{response:?}");
+        } else {
+            // It was sent, and may have run.
+            let status = response.as_ref().map(|r| r.status);
+            assert_eq!(status, Some(502), "{cut} bytes reached the caller as {response:?}");
+        }
     }
 }
