Tenants: keys of callers, batches with owners, and a lease on keys

A route document may name tenants with keys. A request without a known key is refused with 401; upstreams get the tenant and never the key. Batches belong to the tenant that submitted them. Gateways with a bound on revocations use their keys only while a quorum has confirmed their document recently, counted from the question, so that pauses and late replies shorten the lease.

--- a/orioleworks_control/src/machine.rs
+++ b/orioleworks_control/src/machine.rs
@@ -75,6 +75,11 @@
             Some(
                 Kind::PutBatch(_)
                 | Kind::PutScoredBatch(_)
+                | Kind::PutOwnedBatch(_)
+                | Kind::EndOwnedBatch(_)
+                | Kind::RecordUsage(_)
+                | Kind::CloseUsageWindow(_)
+                | Kind::UsageReported(_)
                 | Kind::RecordResults(_)
                 | Kind::EndBatch(_)
                 | Kind::PutDocument(_)
--- a/orioleworks_control/src/validation.rs
+++ b/orioleworks_control/src/validation.rs
@@ -72,6 +72,11 @@
         Kind::ReleaseQuarantine(fingerprint) => check_name("release_quarantine", fingerprint),
         Kind::PutBatch(_)
         | Kind::PutScoredBatch(_)
+        | Kind::PutOwnedBatch(_)
+        | Kind::EndOwnedBatch(_)
+        | Kind::RecordUsage(_)
+        | Kind::CloseUsageWindow(_)
+        | Kind::UsageReported(_)
         | Kind::RecordResults(_)
         | Kind::EndBatch(_)
         | Kind::PutDocument(_)
--- a/orioleworks_fleet/src/stores.rs
+++ b/orioleworks_fleet/src/stores.rs
@@ -178,6 +178,8 @@
         Body::ReadItemReply(reply) => reply.code,
         Body::ReadDocumentReply(reply) => reply.code,
         Body::AcquirePermitReply(reply) => reply.code,
+        Body::ConfirmDocumentReply(reply) => reply.code,
+        Body::ReportUsageReply(reply) => reply.code,
         _ => ResultCode::Ok.number(),
     }
 }
@@ -194,6 +196,7 @@
         Body::ReadItemReply(reply) => Some(reply.leader_address.clone()),
         Body::ReadDocumentReply(reply) => Some(reply.leader_address.clone()),
         Body::AcquirePermitReply(reply) => Some(reply.leader_address.clone()),
+        Body::ConfirmDocumentReply(reply) => Some(reply.leader_address.clone()),
         _ => None,
     }
 }
--- a/orioleworks_fleet/src/watch.rs
+++ b/orioleworks_fleet/src/watch.rs
@@ -47,6 +47,8 @@
     pub domain: String,
     /// Digest of the gateways that it knows as helpers.
     pub helpers_digest: u64,
+    /// Whether the reply should tell which version of the route document is confirmed.
+    pub wants_confirmation: bool,
 }
 
 /// What a watcher knows of upstreams and gateways; clones share it.
@@ -153,6 +155,7 @@
         relay_address: state.relay_address,
         domain: state.domain,
         helpers_digest: state.helpers_digest,
+        wants_confirmation: state.wants_confirmation,
     };
     let Body::FleetReply(mut reply) =
         client.call(Body::FleetWatch(watch), max_wait + REPLY_SLACK).await?
--- a/orioleworks_gateway/src/batches.rs
+++ b/orioleworks_gateway/src/batches.rs
@@ -16,7 +16,10 @@
     codes::ResultCode,
     inner::{self, command::Kind, frame::Body},
 };
-use orioleworks_routing::routes::{Route, RouteTable};
+use orioleworks_routing::{
+    routes::{Route, RouteTable},
+    tenants::Tenant,
+};
 
 use crate::{
     callers::{Refusal, RequestContext},
@@ -58,16 +61,24 @@
     let mut decoded = batch::decode(&context.id, host, route, &service, body)
         .map_err(|e| Refusal::new(ResultCode::BadRequest, e.to_string(), Duration::ZERO))?;
     check_reward_calls(table, &decoded.items)?;
+    if table.tenants.is_some() {
+        batch::set_owner(&mut decoded, context.tenant.as_deref());
+    }
     decoded.status_retention_ms = view.cfg.batches.status_retention_s.saturating_mul(1000);
     let (items, step, model) = (decoded.items.len(), decoded.step, decoded.model.clone());
     let time_left =
         context.deadline_within(SUBMIT_TIMEOUT).saturating_duration_since(Instant::now());
     let scored = decoded.items.iter().any(|item| item.reward_call.is_some());
-    let command = if scored { Kind::PutScoredBatch(decoded) } else { Kind::PutBatch(decoded) };
+    let owned = !decoded.tenant.is_empty();
+    let command = match (owned, scored) {
+        (true, _) => Kind::PutOwnedBatch(decoded),
+        (false, true) => Kind::PutScoredBatch(decoded),
+        (false, false) => Kind::PutBatch(decoded),
+    };
     let outcome = view.stores.propose(command, time_left).await;
     successful_reply(outcome, "the batch").map_err(|refusal| match refusal.code {
         // A store of an earlier version does not know the command.
-        ResultCode::InvalidOrder if scored => {
+        ResultCode::InvalidOrder if scored || owned => {
             Refusal::new(ResultCode::UpdatePending, "the batch", UPDATE_RETRY)
         }
         ResultCode::UpdatePending => Refusal { retry_after: UPDATE_RETRY, ..refusal },
@@ -100,18 +111,28 @@
     Ok(())
 }
 
-/// Handles a call on a batch.
+/// Tenant that asks for a batch; `None` if batches have no owners. A call without a key sees batches without an owner only.
+pub fn asker(table: &RouteTable, tenant: Option<&Tenant>) -> Option<String> {
+    table.tenants.as_ref()?;
+    Some(tenant.map_or_else(String::new, |tenant| tenant.name.to_string()))
+}
+
+/// Handles a call of a tenant on a batch.
 ///
 /// # Errors
 ///
 /// Returns an error if the batch or item does not exist, or if no store replied in time.
-pub async fn call(view: &View, call: BatchCall) -> Result<server::Response, Refusal> {
+pub async fn call(
+    view: &View,
+    call: BatchCall,
+    tenant: Option<String>,
+) -> Result<server::Response, Refusal> {
     match call {
-        BatchCall::Read { id, after, wait } => read(view, &id, after, wait).await,
+        BatchCall::Read { id, after, wait } => read(view, &id, tenant, after, wait).await,
         BatchCall::ReadItem { id, item } => {
             let message = || {
-                let (batch_id, item_id) = (id.clone(), item.clone());
-                Body::ReadItem(inner::ReadItem { batch_id, item_id })
+                let (batch_id, item_id, tenant) = (id.clone(), item.clone(), tenant.clone());
+                Body::ReadItem(inner::ReadItem { batch_id, item_id, tenant })
             };
             let outcome = view.stores.call_leader(message, LEADER_SEARCH_SLACK, REPLY_SLACK).await;
             match read_reply(outcome, &item)? {
@@ -122,8 +143,18 @@
             }
         }
         BatchCall::End { id } => {
-            let outcome = view.stores.propose(Kind::EndBatch(id.clone()), SUBMIT_TIMEOUT).await;
-            successful_reply(outcome, &id)?;
+            let owned = tenant.is_some();
+            let command = match tenant {
+                Some(tenant) => Kind::EndOwnedBatch(inner::OwnedBatch { id: id.clone(), tenant }),
+                None => Kind::EndBatch(id.clone()),
+            };
+            let outcome = view.stores.propose(command, SUBMIT_TIMEOUT).await;
+            successful_reply(outcome, &id).map_err(|refusal| match refusal.code {
+                ResultCode::InvalidOrder if owned => {
+                    Refusal::new(ResultCode::UpdatePending, &*id, UPDATE_RETRY)
+                }
+                _ => refusal,
+            })?;
             event!(info, "batch_ended", request = id);
             Ok(server::full_response(200, "application/json", Bytes::from_static(b"{}")))
         }
@@ -133,6 +164,7 @@
 async fn read(
     view: &View,
     id: &str,
+    tenant: Option<String>,
     after: u64,
     wait: Duration,
 ) -> Result<server::Response, Refusal> {
@@ -141,7 +173,8 @@
         let left = deadline.saturating_duration_since(Instant::now());
         let wait_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
         let max_bytes = MAX_RESULT_BYTES;
-        Body::ReadBatch(inner::ReadBatch { id: id.to_owned(), after, wait_ms, max_bytes })
+        let (id, tenant) = (id.to_owned(), tenant.clone());
+        Body::ReadBatch(inner::ReadBatch { id, after, wait_ms, max_bytes, tenant })
     };
     let outcome =
         view.stores.call_leader(message, wait + LEADER_SEARCH_SLACK, wait + REPLY_SLACK).await;
--- a/orioleworks_gateway/src/callers.rs
+++ b/orioleworks_gateway/src/callers.rs
@@ -1,15 +1,23 @@
 //! Handles requests of callers and trainers: routes each request or refuses it with a reason.
 
-use std::time::{Duration, Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use http::{HeaderMap, header};
 use orioleworks_daemon::{event, http as server};
 use orioleworks_platform::{batch, caller};
 use orioleworks_proto::codes::ResultCode;
+use orioleworks_routing::{
+    routes::{Route, RouteTable},
+    tenants::Tenant,
+};
 
 use crate::{
     batches,
     forward::{self, Content},
+    keys::Denial,
     telemetry::{self, RequestLabels},
     view::View,
 };
@@ -44,6 +52,8 @@
     pub arrived: Instant,
     /// Time at which the request is abandoned, if the caller sent a deadline.
     pub deadline: Option<Instant>,
+    /// Tenant whose key was sent.
+    pub tenant: Option<Rc<Tenant>>,
 }
 
 impl RequestContext {
@@ -55,9 +65,16 @@
             id: caller::attempt_id(headers).unwrap_or_default().to_owned(),
             arrived,
             deadline: left.map(|left| arrived + left.saturating_sub(RESPONSE_MARGIN)),
+            tenant: None,
         }
     }
 
+    /// Priority of the request on a route.
+    pub fn priority(&self, route: &Route) -> u32 {
+        let own = self.tenant.as_ref().and_then(|tenant| tenant.priority);
+        own.unwrap_or(route.priority)
+    }
+
     /// Time until which the request may wait for routes and upstreams; the other half of the caller's time is for the
     /// request itself.
     pub fn setup_deadline(&self) -> Instant {
@@ -106,13 +123,22 @@
         *labels = RequestLabels::of_call(call.name());
         // Log lines of calls on a batch carry the ID of the batch.
         call.batch().clone_into(&mut context.id);
-        return batches::call(view, call).await;
+        // Without the routes it is not known whether the batch has an owner.
+        let Some(table) = view.wait_for_table(context.setup_deadline()).await else {
+            return Err(Refusal::new(
+                ResultCode::NotReady,
+                "no routes are known yet",
+                NO_ROUTES_RETRY,
+            ));
+        };
+        let needs_key = !table.has_public_batches(&host_of(&req));
+        let tenant = authorize(view, &table, req.headers(), needs_key)?;
+        return batches::call(view, call, batches::asker(&table, tenant.as_deref())).await;
     }
     let Some(table) = view.wait_for_table(context.setup_deadline()).await else {
         return Err(Refusal::new(ResultCode::NotReady, "no routes are known yet", NO_ROUTES_RETRY));
     };
-    let host = req.headers().get(header::HOST).and_then(|v| v.to_str().ok());
-    let host = host.or_else(|| req.uri().host()).unwrap_or_default().to_owned();
+    let host = host_of(&req);
     let Some(route) = table.find(&host, req.uri().path()).cloned() else {
         let detail = format!("{host}{} in version {}", req.uri().path(), table.version);
         return Err(Refusal::new(ResultCode::UnknownPath, detail, Duration::ZERO));
@@ -120,18 +146,53 @@
     *labels = RequestLabels::of_route(&route);
     let end = context.deadline_within(route.timeout);
     refuse_if_stopping(view, end)?;
+    authorize(view, &table, req.headers(), !route.public)?;
     let limits = server::Limits { body_bytes: table.limits.body_bytes, ..Default::default() };
-    let (head, body) = req.into_parts();
+    let (mut head, body) = req.into_parts();
     let body = server::read_body(body, &limits)
         .await
         .map_err(|code| Refusal::new(code, "", Duration::ZERO))?;
     refuse_if_stopping(view, end)?;
+    // The key may have been revoked while the body arrived.
+    let newest = view.table().unwrap_or_else(|| table.clone());
+    context.tenant = authorize(view, &newest, &head.headers, !route.public)?;
+    if newest.tenants.is_some() {
+        caller::set_tenant(&mut head.headers, context.tenant.as_ref().map(|t| &*t.name));
+    }
     if route.batch.is_some() {
         return batches::submit(view, &table, &route, &host, context, &body).await;
     }
     forward::forward(view, &route, Content::new(host, head, body), context).await
 }
 
+/// Host that a request names.
+fn host_of(req: &server::Request) -> String {
+    let host = req.headers().get(header::HOST).and_then(|v| v.to_str().ok());
+    host.or_else(|| req.uri().host()).unwrap_or_default().to_owned()
+}
+
+/// Tells whose request it is, or refuses it.
+fn authorize(
+    view: &View,
+    table: &RouteTable,
+    headers: &HeaderMap,
+    needs_key: bool,
+) -> Result<Option<Rc<Tenant>>, Refusal> {
+    /// Age of the last reply of a store up to which an unknown key is taken for an invalid one.
+    const MAX_AGE: Duration = Duration::from_millis(1500);
+    /// Another gateway may know the newest keys.
+    const UNCONFIRMED_RETRY: Duration = Duration::from_millis(300);
+    let result = view.keys.authorize(table, headers, needs_key, view.age() < MAX_AGE);
+    result.map_err(|denial| match denial {
+        Denial::Unknown => Refusal::new(ResultCode::ApiKeyUnknown, "", Duration::ZERO),
+        Denial::Unconfirmed => Refusal::new(
+            ResultCode::ApiKeysUnconfirmed,
+            "no store confirms them",
+            UNCONFIRMED_RETRY,
+        ),
+    })
+}
+
 /// Refuses a request that arrives late in a stop, unless its own time ends before that of the gateway.
 fn refuse_if_stopping(view: &View, end: Instant) -> Result<(), Refusal> {
     if !view.may_outlast_stop(end) {
@@ -158,6 +219,9 @@
     );
     let mut response = server::error(refusal.code, &refusal.detail, 0);
     *response.status_mut() = caller::refusal_status(refusal.code);
+    if refusal.code == ResultCode::ApiKeyUnknown {
+        caller::set_key_challenge(response.headers_mut());
+    }
     if !refusal.retry_after.is_zero() {
         let value = caller::retry_after(refusal.retry_after);
         response.headers_mut().insert(header::RETRY_AFTER, value);
--- a/orioleworks_gateway/src/config.rs
+++ b/orioleworks_gateway/src/config.rs
@@ -1,6 +1,6 @@
 //! Settings of the gateway daemon, one struct for each section.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use orioleworks_settings::{Problems, Settings};
 use serde::Deserialize;
@@ -18,6 +18,9 @@
     /// Batches.
     #[serde(default)]
     pub batches: Batches,
+    /// Revocation of keys.
+    #[serde(default)]
+    pub revocation: Revocation,
     /// Log output.
     #[serde(default)]
     pub log: Log,
@@ -65,6 +68,16 @@
     pub status_retention_s: u32,
 }
 
+/// Revocation of keys.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Revocation {
+    /// Whether a revocation takes effect within the bound also at a gateway that does not learn of it.
+    pub strict: bool,
+    /// Longest time from the acknowledgement of a revocation until its effect, in milliseconds.
+    pub bound_ms: u64,
+}
+
 /// Log output.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -80,6 +93,19 @@
     }
 }
 
+impl Default for Revocation {
+    fn default() -> Self {
+        Self { strict: false, bound_ms: 5000 }
+    }
+}
+
+impl Revocation {
+    /// Time within which a revocation takes effect everywhere; `None` without a bound.
+    pub fn bound(&self) -> Option<Duration> {
+        self.strict.then(|| Duration::from_millis(self.bound_ms))
+    }
+}
+
 impl Default for Log {
     fn default() -> Self {
         Self { filter: "info".into() }
@@ -94,6 +120,8 @@
         problems.range("stores.inner_port", self.stores.inner_port, 1..=u16::MAX, "");
         let retention = self.batches.status_retention_s;
         problems.range("batches.status_retention_s", retention, 1..=86_400, "s");
+        // A shorter lease would end between two replies of a store.
+        problems.range("revocation.bound_ms", self.revocation.bound_ms, 2000..=600_000, "ms");
     }
 }
 
--- a/orioleworks_gateway/src/forward.rs
+++ b/orioleworks_gateway/src/forward.rs
@@ -470,7 +470,7 @@
                 return Start::Started;
             };
             let demand = Demand {
-                priority: self.route.priority,
+                priority: self.context.priority(self.route),
                 max_wait: self.longest_permit_wait(&excluded),
             };
             match self.view.permits.acquire(self.view, &key, rate, demand).await {
--- a/orioleworks_gateway/src/lib.rs
+++ b/orioleworks_gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod config;
 pub mod crashes;
 pub mod forward;
+pub mod keys;
 pub mod path;
 pub mod permits;
 pub mod relay;
--- a/orioleworks_gateway/src/view.rs
+++ b/orioleworks_gateway/src/view.rs
@@ -21,7 +21,7 @@
 };
 
 use crate::{
-    buffers::Buffers, config::Config, crashes::ContentCrashes, path::UpstreamPath,
+    buffers::Buffers, config::Config, crashes::ContentCrashes, keys::Keys, path::UpstreamPath,
     permits::Permits, relay::Relayed, reports::Wake, telemetry,
 };
 
@@ -47,6 +47,8 @@
     pub knowledge: Knowledge,
     /// Contents that may have crashed upstreams.
     pub crashes: ContentCrashes,
+    /// Keys of callers.
+    pub keys: Keys,
     /// Memory for responses that are buffered until they are complete.
     pub buffers: Buffers,
     /// Streams that began through this gateway.
@@ -97,6 +99,7 @@
         let report_wake = Wake::default();
         stores.set_seeds(cfg.seed_addresses());
         Self {
+            keys: Keys::new(cfg.revocation.bound()),
             cfg: Rc::new(cfg),
             crashes: ContentCrashes::new(knowledge.clone(), report_wake.clone()),
             buffers: Buffers::default(),
@@ -296,6 +299,7 @@
         self.outliers.borrow_mut().retain(|(id, start)| known(id, *start));
         self.permits.retain(|(id, start)| known(id, *start));
         if let Some(table) = self.table() {
+            self.keys.publish(&table);
             self.budgets.borrow_mut().retain(|route, _| table.by_name(route).is_some());
         }
         self.pool.close_expired();
--- a/orioleworks_gateway/src/watch.rs
+++ b/orioleworks_gateway/src/watch.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use compio::time;
-use orioleworks_daemon::event;
+use orioleworks_daemon::{clock, event};
 use orioleworks_fleet::{
     convert,
     watch::{self, Position, WatcherState},
@@ -45,8 +45,10 @@
             relay_address: view.cfg.listen.relay.map_or_else(String::new, |a| a.to_string()),
             domain: view.cfg.instance.failure_domain.to_string(),
             helpers_digest: view.helpers.borrow().digest(),
+            wants_confirmation: view.keys.are_leased(),
         };
         let (client, asked_at) = (view.stores.client(address), Instant::now());
+        let asked_since_boot = clock::since_boot();
         let current = match watch::poll(&client, &mut position, state, &view.knowledge).await {
             Ok((reply, changed)) => {
                 if changed {
@@ -65,6 +67,9 @@
                 if let Some(document) = reply.document.filter(|_| reply.current || stale_allowed) {
                     view.apply_document(&document);
                 }
+                if let Some(confirmation) = &reply.confirmation {
+                    view.keys.renew(asked_since_boot, confirmation);
+                }
                 match (reply.current, votes) {
                     (true, true) => Ok(()),
                     (false, _) => Err("the store has no leader".to_owned()),
--- a/orioleworks_gateway/tests/support/deployment.rs
+++ b/orioleworks_gateway/tests/support/deployment.rs
@@ -23,6 +23,9 @@
     proxy::Proxy,
 };
 
+/// Time within which a revocation takes effect at every gateway.
+pub const REVOCATION_BOUND_MS: u64 = 2000;
+
 /// A process that is killed at the end of the test.
 pub struct Process {
     child: RefCell<Child>,
@@ -239,6 +242,7 @@
         let settings = format!(
             r#"{{ "instance": {{ "name": "{name}", "failure_domain": "zone-a" }},
                  "listen": {{ "callers": "{}", "readiness": "{}:{}", "relay": "{}:{}" }},
+                 "revocation": {{ "strict": true, "bound_ms": {REVOCATION_BOUND_MS} }},
                  "stores": {{ "seeds": [{}], "inner_port": {} }} }}"#,
             self.gateway_address(i),
             loopback_ip(2, i),
--- a/orioleworks_gateway/tests/support/routes.rs
+++ b/orioleworks_gateway/tests/support/routes.rs
@@ -38,6 +38,17 @@
     })
 }
 
+/// A document with the tenants alpha, which has two keys, and beta; the route for requests that run once is public.
+pub fn document_with_tenants(version: u64, alpha_keys: &[&str]) -> serde_json::Value {
+    let mut document = document(version, 5000);
+    document["routes"][CONFIRM]["public"] = true.into();
+    document["tenants"] = serde_json::json!([
+        {"name": "alpha", "api_keys": alpha_keys, "priority": 1},
+        {"name": "beta", "api_keys": ["key-of-beta"]},
+    ]);
+    document
+}
+
 /// Submission of a batch with these items; `group_of` names the group of an item.
 pub fn submission(items: &[String], min_version: u64, group_of: impl Fn(&str) -> &str) -> String {
     unscored_submission(items, min_version, group_of).to_string()
--- a/orioleworks_gateway/tests/support/upstream.rs
+++ b/orioleworks_gateway/tests/support/upstream.rs
@@ -103,6 +103,8 @@
     starts: HashMap<String, Vec<Instant>>,
     /// Time of the last event of each complete stream by request ID.
     completions: HashMap<String, Instant>,
+    /// Headers of the newest request of an ID.
+    headers: HashMap<String, HashMap<String, String>>,
     /// Last response by the peer of the connection.
     answered: HashMap<SocketAddr, String>,
 }
@@ -209,6 +211,11 @@
         self.state.lock().unwrap().runs.get(id).cloned().unwrap_or_default()
     }
 
+    /// Value of a header of the newest request of an ID; the name is in lower case.
+    pub fn header(&self, id: &str, name: &str) -> Option<String> {
+        self.state.lock().unwrap().headers.get(id)?.get(name).cloned()
+    }
+
     /// Start times of the runs of a request ID.
     pub fn starts(&self, id: &str) -> Vec<Instant> {
         self.state.lock().unwrap().starts.get(id).cloned().unwrap_or_default()
@@ -425,6 +432,7 @@
         headers: &HashMap<String, String>,
     ) -> std::io::Result<()> {
         let id = headers.get("x-attempt-id").cloned().unwrap_or_default();
+        self.state.lock().unwrap().headers.insert(id.clone(), headers.clone());
         let decrement = |left: u64| left.checked_sub(1);
         let earlier = self.state.lock().unwrap().answered.remove(&out.peer_addr()?);
         let copies = &self.behaviour.late_copies;
--- a/orioleworks_log/src/files.rs
+++ b/orioleworks_log/src/files.rs
@@ -3,6 +3,7 @@
 use std::{
     fs::{self, File, OpenOptions},
     io::{self, BufReader, BufWriter, Read, Write},
+    os::unix::fs::OpenOptionsExt,
     path::{Path, PathBuf},
 };
 
@@ -23,6 +24,8 @@
 /// Name of a leader's snapshot while it is received.
 pub(crate) const SNAPSHOT_RECEIVED_FILE: &str = "snapshot.received";
 
+/// Mode of files that only their owner may read.
+const PRIVATE_MODE: u32 = 0o600;
 const VOTE_MAGIC: &[u8; 8] = b"owvote01";
 const SNAPSHOT_MAGIC: &[u8; 8] = b"owsnap02";
 const CRC_LEN: usize = 4;
@@ -70,10 +73,17 @@
         .map_err(|e| LogError::io(directory, "sync", &e))
 }
 
+/// Creates a file, or empties it. Only its owner may read it, because the state may contain keys of callers.
+pub(crate) fn create_private(path: &Path) -> Result<File, LogError> {
+    let mut options = OpenOptions::new();
+    options.create(true).truncate(true).write(true).mode(PRIVATE_MODE);
+    options.open(path).map_err(|e| LogError::io(path, "creation", &e))
+}
+
 /// Writes and syncs a temporary file; [`commit_replacement`] renames it to its final name.
 pub(crate) fn write_replacement(path: &Path, bytes: &[u8]) -> Result<(), LogError> {
     let tmp = path.with_extension("tmp");
-    let mut file = File::create(&tmp).map_err(|e| LogError::io(&tmp, "creation", &e))?;
+    let mut file = create_private(&tmp)?;
     file.write_all(bytes).map_err(|e| LogError::io(&tmp, "write", &e))?;
     file.sync_all().map_err(|e| LogError::io(&tmp, "sync", &e))
 }
@@ -277,7 +287,7 @@
         head: &inner::Snapshot,
     ) -> Result<Self, LogError> {
         let tmp = directory.join(name);
-        let file = File::create(&tmp).map_err(|e| LogError::io(&tmp, "creation", &e))?;
+        let file = create_private(&tmp)?;
         let last_index = head.last_index;
         let head = head.encode_to_vec();
         let len = u32::try_from(head.len()).unwrap_or(u32::MAX).to_le_bytes();
--- a/orioleworks_log/src/journal.rs
+++ b/orioleworks_log/src/journal.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     error::LogError,
-    files::{commit_replacement, sync_directory},
+    files::{self, commit_replacement, sync_directory},
 };
 
 /// Name of the log file.
@@ -189,7 +189,7 @@
     /// Returns the error of the operating system.
     pub fn create(directory: &Path, base: LogPosition) -> Result<Self, LogError> {
         let tmp = directory.join(LOG_FILE).with_extension("tmp");
-        let file = File::create(&tmp).map_err(|e| LogError::io(&tmp, "creation", &e))?;
+        let file = files::create_private(&tmp)?;
         let mut file = BufWriter::with_capacity(FILE_BUFFER_BYTES, file);
         file.write_all(&[0; HEADER_LEN]).map_err(|e| LogError::io(&tmp, "write", &e))?;
         let (directory, len) = (directory.into(), HEADER_LEN as u64);
--- a/orioleworks_proto/src/codes.rs
+++ b/orioleworks_proto/src/codes.rs
@@ -26,6 +26,8 @@
     UnknownPath = 1008,
     /// the request was not received in time
     RequestTimeout = 1009,
+    /// the request has no key of a tenant
+    ApiKeyUnknown = 1010,
     /// no live upstream of the required kind
     NoUpstream = 2001,
     /// the queue is full
@@ -52,6 +54,8 @@
     RewardCallUnroutable = 2012,
     /// a store does not understand the batch until it is updated
     UpdatePending = 2013,
+    /// the instance cannot tell which keys are valid now
+    ApiKeysUnconfirmed = 2014,
     /// the outcome of the request is unknown; it may have run
     OutcomeUnknown = 3001,
     /// the deadline passed after the request was sent; it may have run
@@ -98,6 +102,7 @@
     ResultCode::KeyReused,
     ResultCode::UnknownPath,
     ResultCode::RequestTimeout,
+    ResultCode::ApiKeyUnknown,
     ResultCode::NoUpstream,
     ResultCode::Overloaded,
     ResultCode::ClaimsUnavailable,
@@ -111,6 +116,7 @@
     ResultCode::MemoryShort,
     ResultCode::RewardCallUnroutable,
     ResultCode::UpdatePending,
+    ResultCode::ApiKeysUnconfirmed,
     ResultCode::OutcomeUnknown,
     ResultCode::DeadlineExceeded,
     ResultCode::InProgress,
@@ -167,6 +173,7 @@
         match self {
             Self::Ok => 200,
             Self::BadRequest | Self::KeyMissing | Self::InvalidOrder => 400,
+            Self::ApiKeyUnknown => 401,
             Self::UnknownProfile | Self::UnknownPath | Self::UnknownObject => 404,
             Self::MethodNotAllowed => 405,
             Self::RequestTimeout => 408,
@@ -182,6 +189,7 @@
             Self::NotReady | Self::RefusedByUpstream | Self::NoQuorum => 503,
             Self::MembershipBusy | Self::RateLimited | Self::StreamUnknown => 503,
             Self::MemoryShort | Self::RewardCallUnroutable | Self::UpdatePending => 503,
+            Self::ApiKeysUnconfirmed => 503,
             Self::DeadlineBeforeDispatch | Self::DeadlineExceeded | Self::OrderUnconfirmed => 504,
         }
     }
--- a/orioleworks_proto/src/lib.rs
+++ b/orioleworks_proto/src/lib.rs
@@ -7,10 +7,12 @@
 pub mod socket;
 
 /// What this program understands of the messages and commands, where an older program would lose something: 0 until the
-/// landing of 2026-12-04, 1 with reward calls. See `docs/platform.md`, "Programs of two versions".
-pub const PROTOCOL: u32 = 1;
+/// landing of 2026-12-04, 1 with reward calls, 2 with tenants and usage. See `docs/platform.md`, "Programs of two versions".
+pub const PROTOCOL: u32 = 2;
 /// The first protocol version with reward calls.
 pub const PROTOCOL_WITH_REWARD_CALLS: u32 = 1;
+/// The first protocol version with tenants of batches and with counts of requests.
+pub const PROTOCOL_WITH_TENANTS: u32 = 2;
 
 /// Messages generated from `proto/inner.proto`.
 #[allow(missing_docs, clippy::all)]
--- a/orioleworks_routing/src/routes.rs
+++ b/orioleworks_routing/src/routes.rs
@@ -9,6 +9,8 @@
 use indexmap::IndexMap;
 use rand::{Rng, RngExt};
 
+use crate::tenants::Tenants;
+
 /// Service that receives a share of a route's requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
@@ -56,6 +58,8 @@
     pub targets: Vec<Target>,
     /// Largest number of upstreams to which a request may be sent.
     pub max_attempts: u32,
+    /// Whether requests need no key.
+    pub public: bool,
 }
 
 impl Route {
@@ -156,6 +160,8 @@
     pub version: u64,
     /// Limits on caller connections and requests.
     pub limits: CallerLimits,
+    /// Tenants whose keys requests need; `None` if no request needs a key.
+    pub tenants: Option<Tenants>,
     services: IndexMap<Rc<str>, Service>,
     hosts: HashMap<Rc<str>, HashMap<Rc<str>, Rc<Route>>>,
 }
@@ -173,7 +179,7 @@
         routes: Vec<Route>,
     ) -> Result<Self, TableError> {
         let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
-        let mut table = Self { version, limits, services, hosts: HashMap::new() };
+        let mut table = Self { version, limits, tenants: None, services, hosts: HashMap::new() };
         for route in routes {
             table.add(route)?;
         }
@@ -219,6 +225,13 @@
         None
     }
 
+    /// Whether a host takes batches that need no key.
+    pub fn has_public_batches(&self, host: &str) -> bool {
+        let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+        let prefixes = self.hosts.get(host.as_str()).into_iter().flat_map(HashMap::values);
+        prefixes.into_iter().any(|route| route.public && route.batch.is_some())
+    }
+
     /// A service by name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
--- a/orioleworks_routing/tests/routes.rs
+++ b/orioleworks_routing/tests/routes.rs
@@ -17,6 +17,7 @@
         latency_objective: Duration::from_millis(100),
         priority: 0,
         targets: vec![Target { service: "s".into(), weight: 1 }],
+        public: false,
         max_attempts: 2,
     }
 }
--- a/orioleworks_store/src/lib.rs
+++ b/orioleworks_store/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod app;
 pub mod cli;
 pub mod config;
+pub mod confirmation;
 pub mod control;
 pub mod crashes;
 pub mod dispatch;
--- a/orioleworks_store/src/runner.rs
+++ b/orioleworks_store/src/runner.rs
@@ -256,6 +256,7 @@
 ) -> RunEnd {
     let head = upstream::item_request(
         &run.batch.host,
+        &run.batch.tenant,
         &run.item,
         &run.upstream.id,
         progress.borrow().resume_after(),
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -21,7 +21,7 @@
 };
 use orioleworks_platform::document;
 use orioleworks_proto::{
-    PROTOCOL_WITH_REWARD_CALLS,
+    PROTOCOL_WITH_REWARD_CALLS, PROTOCOL_WITH_TENANTS,
     codes::ResultCode,
     inner::{self, command::Kind, frame::Body},
 };
@@ -35,6 +35,7 @@
 
 use crate::{
     config::Config,
+    confirmation::Confirmations,
     dispatch::Dispatch,
     leaving,
     memory::{Monitor, Usage},
@@ -69,6 +70,7 @@
     dispatch: Dispatch,
     orders: Orders,
     memory: Rc<Monitor>,
+    confirmations: Confirmations,
     /// Random ID of this process; the cursors of an earlier process are invalid.
     boot: u64,
 }
@@ -127,7 +129,8 @@
         let orders = Orders::new(&cfg.instance.name, lease, shared.clone(), dispatch.clone());
         let memory = Rc::new(Monitor::new(cfg.limits.memory_bytes()));
         let boot = rand::random_range(1..=u64::MAX);
-        Ok(Self { cfg: Rc::new(cfg), shared, stores, dispatch, orders, memory, boot })
+        let (cfg, confirmations) = (Rc::new(cfg), Confirmations::default());
+        Ok(Self { cfg, shared, stores, dispatch, orders, memory, confirmations, boot })
     }
 
     /// Starts the tasks; they end with the token.
@@ -141,6 +144,8 @@
         runtime::spawn(peers::watch_all(log, stores, knowledge, wake, stop)).detach();
         let (this, stop) = (self.clone(), token.clone());
         runtime::spawn(async move { this.run_housekeeping(stop).await }).detach();
+        let confirming = self.confirmations.clone().run(self.clone(), token.clone());
+        runtime::spawn(confirming).detach();
         let texts = self.shared.texts.clone();
         runtime::spawn(texts.run(self.shared.log.clone(), token.clone())).detach();
     }
@@ -201,6 +206,9 @@
             Body::ReadDocument(_) => {
                 Some(Body::ReadDocumentReply(self.read_document_locally().await))
             }
+            Body::ConfirmDocument(_) => {
+                Some(Body::ConfirmDocumentReply(self.confirm_document_locally().await))
+            }
             Body::Status(_) => Some(Body::StatusReply(self.shared.log.status())),
             other => self.shared.log.handle(other).await,
         }
@@ -281,13 +289,13 @@
         {
             return reply(code);
         }
-        if let Some(batch) = submitted_batch(&command) {
-            if let Err(code) = self.check_memory(batch).await {
-                return reply(code);
-            }
-            if let Err(code) = self.check_protocol(&command) {
-                return reply(code);
-            }
+        if let Some(batch) = submitted_batch(&command)
+            && let Err(code) = self.check_memory(batch).await
+        {
+            return reply(code);
+        }
+        if let Err(code) = self.check_protocol(&command) {
+            return reply(code);
         }
         let started = Instant::now();
         let reply = match self.shared.log.propose(&propose.order_id, command).await {
@@ -327,16 +335,29 @@
         Err(ResultCode::MemoryShort)
     }
 
-    /// Checks that no voter loses the reward calls of a new batch. Gateways send such a batch as another command, so that a
-    /// leader of an earlier version refuses it.
+    /// Checks that no voter loses the reward calls or the tenant of a new batch, or a count of requests. These are sent as
+    /// commands of their own, so that a leader of an earlier version refuses them.
     fn check_protocol(&self, command: &inner::Command) -> Result<(), ResultCode> {
-        let Some(Kind::PutScoredBatch(batch)) = &command.kind else { return Ok(()) };
-        let known = self.shared.state.borrow().batch(&batch.id).is_some();
-        if known || self.shared.log.voters_understand(PROTOCOL_WITH_REWARD_CALLS) {
+        let needed = match &command.kind {
+            Some(Kind::PutScoredBatch(_)) => PROTOCOL_WITH_REWARD_CALLS,
+            Some(
+                Kind::PutOwnedBatch(_)
+                | Kind::EndOwnedBatch(_)
+                | Kind::RecordUsage(_)
+                | Kind::CloseUsageWindow(_)
+                | Kind::UsageReported(_),
+            ) => PROTOCOL_WITH_TENANTS,
+            _ => return Ok(()),
+        };
+        let batch = submitted_batch(command);
+        let known = batch.is_some_and(|b| self.shared.state.borrow().batch(&b.id).is_some());
+        if known || self.shared.log.voters_understand(needed) {
             return Ok(());
         }
-        let reason = ResultCode::UpdatePending.name();
-        event!(warn, "batch_refused", batch = batch.id, reason = reason);
+        if let Some(batch) = batch {
+            let reason = ResultCode::UpdatePending.name();
+            event!(warn, "batch_refused", batch = batch.id, reason = reason);
+        }
         Err(ResultCode::UpdatePending)
     }
 
@@ -397,6 +418,45 @@
         }
     }
 
+    /// Whether gateways need confirmations of this store: it has keys, and gateways follow it.
+    pub fn gives_confirmations(&self) -> bool {
+        self.shared.log.is_voter() && self.shared.table.borrow().tenants.is_some()
+    }
+
+    /// Version of the newest route document, confirmed by a quorum after this call.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no leader confirmed it.
+    pub async fn confirm_document(&self, wait: Duration) -> Result<u64, ResultCode> {
+        self.stores.set_leader(&self.shared.log.leader_address());
+        let reply = if self.shared.log.is_leader() {
+            self.confirm_document_locally().await
+        } else {
+            let message = || Body::ConfirmDocument(inner::ConfirmDocument {});
+            match self.stores.call_leader(message, wait, wait).await {
+                CallOutcome::Replied(body) => match *body {
+                    Body::ConfirmDocumentReply(reply) => reply,
+                    _ => return Err(ResultCode::NoQuorum),
+                },
+                CallOutcome::NoLeader | CallOutcome::Unconfirmed => {
+                    return Err(ResultCode::NoQuorum);
+                }
+            }
+        };
+        match ResultCode::from_number(reply.code) {
+            Some(ResultCode::Ok) => Ok(reply.version),
+            code => Err(code.unwrap_or(ResultCode::NoQuorum)),
+        }
+    }
+
+    async fn confirm_document_locally(&self) -> inner::ConfirmDocumentReply {
+        let code = self.confirm().await.err().unwrap_or(ResultCode::Ok);
+        let version = self.shared.state.borrow().document().version;
+        let leader_address = self.shared.log.leader_address();
+        inner::ConfirmDocumentReply { code: code.number(), version, leader_address }
+    }
+
     async fn read_document_locally(&self) -> inner::ReadDocumentReply {
         let code = match self.confirm().await {
             Ok(()) => ResultCode::Ok,
@@ -625,6 +685,10 @@
             gateway_count: u32::try_from(gateways.count()).unwrap_or(u32::MAX),
             gateway_rank: u32::try_from(gateways.rank(&watch.gateway)).unwrap_or(u32::MAX),
             helpers: helpers.iter().map(to_helper).collect(),
+            confirmation: watch
+                .wants_confirmation
+                .then(|| self.confirmations.message(document.version))
+                .flatten(),
         }
     }
 
@@ -643,8 +707,9 @@
             let seen = self.shared.wake.version();
             let (listing, done) = {
                 let state = self.shared.state.borrow();
-                let done = state.batch(&read.id).is_none_or(crate::state::Batch::is_done);
-                (state.results(&read.id, read.after, max_bytes), done)
+                let batch = state.visible_batch(&read.id, read.tenant.as_deref());
+                let results = batch.and_then(|_| state.results(&read.id, read.after, max_bytes));
+                (results, batch.is_none_or(crate::state::Batch::is_done))
             };
             // A listed result never changes, so that it needs no confirmation. Only the absence of results does.
             let known = listing.is_some();
@@ -658,7 +723,11 @@
                     return error_reply(code);
                 }
                 // Read again, because results may have been added during the confirmation.
-                let listing = self.shared.state.borrow().results(&read.id, read.after, max_bytes);
+                let listing = {
+                    let state = self.shared.state.borrow();
+                    let batch = state.visible_batch(&read.id, read.tenant.as_deref());
+                    batch.and_then(|_| state.results(&read.id, read.after, max_bytes))
+                };
                 return match listing {
                     Some(listing) => self.read_texts(listing).await.unwrap_or_else(error_reply),
                     None => error_reply(ResultCode::UnknownObject),
@@ -697,7 +766,8 @@
             return reply(code, bytes::Bytes::new());
         }
         let state = self.shared.state.borrow();
-        let batch = state.batch(&read.batch_id).filter(|batch| !batch.ended);
+        let batch = state.visible_batch(&read.batch_id, read.tenant.as_deref());
+        let batch = batch.filter(|batch| !batch.ended);
         let item = batch.and_then(|batch| batch.items.get(read.item_id.as_str()));
         match item.filter(|item| !item.listed) {
             Some(item) => reply(ResultCode::Ok, item.spec.body.clone()),
@@ -709,7 +779,9 @@
 /// The batch that a command submits.
 fn submitted_batch(command: &inner::Command) -> Option<&inner::Batch> {
     match &command.kind {
-        Some(Kind::PutBatch(batch) | Kind::PutScoredBatch(batch)) => Some(batch),
+        Some(Kind::PutBatch(batch) | Kind::PutScoredBatch(batch) | Kind::PutOwnedBatch(batch)) => {
+            Some(batch)
+        }
         _ => None,
     }
 }
--- a/orioleworks_store/src/state.rs
+++ b/orioleworks_store/src/state.rs
@@ -178,6 +178,12 @@
         self.missing.values().filter(|missing| **missing == 0).count()
     }
 
+    /// Whether a tenant may know of the batch; `None` stands for any. A batch without a tenant is open to all.
+    pub fn is_visible_to(&self, tenant: Option<&str>) -> bool {
+        let owner = &self.spec.tenant;
+        owner.is_empty() || tenant.is_none_or(|tenant| tenant == owner)
+    }
+
     /// Whether nothing is left to run.
     pub fn is_done(&self) -> bool {
         self.ended || self.results.len() == self.items.len()
@@ -282,11 +288,12 @@
     pub fn apply(&mut self, entry: &inner::LogEntry) -> inner::ProposeReply {
         let kind = entry.command.as_ref().and_then(|c| c.kind.as_ref());
         let code = match kind {
-            Some(Kind::PutBatch(batch) | Kind::PutScoredBatch(batch)) => {
-                self.put_batch(batch, entry.now_ms)
-            }
+            Some(
+                Kind::PutBatch(batch) | Kind::PutScoredBatch(batch) | Kind::PutOwnedBatch(batch),
+            ) => self.put_batch(batch, entry.now_ms),
             Some(Kind::RecordResults(record)) => self.record_results(record),
-            Some(Kind::EndBatch(id)) => self.end_batch(id),
+            Some(Kind::EndBatch(id)) => self.end_batch(id, None),
+            Some(Kind::EndOwnedBatch(owned)) => self.end_batch(&owned.id, Some(&owned.tenant)),
             Some(Kind::PutDocument(document)) => self.put_document(document),
             Some(Kind::PublishVersion(published)) => self.publish_version(published),
             Some(Kind::RetireStore(name)) => {
@@ -301,8 +308,9 @@
     }
 
     fn put_batch(&mut self, batch: &inner::Batch, now_ms: u64) -> ResultCode {
-        if self.batches.contains_key(batch.id.as_str()) {
-            return ResultCode::Ok;
+        if let Some(accepted) = self.batches.get(batch.id.as_str()) {
+            let same = accepted.spec.tenant == batch.tenant;
+            return if same { ResultCode::Ok } else { ResultCode::Conflict };
         }
         let mut accepted = Batch::new(batch, now_ms);
         self.reuse_earlier_work(&mut accepted);
@@ -319,8 +327,11 @@
     /// progress of unfinished items under the same condition.
     fn reuse_earlier_work(&mut self, batch: &mut Batch) {
         let spec = batch.spec.clone();
-        let same_target =
-            |earlier: &Batch| earlier.spec.model == spec.model && earlier.spec.route == spec.route;
+        let same_target = |earlier: &Batch| {
+            earlier.spec.model == spec.model
+                && earlier.spec.route == spec.route
+                && earlier.spec.tenant == spec.tenant
+        };
         let with_texts: Vec<&Batch> =
             self.batches.values().filter(|b| !b.unscored.is_empty() && same_target(b)).collect();
         let finished = |id: &Rc<str>| {
@@ -388,8 +399,9 @@
         ResultCode::Ok
     }
 
-    fn end_batch(&mut self, id: &str) -> ResultCode {
-        let Some(batch) = self.batches.get_mut(id) else { return ResultCode::UnknownObject };
+    fn end_batch(&mut self, id: &str, tenant: Option<&str>) -> ResultCode {
+        let batch = self.batches.get_mut(id).filter(|batch| batch.is_visible_to(tenant));
+        let Some(batch) = batch else { return ResultCode::UnknownObject };
         batch.ended = true;
         let id: Rc<str> = id.into();
         for (item_id, item) in &mut batch.items {
@@ -446,6 +458,11 @@
         self.batches.get(id)
     }
 
+    /// A batch by ID, if a tenant may know of it.
+    pub fn visible_batch(&self, id: &str, tenant: Option<&str>) -> Option<&Batch> {
+        self.batch(id).filter(|batch| batch.is_visible_to(tenant))
+    }
+
     /// Batches that still have items to run.
     pub fn open_batches(&self) -> impl Iterator<Item = (&Rc<str>, &Batch)> {
         self.batches.iter().filter(|(_, batch)| !batch.is_done())
@@ -477,7 +494,7 @@
 
     /// Results of a batch from a position on: those that fit into `max_bytes`, but at least one.
     pub fn results(&self, id: &str, after: u64, max_bytes: usize) -> Option<Listing> {
-        let batch = self.batches.get(id)?;
+        let batch = self.batch(id)?;
         let from = usize::try_from(after).unwrap_or(usize::MAX).min(batch.results.len());
         let mut bytes = 0;
         let fitting = batch.results[from..].iter().take_while(|listed| {
@@ -519,6 +536,7 @@
             retired: self.retired.iter().cloned().collect(),
             finished: finished.collect(),
             unfinished: unfinished.collect(),
+            usage: None,
         };
         let batches: Vec<Batch> = self.batches.values().cloned().collect();
         let batches = batches.into_iter().map(|batch| snapshot::batch_part(save_batch(batch)));
