--- a/orioleworks_fleet/src/convert.rs
+++ b/orioleworks_fleet/src/convert.rs
@@ -35,6 +35,12 @@
     }
 }
 
+/// Message for a silent upstream.
+pub fn to_silent_message(known: &Known) -> inner::SilentUpstream {
+    let up = &known.upstream;
+    inner::SilentUpstream { upstream: up.id.to_string(), incarnation: up.incarnation }
+}
+
 /// Message for a gateway, with the time since its last sign.
 pub fn to_gateway_message(
     name: &str,
--- a/orioleworks_fleet/src/watch.rs
+++ b/orioleworks_fleet/src/watch.rs
@@ -49,6 +49,8 @@
     pub helpers_digest: u64,
     /// Whether the reply should tell which version of the route document is confirmed.
     pub wants_confirmation: bool,
+    /// Whether upstreams are taken for alive until their silence is told.
+    pub accepts_silence: bool,
 }
 
 /// What a watcher knows of upstreams and gateways; clones share it.
@@ -156,7 +158,9 @@
         domain: state.domain,
         helpers_digest: state.helpers_digest,
         wants_confirmation: state.wants_confirmation,
+        accepts_silence: state.accepts_silence,
     };
+    let (asked_at, earlier_boot) = (clock::since_boot(), position.boot);
     let Body::FleetReply(mut reply) =
         client.call(Body::FleetWatch(watch), max_wait + REPLY_SLACK).await?
     else {
@@ -168,6 +172,9 @@
         crash_cursor: reply.crash_cursor,
         limit_cursor: reply.limit_cursor,
     };
+    if reply.store_boot != earlier_boot || !reply.tells_silence {
+        knowledge.fleet.borrow_mut().begin_vouching();
+    }
     let now = clock::since_boot();
     let mut changed = false;
     for message in std::mem::take(&mut reply.leaving) {
@@ -180,8 +187,19 @@
     }
     for message in std::mem::take(&mut reply.upstreams) {
         let (up, last_seen) = convert::from_message(message, now);
+        let (id, incarnation) = (up.id.clone(), up.incarnation);
         let outcome = knowledge.fleet.borrow_mut().announce(last_seen, up, false);
         changed |= outcome == AnnounceOutcome::Changed;
+        if reply.tells_silence {
+            knowledge.fleet.borrow_mut().set_vouched(&id, incarnation, true);
+        }
+    }
+    if reply.tells_silence {
+        let mut fleet = knowledge.fleet.borrow_mut();
+        for silent in std::mem::take(&mut reply.silent) {
+            fleet.set_vouched(&silent.upstream, silent.incarnation, false);
+        }
+        fleet.vouch(asked_at);
     }
     for message in std::mem::take(&mut reply.crashes) {
         let report = convert::from_crash_message(message, now);
--- a/orioleworks_gateway/src/watch.rs
+++ b/orioleworks_gateway/src/watch.rs
@@ -46,6 +46,7 @@
             domain: view.cfg.instance.failure_domain.to_string(),
             helpers_digest: view.helpers.borrow().digest(),
             wants_confirmation: view.keys.are_leased(),
+            accepts_silence: true,
         };
         let (client, asked_at) = (view.stores.client(address), Instant::now());
         let asked_since_boot = clock::since_boot();
--- a/orioleworks_log/src/replication.rs
+++ b/orioleworks_log/src/replication.rs
@@ -70,10 +70,22 @@
                 client.disconnect();
                 unanswered = 0;
             }
-            time::sleep(heartbeat.saturating_sub(sent.elapsed())).await;
+            let interval = heartbeat * self.heartbeat_factor(member.member_id);
+            time::sleep(interval.saturating_sub(sent.elapsed())).await;
         }
     }
 
+    /// Multiple of the heartbeat interval for a member. A learner that will not vote soon hears of the leader within the
+    /// shortest election timeout all the same; a leader may have a hundred of them.
+    fn heartbeat_factor(&self, id: u64) -> u32 {
+        let state = self.inner.state.borrow();
+        let cold =
+            state.member(id).is_some_and(|m| m.learner) && !state.warm_learners.contains(&id);
+        let settings = &self.inner.settings;
+        let factor = settings.election_min.as_millis() / settings.heartbeat.as_millis().max(1);
+        if cold { u32::try_from(factor).unwrap_or(1).max(1) } else { 1 }
+    }
+
     async fn on_heartbeat_reply(
         &self,
         term: u64,
--- a/orioleworks_routing/src/crashes.rs
+++ b/orioleworks_routing/src/crashes.rs
@@ -156,6 +156,11 @@
         self.suspects
     }
 
+    /// Upstreams that may have crashed.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Key> {
+        self.records.values().flat_map(|r| r.crashes.keys()).map(|(upstream, _)| upstream)
+    }
+
     /// Whether no content has a possible crash.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
--- a/orioleworks_routing/src/fleet.rs
+++ b/orioleworks_routing/src/fleet.rs
@@ -21,6 +21,8 @@
 pub const UNUSED_AFTER: Duration = Duration::from_secs(30);
 /// Time without an announcement after which an upstream is removed; delayed announcements arrive within seconds.
 const REMOVED_AFTER: Duration = Duration::from_secs(300);
+/// Interval at which silent upstreams are searched for; a small part of [`STALE_AFTER`].
+const SILENCE_SEARCH_INTERVAL: Duration = Duration::from_millis(250);
 /// Time without a sign of a leaving incarnation after which it is forgotten that it left; no upstream takes as long to leave.
 const LEFT_KEPT: Duration = Duration::from_secs(24 * 3600);
 
@@ -133,18 +135,42 @@
     /// Whether it announced itself directly to this process.
     direct: bool,
     changed: u64,
+    /// Newest change that matters to gateways: renewals and weight versions do not.
+    routing_changed: u64,
+    /// Change with which it fell silent; `None` while it is not.
+    silent: Option<u64>,
+    /// Time of the newest reply of a store that would have told of its silence.
+    vouched_at: Duration,
+    /// Whether the store that this process follows tells of its silence.
+    vouched: bool,
 }
 
 impl Known {
-    /// Whether its newest announcement is recent.
+    /// Whether it is known to have been alive recently.
     pub fn is_fresh(&self, now: Duration) -> bool {
-        now.saturating_sub(self.last_seen) < STALE_AFTER
+        now.saturating_sub(self.alive_at()) < STALE_AFTER
     }
 
     /// Whether it may get new requests.
     pub fn takes_requests(&self, now: Duration) -> bool {
-        !self.upstream.leaving && now.saturating_sub(self.last_seen) < UNUSED_AFTER
+        !self.upstream.leaving && now.saturating_sub(self.alive_at()) < UNUSED_AFTER
     }
+
+    /// Newest time at which it is known to have been alive.
+    fn alive_at(&self) -> Duration {
+        self.last_seen.max(self.vouched_at)
+    }
+}
+
+/// How an announcement differs from the one before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Difference {
+    /// Only its time.
+    Renewal,
+    /// Weight versions, which matter to stores only.
+    Weights,
+    /// Anything that gateways choose by.
+    Routing,
 }
 
 /// All known upstreams.
@@ -162,6 +188,10 @@
     complete: bool,
     changes: u64,
     urgent: u64,
+    /// Newest urgent change that matters to gateways.
+    urgent_routing: u64,
+    /// Time of the last search for silent upstreams.
+    searched_at: Duration,
 }
 
 impl Fleet {
@@ -186,7 +216,7 @@
         }
         let Some(old) = self.known.get(&up.id) else {
             self.supersede(&up);
-            return self.store(received_at, up, direct, true);
+            return self.store(received_at, up, direct, Difference::Routing);
         };
         let known = &old.upstream;
         if up.incarnation < known.incarnation {
@@ -194,19 +224,21 @@
         }
         if up.incarnation > known.incarnation {
             self.supersede(&up);
-            return self.store(received_at, up, direct, true);
+            return self.store(received_at, up, direct, Difference::Routing);
         }
         if up.sequence <= known.sequence {
             // Leaving is final, even if a newer announcement arrived first; that was recorded above.
             return if news { AnnounceOutcome::Changed } else { AnnounceOutcome::Unchanged };
         }
-        let changed = news
-            || up.address != known.address
-            || up.models != known.models
-            || up.service != known.service;
+        let moved = up.address != known.address || up.service != known.service;
+        let difference = match up.models == known.models {
+            _ if news || moved => Difference::Routing,
+            false => Difference::Weights,
+            true => Difference::Renewal,
+        };
         let last_seen = received_at.max(old.last_seen);
         let direct = direct || old.direct;
-        self.store(last_seen, up, direct, changed)
+        self.store(last_seen, up, direct, difference)
     }
 
     /// Marks an upstream as leaving; an incarnation of 0 matches any. Another incarnation than the known one is only
@@ -238,7 +270,7 @@
             return false;
         }
         self.changes += 1;
-        self.urgent = self.changes;
+        (self.urgent, self.urgent_routing) = (self.changes, self.changes);
         let left = KnownLeft { since, last_sign: now, direct, changed: self.changes };
         let (id, incarnation) = (upstream.0.clone(), upstream.1);
         self.left.insert(upstream, left);
@@ -246,7 +278,7 @@
         if let Some(known) = known.filter(|k| !k.upstream.leaving) {
             let up = Upstream { leaving: true, ..(*known.upstream).clone() };
             let (last_seen, direct) = (known.last_seen, direct || known.direct);
-            self.store(last_seen, up, direct, true);
+            self.store(last_seen, up, direct, Difference::Routing);
         }
         true
     }
@@ -284,16 +316,91 @@
         last_seen: Duration,
         up: Upstream,
         direct: bool,
-        urgent: bool,
+        difference: Difference,
     ) -> AnnounceOutcome {
         self.changes += 1;
-        if urgent {
-            self.urgent = self.changes;
-        }
         let changed = self.changes;
-        let id = up.id.clone();
-        self.known.insert(id, Known { upstream: Rc::new(up), last_seen, direct, changed });
-        if urgent { AnnounceOutcome::Changed } else { AnnounceOutcome::Renewed }
+        let same = |k: &&Known| k.upstream.incarnation == up.incarnation;
+        let old = self.known.get(&up.id).filter(same);
+        let speaks_again = old.is_some_and(|k| k.silent.is_some());
+        let (vouched_at, vouched) =
+            old.map_or((Duration::ZERO, false), |k| (k.vouched_at, k.vouched));
+        let routing = difference == Difference::Routing || speaks_again;
+        let routing_changed =
+            if routing { changed } else { old.map_or(changed, |k| k.routing_changed) };
+        if routing {
+            self.urgent_routing = changed;
+        }
+        if difference != Difference::Renewal {
+            self.urgent = changed;
+        }
+        let (id, upstream, silent) = (up.id.clone(), Rc::new(up), None);
+        let known = Known {
+            upstream,
+            last_seen,
+            direct,
+            changed,
+            routing_changed,
+            silent,
+            vouched_at,
+            vouched,
+        };
+        self.known.insert(id, known);
+        match difference {
+            Difference::Renewal => AnnounceOutcome::Renewed,
+            Difference::Weights | Difference::Routing => AnnounceOutcome::Changed,
+        }
+    }
+
+    /// Finds upstreams that have fallen silent, so that watchers without renewals can be told.
+    pub fn find_silent(&mut self, now: Duration) {
+        if now.saturating_sub(self.searched_at) < SILENCE_SEARCH_INTERVAL {
+            return;
+        }
+        self.searched_at = now;
+        for known in self.known.values_mut() {
+            if known.silent.is_none() && !known.is_fresh(now) {
+                self.changes += 1;
+                known.silent = Some(self.changes);
+            }
+        }
+    }
+
+    /// Upstreams that have fallen silent after a cursor.
+    pub fn silent_since(&self, cursor: u64) -> impl Iterator<Item = &Known> {
+        self.known.values().filter(move |k| k.silent.is_some_and(|changed| changed > cursor))
+    }
+
+    /// Upstreams of which a gateway has to learn after a cursor: those that changed for it, and renewals of those that
+    /// `wanted` selects.
+    pub fn routing_since(
+        &self,
+        cursor: u64,
+        wanted: impl Fn(&Upstream) -> bool,
+    ) -> impl Iterator<Item = &Known> {
+        let renewed = move |k: &Known| k.changed > cursor && wanted(&k.upstream);
+        self.known.values().filter(move |k| k.routing_changed > cursor || renewed(k))
+    }
+
+    /// Records that another process of a store vouches from now on: only for what it tells.
+    pub fn begin_vouching(&mut self) {
+        self.known.values_mut().for_each(|known| known.vouched = false);
+    }
+
+    /// Records whether the followed store vouches for an incarnation.
+    pub fn set_vouched(&mut self, id: &str, incarnation: u64, vouched: bool) {
+        if let Some(known) = self.known.get_mut(id)
+            && known.upstream.incarnation == incarnation
+        {
+            known.vouched = vouched;
+        }
+    }
+
+    /// Records that the followed store has replied to a question sent at a time, and told of all that were silent.
+    pub fn vouch(&mut self, asked_at: Duration) {
+        for known in self.known.values_mut().filter(|known| known.vouched) {
+            known.vouched_at = known.vouched_at.max(asked_at);
+        }
     }
 
     /// Records the start of this process; it may miss what served before.
@@ -341,7 +448,7 @@
     /// be taken up any more.
     pub fn remove_expired(&mut self, now: Duration) {
         self.served.retain(|_, s| now.saturating_sub(s.last_seen) < streams::RETENTION);
-        self.known.retain(|_, k| now.saturating_sub(k.last_seen) < REMOVED_AFTER);
+        self.known.retain(|_, k| now.saturating_sub(k.alive_at()) < REMOVED_AFTER);
         // A start without a time cannot be told from the next one.
         self.left.retain(|(_, incarnation), left| match incarnation {
             0 => now.saturating_sub(left.since) < REMOVED_AFTER,
@@ -359,6 +466,11 @@
         self.urgent > cursor
     }
 
+    /// Whether a change that affects the choice of gateways happened after a cursor.
+    pub fn urgent_routing_since(&self, cursor: u64) -> bool {
+        self.urgent_routing > cursor
+    }
+
     /// Upstreams that changed after a cursor; with `direct_only`, only those that announced themselves to this process.
     pub fn since(&self, cursor: u64, direct_only: bool) -> impl Iterator<Item = &Known> {
         self.known.values().filter(move |k| k.changed > cursor && (k.direct || !direct_only))
--- a/orioleworks_routing/src/items.rs
+++ b/orioleworks_routing/src/items.rs
@@ -221,5 +221,10 @@
 
 /// Whether an engine is so much slower than the others that an item finishes earlier if it resumes on another one.
 pub fn is_slow(event_ms: f64, all: &[f64]) -> bool {
-    event_ms > median(all) * SLOW_RATIO
+    is_slower_than(event_ms, median(all))
+}
+
+/// As [`is_slow`], with the median of all engines.
+pub fn is_slower_than(event_ms: f64, median_ms: f64) -> bool {
+    event_ms > median_ms * SLOW_RATIO
 }
--- a/orioleworks_routing/src/versions.rs
+++ b/orioleworks_routing/src/versions.rs
@@ -89,7 +89,7 @@
     let running = engines.iter().filter(|e| e.loading).count();
     let mut available_loads = max_loads(engines.len()).saturating_sub(running);
     let engines_wanted = engines_per_version(engines.len(), models.len());
-    let mut assigned: Vec<Rc<str>> = Vec::new();
+    let mut assigned = vec![false; engines.len()];
     let mut loads = Vec::new();
     // The model with the fewest usable engines for its next step goes first.
     let mut by_need: Vec<&Model> = models.iter().filter(|m| m.named > 1).collect();
@@ -105,24 +105,33 @@
             engines_wanted.saturating_sub(fresh).max(for_waiting)
         })
         .collect();
+    // Engines for each model, best first; sorted once, because thousands of engines may need a load.
+    let mut free: Vec<std::vec::IntoIter<usize>> = by_need
+        .iter()
+        .map(|model| {
+            let free =
+                |i: &usize| !engines[*i].busy && engines[*i].version(&model.name) < model.named;
+            let mut free: Vec<usize> = (0..engines.len()).filter(free).collect();
+            free.sort_by(|a, b| {
+                let (a, b) = (rank(&engines[*a], model), rank(&engines[*b], model));
+                a.partial_cmp(&b).unwrap_or(Ordering::Equal)
+            });
+            free.into_iter()
+        })
+        .collect();
     // Round robin over the models, so that none waits for all loads of another.
     while available_loads > 0 && missing.iter().any(|count| *count > 0) {
-        for (model, missing) in by_need.iter().zip(&mut missing) {
+        for ((model, missing), free) in by_need.iter().zip(&mut missing).zip(&mut free) {
             if *missing == 0 || available_loads == 0 {
                 continue;
             }
             *missing -= 1;
-            let free = engines.iter().filter(|e| {
-                !e.busy && e.version(&model.name) < model.named && !assigned.contains(&e.id)
-            });
-            let oldest = free.min_by(|a, b| {
-                rank(a, model).partial_cmp(&rank(b, model)).unwrap_or(Ordering::Equal)
-            });
-            let Some(engine) = oldest else {
+            let Some(at) = free.find(|at| !assigned[*at]) else {
                 *missing = 0;
                 continue;
             };
-            assigned.push(engine.id.clone());
+            let engine = &engines[at];
+            assigned[at] = true;
             available_loads -= 1;
             loads.push(Load {
                 engine: engine.id.clone(),
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -7,7 +7,7 @@
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap, HashSet},
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use compio::runtime;
@@ -16,7 +16,7 @@
 use orioleworks_proto::inner;
 use orioleworks_routing::{
     crashes::ItemStart,
-    fleet::{Fleet, Known, Upstream},
+    fleet::{Known, Upstream},
     items::{self, Rank, Usage},
     outlier::Key,
     permits::Permit,
@@ -24,11 +24,15 @@
 use orioleworks_rules::batches as rules;
 use tokio_util::sync::CancellationToken;
 
+mod pass;
 mod reports;
 
+use pass::{Pass, Wanted};
+
 use crate::{
     crashes,
-    engines::{Engines, key_of},
+    engines::key_of,
+    pace::pause_after,
     permits,
     recorder::Recorder,
     records::{ItemKey, add_result, add_unscored, record_for},
@@ -170,6 +174,7 @@
     async fn dispatch_loop(&self, token: CancellationToken) {
         while !token.is_cancelled() {
             let seen = self.inner.shared.wake.version();
+            let began = Instant::now();
             match self.inner.shared.log.leading_term() {
                 Some(term) => {
                     if self.inner.recorder.begin_term(term) {
@@ -188,6 +193,7 @@
                     }
                 }
             }
+            pause_after(began.elapsed()).await;
             self.inner.shared.wake.changed_within(seen, CHECK_INTERVAL).await;
         }
     }
@@ -308,16 +314,20 @@
         }
         // Tokens of the shortest item that found no room, by batch and whether it needs a fast engine.
         let mut too_long: HashMap<(Rc<str>, bool), u64> = HashMap::new();
-        let mut usage = MemoryUsage::default();
+        let knowledge = &self.inner.shared.knowledge;
+        let mut starts = Vec::new();
+        let fleet = knowledge.fleet.borrow();
+        let engines = self.inner.shared.engines.borrow();
+        let table = self.inner.shared.table.borrow();
+        let mut pass = Pass::new(&fleet, &engines, &table, now);
         for running in work.running.values() {
             let events = running.progress.borrow().event_count();
-            usage.add(&running.engine, self.usage_of(&running.batch, &running.item, events));
+            pass.add_running(&running.engine, self.usage_of(&running.batch, &running.item, events));
         }
         let starting = || work.running.values().filter(|r| r.suspect && r.is_starting());
         let mut starting_on: HashSet<Key> = starting().map(|r| r.engine.clone()).collect();
         let mut starting_contents: HashSet<Rc<str>> =
             starting().map(|r| r.fingerprint.clone()).collect();
-        let knowledge = &self.inner.shared.knowledge;
         let ranks: Vec<Rank> = work.waiting.keys().copied().collect();
         for rank in ranks {
             let Some(waiting) = work.waiting.get_mut(&rank) else { continue };
@@ -354,20 +364,30 @@
             }
             // If two suspects started on an engine that crashes, both would look guilty.
             let excluded = if suspect { &starting_on } else { &HashSet::new() };
-            match self.choose_engine(waiting, (long, own_usage), excluded, &usage, now) {
+            let wanted = Wanted {
+                batch: &waiting.batch,
+                group: &waiting.item.group,
+                usage: own_usage,
+                long,
+                software: waiting
+                    .progress
+                    .borrow()
+                    .software()
+                    .filter(|_| now.saturating_sub(waiting.waiting_since) < START_OVER_AFTER),
+                excluded,
+            };
+            match pass.choose(&wanted, |engine| permits::is_free(&self.inner.shared, engine)) {
                 Some(upstream) => {
                     let priority = waiting.batch.priority;
                     if !self.takes_permit(&key_of(&upstream), priority) {
                         continue;
                     }
-                    usage.add(&key_of(&upstream), own_usage);
+                    pass.add_started(&key_of(&upstream), &waiting.item.group, own_usage);
                     if suspect {
                         starting_on.insert(key_of(&upstream));
                         starting_contents.insert(waiting.fingerprint.clone());
                     }
-                    if let Some(waiting) = work.waiting.remove(&rank) {
-                        self.start_item(&mut work, rank, waiting, upstream);
-                    }
+                    starts.extend(work.waiting.remove(&rank).map(|w| (rank, w, upstream)));
                 }
                 // Others of its batch may have more choice than a suspect or an item that has begun.
                 None if suspect || events > 0 => {}
@@ -376,58 +396,11 @@
                 }
             }
         }
-    }
-
-    fn choose_engine(
-        &self,
-        waiting: &Waiting,
-        (long, own_usage): (bool, Usage),
-        excluded: &HashSet<Key>,
-        usage: &MemoryUsage,
-        now: Duration,
-    ) -> Option<Rc<Upstream>> {
-        let fleet = self.inner.shared.knowledge.fleet.borrow();
-        let engines = self.inner.shared.engines.borrow();
-        let table = self.inner.shared.table.borrow();
-        let service = table.service(&waiting.batch.service);
-        let memory = service.and_then(|s| s.engine.as_ref()).map_or(0, |e| e.memory_tokens);
-        let batch = &waiting.batch;
-        let mut candidates: Vec<(Rc<Upstream>, bool, items::EngineLoad)> = fleet
-            .serving(&batch.service, now)
-            .filter(|known| !excluded.contains(&key_of(&known.upstream)))
-            .filter(|known| permits::is_free(&self.inner.shared, &key_of(&known.upstream)))
-            .filter_map(|known| {
-                let group = &waiting.item.group;
-                let (model, min_version) = (&batch.model, batch.min_version);
-                let mut load = engines.load_for(known, model, min_version, group, now)?;
-                load.memory_tokens = memory;
-                if load.running < load.slots {
-                    load.peak_tokens = usage.peak_with(&key_of(&known.upstream), own_usage);
-                }
-                Some((known.upstream.clone(), known.is_fresh(now), load))
-            })
-            .collect();
-        if candidates.iter().any(|(_, fresh, _)| *fresh) {
-            candidates.retain(|(_, fresh, _)| *fresh);
-        }
-        if let Some(software) = waiting.progress.borrow().software()
-            && now.saturating_sub(waiting.waiting_since) < START_OVER_AFTER
-        {
-            let holds = |up: &Rc<Upstream>| {
-                let version = engines.version(up, &batch.model);
-                *up.software == *software && version.is_some_and(|v| v >= batch.min_version)
-            };
-            if fleet.serving(&batch.service, now).any(|k| k.is_fresh(now) && holds(&k.upstream)) {
-                candidates.retain(|(up, ..)| up.software == software);
-            }
-        }
-        let all = event_times(&fleet, &engines, &batch.service, now);
-        if long && candidates.iter().any(|(_, _, load)| !items::is_slow(load.event_ms, &all)) {
-            candidates.retain(|(_, _, load)| !items::is_slow(load.event_ms, &all));
+        drop(pass);
+        drop((fleet, engines, table));
+        for (rank, waiting, upstream) in starts {
+            self.start_item(&mut work, rank, waiting, upstream);
         }
-        let loads: Vec<items::EngineLoad> = candidates.iter().map(|(_, _, load)| *load).collect();
-        let at = items::place(&loads)?;
-        Some(candidates[at].0.clone())
     }
 
     /// Takes a permit to send one request to an engine; false if it takes none now.
@@ -723,27 +696,3 @@
         }
     }
 }
-
-fn event_times(fleet: &Fleet, engines: &Engines, service: &str, now: Duration) -> Vec<f64> {
-    let serving = fleet.serving(service, now);
-    serving.map(|known| engines.event_ms(&key_of(&known.upstream), now)).collect()
-}
-
-/// Memory of the items that run on each engine.
-#[derive(Default)]
-struct MemoryUsage {
-    by_engine: HashMap<Key, Vec<Usage>>,
-}
-
-impl MemoryUsage {
-    fn add(&mut self, engine: &Key, usage: Usage) {
-        self.by_engine.entry(engine.clone()).or_default().push(usage);
-    }
-
-    /// Largest memory that an engine needs if it runs another item.
-    fn peak_with(&self, engine: &Key, usage: Usage) -> u64 {
-        let mut items = self.by_engine.get(engine).cloned().unwrap_or_default();
-        items.push(usage);
-        items::peak_usage(&items)
-    }
-}
--- a/orioleworks_store/src/engines.rs
+++ b/orioleworks_store/src/engines.rs
@@ -162,6 +162,11 @@
         self.fastest_ms
     }
 
+    /// Groups whose prompts each engine has cached.
+    pub fn groups(&self) -> impl Iterator<Item = (&Key, &IndexSet<Rc<str>>)> {
+        self.records.iter().map(|(key, record)| (key, &record.groups))
+    }
+
     /// Number of items that run on an engine.
     pub fn running(&self, key: &Key) -> u32 {
         self.records.get(key).map_or(0, |record| record.running)
--- a/orioleworks_store/src/lib.rs
+++ b/orioleworks_store/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod leaving;
 pub mod memory;
 pub mod orders;
+pub mod pace;
 pub mod peers;
 pub mod permits;
 pub mod recorder;
--- a/orioleworks_store/src/orders.rs
+++ b/orioleworks_store/src/orders.rs
@@ -33,6 +33,7 @@
 use crate::{
     dispatch::Dispatch,
     engines::{Loading, key_of},
+    pace::pause_after,
     permits,
     shared::Shared,
     state::ModelState,
@@ -114,7 +115,9 @@
         runtime::spawn(async move {
             while !token.is_cancelled() {
                 let seen = this.inner.shared.wake.version();
+                let began = Instant::now();
                 this.start_due_loads();
+                pause_after(began.elapsed()).await;
                 this.inner.shared.wake.changed_within(seen, PLAN_INTERVAL).await;
             }
         })
--- /dev/null
+++ b/orioleworks_store/src/pace.rs
@@ -0,0 +1,20 @@
+//! Pauses between passes over all engines.
+
+use std::time::Duration;
+
+use compio::time;
+
+/// Duration of a pass from which a pause follows; passes over a few dozen engines take less.
+const LONG_PASS: Duration = Duration::from_millis(4);
+/// Pause after a long pass, as a multiple of its duration. Everything else in the process, heartbeats among it, gets the rest
+/// of the processor.
+const PAUSE_FACTOR: u32 = 2;
+/// Longest pause.
+const MAX_PAUSE: Duration = Duration::from_millis(200);
+
+/// Waits after a pass, so that passes leave most of the processor to other work, however often something changes.
+pub async fn pause_after(pass: Duration) {
+    if pass >= LONG_PASS {
+        time::sleep((pass * PAUSE_FACTOR).min(MAX_PAUSE)).await;
+    }
+}
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::RefCell,
+    collections::HashSet,
     io,
     rc::Rc,
     time::{Duration, Instant},
@@ -26,8 +27,9 @@
     inner::{self, command::Kind, frame::Body},
 };
 use orioleworks_routing::{
-    fleet::{AnnounceOutcome, Served},
+    fleet::{AnnounceOutcome, Served, Upstream},
     helpers::{self, Helper},
+    outlier::Key,
     routes::RouteTable,
 };
 use prost::Message;
@@ -50,6 +52,8 @@
 
 /// Longest time for which a watch or a read of results waits for changes.
 const MAX_WAIT: Duration = Duration::from_millis(2000);
+/// Time for which changes of upstreams are collected for one reply to a watcher; upstreams announce themselves every 1.2 s.
+const COLLECT_TIME: Duration = Duration::from_millis(50);
 /// Longest time to ask the leader for a permit.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(80);
 /// Longest time to pass on to another store what began streams.
@@ -607,6 +611,7 @@
             }
         }
         let deadline = Instant::now() + Duration::from_millis(watch.wait_ms.into()).min(MAX_WAIT);
+        let mut collected_until: Option<Instant> = None;
         loop {
             let seen = self.shared.wake.version();
             let newer = self.shared.state.borrow().document().version > watch.document_version;
@@ -616,26 +621,54 @@
             let limits_changed = known_limits.is_some_and(|cursor| {
                 self.shared.knowledge.rates.borrow().changed_since(cursor, direct_reports_only)
             });
-            let urgent = !same_process
-                || crashes_changed
-                || limits_changed
-                || self.shared.knowledge.fleet.borrow().urgent_since(known);
+            let urgent = !same_process || crashes_changed || limits_changed;
+            let fleet_changed = {
+                let fleet = self.shared.knowledge.fleet.borrow();
+                match watch.accepts_silence {
+                    true => fleet.urgent_routing_since(known),
+                    false => fleet.urgent_since(known),
+                }
+            };
+            if fleet_changed {
+                // Thousands of upstreams may start at the same time. A reply to each watcher for each of them would take a
+                // store seconds.
+                collected_until.get_or_insert(Instant::now() + COLLECT_TIME);
+            }
+            let collected = collected_until.is_some_and(|until| Instant::now() >= until);
             // Another store knows the leader from its log. Replying to it at once while the two differ would make it
             // send requests without a pause.
             let leader =
                 !watch.direct_only && self.shared.log.leader_address() != watch.leader_address;
             let remaining = deadline.saturating_duration_since(Instant::now());
-            if newer || urgent || leader || remaining.is_zero() {
+            if newer || urgent || leader || collected || remaining.is_zero() {
                 break;
             }
-            self.shared.wake.changed_within(seen, remaining).await;
+            let collecting = collected_until.map(|until| until.duration_since(Instant::now()));
+            match collecting {
+                Some(left) => time::sleep(left.min(remaining)).await,
+                None => drop(self.shared.wake.changed_within(seen, remaining).await),
+            }
         }
         let now = clock::since_boot();
+        self.shared.knowledge.fleet.borrow_mut().find_silent(now);
         let state = self.shared.state.borrow();
         let fleet = self.shared.knowledge.fleet.borrow();
         let document = state.document();
-        let upstreams = fleet.since(known, watch.direct_only).map(|k| convert::to_message(k, now));
         let crashes = self.shared.knowledge.crashes.borrow();
+        // What may have crashed an upstream is withdrawn by its next announcement.
+        let suspected: HashSet<&Key> = crashes.upstreams().collect();
+        let suspected = |up: &Upstream| {
+            !suspected.is_empty() && suspected.contains(&(up.id.clone(), up.incarnation))
+        };
+        let upstreams: Vec<inner::Upstream> = match watch.accepts_silence {
+            true => {
+                fleet.routing_since(known, suspected).map(|k| convert::to_message(k, now)).collect()
+            }
+            false => {
+                fleet.since(known, watch.direct_only).map(|k| convert::to_message(k, now)).collect()
+            }
+        };
+        let silent = fleet.silent_since(known).filter(|_| watch.accepts_silence);
         let changed = known_crashes.map(|cursor| crashes.since(cursor, direct_reports_only));
         let changed = changed.into_iter().flatten();
         let leaving = fleet.left_since(known, direct_reports_only);
@@ -665,7 +698,7 @@
             document: (document.version > watch.document_version).then(|| document.clone()),
             store_boot: self.boot,
             cursor: fleet.cursor(),
-            upstreams: upstreams.collect(),
+            upstreams,
             leader_address: self.shared.log.leader_address(),
             current: self.shared.log.is_current(),
             stores,
@@ -689,6 +722,8 @@
                 .wants_confirmation
                 .then(|| self.confirmations.message(document.version))
                 .flatten(),
+            silent: silent.map(convert::to_silent_message).collect(),
+            tells_silence: watch.accepts_silence,
         }
     }
 
