--- a/orioleworks_gateway/src/watch.rs
+++ b/orioleworks_gateway/src/watch.rs
@@ -15,6 +15,8 @@
 
 /// Delay after a store that replied at once that it knows no leader, or refused the connection.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest delay after all stores have failed in turn, several times.
+const MAX_RETRY_INTERVAL: Duration = Duration::from_millis(1500);
 /// Time without a store that knows a leader after which routes of a store that may be stale are accepted. A partitioned
 /// failure domain then continues to serve; an election of a leader takes less time.
 const ACCEPT_STALE_AFTER: Duration = Duration::from_secs(3);
@@ -26,6 +28,8 @@
     let mut store_index = 0;
     let mut position = Position::default();
     let mut lost_since: Option<Instant> = None;
+    // Failures in a row.
+    let mut failures = 0_u32;
     let mut next_housekeeping = Instant::now();
     while !token.is_cancelled() {
         if Instant::now() >= next_housekeeping {
@@ -81,6 +85,7 @@
         };
         match current {
             Ok(()) => {
+                failures = 0;
                 view.mark_current(address);
                 if let Some(since) = lost_since.take() {
                     let ms = since.elapsed().as_millis();
@@ -94,7 +99,13 @@
                 }
                 store_index += 1;
                 position = Position::default();
-                time::sleep(RETRY_INTERVAL.saturating_sub(asked_at.elapsed())).await;
+                failures += 1;
+                // All stores may have started at the same time, and a watcher that comes anew costs most.
+                let most =
+                    RETRY_INTERVAL * 2_u32.saturating_pow(failures / addresses.len().max(1) as u32);
+                let pause =
+                    RETRY_INTERVAL.max(most.min(MAX_RETRY_INTERVAL).mul_f64(rand::random()));
+                time::sleep(pause.saturating_sub(asked_at.elapsed())).await;
             }
         }
     }
--- a/orioleworks_routing/src/fleet.rs
+++ b/orioleworks_routing/src/fleet.rs
@@ -371,15 +371,45 @@
         self.known.values().filter(move |k| k.silent.is_some_and(|changed| changed > cursor))
     }
 
-    /// Upstreams of which a gateway has to learn after a cursor: those that changed for it, and renewals of those that
-    /// `wanted` selects.
+    /// Upstreams of which a gateway has to learn after a cursor, at most `limit`, and the next cursor: those that changed for
+    /// it, and renewals of those that `wanted` selects.
     pub fn routing_since(
         &self,
         cursor: u64,
         wanted: impl Fn(&Upstream) -> bool,
-    ) -> impl Iterator<Item = &Known> {
-        let renewed = move |k: &Known| k.changed > cursor && wanted(&k.upstream);
-        self.known.values().filter(move |k| k.routing_changed > cursor || renewed(k))
+        limit: usize,
+    ) -> (Vec<&Known>, u64) {
+        let change = |known: &Known| {
+            let routing = Some(known.routing_changed).filter(|change| *change > cursor);
+            let renewal = || known.changed > cursor && wanted(&known.upstream);
+            routing.or_else(|| renewal().then_some(known.changed))
+        };
+        let changes = self.known.values().filter_map(|known| Some((change(known)?, known)));
+        self.first_changes(changes, limit)
+    }
+
+    /// Upstreams that changed after a cursor, at most `limit`, and the next cursor; see [`Self::since`].
+    pub fn first_since(&self, cursor: u64, direct_only: bool, limit: usize) -> (Vec<&Known>, u64) {
+        let changes = self.since(cursor, direct_only).map(|known| (known.changed, known));
+        self.first_changes(changes, limit)
+    }
+
+    /// At most `limit` upstreams for a watcher, the earliest changes first, and the cursor up to which it knows all changes
+    /// then. A watcher that knows nothing gets thousands of upstreams in many short replies: one long reply for each watcher
+    /// would keep a store that has just started from taking part in an election.
+    fn first_changes<'a>(
+        &self,
+        changes: impl Iterator<Item = (u64, &'a Known)>,
+        limit: usize,
+    ) -> (Vec<&'a Known>, u64) {
+        let mut changes: Vec<(u64, &Known)> = changes.collect();
+        let mut cursor = self.cursor();
+        if changes.len() > limit {
+            changes.select_nth_unstable_by_key(limit - 1, |(change, _)| *change);
+            changes.truncate(limit);
+            cursor = changes.iter().map(|(change, _)| *change).max().unwrap_or_default();
+        }
+        (changes.into_iter().map(|(_, known)| known).collect(), cursor)
     }
 
     /// Records that another process of a store vouches from now on: only for what it tells.
--- a/orioleworks_routing/tests/fleet.rs
+++ b/orioleworks_routing/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! Tests of announcements that are delayed, reordered or from an earlier incarnation.
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use orioleworks_routing::fleet::{
     AnnounceOutcome, Fleet, Left, STALE_AFTER, UNUSED_AFTER, Upstream,
@@ -18,6 +18,11 @@
     }
 }
 
+fn upstream(id: &str, incarnation: u64, sequence: u64) -> Upstream {
+    let address = format!("10.0.0.1:{id}").into();
+    Upstream { id: id.into(), address, ..up(incarnation, sequence) }
+}
+
 fn at(s: u64) -> Duration {
     Duration::from_secs(s)
 }
@@ -155,3 +160,58 @@
     fleet.note_left(at(2), left(2), true);
     assert_eq!(fleet.left_since(cursor, true).collect::<Vec<_>>(), [left(1)]);
 }
+
+/// Guards against a watcher that never learns of some upstreams because it gets them in several replies, while others renew
+/// themselves.
+#[test]
+fn a_watcher_learns_of_all_upstreams_in_several_replies() {
+    let mut fleet = Fleet::default();
+    for i in 0..10 {
+        fleet.announce(at(0), upstream(&format!("u{i}"), 1, 1), true);
+    }
+    let (mut cursor, mut learnt, mut round) = (0, HashSet::new(), 1);
+    while fleet.urgent_routing_since(cursor) {
+        let (some, next) = fleet.routing_since(cursor, |_| false, 3);
+        assert!(some.len() <= 3);
+        learnt.extend(some.iter().map(|known| known.upstream.id.clone()));
+        cursor = next;
+        round += 1;
+        for i in 0..10 {
+            fleet.announce(at(round), upstream(&format!("u{i}"), 1, round), true);
+        }
+        assert!(round < 10, "{learnt:?}");
+    }
+    assert_eq!(learnt.len(), 10);
+    assert_eq!(fleet.routing_since(cursor, |_| false, 3).0.len(), 0, "renewals are no news");
+    assert_eq!(fleet.routing_since(cursor, |up| *up.id == *"u7", 3).0.len(), 1, "a suspect");
+}
+
+/// Guards against upstreams that a gateway keeps in use after they fell silent, or drops although they are alive, because it
+/// gets no renewals.
+#[test]
+fn silence_is_told_once_and_ends_with_an_announcement() {
+    let (mut store, mut gateway) = (Fleet::default(), Fleet::default());
+    for fleet in [&mut store, &mut gateway] {
+        fleet.announce(at(0), upstream("a", 1, 1), true);
+    }
+    let mut cursor = store.cursor();
+    gateway.set_vouched("a", 1, true);
+    for round in 1..10 {
+        store.announce(at(round), upstream("a", 1, 1 + round), true);
+        store.find_silent(at(round));
+        assert_eq!(store.silent_since(cursor).count(), 0);
+        gateway.vouch(at(round));
+        assert!(gateway.get("a").unwrap().is_fresh(at(round)));
+    }
+    store.find_silent(at(14));
+    assert_eq!(store.silent_since(cursor).count(), 1);
+    cursor = store.cursor();
+    gateway.set_vouched("a", 1, false);
+    gateway.vouch(at(14));
+    assert!(!gateway.get("a").unwrap().is_fresh(at(14)));
+    store.find_silent(at(15));
+    assert_eq!(store.silent_since(cursor).count(), 0, "told once");
+    store.announce(at(16), upstream("a", 1, 20), true);
+    assert!(store.urgent_routing_since(cursor));
+    assert_eq!(store.routing_since(cursor, |_| false, 10).0.len(), 1);
+}
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -54,6 +54,8 @@
 const MAX_WAIT: Duration = Duration::from_millis(2000);
 /// Time for which changes of upstreams are collected for one reply to a watcher; upstreams announce themselves every 1.2 s.
 const COLLECT_TIME: Duration = Duration::from_millis(50);
+/// Largest number of upstreams in a reply to a watcher; the next reply has more. A reply takes about a millisecond then.
+const MAX_UPSTREAMS: usize = 256;
 /// Longest time to ask the leader for a permit.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(80);
 /// Longest time to pass on to another store what began streams.
@@ -660,14 +662,11 @@
         let suspected = |up: &Upstream| {
             !suspected.is_empty() && suspected.contains(&(up.id.clone(), up.incarnation))
         };
-        let upstreams: Vec<inner::Upstream> = match watch.accepts_silence {
-            true => {
-                fleet.routing_since(known, suspected).map(|k| convert::to_message(k, now)).collect()
-            }
-            false => {
-                fleet.since(known, watch.direct_only).map(|k| convert::to_message(k, now)).collect()
-            }
+        let (upstreams, cursor) = match watch.accepts_silence {
+            true => fleet.routing_since(known, suspected, MAX_UPSTREAMS),
+            false => fleet.first_since(known, watch.direct_only, MAX_UPSTREAMS),
         };
+        let upstreams = upstreams.into_iter().map(|known| convert::to_message(known, now));
         let silent = fleet.silent_since(known).filter(|_| watch.accepts_silence);
         let changed = known_crashes.map(|cursor| crashes.since(cursor, direct_reports_only));
         let changed = changed.into_iter().flatten();
@@ -697,8 +696,8 @@
         inner::FleetReply {
             document: (document.version > watch.document_version).then(|| document.clone()),
             store_boot: self.boot,
-            cursor: fleet.cursor(),
-            upstreams,
+            cursor,
+            upstreams: upstreams.collect(),
             leader_address: self.shared.log.leader_address(),
             current: self.shared.log.is_current(),
             stores,
