--- a/orioleworks_rules/src/lib.rs
+++ b/orioleworks_rules/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod batches;
 pub mod claims;
 pub mod delivery;
+pub mod duty;
 pub mod log;
 pub mod streams;
--- a/spec/src/lib.rs
+++ b/spec/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod batches;
 pub mod claims;
 pub mod delivery;
+pub mod duty;
 pub mod explore;
 pub mod log;
 pub mod log_state;
