Stand-in of the infrastructure API

Tests of usage reports need an API that is slow, silent, refuses or executes calls after newer ones, and a judgement of what it received. orioleworks_standins::infrastructure records the calls and lists violations; the wire names and the decoder are in platform::infrastructure.

--- a/orioleworks_standins/src/lib.rs
+++ b/orioleworks_standins/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod failpoints;
 pub mod fault;
 pub mod host;
+pub mod infrastructure;
 pub mod judge;
 pub mod layout;
 pub mod load;
