--- a/orioleworks_routing/src/key_lease.rs
+++ b/orioleworks_routing/src/key_lease.rs
@@ -19,7 +19,7 @@
 }
 
 /// Lease on the keys of a route document.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct KeyLease {
     bound: Duration,
     version: u64,
