Usage: requests of tenants are counted by window and reported to the infrastructure

The infrastructure API expects one report for each window with the requests of each tenant, never two with different counts, and calls of one holder at a time whose token rises with each holder.

Gateways count a request once, when its first attempt was sent that ran or may have run, and send numbered parts to the store that they follow until they are acknowledged. The stores replicate the counts; a part counts once. The leading store closes windows by a committed command, which fixes their counts, and reports them in order with its term as fencing token. A connection that is given up discards what was not delivered, so that no request arrives after a partition under a lower token. Orders to engines use the same check of term and lease (`duty`).

--- a/orioleworks_fleet/src/pool.rs
+++ b/orioleworks_fleet/src/pool.rs
@@ -147,6 +147,8 @@
     /// Tells which upstreams leave; their connections are not kept.
     fleet: Rc<RefCell<Fleet>>,
     opened: Rc<Cell<u64>>,
+    /// Whether a connection that is closed discards what its peer has not received.
+    discards_unreceived: bool,
 }
 
 impl std::fmt::Debug for Pool {
@@ -177,6 +179,12 @@
         Self { fleet, ..Self::default() }
     }
 
+    /// Creates a pool for calls that must not arrive after they were given up. Otherwise the kernel would go on sending a request
+    /// whose connection was closed during a partition, and it would arrive long after the partition has ended.
+    pub fn without_late_requests() -> Self {
+        Self { discards_unreceived: true, ..Self::default() }
+    }
+
     /// Sends a request to an incarnation of an upstream and waits for the head of the response.
     ///
     /// # Errors
@@ -310,6 +318,9 @@
                 io::ErrorKind::ConnectionRefused => SendError::Refused(e.to_string()),
                 _ => not_sent(e.to_string()),
             })?;
+        if self.discards_unreceived {
+            stream.set_zero_linger().map_err(|e| not_sent(e.to_string()))?;
+        }
         let io = Stream::new(stream).map_err(|e| not_sent(e.to_string()))?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
--- a/orioleworks_gateway/src/app.rs
+++ b/orioleworks_gateway/src/app.rs
@@ -19,7 +19,7 @@
 use crate::{
     callers, cli,
     config::Config,
-    path, relay, reports,
+    path, relay, reports, usage,
     view::{Stop, View},
     watch,
 };
@@ -74,6 +74,7 @@
     let view = View::new(cfg);
     runtime::spawn(watch::follow(view.clone(), token.clone())).detach();
     runtime::spawn(reports::run(view.clone(), token.clone())).detach();
+    runtime::spawn(usage::run(view.clone(), token.clone())).detach();
     runtime::spawn(path::run(view.clone(), token.clone())).detach();
     if let Some(listener) = relay_listener {
         runtime::spawn(relay::serve(view.clone(), listener)).detach();
@@ -105,6 +106,7 @@
     let mut draining = std::pin::pin!(drain(&view, &signals, &callers_shutdown).fuse());
     select! { () = serving => (), () = draining => () }
     token.cancel();
+    usage::finish(&view).await;
     event!(info, "gateway_stopped");
     exit::OK
 }
--- a/orioleworks_gateway/src/attempt.rs
+++ b/orioleworks_gateway/src/attempt.rs
@@ -16,7 +16,7 @@
 use crate::{
     carrier::{Carrier, Failure, Outbound},
     forward::Content,
-    path, relay, responses,
+    path, relay, responses, usage,
     view::View,
 };
 
@@ -66,6 +66,10 @@
     pub key: Key,
     /// The way on which it begins.
     pub carrier: Carrier,
+    /// Number of the attempt among those of its request.
+    pub number: usize,
+    /// Count of the request, if it is counted.
+    pub usage: Option<Rc<usage::Request>>,
 }
 
 impl Attempt {
@@ -83,12 +87,18 @@
             }
             req.body(Full::new(self.content.body.clone()))
         };
+        let on_send = || {
+            if let Some(usage) = &self.usage {
+                usage.record_sent(self.number);
+            }
+        };
         let outbound = Outbound {
             view: &self.view,
             upstream: &self.upstream,
             key: &self.key,
             attempt: caller::attempt_id(&self.content.head.headers),
             deadline: self.deadline,
+            on_send: &on_send,
         };
         let exchange = match outbound.send(self.carrier, build).await {
             Ok(exchange) => exchange,
--- a/orioleworks_gateway/src/carrier.rs
+++ b/orioleworks_gateway/src/carrier.rs
@@ -70,6 +70,8 @@
     pub attempt: Option<&'a str>,
     /// Time at which the attempt ends.
     pub deadline: Instant,
+    /// Called just before the request is written to a connection; again if it was certainly not sent on the one before.
+    pub on_send: &'a dyn Fn(),
 }
 
 impl std::fmt::Debug for Outbound<'_> {
@@ -143,6 +145,7 @@
         let remaining = self.remaining();
         let req = build(remaining).map_err(|e| SendError::NotSent(e.to_string()))?;
         let sent_at = clock::since_boot();
+        (self.on_send)();
         let mut sending = Box::pin(view.pool.send_on(connection, key, req, remaining).fuse());
         let mut quiet = std::pin::pin!(compio::time::sleep(SILENCE_TIME).fuse());
         let result = select! { result = sending => Some(result), () = quiet => None };
@@ -217,6 +220,7 @@
                 }
             }
         };
+        (self.on_send)();
         let sent = view.helper_pool.send_on(connection, &helper_key, req, self.remaining()).await;
         let exchange = match sent {
             Ok(exchange) => exchange,
--- a/orioleworks_gateway/src/config.rs
+++ b/orioleworks_gateway/src/config.rs
@@ -21,6 +21,9 @@
     /// Revocation of keys.
     #[serde(default)]
     pub revocation: Revocation,
+    /// Counts of the requests of tenants.
+    #[serde(default)]
+    pub usage: Usage,
     /// Log output.
     #[serde(default)]
     pub log: Log,
@@ -78,6 +81,21 @@
     pub bound_ms: u64,
 }
 
+/// Counts of the requests of tenants.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Usage {
+    /// Length of a window in seconds, as in the settings of the stores; 0 counts nothing.
+    pub window_s: u32,
+}
+
+impl Usage {
+    /// Length of a window.
+    pub fn window(&self) -> Duration {
+        Duration::from_secs(self.window_s.into())
+    }
+}
+
 /// Log output.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -122,6 +140,7 @@
         problems.range("batches.status_retention_s", retention, 1..=86_400, "s");
         // A shorter lease would end between two replies of a store.
         problems.range("revocation.bound_ms", self.revocation.bound_ms, 2000..=600_000, "ms");
+        problems.range("usage.window_s", self.usage.window_s, 0..=300, "s");
     }
 }
 
--- a/orioleworks_gateway/src/forward.rs
+++ b/orioleworks_gateway/src/forward.rs
@@ -37,7 +37,7 @@
     carrier::Carrier,
     crashes,
     permits::Demand,
-    streams, telemetry,
+    streams, telemetry, usage,
     view::View,
 };
 
@@ -133,6 +133,8 @@
     refusals: usize,
     /// Whether other gateways were told of a run that has not ended yet.
     runs_as_suspect: bool,
+    /// Count of the request, if it is counted.
+    usage: Option<Rc<usage::Request>>,
     tx: mpsc::UnboundedSender<EndedAttempt>,
     cancel: CancellationToken,
 }
@@ -176,6 +178,7 @@
         in_flight: Vec::new(),
         refusals: 0,
         runs_as_suspect: false,
+        usage: view.usage.start(context.tenant.as_ref().map(|tenant| &tenant.name)),
         tx,
         cancel,
     };
@@ -553,16 +556,23 @@
             upstream,
             key,
             carrier,
+            number: self.tried.len(),
+            usage: self.usage.clone(),
         };
         let (tx, cancel) = (self.tx.clone(), self.cancel.clone());
         runtime::spawn(async move {
             let (upstream, key) = (attempt.upstream.clone(), attempt.key.clone());
-            let view = attempt.view.clone();
+            let (view, usage, number) =
+                (attempt.view.clone(), attempt.usage.clone(), attempt.number);
             view.outliers.borrow_mut().record_sent(&key);
             let (route, started) = (attempt.route.clone(), Instant::now());
             let mut sending = Box::pin(attempt.send().fuse());
             let mut cancelled = std::pin::pin!(cancel.cancelled().fuse());
             let end = select! { end = sending => Some(end), () = cancelled => None };
+            if let Some(usage) = &usage {
+                // A cancelled attempt may have run if it was sent.
+                usage.record_end(number, !matches!(end, Some(AttemptEnd::NotRun(_))));
+            }
             telemetry::record_attempt(&route, attempt::outcome(end.as_ref()), started.elapsed());
             match end {
                 // Sending fails if the caller already has its response.
--- a/orioleworks_gateway/src/lib.rs
+++ b/orioleworks_gateway/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod responses;
 pub mod streams;
 pub mod telemetry;
+pub mod usage;
 pub mod view;
 pub mod watch;
--- a/orioleworks_gateway/src/relay.rs
+++ b/orioleworks_gateway/src/relay.rs
@@ -192,7 +192,9 @@
     };
     let deadline = Instant::now() + time;
     let attempt = caller::attempt_id(&headers);
-    let outbound = Outbound { view, upstream: &upstream, key: &key, attempt, deadline };
+    // The gateway that accepted the request counts it.
+    let on_send = &|| ();
+    let outbound = Outbound { view, upstream: &upstream, key: &key, attempt, deadline, on_send };
     let sent_at = clock::since_boot();
     let result = outbound.send_directly(CONNECT_PATIENCE, build).await;
     let own_fault = result.is_err() && path::verdict(view).await;
--- a/orioleworks_gateway/src/view.rs
+++ b/orioleworks_gateway/src/view.rs
@@ -22,7 +22,7 @@
 
 use crate::{
     buffers::Buffers, config::Config, crashes::ContentCrashes, keys::Keys, path::UpstreamPath,
-    permits::Permits, relay::Relayed, reports::Wake, telemetry,
+    permits::Permits, relay::Relayed, reports::Wake, telemetry, usage::Usage,
 };
 
 /// Second attempts allowed per recent successes, in percent. When one of three replicas fails, a third of the requests
@@ -57,6 +57,8 @@
     pub recorded: Rc<RefCell<Recorded>>,
     /// Wakes the task that reports observations to a store.
     pub report_wake: Wake,
+    /// Counts of the requests of tenants.
+    pub usage: Usage,
     /// Permits for upstreams that name a limit.
     pub permits: Permits,
     /// Health of upstreams as observed by this gateway's requests.
@@ -100,6 +102,7 @@
         stores.set_seeds(cfg.seed_addresses());
         Self {
             keys: Keys::new(cfg.revocation.bound()),
+            usage: Usage::new(cfg.usage.window()),
             cfg: Rc::new(cfg),
             crashes: ContentCrashes::new(knowledge.clone(), report_wake.clone()),
             buffers: Buffers::default(),
--- a/orioleworks_gateway/tests/support/deployment.rs
+++ b/orioleworks_gateway/tests/support/deployment.rs
@@ -100,6 +100,8 @@
     relay_port: u16,
     /// Memory limit in the settings of the stores, in megabytes.
     store_memory_mb: usize,
+    /// More sections in the settings of stores and of gateways, each followed by a comma.
+    more_settings: (String, String),
     /// Proxies in front of the stores' inner protocol; empty without proxies.
     pub store_proxies: Vec<Proxy>,
     /// Paths from each gateway to the upstreams; empty if the gateways connect to them directly.
@@ -131,12 +133,31 @@
         proxied: bool,
         store_memory_mb: usize,
     ) -> Self {
-        Self::start_all(stores, gateways, document, proxied, store_memory_mb, false)
+        Self::start_all(
+            stores,
+            gateways,
+            document,
+            proxied,
+            store_memory_mb,
+            false,
+            Default::default(),
+        )
+    }
+
+    /// Like [`Self::start`], with more sections in the settings of stores and of gateways, each followed by a comma.
+    pub fn start_with_settings(
+        stores: usize,
+        gateways: usize,
+        document: &str,
+        (of_stores, of_gateways): (String, String),
+    ) -> Self {
+        let more_settings = (of_stores, of_gateways);
+        Self::start_all(stores, gateways, document, false, 140, false, more_settings)
     }
 
     /// Like [`Self::start`]; each gateway has paths of its own to the upstreams, which can be cut.
     pub fn start_with_paths(stores: usize, gateways: usize, document: &str) -> Self {
-        Self::start_all(stores, gateways, document, false, 140, true)
+        Self::start_all(stores, gateways, document, false, 140, true, Default::default())
     }
 
     fn start_all(
@@ -146,6 +167,7 @@
         proxied: bool,
         store_memory_mb: usize,
         separate_paths: bool,
+        more_settings: (String, String),
     ) -> Self {
         let mut deployment = Self {
             dir: tempfile::tempdir().unwrap(),
@@ -157,6 +179,7 @@
             readiness_port: free_port(),
             relay_port: free_port(),
             store_memory_mb,
+            more_settings,
             store_proxies: Vec::new(),
             paths: Vec::new(),
         };
@@ -224,12 +247,14 @@
                  "listen": {{ "control": "{}", "inner_port": {}, "inner_bind": "{}" }},
                  "cluster": {{ "seeds": [{}], "bootstrap": {bootstrap}, "tolerated_losses": 1 }},
                  "orders": {{ "lease_ms": 300 }},
+                 {}
                  "limits": {{ "memory_mb": {} }},
                  "data": {{ "directory": "{}" }} }}"#,
             self.control_address(i),
             self.inner_port,
             self.inner_address(role, i),
             self.seeds(),
+            self.more_settings.0,
             self.store_memory_mb,
             self.dir.path().join(&name).display(),
         );
@@ -243,12 +268,14 @@
             r#"{{ "instance": {{ "name": "{name}", "failure_domain": "zone-a" }},
                  "listen": {{ "callers": "{}", "readiness": "{}:{}", "relay": "{}:{}" }},
                  "revocation": {{ "strict": true, "bound_ms": {REVOCATION_BOUND_MS} }},
+                 {}
                  "stores": {{ "seeds": [{}], "inner_port": {} }} }}"#,
             self.gateway_address(i),
             loopback_ip(2, i),
             self.readiness_port,
             loopback_ip(2, i),
             self.relay_port,
+            self.more_settings.1,
             seeds,
             self.inner_port,
         );
--- a/orioleworks_routing/src/lib.rs
+++ b/orioleworks_routing/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod streams;
 pub mod suspects;
 pub mod tenants;
+pub mod usage;
 pub mod versions;
--- a/orioleworks_store/src/config.rs
+++ b/orioleworks_store/src/config.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
+use orioleworks_routing::usage::Schedule;
 use orioleworks_settings::{Problems, Settings};
 use serde::Deserialize;
 
@@ -23,6 +24,9 @@
     /// Orders to engines.
     #[serde(default)]
     pub orders: Orders,
+    /// Calls to the infrastructure API; absent without one.
+    #[serde(default)]
+    pub duties: Option<Duties>,
     /// What the process may use.
     #[serde(default)]
     pub limits: Limits,
@@ -91,6 +95,45 @@
     pub lease_ms: u64,
 }
 
+/// Calls to the infrastructure API.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Duties {
+    /// Address of the API.
+    pub address: SocketAddr,
+    /// Duties that the API takes.
+    pub enabled: Vec<DutyName>,
+    /// Calls a second that the API takes from all instances together.
+    pub calls_per_s: u32,
+    /// Length of a window of usage in seconds, as in the settings of the gateways.
+    pub report_window_s: u32,
+    /// Time from the end of a window until its report is due, in seconds.
+    pub usage_delay_s: u32,
+}
+
+/// A duty.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum DutyName {
+    /// Reports of the requests of tenants.
+    UsageReporting,
+    /// Changes of the number of upstreams; not performed.
+    Scaling,
+}
+
+impl Duties {
+    /// When windows of usage are closed.
+    pub fn schedule(&self) -> Schedule {
+        /// Share of the delay of a report after which its window is closed, in percent. Gateways need about 2 s to deliver
+        /// counts, and the rest is for a change of leader.
+        const CLOSE_PERCENT: u64 = 40;
+        Schedule {
+            window_ms: u64::from(self.report_window_s) * 1000,
+            close_after_ms: u64::from(self.usage_delay_s) * 10 * CLOSE_PERCENT,
+        }
+    }
+}
+
 /// What the process may use.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -157,6 +200,12 @@
         let retention = self.batches.status_retention_s;
         problems.range("batches.status_retention_s", retention, 1..=86_400, "s");
         problems.range("limits.memory_mb", self.limits.memory_mb, 32..=1_048_576, "MB");
+        if let Some(duties) = &self.duties {
+            problems.range("duties.calls_per_s", duties.calls_per_s, 1..=100_000, "calls a second");
+            problems.range("duties.report_window_s", duties.report_window_s, 1..=300, "s");
+            // Counts of slow requests arrive about 2 s after the end of a window, which is 0.4 of this.
+            problems.range("duties.usage_delay_s", duties.usage_delay_s, 5..=300, "s");
+        }
         problems.range("orders.lease_ms", self.orders.lease_ms, 100..=60_000, "ms");
     }
 }
--- a/orioleworks_store/src/orders.rs
+++ b/orioleworks_store/src/orders.rs
@@ -6,7 +6,6 @@
 //! first. See `docs/platform.md`.
 
 use std::{
-    cell::Cell,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -32,6 +31,7 @@
 
 use crate::{
     dispatch::Dispatch,
+    duty::Duty,
     engines::{Loading, key_of},
     permits,
     shared::Shared,
@@ -82,11 +82,9 @@
 
 struct Inner {
     name: String,
-    lease: Duration,
+    duty: Duty,
     shared: Shared,
     dispatch: Dispatch,
-    /// Term in which an engine refused this store because of a newer holder; no more orders are given in it.
-    fenced_term: Cell<u64>,
 }
 
 /// Orders of the leader; clones share them.
@@ -104,8 +102,8 @@
 impl Orders {
     /// Creates orders under the name of an instance; a new leader waits for `lease` before its first order.
     pub fn new(name: &str, lease: Duration, shared: Shared, dispatch: Dispatch) -> Self {
-        let (name, fenced_term) = (name.into(), Cell::new(0));
-        Self { inner: Rc::new(Inner { name, lease, shared, dispatch, fenced_term }) }
+        let (name, duty) = (name.into(), Duty::new(shared.log.clone(), lease));
+        Self { inner: Rc::new(Inner { name, duty, shared, dispatch }) }
     }
 
     /// Starts the task; it ends with the token.
@@ -123,10 +121,7 @@
 
     /// Term in which orders may be given now.
     fn ordering_term(&self) -> Option<u64> {
-        let term = self.inner.shared.log.leading_term()?;
-        let waited =
-            self.inner.shared.log.leading_for().is_some_and(|time| time >= self.inner.lease);
-        (waited && self.inner.fenced_term.get() != term).then_some(term)
+        self.inner.duty.term()
     }
 
     fn start_due_loads(&self) {
@@ -205,7 +200,7 @@
         };
         drop(engines);
         if result == Err(LoadError::Fenced) {
-            self.inner.fenced_term.set(term);
+            self.inner.duty.record_fenced(term);
         }
         metrics::histogram!("orioleworks_order_seconds", "outcome" => metric_label(&result))
             .record(started.elapsed());
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -46,6 +46,7 @@
     state::{Listing, State, body_bytes},
     telemetry,
     texts::{self, Texts},
+    usage,
 };
 
 /// Longest time for which a watch or a read of results waits for changes.
@@ -71,6 +72,8 @@
     orders: Orders,
     memory: Rc<Monitor>,
     confirmations: Confirmations,
+    /// Counts of the requests of tenants that gateways report.
+    usage: usage::Collector,
     /// Random ID of this process; the cursors of an earlier process are invalid.
     boot: u64,
 }
@@ -90,10 +93,12 @@
     pub fn open(cfg: Config, token: CancellationToken) -> Result<Self, LogError> {
         let limit = cfg.limits.memory_bytes() * texts::MEMORY_PERCENT / 100;
         let texts = Texts::new(&cfg.data.directory, limit);
-        let state = Rc::new(RefCell::new(State::new(texts.clone())));
+        let window_ms = cfg.duties.as_ref().map_or(0, |duties| duties.schedule().window_ms);
+        let state = State::new(texts.clone()).with_usage_window(window_ms);
+        let state = Rc::new(RefCell::new(state));
         let table = Rc::new(RefCell::new(Rc::new(RouteTable::default())));
         let wake = Notify::default();
-        let machine = machine(&state, &table, &wake, &texts);
+        let machine = machine(&state, &table, &wake, &texts, window_ms);
         let log = Log::open(cfg.log_settings(), machine, token)?;
         if let Err(e) = texts.prepare() {
             event!(warn, "texts_not_written", reason = e);
@@ -130,7 +135,8 @@
         let memory = Rc::new(Monitor::new(cfg.limits.memory_bytes()));
         let boot = rand::random_range(1..=u64::MAX);
         let (cfg, confirmations) = (Rc::new(cfg), Confirmations::default());
-        Ok(Self { cfg, shared, stores, dispatch, orders, memory, confirmations, boot })
+        let usage = usage::Collector::default();
+        Ok(Self { cfg, shared, stores, dispatch, orders, memory, confirmations, usage, boot })
     }
 
     /// Starts the tasks; they end with the token.
@@ -146,6 +152,10 @@
         runtime::spawn(async move { this.run_housekeeping(stop).await }).detach();
         let confirming = self.confirmations.clone().run(self.clone(), token.clone());
         runtime::spawn(confirming).detach();
+        runtime::spawn(self.usage.clone().run(self.clone(), token.clone())).detach();
+        if let Some(reporter) = usage::Reporter::new(&self.cfg, &self.shared, self) {
+            runtime::spawn(reporter.run(token.clone())).detach();
+        }
         let texts = self.shared.texts.clone();
         runtime::spawn(texts.run(self.shared.log.clone(), token.clone())).detach();
     }
@@ -209,6 +219,9 @@
             Body::ConfirmDocument(_) => {
                 Some(Body::ConfirmDocumentReply(self.confirm_document_locally().await))
             }
+            Body::ReportUsage(report) => {
+                Some(Body::ReportUsageReply(self.usage.collect(report).await))
+            }
             Body::Status(_) => Some(Body::StatusReply(self.shared.log.status())),
             other => self.shared.log.handle(other).await,
         }
@@ -791,6 +804,7 @@
     table: &Rc<RefCell<Rc<RouteTable>>>,
     wake: &Notify,
     texts: &Texts,
+    window_ms: u64,
 ) -> StateMachine {
     let (applied, applied_table, applied_wake) = (state.clone(), table.clone(), wake.clone());
     let (saved, restored, restored_table) = (state.clone(), state.clone(), table.clone());
@@ -811,7 +825,7 @@
             Restoration::new(decode, move |saved| {
                 // The old state is dropped first, because the two would not fit into memory together.
                 *state.borrow_mut() = State::new(texts.clone());
-                *state.borrow_mut() = State::restore(saved, texts)?;
+                *state.borrow_mut() = State::restore(saved, texts)?.with_usage_window(window_ms);
                 refresh_table(&state, &table);
                 Ok(())
             })
--- a/orioleworks_store/src/state.rs
+++ b/orioleworks_store/src/state.rs
@@ -7,12 +7,14 @@
 
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
-use orioleworks_daemon::clock;
+use orioleworks_daemon::{clock, event};
 use orioleworks_log::Part;
+use orioleworks_platform::document;
 use orioleworks_proto::{
     codes::ResultCode,
     inner::{self, command::Kind},
 };
+use orioleworks_routing::usage::{Counts, Windows};
 use orioleworks_rules::batches as rules;
 
 use crate::{
@@ -273,6 +275,10 @@
     unfinished: IndexMap<Rc<str>, (Rc<str>, Rc<inner::ItemProgress>)>,
     /// Batch and position of the newest result of each item, for items that a later batch submits again.
     finished: IndexMap<Rc<str>, (Rc<str>, usize)>,
+    /// Counts of the requests of tenants.
+    windows: Windows,
+    /// Length of a window of usage in milliseconds; 0 where usage is not reported.
+    usage_window_ms: u64,
     texts: Texts,
     /// Number of applied entries since this state was built.
     applied: u64,
@@ -284,6 +290,13 @@
         Self { texts, ..Self::default() }
     }
 
+    /// Sets the length of a window of usage in milliseconds. The first window is the one in which the first document with
+    /// tenants is applied; without a length it is the first one that is closed.
+    pub fn with_usage_window(mut self, window_ms: u64) -> Self {
+        self.usage_window_ms = window_ms;
+        self
+    }
+
     /// Applies a committed entry.
     pub fn apply(&mut self, entry: &inner::LogEntry) -> inner::ProposeReply {
         let kind = entry.command.as_ref().and_then(|c| c.kind.as_ref());
@@ -294,12 +307,24 @@
             Some(Kind::RecordResults(record)) => self.record_results(record),
             Some(Kind::EndBatch(id)) => self.end_batch(id, None),
             Some(Kind::EndOwnedBatch(owned)) => self.end_batch(&owned.id, Some(&owned.tenant)),
-            Some(Kind::PutDocument(document)) => self.put_document(document),
+            Some(Kind::PutDocument(document)) => self.put_document(document, entry.now_ms),
             Some(Kind::PublishVersion(published)) => self.publish_version(published),
             Some(Kind::RetireStore(name)) => {
                 self.retired.insert(name.clone());
                 ResultCode::Ok
             }
+            Some(Kind::RecordUsage(record)) => self.record_usage(record),
+            Some(Kind::CloseUsageWindow(window)) => {
+                if self.windows.close(*window) {
+                    ResultCode::Ok
+                } else {
+                    ResultCode::Conflict
+                }
+            }
+            Some(Kind::UsageReported(window)) => {
+                self.windows.discard(*window);
+                ResultCode::Ok
+            }
             _ => ResultCode::InvalidOrder,
         };
         self.drop_expired(entry.now_ms);
@@ -413,13 +438,42 @@
         ResultCode::Ok
     }
 
-    fn put_document(&mut self, document: &inner::Document) -> ResultCode {
+    fn put_document(&mut self, document: &inner::Document, now_ms: u64) -> ResultCode {
         if document.version > self.document.version {
             self.document = document.clone();
+            if self.windows.next == 0
+                && let Some(window) = now_ms.checked_div(self.usage_window_ms)
+                && document::decode(&document.content).is_ok_and(|table| table.tenants.is_some())
+            {
+                self.windows.begin(window);
+            }
+        }
+        ResultCode::Ok
+    }
+
+    fn record_usage(&mut self, record: &inner::RecordUsage) -> ResultCode {
+        for part in &record.parts {
+            let counts = part.counts.iter().map(|c| (c.window, Rc::from(&*c.tenant), c.count));
+            let late = self.windows.record(&part.gateway, part.boot, part.sequence, counts);
+            for (window, tenant, requests) in late {
+                event!(
+                    warn,
+                    "usage_late",
+                    gateway = part.gateway,
+                    window = window,
+                    tenant = tenant,
+                    requests = requests,
+                );
+            }
         }
         ResultCode::Ok
     }
 
+    /// Counts of the requests of tenants.
+    pub fn windows(&self) -> &Windows {
+        &self.windows
+    }
+
     fn publish_version(&mut self, published: &inner::ModelVersion) -> ResultCode {
         let model = self.models.entry(published.model.as_str().into()).or_default();
         model.named = model.named.max(published.version);
@@ -536,7 +590,7 @@
             retired: self.retired.iter().cloned().collect(),
             finished: finished.collect(),
             unfinished: unfinished.collect(),
-            usage: None,
+            usage: Some(save_usage(&self.windows)),
         };
         let batches: Vec<Batch> = self.batches.values().cloned().collect();
         let batches = batches.into_iter().map(|batch| snapshot::batch_part(save_batch(batch)));
@@ -569,12 +623,58 @@
             retired: message.retired.into_iter().collect(),
             unfinished: unfinished.collect(),
             finished: finished.collect::<Result<_, String>>()?,
+            windows: message.usage.map(restore_usage).unwrap_or_default(),
+            usage_window_ms: 0,
             texts,
             applied: 0,
         })
     }
 }
 
+fn save_usage(windows: &Windows) -> inner::UsageState {
+    fn saved(window: u64, counts: &Counts) -> impl Iterator<Item = inner::UsageCount> {
+        let count = move |(tenant, count): (&Rc<str>, &u64)| inner::UsageCount {
+            window,
+            tenant: tenant.to_string(),
+            count: *count,
+        };
+        counts.iter().map(count)
+    }
+    let open = windows.open.iter().flat_map(|(window, counts)| saved(*window, counts));
+    let closed = windows.closed.iter().map(|(window, counts)| inner::ClosedUsageWindow {
+        window: *window,
+        counts: saved(*window, counts).collect(),
+    });
+    let parts = windows.last_parts.iter().map(|((gateway, boot), sequence)| inner::UsagePart {
+        gateway: gateway.to_string(),
+        boot: *boot,
+        sequence: *sequence,
+        counts: Vec::new(),
+    });
+    inner::UsageState {
+        next_window: windows.next,
+        open: open.collect(),
+        closed: closed.collect(),
+        last_parts: parts.collect(),
+    }
+}
+
+fn restore_usage(saved: inner::UsageState) -> Windows {
+    let mut windows = Windows { next: saved.next_window, ..Windows::default() };
+    for count in saved.open {
+        let counts = windows.open.entry(count.window).or_default();
+        counts.insert(count.tenant.into(), count.count);
+    }
+    for window in saved.closed {
+        let counts = window.counts.into_iter().map(|count| (count.tenant.into(), count.count));
+        windows.closed.insert(window.window, counts.collect());
+    }
+    let parts = saved.last_parts.into_iter();
+    windows.last_parts =
+        parts.map(|part| ((part.gateway.into(), part.boot), part.sequence)).collect();
+    windows
+}
+
 fn restore_batch(batch: SavedBatch) -> Option<(Rc<str>, Batch)> {
     let SavedBatch { state: saved, results, unscored } = batch;
     let mut batch = Batch::new(&saved.batch?, saved.submitted_ms);
--- a/orioleworks_store/tests/state.rs
+++ b/orioleworks_store/tests/state.rs
@@ -276,3 +276,43 @@
         }
     }
 }
+
+fn usage(sequence: u64, window: u64, count: u64) -> Kind {
+    let counts = vec![inner::UsageCount { window, tenant: "alpha".into(), count }];
+    let part = inner::UsagePart { gateway: "g-1".into(), boot: 7, sequence, counts };
+    Kind::RecordUsage(inner::RecordUsage { parts: vec![part] })
+}
+
+fn document_with_tenants(version: u64) -> Kind {
+    let content = format!(
+        r#"{{"version": {version}, "tenants": [{{"name": "alpha", "api_keys": ["a-key"]}}], "routes": [], "services": []}}"#
+    );
+    Kind::PutDocument(inner::Document { version, content: content.into() })
+}
+
+/// Guards against counts that are lost or doubled by a snapshot, and windows whose counts change after they were closed.
+#[test]
+fn usage_counts_once_across_snapshots_and_is_fixed_once_closed() {
+    let mut state = State::new(Texts::default()).with_usage_window(5000);
+    apply(&mut state, document_with_tenants(1), NOW_MS);
+    assert_eq!(state.windows().next, 200, "windows begin with the first document with tenants");
+    apply(&mut state, document_with_tenants(2), NOW_MS + 10_000);
+    assert_eq!(state.windows().next, 200);
+    let count = |state: &State, window: u64| state.windows().closed[&window].get("alpha").copied();
+    apply(&mut state, usage(1, 200, 3), NOW_MS);
+    apply(&mut state, usage(2, 201, 1), NOW_MS);
+    let mut state = restore(&encoded(&state)).unwrap().with_usage_window(5000);
+    apply(&mut state, usage(1, 200, 3), NOW_MS);
+    apply(&mut state, usage(3, 200, 4), NOW_MS);
+    assert_eq!(apply(&mut state, Kind::CloseUsageWindow(200), NOW_MS), ResultCode::Ok);
+    assert_eq!(count(&state, 200), Some(7));
+    let mut state = restore(&encoded(&state)).unwrap().with_usage_window(5000);
+    apply(&mut state, usage(4, 200, 5), NOW_MS);
+    assert_eq!(apply(&mut state, Kind::CloseUsageWindow(200), NOW_MS), ResultCode::Conflict);
+    assert_eq!(count(&state, 200), Some(7));
+    apply(&mut state, Kind::UsageReported(200), NOW_MS);
+    apply(&mut state, Kind::CloseUsageWindow(201), NOW_MS);
+    assert_eq!(state.windows().closed.len(), 1);
+    assert_eq!(count(&state, 201), Some(1));
+    assert_eq!(restore(&encoded(&state)).unwrap().windows(), state.windows());
+}
