--- a/orioleworks_routing/src/usage.rs
+++ b/orioleworks_routing/src/usage.rs
@@ -280,8 +280,8 @@
 impl Pacing {
     /// Creates the pacing for an API that takes this many calls a second. One duty uses half of them, because other duties and
     /// calls of an earlier holder that arrive late need some too.
-    pub fn new(calls_per_s: u32) -> Self {
-        let interval = Duration::from_secs(2) / calls_per_s.max(1);
+    pub fn new(calls_per_s: f64) -> Self {
+        let interval = Duration::from_secs_f64(2.0 / calls_per_s.max(0.1));
         Self { interval, failures: 0, not_before: Duration::ZERO }
     }
 
--- a/orioleworks_store/src/config.rs
+++ b/orioleworks_store/src/config.rs
@@ -104,7 +104,7 @@
     /// Duties that the API takes.
     pub enabled: Vec<DutyName>,
     /// Calls a second that the API takes from all instances together.
-    pub calls_per_s: u32,
+    pub calls_per_s: f64,
     /// Length of a window of usage in seconds, as in the settings of the gateways.
     pub report_window_s: u32,
     /// Time from the end of a window until its report is due, in seconds.
@@ -201,7 +201,12 @@
         problems.range("batches.status_retention_s", retention, 1..=86_400, "s");
         problems.range("limits.memory_mb", self.limits.memory_mb, 32..=1_048_576, "MB");
         if let Some(duties) = &self.duties {
-            problems.range("duties.calls_per_s", duties.calls_per_s, 1..=100_000, "calls a second");
+            problems.range(
+                "duties.calls_per_s",
+                duties.calls_per_s,
+                0.1..=100_000.0,
+                "calls a second",
+            );
             problems.range("duties.report_window_s", duties.report_window_s, 1..=300, "s");
             // Counts of slow requests arrive about 2 s after the end of a window, which is 0.4 of this.
             problems.range("duties.usage_delay_s", duties.usage_delay_s, 5..=300, "s");
