Tests: status lines that are no response, and bytes after 204 and 304

Cause: nothing tested what a caller gets if an upstream sends a status line that no client may accept, or a body after a 204 or 304 (sections 1.4 and 2.6 of docs/design/tenants-usage-and-bounds.md).

On the code before this commit:

- Pass already, new and kept connection: 000, 099, two digits, four digits, no digits, a sign, HTTP/0.9, HTTP/3.1, no version; 204 and 304 with a body that arrives together with the head.

--- a/orioleworks_fleet/tests/responses.rs
+++ b/orioleworks_fleet/tests/responses.rs
@@ -22,9 +22,12 @@
 use support::run;
 
 const TIMEOUT: Duration = Duration::from_secs(5);
+/// Time between two parts of a response: longer than a following request takes to be sent.
+const PAUSE: Duration = Duration::from_millis(30);
 
 /// An upstream that responds with given bytes, `{id}` standing for the attempt ID of the request, one entry for each request
-/// on a connection; and its number of connections.
+/// on a connection; and its number of connections. What follows `{pause}` is sent a little later; bytes that end with
+/// `{forever}` are sent until the connection is closed.
 struct Scripted {
     address: String,
     accepted: Arc<AtomicUsize>,
@@ -66,8 +69,21 @@
                 break;
             }
         }
-        if stream.write_all(response.replace("{id}", &id).as_bytes()).is_err() {
-            return;
+        let response = response.replace("{id}", &id);
+        let (response, endless) = match response.strip_suffix("{forever}") {
+            Some(repeated) => (repeated.to_owned(), true),
+            None => (response, false),
+        };
+        loop {
+            for (n, part) in response.split("{pause}").enumerate() {
+                thread::sleep(PAUSE * u32::from(n > 0));
+                if stream.write_all(part.as_bytes()).is_err() {
+                    return;
+                }
+            }
+            if !endless {
+                break;
+            }
         }
     }
 }
@@ -147,3 +163,87 @@
         assert_eq!(up.accepted(), 2);
     });
 }
+
+/// Guards against a head that is no response and is taken for one, and against its connection being used again.
+#[rstest]
+fn an_invalid_head_is_no_response(
+    #[values(
+        "HTTP/1.1 000 A",
+        "HTTP/1.1 099 A",
+        "HTTP/1.1 101 Switching Protocols",
+        "HTTP/1.1 600 A",
+        "HTTP/1.1 999 A",
+        "HTTP/1.1 20 A",
+        "HTTP/1.1 2000 A",
+        "HTTP/1.1 OK",
+        "HTTP/1.1 -200 A",
+        "HTTP/1.1 +20 A",
+        "HTTP/0.9 200 A",
+        "HTTP/3.1 200 A",
+        "200 A-reason",
+        "HTTP/1.1 100 Continue\r\n\r\n{forever}",
+        "HTTP/1.1 103 Early Hints\r\nx-attempt-id: {id}\r\n\r\n{forever}"
+    )]
+    line: &'static str,
+    #[values(false, true)] kept: bool,
+) {
+    let head = if line.ends_with("{forever}") {
+        line.to_owned()
+    } else {
+        format!("{line}\r\nx-attempt-id: {{id}}\r\ncontent-length: 2\r\n\r\nok")
+    };
+    let script = if kept { vec![OK, head.leak()] } else { vec![head.leak(), OK] };
+    run(async {
+        let (pool, up) = (Pool::default(), Scripted::start(script.leak()));
+        if kept {
+            send(&pool, &up, "a").await.unwrap().finish(100, TIMEOUT).await.unwrap();
+        }
+        let sent = send(&pool, &up, "b").await;
+        assert!(matches!(sent, Err(SendError::Invalid(_))), "{sent:?}");
+        assert_eq!(up.accepted(), 1);
+        drop(send(&pool, &up, "c").await);
+        assert_eq!(up.accepted(), 2, "its connection was used again");
+    });
+}
+
+/// Guards against heads of interim responses that are taken for an invalid one.
+#[test]
+fn a_response_may_follow_interim_ones() {
+    const INTERIM: &str = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n{pause}\
+         HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\ncontent-length: 2\r\n\r\nok";
+    run(async {
+        let (pool, up) = (Pool::default(), Scripted::start(&[INTERIM]));
+        for id in ["a", "b", "c"] {
+            let sent = send(&pool, &up, id).await.unwrap();
+            assert_eq!(sent.finish(100, TIMEOUT).await.unwrap(), "ok");
+        }
+        assert_eq!(up.accepted(), 1);
+    });
+}
+
+/// Guards against bytes after a response without a body that are taken for its body, or for the response to the next
+/// request.
+#[rstest]
+fn bytes_after_a_response_without_a_body_belong_to_no_request(
+    #[values("204 No Content", "304 Not Modified")] status: &str,
+    #[values("content-length: 2\r\n", "transfer-encoding: chunked\r\n", "")] framing: &str,
+    #[values("", "{pause}")] pause: &str,
+    #[values(
+        "ok",
+        "2\r\nok\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx-attempt-id: b\r\ncontent-length: 2\r\n\r\nno"
+    )]
+    body: &str,
+) {
+    let response =
+        format!("HTTP/1.1 {status}\r\nx-attempt-id: {{id}}\r\n{framing}\r\n{pause}{body}");
+    run(async {
+        let (pool, up) = (Pool::default(), Scripted::start(vec![&*response.leak()].leak()));
+        for (n, id) in ["a", "b", "c"].into_iter().enumerate() {
+            let sent = send(&pool, &up, id).await.unwrap();
+            assert_eq!(sent.head.status.as_str(), &status[..3]);
+            assert_eq!(sent.finish(100, TIMEOUT).await.unwrap(), "");
+            assert_eq!(up.accepted(), n + 1, "its connection was used again");
+        }
+    });
+}
--- a/orioleworks_gateway/tests/support/upstream.rs
+++ b/orioleworks_gateway/tests/support/upstream.rs
@@ -42,9 +42,20 @@
     pub body: &'static str,
 }
 
+/// Bytes in place of a response; `{id}` stands for the attempt ID of the request, and what follows `{pause}` is sent a little
+/// later.
+#[derive(Clone, Copy, Debug)]
+pub struct RawResponse {
+    pub bytes: &'static str,
+    /// Whether the bytes are sent until the connection is closed.
+    pub endless: bool,
+}
+
 /// Faults and announcements of a stand-in.
 #[derive(Default)]
 pub struct Behaviour {
+    /// Bytes in place of each response, to requests, reports and orders.
+    pub raw_response: Mutex<Option<RawResponse>>,
     /// Accepts requests and does not respond.
     pub silent: AtomicBool,
     /// Closes the connection of each request without a response, like a crash.
@@ -146,6 +157,8 @@
 pub const EVENT_GAP: Duration = Duration::from_millis(25);
 /// Time from a crash to the next start.
 pub const RESTART_TIME: Duration = Duration::from_millis(1500);
+/// Time between two parts of a raw response: longer than a caller takes to send its next request.
+const RAW_PAUSE: Duration = Duration::from_millis(30);
 /// Duration of a load of weights.
 const LOAD_TIME: Duration = Duration::from_millis(200);
 
@@ -280,6 +293,13 @@
         drop(TcpStream::connect(&self.process.listen_address));
     }
 
+    /// Closes all connections; new ones are accepted.
+    pub fn close_connections(&self) {
+        for connection in self.process.connections.lock().unwrap().iter() {
+            drop(connection.shutdown(Shutdown::Both));
+        }
+    }
+
     fn is_down(&self) -> bool {
         self.process.down.load(Ordering::Relaxed)
     }
@@ -383,6 +403,9 @@
             }
             self.state.lock().unwrap().arrivals.push(Instant::now());
             match path.as_str() {
+                "/v1/report" | "/v1/order" if self.raw_response().is_some() => {
+                    self.respond_raw(&mut out, "")?;
+                }
                 "/v1/report" => self.report(&mut out)?,
                 "/v1/order" => self.order(&mut out, &body)?,
                 _ => self.run(&mut out, &path, &headers)?,
@@ -478,6 +501,9 @@
             self.behaviour.endless_connections.fetch_sub(1, Ordering::Relaxed);
             return end;
         }
+        if self.raw_response().is_some() {
+            return self.respond_raw(out, &id);
+        }
         let signature = signature(&id);
         let stamp: &[(&str, &str)] = &[("X-Attempt-Id", &id), ("X-Server-Stamp", &signature)];
         let fail_path = self.behaviour.fail_path.lock().unwrap().clone();
@@ -514,6 +540,24 @@
         }
     }
 
+    fn raw_response(&self) -> Option<RawResponse> {
+        *self.behaviour.raw_response.lock().unwrap()
+    }
+
+    fn respond_raw(&self, out: &mut TcpStream, id: &str) -> std::io::Result<()> {
+        let Some(raw) = self.raw_response() else { return Ok(()) };
+        let bytes = raw.bytes.replace("{id}", id);
+        loop {
+            for (n, part) in bytes.split("{pause}").enumerate() {
+                thread::sleep(RAW_PAUSE * u32::from(n > 0));
+                out.write_all(part.as_bytes())?;
+            }
+            if !raw.endless {
+                return Ok(());
+            }
+        }
+    }
+
     fn respond(
         &self,
         out: &mut TcpStream,
