Pool: heads that no caller may get are no response

Cause: the parser accepts every status from 100 to 999, so that 101 and 600 to 999 reached callers, also through another gateway. Interim heads without end looked like a silent upstream (504, and a sign of a crash). Bytes that follow a 204 or 304 later than its head were read as the response to the next request on the connection. A partitioned gateway did not learn that an upstream sends no responses, and preferred it until no second attempts were left.

Change: `orioleworks_fleet::pool` takes 101, a status above 599 and more than 8 interim heads as `SendError::Invalid`, and keeps no connection after a 204 or 304. An invalid head counts as a sign of life of the path.

--- a/orioleworks_fleet/src/pool.rs
+++ b/orioleworks_fleet/src/pool.rs
@@ -4,26 +4,28 @@
 //! earlier incarnation at the same address. Dropping an [`Exchange`] closes its connection, which tells the upstream to
 //! stop.
 //!
-//! A response counts only if it belongs to the request that was sent on its connection last; see `docs/platform.md`,
-//! "Responses and their requests".
+//! A response counts only if its head is one that a caller may get, and if it belongs to the request that was sent on its
+//! connection last; see `docs/platform.md`, "Responses and their requests".
 
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
     io,
     rc::Rc,
+    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use compio::{net::TcpStream, runtime};
 use displaydoc::Display;
-use futures_util::{FutureExt, select};
-use http::{Request, Response};
+use futures_util::{FutureExt, select, select_biased};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::{
     body::{Body, Incoming},
     client::conn::http1,
+    ext,
 };
 use orioleworks_daemon::{event, stream::Stream};
 use orioleworks_platform::{
@@ -31,6 +33,7 @@
     upstream::{self, Correlation},
 };
 use orioleworks_routing::{fleet::Fleet, outlier::Key};
+use tokio_util::sync::CancellationToken;
 
 /// Longest time to connect; connecting takes one round trip and about 1 ms at the upstream.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -41,6 +44,9 @@
 const IDLE_PERCENT: u32 = 80;
 /// Largest head of a response, and the unit in which a body is read. An upstream in trouble may send bytes without end.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Interim heads (1xx) before a response; upstreams send one or two. Without a bound, an upstream that sends nothing else
+/// would look silent until the end of the request's time.
+const MAX_INTERIM_HEADS: u32 = 8;
 /// Largest body that is read only to keep its connection.
 const MAX_DISCARDED_BYTES: usize = 64 * 1024;
 /// Longest time to read such a body.
@@ -238,16 +244,28 @@
         &self,
         mut connection: Connection,
         key: &Key,
-        req: Request<Full<Bytes>>,
+        mut req: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Exchange, SendError> {
         let attempt: Option<Rc<str>> = caller::attempt_id(req.headers()).map(Rc::from);
-        match compio::time::timeout(timeout, connection.sender.send_request(req)).await {
+        let no_end = limit_interim_heads(&mut req);
+        let sent = {
+            let sending = compio::time::timeout(timeout, connection.sender.send_request(req));
+            let mut sending = std::pin::pin!(sending.fuse());
+            let mut no_end = std::pin::pin!(no_end.cancelled().fuse());
+            // The first one that is ready wins, so that a response after too many interim heads never counts.
+            select_biased! {
+                () = no_end => return Err(SendError::Invalid("interim heads without end".into())),
+                sent = sending => sent,
+            }
+        };
+        match sent {
             Err(_) => Err(SendError::Timeout),
             Ok(Err(e)) if e.is_parse() => Err(SendError::Invalid(e.to_string())),
             Ok(Err(e)) => Err(SendError::Broken(e.to_string())),
             Ok(Ok(response)) => {
                 let (head, body) = Response::into_parts(response);
+                check_status(head.status)?;
                 if let Err(e) = connection.check_response(attempt.as_deref(), &head) {
                     let (upstream, status) = (&key.0, head.status.as_u16());
                     let request = attempt.as_deref().unwrap_or_default();
@@ -426,15 +444,40 @@
             .get_all(http::header::CONNECTION)
             .iter()
             .any(|v| v.to_str().is_ok_and(|v| v.to_ascii_lowercase().contains("close")));
+        // By their status these have no body. Bytes that an upstream sends all the same may still be on their way, and would be
+        // read as the response to the next request.
+        let bodiless =
+            matches!(self.head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
         let leaves = self.pool.fleet.borrow().has_left(&self.key);
         let full = self.connection.unsuccessful.len() >= MAX_UNSUCCESSFUL;
-        if closing || leaves || full || self.connection.sender.is_closed() {
+        if closing || bodiless || leaves || full || self.connection.sender.is_closed() {
             return;
         }
         self.pool.keep(&self.key, self.connection);
     }
 }
 
+/// Token that is cancelled when more interim heads than allowed have come before the response to a request.
+fn limit_interim_heads(req: &mut Request<Full<Bytes>>) -> CancellationToken {
+    let (exceeded, heads) = (CancellationToken::new(), AtomicU32::new(0));
+    let token = exceeded.clone();
+    ext::on_informational(req, move |_| {
+        if heads.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_HEADS {
+            token.cancel();
+        }
+    });
+    exceeded
+}
+
+/// Checks that a head may reach a caller as a response. The parser accepts every status from 100 to 999; after 101 the
+/// connection carries another protocol, which no request asks for.
+fn check_status(status: StatusCode) -> Result<(), SendError> {
+    match status.as_u16() {
+        200..=599 => Ok(()),
+        other => Err(SendError::Invalid(format!("status {other}"))),
+    }
+}
+
 /// Time for which the connection of a response may be used again.
 fn reusable_for(head: &http::response::Parts) -> Duration {
     let stated = head.headers.get("keep-alive").and_then(|v| v.to_str().ok());
--- a/orioleworks_gateway/src/carrier.rs
+++ b/orioleworks_gateway/src/carrier.rs
@@ -156,7 +156,9 @@
             }
         };
         match &result {
-            Ok(_) | Err(SendError::Unmatched(_)) => view.path.record_response(),
+            Ok(_) | Err(SendError::Unmatched(_) | SendError::Invalid(_)) => {
+                view.path.record_response();
+            }
             Err(SendError::Broken(_)) if !view.path.heard_since(sent_at) => {
                 path::record_silence(view, key);
             }
@@ -253,8 +255,11 @@
                 if matches!(e, SendError::NotSent(_) | SendError::Refused(_)) {
                     path::excuse(view, key);
                 }
-                let confirmed = !matches!(e, SendError::Invalid(_));
-                (Some(Err(Failure { error: e, confirmed })), "failed")
+                (Some(Err(Failure { error: e, confirmed: true })), "failed")
+            }
+            Answer::Unknown(e) => {
+                exchange.discard();
+                (Some(Err(Failure { error: e, confirmed: false })), "failed")
             }
         }
     }
--- a/orioleworks_gateway/src/relay.rs
+++ b/orioleworks_gateway/src/relay.rs
@@ -53,6 +53,7 @@
 const REFUSED: &str = "refused";
 const SILENT: &str = "silent";
 const BROKEN: &str = "broken";
+const INVALID: &str = "invalid";
 const UNKNOWN: &str = "unknown";
 
 /// Answer of a gateway that was asked to send a request.
@@ -66,6 +67,8 @@
     Leaving,
     /// There is no response, for a reason of the upstream.
     Failed(SendError),
+    /// The request may have run, and nothing is known of the upstream.
+    Unknown(SendError),
 }
 
 /// Marks a request for another gateway.
@@ -88,7 +91,8 @@
         REFUSED => Answer::Failed(SendError::Refused(why())),
         SILENT => Answer::Failed(SendError::Timeout),
         BROKEN => Answer::Failed(SendError::Broken("at another gateway".into())),
-        _ => Answer::Failed(SendError::Invalid(format!("answer {word:?} of another gateway"))),
+        INVALID => Answer::Failed(SendError::Invalid("at another gateway".into())),
+        _ => Answer::Unknown(SendError::Invalid(format!("answer {word:?} of another gateway"))),
     }
 }
 
@@ -204,6 +208,8 @@
         Err(SendError::NotSent(_) | SendError::Refused(_)) => UNAVAILABLE,
         Err(SendError::Timeout) if !own_fault => SILENT,
         Err(SendError::Broken(_)) if !own_fault => BROKEN,
+        // The bytes came from the upstream, whatever the state of the path.
+        Err(SendError::Invalid(_)) => INVALID,
         Err(_) => UNKNOWN,
     };
     event!(debug, "sent_for_another", request = id, upstream = key.0, result = word);
