Tests: an upstream with bytes without end is preferred before the test begins

Cause: a_lookup_is_answered_although_an_upstream_sends_bytes_without_end failed once beside heavy load, because the upstream got no request. The set-up ended when each upstream had run one request. A gateway prefers the lower measured latency (times the share of used slots), and the first response sets it: the sound upstream takes 30 ms and gets 5 requests at a time, so that the other one is never chosen if its one measured response took about 50 ms.

Change: the sound upstream is slow from the beginning and refuses requests as not run until the other one has had 12 responses; the set-up ends when four requests in a row run at the other one only. The upstream must now get a request in the case of refusals as well, which was exempt.

--- a/orioleworks_gateway/tests/endless_responses.rs
+++ b/orioleworks_gateway/tests/endless_responses.rs
@@ -48,18 +48,34 @@
     }
 }
 
-/// Starts one upstream that sends bytes without end and a sound one, which is slower, so that the first is preferred.
+/// Starts one upstream that sends bytes without end and a sound one, which is slower, and waits until the gateway prefers the
+/// first. The gateway goes by the latency that it measured. With one response measured, a single slow one on a busy machine
+/// makes an upstream look slower than the sound one, and it then gets no request at all.
 fn start_pair(d: &Deployment, endless: Endless) -> (Upstream, Upstream) {
+    /// Responses after which a slow one among them no longer counts.
+    const MEASURED: usize = 12;
+    /// Requests in a row that show the preference.
+    const PREFERRED: usize = 4;
     let start = |id| Upstream::start(id, "sheets", None, d.control_addresses());
     let (bad, good) = (start("bad"), start("good"));
-    d.wait_until("both upstreams run requests", || {
-        for n in 0..4 {
-            let id = format!("warm-{n}-{}", bad.total_runs() + good.total_runs());
-            d.send(0, "GET", &format!("/lookup/{id}"), &id, "");
-        }
-        bad.total_runs() > 0 && good.total_runs() > 0
-    });
     good.behaviour.delay_ms.store(30, Ordering::Relaxed);
+    let lookup = || {
+        let id = format!("warm-{}-{}", bad.total_runs(), good.arrivals().len());
+        d.send(0, "GET", &format!("/lookup/{id}"), &id, "");
+    };
+    d.wait_until("the sound upstream runs a request", || {
+        lookup();
+        good.total_runs() > 0
+    });
+    d.wait_until("the other one is preferred", || {
+        // Requests that the sound one refuses as not run go to the other one, whatever was measured before.
+        good.behaviour.refuses.store(true, Ordering::Relaxed);
+        (0..MEASURED).for_each(|_| lookup());
+        good.behaviour.refuses.store(false, Ordering::Relaxed);
+        let before = (bad.total_runs(), good.total_runs());
+        (0..PREFERRED).for_each(|_| lookup());
+        (bad.total_runs(), good.total_runs()) == (before.0 + PREFERRED, before.1)
+    });
     *bad.behaviour.endless.lock().unwrap() = Some(endless);
     (bad, good)
 }
@@ -95,7 +111,7 @@
             });
         }
     });
-    assert!(bad.total_runs() > before || endless == Endless::Refusal, "it got requests");
+    assert!(bad.total_runs() > before, "it got requests");
     check_closed(&d, &bad);
     check_memory(&d);
 }
