--- a/orioleworks_gateway/tests/support/deployment.rs
+++ b/orioleworks_gateway/tests/support/deployment.rs
@@ -201,6 +201,11 @@
         format!("{}:{}", loopback_ip(2, i), self.callers_port)
     }
 
+    /// Address at which a gateway takes requests of other gateways.
+    pub fn relay_address(&self, i: usize) -> String {
+        format!("{}:{}", loopback_ip(2, i), self.relay_port)
+    }
+
     pub fn readiness_address(&self, i: usize) -> String {
         format!("{}:{}", loopback_ip(2, i), self.readiness_port)
     }
