Memory: bodies, responses and connections of clients are bounded

Cause: bodies of requests were collected and then copied, without a bound over all of them; relayed bodies without a declared length counted nothing; connections were not bounded below the descriptors of the process.

Change: orioleworks_daemon::memory (Ledger decides, Budget and Share apply). A body is charged as it arrives, held once, and released with the last clone of its bytes. The largest share without progress for 1 s is closed; otherwise the request that needs memory is refused with 503 (2015 body_memory_short), Retry-After and Connection: close. Parts of responses of 4 KB and more are charged until they are written. When no connection is free, the one that is idle for longest is closed. Settings limits.memory_mb (gateway) and limits.file_descriptors (both). A batch that fits no frame is refused with 413 by the gateway. The crowds and bounds of the others are unchanged; the test's own settings now leave 64 connections.

--- a/orioleworks_daemon/src/http.rs
+++ b/orioleworks_daemon/src/http.rs
@@ -1,21 +1,39 @@
 //! HTTP/1.1 server with bounded connections, bodies and waiting times.
 
-use std::{cell::Cell, convert::Infallible, future::Future, io, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    convert::Infallible,
+    future::Future,
+    io,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use compio::{net::TcpListener, runtime};
 use cyper_core::CompioTimer;
 use futures_util::{FutureExt, select, select_biased};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody};
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use hyper::{
-    body::{Body, Incoming},
+    body::{Body, Frame, Incoming, SizeHint},
     server::conn::http1,
     service::service_fn,
 };
 use orioleworks_proto::codes::ResultCode;
 use serde::{Deserialize, Serialize};
 
-use crate::{event, shutdown::Shutdown, stall::StallGuard, stream::Stream};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    event,
+    memory::{Budget, NoRoom, STEP_BYTES, Share},
+    shutdown::Shutdown,
+    stall::StallGuard,
+    stream::Stream,
+};
 
 /// Request that the server passes to a handler.
 pub type Request = http::Request<Incoming>;
@@ -70,12 +88,29 @@
 where
     F: Future<Output = Response> + 'static,
     H: Fn(Request) -> F + Clone + 'static,
+{
+    serve_within(listener, limits, Budget::unlimited(), shutdown, handler).await;
+}
+
+/// Like [`serve`]; responses are charged to a budget until they are written, and the slowest reader is closed when there is no
+/// room. When no connection is free, the one that has been idle for longest is closed.
+pub async fn serve_within<F, H>(
+    listener: TcpListener,
+    limits: Limits,
+    budget: Budget,
+    shutdown: Shutdown,
+    handler: H,
+) where
+    F: Future<Output = Response> + 'static,
+    H: Fn(Request) -> F + Clone + 'static,
 {
     const ACCEPT_RETRY_DELAY_MS: u64 = 50;
     const POLL_INTERVAL_MS: u64 = 5;
     let open_connections = Rc::new(Cell::new(0_usize));
+    let idle = Idle::default();
     loop {
         while open_connections.get() >= limits.connections {
+            idle.close_longest();
             compio::time::sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
         }
         let mut accept = std::pin::pin!(listener.accept().fuse());
@@ -86,14 +121,17 @@
                 open_connections.set(open_connections.get() + 1);
                 let (open_connections, handler, shutdown) =
                     (open_connections.clone(), handler.clone(), shutdown.clone());
+                let (budget, idle) = (budget.clone(), idle.clone());
                 runtime::spawn(async move {
-                    serve_connection(stream, limits, shutdown, handler).await;
+                    serve_connection(stream, limits, budget, idle, shutdown, handler).await;
                     open_connections.set(open_connections.get() - 1);
                 })
                 .detach();
             }
             Err(e) => {
                 event!(warn, "accept_failed", reason = e);
+                // There may be no descriptor left.
+                idle.close_longest();
                 compio::time::sleep(Duration::from_millis(ACCEPT_RETRY_DELAY_MS)).await;
             }
         }
@@ -107,12 +145,16 @@
 async fn serve_connection<F, H>(
     stream: compio::net::TcpStream,
     limits: Limits,
+    budget: Budget,
+    idle: Idle,
     shutdown: Shutdown,
     handler: H,
 ) where
     F: Future<Output = Response> + 'static,
     H: Fn(Request) -> F + 'static,
 {
+    let (slow, displaced) = (CancellationToken::new(), CancellationToken::new());
+    let place = idle.enter(displaced.clone());
     let io = match Stream::new(stream) {
         Ok(stream) => StallGuard::new(stream, limits.write_timeout),
         Err(e) => {
@@ -121,7 +163,10 @@
         }
     };
     let answer = shutdown.answer.clone();
+    let (slow_reader, service_place) = (slow.clone(), place.clone());
     let service = service_fn(move |req: Request| {
+        let busy = service_place.begin();
+        let (budget, slow_reader) = (budget.clone(), slow_reader.clone());
         let (method, uri) = (req.method().clone(), req.uri().clone());
         let (response, answer) = (handler(req), answer.clone());
         async move {
@@ -139,7 +184,9 @@
                     response
                 }
             };
-            Ok::<_, Infallible>(response)
+            let slow = slow_reader;
+            let charged = response.map(|body| Charged { body, budget, slow, _busy: busy });
+            Ok::<_, Infallible>(charged)
         }
     });
     let mut connection = std::pin::pin!(
@@ -151,8 +198,18 @@
     );
     let mut stopped = std::pin::pin!(shutdown.stop.cancelled().fuse());
     let mut drained = std::pin::pin!(shutdown.drain.cancelled().fuse());
+    let mut slow = std::pin::pin!(slow.cancelled().fuse());
+    let mut displaced = std::pin::pin!(displaced.cancelled().fuse());
     loop {
         select! {
+            () = slow => return,
+            // Nothing is owed on a connection that has carried no request; on another one the last response is written first.
+            () = displaced => {
+                if place.is_unused() {
+                    return;
+                }
+                connection.as_mut().graceful_shutdown();
+            }
             ended = (&mut connection).fuse() => {
                 if let Err(e) = ended {
                     event!(debug, "connection_failed", reason = e);
@@ -165,23 +222,193 @@
     }
 }
 
-/// Reads a complete body within the limits.
+/// Body of a response whose parts are charged until they are written. hyper drops it once it has taken all parts; until then
+/// the connection is busy.
+struct Charged {
+    body: UnsyncBoxBody<Bytes, io::Error>,
+    budget: Budget,
+    slow: CancellationToken,
+    _busy: Busy,
+}
+
+impl Body for Charged {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        /// Smaller parts of responses fit the buffers that each connection has anyway.
+        const CHARGED_BYTES: usize = 4 * 1024;
+        let frame = std::task::ready!(Pin::new(&mut self.body).poll_frame(cx));
+        let charge = |part: Bytes| match part.len() {
+            CHARGED_BYTES.. => self.budget.hold(part, &self.slow),
+            _ => part,
+        };
+        Poll::Ready(frame.map(|frame| frame.map(|frame| frame.map_data(charge))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Connections on which no request is in progress; clones share them.
+#[derive(Clone, Default)]
+struct Idle(Rc<RefCell<IdleConnections>>);
+
+#[derive(Default)]
+struct IdleConnections {
+    /// In the order in which they became idle, so that the first one has been idle for longest.
+    waiting: BTreeMap<u64, CancellationToken>,
+    next: u64,
+    last_logged: Option<Instant>,
+}
+
+/// Place of one connection; it leaves when the last clone is dropped.
+#[derive(Clone)]
+struct Place(Rc<PlaceState>);
+
+struct PlaceState {
+    idle: Idle,
+    displaced: CancellationToken,
+    number: Cell<u64>,
+    used: Cell<bool>,
+}
+
+/// A request in progress.
+struct Busy(Place);
+
+impl Idle {
+    fn enter(&self, displaced: CancellationToken) -> Place {
+        let (number, used) = (Cell::new(0), Cell::new(false));
+        let place = Place(Rc::new(PlaceState { idle: self.clone(), displaced, number, used }));
+        place.wait();
+        place
+    }
+
+    fn close_longest(&self) {
+        const LOG_INTERVAL: Duration = Duration::from_secs(1);
+        let mut idle = self.0.borrow_mut();
+        let Some((_, displaced)) = idle.waiting.pop_first() else { return };
+        displaced.cancel();
+        metrics::counter!("orioleworks_idle_connections_closed_total").increment(1);
+        let now = Instant::now();
+        if idle.last_logged.is_none_or(|last| now.duration_since(last) >= LOG_INTERVAL) {
+            idle.last_logged = Some(now);
+            event!(warn, "connection_limit_reached", idle = idle.waiting.len());
+        }
+    }
+}
+
+impl Place {
+    fn wait(&self) {
+        let mut idle = self.0.idle.0.borrow_mut();
+        idle.next += 1;
+        let number = idle.next;
+        idle.waiting.insert(number, self.0.displaced.clone());
+        self.0.number.set(number);
+    }
+
+    fn begin(&self) -> Busy {
+        self.0.idle.0.borrow_mut().waiting.remove(&self.0.number.get());
+        self.0.used.set(true);
+        Busy(self.clone())
+    }
+
+    fn is_unused(&self) -> bool {
+        !self.0.used.get()
+    }
+}
+
+impl Drop for PlaceState {
+    fn drop(&mut self) {
+        self.idle.0.borrow_mut().waiting.remove(&self.number.get());
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.wait();
+    }
+}
+
+/// Reads a complete body within the limits; its memory is bounded by nothing else.
 ///
 /// # Errors
 ///
 /// Returns the result code of a body that is too large, too slow or truncated.
 pub async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, ResultCode> {
+    read_body_within(body, limits, &Budget::unlimited()).await
+}
+
+/// Reads a complete body within the limits and charges it to a budget as it arrives. The body is held once, and its memory is
+/// charged until the last clone of the bytes is dropped.
+///
+/// # Errors
+///
+/// Returns the result code of a body that is too large, too slow or truncated, or for which there is no memory.
+pub async fn read_body_within(
+    body: Incoming,
+    limits: &Limits,
+    budget: &Budget,
+) -> Result<Bytes, ResultCode> {
     // An oversized declared length is refused before the client has sent the body.
     if body.size_hint().lower() > limits.body_bytes as u64 {
         return Err(ResultCode::BodyTooLarge);
     }
-    let limited = Limited::new(body, limits.body_bytes);
-    match compio::time::timeout(limits.body_timeout, limited.collect()).await {
-        Err(_) => Err(ResultCode::RequestTimeout),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(ResultCode::BodyTooLarge),
-        Ok(Err(_)) => Err(ResultCode::BadRequest),
+    let share = budget.open(CancellationToken::new());
+    let closed = share.closed().clone();
+    let mut closed = std::pin::pin!(closed.cancelled().fuse());
+    let collected = {
+        let collecting = collect(body, limits.body_bytes, &share);
+        let collecting = compio::time::timeout(limits.body_timeout, collecting);
+        let mut collecting = std::pin::pin!(collecting.fuse());
+        select_biased! {
+            collected = collecting => collected.unwrap_or(Err(ResultCode::RequestTimeout))?,
+            () = closed => return Err(ResultCode::BodyMemoryShort),
+        }
+    };
+    share.keep();
+    Ok(share.into_bytes(collected))
+}
+
+async fn collect(mut body: Incoming, limit: usize, share: &Share) -> Result<Vec<u8>, ResultCode> {
+    /// Bodies above this size get an allocation that holds the largest one. Only its touched pages take memory, and the
+    /// system's allocator returns it at once when it is freed, because it is larger than what that keeps (32 MB).
+    const LARGE_BYTES: usize = 1024 * 1024;
+    const LARGE_CAPACITY: usize = 33 * 1024 * 1024;
+    let no_room = |NoRoom| ResultCode::BodyMemoryShort;
+    let (mut bytes, mut charged) = (Vec::new(), 0_usize);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| ResultCode::BadRequest)?;
+        let Ok(part) = frame.into_data() else { continue };
+        let len = bytes.len() + part.len();
+        if len > limit {
+            return Err(ResultCode::BodyTooLarge);
+        }
+        let needed = if len > LARGE_BYTES {
+            len.next_multiple_of(STEP_BYTES)
+        } else {
+            len.next_power_of_two()
+        };
+        if needed > charged {
+            share.grow(needed - charged).await.map_err(no_room)?;
+            charged = needed;
+        }
+        if len > bytes.capacity() {
+            let capacity = if len > LARGE_BYTES { limit.max(LARGE_CAPACITY) } else { needed };
+            let reserved = bytes.try_reserve_exact(capacity - bytes.len());
+            reserved.map_err(|_| ResultCode::BodyMemoryShort)?;
+        }
+        bytes.extend_from_slice(&part);
     }
+    Ok(bytes)
 }
 
 /// Body of an error response to callers, trainers and upstreams; see `docs/result-codes.md`.
--- a/orioleworks_daemon/src/lib.rs
+++ b/orioleworks_daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod http;
 pub mod log_writer;
 pub mod logging;
+pub mod memory;
 pub mod metrics;
 pub mod reload;
 pub mod rpc;
--- /dev/null
+++ b/orioleworks_daemon/tests/memory.rs
@@ -0,0 +1,60 @@
+//! Who is closed and who is refused when the memory for bodies and responses is used up.
+
+use std::time::{Duration, Instant};
+
+use orioleworks_daemon::memory::{Decision, Ledger, SMALL_BYTES, STALL_TIME};
+
+const MB: usize = 1024 * 1024;
+/// Largest legal body, in bytes.
+const LARGEST_BODY: usize = 32 * MB;
+
+fn ledger() -> Ledger {
+    Ledger::new(64 * MB, 4 * MB)
+}
+
+/// Guards against the end of a client that is only slower than others, and of the smaller of two that have stopped.
+#[test]
+fn the_largest_stalled_share_ends_first() {
+    let (mut ledger, start) = (ledger(), Instant::now());
+    let (small, large, active) = (ledger.open(start), ledger.open(start), ledger.open(start));
+    let late = start + STALL_TIME;
+    assert_eq!(ledger.grow(small, 10 * MB, start), Decision::Granted);
+    assert_eq!(ledger.grow(large, 20 * MB, start), Decision::Granted);
+    assert_eq!(ledger.grow(active, 30 * MB, late), Decision::Granted);
+    let new = ledger.open(late);
+    assert_eq!(ledger.grow(new, 15 * MB, late), Decision::Close(large));
+    assert_eq!(ledger.grow(new, 15 * MB, late), Decision::Close(small));
+    assert_eq!(ledger.grow(new, 15 * MB, late), Decision::Wait);
+    ledger.close(large);
+    assert_eq!(ledger.grow(new, 15 * MB, late), Decision::Granted);
+    assert_eq!(ledger.used(), 55 * MB);
+}
+
+/// Guards against the end of a request that may have been passed on, and of one that still arrives.
+#[test]
+fn complete_and_active_shares_are_not_ended() {
+    let (mut ledger, start) = (ledger(), Instant::now());
+    let (complete, active) = (ledger.open(start), ledger.open(start));
+    let late = start + 10 * STALL_TIME;
+    assert_eq!(ledger.grow(complete, LARGEST_BODY, start), Decision::Granted);
+    ledger.keep(complete);
+    assert_eq!(ledger.grow(active, 28 * MB, late - Duration::from_millis(1)), Decision::Granted);
+    let new = ledger.open(late);
+    assert_eq!(ledger.grow(new, MB, late), Decision::Refused);
+    // Small requests use the reserve.
+    assert_eq!(ledger.grow(new, SMALL_BYTES, late), Decision::Granted);
+}
+
+/// Guards against responses that are refused although their requests have run, and readers that hold memory for ever.
+#[test]
+fn a_response_is_always_charged_and_ends_the_slowest_reader() {
+    let (mut ledger, start) = (ledger(), Instant::now());
+    let (reader, response) = (ledger.open(start), ledger.open(start));
+    assert_eq!(ledger.overdraw(reader, 64 * MB, start), None);
+    assert_eq!(ledger.overdraw(response, MB, start), None);
+    let late = start + STALL_TIME;
+    assert_eq!(ledger.overdraw(response, MB, late), Some(reader));
+    ledger.close(reader);
+    ledger.close(response);
+    assert_eq!(ledger.used(), 0);
+}
--- a/orioleworks_gateway/src/app.rs
+++ b/orioleworks_gateway/src/app.rs
@@ -97,10 +97,18 @@
     let limits = http::Limits { head_timeout: HEAD_TIMEOUT, ..http::Limits::default() };
     let readiness_shutdown = Shutdown::default();
     runtime::spawn(http::serve(readiness_listener, limits, readiness_shutdown, readiness)).detach();
+    let callers_limits = http::Limits { connections: view.cfg.limits.connections(), ..limits };
     let callers_view = view.clone();
     let handler = move |req| callers::handle(callers_view.clone(), req);
     let callers_shutdown = Shutdown { answer: signals.answer.clone(), ..Shutdown::default() };
-    let serving = http::serve(callers_listener, limits, callers_shutdown.clone(), handler);
+    let budget = view.memory.clone();
+    let serving = http::serve_within(
+        callers_listener,
+        callers_limits,
+        budget,
+        callers_shutdown.clone(),
+        handler,
+    );
     let mut serving = std::pin::pin!(serving.fuse());
     let mut draining = std::pin::pin!(drain(&view, &signals, &callers_shutdown).fuse());
     select! { () = serving => (), () = draining => () }
--- a/orioleworks_gateway/src/batches.rs
+++ b/orioleworks_gateway/src/batches.rs
@@ -14,6 +14,7 @@
 use orioleworks_platform::batch::{self, BatchCall};
 use orioleworks_proto::{
     codes::ResultCode,
+    frames,
     inner::{self, command::Kind, frame::Body},
 };
 use orioleworks_routing::{
@@ -60,6 +61,10 @@
     let service = route.pick(&mut rand::rng()).cloned().unwrap_or_default();
     let mut decoded = batch::decode(&context.id, host, route, &service, body)
         .map_err(|e| Refusal::new(ResultCode::BadRequest, e.to_string(), Duration::ZERO))?;
+    // The connection to the store would end, and the outcome would be unknown.
+    if !frames::fits(&decoded) {
+        return Err(Refusal::new(ResultCode::BodyTooLarge, "the batch", Duration::ZERO));
+    }
     check_reward_calls(table, &decoded.items)?;
     if table.tenants.is_some() {
         batch::set_owner(&mut decoded, context.tenant.as_deref());
--- a/orioleworks_gateway/src/callers.rs
+++ b/orioleworks_gateway/src/callers.rs
@@ -6,7 +6,7 @@
 };
 
 use http::{HeaderMap, header};
-use orioleworks_daemon::{event, http as server};
+use orioleworks_daemon::{event, http as server, memory};
 use orioleworks_platform::{batch, caller};
 use orioleworks_proto::codes::ResultCode;
 use orioleworks_routing::{
@@ -149,9 +149,9 @@
     authorize(view, &table, req.headers(), !route.public)?;
     let limits = server::Limits { body_bytes: table.limits.body_bytes, ..Default::default() };
     let (mut head, body) = req.into_parts();
-    let body = server::read_body(body, &limits)
+    let body = server::read_body_within(body, &limits, &view.memory)
         .await
-        .map_err(|code| Refusal::new(code, "", Duration::ZERO))?;
+        .map_err(|code| Refusal::new(code, "", retry_of(code)))?;
     refuse_if_stopping(view, end)?;
     // The key may have been revoked while the body arrived.
     let newest = view.table().unwrap_or_else(|| table.clone());
@@ -160,11 +160,22 @@
         caller::set_tenant(&mut head.headers, context.tenant.as_ref().map(|t| &*t.name));
     }
     if route.batch.is_some() {
+        let _copies = memory::Share::for_copies(&view.memory, body.len()).await.map_err(|_| {
+            let code = ResultCode::BodyMemoryShort;
+            Refusal::new(code, "", retry_of(code))
+        })?;
         return batches::submit(view, &table, &route, &host, context, &body).await;
     }
     forward::forward(view, &route, Content::new(host, head, body), context).await
 }
 
+/// Retry advice for a body that was not read.
+fn retry_of(code: ResultCode) -> Duration {
+    /// Shares without progress are ended after a second.
+    const MEMORY_RETRY: Duration = Duration::from_millis(1000);
+    if code == ResultCode::BodyMemoryShort { MEMORY_RETRY } else { Duration::ZERO }
+}
+
 /// Host that a request names.
 fn host_of(req: &server::Request) -> String {
     let host = req.headers().get(header::HOST).and_then(|v| v.to_str().ok());
@@ -219,6 +230,10 @@
     );
     let mut response = server::error(refusal.code, &refusal.detail, 0);
     *response.status_mut() = caller::refusal_status(refusal.code);
+    if refusal.code == ResultCode::BodyMemoryShort {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
     if refusal.code == ResultCode::ApiKeyUnknown {
         caller::set_key_challenge(response.headers_mut());
     }
--- a/orioleworks_gateway/src/config.rs
+++ b/orioleworks_gateway/src/config.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use orioleworks_daemon::memory::Budget;
 use orioleworks_settings::{Problems, Settings};
 use serde::Deserialize;
 
@@ -21,6 +22,9 @@
     /// Revocation of keys.
     #[serde(default)]
     pub revocation: Revocation,
+    /// What the process may use.
+    #[serde(default)]
+    pub limits: Limits,
     /// Log output.
     #[serde(default)]
     pub log: Log,
@@ -78,6 +82,16 @@
     pub bound_ms: u64,
 }
 
+/// What the process may use.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Memory in megabytes; the platform kills a process that uses more.
+    pub memory_mb: usize,
+    /// Descriptors that the process may open.
+    pub file_descriptors: usize,
+}
+
 /// Log output.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -106,6 +120,33 @@
     }
 }
 
+impl Default for Limits {
+    fn default() -> Self {
+        // The memory of the smallest gateway, and the least number of descriptors.
+        Self { memory_mb: 88, file_descriptors: 3075 }
+    }
+}
+
+impl Limits {
+    /// Open connections of callers; when none is free, the one that has been idle for longest is closed. The process keeps 300
+    /// descriptors for files and other connections.
+    pub fn connections(&self) -> usize {
+        self.file_descriptors.saturating_sub(300)
+    }
+
+    /// Memory of the process itself, in megabytes: 6 MB when idle, 23 MB with 40 callers who read results of batches.
+    const OWN_MB: usize = 24;
+    /// Part of the budget that large bodies leave to small ones, in bytes.
+    const RESERVE_BYTES: usize = 4 * 1024 * 1024;
+
+    /// Memory for bodies of requests and for responses. It holds two bodies of 30 MB, or one of the largest size beside the
+    /// reserve, at the smallest gateway.
+    pub fn budget(&self) -> Budget {
+        let own = self.memory_mb.saturating_sub(Self::OWN_MB);
+        Budget::new(own * 1024 * 1024, Self::RESERVE_BYTES)
+    }
+}
+
 impl Default for Log {
     fn default() -> Self {
         Self { filter: "info".into() }
@@ -120,6 +161,10 @@
         problems.range("stores.inner_port", self.stores.inner_port, 1..=u16::MAX, "");
         let retention = self.batches.status_retention_s;
         problems.range("batches.status_retention_s", retention, 1..=86_400, "s");
+        // Less does not hold the process and a body of the largest legal size.
+        problems.range("limits.memory_mb", self.limits.memory_mb, 64..=1_048_576, "MB");
+        let descriptors = self.limits.file_descriptors;
+        problems.range("limits.file_descriptors", descriptors, 364..=1_048_576, "");
         // A shorter lease would end between two replies of a store.
         problems.range("revocation.bound_ms", self.revocation.bound_ms, 2000..=600_000, "ms");
     }
--- a/orioleworks_gateway/src/relay.rs
+++ b/orioleworks_gateway/src/relay.rs
@@ -136,11 +136,12 @@
         body_bytes: MAX_RELAYED_BYTES,
         ..server::Limits::default()
     };
+    let budget = view.memory.clone();
     let handler = move |req| {
         let view = view.clone();
         async move { handle(&view, req).await }
     };
-    server::serve(listener, limits, Shutdown::default(), handler).await;
+    server::serve_within(listener, limits, budget, Shutdown::default(), handler).await;
 }
 
 /// Answers with the attempt ID of the request, as an upstream does.
@@ -173,7 +174,7 @@
     }
     let (head, body) = req.into_parts();
     let limits = server::Limits { body_bytes: MAX_RELAYED_BYTES, ..server::Limits::default() };
-    let Ok(body) = server::read_body(body, &limits).await else {
+    let Ok(body) = server::read_body_within(body, &limits, &view.memory).await else {
         return without_response(UNAVAILABLE);
     };
     let mut headers = attempt::end_to_end_headers(&head.headers);
--- a/orioleworks_gateway/src/view.rs
+++ b/orioleworks_gateway/src/view.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use orioleworks_daemon::{clock, event};
+use orioleworks_daemon::{clock, event, memory};
 use orioleworks_fleet::{pool::Pool, stores::Stores, watch::Knowledge};
 use orioleworks_platform::document;
 use orioleworks_proto::inner;
@@ -73,6 +73,8 @@
     pub helper_pool: Pool,
     /// Requests that this gateway sends for others.
     pub relayed: Relayed,
+    /// Memory for bodies and responses.
+    pub memory: memory::Budget,
     table: Rc<RefCell<Option<Rc<RouteTable>>>>,
     budgets: Rc<RefCell<HashMap<Rc<str>, Budget>>>,
     stop: Rc<Cell<Option<Stop>>>,
@@ -100,6 +102,7 @@
         stores.set_seeds(cfg.seed_addresses());
         Self {
             keys: Keys::new(cfg.revocation.bound()),
+            memory: cfg.limits.budget(),
             cfg: Rc::new(cfg),
             crashes: ContentCrashes::new(knowledge.clone(), report_wake.clone()),
             buffers: Buffers::default(),
--- a/orioleworks_gateway/tests/support/deployment.rs
+++ b/orioleworks_gateway/tests/support/deployment.rs
@@ -100,6 +100,8 @@
     relay_port: u16,
     /// Memory limit in the settings of the stores, in megabytes.
     store_memory_mb: usize,
+    /// Section `limits` in the settings of the gateways.
+    pub gateway_limits: &'static str,
     /// Proxies in front of the stores' inner protocol; empty without proxies.
     pub store_proxies: Vec<Proxy>,
     /// Paths from each gateway to the upstreams; empty if the gateways connect to them directly.
@@ -157,6 +159,7 @@
             readiness_port: free_port(),
             relay_port: free_port(),
             store_memory_mb,
+            gateway_limits: "{}",
             store_proxies: Vec::new(),
             paths: Vec::new(),
         };
@@ -248,12 +251,14 @@
             r#"{{ "instance": {{ "name": "{name}", "failure_domain": "zone-a" }},
                  "listen": {{ "callers": "{}", "readiness": "{}:{}", "relay": "{}:{}" }},
                  "revocation": {{ "strict": true, "bound_ms": {REVOCATION_BOUND_MS} }},
+                 "limits": {},
                  "stores": {{ "seeds": [{}], "inner_port": {} }} }}"#,
             self.gateway_address(i),
             loopback_ip(2, i),
             self.readiness_port,
             loopback_ip(2, i),
             self.relay_port,
+            self.gateway_limits,
             seeds,
             self.inner_port,
         );
@@ -300,6 +305,14 @@
         responses.find(|a| a.status < 500).map_or(0, |a| a.status)
     }
 
+    /// Starts a gateway again with another section `limits` in its settings, and waits until it is ready.
+    pub fn restart_gateway_with(&mut self, i: usize, limits: &'static str) {
+        self.gateway_limits = limits;
+        self.gateways[i] = None;
+        self.start_gateway(i);
+        self.wait_until("a gateway is ready", || self.is_ready(i));
+    }
+
     /// Index of the store that leads.
     pub fn leader(&self) -> Option<usize> {
         let newest_term = |i: usize| {
--- a/orioleworks_gateway/tests/untrusted_clients.rs
+++ b/orioleworks_gateway/tests/untrusted_clients.rs
@@ -134,9 +134,12 @@
 }
 
 fn setup(document: &serde_json::Value) -> Setup {
-    let d = Deployment::start(3, 1, &document.to_string());
+    /// Leaves 64 connections, less than the largest crowd has.
+    const LIMITS: &str = r#"{ "file_descriptors": 364 }"#;
+    let mut d = Deployment::start(3, 1, &document.to_string());
+    d.restart_gateway_with(0, LIMITS);
     let sheets = Upstream::start("s-0", "sheets", None, d.control_addresses());
-    Setup { d, sheets: sheets }
+    Setup { d, sheets }
 }
 
 fn check_gateway(crowd_size: usize, client: impl Fn(&str, usize) -> Option<TcpStream> + Sync) {
@@ -179,6 +182,47 @@
     });
 }
 
+/// Sends a complete batch of nearly the largest legal size.
+fn send_batch(address: &str, i: usize) -> Option<TcpStream> {
+    let items: Vec<String> = (0..16).map(|n| format!("i{i}-{n}")).collect();
+    let mut submission: serde_json::Value =
+        serde_json::from_str(&routes::submission(&items, 1, |_| "g1")).unwrap();
+    for item in submission["items"].as_array_mut().unwrap() {
+        item["body"] = "AAAA".repeat(500_000).into();
+    }
+    let body = submission.to_string();
+    assert!((31_000_000..=LARGEST_BODY).contains(&body.len()));
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_write_timeout(Some(Duration::from_secs(3))).ok()?;
+    let head = request_head(&format!("/batch/whole-{i}"), i);
+    let length = body.len();
+    let head = format!("{head}Host: test.example\r\nContent-Length: {length}\r\n\r\n");
+    drop(stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(body.as_bytes())));
+    Some(stream)
+}
+
+/// Guards against the copies of a complete batch that are made while it is decoded.
+#[test]
+fn whole_batches_at_once() {
+    check_gateway(CROWD, send_batch);
+}
+
+/// Guards against a batch within the limits for which there is never memory, and against copies of it beyond the limit.
+#[test]
+fn one_largest_batch_is_decided() {
+    let _alone = alone();
+    let setup = setup(&routes::document(1, 5000));
+    check_ordinary(&setup.d, "before");
+    let gateway = setup.d.gateways[0].as_ref().unwrap();
+    let mut stream = send_batch(&setup.d.gateway_address(0), 0).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let mut status = [0; 12];
+    stream.read_exact(&mut status).unwrap();
+    // A command of the log holds 4 MB at most.
+    assert_eq!(String::from_utf8_lossy(&status), "HTTP/1.1 413", "{}", gateway.log());
+    check(gateway, GATEWAY_MB, open_descriptors(gateway));
+}
+
 /// Guards against several copies of complete bodies.
 #[test]
 fn whole_bodies_at_once() {
@@ -323,6 +367,24 @@
     check(store, STORE_MB, descriptors);
 }
 
+/// Guards against the copies of a complete document that are made while it is decoded.
+#[test]
+fn one_largest_document_is_decided() {
+    let _alone = alone();
+    let mut document = routes::document(2, 5000);
+    let setup = setup(&routes::document(1, 5000));
+    check_ordinary(&setup.d, "before");
+    document["routes"][routes::SCORE]["name"] = "x".repeat(LARGEST_BODY - 8192).into();
+    let store = setup.d.stores[0].as_ref().unwrap();
+    let path = "/v1/Configuration.Replace";
+    let body = document.to_string();
+    let response = client::call(&setup.d.control_address(0), "POST", path, &[], &body);
+    // A command of the log holds 4 MB at most.
+    assert_eq!(response.map(|response| response.status), Some(413), "{}", store.log());
+    check_ordinary(&setup.d, "after");
+    check(store, STORE_MB, open_descriptors(store));
+}
+
 /// Guards against a bound below the largest legal body.
 #[test]
 fn one_largest_body_is_served() {
--- a/orioleworks_proto/src/codes.rs
+++ b/orioleworks_proto/src/codes.rs
@@ -56,6 +56,8 @@
     UpdatePending = 2013,
     /// the instance cannot tell which keys are valid now
     ApiKeysUnconfirmed = 2014,
+    /// the instance has no memory for the request now
+    BodyMemoryShort = 2015,
     /// the outcome of the request is unknown; it may have run
     OutcomeUnknown = 3001,
     /// the deadline passed after the request was sent; it may have run
@@ -117,6 +119,7 @@
     ResultCode::RewardCallUnroutable,
     ResultCode::UpdatePending,
     ResultCode::ApiKeysUnconfirmed,
+    ResultCode::BodyMemoryShort,
     ResultCode::OutcomeUnknown,
     ResultCode::DeadlineExceeded,
     ResultCode::InProgress,
@@ -189,7 +192,7 @@
             Self::NotReady | Self::RefusedByUpstream | Self::NoQuorum => 503,
             Self::MembershipBusy | Self::RateLimited | Self::StreamUnknown => 503,
             Self::MemoryShort | Self::RewardCallUnroutable | Self::UpdatePending => 503,
-            Self::ApiKeysUnconfirmed => 503,
+            Self::ApiKeysUnconfirmed | Self::BodyMemoryShort => 503,
             Self::DeadlineBeforeDispatch | Self::DeadlineExceeded | Self::OrderUnconfirmed => 504,
         }
     }
--- a/orioleworks_proto/src/frames.rs
+++ b/orioleworks_proto/src/frames.rs
@@ -24,6 +24,13 @@
 /// Largest frame in bytes; a larger one closes the connection.
 pub const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
 
+/// Whether a message fits a frame. A longer frame ends its connection, with all calls on it.
+pub fn fits(message: &impl prost::Message) -> bool {
+    /// The frame's own fields take a few dozen bytes beside the message.
+    const ENVELOPE_BYTES: usize = 1024;
+    message.encoded_len() <= MAX_FRAME_BYTES - ENVELOPE_BYTES
+}
+
 /// Size in bytes of the buffers that an idle connection keeps; a store has hundreds of connections, and each of them carries
 /// a large frame now and then.
 pub const IDLE_BUFFER_BYTES: usize = 2 * 1024;
--- a/orioleworks_store/src/app.rs
+++ b/orioleworks_store/src/app.rs
@@ -47,6 +47,7 @@
         }
     };
     let name = cfg.instance.name.clone();
+    let (memory, connections) = (cfg.limits.budget(), cfg.limits.connections());
     let store = match Store::open(cfg, token.clone()) {
         Ok(store) => store,
         Err(e) => {
@@ -63,18 +64,19 @@
         async move { store.handle(body).await }
     };
     runtime::spawn(rpc::serve(inner_listener, token.clone(), handle_rpc)).detach();
-    let http_store = store.clone();
+    let (http_store, http_memory) = (store.clone(), memory.clone());
     let handle_http = move |req: http::Request| {
-        let (store, handle) = (http_store.clone(), handle.clone());
+        let (store, memory, handle) = (http_store.clone(), http_memory.clone(), handle.clone());
         async move {
             let ready = if store.log().is_current() { Ok(()) } else { Err("no leader is known") };
             match http::platform_endpoint(&req, ready, || handle.render()) {
                 Some(response) => response,
-                None => control::respond(store, req).await,
+                None => control::respond(store, memory, req).await,
             }
         }
     };
-    let http = http::serve(control_listener, control::limits(), shutdown.clone(), handle_http);
+    let limits = http::Limits { connections, ..control::limits() };
+    let http = http::serve_within(control_listener, limits, memory, shutdown.clone(), handle_http);
     runtime::spawn(http).detach();
     let reload_store = store.clone();
     reload::watch(path, token.clone(), move |cfg: Config| reload_store.set_seeds(&cfg));
--- a/orioleworks_store/src/config.rs
+++ b/orioleworks_store/src/config.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
+use orioleworks_daemon::memory::Budget;
 use orioleworks_settings::{Problems, Settings};
 use serde::Deserialize;
 
@@ -97,6 +98,8 @@
 pub struct Limits {
     /// Memory in megabytes; the platform kills a process that uses more.
     pub memory_mb: usize,
+    /// Descriptors that the process may open.
+    pub file_descriptors: usize,
 }
 
 /// Log output.
@@ -128,16 +131,30 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        // The least that a store of today's deployments has.
-        Self { memory_mb: 140 }
+        // The least that a store of today's deployments has: memory and descriptors.
+        Self { memory_mb: 140, file_descriptors: 3075 }
     }
 }
 
 impl Limits {
+    /// Open connections of operators, trainers and upstreams; when none is free, the one that has been idle for longest is closed. The process keeps 300
+    /// descriptors for files and other connections.
+    pub fn connections(&self) -> usize {
+        self.file_descriptors.saturating_sub(300)
+    }
+
     /// Memory in bytes.
     pub fn memory_bytes(&self) -> usize {
         self.memory_mb * 1024 * 1024
     }
+
+    /// Memory for bodies and responses of the control interface: a quarter, and at least one document of the largest size
+    /// beside a reserve for small bodies. The rest is for batches and the log.
+    pub fn budget(&self) -> Budget {
+        const RESERVE_BYTES: usize = 2 * 1024 * 1024;
+        const LARGEST_DOCUMENT: usize = 32 * 1024 * 1024;
+        Budget::new((self.memory_bytes() / 4).max(LARGEST_DOCUMENT + RESERVE_BYTES), RESERVE_BYTES)
+    }
 }
 
 impl Default for Log {
@@ -157,6 +174,8 @@
         let retention = self.batches.status_retention_s;
         problems.range("batches.status_retention_s", retention, 1..=86_400, "s");
         problems.range("limits.memory_mb", self.limits.memory_mb, 32..=1_048_576, "MB");
+        let descriptors = self.limits.file_descriptors;
+        problems.range("limits.file_descriptors", descriptors, 364..=1_048_576, "");
         problems.range("orders.lease_ms", self.orders.lease_ms, 100..=60_000, "ms");
     }
 }
--- a/orioleworks_store/src/control.rs
+++ b/orioleworks_store/src/control.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use orioleworks_daemon::{event, http};
+use orioleworks_daemon::{event, http, memory::Budget};
 use orioleworks_platform::{
     DecodeError,
     control::{self, ControlCall},
@@ -23,10 +23,11 @@
 }
 
 /// Responds to one call.
-pub async fn respond(store: Store, req: http::Request) -> http::Response {
+pub async fn respond(store: Store, memory: Budget, req: http::Request) -> http::Response {
     let (head, body) = req.into_parts();
-    let body = match http::read_body(body, &limits()).await {
+    let body = match http::read_body_within(body, &limits(), &memory).await {
         Ok(body) => body,
+        Err(ResultCode::BodyMemoryShort) => return memory_short(),
         Err(code) => return http::error(code, "", 0),
     };
     match control::decode(&head.method, head.uri.path(), &body) {
@@ -39,6 +40,16 @@
     }
 }
 
+/// The rest of the body is not read.
+fn memory_short() -> http::Response {
+    /// Shares without progress are ended after a second.
+    const RETRY_MS: u32 = 1000;
+    let mut response = http::error(ResultCode::BodyMemoryShort, "", RETRY_MS);
+    let close = ::http::HeaderValue::from_static("close");
+    response.headers_mut().insert(::http::header::CONNECTION, close);
+    response
+}
+
 async fn execute(store: &Store, call: ControlCall) -> http::Response {
     match call {
         ControlCall::Announce(up) => {
