--- a/orioleworks_gateway/src/view.rs
+++ b/orioleworks_gateway/src/view.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use orioleworks_daemon::{clock, event};
+use orioleworks_daemon::{clock, event, memory};
 use orioleworks_fleet::{pool::Pool, stores::Stores, watch::Knowledge};
 use orioleworks_platform::document;
 use orioleworks_proto::inner;
@@ -75,6 +75,8 @@
     pub helper_pool: Pool,
     /// Requests that this gateway sends for others.
     pub relayed: Relayed,
+    /// Memory for bodies and responses.
+    pub memory: memory::Budget,
     table: Rc<RefCell<Option<Rc<RouteTable>>>>,
     budgets: Rc<RefCell<HashMap<Rc<str>, Budget>>>,
     stop: Rc<Cell<Option<Stop>>>,
@@ -103,6 +105,7 @@
         Self {
             keys: Keys::new(cfg.revocation.bound()),
             usage: Usage::new(cfg.usage.window()),
+            memory: cfg.limits.budget(),
             cfg: Rc::new(cfg),
             crashes: ContentCrashes::new(knowledge.clone(), report_wake.clone()),
             buffers: Buffers::default(),
--- a/orioleworks_gateway/tests/support/deployment.rs
+++ b/orioleworks_gateway/tests/support/deployment.rs
@@ -102,6 +102,8 @@
     store_memory_mb: usize,
     /// More sections in the settings of stores and of gateways, each followed by a comma.
     more_settings: (String, String),
+    /// Section `limits` in the settings of the gateways.
+    pub gateway_limits: &'static str,
     /// Proxies in front of the stores' inner protocol; empty without proxies.
     pub store_proxies: Vec<Proxy>,
     /// Paths from each gateway to the upstreams; empty if the gateways connect to them directly.
@@ -180,6 +182,7 @@
             relay_port: free_port(),
             store_memory_mb,
             more_settings,
+            gateway_limits: "{}",
             store_proxies: Vec::new(),
             paths: Vec::new(),
         };
@@ -224,6 +227,11 @@
         format!("{}:{}", loopback_ip(2, i), self.callers_port)
     }
 
+    /// Address at which a gateway takes requests of other gateways.
+    pub fn relay_address(&self, i: usize) -> String {
+        format!("{}:{}", loopback_ip(2, i), self.relay_port)
+    }
+
     pub fn readiness_address(&self, i: usize) -> String {
         format!("{}:{}", loopback_ip(2, i), self.readiness_port)
     }
@@ -268,7 +276,7 @@
             r#"{{ "instance": {{ "name": "{name}", "failure_domain": "zone-a" }},
                  "listen": {{ "callers": "{}", "readiness": "{}:{}", "relay": "{}:{}" }},
                  "revocation": {{ "strict": true, "bound_ms": {REVOCATION_BOUND_MS} }},
-                 {}
+                 {} "limits": {},
                  "stores": {{ "seeds": [{}], "inner_port": {} }} }}"#,
             self.gateway_address(i),
             loopback_ip(2, i),
@@ -276,6 +284,7 @@
             loopback_ip(2, i),
             self.relay_port,
             self.more_settings.1,
+            self.gateway_limits,
             seeds,
             self.inner_port,
         );
@@ -322,6 +331,14 @@
         responses.find(|a| a.status < 500).map_or(0, |a| a.status)
     }
 
+    /// Starts a gateway again with another section `limits` in its settings, and waits until it is ready.
+    pub fn restart_gateway_with(&mut self, i: usize, limits: &'static str) {
+        self.gateway_limits = limits;
+        self.gateways[i] = None;
+        self.start_gateway(i);
+        self.wait_until("a gateway is ready", || self.is_ready(i));
+    }
+
     /// Index of the store that leads.
     pub fn leader(&self) -> Option<usize> {
         let newest_term = |i: usize| {
