--- a/orioleworks_gateway/src/app.rs
+++ b/orioleworks_gateway/src/app.rs
@@ -19,7 +19,7 @@
 use crate::{
     callers, cli,
     config::Config,
-    path, relay, reports,
+    path, relay, reports, usage,
     view::{Stop, View},
     watch,
 };
@@ -74,6 +74,7 @@
     let view = View::new(cfg);
     runtime::spawn(watch::follow(view.clone(), token.clone())).detach();
     runtime::spawn(reports::run(view.clone(), token.clone())).detach();
+    runtime::spawn(usage::run(view.clone(), token.clone())).detach();
     runtime::spawn(path::run(view.clone(), token.clone())).detach();
     if let Some(listener) = relay_listener {
         runtime::spawn(relay::serve(view.clone(), listener)).detach();
@@ -97,14 +98,23 @@
     let limits = http::Limits { head_timeout: HEAD_TIMEOUT, ..http::Limits::default() };
     let readiness_shutdown = Shutdown::default();
     runtime::spawn(http::serve(readiness_listener, limits, readiness_shutdown, readiness)).detach();
+    let callers_limits = http::Limits { connections: view.cfg.limits.connections(), ..limits };
     let callers_view = view.clone();
     let handler = move |req| callers::handle(callers_view.clone(), req);
     let callers_shutdown = Shutdown { answer: signals.answer.clone(), ..Shutdown::default() };
-    let serving = http::serve(callers_listener, limits, callers_shutdown.clone(), handler);
+    let budget = view.memory.clone();
+    let serving = http::serve_within(
+        callers_listener,
+        callers_limits,
+        budget,
+        callers_shutdown.clone(),
+        handler,
+    );
     let mut serving = std::pin::pin!(serving.fuse());
     let mut draining = std::pin::pin!(drain(&view, &signals, &callers_shutdown).fuse());
     select! { () = serving => (), () = draining => () }
     token.cancel();
+    usage::finish(&view).await;
     event!(info, "gateway_stopped");
     exit::OK
 }
--- a/orioleworks_gateway/src/carrier.rs
+++ b/orioleworks_gateway/src/carrier.rs
@@ -70,6 +70,8 @@
     pub attempt: Option<&'a str>,
     /// Time at which the attempt ends.
     pub deadline: Instant,
+    /// Called just before the request is written to a connection; again if it was certainly not sent on the one before.
+    pub on_send: &'a dyn Fn(),
 }
 
 impl std::fmt::Debug for Outbound<'_> {
@@ -143,6 +145,7 @@
         let remaining = self.remaining();
         let req = build(remaining).map_err(|e| SendError::NotSent(e.to_string()))?;
         let sent_at = clock::since_boot();
+        (self.on_send)();
         let mut sending = Box::pin(view.pool.send_on(connection, key, req, remaining).fuse());
         let mut quiet = std::pin::pin!(compio::time::sleep(SILENCE_TIME).fuse());
         let result = select! { result = sending => Some(result), () = quiet => None };
@@ -156,7 +159,9 @@
             }
         };
         match &result {
-            Ok(_) | Err(SendError::Unmatched(_)) => view.path.record_response(),
+            Ok(_) | Err(SendError::Unmatched(_) | SendError::Invalid(_)) => {
+                view.path.record_response();
+            }
             Err(SendError::Broken(_)) if !view.path.heard_since(sent_at) => {
                 path::record_silence(view, key);
             }
@@ -217,6 +222,7 @@
                 }
             }
         };
+        (self.on_send)();
         let sent = view.helper_pool.send_on(connection, &helper_key, req, self.remaining()).await;
         let exchange = match sent {
             Ok(exchange) => exchange,
@@ -253,8 +259,11 @@
                 if matches!(e, SendError::NotSent(_) | SendError::Refused(_)) {
                     path::excuse(view, key);
                 }
-                let confirmed = !matches!(e, SendError::Invalid(_));
-                (Some(Err(Failure { error: e, confirmed })), "failed")
+                (Some(Err(Failure { error: e, confirmed: true })), "failed")
+            }
+            Answer::Unknown(e) => {
+                exchange.discard();
+                (Some(Err(Failure { error: e, confirmed: false })), "failed")
             }
         }
     }
--- a/orioleworks_gateway/src/relay.rs
+++ b/orioleworks_gateway/src/relay.rs
@@ -53,6 +53,7 @@
 const REFUSED: &str = "refused";
 const SILENT: &str = "silent";
 const BROKEN: &str = "broken";
+const INVALID: &str = "invalid";
 const UNKNOWN: &str = "unknown";
 
 /// Answer of a gateway that was asked to send a request.
@@ -66,6 +67,8 @@
     Leaving,
     /// There is no response, for a reason of the upstream.
     Failed(SendError),
+    /// The request may have run, and nothing is known of the upstream.
+    Unknown(SendError),
 }
 
 /// Marks a request for another gateway.
@@ -88,7 +91,8 @@
         REFUSED => Answer::Failed(SendError::Refused(why())),
         SILENT => Answer::Failed(SendError::Timeout),
         BROKEN => Answer::Failed(SendError::Broken("at another gateway".into())),
-        _ => Answer::Failed(SendError::Invalid(format!("answer {word:?} of another gateway"))),
+        INVALID => Answer::Failed(SendError::Invalid("at another gateway".into())),
+        _ => Answer::Unknown(SendError::Invalid(format!("answer {word:?} of another gateway"))),
     }
 }
 
@@ -136,11 +140,12 @@
         body_bytes: MAX_RELAYED_BYTES,
         ..server::Limits::default()
     };
+    let budget = view.memory.clone();
     let handler = move |req| {
         let view = view.clone();
         async move { handle(&view, req).await }
     };
-    server::serve(listener, limits, Shutdown::default(), handler).await;
+    server::serve_within(listener, limits, budget, Shutdown::default(), handler).await;
 }
 
 /// Answers with the attempt ID of the request, as an upstream does.
@@ -173,7 +178,7 @@
     }
     let (head, body) = req.into_parts();
     let limits = server::Limits { body_bytes: MAX_RELAYED_BYTES, ..server::Limits::default() };
-    let Ok(body) = server::read_body(body, &limits).await else {
+    let Ok(body) = server::read_body_within(body, &limits, &view.memory).await else {
         return without_response(UNAVAILABLE);
     };
     let mut headers = attempt::end_to_end_headers(&head.headers);
@@ -192,7 +197,9 @@
     };
     let deadline = Instant::now() + time;
     let attempt = caller::attempt_id(&headers);
-    let outbound = Outbound { view, upstream: &upstream, key: &key, attempt, deadline };
+    // The gateway that accepted the request counts it.
+    let on_send = &|| ();
+    let outbound = Outbound { view, upstream: &upstream, key: &key, attempt, deadline, on_send };
     let sent_at = clock::since_boot();
     let result = outbound.send_directly(CONNECT_PATIENCE, build).await;
     let own_fault = result.is_err() && path::verdict(view).await;
@@ -204,6 +211,8 @@
         Err(SendError::NotSent(_) | SendError::Refused(_)) => UNAVAILABLE,
         Err(SendError::Timeout) if !own_fault => SILENT,
         Err(SendError::Broken(_)) if !own_fault => BROKEN,
+        // The bytes came from the upstream, whatever the state of the path.
+        Err(SendError::Invalid(_)) => INVALID,
         Err(_) => UNKNOWN,
     };
     event!(debug, "sent_for_another", request = id, upstream = key.0, result = word);
--- a/orioleworks_gateway/tests/support/deployment.rs
+++ b/orioleworks_gateway/tests/support/deployment.rs
@@ -100,6 +100,10 @@
     relay_port: u16,
     /// Memory limit in the settings of the stores, in megabytes.
     store_memory_mb: usize,
+    /// More sections in the settings of stores and of gateways, each followed by a comma.
+    more_settings: (String, String),
+    /// Section `limits` in the settings of the gateways.
+    pub gateway_limits: &'static str,
     /// Proxies in front of the stores' inner protocol; empty without proxies.
     pub store_proxies: Vec<Proxy>,
     /// Paths from each gateway to the upstreams; empty if the gateways connect to them directly.
@@ -131,12 +135,31 @@
         proxied: bool,
         store_memory_mb: usize,
     ) -> Self {
-        Self::start_all(stores, gateways, document, proxied, store_memory_mb, false)
+        Self::start_all(
+            stores,
+            gateways,
+            document,
+            proxied,
+            store_memory_mb,
+            false,
+            Default::default(),
+        )
+    }
+
+    /// Like [`Self::start`], with more sections in the settings of stores and of gateways, each followed by a comma.
+    pub fn start_with_settings(
+        stores: usize,
+        gateways: usize,
+        document: &str,
+        (of_stores, of_gateways): (String, String),
+    ) -> Self {
+        let more_settings = (of_stores, of_gateways);
+        Self::start_all(stores, gateways, document, false, 140, false, more_settings)
     }
 
     /// Like [`Self::start`]; each gateway has paths of its own to the upstreams, which can be cut.
     pub fn start_with_paths(stores: usize, gateways: usize, document: &str) -> Self {
-        Self::start_all(stores, gateways, document, false, 140, true)
+        Self::start_all(stores, gateways, document, false, 140, true, Default::default())
     }
 
     fn start_all(
@@ -146,6 +169,7 @@
         proxied: bool,
         store_memory_mb: usize,
         separate_paths: bool,
+        more_settings: (String, String),
     ) -> Self {
         let mut deployment = Self {
             dir: tempfile::tempdir().unwrap(),
@@ -157,6 +181,8 @@
             readiness_port: free_port(),
             relay_port: free_port(),
             store_memory_mb,
+            more_settings,
+            gateway_limits: "{}",
             store_proxies: Vec::new(),
             paths: Vec::new(),
         };
@@ -201,6 +227,11 @@
         format!("{}:{}", loopback_ip(2, i), self.callers_port)
     }
 
+    /// Address at which a gateway takes requests of other gateways.
+    pub fn relay_address(&self, i: usize) -> String {
+        format!("{}:{}", loopback_ip(2, i), self.relay_port)
+    }
+
     pub fn readiness_address(&self, i: usize) -> String {
         format!("{}:{}", loopback_ip(2, i), self.readiness_port)
     }
@@ -224,12 +255,14 @@
                  "listen": {{ "control": "{}", "inner_port": {}, "inner_bind": "{}" }},
                  "cluster": {{ "seeds": [{}], "bootstrap": {bootstrap}, "tolerated_losses": 1 }},
                  "orders": {{ "lease_ms": 300 }},
+                 {}
                  "limits": {{ "memory_mb": {} }},
                  "data": {{ "directory": "{}" }} }}"#,
             self.control_address(i),
             self.inner_port,
             self.inner_address(role, i),
             self.seeds(),
+            self.more_settings.0,
             self.store_memory_mb,
             self.dir.path().join(&name).display(),
         );
@@ -243,12 +276,15 @@
             r#"{{ "instance": {{ "name": "{name}", "failure_domain": "zone-a" }},
                  "listen": {{ "callers": "{}", "readiness": "{}:{}", "relay": "{}:{}" }},
                  "revocation": {{ "strict": true, "bound_ms": {REVOCATION_BOUND_MS} }},
+                 {} "limits": {},
                  "stores": {{ "seeds": [{}], "inner_port": {} }} }}"#,
             self.gateway_address(i),
             loopback_ip(2, i),
             self.readiness_port,
             loopback_ip(2, i),
             self.relay_port,
+            self.more_settings.1,
+            self.gateway_limits,
             seeds,
             self.inner_port,
         );
@@ -295,6 +331,14 @@
         responses.find(|a| a.status < 500).map_or(0, |a| a.status)
     }
 
+    /// Starts a gateway again with another section `limits` in its settings, and waits until it is ready.
+    pub fn restart_gateway_with(&mut self, i: usize, limits: &'static str) {
+        self.gateway_limits = limits;
+        self.gateways[i] = None;
+        self.start_gateway(i);
+        self.wait_until("a gateway is ready", || self.is_ready(i));
+    }
+
     /// Index of the store that leads.
     pub fn leader(&self) -> Option<usize> {
         let newest_term = |i: usize| {
