Orders: rarer checks of engines while hundreds of them load

At 2,400 engines up to 540 load at a time, and a check of each every 200 ms, on a connection of its own, kept the leader from sending heartbeats in time.

--- a/orioleworks_store/src/engines.rs
+++ b/orioleworks_store/src/engines.rs
@@ -146,6 +146,11 @@
         self.records.get(key).and_then(|record| record.loading.as_ref())
     }
 
+    /// Number of engines that load.
+    pub fn loading_count(&self) -> usize {
+        self.records.values().filter(|record| record.loading.is_some()).count()
+    }
+
     /// Expected time of an engine for one event in milliseconds.
     pub fn event_ms(&self, key: &Key, now: Duration) -> f64 {
         let time = self.records.get(key).map_or(EventTime::default(), |r| r.event_time);
--- a/orioleworks_store/src/orders.rs
+++ b/orioleworks_store/src/orders.rs
@@ -45,8 +45,11 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Time from an order to the first check of the engine; a load takes about this long.
 const FIRST_CHECK_DELAY: Duration = Duration::from_millis(950);
-/// Time between two checks of an engine that loads.
+/// Shortest time between two checks of an engine that loads.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two checks, for each load in progress: each check takes a connection, and hundreds of engines may load at the
+/// same time. Engines also tell their versions in announcements.
+const CHECK_INTERVAL_PER_LOAD: Duration = Duration::from_millis(4);
 /// Time after which an order no longer counts as a load that runs: twice what a load takes. An order without a response may
 /// take effect seconds later, or never.
 const OVERDUE_TIME: Duration = Duration::from_secs(2);
@@ -317,7 +320,9 @@
                     Err(e) => return Err(e),
                 }
             }
-            time::sleep(CHECK_INTERVAL).await;
+            let loads = self.inner.shared.engines.borrow().loading_count();
+            let per_load = CHECK_INTERVAL_PER_LOAD * u32::try_from(loads).unwrap_or(u32::MAX);
+            time::sleep(CHECK_INTERVAL.max(per_load)).await;
         }
         Err(LoadError::Timeout)
     }
