Fixes of the review: watchers, cold learners, permits in a pass, keys without a lease

- Replies to stores have all renewals within seconds, also with more than 256.
- A gateway without a leader gets all pages of a store, and is told of silence that is older than the last search; a silent upstream is stale at once.
- Learners that will not vote soon get a heartbeat each 200 ms: with 400 ms they did not count as live, and the set of warm learners changed all the time.
- An engine without a permit is left out for the rest of a pass.

--- a/orioleworks_fleet/src/watch.rs
+++ b/orioleworks_fleet/src/watch.rs
@@ -131,7 +131,16 @@
     }
 }
 
-/// Sends one watch request and merges the reply into `knowledge`. The flag tells whether that changed anything.
+/// What a reply changed.
+#[derive(Clone, Copy, Debug)]
+pub struct Merged {
+    /// Whether anything that affects routing changed.
+    pub changed: bool,
+    /// Whether the reply had upstreams, so that more may follow.
+    pub had_upstreams: bool,
+}
+
+/// Sends one watch request and merges the reply into `knowledge`.
 ///
 /// # Errors
 ///
@@ -141,7 +150,7 @@
     position: &mut Position,
     state: WatcherState,
     knowledge: &Knowledge,
-) -> Result<(inner::FleetReply, bool), RpcError> {
+) -> Result<(inner::FleetReply, Merged), RpcError> {
     // A store replies at once to a watcher that knows nothing of its process.
     let max_wait = if position.boot == 0 { Duration::ZERO } else { MAX_WAIT };
     let watch = inner::FleetWatch {
@@ -185,19 +194,20 @@
         let served = convert::from_served_message(message, now);
         knowledge.fleet.borrow_mut().note_served(served);
     }
+    let had_upstreams = !reply.upstreams.is_empty();
     for message in std::mem::take(&mut reply.upstreams) {
         let (up, last_seen) = convert::from_message(message, now);
         let (id, incarnation) = (up.id.clone(), up.incarnation);
         let outcome = knowledge.fleet.borrow_mut().announce(last_seen, up, false);
         changed |= outcome == AnnounceOutcome::Changed;
         if reply.tells_silence {
-            knowledge.fleet.borrow_mut().set_vouched(&id, incarnation, true);
+            knowledge.fleet.borrow_mut().set_vouched(&id, incarnation);
         }
     }
     if reply.tells_silence {
         let mut fleet = knowledge.fleet.borrow_mut();
         for silent in std::mem::take(&mut reply.silent) {
-            fleet.set_vouched(&silent.upstream, silent.incarnation, false);
+            fleet.end_vouching(&silent.upstream, silent.incarnation, asked_at);
         }
         fleet.vouch(asked_at);
     }
@@ -217,5 +227,5 @@
             gateways.note_helper(helper);
         }
     }
-    Ok((reply, changed))
+    Ok((reply, Merged { changed, had_upstreams }))
 }
--- a/orioleworks_gateway/src/callers.rs
+++ b/orioleworks_gateway/src/callers.rs
@@ -164,7 +164,7 @@
             let code = ResultCode::BodyMemoryShort;
             Refusal::new(code, "", retry_of(code))
         })?;
-        return batches::submit(view, &table, &route, &host, context, &body).await;
+        return batches::submit(view, &newest, &route, &host, context, &body).await;
     }
     forward::forward(view, &route, Content::new(host, head, body), context).await
 }
--- a/orioleworks_gateway/src/keys.rs
+++ b/orioleworks_gateway/src/keys.rs
@@ -69,9 +69,11 @@
         let Some(tenants) = &table.tenants else { return Ok(None) };
         match caller::key(headers).and_then(|key| tenants.find(key)) {
             Some(tenant) if self.allows(table.version) => Ok(Some(tenant.clone())),
-            _ if !needs_key => Ok(None),
+            // Served without its tenant, it would be another caller's request, or a batch that is open to all.
+            Some(_) => Err(Denial::Unconfirmed),
+            None if !needs_key => Ok(None),
             None if is_current => Err(Denial::Unknown),
-            Some(_) | None => Err(Denial::Unconfirmed),
+            None => Err(Denial::Unconfirmed),
         }
     }
 
--- a/orioleworks_gateway/src/watch.rs
+++ b/orioleworks_gateway/src/watch.rs
@@ -54,9 +54,11 @@
         };
         let (client, asked_at) = (view.stores.client(address), Instant::now());
         let asked_since_boot = clock::since_boot();
+        let mut has_more = false;
         let current = match watch::poll(&client, &mut position, state, &view.knowledge).await {
-            Ok((reply, changed)) => {
-                if changed {
+            Ok((reply, merged)) => {
+                has_more = merged.had_upstreams;
+                if merged.changed {
                     view.pool.close_expired();
                 }
                 // A learner or a retired store does not hear of what the others are told.
@@ -97,6 +99,11 @@
                     event!(warn, "store_lost", peer = address, reason = reason);
                     lost_since = Some(Instant::now());
                 }
+                // Without a leader each store still tells what it knows, in several replies.
+                if has_more {
+                    time::sleep(RETRY_INTERVAL.saturating_sub(asked_at.elapsed())).await;
+                    continue;
+                }
                 store_index += 1;
                 position = Position::default();
                 failures += 1;
--- a/orioleworks_log/src/files.rs
+++ b/orioleworks_log/src/files.rs
@@ -3,11 +3,12 @@
 use std::{
     fs::{self, File, OpenOptions},
     io::{self, BufReader, BufWriter, Read, Write},
-    os::unix::fs::OpenOptionsExt,
+    os::unix::fs::{OpenOptionsExt, PermissionsExt},
     path::{Path, PathBuf},
 };
 
 use bytes::Bytes;
+use orioleworks_daemon::event;
 use orioleworks_proto::inner;
 use orioleworks_rules::log::VoteRecord;
 use prost::Message;
@@ -80,6 +81,18 @@
     options.open(path).map_err(|e| LogError::io(path, "creation", &e))
 }
 
+/// Restricts a file that an earlier version has created for all to read. A file system without modes is no reason to stop.
+pub(crate) fn make_private(file: &File, path: &Path) {
+    let is_open =
+        |metadata: &fs::Metadata| metadata.permissions().mode() & !PRIVATE_MODE & 0o777 != 0;
+    if !file.metadata().is_ok_and(|metadata| is_open(&metadata)) {
+        return;
+    }
+    if let Err(e) = file.set_permissions(fs::Permissions::from_mode(PRIVATE_MODE)) {
+        event!(warn, "mode_not_changed", file = path.display(), reason = e);
+    }
+}
+
 /// Writes and syncs a temporary file; [`commit_replacement`] renames it to its final name.
 pub(crate) fn write_replacement(path: &Path, bytes: &[u8]) -> Result<(), LogError> {
     let tmp = path.with_extension("tmp");
--- a/orioleworks_log/src/journal.rs
+++ b/orioleworks_log/src/journal.rs
@@ -118,6 +118,7 @@
             .write(true)
             .open(&path)
             .map_err(|e| LogError::io(&path, "open", &e))?;
+        files::make_private(&file, &path);
         let mark_path = directory.join(SYNCED_FILE);
         let mark_file = OpenOptions::new()
             .create(true)
--- a/orioleworks_log/src/replication.rs
+++ b/orioleworks_log/src/replication.rs
@@ -18,6 +18,9 @@
 const MAX_BATCH_BYTES: usize = 256 * 1024;
 /// Size of a snapshot part in one message, in bytes.
 const SNAPSHOT_PART_BYTES: u64 = 256 * 1024;
+/// Heartbeat intervals between two heartbeats to a learner that will not vote soon; fewer than those for which it counts as
+/// live.
+const COLD_HEARTBEAT_FACTOR: u32 = 2;
 /// Consecutive heartbeats without a reply after which the connection is replaced.
 const MAX_UNANSWERED_HEARTBEATS: u32 = 5;
 
@@ -75,15 +78,12 @@
         }
     }
 
-    /// Multiple of the heartbeat interval for a member. A learner that will not vote soon hears of the leader within the
-    /// shortest election timeout all the same; a leader may have a hundred of them.
+    /// Multiple of the heartbeat interval for a member. A leader may have a hundred learners that will not vote soon.
     fn heartbeat_factor(&self, id: u64) -> u32 {
         let state = self.inner.state.borrow();
         let cold =
             state.member(id).is_some_and(|m| m.learner) && !state.warm_learners.contains(&id);
-        let settings = &self.inner.settings;
-        let factor = settings.election_min.as_millis() / settings.heartbeat.as_millis().max(1);
-        if cold { u32::try_from(factor).unwrap_or(1).max(1) } else { 1 }
+        if cold { COLD_HEARTBEAT_FACTOR } else { 1 }
     }
 
     async fn on_heartbeat_reply(
--- a/orioleworks_routing/src/fleet.rs
+++ b/orioleworks_routing/src/fleet.rs
@@ -190,8 +190,9 @@
     urgent: u64,
     /// Newest urgent change that matters to gateways.
     urgent_routing: u64,
-    /// Time of the last search for silent upstreams.
+    /// Time of the last search for silent upstreams, and the newest urgent change before it.
     searched_at: Duration,
+    searched_change: u64,
 }
 
 impl Fleet {
@@ -354,10 +355,12 @@
 
     /// Finds upstreams that have fallen silent, so that watchers without renewals can be told.
     pub fn find_silent(&mut self, now: Duration) {
-        if now.saturating_sub(self.searched_at) < SILENCE_SEARCH_INTERVAL {
+        let recent = now.saturating_sub(self.searched_at) < SILENCE_SEARCH_INTERVAL;
+        // What was learnt since then may be old already.
+        if recent && self.urgent_routing <= self.searched_change {
             return;
         }
-        self.searched_at = now;
+        (self.searched_at, self.searched_change) = (now, self.urgent_routing);
         for known in self.known.values_mut() {
             if known.silent.is_none() && !known.is_fresh(now) {
                 self.changes += 1;
@@ -417,12 +420,20 @@
         self.known.values_mut().for_each(|known| known.vouched = false);
     }
 
-    /// Records whether the followed store vouches for an incarnation.
-    pub fn set_vouched(&mut self, id: &str, incarnation: u64, vouched: bool) {
-        if let Some(known) = self.known.get_mut(id)
-            && known.upstream.incarnation == incarnation
-        {
-            known.vouched = vouched;
+    /// Records that the followed store vouches for an incarnation.
+    pub fn set_vouched(&mut self, id: &str, incarnation: u64) {
+        let known = self.known.get_mut(id).filter(|k| k.upstream.incarnation == incarnation);
+        if let Some(known) = known {
+            known.vouched = true;
+        }
+    }
+
+    /// Records that the followed store has told of the silence of an incarnation, which is stale from then on.
+    pub fn end_vouching(&mut self, id: &str, incarnation: u64, asked_at: Duration) {
+        let known = self.known.get_mut(id).filter(|k| k.upstream.incarnation == incarnation);
+        if let Some(known) = known {
+            known.vouched = false;
+            known.vouched_at = known.vouched_at.min(asked_at.saturating_sub(STALE_AFTER));
         }
     }
 
--- a/orioleworks_routing/tests/fleet.rs
+++ b/orioleworks_routing/tests/fleet.rs
@@ -195,7 +195,7 @@
         fleet.announce(at(0), upstream("a", 1, 1), true);
     }
     let mut cursor = store.cursor();
-    gateway.set_vouched("a", 1, true);
+    gateway.set_vouched("a", 1);
     for round in 1..10 {
         store.announce(at(round), upstream("a", 1, 1 + round), true);
         store.find_silent(at(round));
@@ -206,7 +206,7 @@
     store.find_silent(at(14));
     assert_eq!(store.silent_since(cursor).count(), 1);
     cursor = store.cursor();
-    gateway.set_vouched("a", 1, false);
+    gateway.end_vouching("a", 1, at(14));
     gateway.vouch(at(14));
     assert!(!gateway.get("a").unwrap().is_fresh(at(14)));
     store.find_silent(at(15));
--- a/orioleworks_store/src/dispatch.rs
+++ b/orioleworks_store/src/dispatch.rs
@@ -380,6 +380,7 @@
                 Some(upstream) => {
                     let priority = waiting.batch.priority;
                     if !self.takes_permit(&key_of(&upstream), priority) {
+                        pass.exclude(&key_of(&upstream));
                         continue;
                     }
                     pass.add_started(&key_of(&upstream), &waiting.item.group, own_usage);
--- a/orioleworks_store/src/dispatch/pass.rs
+++ b/orioleworks_store/src/dispatch/pass.rs
@@ -149,12 +149,15 @@
         }
         let Candidates { engines, memory_tokens } = &self.candidates[&kind];
         let software = wanted.software.as_ref().filter(|software| self.goes_on(wanted, software));
+        let is_allowed = |c: &&Candidate| {
+            wanted.excluded.is_empty() || !wanted.excluded.contains(&key_of(&c.upstream))
+        };
+        let any_fresh = engines.iter().filter(is_allowed).any(|c| c.fresh);
         let fits = |c: &&Candidate| {
-            software.is_none_or(|software| c.upstream.software == *software)
-                && (wanted.excluded.is_empty() || !wanted.excluded.contains(&key_of(&c.upstream)))
+            is_allowed(c)
+                && (c.fresh || !any_fresh)
+                && software.is_none_or(|software| c.upstream.software == *software)
         };
-        let any_fresh = engines.iter().filter(fits).any(|c| c.fresh);
-        let fits = |c: &&Candidate| fits(c) && (c.fresh || !any_fresh);
         let any_fast = wanted.long && engines.iter().filter(fits).any(|c| !c.slow);
         let fits = |c: &&Candidate| fits(c) && !(any_fast && c.slow);
         let holders = self.holders.get(wanted.group);
@@ -174,6 +177,13 @@
         items::place(&loads).map(|at| left[at].upstream.clone())
     }
 
+    /// Leaves out an engine that takes no more requests now.
+    pub fn exclude(&mut self, engine: &Key) {
+        for candidates in self.candidates.values_mut() {
+            candidates.engines.retain(|c| key_of(&c.upstream) != *engine);
+        }
+    }
+
     /// Whether a serving engine can go on with what a software version began.
     fn goes_on(&self, wanted: &Wanted<'_>, software: &Rc<str>) -> bool {
         let batch = wanted.batch;
--- a/orioleworks_store/src/peers.rs
+++ b/orioleworks_store/src/peers.rs
@@ -74,7 +74,7 @@
             ..WatcherState::default()
         };
         match watch::poll(&client, &mut position, state, knowledge).await {
-            Ok((reply, changed)) => {
+            Ok((reply, merged)) => {
                 if reply.complete_history {
                     note_history(log, address, knowledge, told);
                 }
@@ -82,7 +82,7 @@
                     event!(info, "store_regained", peer = address);
                 }
                 reached = true;
-                if changed {
+                if merged.changed {
                     wake.notify();
                 }
             }
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -641,7 +641,11 @@
                 let fleet = self.shared.knowledge.fleet.borrow();
                 match watch.accepts_silence {
                     true => fleet.urgent_routing_since(known),
-                    false => fleet.urgent_since(known),
+                    // More renewals than fit into a reply would wait for the end of each watch, and some for ever.
+                    false => {
+                        let waiting = fleet.cursor().saturating_sub(known);
+                        fleet.urgent_since(known) || waiting > MAX_UPSTREAMS as u64
+                    }
                 }
             };
             if fleet_changed {
