Usage: quick repeats of failed parts; windows close at 0.6 of the delay

A failed part is sent again after 150 ms instead of 1 s, and the next one at once after it is acknowledged. Windows are closed after 0.6 x usage_delay_s. A new leader closes nothing for 0.4 x usage_delay_s, at most 2.5 s.

--- a/orioleworks_gateway/src/usage.rs
+++ b/orioleworks_gateway/src/usage.rs
@@ -5,6 +5,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    mem,
     rc::{Rc, Weak},
     time::Duration,
 };
@@ -23,6 +24,9 @@
 
 /// Time between two parts. The crash of a gateway loses at most the counts of this time.
 const SEND_INTERVAL: Duration = Duration::from_millis(1000);
+/// Time after a failed part until it is sent again. A lost store gives no reset, so that a part may have waited
+/// [`REPLY_TIMEOUT`] already, and its window is closed a few seconds after its end.
+const RETRY_INTERVAL: Duration = Duration::from_millis(150);
 /// Time between two parts during a shutdown.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest wait for a store, which collects parts for 0.3 s and commits them.
@@ -121,10 +125,11 @@
         metrics::gauge!("orioleworks_usage_unacknowledged").set(counter.unacknowledged() as f64);
     }
 
-    /// Sends the next part, if there is one; false if it is not acknowledged.
+    /// Sends the next part, if there is one; false if it is not acknowledged, or if no store is followed.
     async fn send_part(&self, view: &View, timeout: Duration) -> bool {
         let part = self.counter.borrow_mut().next_part();
-        let (Some(part), Some(address)) = (part, view.followed_store()) else { return true };
+        let Some(part) = part else { return true };
+        let Some(address) = view.followed_store() else { return false };
         let sequence = part.sequence;
         let report = inner::ReportUsage { part: Some(self.message(view, part)) };
         let reply = view.stores.client(&address).call(Body::ReportUsage(report), timeout).await;
@@ -139,7 +144,7 @@
         let failing = failure.is_some();
         match failure {
             None => self.counter.borrow_mut().acknowledge(sequence),
-            // The part is sent again every second, and only the first failure is news.
+            // The part is sent again soon, and only the first failure is news.
             Some(reason) if !self.failing.get() => event!(
                 warn,
                 "usage_not_delivered",
@@ -171,10 +176,19 @@
 /// Sends the counts to the store that the gateway follows, until the token is cancelled.
 pub async fn run(view: View, token: CancellationToken) {
     let Some(usage) = view.usage.inner.clone() else { return };
+    let mut wait = SEND_INTERVAL;
+    let mut delivered = true;
     while !token.is_cancelled() {
-        time::sleep(if view.is_draining() { DRAIN_INTERVAL } else { SEND_INTERVAL }).await;
+        time::sleep(if view.is_draining() { wait.min(DRAIN_INTERVAL) } else { wait }).await;
         usage.update();
-        usage.send_part(&view, REPLY_TIMEOUT).await;
+        let delivered_before =
+            mem::replace(&mut delivered, usage.send_part(&view, REPLY_TIMEOUT).await);
+        wait = match (delivered_before, delivered) {
+            (_, false) => RETRY_INTERVAL,
+            // Counts have gathered behind the part that failed, and their windows may be closed soon.
+            (false, true) => Duration::ZERO,
+            (true, true) => SEND_INTERVAL,
+        };
     }
 }
 
--- a/orioleworks_gateway/tests/usage.rs
+++ b/orioleworks_gateway/tests/usage.rs
@@ -170,7 +170,7 @@
     };
     let expected: BTreeMap<String, u64> = ids.iter().map(count).collect();
     assert!(expected.values().all(|count| *count > 50), "{expected:?}");
-    // The last windows are closed 3.2 s after their end.
+    // The last windows are closed 4.8 s after their end.
     let deadline = Instant::now() + Duration::from_secs(15);
     while recorder.totals() != expected && Instant::now() < deadline {
         thread::sleep(Duration::from_millis(100));
--- a/orioleworks_store/src/config.rs
+++ b/orioleworks_store/src/config.rs
@@ -125,14 +125,27 @@
 impl Duties {
     /// When windows of usage are closed.
     pub fn schedule(&self) -> Schedule {
-        /// Share of the delay of a report after which its window is closed, in percent. Gateways need about 2 s to deliver
-        /// counts, and the rest is for a change of leader.
-        const CLOSE_PERCENT: u64 = 40;
+        /// Share of the delay of a report after which its window is closed, in percent. With a delay of 10 s, this is 6 s: the
+        /// loss of the followed store delays counts by up to 4.7 s. A report itself takes well under a second, and an
+        /// election about 2 s, so that the rest is enough for them.
+        const CLOSE_PERCENT: u64 = 60;
         Schedule {
             window_ms: u64::from(self.report_window_s) * 1000,
             close_after_ms: u64::from(self.usage_delay_s) * 10 * CLOSE_PERCENT,
         }
     }
+
+    /// Time for which a new leader closes no window. During a long election gateways keep their counts, and they deliver them
+    /// once there is a leader.
+    pub fn new_leader_wait(&self) -> Duration {
+        /// Share of the delay of a report, in percent.
+        const WAIT_PERCENT: u64 = 40;
+        /// Longest wait. A part that is in flight at the election fails within 1.5 s, and is sent again after 0.15 s; its
+        /// commit and that of the next part take less than 0.5 s each. A longer wait would make
+        /// the report of a window late that was due to be closed during the election.
+        const LONGEST_WAIT: Duration = Duration::from_millis(2500);
+        Duration::from_millis(u64::from(self.usage_delay_s) * 10 * WAIT_PERCENT).min(LONGEST_WAIT)
+    }
 }
 
 /// What the process may use.
@@ -225,7 +238,7 @@
                 "calls a second",
             );
             problems.range("duties.report_window_s", duties.report_window_s, 1..=300, "s");
-            // Counts of slow requests arrive about 2 s after the end of a window, which is 0.4 of this.
+            // Counts of slow requests arrive about 2 s after the end of a window, which is closed after 0.6 of this.
             problems.range("duties.usage_delay_s", duties.usage_delay_s, 5..=300, "s");
         }
         let descriptors = self.limits.file_descriptors;
--- a/orioleworks_store/src/usage.rs
+++ b/orioleworks_store/src/usage.rs
@@ -195,7 +195,7 @@
     /// Closes the next window that is due; false if there is none. A new leader waits first, because gateways have to deliver
     /// what they kept during the election.
     async fn close_due(&self) -> bool {
-        let wait = Duration::from_millis(self.schedule.close_after_ms);
+        let wait = self.duties.new_leader_wait();
         if self.shared.log.leading_for().is_none_or(|time| time < wait)
             || self.shared.table.borrow().tenants.is_none() && self.windows_begun() == 0
         {
