Usage: processes that send parts are not forgotten; dropped counts are logged

The sequences of processes were evicted in the order in which they began, so that a gateway that runs for long lost its own and a part that it sent again counted twice. An entry now moves to the end with each part. Acknowledged counts of windows that are dropped because more than 600 are kept are returned to the state, which logs them (usage_dropped).

The tests of close() compare its number of dropped requests instead of a flag, and one is added for the eviction.

--- a/orioleworks_routing/src/usage.rs
+++ b/orioleworks_routing/src/usage.rs
@@ -160,6 +160,15 @@
     }
 }
 
+/// What became of a part.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Recorded {
+    /// Counts of closed windows, which are left out.
+    pub late: Vec<(u64, Rc<str>, u64)>,
+    /// Number of requests of windows that were dropped because there were too many.
+    pub dropped: u64,
+}
+
 /// Replicated counts of all gateways.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Windows {
@@ -169,7 +178,7 @@
     pub open: BTreeMap<u64, Counts>,
     /// Counts of windows that are closed and not reported; they never change.
     pub closed: BTreeMap<u64, Counts>,
-    /// Sequence of the last part by gateway and boot.
+    /// Sequence of the last part by gateway and boot, in the order in which they sent parts last.
     pub last_parts: IndexMap<(Rc<str>, u64), u64>,
 }
 
@@ -182,53 +191,52 @@
         }
     }
 
-    /// Adds a part of a process of a gateway, unless it was added before. Returns the counts of closed windows, which are
-    /// left out.
+    /// Adds a part of a process of a gateway, unless it was added before.
     pub fn record(
         &mut self,
         gateway: &str,
         boot: u64,
         sequence: u64,
         counts: impl IntoIterator<Item = (u64, Rc<str>, u64)>,
-    ) -> Vec<(u64, Rc<str>, u64)> {
-        let last = self.last_parts.entry((gateway.into(), boot)).or_default();
-        if sequence <= *last {
-            return Vec::new();
-        }
-        *last = sequence;
+    ) -> Recorded {
+        let mut recorded = Recorded::default();
+        let process = (gateway.into(), boot);
+        let last = self.last_parts.shift_remove(&process).unwrap_or_default();
+        // The process that has been silent for longest is forgotten first, because a part of another one may be sent again.
+        self.last_parts.insert(process, last.max(sequence));
         if self.last_parts.len() > MAX_PROCESSES {
             self.last_parts.shift_remove_index(0);
         }
-        let mut late = Vec::new();
+        if sequence <= last {
+            return recorded;
+        }
         for (window, tenant, count) in counts {
             if window < self.next {
-                late.push((window, tenant, count));
+                recorded.late.push((window, tenant, count));
                 continue;
             }
             let counts = self.open.entry(window).or_default();
             let total = counts.entry(tenant).or_default();
             *total = total.saturating_add(count);
             if self.open.len() > MAX_WINDOWS {
-                self.open.pop_last();
+                recorded.dropped += total_requests(self.open.pop_last());
             }
         }
-        late
+        recorded
     }
 
-    /// Fixes the counts of a window. Windows between the last closed one and this one are dropped. Returns false for a window
-    /// that is closed already.
-    pub fn close(&mut self, window: u64) -> bool {
+    /// Fixes the counts of a window. Windows between the last closed one and this one are dropped. Returns the number of
+    /// requests of a closed window that was dropped because there were too many, or `None` for a window that is closed already.
+    pub fn close(&mut self, window: u64) -> Option<u64> {
         if window < self.next {
-            return false;
+            return None;
         }
         let later = self.open.split_off(&(window + 1));
         let counts = std::mem::replace(&mut self.open, later).remove(&window).unwrap_or_default();
         self.closed.insert(window, counts);
-        if self.closed.len() > MAX_WINDOWS {
-            self.closed.pop_first();
-        }
         self.next = window + 1;
-        true
+        let surplus = self.closed.len() > MAX_WINDOWS;
+        Some(total_requests(surplus.then(|| self.closed.pop_first()).flatten()))
     }
 
     /// Discards a window that was reported or is too old.
@@ -269,6 +277,10 @@
     }
 }
 
+fn total_requests(window: Option<(u64, Counts)>) -> u64 {
+    window.map_or(0, |(_, counts)| counts.values().fold(0, |sum, n| sum.saturating_add(*n)))
+}
+
 /// Pauses between the calls of one instance; times are since any fixed origin.
 #[derive(Clone, Debug)]
 pub struct Pacing {
--- a/orioleworks_routing/tests/usage.rs
+++ b/orioleworks_routing/tests/usage.rs
@@ -2,7 +2,9 @@
 
 use std::{rc::Rc, time::Duration};
 
-use orioleworks_routing::usage::{BACKLOG_MS, Counter, Pacing, RequestUsage, Schedule, Windows};
+use orioleworks_routing::usage::{
+    BACKLOG_MS, Counter, Pacing, Recorded, RequestUsage, Schedule, Windows,
+};
 use rstest::rstest;
 
 const WINDOW_MS: u64 = 5000;
@@ -75,18 +77,18 @@
     let mut windows = Windows::default();
     windows.begin(10);
     let record = |windows: &mut Windows, boot, sequence, window| {
-        windows.record("g", boot, sequence, [(window, alpha(), 2)]).len()
+        windows.record("g", boot, sequence, [(window, alpha(), 2)]).late.len()
     };
     assert_eq!(record(&mut windows, 1, 1, 10), 0);
     assert_eq!(record(&mut windows, 1, 1, 10), 0);
     assert_eq!(record(&mut windows, 2, 1, 10), 0, "another process");
-    assert!(windows.close(10));
+    assert_eq!(windows.close(10), Some(0));
     assert_eq!(windows.closed[&10][&alpha()], 4);
     assert_eq!(record(&mut windows, 2, 2, 10), 1, "late");
-    assert!(!windows.close(10));
+    assert_eq!(windows.close(10), None);
     assert_eq!(windows.closed[&10][&alpha()], 4);
     windows.discard(10);
-    assert!(!windows.close(10), "a reported window is not reported again");
+    assert_eq!(windows.close(10), None, "a reported window is not reported again");
     assert!(windows.closed.is_empty());
 }
 
@@ -101,7 +103,7 @@
     assert_eq!(windows.due_to_close(SCHEDULE, end + 6000), Some((1000, 0)));
     let now = end + 2 * WINDOW_MS + 6000;
     while let Some((window, 0)) = windows.due_to_close(SCHEDULE, now) {
-        assert!(windows.close(window));
+        assert_eq!(windows.close(window), Some(0));
     }
     for window in 1000..=1002 {
         let due = windows.due_to_report(SCHEDULE, now).unwrap();
@@ -122,12 +124,35 @@
 #[test]
 fn the_replicated_counts_are_bounded() {
     let mut windows = Windows::default();
+    let mut dropped = 0;
     for i in 0..10_000 {
-        windows.record("g", i + 1, 1, [(i, alpha(), 1)]);
+        dropped += windows.record("g", i + 1, 1, [(i, alpha(), 1)]).dropped;
     }
+    assert_eq!(dropped, 10_000 - windows.open.len() as u64, "every dropped count is told");
     assert!(windows.open.len() <= 600 && windows.last_parts.len() <= 4096);
-    assert_eq!(windows.record("g", 10_000, 1, [(1, alpha(), 1)]), []);
+    assert_eq!(windows.record("g", 10_000, 1, [(1, alpha(), 1)]), Recorded::default());
     assert_eq!(windows.open[&1][&alpha()], 1, "the newest processes are remembered");
+
+    let closed = (0..1000).filter_map(|window| windows.close(window)).sum::<u64>();
+    let kept = windows.closed.values().flat_map(|counts| counts.values()).sum::<u64>();
+    assert_eq!((closed, kept), (400, 200), "windows 0 to 599 had a request each");
+}
+
+/// Guards against a gateway whose last part is forgotten because others restart often, so that a part that it sends again
+/// counts twice.
+#[test]
+fn a_process_that_sends_parts_is_remembered() {
+    let mut windows = Windows::default();
+    windows.record("old", 1, 1, [(5, alpha(), 1)]);
+    for boot in 0..10_000 {
+        windows.record("restarting", boot, 1, []);
+        if boot % 4000 == 0 {
+            windows.record("old", 1, 2 + boot / 4000, [(5, alpha(), 1)]);
+        }
+    }
+    assert_eq!(windows.open[&5][&alpha()], 4);
+    windows.record("old", 1, 4, [(5, alpha(), 1)]);
+    assert_eq!(windows.open[&5][&alpha()], 4, "it was added before");
 }
 
 /// Guards against calls that cost more than they have to while the infrastructure does not respond.
--- a/orioleworks_store/src/state.rs
+++ b/orioleworks_store/src/state.rs
@@ -315,11 +315,10 @@
             }
             Some(Kind::RecordUsage(record)) => self.record_usage(record),
             Some(Kind::CloseUsageWindow(window)) => {
-                if self.windows.close(*window) {
+                self.windows.close(*window).map_or(ResultCode::Conflict, |dropped| {
+                    log_dropped_usage(dropped);
                     ResultCode::Ok
-                } else {
-                    ResultCode::Conflict
-                }
+                })
             }
             Some(Kind::UsageReported(window)) => {
                 self.windows.discard(*window);
@@ -454,8 +453,9 @@
     fn record_usage(&mut self, record: &inner::RecordUsage) -> ResultCode {
         for part in &record.parts {
             let counts = part.counts.iter().map(|c| (c.window, Rc::from(&*c.tenant), c.count));
-            let late = self.windows.record(&part.gateway, part.boot, part.sequence, counts);
-            for (window, tenant, requests) in late {
+            let recorded = self.windows.record(&part.gateway, part.boot, part.sequence, counts);
+            log_dropped_usage(recorded.dropped);
+            for (window, tenant, requests) in recorded.late {
                 event!(
                     warn,
                     "usage_late",
@@ -631,6 +631,13 @@
     }
 }
 
+/// Logs acknowledged counts that are never reported.
+fn log_dropped_usage(requests: u64) {
+    if requests > 0 {
+        event!(warn, "usage_dropped", requests = requests, reason = "too many windows are kept");
+    }
+}
+
 fn save_usage(windows: &Windows) -> inner::UsageState {
     fn saved(window: u64, counts: &Counts) -> impl Iterator<Item = inner::UsageCount> {
         let count = move |(tenant, count): (&Rc<str>, &u64)| inner::UsageCount {
