Usage: an accepted report is not sent again by the same store; pause between confirmations

If the record of a report that got 200 was not committed, the report was sent again, and each call has a cost. The store now remembers the window and only proposes its record again. A confirmation of leadership that took too long is tried again after 30 ms, because tries without a pause can fall into step with the heartbeats of the log. No test was added for either.

--- a/orioleworks_store/src/duty.rs
+++ b/orioleworks_store/src/duty.rs
@@ -5,12 +5,15 @@
 
 use std::{cell::Cell, time::Duration};
 
+use compio::time;
 use orioleworks_daemon::clock;
 use orioleworks_log::Log;
 use orioleworks_rules::duty as rules;
 
 /// Number of confirmations that are tried for one call.
 const MAX_CONFIRMATIONS: usize = 5;
+/// Pause before a confirmation is tried again, so that the tries do not fall into step with the heartbeats of the log.
+const RETRY_PAUSE: Duration = Duration::from_millis(30);
 
 /// A duty of the leader.
 #[derive(Debug)]
@@ -43,7 +46,10 @@
     /// Confirms with a quorum that this store still holds the duty in a term. The call must be sent without a wait after
     /// this, because a confirmation that took long, or was followed by a pause, says nothing of the time of the call.
     pub async fn confirm(&self, term: u64) -> bool {
-        for _ in 0..MAX_CONFIRMATIONS {
+        for attempt in 0..MAX_CONFIRMATIONS {
+            if attempt > 0 {
+                time::sleep(RETRY_PAUSE).await;
+            }
             let started = clock::since_boot();
             let confirmed = self.log.confirm_leadership().await.is_ok();
             if !confirmed || self.term() != Some(term) {
--- a/orioleworks_store/src/usage.rs
+++ b/orioleworks_store/src/usage.rs
@@ -129,6 +129,8 @@
     pool: Pool,
     /// Term in which this store holds the duty; 0 without it.
     held_term: Cell<u64>,
+    /// Window whose report was accepted, and which may not be recorded as reported yet.
+    accepted: Cell<Option<u64>>,
 }
 
 impl Reporter {
@@ -149,6 +151,7 @@
             duties,
             pool: Pool::without_late_requests(),
             held_term: Cell::new(0),
+            accepted: Cell::new(None),
         })
     }
 
@@ -232,6 +235,13 @@
 
     /// Reports the oldest closed window; false if there was nothing to do.
     async fn report_due(&self, term: u64) -> bool {
+        if let Some(window) = self.accepted.get() {
+            if self.shared.state.borrow().windows().closed.contains_key(&window) {
+                // Only the record of the report is missing; another call would cost as much as the first.
+                return self.commit(Kind::UsageReported(window)).await;
+            }
+            self.accepted.set(None);
+        }
         if !self.pacing.borrow().wait(clock::since_boot()).is_zero() {
             return false;
         }
@@ -263,7 +273,8 @@
                 self.pacing.borrow_mut().record_success(now);
                 count_report("accepted");
                 event!(info, "usage_reported", window = window, term = term);
-                // A report that is not recorded is sent again, with the same bytes.
+                // If this fails, it is proposed again. Another holder would send the report again, with the same bytes.
+                self.accepted.set(Some(window));
                 return self.commit(Kind::UsageReported(window)).await;
             }
             Ok(CallOutcome::Fenced) => {
