Usage: windows close at half of the delay, first pause 0.25 s

An API that is silent for 4 s from the close of a window on must get its report within the delay of 10 s: calls with a timeout of 1 s then begin at 5, 6.25, 7.75 and 9.75 s.

--- a/orioleworks_routing/src/usage.rs
+++ b/orioleworks_routing/src/usage.rs
@@ -21,7 +21,7 @@
 /// Processes of gateways whose last part is remembered; those of ten restarts of the largest deployment.
 const MAX_PROCESSES: usize = 4096;
 /// First pause after a call without a valid response.
-const FIRST_PAUSE: Duration = Duration::from_millis(500);
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause after a call without a valid response.
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 
--- a/orioleworks_store/src/config.rs
+++ b/orioleworks_store/src/config.rs
@@ -125,10 +125,9 @@
 impl Duties {
     /// When windows of usage are closed.
     pub fn schedule(&self) -> Schedule {
-        /// Share of the delay of a report after which its window is closed, in percent. With a delay of 10 s, this is 6 s: the
-        /// loss of the followed store delays counts by up to 4.7 s. A report itself takes well under a second, and an
-        /// election about 2 s, so that the rest is enough for them.
-        const CLOSE_PERCENT: u64 = 60;
+        /// Share of the delay of a report after which its window is closed, in percent. With a delay of 10 s, this is 5 s: the
+        /// loss of the followed store delays counts by some seconds, and the rest must cover an API that is silent for 4 s.
+        const CLOSE_PERCENT: u64 = 50;
         Schedule {
             window_ms: u64::from(self.report_window_s) * 1000,
             close_after_ms: u64::from(self.usage_delay_s) * 10 * CLOSE_PERCENT,
