Memory: copies of the largest batch are charged beside small shares

The room for copies assumed that nothing else is held, so that a batch of 30 to 32 MB was refused as soon as any other request was in progress. The room is now what is free under the same lock, as long as others hold no more than the reserve; beside another large body the copies are charged in full or refused, as before.

--- a/orioleworks_daemon/src/memory.rs
+++ b/orioleworks_daemon/src/memory.rs
@@ -83,6 +83,17 @@
         }
     }
 
+    /// Charges bytes for copies of a complete body of `len` bytes, which is charged already. Small shares of others, up to the
+    /// reserve in all, reduce what is charged instead of refusing a body that would get its copies without them.
+    pub fn grow_for_copies(&mut self, id: u64, len: usize, now: Instant) -> Decision {
+        let largest = self.limit - self.reserve;
+        let body = len.next_multiple_of(STEP_BYTES);
+        let wanted = len.min(largest.saturating_sub(body));
+        let is_calm = self.used.saturating_sub(body) <= self.reserve;
+        let free = largest.saturating_sub(self.used);
+        self.grow(id, if is_calm { wanted.min(free) } else { wanted }, now)
+    }
+
     /// Charges bytes that exist already. Returns the share that must be ended if there is no room.
     pub fn overdraw(&mut self, id: u64, bytes: usize, now: Instant) -> Option<u64> {
         self.charge(id, bytes, now);
@@ -109,11 +120,6 @@
         self.used
     }
 
-    /// Largest share that is possible without others, in bytes.
-    pub fn largest(&self) -> usize {
-        self.limit - self.reserve
-    }
-
     fn charge(&mut self, id: u64, bytes: usize, now: Instant) {
         if let Some(holder) = self.holders.get_mut(&id) {
             holder.bytes += bytes;
@@ -237,6 +243,10 @@
     ///
     /// Returns an error if there is no room, or if this share must end.
     pub async fn grow(&self, bytes: usize) -> Result<(), NoRoom> {
+        self.charge(|ledger, now| ledger.grow(self.id, bytes, now)).await
+    }
+
+    async fn charge(&self, grow: impl Fn(&mut Ledger, Instant) -> Decision) -> Result<(), NoRoom> {
         /// Longer than the few steps of the executor until a share that must end is dropped.
         const POLL_INTERVAL: Duration = Duration::from_millis(2);
         loop {
@@ -245,7 +255,7 @@
             }
             {
                 let mut inner = self.budget.lock();
-                match inner.ledger.grow(self.id, bytes, Instant::now()) {
+                match grow(&mut inner.ledger, Instant::now()) {
                     Decision::Granted => {
                         inner.report();
                         return Ok(());
@@ -264,17 +274,15 @@
     }
 
     /// Opens a share for copies of a body of `len` bytes that are made while it is decoded. A body of the largest legal size
-    /// gets one when nothing else is held.
+    /// gets one when others hold no more than the reserve.
     ///
     /// # Errors
     ///
     /// Returns an error if there is no room.
     pub async fn for_copies(budget: &Budget, len: usize) -> Result<Self, NoRoom> {
         let share = budget.open(CancellationToken::new());
-        let largest = budget.lock().ledger.largest();
         share.keep();
-        let room = largest.saturating_sub(len.next_multiple_of(STEP_BYTES));
-        share.grow(len.min(room)).await?;
+        share.charge(|ledger, now| ledger.grow_for_copies(share.id, len, now)).await?;
         Ok(share)
     }
 
--- a/orioleworks_daemon/tests/memory.rs
+++ b/orioleworks_daemon/tests/memory.rs
@@ -58,3 +58,21 @@
     ledger.close(response);
     assert_eq!(ledger.used(), 0);
 }
+
+/// Guards against a largest batch that is refused in calm because of one small request, and against copies that are charged to
+/// nobody beside another large body.
+#[test]
+fn copies_of_the_largest_body_fit_beside_small_shares_only() {
+    let (mut ledger, now) = (ledger(), Instant::now());
+    let (small, body, copies) = (ledger.open(now), ledger.open(now), ledger.open(now));
+    for (id, bytes) in [(small, SMALL_BYTES), (body, LARGEST_BODY)] {
+        assert_eq!(ledger.grow(id, bytes, now), Decision::Granted);
+        ledger.keep(id);
+    }
+    assert_eq!(ledger.grow_for_copies(copies, LARGEST_BODY, now), Decision::Granted);
+    assert_eq!(ledger.used(), 60 * MB);
+    ledger.close(copies);
+    let (other, copies) = (ledger.open(now), ledger.open(now));
+    assert_eq!(ledger.grow(other, 5 * MB, now), Decision::Granted);
+    assert_eq!(ledger.grow_for_copies(copies, LARGEST_BODY, now), Decision::Refused);
+}
