Untrusted clients: bounded heads, results, stalled bodies and connections

Heads and buffers of connections were not charged, so that heads without end could exceed the memory: listeners of the gateway and the store use buffers of 24 KB, and a quarter of the memory bounds their number. The store leaves a third of its descriptors to other connections; the readiness listener has 32. A response ends stalled shares until it fits, and results of a batch are reserved before the call to the leader. Without a free or idle connection the body without progress for longest ends. Frames of 4 KB or 16 KB in all are progress, so that a steady sender of a small body is not taken for one that stopped.

--- a/orioleworks_daemon/src/http.rs
+++ b/orioleworks_daemon/src/http.rs
@@ -59,6 +59,16 @@
     pub buffer_bytes: usize,
 }
 
+impl Limits {
+    /// Buffer per connection of listeners for untrusted clients, in bytes; holds the largest legal head, which is 16 KB.
+    pub const SMALL_BUFFER_BYTES: usize = 24 * 1024;
+
+    /// Connections whose buffers take at most a quarter of a process's memory, because no budget charges them.
+    pub fn connections_within(memory_mb: usize) -> usize {
+        memory_mb * 1024 * 1024 / 4 / Self::SMALL_BUFFER_BYTES
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
@@ -92,8 +102,9 @@
     serve_within(listener, limits, Budget::unlimited(), shutdown, handler).await;
 }
 
-/// Like [`serve`]; responses are charged to a budget until they are written, and the slowest reader is closed when there is no
-/// room. When no connection is free, the one that has been idle for longest is closed.
+/// Like [`serve`]; responses are charged to a budget until they are written. When there is no room, the largest shares without
+/// progress are ended, which are bodies that stopped or parts of responses that are not read. When no connection is free, the
+/// one that has been idle for longest is closed; if none is idle, the body that has gone longest without progress is ended.
 pub async fn serve_within<F, H>(
     listener: TcpListener,
     limits: Limits,
@@ -110,7 +121,9 @@
     let idle = Idle::default();
     loop {
         while open_connections.get() >= limits.connections {
-            idle.close_longest();
+            if !idle.close_longest() {
+                budget.end_longest_stalled();
+            }
             compio::time::sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
         }
         let mut accept = std::pin::pin!(listener.accept().fuse());
@@ -292,10 +305,11 @@
         place
     }
 
-    fn close_longest(&self) {
+    /// Whether there was one.
+    fn close_longest(&self) -> bool {
         const LOG_INTERVAL: Duration = Duration::from_secs(1);
         let mut idle = self.0.borrow_mut();
-        let Some((_, displaced)) = idle.waiting.pop_first() else { return };
+        let Some((_, displaced)) = idle.waiting.pop_first() else { return false };
         displaced.cancel();
         metrics::counter!("orioleworks_idle_connections_closed_total").increment(1);
         let now = Instant::now();
@@ -303,6 +317,7 @@
             idle.last_logged = Some(now);
             event!(warn, "connection_limit_reached", idle = idle.waiting.len());
         }
+        true
     }
 }
 
@@ -383,8 +398,11 @@
     /// system's allocator returns it at once when it is freed, because it is larger than what that keeps (32 MB).
     const LARGE_BYTES: usize = 1024 * 1024;
     const LARGE_CAPACITY: usize = 33 * 1024 * 1024;
+    /// A frame of this size, or smaller ones of `PROGRESS_BYTES` in all, are progress, so that single bytes are none.
+    const PROGRESS_FRAME: usize = 4 * 1024;
+    const PROGRESS_BYTES: usize = 16 * 1024;
     let no_room = |NoRoom| ResultCode::BodyMemoryShort;
-    let (mut bytes, mut charged) = (Vec::new(), 0_usize);
+    let (mut bytes, mut charged, mut progress) = (Vec::new(), 0_usize, 0_usize);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| ResultCode::BadRequest)?;
         let Ok(part) = frame.into_data() else { continue };
@@ -401,6 +419,10 @@
             share.grow(needed - charged).await.map_err(no_room)?;
             charged = needed;
         }
+        if part.len() >= PROGRESS_FRAME || len - progress >= PROGRESS_BYTES {
+            share.progress();
+            progress = len;
+        }
         if len > bytes.capacity() {
             let capacity = if len > LARGE_BYTES { limit.max(LARGE_CAPACITY) } else { needed };
             let reserved = bytes.try_reserve_exact(capacity - bytes.len());
--- a/orioleworks_daemon/src/memory.rs
+++ b/orioleworks_daemon/src/memory.rs
@@ -14,11 +14,11 @@
 
 /// Largest share that may use the reserve, in bytes: ordinary requests are far smaller.
 pub const SMALL_BYTES: usize = 256 * 1024;
-/// Time without progress after which a share may be ended for another one. A client that sends or reads at all makes progress
-/// within a few round trips.
+/// Time without progress after which a share may be ended for another one. A body makes progress with each part that
+/// [`Share::progress`] is told of; a part of a response makes none until it is written.
 pub const STALL_TIME: Duration = Duration::from_secs(1);
 
-/// Step in which large bodies are charged, in bytes, so that single bytes are no progress.
+/// Step in which large bodies are charged, in bytes.
 pub const STEP_BYTES: usize = 64 * 1024;
 
 /// What becomes of a share that wants to grow.
@@ -51,6 +51,8 @@
     /// False once the request is complete and may be passed on.
     closable: bool,
     closing: bool,
+    /// Whether it holds a part of a response.
+    is_response: bool,
 }
 
 impl Ledger {
@@ -62,7 +64,8 @@
     /// Opens an empty share and returns its number.
     pub fn open(&mut self, now: Instant) -> u64 {
         self.next += 1;
-        let holder = Holder { bytes: 0, progress: now, closable: true, closing: false };
+        let (bytes, progress, closable) = (0, now, true);
+        let holder = Holder { bytes, progress, closable, closing: false, is_response: false };
         self.holders.insert(self.next, holder);
         self.next
     }
@@ -94,10 +97,49 @@
         self.grow(id, if is_calm { wanted.min(free) } else { wanted }, now)
     }
 
-    /// Charges bytes that exist already. Returns the share that must be ended if there is no room.
+    /// Charges bytes of a response that exist already. Returns a share that must be ended if there is no room.
     pub fn overdraw(&mut self, id: u64, bytes: usize, now: Instant) -> Option<u64> {
         self.charge(id, bytes, now);
-        if self.used > self.limit { self.stalled(id, now) } else { None }
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.is_response = true;
+        }
+        self.next_excess(id, now)
+    }
+
+    /// Another share that must be ended for `id`, if more than the limit is held without those that were told to end.
+    pub fn next_excess(&mut self, id: u64, now: Instant) -> Option<u64> {
+        let ending = self.holders.values().filter(|holder| holder.closing);
+        let ending: usize = ending.map(|holder| holder.bytes).sum();
+        if self.used - ending > self.limit { self.stalled(id, now) } else { None }
+    }
+
+    /// Notes that a body makes progress.
+    pub fn progress(&mut self, id: u64, now: Instant) {
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.progress = now;
+        }
+    }
+
+    /// Marks the unfinished body that has gone longest without progress as one that must end; one at a time.
+    pub fn longest_stalled(&mut self, now: Instant) -> Option<u64> {
+        let mut oldest: Option<(u64, &mut Holder)> = None;
+        for (id, holder) in &mut self.holders {
+            if !holder.closable || holder.is_response {
+                continue;
+            }
+            if holder.closing {
+                return None;
+            }
+            if oldest.as_ref().is_none_or(|(_, oldest)| holder.progress < oldest.progress) {
+                oldest = Some((*id, holder));
+            }
+        }
+        let (id, holder) = oldest?;
+        if now.saturating_duration_since(holder.progress) < STALL_TIME {
+            return None;
+        }
+        holder.closing = true;
+        Some(id)
     }
 
     /// The request of a share is complete; the share is not ended any more for another one.
@@ -193,15 +235,25 @@
     pub fn hold(&self, part: Bytes, closed: &CancellationToken) -> Bytes {
         let share = self.open(closed.clone());
         let mut inner = self.lock();
-        let stalled = inner.ledger.overdraw(share.id, part.len(), Instant::now());
-        if let Some(stalled) = stalled {
-            inner.end(stalled);
+        let now = Instant::now();
+        let mut stalled = inner.ledger.overdraw(share.id, part.len(), now);
+        while let Some(id) = stalled {
+            inner.end(id);
+            stalled = inner.ledger.next_excess(share.id, now);
         }
         inner.report();
         drop(inner);
         Bytes::from_owner(Held { bytes: part, _share: share })
     }
 
+    /// Ends the unfinished body that has gone longest without progress, because no connection is free.
+    pub fn end_longest_stalled(&self) {
+        let mut inner = self.lock();
+        if let Some(id) = inner.ledger.longest_stalled(Instant::now()) {
+            inner.end(id);
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         // No code panics while it holds the lock.
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
@@ -286,6 +338,11 @@
         Ok(share)
     }
 
+    /// Notes that a body makes progress.
+    pub fn progress(&self) {
+        self.budget.lock().ledger.progress(self.id, Instant::now());
+    }
+
     /// Cancelled when this share must end.
     pub fn closed(&self) -> &CancellationToken {
         &self.closed
--- a/orioleworks_daemon/tests/memory.rs
+++ b/orioleworks_daemon/tests/memory.rs
@@ -76,3 +76,31 @@
     assert_eq!(ledger.grow(other, 5 * MB, now), Decision::Granted);
     assert_eq!(ledger.grow_for_copies(copies, LARGEST_BODY, now), Decision::Refused);
 }
+
+/// Guards against a response that is held beyond the limit because only one of several stalled shares ends for it.
+#[test]
+fn a_response_ends_stalled_shares_until_it_fits() {
+    let (mut ledger, start) = (ledger(), Instant::now());
+    let (first, second, response) = (ledger.open(start), ledger.open(start), ledger.open(start));
+    assert_eq!(ledger.overdraw(first, 10 * MB, start), None);
+    assert_eq!(ledger.overdraw(second, 30 * MB, start), None);
+    let late = start + STALL_TIME;
+    assert_eq!(ledger.overdraw(response, 60 * MB, late), Some(second));
+    assert_eq!(ledger.next_excess(response, late), Some(first));
+    assert_eq!(ledger.next_excess(response, late), None);
+}
+
+/// Guards against bodies that never end and take all connections, and against the end of one that is still sent.
+#[test]
+fn the_body_without_progress_for_longest_ends_for_a_connection() {
+    let (mut ledger, start) = (ledger(), Instant::now());
+    let (steady, stopped, reader) = (ledger.open(start), ledger.open(start), ledger.open(start));
+    assert_eq!(ledger.overdraw(reader, MB, start), None);
+    let late = start + STALL_TIME;
+    ledger.progress(steady, late);
+    assert_eq!(ledger.longest_stalled(late - Duration::from_millis(1)), None);
+    assert_eq!(ledger.longest_stalled(late), Some(stopped));
+    assert_eq!(ledger.longest_stalled(late + STALL_TIME), None, "one ends at a time");
+    ledger.close(stopped);
+    assert_eq!(ledger.longest_stalled(late), None, "neither the steady one nor the response");
+}
--- a/orioleworks_gateway/src/app.rs
+++ b/orioleworks_gateway/src/app.rs
@@ -32,6 +32,8 @@
 /// Timeout for the head of a request, also on an idle connection; callers reuse connections that have been idle for up
 /// to four fifths of 15 s.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(20);
+/// Open connections of the platform's checks and of metrics; when none is free, the one that has been idle for longest is closed.
+const READINESS_CONNECTIONS: usize = 32;
 
 /// Runs the daemon and returns its exit code.
 pub fn run(options: &cli::Options) -> i32 {
@@ -97,8 +99,14 @@
     };
     let limits = http::Limits { head_timeout: HEAD_TIMEOUT, ..http::Limits::default() };
     let readiness_shutdown = Shutdown::default();
-    runtime::spawn(http::serve(readiness_listener, limits, readiness_shutdown, readiness)).detach();
-    let callers_limits = http::Limits { connections: view.cfg.limits.connections(), ..limits };
+    let readiness_limits = http::Limits { connections: READINESS_CONNECTIONS, ..limits };
+    let serving = http::serve(readiness_listener, readiness_limits, readiness_shutdown, readiness);
+    runtime::spawn(serving).detach();
+    let callers_limits = http::Limits {
+        connections: view.cfg.limits.connections(),
+        buffer_bytes: http::Limits::SMALL_BUFFER_BYTES,
+        ..limits
+    };
     let callers_view = view.clone();
     let handler = move |req| callers::handle(callers_view.clone(), req);
     let callers_shutdown = Shutdown { answer: signals.answer.clone(), ..Shutdown::default() };
--- a/orioleworks_gateway/src/batches.rs
+++ b/orioleworks_gateway/src/batches.rs
@@ -2,11 +2,12 @@
 
 use std::{
     io,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
-use orioleworks_daemon::{event, http as server};
+use orioleworks_daemon::{event, http as server, memory::NoRoom};
 use orioleworks_fleet::{
     stores::{self, CallOutcome},
     texts,
@@ -21,9 +22,10 @@
     routes::{Route, RouteTable},
     tenants::Tenant,
 };
+use tokio_util::sync::CancellationToken;
 
 use crate::{
-    callers::{Refusal, RequestContext},
+    callers::{self, Refusal, RequestContext},
     view::View,
 };
 
@@ -174,6 +176,13 @@
     wait: Duration,
 ) -> Result<server::Response, Refusal> {
     let deadline = Instant::now() + wait;
+    // Reserved before the call, because replies that arrive at the same time are not charged otherwise.
+    let share = view.memory.open(CancellationToken::new());
+    share.keep();
+    share.grow(MAX_RESULT_BYTES as usize).await.map_err(|NoRoom| {
+        let code = ResultCode::BodyMemoryShort;
+        Refusal::new(code, "", callers::retry_of(code))
+    })?;
     let message = || {
         let left = deadline.saturating_duration_since(Instant::now());
         let wait_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
@@ -188,7 +197,11 @@
             for result in &mut reply.results {
                 texts::unpack(result).map_err(|e| unreadable_result(id, &result.id, &e))?;
             }
-            Ok(server::full_response(200, "application/json", batch::encode_results(&reply)))
+            let results = batch::encode_results(&reply);
+            let mut response = server::full_response(200, "application/json", results);
+            // Released with the head, right before the body is charged.
+            response.extensions_mut().insert(Arc::new(share));
+            Ok(response)
         }
         _ => Err(no_leader(id)),
     }
--- a/orioleworks_gateway/src/callers.rs
+++ b/orioleworks_gateway/src/callers.rs
@@ -170,7 +170,7 @@
 }
 
 /// Retry advice for a body that was not read.
-fn retry_of(code: ResultCode) -> Duration {
+pub fn retry_of(code: ResultCode) -> Duration {
     /// Shares without progress are ended after a second.
     const MEMORY_RETRY: Duration = Duration::from_millis(1000);
     if code == ResultCode::BodyMemoryShort { MEMORY_RETRY } else { Duration::ZERO }
--- a/orioleworks_gateway/src/config.rs
+++ b/orioleworks_gateway/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use orioleworks_daemon::memory::Budget;
+use orioleworks_daemon::{http, memory::Budget};
 use orioleworks_settings::{Problems, Settings};
 use serde::Deserialize;
 
@@ -148,11 +148,12 @@
 impl Limits {
     /// Open connections of callers; when none is free, the one that has been idle for longest is closed. The process keeps 300
     /// descriptors for files and its connections to stores, and those of idle connections to upstreams (600) and of other
-    /// gateways (256), but at most a third of what is left.
+    /// gateways (256), but at most a third of what is left. Memory bounds them too, because of their buffers.
     pub fn connections(&self) -> usize {
         const OTHER_CONNECTIONS: usize = 600 + 256;
         let left = self.file_descriptors.saturating_sub(300);
-        left - OTHER_CONNECTIONS.min(left / 3)
+        let free = left - OTHER_CONNECTIONS.min(left / 3);
+        free.min(http::Limits::connections_within(self.memory_mb))
     }
 
     /// Memory of the process itself, in megabytes: 6 MB when idle, 23 MB with 40 callers who read results of batches.
--- a/orioleworks_gateway/src/relay.rs
+++ b/orioleworks_gateway/src/relay.rs
@@ -138,6 +138,7 @@
     let limits = server::Limits {
         connections: MAX_CONNECTIONS,
         body_bytes: MAX_RELAYED_BYTES,
+        buffer_bytes: server::Limits::SMALL_BUFFER_BYTES,
         ..server::Limits::default()
     };
     let budget = view.memory.clone();
--- a/orioleworks_gateway/tests/untrusted_clients.rs
+++ b/orioleworks_gateway/tests/untrusted_clients.rs
@@ -134,7 +134,7 @@
 }
 
 fn setup(document: &serde_json::Value) -> Setup {
-    /// Leaves 64 connections, less than the largest crowd has.
+    /// Leaves 43 connections to the gateway, fewer than the largest crowd has.
     const LIMITS: &str = r#"{ "file_descriptors": 364 }"#;
     let mut d = Deployment::start(3, 1, &document.to_string());
     d.restart_gateway_with(0, LIMITS);
@@ -385,14 +385,16 @@
     check(store, STORE_MB, open_descriptors(store));
 }
 
-/// Guards against a bound below the largest legal body.
+/// Guards against a bound below the largest legal body, and buffers below the largest legal head.
 #[test]
 fn one_largest_body_is_served() {
     let _alone = alone();
     let setup = setup(&routes::document(1, 5000));
     check_ordinary(&setup.d, "before");
     let gateway = setup.d.gateways[0].as_ref().unwrap();
-    let head = request_head("/lookup/x", 0) + "Connection: close\r\n";
+    // The head has nearly the largest legal size, 16 KB.
+    let padding = format!("X-Padding: {}\r\n", "x".repeat(16_000));
+    let head = request_head("/lookup/x", 0) + "Connection: close\r\n" + &padding;
     let address = setup.d.gateway_address(0);
     let mut stream = send_most(&address, &head, Framing::Declared, LARGEST_BODY).unwrap();
     stream.write_all(b"x").unwrap();
--- a/orioleworks_store/src/config.rs
+++ b/orioleworks_store/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
-use orioleworks_daemon::memory::Budget;
+use orioleworks_daemon::{http, memory::Budget};
 use orioleworks_routing::usage::Schedule;
 use orioleworks_settings::{Problems, Settings};
 use serde::Deserialize;
@@ -180,10 +180,12 @@
 }
 
 impl Limits {
-    /// Open connections of operators, trainers and upstreams; when none is free, the one that has been idle for longest is closed. The process keeps 300
-    /// descriptors for files and other connections.
+    /// Open connections of operators, trainers and upstreams; when none is free, the one that has been idle for longest is
+    /// closed. The process keeps 300 descriptors for files, and a third of what is left for the inner protocol and for
+    /// connections to engines. Memory bounds them too, because of their buffers.
     pub fn connections(&self) -> usize {
-        self.file_descriptors.saturating_sub(300)
+        let left = self.file_descriptors.saturating_sub(300);
+        (left - left / 3).min(http::Limits::connections_within(self.memory_mb))
     }
 
     /// Memory in bytes.
--- a/orioleworks_store/src/control.rs
+++ b/orioleworks_store/src/control.rs
@@ -19,7 +19,11 @@
 pub fn limits() -> http::Limits {
     /// Largest route document that the operator may send.
     const BODY_BYTES: usize = 32 * 1024 * 1024;
-    http::Limits { body_bytes: BODY_BYTES, ..http::Limits::default() }
+    http::Limits {
+        body_bytes: BODY_BYTES,
+        buffer_bytes: http::Limits::SMALL_BUFFER_BYTES,
+        ..http::Limits::default()
+    }
 }
 
 /// Responds to one call.
