Calls that must not arrive late: the kernel gives them up after 1 s

A connection of Pool::without_late_requests discarded a request only when it was closed. A paused process closes nothing, and the kernel would deliver the call after a partition. These connections now have TCP_USER_TIMEOUT, set through socket2, which compio uses already with the same features, so that no package is added. No test was added: loopback drops no packets.

--- a/orioleworks_fleet/src/pool.rs
+++ b/orioleworks_fleet/src/pool.rs
@@ -37,6 +37,9 @@
 
 /// Longest time to connect; connecting takes one round trip and about 1 ms at the upstream.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which the kernel gives up a connection whose peer does not acknowledge a request that must not arrive late. A
+/// paused process closes no connection, and the kernel would go on sending until the end of a partition.
+const UNRECEIVED_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Idle time after which a connection is not used again if the upstream states no idle time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Share of the stated idle time of an upstream for which a connection is used again, in percent; the rest covers the
@@ -153,7 +156,7 @@
     /// Tells which upstreams leave; their connections are not kept.
     fleet: Rc<RefCell<Fleet>>,
     opened: Rc<Cell<u64>>,
-    /// Whether a connection that is closed discards what its peer has not received.
+    /// Whether a connection discards what its peer has not received when it is closed, or for [`UNRECEIVED_TIMEOUT`].
     discards_unreceived: bool,
 }
 
@@ -338,6 +341,9 @@
             })?;
         if self.discards_unreceived {
             stream.set_zero_linger().map_err(|e| not_sent(e.to_string()))?;
+            socket2::SockRef::from(&stream)
+                .set_tcp_user_timeout(Some(UNRECEIVED_TIMEOUT))
+                .map_err(|e| not_sent(e.to_string()))?;
         }
         let io = Stream::new(stream).map_err(|e| not_sent(e.to_string()))?;
         let (sender, connection) = http1::Builder::new()
