--- a/orioleworks_gateway/src/callers.rs
+++ b/orioleworks_gateway/src/callers.rs
@@ -164,13 +164,13 @@
             let code = ResultCode::BodyMemoryShort;
             Refusal::new(code, "", retry_of(code))
         })?;
-        return batches::submit(view, &table, &route, &host, context, &body).await;
+        return batches::submit(view, &newest, &route, &host, context, &body).await;
     }
     forward::forward(view, &route, Content::new(host, head, body), context).await
 }
 
 /// Retry advice for a body that was not read.
-fn retry_of(code: ResultCode) -> Duration {
+pub fn retry_of(code: ResultCode) -> Duration {
     /// Shares without progress are ended after a second.
     const MEMORY_RETRY: Duration = Duration::from_millis(1000);
     if code == ResultCode::BodyMemoryShort { MEMORY_RETRY } else { Duration::ZERO }
--- a/orioleworks_store/src/config.rs
+++ b/orioleworks_store/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
-use orioleworks_daemon::memory::Budget;
+use orioleworks_daemon::{http, memory::Budget};
 use orioleworks_routing::usage::Schedule;
 use orioleworks_settings::{Problems, Settings};
 use serde::Deserialize;
@@ -125,14 +125,26 @@
 impl Duties {
     /// When windows of usage are closed.
     pub fn schedule(&self) -> Schedule {
-        /// Share of the delay of a report after which its window is closed, in percent. Gateways need about 2 s to deliver
-        /// counts, and the rest is for a change of leader.
-        const CLOSE_PERCENT: u64 = 40;
+        /// Share of the delay of a report after which its window is closed, in percent. With a delay of 10 s, this is 5 s: the
+        /// loss of the followed store delays counts by some seconds, and the rest must cover an API that is silent for 4 s.
+        const CLOSE_PERCENT: u64 = 50;
         Schedule {
             window_ms: u64::from(self.report_window_s) * 1000,
             close_after_ms: u64::from(self.usage_delay_s) * 10 * CLOSE_PERCENT,
         }
     }
+
+    /// Time for which a new leader closes no window. During a long election gateways keep their counts, and they deliver them
+    /// once there is a leader.
+    pub fn new_leader_wait(&self) -> Duration {
+        /// Share of the delay of a report, in percent.
+        const WAIT_PERCENT: u64 = 40;
+        /// Longest wait. A part that is in flight at the election fails within 1.5 s, and is sent again after 0.15 s; its
+        /// commit and that of the next part take less than 0.5 s each. A longer wait would make
+        /// the report of a window late that was due to be closed during the election.
+        const LONGEST_WAIT: Duration = Duration::from_millis(2500);
+        Duration::from_millis(u64::from(self.usage_delay_s) * 10 * WAIT_PERCENT).min(LONGEST_WAIT)
+    }
 }
 
 /// What the process may use.
@@ -180,10 +192,12 @@
 }
 
 impl Limits {
-    /// Open connections of operators, trainers and upstreams; when none is free, the one that has been idle for longest is closed. The process keeps 300
-    /// descriptors for files and other connections.
+    /// Open connections of operators, trainers and upstreams; when none is free, the one that has been idle for longest is
+    /// closed. The process keeps 300 descriptors for files, and a third of what is left for the inner protocol and for
+    /// connections to engines. Memory bounds them too, because of their buffers.
     pub fn connections(&self) -> usize {
-        self.file_descriptors.saturating_sub(300)
+        let left = self.file_descriptors.saturating_sub(300);
+        (left - left / 3).min(http::Limits::connections_within(self.memory_mb))
     }
 
     /// Memory in bytes.
@@ -225,7 +239,7 @@
                 "calls a second",
             );
             problems.range("duties.report_window_s", duties.report_window_s, 1..=300, "s");
-            // Counts of slow requests arrive about 2 s after the end of a window, which is 0.4 of this.
+            // Counts of slow requests arrive about 2 s after the end of a window, which is closed after 0.6 of this.
             problems.range("duties.usage_delay_s", duties.usage_delay_s, 5..=300, "s");
         }
         let descriptors = self.limits.file_descriptors;
