Stores: pauses only after passes of 50 ms

On a third of a core a pass over 48 engines can take more than 4 ms, and a pause after each one would delay items of small deployments.

--- a/orioleworks_store/src/pace.rs
+++ b/orioleworks_store/src/pace.rs
@@ -4,8 +4,9 @@
 
 use compio::time;
 
-/// Duration of a pass from which a pause follows; passes over a few dozen engines take less.
-const LONG_PASS: Duration = Duration::from_millis(4);
+/// Duration of a pass from which a pause follows, on a store that has a third of a core. Passes over some dozen engines take
+/// less, also with hundreds of waiting items.
+const LONG_PASS: Duration = Duration::from_millis(50);
 /// Pause after a long pass, as a multiple of its duration. Everything else in the process, heartbeats among it, gets the rest
 /// of the processor.
 const PAUSE_FACTOR: u32 = 2;
