Gateways: follow-up questions only after full replies, no back-off while routes are still current

A gateway stayed 0.5 s with each store without a leader, and waited longer between stores, so that more than 3 s passed before it found one with a leader; it then took routes of a store that was behind.

--- a/orioleworks_fleet/src/watch.rs
+++ b/orioleworks_fleet/src/watch.rs
@@ -21,6 +21,9 @@
 /// Time after the end of the wait within which the reply must arrive.
 const REPLY_SLACK: Duration = Duration::from_millis(400);
 
+/// Largest number of upstreams in a reply to a watcher; the next reply has more. A reply takes about a millisecond then.
+pub const MAX_UPSTREAMS: usize = 256;
+
 /// Position of a watcher in the sequence of changes of one store process.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Position {
@@ -136,8 +139,8 @@
 pub struct Merged {
     /// Whether anything that affects routing changed.
     pub changed: bool,
-    /// Whether the reply had upstreams, so that more may follow.
-    pub had_upstreams: bool,
+    /// Whether the reply had as many upstreams as fit, so that more follow.
+    pub was_full: bool,
 }
 
 /// Sends one watch request and merges the reply into `knowledge`.
@@ -194,7 +197,7 @@
         let served = convert::from_served_message(message, now);
         knowledge.fleet.borrow_mut().note_served(served);
     }
-    let had_upstreams = !reply.upstreams.is_empty();
+    let was_full = reply.upstreams.len() >= MAX_UPSTREAMS;
     for message in std::mem::take(&mut reply.upstreams) {
         let (up, last_seen) = convert::from_message(message, now);
         let (id, incarnation) = (up.id.clone(), up.incarnation);
@@ -227,5 +230,5 @@
             gateways.note_helper(helper);
         }
     }
-    Ok((reply, Merged { changed, had_upstreams }))
+    Ok((reply, Merged { changed, was_full }))
 }
--- a/orioleworks_gateway/src/watch.rs
+++ b/orioleworks_gateway/src/watch.rs
@@ -57,7 +57,7 @@
         let mut has_more = false;
         let current = match watch::poll(&client, &mut position, state, &view.knowledge).await {
             Ok((reply, merged)) => {
-                has_more = merged.had_upstreams;
+                has_more = merged.was_full;
                 if merged.changed {
                     view.pool.close_expired();
                 }
@@ -106,8 +106,9 @@
                 }
                 store_index += 1;
                 position = Position::default();
-                failures += 1;
-                // All stores may have started at the same time, and a watcher that comes anew costs most.
+                // All stores may have started at the same time, and a watcher that comes anew costs most. Before routes that may
+                // be stale are accepted, all stores are asked as often as possible.
+                failures = if view.age() < ACCEPT_STALE_AFTER { 0 } else { failures + 1 };
                 let most =
                     RETRY_INTERVAL * 2_u32.saturating_pow(failures / addresses.len().max(1) as u32);
                 let pause =
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -15,7 +15,7 @@
     convert,
     pool::Pool,
     stores::{self, CallOutcome, Stores},
-    watch::Knowledge,
+    watch::{Knowledge, MAX_UPSTREAMS},
 };
 use orioleworks_log::{
     Log, LogError, Restoration, StateMachine, node::MAX_COMMAND_BYTES, notify::Notify,
@@ -55,8 +55,6 @@
 const MAX_WAIT: Duration = Duration::from_millis(2000);
 /// Time for which changes of upstreams are collected for one reply to a watcher; upstreams announce themselves every 1.2 s.
 const COLLECT_TIME: Duration = Duration::from_millis(50);
-/// Largest number of upstreams in a reply to a watcher; the next reply has more. A reply takes about a millisecond then.
-const MAX_UPSTREAMS: usize = 256;
 /// Longest time to ask the leader for a permit.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(80);
 /// Longest time to pass on to another store what began streams.
