Log: a lost voter is replaced under constant load

Cause: a learner became a voter only if it had synced all that was committed at the moment of the check. Under constant load the leader commits again before the learner's reply arrives, so that a learner that is a little slower than the voters never qualified. Voters without a disk stayed voters until the traffic ended, and the next lost disks left no quorum.

The leader now notes the send time of the last append with whose acknowledgement a member held all that was then committed, and promotes a learner for which that is at most 1 s ago.

--- a/orioleworks_log/src/leader.rs
+++ b/orioleworks_log/src/leader.rs
@@ -71,6 +71,7 @@
                 match_index: 0,
                 sent_commit: 0,
                 confirmed_at: None,
+                caught_up_at: None,
                 added_at: Instant::now(),
                 protocol: 0,
             };
--- a/orioleworks_log/src/membership.rs
+++ b/orioleworks_log/src/membership.rs
@@ -27,6 +27,9 @@
 /// Time since the last acknowledgement below which a member counts as live, in heartbeats; only a live learner is
 /// promoted.
 const LIVE_HEARTBEATS: u32 = 3;
+/// Longest time since a learner that is promoted had everything that was committed. If the quorum needs it at once, a commit takes
+/// as much longer; proposers wait for more than that.
+const MAX_PROMOTION_LAG: Duration = Duration::from_secs(1);
 /// Time without a message from a leader, in longest election timeouts, after which a replica asks to join again,
 /// because it may have been removed.
 const LEADERLESS_TIMEOUTS: u32 = 3;
@@ -313,6 +316,10 @@
         let silence = progress.map(|p| p.confirmed_at.unwrap_or(p.added_at).elapsed());
         let confirmed_ago = progress.and_then(|p| p.confirmed_at).map(|at| at.elapsed());
         let synced = progress.map_or(0, |p| p.match_index);
+        let lag = match rules::may_promote(synced, state.commit) {
+            true => Some(Duration::ZERO),
+            false => progress.and_then(|p| p.caught_up_at).map(|at| at.elapsed()),
+        };
         MemberStatus {
             id: m.member_id,
             name: m.name.clone(),
@@ -323,7 +330,7 @@
                 .zip(settings.replace_after)
                 .is_some_and(|(silence, after)| silence > after),
             synced,
-            caught_up: synced > 0 && rules::may_promote(synced, state.commit),
+            caught_up: synced > 0 && lag.is_some_and(|lag| lag <= MAX_PROMOTION_LAG),
             name_in_use: state.is_name_in_use(&m.name, settings.heartbeat),
             retired: retired.contains(&m.name),
         }
--- a/orioleworks_log/src/reconfiguration.rs
+++ b/orioleworks_log/src/reconfiguration.rs
@@ -34,7 +34,7 @@
     pub lost: bool,
     /// Last entry that it is known to have synced.
     pub synced: u64,
-    /// Whether it has synced everything that is committed.
+    /// Whether it has synced everything that is committed, or had a short time ago.
     pub caught_up: bool,
     /// Whether its name is in use by a voter that replied recently, so that no other identity may take it.
     pub name_in_use: bool,
--- a/orioleworks_log/src/replication.rs
+++ b/orioleworks_log/src/replication.rs
@@ -6,6 +6,7 @@
 
 use compio::time;
 use orioleworks_proto::inner::{self, frame::Body};
+use orioleworks_rules::log as rules;
 
 use crate::{
     node::{Log, Sharing},
@@ -124,11 +125,11 @@
                     self.inner.changed.changed_within(seen, self.inner.settings.election_min).await;
                 }
                 NextMessage::Append(append) => {
-                    let commit = append.commit_index;
+                    let (commit, sent) = (append.commit_index, Instant::now());
                     let call = client.call(Body::Append(append), APPEND_TIMEOUT);
                     match time::timeout(APPEND_TIMEOUT, call).await {
                         Ok(Ok(Body::AppendReply(reply))) => {
-                            self.on_append_reply(term, id, commit, reply).await;
+                            self.on_append_reply(term, id, (commit, sent), reply).await;
                         }
                         _ => time::sleep(self.inner.settings.heartbeat).await,
                     }
@@ -181,7 +182,14 @@
         })
     }
 
-    async fn on_append_reply(&self, term: u64, id: u64, commit: u64, reply: inner::AppendReply) {
+    /// Handles the reply to an append; the leader had committed `commit` when it sent it.
+    async fn on_append_reply(
+        &self,
+        term: u64,
+        id: u64,
+        (commit, sent): (u64, Instant),
+        reply: inner::AppendReply,
+    ) {
         self.adopt_term(reply.term).await;
         if reply.member_id != id || reply.term != term {
             // Another identity replies at this address; a membership change removes the old one.
@@ -199,6 +207,9 @@
             if reply.success {
                 progress.match_index = progress.match_index.max(reply.match_index.min(last));
                 progress.next_index = progress.match_index + 1;
+                if rules::may_promote(progress.match_index, commit) {
+                    progress.caught_up_at = Some(sent);
+                }
                 // The follower commits no further than its match index.
                 progress.sent_commit = progress.sent_commit.max(commit.min(reply.match_index));
             } else {
--- a/orioleworks_log/src/state.rs
+++ b/orioleworks_log/src/state.rs
@@ -37,6 +37,8 @@
     pub sent_commit: u64,
     /// Send time of the latest heartbeat that the member acknowledged in the leader's term.
     pub confirmed_at: Option<Instant>,
+    /// Send time of the latest append with whose acknowledgement the member held all that was committed at that time.
+    pub caught_up_at: Option<Instant>,
     /// Time at which the leader started to replicate to it.
     pub added_at: Instant,
     /// What it understands, by its newest reply; 0 before the first one.
--- a/orioleworks_rules/src/log.rs
+++ b/orioleworks_rules/src/log.rs
@@ -68,9 +68,10 @@
     committed_own_term && !change_in_flight
 }
 
-/// Whether a learner may become a voter: it has synced all committed entries.
-pub fn may_promote(learner_synced: u64, commit_index: u64) -> bool {
-    learner_synced >= commit_index
+/// Whether a learner may become a voter: it has synced all that was committed when the leader sent the append that it
+/// acknowledged last. What has been committed since does not count, because under constant load a learner never has it.
+pub fn may_promote(learner_synced: u64, committed_when_sent: u64) -> bool {
+    learner_synced >= committed_when_sent
 }
 
 /// Whether two sets of voters differ by at most one replica, so that their quorums overlap.
--- a/spec/src/log.rs
+++ b/spec/src/log.rs
@@ -24,7 +24,7 @@
     VoteTwice,
     /// An entry of an older term is committed by counting its replicas.
     CommitOlderTerm,
-    /// A learner is promoted before it has the committed log.
+    /// A learner is promoted before it has what was committed when the leader last reached it.
     EarlyPromotion,
     /// A second membership change starts while one is in flight.
     TwoChanges,
