Log: tell why a lost voter is not replaced

The leader logs `voters_lost`, at most every 2 s, with its commit index and, for each live learner, whether it gets entries, what it has synced and its lag. `orioleworks_log_lost_voters` counts the voters that have not replied for as long as a replacement takes to be due.

--- a/orioleworks_log/src/membership.rs
+++ b/orioleworks_log/src/membership.rs
@@ -1,6 +1,6 @@
 //! Bootstrap, join, promotion and removal, one membership change at a time.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use compio::time;
 use indexmap::IndexSet;
@@ -251,6 +251,7 @@
             };
             drop(state);
             self.update_warm_learners(&members);
+            self.report_lost_voters(&members);
             due
         };
         if let Some((membership, event)) = due {
@@ -275,6 +276,34 @@
         }
     }
 
+    /// Tells why lost voters are not replaced yet.
+    fn report_lost_voters(&self, members: &[MemberStatus]) {
+        const LOG_INTERVAL: Duration = Duration::from_secs(2);
+        let lost: Vec<&MemberStatus> = members.iter().filter(|m| !m.learner && m.lost).collect();
+        metrics::gauge!("orioleworks_log_lost_voters").set(lost.len() as f64);
+        let mut state = self.inner.state.borrow_mut();
+        let is_quiet = state.unreplaced_logged_at.is_some_and(|at| at.elapsed() < LOG_INTERVAL);
+        if lost.is_empty() || is_quiet {
+            return;
+        }
+        state.unreplaced_logged_at = Some(Instant::now());
+        let names: Vec<&str> = lost.iter().map(|m| &*m.name).collect();
+        let describe = |m: &MemberStatus| {
+            let lag_ms = m.lag.map_or_else(|| "unknown".into(), |lag| lag.as_millis().to_string());
+            let warm = state.warm_learners.contains(&m.id);
+            format!("{}/warm:{warm}/synced:{}/lag_ms:{lag_ms}", m.name, m.synced)
+        };
+        let learners: Vec<String> =
+            members.iter().filter(|m| m.learner && m.live).map(describe).collect();
+        event!(
+            warn,
+            "voters_lost",
+            voters = names.join(","),
+            commit = state.commit,
+            learners = learners.join(","),
+        );
+    }
+
     fn change_membership(&self, membership: inner::Membership, event: &str) -> bool {
         {
             let state = self.inner.state.borrow();
@@ -330,6 +359,7 @@
                 .zip(settings.replace_after)
                 .is_some_and(|(silence, after)| silence > after),
             synced,
+            lag,
             caught_up: synced > 0 && lag.is_some_and(|lag| lag <= MAX_PROMOTION_LAG),
             name_in_use: state.is_name_in_use(&m.name, settings.heartbeat),
             retired: retired.contains(&m.name),
--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -554,6 +554,7 @@
         announced_commit: None,
         current_as_of: None,
         warm_learners: HashSet::new(),
+        unreplaced_logged_at: None,
         incoming: IncomingSnapshot::default(),
     }
 }
--- a/orioleworks_log/src/reconfiguration.rs
+++ b/orioleworks_log/src/reconfiguration.rs
@@ -9,6 +9,7 @@
 use std::{
     cmp::Reverse,
     collections::{HashMap, HashSet},
+    time::Duration,
 };
 
 use orioleworks_rules::log as rules;
@@ -34,6 +35,8 @@
     pub lost: bool,
     /// Last entry that it is known to have synced.
     pub synced: u64,
+    /// Time since it had synced everything that was committed; `None` if it never had.
+    pub lag: Option<Duration>,
     /// Whether it has synced everything that is committed, or had a short time ago.
     pub caught_up: bool,
     /// Whether its name is in use by a voter that replied recently, so that no other identity may take it.
--- a/orioleworks_log/src/state.rs
+++ b/orioleworks_log/src/state.rs
@@ -113,6 +113,8 @@
     pub current_as_of: Option<Instant>,
     /// Warm learners: the leader keeps sending them entries.
     pub warm_learners: HashSet<u64>,
+    /// Time of the latest log line about voters that are not replaced.
+    pub unreplaced_logged_at: Option<Instant>,
     /// Snapshot that is being received.
     pub incoming: IncomingSnapshot,
 }
