--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -147,6 +147,8 @@
     pub(crate) snapshot_lock: Mutex<()>,
     /// Held while a part of a snapshot is processed.
     pub(crate) install_lock: Mutex<()>,
+    /// Held while a snapshot is sent to a learner.
+    pub(crate) learner_snapshot: Mutex<()>,
     pub(crate) journal: RefCell<Option<Journal>>,
     pub(crate) clients: RefCell<HashMap<String, rpc::Client>>,
     pub(crate) token: CancellationToken,
@@ -226,6 +228,7 @@
             vote_lock: Mutex::new(()),
             snapshot_lock: Mutex::new(()),
             install_lock: Mutex::new(()),
+            learner_snapshot: Mutex::new(()),
             journal: RefCell::new(Some(journal)),
             clients: RefCell::default(),
             token,
--- a/orioleworks_log/src/replication.rs
+++ b/orioleworks_log/src/replication.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use compio::time;
+use futures_util::lock::MutexGuard;
 use orioleworks_proto::inner::{self, frame::Body};
 use orioleworks_rules::log as rules;
 
@@ -135,7 +136,11 @@
                     }
                 }
                 NextMessage::Snapshot => {
-                    if !self.send_snapshot(term, &member).await {
+                    let sending = self.learner_snapshot_lock(id).await;
+                    // Its turn may come seconds later, when the member has been removed.
+                    let is_due = matches!(self.next_message(term, id), NextMessage::Snapshot);
+                    if is_due && !self.send_snapshot(term, &member).await {
+                        drop(sending);
                         time::sleep(self.inner.settings.heartbeat).await;
                     }
                 }
@@ -224,6 +229,14 @@
         self.advance_commit();
     }
 
+    /// Learners get their snapshots one after the other: all at once would share what a leader under load can send, and none would
+    /// have the snapshot before the log has gone on without what follows it. A voter does not wait, because the quorum may
+    /// need it.
+    async fn learner_snapshot_lock(&self, id: u64) -> Option<MutexGuard<'_, ()>> {
+        let is_learner = self.inner.state.borrow().member(id).is_some_and(|m| m.learner);
+        if is_learner { Some(self.inner.learner_snapshot.lock().await) } else { None }
+    }
+
     /// Sends the durable snapshot in parts; returns false if it must be retried later.
     async fn send_snapshot(&self, term: u64, member: &inner::Member) -> bool {
         let Some(mut reader) = self.open_snapshot().await else { return false };
--- a/orioleworks_log/tests/repair.rs
+++ b/orioleworks_log/tests/repair.rs
@@ -2,12 +2,13 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use compio::{net::TcpListener, runtime, time};
-use orioleworks_daemon::http;
+use orioleworks_daemon::{http, rpc};
 use orioleworks_log::{Log, Settings};
-use support::{Calls, command, leader, replica, run, settings, start};
+use orioleworks_proto::inner::frame::Body;
+use support::{Calls, command, leader, machine, replica, run, settings, start};
 use tokio_util::sync::CancellationToken;
 
 const VOTERS: usize = 3;
@@ -61,6 +62,64 @@
     });
 }
 
+/// Guards against a leader under load that sends its snapshot to all learners at once: they share what it can send, and when they
+/// have the snapshot, the log has gone on without what follows it.
+#[test]
+fn a_snapshot_is_sent_to_one_learner_at_a_time() {
+    const LEARNERS: usize = 4;
+    const INSTALL_TIME: Duration = Duration::from_millis(200);
+    run(async {
+        let names = ["a", "l1", "l2", "l3", "l4"];
+        let directories: Vec<_> = names.iter().map(|_| tempfile::tempdir().unwrap()).collect();
+        let token = CancellationToken::new();
+        let first = http::bind("127.0.0.1:0").await.unwrap();
+        let mut replicas = vec![replica("a", &first)];
+        let bounded = |settings: Settings| Settings {
+            max_voters: 1 + LEARNERS,
+            snapshot_entries: 10,
+            tail_entries: 1,
+            ..settings
+        };
+        let alone = bounded(settings("a", directories[0].path(), &replicas));
+        let logs = [start(alone, first, Duration::ZERO, &token)];
+        let (log, calls) = leader(&logs).await;
+        for _ in 0..30 {
+            log.propose("", command(String::new())).await.unwrap();
+        }
+        while calls.snapshots.get() == 0 {
+            time::sleep(Duration::from_millis(10)).await;
+        }
+        let (installing, most) = (Rc::new(Cell::new(0_usize)), Rc::new(Cell::new(0_usize)));
+        for (name, directory) in names.iter().zip(&directories).skip(1) {
+            let listener = http::bind("127.0.0.1:0").await.unwrap();
+            replicas.push(replica(name, &listener));
+            let settings = bounded(settings(name, directory.path(), &replicas));
+            let settings = Settings { bootstrap: false, ..settings };
+            let learner = Log::open(settings, machine(&Calls::default()), token.clone()).unwrap();
+            let (handling, installing, most) = (learner.clone(), installing.clone(), most.clone());
+            let handle = move |body: Body| {
+                let (log, installing, most) = (handling.clone(), installing.clone(), most.clone());
+                async move {
+                    let is_install = matches!(body, Body::Install(_));
+                    if is_install {
+                        installing.set(installing.get() + 1);
+                        most.set(most.get().max(installing.get()));
+                        time::sleep(INSTALL_TIME).await;
+                    }
+                    let reply = log.handle(body).await;
+                    installing.set(installing.get() - usize::from(is_install));
+                    reply
+                }
+            };
+            runtime::spawn(rpc::serve(listener, token.clone(), handle)).detach();
+            learner.start();
+        }
+        wait_for_voters(log, &names).await;
+        token.cancel();
+        assert_eq!(most.get(), 1, "learners that were sent a snapshot at the same time");
+    });
+}
+
 /// Waits until exactly these replicas vote.
 async fn wait_for_voters(log: &Log, expected: &[&str]) {
     loop {
