Gateways: no final 404 while the routes may be out of date

Callers saw 404 for a path that an acknowledged document has, from a gateway of a deployment without a leader: it refused `unknown_path` as final although no store with a leader had told it for seconds which document is the newest.

Unknown paths are refused with 503 (not run) and a Retry-After then, as unknown keys already were, after the same 1.5 s. The test failed on the code before: 404 for as long as no store ran.

--- a/orioleworks_gateway/src/callers.rs
+++ b/orioleworks_gateway/src/callers.rs
@@ -25,6 +25,11 @@
 /// Margin before a caller's deadline at which a request is abandoned, so that the response arrives in time.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(10);
 
+/// Time since the last reply of a store with a leader up to which the routes and keys of a gateway are taken for the newest ones.
+const CURRENT_WITHIN: Duration = Duration::from_millis(1500);
+/// Retry advice while they may not be the newest ones; another gateway may know those.
+const UNCONFIRMED_RETRY: Duration = Duration::from_millis(300);
+
 /// Reason why a request gets no response from an upstream.
 #[derive(Clone, Debug)]
 pub struct Refusal {
@@ -141,7 +146,11 @@
     let host = host_of(&req);
     let Some(route) = table.find(&host, req.uri().path()).cloned() else {
         let detail = format!("{host}{} in version {}", req.uri().path(), table.version);
-        return Err(Refusal::new(ResultCode::UnknownPath, detail, Duration::ZERO));
+        // 404 is final for a caller, and a newer document may have the path.
+        return Err(match view.age() < CURRENT_WITHIN {
+            true => Refusal::new(ResultCode::UnknownPath, detail, Duration::ZERO),
+            false => Refusal::new(ResultCode::NotReady, detail, UNCONFIRMED_RETRY),
+        });
     };
     *labels = RequestLabels::of_route(&route);
     let end = context.deadline_within(route.timeout);
@@ -189,11 +198,7 @@
     headers: &HeaderMap,
     needs_key: bool,
 ) -> Result<Option<Rc<Tenant>>, Refusal> {
-    /// Age of the last reply of a store up to which an unknown key is taken for an invalid one.
-    const MAX_AGE: Duration = Duration::from_millis(1500);
-    /// Another gateway may know the newest keys.
-    const UNCONFIRMED_RETRY: Duration = Duration::from_millis(300);
-    let result = view.keys.authorize(table, headers, needs_key, view.age() < MAX_AGE);
+    let result = view.keys.authorize(table, headers, needs_key, view.age() < CURRENT_WITHIN);
     result.map_err(|denial| match denial {
         Denial::Unknown => Refusal::new(ResultCode::ApiKeyUnknown, "", Duration::ZERO),
         Denial::Unconfirmed => Refusal::new(
--- a/orioleworks_gateway/tests/following.rs
+++ b/orioleworks_gateway/tests/following.rs
@@ -35,3 +35,20 @@
     println!("ticks of idle processes in 3 s: {used:?}");
     assert!(used.iter().all(|ticks| *ticks < 30), "{used:?}");
 }
+
+/// Guards against a final 404 for a path that a newer document has, from a gateway that no store with a leader has told for
+/// seconds which document is the newest.
+#[test]
+fn a_gateway_without_a_leading_store_does_not_deny_a_path() {
+    let mut d = Deployment::start(3, 1, &routes::document(1, 2000).to_string());
+    let status = |d: &Deployment| d.send(0, "GET", "/unknown/a", "a", "").map(|r| r.status);
+    assert_eq!(status(&d), Some(404));
+    for store in &mut d.stores {
+        *store = None;
+    }
+    d.wait_until("the path is not denied", || status(&d) == Some(503));
+    for i in 0..d.stores.len() {
+        d.start_store(i, false);
+    }
+    d.wait_until("the path is denied again", || status(&d) == Some(404));
+}
