Entry: bound what an engine may send as the state of its weights

An entry kept all that an engine sent in the 1 s of a call, so that a faulty engine that sends bytes without end could take its memory, and all requests of that entry with it. The response is read up to 64 KB now, and the connection is closed.

The test failed on the code before in the case of a body: the engine sent more than 32 MB. Heads were bounded already.

--- a/orioleworks_entry/src/weights_http.rs
+++ b/orioleworks_entry/src/weights_http.rs
@@ -3,6 +3,7 @@
 use std::{future::Future, time::Duration};
 
 use displaydoc::Display;
+use futures_util::StreamExt;
 use serde::{Deserialize, Serialize};
 
 use crate::weights_lease::{Fencing, LONGEST_DELIVERY_MS};
@@ -10,6 +11,9 @@
 /// Longest wait for a response of an engine, after which an order counts as undelivered.
 const TIMEOUT: Duration = Duration::from_millis(LONGEST_DELIVERY_MS);
 
+/// Largest response of an engine in bytes; the state of its weights takes less than 200.
+const MAX_RESPONSE_BYTES: usize = 64 * 1024;
+
 /// State of an engine's weights.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -109,7 +113,7 @@
         let exchange = async {
             let response = req.send().await.map_err(|_| SwapError::NoResponse)?;
             match response.status().as_u16() {
-                200 => response.json().await.map_err(|_| SwapError::NoResponse),
+                200 => read_weights(response).await.ok_or(SwapError::NoResponse),
                 409 => Err(SwapError::Fenced),
                 425 => Err(SwapError::NotPrefetched),
                 status => Err(SwapError::Status(status)),
@@ -119,6 +123,20 @@
     }
 }
 
+/// Reads the state; `None` if the response breaks off, is too large or is no state.
+async fn read_weights(response: cyper::Response) -> Option<Weights> {
+    let mut chunks = std::pin::pin!(response.bytes_stream());
+    let mut body = Vec::new();
+    while let Some(chunk) = chunks.next().await {
+        let chunk = chunk.ok()?;
+        if body.len() + chunk.len() > MAX_RESPONSE_BYTES {
+            return None;
+        }
+        body.extend_from_slice(&chunk);
+    }
+    serde_json::from_slice(&body).ok()
+}
+
 async fn within<T>(
     limit: Duration,
     exchange: impl Future<Output = Result<T, SwapError>>,
--- a/orioleworks_entry/tests/edges.rs
+++ b/orioleworks_entry/tests/edges.rs
@@ -2,11 +2,17 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{
+    io::{Read, Write},
+    net::TcpListener,
+    thread,
+    time::Duration,
+};
 
 use common::{TestEnv, UpstreamMode, block_on, booking, idempotency_key, profile, scorer};
 use compio::time;
 use futures_util::future::join_all;
+use orioleworks_entry::weights_http::{Engines, SwapError};
 use orioleworks_proto::inner;
 use rstest::rstest;
 
@@ -130,3 +136,31 @@
         assert_eq!(drain, (503, 200));
     });
 }
+
+/// Guards against an engine in trouble whose bytes without end an entry keeps until it has no memory left.
+#[rstest]
+#[case::head("HTTP/1.1 200 OK\r\n", "X-Padding: xxxxxxxxxxxxxxxxxxxxxxxx\r\n")]
+#[case::body("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n", "                ")]
+fn a_state_of_weights_without_end_is_not_kept(#[case] start: &str, #[case] repeated: &str) {
+    /// More than the entry and the buffers of the connection hold, and far less than the engine sends in the time of a call.
+    const MAX_SENT: usize = 32 * 1024 * 1024;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (start, part) = (start.to_owned(), repeated.repeat(2048));
+    let engine = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        // A response before its request would be refused as such.
+        assert!(stream.read(&mut [0; 4096]).unwrap() > 0);
+        stream.write_all(start.as_bytes()).unwrap();
+        let mut sent = 0;
+        while sent <= MAX_SENT && stream.write_all(part.as_bytes()).is_ok() {
+            sent += part.len();
+        }
+        sent
+    });
+    let engines = Engines::new(cyper::Client::new().unwrap());
+    let state = block_on(async { engines.read(&address).await });
+    assert_eq!(state, Err(SwapError::NoResponse));
+    let sent = engine.join().unwrap();
+    assert!(sent <= MAX_SENT, "the engine sent more than {MAX_SENT} B");
+}
