--- a/orioleworks_gateway/tests/untrusted_clients.rs
+++ b/orioleworks_gateway/tests/untrusted_clients.rs
@@ -36,6 +36,10 @@
 const RELAYED_BODY: usize = 4 * 1024 * 1024;
 /// Clients that send little or read nothing.
 const LARGE_CROWD: usize = 40;
+/// Bytes that one client sends in chunks of one byte, which are six times as many on the wire.
+const SINGLE_BYTES: usize = 512 * 1024;
+/// Body over any limit, in bytes.
+const FAR_TOO_LARGE: usize = 4 * LARGEST_BODY;
 /// Time for which the connections of a crowd stay open once everything is sent.
 const STAY_OPEN: Duration = Duration::from_secs(2);
 
@@ -404,3 +408,83 @@
     assert!(response.starts_with(b"HTTP/1.1 200"), "{}", String::from_utf8_lossy(&response));
     check(gateway, GATEWAY_MB, open_descriptors(gateway));
 }
+
+/// Sends a chunked body in chunks of one byte; stops early if the server closes the connection.
+fn send_single_bytes(address: &str, head: &str, len: usize) -> Option<TcpStream> {
+    const CHUNK: &[u8] = b"1\r\nx\r\n";
+    const CHUNKS_AT_A_TIME: usize = 1024;
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_write_timeout(Some(Duration::from_secs(3))).ok()?;
+    let framing = "Host: test.example\r\nTransfer-Encoding: chunked\r\n\r\n";
+    stream.write_all(format!("{head}{framing}").as_bytes()).ok()?;
+    let chunks = CHUNK.repeat(CHUNKS_AT_A_TIME);
+    for _ in 0..len / CHUNKS_AT_A_TIME {
+        if stream.write_all(&chunks).is_err() {
+            break;
+        }
+    }
+    Some(stream)
+}
+
+/// Guards against memory for each chunk of a body instead of for its bytes.
+#[test]
+fn bodies_in_chunks_of_one_byte_that_stop_before_their_end() {
+    check_gateway(CROWD, |address, i| {
+        send_single_bytes(address, &request_head("/lookup/x", i), SINGLE_BYTES)
+    });
+}
+
+/// Guards against memory for each chunk of a batch instead of for its bytes.
+#[test]
+fn batches_in_chunks_of_one_byte_that_stop_before_their_end() {
+    check_gateway(CROWD, |address, i| {
+        send_single_bytes(address, &request_head(&format!("/batch/b{i}"), i), SINGLE_BYTES)
+    });
+}
+
+/// Guards against a bound that ends at the largest legal body: the rest of a larger one is read, held or waited for.
+#[test]
+fn bodies_far_over_the_limit() {
+    check_gateway(CROWD, |address, i| {
+        let path = if i % 4 < 2 { "/lookup/x".to_owned() } else { format!("/batch/b{i}") };
+        let framing = if i % 2 == 0 { Framing::Declared } else { Framing::Chunked };
+        send_most(address, &request_head(&path, i), framing, FAR_TOO_LARGE)
+    });
+}
+
+/// Guards against a store that reads, holds or waits for the rest of a document that is over the limit, or holds memory for each
+/// chunk of one.
+#[test]
+fn documents_far_over_the_limit_or_in_chunks_of_one_byte() {
+    let _alone = alone();
+    let setup = setup(&routes::document(1, 5000));
+    check_ordinary(&setup.d, "before");
+    let store = setup.d.stores[0].as_ref().unwrap();
+    let address = setup.d.control_address(0);
+    let descriptors = crowd(store, CROWD, |i| {
+        let head = "POST /v1/Configuration.Replace HTTP/1.1\r\n";
+        match i % 3 {
+            0 => send_most(&address, head, Framing::Declared, FAR_TOO_LARGE),
+            1 => send_most(&address, head, Framing::Chunked, FAR_TOO_LARGE),
+            _ => send_single_bytes(&address, head, SINGLE_BYTES),
+        }
+    });
+    check_ordinary(&setup.d, "after");
+    check(store, STORE_MB, descriptors);
+}
+
+/// Guards against a port for readiness that holds what clients send to it.
+#[test]
+fn bodies_sent_to_the_readiness_port() {
+    let _alone = alone();
+    let setup = setup(&routes::document(1, 5000));
+    check_ordinary(&setup.d, "before");
+    let gateway = setup.d.gateways[0].as_ref().unwrap();
+    let address = setup.d.readiness_address(0);
+    let descriptors = crowd(gateway, CROWD, |i| {
+        let framing = if i % 2 == 0 { Framing::Declared } else { Framing::Chunked };
+        send_most(&address, "POST /v1/readiness HTTP/1.1\r\n", framing, FAR_TOO_LARGE)
+    });
+    check_ordinary(&setup.d, "after");
+    check(gateway, GATEWAY_MB, descriptors);
+}
