Entry: one memory budget for the bodies of all callers

Clients that send large bodies at once and stop short of their end took an entry's memory: only the size of one body was bounded.

Bodies and responses are charged to a budget as in gateways and stores: half of the new setting `limits.memory_mb` (256). A body without memory is refused as not run (503, Retry-After, `Connection: close`), and bodies without progress for 1 s are ended first.

--- a/orioleworks_daemon/src/http.rs
+++ b/orioleworks_daemon/src/http.rs
@@ -462,6 +462,18 @@
     response
 }
 
+/// Builds the response to a request for whose body there is no memory. The connection closes, because the rest of the body is not
+/// read.
+pub fn memory_short() -> Response {
+    /// Bodies without progress are ended after a second.
+    const RETRY_MS: u32 = 1000;
+    let mut response = error(ResultCode::BodyMemoryShort, "", RETRY_MS);
+    response
+        .headers_mut()
+        .insert(http::header::CONNECTION, http::HeaderValue::from_static("close"));
+    response
+}
+
 /// Builds a response with a JSON body.
 pub fn json(status: u16, body: &impl Serialize) -> Response {
     let bytes = serde_json::to_vec(body).unwrap_or_default();
--- a/orioleworks_entry/src/app.rs
+++ b/orioleworks_entry/src/app.rs
@@ -7,7 +7,9 @@
 use orioleworks_daemon::{
     clock,
     control::ControlClient,
-    event, http, logging, metrics, rpc,
+    event, http, logging,
+    memory::Budget,
+    metrics, rpc,
     shutdown::{InFlight, Shutdown},
 };
 use orioleworks_proto::{
@@ -64,6 +66,8 @@
     pub open_steps: InFlight,
     /// Entries that control currently reports as live.
     pub live_entries: RefCell<Vec<inner::EntryIdentity>>,
+    /// Memory for bodies of requests and for responses.
+    pub memory: Budget,
     /// Shutdown stages that the process signals trigger.
     pub shutdown: Shutdown,
     render: Box<dyn Fn() -> String>,
@@ -117,6 +121,7 @@
         let (name, incarnation) = (identity.name.as_str(), identity.incarnation);
         let claims = Claims::new(control.clone(), name, incarnation, in_flight.clone());
         Ok(Rc::new(Self {
+            memory: cfg.limits.budget(),
             cfg,
             identity,
             configuration,
@@ -170,7 +175,8 @@
         .detach();
         let entry = self.clone();
         let handler = move |req| router::handle(entry.clone(), req);
-        http::serve(http_listener, self.http_limits(), serving, handler).await;
+        let (limits, memory) = (self.http_limits(), self.memory.clone());
+        http::serve_within(http_listener, limits, memory, serving, handler).await;
         let stopped = self.shutdown.stop.cancelled();
         futures_util::future::select(Box::pin(self.in_flight.wait_idle()), Box::pin(stopped)).await;
         background.cancel();
--- a/orioleworks_entry/src/config.rs
+++ b/orioleworks_entry/src/config.rs
@@ -1,5 +1,6 @@
 //! Settings of the entry daemon, one struct for each section.
 
+use orioleworks_daemon::memory::Budget;
 use std::{net::SocketAddr, path::PathBuf, sync::Arc};
 
 use orioleworks_settings::{Problems, Settings};
@@ -101,6 +102,8 @@
     pub connections: usize,
     /// Largest request body in bytes.
     pub body_bytes: usize,
+    /// Memory of the process in megabytes; half of it is for bodies of requests and for responses.
+    pub memory_mb: usize,
     /// Largest number of requests that wait for an upstream, over all queues.
     pub queued_requests: usize,
     /// Longest time to read a request body in milliseconds.
@@ -111,11 +114,21 @@
     pub drain_grace_ms: u64,
 }
 
+impl Limits {
+    /// Memory for bodies of requests and for responses; the other half is for the process and for what upstreams send.
+    pub fn budget(&self) -> Budget {
+        /// Part that large bodies leave to small ones, in bytes.
+        const RESERVE_BYTES: usize = 4 * 1024 * 1024;
+        Budget::new(self.memory_mb * 1024 * 1024 / 2, RESERVE_BYTES)
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
             connections: 4096,
             body_bytes: 1024 * 1024,
+            memory_mb: 256,
             queued_requests: 20_000,
             body_timeout_ms: 10_000,
             drain_deadline_ms: 30_000,
@@ -198,6 +211,8 @@
         let limits = &self.limits;
         problems.range("limits.connections", limits.connections, 1..=65_536, "connections");
         problems.range("limits.body_bytes", limits.body_bytes, 1024..=4 * 1024 * 1024, "bytes");
+        // Less does not hold some bodies of the largest size beside the process.
+        problems.range("limits.memory_mb", limits.memory_mb, 64..=1_048_576, "MB");
         problems.range("limits.queued_requests", limits.queued_requests, 1..=1_000_000, "requests");
         problems.range("limits.body_timeout_ms", limits.body_timeout_ms, 100..=600_000, "ms");
         problems.range("limits.drain_deadline_ms", limits.drain_deadline_ms, 0..=600_000, "ms");
--- a/orioleworks_entry/src/rollout.rs
+++ b/orioleworks_entry/src/rollout.rs
@@ -172,8 +172,10 @@
     if req.method() != ::http::Method::POST {
         return http::error(ResultCode::MethodNotAllowed, "", 0);
     }
-    let body = match http::read_body(req.into_body(), &entry.http_limits()).await {
+    let limits = entry.http_limits();
+    let body = match http::read_body_within(req.into_body(), &limits, &entry.memory).await {
         Ok(body) => body,
+        Err(ResultCode::BodyMemoryShort) => return http::memory_short(),
         Err(code) => return http::error(code, "", 0),
     };
     match endpoint {
--- a/orioleworks_entry/src/router.rs
+++ b/orioleworks_entry/src/router.rs
@@ -44,8 +44,9 @@
         calls::set_header(&mut response, "allow", "POST");
         return response;
     }
-    let body = match http::read_body(body, &entry.http_limits()).await {
+    let body = match http::read_body_within(body, &entry.http_limits(), &entry.memory).await {
         Ok(body) => body,
+        Err(ResultCode::BodyMemoryShort) => return http::memory_short(),
         Err(code) => return refuse(code, path, request_id),
     };
     let Some(profile) = profile else {
