--- a/orioleworks_entry/src/config.rs
+++ b/orioleworks_entry/src/config.rs
@@ -1,8 +1,8 @@
 //! Settings of the entry daemon, one struct for each section.
 
-use orioleworks_daemon::memory::Budget;
 use std::{net::SocketAddr, path::PathBuf, sync::Arc};
 
+use orioleworks_daemon::memory::Budget;
 use orioleworks_settings::{Problems, Settings};
 use serde::Deserialize;
 
--- a/orioleworks_gateway/src/callers.rs
+++ b/orioleworks_gateway/src/callers.rs
@@ -27,7 +27,7 @@
 
 /// Time since the last reply of a store with a leader up to which the routes and keys of a gateway are taken for the newest ones.
 const CURRENT_WITHIN: Duration = Duration::from_millis(1500);
-/// Retry advice while they may not be the newest ones; another gateway may know those.
+/// Retry advice while they may be out of date; another gateway may know newer ones.
 const UNCONFIRMED_RETRY: Duration = Duration::from_millis(300);
 
 /// Reason why a request gets no response from an upstream.
--- a/orioleworks_log/src/durable.rs
+++ b/orioleworks_log/src/durable.rs
@@ -174,6 +174,7 @@
             let mut state = self.inner.state.borrow_mut();
             if state.is_leader() {
                 event!(warn, "leader_stepped_down", term = state.term(), reason = reason);
+                metrics::gauge!("orioleworks_log_lost_voters").set(0.0);
             }
             state.role = Role::Follower;
             state.leader_id = None;
