Stand-ins: a process that exits between two checks has its exit status

Cause: `Deployment::wait_exit` asks for the exit status and then whether the process runs. A process that exits in between has neither, and was taken for one that never ended. Whether it runs is asked first now. The order of two calls is not under a test's control, so there is no test of its own; every cell that waits for a trainer passes here.

--- a/orioleworks_standins/src/deployment.rs
+++ b/orioleworks_standins/src/deployment.rs
@@ -261,10 +261,12 @@
         const EXIT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
         let deadline = Instant::now() + timeout;
         loop {
+            // Asked before the status: a process that exits in between has a status then.
+            let running = self.running(name);
             if let Some(status) = self.with_process(name, |process| Ok(process.exit_status()))? {
                 return Ok(status.code());
             }
-            if Instant::now() >= deadline || !self.running(name) {
+            if Instant::now() >= deadline || !running {
                 return Ok(None);
             }
             compio::time::sleep(EXIT_CHECK_INTERVAL).await;
