Stream test: waits for the new engine by time, not by a number of requests

The test of streams and gateways that missed a version sent up to 100 requests until the new engine served one.

--- a/orioleworks_gateway/tests/software_versions.rs
+++ b/orioleworks_gateway/tests/software_versions.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::{
+    cell::{Cell, RefCell},
     collections::BTreeSet,
     io::{Read, Write},
     net::TcpStream,
@@ -387,12 +388,17 @@
     let new = Upstream::start_engine("e-2", MODEL, stores, "v2");
     new.behaviour.break_after.store(BREAK_AFTER, Ordering::Relaxed);
     refuse(true);
-    let begun = (0..100).find_map(|n| {
-        let first = format!("first-{n}");
+    // Refusals take a millisecond each, so that a number of attempts would end before the gateway knows the new engine.
+    let begun = RefCell::new((String::new(), Part::default()));
+    let attempts = Cell::new(0);
+    d.wait_until("the new engine begins a stream", || {
+        let first = format!("first-{}", attempts.replace(attempts.get() + 1));
         let part = read_stream(&d.gateway_address(current), &first, None);
-        (!part.events.is_empty()).then_some((first, part))
+        let has_begun = !part.events.is_empty();
+        *begun.borrow_mut() = (first, part);
+        has_begun
     });
-    let (first, begun) = begun.expect("the new engine begins a stream");
+    let (first, begun) = begun.into_inner();
     new.behaviour.break_after.store(0, Ordering::Relaxed);
     refuse(false);
     let (last, _) = begun.events.last().cloned().unwrap();
