Deployment of tests: ports are reserved against other test processes

Four test processes that started in the same instant got the same port in 4 of 20 runs ("Address already in use"; the gateway ended and the test failed after 20 s). A UDP socket of the same number reserves it now: none in 20 runs with five processes at a time.

--- a/orioleworks_gateway/tests/support/deployment.rs
+++ b/orioleworks_gateway/tests/support/deployment.rs
@@ -2,9 +2,8 @@
 
 use std::{
     cell::RefCell,
-    collections::BTreeSet,
     fs::{self, File},
-    net::TcpListener,
+    net::{TcpListener, UdpSocket},
     path::PathBuf,
     process::{Child, Command},
     sync::Mutex,
@@ -407,18 +406,19 @@
     }
 }
 
-/// A port that no other deployment of this test process uses, and that is free on the addresses of all roles: another test
-/// process may use it there. The system may offer a port again as soon as the listener that reserved it is closed.
+/// A port that is free on the addresses of all roles. A UDP socket reserves it until this process ends: the system may offer a
+/// port again as soon as the listener that found it is closed, also to other test processes.
 pub fn free_port() -> u16 {
     const ROLES: u8 = 6;
     const MAX_INSTANCES: usize = 8;
-    static TAKEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+    static RESERVED: Mutex<Vec<UdpSocket>> = Mutex::new(Vec::new());
     loop {
         let port = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
+        let Ok(reservation) = UdpSocket::bind(("127.0.0.1", port)) else { continue };
         let is_free =
             |role, i| TcpListener::bind(format!("{}:{port}", loopback_ip(role, i))).is_ok();
-        let free = (1..=ROLES).all(|role| (0..MAX_INSTANCES).all(|i| is_free(role, i)));
-        if free && TAKEN.lock().unwrap().insert(port) {
+        if (1..=ROLES).all(|role| (0..MAX_INSTANCES).all(|i| is_free(role, i))) {
+            RESERVED.lock().unwrap().push(reservation);
             return port;
         }
     }
