--- a/orioleworks_entry/src/attempt.rs
+++ b/orioleworks_entry/src/attempt.rs
@@ -4,14 +4,18 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use compio::{net::TcpStream, time};
 use futures_util::StreamExt;
 use orioleworks_proto::inner;
 use orioleworks_rules::claims::{AttemptFacts, AttemptOutcome, attempt_outcome};
 use serde::{Deserialize, Serialize};
 
-use crate::{dispatch::Completed, stream};
+use crate::{
+    dispatch::Completed,
+    responses::{self, ReadError},
+    stream,
+};
 
 /// Largest response of an upstream; a stored response must fit into a frame of the inner protocol.
 pub const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
@@ -193,23 +197,12 @@
         .and_then(|v| v.to_str().ok())
         .unwrap_or("application/octet-stream")
         .into();
-    let mut chunks = std::pin::pin!(response.bytes_stream());
-    let mut body = BytesMut::new();
-    while let Some(chunk) = chunks.next().await {
-        let chunk =
-            chunk.map_err(|e| Failure::sent(format!("the response was interrupted: {e}"), true))?;
-        if body.len() + chunk.len() > MAX_RESPONSE_BYTES {
-            return Err(Failure::sent("the response is too large", false));
-        }
-        body.extend_from_slice(&chunk);
-    }
-    let completed = Completed {
-        status,
-        body: body.freeze(),
-        content_type,
-        spans: Vec::new(),
-        upstream: target.name.clone(),
-    };
+    let body = responses::read_body(response, MAX_RESPONSE_BYTES).await.map_err(|e| {
+        let retryable = matches!(e, ReadError::Interrupted(_));
+        Failure::sent(e.to_string(), retryable)
+    })?;
+    let completed =
+        Completed { status, body, content_type, spans: Vec::new(), upstream: target.name.clone() };
     if engine || matches!(status, 429 | 502..=504) {
         let facts = AttemptFacts { sent: true, refused_by_upstream: false, complete: true };
         let retryable = !engine || status >= 429;
--- a/orioleworks_entry/src/lib.rs
+++ b/orioleworks_entry/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod persist;
 pub mod placement;
 pub mod policies;
+pub mod responses;
 pub mod restart;
 pub mod rollout;
 pub mod router;
--- a/orioleworks_entry/src/weights_http.rs
+++ b/orioleworks_entry/src/weights_http.rs
@@ -3,10 +3,12 @@
 use std::{future::Future, time::Duration};
 
 use displaydoc::Display;
-use futures_util::StreamExt;
 use serde::{Deserialize, Serialize};
 
-use crate::weights_lease::{Fencing, LONGEST_DELIVERY_MS};
+use crate::{
+    responses,
+    weights_lease::{Fencing, LONGEST_DELIVERY_MS},
+};
 
 /// Longest wait for a response of an engine, after which an order counts as undelivered.
 const TIMEOUT: Duration = Duration::from_millis(LONGEST_DELIVERY_MS);
@@ -125,15 +127,7 @@
 
 /// Reads the state; `None` if the response breaks off, is too large or is no state.
 async fn read_weights(response: cyper::Response) -> Option<Weights> {
-    let mut chunks = std::pin::pin!(response.bytes_stream());
-    let mut body = Vec::new();
-    while let Some(chunk) = chunks.next().await {
-        let chunk = chunk.ok()?;
-        if body.len() + chunk.len() > MAX_RESPONSE_BYTES {
-            return None;
-        }
-        body.extend_from_slice(&chunk);
-    }
+    let body = responses::read_body(response, MAX_RESPONSE_BYTES).await.ok()?;
     serde_json::from_slice(&body).ok()
 }
 
--- a/orioleworks_entry/tests/common/mod.rs
+++ b/orioleworks_entry/tests/common/mod.rs
@@ -3,7 +3,15 @@
 
 pub mod control;
 
-use std::{cell::RefCell, future::Future, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    fs,
+    future::Future,
+    path::Path,
+    process::{Child, Command},
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use compio::{net::TcpListener, runtime, time};
@@ -15,6 +23,49 @@
 
 use control::FakeControl;
 
+/// A process that is killed at the end of the test.
+pub struct Process(pub Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        drop(self.0.kill());
+        drop(self.0.wait());
+    }
+}
+
+impl Process {
+    /// Starts the binary with the control of `env`, these limits and two free ports; returns the process and its base URL once it
+    /// is ready.
+    pub async fn start(
+        env: &TestEnv,
+        directory: &Path,
+        limits: serde_json::Value,
+    ) -> (Self, String) {
+        let (http, inner) = (closed_address().await, closed_address().await);
+        let control = env.entry.cfg.control.replicas[0].address;
+        let cfg = json!({
+            "instance": {"name": "entry-a2", "failure_domain": "sicilia-a"},
+            "listen": {"http": http, "inner": inner},
+            "control": {"replicas": [{"address": control, "failure_domain": "sicilia-a"}]},
+            "limits": limits,
+        });
+        let file = directory.join("entry.jsonc");
+        fs::write(&file, cfg.to_string()).unwrap();
+        let binary = env!("CARGO_BIN_EXE_orioleworks-entry");
+        let process = Self(Command::new(binary).arg("--config").arg(file).spawn().unwrap());
+        let url = format!("http://{http}");
+        for _ in 0..300 {
+            if let Ok(ready) = env.client.get(format!("{url}/ready")).unwrap().send().await
+                && ready.status() == 200
+            {
+                return (process, url);
+            }
+            time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("the process was not ready after 300 checks");
+    }
+}
+
 pub fn block_on<T>(f: impl Future<Output = T>) -> T {
     compio::runtime::Runtime::new().unwrap().block_on(f)
 }
--- a/orioleworks_entry/tests/process.rs
+++ b/orioleworks_entry/tests/process.rs
@@ -2,13 +2,9 @@
 
 mod common;
 
-use std::{
-    process::{Child, Command},
-    rc::Rc,
-    time::Duration,
-};
+use std::{path::Path, rc::Rc, time::Duration};
 
-use common::{TestEnv, UpstreamMode, block_on, booking, idempotency_key, post, profile};
+use common::{Process, TestEnv, UpstreamMode, block_on, booking, idempotency_key, post, profile};
 use compio::{runtime, time};
 use futures_util::future::join_all;
 use nix::{
@@ -20,48 +16,22 @@
 use rstest::rstest;
 use serde_json::json;
 
-fn signal(child: &Child, signal: Signal) {
-    kill(Pid::from_raw(i32::try_from(child.id()).unwrap()), signal).unwrap();
+fn signal(process: &Process, signal: Signal) {
+    kill(Pid::from_raw(i32::try_from(process.0.id()).unwrap()), signal).unwrap();
 }
 
-async fn exit_code(mut child: Child) -> Option<i32> {
+async fn exit_code(mut process: Process) -> Option<i32> {
     for _ in 0..500 {
-        if let Some(status) = child.try_wait().unwrap() {
+        if let Some(status) = process.0.try_wait().unwrap() {
             return status.code();
         }
         time::sleep(Duration::from_millis(10)).await;
     }
-    child.kill().unwrap();
-    child.wait().unwrap();
     panic!("the process did not exit within 5 s");
 }
 
-/// Starts the binary with the control of `env` and two free ports; returns the process and its base URL.
-async fn start_process(env: &TestEnv, directory: &std::path::Path) -> (Child, String) {
-    let (http, inner) = (common::closed_address().await, common::closed_address().await);
-    let control = env.entry.cfg.control.replicas[0].address;
-    let cfg = json!({
-        "instance": {"name": "entry-a2", "failure_domain": "sicilia-a"},
-        "listen": {"http": http, "inner": inner},
-        "control": {"replicas": [{"address": control, "failure_domain": "sicilia-a"}]},
-        "limits": {"drain_grace_ms": 200},
-    });
-    let file = directory.join("entry.jsonc");
-    std::fs::write(&file, cfg.to_string()).unwrap();
-    let binary = env!("CARGO_BIN_EXE_orioleworks-entry");
-    let mut child = Command::new(binary).arg("--config").arg(file).spawn().unwrap();
-    let url = format!("http://{http}");
-    for _ in 0..300 {
-        if let Ok(ready) = env.client.get(format!("{url}/ready")).unwrap().send().await
-            && ready.status() == 200
-        {
-            return (child, url);
-        }
-        time::sleep(Duration::from_millis(10)).await;
-    }
-    child.kill().unwrap();
-    child.wait().unwrap();
-    panic!("the process was not ready after 300 checks");
+async fn start_process(env: &TestEnv, directory: &Path) -> (Process, String) {
+    Process::start(env, directory, json!({"drain_grace_ms": 200})).await
 }
 
 /// Guards against a planned stop that aborts a request, and against metrics without their labels.
@@ -70,7 +40,7 @@
     block_on(async {
         let directory = tempfile::tempdir().unwrap();
         let mut env = TestEnv::start(vec![profile("lookup", "sheet-app"), booking()]).await;
-        let (child, url) = start_process(&env, directory.path()).await;
+        let (process, url) = start_process(&env, directory.path()).await;
         env.url = url;
         let slow = || UpstreamMode::Slow(Duration::from_millis(150));
         let lookups = env.upstream("s-1", "sheet-app", slow()).await;
@@ -89,12 +59,12 @@
             time::sleep(Duration::from_millis(250)).await;
             let metrics = env.client.get(format!("{}/metrics", env.url)).unwrap().send();
             let metrics = metrics.await.unwrap().text().await.unwrap();
-            signal(&child, Signal::SIGTERM);
+            signal(&process, Signal::SIGTERM);
             metrics
         };
         let (statuses, metrics) = futures_util::join!(load, stop);
         assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
-        assert_eq!(exit_code(child).await, Some(0));
+        assert_eq!(exit_code(process).await, Some(0));
         assert_eq!(lookups.received.borrow().len(), 30);
         for part in
             ["profile=\"lookup\"", "class=\"lookup\"", "code=\"ok\"", "request_seconds_bucket"]
@@ -110,7 +80,7 @@
     block_on(async {
         let directory = tempfile::tempdir().unwrap();
         let mut env = TestEnv::start(vec![profile("lookup", "sheet-app")]).await;
-        let (child, url) = start_process(&env, directory.path()).await;
+        let (process, url) = start_process(&env, directory.path()).await;
         env.url = url;
         env.upstream("s-1", "sheet-app", UpstreamMode::Slow(Duration::from_secs(4))).await;
         let (client, url) = (env.client.clone(), env.url.clone());
@@ -121,10 +91,10 @@
         .detach();
         time::sleep(Duration::from_millis(200)).await;
         let started = std::time::Instant::now();
-        signal(&child, Signal::SIGTERM);
+        signal(&process, Signal::SIGTERM);
         time::sleep(Duration::from_millis(100)).await;
-        signal(&child, Signal::SIGTERM);
-        assert_eq!(exit_code(child).await, Some(0));
+        signal(&process, Signal::SIGTERM);
+        assert_eq!(exit_code(process).await, Some(0));
         assert!(started.elapsed() < Duration::from_secs(2));
     });
 }
--- a/orioleworks_entry/tests/untrusted_clients.rs
+++ b/orioleworks_entry/tests/untrusted_clients.rs
@@ -2,17 +2,9 @@
 
 mod common;
 
-use std::{
-    fs,
-    io::Write,
-    net::TcpStream,
-    path::Path,
-    process::{Child, Command},
-    thread,
-    time::Duration,
-};
+use std::{fs, io::Write, net::TcpStream, thread, time::Duration};
 
-use common::{TestEnv, UpstreamMode, block_on, profile};
+use common::{Process, TestEnv, UpstreamMode, block_on, profile};
 use compio::{runtime, time};
 use rstest::rstest;
 use serde_json::json;
@@ -28,32 +20,6 @@
 /// Time for which the connections of the crowd stay open once everything is sent.
 const STAY_OPEN: Duration = Duration::from_secs(2);
 
-struct KilledOnDrop(Child);
-
-impl Drop for KilledOnDrop {
-    fn drop(&mut self) {
-        drop(self.0.kill());
-        drop(self.0.wait());
-    }
-}
-
-/// Starts the binary with the control of `env`; returns the process and the address for callers.
-async fn start_process(env: &TestEnv, directory: &Path) -> (KilledOnDrop, String) {
-    let (http, inner) = (common::closed_address().await, common::closed_address().await);
-    let control = env.entry.cfg.control.replicas[0].address;
-    let cfg = json!({
-        "instance": {"name": "entry-a2", "failure_domain": "sicilia-a"},
-        "listen": {"http": http, "inner": inner},
-        "control": {"replicas": [{"address": control, "failure_domain": "sicilia-a"}]},
-        "limits": {"body_bytes": LARGEST_BODY},
-    });
-    let file = directory.join("entry.jsonc");
-    fs::write(&file, cfg.to_string()).unwrap();
-    let binary = env!("CARGO_BIN_EXE_orioleworks-entry");
-    let child = Command::new(binary).arg("--config").arg(file).spawn().unwrap();
-    (KilledOnDrop(child), http.to_string())
-}
-
 /// Sends all of a body but its last byte; stops early if the server closes the connection.
 fn send_most(address: &str, chunked: bool) -> Option<TcpStream> {
     let piece = [b'x'; 64 * 1024];
@@ -111,12 +77,9 @@
     let test = async {
         let directory = tempfile::tempdir().unwrap();
         let mut env = TestEnv::start(vec![profile("lookup", "sheet-app")]).await;
-        let (mut process, address) = start_process(&env, directory.path()).await;
-        let (pid, url) = (process.0.id(), format!("http://{address}"));
-        let ready = || env.client.get(format!("{url}/ready")).unwrap().send();
-        while !ready().await.is_ok_and(|response| response.status() == 200) {
-            time::sleep(Duration::from_millis(10)).await;
-        }
+        let limits = json!({"body_bytes": LARGEST_BODY});
+        let (mut process, url) = Process::start(&env, directory.path(), limits).await;
+        let (pid, address) = (process.0.id(), url.trim_start_matches("http://").to_owned());
         // Upstreams announce themselves there.
         env.url = url.clone();
         env.upstream("s-1", "sheet-app", UpstreamMode::Echo).await;
--- a/orioleworks_store/src/control.rs
+++ b/orioleworks_store/src/control.rs
@@ -31,7 +31,7 @@
     let (head, body) = req.into_parts();
     let body = match http::read_body_within(body, &limits(), &memory).await {
         Ok(body) => body,
-        Err(ResultCode::BodyMemoryShort) => return memory_short(),
+        Err(ResultCode::BodyMemoryShort) => return http::memory_short(),
         Err(code) => return http::error(code, "", 0),
     };
     match control::decode(&head.method, head.uri.path(), &body) {
@@ -44,16 +44,6 @@
     }
 }
 
-/// The rest of the body is not read.
-fn memory_short() -> http::Response {
-    /// Shares without progress are ended after a second.
-    const RETRY_MS: u32 = 1000;
-    let mut response = http::error(ResultCode::BodyMemoryShort, "", RETRY_MS);
-    let close = ::http::HeaderValue::from_static("close");
-    response.headers_mut().insert(::http::header::CONNECTION, close);
-    response
-}
-
 async fn execute(store: &Store, call: ControlCall) -> http::Response {
     match call {
         ControlCall::Announce(up) => {
