--- a/orioleworks_log/src/durable.rs
+++ b/orioleworks_log/src/durable.rs
@@ -22,6 +22,9 @@
 /// Largest encoded size of the entries that are copied for the disk at a time, in bytes; a larger entry is alone.
 const MAX_WRITE_BYTES: usize = 1024 * 1024;
 
+/// Longest silence of a member for which entries are kept that it still needs: longer than a restart.
+const LONGEST_SILENCE: Duration = Duration::from_secs(5);
+
 enum Write {
     Append(Journal, Vec<inner::LogEntry>),
     /// Replaces the log file by one with the entries after `base`, up to the index `through` at least.
@@ -225,8 +228,9 @@
         }
         let mut state = self.inner.state.borrow_mut();
         let settings = &self.inner.settings;
-        let (keep_from, tail_bytes) =
-            state.tail(snapshot.last_index, settings.tail_entries, settings.tail_bytes);
+        // A member that is behind would need this snapshot too, and the next one when it has received it.
+        let needed_after = state.acknowledged_by_all(LONGEST_SILENCE);
+        let (keep_from, tail_bytes) = state.tail(snapshot.last_index, needed_after, settings);
         state.snapshot = snapshot;
         state.tail_bytes = tail_bytes;
         if keep_from > state.base.index {
--- a/orioleworks_log/src/replication.rs
+++ b/orioleworks_log/src/replication.rs
@@ -160,9 +160,7 @@
         }
         let state = self.inner.state.borrow();
         let Some(progress) = state.progress.get(&id) else { return NextMessage::Stop };
-        // A learner receives entries or a snapshot once, and later only while it may soon have to replace a voter.
-        let learner = state.member(id).is_some_and(|m| m.learner);
-        if learner && progress.match_index > 0 && !state.warm_learners.contains(&id) {
+        if !state.receives_entries(id) {
             return NextMessage::Wait;
         }
         if progress.next_index <= state.base.index {
--- a/orioleworks_log/src/settings.rs
+++ b/orioleworks_log/src/settings.rs
@@ -38,6 +38,9 @@
     pub tail_entries: u64,
     /// Largest encoded size of these entries in bytes.
     pub tail_bytes: usize,
+    /// Largest encoded size in bytes, these included, up to which more entries are kept behind a snapshot because a member that
+    /// is live still needs them.
+    pub catch_up_bytes: usize,
     /// Bytes of applied log entries after which a snapshot is taken.
     pub snapshot_bytes: usize,
     /// Largest number of voters; further replicas stay learners until a voter is lost.
@@ -67,6 +70,7 @@
             snapshot_entries: 1000,
             tail_entries: 100,
             tail_bytes: usize::MAX,
+            catch_up_bytes: 0,
             snapshot_bytes: usize::MAX,
             max_voters: usize::MAX,
             max_voters_per_domain: usize::MAX,
--- a/orioleworks_log/src/state.rs
+++ b/orioleworks_log/src/state.rs
@@ -13,6 +13,7 @@
 use crate::{
     files::{Identity, SnapshotWriter},
     node::ProposeError,
+    settings::Settings,
 };
 
 /// Role of a replica in its term.
@@ -244,21 +245,45 @@
         uncovered.saturating_sub(waiting.map(Message::encoded_len).sum()) >= bytes
     }
 
-    /// Entries to keep behind a snapshot that covers those up to `last`: at most `count` with at most `bytes` bytes.
-    /// Returns the index through which the others are dropped, and the size of the kept ones.
-    pub fn tail(&self, last: u64, count: u64, bytes: usize) -> (u64, usize) {
+    /// Entries to keep behind a snapshot that covers those up to `last`: the newest ones and those after `needed_after`, within the
+    /// bounds of the settings. Returns the index through which the others are dropped, and the size of the kept ones.
+    pub fn tail(&self, last: u64, needed_after: u64, settings: &Settings) -> (u64, usize) {
         let covered = self.entries.iter().rev().filter(|entry| entry.index <= last);
         let (mut base, mut total) = (last, 0);
-        for entry in covered.take(usize::try_from(count).unwrap_or(usize::MAX)) {
-            let size = entry.encoded_len();
-            if total + size > bytes {
+        for entry in covered {
+            let size = total + entry.encoded_len();
+            let is_new = last - entry.index < settings.tail_entries && size <= settings.tail_bytes;
+            let is_needed = entry.index > needed_after && size <= settings.catch_up_bytes;
+            if !is_new && !is_needed {
                 break;
             }
-            (base, total) = (entry.index - 1, total + size);
+            (base, total) = (entry.index - 1, size);
         }
         (base, total)
     }
 
+    /// Whether entries are sent to a member as they arrive. A learner receives entries or a snapshot once, and later only while it
+    /// may soon have to replace a voter.
+    pub fn receives_entries(&self, id: u64) -> bool {
+        let is_learner = self.member(id).is_some_and(|m| m.learner);
+        let has_none = self.progress.get(&id).is_none_or(|progress| progress.match_index == 0);
+        !is_learner || has_none || self.warm_learners.contains(&id)
+    }
+
+    /// Last index that all members have to which this replica sends entries as a leader. Those that have been silent for longer
+    /// than this do not count.
+    pub fn acknowledged_by_all(&self, longest_silence: Duration) -> u64 {
+        if !self.is_leader() {
+            return u64::MAX;
+        }
+        let is_live = |progress: &Progress| {
+            progress.confirmed_at.unwrap_or(progress.added_at).elapsed() <= longest_silence
+        };
+        let receiving =
+            self.progress.iter().filter(|(id, p)| self.receives_entries(**id) && is_live(p));
+        receiving.map(|(_, progress)| progress.match_index).min().unwrap_or(u64::MAX)
+    }
+
     /// Sets the membership to the last one of the log, or the snapshot's.
     pub fn reload_membership(&mut self) {
         (self.membership_index, self.membership) = self.membership_at(u64::MAX);
--- a/orioleworks_log/tests/repair.rs
+++ b/orioleworks_log/tests/repair.rs
@@ -50,15 +50,7 @@
         let logs: Vec<(Log, Calls)> = listeners.into_iter().enumerate().map(start_one).collect();
         let (log, _) = leader(&logs).await;
         wait_for_voters(log, &names[..VOTERS]).await;
-        let proposing = log.clone();
-        runtime::spawn(async move {
-            loop {
-                let (log, content) = (proposing.clone(), "x".repeat(entry_bytes));
-                runtime::spawn(async move { log.propose("", command(content)).await }).detach();
-                time::sleep(PROPOSAL_INTERVAL).await;
-            }
-        })
-        .detach();
+        propose_constantly(log, "x".repeat(entry_bytes));
         let lost = (0..VOTERS).find(|i| !logs[*i].0.is_leader()).unwrap();
         tokens[lost].cancel();
         let remaining: Vec<&str> = (0..=VOTERS).filter(|i| *i != lost).map(|i| names[i]).collect();
@@ -94,37 +86,111 @@
         while calls.snapshots.get() == 0 {
             time::sleep(Duration::from_millis(10)).await;
         }
-        let (installing, most) = (Rc::new(Cell::new(0_usize)), Rc::new(Cell::new(0_usize)));
+        let installing = Installing::default();
         for (name, directory) in names.iter().zip(&directories).skip(1) {
             let listener = http::bind("127.0.0.1:0").await.unwrap();
             replicas.push(replica(name, &listener));
             let settings = bounded(settings(name, directory.path(), &replicas));
             let settings = Settings { bootstrap: false, ..settings };
-            let learner = Log::open(settings, machine(&Calls::default()), token.clone()).unwrap();
-            let (handling, installing, most) = (learner.clone(), installing.clone(), most.clone());
-            let handle = move |body: Body| {
-                let (log, installing, most) = (handling.clone(), installing.clone(), most.clone());
-                async move {
-                    let is_install = matches!(body, Body::Install(_));
-                    if is_install {
-                        installing.set(installing.get() + 1);
-                        most.set(most.get().max(installing.get()));
-                        time::sleep(INSTALL_TIME).await;
-                    }
-                    let reply = log.handle(body).await;
-                    installing.set(installing.get() - usize::from(is_install));
-                    reply
-                }
-            };
-            runtime::spawn(rpc::serve(listener, token.clone(), handle)).detach();
-            learner.start();
+            start_slow(settings, listener, INSTALL_TIME, &token, &installing);
         }
         wait_for_voters(log, &names).await;
         token.cancel();
-        assert_eq!(most.get(), 1, "learners that were sent a snapshot at the same time");
+        assert_eq!(installing.most.get(), 1, "learners that were sent a snapshot at the same time");
+    });
+}
+
+/// Guards against a learner that needs one snapshot after the other: while it received one, the leader took the next and dropped
+/// the entries between them.
+#[test]
+fn a_learner_catches_up_although_its_snapshot_takes_longer_than_the_time_between_two() {
+    const INSTALL_TIME: Duration = Duration::from_millis(500);
+    run(async {
+        let directories = [tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap()];
+        let token = CancellationToken::new();
+        let first = http::bind("127.0.0.1:0").await.unwrap();
+        let second = http::bind("127.0.0.1:0").await.unwrap();
+        let replicas = [replica("a", &first), replica("b", &second)];
+        let bounded = |i: usize| Settings {
+            snapshot_entries: 10,
+            tail_entries: 1,
+            catch_up_bytes: 1024 * 1024,
+            bootstrap: i == 0,
+            // The first replica founds the cluster without waiting for the second one.
+            ..settings(["a", "b"][i], directories[i].path(), &replicas[..=i])
+        };
+        let logs = [start(bounded(0), first, Duration::ZERO, &token)];
+        let (log, calls) = leader(&logs).await;
+        propose_constantly(log, String::new());
+        while calls.snapshots.get() < 2 {
+            time::sleep(Duration::from_millis(10)).await;
+        }
+        start_slow(bounded(1), second, INSTALL_TIME, &token, &Installing::default());
+        wait_for_voters(log, &["a", "b"]).await;
+        token.cancel();
     });
 }
 
+/// Replicas that are receiving a part of a snapshot; clones share it.
+#[derive(Clone, Default)]
+struct Installing {
+    now: Rc<Cell<usize>>,
+    most: Rc<Cell<usize>>,
+}
+
+impl Installing {
+    fn begin(&self) {
+        self.now.set(self.now.get() + 1);
+        self.most.set(self.most.get().max(self.now.get()));
+    }
+
+    fn end(&self) {
+        self.now.set(self.now.get() - 1);
+    }
+}
+
+/// Starts a replica that takes a time for each part of a snapshot.
+fn start_slow(
+    settings: Settings,
+    listener: TcpListener,
+    install_time: Duration,
+    token: &CancellationToken,
+    installing: &Installing,
+) {
+    let log = Log::open(settings, machine(&Calls::default()), token.clone()).unwrap();
+    let (handling, installing) = (log.clone(), installing.clone());
+    let handle = move |body: Body| {
+        let (log, installing) = (handling.clone(), installing.clone());
+        async move {
+            let is_install = matches!(body, Body::Install(_));
+            if is_install {
+                installing.begin();
+                time::sleep(install_time).await;
+            }
+            let reply = log.handle(body).await;
+            if is_install {
+                installing.end();
+            }
+            reply
+        }
+    };
+    runtime::spawn(rpc::serve(listener, token.clone(), handle)).detach();
+    log.start();
+}
+
+/// Proposes entries until the test ends.
+fn propose_constantly(log: &Log, content: String) {
+    let log = log.clone();
+    let propose = async move {
+        loop {
+            let (log, content) = (log.clone(), content.clone());
+            runtime::spawn(async move { log.propose("", command(content)).await }).detach();
+            time::sleep(PROPOSAL_INTERVAL).await;
+        }
+    };
+    runtime::spawn(propose).detach();
+}
+
 /// Waits until exactly these replicas vote.
 async fn wait_for_voters(log: &Log, expected: &[&str]) {
     loop {
--- a/orioleworks_store/src/config.rs
+++ b/orioleworks_store/src/config.rs
@@ -300,6 +300,7 @@
             snapshot_entries: 4000,
             snapshot_bytes: share(SNAPSHOT_PERCENT),
             tail_bytes: share(TAIL_PERCENT),
+            catch_up_bytes: share(TAIL_PERCENT),
             max_voters: 2 * losses + 1,
             max_voters_per_domain: losses,
             replace_after: Some(REPLACE_AFTER),
