Entry: the memory bounds the connections of callers; heads of at most 24 KB

800 clients that sent 60 KB of a head without end took an entry with limits.memory_mb of 64 to 82 MB: only the number of connections was bounded (4,096 with 64 KB each, as much as the default of 256 MB). Now their buffers have 24 KB, which holds the largest legal head, in three eighths of the memory; with the default that is 4,096 connections as before. The test failed before (82 of 64 MB) and takes 10 MB now; crowd and bound were fixed before the change.

--- a/orioleworks_entry/src/app.rs
+++ b/orioleworks_entry/src/app.rs
@@ -279,7 +279,8 @@
     pub fn http_limits(&self) -> http::Limits {
         let limits = &self.cfg.limits;
         http::Limits {
-            connections: limits.connections,
+            connections: limits.connections(),
+            buffer_bytes: http::Limits::SMALL_BUFFER_BYTES,
             body_bytes: limits.body_bytes,
             body_timeout: Duration::from_millis(limits.body_timeout_ms),
             ..http::Limits::default()
--- a/orioleworks_entry/src/config.rs
+++ b/orioleworks_entry/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, sync::Arc};
 
-use orioleworks_daemon::memory::Budget;
+use orioleworks_daemon::{http, memory::Budget};
 use orioleworks_settings::{Problems, Settings};
 use serde::Deserialize;
 
@@ -98,7 +98,7 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
-    /// Largest number of concurrent connections of callers.
+    /// Largest number of concurrent connections of callers; the memory bounds it too, see [`Limits::connections`].
     pub connections: usize,
     /// Largest request body in bytes.
     pub body_bytes: usize,
@@ -115,7 +115,14 @@
 }
 
 impl Limits {
-    /// Memory for bodies of requests and for responses; the other half is for the process and for what upstreams send.
+    /// Connections of callers. The heads that they may be sending take at most three eighths of the memory, because no budget
+    /// charges them.
+    pub fn connections(&self) -> usize {
+        let memory = self.memory_mb * 1024 * 1024 / 8 * 3;
+        self.connections.min(memory / http::Limits::SMALL_BUFFER_BYTES)
+    }
+
+    /// Memory for bodies of requests and for responses; the rest is for heads, the process and what upstreams send.
     pub fn budget(&self) -> Budget {
         /// Part that large bodies leave to small ones, in bytes.
         const RESERVE_BYTES: usize = 4 * 1024 * 1024;
--- a/orioleworks_entry/tests/untrusted_clients.rs
+++ b/orioleworks_entry/tests/untrusted_clients.rs
@@ -15,8 +15,13 @@
 const ENTRY_MB: usize = 256;
 /// Clients that send large bodies: 400 MB in all.
 const CROWD: usize = 100;
-/// Bound of open descriptors: the connections of the crowd, and less than 60 of the process's own.
-const DESCRIPTORS: usize = 160;
+/// Memory limit under clients whose heads do not end, in megabytes.
+const SMALL_ENTRY_MB: usize = 64;
+/// Clients whose heads do not end, and what each sends: 48 MB in all.
+const HEADS: usize = 800;
+const HEAD_BYTES: usize = 60 * 1024;
+/// Bound of open descriptors beside the connections of the crowd.
+const OWN_DESCRIPTORS: usize = 60;
 /// Time for which the connections of the crowd stay open once everything is sent.
 const STAY_OPEN: Duration = Duration::from_secs(2);
 
@@ -46,14 +51,30 @@
     Some(stream)
 }
 
-/// Runs the crowd and keeps its connections open for a while; returns the largest number of open descriptors.
-fn crowd(pid: u32, address: &str) -> usize {
+/// Sends header lines without an end of the head; stops early if the server closes the connection.
+fn send_endless_head(address: &str) -> Option<TcpStream> {
+    let line = format!("X-Line: {}\r\n", "x".repeat(1000));
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_write_timeout(Some(Duration::from_secs(3))).ok()?;
+    stream.write_all(b"POST /v1/call/lookup HTTP/1.1\r\nHost: entry\r\n").ok()?;
+    for _ in 0..HEAD_BYTES / line.len() {
+        if stream.write_all(line.as_bytes()).is_err() {
+            break;
+        }
+    }
+    Some(stream)
+}
+
+/// Runs `n` clients, a hundred at a time, and keeps their connections open for a while; returns the largest number of open
+/// descriptors.
+fn crowd(pid: u32, n: usize, client: impl Fn(usize) -> Option<TcpStream> + Sync) -> usize {
+    const THREADS: usize = 100;
     let descriptors = || fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count);
     thread::scope(|scope| {
-        let clients: Vec<_> =
-            (0..CROWD).map(|i| scope.spawn(move || send_most(address, i % 2 == 0))).collect();
-        let open: Vec<Option<TcpStream>> =
-            clients.into_iter().map(|client| client.join().unwrap()).collect();
+        let client = &client;
+        let run = |first| move || (first..n).step_by(THREADS).map(client).collect::<Vec<_>>();
+        let clients: Vec<_> = (0..THREADS).map(|first| scope.spawn(run(first))).collect();
+        let open: Vec<_> = clients.into_iter().map(|client| client.join().unwrap()).collect();
         let most = descriptors();
         thread::sleep(STAY_OPEN);
         drop(open);
@@ -71,29 +92,47 @@
     }
 }
 
-/// Guards against an entry that holds every body that has not ended: only the size of one body was bounded.
-#[rstest]
-fn bodies_that_stop_before_their_end() {
+/// Checks that an entry with these limits survives a crowd within its memory, and answers an ordinary request afterwards.
+fn check(
+    limits: serde_json::Value,
+    memory_mb: usize,
+    n: usize,
+    client: impl Fn(&str, usize) -> Option<TcpStream> + Send + Sync + 'static,
+) {
     let test = async {
         let directory = tempfile::tempdir().unwrap();
         let mut env = TestEnv::start(vec![profile("lookup", "sheet-app")]).await;
-        let limits = json!({"body_bytes": LARGEST_BODY});
         let (mut process, url) = Process::start(&env, directory.path(), limits).await;
         let (pid, address) = (process.0.id(), url.trim_start_matches("http://").to_owned());
         // Upstreams announce themselves there.
         env.url = url.clone();
         env.upstream("s-1", "sheet-app", UpstreamMode::Echo).await;
         wait_for_answer(&env, &url).await;
-        let descriptors = runtime::spawn_blocking(move || crowd(pid, &address)).await.unwrap();
+        let run = move || crowd(pid, n, |i| client(&address, i));
+        let descriptors = runtime::spawn_blocking(run).await.unwrap();
         wait_for_answer(&env, &url).await;
         assert_eq!(process.0.try_wait().unwrap(), None, "the process ended");
         let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
         let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
         let peak_mb = peak.trim().trim_end_matches(" kB").parse::<usize>().unwrap() / 1024;
         println!("measured: peak_mb={peak_mb} descriptors={descriptors}");
-        assert!(peak_mb <= ENTRY_MB, "{peak_mb} MB of {ENTRY_MB} MB");
-        assert!(descriptors <= DESCRIPTORS, "{descriptors} descriptors of {DESCRIPTORS}");
+        assert!(peak_mb <= memory_mb, "{peak_mb} MB of {memory_mb} MB");
+        assert!(descriptors <= n + OWN_DESCRIPTORS, "{descriptors} descriptors, {n} clients");
     };
     let ended = block_on(async { time::timeout(Duration::from_secs(60), test).await });
     ended.expect("no ordinary request is answered within a minute");
 }
+
+/// Guards against an entry that holds every body that has not ended: only the size of one body was bounded.
+#[rstest]
+fn bodies_that_stop_before_their_end() {
+    let limits = json!({"body_bytes": LARGEST_BODY});
+    check(limits, ENTRY_MB, CROWD, |address, i| send_most(address, i % 2 == 0));
+}
+
+/// Guards against heads whose buffers take as much memory as the process has: only the number of connections was bounded.
+#[rstest]
+fn heads_that_do_not_end() {
+    let limits = json!({"memory_mb": SMALL_ENTRY_MB});
+    check(limits, SMALL_ENTRY_MB, HEADS, |address, _| send_endless_head(address));
+}
