Entry: responses of upstreams are charged to the memory of bodies

64 callers whose upstreams sent 4 MB of a response and stopped before its end took an entry with limits.memory_mb of 64 to 273 and 275 MB: only the size of one response was bounded. Responses are charged while they are read; one without progress ends for others that need memory, as bodies of callers do, and its attempt has failed.

--- a/orioleworks_entry/src/app.rs
+++ b/orioleworks_entry/src/app.rs
@@ -114,14 +114,20 @@
             policies,
             rand::random(),
         );
-        let dispatcher =
-            Dispatcher::new(configuration.clone(), suspects.clone(), slots.clone(), budget);
+        let memory = cfg.limits.budget();
+        let dispatcher = Dispatcher::new(
+            configuration.clone(),
+            suspects.clone(),
+            slots.clone(),
+            budget,
+            memory.clone(),
+        );
         let control = ControlClient::new(control_addresses(&cfg));
         let in_flight = InFlight::default();
         let (name, incarnation) = (identity.name.as_str(), identity.incarnation);
         let claims = Claims::new(control.clone(), name, incarnation, in_flight.clone());
         Ok(Rc::new(Self {
-            memory: cfg.limits.budget(),
+            memory,
             cfg,
             identity,
             configuration,
--- a/orioleworks_entry/src/attempt.rs
+++ b/orioleworks_entry/src/attempt.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use compio::{net::TcpStream, time};
-use futures_util::StreamExt;
+use orioleworks_daemon::memory::Budget;
 use orioleworks_proto::inner;
 use orioleworks_rules::claims::{AttemptFacts, AttemptOutcome, attempt_outcome};
 use serde::{Deserialize, Serialize};
@@ -101,11 +101,19 @@
     cyper::Client::builder().redirect(cyper::redirect::Policy::none()).no_proxy().build()
 }
 
-/// Runs the attempt; dropping the future closes the connection.
+impl From<ReadError> for Failure {
+    fn from(e: ReadError) -> Self {
+        let connection_failed = matches!(e, ReadError::Interrupted(_));
+        Self::sent(e.to_string(), connection_failed)
+    }
+}
+
+/// Runs the attempt; dropping the future closes the connection. The response is charged to a budget while it is read.
 pub async fn run(
     client: &cyper::Client,
     target: &Target,
     outgoing: Outgoing<'_>,
+    memory: &Budget,
 ) -> Result<Success, Failure> {
     fail::fail_point!("dispatch.before_send");
     let request = build(client, target, outgoing)?;
@@ -121,9 +129,9 @@
         return Err(Failure { facts, ..Failure::sent("refused by the upstream", false) });
     }
     if outgoing.engine && status == 200 {
-        read_stream(response, target, outgoing).await
+        read_stream(response, target, outgoing, memory).await
     } else {
-        read_body(response, target, outgoing.engine).await
+        read_body(response, target, outgoing.engine, memory).await
     }
 }
 
@@ -189,6 +197,7 @@
     response: cyper::Response,
     target: &Target,
     engine: bool,
+    memory: &Budget,
 ) -> Result<Success, Failure> {
     let status = response.status().as_u16();
     let content_type: Rc<str> = response
@@ -197,10 +206,7 @@
         .and_then(|v| v.to_str().ok())
         .unwrap_or("application/octet-stream")
         .into();
-    let body = responses::read_body(response, MAX_RESPONSE_BYTES).await.map_err(|e| {
-        let retryable = matches!(e, ReadError::Interrupted(_));
-        Failure::sent(e.to_string(), retryable)
-    })?;
+    let body = responses::read_body(response, MAX_RESPONSE_BYTES, memory).await?;
     let completed =
         Completed { status, body, content_type, spans: Vec::new(), upstream: target.name.clone() };
     if engine || matches!(status, 429 | 502..=504) {
@@ -222,20 +228,20 @@
     response: cyper::Response,
     target: &Target,
     outgoing: Outgoing<'_>,
+    memory: &Budget,
 ) -> Result<Success, Failure> {
     let mut reader = stream::Reader::new(outgoing.attempt_id, MAX_RESPONSE_BYTES);
-    let mut chunks = std::pin::pin!(response.bytes_stream());
+    let mut parts = responses::parts(response, memory);
     while !reader.is_done() {
-        match chunks.next().await {
-            Some(Ok(chunk)) => reader
-                .push(&chunk)
-                .map_err(|e| Failure::sent(format!("the stream is invalid: {e:?}"), false))?,
-            Some(Err(e)) => return Err(Failure::sent(format!("the stream failed: {e}"), true)),
-            None => return Err(Failure::sent("the stream has no end marker", true)),
-        }
+        let Some(part) = parts.next().await? else {
+            return Err(Failure::sent("the stream has no end marker", true));
+        };
+        reader
+            .push(&part)
+            .map_err(|e| Failure::sent(format!("the stream is invalid: {e:?}"), false))?;
     }
     // A connection returns to the pool only after its response is read to the end; otherwise it is closed.
-    let remainder = async { while chunks.next().await.is_some() {} };
+    let remainder = async { while let Ok(Some(_)) = parts.next().await {} };
     let _ = time::timeout(STREAM_END_TIMEOUT, remainder).await;
     let units = reader.tokens().max(1);
     match reader.finish() {
--- a/orioleworks_entry/src/dispatcher.rs
+++ b/orioleworks_entry/src/dispatcher.rs
@@ -10,7 +10,7 @@
 };
 
 use futures_util::{FutureExt, future::LocalBoxFuture, select};
-use orioleworks_daemon::{clock, event};
+use orioleworks_daemon::{clock, event, memory};
 use orioleworks_proto::{codes::ResultCode, inner};
 use orioleworks_routing::budget::Budget;
 
@@ -44,6 +44,7 @@
     budget_settings: orioleworks_routing::budget::Settings,
     forward: Rc<RefCell<Option<Forward>>>,
     upstream_by_request: Rc<RefCell<HashMap<Rc<str>, Rc<str>>>>,
+    memory: memory::Budget,
 }
 
 /// Registers the upstream of a running attempt until it is dropped.
@@ -72,8 +73,10 @@
         suspects: Suspects,
         slots: Slots,
         budget_settings: orioleworks_routing::budget::Settings,
+        memory: memory::Budget,
     ) -> Self {
         Self {
+            memory,
             configuration,
             suspects,
             slots,
@@ -256,7 +259,7 @@
             engine: job.profile.engine,
         };
         let remaining = job.deadline.saturating_duration_since(Instant::now());
-        let run = attempt::run(&grant.client, &grant.target, outgoing);
+        let run = attempt::run(&grant.client, &grant.target, outgoing, &self.memory);
         let mut run = std::pin::pin!(compio::time::timeout(remaining, run).fuse());
         let mut cancelled = std::pin::pin!(job.cancel.cancelled().fuse());
         // A request that cannot be repeated waits for its response even if the upstream is lost.
--- a/orioleworks_entry/src/weights_http.rs
+++ b/orioleworks_entry/src/weights_http.rs
@@ -3,6 +3,7 @@
 use std::{future::Future, time::Duration};
 
 use displaydoc::Display;
+use orioleworks_daemon::memory::Budget;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -127,7 +128,8 @@
 
 /// Reads the state; `None` if the response breaks off, is too large or is no state.
 async fn read_weights(response: cyper::Response) -> Option<Weights> {
-    let body = responses::read_body(response, MAX_RESPONSE_BYTES).await.ok()?;
+    let body =
+        responses::read_body(response, MAX_RESPONSE_BYTES, &Budget::unlimited()).await.ok()?;
     serde_json::from_slice(&body).ok()
 }
 
--- a/orioleworks_entry/tests/untrusted_clients.rs
+++ b/orioleworks_entry/tests/untrusted_clients.rs
@@ -2,7 +2,13 @@
 
 mod common;
 
-use std::{fs, io::Write, net::TcpStream, thread, time::Duration};
+use std::{
+    fs,
+    io::{self, Read, Write},
+    net::{TcpListener, TcpStream},
+    thread,
+    time::Duration,
+};
 
 use common::{Process, TestEnv, UpstreamMode, block_on, profile};
 use compio::{runtime, time};
@@ -20,8 +26,11 @@
 /// Clients whose heads do not end, and what each sends: 48 MB in all.
 const HEADS: usize = 800;
 const HEAD_BYTES: usize = 60 * 1024;
-/// Bound of open descriptors beside the connections of the crowd.
-const OWN_DESCRIPTORS: usize = 60;
+/// Callers whose responses do not end, and what each response holds: 250 MB in all.
+const CALLERS: usize = 64;
+const RESPONSE_BYTES: usize = 4 * 1024 * 1024 - 1024;
+/// Bound of open descriptors beside the connections of the crowd: 64 connections to upstreams and 60 others.
+const OWN_DESCRIPTORS: usize = 124;
 /// Time for which the connections of the crowd stay open once everything is sent.
 const STAY_OPEN: Duration = Duration::from_secs(2);
 
@@ -65,6 +74,37 @@
     Some(stream)
 }
 
+/// Calls a faulty upstream; the connection stays open. Requests with the same body run at few upstreams at a time.
+fn call_faulty(address: &str, i: usize) -> Option<TcpStream> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    let head = "POST /v1/call/faulty HTTP/1.1\r\nHost: entry\r\nContent-Length: 4\r\n\r\n";
+    stream.write_all(format!("{head}{i:04}").as_bytes()).ok()?;
+    Some(stream)
+}
+
+/// Starts an upstream that sends all of a response but its last byte and keeps the connection open; returns its address.
+fn start_faulty_upstream() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let serve = |mut stream: TcpStream| -> io::Result<()> {
+        if stream.read(&mut [0; 4096])? == 0 {
+            return Ok(());
+        }
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {RESPONSE_BYTES}\r\n\r\n");
+        stream.write_all(head.as_bytes())?;
+        stream.write_all(&vec![b'x'; RESPONSE_BYTES - 1])?;
+        while stream.read(&mut [0; 1])? > 0 {}
+        Ok(())
+    };
+    let accept = move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || serve(stream));
+        }
+    };
+    thread::spawn(accept);
+    address
+}
+
 /// Runs `n` clients, a hundred at a time, and keeps their connections open for a while; returns the largest number of open
 /// descriptors.
 fn crowd(pid: u32, n: usize, client: impl Fn(usize) -> Option<TcpStream> + Sync) -> usize {
@@ -101,12 +141,18 @@
 ) {
     let test = async {
         let directory = tempfile::tempdir().unwrap();
-        let mut env = TestEnv::start(vec![profile("lookup", "sheet-app")]).await;
+        let profiles = vec![profile("lookup", "sheet-app"), profile("faulty", "faulty-app")];
+        let mut env = TestEnv::start(profiles).await;
         let (mut process, url) = Process::start(&env, directory.path(), limits).await;
         let (pid, address) = (process.0.id(), url.trim_start_matches("http://").to_owned());
         // Upstreams announce themselves there.
         env.url = url.clone();
         env.upstream("s-1", "sheet-app", UpstreamMode::Echo).await;
+        let faulty = start_faulty_upstream();
+        // A new upstream gets one request at a time.
+        for i in 0..CALLERS {
+            env.announce(&format!("f-{i}"), "faulty-app", &faulty, 1).await;
+        }
         wait_for_answer(&env, &url).await;
         let run = move || crowd(pid, n, |i| client(&address, i));
         let descriptors = runtime::spawn_blocking(run).await.unwrap();
@@ -136,3 +182,10 @@
     let limits = json!({"memory_mb": SMALL_ENTRY_MB});
     check(limits, SMALL_ENTRY_MB, HEADS, |address, _| send_endless_head(address));
 }
+
+/// Guards against responses of upstreams that the entry holds: only the size of one was bounded.
+#[rstest]
+fn responses_that_stop_before_their_end() {
+    let limits = json!({"memory_mb": SMALL_ENTRY_MB});
+    check(limits, SMALL_ENTRY_MB, CALLERS, call_faulty);
+}
