--- a/orioleworks_entry/src/config.rs
+++ b/orioleworks_entry/src/config.rs
@@ -122,7 +122,7 @@
         self.connections.min(memory / http::Limits::SMALL_BUFFER_BYTES)
     }
 
-    /// Memory for bodies of requests and for responses; the rest is for heads, the process and what upstreams send.
+    /// Memory for bodies of requests and for responses, also while they are read; the rest is for heads and the process.
     pub fn budget(&self) -> Budget {
         /// Part that large bodies leave to small ones, in bytes.
         const RESERVE_BYTES: usize = 4 * 1024 * 1024;
