Weights: a version is loaded on no more engines than its items can use

Now at most the engines that the items of the model's open batches, or of its largest recent one, fill, twice.

--- a/orioleworks_routing/src/versions.rs
+++ b/orioleworks_routing/src/versions.rs
@@ -3,7 +3,7 @@
 //! Several trainers publish a version every few seconds. A load makes an engine unavailable for its model for about a
 //! second, and only a few concurrent loads run at full speed, so not every version can be loaded on every engine. A
 //! step also allows the version before the newest one. Each version is therefore loaded on a part of the engines, those
-//! with the oldest weights of the model first. The engines with the last two versions serve a step, and every engine
+//! with the oldest weights of the model first, and on no more than the items of its steps can use. The engines with the last two versions serve a step, and every engine
 //! serves every model between its loads. See `docs/platform.md`.
 
 use std::{cmp::Ordering, rc::Rc};
@@ -21,6 +21,9 @@
 const LOADS_BETWEEN_VERSIONS: usize = 4;
 /// Waiting items per additional engine with the newest version; about as many as an engine runs concurrently.
 const ITEMS_PER_ENGINE: usize = 12;
+/// Engines with a version for each engine that the items of its model fill: they also run items of other models, and some of them
+/// load.
+const ENGINES_PER_FILLED: usize = 2;
 /// Smallest number of engines per version, so that a step survives the loss of one.
 const MIN_ENGINES: usize = 2;
 
@@ -58,6 +61,8 @@
     pub oldest_allowed: u64,
     /// Items that wait for an engine with an allowed weight version.
     pub waiting: usize,
+    /// Items of its steps, as far as they are known.
+    pub items: Option<usize>,
 }
 
 /// An order to load a version.
@@ -71,13 +76,18 @@
     pub version: u64,
 }
 
-/// Number of engines on which each version is loaded.
+/// Largest number of engines on which each version is loaded.
 pub fn engines_per_version(engines: usize, models: usize) -> usize {
     let models = models.max(1);
     let fit = max_loads(engines) * LOADS_BETWEEN_VERSIONS / models;
     fit.min(engines / models).max(MIN_ENGINES).min(engines)
 }
 
+/// Number of engines that items can use; an order to any other costs a load for nothing.
+fn engines_for(items: usize) -> usize {
+    items.div_ceil(ITEMS_PER_ENGINE).saturating_mul(ENGINES_PER_FILLED).max(MIN_ENGINES)
+}
+
 /// Largest number of orders in progress, so that as many engines load as can at full speed.
 pub fn max_loads(engines: usize) -> usize {
     let loads = ((engines + ENGINES_PER_LOAD / 2) / ENGINES_PER_LOAD).max(MIN_LOADS);
@@ -88,7 +98,7 @@
 pub fn plan(engines: &[Engine], models: &[Model]) -> Vec<Load> {
     let running = engines.iter().filter(|e| e.loading).count();
     let mut available_loads = max_loads(engines.len()).saturating_sub(running);
-    let engines_wanted = engines_per_version(engines.len(), models.len());
+    let most_engines = engines_per_version(engines.len(), models.len());
     let mut assigned = vec![false; engines.len()];
     let mut loads = Vec::new();
     // The model with the fewest usable engines for its next step goes first.
@@ -102,7 +112,8 @@
             let fresh = engines.iter().filter(|e| e.version(&m.name) >= m.named).count();
             // Waiting items justify additional loads.
             let for_waiting = m.waiting.div_ceil(ITEMS_PER_ENGINE).min(engines.len() - usable(m));
-            engines_wanted.saturating_sub(fresh).max(for_waiting)
+            let wanted = m.items.map_or(most_engines, |n| engines_for(n).min(most_engines));
+            wanted.saturating_sub(fresh).max(for_waiting)
         })
         .collect();
     // Engines for each model, best first; sorted once, because thousands of engines may need a load.
--- a/orioleworks_routing/tests/engines.rs
+++ b/orioleworks_routing/tests/engines.rs
@@ -108,7 +108,7 @@
 }
 
 fn model(name: &str, named: u64, waiting: usize) -> Model {
-    Model { name: name.into(), named, oldest_allowed: named - 1, waiting }
+    Model { name: name.into(), named, oldest_allowed: named - 1, waiting, items: None }
 }
 
 /// Simulates a trainer that publishes a version every four seconds and loads that take one second. Returns the number
@@ -169,6 +169,36 @@
     assert_eq!(plan, [Load { engine: "e8".into(), model: "a".into(), version: 5 }]);
 }
 
+/// Guards against thousands of loads of which a step can use a few: each one costs an engine a second and what it has stored.
+#[rstest]
+#[case::unknown(None, 0, 268)]
+#[case::few(Some(5), 0, 2)]
+#[case::some(Some(120), 0, 20)]
+#[case::some_that_wait(Some(120), 600, 50)]
+#[case::more_than_all_engines_run(Some(10_000), 0, 268)]
+fn a_version_is_loaded_on_no_more_engines_than_its_items_can_use(
+    #[case] items: Option<usize>,
+    #[case] waiting: usize,
+    #[case] expected: usize,
+) {
+    let mut engines: Vec<Engine> = (0..300).map(|i| engine(i, &[("a", 1)])).collect();
+    let mut loads = 0;
+    loop {
+        // Items wait until enough engines have the version.
+        let waiting = waiting.saturating_sub(loads * 12);
+        let plan = versions::plan(&engines, &[Model { items, ..model("a", 3, waiting) }]);
+        if plan.is_empty() {
+            break;
+        }
+        for Load { engine, model, version } in plan {
+            let at = engines.iter().position(|e| e.id == engine).unwrap();
+            engines[at].versions.insert(model, version);
+            loads += 1;
+        }
+    }
+    assert_eq!(loads, expected);
+}
+
 /// Guards against loads on slow or busy engines while another engine has weights that the next step cannot use.
 #[test]
 fn loads_go_to_engines_that_the_next_step_cannot_use() {
--- a/orioleworks_store/src/orders.rs
+++ b/orioleworks_store/src/orders.rs
@@ -155,6 +155,7 @@
             named: model.named,
             oldest_allowed: model.named.saturating_sub(model.allowed_lag),
             waiting: self.inner.dispatch.waiting_for(name),
+            items: state.items_of(name),
         };
         models.map(model).collect()
     }
--- a/orioleworks_store/src/state.rs
+++ b/orioleworks_store/src/state.rs
@@ -522,6 +522,13 @@
         self.batches.iter().filter(|(_, batch)| !batch.is_done())
     }
 
+    /// Items of the open batches of a model, or of its largest batch if that is more; `None` if no batch of it is kept.
+    pub fn items_of(&self, model: &str) -> Option<usize> {
+        let own = || self.batches.values().filter(|batch| batch.spec.model == model);
+        let open = own().filter(|batch| !batch.is_done()).map(|batch| batch.items.len()).sum();
+        own().map(|batch| batch.items.len().max(open)).max()
+    }
+
     /// Models with a named version or a batch.
     pub fn models(&self) -> &IndexMap<Rc<str>, ModelState> {
         &self.models
--- a/orioleworks_store/tests/state.rs
+++ b/orioleworks_store/tests/state.rs
@@ -148,6 +148,21 @@
     assert_eq!((saved.last_id, saved.versions.as_slice()), (Some(3), [1, 2].as_slice()));
 }
 
+/// Guards against weights on too few engines for overlapping steps, and between two steps.
+#[test]
+fn the_items_of_a_model_are_those_of_its_open_batches_or_its_largest_batch() {
+    let mut state = State::default();
+    assert_eq!(state.items_of("m"), None);
+    apply(&mut state, Kind::PutBatch(batch("b", &["x", "y"], 1)), NOW_MS);
+    assert_eq!(state.items_of("m"), Some(2));
+    apply(&mut state, Kind::PutBatch(batch("c", &["z"], 1)), NOW_MS);
+    assert_eq!(state.items_of("m"), Some(3));
+    apply(&mut state, Kind::EndBatch("b".into()), NOW_MS);
+    apply(&mut state, Kind::EndBatch("c".into()), NOW_MS);
+    assert_eq!(state.items_of("m"), Some(2));
+    assert_eq!(state.items_of("other"), None);
+}
+
 /// Guards against an ended batch that continues, and bodies that are kept after their item is listed or the batch has
 /// ended.
 #[test]
