Log: how many further losses are tolerated, as a metric and as events

An on-call could not see that fewer losses were survived than promised: voters_lost begins 5 s after a loss and says nothing of the tolerance. The leader publishes the number of voters that may be lost now, and the time for which it is below cluster.tolerated_losses; it logs when it falls, when it is as promised again, and when that takes longer than cluster.catch_up_s, which the settings take from the platform. No change of behaviour.

--- a/orioleworks_control/src/config.rs
+++ b/orioleworks_control/src/config.rs
@@ -186,6 +186,7 @@
             election_min: Duration::from_millis(self.cluster.election_timeout_min_ms),
             election_max: Duration::from_millis(self.cluster.election_timeout_max_ms),
             snapshot_entries: self.data.snapshot_entries,
+            tolerated_losses: self.cluster.replicas.len().saturating_sub(1) / 2,
             ..orioleworks_log::Settings::new(&self.instance.name, &address, &self.data.directory)
         }
     }
--- a/orioleworks_log/src/durable.rs
+++ b/orioleworks_log/src/durable.rs
@@ -14,6 +14,7 @@
     journal::{Journal, JournalWriter},
     node::{Log, Part, ProposeError},
     state::Role,
+    tolerance,
 };
 
 /// Delay before a failed write is retried; the usual cause is a disk that is full for a few seconds.
@@ -177,11 +178,12 @@
             let mut state = self.inner.state.borrow_mut();
             if state.is_leader() {
                 event!(warn, "leader_stepped_down", term = state.term(), reason = reason);
-                metrics::gauge!("orioleworks_log_lost_voters").set(0.0);
+                tolerance::publish_without_leadership();
             }
             state.role = Role::Follower;
             state.leader_id = None;
             state.term_start = 0;
+            state.reduced_tolerance = None;
             state.progress.clear();
             std::mem::take(&mut state.pending_proposals)
         };
--- a/orioleworks_log/src/lib.rs
+++ b/orioleworks_log/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod replication;
 pub mod settings;
 pub mod state;
+pub mod tolerance;
 
 pub use error::LogError;
 pub use node::{Log, Part, ProposeError, Restoration, Sharing, StateMachine};
--- a/orioleworks_log/src/membership.rs
+++ b/orioleworks_log/src/membership.rs
@@ -252,6 +252,7 @@
             drop(state);
             self.update_warm_learners(&members);
             self.report_lost_voters(&members);
+            self.report_tolerance();
             due
         };
         if let Some((membership, event)) = due {
--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -558,6 +558,7 @@
         current_as_of: None,
         warm_learners: HashSet::new(),
         unreplaced_logged_at: None,
+        reduced_tolerance: None,
         incoming: IncomingSnapshot::default(),
     }
 }
--- a/orioleworks_log/src/settings.rs
+++ b/orioleworks_log/src/settings.rs
@@ -47,6 +47,10 @@
     pub max_voters: usize,
     /// Largest number of voters in one failure domain, so that the loss of a domain leaves a quorum.
     pub max_voters_per_domain: usize,
+    /// Losses of voters at the same time, with their disks, that the cluster is to survive.
+    pub tolerated_losses: usize,
+    /// Time after a loss, or after the lost replica is back, within which the cluster is to survive as many further ones.
+    pub catch_up: Duration,
     /// Time without a reply from a voter after which a learner may replace it; `None` reserves its place for a
     /// replica of the same name.
     pub replace_after: Option<Duration>,
@@ -74,8 +78,20 @@
             snapshot_bytes: usize::MAX,
             max_voters: usize::MAX,
             max_voters_per_domain: usize::MAX,
+            tolerated_losses: 0,
+            catch_up: Duration::from_secs(6),
             replace_after: None,
             retry_writes: false,
         }
     }
+
+    /// Sets the number of losses that the cluster is to survive at the same time, and the bounds on the voters that follow.
+    pub fn tolerating(self, losses: usize) -> Self {
+        Self {
+            max_voters: 2 * losses + 1,
+            max_voters_per_domain: losses,
+            tolerated_losses: losses,
+            ..self
+        }
+    }
 }
--- a/orioleworks_log/src/state.rs
+++ b/orioleworks_log/src/state.rs
@@ -14,6 +14,7 @@
     files::{Identity, SnapshotWriter},
     node::ProposeError,
     settings::Settings,
+    tolerance::Reduced,
 };
 
 /// Role of a replica in its term.
@@ -116,6 +117,8 @@
     pub warm_learners: HashSet<u64>,
     /// Time of the latest log line about voters that are not replaced.
     pub unreplaced_logged_at: Option<Instant>,
+    /// While leading, the time for which fewer losses than promised are tolerated.
+    pub reduced_tolerance: Option<Reduced>,
     /// Snapshot that is being received.
     pub incoming: IncomingSnapshot,
 }
@@ -307,22 +310,31 @@
 
     /// Whether a quorum of voters acknowledged a heartbeat that was sent at or after an instant.
     pub fn quorum_confirmed_since(&self, since: Instant) -> bool {
-        self.has_quorum(|p| p.confirmed_at.is_some_and(|confirmed_at| confirmed_at >= since))
+        let is_later =
+            |p: &Progress| p.confirmed_at.is_some_and(|confirmed_at| confirmed_at >= since);
+        let confirmed: Vec<u64> = self.voters_where(is_later).collect();
+        rules::is_elected(&self.voters(), &confirmed)
     }
 
     /// Whether a quorum of voters acknowledged a heartbeat within a time. For a new member the time starts when it is
     /// added.
     pub fn quorum_contacted(&self, within: Duration) -> bool {
-        self.has_quorum(|p| p.confirmed_at.unwrap_or(p.added_at).elapsed() <= within)
+        let contacted: Vec<u64> = self.contacted_voters(within).collect();
+        rules::is_elected(&self.voters(), &contacted)
     }
 
-    fn has_quorum(&self, holds: impl Fn(&Progress) -> bool) -> bool {
-        let voters = self.voters();
+    /// Voters that acknowledged a heartbeat within a time, this replica included. For a new member the time starts when it is
+    /// added.
+    pub fn contacted_voters(&self, within: Duration) -> impl Iterator<Item = u64> {
+        let is_recent =
+            move |p: &Progress| p.confirmed_at.unwrap_or(p.added_at).elapsed() <= within;
+        self.voters_where(is_recent)
+    }
+
+    fn voters_where(&self, holds: impl Fn(&Progress) -> bool) -> impl Iterator<Item = u64> {
         let own = self.id();
-        let holding = voters.iter().copied();
-        let holding: Vec<u64> =
-            holding.filter(|id| *id == own || self.progress.get(id).is_some_and(&holds)).collect();
-        rules::is_elected(&voters, &holding)
+        let voters = self.voters().into_iter();
+        voters.filter(move |id| *id == own || self.progress.get(id).is_some_and(&holds))
     }
 
     /// Whether this replica leads or got a message from the leader within a time.
--- /dev/null
+++ b/orioleworks_log/src/tolerance.rs
@@ -0,0 +1,101 @@
+//! How many further losses of voters the cluster survives, and for how long these have been fewer than promised; see
+//! `docs/OPERATIONS.md`.
+
+use std::time::{Duration, Instant};
+
+use orioleworks_daemon::event;
+use orioleworks_rules::log as rules;
+
+use crate::{node::Log, state::State};
+
+/// Time for which fewer losses than promised are survived.
+#[derive(Clone, Copy, Debug)]
+pub struct Reduced {
+    /// When the leader noticed it.
+    pub since: Instant,
+    /// Whether it was reported that this takes longer than promised.
+    pub overdue: bool,
+}
+
+impl State {
+    /// Number of voters that may be lost, with their disks, so that the others are still a quorum. Voters that have been silent
+    /// for longer than `longest_silence` count as lost.
+    ///
+    /// What is committed survives as many losses: of the voters that synced an entry, at least one remains in each quorum of the
+    /// remaining ones.
+    pub fn tolerated_losses(&self, longest_silence: Duration) -> usize {
+        let voters = self.voters();
+        let live = self.contacted_voters(longest_silence).count();
+        live.saturating_sub(rules::quorum(voters.len()))
+    }
+}
+
+impl Log {
+    /// Number of further losses that this replica knows to be tolerated; 0 unless it leads.
+    pub fn tolerated_losses(&self) -> usize {
+        let state = self.inner.state.borrow();
+        match state.is_leader() {
+            true => state.tolerated_losses(self.inner.settings.election_max),
+            false => 0,
+        }
+    }
+
+    /// Publishes how many losses are tolerated, and logs when these become fewer or as many again as the settings promise.
+    pub(crate) fn report_tolerance(&self) {
+        let settings = &self.inner.settings;
+        let promised = settings.tolerated_losses;
+        let mut state = self.inner.state.borrow_mut();
+        let tolerated = state.tolerated_losses(settings.election_max);
+        let reduced = (tolerated < promised).then(|| {
+            let new = Reduced { since: Instant::now(), overdue: false };
+            state.reduced_tolerance.unwrap_or(new)
+        });
+        let previous = std::mem::replace(&mut state.reduced_tolerance, reduced);
+        let since = reduced.map_or(Duration::ZERO, |reduced| reduced.since.elapsed());
+        metrics::gauge!("orioleworks_log_tolerated_losses").set(tolerated as f64);
+        metrics::gauge!("orioleworks_log_reduced_tolerance_seconds").set(since.as_secs_f64());
+        let voters = state.voters().len();
+        match (previous, &mut state.reduced_tolerance) {
+            (None, Some(_)) => {
+                event!(
+                    warn,
+                    "tolerance_reduced",
+                    tolerated = tolerated,
+                    promised = promised,
+                    voters = voters,
+                );
+            }
+            (Some(previous), None) => {
+                let reduced_ms = previous.since.elapsed().as_millis();
+                event!(
+                    info,
+                    "tolerance_restored",
+                    tolerated = tolerated,
+                    voters = voters,
+                    reduced_ms = reduced_ms,
+                );
+            }
+            (_, Some(reduced)) if since > settings.catch_up && !reduced.overdue => {
+                reduced.overdue = true;
+                let bound_ms = settings.catch_up.as_millis();
+                event!(
+                    error,
+                    "tolerance_overdue",
+                    tolerated = tolerated,
+                    promised = promised,
+                    voters = voters,
+                    bound_ms = bound_ms,
+                );
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Publishes that this replica does not lead: the leader's figures are the highest of all replicas, and without a leader
+/// no loss is tolerated.
+pub(crate) fn publish_without_leadership() {
+    metrics::gauge!("orioleworks_log_lost_voters").set(0.0);
+    metrics::gauge!("orioleworks_log_tolerated_losses").set(0.0);
+    metrics::gauge!("orioleworks_log_reduced_tolerance_seconds").set(0.0);
+}
--- /dev/null
+++ b/orioleworks_log/tests/tolerance.rs
@@ -0,0 +1,132 @@
+//! Losses of voters that the cluster survives, and how soon it survives as many again.
+
+mod support;
+
+use std::{fs, path::Path, time::Duration};
+
+use compio::time;
+use orioleworks_daemon::http;
+use orioleworks_log::{Log, Replica, Settings};
+use support::{Calls, leader, run, settings, start};
+use tempfile::TempDir;
+use tokio_util::sync::CancellationToken;
+
+/// Failure domains of the replicas.
+const DOMAINS: [&str; 10] = ["a", "a", "a", "b", "b", "b", "c", "c", "d", "d"];
+/// Replicas that found the cluster; the others join it.
+const FOUNDERS: [usize; 3] = [0, 3, 6];
+/// Losses at the same time.
+const LOSSES: usize = 2;
+/// Time after a loss within which as many further losses must be tolerated.
+const CATCH_UP: Duration = Duration::from_secs(2);
+/// Time for which each replica holds back entries, as with a slow disk.
+const SYNC_TIME: Duration = Duration::from_millis(100);
+
+struct Cluster {
+    directories: Vec<TempDir>,
+    replicas: Vec<Replica>,
+    tokens: Vec<CancellationToken>,
+    logs: Vec<(Log, Calls)>,
+}
+
+impl Cluster {
+    async fn start() -> Self {
+        let mut cluster = Self {
+            directories: DOMAINS.iter().map(|_| tempfile::tempdir().unwrap()).collect(),
+            replicas: Vec::new(),
+            tokens: DOMAINS.iter().map(|_| CancellationToken::new()).collect(),
+            logs: Vec::new(),
+        };
+        let mut listeners = Vec::new();
+        for i in 0..DOMAINS.len() {
+            let listener = http::bind("127.0.0.1:0").await.unwrap();
+            cluster.replicas.push(support::replica(&format!("r{i}"), &listener));
+            listeners.push(listener);
+        }
+        for (i, listener) in listeners.into_iter().enumerate() {
+            let settings = cluster.settings(i, FOUNDERS.contains(&i));
+            let started = start(settings, listener, SYNC_TIME, &cluster.tokens[i]);
+            cluster.logs.push(started);
+        }
+        cluster
+    }
+
+    fn settings(&self, i: usize, bootstrap: bool) -> Settings {
+        let founders: Vec<Replica> = FOUNDERS.iter().map(|f| self.replicas[*f].clone()).collect();
+        let directory: &Path = self.directories[i].path();
+        Settings {
+            replicas: founders,
+            bootstrap,
+            domain: DOMAINS[i].into(),
+            catch_up: CATCH_UP,
+            replace_after: Some(Duration::from_secs(5)),
+            // A snapshot of the state machine is empty here and would bring a learner up to date.
+            snapshot_entries: u64::MAX,
+            ..settings(&self.replicas[i].name, directory, &self.replicas).tolerating(LOSSES)
+        }
+    }
+
+    fn stop(&self, i: usize) {
+        self.tokens[i].cancel();
+    }
+
+    /// Starts a replica again after [`Self::stop`], with a copy of its directory, because the tasks of the stopped one may still
+    /// have the original locked.
+    async fn restart(&mut self, i: usize) {
+        let directory = tempfile::tempdir().unwrap();
+        for file in fs::read_dir(self.directories[i].path()).unwrap() {
+            let file = file.unwrap();
+            fs::copy(file.path(), directory.path().join(file.file_name())).unwrap();
+        }
+        self.directories[i] = directory;
+        let listener = loop {
+            // The old process needs a moment to close its listener.
+            match http::bind(&self.replicas[i].address).await {
+                Ok(listener) => break listener,
+                Err(_) => time::sleep(Duration::from_millis(10)).await,
+            }
+        };
+        self.tokens[i] = CancellationToken::new();
+        self.logs[i] = start(self.settings(i, false), listener, SYNC_TIME, &self.tokens[i]);
+    }
+
+    async fn leader(&self) -> &(Log, Calls) {
+        leader(&self.logs).await
+    }
+
+    /// Replicas that vote and still have the disk with which they became voters, the leader last.
+    async fn voters_with_disks(&self) -> Vec<usize> {
+        let (log, _) = self.leader().await;
+        let members = log.membership().members;
+        let votes = |i: &usize| {
+            let id = self.logs[*i].0.status().member_id;
+            members.iter().any(|m| !m.learner && m.member_id == id)
+        };
+        let mut voters: Vec<usize> = (0..self.logs.len()).filter(votes).collect();
+        voters.sort_by_key(|i| self.logs[*i].0.is_leader());
+        voters
+    }
+}
+
+/// Guards against an on-call who cannot see that fewer losses are survived than promised.
+#[test]
+fn the_leader_tells_how_many_losses_are_tolerated() {
+    run(async {
+        let mut cluster = Cluster::start().await;
+        wait_for_tolerance(&cluster, |tolerated| tolerated >= LOSSES).await;
+        let whole = cluster.leader().await.0.tolerated_losses();
+        let voters = cluster.voters_with_disks().await;
+        cluster.stop(voters[0]);
+        wait_for_tolerance(&cluster, |tolerated| tolerated == whole - 1).await;
+        cluster.restart(voters[0]).await;
+        wait_for_tolerance(&cluster, |tolerated| tolerated == whole).await;
+        assert_eq!(cluster.logs[voters[0]].0.tolerated_losses(), 0, "of a replica that follows");
+        cluster.tokens.iter().for_each(CancellationToken::cancel);
+    });
+}
+
+async fn wait_for_tolerance(cluster: &Cluster, holds: impl Fn(usize) -> bool) {
+    while !holds(cluster.leader().await.0.tolerated_losses()) {
+        time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/orioleworks_store/src/config.rs
+++ b/orioleworks_store/src/config.rs
@@ -70,6 +70,10 @@
     /// Stores that may be lost at the same time.
     #[serde(default = "default_tolerated_losses")]
     pub tolerated_losses: usize,
+    /// Time after a loss, or after the lost store is back, within which the deployment is to survive as many further ones, in
+    /// seconds.
+    #[serde(default = "default_catch_up_s")]
+    pub catch_up_s: f64,
 }
 
 /// State on disk.
@@ -170,6 +174,11 @@
     1
 }
 
+/// The longest time that the platform states today.
+fn default_catch_up_s() -> f64 {
+    6.0
+}
+
 impl Default for Batches {
     fn default() -> Self {
         // The platform's operators read results for two minutes.
@@ -227,6 +236,7 @@
         problems.range("cluster.seeds", self.cluster.seeds.len(), 1..=64, "addresses");
         let losses = self.cluster.tolerated_losses;
         problems.range("cluster.tolerated_losses", losses, 0..=3, "stores");
+        problems.range("cluster.catch_up_s", self.cluster.catch_up_s, 1.0..=3600.0, "s");
         problems.range("listen.inner_port", self.listen.inner_port, 1..=u16::MAX, "");
         let retention = self.batches.status_retention_s;
         problems.range("batches.status_retention_s", retention, 1..=86_400, "s");
@@ -301,11 +311,11 @@
             snapshot_bytes: share(SNAPSHOT_PERCENT),
             tail_bytes: share(TAIL_PERCENT),
             catch_up_bytes: share(TAIL_PERCENT),
-            max_voters: 2 * losses + 1,
-            max_voters_per_domain: losses,
+            catch_up: Duration::from_secs_f64(self.cluster.catch_up_s),
             replace_after: Some(REPLACE_AFTER),
             retry_writes: true,
             ..orioleworks_log::Settings::new(&self.instance.name, &own, &self.data.directory)
+                .tolerating(losses)
         }
     }
 }
