Failing test: a second loss of two disks leaves no quorum

Two of ten replicas, of which five vote, lose their disks and are back; as soon as that loss counts no longer, two others lose theirs, and all restart.

--- a/orioleworks_log/tests/tolerance.rs
+++ b/orioleworks_log/tests/tolerance.rs
@@ -4,10 +4,10 @@
 
 use std::{fs, path::Path, time::Duration};
 
-use compio::time;
+use compio::{runtime, time};
 use orioleworks_daemon::http;
 use orioleworks_log::{Log, Replica, Settings};
-use support::{Calls, leader, run, settings, start};
+use support::{Calls, command, leader, run, settings, start};
 use tempfile::TempDir;
 use tokio_util::sync::CancellationToken;
 
@@ -21,6 +21,15 @@
 const CATCH_UP: Duration = Duration::from_secs(2);
 /// Time for which each replica holds back entries, as with a slow disk.
 const SYNC_TIME: Duration = Duration::from_millis(100);
+const ENTRY_BYTES: usize = 32 * 1024;
+/// Entries before the first loss: more than a learner receives within `CATCH_UP`.
+const EARLIER_ENTRIES: usize = 300;
+
+#[derive(Clone, Copy, PartialEq)]
+enum Disk {
+    Kept,
+    Lost,
+}
 
 struct Cluster {
     directories: Vec<TempDir>,
@@ -70,13 +79,15 @@
         self.tokens[i].cancel();
     }
 
-    /// Starts a replica again after [`Self::stop`], with a copy of its directory, because the tasks of the stopped one may still
-    /// have the original locked.
-    async fn restart(&mut self, i: usize) {
+    /// Starts a replica again after [`Self::stop`]. Its directory is a copy, because the tasks of the stopped one may still have the
+    /// original locked; without its disk it is empty.
+    async fn restart(&mut self, i: usize, disk: Disk) {
         let directory = tempfile::tempdir().unwrap();
-        for file in fs::read_dir(self.directories[i].path()).unwrap() {
-            let file = file.unwrap();
-            fs::copy(file.path(), directory.path().join(file.file_name())).unwrap();
+        if disk == Disk::Kept {
+            for file in fs::read_dir(self.directories[i].path()).unwrap() {
+                let file = file.unwrap();
+                fs::copy(file.path(), directory.path().join(file.file_name())).unwrap();
+            }
         }
         self.directories[i] = directory;
         let listener = loop {
@@ -118,13 +129,68 @@
         let voters = cluster.voters_with_disks().await;
         cluster.stop(voters[0]);
         wait_for_tolerance(&cluster, |tolerated| tolerated == whole - 1).await;
-        cluster.restart(voters[0]).await;
+        cluster.restart(voters[0], Disk::Kept).await;
         wait_for_tolerance(&cluster, |tolerated| tolerated == whole).await;
         assert_eq!(cluster.logs[voters[0]].0.tolerated_losses(), 0, "of a replica that follows");
         cluster.tokens.iter().for_each(CancellationToken::cancel);
     });
 }
 
+/// Guards against a cluster without a quorum after two losses of as many disks as are tolerated, the second one `CATCH_UP` after
+/// the replicas of the first are back and together with a power loss of all: the lost voters stayed voters until their
+/// successors had the whole log.
+#[test]
+fn a_second_loss_of_disks_leaves_a_quorum_although_no_learner_has_caught_up() {
+    run(async {
+        let mut cluster = Cluster::start().await;
+        wait_for_tolerance(&cluster, |tolerated| tolerated >= LOSSES).await;
+        // Lets the cluster grow to its full size.
+        time::sleep(Duration::from_secs(3)).await;
+        let (log, _) = cluster.leader().await;
+        for i in 0..EARLIER_ENTRIES {
+            propose(log, format!("earlier-{i}"));
+        }
+        log.propose("last", command(String::new())).await.unwrap();
+        propose_constantly(log);
+
+        let first = cluster.voters_with_disks().await[..LOSSES].to_vec();
+        first.iter().for_each(|i| cluster.stop(*i));
+        for i in &first {
+            cluster.restart(*i, Disk::Lost).await;
+        }
+        time::sleep(CATCH_UP).await;
+        let voters = cluster.voters_with_disks().await;
+        let second: Vec<usize> =
+            voters.into_iter().rev().filter(|i| !first.contains(i)).take(LOSSES).collect();
+        (0..DOMAINS.len()).for_each(|i| cluster.stop(i));
+        for i in 0..DOMAINS.len() {
+            let disk = if second.contains(&i) { Disk::Lost } else { Disk::Kept };
+            cluster.restart(i, disk).await;
+        }
+        let (log, calls) = cluster.leader().await;
+        log.confirm_leadership().await.unwrap();
+        assert!(calls.applied.borrow().iter().any(|order| order == "last"), "an order was lost");
+        cluster.tokens.iter().for_each(CancellationToken::cancel);
+    });
+}
+
+fn propose(log: &Log, order_id: String) {
+    let log = log.clone();
+    let content = command("x".repeat(ENTRY_BYTES));
+    runtime::spawn(async move { log.propose(&order_id, content).await }).detach();
+}
+
+fn propose_constantly(log: &Log) {
+    let log = log.clone();
+    let propose = async move {
+        while log.is_leader() {
+            propose(&log, "later".into());
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    runtime::spawn(propose).detach();
+}
+
 async fn wait_for_tolerance(cluster: &Cluster, holds: impl Fn(usize) -> bool) {
     while !holds(cluster.leader().await.0.tolerated_losses()) {
         time::sleep(Duration::from_millis(20)).await;
