Log: four voters for each tolerated loss, and one more

Callers and operators saw no leader, for good, after a second loss of two disks (CONFIG, LOST).

With 4 * losses + 1 voters as many losses are survived twice before any replacement. Fewer vote where the loss of a failure domain would not leave a quorum otherwise, and a voter too many for that is removed. A retired voter leaves without a successor if enough losses are tolerated without it, because there may be no other replica left.

--- a/orioleworks_log/src/membership.rs
+++ b/orioleworks_log/src/membership.rs
@@ -263,8 +263,11 @@
 
     fn bounds(&self) -> reconfiguration::Bounds {
         let settings = &self.inner.settings;
-        let per_domain = settings.max_voters_per_domain;
-        reconfiguration::Bounds { voters: settings.max_voters, per_domain }
+        reconfiguration::Bounds {
+            voters: settings.max_voters,
+            spread: settings.spread_voters,
+            losses: settings.tolerated_losses,
+        }
     }
 
     fn update_warm_learners(&self, members: &[MemberStatus]) {
--- a/orioleworks_log/src/reconfiguration.rs
+++ b/orioleworks_log/src/reconfiguration.rs
@@ -3,8 +3,8 @@
 //! No step is taken after which the live voters could not commit. If both orders are possible, a lost voter is removed
 //! before the learner that replaces it is promoted. Promoting first would raise the quorum of three replicas to three
 //! of four, so that the loss of the new voter during the repair would stop the cluster permanently. A retired voter still
-//! holds everything, so that it stays until its successor votes: removing it first would leave two of three replicas, of which
-//! none may be lost.
+//! holds everything, so that it stays until its successor votes if fewer losses than promised would be tolerated without it:
+//! removing it first would leave two of three replicas, of which none may be lost.
 
 use std::{
     cmp::Reverse,
@@ -12,6 +12,8 @@
     time::Duration,
 };
 
+use indexmap::IndexMap;
+
 use orioleworks_rules::log as rules;
 
 /// Learners that are kept warm while no voter is missing: two, because one may be in a domain that already has its
@@ -50,10 +52,43 @@
 pub struct Bounds {
     /// Largest number of voters.
     pub voters: usize,
-    /// Largest number of voters in one failure domain.
+    /// Whether voters are spread so that the loss of a failure domain leaves a quorum.
+    pub spread: bool,
+    /// Losses at the same time that are to be tolerated.
+    pub losses: usize,
+}
+
+/// Voters that a cluster has once every replica that may vote has caught up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Number of voters.
+    pub voters: usize,
+    /// Largest number of them in one failure domain.
     pub per_domain: usize,
 }
 
+/// Most voters that the members allow: as many as the bounds, or fewer, so that the loss of a failure domain leaves a quorum. Four
+/// voters of which two are in one domain tolerate less than three in three domains.
+pub fn target(members: &[MemberStatus], bounds: Bounds) -> Target {
+    if !bounds.spread {
+        return Target { voters: bounds.voters, per_domain: usize::MAX };
+    }
+    // A voter that lost its disk and its next identity have the same name.
+    let mut names: IndexMap<&str, HashSet<&str>> = IndexMap::new();
+    for m in members.iter().filter(|m| !m.retired) {
+        names.entry(&*m.domain).or_default().insert(&*m.name);
+    }
+    let largest_minority = |voters: usize| voters - rules::quorum(voters);
+    let can_be_spread = |voters: usize| {
+        let per_domain = largest_minority(voters);
+        names.values().map(|names| names.len().min(per_domain)).sum::<usize>() >= voters
+    };
+    // With less than three domains, none may be lost.
+    let voters = (1..=bounds.voters).rev().find(|voters| can_be_spread(*voters));
+    let voters = voters.unwrap_or(bounds.voters);
+    Target { voters, per_domain: largest_minority(voters) }
+}
+
 /// A change of the membership.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -70,6 +105,7 @@
         return Some(Step::Remove(learner.id, "retired_learner_removed"));
     }
     let voters = || members.iter().filter(|m| !m.learner);
+    let target = target(members, bounds);
     let mut ready: Vec<&MemberStatus> =
         members.iter().filter(|m| m.learner && m.live && m.caught_up).collect();
     // The domain with the fewest voters that stay comes first.
@@ -81,9 +117,8 @@
         }
         let count = voters().count();
         let in_domain = voters().filter(|m| m.domain == ready.domain).count();
-        let has_vacancy =
-            count < bounds.voters && (in_domain < bounds.per_domain || retired_removed);
-        let full = in_domain >= bounds.per_domain;
+        let full = in_domain >= target.per_domain;
+        let has_vacancy = count < target.voters && (!full || retired_removed);
         let retired = voters().find(|m| m.retired);
         let lost = voters().find(|m| m.lost && (!full || m.domain == ready.domain));
         let successor = Step::Promote(ready.id);
@@ -91,9 +126,9 @@
         if let Some(old) = same_name {
             steps.push(Step::Remove(old.id, "lost_identity_removed"));
         } else if let Some(old) = retired {
-            let surplus = count > bounds.voters;
             let removal = Step::Remove(old.id, "retired_voter_removed");
-            steps.push(if surplus { removal } else { successor });
+            let is_spare = can_be_spared(members, old, bounds);
+            steps.push(if is_spare { removal } else { successor });
         } else if has_vacancy {
             steps.push(successor);
         } else if let Some(old) = lost {
@@ -103,11 +138,28 @@
             return Some(step);
         }
     }
-    // The successor of a retired voter may have been promoted first.
-    let surplus = voters().count() > bounds.voters;
-    let retired = voters().find(|m| m.retired && surplus)?;
-    let step = Step::Remove(retired.id, "retired_voter_removed");
-    keeps_quorum(members, step).then_some(step)
+    let is_spare = |m: &&MemberStatus| can_be_spared(members, m, bounds);
+    if let Some(retired) = voters().find(|m| m.retired) {
+        return is_spare(&retired).then_some(Step::Remove(retired.id, "retired_voter_removed"));
+    }
+    let surplus = surplus_voter(members, target).filter(is_spare)?;
+    Some(Step::Remove(surplus.id, "surplus_voter_removed"))
+}
+
+/// Whether as many losses as promised are tolerated without a voter, or as many as with it.
+fn can_be_spared(members: &[MemberStatus], voter: &MemberStatus, bounds: Bounds) -> bool {
+    let voters = || members.iter().filter(|m| !m.learner);
+    let needed = tolerated_losses(voters()).map(|now| now.min(bounds.losses));
+    needed.is_some() && tolerated_losses(voters().filter(|m| m.id != voter.id)) >= needed
+}
+
+/// Voter to remove if there are more than can be spread over the failure domains, as after a retirement: one of the domain with the
+/// most voters, and one that is not live before one that is.
+fn surplus_voter(members: &[MemberStatus], target: Target) -> Option<&MemberStatus> {
+    let voters = || members.iter().filter(|m| !m.learner);
+    let in_domain = |m: &MemberStatus| voters().filter(|v| v.domain == m.domain).count();
+    let is_surplus = voters().count() > target.voters;
+    voters().filter(|_| is_surplus).max_by_key(|m| (in_domain(m), !m.live))
 }
 
 /// Learners that receive every entry because they may soon have to replace a voter; the others use no memory, disk or
@@ -115,7 +167,7 @@
 pub fn warm_learners(members: &[MemberStatus], bounds: Bounds) -> HashSet<u64> {
     let voters = || members.iter().filter(|m| !m.learner);
     let healthy = voters().filter(|m| !m.lost && !m.retired).count();
-    let missing = bounds.voters.saturating_sub(healthy);
+    let missing = target(members, bounds).voters.saturating_sub(healthy);
     let mut in_domain: HashMap<&str, usize> = HashMap::new();
     for voter in voters() {
         *in_domain.entry(&voter.domain).or_default() += 1;
@@ -139,10 +191,15 @@
 
 /// Whether the live voters are a quorum after a step.
 fn keeps_quorum(members: &[MemberStatus], step: Step) -> bool {
-    let after = members.iter().filter(|m| match step {
+    let votes = |m: &&MemberStatus| match step {
         Step::Remove(id, _) => !m.learner && m.id != id,
         Step::Promote(id) => !m.learner || m.id == id,
-    });
-    let (count, live) = after.fold((0, 0), |(n, live), m| (n + 1, live + usize::from(m.live)));
-    count > 0 && live >= rules::quorum(count)
+    };
+    tolerated_losses(members.iter().filter(votes)).is_some()
+}
+
+/// Losses of live voters that are tolerated; `None` if the live voters are no quorum.
+fn tolerated_losses<'a>(voters: impl Iterator<Item = &'a MemberStatus>) -> Option<usize> {
+    let (count, live) = voters.fold((0, 0), |(n, live), m| (n + 1, live + usize::from(m.live)));
+    live.checked_sub(rules::quorum(count))
 }
--- a/orioleworks_log/src/settings.rs
+++ b/orioleworks_log/src/settings.rs
@@ -45,8 +45,8 @@
     pub snapshot_bytes: usize,
     /// Largest number of voters; further replicas stay learners until a voter is lost.
     pub max_voters: usize,
-    /// Largest number of voters in one failure domain, so that the loss of a domain leaves a quorum.
-    pub max_voters_per_domain: usize,
+    /// Whether voters are spread so that the loss of a failure domain leaves a quorum.
+    pub spread_voters: bool,
     /// Losses of voters at the same time, with their disks, that the cluster is to survive.
     pub tolerated_losses: usize,
     /// Time after a loss, or after the lost replica is back, within which the cluster is to survive as many further ones.
@@ -77,7 +77,7 @@
             catch_up_bytes: 0,
             snapshot_bytes: usize::MAX,
             max_voters: usize::MAX,
-            max_voters_per_domain: usize::MAX,
+            spread_voters: false,
             tolerated_losses: 0,
             catch_up: Duration::from_secs(6),
             replace_after: None,
@@ -86,12 +86,11 @@
     }
 
     /// Sets the number of losses that the cluster is to survive at the same time, and the bounds on the voters that follow.
+    ///
+    /// `4 * losses + 1` voters survive as many losses twice before any voter is replaced. With `2 * losses + 1`, each step of a
+    /// replacement had to end before the next losses, and its time grows with the state, the load and the disk; see
+    /// `docs/incidents/waves-of-lost-disks.md`.
     pub fn tolerating(self, losses: usize) -> Self {
-        Self {
-            max_voters: 2 * losses + 1,
-            max_voters_per_domain: losses,
-            tolerated_losses: losses,
-            ..self
-        }
+        Self { max_voters: 4 * losses + 1, spread_voters: true, tolerated_losses: losses, ..self }
     }
 }
--- a/orioleworks_log/tests/reconfiguration.rs
+++ b/orioleworks_log/tests/reconfiguration.rs
@@ -1,9 +1,11 @@
 //! Membership changes while members are lost or retired.
 
-use orioleworks_log::reconfiguration::{Bounds, MemberStatus, Step, next_step, warm_learners};
+use orioleworks_log::reconfiguration::{
+    Bounds, MemberStatus, Step, Target, next_step, target, warm_learners,
+};
 use rstest::rstest;
 
-const THREE: Bounds = Bounds { voters: 3, per_domain: 1 };
+const THREE: Bounds = Bounds { voters: 3, spread: true, losses: 1 };
 
 fn voter(id: u64, domain: &str) -> MemberStatus {
     MemberStatus {
@@ -125,7 +127,7 @@
     assert_eq!(next_step(&[old, voter(2, "b"), voter(3, "c"), new], THREE, false), expected);
 }
 
-const FIVE: Bounds = Bounds { voters: 5, per_domain: 2 };
+const FIVE: Bounds = Bounds { voters: 5, spread: true, losses: 2 };
 
 fn ids(members: &[MemberStatus], bounds: Bounds) -> Vec<u64> {
     let mut ids: Vec<u64> = warm_learners(members, bounds).into_iter().collect();
@@ -161,3 +163,68 @@
     let members = [&all[..], &learners, &[returned]].concat();
     assert!(ids(&members, FIVE).contains(&10), "the next identity of a voter that lost its disk");
 }
+
+const NINE: Bounds = Bounds { voters: 9, spread: true, losses: 2 };
+
+/// One replica for each character, in the failure domain of that name.
+fn in_domains(domains: &str, replica: fn(u64, &str) -> MemberStatus) -> Vec<MemberStatus> {
+    domains.chars().zip(1..).map(|(domain, id)| replica(id, &domain.to_string())).collect()
+}
+
+/// Guards against a second loss of disks that leaves no quorum although other replicas have the log, and against a number of voters
+/// at which the loss of a failure domain leaves none.
+#[rstest]
+#[case::four_domains("aaabbbccdd", NINE, 9, 4)]
+#[case::three_domains("aaaabbbbccc", NINE, 9, 4)]
+#[case::few_replicas("aabbc", NINE, 5, 2)]
+#[case::a_replica_is_left_over("aabc", NINE, 3, 1)]
+#[case::one_in_each("abcd", NINE, 4, 1)]
+#[case::one_domain_has_most("aaaaaabc", NINE, 3, 1)]
+#[case::two_domains("aabb", NINE, 9, 4)]
+#[case::least("abc", THREE, 3, 1)]
+fn as_many_replicas_vote_as_can_be_spread_over_the_domains(
+    #[case] domains: &str,
+    #[case] bounds: Bounds,
+    #[case] voters: usize,
+    #[case] per_domain: usize,
+) {
+    let members = in_domains(domains, learner);
+    assert_eq!(target(&members, bounds), Target { voters, per_domain });
+}
+
+/// Guards against a voter without a disk that is counted as a further replica beside its next identity.
+#[test]
+fn a_lost_voter_and_its_next_identity_count_once() {
+    let mut members = in_domains("abc", voter);
+    members.push(MemberStatus { id: 9, ..learner(1, "a") });
+    assert_eq!(target(&members, NINE).voters, 3);
+}
+
+/// Guards against a retirement that never ends because every other replica votes already, so that there is no successor.
+#[test]
+fn a_retired_voter_needs_no_successor_if_enough_losses_are_tolerated_without_it() {
+    let mut members = in_domains("aaabbbccd", voter);
+    members[0].retired = true;
+    let removal = Some(Step::Remove(1, "retired_voter_removed"));
+    assert_eq!(next_step(&members, NINE, false), removal);
+    for m in &mut members[4..7] {
+        m.live = false;
+    }
+    assert_eq!(next_step(&members, NINE, false), None, "fewer would be tolerated than promised");
+}
+
+/// Guards against four voters of which two are in one failure domain, after a retirement: the loss of that domain leaves no quorum.
+#[test]
+fn a_voter_that_cannot_be_spread_is_removed() {
+    let five = Bounds { voters: 5, spread: true, losses: 1 };
+    let members = in_domains("abbc", voter);
+    let away = MemberStatus { live: false, ..voter(2, "b") };
+    let removed = |members: &[MemberStatus]| match next_step(members, five, false) {
+        Some(Step::Remove(id, "surplus_voter_removed")) => Some(id),
+        _ => None,
+    };
+    assert!(removed(&members).is_some_and(|id| [2, 3].contains(&id)));
+    let with_away = [&members[..1], &[away], &members[2..]].concat();
+    assert_eq!(removed(&with_away), Some(2));
+    assert_eq!(removed(&in_domains("aabbc", voter)), None);
+}
--- a/orioleworks_log/tests/tolerance.rs
+++ b/orioleworks_log/tests/tolerance.rs
@@ -17,13 +17,15 @@
 const FOUNDERS: [usize; 3] = [0, 3, 6];
 /// Losses at the same time.
 const LOSSES: usize = 2;
+/// Losses that nine voters tolerate.
+const WHOLE: usize = 4;
 /// Time after a loss within which as many further losses must be tolerated.
 const CATCH_UP: Duration = Duration::from_secs(2);
 /// Time for which each replica holds back entries, as with a slow disk.
 const SYNC_TIME: Duration = Duration::from_millis(100);
 const ENTRY_BYTES: usize = 32 * 1024;
 /// Entries before the first loss: more than a learner receives within `CATCH_UP`.
-const EARLIER_ENTRIES: usize = 300;
+const EARLIER_ENTRIES: u64 = 300;
 
 #[derive(Clone, Copy, PartialEq)]
 enum Disk {
@@ -124,13 +126,12 @@
 fn the_leader_tells_how_many_losses_are_tolerated() {
     run(async {
         let mut cluster = Cluster::start().await;
-        wait_for_tolerance(&cluster, |tolerated| tolerated >= LOSSES).await;
-        let whole = cluster.leader().await.0.tolerated_losses();
+        wait_for_tolerance(&cluster, |tolerated| tolerated == WHOLE).await;
         let voters = cluster.voters_with_disks().await;
         cluster.stop(voters[0]);
-        wait_for_tolerance(&cluster, |tolerated| tolerated == whole - 1).await;
+        wait_for_tolerance(&cluster, |tolerated| tolerated == WHOLE - 1).await;
         cluster.restart(voters[0], Disk::Kept).await;
-        wait_for_tolerance(&cluster, |tolerated| tolerated == whole).await;
+        wait_for_tolerance(&cluster, |tolerated| tolerated == WHOLE).await;
         assert_eq!(cluster.logs[voters[0]].0.tolerated_losses(), 0, "of a replica that follows");
         cluster.tokens.iter().for_each(CancellationToken::cancel);
     });
