Log: a learner gets 2 MB of entries in a message

A lost voter is replaced once a learner has caught up, and a learner takes one message at a time. Voters keep 512 KB.

--- a/orioleworks_log/src/replication.rs
+++ b/orioleworks_log/src/replication.rs
@@ -19,6 +19,10 @@
 /// Largest encoded size of the entries in one message, in bytes; a larger entry is sent in a message of its own. With 256 KB,
 /// learners with round trips of 50 ms fell behind at 5 MB of entries a second.
 const MAX_BATCH_BYTES: usize = 512 * 1024;
+/// As [`MAX_BATCH_BYTES`], for a learner. It takes one message at a time and has to gain on the voters, whatever its round trips take:
+/// with 512 KB, a learner on a busy machine fell behind at 6 MB of entries a second. Few learners are behind at a time, so that the
+/// memory of larger messages is bounded.
+const MAX_LEARNER_BATCH_BYTES: usize = 2 * 1024 * 1024;
 /// Size of a snapshot part in one message, in bytes.
 const SNAPSHOT_PART_BYTES: u64 = 512 * 1024;
 /// Heartbeat intervals between two heartbeats to a learner that will not vote soon; fewer than those for which it counts as
@@ -173,7 +177,9 @@
             return NextMessage::Wait;
         }
         let prev_index = progress.next_index - 1;
-        let entries = state.entries_after(prev_index, MAX_BATCH_BYTES);
+        let is_learner = state.member(id).is_some_and(|m| m.learner);
+        let max_bytes = if is_learner { MAX_LEARNER_BATCH_BYTES } else { MAX_BATCH_BYTES };
+        let entries = state.entries_after(prev_index, max_bytes);
         NextMessage::Append(inner::Append {
             term,
             leader_id: state.id(),
--- a/orioleworks_log/tests/repair.rs
+++ b/orioleworks_log/tests/repair.rs
@@ -24,6 +24,7 @@
 #[rstest]
 #[case::small_entries(0)]
 #[case::more_than_6_mb_a_second(32 * 1024)]
+#[case::more_than_12_mb_a_second(64 * 1024)]
 fn a_lost_voter_is_replaced_under_constant_load(#[case] entry_bytes: usize) {
     run(async {
         let directories: Vec<_> = (0..=VOTERS).map(|_| tempfile::tempdir().unwrap()).collect();
