--- a/orioleworks_store/src/config.rs
+++ b/orioleworks_store/src/config.rs
@@ -290,6 +290,9 @@
         /// Share for entries behind it, in percent; a store that is away for less time than until it is
         /// replaced should not need a snapshot.
         const TAIL_PERCENT: usize = 4;
+        /// Times the entries between two snapshots that are kept for a member that still needs them. A learner that receives a
+        /// snapshot while the next one is taken needs all entries between the two, and those that follow until it has them.
+        const KEPT_SNAPSHOTS: usize = 2;
         /// Least size of either, in bytes; holds the results of several commits.
         const MIN_BYTES: usize = 2 * 1024 * 1024;
         /// Largest size of either, in bytes; more does not make snapshots much cheaper.
@@ -307,7 +310,7 @@
             snapshot_entries: 4000,
             snapshot_bytes: share(SNAPSHOT_PERCENT),
             tail_bytes: share(TAIL_PERCENT),
-            catch_up_bytes: share(TAIL_PERCENT),
+            catch_up_bytes: KEPT_SNAPSHOTS * share(SNAPSHOT_PERCENT),
             retry_writes: true,
             ..orioleworks_log::Settings::new(&self.instance.name, &own, &self.data.directory)
                 .tolerating(losses, Duration::from_secs_f64(self.cluster.catch_up_s))
