Log: figures of the tolerance at stores that do not lead

Found in the review: a store that had never led exported neither gauge, and without a leader the time of the reduced tolerance was 0 at all stores, so that its alert stayed silent in the very incident. Such a store exports 0 losses now, and the time since it last heard of a leader. A deployment that promises no loss was reported as one that promises one.

--- a/orioleworks_log/src/durable.rs
+++ b/orioleworks_log/src/durable.rs
@@ -14,7 +14,6 @@
     journal::{Journal, JournalWriter},
     node::{Log, Part, ProposeError},
     state::Role,
-    tolerance,
 };
 
 /// Delay before a failed write is retried; the usual cause is a disk that is full for a few seconds.
@@ -178,7 +177,6 @@
             let mut state = self.inner.state.borrow_mut();
             if state.is_leader() {
                 event!(warn, "leader_stepped_down", term = state.term(), reason = reason);
-                tolerance::publish_without_leadership();
             }
             state.role = Role::Follower;
             state.leader_id = None;
@@ -187,6 +185,7 @@
             state.progress.clear();
             std::mem::take(&mut state.pending_proposals)
         };
+        self.publish_without_leadership();
         for (_, tx) in waiting.into_values() {
             drop(tx.send(Err(ProposeError::Unconfirmed)));
         }
--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -438,6 +438,7 @@
         let voters =
             status.membership.map_or(0, |m| m.members.iter().filter(|m| !m.learner).count());
         metrics::gauge!("orioleworks_log_voters").set(voters as f64);
+        self.publish_without_leadership();
     }
 
     /// Encoded size of the log entries in memory, in bytes.
--- a/orioleworks_log/src/tolerance.rs
+++ b/orioleworks_log/src/tolerance.rs
@@ -90,12 +90,22 @@
             _ => {}
         }
     }
-}
 
-/// Publishes that this replica does not lead: the leader's figures are the highest of all replicas, and without a leader
-/// no loss is tolerated.
-pub(crate) fn publish_without_leadership() {
-    metrics::gauge!("orioleworks_log_lost_voters").set(0.0);
-    metrics::gauge!("orioleworks_log_tolerated_losses").set(0.0);
-    metrics::gauge!("orioleworks_log_reduced_tolerance_seconds").set(0.0);
+    /// Publishes the figures of a replica that does not lead: it adds nothing to those of a leader, and without a leader no loss is
+    /// tolerated.
+    pub(crate) fn publish_without_leadership(&self) {
+        let state = self.inner.state.borrow();
+        if state.is_leader() {
+            return;
+        }
+        let heard_at = state.last_seen.unwrap_or(self.inner.opened_at);
+        let without_leader = match heard_at.elapsed() > self.inner.settings.election_max {
+            true => heard_at.elapsed(),
+            false => Duration::ZERO,
+        };
+        metrics::gauge!("orioleworks_log_lost_voters").set(0.0);
+        metrics::gauge!("orioleworks_log_tolerated_losses").set(0.0);
+        metrics::gauge!("orioleworks_log_reduced_tolerance_seconds")
+            .set(without_leader.as_secs_f64());
+    }
 }
--- a/orioleworks_store/src/config.rs
+++ b/orioleworks_store/src/config.rs
@@ -236,7 +236,7 @@
         problems.range("cluster.seeds", self.cluster.seeds.len(), 1..=64, "addresses");
         let losses = self.cluster.tolerated_losses;
         problems.range("cluster.tolerated_losses", losses, 0..=3, "stores");
-        problems.range("cluster.catch_up_s", self.cluster.catch_up_s, 1.0..=3600.0, "s");
+        problems.range("cluster.catch_up_s", self.cluster.catch_up_s, 2.0..=3600.0, "s");
         problems.range("listen.inner_port", self.listen.inner_port, 1..=u16::MAX, "");
         let retention = self.batches.status_retention_s;
         problems.range("batches.status_retention_s", retention, 1..=86_400, "s");
@@ -311,6 +311,7 @@
             snapshot_bytes: share(SNAPSHOT_PERCENT),
             tail_bytes: share(TAIL_PERCENT),
             catch_up_bytes: KEPT_SNAPSHOTS * share(SNAPSHOT_PERCENT),
+            tolerated_losses: self.cluster.tolerated_losses,
             retry_writes: true,
             ..orioleworks_log::Settings::new(&self.instance.name, &own, &self.data.directory)
                 .tolerating(losses, Duration::from_secs_f64(self.cluster.catch_up_s))
