--- a/orioleworks_log/src/leader.rs
+++ b/orioleworks_log/src/leader.rs
@@ -73,6 +73,7 @@
                 confirmed_at: None,
                 caught_up_at: None,
                 added_at: Instant::now(),
+                replaced_by: None,
                 protocol: 0,
             };
             state.progress.insert(member.member_id, progress);
--- a/orioleworks_log/src/membership.rs
+++ b/orioleworks_log/src/membership.rs
@@ -202,9 +202,9 @@
         }
     }
 
-    /// Adds a new identity as a learner. If it has the address of a voter of its name, that voter's disk is lost: the voter is
-    /// removed in the same change, because no successor has to be ready for that, and every lost voter that stays raises the
-    /// quorum for the next losses.
+    /// Adds a new identity as a learner. An earlier identity of the replica whose disk is known to be lost is removed in the same
+    /// change, because no successor has to be ready for that, and every lost voter that stays raises the quorum for the next
+    /// losses.
     pub(crate) fn on_join(&self, join: inner::Join) -> inner::JoinReply {
         let reply = |code: ResultCode| inner::JoinReply {
             code: code.number(),
@@ -232,11 +232,9 @@
             member.learner = true;
             // A learner of the same name that never became a voter is an older identity whose disk was lost.
             membership.members.retain(|m| !(m.learner && m.name == member.name));
-            let others = membership.members.len();
-            let is_replaced =
-                |m: &inner::Member| m.name == member.name && m.address == member.address;
-            membership.members.retain(|m| !is_replaced(m));
-            let step = match membership.members.len() < others {
+            let before = membership.members.len();
+            membership.members.retain(|m| !state.is_earlier_identity(m, &member));
+            let step = match membership.members.len() < before {
                 true => "lost_identity_removed",
                 false => "learner_added",
             };
@@ -363,11 +361,14 @@
             true => Some(Duration::ZERO),
             false => progress.and_then(|p| p.caught_up_at).map(|at| at.elapsed()),
         };
+        let is_earlier = |later: &inner::Member| state.is_earlier_identity(m, later);
         MemberStatus {
             id: m.member_id,
             name: m.name.clone(),
             domain: m.domain.clone(),
             learner: m.learner,
+            leads: own,
+            gone: state.membership.members.iter().any(is_earlier),
             live: own || confirmed_ago.is_some_and(|silence| silence < longest_silence),
             lost: silence
                 .zip(settings.replace_after)
--- a/orioleworks_log/src/reconfiguration.rs
+++ b/orioleworks_log/src/reconfiguration.rs
@@ -31,6 +31,10 @@
     pub domain: String,
     /// Whether it is a learner.
     pub learner: bool,
+    /// Whether it is the leader itself.
+    pub leads: bool,
+    /// Whether a later identity of the same replica is a member, so that its own disk is known to be lost.
+    pub gone: bool,
     /// Whether it acknowledged a recent heartbeat.
     pub live: bool,
     /// Whether it has not replied for so long that another replica may replace it.
@@ -65,13 +69,15 @@
     pub voters: usize,
     /// Largest number of them in one failure domain.
     pub per_domain: usize,
+    /// Whether the loss of any failure domain leaves a quorum of them.
+    pub spread: bool,
 }
 
 /// Most voters that the members allow: as many as the bounds, or fewer, so that the loss of a failure domain leaves a quorum. Four
 /// voters of which two are in one domain tolerate less than three in three domains.
 pub fn target(members: &[MemberStatus], bounds: Bounds) -> Target {
     if !bounds.spread {
-        return Target { voters: bounds.voters, per_domain: usize::MAX };
+        return Target { voters: bounds.voters, per_domain: usize::MAX, spread: false };
     }
     // A voter that lost its disk and its next identity have the same name.
     let mut names: IndexMap<&str, HashSet<&str>> = IndexMap::new();
@@ -84,9 +90,9 @@
         names.values().map(|names| names.len().min(per_domain)).sum::<usize>() >= voters
     };
     // With less than three domains, none may be lost.
-    let voters = (1..=bounds.voters).rev().find(|voters| can_be_spread(*voters));
-    let voters = voters.unwrap_or(bounds.voters);
-    Target { voters, per_domain: largest_minority(voters) }
+    let most = (1..=bounds.voters).rev().find(|voters| can_be_spread(*voters));
+    let voters = most.unwrap_or(bounds.voters);
+    Target { voters, per_domain: largest_minority(voters), spread: most.is_some() }
 }
 
 /// A change of the membership.
@@ -104,12 +110,17 @@
     if let Some(learner) = members.iter().find(|m| m.learner && m.retired) {
         return Some(Step::Remove(learner.id, "retired_learner_removed"));
     }
+    if let Some(gone) = members.iter().find(|m| !m.learner && m.gone && !m.name_in_use) {
+        return Some(Step::Remove(gone.id, "lost_identity_removed"));
+    }
     let voters = || members.iter().filter(|m| !m.learner);
     let target = target(members, bounds);
     let mut ready: Vec<&MemberStatus> =
         members.iter().filter(|m| m.learner && m.live && m.caught_up).collect();
     // The domain with the fewest voters that stay comes first.
     ready.sort_by_key(|m| voters().filter(|v| v.domain == m.domain && !v.retired).count());
+    // One that is not live is removed first, because the others tolerate no loss less without it.
+    let retired = voters().filter(|m| m.retired).min_by_key(|m| m.live);
     for ready in ready {
         let same_name = voters().find(|m| m.name == ready.name);
         if same_name.is_some_and(|m| m.name_in_use) {
@@ -118,8 +129,9 @@
         let count = voters().count();
         let in_domain = voters().filter(|m| m.domain == ready.domain).count();
         let full = in_domain >= target.per_domain;
-        let has_vacancy = count < target.voters && (!full || retired_removed);
-        let retired = voters().find(|m| m.retired);
+        // Without a retired voter the rest may be too few domains to spread over.
+        let has_room = !full || (retired_removed && !target.spread);
+        let has_vacancy = count < target.voters && has_room;
         let lost = voters().find(|m| m.lost && (!full || m.domain == ready.domain));
         let successor = Step::Promote(ready.id);
         let mut steps = Vec::new();
@@ -139,11 +151,17 @@
         }
     }
     let is_spare = |m: &&MemberStatus| can_be_spared(members, m, bounds);
-    if let Some(retired) = voters().find(|m| m.retired) {
+    if let Some(retired) = retired {
         return is_spare(&retired).then_some(Step::Remove(retired.id, "retired_voter_removed"));
     }
-    let surplus = surplus_voter(members, target).filter(is_spare)?;
-    Some(Step::Remove(surplus.id, "surplus_voter_removed"))
+    if let Some(surplus) = surplus_voter(members, target).filter(is_spare) {
+        return Some(Step::Remove(surplus.id, "surplus_voter_removed"));
+    }
+    // Without any margin, lost voters leave the quorum although no successor is ready, if that gives a margin.
+    let with_lost = tolerated_losses(voters())?;
+    let without_lost = tolerated_losses(voters().filter(|m| !m.lost))?;
+    let lost = voters().find(|m| m.lost && !m.live && with_lost == 0 && without_lost > 0)?;
+    Some(Step::Remove(lost.id, "silent_voter_removed"))
 }
 
 /// Whether as many losses as promised are tolerated without a voter, or as many as with it.
@@ -154,12 +172,12 @@
 }
 
 /// Voter to remove if there are more than can be spread over the failure domains, as after a retirement: one of the domain with the
-/// most voters, and one that is not live before one that is.
+/// most voters, one that is not live before one that is, and the leader last.
 fn surplus_voter(members: &[MemberStatus], target: Target) -> Option<&MemberStatus> {
     let voters = || members.iter().filter(|m| !m.learner);
     let in_domain = |m: &MemberStatus| voters().filter(|v| v.domain == m.domain).count();
     let is_surplus = voters().count() > target.voters;
-    voters().filter(|_| is_surplus).max_by_key(|m| (in_domain(m), !m.live))
+    voters().filter(|_| is_surplus).max_by_key(|m| (in_domain(m), !m.live, !m.leads))
 }
 
 /// Learners that receive every entry because they may soon have to replace a voter; the others use no memory, disk or
--- a/orioleworks_log/src/replication.rs
+++ b/orioleworks_log/src/replication.rs
@@ -101,14 +101,21 @@
         reply: inner::AppendReply,
     ) {
         self.adopt_term(reply.term).await;
-        if reply.member_id != id || reply.term != term {
-            return;
-        }
         let mut state = self.inner.state.borrow_mut();
         if !state.leads(term) {
             return;
         }
+        if reply.member_id != id {
+            if let Some(progress) = state.progress.get_mut(&id) {
+                progress.replaced_by = Some(reply.member_id);
+            }
+            return;
+        }
+        if reply.term != term {
+            return;
+        }
         if let Some(progress) = state.progress.get_mut(&id) {
+            progress.replaced_by = None;
             progress.confirmed_at = progress.confirmed_at.max(Some(sent));
             progress.protocol = reply.protocol;
         }
--- a/orioleworks_log/src/state.rs
+++ b/orioleworks_log/src/state.rs
@@ -43,6 +43,8 @@
     pub caught_up_at: Option<Instant>,
     /// Time at which the leader started to replicate to it.
     pub added_at: Instant,
+    /// Another identity that replied at its address, which means that its process is gone.
+    pub replaced_by: Option<u64>,
     /// What it understands, by its newest reply; 0 before the first one.
     pub protocol: u32,
 }
@@ -192,6 +194,14 @@
         self.voters().contains(&self.id())
     }
 
+    /// Whether a member is an earlier identity of a replica: the address of the member is known to be in use by the later one, under
+    /// the same name, so that the disk of the earlier one is lost.
+    pub fn is_earlier_identity(&self, member: &inner::Member, later: &inner::Member) -> bool {
+        let progress = self.progress.get(&member.member_id);
+        let replaced_by = progress.and_then(|progress| progress.replaced_by);
+        member.name == later.name && replaced_by == Some(later.member_id)
+    }
+
     /// Member with an ID.
     pub fn member(&self, id: u64) -> Option<&inner::Member> {
         self.membership.members.iter().find(|m| m.member_id == id)
