--- a/orioleworks_log/src/reconfiguration.rs
+++ b/orioleworks_log/src/reconfiguration.rs
@@ -16,7 +16,7 @@
 
 use orioleworks_rules::log as rules;
 
-/// Learners that are kept warm while no voter is missing: two, because one may be in a domain that already has its
+/// Learners that are kept warm beside those that are needed now: two, because one may be in a domain that already has its
 /// maximum of voters.
 const SPARE_LEARNERS: usize = 2;
 
@@ -185,7 +185,10 @@
 pub fn warm_learners(members: &[MemberStatus], bounds: Bounds) -> HashSet<u64> {
     let voters = || members.iter().filter(|m| !m.learner);
     let healthy = voters().filter(|m| !m.lost && !m.retired).count();
-    let missing = target(members, bounds).voters.saturating_sub(healthy);
+    let target = target(members, bounds).voters;
+    let missing = target.saturating_sub(healthy);
+    // Then there is time to bring a cold learner up to date, and each warm one costs as much as a voter.
+    let is_ample = target > 4 * bounds.losses && tolerated_losses(voters()) >= Some(bounds.losses);
     let mut in_domain: HashMap<&str, usize> = HashMap::new();
     for voter in voters() {
         *in_domain.entry(&voter.domain).or_default() += 1;
@@ -201,8 +204,11 @@
     let mut domains = HashSet::new();
     let (first, rest): (Vec<&MemberStatus>, Vec<&MemberStatus>) =
         learners.into_iter().partition(|m| domains.insert(&*m.domain));
-    let needed_now = if missing > 0 { missing.max(first.len()) } else { 0 };
-    let wanted = needed_now.saturating_add(SPARE_LEARNERS);
+    let wanted = match missing {
+        _ if is_ample => missing,
+        0 => SPARE_LEARNERS,
+        _ => missing.max(first.len()).saturating_add(SPARE_LEARNERS),
+    };
     warm.extend(first.into_iter().chain(rest).take(wanted).map(|m| m.id));
     warm
 }
--- a/orioleworks_log/tests/reconfiguration.rs
+++ b/orioleworks_log/tests/reconfiguration.rs
@@ -274,3 +274,20 @@
     members.remove(3);
     assert_eq!(next_step(&members, four, false), None, "two voters tolerate no loss either");
 }
+
+/// Guards against copies of the log beside those of nine voters, of which each costs as much as a voter, and against a new leader under
+/// load that brings seven learners up to date to replace one voter.
+#[test]
+fn no_more_learners_are_warm_than_are_missing_while_enough_losses_are_tolerated() {
+    let learners: Vec<MemberStatus> =
+        "abcd".chars().zip(21..).map(|(domain, id)| learner(id, &domain.to_string())).collect();
+    let with_learners = |voters: &[MemberStatus]| [voters, &learners].concat();
+    let mut voters = in_domains("aaabbbccd", voter);
+    assert!(warm_learners(&with_learners(&voters), NINE).is_empty());
+    voters[0] = MemberStatus { lost: true, ..offline(voters[0].clone()) };
+    assert_eq!(warm_learners(&with_learners(&voters), NINE).len(), 1);
+    for m in &mut voters[1..4] {
+        *m = MemberStatus { lost: true, ..offline(m.clone()) };
+    }
+    assert_eq!(warm_learners(&with_learners(&voters), NINE).len(), 4, "one loss is tolerated");
+}
