Log: a new leader asks learners what they have before it sends them anything

Replies to heartbeats carry the last index of the log now; 0, as an earlier version replies, means as before that the learner has nothing. Such learners hold back no entries of the log either.

--- a/orioleworks_log/src/follower.rs
+++ b/orioleworks_log/src/follower.rs
@@ -102,6 +102,7 @@
             retry_index: retry,
             seen: Vec::new(),
             protocol: PROTOCOL,
+            last_index: state.last().index,
         }
     }
 
--- a/orioleworks_log/src/leader.rs
+++ b/orioleworks_log/src/leader.rs
@@ -74,6 +74,7 @@
                 caught_up_at: None,
                 added_at: Instant::now(),
                 replaced_by: None,
+                last_index: 0,
                 protocol: 0,
             };
             state.progress.insert(member.member_id, progress);
--- a/orioleworks_log/src/replication.rs
+++ b/orioleworks_log/src/replication.rs
@@ -19,8 +19,8 @@
 /// Largest encoded size of the entries in one message, in bytes; a larger entry is sent in a message of its own. With 256 KB,
 /// learners with round trips of 50 ms fell behind at 5 MB of entries a second.
 const MAX_BATCH_BYTES: usize = 512 * 1024;
-/// As [`MAX_BATCH_BYTES`], for a learner. It takes one message at a time and has to gain on the voters, whatever its round trips take:
-/// with 512 KB, a learner on a busy machine fell behind at 6 MB of entries a second. Few learners are behind at a time, so that the
+/// As [`MAX_BATCH_BYTES`], for a warm learner. It takes one message at a time and has to gain on the voters, whatever its round trips take:
+/// with 512 KB, a learner on a busy machine fell behind at 6 MB of entries a second. Few learners are warm at a time, so that the
 /// memory of larger messages is bounded.
 const MAX_LEARNER_BATCH_BYTES: usize = 2 * 1024 * 1024;
 /// Size of a snapshot part in one message, in bytes.
@@ -117,6 +117,7 @@
         if let Some(progress) = state.progress.get_mut(&id) {
             progress.replaced_by = None;
             progress.confirmed_at = progress.confirmed_at.max(Some(sent));
+            progress.last_index = reply.last_index;
             progress.protocol = reply.protocol;
         }
         drop(state);
@@ -184,8 +185,8 @@
             return NextMessage::Wait;
         }
         let prev_index = progress.next_index - 1;
-        let is_learner = state.member(id).is_some_and(|m| m.learner);
-        let max_bytes = if is_learner { MAX_LEARNER_BATCH_BYTES } else { MAX_BATCH_BYTES };
+        let is_warm = state.warm_learners.contains(&id);
+        let max_bytes = if is_warm { MAX_LEARNER_BATCH_BYTES } else { MAX_BATCH_BYTES };
         let entries = state.entries_after(prev_index, max_bytes);
         NextMessage::Append(inner::Append {
             term,
--- a/orioleworks_log/src/state.rs
+++ b/orioleworks_log/src/state.rs
@@ -45,6 +45,8 @@
     pub added_at: Instant,
     /// Another identity that replied at its address, which means that its process is gone.
     pub replaced_by: Option<u64>,
+    /// Last index of its log by its newest reply, whether it matches or not; 0 if it has nothing, or before the first reply.
+    pub last_index: u64,
     /// What it understands, by its newest reply; 0 before the first one.
     pub protocol: u32,
 }
@@ -275,15 +277,22 @@
         (base, total)
     }
 
-    /// Whether entries are sent to a member as they arrive. A learner receives entries or a snapshot once, and later only while it
-    /// may soon have to replace a voter.
+    /// Whether entries are sent to a member. A learner receives entries or a snapshot once, and later only while it may soon have to
+    /// replace a voter. A new leader asks first: it would otherwise send them to every learner again.
     pub fn receives_entries(&self, id: u64) -> bool {
+        let has_none = |progress: &Progress| {
+            progress.confirmed_at.is_some() && progress.match_index.max(progress.last_index) == 0
+        };
+        self.needs_every_entry(id) || self.progress.get(&id).is_some_and(has_none)
+    }
+
+    /// Whether a member votes, or may soon have to replace a voter.
+    pub fn needs_every_entry(&self, id: u64) -> bool {
         let is_learner = self.member(id).is_some_and(|m| m.learner);
-        let has_none = self.progress.get(&id).is_none_or(|progress| progress.match_index == 0);
-        !is_learner || has_none || self.warm_learners.contains(&id)
+        !is_learner || self.warm_learners.contains(&id)
     }
 
-    /// Last index that all members have to which this replica sends entries as a leader. Those that have been silent for longer
+    /// Last index that all members have to which this replica sends every entry as a leader. Those that have been silent for longer
     /// than this do not count.
     pub fn acknowledged_by_all(&self, longest_silence: Duration) -> u64 {
         if !self.is_leader() {
@@ -293,7 +302,7 @@
             progress.confirmed_at.unwrap_or(progress.added_at).elapsed() <= longest_silence
         };
         let receiving =
-            self.progress.iter().filter(|(id, p)| self.receives_entries(**id) && is_live(p));
+            self.progress.iter().filter(|(id, p)| self.needs_every_entry(**id) && is_live(p));
         receiving.map(|(_, progress)| progress.match_index).min().unwrap_or(u64::MAX)
     }
 
--- a/orioleworks_log/tests/repair.rs
+++ b/orioleworks_log/tests/repair.rs
@@ -9,7 +9,7 @@
 use orioleworks_log::{Log, Settings};
 use orioleworks_proto::inner::frame::Body;
 use rstest::rstest;
-use support::{Calls, command, leader, machine, replica, run, settings, start};
+use support::{Calls, command, leader, machine, replica, run, settings, start, start_with};
 use tokio_util::sync::CancellationToken;
 
 const VOTERS: usize = 3;
@@ -132,6 +132,53 @@
     });
 }
 
+/// Guards against a new leader under load that sends entries or snapshots to every learner of a large deployment, although they have
+/// received theirs from the one before.
+#[test]
+fn a_new_leader_sends_nothing_to_learners_that_are_not_needed() {
+    run(async {
+        let names = ["a", "b", "c", "l1", "l2"];
+        let directories: Vec<_> = names.iter().map(|_| tempfile::tempdir().unwrap()).collect();
+        let token = CancellationToken::new();
+        let mut listeners = Vec::new();
+        for _ in names {
+            listeners.push(http::bind("127.0.0.1:0").await.unwrap());
+        }
+        let replicas: Vec<_> = names.iter().zip(&listeners).map(|(n, l)| replica(n, l)).collect();
+        // Highest index that each replica has acknowledged since the change of the leader.
+        let acknowledged: Vec<Rc<Cell<u64>>> = names.iter().map(|_| Rc::default()).collect();
+        let start_one = |(i, listener): (usize, TcpListener)| {
+            let settings = Settings {
+                bootstrap: i < VOTERS,
+                max_voters: VOTERS,
+                ..settings(names[i], directories[i].path(), &replicas)
+            };
+            let highest = acknowledged[i].clone();
+            let note = move |reply: Body| {
+                if let Body::AppendReply(reply) = &reply {
+                    highest.set(highest.get().max(reply.match_index));
+                }
+                reply
+            };
+            start_with(settings, listener, Duration::ZERO, &token, note)
+        };
+        let logs: Vec<(Log, Calls)> = listeners.into_iter().enumerate().map(start_one).collect();
+        let (old, _) = leader(&logs).await;
+        old.propose("", command(String::new())).await.unwrap();
+        while acknowledged[VOTERS..].iter().any(|highest| highest.get() == 0) {
+            time::sleep(Duration::from_millis(20)).await;
+        }
+        old.transfer_leadership().await;
+        acknowledged.iter().for_each(|highest| highest.set(0));
+        let (new, _) = leader(&logs).await;
+        new.propose("", command(String::new())).await.unwrap();
+        time::sleep(Duration::from_secs(1)).await;
+        token.cancel();
+        let highest: Vec<u64> = acknowledged.iter().map(|highest| highest.get()).collect();
+        assert_eq!(highest[VOTERS..], [0, 0], "{highest:?}");
+    });
+}
+
 /// Replicas that are receiving a part of a snapshot; clones share it.
 #[derive(Clone, Default)]
 struct Installing {
