Test deployments: failure domains and tolerated losses are options

The support deployment put each store into a failure domain of its own and promised one loss, so that the soak could not play a deployment of ten stores in four domains. They are options now, with the defaults of before; the private list of parameters becomes the same struct. Ports are checked for ten instances of a role instead of eight, as many as a deployment has at most.

--- a/orioleworks_gateway/tests/support/deployment.rs
+++ b/orioleworks_gateway/tests/support/deployment.rs
@@ -22,6 +22,8 @@
     proxy::Proxy,
 };
 
+/// Most instances of a role in a deployment.
+const MAX_INSTANCES: usize = 10;
 /// Time within which a revocation takes effect at every gateway.
 pub const REVOCATION_BOUND_MS: u64 = 2000;
 
@@ -97,10 +99,7 @@
     callers_port: u16,
     readiness_port: u16,
     relay_port: u16,
-    /// Memory limit in the settings of the stores, in megabytes.
-    store_memory_mb: usize,
-    /// More sections in the settings of stores and of gateways, each followed by a comma.
-    more_settings: (String, String),
+    options: Options,
     /// Section `limits` in the settings of the gateways.
     pub gateway_limits: &'static str,
     /// Proxies in front of the stores' inner protocol; empty without proxies.
@@ -109,6 +108,35 @@
     pub paths: Vec<GatewayPaths>,
 }
 
+/// What differs between deployments of tests.
+pub struct Options {
+    /// Failure domains, to which the stores belong in turn.
+    pub domains: usize,
+    /// Stores that may lose their disks at the same time.
+    pub tolerated_losses: usize,
+    /// Whether connections to a store's inner protocol pass through a proxy.
+    pub proxied: bool,
+    /// Memory limit in the settings of the stores, in megabytes.
+    pub store_memory_mb: usize,
+    /// Whether each gateway has paths of its own to the upstreams, which can be cut.
+    pub separate_paths: bool,
+    /// More sections in the settings of stores and of gateways, each followed by a comma.
+    pub more_settings: (String, String),
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            domains: MAX_INSTANCES,
+            tolerated_losses: 1,
+            proxied: false,
+            store_memory_mb: 140,
+            separate_paths: false,
+            more_settings: Default::default(),
+        }
+    }
+}
+
 /// Loopback address of a process. Each process has its own, so that all stores can use one port. The role is 1 for
 /// stores, 2 for gateways, 3 for stores behind proxies, and 4 and above for the stores as each gateway sees them.
 pub fn loopback_ip(role: u8, i: usize) -> String {
@@ -118,12 +146,13 @@
 impl Deployment {
     /// Starts stores and gateways and waits until the gateways are ready with a route document.
     pub fn start(stores: usize, gateways: usize, document: &str) -> Self {
-        Self::start_with(stores, gateways, document, false)
+        Self::start_with_options(stores, gateways, document, Options::default())
     }
 
     /// Like [`Self::start`]; with `proxied`, connections to a store's inner protocol pass through a proxy.
     pub fn start_with(stores: usize, gateways: usize, document: &str, proxied: bool) -> Self {
-        Self::start_sized(stores, gateways, document, proxied, 140)
+        let options = Options { proxied, ..Options::default() };
+        Self::start_with_options(stores, gateways, document, options)
     }
 
     /// Like [`Self::start_with`]; `store_memory_mb` is the memory limit in the settings of the stores.
@@ -134,15 +163,8 @@
         proxied: bool,
         store_memory_mb: usize,
     ) -> Self {
-        Self::start_all(
-            stores,
-            gateways,
-            document,
-            proxied,
-            store_memory_mb,
-            false,
-            Default::default(),
-        )
+        let options = Options { proxied, store_memory_mb, ..Options::default() };
+        Self::start_with_options(stores, gateways, document, options)
     }
 
     /// Like [`Self::start`], with more sections in the settings of stores and of gateways, each followed by a comma.
@@ -150,26 +172,26 @@
         stores: usize,
         gateways: usize,
         document: &str,
-        (of_stores, of_gateways): (String, String),
+        more_settings: (String, String),
     ) -> Self {
-        let more_settings = (of_stores, of_gateways);
-        Self::start_all(stores, gateways, document, false, 140, false, more_settings)
+        let options = Options { more_settings, ..Options::default() };
+        Self::start_with_options(stores, gateways, document, options)
     }
 
     /// Like [`Self::start`]; each gateway has paths of its own to the upstreams, which can be cut.
     pub fn start_with_paths(stores: usize, gateways: usize, document: &str) -> Self {
-        Self::start_all(stores, gateways, document, false, 140, true, Default::default())
+        let options = Options { separate_paths: true, ..Options::default() };
+        Self::start_with_options(stores, gateways, document, options)
     }
 
-    fn start_all(
+    /// Like [`Self::start`], with other options.
+    pub fn start_with_options(
         stores: usize,
         gateways: usize,
         document: &str,
-        proxied: bool,
-        store_memory_mb: usize,
-        separate_paths: bool,
-        more_settings: (String, String),
+        options: Options,
     ) -> Self {
+        let (proxied, separate_paths) = (options.proxied, options.separate_paths);
         let mut deployment = Self {
             dir: tempfile::tempdir().unwrap(),
             stores: (0..stores).map(|_| None).collect(),
@@ -179,8 +201,7 @@
             callers_port: free_port(),
             readiness_port: free_port(),
             relay_port: free_port(),
-            store_memory_mb,
-            more_settings,
+            options,
             gateway_limits: "{}",
             store_proxies: Vec::new(),
             paths: Vec::new(),
@@ -250,19 +271,21 @@
         let name = format!("store-{i}");
         let role = if self.store_proxies.is_empty() { 1 } else { 3 };
         let settings = format!(
-            r#"{{ "instance": {{ "name": "{name}", "failure_domain": "domain-{i}" }},
+            r#"{{ "instance": {{ "name": "{name}", "failure_domain": "domain-{}" }},
                  "listen": {{ "control": "{}", "inner_port": {}, "inner_bind": "{}" }},
-                 "cluster": {{ "seeds": [{}], "bootstrap": {bootstrap}, "tolerated_losses": 1 }},
+                 "cluster": {{ "seeds": [{}], "bootstrap": {bootstrap}, "tolerated_losses": {} }},
                  "orders": {{ "lease_ms": 300 }},
                  {}
                  "limits": {{ "memory_mb": {} }},
                  "data": {{ "directory": "{}" }} }}"#,
+            i % self.options.domains,
             self.control_address(i),
             self.inner_port,
             self.inner_address(role, i),
             self.seeds(),
-            self.more_settings.0,
-            self.store_memory_mb,
+            self.options.tolerated_losses,
+            self.options.more_settings.0,
+            self.options.store_memory_mb,
             self.dir.path().join(&name).display(),
         );
         self.stores[i] = Some(self.spawn("orioleworks-store", &name, &settings));
@@ -282,7 +305,7 @@
             self.readiness_port,
             loopback_ip(2, i),
             self.relay_port,
-            self.more_settings.1,
+            self.options.more_settings.1,
             self.gateway_limits,
             seeds,
             self.inner_port,
@@ -349,6 +372,17 @@
         (0..self.stores.len()).filter_map(newest_term).max().map(|(_, i)| i)
     }
 
+    /// Losses of stores that are survived now, as the leader reports them; 0 without a leader.
+    pub fn reported_tolerance(&self) -> usize {
+        let reported = |store: String| {
+            let metrics = client::call(&store, "GET", "/metrics", &[], "")?;
+            let mut lines = metrics.body.lines();
+            let value = lines.find_map(|l| l.strip_prefix("orioleworks_log_tolerated_losses "))?;
+            value.parse().ok()
+        };
+        self.control_addresses().into_iter().filter_map(reported).max().unwrap_or(0)
+    }
+
     /// Sends a request to a gateway.
     pub fn send(
         &self,
@@ -410,7 +444,6 @@
 /// port again as soon as the listener that found it is closed, also to other test processes.
 pub fn free_port() -> u16 {
     const ROLES: u8 = 6;
-    const MAX_INSTANCES: usize = 8;
     static RESERVED: Mutex<Vec<UdpSocket>> = Mutex::new(Vec::new());
     loop {
         let port = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
