--- a/orioleworks_gateway/tests/soak.rs
+++ b/orioleworks_gateway/tests/soak.rs
@@ -289,6 +289,7 @@
         // The number of draws before depends on the time that steps took.
         self.rng = StdRng::seed_from_u64(!self.seed);
         let delay_ms = if self.rng.random_bool(0.5) { self.rng.random_range(20..=60) } else { 0 };
+        let delay_ms = number("ORIOLEWORKS_SOAK_DELAY_MS").unwrap_or(delay_ms);
         // Stands for slow syncs: a caller of a store with a slow disk gets its reply that much later.
         for proxy in &self.deployment.store_proxies {
             proxy.faults.delay_ms.store(delay_ms, Ordering::Relaxed);
@@ -382,6 +383,11 @@
     }
 }
 
+/// Value of an environment variable.
+fn number(name: &str) -> Option<u64> {
+    env::var(name).ok()?.parse().ok()
+}
+
 fn soak(seed: u64, seconds: u64) {
     eprintln!("soak seed={seed} seconds={seconds}");
     let violations = Soak::start(seed).run(Duration::from_secs(seconds));
@@ -425,7 +431,6 @@
 /// Runs the seeds of `scripts/soak`; does nothing without its environment variables.
 #[test]
 fn promises_hold_for_the_seeds_of_the_environment() {
-    let number = |name: &str| env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
     let Some(first) = number("ORIOLEWORKS_SOAK_FIRST_SEED") else { return };
     let count = number("ORIOLEWORKS_SOAK_SEEDS").unwrap_or(1);
     let seconds = number("ORIOLEWORKS_SOAK_SECONDS").unwrap_or(8);
