Log: voters that a new leader has not heard of do not count as live

The soak found that orioleworks_log_tolerated_losses was too high for 0.8 s after an election, because a new leader counted every voter as contacted: who relies on it would take too many stores down. The events wait for that time instead.

--- a/orioleworks_log/src/tolerance.rs
+++ b/orioleworks_log/src/tolerance.rs
@@ -6,7 +6,10 @@
 use orioleworks_daemon::event;
 use orioleworks_rules::log as rules;
 
-use crate::{node::Log, state::State};
+use crate::{
+    node::Log,
+    state::{Progress, State},
+};
 
 /// Time for which fewer losses than promised are survived.
 #[derive(Clone, Copy, Debug)]
@@ -19,14 +22,16 @@
 
 impl State {
     /// Number of voters that may be lost, with their disks, so that the others are still a quorum. Voters that have been silent
-    /// for longer than `longest_silence` count as lost.
+    /// for longer than `longest_silence` count as lost, and so do those that a new leader has not heard of yet.
     ///
     /// What is committed survives as many losses: of the voters that synced an entry, at least one remains in each quorum of the
     /// remaining ones.
     pub fn tolerated_losses(&self, longest_silence: Duration) -> usize {
-        let voters = self.voters();
-        let live = self.contacted_voters(longest_silence).count();
-        live.saturating_sub(rules::quorum(voters.len()))
+        let is_live = move |progress: &Progress| {
+            progress.confirmed_at.is_some_and(|at| at.elapsed() <= longest_silence)
+        };
+        let live = self.voters_where(is_live).count();
+        live.saturating_sub(rules::quorum(self.voters().len()))
     }
 }
 
@@ -46,7 +51,9 @@
         let promised = settings.tolerated_losses;
         let mut state = self.inner.state.borrow_mut();
         let tolerated = state.tolerated_losses(settings.election_max);
-        let reduced = (tolerated < promised).then(|| {
+        // A new leader has not heard of the others yet.
+        let is_new = state.leader_since.is_some_and(|at| at.elapsed() < settings.election_max);
+        let reduced = (tolerated < promised && !is_new).then(|| {
             let new = Reduced { since: Instant::now(), overdue: false };
             state.reduced_tolerance.unwrap_or(new)
         });
