Log: messages with entries shrink on a slow path

Found by the soak's waves: with 60 ms for each 16 KB between stores, a store that had lost its disk did not catch up within 6 s, because a heartbeat that waits behind a large message for 0.4 s closes the connection that both share, and the message was sent anew, as large as before.

--- a/orioleworks_log/src/leader.rs
+++ b/orioleworks_log/src/leader.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     node::Log,
+    replication::BatchSize,
     state::{Progress, Role},
 };
 
@@ -75,6 +76,7 @@
                 added_at: Instant::now(),
                 replaced_by: None,
                 last_index: 0,
+                batch_size: BatchSize::default(),
                 protocol: 0,
             };
             state.progress.insert(member.member_id, progress);
--- a/orioleworks_log/src/replication.rs
+++ b/orioleworks_log/src/replication.rs
@@ -6,6 +6,7 @@
 
 use compio::time;
 use futures_util::lock::MutexGuard;
+use orioleworks_daemon::rpc::RpcError;
 use orioleworks_proto::inner::{self, frame::Body};
 use orioleworks_rules::log as rules;
 
@@ -19,18 +20,45 @@
 /// Largest encoded size of the entries in one message, in bytes; a larger entry is sent in a message of its own. With 256 KB,
 /// learners with round trips of 50 ms fell behind at 5 MB of entries a second.
 const MAX_BATCH_BYTES: usize = 512 * 1024;
-/// As [`MAX_BATCH_BYTES`], for a warm learner. It takes one message at a time and has to gain on the voters, whatever its round trips take:
-/// with 512 KB, a learner on a busy machine fell behind at 6 MB of entries a second. Few learners are warm at a time, so that the
-/// memory of larger messages is bounded.
+/// As [`MAX_BATCH_BYTES`], for a warm learner. It takes one message at a time and has to gain on the voters, whatever its round trips
+/// take: with 512 KB, a learner on a busy machine fell behind at 6 MB of entries a second. Few learners are warm at a time, so that
+/// the memory of larger messages is bounded.
 const MAX_LEARNER_BATCH_BYTES: usize = 2 * 1024 * 1024;
+/// Least size to which messages shrink.
+const MIN_BATCH_BYTES: usize = 64 * 1024;
+/// Growth of the size with each message with entries that arrives.
+const BATCH_GROWTH_BYTES: usize = 16 * 1024;
 /// Size of a snapshot part in one message, in bytes.
-const SNAPSHOT_PART_BYTES: u64 = 512 * 1024;
+const SNAPSHOT_PART_BYTES: usize = 512 * 1024;
 /// Heartbeat intervals between two heartbeats to a learner that will not vote soon; fewer than those for which it counts as
 /// live.
 const COLD_HEARTBEAT_FACTOR: u32 = 2;
 /// Consecutive heartbeats without a reply after which the connection is replaced.
 const MAX_UNANSWERED_HEARTBEATS: u32 = 5;
 
+/// Size of the messages with entries or parts of a snapshot to a member, in bytes.
+///
+/// A heartbeat that is not answered in time closes the connection, because it may be silent for good. On a slow path it waits behind a
+/// large message, which is sent anew on the next connection and never arrives, unless it shrinks.
+#[derive(Clone, Copy, Debug)]
+pub struct BatchSize(usize);
+
+impl Default for BatchSize {
+    fn default() -> Self {
+        Self(MAX_LEARNER_BATCH_BYTES)
+    }
+}
+
+impl BatchSize {
+    fn grown(self) -> Self {
+        Self((self.0 + BATCH_GROWTH_BYTES).min(MAX_LEARNER_BATCH_BYTES))
+    }
+
+    fn shrunk(self) -> Self {
+        Self((self.0.min(MAX_BATCH_BYTES) / 2).max(MIN_BATCH_BYTES))
+    }
+}
+
 enum NextMessage {
     Stop,
     Wait,
@@ -140,12 +168,23 @@
                 }
                 NextMessage::Append(append) => {
                     let (commit, sent) = (append.commit_index, Instant::now());
+                    let has_entries = !append.entries.is_empty();
                     let call = client.call(Body::Append(append), APPEND_TIMEOUT);
                     match time::timeout(APPEND_TIMEOUT, call).await {
                         Ok(Ok(Body::AppendReply(reply))) => {
+                            if has_entries {
+                                self.resize_batches(id, BatchSize::grown);
+                            }
                             self.on_append_reply(term, id, (commit, sent), reply).await;
                         }
-                        _ => time::sleep(self.inner.settings.heartbeat).await,
+                        // Nothing was sent.
+                        Ok(Err(RpcError::Unreachable(_))) => {
+                            time::sleep(self.inner.settings.heartbeat).await;
+                        }
+                        _ => {
+                            self.resize_batches(id, BatchSize::shrunk);
+                            time::sleep(self.inner.settings.heartbeat).await;
+                        }
                     }
                 }
                 NextMessage::Snapshot => {
@@ -161,6 +200,12 @@
         }
     }
 
+    fn resize_batches(&self, id: u64, resize: impl FnOnce(BatchSize) -> BatchSize) {
+        if let Some(progress) = self.inner.state.borrow_mut().progress.get_mut(&id) {
+            progress.batch_size = resize(progress.batch_size);
+        }
+    }
+
     fn replicates_to(&self, term: u64, id: u64) -> bool {
         let state = self.inner.state.borrow();
         state.leads(term) && state.member(id).is_some() && !self.inner.token.is_cancelled()
@@ -187,6 +232,7 @@
         let prev_index = progress.next_index - 1;
         let is_warm = state.warm_learners.contains(&id);
         let max_bytes = if is_warm { MAX_LEARNER_BATCH_BYTES } else { MAX_BATCH_BYTES };
+        let max_bytes = max_bytes.min(progress.batch_size.0);
         let entries = state.entries_after(prev_index, max_bytes);
         NextMessage::Append(inner::Append {
             term,
@@ -260,7 +306,10 @@
             if !self.replicates_to(term, member.member_id) {
                 return false;
             }
-            let Some((rest, state)) = self.read_part(reader, SNAPSHOT_PART_BYTES).await else {
+            let batch_size =
+                self.inner.state.borrow().progress.get(&member.member_id).map(|p| p.batch_size.0);
+            let part_bytes = batch_size.unwrap_or(SNAPSHOT_PART_BYTES).min(SNAPSHOT_PART_BYTES);
+            let Some((rest, state)) = self.read_part(reader, part_bytes as u64).await else {
                 return false;
             };
             reader = rest;
@@ -276,6 +325,7 @@
             let call = client.call(Body::Install(install), APPEND_TIMEOUT);
             let Ok(Ok(Body::InstallReply(reply))) = time::timeout(APPEND_TIMEOUT, call).await
             else {
+                self.resize_batches(member.member_id, BatchSize::shrunk);
                 return false;
             };
             self.adopt_term(reply.term).await;
--- a/orioleworks_log/src/state.rs
+++ b/orioleworks_log/src/state.rs
@@ -13,6 +13,7 @@
 use crate::{
     files::{Identity, SnapshotWriter},
     node::ProposeError,
+    replication::BatchSize,
     settings::Settings,
     tolerance::Reduced,
 };
@@ -47,6 +48,8 @@
     pub replaced_by: Option<u64>,
     /// Last index of its log by its newest reply, whether it matches or not; 0 if it has nothing, or before the first reply.
     pub last_index: u64,
+    /// Size of the messages with entries or parts of a snapshot.
+    pub batch_size: BatchSize,
     /// What it understands, by its newest reply; 0 before the first one.
     pub protocol: u32,
 }
@@ -350,7 +353,11 @@
         self.voters_where(is_recent)
     }
 
-    fn voters_where(&self, holds: impl Fn(&Progress) -> bool) -> impl Iterator<Item = u64> {
+    /// Voters of which a condition holds, and this replica if it votes.
+    pub(crate) fn voters_where(
+        &self,
+        holds: impl Fn(&Progress) -> bool,
+    ) -> impl Iterator<Item = u64> {
         let own = self.id();
         let voters = self.voters().into_iter();
         voters.filter(move |id| *id == own || self.progress.get(id).is_some_and(&holds))
