Log: one place each for the quorum check, the tolerated losses and a member's next identity

Found on reading the change again, no behaviour changes. quorum_confirmed_since and quorum_contacted share has_quorum again; the number of tolerated losses was computed in two modules and is a rule now; contacted_voters is gone. Whether a voter has a later identity took a comparison of all members with each other at every heartbeat, and is a look-up by its ID. heartbeat_factor repeated needs_every_entry.

--- a/orioleworks_gateway/tests/soak.rs
+++ b/orioleworks_gateway/tests/soak.rs
@@ -38,8 +38,8 @@
 const WAVES: usize = 4;
 /// Time after lost stores are back within which as many may be lost again; the default of `cluster.catch_up_s`.
 const CATCH_UP: Duration = Duration::from_secs(6);
-/// Time for which the reported tolerance has to hold. Stores of which a leader heard in the last 0.8 s count as live, and so do all
-/// stores in the first 0.8 s of a leader; the next wave would take more disks than may be lost if it relied on such a value.
+/// Time for which the reported tolerance has to hold. Stores of which the leader heard in the last 0.8 s count as live; the next wave
+/// would take more disks than may be lost if it relied on such a value.
 const HOLD_TIME: Duration = Duration::from_millis(1000);
 
 type Undo = Box<dyn FnOnce(&mut Soak)>;
--- a/orioleworks_log/src/membership.rs
+++ b/orioleworks_log/src/membership.rs
@@ -361,14 +361,13 @@
             true => Some(Duration::ZERO),
             false => progress.and_then(|p| p.caught_up_at).map(|at| at.elapsed()),
         };
-        let is_earlier = |later: &inner::Member| state.is_earlier_identity(m, later);
         MemberStatus {
             id: m.member_id,
             name: m.name.clone(),
             domain: m.domain.clone(),
             learner: m.learner,
             leads: own,
-            gone: state.membership.members.iter().any(is_earlier),
+            gone: state.has_later_identity(m),
             live: own || confirmed_ago.is_some_and(|silence| silence < longest_silence),
             lost: silence
                 .zip(settings.replace_after)
--- a/orioleworks_log/src/reconfiguration.rs
+++ b/orioleworks_log/src/reconfiguration.rs
@@ -13,7 +13,6 @@
 };
 
 use indexmap::IndexMap;
-
 use orioleworks_rules::log as rules;
 
 /// Learners that are kept warm beside those that are needed now: two, because one may be in a domain that already has its
@@ -225,5 +224,5 @@
 /// Losses of live voters that are tolerated; `None` if the live voters are no quorum.
 fn tolerated_losses<'a>(voters: impl Iterator<Item = &'a MemberStatus>) -> Option<usize> {
     let (count, live) = voters.fold((0, 0), |(n, live), m| (n + 1, live + usize::from(m.live)));
-    live.checked_sub(rules::quorum(count))
+    rules::tolerated_losses(count, live)
 }
--- a/orioleworks_log/src/replication.rs
+++ b/orioleworks_log/src/replication.rs
@@ -115,10 +115,8 @@
 
     /// Multiple of the heartbeat interval for a member. A leader may have a hundred learners that will not vote soon.
     fn heartbeat_factor(&self, id: u64) -> u32 {
-        let state = self.inner.state.borrow();
-        let cold =
-            state.member(id).is_some_and(|m| m.learner) && !state.warm_learners.contains(&id);
-        if cold { COLD_HEARTBEAT_FACTOR } else { 1 }
+        let needs_every_entry = self.inner.state.borrow().needs_every_entry(id);
+        if needs_every_entry { 1 } else { COLD_HEARTBEAT_FACTOR }
     }
 
     async fn on_heartbeat_reply(
@@ -177,12 +175,11 @@
                             }
                             self.on_append_reply(term, id, (commit, sent), reply).await;
                         }
-                        // Nothing was sent.
-                        Ok(Err(RpcError::Unreachable(_))) => {
-                            time::sleep(self.inner.settings.heartbeat).await;
-                        }
-                        _ => {
-                            self.resize_batches(id, BatchSize::shrunk);
+                        failed => {
+                            let nothing_sent = matches!(failed, Ok(Err(RpcError::Unreachable(_))));
+                            if !nothing_sent {
+                                self.resize_batches(id, BatchSize::shrunk);
+                            }
                             time::sleep(self.inner.settings.heartbeat).await;
                         }
                     }
--- a/orioleworks_log/src/state.rs
+++ b/orioleworks_log/src/state.rs
@@ -202,9 +202,17 @@
     /// Whether a member is an earlier identity of a replica: the address of the member is known to be in use by the later one, under
     /// the same name, so that the disk of the earlier one is lost.
     pub fn is_earlier_identity(&self, member: &inner::Member, later: &inner::Member) -> bool {
-        let progress = self.progress.get(&member.member_id);
-        let replaced_by = progress.and_then(|progress| progress.replaced_by);
-        member.name == later.name && replaced_by == Some(later.member_id)
+        member.name == later.name && self.replaced_by(member) == Some(later.member_id)
+    }
+
+    /// Whether a later identity of the same replica is a member, too.
+    pub fn has_later_identity(&self, member: &inner::Member) -> bool {
+        let later = self.replaced_by(member).and_then(|id| self.member(id));
+        later.is_some_and(|later| self.is_earlier_identity(member, later))
+    }
+
+    fn replaced_by(&self, member: &inner::Member) -> Option<u64> {
+        self.progress.get(&member.member_id).and_then(|progress| progress.replaced_by)
     }
 
     /// Member with an ID.
@@ -332,25 +340,18 @@
 
     /// Whether a quorum of voters acknowledged a heartbeat that was sent at or after an instant.
     pub fn quorum_confirmed_since(&self, since: Instant) -> bool {
-        let is_later =
-            |p: &Progress| p.confirmed_at.is_some_and(|confirmed_at| confirmed_at >= since);
-        let confirmed: Vec<u64> = self.voters_where(is_later).collect();
-        rules::is_elected(&self.voters(), &confirmed)
+        self.has_quorum(|p| p.confirmed_at.is_some_and(|confirmed_at| confirmed_at >= since))
     }
 
     /// Whether a quorum of voters acknowledged a heartbeat within a time. For a new member the time starts when it is
     /// added.
     pub fn quorum_contacted(&self, within: Duration) -> bool {
-        let contacted: Vec<u64> = self.contacted_voters(within).collect();
-        rules::is_elected(&self.voters(), &contacted)
+        self.has_quorum(|p| p.confirmed_at.unwrap_or(p.added_at).elapsed() <= within)
     }
 
-    /// Voters that acknowledged a heartbeat within a time, this replica included. For a new member the time starts when it is
-    /// added.
-    pub fn contacted_voters(&self, within: Duration) -> impl Iterator<Item = u64> {
-        let is_recent =
-            move |p: &Progress| p.confirmed_at.unwrap_or(p.added_at).elapsed() <= within;
-        self.voters_where(is_recent)
+    fn has_quorum(&self, holds: impl Fn(&Progress) -> bool) -> bool {
+        let holding: Vec<u64> = self.voters_where(holds).collect();
+        rules::is_elected(&self.voters(), &holding)
     }
 
     /// Voters of which a condition holds, and this replica if it votes.
--- a/orioleworks_log/src/tolerance.rs
+++ b/orioleworks_log/src/tolerance.rs
@@ -31,7 +31,7 @@
             progress.confirmed_at.is_some_and(|at| at.elapsed() <= longest_silence)
         };
         let live = self.voters_where(is_live).count();
-        live.saturating_sub(rules::quorum(self.voters().len()))
+        rules::tolerated_losses(self.voters().len(), live).unwrap_or(0)
     }
 }
 
--- a/orioleworks_rules/src/log.rs
+++ b/orioleworks_rules/src/log.rs
@@ -23,6 +23,11 @@
     voters / 2 + 1
 }
 
+/// Losses of live voters after which the others are still a quorum; `None` if the live voters are none.
+pub fn tolerated_losses(voters: usize, live: usize) -> Option<usize> {
+    live.checked_sub(quorum(voters))
+}
+
 /// Whether a replica may grant its vote.
 ///
 /// The term of the request must not be older than the recorded one, the replica must not have voted for another
