--- a/review/lib2/stand.py
+++ b/review/lib2/stand.py
@@ -496,6 +496,11 @@
         made.append(Stand(folder, **options))
         return made[-1]
 
+    def stop(*_):
+        raise CannotRun("the time is up")
+
+    # The processes are ended also when `timeout` ends the script.
+    signal.signal(signal.SIGTERM, stop)
     code = NOT_RUN
     try:
         held = case(stand)
