Daemon: a panic is logged with the functions that led to it

event=process_aborted now names the reason, the location and the innermost functions of this workspace.

--- a/orioleworks_daemon/src/logging.rs
+++ b/orioleworks_daemon/src/logging.rs
@@ -1,6 +1,9 @@
 //! Logs: one line of key=value pairs for each event.
 
-use std::{fmt::Write as _, io::Write as _, sync::OnceLock, time::Duration};
+use std::{
+    backtrace::Backtrace, fmt::Write as _, io::Write as _, panic::PanicHookInfo, sync::OnceLock,
+    time::Duration,
+};
 
 use crate::{clock, log_writer::LogWriter};
 
@@ -38,17 +41,45 @@
 }
 
 /// Aborts the process when a task panics: a daemon that lacks one of its tasks would accept requests without doing its
-/// work.
+/// work, and a panic may leave shared state half changed. See `docs/incidents/idle-time.md`.
 pub fn abort_on_panic() {
     let previous_hook = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |info| {
         previous_hook(info);
+        log_panic(info);
         finish();
         drop(std::io::stderr().flush());
         std::process::abort();
     }));
 }
 
+/// Logs a panic with the functions of this workspace that led to it. The location that a panic names is often in the standard
+/// library, and tells nothing of the input that caused it.
+fn log_panic(info: &PanicHookInfo<'_>) {
+    const MAX_FRAMES: usize = 4;
+    let reason = info.payload_as_str().unwrap_or("a panic without a message");
+    let location = info.location().map_or_else(String::new, ToString::to_string);
+    let frames = own_frames(&Backtrace::force_capture().to_string(), MAX_FRAMES);
+    crate::event!(error, "process_aborted", reason = reason, at = location, frames = frames);
+}
+
+/// The innermost functions in a backtrace that belong neither to the standard library nor to a dependency, each with its line.
+/// Those of the panic hook, which is in this file, are left out.
+fn own_frames(backtrace: &str, most: usize) -> String {
+    let is_foreign = |place: &str| place.contains("/rustc/") || place.contains("/registry/");
+    let mut lines = backtrace.lines().map(str::trim).peekable();
+    let mut frames = Vec::new();
+    while let Some(line) = lines.next() {
+        let Some((_, function)) = line.split_once(": ") else { continue };
+        let Some(place) = lines.next_if(|next| next.starts_with("at ")) else { continue };
+        if !is_foreign(place) && !place.contains("src/logging.rs") {
+            frames.push(format!("{function} {place}"));
+        }
+    }
+    frames.truncate(most);
+    frames.join(", ")
+}
+
 fn start_to(filter: &str, target: env_logger::Target) {
     let env = env_logger::Env::new().filter_or(FILTER_VARIABLE, filter.to_owned());
     let started = env_logger::Builder::from_env(env)
