Pool: an idle time that no clock can hold ends no process

A gateway loses its requests in progress; the item of a store is run again by the next leader.

Cause: the pool took 80 percent of the stated seconds, and `Duration * u32` panics above 2.3e17 s. The head was parsed in the pool, past the bounds that `platform/` has for the times of callers and documents.

A longer or unreadable idle time is ignored: the response counts, its connection is kept for the 4 s of a response without one, and `header_unusable` and `orioleworks_unusable_headers_total` name upstream and value.

--- a/orioleworks_fleet/src/lib.rs
+++ b/orioleworks_fleet/src/lib.rs
@@ -2,8 +2,11 @@
 //!
 //! See `docs/platform.md`.
 
+#![warn(clippy::disallowed_methods)]
+
 pub mod convert;
 pub mod pool;
 pub mod stores;
 pub mod texts;
+pub mod unusable;
 pub mod watch;
--- a/orioleworks_fleet/src/pool.rs
+++ b/orioleworks_fleet/src/pool.rs
@@ -30,17 +30,19 @@
 use orioleworks_daemon::{event, stream::Stream};
 use orioleworks_platform::{
     caller,
-    upstream::{self, Correlation},
+    upstream::{self, Correlation, IdleNotice},
 };
 use orioleworks_routing::{fleet::Fleet, outlier::Key};
 use tokio_util::sync::CancellationToken;
 
+use crate::unusable;
+
 /// Longest time to connect; connecting takes one round trip and about 1 ms at the upstream.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which the kernel gives up a connection whose peer does not acknowledge a request that must not arrive late. A
 /// paused process closes no connection, and the kernel would go on sending until the end of a partition.
 const UNRECEIVED_TIMEOUT: Duration = Duration::from_millis(1000);
-/// Idle time after which a connection is not used again if the upstream states no idle time.
+/// Idle time after which a connection is not used again if the upstream states no idle time that can be used.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Share of the stated idle time of an upstream for which a connection is used again, in percent; the rest covers the
 /// transit time of a request that is sent just before the upstream closes the connection.
@@ -158,6 +160,7 @@
     opened: Rc<Cell<u64>>,
     /// Whether a connection discards what its peer has not received when it is closed, or for [`UNRECEIVED_TIMEOUT`].
     discards_unreceived: bool,
+    unusable: unusable::Reports,
 }
 
 impl std::fmt::Debug for Pool {
@@ -293,12 +296,24 @@
                 }
                 connection.used = true;
                 connection.unsuccessful.extend(attempt.filter(|_| !head.status.is_success()));
-                connection.reusable_until = Instant::now() + reusable_for(&head);
+                connection.reusable_until = Instant::now() + self.reusable_for(key, &head);
                 Ok(Exchange { head, body, connection, key: key.clone(), pool: self.clone() })
             }
         }
     }
 
+    /// Time for which the connection of a response may be used again.
+    fn reusable_for(&self, key: &Key, head: &http::response::Parts) -> Duration {
+        match upstream::idle_notice(&head.headers) {
+            IdleNotice::Timeout(stated) => stated * IDLE_PERCENT / 100,
+            IdleNotice::Silent => IDLE_TIMEOUT,
+            IdleNotice::Unusable(value) => {
+                self.unusable.report(key, "idle_time", value);
+                IDLE_TIMEOUT
+            }
+        }
+    }
+
     /// Takes a kept connection for the request of an attempt.
     pub fn take_idle(&self, key: &Key, attempt: Option<&str>) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
@@ -494,13 +509,3 @@
         other => Err(SendError::Invalid(format!("status {other}"))),
     }
 }
-
-/// Time for which the connection of a response may be used again.
-fn reusable_for(head: &http::response::Parts) -> Duration {
-    let stated = head.headers.get("keep-alive").and_then(|v| v.to_str().ok());
-    let seconds = stated.and_then(|text| {
-        let times = text.split(',').filter_map(|pair| pair.trim().split_once('='));
-        times.filter(|(key, _)| *key == "timeout").find_map(|(_, v)| v.trim().parse::<u64>().ok())
-    });
-    seconds.map_or(IDLE_TIMEOUT, |s| Duration::from_secs(s) * IDLE_PERCENT / 100)
-}
--- a/orioleworks_fleet/src/watch.rs
+++ b/orioleworks_fleet/src/watch.rs
@@ -14,7 +14,7 @@
     rates::{NamedRates, Notice, Senders},
 };
 
-use crate::convert;
+use crate::{convert, unusable};
 
 /// Longest time for which a store holds a watch request. It bounds how late an unresponsive store is detected.
 const MAX_WAIT: Duration = Duration::from_millis(500);
@@ -76,6 +76,7 @@
             Notice::Limit(rate) => Some(rate),
             Notice::NoLimit => None,
             Notice::Unreadable => {
+                unusable::count("limit");
                 event!(warn, "limit_unreadable", upstream = up.0, incarnation = up.1);
                 return false;
             }
@@ -98,6 +99,7 @@
         match notice {
             LeavingNotice::Leaves => {}
             LeavingNotice::Unreadable => {
+                unusable::count("leaving");
                 event!(warn, "leaving_unreadable", upstream = up.0, incarnation = up.1);
                 return false;
             }
--- a/orioleworks_fleet/tests/responses.rs
+++ b/orioleworks_fleet/tests/responses.rs
@@ -251,3 +251,33 @@
         }
     });
 }
+
+/// Guards against an idle time that no clock can hold: the percentage taken of it ended the process that read the response. The
+/// response counts all the same, and its connection is used again as after a response without an idle time.
+#[rstest]
+fn an_idle_time_that_cannot_be_used_costs_no_response(
+    #[values(
+        "timeout=9223372036854775807",
+        "timeout=18446744073709551615",
+        "timeout=230584300921369396",
+        "timeout=18446744073709551616",
+        "timeout=-1",
+        "timeout=1e30",
+        "timeout=",
+        "timeout=soon, max=100",
+        "max=9223372036854775807"
+    )]
+    stated: &str,
+) {
+    let response = format!(
+        "HTTP/1.1 200 OK\r\nx-attempt-id: {{id}}\r\nkeep-alive: {stated}\r\ncontent-length: 2\r\n\r\nok"
+    );
+    run(async {
+        let (pool, up) = (Pool::default(), Scripted::start(vec![&*response.leak()].leak()));
+        for id in ["a", "b", "c"] {
+            let sent = send(&pool, &up, id).await.unwrap();
+            assert_eq!(sent.finish(100, TIMEOUT).await.unwrap(), "ok");
+        }
+        assert_eq!(up.accepted(), 1, "its connection was not used again");
+    });
+}
