Permits: any rate that is stated gives or denies a permit

Seen: nothing in use. A rate near the largest number overflows the intervals of the fixed share of a gateway without a leader: a test build ends ("attempt to add with overflow" in permits.rs), a release build, by reading, wraps. A rate from another process that is no number ends either ("cannot convert float seconds to Duration"); an upstream cannot state it.

Fix: intervals saturate, a rate that is no number counts as closed, and what another process reports is merged only if an upstream can name it.

--- a/orioleworks_routing/src/permits.rs
+++ b/orioleworks_routing/src/permits.rs
@@ -70,7 +70,7 @@
         max_wait: Duration,
         now: Duration,
     ) -> Permit {
-        if rate < MIN_RATE {
+        if is_closed(rate) {
             return Permit::Denied(CLOSED_RETRY);
         }
         let (interval, bucket) = self.bucket(up, rate, now);
@@ -92,7 +92,7 @@
 
     /// Whether a permit is free now.
     pub fn is_free(&mut self, up: &Key, rate: f64, now: Duration) -> bool {
-        if rate < MIN_RATE {
+        if is_closed(rate) {
             return false;
         }
         let (interval, bucket) = self.bucket(up, rate, now);
@@ -101,7 +101,7 @@
 
     /// Takes a permit that may not be free yet, for a request that cannot wait.
     pub fn take(&mut self, up: &Key, rate: f64, now: Duration) {
-        if rate < MIN_RATE {
+        if is_closed(rate) {
             return;
         }
         let (interval, bucket) = self.bucket(up, rate, now);
@@ -115,7 +115,7 @@
 
     /// Time between two permits, and the bucket of an upstream.
     fn bucket(&mut self, up: &Key, rate: f64, now: Duration) -> (Duration, &mut Bucket) {
-        let interval = Duration::from_secs_f64(1.0 / rate);
+        let interval = interval(rate);
         let empty = now + BURST_TIME.max(interval);
         let new = || Bucket { rate, used_until: empty, urgent: None, streak: 0 };
         let bucket = self.buckets.entry(up.clone()).or_insert_with(new);
@@ -128,6 +128,16 @@
     }
 }
 
+/// Whether an upstream takes nothing at a rate; neither does one whose rate is no number.
+fn is_closed(rate: f64) -> bool {
+    rate.is_nan() || rate < MIN_RATE
+}
+
+/// Time between two permits at a rate that is not closed; zero at rates that no upstream serves.
+fn interval(rate: f64) -> Duration {
+    Duration::try_from_secs_f64(1.0 / rate).unwrap_or_default()
+}
+
 impl Bucket {
     /// Time until the next permit is free.
     fn wait(&self, interval: Duration, now: Duration) -> Duration {
@@ -165,7 +175,7 @@
         unix_time: Duration,
     ) -> Permit {
         // Without the number of instances the share is not known.
-        if rate < MIN_RATE || share.of == 0 {
+        if is_closed(rate) || share.of == 0 {
             return Permit::Denied(CLOSED_RETRY);
         }
         let count = u64::from(share.of);
@@ -175,10 +185,12 @@
         let own = (hasher.finish() % count + u64::from(share.rank)) % count;
         let current = (unix_time.as_secs_f64() * rate) as u64;
         // A last interval that is far ahead is from before the clock was set back.
-        let used = self.used.get(up).filter(|used| **used <= current + 2 * count);
-        let first = used.map_or(current, |used| current.max(used + 1));
-        let next = first + (own + count - first % count) % count;
-        let wait = Duration::from_secs_f64(next as f64 / rate).saturating_sub(unix_time);
+        let latest = current.saturating_add(2 * count);
+        let used = self.used.get(up).filter(|used| **used <= latest);
+        let first = used.map_or(current, |used| current.max(used.saturating_add(1)));
+        let next = first.saturating_add((own + count - first % count) % count);
+        let until = Duration::try_from_secs_f64(next as f64 / rate).unwrap_or(Duration::MAX);
+        let wait = until.saturating_sub(unix_time);
         if wait > max_wait {
             return Permit::Denied(wait);
         }
--- a/orioleworks_routing/src/rates.rs
+++ b/orioleworks_routing/src/rates.rs
@@ -81,8 +81,12 @@
         true
     }
 
-    /// Merges what another process knows; returns whether that changes anything.
+    /// Merges what another process knows; returns whether that changes anything. A rate that no upstream can name, from another
+    /// version of the program, changes nothing.
     pub fn merge(&mut self, report: Report, direct: bool) -> bool {
+        if report.per_second.is_some_and(|rate| !rate.is_finite() || rate < 0.0) {
+            return false;
+        }
         if let Some(known) = self.known.get_mut(&report.upstream) {
             if known.per_second == report.per_second {
                 known.direct |= direct;
--- a/orioleworks_routing/tests/permits.rs
+++ b/orioleworks_routing/tests/permits.rs
@@ -34,6 +34,31 @@
 }
 
 proptest! {
+    /// Guards against a process that ends at a rate that an upstream or another process states, and against permits at a rate
+    /// that is no number.
+    #[test]
+    fn any_rate_is_a_rate(
+        rates in prop::collection::vec(prop_oneof![
+            any::<f64>(),
+            Just(f64::NAN),
+            Just(f64::INFINITY),
+            Just(f64::MAX),
+            Just(f64::MIN_POSITIVE),
+        ], 1..20),
+        of in prop_oneof![0..3_u32, Just(u32::MAX)],
+        now in 0..2_000_000_000_u64,
+    ) {
+        let (mut permits, mut fallback) = (Permits::default(), Fallback::default());
+        let (share, now) = (Share { rank: of / 2, of }, Duration::from_secs(now));
+        for rate in rates {
+            let given = permits.request(&up(), rate, 0, ms(10), now);
+            prop_assert!(!rate.is_nan() || matches!(given, Permit::Denied(_)));
+            permits.is_free(&up(), rate, now);
+            permits.take(&up(), rate, now);
+            fallback.request(share, &up(), rate, ms(10), now);
+        }
+    }
+
     /// Guards against a window in which an upstream gets more than it takes, whatever is asked for and when.
     #[test]
     fn permits_keep_to_the_rate(
@@ -209,3 +234,16 @@
     assert_eq!(senders.count(), 3);
     assert_eq!(senders.rank("gateway-2"), 2);
 }
+
+/// Guards against a rate of another program version that no upstream names, and that takes the place of one that it does.
+#[rstest]
+#[case(f64::NAN)]
+#[case(f64::INFINITY)]
+#[case(-1.0)]
+fn a_rate_that_no_upstream_names_is_not_merged(#[case] rate: f64) {
+    let mut rates = NamedRates::default();
+    let report = |per_second, since| Report { upstream: up(), per_second: Some(per_second), since };
+    assert!(rates.merge(report(2.0, ms(1)), true));
+    assert!(!rates.merge(report(rate, ms(2)), true));
+    assert_eq!(rates.limit(&up()), Some(2.0));
+}
