Entry: counts in announcements have a range

Seen: nothing in use. An announcement whose cache events are numbered up to 2^64 - 1 ends a test build of the entry that gets it; a release build, by reading, counts on from 0. Loads of several upstreams were added up in 32 bits without a bound on any of them.

Cause: announcements of the entry were checked for types and names, not for counts.

Fix: capacity, running and queued are at most 65,536 and the number of the first cache event at most 2^63 - 1; others are refused with 400 and the accepted range, as the stores do. The sum of a number and its events saturates.

--- a/orioleworks_entry/src/announce.rs
+++ b/orioleworks_entry/src/announce.rs
@@ -15,6 +15,11 @@
     slots::Slots,
 };
 
+/// Most requests that an upstream runs or queues. The loads of thousands of upstreams are added up in 32 bits.
+const MAX_REQUESTS: u32 = 65_536;
+/// Highest number of a cache event, from which events may be counted on.
+const MAX_SEQUENCE: u64 = u64::MAX / 2;
+
 #[derive(Debug, Deserialize)]
 struct Body {
     name: Rc<str>,
@@ -104,9 +109,20 @@
             return Err(format!("{field} is not a name of 1 to 128 ASCII characters"));
         }
     }
+    for (field, count) in
+        [("capacity", body.capacity), ("running", body.running), ("queued", body.queued)]
+    {
+        if count > MAX_REQUESTS {
+            return Err(format!("{field} is {count}; accepted: 0 to {MAX_REQUESTS}"));
+        }
+    }
     let mut cache = CacheReport::default();
     if let Some(report) = body.cache {
-        cache.first_sequence = report.first_sequence;
+        let first = report.first_sequence;
+        if first > MAX_SEQUENCE {
+            return Err(format!("first_sequence is {first}; accepted: 0 to {MAX_SEQUENCE}"));
+        }
+        cache.first_sequence = first;
         for event in report.events {
             let prefix = u64::from_str_radix(&event.prefix, 16)
                 .map_err(|_| "cache prefix is not 16 hexadecimal digits".to_owned())?;
--- a/orioleworks_routing/src/members.rs
+++ b/orioleworks_routing/src/members.rs
@@ -305,15 +305,15 @@
 
 /// Applies cache events; after a gap the old view may contain evicted prefixes, so it is cleared.
 fn apply_cache(member: &mut Member, report: &CacheReport) {
+    let end = report.first_sequence.saturating_add(report.events.len() as u64);
     let Some(expected) = member.next_sequence else {
-        member.next_sequence = Some(report.first_sequence + report.events.len() as u64);
+        member.next_sequence = Some(end);
         store_events(member, &report.events);
         return;
     };
     if report.events.is_empty() {
         return;
     }
-    let end = report.first_sequence + report.events.len() as u64;
     if report.first_sequence > expected {
         member.prefixes.clear();
         store_events(member, &report.events);
--- a/orioleworks_routing/tests/members.rs
+++ b/orioleworks_routing/tests/members.rs
@@ -124,3 +124,18 @@
     let found: Vec<u64> = [10, 20, 30].into_iter().filter(|p| member.holds_prefix(*p)).collect();
     assert_eq!(found, held);
 }
+
+/// Guards against a process that ends at the highest number of a cache event, or takes the events after it for older ones.
+#[rstest]
+#[case::first(report(u64::MAX, &[(10, true)]), report(u64::MAX, &[(20, true)]))]
+#[case::later(report(0, &[(10, true)]), report(u64::MAX, &[(20, true), (30, true)]))]
+fn the_highest_cache_sequence_overflows_nothing(
+    #[case] first: CacheReport,
+    #[case] second: CacheReport,
+) {
+    let mut members = Members::default();
+    let with = |cache| Announcement { cache, ..announcement(1, false) };
+    members.announce(ms(0), with(first));
+    members.announce(ms(500), with(second));
+    assert!(members.get("e").is_some());
+}
