Entry: more tokens than can be counted are a malformed stream

Seen: nothing in use. Two chunks of a stream that state tokens each end a test build of the entry; a release build, by reading, wraps, and the spans of the sample name too few tokens.

Cause: the stated numbers of a stream's chunks were added in 32 bits.

Fix: the reader keeps the sum of all chunks and fails with `StreamError::Malformed` when it cannot be counted. What a run earns for second attempts saturates.

Test: `edges::more_tokens_than_can_be_counted_are_malformed`, both cases failed on.

--- a/orioleworks_entry/src/runs_hedge.rs
+++ b/orioleworks_entry/src/runs_hedge.rs
@@ -26,7 +26,9 @@
 impl Budget {
     /// Adds the share that a finished sample earns.
     pub fn earn(&self, tokens: u64, permille: u32) {
-        self.account.borrow_mut().earned_milli += tokens * u64::from(permille);
+        let mut account = self.account.borrow_mut();
+        let earned = tokens.saturating_mul(permille.into());
+        account.earned_milli = account.earned_milli.saturating_add(earned);
     }
 
     /// Reserves the maximum number of tokens of a second attempt; returns false if the budget does not cover them.
--- a/orioleworks_entry/src/stream.rs
+++ b/orioleworks_entry/src/stream.rs
@@ -45,6 +45,8 @@
     line: Vec<u8>,
     text: String,
     spans: Vec<inner::Span>,
+    /// Tokens of all spans.
+    tokens: u32,
     incarnation: Option<u64>,
     conclusive: bool,
     done: bool,
@@ -59,6 +61,7 @@
             line: Vec::new(),
             text: String::new(),
             spans: Vec::new(),
+            tokens: 0,
             incarnation: None,
             conclusive: true,
             done: false,
@@ -91,7 +94,7 @@
 
     /// Number of tokens received so far.
     pub fn tokens(&self) -> u32 {
-        self.spans.iter().map(|span| span.tokens).sum()
+        self.tokens
     }
 
     /// Text and spans of a complete stream; the spans are `None` if a weight version is missing or the incarnation
@@ -124,16 +127,19 @@
             self.text.push_str(&choice.text);
         }
         match chunk.weight_version {
-            Some(version) => self.add_tokens(version, chunk.tokens),
+            Some(version) => self.add_tokens(version, chunk.tokens)?,
             None => self.conclusive = false,
         }
         Ok(())
     }
 
-    fn add_tokens(&mut self, version: u64, tokens: u32) {
+    /// Counts tokens; no response has as many as a sum that overflows.
+    fn add_tokens(&mut self, version: u64, tokens: u32) -> Result<(), StreamError> {
+        self.tokens = self.tokens.checked_add(tokens).ok_or(StreamError::Malformed)?;
         match self.spans.last_mut() {
             Some(span) if span.version == version => span.tokens += tokens,
             _ => self.spans.push(inner::Span { version, tokens }),
         }
+        Ok(())
     }
 }
--- a/orioleworks_entry/tests/edges.rs
+++ b/orioleworks_entry/tests/edges.rs
@@ -12,7 +12,10 @@
 use common::{TestEnv, UpstreamMode, block_on, booking, idempotency_key, profile, scorer};
 use compio::time;
 use futures_util::future::join_all;
-use orioleworks_entry::weights_http::{Engines, SwapError};
+use orioleworks_entry::{
+    stream::{self, StreamError},
+    weights_http::{Engines, SwapError},
+};
 use orioleworks_proto::inner;
 use rstest::rstest;
 
@@ -50,6 +53,18 @@
     });
 }
 
+/// Guards against an entry that ends at the numbers of tokens in a stream, or counts fewer than were stated.
+#[rstest]
+#[case::one_version([7, 7])]
+#[case::two_versions([7, 8])]
+fn more_tokens_than_can_be_counted_are_malformed(#[case] versions: [u64; 2]) {
+    let mut reader = stream::Reader::new("r", 1024 * 1024);
+    let chunk =
+        |version| format!("data: {{\"weight_version\":{version},\"tokens\":4294967295}}\n\n");
+    assert_eq!(reader.push(chunk(versions[0]).as_bytes()), Ok(()));
+    assert_eq!(reader.push(chunk(versions[1]).as_bytes()), Err(StreamError::Malformed));
+}
+
 /// Guards against accepting a body above the size limit, and against accepting a wrong method.
 #[rstest]
 fn large_body_and_wrong_method_are_refused() {
