Items: the expected memory of items saturates

Seen: nothing in use. The expected sizes of items follow from `stride` of a document and from the tokens of items. Their sum, and their multiple by the running items, can overflow: a test build ends, a release build takes the sum for smaller than it is.

Fix: sums and multiples saturate, so that such items fit into no memory and run one at a time.

Test: `engines::the_peak_of_the_largest_items_saturates` failed on ("attempt to add with overflow").

--- a/orioleworks_routing/src/items.rs
+++ b/orioleworks_routing/src/items.rs
@@ -110,7 +110,7 @@
         let most = u64::from(most);
         let Some(left) = left.filter(|_| prompt > 0) else { return Self { now: most, left: 0 } };
         let most = if most == 0 { u64::MAX } else { most };
-        let now = (u64::from(prompt) + generated).min(most);
+        let now = u64::from(prompt).saturating_add(generated).min(most);
         Self { now, left: left.min(most - now) }
     }
 }
@@ -123,14 +123,15 @@
 pub fn peak_usage(items: &[Usage]) -> u64 {
     let mut by_end = items.to_vec();
     by_end.sort_unstable_by_key(|item| item.left);
-    let mut used: u64 = by_end.iter().map(|item| item.now).sum();
+    // Estimates follow from numbers that callers and documents state, and saturate.
+    let mut used = by_end.iter().fold(0_u64, |used, item| used.saturating_add(item.now));
     let (mut peak, mut generated) = (used, 0);
     for (ended, item) in by_end.iter().enumerate() {
         let running = (by_end.len() - ended) as u64;
-        used += (item.left - generated) * running;
+        used = used.saturating_add((item.left - generated).saturating_mul(running));
         generated = item.left;
         peak = peak.max(used);
-        used -= item.now + item.left;
+        used = used.saturating_sub(item.now.saturating_add(item.left));
     }
     peak
 }
--- a/orioleworks_routing/tests/engines.rs
+++ b/orioleworks_routing/tests/engines.rs
@@ -78,6 +78,16 @@
     assert_eq!(items::peak_usage(&items), peak);
 }
 
+/// Guards against a process that ends at the sizes of items that callers and documents state, and against large items that seem
+/// to fit into any memory.
+#[test]
+fn the_peak_of_the_largest_items_saturates() {
+    let largest = Usage::new(u32::MAX, u64::MAX, Some(u64::MAX), 0);
+    assert_eq!(items::peak_usage(&[largest; 3]), u64::MAX);
+    let growing = Usage { now: 1, left: u64::MAX / 2 };
+    assert_eq!(items::peak_usage(&[growing; 3]), u64::MAX);
+}
+
 /// Guards against delaying the step that is due first, and against starting the longest items of a step last.
 #[test]
 fn items_are_ranked_by_priority_due_time_and_length() {
--- a/orioleworks_store/src/dispatch/pass.rs
+++ b/orioleworks_store/src/dispatch/pass.rs
@@ -33,13 +33,18 @@
 
 impl Load {
     fn add(&mut self, usage: Usage) {
-        self.final_tokens += usage.now + usage.left;
+        self.final_tokens = self.final_tokens_with(usage);
         self.items.push(usage);
     }
 
+    /// Final size of its items and another one; it follows from stated numbers, and saturates.
+    fn final_tokens_with(&self, usage: Usage) -> u64 {
+        self.final_tokens.saturating_add(usage.now).saturating_add(usage.left)
+    }
+
     /// Whether another item fits into the memory; see [`items::peak_usage`].
     fn peak_with(&self, usage: Usage, memory_tokens: u64) -> u64 {
-        let bound = self.final_tokens + usage.now + usage.left;
+        let bound = self.final_tokens_with(usage);
         if memory_tokens == 0 || bound <= memory_tokens {
             return bound;
         }
