HTTP: a body limit above all memory refuses no body

Seen: with `max_body_bytes` of 2^64 - 1, as an operator may write for "no limit", every body above 1 MB is refused for want of memory.

Cause: such a body gets one allocation of the size of the limit, which fails.

Fix: the allocation is at most 256 MB; a larger body grows it. The memory of bodies stays bounded by the budget.

--- a/orioleworks_daemon/src/http.rs
+++ b/orioleworks_daemon/src/http.rs
@@ -398,6 +398,8 @@
     /// system's allocator returns it at once when it is freed, because it is larger than what that keeps (32 MB).
     const LARGE_BYTES: usize = 1024 * 1024;
     const LARGE_CAPACITY: usize = 33 * 1024 * 1024;
+    /// Most that is allocated at once, because an operator may state any limit. A larger body grows its allocation.
+    const MAX_CAPACITY: usize = 256 * 1024 * 1024;
     /// A frame of this size, or smaller ones of `PROGRESS_BYTES` in all, are progress, so that single bytes are none.
     const PROGRESS_FRAME: usize = 4 * 1024;
     const PROGRESS_BYTES: usize = 16 * 1024;
@@ -424,7 +426,10 @@
             progress = len;
         }
         if len > bytes.capacity() {
-            let capacity = if len > LARGE_BYTES { limit.max(LARGE_CAPACITY) } else { needed };
+            let capacity = match len > LARGE_BYTES {
+                true => limit.clamp(LARGE_CAPACITY, MAX_CAPACITY).max(needed),
+                false => needed,
+            };
             let reserved = bytes.try_reserve_exact(capacity - bytes.len());
             reserved.map_err(|_| ResultCode::BodyMemoryShort)?;
         }
--- a/orioleworks_daemon/tests/http.rs
+++ b/orioleworks_daemon/tests/http.rs
@@ -129,3 +129,30 @@
         serving.await.unwrap();
     });
 }
+
+/// Guards against bodies above a megabyte that are refused for want of memory because an operator states a limit that no memory
+/// holds.
+#[test]
+fn a_limit_above_all_memory_refuses_no_body() {
+    const UNLIMITED: Limits = Limits { body_bytes: usize::MAX, ..LIMITS };
+    const BODY_BYTES: usize = 3 * 1024 * 1024;
+    runtime::Runtime::new().unwrap().block_on(async {
+        let listener = http::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let handler = |req: http::Request| async {
+            match http::read_body(req.into_body(), &UNLIMITED).await {
+                Ok(body) => http::full_response(200, "text/plain", body.len().to_string()),
+                Err(code) => http::error(code, "", 0),
+            }
+        };
+        runtime::spawn(http::serve(listener, UNLIMITED, Shutdown::default(), handler)).detach();
+        let head = format!(
+            "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: {BODY_BYTES}\r\n\r\n"
+        );
+        let request = [head.into_bytes(), vec![b'x'; BODY_BYTES]].concat();
+        let response =
+            runtime::spawn_blocking(move || exchange(&address, &request, Duration::ZERO));
+        let (response, _) = response.await.unwrap();
+        assert!(response.ends_with(&BODY_BYTES.to_string()), "{response}");
+    });
+}
