Lints: numbers from outside are read in platform, and floats do not become times by a panic

`orioleworks_routing` refuses the constructors of times that panic at a number that is negative, too large or none. The lint is on in the libraries only: tests and stand-ins may use what it refuses.

--- a/orioleworks_gateway/src/relay.rs
+++ b/orioleworks_gateway/src/relay.rs
@@ -228,7 +228,7 @@
 
 fn key_of(headers: &HeaderMap) -> Option<Key> {
     let id = caller::header_text(headers, &UPSTREAM)?;
-    let incarnation = caller::header_text(headers, &INCARNATION)?.parse().ok()?;
+    let incarnation = caller::header_number(headers, &INCARNATION)?;
     Some((id.into(), incarnation))
 }
 
--- a/orioleworks_routing/src/lib.rs
+++ b/orioleworks_routing/src/lib.rs
@@ -4,6 +4,8 @@
 //! origin. Each policy has a setting that selects a simple baseline for comparison. See `docs/design.md`, sections 6 to
 //! 8.
 
+#![warn(clippy::disallowed_methods)]
+
 pub mod affinity;
 pub mod budget;
 pub mod choice;
--- a/orioleworks_routing/src/outlier.rs
+++ b/orioleworks_routing/src/outlier.rs
@@ -112,7 +112,8 @@
     /// Mean latency of the fastest candidate; `None` before the first response of any.
     pub fn fastest(&self, candidates: &[Candidate]) -> Option<Duration> {
         let known = candidates.iter().filter_map(|c| self.mean_ms(&c.key));
-        known.min_by(f64::total_cmp).map(|ms| Duration::from_secs_f64(ms / 1000.0))
+        let fastest = known.min_by(f64::total_cmp)?;
+        Duration::try_from_secs_f64(fastest / 1000.0).ok()
     }
 
     fn mean_ms(&self, key: &Key) -> Option<f64> {
--- a/orioleworks_routing/src/usage.rs
+++ b/orioleworks_routing/src/usage.rs
@@ -293,7 +293,8 @@
     /// Creates the pacing for an API that takes this many calls a second. One duty uses half of them, because other duties and
     /// calls of an earlier holder that arrive late need some too.
     pub fn new(calls_per_s: f64) -> Self {
-        let interval = Duration::from_secs_f64(2.0 / calls_per_s.max(0.1));
+        let interval = 2.0 / calls_per_s.max(0.1);
+        let interval = Duration::try_from_secs_f64(interval).unwrap_or(LONGEST_PAUSE);
         Self { interval, failures: 0, not_before: Duration::ZERO }
     }
 
--- a/orioleworks_store/src/lib.rs
+++ b/orioleworks_store/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! See `docs/platform.md`.
 
+#![warn(clippy::disallowed_methods)]
+
 pub mod app;
 pub mod cli;
 pub mod config;
--- a/orioleworks_store/src/memory.rs
+++ b/orioleworks_store/src/memory.rs
@@ -61,6 +61,7 @@
 }
 
 /// Resident memory of this process in bytes; `None` where `/proc` does not tell.
+#[expect(clippy::disallowed_methods, reason = "the number is the kernel's")]
 pub fn resident() -> Option<usize> {
     let statm = fs::read_to_string("/proc/self/statm").ok()?;
     let pages: usize = statm.split_whitespace().nth(1)?.parse().ok()?;
