--- a/orioleworks_entry/tests/edges.rs
+++ b/orioleworks_entry/tests/edges.rs
@@ -53,6 +53,46 @@
     });
 }
 
+/// Guards against an entry that ends at a number in an announcement, alone or beside the announcements of others.
+#[test]
+fn a_number_in_an_announcement_ends_no_entry() {
+    const NUMBERS: [&str; 6] =
+        ["0", "-1", "4294967295", "9223372036854775807", "18446744073709551615", "1.7e308"];
+    const FIELDS: [&str; 8] = [
+        "incarnation",
+        "weight_version",
+        "pending_version",
+        "capacity",
+        "running",
+        "queued",
+        "measured_ms_ago",
+        "cache",
+    ];
+    block_on(async {
+        let env = TestEnv::start(vec![profile("lookup", "sheet-app")]).await;
+        for field in FIELDS {
+            for number in NUMBERS {
+                let other = match field {
+                    "cache" => {
+                        let events = r#"[{"prefix":"0a","stored":true}]"#;
+                        format!(r#""cache":{{"first_sequence":{number},"events":{events}}}"#)
+                    }
+                    _ => format!(r#""{field}":{number}"#),
+                };
+                let incarnation = if field == "incarnation" { "" } else { r#""incarnation":1,"# };
+                let body = format!(
+                    r#"{{"name":"{field}-{number}","kind":"sheet-app","address":"127.0.0.1:1",{incarnation}{other}}}"#
+                );
+                let response = env.post("/v1/announce", &[], &body).await;
+                assert!([200, 400].contains(&response.status), "{body}: {}", response.body);
+            }
+            // The loads of all of them are compared for a call.
+            let call = env.call("lookup", "a").await;
+            assert!(call.status > 0, "{field}");
+        }
+    });
+}
+
 /// Guards against an entry that ends at the numbers of tokens in a stream, or counts fewer than were stated.
 #[rstest]
 #[case::one_version([7, 7])]
