--- a/orioleworks_gateway/tests/stated_numbers.rs
+++ b/orioleworks_gateway/tests/stated_numbers.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
-use std::{thread, time::Duration};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -145,6 +148,28 @@
     assert!(sheet.total_runs() > 0 && engine.total_runs() > 0, "they got requests");
 }
 
+/// Guards against an unusable idle time that no line names, and against a line for each response that states one.
+#[test]
+fn an_unusable_idle_time_is_logged_once_a_second() {
+    const REQUESTS: usize = 60;
+    let d = Deployment::start(3, 1, &routes::document(1, 2000).to_string());
+    let sheet = Upstream::start("bad-s", "sheets", None, d.control_addresses());
+    let served = |id: &str| ask(&d, 0, "lookup", id).is_some_and(|a| a.status == 200);
+    d.wait_until("the upstream serves", || served("first"));
+    set_raw(&sheet, response("Keep-Alive: timeout=9223372036854775807\r\n", "id: 1\n"));
+    let began = Instant::now();
+    for n in 0..REQUESTS {
+        assert!(served(&format!("lookup-{n}")), "{}", d.logs());
+    }
+    let log = d.gateways[0].as_ref().unwrap().log();
+    let lines: Vec<&str> = log.lines().filter(|l| l.contains("event=header_unusable")).collect();
+    let most = usize::try_from(began.elapsed().as_secs()).unwrap() + 1;
+    assert!((1..=most).contains(&lines.len()), "{lines:?}");
+    for pair in ["upstream=bad-s", "field=idle_time", "value=9223372036854775807"] {
+        assert!(lines[0].contains(pair), "{lines:?}");
+    }
+}
+
 /// Paths of all numbers in a message.
 fn number_paths(message: &Value, path: &str, found: &mut Vec<String>) {
     match message {
