Metrics: a leader that steps down was not without a leader before

Operators saw orioleworks_log_reduced_tolerance_seconds of a former leader count from the last message that it had heard as a follower, or from its start, although it had led meanwhile; and each vote that a replica gave restarted the count, although no leader was known. The time without a leader now has an instant of its own, set by messages of a leader and by the end of the own leadership.

a_former_leader_was_not_without_a_leader_while_it_led failed before: 3.6 s after 2 s of leadership.

--- a/orioleworks_log/src/durable.rs
+++ b/orioleworks_log/src/durable.rs
@@ -177,6 +177,7 @@
             let mut state = self.inner.state.borrow_mut();
             if state.is_leader() {
                 event!(warn, "leader_stepped_down", term = state.term(), reason = reason);
+                state.leader_known_at = Some(Instant::now());
             }
             state.role = Role::Follower;
             state.leader_id = None;
--- a/orioleworks_log/src/follower.rs
+++ b/orioleworks_log/src/follower.rs
@@ -81,7 +81,8 @@
         state.role = Role::Follower;
         let leader_changed = state.leader_id != Some(leader_id);
         state.leader_id = Some(leader_id);
-        state.last_seen = Some(Instant::now());
+        let now = Instant::now();
+        (state.last_seen, state.leader_known_at) = (Some(now), Some(now));
         drop(state);
         if leader_changed {
             // A new leader may have none of the sightings that the old one received.
--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -555,6 +555,7 @@
         term_start: 0,
         pending_proposals: HashMap::new(),
         leader_since: None,
+        leader_known_at: None,
         announced_commit: None,
         current_as_of: None,
         warm_learners: HashSet::new(),
--- a/orioleworks_log/src/state.rs
+++ b/orioleworks_log/src/state.rs
@@ -116,6 +116,8 @@
     pub pending_proposals: HashMap<u64, (u64, oneshot::Sender<Outcome>)>,
     /// Time at which this replica became leader.
     pub leader_since: Option<Instant>,
+    /// Latest time at which this replica heard from a leader or stopped leading. Unlike `last_seen`, a vote does not count.
+    pub leader_known_at: Option<Instant>,
     /// Commit index that a leader announced and the time of the announcement, until this replica has applied it.
     pub announced_commit: Option<(u64, Instant)>,
     /// Time at which a leader announced the latest commit index that is known to be applied here.
--- a/orioleworks_log/src/tolerance.rs
+++ b/orioleworks_log/src/tolerance.rs
@@ -98,16 +98,24 @@
         }
     }
 
+    /// Time since this replica heard of a leader, led itself, or started.
+    pub fn time_without_leader(&self) -> Duration {
+        let state = self.inner.state.borrow();
+        if state.is_leader() {
+            return Duration::ZERO;
+        }
+        state.leader_known_at.unwrap_or(self.inner.opened_at).elapsed()
+    }
+
     /// Publishes the figures of a replica that does not lead: it adds nothing to those of a leader, and without a leader no loss is
     /// tolerated.
     pub(crate) fn publish_without_leadership(&self) {
-        let state = self.inner.state.borrow();
-        if state.is_leader() {
+        if self.is_leader() {
             return;
         }
-        let heard_at = state.last_seen.unwrap_or(self.inner.opened_at);
-        let without_leader = match heard_at.elapsed() > self.inner.settings.election_max {
-            true => heard_at.elapsed(),
+        let silence = self.time_without_leader();
+        let without_leader = match silence > self.inner.settings.election_max {
+            true => silence,
             false => Duration::ZERO,
         };
         metrics::gauge!("orioleworks_log_lost_voters").set(0.0);
--- a/orioleworks_log/tests/tolerance.rs
+++ b/orioleworks_log/tests/tolerance.rs
@@ -167,6 +167,27 @@
     });
 }
 
+/// Guards against an alert at each change of the leader: the old leader told the time since it had last heard of another one, which was
+/// before it led.
+#[test]
+fn a_former_leader_was_not_without_a_leader_while_it_led() {
+    const LED: Duration = Duration::from_secs(2);
+    run(async {
+        let cluster = Cluster::start("abc", 1, CATCH_UP).await;
+        wait_for_tolerance(&cluster, |tolerated| tolerated == 1).await;
+        let (old, _) = cluster.leader().await;
+        time::sleep(LED).await;
+        let others = (0..3).filter(|i| !cluster.logs[*i].0.is_leader());
+        others.for_each(|i| cluster.stop(i));
+        while old.is_leader() {
+            time::sleep(Duration::from_millis(20)).await;
+        }
+        let without_leader = old.time_without_leader();
+        assert!(without_leader < LED, "{without_leader:?}");
+        cluster.tokens.iter().for_each(CancellationToken::cancel);
+    });
+}
+
 /// Guards against a cluster without a quorum after two losses of as many disks as are tolerated, the second one together with a power
 /// loss of all: the lost voters stayed voters until their successors had the whole log.
 #[test]
