Logs: what the stores know when none leads

A store now logs leaderless after 1, 2, 4 s and so on, with the voters that granted and refused its votes or were silent and the time that its own vote takes on disk, leader_overdue after cluster.recovery_s (from the platform), and leader_regained. A gateway whose search for the leader fails logs leader_not_found, each 5 s at most: the result codes by number, and the same facts as each store tells them in its status. A read of results that fails on the disk of the leader is logged; before, it looked like no leader.

No decision changes.

--- a/orioleworks_fleet/src/lib.rs
+++ b/orioleworks_fleet/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(clippy::disallowed_methods)]
 
 pub mod convert;
+pub mod leader_search;
 pub mod pool;
 pub mod stores;
 pub mod texts;
--- a/orioleworks_fleet/src/stores.rs
+++ b/orioleworks_fleet/src/stores.rs
@@ -4,13 +4,14 @@
 //! another store.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     hash::{DefaultHasher, Hash, Hasher},
     rc::Rc,
     time::{Duration, Instant},
 };
 
+use compio::runtime;
 use indexmap::IndexSet;
 use orioleworks_daemon::rpc::{self, RpcError};
 use orioleworks_proto::{
@@ -19,6 +20,8 @@
 };
 use orioleworks_rules::batches::{self as rules, SubmissionOutcome};
 
+use crate::leader_search::{LeaderSearch, REPORT_INTERVAL, REPORTED_SEARCH};
+
 /// Pause before the stores are asked again while they elect a leader; an election takes about a second.
 const ELECTION_PAUSE: Duration = Duration::from_millis(60);
 
@@ -27,6 +30,8 @@
     seeds: RefCell<Vec<String>>,
     members: RefCell<Vec<String>>,
     leader: RefCell<String>,
+    /// Time of the latest report of a search without a leader.
+    reported_at: Cell<Option<Instant>>,
     clients: RefCell<HashMap<String, rpc::Client>>,
 }
 
@@ -116,7 +121,9 @@
     ) -> CallOutcome {
         let deadline = Instant::now() + timeout;
         let mut unconfirmed = false;
+        let mut search = LeaderSearch::default();
         loop {
+            search.passes += 1;
             let leader = self.leader();
             let mut tried: IndexSet<String> = IndexSet::new();
             let mut next = if leader.is_empty() { None } else { Some(leader) };
@@ -132,24 +139,35 @@
                     break;
                 }
                 match self.client(&address).call(message(), reply_timeout.min(remaining)).await {
-                    Ok(body) => match result_code(&body) {
-                        ResultCode::NotLeader => {
-                            next = leader_of(&body).filter(|a| !a.is_empty());
-                        }
-                        ResultCode::NoQuorum | ResultCode::NotReady => {}
-                        ResultCode::OrderUnconfirmed => unconfirmed = true,
-                        // An earlier copy may still arrive where there is memory for it.
-                        ResultCode::MemoryShort if unconfirmed => return CallOutcome::Unconfirmed,
-                        _ => {
-                            self.set_leader(&address);
-                            return CallOutcome::Replied(Box::new(body));
+                    Ok(body) => {
+                        let code = result_code(&body);
+                        match code {
+                            ResultCode::NotLeader => {
+                                next = leader_of(&body).filter(|a| !a.is_empty());
+                            }
+                            ResultCode::NoQuorum | ResultCode::NotReady => {}
+                            ResultCode::OrderUnconfirmed => unconfirmed = true,
+                            // An earlier copy may still arrive where there is memory for it.
+                            ResultCode::MemoryShort if unconfirmed => {
+                                return CallOutcome::Unconfirmed;
+                            }
+                            _ => {
+                                self.set_leader(&address);
+                                return CallOutcome::Replied(Box::new(body));
+                            }
                         }
-                    },
-                    Err(RpcError::Unreachable(_)) => {}
-                    Err(_) => unconfirmed = true,
+                        search.add_reply(&address, code, next.as_deref());
+                    }
+                    Err(e) => {
+                        unconfirmed |= !matches!(e, RpcError::Unreachable(_));
+                        search.add_error(&address, &e);
+                    }
                 }
             }
             if Instant::now() + ELECTION_PAUSE >= deadline {
+                if timeout >= REPORTED_SEARCH {
+                    self.report(search);
+                }
                 return match rules::submission_outcome(unconfirmed) {
                     SubmissionOutcome::NotRun => CallOutcome::NoLeader,
                     SubmissionOutcome::Unknown => CallOutcome::Unconfirmed,
@@ -159,6 +177,18 @@
         }
     }
 
+    /// Reports a search in which no store took the call, unless there was a report a short time ago.
+    fn report(&self, search: LeaderSearch) {
+        let is_recent = |at: Instant| at.elapsed() < REPORT_INTERVAL;
+        if self.inner.reported_at.get().is_some_and(is_recent) {
+            return;
+        }
+        self.inner.reported_at.set(Some(Instant::now()));
+        let clients: Vec<_> =
+            self.addresses().into_iter().map(|a| (a.clone(), self.client(&a))).collect();
+        runtime::spawn(search.report(clients)).detach();
+    }
+
     /// Proposes a command that may arrive more than once.
     pub async fn propose(&self, kind: inner::command::Kind, timeout: Duration) -> CallOutcome {
         /// A leader replies within 1.5 s, even without a quorum.
--- a/orioleworks_log/src/durable.rs
+++ b/orioleworks_log/src/durable.rs
@@ -12,6 +12,7 @@
     error::LogError,
     files::{self, Identity, SNAPSHOT_TMP_FILE, SnapshotReader, SnapshotWriter},
     journal::{Journal, JournalWriter},
+    leaderless::VoteSync,
     node::{Log, Part, ProposeError},
     state::Role,
 };
@@ -153,7 +154,12 @@
         }
         let directory = self.inner.settings.directory.clone();
         let identity = Identity { vote, ..old };
-        if let Err(e) = blocking(move || files::store_identity(&directory, identity)).await {
+        let started = Instant::now();
+        self.inner.state.borrow_mut().vote_sync.started = Some(started);
+        let stored = blocking(move || files::store_identity(&directory, identity)).await;
+        self.inner.state.borrow_mut().vote_sync =
+            VoteSync { started: None, latest: started.elapsed() };
+        if let Err(e) = stored {
             self.fail_or_log(e);
             return false;
         }
--- a/orioleworks_log/src/election.rs
+++ b/orioleworks_log/src/election.rs
@@ -8,7 +8,7 @@
 use orioleworks_proto::inner::{self, frame::Body};
 use orioleworks_rules::log::{self as rules, LogPosition, VoteRecord};
 
-use crate::{node::Log, state::Role};
+use crate::{leaderless::VoteRound, node::Log, state::Role};
 
 /// Longest wait for votes: a voter syncs its vote before it replies, and a disk in trouble takes seconds for that. The
 /// candidate of a later term would make these voters sync again.
@@ -133,6 +133,8 @@
                 (false, leadership_transfer, VOTE_TIMEOUT, refused_wait)
             }
         };
+        self.inner.state.borrow_mut().vote_round =
+            Some(VoteRound { term, pre_vote, granted: vec![id], refused: Vec::new() });
         let mut granted = vec![id];
         let mut replies: FuturesUnordered<_> = members
             .iter()
@@ -170,6 +172,10 @@
                 self.adopt_term(reply.term).await;
                 return false;
             }
+            if let Some(round) = &mut self.inner.state.borrow_mut().vote_round {
+                let voters = if reply.granted { &mut round.granted } else { &mut round.refused };
+                voters.push(reply.member_id);
+            }
             if reply.granted {
                 granted.push(reply.member_id);
             } else {
--- a/orioleworks_log/src/follower.rs
+++ b/orioleworks_log/src/follower.rs
@@ -83,6 +83,7 @@
         state.leader_id = Some(leader_id);
         let now = Instant::now();
         (state.last_seen, state.leader_known_at) = (Some(now), Some(now));
+        state.vote_round = None;
         drop(state);
         if leader_changed {
             // A new leader may have none of the sightings that the old one received.
--- a/orioleworks_log/src/leader.rs
+++ b/orioleworks_log/src/leader.rs
@@ -28,6 +28,7 @@
             state.term_start = state.last().index + 1;
             state.progress.clear();
             state.leader_since = Some(Instant::now());
+            state.vote_round = None;
             state.term()
         };
         event!(info, "leader_elected", name = self.inner.settings.name, term = term);
--- a/orioleworks_log/src/lib.rs
+++ b/orioleworks_log/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod follower;
 pub mod journal;
 pub mod leader;
+pub mod leaderless;
 pub mod membership;
 pub mod node;
 pub mod notify;
--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -29,6 +29,7 @@
     error::LogError,
     files,
     journal::Journal,
+    leaderless::{self, VoteSync},
     notify::Notify,
     settings::{Replica, Settings},
     state::{IncomingSnapshot, Outcome, Role, State},
@@ -250,6 +251,8 @@
         runtime::spawn(async move { this.election_loop().await }).detach();
         let this = self.clone();
         runtime::spawn(async move { this.join_loop().await }).detach();
+        let this = self.clone();
+        runtime::spawn(async move { this.report_leaderless_loop().await }).detach();
     }
 
     /// Handles a message of another replica and returns the reply; `None` for any other message.
@@ -399,6 +402,7 @@
 
     /// Facts of the log for a status reply.
     pub fn status(&self) -> inner::StatusReply {
+        let leaderless_ms = leaderless::milliseconds(self.time_without_leader());
         let state = self.inner.state.borrow();
         inner::StatusReply {
             member_id: state.id(),
@@ -412,6 +416,8 @@
             bootstrap: self.inner.settings.bootstrap,
             domain: self.inner.settings.domain.clone(),
             protocol: PROTOCOL,
+            leaderless_ms,
+            vote_round: state.vote_round_message(),
             ..inner::StatusReply::default()
         }
     }
@@ -556,6 +562,8 @@
         pending_proposals: HashMap::new(),
         leader_since: None,
         leader_known_at: None,
+        vote_round: None,
+        vote_sync: VoteSync::default(),
         announced_commit: None,
         current_as_of: None,
         warm_learners: HashSet::new(),
--- a/orioleworks_log/src/settings.rs
+++ b/orioleworks_log/src/settings.rs
@@ -51,6 +51,8 @@
     pub tolerated_losses: usize,
     /// Time after a loss, or after the lost replica is back, within which the cluster is to survive as many further ones.
     pub catch_up: Duration,
+    /// Longest time without a leader after a loss that the cluster is to survive; a longer one is reported.
+    pub recovery: Duration,
     /// Time without a reply from a voter after which a learner may replace it; `None` reserves its place for a
     /// replica of the same name.
     pub replace_after: Option<Duration>,
@@ -80,6 +82,7 @@
             spread_voters: false,
             tolerated_losses: 0,
             catch_up: Duration::from_secs(6),
+            recovery: Duration::from_secs(12),
             replace_after: None,
             retry_writes: false,
         }
--- a/orioleworks_log/src/state.rs
+++ b/orioleworks_log/src/state.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     files::{Identity, SnapshotWriter},
+    leaderless::{VoteRound, VoteSync},
     node::ProposeError,
     replication::BatchSize,
     settings::Settings,
@@ -118,6 +119,10 @@
     pub leader_since: Option<Instant>,
     /// Latest time at which this replica heard from a leader or stopped leading. Unlike `last_seen`, a vote does not count.
     pub leader_known_at: Option<Instant>,
+    /// Latest requests of this replica for votes since it heard from a leader.
+    pub vote_round: Option<VoteRound>,
+    /// Syncs of the own vote.
+    pub vote_sync: VoteSync,
     /// Commit index that a leader announced and the time of the announcement, until this replica has applied it.
     pub announced_commit: Option<(u64, Instant)>,
     /// Time at which a leader announced the latest commit index that is known to be applied here.
--- a/orioleworks_log/src/tolerance.rs
+++ b/orioleworks_log/src/tolerance.rs
@@ -98,15 +98,6 @@
         }
     }
 
-    /// Time since this replica heard of a leader, led itself, or started.
-    pub fn time_without_leader(&self) -> Duration {
-        let state = self.inner.state.borrow();
-        if state.is_leader() {
-            return Duration::ZERO;
-        }
-        state.leader_known_at.unwrap_or(self.inner.opened_at).elapsed()
-    }
-
     /// Publishes the figures of a replica that does not lead: it adds nothing to those of a leader, and without a leader no loss is
     /// tolerated.
     pub(crate) fn publish_without_leadership(&self) {
--- a/orioleworks_store/src/config.rs
+++ b/orioleworks_store/src/config.rs
@@ -74,6 +74,9 @@
     /// seconds.
     #[serde(default = "default_catch_up_s")]
     pub catch_up_s: f64,
+    /// Time after a loss within which a store is to lead again, in seconds; a longer time without a leader is reported.
+    #[serde(default = "default_recovery_s")]
+    pub recovery_s: f64,
 }
 
 /// State on disk.
@@ -179,6 +182,11 @@
     6.0
 }
 
+/// The shortest time that the platform states today.
+fn default_recovery_s() -> f64 {
+    12.0
+}
+
 impl Default for Batches {
     fn default() -> Self {
         // The platform's operators read results for two minutes.
@@ -237,6 +245,7 @@
         let losses = self.cluster.tolerated_losses;
         problems.range("cluster.tolerated_losses", losses, 0..=3, "stores");
         problems.range("cluster.catch_up_s", self.cluster.catch_up_s, 2.0..=3600.0, "s");
+        problems.range("cluster.recovery_s", self.cluster.recovery_s, 2.0..=3600.0, "s");
         problems.range("listen.inner_port", self.listen.inner_port, 1..=u16::MAX, "");
         let retention = self.batches.status_retention_s;
         problems.range("batches.status_retention_s", retention, 1..=86_400, "s");
@@ -312,6 +321,7 @@
             tail_bytes: share(TAIL_PERCENT),
             catch_up_bytes: KEPT_SNAPSHOTS * share(SNAPSHOT_PERCENT),
             tolerated_losses: self.cluster.tolerated_losses,
+            recovery: Duration::from_secs_f64(self.cluster.recovery_s),
             retry_writes: true,
             ..orioleworks_log::Settings::new(&self.instance.name, &own, &self.data.directory)
                 .tolerating(losses, Duration::from_secs_f64(self.cluster.catch_up_s))
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -763,7 +763,7 @@
             // A listed result never changes, so that it needs no confirmation. Only the absence of results does.
             let known = listing.is_some();
             if let Some(listing) = listing.filter(|listing| !listing.texts.is_empty()) {
-                return self.read_texts(listing).await.unwrap_or_else(error_reply);
+                return self.read_texts(&read.id, listing).await.unwrap_or_else(error_reply);
             }
             let remaining = deadline.saturating_duration_since(Instant::now());
             if done || remaining.is_zero() {
@@ -778,7 +778,9 @@
                     batch.and_then(|_| state.results(&read.id, read.after, max_bytes))
                 };
                 return match listing {
-                    Some(listing) => self.read_texts(listing).await.unwrap_or_else(error_reply),
+                    Some(listing) => {
+                        self.read_texts(&read.id, listing).await.unwrap_or_else(error_reply)
+                    }
                     None => error_reply(ResultCode::UnknownObject),
                 };
             }
@@ -790,7 +792,11 @@
     }
 
     /// Completes a reply, off the event loop unless all its texts are in memory.
-    async fn read_texts(&self, listing: Listing) -> Result<inner::ReadBatchReply, ResultCode> {
+    async fn read_texts(
+        &self,
+        batch: &str,
+        listing: Listing,
+    ) -> Result<inner::ReadBatchReply, ResultCode> {
         let read = if listing.is_in_memory() {
             listing.read()
         } else {
@@ -802,7 +808,10 @@
             }
         };
         // The result exists, and the next leader returns it; gateways ask again until there is one.
-        read.map_err(|_| ResultCode::NotReady)
+        read.map_err(|e| {
+            event!(error, "texts_unreadable", batch = batch, reason = e);
+            ResultCode::NotReady
+        })
     }
 
     async fn read_item(&self, read: inner::ReadItem) -> inner::ReadItemReply {
