Elections: one candidate at a time while votes are synced

Reproduced with real processes: after a restart of all, with slow syncs, no store led for as long as the elections failed.

A candidate syncs its own vote before it asks for the others, while their timeouts of 0.4 to 0.8 s run on. With syncs longer than that, up to five of nine voters stood in the same term, and the first of them needed every single one of the others; a vote that took longer than 4 s was not waited for, so that with two syncs of 2 s a vote no election could be won at all.

A pre-vote now reserves the support of a voter for 0.4 s, and the candidate renews it each heartbeat while its vote and theirs are synced, for at most 6 s of its own sync. Votes are waited for up to four times the own sync, 8 s at most. Refused candidates spread their timeouts over a range that doubles up to three times.

--- a/orioleworks_log/src/election.rs
+++ b/orioleworks_log/src/election.rs
@@ -2,20 +2,32 @@
 
 use std::time::{Duration, Instant};
 
-use compio::time;
+use compio::{runtime, time};
 use futures_util::{StreamExt, stream::FuturesUnordered};
-use orioleworks_daemon::event;
+use orioleworks_daemon::{event, rpc};
 use orioleworks_proto::inner::{self, frame::Body};
 use orioleworks_rules::log::{self as rules, LogPosition, VoteRecord};
 
-use crate::{leaderless::VoteRound, node::Log, state::Role};
+use tokio_util::sync::CancellationToken;
 
-/// Longest wait for votes: a voter syncs its vote before it replies, and a disk in trouble takes seconds for that. The
+use crate::{
+    leaderless::VoteRound,
+    node::Log,
+    state::{Role, State},
+};
+
+/// Least wait for votes: a voter syncs its vote before it replies, and a disk in trouble takes seconds for that. The
 /// candidate of a later term would make these voters sync again.
 const VOTE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Longest wait for votes, where the own vote took long to sync, too.
+const LONGEST_VOTE_TIMEOUT: Duration = Duration::from_secs(8);
+/// Longest sync of the own vote for which the others hold back; a disk that takes longer may not answer at all.
+const LONGEST_OWN_SYNC: Duration = Duration::from_secs(6);
 
-/// Wait for votes after a refusal, as a multiple of the time that this replica took to sync its own.
-const REFUSED_WAIT_SYNCS: u32 = 4;
+/// Wait for votes, as a multiple of the time that this replica took to sync its own.
+const VOTE_WAIT_SYNCS: u32 = 4;
+/// Most times that the range of the election timeouts is doubled.
+const MAX_BACKOFF: u32 = 3;
 /// Interval at which a candidate that waits for votes checks whether another replica leads by now.
 const CANDIDATE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -37,16 +49,55 @@
     Vote {
         /// Whether a leader that shuts down asked for the election.
         leadership_transfer: bool,
-        /// Wait for the other votes once one was refused: another candidate may hold them.
-        refused_wait: Duration,
+        /// Time that the own vote took to be synced.
+        own_sync: Duration,
     },
 }
 
+/// How a candidature ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// A quorum granted it.
+    Won,
+    /// No quorum granted it, and some voters refused.
+    Refused,
+    /// No quorum replied, or a leader or a newer term appeared.
+    Ended,
+}
+
+/// Candidate for which a replica holds back: it neither stands for election nor supports another candidate.
+///
+/// Votes are synced, and a sync may take longer than the election timeouts. Without reservations the others would stand for election
+/// while a candidate syncs its own vote, each with a vote of its own in the same term, and nobody would win.
+#[derive(Clone, Copy, Debug)]
+pub struct Reservation {
+    candidate_id: u64,
+    until: Instant,
+}
+
+impl State {
+    /// Reserves the support of this replica for a candidate; returns false while it is reserved for another one.
+    fn reserve(&mut self, candidate_id: u64, time: Duration) -> bool {
+        let is_free = !self.is_reserved_for_other(candidate_id);
+        if is_free {
+            self.reservation = Some(Reservation { candidate_id, until: Instant::now() + time });
+        }
+        is_free
+    }
+
+    fn is_reserved_for_other(&self, candidate_id: u64) -> bool {
+        let other = self.reservation.filter(|r| r.candidate_id != candidate_id);
+        other.is_some_and(|r| r.until > Instant::now())
+    }
+}
+
 impl Log {
     /// Starts an election when no message from a leader arrives within a random timeout.
     pub(crate) async fn election_loop(&self) {
+        // Refused candidatures in a row: several replicas stand at the same time, so that their timeouts have to differ more.
+        let mut refused = 0;
         while !self.inner.token.is_cancelled() {
-            let timeout = self.random_timeout();
+            let timeout = self.random_timeout(refused);
             let started = Instant::now();
             loop {
                 let (since, leader) = {
@@ -64,26 +115,42 @@
             }
             let eligible = {
                 let state = self.inner.state.borrow();
-                state.is_voter() && !state.is_leader() && !self.inner.shutting_down.get()
+                state.is_voter()
+                    && !state.is_leader()
+                    && !state.is_reserved_for_other(state.id())
+                    && !self.inner.shutting_down.get()
             };
             if eligible && !self.is_recording_vote() {
-                self.campaign(Campaign::Timeout).await;
+                refused = match self.campaign(Campaign::Timeout).await {
+                    Outcome::Refused => (refused + 1).min(MAX_BACKOFF),
+                    Outcome::Won | Outcome::Ended => 0,
+                };
             }
         }
     }
 
-    fn random_timeout(&self) -> Duration {
+    fn random_timeout(&self, refused: u32) -> Duration {
         let (min, max) = (self.inner.settings.election_min, self.inner.settings.election_max);
-        rand::random_range(min..=max)
+        rand::random_range(min..=min + (max - min) * 2_u32.pow(refused))
     }
 
     /// Requests pre-votes, then votes; a replica that cannot win the pre-vote does not raise its term. A leadership
     /// transfer skips the pre-vote.
-    pub(crate) async fn campaign(&self, campaign: Campaign) {
+    pub(crate) async fn campaign(&self, campaign: Campaign) -> Outcome {
         let leadership_transfer = campaign == Campaign::LeadershipTransfer;
-        let term = self.inner.state.borrow().term();
-        if !leadership_transfer && !self.collect_votes(term + 1, Round::PreVote).await {
-            return;
+        let (id, term) = {
+            let state = self.inner.state.borrow();
+            (state.id(), state.term())
+        };
+        if !leadership_transfer {
+            if !self.inner.state.borrow_mut().reserve(id, self.inner.settings.election_min) {
+                return Outcome::Refused;
+            }
+            let outcome = self.collect_votes(term + 1, Round::PreVote).await;
+            if outcome != Outcome::Won {
+                self.release_own_support();
+                return outcome;
+            }
         }
         {
             let mut state = self.inner.state.borrow_mut();
@@ -91,20 +158,32 @@
             let live =
                 !leadership_transfer && state.has_live_leader(self.inner.settings.election_min);
             if state.term() != term || live {
-                return;
+                return Outcome::Ended;
             }
             state.role = Role::Candidate;
         }
-        let vote = VoteRecord { term: term + 1, voted_for: Some(self.inner.state.borrow().id()) };
+        let standing = self.inner.token.child_token();
+        let _standing = standing.clone().drop_guard();
+        let this = self.clone();
+        runtime::spawn(async move { this.keep_support(term + 1, standing).await }).detach();
+        let outcome = self.stand(term + 1, leadership_transfer).await;
+        self.release_own_support();
+        outcome
+    }
+
+    /// Records the own vote of a term, and becomes the leader if a quorum grants its votes, too.
+    async fn stand(&self, term: u64, leadership_transfer: bool) -> Outcome {
+        let vote = VoteRecord { term, voted_for: Some(self.inner.state.borrow().id()) };
         let started = Instant::now();
         if !self.record_vote(vote).await {
-            return;
+            return Outcome::Ended;
         }
-        let refused_wait = started.elapsed() * REFUSED_WAIT_SYNCS;
+        let own_sync = started.elapsed();
         self.inner.state.borrow_mut().role = Role::Candidate;
-        event!(info, "election_started", term = term + 1);
-        let refused_wait = refused_wait.clamp(self.inner.settings.election_min, VOTE_TIMEOUT);
-        if self.collect_votes(term + 1, Round::Vote { leadership_transfer, refused_wait }).await {
+        event!(info, "election_started", term = term);
+        let round = Round::Vote { leadership_transfer, own_sync };
+        let outcome = self.collect_votes(term, round).await;
+        if outcome == Outcome::Won {
             let state = self.inner.state.borrow();
             let still_candidate = state.identity.vote == vote && state.role == Role::Candidate;
             drop(state);
@@ -112,6 +191,36 @@
                 self.become_leader();
             }
         }
+        outcome
+    }
+
+    fn release_own_support(&self) {
+        let mut state = self.inner.state.borrow_mut();
+        if !state.is_reserved_for_other(state.id()) {
+            state.reservation = None;
+        }
+    }
+
+    /// Keeps the support of the others while the own vote and theirs are synced; each repeated pre-vote renews it.
+    async fn keep_support(&self, term: u64, standing: CancellationToken) {
+        let (heartbeat, time) = (self.inner.settings.heartbeat, self.inner.settings.election_min);
+        while !standing.is_cancelled() {
+            {
+                let mut state = self.inner.state.borrow_mut();
+                let own_sync = state.vote_sync.started.map(|started| started.elapsed());
+                let is_slow = own_sync.is_some_and(|sync| sync > LONGEST_OWN_SYNC);
+                if state.term() > term || state.role == Role::Leader || is_slow {
+                    return;
+                }
+                let id = state.id();
+                state.reserve(id, time);
+            }
+            for (client, vote) in self.vote_requests(term, true, false) {
+                runtime::spawn(async move { drop(client.call(Body::Vote(vote), time).await) })
+                    .detach();
+            }
+            time::sleep(heartbeat).await;
+        }
     }
 
     /// Whether this replica is about to grant its vote, or to stand for election: a pre-vote or candidature now would
@@ -120,57 +229,76 @@
         self.inner.vote_lock.try_lock().is_none()
     }
 
-    /// Whether a quorum grants its votes in a round.
-    async fn collect_votes(&self, term: u64, round: Round) -> bool {
-        let (voters, id, last, members) = {
+    /// Requests of this replica to the other voters.
+    fn vote_requests(
+        &self,
+        term: u64,
+        pre_vote: bool,
+        hand_over: bool,
+    ) -> Vec<(rpc::Client, inner::Vote)> {
+        let state = self.inner.state.borrow();
+        let (id, last) = (state.id(), state.last());
+        let others = state.membership.members.iter().filter(|m| !m.learner && m.member_id != id);
+        let request = |m: &inner::Member| {
+            let vote = inner::Vote {
+                term,
+                candidate_id: id,
+                last_index: last.index,
+                last_term: last.term,
+                pre_vote,
+                target_id: m.member_id,
+                hand_over,
+            };
+            (self.member_client(m), vote)
+        };
+        others.map(request).collect()
+    }
+
+    /// Asks the other voters for their votes of a round until a quorum grants them or none can any more.
+    async fn collect_votes(&self, term: u64, round: Round) -> Outcome {
+        let (voters, id) = {
             let state = self.inner.state.borrow();
-            (state.voters(), state.id(), state.last(), state.membership.members.clone())
+            (state.voters(), state.id())
         };
         let election_min = self.inner.settings.election_min;
         let (pre_vote, hand_over, limit, refused_wait) = match round {
             Round::PreVote => (true, false, election_min, election_min),
-            Round::Vote { leadership_transfer, refused_wait } => {
-                (false, leadership_transfer, VOTE_TIMEOUT, refused_wait)
+            Round::Vote { leadership_transfer, own_sync } => {
+                let wait = own_sync * VOTE_WAIT_SYNCS;
+                let limit = wait.clamp(VOTE_TIMEOUT, LONGEST_VOTE_TIMEOUT);
+                // Once a vote is refused, another candidate may hold the others.
+                (false, leadership_transfer, limit, wait.clamp(election_min, limit))
             }
         };
         self.inner.state.borrow_mut().vote_round =
             Some(VoteRound { term, pre_vote, granted: vec![id], refused: Vec::new() });
-        let mut granted = vec![id];
-        let mut replies: FuturesUnordered<_> = members
-            .iter()
-            .filter(|m| !m.learner && m.member_id != id)
-            .map(|m| {
-                let vote = inner::Vote {
-                    term,
-                    candidate_id: id,
-                    last_index: last.index,
-                    last_term: last.term,
-                    pre_vote,
-                    target_id: m.member_id,
-                    hand_over,
-                };
-                let client = self.member_client(m);
-                async move { client.call(Body::Vote(vote), limit).await }
-            })
-            .collect();
+        let (mut granted, mut is_refused) = (vec![id], false);
+        let requests = self.vote_requests(term, pre_vote, hand_over).into_iter();
+        let call = async |(client, vote): (rpc::Client, inner::Vote)| {
+            client.call(Body::Vote(vote), limit).await
+        };
+        let mut replies: FuturesUnordered<_> = requests.map(call).collect();
         let started = Instant::now();
         let mut deadline = started + limit;
         while !rules::is_elected(&voters, &granted) {
+            let lost = if is_refused { Outcome::Refused } else { Outcome::Ended };
             let left = deadline.saturating_duration_since(Instant::now());
-            let ended = !pre_vote && !self.is_candidate(term);
-            if left.is_zero() || ended {
-                return false;
+            if !pre_vote && !self.is_candidate(term) {
+                return Outcome::Ended;
+            }
+            if left.is_zero() {
+                return lost;
             }
             let wait = left.min(CANDIDATE_CHECK_INTERVAL);
             let reply = match time::timeout(wait, replies.next()).await {
                 Ok(Some(reply)) => reply,
-                Ok(None) => return false,
+                Ok(None) => return lost,
                 Err(_) => continue,
             };
             let Ok(Body::VoteReply(reply)) = reply else { continue };
             if reply.term > term {
                 self.adopt_term(reply.term).await;
-                return false;
+                return Outcome::Ended;
             }
             if let Some(round) = &mut self.inner.state.borrow_mut().vote_round {
                 let voters = if reply.granted { &mut round.granted } else { &mut round.refused };
@@ -179,10 +307,11 @@
             if reply.granted {
                 granted.push(reply.member_id);
             } else {
+                is_refused = true;
                 deadline = deadline.min(started + refused_wait);
             }
         }
-        true
+        Outcome::Won
     }
 
     fn is_candidate(&self, term: u64) -> bool {
@@ -194,11 +323,22 @@
     pub(crate) async fn on_vote(&self, vote: inner::Vote) -> inner::VoteReply {
         let is_target = vote.target_id == 0 || vote.target_id == self.inner.state.borrow().id();
         let live = self.inner.state.borrow().has_live_leader(self.inner.settings.election_min);
+        let record = VoteRecord { term: vote.term, voted_for: Some(vote.candidate_id) };
+        let is_granted = self.inner.state.borrow().identity.vote == record;
         // A replica with a live leader refuses, so that a replica that reconnects does not depose the leader.
-        let granted = if !is_target || (live && !vote.hand_over) {
+        let granted = if !is_target {
+            false
+        } else if vote.pre_vote && is_granted {
+            // The candidate still waits for the votes of others.
+            self.inner.state.borrow_mut().last_seen = Some(Instant::now());
+            true
+        } else if live && !vote.hand_over {
             false
         } else if vote.pre_vote {
-            self.would_grant(&vote) && !self.is_recording_vote()
+            let time = self.inner.settings.election_min;
+            self.would_grant(&vote)
+                && !self.is_recording_vote()
+                && self.inner.state.borrow_mut().reserve(vote.candidate_id, time)
         } else {
             self.grant(&vote).await
         };
--- a/orioleworks_log/src/follower.rs
+++ b/orioleworks_log/src/follower.rs
@@ -38,9 +38,9 @@
         }
         if append.hand_over && self.inner.state.borrow().is_voter() {
             let this = self.clone();
-            compio::runtime::spawn(
-                async move { this.campaign(Campaign::LeadershipTransfer).await },
-            )
+            compio::runtime::spawn(async move {
+                this.campaign(Campaign::LeadershipTransfer).await;
+            })
             .detach();
         }
         let through = match self.append_entries(&mut append) {
--- a/orioleworks_log/src/node.rs
+++ b/orioleworks_log/src/node.rs
@@ -562,6 +562,7 @@
         pending_proposals: HashMap::new(),
         leader_since: None,
         leader_known_at: None,
+        reservation: None,
         vote_round: None,
         vote_sync: VoteSync::default(),
         announced_commit: None,
--- a/orioleworks_log/src/state.rs
+++ b/orioleworks_log/src/state.rs
@@ -11,6 +11,7 @@
 use prost::Message;
 
 use crate::{
+    election::Reservation,
     files::{Identity, SnapshotWriter},
     leaderless::{VoteRound, VoteSync},
     node::ProposeError,
@@ -119,6 +120,8 @@
     pub leader_since: Option<Instant>,
     /// Latest time at which this replica heard from a leader or stopped leading. Unlike `last_seen`, a vote does not count.
     pub leader_known_at: Option<Instant>,
+    /// Candidate for which this replica holds back.
+    pub reservation: Option<Reservation>,
     /// Latest requests of this replica for votes since it heard from a leader.
     pub vote_round: Option<VoteRound>,
     /// Syncs of the own vote.
