Log: fewer syncs in series until a store leads and commits

After a restart of all with slow disks, a store did four syncs before it answered, and each commit took two in series, the mark of what is synced and then the entries, so that a leader came about eleven syncs after the start.

Entries are acknowledged as soon as they are synced; the mark is written and synced after that, before the next entries. As before it may be one batch behind after a power loss, never ahead, and the older of its two places is overwritten only when the newer one is durable. At a start the mark needs no sync, and the parent directory only before the first vote record, which is created after that sync.

--- a/orioleworks_log/src/durable.rs
+++ b/orioleworks_log/src/durable.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 use compio::runtime;
+use futures_channel::oneshot;
+use futures_util::future;
 use orioleworks_daemon::event;
 use orioleworks_proto::inner;
 use orioleworks_rules::log::{LogPosition, VoteRecord};
@@ -65,18 +67,17 @@
     async fn write(&self, write: Write, generation: u64) {
         let started = Instant::now();
         let written = match write {
-            Write::Append(mut journal, entries) => {
-                blocking(move || {
-                    journal.append(&entries)?;
-                    Ok(entries.last().map(|last| (journal, last.index)))
-                })
-                .await
+            Write::Append(journal, entries) => self.append(journal, entries, generation).await,
+            Write::Replace { base, through } => {
+                let replaced = self.replace(base, through, generation).await;
+                if let Ok(Some((_, through))) = &replaced {
+                    self.note_synced(*through, generation, started);
+                }
+                replaced
             }
-            Write::Replace { base, through } => self.replace(base, through, generation).await,
         };
-        metrics::histogram!("orioleworks_log_fsync_seconds").record(started.elapsed());
-        let (journal, through) = match written {
-            Ok(Some(written)) => written,
+        let journal = match written {
+            Ok(Some((journal, _))) => journal,
             Ok(None) => {
                 self.inner.state.borrow_mut().rewrite = true;
                 return;
@@ -85,6 +86,33 @@
             Err(e) => return self.fail(e),
         };
         *self.inner.journal.borrow_mut() = Some(journal);
+    }
+
+    /// Appends entries to the log file. They count as synced before the mark is, which takes as long again.
+    async fn append(
+        &self,
+        mut journal: Journal,
+        entries: Vec<inner::LogEntry>,
+        generation: u64,
+    ) -> Result<Option<(Journal, u64)>, LogError> {
+        let started = Instant::now();
+        let Some(through) = entries.last().map(|last| last.index) else { return Ok(None) };
+        let (tx, rx) = oneshot::channel();
+        let written = blocking(move || {
+            // Nobody waits any more if the replica stops.
+            journal.append_then(&entries, || tx.send(()).unwrap_or_default())?;
+            Ok(Some((journal, through)))
+        });
+        let durable = async {
+            if rx.await.is_ok() {
+                self.note_synced(through, generation, started);
+            }
+        };
+        future::join(written, durable).await.0
+    }
+
+    /// Counts entries as synced.
+    fn note_synced(&self, through: u64, generation: u64, started: Instant) {
         {
             let mut state = self.inner.state.borrow_mut();
             // If entries were removed meanwhile, the replacement that follows makes the new ones durable.
@@ -92,6 +120,7 @@
                 state.synced = state.synced.max(through);
             }
         }
+        metrics::histogram!("orioleworks_log_fsync_seconds").record(started.elapsed());
         self.inner.changed.notify();
         self.advance_commit();
     }
--- a/orioleworks_log/src/files.rs
+++ b/orioleworks_log/src/files.rs
@@ -48,7 +48,9 @@
 /// Creates the directory if needed and locks it until the returned file is dropped.
 pub(crate) fn lock_directory(directory: &Path) -> Result<File, LogError> {
     fs::create_dir_all(directory).map_err(|e| LogError::io(directory, "creation", &e))?;
-    if let Some(parent) = directory.parent().filter(|p| !p.as_os_str().is_empty()) {
+    let parent = directory.parent().filter(|p| !p.as_os_str().is_empty());
+    // The vote record is created after the first sync of the parent, and a start after a power loss may have a slow disk.
+    if let Some(parent) = parent.filter(|_| !directory.join(VOTE_FILE).exists()) {
         sync_directory(parent)?;
     }
     let path = directory.join(LOCK_FILE);
--- a/orioleworks_log/src/journal.rs
+++ b/orioleworks_log/src/journal.rs
@@ -2,8 +2,8 @@
 //!
 //! A record is a length, the CRC-32C of length and payload, and the payload, an encoded [`inner::LogEntry`]. The file
 //! [`SYNCED_FILE`] holds the synced mark, the length of the log file up to the last synced record. It distinguishes a
-//! torn tail, which is truncated, from damage to acknowledged records, which is an error. The mark itself is synced
-//! together with the next batch: after a power loss it may be one batch behind, never ahead.
+//! torn tail, which is truncated, from damage to acknowledged records, which is an error. The mark is written and synced
+//! after its batch, which is acknowledged before that: after a power loss it may be one batch behind, never ahead.
 
 use std::{
     fs::{self, File, OpenOptions},
@@ -48,6 +48,8 @@
     file_id: u64,
     len: u64,
     mark_sequence: u64,
+    /// Whether the newest mark may not be durable. It has to be before the older one is overwritten.
+    has_unsynced_mark: bool,
 }
 
 /// Contents of a log file.
@@ -91,6 +93,7 @@
         }
         // Records at the end may be readable without being durable.
         journal.sync()?;
+        journal.has_unsynced_mark = true;
         Ok((journal, Loaded { base: header.base, entries }))
     }
 
@@ -127,15 +130,37 @@
             .open(&mark_path)
             .map_err(|e| LogError::io(&mark_path, "open", &e))?;
         sync_directory(directory)?;
-        Ok(Self { directory: directory.into(), file, mark_file, file_id, len, mark_sequence })
+        Ok(Self {
+            directory: directory.into(),
+            file,
+            mark_file,
+            file_id,
+            len,
+            mark_sequence,
+            has_unsynced_mark: false,
+        })
     }
 
-    /// Appends entries and syncs them.
+    /// Appends entries and syncs them and the mark.
     ///
     /// # Errors
     ///
     /// Returns the error of the operating system; the journal must not be used afterwards.
     pub fn append(&mut self, entries: &[inner::LogEntry]) -> Result<(), LogError> {
+        self.append_then(entries, || ())
+    }
+
+    /// As [`Self::append`]; `on_durable` is called as soon as the entries are synced. They do not depend on the mark, so that nobody has
+    /// to wait for its sync.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::append`].
+    pub fn append_then(
+        &mut self,
+        entries: &[inner::LogEntry],
+        on_durable: impl FnOnce(),
+    ) -> Result<(), LogError> {
         let mut bytes = Vec::new();
         for entry in entries {
             append_record(&mut bytes, entry);
@@ -147,15 +172,22 @@
         fail::fail_point!("log.before_append_sync");
         self.sync()?;
         fail::fail_point!("log.after_append_sync");
-        Ok(())
+        on_durable();
+        self.mark_synced()
     }
 
-    fn sync(&mut self) -> Result<(), LogError> {
-        let mark_path = self.directory.join(SYNCED_FILE);
-        self.mark_file.sync_data().map_err(|e| LogError::io(&mark_path, "sync", &e))?;
-        self.file
-            .sync_data()
-            .map_err(|e| LogError::io(&self.directory.join(LOG_FILE), "sync", &e))?;
+    fn sync(&self) -> Result<(), LogError> {
+        let path = self.directory.join(LOG_FILE);
+        self.file.sync_data().map_err(|e| LogError::io(&path, "sync", &e))
+    }
+
+    /// Writes and syncs the mark.
+    fn mark_synced(&mut self) -> Result<(), LogError> {
+        let path = self.directory.join(SYNCED_FILE);
+        let sync = |file: &File| file.sync_data().map_err(|e| LogError::io(&path, "sync", &e));
+        if self.has_unsynced_mark {
+            sync(&self.mark_file)?;
+        }
         self.mark_sequence += 1;
         let mut slot = Vec::with_capacity(SLOT_LEN);
         for word in [self.mark_sequence, self.file_id, self.len] {
@@ -164,7 +196,11 @@
         slot.extend(crc32c::crc32c(&slot).to_le_bytes());
         self.mark_file
             .write_all_at(&slot, (self.mark_sequence % 2) * SLOT_DISTANCE)
-            .map_err(|e| LogError::io(&mark_path, "write", &e))
+            .map_err(|e| LogError::io(&path, "write", &e))?;
+        fail::fail_point!("log.before_mark_sync");
+        sync(&self.mark_file)?;
+        self.has_unsynced_mark = false;
+        Ok(())
     }
 }
 
