Elections: support for a candidate is bounded, and goes to the longer log

- Only a voter with the longest log may be able to win, and candidates with shorter logs reserved the others before it.
A longer log now takes support over, from the candidate itself, too.
- Candidates with hung disks, one after the other, held the others for 6 s each.
Without a leader for 8 s, nobody reserves support any more.
- A renewal that was not answered within 0.4 s closed the connection on which the vote itself was awaited, and the vote was not asked for again.
Renewals now wait as long as votes, and a vote whose connection ends is asked for again.
- The range of the timeouts stayed doubled after a leader had been heard.
- A candidate that shuts down, or supports another one, renews its support no longer.

The test of one candidate at a time covers the end of support, which its last step did not test before, and the longer log.

--- a/orioleworks_log/src/election.rs
+++ b/orioleworks_log/src/election.rs
@@ -19,15 +19,18 @@
 /// Longest wait for votes: a voter syncs its vote before it replies, and several voters may share a disk that takes seconds for that.
 /// The candidate of a later term would make these voters sync again.
 const VOTE_TIMEOUT: Duration = Duration::from_secs(8);
-/// Longest sync of the own vote for which the others hold back; a disk that takes longer may not answer at all.
+/// Longest sync of the own vote for which the support of others is renewed: two syncs of a disk that takes seconds. A disk that hangs
+/// must not stop the elections of others.
 const LONGEST_OWN_SYNC: Duration = Duration::from_secs(6);
-
-/// Most times that the range of the election timeouts is doubled.
-const MAX_BACKOFF: u32 = 3;
+/// Time without a leader after which support is no longer reserved, so that candidates that cannot win delay an election by this time
+/// at most, within the shortest `recovery_s` of the platform (12 s).
+const RESERVATION_PERIOD: Duration = Duration::from_secs(8);
+/// Number of times that the range of the election timeouts is doubled after refusals: up to 3.2 s with the default timeouts.
+const MAX_BACKOFF_DOUBLINGS: u32 = 3;
 /// Interval at which a candidate that waits for votes checks whether another replica leads by now.
 const CANDIDATE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Why a replica stands for election.
+/// Why a replica campaigns.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Campaign {
     /// No message from a leader arrived in time.
@@ -48,9 +51,9 @@
     },
 }
 
-/// How a candidature ended.
+/// How a campaign ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Outcome {
+pub(crate) enum CampaignOutcome {
     /// A quorum granted it.
     Won,
     /// No quorum granted it, and some voters refused.
@@ -59,24 +62,29 @@
     Ended,
 }
 
-/// Candidate for which a replica holds back: it neither stands for election nor supports another candidate.
+/// Support of a replica for a candidate: meanwhile it neither campaigns itself nor grants pre-votes to others.
 ///
-/// Votes are synced, and a sync may take longer than the election timeouts. Without reservations the others would stand for election
-/// while a candidate syncs its own vote, each with a vote of its own in the same term, and nobody would win.
+/// Votes are synced, and a sync may take longer than the election timeouts. Without reservations the others would campaign while a
+/// candidate syncs its own vote, each with a vote of its own in the same term, and nobody would win.
 #[derive(Clone, Copy, Debug)]
 pub struct Reservation {
     candidate_id: u64,
+    /// Last entry of the candidate. One with a longer log takes the support over, because only it may be able to win.
+    last: LogPosition,
     until: Instant,
 }
 
 impl State {
-    /// Reserves the support of this replica for a candidate; returns false while it is reserved for another one.
-    fn reserve(&mut self, candidate_id: u64, time: Duration) -> bool {
-        let is_free = !self.is_reserved_for_other(candidate_id);
-        if is_free {
-            self.reservation = Some(Reservation { candidate_id, until: Instant::now() + time });
+    /// Reserves the support of this replica for a candidate; returns false while it is reserved for another one whose log is as long.
+    fn reserve(&mut self, candidate_id: u64, last: LogPosition, time: Duration) -> bool {
+        let is_taken = self.reservation.is_some_and(|r| {
+            r.candidate_id != candidate_id && r.until > Instant::now() && r.last >= last
+        });
+        if !is_taken {
+            self.reservation =
+                Some(Reservation { candidate_id, last, until: Instant::now() + time });
         }
-        is_free
+        !is_taken
     }
 
     fn is_reserved_for_other(&self, candidate_id: u64) -> bool {
@@ -88,16 +96,20 @@
 impl Log {
     /// Starts an election when no message from a leader arrives within a random timeout.
     pub(crate) async fn election_loop(&self) {
-        // Refused candidatures in a row: several replicas stand at the same time, so that their timeouts have to differ more.
+        // Refused campaigns in a row: several replicas campaign at the same time, so that their timeouts have to differ more.
         let mut refused = 0;
         while !self.inner.token.is_cancelled() {
-            let timeout = self.random_timeout(refused);
+            let mut timeout = self.random_timeout(refused);
             let started = Instant::now();
             loop {
                 let (since, leader) = {
                     let state = self.inner.state.borrow();
                     (state.last_seen.unwrap_or(started).max(started), state.is_leader())
                 };
+                if refused > 0 && (leader || since > started) {
+                    refused = 0;
+                    timeout = self.random_timeout(refused);
+                }
                 let remaining = timeout.saturating_sub(since.elapsed());
                 if remaining.is_zero() && !leader {
                     break;
@@ -116,8 +128,8 @@
             };
             if eligible && !self.is_recording_vote() {
                 refused = match self.campaign(Campaign::Timeout).await {
-                    Outcome::Refused => (refused + 1).min(MAX_BACKOFF),
-                    Outcome::Won | Outcome::Ended => 0,
+                    CampaignOutcome::Refused => (refused + 1).min(MAX_BACKOFF_DOUBLINGS),
+                    CampaignOutcome::Won | CampaignOutcome::Ended => 0,
                 };
             }
         }
@@ -130,18 +142,18 @@
 
     /// Requests pre-votes, then votes; a replica that cannot win the pre-vote does not raise its term. A leadership
     /// transfer skips the pre-vote.
-    pub(crate) async fn campaign(&self, campaign: Campaign) -> Outcome {
+    pub(crate) async fn campaign(&self, campaign: Campaign) -> CampaignOutcome {
         let leadership_transfer = campaign == Campaign::LeadershipTransfer;
-        let (id, term) = {
+        let (id, term, last) = {
             let state = self.inner.state.borrow();
-            (state.id(), state.term())
+            (state.id(), state.term(), state.last())
         };
         if !leadership_transfer {
-            if !self.inner.state.borrow_mut().reserve(id, self.inner.settings.election_min) {
-                return Outcome::Refused;
+            if !self.reserve_support(id, last) {
+                return CampaignOutcome::Refused;
             }
             let outcome = self.collect_votes(term + 1, Round::PreVote).await;
-            if outcome != Outcome::Won {
+            if outcome != CampaignOutcome::Won {
                 self.release_own_support();
                 return outcome;
             }
@@ -152,29 +164,29 @@
             let live =
                 !leadership_transfer && state.has_live_leader(self.inner.settings.election_min);
             if state.term() != term || live {
-                return Outcome::Ended;
+                return CampaignOutcome::Ended;
             }
             state.role = Role::Candidate;
         }
-        let standing = self.inner.token.child_token();
-        let _standing = standing.clone().drop_guard();
+        let campaign = self.inner.token.child_token();
+        let _campaign = campaign.clone().drop_guard();
         let this = self.clone();
-        runtime::spawn(async move { this.keep_support(term + 1, standing).await }).detach();
-        let outcome = self.stand(term + 1, leadership_transfer).await;
+        runtime::spawn(async move { this.renew_support(term + 1, campaign).await }).detach();
+        let outcome = self.request_votes(term + 1, leadership_transfer).await;
         self.release_own_support();
         outcome
     }
 
     /// Records the own vote of a term, and becomes the leader if a quorum grants its votes, too.
-    async fn stand(&self, term: u64, leadership_transfer: bool) -> Outcome {
+    async fn request_votes(&self, term: u64, leadership_transfer: bool) -> CampaignOutcome {
         let vote = VoteRecord { term, voted_for: Some(self.inner.state.borrow().id()) };
         if !self.record_vote(vote).await {
-            return Outcome::Ended;
+            return CampaignOutcome::Ended;
         }
         self.inner.state.borrow_mut().role = Role::Candidate;
         event!(info, "election_started", term = term);
         let outcome = self.collect_votes(term, Round::Vote { leadership_transfer }).await;
-        if outcome == Outcome::Won {
+        if outcome == CampaignOutcome::Won {
             let state = self.inner.state.borrow();
             let still_candidate = state.identity.vote == vote && state.role == Role::Candidate;
             drop(state);
@@ -192,23 +204,33 @@
         }
     }
 
-    /// Keeps the support of the others while the own vote and theirs are synced; each repeated pre-vote renews it.
-    async fn keep_support(&self, term: u64, standing: CancellationToken) {
-        let (heartbeat, time) = (self.inner.settings.heartbeat, self.inner.settings.election_min);
-        while !standing.is_cancelled() {
-            {
-                let mut state = self.inner.state.borrow_mut();
+    /// Reserves the support of this replica for a candidate, or only tells whether it is free if there has been no leader for long.
+    fn reserve_support(&self, candidate_id: u64, last: LogPosition) -> bool {
+        let is_long = self.time_without_leader() > RESERVATION_PERIOD;
+        let time = if is_long { Duration::ZERO } else { self.inner.settings.election_min };
+        self.inner.state.borrow_mut().reserve(candidate_id, last, time)
+    }
+
+    /// Renews the support of the other voters while the own vote and theirs are synced, by repeated pre-votes.
+    async fn renew_support(&self, term: u64, campaign: CancellationToken) {
+        let heartbeat = self.inner.settings.heartbeat;
+        while !campaign.is_cancelled() && !self.inner.shutting_down.get() {
+            let (id, last) = {
+                let state = self.inner.state.borrow();
                 let own_sync = state.vote_sync.started.map(|started| started.elapsed());
                 let is_slow = own_sync.is_some_and(|sync| sync > LONGEST_OWN_SYNC);
-                if state.term() > term || state.role == Role::Leader || is_slow {
+                if state.term() > term || state.is_leader() || is_slow {
                     return;
                 }
-                let id = state.id();
-                state.reserve(id, time);
+                (state.id(), state.last())
+            };
+            if !self.reserve_support(id, last) {
+                return;
             }
             for (client, vote) in self.vote_requests(term, true, false) {
-                runtime::spawn(async move { drop(client.call(Body::Vote(vote), time).await) })
-                    .detach();
+                // A shorter timeout could close the connection on which the vote itself is awaited.
+                let call = async move { drop(client.call(Body::Vote(vote), VOTE_TIMEOUT).await) };
+                runtime::spawn(call).detach();
             }
             time::sleep(heartbeat).await;
         }
@@ -246,7 +268,7 @@
     }
 
     /// Asks the other voters for their votes of a round until a quorum grants them or none can any more.
-    async fn collect_votes(&self, term: u64, round: Round) -> Outcome {
+    async fn collect_votes(&self, term: u64, round: Round) -> CampaignOutcome {
         let (voters, id) = {
             let state = self.inner.state.borrow();
             (state.voters(), state.id())
@@ -259,16 +281,22 @@
             Some(VoteRound { term, pre_vote, granted: vec![id], refused: Vec::new() });
         let (mut granted, mut refused) = (vec![id], 0);
         let requests = self.vote_requests(term, pre_vote, hand_over).into_iter();
-        let call = async |(client, vote): (rpc::Client, inner::Vote)| {
-            client.call(Body::Vote(vote), limit).await
+        let heartbeat = self.inner.settings.heartbeat;
+        let call = async |(client, vote): (rpc::Client, inner::Vote)| loop {
+            let reply = client.call(Body::Vote(vote), limit).await;
+            // A voter that starts meanwhile, or whose connection is replaced, is asked again; its vote may win.
+            if pre_vote || reply.is_ok() {
+                return reply;
+            }
+            time::sleep(heartbeat).await;
         };
         let mut replies: FuturesUnordered<_> = requests.map(call).collect();
         let started = Instant::now();
         while !rules::is_elected(&voters, &granted) {
-            let lost = if refused > 0 { Outcome::Refused } else { Outcome::Ended };
+            let lost = if refused > 0 { CampaignOutcome::Refused } else { CampaignOutcome::Ended };
             let left = limit.saturating_sub(started.elapsed());
             if !pre_vote && !self.is_candidate(term) {
-                return Outcome::Ended;
+                return CampaignOutcome::Ended;
             }
             // Votes that are still being synced may win the election although others were refused.
             if left.is_zero() || voters.len().saturating_sub(refused) < rules::quorum(voters.len())
@@ -284,7 +312,7 @@
             let Ok(Body::VoteReply(reply)) = reply else { continue };
             if reply.term > term {
                 self.adopt_term(reply.term).await;
-                return Outcome::Ended;
+                return CampaignOutcome::Ended;
             }
             if let Some(round) = &mut self.inner.state.borrow_mut().vote_round {
                 let voters = if reply.granted { &mut round.granted } else { &mut round.refused };
@@ -296,7 +324,7 @@
                 refused += 1;
             }
         }
-        Outcome::Won
+        CampaignOutcome::Won
     }
 
     fn is_candidate(&self, term: u64) -> bool {
@@ -310,20 +338,19 @@
         let live = self.inner.state.borrow().has_live_leader(self.inner.settings.election_min);
         let record = VoteRecord { term: vote.term, voted_for: Some(vote.candidate_id) };
         let is_granted = self.inner.state.borrow().identity.vote == record;
+        let candidate = LogPosition { term: vote.last_term, index: vote.last_index };
         // A replica with a live leader refuses, so that a replica that reconnects does not depose the leader.
         let granted = if !is_target {
             false
         } else if vote.pre_vote && is_granted {
             // The candidate still waits for the votes of others.
-            self.inner.state.borrow_mut().last_seen = Some(Instant::now());
-            true
+            self.reserve_support(vote.candidate_id, candidate)
         } else if live && !vote.hand_over {
             false
         } else if vote.pre_vote {
-            let time = self.inner.settings.election_min;
             self.would_grant(&vote)
                 && !self.is_recording_vote()
-                && self.inner.state.borrow_mut().reserve(vote.candidate_id, time)
+                && self.reserve_support(vote.candidate_id, candidate)
         } else {
             self.grant(&vote).await
         };
--- a/orioleworks_log/tests/elections.rs
+++ b/orioleworks_log/tests/elections.rs
@@ -22,14 +22,18 @@
 
 async fn asks(log: &Log, candidate_id: u64, pre_vote: bool) -> bool {
     let vote = inner::Vote { term: TERM, candidate_id, pre_vote, ..inner::Vote::default() };
+    is_granted(log, vote).await
+}
+
+async fn is_granted(log: &Log, vote: inner::Vote) -> bool {
     match log.handle(Body::Vote(vote)).await {
         Some(Body::VoteReply(reply)) => reply.granted,
         other => panic!("no reply to a vote: {other:?}"),
     }
 }
 
-/// Guards against several candidates in one term while the first one syncs its vote, and against support that a candidate keeps after
-/// it has ended.
+/// Guards against several candidates in one term while the first one syncs its vote, against support that a candidate keeps after it
+/// has ended, and against one with a short log that keeps out the only one that can win.
 #[test]
 fn a_replica_supports_one_candidate_at_a_time_and_no_longer_than_it_asks() {
     const FIRST: u64 = 1;
@@ -53,9 +57,19 @@
         assert!(asks(&log, FIRST, false).await, "the vote itself");
         asks_until_after(reserved * 2).await;
         time::sleep(reserved + heartbeat).await;
-        let vote = inner::Vote { term: TERM + 1, candidate_id: SECOND, ..inner::Vote::default() };
-        let reply = log.handle(Body::Vote(vote)).await;
-        assert!(matches!(reply, Some(Body::VoteReply(reply)) if reply.granted), "the next term");
+        let later = inner::Vote {
+            term: TERM + 1,
+            candidate_id: SECOND,
+            pre_vote: true,
+            ..inner::Vote::default()
+        };
+        assert!(is_granted(&log, later).await, "the support has ended");
+        let longer = inner::Vote { candidate_id: FIRST, last_term: 1, last_index: 1, ..later };
+        assert!(
+            !is_granted(&log, inner::Vote { candidate_id: FIRST, ..later }).await,
+            "as long a log"
+        );
+        assert!(is_granted(&log, longer).await, "a longer log");
         token.cancel();
     });
 }
@@ -65,7 +79,6 @@
 #[test]
 fn an_election_goes_on_after_a_refusal_while_enough_votes_are_being_synced() {
     const VOTE_TIME: Duration = Duration::from_secs(1);
-    const LONGEST: Duration = Duration::from_secs(6);
     run(async {
         let directories: Vec<_> = (0..5).map(|_| tempfile::tempdir().unwrap()).collect();
         let mut listeners = Vec::new();
@@ -99,9 +112,9 @@
             log.start();
             logs.push((log, Calls::default()));
         }
-        let elected = time::timeout(LONGEST, leader(&logs)).await;
+        let elected = time::timeout(RECOVERY, leader(&logs)).await;
         token.cancel();
-        assert!(elected.is_ok(), "no leader within {LONGEST:?}");
+        assert!(elected.is_ok(), "no leader within {RECOVERY:?}");
     });
 }
 
@@ -109,7 +122,6 @@
 #[cfg(feature = "failpoints")]
 const VOTERS: usize = 9;
 /// The shortest `recovery_s` of the platform.
-#[cfg(feature = "failpoints")]
 const RECOVERY: Duration = Duration::from_secs(12);
 
 /// Guards against elections without an end after a restart of all replicas: voters stood for election while others synced their votes,
