Log: the mark of an opened log covers it before more is written

Found by the review: since opening a log writes no mark, entries acknowledged right before a kill stayed without one, and further kills added batches to them, so that damage to several acknowledged batches could have been cut as a torn tail. An opened log whose mark is behind is marked before the first write, in the background of the election.

an_opened_log_whose_mark_is_behind_needs_one is new. torn_mark_falls_back_to_the_older_one damaged the older of the two marks, because opening an empty directory writes none, and passed for any order of them; it now checks which mark is the newest, and does so after a restart, too. an_entry_is_committed_before_its_mark_is_synced no longer depends on the mark of the first entry.

--- a/orioleworks_log/src/durable.rs
+++ b/orioleworks_log/src/durable.rs
@@ -40,6 +40,7 @@
 impl Log {
     /// Writes new entries; those that arrive during a sync are written in the next batch.
     pub(crate) async fn write_loop(&self) {
+        self.mark_opened_journal().await;
         while !self.inner.token.is_cancelled() {
             let seen = self.inner.changed.version();
             match self.next_write() {
@@ -49,6 +50,21 @@
         }
     }
 
+    /// Marks the entries that were read at the start as synced, which no election has to wait for.
+    async fn mark_opened_journal(&self) {
+        let opened = self.inner.journal.borrow_mut().take_if(|journal| journal.needs_mark());
+        let Some(mut journal) = opened else { return };
+        let marked = blocking(move || {
+            journal.mark_synced()?;
+            Ok(journal)
+        });
+        match marked.await {
+            Ok(journal) => *self.inner.journal.borrow_mut() = Some(journal),
+            Err(e) if self.inner.settings.retry_writes => self.retry_write(e).await,
+            Err(e) => self.fail(e),
+        }
+    }
+
     fn next_write(&self) -> Option<(Write, u64)> {
         let mut state = self.inner.state.borrow_mut();
         let (last, generation) = (state.last().index, state.generation);
@@ -88,7 +104,7 @@
         *self.inner.journal.borrow_mut() = Some(journal);
     }
 
-    /// Appends entries to the log file. They count as synced before the mark is, which takes as long again.
+    /// Appends entries to the log file. They count as synced before the mark is synced.
     async fn append(
         &self,
         mut journal: Journal,
@@ -99,7 +115,7 @@
         let Some(through) = entries.last().map(|last| last.index) else { return Ok(None) };
         let (tx, rx) = oneshot::channel();
         let written = blocking(move || {
-            // Nobody waits any more if the replica stops.
+            // The receiver is gone if the replica stops.
             journal.append_then(&entries, || tx.send(()).unwrap_or_default())?;
             Ok(Some((journal, through)))
         });
--- a/orioleworks_log/src/journal.rs
+++ b/orioleworks_log/src/journal.rs
@@ -50,6 +50,8 @@
     mark_sequence: u64,
     /// Whether the newest mark may not be durable. It has to be before the older one is overwritten.
     has_unsynced_mark: bool,
+    /// Whether the newest mark does not cover all entries.
+    is_mark_behind: bool,
 }
 
 /// Contents of a log file.
@@ -94,6 +96,7 @@
         // Records at the end may be readable without being durable.
         journal.sync()?;
         journal.has_unsynced_mark = true;
+        journal.is_mark_behind = synced < end;
         Ok((journal, Loaded { base: header.base, entries }))
     }
 
@@ -138,6 +141,7 @@
             len,
             mark_sequence,
             has_unsynced_mark: false,
+            is_mark_behind: false,
         })
     }
 
@@ -181,8 +185,17 @@
         self.file.sync_data().map_err(|e| LogError::io(&path, "sync", &e))
     }
 
+    /// Whether the mark does not cover the entries that were read at the opening.
+    pub fn needs_mark(&self) -> bool {
+        self.is_mark_behind
+    }
+
     /// Writes and syncs the mark.
-    fn mark_synced(&mut self) -> Result<(), LogError> {
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system; the journal must not be used afterwards.
+    pub fn mark_synced(&mut self) -> Result<(), LogError> {
         let path = self.directory.join(SYNCED_FILE);
         let sync = |file: &File| file.sync_data().map_err(|e| LogError::io(&path, "sync", &e));
         if self.has_unsynced_mark {
@@ -199,7 +212,7 @@
             .map_err(|e| LogError::io(&path, "write", &e))?;
         fail::fail_point!("log.before_mark_sync");
         sync(&self.mark_file)?;
-        self.has_unsynced_mark = false;
+        (self.has_unsynced_mark, self.is_mark_behind) = (false, false);
         Ok(())
     }
 }
--- a/orioleworks_log/tests/journal.rs
+++ b/orioleworks_log/tests/journal.rs
@@ -64,15 +64,23 @@
     assert!(matches!(Journal::open(dir.path()), Err(LogError::Damaged { .. })));
 }
 
-/// Guards against a torn synced mark that hides the older one.
+/// Guards against a torn synced mark that hides the older one, also after a restart, which writes a mark of its own.
 #[rstest]
-fn torn_mark_falls_back_to_the_older_one() {
+#[case::second_place(false, 512)]
+#[case::first_place_after_a_restart(true, 0)]
+fn torn_mark_falls_back_to_the_older_one(#[case] restarted: bool, #[case] newest: usize) {
     let dir = tempfile::tempdir().unwrap();
     filled(dir.path(), 5);
+    if restarted {
+        let (mut journal, _) = Journal::open(dir.path()).unwrap();
+        assert!(!journal.needs_mark(), "the mark of the last append covers it");
+        journal.mark_synced().unwrap();
+    }
     let mark = dir.path().join(SYNCED_FILE);
     let mut bytes = fs::read(&mark).unwrap();
-    // Opening and five appends write six marks, so the newest is in the first slot.
-    bytes[20] ^= 1;
+    let sequence = |at: usize| u64::from_le_bytes(bytes[at..at + 8].try_into().unwrap());
+    assert!(sequence(newest) > sequence(512 - newest), "the newest mark");
+    bytes[newest + 20] ^= 1;
     fs::write(&mark, bytes).unwrap();
     let len = fs::metadata(dir.path().join(LOG_FILE)).unwrap().len();
     let file = fs::File::options().write(true).open(dir.path().join(LOG_FILE)).unwrap();
@@ -80,6 +88,25 @@
     assert!(matches!(Journal::open(dir.path()), Err(LogError::Damaged { .. })));
 }
 
+/// Guards against a mark that stays behind after a process ended between the sync of its entries and that of the mark.
+#[rstest]
+fn an_opened_log_whose_mark_is_behind_needs_one() {
+    let dir = tempfile::tempdir().unwrap();
+    filled(dir.path(), 4);
+    let mark = fs::read(dir.path().join(SYNCED_FILE)).unwrap();
+    let (mut journal, _) = Journal::open(dir.path()).unwrap();
+    journal.append(&[entry(5)]).unwrap();
+    fs::write(dir.path().join(SYNCED_FILE), mark).unwrap();
+    let (mut journal, loaded) = Journal::open(dir.path()).unwrap();
+    assert_eq!(loaded.entries.len(), 5);
+    assert!(journal.needs_mark());
+    journal.mark_synced().unwrap();
+    let len = fs::metadata(dir.path().join(LOG_FILE)).unwrap().len();
+    let file = fs::File::options().write(true).open(dir.path().join(LOG_FILE)).unwrap();
+    file.set_len(len - 1).unwrap();
+    assert!(matches!(Journal::open(dir.path()), Err(LogError::Damaged { .. })));
+}
+
 /// Guards against a replaced log that loses its base or its entries.
 #[rstest]
 fn replaced_log_keeps_base_and_entries() {
--- a/orioleworks_log/tests/slow_disks.rs
+++ b/orioleworks_log/tests/slow_disks.rs
@@ -6,6 +6,7 @@
 
 use std::time::{Duration, Instant};
 
+use compio::time;
 use fail::FailScenario;
 use orioleworks_daemon::http;
 use support::{command, leader, replica, run, settings, start};
@@ -24,6 +25,9 @@
         let settings = settings("a", directory.path(), &replicas);
         let logs = [start(settings, listener, Duration::ZERO, &token)];
         let (log, _) = leader(&logs).await;
+        // The mark of the first entry of the term may still be written.
+        log.propose("before", command(String::new())).await.unwrap();
+        time::sleep(Duration::from_millis(500)).await;
         fail::cfg("log.before_mark_sync", &format!("sleep({MARK_SYNC_MS})")).unwrap();
         let started = Instant::now();
         log.propose("first", command(String::new())).await.unwrap();
