Stores: what is in force is acknowledged again without a commit

Each repetition was proposed anew and answered only after a commit of its own, within 0.9 s: with syncs of 0.6 s or more none came in time, although the first copy was in force.

A configuration, a named weight version or a batch that a store has applied is committed, so that a repetition is acknowledged at once.

a_configuration_in_force_is_acknowledged_again_without_a_commit failed on (503).

--- a/orioleworks_gateway/tests/outages.rs
+++ b/orioleworks_gateway/tests/outages.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use support::{deployment::Deployment, routes};
+use support::{client, deployment::Deployment, routes};
 
 const STORES: usize = 3;
 
@@ -30,3 +30,22 @@
         reports.any(|l| l.contains("granted=store-0") && l.contains("silent=store-1,store-2"))
     });
 }
+
+/// Guards against an operator who gets no answer to a configuration that is in force: each repetition waited for a commit of its own, which
+/// none comes to without a quorum, or in time where syncs take a second.
+#[test]
+fn a_configuration_in_force_is_acknowledged_again_without_a_commit() {
+    let document = routes::document(1, 5000).to_string();
+    let mut d = Deployment::start(STORES, 1, &document);
+    d.wait_until("a leader is known", || {
+        d.send(0, "GET", "/v1/lots/none", "none", "").is_some_and(|r| r.status == 404)
+    });
+    d.stores[1..].fill_with(|| None);
+    let put = |document: &str| {
+        let headers = [("Content-Type", "application/json")];
+        let path = "/v1/Configuration.Replace";
+        client::call(&d.control_address(0), "POST", path, &headers, document).map(|r| r.status)
+    };
+    d.wait_until("no store leads", || put(&routes::document(2, 5000).to_string()) == Some(503));
+    assert_eq!(put(&document), Some(200));
+}
--- a/orioleworks_store/src/service.rs
+++ b/orioleworks_store/src/service.rs
@@ -297,6 +297,10 @@
         if matches!(command.kind, None | Some(Kind::Noop(_) | Kind::Membership(_))) {
             return reply(ResultCode::InvalidOrder);
         }
+        if self.shared.log.is_leader() && command.kind.as_ref().is_some_and(|k| self.is_in_force(k))
+        {
+            return reply(ResultCode::Ok);
+        }
         if command.encoded_len() > MAX_COMMAND_BYTES {
             return reply(ResultCode::BodyTooLarge);
         }
@@ -396,6 +400,9 @@
 
     /// Proposes a command, here if this store leads, otherwise at the leader.
     pub async fn propose(&self, kind: Kind, wait: Duration) -> ResultCode {
+        if self.is_in_force(&kind) {
+            return ResultCode::Ok;
+        }
         self.stores.set_leader(&self.shared.log.leader_address());
         if self.shared.log.is_leader() {
             let command = inner::Command { expected_revision: None, kind: Some(kind) };
@@ -410,6 +417,23 @@
         }
     }
 
+    /// Whether a command would change nothing because what it asks for, or something newer, is applied here and therefore committed. It
+    /// is acknowledged without another commit, for which the sender that repeats it would not wait where syncs take a second.
+    fn is_in_force(&self, kind: &Kind) -> bool {
+        let state = self.shared.state.borrow();
+        match kind {
+            Kind::PutDocument(document) => document.version <= state.document().version,
+            Kind::PublishVersion(named) => {
+                let known = state.models().get(&*named.model);
+                known.is_some_and(|known| named.version <= known.named)
+            }
+            Kind::PutBatch(batch) | Kind::PutScoredBatch(batch) | Kind::PutOwnedBatch(batch) => {
+                state.batch(&batch.id).is_some_and(|known| known.spec.tenant == batch.tenant)
+            }
+            _ => false,
+        }
+    }
+
     /// Newest route document, confirmed by a quorum.
     ///
     /// # Errors
