--- a/orioleworks_store/src/config.rs
+++ b/orioleworks_store/src/config.rs
@@ -245,7 +245,7 @@
         let losses = self.cluster.tolerated_losses;
         problems.range("cluster.tolerated_losses", losses, 0..=3, "stores");
         problems.range("cluster.catch_up_s", self.cluster.catch_up_s, 2.0..=3600.0, "s");
-        problems.range("cluster.recovery_s", self.cluster.recovery_s, 2.0..=3600.0, "s");
+        problems.range("cluster.recovery_s", self.cluster.recovery_s, 0.1..=3600.0, "s");
         problems.range("listen.inner_port", self.listen.inner_port, 1..=u16::MAX, "");
         let retention = self.batches.status_retention_s;
         problems.range("batches.status_retention_s", retention, 1..=86_400, "s");
