--- a/orioleworks_log/tests/elections.rs
+++ b/orioleworks_log/tests/elections.rs
@@ -78,7 +78,8 @@
 /// although the votes that would win were still being synced.
 #[test]
 fn an_election_goes_on_after_a_refusal_while_enough_votes_are_being_synced() {
-    const VOTE_TIME: Duration = Duration::from_secs(1);
+    const VOTE_TIME: Duration = Duration::from_secs(3);
+    const REFUSING: usize = 4;
     run(async {
         let directories: Vec<_> = (0..5).map(|_| tempfile::tempdir().unwrap()).collect();
         let mut listeners = Vec::new();
@@ -89,7 +90,11 @@
         let replicas: Vec<_> = names.iter().zip(&listeners).map(|(n, l)| replica(n, l)).collect();
         let (token, mut logs) = (CancellationToken::new(), Vec::new());
         for (i, listener) in listeners.into_iter().enumerate() {
-            let settings = settings(names[i], directories[i].path(), &replicas);
+            let mut settings = settings(names[i], directories[i].path(), &replicas);
+            if i == REFUSING {
+                // It must not campaign itself: nobody would refuse it.
+                (settings.election_min, settings.election_max) = (RECOVERY * 2, RECOVERY * 3);
+            }
             let log = Log::open(settings, machine(&Calls::default()), token.clone()).unwrap();
             let handling = log.clone();
             let handler = move |body: Body| {
@@ -97,7 +102,7 @@
                 async move {
                     match body {
                         Body::Status(_) => Some(Body::StatusReply(log.status())),
-                        Body::Vote(vote) if !vote.pre_vote && i == 4 => {
+                        Body::Vote(vote) if !vote.pre_vote && i == REFUSING => {
                             Some(Body::VoteReply(inner::VoteReply::default()))
                         }
                         Body::Vote(vote) if !vote.pre_vote => {
