Soak: each run ends with a power loss of all, and no leader may be overdue

The soak played such a loss in a wave only if the seed drew one, and checked the reported tolerance; a leader that no gateway finds reports it too.

The last wave now kills all processes whatever the seed, still with as many lost disks as are tolerated. A new batch and a new document must be accepted within 12 s of the last start, the shortest recovery_s of the platform; the 6 s for the tolerance stay as they are, and the ledger reads all accepted batches again as before. A run also fails if a store logged leader_overdue. Processes are killed, so writes that were not synced survive.

--- a/orioleworks_gateway/tests/soak.rs
+++ b/orioleworks_gateway/tests/soak.rs
@@ -38,6 +38,8 @@
 const WAVES: usize = 4;
 /// Time after lost stores are back within which as many may be lost again; the default of `cluster.catch_up_s`.
 const CATCH_UP: Duration = Duration::from_secs(6);
+/// Time after a power loss of all processes within which a store must lead and take work; the shortest `recovery_s` of the platform.
+const RECOVERY: Duration = Duration::from_secs(12);
 /// Time for which the reported tolerance has to hold. Stores of which the leader heard in the last 0.8 s count as live; the next wave
 /// would take more disks than may be lost if it relied on such a value.
 const HOLD_TIME: Duration = Duration::from_millis(1000);
@@ -272,6 +274,7 @@
         self.lose_disks_in_waves();
         self.clear_faults();
         self.ledger.finish(RECOVERY_TIME, &self.upstreams);
+        self.check_leader_overdue();
         let violations = self.ledger.violations();
         if !violations.is_empty() {
             let log_directory = env::temp_dir().join(format!("soak-{}", std::process::id()));
@@ -305,7 +308,8 @@
                 stores.sort_by_key(|i| Some(*i) != leader);
             }
             let lost = stores[..self.losses].to_vec();
-            let all = self.rng.random_bool(0.5);
+            // Each run ends with a power loss of all processes, whatever the seed.
+            let all = self.rng.random_bool(0.5) || wave == WAVES;
             eprintln!("wave={wave} lost={lost:?} all={all}");
             if !all {
                 stores = lost.clone();
@@ -326,7 +330,38 @@
                 self.run_undo(false);
                 thread::sleep(Duration::from_millis(5));
             }
-            self.check_tolerance(wave, Instant::now());
+            let (back, accepted) = (Instant::now(), self.ledger.accepted());
+            self.check_tolerance(wave, back);
+            if wave == WAVES {
+                self.check_acceptance(back, accepted);
+            }
+        }
+    }
+
+    /// Checks that callers and the operator have new work accepted in time after a power loss. A reported tolerance does not show that:
+    /// a leader that no gateway finds reports it too.
+    fn check_acceptance(&self, back: Instant, before: (usize, u64)) {
+        loop {
+            let (accepted, took) = (self.ledger.accepted(), back.elapsed());
+            if took > RECOVERY {
+                return self.ledger.violation(format!(
+                    "seed {}: (batches, document version) accepted {took:?} after a power loss: {accepted:?}, before: {before:?}",
+                    self.seed
+                ));
+            }
+            if accepted.0 > before.0 && accepted.1 > before.1 {
+                return eprintln!("power loss: batch and document accepted within {took:?}");
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Checks that no store knew no leader for longer than `cluster.recovery_s`, 12 s by default.
+    fn check_leader_overdue(&self) {
+        for process in self.deployment.stores.iter().flatten() {
+            for line in process.log().lines().filter(|l| l.contains("event=leader_overdue")) {
+                self.ledger.violation(format!("{}: {line}", process.output.display()));
+            }
         }
     }
 
@@ -395,7 +430,8 @@
 }
 
 /// Guards against violated guarantees under overlapping faults: duplicated or lost requests, lost or changed results,
-/// configurations that revert, processes that exit unexpectedly, and a loss of disks after which the next one may not come in time.
+/// configurations that revert, processes that exit unexpectedly, a loss of disks after which the next one may not come in time, and stores
+/// without a leader for too long, also after a power loss of all processes.
 #[rstest]
 #[case(1)]
 #[case(2)]
--- a/orioleworks_gateway/tests/support/ledger.rs
+++ b/orioleworks_gateway/tests/support/ledger.rs
@@ -110,6 +110,11 @@
         self.violations.lock().unwrap().clone()
     }
 
+    /// Number of accepted batches, and version of the newest acknowledged document.
+    pub fn accepted(&self) -> (usize, u64) {
+        (self.batches.lock().unwrap().len(), self.stored_version.load(Ordering::Relaxed))
+    }
+
     fn send(
         &self,
         gateway: usize,
