Tests: engines announce their software from the first announcement on

Its log has the cause: engine e-1 was announced with no software version, because the test named it after the start of the engine; the stream began on it, and after the restart no engine had that version. Engines are now started with their version. Expectations are unchanged.

--- a/orioleworks_gateway/tests/software_versions.rs
+++ b/orioleworks_gateway/tests/software_versions.rs
@@ -28,9 +28,8 @@
 /// Starts engines of two software versions in turn.
 fn start_engines(d: &Deployment, n: usize) -> Vec<Upstream> {
     let start = |i| {
-        let up = Upstream::start(&format!("e-{i}"), "engines", Some(MODEL), d.control_addresses());
-        *up.behaviour.software.lock().unwrap() = format!("v{}", i % 2 + 1);
-        up
+        let (id, software) = (format!("e-{i}"), format!("v{}", i % 2 + 1));
+        Upstream::start_engine(&id, MODEL, d.control_addresses(), &software)
     };
     (0..n).map(start).collect()
 }
